--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+PROFILE ?= boutik
+SEED ?= 1
+JSON ?=
+READY := $(VENV)/.ready
+SOURCES := laburnumswitch standin scripts spec tests
+
+.PHONY: demo test lint format check-format clean
+
+$(READY): requirements-dev.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --require-hashes -r requirements-dev.txt
+	touch $(READY)
+
+demo: $(READY)
+	$(BIN)/python -m scripts.demo --profile $(PROFILE) --seed $(SEED) $(if $(JSON),--json $(JSON))
+
+test: $(READY)
+	$(BIN)/python -m pytest -n 6
+
+lint: $(READY)
+	$(BIN)/black --check --quiet $(SOURCES)
+	$(BIN)/ruff check --quiet $(SOURCES)
+	$(BIN)/lint-imports --no-cache
+
+format: $(READY)
+	$(BIN)/ruff check --quiet --fix $(SOURCES)
+	$(BIN)/black --quiet $(SOURCES)
--- /dev/null
+++ b/laburnumswitch/__main__.py
@@ -0,0 +1,5 @@
+"""Entry point of ``python -m laburnumswitch``."""
+
+from laburnumswitch.command import main
+
+main()
--- /dev/null
+++ b/laburnumswitch/connection/answer.py
@@ -0,0 +1,55 @@
+"""Decodes JSON answers of the platform, the workers and the peers into typed values."""
+
+from typing import TypeVar
+
+from msgspec import convert
+from msgspec import DecodeError
+from msgspec import ValidationError
+from msgspec.json import decode
+from msgspec.json import encode
+
+from laburnumswitch.connection.client import Client
+from laburnumswitch.exceptions import AnswerLost
+from laburnumswitch.exceptions import AnswerMalformed
+from laburnumswitch.exceptions import ConnectFailed
+from laburnumswitch.exceptions import Refused
+from laburnumswitch.exceptions import Throttled
+
+STATUS_OK = 200
+STATUS_TOO_MANY_REQUESTS = 429
+
+T = TypeVar("T")
+
+
+def call_json(
+    client: Client,
+    method: str,
+    target: str,
+    body: object,
+    answer_type: type[T],
+    timeout_s: float = 2.0,
+) -> T | ConnectFailed | AnswerLost | AnswerMalformed | Refused | Throttled:
+    """Send ``body`` as JSON and decode the answer as ``answer_type``.
+
+    :param body: anything msgspec encodes, or ``None`` for a request without a body.
+    """
+    payload = b"" if body is None else encode(body)
+    response = client.call(method, target, payload, timeout_s)
+    if isinstance(response, ConnectFailed | AnswerLost):
+        return response
+    if response.status == STATUS_TOO_MANY_REQUESTS:
+        return Throttled(_retry_after_s(response.headers))
+    if response.status != STATUS_OK:
+        reason = response.body[:200].decode("utf-8", "replace")
+        return Refused(client.address, response.status, reason)
+    try:
+        return convert(decode(response.body), answer_type)
+    except (DecodeError, ValidationError) as error:
+        return AnswerMalformed(client.address, str(error))
+
+
+def _retry_after_s(headers: tuple[tuple[str, str], ...]) -> float:
+    for name, value in headers:
+        if name.lower() == "retry-after" and value.replace(".", "", 1).isdigit():
+            return float(value)
+    return 1.0
--- /dev/null
+++ b/laburnumswitch/connection/client.py
@@ -0,0 +1,143 @@
+"""HTTP with JSON to one address of the platform, a worker or a peer.
+
+A connection carries one exchange at a time. One whose exchange did not end cleanly is closed and
+never pooled. Nothing is sent twice here: whoever calls decides whether a repeat is safe.
+"""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+from select import POLLIN
+from ssl import SSLContext
+from time import monotonic
+from typing import NamedTuple
+
+from gevent import socket
+from gevent import Timeout
+from gevent.select import poll
+from geventhttpclient.response import HTTPParseError
+from geventhttpclient.response import HTTPResponse
+
+from laburnumswitch.exceptions import AnswerLost
+from laburnumswitch.exceptions import ConnectFailed
+
+READ_BLOCK_BYTES = 65_536
+IDLE_LIMIT_S = 20.0
+POOL_SIZE = 4
+
+
+class Response(NamedTuple):
+    """One whole answer."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+class _PooledSocket(NamedTuple):
+    sock: socket.socket
+    idle_since_s: float
+
+
+class Client:
+    """Pooled connections to one address, such as ``10.0.0.7:8300``."""
+
+    def __init__(
+        self,
+        address: str,
+        headers: Callable[[], Mapping[str, str]] = dict,
+        ssl_context: SSLContext | None = None,
+    ) -> None:
+        self.address = address
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self._headers = headers
+        self._ssl_context = ssl_context
+        self._idle: list[_PooledSocket] = []
+
+    def call(
+        self, method: str, target: str, body: bytes = b"", timeout_s: float = 2.0
+    ) -> Response | ConnectFailed | AnswerLost:
+        """Send one request and return the whole answer.
+
+        :param timeout_s: limit in seconds of connecting, sending and receiving together.
+        :return: ``ConnectFailed`` only where no byte was sent.
+        """
+        sock = None
+        sent = False
+        try:
+            with Timeout(timeout_s):
+                sock = self._take_idle() or self._connect(timeout_s)
+                sent = True
+                sock.sendall(self._encode(method, target, body))
+                response, reusable = self._receive(sock, method)
+        except (Timeout, OSError, HTTPParseError) as error:
+            _close(sock)
+            reason = type(error).__name__
+            if sent:
+                return AnswerLost(self.address, reason)
+            return ConnectFailed(self.address, reason)
+        except BaseException:
+            _close(sock)
+            raise
+        if reusable and len(self._idle) < POOL_SIZE:
+            self._idle.append(_PooledSocket(sock, monotonic()))
+        else:
+            _close(sock)
+        return response
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        while self._idle:
+            _close(self._idle.pop().sock)
+
+    def _connect(self, timeout_s: float) -> socket.socket:
+        host, _, port = self.address.rpartition(":")
+        sock = socket.create_connection((host, int(port)), timeout=timeout_s)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if self._ssl_context is not None:
+            sock = self._ssl_context.wrap_socket(sock, server_hostname=host)
+        sock.settimeout(None)
+        return sock
+
+    def _take_idle(self) -> socket.socket | None:
+        while self._idle:
+            pooled = self._idle.pop()
+            if monotonic() - pooled.idle_since_s < IDLE_LIMIT_S and not _is_readable(pooled.sock):
+                return pooled.sock
+            _close(pooled.sock)
+        return None
+
+    def _encode(self, method: str, target: str, body: bytes) -> bytes:
+        lines = [f"{method} {target} HTTP/1.1", f"Host: {self.address}"]
+        lines.extend(f"{name}: {value}" for name, value in self._headers().items())
+        if body:
+            lines.append("Content-Type: application/json")
+        lines.append(f"Content-Length: {len(body)}")
+        encoded = "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
+        self.bytes_sent += len(encoded)
+        return encoded
+
+    def _receive(self, sock: socket.socket, method: str) -> tuple[Response, bool]:
+        parser = HTTPResponse(method)
+        while not parser.message_complete:
+            block = sock.recv(READ_BLOCK_BYTES)
+            if not block:
+                raise ConnectionResetError("closed before the end of the answer")
+            self.bytes_received += len(block)
+            parser.feed(block)
+        response = Response(
+            parser.status_code, tuple(parser.items()), bytes(parser._body_buffer)
+        )
+        return response, not parser.should_close()
+
+
+def _is_readable(sock: socket.socket) -> bool:
+    # An idle connection with something to read was closed by the other end or is out of step.
+    poller = poll()
+    poller.register(sock, POLLIN)
+    return bool(poller.poll(0))
+
+
+def _close(sock: socket.socket | None) -> None:
+    if sock is not None:
+        sock.close()
--- /dev/null
+++ b/laburnumswitch/process/timeline.py
@@ -0,0 +1,65 @@
+"""Events of one daemon, on a logical clock that orders cause before effect between daemons."""
+
+from collections import deque
+from collections.abc import Callable
+from typing import NamedTuple
+
+CAPACITY_EVENTS = 20_000
+
+
+class Event(NamedTuple):
+    """One event. ``clock`` is a Lamport clock; ``wall_s`` is Unix time by the VM's own clock.
+
+    ``subject`` is what the event concerns: a task, request key, worker, shard, version or zone.
+    """
+
+    clock: int
+    wall_s: float
+    process: str
+    availability_zone: str
+    kind: str
+    subject: str
+    details: dict[str, str | int | float]
+
+
+class Timeline:
+    """Bounded memory of events; what overflows before it is read is counted as lost."""
+
+    def __init__(
+        self,
+        process: str,
+        availability_zone: str,
+        wall_clock: Callable[[], float],
+        capacity: int = CAPACITY_EVENTS,
+    ) -> None:
+        self.lost = 0
+        self.clock = 0
+        self._process = process
+        self._availability_zone = availability_zone
+        self._wall_clock = wall_clock
+        self._events: deque[Event] = deque(maxlen=capacity)
+
+    def record(self, kind: str, subject: str, **details: str | int | float) -> None:
+        """Append one event."""
+        self.clock += 1
+        if len(self._events) == self._events.maxlen:
+            self.lost += 1
+        self._events.append(
+            Event(
+                self.clock,
+                self._wall_clock(),
+                self._process,
+                self._availability_zone,
+                kind,
+                subject,
+                details,
+            )
+        )
+
+    def observe(self, clock: int) -> None:
+        """Move the logical clock past that of a message just received."""
+        self.clock = max(self.clock, clock) + 1
+
+    def after(self, clock: int) -> tuple[Event, ...]:
+        """Return the events still held with a logical clock above ``clock``."""
+        return tuple(event for event in self._events if event.clock > clock)
--- /dev/null
+++ b/laburnumswitch/process/vms.py
@@ -0,0 +1,59 @@
+"""Access to the platform's list of VMs, which lags behind the truth in both directions."""
+
+from typing import Literal
+from typing import NamedTuple
+from typing import Protocol
+
+from laburnumswitch.connection.answer import call_json
+from laburnumswitch.connection.client import Client
+from laburnumswitch.exceptions import Failure
+from laburnumswitch.exceptions import Unavailable
+from laburnumswitch.version.size import Size
+
+NO_CAPACITY = Size(0, 0, 0)
+
+
+class Vm(NamedTuple):
+    """One VM as the platform lists it.
+
+    ``address`` is ``IP:port``: of the admin port for an entry VM, of the worker's control port for
+    a worker.
+    """
+
+    vm_id: str
+    role: Literal["entry", "worker"]
+    address: str
+    availability_zone: str
+    state: Literal["live", "leaving", "gone"]
+    rack: str = ""
+    capacity: Size = NO_CAPACITY
+
+
+class VmChanges(NamedTuple):
+    """The VMs whose record changed after a revision; ``gone`` ones are to be forgotten."""
+
+    revision: int
+    vms: tuple[Vm, ...]
+
+
+class Vms(Protocol):
+    """What the scheduler needs of the VM list."""
+
+    def changes_after(self, revision: int) -> VmChanges | Unavailable:
+        """Return the records changed after ``revision``; 0 asks for the whole list."""
+
+
+class VmsClient:
+    """The VM list over HTTP with JSON."""
+
+    def __init__(self, client: Client, timeout_s: float = 2.0) -> None:
+        self._client = client
+        self._timeout_s = timeout_s
+
+    def changes_after(self, revision: int) -> VmChanges | Unavailable:
+        """Return the records changed after ``revision``; 0 asks for the whole list."""
+        target = f"/vms?after={revision}"
+        answer = call_json(self._client, "GET", target, None, VmChanges, self._timeout_s)
+        if isinstance(answer, Failure):
+            return Unavailable(answer.describe())
+        return answer
--- /dev/null
+++ b/laburnumswitch/request/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one request."""
--- /dev/null
+++ b/laburnumswitch/version/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one version of the configuration."""
--- /dev/null
+++ b/laburnumswitch/version/declaration.py
@@ -0,0 +1,90 @@
+"""What operators declare: teams, services and jobs, after checking."""
+
+from typing import Literal
+from typing import NamedTuple
+
+from laburnumswitch.version.size import Size
+
+Priority = Literal["high", "normal", "low"]
+
+
+class StateReport(NamedTuple):
+    """How an upstream reports its state, and how to read it.
+
+    ``json``: GET ``path`` and read fields by dotted names. ``metrics``: GET ``path`` and read
+    Prometheus samples by name. ``headers``: read the headers of every answer. The ``*_field`` names
+    say where a value is; an empty name means that the upstream does not report it.
+
+    ``load_scale`` times the reported load gives a fraction of the upstream's capacity, so 0.01 for
+    a percentage. ``ready_values`` are the texts of ``ready_field`` that mean ready.
+    """
+
+    manner: Literal["json", "headers", "metrics", "none"] = "none"
+    path: str = "/health"
+    interval_s: float = 2.0
+    ready_field: str = ""
+    ready_values: tuple[str, ...] = ("true", "1", "ok", "up", "ready")
+    leaving_field: str = ""
+    load_field: str = ""
+    load_scale: float = 1.0
+
+
+class Service(NamedTuple):
+    """One latency-critical service. ``size`` is that of one replica."""
+
+    name: str
+    team: str
+    hosts: tuple[str, ...]
+    replicas: int
+    size: Size
+    command: tuple[str, ...] = ()
+    slots: int = 8
+    timeout_s: float = 5.0
+    idempotent_methods: tuple[str, ...] = ("GET", "HEAD", "OPTIONS", "PUT", "DELETE")
+    idempotent_paths: tuple[str, ...] = ()
+    priority: Priority = "normal"
+    standing: bool = False
+    state: StateReport = StateReport()
+
+
+class Job(NamedTuple):
+    """One batch job of ``tasks`` tasks. ``size`` is that of one task.
+
+    ``schedule`` is a cron expression in ``time_zone``; empty means that the job runs once for each
+    change of its ``generation``.
+    """
+
+    name: str
+    team: str
+    command: tuple[str, ...]
+    size: Size
+    tasks: int = 1
+    run_time_s: float = 60.0
+    schedule: str = ""
+    time_zone: str = "UTC"
+    urgent: bool = False
+    checkpointable: bool = False
+    retries: int = 2
+    after: tuple[str, ...] = ()
+    generation: int = 1
+
+
+class Team(NamedTuple):
+    """One team and the most that its batch tasks may hold at a time."""
+
+    name: str
+    quota: Size
+
+
+class Configuration(NamedTuple):
+    """One immutable version of everything declared."""
+
+    version: int = 0
+    digest: str = ""
+    services: tuple[Service, ...] = ()
+    jobs: tuple[Job, ...] = ()
+    teams: tuple[Team, ...] = ()
+    format: int = 1
+
+
+NO_CONFIGURATION = Configuration()
--- /dev/null
+++ b/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""Launcher of the demonstration and of the measurements."""
--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Specification of the core protocol for the model checker."""
--- /dev/null
+++ b/standin/table.py
@@ -0,0 +1,133 @@
+"""Transactional table in memory, with budgets and faults: the stand-in for the platform's."""
+
+from bisect import bisect_left
+from bisect import bisect_right
+from collections.abc import Callable
+from time import monotonic
+
+from msgspec.json import decode
+from msgspec.json import encode
+
+from laburnumswitch.exceptions import Conflict
+from laburnumswitch.exceptions import OutcomeUnknown
+from laburnumswitch.exceptions import Throttled
+from laburnumswitch.exceptions import Unavailable
+from laburnumswitch.process.table import ABSENT_VERSION
+from laburnumswitch.process.table import CommitFailure
+from laburnumswitch.process.table import Committed
+from laburnumswitch.process.table import ReadFailure
+from laburnumswitch.process.table import Row
+from laburnumswitch.process.table import SCAN_LIMIT_ROWS
+from laburnumswitch.process.table import Transaction
+
+UNLIMITED = float("inf")
+
+
+class Budget:
+    """Token bucket of one second's depth."""
+
+    def __init__(self, per_second: float, clock: Callable[[], float] = monotonic) -> None:
+        self.per_second = per_second
+        self.spent = 0
+        self._clock = clock
+        self._tokens = per_second
+        self._refilled_s = clock()
+
+    def spend(self, amount: int) -> bool:
+        """Take ``amount`` tokens, or none and return ``False`` where there are too few."""
+        now_s = self._clock()
+        self._tokens = min(
+            self.per_second, self._tokens + (now_s - self._refilled_s) * self.per_second
+        )
+        self._refilled_s = now_s
+        if self.per_second != UNLIMITED and self._tokens < amount:
+            return False
+        self._tokens -= amount
+        self.spent += amount
+        return True
+
+
+class MemoryTable:
+    """The rows and the fault switches ``down`` and ``lose_answers``.
+
+    A lost answer is one whose transaction took effect: the next ``lose_answers`` commits report
+    ``OutcomeUnknown``.
+    """
+
+    def __init__(
+        self,
+        writes_per_s: float = UNLIMITED,
+        reads_per_s: float = UNLIMITED,
+        clock: Callable[[], float] = monotonic,
+    ) -> None:
+        self.down = False
+        self.lose_answers = 0
+        self.writes = Budget(writes_per_s, clock)
+        self.reads = Budget(reads_per_s, clock)
+        self.commits = 0
+        self._version = ABSENT_VERSION
+        self._by_key: dict[str, tuple[int, bytes]] = {}
+        self._sorted_keys: list[str] | None = []
+
+    def read(self, keys: tuple[str, ...]) -> dict[str, Row] | ReadFailure:
+        """Return the rows by key, absent ones included."""
+        refusal = self._refuse(self.reads, len(keys))
+        return refusal or {key: self._row(key) for key in keys}
+
+    def scan(
+        self, prefix: str, after: str = "", limit: int = SCAN_LIMIT_ROWS
+    ) -> tuple[Row, ...] | ReadFailure:
+        """Return up to ``limit`` rows under ``prefix`` with keys above ``after``."""
+        refusal = self._refuse(self.reads, 1)
+        if refusal:
+            return refusal
+        if self._sorted_keys is None:
+            self._sorted_keys = sorted(self._by_key)
+        keys = self._sorted_keys
+        found = []
+        index = max(bisect_left(keys, prefix), bisect_right(keys, after))
+        while index < len(keys) and keys[index].startswith(prefix) and len(found) < limit:
+            found.append(self._row(keys[index]))
+            index += 1
+        return tuple(found)
+
+    def commit(self, transaction: Transaction) -> Committed | CommitFailure:
+        """Apply ``transaction`` if all its conditions hold."""
+        effects = len(transaction.puts) + len(transaction.deletes)
+        refusal = self._refuse(self.writes, effects)
+        if refusal:
+            return refusal
+        for condition in transaction.conditions:
+            actual = self._by_key.get(condition.key, (ABSENT_VERSION, b""))[0]
+            if actual != condition.version:
+                return Conflict(condition.key, condition.version, actual)
+        self._apply(transaction)
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            return OutcomeUnknown("answer lost")
+        return Committed(self._version)
+
+    def _apply(self, transaction: Transaction) -> None:
+        self.commits += 1
+        self._version += 1
+        for put in transaction.puts:
+            if put.key not in self._by_key:
+                self._sorted_keys = None
+            self._by_key[put.key] = (self._version, encode(put.value))
+        for key in transaction.deletes:
+            if self._by_key.pop(key, None) is not None:
+                self._sorted_keys = None
+
+    def _refuse(self, budget: Budget, amount: int) -> Unavailable | Throttled | None:
+        if self.down:
+            return Unavailable("the table is down")
+        if not budget.spend(amount):
+            return Throttled(1.0)
+        return None
+
+    def _row(self, key: str) -> Row:
+        stored = self._by_key.get(key)
+        if stored is None:
+            return Row(key, ABSENT_VERSION, None)
+        return Row(key, stored[0], decode(stored[1]))
+
