--- a/laburnumswitch/connection/client.py
+++ b/laburnumswitch/connection/client.py
@@ -125,9 +125,7 @@
                 raise ConnectionResetError("closed before the end of the answer")
             self.bytes_received += len(block)
             parser.feed(block)
-        response = Response(
-            parser.status_code, tuple(parser.items()), bytes(parser._body_buffer)
-        )
+        response = Response(parser.status_code, tuple(parser.items()), bytes(parser._body_buffer))
         return response, not parser.should_close()
 
 
--- a/laburnumswitch/version/declaration.py
+++ b/laburnumswitch/declaration.py
@@ -3,7 +3,7 @@
 from typing import Literal
 from typing import NamedTuple
 
-from laburnumswitch.version.size import Size
+from laburnumswitch.size import Size
 
 Priority = Literal["high", "normal", "low"]
 
--- /dev/null
+++ b/laburnumswitch/entry.py
@@ -0,0 +1,1 @@
+"""Composition root of the entry daemon."""
--- a/laburnumswitch/process/workers.py
+++ b/laburnumswitch/process/workers.py
@@ -15,7 +15,7 @@
 from laburnumswitch.connection.client import Client
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.exceptions import Unavailable
-from laburnumswitch.version.size import Size
+from laburnumswitch.size import Size
 
 NO_GRANT = 0.0
 
--- a/standin/table.py
+++ b/standin/table.py
@@ -130,4 +130,3 @@
         if stored is None:
             return Row(key, ABSENT_VERSION, None)
         return Row(key, stored[0], decode(stored[1]))
-
