--- /dev/null
+++ b/laburnumswitch/process/admin.py
@@ -0,0 +1,129 @@
+"""The admin port: health, metrics, and the endpoints of peers and operators.
+
+It listens apart from the callers' port. Peers and operators show a shared key.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+from typing import Any
+from typing import NamedTuple
+from urllib.parse import parse_qs
+
+from gevent.pywsgi import WSGIServer
+from msgspec import DecodeError
+from msgspec import ValidationError
+from msgspec.json import decode
+from msgspec.json import encode
+
+BODY_LIMIT_BYTES = 4 * 1024 * 1024
+JSON = "application/json"
+TEXT = "text/plain; charset=utf-8"
+OPEN_PATHS = frozenset({"healthz", "readyz", "metrics"})
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    401: "Unauthorized",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    409: "Conflict",
+    413: "Content Too Large",
+    503: "Service Unavailable",
+}
+
+
+class AdminRequest(NamedTuple):
+    """One request; ``rest`` are the path's parts after the one that chose the handler."""
+
+    method: str
+    rest: tuple[str, ...]
+    query: Mapping[str, str]
+    headers: Mapping[str, str]
+    body: bytes
+
+    def decode(self, body_type: type) -> Any:
+        """Return the JSON body as ``body_type``; raises what msgspec raises."""
+        return decode(self.body, type=body_type)
+
+
+class AdminReply(NamedTuple):
+    """One answer."""
+
+    status: int
+    body: bytes
+    content_type: str = JSON
+
+
+class Rejection(NamedTuple):
+    """Body of an answer that refuses a request."""
+
+    error: str
+
+
+Handler = Callable[[AdminRequest], AdminReply]
+
+
+class AdminContext(NamedTuple):
+    """The handlers by the first part of the path, and the check of a presented key."""
+
+    handlers: Mapping[str, Handler]
+    key_is_accepted: Callable[[str], bool]
+
+
+def reply_json(value: object, status: int = 200) -> AdminReply:
+    """Return ``value`` as JSON."""
+    return AdminReply(status, encode(value))
+
+
+def reject(status: int, error: str) -> AdminReply:
+    """Return a refusal with the tag ``error``."""
+    return reply_json(Rejection(error), status)
+
+
+def serve_admin(
+    address: str, context: AdminContext, ssl_arguments: Mapping[str, Any] | None = None
+) -> WSGIServer:
+    """Return the server of the admin port, not yet started."""
+
+    def application(
+        environ: dict[str, Any], start_response: Callable[..., object]
+    ) -> Iterable[bytes]:
+        reply = _answer(environ, context)
+        headers = [
+            ("Content-Type", reply.content_type),
+            ("Content-Length", str(len(reply.body))),
+        ]
+        start_response(f"{reply.status} {REASONS[reply.status]}", headers)
+        return [reply.body]
+
+    host, _, port = address.rpartition(":")
+    return WSGIServer((host, int(port)), application, log=None, **(ssl_arguments or {}))
+
+
+def _answer(environ: dict[str, Any], context: AdminContext) -> AdminReply:
+    first, *rest = environ["PATH_INFO"].strip("/").split("/")
+    handler = context.handlers.get(first)
+    if handler is None:
+        return reject(404, "NotFound")
+    if first not in OPEN_PATHS and not context.key_is_accepted(_presented_key(environ)):
+        return reject(401, "Unauthorized")
+    length = int(environ.get("CONTENT_LENGTH") or 0)
+    if length > BODY_LIMIT_BYTES:
+        return reject(413, "BodyTooLarge")
+    body = environ["wsgi.input"].read(length) if length else b""
+    query = {name: values[-1] for name, values in parse_qs(environ["QUERY_STRING"]).items()}
+    headers = {
+        name[5:].replace("_", "-").lower(): value
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    }
+    request = AdminRequest(environ["REQUEST_METHOD"], tuple(rest), query, headers, body)
+    try:
+        return handler(request)
+    except (DecodeError, ValidationError) as error:
+        return reject(400, f"{type(error).__name__}: {error}")
+
+
+def _presented_key(environ: Mapping[str, Any]) -> str:
+    scheme, _, key = environ.get("HTTP_AUTHORIZATION", "").partition(" ")
+    return key if scheme.lower() == "bearer" else ""
--- /dev/null
+++ b/laburnumswitch/process/heartbeat.py
@@ -0,0 +1,44 @@
+"""Messages between entries. All of them are hints; none is binding."""
+
+from typing import NamedTuple
+
+from laburnumswitch.process.hint import ShardHint
+from laburnumswitch.upstream import Upstream
+
+FORMAT = 1
+
+
+class ZoneHint(NamedTuple):
+    """State of one availability zone with the version of its row."""
+
+    name: str
+    state: str
+    version: int
+
+
+class Heartbeat(NamedTuple):
+    """What an entry tells each peer about once a second.
+
+    ``clock`` is the sender's logical clock. ``leaving`` is set while the sender drains.
+    """
+
+    vm_id: str
+    boot: str
+    availability_zone: str
+    clock: int
+    configuration_version: int = 0
+    configuration_digest: str = ""
+    leaving: bool = False
+    zones: tuple[ZoneHint, ...] = ()
+    shards: tuple[ShardHint, ...] = ()
+    format: int = FORMAT
+
+
+class ShardUpstreams(NamedTuple):
+    """The running replicas of one shard, with the epoch and revision they belong to."""
+
+    shard: int
+    epoch: int
+    revision: int
+    upstreams: tuple[Upstream, ...] = ()
+    format: int = FORMAT
--- /dev/null
+++ b/laburnumswitch/process/operator.py
@@ -0,0 +1,156 @@
+"""The operators' endpoints of the admin port.
+
+What each entry knows alone is gathered from all that answer; ``local=1`` in the query asks for one
+entry's part. What the platform's table holds is read by the entry that is asked.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+from typing import Any
+from typing import NamedTuple
+from typing import TypedDict
+
+from gevent import joinall
+from gevent import spawn
+
+from laburnumswitch.connection.answer import call_json
+from laburnumswitch.connection.client import Client
+from laburnumswitch.exceptions import Failure
+from laburnumswitch.process.admin import AdminReply
+from laburnumswitch.process.admin import AdminRequest
+from laburnumswitch.process.admin import Handler
+from laburnumswitch.process.admin import reject
+from laburnumswitch.process.admin import reply_json
+from laburnumswitch.process.timeline import Event
+from laburnumswitch.process.timeline import Timeline
+
+GATHER_TIMEOUT_S = 1.5
+
+
+class StatusRow(TypedDict):
+    """One entry, as it sees itself."""
+
+    vm: str
+    availability_zone: str
+    ready: bool
+    configuration: int
+    shards: int
+    live_entries: int
+    events_lost: int
+
+
+class ZoneRow(TypedDict):
+    """One availability zone."""
+
+    zone: str
+    state: str
+    version: int
+
+
+class EventRow(TypedDict):
+    """One event of the time line."""
+
+    clock: int
+    wall_s: float
+    process: str
+    availability_zone: str
+    kind: str
+    subject: str
+    details: dict[str, str | int | float]
+
+
+class RowList(TypedDict):
+    """Answer of every list."""
+
+    rows: list[dict[str, Any]]
+
+
+LocalRows = Callable[[AdminRequest], Iterable[Mapping[str, Any]] | Failure]
+
+
+class OperatorContext(NamedTuple):
+    """The lists by name, and the clients of the peers that are heard."""
+
+    gathered_by_name: Mapping[str, LocalRows]
+    shared_by_name: Mapping[str, LocalRows]
+    peer_clients: Callable[[], tuple[Client, ...]]
+    cancel_job: Callable[[str], None | Failure]
+
+
+def make_operator_handler(context: OperatorContext) -> Handler:
+    """Return the handler of everything below ``/operator``."""
+
+    def handle(request: AdminRequest) -> AdminReply:
+        match request.method, request.rest:
+            case "GET", (name,) if name in context.gathered_by_name:
+                return _list_gathered(context, name, request)
+            case "GET", (name,) if name in context.shared_by_name:
+                return _reply_rows(context.shared_by_name[name](request))
+            case "GET", ("jobs", job_id):
+                return _show_job(context, job_id, request)
+            case "POST", ("jobs", job_id, "cancel"):
+                return _cancel_job(context, job_id)
+        return reject(404, "NotFound")
+
+    return handle
+
+
+def event_rows(timeline: Timeline) -> LocalRows:
+    """Return the list of the events above the clock that the query's ``after`` names."""
+
+    def rows(request: AdminRequest) -> Iterable[EventRow]:
+        after = request.query.get("after", "0")
+        events = timeline.after(int(after) if after.isdigit() else 0)
+        return [_event_row(event) for event in events]
+
+    return rows
+
+
+def _event_row(event: Event) -> EventRow:
+    return EventRow(**event._asdict())
+
+
+def _list_gathered(context: OperatorContext, name: str, request: AdminRequest) -> AdminReply:
+    local = context.gathered_by_name[name](request)
+    if isinstance(local, Failure) or request.query.get("local") == "1":
+        return _reply_rows(local)
+    return _reply_rows([*local, *_gather(context.peer_clients(), name, request.query)])
+
+
+def _reply_rows(rows: Iterable[Mapping[str, Any]] | Failure) -> AdminReply:
+    if isinstance(rows, Failure):
+        return reject(503, rows.describe())
+    return reply_json(RowList(rows=[dict(row) for row in rows]))
+
+
+def _gather(
+    clients: tuple[Client, ...], name: str, query: Mapping[str, str]
+) -> list[dict[str, Any]]:
+    after = query.get("after", "0")
+    target = f"/operator/{name}?local=1&after={after if after.isdigit() else 0}"
+    tasks = [
+        spawn(call_json, client, "GET", target, None, RowList, GATHER_TIMEOUT_S)
+        for client in clients
+    ]
+    joinall(tasks)
+    answers = [task.value for task in tasks if isinstance(task.value, dict)]
+    return [row for answer in answers for row in answer["rows"]]
+
+
+def _show_job(context: OperatorContext, job_id: str, request: AdminRequest) -> AdminReply:
+    rows = context.shared_by_name["jobs"](request)
+    if isinstance(rows, Failure):
+        return reject(503, rows.describe())
+    for row in rows:
+        if row.get("job") == job_id:
+            return _reply_rows([row])
+    return reject(404, "JobNotFound")
+
+
+def _cancel_job(context: OperatorContext, job_id: str) -> AdminReply:
+    outcome = context.cancel_job(job_id)
+    if outcome is None:
+        return reply_json(RowList(rows=[]))
+    status = 404 if outcome.tag == "NotFound" else 503
+    return reject(status, outcome.describe())
--- /dev/null
+++ b/laburnumswitch/process/peers.py
@@ -0,0 +1,118 @@
+"""Talks to the peers: one task for each, which sends heartbeats and fetches what it is behind on."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from gevent import Greenlet
+from gevent import spawn
+
+from laburnumswitch.connection.answer import call_json
+from laburnumswitch.connection.client import Client
+from laburnumswitch.exceptions import Failure
+from laburnumswitch.exceptions import NotFound
+from laburnumswitch.process.directory import Directory
+from laburnumswitch.process.heartbeat import Heartbeat
+from laburnumswitch.process.heartbeat import ShardUpstreams
+from laburnumswitch.process.membership import Membership
+from laburnumswitch.process.timeline import Timeline
+from laburnumswitch.process.vms import Vm
+
+HEARTBEAT_INTERVAL_S = 1.0
+HEARTBEAT_TIMEOUT_S = 0.8
+STATUS_OK = 200
+
+
+class PeerContext(NamedTuple):
+    """What the tasks of the peers work with."""
+
+    vm_id: str
+    membership: Membership
+    directory: Directory
+    timeline: Timeline
+    entries: Callable[[], tuple[Vm, ...]]
+    make_heartbeat: Callable[[], Heartbeat]
+    make_client: Callable[[str], Client]
+    sleep: Callable[[float], None]
+    stopping: Callable[[], bool]
+
+
+class Peers:
+    """The tasks and the clients, by peer."""
+
+    def __init__(self, context: PeerContext) -> None:
+        self._context = context
+        self._task_by_id: dict[str, Greenlet] = {}
+        self._client_by_address: dict[str, Client] = {}
+
+    def run(self) -> None:
+        """Keep one task running for each listed peer until the process stops."""
+        while not self._context.stopping():
+            for vm in self._context.entries():
+                task = self._task_by_id.get(vm.vm_id)
+                if vm.vm_id != self._context.vm_id and (task is None or task.dead):
+                    self._task_by_id[vm.vm_id] = spawn(self._run_peer, vm)
+            self._context.membership.forget_silent()
+            self._context.sleep(HEARTBEAT_INTERVAL_S)
+
+    def fetch_configuration(self, version: int, digest: str) -> bytes | Failure:
+        """Return the document of a version from any peer that says it has it."""
+        name = f"configuration/{version}-{digest}"
+        for heartbeat in self._context.membership.heartbeats():
+            if heartbeat.configuration_version != version:
+                continue
+            vm = self._listed(heartbeat.vm_id)
+            if vm is None:
+                continue
+            response = self._client(vm.address).call("GET", f"/peer/{name}")
+            if not isinstance(response, Failure) and response.status == STATUS_OK:
+                return response.body
+        return NotFound(name)
+
+    def control_bytes(self) -> tuple[int, int]:
+        """Return the bytes sent to and received from the peers so far."""
+        clients = self._client_by_address.values()
+        return (
+            sum(client.bytes_sent for client in clients),
+            sum(client.bytes_received for client in clients),
+        )
+
+    def _run_peer(self, vm: Vm) -> None:
+        while not self._context.stopping() and self._listed(vm.vm_id) == vm:
+            answer = call_json(
+                self._client(vm.address),
+                "POST",
+                "/peer/heartbeat",
+                self._context.make_heartbeat(),
+                Heartbeat,
+                HEARTBEAT_TIMEOUT_S,
+            )
+            if isinstance(answer, Heartbeat) and answer.vm_id == vm.vm_id:
+                self._context.timeline.observe(answer.clock)
+                self._context.membership.hear(answer)
+                self._fetch_upstreams(vm, answer)
+            self._context.sleep(HEARTBEAT_INTERVAL_S)
+
+    def _fetch_upstreams(self, vm: Vm, heartbeat: Heartbeat) -> None:
+        for hint in heartbeat.shards:
+            if not self._context.directory.is_behind(hint.shard, hint.epoch, hint.upstream_revision):
+                continue
+            answer = call_json(
+                self._client(vm.address),
+                "GET",
+                f"/peer/shard/{hint.shard}",
+                None,
+                ShardUpstreams,
+            )
+            if isinstance(answer, ShardUpstreams):
+                self._context.directory.apply(answer)
+
+    def _client(self, address: str) -> Client:
+        client = self._client_by_address.get(address)
+        if client is None:
+            client = self._client_by_address[address] = self._context.make_client(address)
+        return client
+
+    def _listed(self, vm_id: str) -> Vm | None:
+        by_id: Mapping[str, Vm] = {vm.vm_id: vm for vm in self._context.entries()}
+        return by_id.get(vm_id)
--- /dev/null
+++ b/laburnumswitch/process/roster.py
@@ -0,0 +1,58 @@
+"""The VMs that the platform lists, kept up to date by reading the changes."""
+
+from collections.abc import Callable
+
+from absl import logging
+
+from laburnumswitch.process.vms import Vm
+from laburnumswitch.process.vms import VmChanges
+from laburnumswitch.process.vms import Vms
+
+POLL_INTERVAL_S = 1.0
+
+
+class Roster:
+    """The newest list. It lags, so it names candidates and proves nothing."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self._by_id: dict[str, Vm] = {}
+        self._entries: tuple[Vm, ...] = ()
+        self._workers: tuple[Vm, ...] = ()
+
+    def apply(self, changes: VmChanges) -> None:
+        """Take in changed records."""
+        self.revision = changes.revision
+        for vm in changes.vms:
+            if vm.state == "gone":
+                self._by_id.pop(vm.vm_id, None)
+            else:
+                self._by_id[vm.vm_id] = vm
+        if changes.vms:
+            vms = sorted(self._by_id.values())
+            self._entries = tuple(vm for vm in vms if vm.role == "entry")
+            self._workers = tuple(vm for vm in vms if vm.role == "worker")
+
+    def entries(self) -> tuple[Vm, ...]:
+        """Return the listed entry VMs."""
+        return self._entries
+
+    def workers(self) -> tuple[Vm, ...]:
+        """Return the listed workers."""
+        return self._workers
+
+
+def run_roster(
+    roster: Roster, vms: Vms, sleep: Callable[[float], None], stopping: Callable[[], bool]
+) -> None:
+    """Poll the platform's list until the process stops."""
+    was_available = True
+    while not stopping():
+        changes = vms.changes_after(roster.revision)
+        available = isinstance(changes, VmChanges)
+        if available:
+            roster.apply(changes)
+        elif was_available:
+            logging.warning("event=vm_list_unavailable reason=%s", changes.describe())
+        was_available = available
+        sleep(POLL_INTERVAL_S)
--- a/laburnumswitch/process/timeline.py
+++ b/laburnumswitch/process/timeline.py
@@ -31,17 +31,20 @@
         availability_zone: str,
         wall_clock: Callable[[], float],
         capacity: int = CAPACITY_EVENTS,
+        count_event: Callable[[str], None] = lambda kind: None,
     ) -> None:
         self.lost = 0
         self.clock = 0
         self._process = process
         self._availability_zone = availability_zone
         self._wall_clock = wall_clock
+        self._count_event = count_event
         self._events: deque[Event] = deque(maxlen=capacity)
 
     def record(self, kind: str, subject: str, **details: str | int | float) -> None:
         """Append one event."""
         self.clock += 1
+        self._count_event(kind)
         if len(self._events) == self._events.maxlen:
             self.lost += 1
         self._events.append(
