--- a/laburnumswitch/exceptions.py
+++ b/laburnumswitch/exceptions.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass
 from dataclasses import fields
 
+from laburnumswitch.change import Change
+
 
 @dataclass(frozen=True)
 class Failure:
@@ -232,5 +234,44 @@
         return "\n".join(problem.describe() for problem in self.problems)
 
 
+@dataclass(frozen=True)
+class RowMalformed(Failure):
+    """A row of the table does not have the fields that it must have."""
+
+    key: str
+    reason: str
+
+
+@dataclass(frozen=True)
+class DocumentBroken(Failure):
+    """A configuration document is missing, or is not the one that its version names."""
+
+    version: int
+    reason: str
+
+
+@dataclass(frozen=True)
+class ConfigurationChanged(Failure):
+    """Somebody else published since the version compared with; ``changes`` is what they did."""
+
+    compared_version: int
+    version: int
+    changes: tuple[Change, ...]
+
+    def describe(self) -> str:
+        """Return a line for the versions and one for each change."""
+        head = f"{self.tag}: compared with {self.compared_version}, in force is {self.version}"
+        return "\n".join((head, *(f"  {change.describe()}" for change in self.changes)))
+
+
+@dataclass(frozen=True)
+class ZoneChanged(Failure):
+    """Somebody else set the zone's state at the same time."""
+
+    zone: str
+    state: str
+    actor: str
+
+
 def _did_you_mean(near: str) -> str:
     return f", did you mean {near!r}?" if near else ""
--- /dev/null
+++ b/laburnumswitch/process/zones.py
@@ -0,0 +1,123 @@
+"""The state of availability zones in the platform's table. A zone without a row is in service."""
+
+from collections.abc import Callable
+from time import time
+from typing import Literal
+from typing import NamedTuple
+from typing import TypedDict
+
+from gevent import sleep as gevent_sleep
+from msgspec import convert
+from msgspec import ValidationError
+
+from laburnumswitch.exceptions import Conflict
+from laburnumswitch.exceptions import Failure
+from laburnumswitch.exceptions import OutcomeUnknown
+from laburnumswitch.exceptions import RowMalformed
+from laburnumswitch.exceptions import Throttled
+from laburnumswitch.exceptions import Unavailable
+from laburnumswitch.exceptions import ZoneChanged
+from laburnumswitch.process.conditional import write_row
+from laburnumswitch.process.table import ABSENT_VERSION
+from laburnumswitch.process.table import ReadFailure
+from laburnumswitch.process.table import Row
+from laburnumswitch.process.table import scan_all
+from laburnumswitch.process.table import Table
+
+PREFIX = "zone/"
+FORMAT = 1
+
+State = Literal["in", "out"]
+
+
+class ZoneRow(TypedDict):
+    """Value of a row ``zone/<name>``; ``changed_s`` is Unix time by the operator's clock."""
+
+    format: int
+    state: State
+    actor: str
+    changed_s: float
+
+
+class ZoneState(NamedTuple):
+    """State of one zone and the version of its row, on which starts are conditional."""
+
+    name: str
+    state: State = "in"
+    version: int = ABSENT_VERSION
+
+
+ZoneFailure = ZoneChanged | OutcomeUnknown | Unavailable | Throttled | RowMalformed
+
+
+def zone_key(name: str) -> str:
+    """Return the key of a zone's row."""
+    return PREFIX + name
+
+
+def read_zones(table: Table) -> dict[str, ZoneState] | ReadFailure | RowMalformed:
+    """Return the zones that have a row, by name; every other zone is in service."""
+    rows = scan_all(table, PREFIX)
+    if isinstance(rows, Failure):
+        return rows
+    by_name = {}
+    for row in rows:
+        found = zone_state(row)
+        if isinstance(found, Failure):
+            return found
+        by_name[found.name] = found
+    return by_name
+
+
+def zone_state(row: Row) -> ZoneState | RowMalformed:
+    """Return the state that a zone's row holds, present or not."""
+    name = row.key.removeprefix(PREFIX)
+    if row.version == ABSENT_VERSION:
+        return ZoneState(name)
+    try:
+        value = convert(row.value, ZoneRow)
+    except ValidationError as error:
+        return RowMalformed(row.key, str(error))
+    return ZoneState(name, value["state"], row.version)
+
+
+def set_zone(
+    table: Table,
+    name: str,
+    state: State,
+    actor: str,
+    clock: Callable[[], float] = time,
+    sleep: Callable[[float], object] = gevent_sleep,
+) -> ZoneState | ZoneFailure:
+    """Take a zone out of service or return it. Repeating it is safe.
+
+    While the store is down nothing changes: the answer is ``Unavailable``, and no task can start
+    anywhere meanwhile, since no start can be committed either.
+
+    :param actor: who asks, for the row and for an operator who asks the opposite meanwhile.
+    """
+    rows = table.read((zone_key(name),))
+    if isinstance(rows, Failure):
+        return rows
+    row = rows[zone_key(name)]
+    found = zone_state(row)
+    if isinstance(found, Failure) or found.state == state:
+        return found
+    wanted = ZoneRow(format=FORMAT, state=state, actor=actor, changed_s=clock())
+    outcome = write_row(table, row.key, row.version, {**(row.value or {}), **wanted}, sleep)
+    if isinstance(outcome, Conflict):
+        return _after_conflict(table, name, state)
+    if isinstance(outcome, Failure):
+        return outcome
+    return ZoneState(name, state, outcome.version)
+
+
+def _after_conflict(table: Table, name: str, state: State) -> ZoneState | ZoneFailure:
+    rows = table.read((zone_key(name),))
+    if isinstance(rows, Failure):
+        return rows
+    row = rows[zone_key(name)]
+    found = zone_state(row)
+    if isinstance(found, Failure) or found.state == state:
+        return found
+    return ZoneChanged(name, found.state, str((row.value or {}).get("actor", "")))
