Check settings with typed problems and re-read shared keys when their file changes

An entry had no settings, and rotating a key would have needed a restart. Settings reuse the reader of declarations, so that every problem has file, line and field.

--- /dev/null
+++ b/laburnumswitch/process/keys.py
@@ -0,0 +1,110 @@
+"""Shared keys of peers and operators, rotated by changing a file."""
+
+import os
+from collections.abc import Callable
+from hmac import compare_digest
+from time import monotonic
+from typing import NamedTuple
+
+from laburnumswitch.exceptions import FileProblem
+from laburnumswitch.exceptions import FileUnreadable
+from laburnumswitch.exceptions import InvalidValue
+from laburnumswitch.exceptions import NotUtf8
+from laburnumswitch.yamlfile import read_file
+
+MIN_KEY_CHARACTERS = 16
+CHECK_INTERVAL_S = 1.0
+SCHEME = "Bearer "
+
+
+class FileStamp(NamedTuple):
+    """What changes when a file is replaced or written."""
+
+    modified_ns: int
+    size: int
+    inode: int
+
+
+def read_keys(path: str) -> tuple[str, ...] | FileProblem:
+    """Read a key file: one key a line; empty lines and lines that begin with ``#`` are left out."""
+    content = read_file(path)
+    if isinstance(content, FileUnreadable):
+        return content
+    try:
+        lines = content.decode("ascii").splitlines()
+    except UnicodeDecodeError:
+        return NotUtf8(path, 0, 0, "")
+    keys = []
+    for number, line in enumerate(lines, 1):
+        key = line.strip()
+        if not key or key.startswith("#"):
+            continue
+        if len(key) < MIN_KEY_CHARACTERS or not key.isprintable() or " " in key:
+            reason = f"a key has at least {MIN_KEY_CHARACTERS} visible characters"
+            return InvalidValue(path, number, 1, "", reason)
+        keys.append(key)
+    if not keys:
+        return InvalidValue(path, 1, 1, "", "the file holds no key")
+    return tuple(keys)
+
+
+class KeyFile:
+    """The keys of a file, read again when it changed. A broken file leaves the last good keys.
+
+    To rotate without a restart: add the new key as the last line on every VM, then move it to the
+    first line, then remove the old one.
+    """
+
+    def __init__(
+        self, path: str, keys: tuple[str, ...], clock: Callable[[], float] = monotonic
+    ) -> None:
+        self.problem: FileProblem | None = None
+        self._path = path
+        self._keys = keys
+        self._clock = clock
+        self._stamp = _stamp(path)
+        self._checked_s = clock()
+
+    def headers(self) -> dict[str, str]:
+        """Return the header that a call of a peer carries."""
+        self._refresh()
+        return {"Authorization": SCHEME + self._keys[0]}
+
+    def accepts(self, authorization: str) -> bool:
+        """Return whether a header names an accepted key, in time that does not depend on it."""
+        self._refresh()
+        offered = authorization.removeprefix(SCHEME).encode("utf-8", "surrogatepass")
+        matches = [compare_digest(offered, key.encode()) for key in self._keys]
+        return authorization.startswith(SCHEME) and any(matches)
+
+    def _refresh(self) -> None:
+        now_s = self._clock()
+        if now_s - self._checked_s < CHECK_INTERVAL_S:
+            return
+        self._checked_s = now_s
+        stamp = _stamp(self._path)
+        if stamp == self._stamp and self.problem is None:
+            return
+        keys = read_keys(self._path)
+        if isinstance(keys, FileProblem):
+            self.problem = keys
+            return
+        self.problem = None
+        self._keys = keys
+        self._stamp = stamp
+
+
+def open_keys(path: str, clock: Callable[[], float] = monotonic) -> KeyFile | FileProblem:
+    """Return the keys of a file, or why it cannot be used."""
+    keys = read_keys(path)
+    if isinstance(keys, FileProblem):
+        return keys
+    return KeyFile(path, keys, clock)
+
+
+def _stamp(path: str) -> FileStamp | None:
+    try:
+        status = os.stat(path)
+    except OSError:
+        return None
+    return FileStamp(status.st_mtime_ns, status.st_size, status.st_ino)
--- a/laburnumswitch/yamlfields.py
+++ b/laburnumswitch/yamlfields.py
@@ -77,14 +77,20 @@
     return matches[0] if matches else ""
 
 
-def plain_type(hint: Any) -> Any:
-    """Return a type hint without its annotations."""
-    return get_args(hint)[0] if get_origin(hint) is Annotated else hint
+def nested_type(hint: Any) -> type | None:
+    """Return the ``NamedTuple`` type that a hint names, alone or as ``Type | None``."""
+    candidates = (hint, *get_args(hint))
+    if get_origin(hint) is Annotated:
+        return nested_type(get_args(hint)[0])
+    for candidate in candidates:
+        if hasattr(candidate, "_field_defaults"):
+            return candidate
+    return None
 
 
 def _decode_field(document: YamlDocument, hint: Any, path: Path) -> Any:
-    nested = plain_type(hint)
-    if hasattr(nested, "_field_defaults"):
+    nested = nested_type(hint)
+    if nested is not None:
         return decode_fields(document, nested, path)
     try:
         return convert(_at(document.value, path), hint, strict=True, dec_hook=decode_unit)
