--- /dev/null
+++ b/standin/server.py
@@ -0,0 +1,108 @@
+"""HTTP server of the stand-ins: one function from call to reply."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from errno import ECONNRESET
+from http import HTTPStatus
+from typing import Any
+from typing import NamedTuple
+from urllib.parse import parse_qsl
+
+from gevent.pool import Pool
+from gevent.pywsgi import WSGIServer
+from msgspec.json import encode
+
+HEADER_PREFIX = "HTTP_"
+
+
+class Call(NamedTuple):
+    """One request; ``headers`` are by lower-case name, ``peer`` is the other end's ``IP:port``."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+    peer: str = ""
+
+
+class Reply(NamedTuple):
+    """One answer; of a ``truncated`` one only half of the body is sent."""
+
+    status: int
+    body: bytes = b""
+    headers: tuple[tuple[str, str], ...] = ()
+    content_type: str = "application/json"
+    truncated: bool = False
+
+
+class AnswerDropped(ConnectionResetError):
+    """Raised by a handler to close the connection without an answer."""
+
+    def __init__(self) -> None:
+        super().__init__(ECONNRESET, "the answer is dropped on purpose")
+
+
+Handler = Callable[[Call], Reply]
+
+
+def json_reply(value: Any) -> Reply:
+    """Return ``value`` as JSON with status 200."""
+    return Reply(HTTPStatus.OK, encode(value))
+
+
+def throttled_reply(retry_after_s: float) -> Reply:
+    """Return the answer to a call that a budget refused."""
+    return Reply(HTTPStatus.TOO_MANY_REQUESTS, headers=(("Retry-After", str(retry_after_s)),))
+
+
+UNAVAILABLE = Reply(HTTPStatus.SERVICE_UNAVAILABLE, b"unavailable", content_type="text/plain")
+NOT_FOUND = Reply(HTTPStatus.NOT_FOUND, b"not found", content_type="text/plain")
+
+
+def start_server(address: str, handle: Handler) -> WSGIServer:
+    """Serve ``handle`` on ``address``, such as ``127.0.0.1:0``, and return the started server.
+
+    Stopping the server with a timeout of 0 ends its connections at once.
+    """
+    host, _, port = address.rpartition(":")
+
+    def application(environ: dict[str, Any], start_response: Callable) -> Iterable[bytes]:
+        reply = handle(_call_of(environ))
+        status = HTTPStatus(reply.status)
+        headers = [("Content-Length", str(len(reply.body))), ("Content-Type", reply.content_type)]
+        start_response(f"{status.value} {status.phrase}", headers + list(reply.headers))
+        return _half(reply.body) if reply.truncated else [reply.body]
+
+    spawn = Pool()
+    server = WSGIServer((host, int(port)), application, backlog=1024, spawn=spawn, log=None)
+    # The server would look its own name up in the name service otherwise.
+    server.environ["SERVER_NAME"] = host
+    server.start()
+    return server
+
+
+def bound_address(server: WSGIServer) -> str:
+    """Return the address that a started server listens on."""
+    return f"{server.server_host}:{server.server_port}"
+
+
+def _half(body: bytes) -> Iterable[bytes]:
+    yield body[: len(body) // 2]
+    raise AnswerDropped
+
+
+def _call_of(environ: dict[str, Any]) -> Call:
+    headers = {
+        name[len(HEADER_PREFIX) :].replace("_", "-").lower(): value
+        for name, value in environ.items()
+        if name.startswith(HEADER_PREFIX)
+    }
+    return Call(
+        environ["REQUEST_METHOD"],
+        environ["PATH_INFO"],
+        dict(parse_qsl(environ["QUERY_STRING"])),
+        headers,
+        environ["wsgi.input"].read(),
+        f"{environ['REMOTE_ADDR']}:{environ['REMOTE_PORT']}",
+    )
--- a/standin/table.py
+++ b/standin/table.py
@@ -24,14 +24,18 @@
 
 
 class Budget:
-    """Token bucket of one second's depth."""
+    """Token bucket of one second's depth, with a record of its use."""
 
     def __init__(self, per_second: float, clock: Callable[[], float] = monotonic) -> None:
         self.per_second = per_second
         self.spent = 0
+        self.peak_per_s = 0
+        self.refused = 0
         self._clock = clock
         self._tokens = per_second
         self._refilled_s = clock()
+        self._second = 0
+        self._spent_in_second = 0
 
     def spend(self, amount: int) -> bool:
         """Take ``amount`` tokens, or none and return ``False`` where there are too few."""
@@ -41,11 +45,20 @@
         )
         self._refilled_s = now_s
         if self.per_second != UNLIMITED and self._tokens < amount:
+            self.refused += 1
             return False
         self._tokens -= amount
-        self.spent += amount
+        self._count(amount, int(now_s))
         return True
 
+    def _count(self, amount: int, second: int) -> None:
+        if second != self._second:
+            self._second = second
+            self._spent_in_second = 0
+        self._spent_in_second += amount
+        self.spent += amount
+        self.peak_per_s = max(self.peak_per_s, self._spent_in_second)
+
 
 class MemoryTable:
     """The rows and the fault switches ``down`` and ``lose_answers``.
--- /dev/null
+++ b/standin/upstream.py
@@ -0,0 +1,222 @@
+"""One replica of a service: an HTTP server with a limited number of slots.
+
+Its command may name a vendor's manner of reporting state (``json``, ``headers`` or ``metrics``)
+and the mean service time, as in ``serve --report=json --service-ms=8``.
+"""
+
+from collections.abc import Callable
+from random import Random
+from time import monotonic
+from typing import NamedTuple
+
+from gevent import sleep
+from gevent.event import Event
+from gevent.lock import BoundedSemaphore
+from msgspec.json import encode
+
+from laburnumswitch.process.workers import StartOrder
+from standin.records import Cut
+from standin.records import Executed
+from standin.records import Record
+from standin.server import AnswerDropped
+from standin.server import Call
+from standin.server import Reply
+from standin.server import start_server
+
+DEFAULT_SERVICE_MS = 8.0
+SPREAD = 0.4
+QUEUE_LIMIT = 64
+DRAIN_GRACE_S = 2.0
+DRAIN_QUIET_S = 0.5
+MAX_FILLER_BYTES = 4_000_000
+STATE_PATHS = ("/health", "/healthz", "/status", "/metrics")
+REFUSED_HEADER = ("X-Request-Refused", "draining")
+
+
+class ReplicaFaults:
+    """Fault switches shared by the replicas of one process."""
+
+    def __init__(self) -> None:
+        self.delay_s = 0.0
+        self.slow_factor = 1.0
+        self.truncate_answers = 0
+        self.lies = False
+        self.silent_since_s = -1.0
+
+
+class State(NamedTuple):
+    """What a replica reports of itself; ``load`` is a share from 0 to 1."""
+
+    ready: bool
+    leaving: bool
+    load: float
+
+
+class Answer(NamedTuple):
+    """What a replica says in the body of an answer, so that the caller can tell whose it is."""
+
+    request_id: str
+    key: str
+    upstream_id: str
+    filler: str
+
+
+class HttpReplica:
+    """State of one replica and its server."""
+
+    def __init__(
+        self,
+        host: str,
+        order: StartOrder,
+        holds: Callable[[], bool],
+        slowdown: Callable[[], float],
+        faults: ReplicaFaults,
+        record: Callable[[Record], None],
+        random: Random,
+        clock: Callable[[], float] = monotonic,
+    ) -> None:
+        self._upstream_id = f"{order.task_id}.{order.run}"
+        self._slots = order.slots or 8
+        self._free_slots = BoundedSemaphore(self._slots)
+        self._manner = _word(order.command, "report", "json")
+        self._mean_s = float(_word(order.command, "service-ms", str(DEFAULT_SERVICE_MS))) / 1000
+        self._holds = holds
+        self._slowdown = slowdown
+        self._faults = faults
+        self._record = record
+        self._random = random
+        self._clock = clock
+        self._in_flight = 0
+        self._draining_since_s = -1.0
+        self._last_call_s = 0.0
+        self._first_call_s_by_peer: dict[str, float] = {}
+        self._server = start_server(f"{host}:0", self.handle)
+        self.port = self._server.server_port
+
+    def drain(self) -> None:
+        """Refuse new requests."""
+        if self._draining_since_s < 0:
+            self._draining_since_s = self._clock()
+
+    def drained(self) -> bool:
+        """Return whether the replica drains, is idle and was not called lately."""
+        now_s = self._clock()
+        return (
+            self._draining_since_s >= 0
+            and self._in_flight == 0
+            and now_s - self._draining_since_s >= DRAIN_GRACE_S
+            and now_s - self._last_call_s >= DRAIN_QUIET_S
+        )
+
+    def busy_share(self) -> float:
+        """Return the share of the slots that are in use."""
+        return min(1.0, self._in_flight / self._slots)
+
+    def stop(self, kind: str) -> None:
+        """Close every connection, cutting what is in flight."""
+        if self._in_flight:
+            self._record(Cut(self._clock(), self._upstream_id, kind, self._in_flight))
+        self._server.stop(timeout=0)
+
+    def handle(self, call: Call) -> Reply:
+        """Answer one call."""
+        first_call_s = self._first_call_s_by_peer.setdefault(call.peer, self._clock())
+        if first_call_s <= self._faults.silent_since_s:
+            Event().wait()
+        sleep(2 * self._faults.delay_s)
+        if not self._holds():
+            raise AnswerDropped
+        if call.path in STATE_PATHS:
+            return report(self._manner, self._state())
+        self._last_call_s = self._clock()
+        if self._draining_since_s >= 0 or self._in_flight >= QUEUE_LIMIT:
+            return Reply(503, headers=(REFUSED_HEADER, *self._state_headers()))
+        return self._execute(call)
+
+    def _execute(self, call: Call) -> Reply:
+        self._in_flight += 1
+        started_s = self._clock()
+        completed = False
+        began = False
+        try:
+            with self._free_slots:
+                began = True
+                sleep(self._service_s())
+            if not self._holds():
+                raise AnswerDropped
+            completed = True
+        finally:
+            self._in_flight -= 1
+            if began:
+                self._record(self._executed(call, started_s, completed))
+        return self._reply(call)
+
+    def _service_s(self) -> float:
+        drawn = self._random.lognormvariate(0.0, SPREAD)
+        return self._mean_s * drawn * self._slowdown() * self._faults.slow_factor
+
+    def _executed(self, call: Call, started_s: float, completed: bool) -> Executed:
+        return Executed(
+            started_s,
+            self._clock(),
+            self._upstream_id,
+            call.headers.get("x-request-id", ""),
+            call.headers.get("idempotency-key", ""),
+            call.method,
+            completed,
+        )
+
+    def _reply(self, call: Call) -> Reply:
+        filler = "x" * min(MAX_FILLER_BYTES, int(call.query.get("size", "64")))
+        request_id = call.headers.get("x-request-id", "")
+        key = call.headers.get("idempotency-key", "")
+        body = encode(Answer(request_id, key, self._upstream_id, filler))
+        truncated = self._faults.truncate_answers > 0
+        if truncated:
+            self._faults.truncate_answers -= 1
+        status = 200 if call.method == "GET" else 201
+        return Reply(status, body, self._state_headers(), truncated=truncated)
+
+    def _state(self) -> State:
+        if self._faults.lies:
+            return State(True, False, 0.0)
+        leaving = self._draining_since_s >= 0
+        return State(not leaving, leaving, self.busy_share())
+
+    def _state_headers(self) -> tuple[tuple[str, str], ...]:
+        return header_report(self._state()) if self._manner == "headers" else ()
+
+
+def report(manner: str, state: State) -> Reply:
+    """Return the state page in a vendor's manner."""
+    if manner == "metrics":
+        lines = (
+            f"replica_ready {int(state.ready)}",
+            f"replica_draining {int(state.leaving)}",
+            f"replica_load_permille {round(state.load * 1000)}",
+        )
+        return Reply(200, "\n".join(lines).encode() + b"\n", content_type="text/plain")
+    if manner == "headers":
+        return Reply(200, b"", header_report(state))
+    page = {
+        "status": "UP" if state.ready else "DOWN",
+        "details": {"draining": state.leaving, "busyPercent": round(state.load * 100, 1)},
+    }
+    return Reply(200, encode(page))
+
+
+def header_report(state: State) -> tuple[tuple[str, str], ...]:
+    """Return the state as headers of an answer."""
+    return (
+        ("X-Upstream-State", "ready" if state.ready else "down"),
+        ("X-Upstream-Leaving", str(int(state.leaving))),
+        ("X-Upstream-Load", f"{state.load:.3f}"),
+    )
+
+
+def _word(command: tuple[str, ...], name: str, default: str) -> str:
+    prefix = f"--{name}="
+    for word in command:
+        if word.startswith(prefix):
+            return word[len(prefix) :]
+    return default
--- /dev/null
+++ b/standin/worker.py
@@ -0,0 +1,253 @@
+"""One worker: runs under leases by its own clock, and the orders and reports about them."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+from typing import Protocol
+
+from laburnumswitch.process.workers import NO_GRANT
+from laburnumswitch.process.workers import RunEvent
+from laburnumswitch.process.workers import RunReport
+from laburnumswitch.process.workers import StartOrder
+from laburnumswitch.process.workers import StopOrder
+from laburnumswitch.process.workers import ThrottleOrder
+from laburnumswitch.process.workers import Usage
+from laburnumswitch.process.workers import WorkerOrders
+from laburnumswitch.process.workers import WorkerReport
+from laburnumswitch.size import Size
+from standin.interference import Coefficient
+from standin.interference import slowdowns
+from standin.records import Record
+from standin.records import RunEnded
+from standin.records import RunStarted
+from standin.records import WorkerUp
+from standin.run import Run
+from standin.run import StartReplica
+
+CHECKPOINT_S = 0.3
+SAMPLE_INTERVAL_S = 0.5
+REPORT_LIMIT_EVENTS = 400
+
+
+class WorkerSettings(NamedTuple):
+    """What a worker is. Its clock shows ``clock_rate`` seconds a second, from an own origin.
+
+    ``speed`` is how many times faster than declared batch tasks are executed.
+    """
+
+    worker_id: str
+    boot: str
+    availability_zone: str
+    capacity: Size
+    clock_rate: float = 1.0
+    clock_origin: float = 0.0
+    seed: int = 1
+    speed: float = 1.0
+    usage_lag_s: float = 2.0
+
+
+class Checkpoints(Protocol):
+    """Where saved states are kept for all workers."""
+
+    def save(self, name: str, done_s: float) -> None:
+        """Keep the progress of a run."""
+
+    def load(self, name: str) -> float:
+        """Return the progress that was saved under ``name``."""
+
+
+class _Sample(NamedTuple):
+    clock: float
+    usage: tuple[Usage, ...]
+
+
+class Worker:
+    """State of one worker. Whoever hosts it calls ``advance`` often."""
+
+    def __init__(
+        self,
+        settings: WorkerSettings,
+        coefficient: Coefficient,
+        checkpoints: Checkpoints,
+        start_replica: StartReplica,
+        record: Callable[[Record], None],
+        machine_clock: Callable[[], float],
+    ) -> None:
+        self.settings = settings
+        self.fails_everything = False
+        self.epoch = 0
+        self.by_task: dict[str, Run] = {}
+        self._coefficient = coefficient
+        self._checkpoints = checkpoints
+        self._start_replica = start_replica
+        self._record = record
+        self._machine_clock = machine_clock
+        self._advanced_at = self.clock()
+        self._seen_run_by_task: dict[str, int] = {}
+        self._events: list[RunEvent] = []
+        self._last_event = 0
+        self._samples: list[_Sample] = []
+        record(
+            WorkerUp(
+                machine_clock(),
+                settings.worker_id,
+                settings.boot,
+                settings.availability_zone,
+                settings.capacity,
+            )
+        )
+
+    def clock(self) -> float:
+        """Return the worker's own clock in seconds."""
+        return self.settings.clock_origin + self._machine_clock() * self.settings.clock_rate
+
+    def exchange(self, orders: WorkerOrders) -> WorkerReport:
+        """Carry out orders and report. Those of another boot or a lower epoch change nothing."""
+        self.advance()
+        if orders.boot != self.settings.boot or orders.epoch < self.epoch:
+            return self._report(full=True)
+        self.epoch = orders.epoch
+        self._events = [event for event in self._events if event.number > orders.acknowledged]
+        self._renew(orders)
+        for start in orders.starts:
+            self._start(start)
+        for stop in orders.stops:
+            self._stop(stop)
+        for throttle in orders.throttles:
+            self._throttle(throttle)
+        return self._report(orders.full)
+
+    def advance(self) -> None:
+        """Let every run progress up to now, and end those that are through or lapsed.
+
+        A run progresses up to the end of its lease at most, whenever this is called.
+        """
+        now = self.clock()
+        since = self._advanced_at
+        self._advanced_at = now
+        for run in list(self.by_task.values()):
+            run.progress(max(0.0, min(now, run.until) - since))
+            if now >= run.until:
+                self._end(run, "lapsed", ended_at=run.until)
+                continue
+            kind = run.ended_kind(now)
+            if kind:
+                self._end(run, kind)
+        self._sample(now)
+
+    def holds(self, run: Run) -> bool:
+        """Return whether ``run`` still executes, after ending what has lapsed."""
+        self.advance()
+        return self.by_task.get(run.order.task_id) is run
+
+    def _renew(self, orders: WorkerOrders) -> None:
+        if orders.renew_until == NO_GRANT:
+            return
+        for task_id, run in self.by_task.items():
+            if task_id not in orders.lapse and f"{task_id}.{run.order.run}" not in orders.lapse:
+                run.until = max(run.until, orders.renew_until)
+
+    def _start(self, order: StartOrder) -> None:
+        if self._seen_run_by_task.get(order.task_id, 0) >= order.run:
+            return
+        self._seen_run_by_task[order.task_id] = order.run
+        if order.until <= self.clock() or order.task_id in self.by_task:
+            self._emit("refused", order.task_id, order.run)
+            return
+        run = Run(order, self.settings.seed, self.settings.speed, self.fails_everything)
+        if order.checkpoint:
+            run.done_s = self._checkpoints.load(order.checkpoint)
+        if order.service:
+            run.replica = self._start_replica(order, lambda: self.holds(run))
+        self.by_task[order.task_id] = run
+        self._emit("started", order.task_id, order.run, port=run.port)
+        self._record(
+            RunStarted(
+                self._machine_clock(),
+                self.settings.worker_id,
+                order.task_id,
+                order.run,
+                order.size,
+                order.service,
+                order.checkpoint,
+            )
+        )
+
+    def _stop(self, order: StopOrder) -> None:
+        run = self.by_task.get(order.task_id)
+        if run is None or run.order.run != order.run:
+            self._fence(order)
+            return
+        if order.how == "drain" and run.replica is not None:
+            run.replica.drain()
+        elif order.how == "checkpoint" and not run.order.service:
+            run.stop_at = min(run.stop_at, self.clock() + CHECKPOINT_S)
+        else:
+            self._end(run, "killed")
+
+    def _fence(self, order: StopOrder) -> None:
+        # A start that arrives after its stop must not begin.
+        if self._seen_run_by_task.get(order.task_id, 0) < order.run:
+            self._seen_run_by_task[order.task_id] = order.run
+            self._emit("killed", order.task_id, order.run)
+
+    def _throttle(self, order: ThrottleOrder) -> None:
+        run = self.by_task.get(order.task_id)
+        if run is not None and run.order.run == order.run:
+            run.percent = min(100, max(1, order.percent))
+
+    def _end(self, run: Run, kind: str, ended_at: float | None = None) -> None:
+        order = run.order
+        del self.by_task[order.task_id]
+        overdue_s = 0.0
+        if ended_at is not None:
+            overdue_s = (self.clock() - ended_at) / self.settings.clock_rate
+        ended_s = self._machine_clock() - overdue_s
+        if run.replica is not None:
+            run.replica.stop(kind)
+        checkpoint = ""
+        if kind == "evicted":
+            checkpoint = f"{order.task_id}.{order.run}"
+            self._checkpoints.save(checkpoint, run.done_s)
+        self._record(RunEnded(ended_s, self.settings.worker_id, order.task_id, order.run, kind))
+        self._emit(kind, order.task_id, order.run, checkpoint=checkpoint)
+
+    def _emit(self, kind: str, task_id: str, run: int, port: int = 0, checkpoint: str = "") -> None:
+        self._last_event += 1
+        self._events.append(RunEvent(self._last_event, kind, task_id, run, port, checkpoint))
+
+    def _sample(self, now: float) -> None:
+        if self._samples and now - self._samples[-1].clock < SAMPLE_INTERVAL_S:
+            return
+        runs = list(self.by_task.values())
+        loads = [run.load() for run in runs]
+        factors = slowdowns(loads, self.settings.capacity.cpu_millis, self._coefficient)
+        usage = []
+        for run, load, factor in zip(runs, loads, factors, strict=True):
+            run.slowdown = factor
+            memory_mb = int(run.order.size.memory_mb * min(1.0, run.use))
+            usage.append(Usage(run.order.task_id, load.cpu_millis, memory_mb, factor))
+        self._samples.append(_Sample(now, tuple(usage)))
+
+    def _lagging_usage(self) -> tuple[Usage, ...]:
+        shown_until = self.clock() - self.settings.usage_lag_s
+        while len(self._samples) > 1 and self._samples[1].clock <= shown_until:
+            del self._samples[0]
+        if not self._samples or self._samples[0].clock > shown_until:
+            return ()
+        return self._samples[0].usage
+
+    def _report(self, full: bool) -> WorkerReport:
+        runs = None
+        if full:
+            runs = tuple(
+                RunReport(run.order.task_id, run.order.run, run.port)
+                for run in self.by_task.values()
+            )
+        return WorkerReport(
+            self.settings.boot,
+            self.clock(),
+            self.epoch,
+            tuple(self._events[:REPORT_LIMIT_EVENTS]),
+            runs,
+            self._lagging_usage(),
+        )
