Judge the promises on the stand-ins' records, and add the callers

The demonstration has to count from what the workers, upstreams and callers themselves saw. A history is judged by pure functions, and for each promise a history that breaks it is shown to be found. Callers send an open-loop load through the entries that are ready.

--- a/standin/__main__.py
+++ b/standin/__main__.py
@@ -1,9 +1,12 @@
 """Command line of the stand-ins: one process each."""
 
+from random import Random
+
 import click
 from gevent import spawn
 
 from laburnumswitch.size import Size
+from standin.callers import Callers
 from standin.platform import Platform
 from standin.records import append_to
 from standin.server import bound_address
@@ -52,6 +55,7 @@
 @click.option("--accelerators", default=0, show_default=True)
 @click.option("--seed", default=1, show_default=True)
 @click.option("--speed", default=1.0, show_default=True, help="Speed of batch tasks.")
+@click.option("--delay-ms", default=1.0, show_default=True, help="One-way delay to the entries.")
 @click.option("--checkpoints", required=True, help="Directory of saved states.")
 def workers(
     address: str,
@@ -65,6 +69,7 @@
     accelerators: int,
     seed: int,
     speed: float,
+    delay_ms: float,
     checkpoints: str,
 ) -> None:
     """Serve the workers of one rack and the replicas that they run."""
@@ -78,6 +83,7 @@
         seed,
         speed,
         checkpoints,
+        delay_ms / 1000,
     )
     state = Rack(settings, append_to(records))
     server = start_server(address, state.handle)
@@ -86,5 +92,19 @@
     server.serve_forever()
 
 
+@main.command()
+@click.option("--address", required=True, help="IP:port of the launcher's calls; port 0 picks one.")
+@click.option("--records", required=True, help="File that records are appended to.")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--delay-ms", default=1.0, show_default=True, help="One-way delay to the entries.")
+def callers(address: str, records: str, seed: int, delay_ms: float) -> None:
+    """Send callers' requests through the entries that are ready."""
+    state = Callers(append_to(records), Random(seed), delay_ms / 1000)
+    server = start_server(address, state.handle)
+    click.echo(bound_address(server))
+    spawn(state.balancer.run)
+    server.serve_forever()
+
+
 if __name__ == "__main__":
     main()
--- /dev/null
+++ b/standin/history.py
@@ -0,0 +1,284 @@
+"""Judges the promises on the stand-ins' own records."""
+
+from collections import Counter
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from msgspec.json import decode
+
+from standin.records import Asked
+from standin.records import ConfigurationSeen
+from standin.records import Cut
+from standin.records import Executed
+from standin.records import ProcessStopped
+from standin.records import Record
+from standin.records import RowPut
+from standin.records import RunStarted
+from standin.records import WorkerUp
+from standin.runs import run_intervals
+from standin.runs import RunInterval
+from standin.runs import tasks_in_two_places
+from standin.runs import worst_commitment
+
+ZONE_PREFIX = "zone/"
+CONFIGURATION_KEY = "configuration"
+OUT = "out"
+NOT_EXECUTED_OUTCOMES = ("not-run", "not-sent")
+LAST_START_LIMIT_S = 3.0
+CONFIGURATION_LIMIT_S = 17.0
+COMMITMENT_LIMIT = 1.0
+ORDERED_STOPS = ("finished", "killed", "evicted")
+
+
+class Expectation(NamedTuple):
+    """What was asked of the system: the batch tasks of each job, and the jobs not to be finished.
+
+    ``job_of`` tells the job of a task id.
+    """
+
+    tasks_by_job: dict[str, int]
+    job_of: Callable[[str], str]
+    unfinished_jobs: frozenset[str] = frozenset()
+
+
+class Verdict(NamedTuple):
+    """The figures of one history. Durations are seconds, ``worst_commitment`` is 1.0 for full."""
+
+    requests: int
+    answered: int
+    not_run: int
+    unknown: int
+    orders_run_twice: int
+    not_run_but_ran: int
+    foreign_answers: int
+    runs: int
+    tasks_finished: int
+    tasks_finished_twice: int
+    tasks_in_two_places: int
+    tasks_lost: int
+    checkpoints_resumed_twice: int
+    evictions: int
+    worst_commitment: float
+    last_start_in_zone_out_s: float
+    requests_cut_by_planned_stops: int
+    configuration_reverts: int
+    configuration_everywhere_s: float
+
+
+def judge(records: Iterable[Record], expectation: Expectation) -> Verdict:
+    """Return the figures of a history."""
+    by_type: dict[type, list] = {}
+    for record in records:
+        by_type.setdefault(type(record), []).append(record)
+    asked = by_type.get(Asked, [])
+    executed = by_type.get(Executed, [])
+    workers = by_type.get(WorkerUp, [])
+    rows = by_type.get(RowPut, [])
+    stops = by_type.get(ProcessStopped, [])
+    seen = by_type.get(ConfigurationSeen, [])
+    starts = by_type.get(RunStarted, [])
+    intervals = run_intervals(record for records in by_type.values() for record in records)
+    outcomes = Counter(_outcome(attempts) for attempts in _by_request(asked).values())
+    finished = _finished_tasks(intervals)
+    return Verdict(
+        requests=sum(outcomes.values()),
+        answered=outcomes["answered"],
+        not_run=outcomes["not-run"],
+        unknown=outcomes["unknown"],
+        orders_run_twice=_orders_run_twice(executed),
+        not_run_but_ran=_not_run_but_ran(asked, executed),
+        foreign_answers=sum(attempt.outcome == "answered" and not attempt.own for attempt in asked),
+        runs=len(intervals),
+        tasks_finished=len(finished),
+        tasks_finished_twice=sum(count > 1 for count in finished.values()),
+        tasks_in_two_places=len(tasks_in_two_places(intervals)),
+        tasks_lost=_tasks_lost(intervals, finished, expectation),
+        checkpoints_resumed_twice=_resumed_twice(starts),
+        evictions=sum(interval.kind == "evicted" for interval in intervals),
+        worst_commitment=worst_commitment(intervals, workers),
+        last_start_in_zone_out_s=_last_start_in_zone_out(starts, workers, rows),
+        requests_cut_by_planned_stops=_cut_by_planned_stops(asked, by_type.get(Cut, []), stops),
+        configuration_reverts=_reverts(seen),
+        configuration_everywhere_s=_configuration_everywhere(rows, seen, stops),
+    )
+
+
+def broken_promises(verdict: Verdict) -> tuple[str, ...]:
+    """Return the names of the figures that break a promise."""
+    must_be_zero = (
+        "orders_run_twice",
+        "not_run_but_ran",
+        "foreign_answers",
+        "tasks_finished_twice",
+        "tasks_in_two_places",
+        "tasks_lost",
+        "checkpoints_resumed_twice",
+        "requests_cut_by_planned_stops",
+        "configuration_reverts",
+    )
+    broken = [name for name in must_be_zero if getattr(verdict, name) != 0]
+    if verdict.worst_commitment > COMMITMENT_LIMIT:
+        broken.append("worst_commitment")
+    if verdict.last_start_in_zone_out_s > LAST_START_LIMIT_S:
+        broken.append("last_start_in_zone_out_s")
+    if verdict.configuration_everywhere_s > CONFIGURATION_LIMIT_S:
+        broken.append("configuration_everywhere_s")
+    return tuple(broken)
+
+
+def _by_request(asked: list[Asked]) -> dict[str, list[Asked]]:
+    by_request: dict[str, list[Asked]] = {}
+    for attempt in asked:
+        by_request.setdefault(attempt.logical_id, []).append(attempt)
+    return by_request
+
+
+def _outcome(attempts: list[Asked]) -> str:
+    outcomes = {attempt.outcome for attempt in attempts}
+    if "answered" in outcomes:
+        return "answered"
+    if outcomes.issubset(NOT_EXECUTED_OUTCOMES):
+        return "not-run"
+    return "unknown"
+
+
+def _orders_run_twice(executed: list[Executed]) -> int:
+    orders = Counter(
+        execution.key or execution.request_id
+        for execution in executed
+        if execution.method == "POST"
+    )
+    return sum(count > 1 for count in orders.values())
+
+
+def _not_run_but_ran(asked: list[Asked], executed: list[Executed]) -> int:
+    executed_ids = {execution.request_id for execution in executed}
+    return sum(
+        attempt.outcome in NOT_EXECUTED_OUTCOMES and attempt.request_id in executed_ids
+        for attempt in asked
+    )
+
+
+def _finished_tasks(intervals: list[RunInterval]) -> Counter[str]:
+    return Counter(
+        interval.task_id
+        for interval in intervals
+        if interval.kind == "finished" and not interval.service
+    )
+
+
+def _tasks_lost(
+    intervals: list[RunInterval], finished: Counter[str], expectation: Expectation
+) -> int:
+    finished_by_job = Counter(expectation.job_of(task_id) for task_id in finished)
+    lost = sum(
+        max(0, tasks - finished_by_job[job])
+        for job, tasks in expectation.tasks_by_job.items()
+        if job not in expectation.unfinished_jobs
+    )
+    started = {interval.task_id for interval in intervals if not interval.service}
+    unexpected = {
+        task_id
+        for task_id in started - finished.keys()
+        if expectation.job_of(task_id) not in expectation.tasks_by_job
+        and expectation.job_of(task_id) not in expectation.unfinished_jobs
+    }
+    return lost + len(unexpected)
+
+
+def _resumed_twice(starts: list[RunStarted]) -> int:
+    resumed = Counter(start.checkpoint for start in starts if start.checkpoint)
+    return sum(count > 1 for count in resumed.values())
+
+
+def _last_start_in_zone_out(
+    starts: list[RunStarted], workers: list[WorkerUp], rows: list[RowPut]
+) -> float:
+    zone_by_worker = {worker.worker_id: worker.availability_zone for worker in workers}
+    changes_by_zone: dict[str, list[tuple[float, bool]]] = {}
+    for row in sorted(rows):
+        if row.key.startswith(ZONE_PREFIX):
+            zone = row.key[len(ZONE_PREFIX) :]
+            changes_by_zone.setdefault(zone, []).append((row.at_s, _is_out(row.value)))
+    worst_s = 0.0
+    for start in starts:
+        changes = changes_by_zone.get(zone_by_worker[start.worker_id], [])
+        worst_s = max(worst_s, _out_for(changes, start.at_s))
+    return worst_s
+
+
+def _out_for(changes: list[tuple[float, bool]], at_s: float) -> float:
+    out_since_s = None
+    for changed_s, out in changes:
+        if changed_s > at_s:
+            break
+        if not out:
+            out_since_s = None
+        elif out_since_s is None:
+            out_since_s = changed_s
+    return 0.0 if out_since_s is None else at_s - out_since_s
+
+
+def _is_out(value: str) -> bool:
+    decoded = decode(value)
+    if isinstance(decoded, str):
+        return decoded == OUT
+    return OUT in (decoded.values() if isinstance(decoded, dict) else decoded)
+
+
+def _cut_by_planned_stops(asked: list[Asked], cuts: list[Cut], stops: list[ProcessStopped]) -> int:
+    cut = sum(record.requests for record in cuts if record.kind in ORDERED_STOPS)
+    for stop in stops:
+        if stop.planned:
+            cut += sum(_cut_by(stop, attempt) for attempt in asked)
+    return cut
+
+
+def _cut_by(stop: ProcessStopped, attempt: Asked) -> bool:
+    # An attempt without a status got no answer at all: its connection ended before one.
+    return (
+        attempt.entry == stop.name
+        and attempt.outcome == "unknown"
+        and attempt.status == 0
+        and attempt.sent_s <= stop.ended_s
+        and attempt.ended_s >= stop.began_s
+    )
+
+
+def _reverts(seen: list[ConfigurationSeen]) -> int:
+    highest_by_entry: dict[str, int] = {}
+    reverts = 0
+    for sight in sorted(seen):
+        highest = highest_by_entry.get(sight.entry, 0)
+        reverts += sight.version < highest
+        highest_by_entry[sight.entry] = max(highest, sight.version)
+    return reverts
+
+
+def _configuration_everywhere(
+    rows: list[RowPut], seen: list[ConfigurationSeen], stops: list[ProcessStopped]
+) -> float:
+    stopped_s_by_entry = {stop.name: stop.began_s for stop in stops}
+    first_seen_s_by_entry: dict[str, float] = {}
+    for sight in sorted(seen):
+        first_seen_s_by_entry.setdefault(sight.entry, sight.at_s)
+    worst_s = 0.0
+    for row in rows:
+        if row.key != CONFIGURATION_KEY:
+            continue
+        version = decode(row.value)["version"]
+        for entry, first_seen_s in first_seen_s_by_entry.items():
+            in_force_s = _in_force_s(seen, entry, version)
+            # An entry that came later or left earlier is not one of "everywhere".
+            if first_seen_s > row.at_s or stopped_s_by_entry.get(entry, in_force_s) < in_force_s:
+                continue
+            worst_s = max(worst_s, in_force_s - row.at_s)
+    return worst_s
+
+
+def _in_force_s(seen: list[ConfigurationSeen], entry: str, version: int) -> float:
+    return min(
+        (sight.at_s for sight in seen if sight.entry == entry and sight.version >= version),
+        default=float("inf"),
+    )
--- a/standin/platform.py
+++ b/standin/platform.py
@@ -24,7 +24,7 @@
 from standin.records import discard
 from standin.records import Record
 from standin.records import RowPut
-from standin.server import AnswerDropped
+from standin.server import AnswerDroppedError
 from standin.server import Call
 from standin.server import json_reply
 from standin.server import NOT_FOUND
@@ -206,7 +206,7 @@
 
 def _commit_reply(outcome: Committed | CommitFailure) -> Reply:
     if isinstance(outcome, OutcomeUnknown):
-        raise AnswerDropped
+        raise AnswerDroppedError
     if isinstance(outcome, Conflict):
         answer = CommitAnswer(False, outcome.actual_version, outcome.key, outcome.expected_version)
         return json_reply(answer)
--- a/standin/records.py
+++ b/standin/records.py
@@ -24,6 +24,7 @@
     boot: str
     availability_zone: str
     capacity: Size
+    rack: str
 
 
 class RunStarted(NamedTuple):
--- a/standin/server.py
+++ b/standin/server.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 from urllib.parse import parse_qsl
 
+from gevent import GreenletExit
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIServer
 from msgspec.json import encode
@@ -36,7 +37,7 @@
     truncated: bool = False
 
 
-class AnswerDropped(ConnectionResetError):
+class AnswerDroppedError(ConnectionResetError):
     """Raised by a handler to close the connection without an answer."""
 
     def __init__(self) -> None:
@@ -68,7 +69,10 @@
     host, _, port = address.rpartition(":")
 
     def application(environ: dict[str, Any], start_response: Callable) -> Iterable[bytes]:
-        reply = handle(_call_of(environ))
+        try:
+            reply = handle(_call_of(environ))
+        except GreenletExit as error:
+            raise AnswerDroppedError from error
         status = HTTPStatus(reply.status)
         headers = [("Content-Length", str(len(reply.body))), ("Content-Type", reply.content_type)]
         start_response(f"{status.value} {status.phrase}", headers + list(reply.headers))
@@ -89,7 +93,7 @@
 
 def _half(body: bytes) -> Iterable[bytes]:
     yield body[: len(body) // 2]
-    raise AnswerDropped
+    raise AnswerDroppedError
 
 
 def _call_of(environ: dict[str, Any]) -> Call:
--- a/standin/upstream.py
+++ b/standin/upstream.py
@@ -18,7 +18,7 @@
 from standin.records import Cut
 from standin.records import Executed
 from standin.records import Record
-from standin.server import AnswerDropped
+from standin.server import AnswerDroppedError
 from standin.server import Call
 from standin.server import Reply
 from standin.server import start_server
@@ -30,6 +30,7 @@
 DRAIN_QUIET_S = 0.5
 MAX_FILLER_BYTES = 4_000_000
 STATE_PATHS = ("/health", "/healthz", "/status", "/metrics")
+REQUEST_HEADER = "x-caller-request"
 REFUSED_HEADER = ("X-Request-Refused", "draining")
 
 
@@ -125,7 +126,7 @@
             Event().wait()
         sleep(2 * self._faults.delay_s)
         if not self._holds():
-            raise AnswerDropped
+            raise AnswerDroppedError
         if call.path in STATE_PATHS:
             return report(self._manner, self._state())
         self._last_call_s = self._clock()
@@ -143,7 +144,7 @@
                 began = True
                 sleep(self._service_s())
             if not self._holds():
-                raise AnswerDropped
+                raise AnswerDroppedError
             completed = True
         finally:
             self._in_flight -= 1
@@ -160,7 +161,7 @@
             started_s,
             self._clock(),
             self._upstream_id,
-            call.headers.get("x-request-id", ""),
+            call.headers.get(REQUEST_HEADER, ""),
             call.headers.get("idempotency-key", ""),
             call.method,
             completed,
@@ -168,7 +169,7 @@
 
     def _reply(self, call: Call) -> Reply:
         filler = "x" * min(MAX_FILLER_BYTES, int(call.query.get("size", "64")))
-        request_id = call.headers.get("x-request-id", "")
+        request_id = call.headers.get(REQUEST_HEADER, "")
         key = call.headers.get("idempotency-key", "")
         body = encode(Answer(request_id, key, self._upstream_id, filler))
         truncated = self._faults.truncate_answers > 0
--- a/standin/worker.py
+++ b/standin/worker.py
@@ -38,6 +38,7 @@
     boot: str
     availability_zone: str
     capacity: Size
+    rack: str = ""
     clock_rate: float = 1.0
     clock_origin: float = 0.0
     seed: int = 1
@@ -93,6 +94,7 @@
                 settings.boot,
                 settings.availability_zone,
                 settings.capacity,
+                settings.rack,
             )
         )
 
--- a/standin/workers.py
+++ b/standin/workers.py
@@ -34,7 +34,10 @@
 
 
 class RackSettings(NamedTuple):
-    """The workers of one rack, all alike. ``host`` is the IP of their replicas."""
+    """The workers of one rack, all alike.
+
+    ``host`` is the IP of their replicas, ``delay_s`` the one-way delay to the entries.
+    """
 
     rack: str
     host: str
@@ -45,6 +48,7 @@
     seed: int
     speed: float
     checkpoint_directory: str
+    delay_s: float = 0.0
 
 
 class Faults(TypedDict, total=False):
@@ -103,6 +107,7 @@
         self._record = record
         self._clock = clock
         self._faults = ReplicaFaults()
+        self._faults.delay_s = settings.delay_s
         self._resumed = Event()
         self._resumed.set()
         self._paused: set[str] = set()
@@ -207,6 +212,7 @@
             boot=boot,
             availability_zone=settings.availability_zone,
             capacity=settings.capacity,
+            rack=settings.rack,
             clock_rate=1.0 + random.uniform(-CLOCK_RATE_ERROR, CLOCK_RATE_ERROR),
             clock_origin=random.uniform(0.0, CLOCK_ORIGIN_RANGE_S),
             seed=settings.seed,
--- /dev/null
+++ b/tests/standin/test_history.py
@@ -0,0 +1,151 @@
+"""Every check of the history must find the history that breaks its promise."""
+
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from laburnumswitch.size import Size
+from standin.history import broken_promises
+from standin.history import Expectation
+from standin.history import judge
+from standin.history import Verdict
+from standin.records import Asked
+from standin.records import ConfigurationSeen
+from standin.records import Cut
+from standin.records import Executed
+from standin.records import ProcessStopped
+from standin.records import RowPut
+from standin.records import RunEnded
+from standin.records import RunStarted
+from standin.records import WorkerUp
+
+FULL = Size(4000, 1000)
+HALF = Size(2000, 500)
+LONE_TASK = Expectation({"load": 1}, lambda task_id: task_id.rpartition(":")[0])
+SOUND = (
+    RowPut(0.5, "configuration", '{"version":1}'),
+    ConfigurationSeen(0.6, "entry-1", 0),
+    ConfigurationSeen(1.0, "entry-1", 1),
+    WorkerUp(0.0, "w1", "b1", "east", FULL, "rack-1"),
+    WorkerUp(0.0, "w2", "b1", "west", FULL, "rack-2"),
+    RunStarted(1.0, "w1", "load:0", 1, HALF, "", ""),
+    RunEnded(2.0, "w1", "load:0", 1, "evicted"),
+    RunStarted(3.0, "w2", "load:0", 2, HALF, "", "load:0.1"),
+    RunEnded(4.0, "w2", "load:0", 2, "finished"),
+    Asked(5.0, 5.2, "entry-1", "c-1", "c-1.0", "k1", "POST", "not-run", 503, False),
+    Asked(5.3, 5.4, "entry-2", "c-1", "c-1.1", "k1", "POST", "answered", 201, True),
+    Executed(5.3, 5.35, "shop:0.1", "c-1.1", "k1", "POST", True),
+    RowPut(6.0, "zone/east", '{"state":"out"}'),
+    RowPut(9.0, "zone/east", '{"state":"in"}'),
+    ProcessStopped(10.0, 11.0, "entry-1", True),
+)
+
+
+def judge_with(*more: object, expectation: Expectation = LONE_TASK) -> Verdict:
+    return judge((*SOUND, *more), expectation)
+
+
+class TestSoundHistory(TestCase):
+    def test_breaks_no_promise(self):
+        verdict = judge_with()
+        self.assertThat(broken_promises(verdict), Equals(()))
+        self.assertThat((verdict.requests, verdict.answered, verdict.runs), Equals((1, 1, 2)))
+        self.assertThat(verdict.worst_commitment, Equals(0.5))
+
+    def test_start_after_the_zone_came_back_is_allowed(self):
+        again = RunStarted(9.5, "w1", "shop:0", 1, HALF, "shop", "")
+        self.assertThat(broken_promises(judge_with(again)), Equals(()))
+
+    def test_run_ends_with_the_process_of_its_rack(self):
+        first = RunStarted(5.0, "w1", "load:1", 1, HALF, "", "")
+        killed = ProcessStopped(7.0, 7.1, "rack-1", False)
+        second = RunStarted(7.2, "w2", "load:1", 2, HALF, "", "")
+        finished = RunEnded(8.0, "w2", "load:1", 2, "finished")
+        verdict = judge_with(first, killed, second, finished)
+        self.assertThat(broken_promises(verdict), Equals(()))
+
+
+class TestBrokenHistory(TestCase):
+    def assert_broken(self, name: str, *more: object, expectation: Expectation = LONE_TASK):
+        verdict = judge_with(*more, expectation=expectation)
+        self.assertThat(broken_promises(verdict), Equals((name,)))
+
+    def test_order_run_twice_under_one_key(self):
+        again = Executed(6.0, 6.1, "shop:1.1", "c-1.2", "k1", "POST", True)
+        self.assert_broken("orders_run_twice", again)
+
+    def test_order_without_a_key_run_twice(self):
+        runs = [Executed(6.0, 6.1, f"shop:{n}.1", "c-9.0", "", "POST", False) for n in (1, 2)]
+        self.assert_broken("orders_run_twice", *runs)
+
+    def test_not_run_but_ran(self):
+        ran = Executed(5.1, 5.15, "shop:0.1", "c-1.0", "", "GET", True)
+        self.assert_broken("not_run_but_ran", ran)
+
+    def test_answer_of_another_request(self):
+        foreign = Asked(6.0, 6.2, "entry-1", "c-2", "c-2.0", "", "GET", "answered", 200, False)
+        self.assert_broken("foreign_answers", foreign)
+
+    def test_task_finished_twice(self):
+        more = (
+            RunStarted(5.0, "w1", "load:0", 3, HALF, "", ""),
+            RunEnded(6.0, "w1", "load:0", 3, "finished"),
+        )
+        self.assert_broken("tasks_finished_twice", *more)
+
+    def test_task_in_two_places(self):
+        first = RunStarted(3.5, "w1", "load:0", 3, HALF, "", "")
+        self.assert_broken("tasks_in_two_places", first, RunEnded(5.0, "w1", "load:0", 3, "lapsed"))
+
+    def test_same_run_started_again_elsewhere(self):
+        again = RunStarted(5.0, "w1", "load:0", 2, HALF, "", "")
+        self.assert_broken("tasks_in_two_places", again)
+
+    def test_declared_task_that_never_ran(self):
+        expectation = LONE_TASK._replace(tasks_by_job={"load": 2})
+        self.assert_broken("tasks_lost", expectation=expectation)
+
+    def test_started_task_that_never_finished(self):
+        stray = RunStarted(5.0, "w1", "prices:0", 1, HALF, "", "")
+        self.assert_broken("tasks_lost", stray, RunEnded(5.5, "w1", "prices:0", 1, "killed"))
+
+    def test_checkpoint_resumed_twice(self):
+        more = (
+            RunStarted(5.0, "w1", "load:0", 3, HALF, "", "load:0.1"),
+            RunEnded(5.5, "w1", "load:0", 3, "killed"),
+        )
+        self.assert_broken("checkpoints_resumed_twice", *more)
+
+    def test_worker_given_more_than_it_holds(self):
+        starts = [RunStarted(3.0, "w2", f"shop:{n}", 1, HALF, "shop", "") for n in range(2)]
+        self.assert_broken("worst_commitment", *starts)
+
+    def test_accelerator_on_a_worker_without_any(self):
+        size = Size(100, 10, 1)
+        self.assert_broken("worst_commitment", RunStarted(3.0, "w2", "s:0", 1, size, "s", ""))
+
+    def test_start_in_a_zone_that_is_out(self):
+        late = RunStarted(8.5, "w1", "shop:0", 1, HALF, "shop", "")
+        self.assertThat(judge_with(late).last_start_in_zone_out_s, Equals(2.5))
+        later = RunStarted(20.0, "w1", "shop:0", 1, HALF, "shop", "")
+        out = RowPut(15.0, "zone/east", '["out"]')
+        self.assert_broken("last_start_in_zone_out_s", later, out)
+
+    def test_run_stopped_on_purpose_with_requests_in_flight(self):
+        cut = Cut(6.0, "shop:0.1", "killed", 1)
+        self.assert_broken("requests_cut_by_planned_stops", cut)
+
+    def test_request_cut_by_an_entry_that_stops(self):
+        attempt = Asked(9.9, 10.5, "entry-1", "c-2", "c-2.0", "", "GET", "unknown", 0, False)
+        self.assert_broken("requests_cut_by_planned_stops", attempt)
+
+    def test_request_cut_by_a_kill_is_no_broken_promise(self):
+        attempt = Asked(9.9, 10.5, "entry-2", "c-2", "c-2.0", "", "GET", "unknown", 0, False)
+        killed = ProcessStopped(10.0, 10.1, "entry-2", False)
+        self.assertThat(broken_promises(judge_with(attempt, killed)), Equals(()))
+
+    def test_configuration_that_reverts(self):
+        self.assert_broken("configuration_reverts", ConfigurationSeen(2.0, "entry-1", 0))
+
+    def test_configuration_that_never_arrives(self):
+        late = ConfigurationSeen(0.1, "entry-3", 0)
+        self.assert_broken("configuration_everywhere_s", late)
--- /dev/null
+++ b/tests/standin/test_upstream.py
@@ -0,0 +1,105 @@
+"""A replica's server under faults."""
+
+from random import Random
+
+from gevent import spawn
+from gevent.event import Event
+from testtools import TestCase
+from testtools.matchers import Equals
+from testtools.matchers import IsInstance
+
+from laburnumswitch.connection.client import Client
+from laburnumswitch.exceptions import AnswerLost
+from laburnumswitch.process.workers import StartOrder
+from laburnumswitch.size import Size
+from standin.records import Cut
+from standin.records import Executed
+from standin.records import Record
+from standin.upstream import header_report
+from standin.upstream import HttpReplica
+from standin.upstream import ReplicaFaults
+from standin.upstream import report
+from standin.upstream import REQUEST_HEADER
+from standin.upstream import State
+
+ORDER = StartOrder("shop:0", 1, 1e9, Size(1, 1), ("serve", "--service-ms=1"), 0.0, "", "shop", 2)
+
+
+class TestHttpReplica(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.records: list[Record] = []
+        self.recorded = Event()
+        self.holds = True
+        self.faults = ReplicaFaults()
+        self.replica = HttpReplica(
+            "127.0.0.1",
+            ORDER,
+            lambda: self.holds,
+            lambda: 1.0,
+            self.faults,
+            self.record,
+            Random(1),
+        )
+        self.addCleanup(self.replica.stop, "killed")
+        self.client = self.make_client()
+
+    def record(self, event: Record) -> None:
+        self.records.append(event)
+        self.recorded.set()
+
+    def make_client(self) -> Client:
+        headers = {REQUEST_HEADER: "r1", "Idempotency-Key": "k1"}
+        client = Client(f"127.0.0.1:{self.replica.port}", lambda: headers)
+        self.addCleanup(client.close)
+        return client
+
+    def test_executed_request_is_recorded_with_its_key(self):
+        self.assertThat(self.client.call("POST", "/orders", b"{}").status, Equals(201))
+        executed = self.records[0]
+        self.assertThat((executed.request_id, executed.key), Equals(("r1", "k1")))
+        self.assertThat(executed.completed, Equals(True))
+
+    def test_draining_replica_refuses_without_running(self):
+        self.replica.drain()
+        response = self.client.call("POST", "/orders", b"{}")
+        self.assertThat(response.status, Equals(503))
+        self.assertThat(dict(response.headers)["X-Request-Refused"], Equals("draining"))
+        self.assertThat(self.records, Equals([]))
+
+    def test_only_connections_from_before_the_fault_are_silent(self):
+        self.client.call("GET", "/a")
+        self.faults.silent_since_s = 1e12
+        self.assertThat(self.client.call("GET", "/a", b"", 0.2), IsInstance(AnswerLost))
+        self.faults.silent_since_s = 1.0
+        self.assertThat(self.make_client().call("GET", "/a").status, Equals(200))
+
+    def test_truncated_answer_follows_an_execution(self):
+        self.faults.truncate_answers = 1
+        self.assertThat(self.client.call("GET", "/a"), IsInstance(AnswerLost))
+        self.assertThat(len(self.records), Equals(1))
+
+    def test_replica_whose_lease_lapsed_runs_nothing(self):
+        self.holds = False
+        self.assertThat(self.client.call("GET", "/a"), IsInstance(AnswerLost))
+        self.assertThat(self.records, Equals([]))
+
+    def test_stop_cuts_and_records_what_is_in_flight(self):
+        self.faults.slow_factor = 10_000.0
+        caller = spawn(self.client.call, "GET", "/a", b"", 5.0)
+        while self.replica.busy_share() == 0.0:
+            caller.join(0.01)
+        self.replica.stop("killed")
+        self.assertThat(caller.get(timeout=5.0), IsInstance(AnswerLost))
+        cut, executed = sorted(self.records, key=lambda record: type(record).__name__)
+        self.assertThat((cut.kind, cut.requests), Equals(("killed", 1)))
+        self.assertThat(executed.completed, Equals(False))
+        self.assertThat((type(cut), type(executed)), Equals((Cut, Executed)))
+
+
+class TestReport(TestCase):
+    def test_three_manners_tell_the_same_state(self):
+        state = State(True, False, 0.25)
+        self.assertThat(b'"busyPercent":25.0' in report("json", state).body, Equals(True))
+        self.assertThat(b"replica_load_permille 250" in report("metrics", state).body, Equals(True))
+        self.assertThat(dict(header_report(state))["X-Upstream-Load"], Equals("0.250"))
