Forward a caller's request to an upstream and back

Requests are read strictly and whole before anything is sent, each upstream connection carries one exchange at a time, and every answer says whether the request was answered, not run or unknown.

--- /dev/null
+++ b/laburnumswitch/connection/caller.py
@@ -0,0 +1,199 @@
+"""The callers' port: gevent's WSGI server with a handler that reads requests strictly.
+
+The handler gives the application a typed request and takes a typed answer, in place of the WSGI
+environment and ``start_response``: the environment can't carry repeated headers, and an answer has
+to be able to say that it was cut short.
+"""
+
+from collections.abc import Callable
+from http.client import responses
+from ssl import SSLContext
+from time import monotonic
+from typing import NamedTuple
+
+from absl import logging
+from gevent import socket
+from gevent.pywsgi import WSGIHandler
+from gevent.pywsgi import WSGIServer
+
+from laburnumswitch.connection.reader import CallerClosed
+from laburnumswitch.connection.reader import CallerLimits
+from laburnumswitch.connection.reader import CallerRequest
+from laburnumswitch.connection.reader import SocketReader
+from laburnumswitch.exceptions import CallerRefused
+
+OUTCOME_HEADER = "Laburnumswitch-Outcome"
+STATUS_INTERNAL_ERROR = 500
+LINGER_S = 1.0
+LINGER_BYTES = 1_048_576
+READ_BLOCK_BYTES = 65_536
+BACKLOG_CONNECTIONS = 1_024
+BODILESS_STATUSES = frozenset((204, 304))
+
+Write = Callable[[bytes], None]
+
+
+class CallerAnswer(NamedTuple):
+    """One answer for a caller, already without hop-by-hop headers.
+
+    ``body`` is sent first; ``stream``, if any, then writes the rest in blocks and returns whether
+    the body is whole. ``length`` is that of the whole body in bytes, ``None`` where it isn't known
+    beforehand. An answer that was cut short closes the connection, so that the caller sees it.
+    ``close`` is called in the end in any case, also where ``stream`` never was.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes = b""
+    length: int | None = None
+    stream: Callable[[Write], bool] | None = None
+    reason: str = ""
+    close: Callable[[], None] | None = None
+
+
+Application = Callable[[CallerRequest], CallerAnswer]
+
+
+class StrictHandler(WSGIHandler):
+    """Handles one caller's connection."""
+
+    def __init__(self, sock: socket.socket, address: tuple, server: "CallerServer") -> None:
+        super().__init__(sock, address, server, rfile=SocketReader(sock))
+
+    def handle_one_request(self) -> bool | None:
+        """Read one request and answer it.
+
+        :return: ``True`` to go on with this connection, ``None`` to close it.
+        """
+        reader = self.rfile
+        limits = self.server.limits
+        head = reader.read_head(limits)
+        if isinstance(head, CallerClosed):
+            return None
+        if isinstance(head, CallerRefused):
+            return self._refuse(head)
+        self.server.busy += 1
+        try:
+            arrived_s = monotonic()
+            body = reader.read_body(head, limits)
+            if isinstance(body, CallerClosed):
+                return None
+            if isinstance(body, CallerRefused):
+                return self._refuse(body)
+            request = CallerRequest(head, body, str(self.client_address[0]), arrived_s)
+            return self._answer(request)
+        finally:
+            self.server.busy -= 1
+
+    def _answer(self, request: CallerRequest) -> bool | None:
+        try:
+            answer = self.server.application(request)
+        except Exception:
+            logging.exception("a request could not be answered")
+            answer = CallerAnswer(STATUS_INTERNAL_ERROR, ((OUTCOME_HEADER, "unknown"),), length=0)
+        try:
+            return self._send(request, answer)
+        finally:
+            if answer.close is not None:
+                answer.close()
+
+    def _send(self, request: CallerRequest, answer: CallerAnswer) -> bool | None:
+        head = request.head
+        keep_alive = head.keep_alive and not self.server.draining
+        bodiless = head.method == "HEAD" or answer.status in BODILESS_STATUSES
+        chunked = answer.length is None and head.minor_version == 1 and not bodiless
+        if answer.length is None and not chunked and not bodiless:
+            keep_alive = False
+        encoded = _encode_head(answer, chunked, keep_alive, head.minor_version)
+        try:
+            self.socket.settimeout(self.server.limits.send_s)
+            if bodiless:
+                self.socket.sendall(encoded)
+                return True if keep_alive else None
+            if not self._send_body(encoded, answer, chunked):
+                return None
+        except OSError:
+            return None
+        return True if keep_alive else None
+
+    def _send_body(self, encoded: bytes, answer: CallerAnswer, chunked: bool) -> bool:
+        send = self.socket.sendall
+        if not chunked:
+            send(encoded + answer.body)
+            return answer.stream is None or answer.stream(send)
+
+        def send_chunk(block: bytes) -> None:
+            if block:
+                send(b"%x\r\n%b\r\n" % (len(block), block))
+
+        send(encoded)
+        send_chunk(answer.body)
+        if answer.stream is not None and not answer.stream(send_chunk):
+            return False
+        send(b"0\r\n\r\n")
+        return True
+
+    def _refuse(self, refused: CallerRefused) -> None:
+        body = refused.reason.encode() + b"\n"
+        headers = ((OUTCOME_HEADER, "not-run"), ("Content-Type", "text/plain"))
+        answer = CallerAnswer(refused.status, headers, body, len(body))
+        try:
+            self.socket.settimeout(LINGER_S)
+            self.socket.sendall(_encode_head(answer, False, False, 1) + body)
+            self.socket.shutdown(socket.SHUT_WR)
+            self._linger()
+        except OSError:
+            return
+
+    def _linger(self) -> None:
+        # Closing a socket with unread bytes resets it, which could destroy the refusal on its way.
+        deadline_s = monotonic() + LINGER_S
+        left_bytes = LINGER_BYTES
+        while left_bytes > 0:
+            left_s = deadline_s - monotonic()
+            if left_s <= 0:
+                return
+            self.socket.settimeout(left_s)
+            block = self.socket.recv(READ_BLOCK_BYTES)
+            if not block:
+                return
+            left_bytes -= len(block)
+
+
+class CallerServer(WSGIServer):
+    """The callers' port. ``busy`` counts requests whose answer has not been sent."""
+
+    handler_class = StrictHandler
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        application: Application,
+        limits: CallerLimits,
+        ssl_context: SSLContext | None = None,
+    ) -> None:
+        options = {} if ssl_context is None else {"ssl_context": ssl_context}
+        super().__init__(
+            address, application, backlog=BACKLOG_CONNECTIONS, log=None, error_log=None, **options
+        )
+        self.limits = limits
+        self.draining = False
+        self.busy = 0
+
+
+def _encode_head(
+    answer: CallerAnswer, chunked: bool, keep_alive: bool, minor_version: int
+) -> bytes:
+    reason = answer.reason or responses.get(answer.status, "")
+    lines = [f"HTTP/1.1 {answer.status} {reason}"]
+    lines.extend([f"{name}: {value}" for name, value in answer.headers])
+    if chunked:
+        lines.append("Transfer-Encoding: chunked")
+    elif answer.length is not None and answer.status not in BODILESS_STATUSES:
+        lines.append(f"Content-Length: {answer.length}")
+    if not keep_alive:
+        lines.append("Connection: close")
+    elif minor_version == 0:
+        lines.append("Connection: keep-alive")
+    lines.append("\r\n")
+    return "\r\n".join(lines).encode("latin-1", "replace")
--- /dev/null
+++ b/laburnumswitch/connection/head.py
@@ -0,0 +1,142 @@
+"""Reads the head of a caller's request strictly, so that no two readers can disagree about it."""
+
+from re import compile as compile_pattern
+from typing import NamedTuple
+
+from laburnumswitch.exceptions import CallerRefused
+
+STATUS_BAD_REQUEST = 400
+STATUS_NOT_IMPLEMENTED = 501
+STATUS_VERSION_NOT_SUPPORTED = 505
+STATUS_EXPECTATION_FAILED = 417
+CONTENT_LENGTH_DIGITS = 15
+
+_REQUEST_LINE = compile_pattern(
+    rb"([!#$%&'*+.^_`|~0-9A-Za-z-]{1,32}) ([\x21-\x7e]+) HTTP/([0-9])\.([0-9])"
+)
+_FIELD = compile_pattern(
+    rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*([^\x00-\x08\x0a-\x1f\x7f]*?)[ \t]*"
+)
+_HOST = compile_pattern(r"(\[[0-9A-Fa-f:.]+\]|[0-9A-Za-z._-]+)(?::([0-9]{1,5}))?")
+_DIGITS = compile_pattern(r"[0-9]+")
+_UNSUPPORTED_METHODS = frozenset(("CONNECT", "TRACE"))
+
+
+class RequestHead(NamedTuple):
+    """A checked head. ``host`` is in lower case and without a port; ``target`` is in origin form.
+
+    ``content_length`` is 0 where no body follows. ``headers`` holds names as they were sent.
+    """
+
+    method: str
+    target: str
+    host: str
+    headers: tuple[tuple[str, str], ...]
+    content_length: int
+    chunked: bool
+    expects_continue: bool
+    keep_alive: bool
+    minor_version: int
+
+
+def parse_head(raw: bytes) -> RequestHead | CallerRefused:
+    """Return the checked head.
+
+    :param raw: the bytes before the empty line that ends the head.
+    """
+    lines = raw.split(b"\r\n")
+    line = _REQUEST_LINE.fullmatch(lines[0])
+    if line is None:
+        return CallerRefused(STATUS_BAD_REQUEST, "malformed request line")
+    method = line[1].decode("ascii")
+    if line[3] != b"1" or line[4] not in (b"0", b"1"):
+        return CallerRefused(STATUS_VERSION_NOT_SUPPORTED, "only HTTP/1.0 and HTTP/1.1 are spoken")
+    if method in _UNSUPPORTED_METHODS:
+        return CallerRefused(STATUS_NOT_IMPLEMENTED, f"method {method} is not supported")
+    headers = []
+    values_by_name: dict[str, list[str]] = {}
+    for raw_field in lines[1:]:
+        field = _FIELD.fullmatch(raw_field)
+        if field is None:
+            return CallerRefused(STATUS_BAD_REQUEST, "malformed header line")
+        name = field[1].decode("ascii")
+        value = field[2].decode("latin-1")
+        headers.append((name, value))
+        values_by_name.setdefault(name.lower(), []).append(value)
+    return _check(method, line[2].decode("ascii"), int(line[4]), tuple(headers), values_by_name)
+
+
+def _check(
+    method: str,
+    target: str,
+    minor_version: int,
+    headers: tuple[tuple[str, str], ...],
+    values_by_name: dict[str, list[str]],
+) -> RequestHead | CallerRefused:
+    hosts = values_by_name.get("host", [])
+    if len(hosts) != 1:
+        return CallerRefused(STATUS_BAD_REQUEST, "exactly one Host is needed")
+    host = _HOST.fullmatch(hosts[0])
+    if host is None:
+        return CallerRefused(STATUS_BAD_REQUEST, "malformed Host")
+    origin_target = _origin_form(method, target, hosts[0])
+    if origin_target is None:
+        return CallerRefused(STATUS_BAD_REQUEST, "malformed request target")
+    lengths = values_by_name.get("content-length", [])
+    codings = values_by_name.get("transfer-encoding", [])
+    failure = _check_framing(lengths, codings, minor_version)
+    if failure is not None:
+        return failure
+    expectations = [value.lower() for value in values_by_name.get("expect", [])]
+    if expectations and expectations != ["100-continue"]:
+        return CallerRefused(STATUS_EXPECTATION_FAILED, "unknown expectation")
+    return RequestHead(
+        method,
+        origin_target,
+        host[1].lower(),
+        headers,
+        int(lengths[0]) if lengths else 0,
+        bool(codings),
+        bool(expectations) and minor_version == 1,
+        _keeps_alive(values_by_name.get("connection", []), minor_version),
+        minor_version,
+    )
+
+
+def _check_framing(
+    lengths: list[str], codings: list[str], minor_version: int
+) -> CallerRefused | None:
+    if lengths and codings:
+        return CallerRefused(STATUS_BAD_REQUEST, "Content-Length beside Transfer-Encoding")
+    if len(lengths) > 1:
+        return CallerRefused(STATUS_BAD_REQUEST, "repeated Content-Length")
+    if lengths and not _DIGITS.fullmatch(lengths[0]):
+        return CallerRefused(STATUS_BAD_REQUEST, "malformed Content-Length")
+    if lengths and len(lengths[0]) > CONTENT_LENGTH_DIGITS:
+        return CallerRefused(STATUS_BAD_REQUEST, "malformed Content-Length")
+    if codings and minor_version == 0:
+        return CallerRefused(STATUS_BAD_REQUEST, "Transfer-Encoding in HTTP/1.0")
+    if codings and (len(codings) > 1 or codings[0].lower() != "chunked"):
+        return CallerRefused(STATUS_NOT_IMPLEMENTED, "unknown Transfer-Encoding")
+    return None
+
+
+def _origin_form(method: str, target: str, host: str) -> str | None:
+    if target.startswith("/"):
+        return None if "#" in target else target
+    if target == "*" and method == "OPTIONS":
+        return target
+    prefix = f"http://{host}".lower()
+    if not target.lower().startswith(prefix) or "#" in target:
+        return None
+    rest = target[len(prefix) :]
+    if rest == "" or rest.startswith("?"):
+        return "/" + rest
+    return rest if rest.startswith("/") else None
+
+
+def _keeps_alive(values: list[str], minor_version: int) -> bool:
+    options = {option.strip().lower() for value in values for option in value.split(",")}
+    if "close" in options:
+        return False
+    return minor_version == 1 or "keep-alive" in options
--- a/laburnumswitch/declaration.py
+++ b/laburnumswitch/declaration.py
@@ -17,6 +17,9 @@
 
     ``load_scale`` times the reported load gives a fraction of the upstream's capacity, so 0.01 for
     a percentage. ``ready_values`` are the texts of ``ready_field`` that mean ready.
+
+    ``refused_header`` names a header that the upstream sends with status 503 only where it refused
+    the request before running any of it; without the header, a 503 is an answer like any other.
     """
 
     manner: Literal["json", "headers", "metrics", "none"] = "none"
@@ -27,6 +30,7 @@
     leaving_field: str = ""
     load_field: str = ""
     load_scale: float = 1.0
+    refused_header: str = ""
 
 
 class Service(NamedTuple):
--- /dev/null
+++ b/laburnumswitch/process/upstreams.py
@@ -0,0 +1,167 @@
+"""What this process has measured of each upstream, and what the upstream reports of itself."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from laburnumswitch.process.timeline import Timeline
+from laburnumswitch.upstream import Upstream
+
+LATENCY_WEIGHT = 0.2
+ERROR_WEIGHT = 0.1
+FIRST_LATENCY_S = 0.02
+FLOOR_RISE = 0.002
+SLOW_RATIO = 2.0
+SLOW_MARGIN_S = 0.005
+LIMIT_FACTOR_SLOW = 0.9
+LIMIT_FACTOR_FAILED = 0.7
+MIN_LIMIT = 1.0
+MAX_LIMIT = 8.0
+SLOW_START_S = 10.0
+EJECT_CONSECUTIVE_FAILURES = 5
+EJECT_ERROR_RATE = 0.5
+EJECT_S = 5.0
+EJECT_LIMIT_S = 60.0
+EJECT_MAX_FRACTION = 0.5
+
+
+class Report(NamedTuple):
+    """What an upstream said of itself. ``load`` is a fraction of its capacity, if known.
+
+    The report counts until ``until_s`` of the clock.
+    """
+
+    ready: bool
+    leaving: bool
+    load: float | None
+    until_s: float
+
+
+class SuspectConnection(NamedTuple):
+    """A pooled connection that gave no byte of an answer; the upstream isn't blamed yet.
+
+    ``used_s`` is the instant of its last use before that.
+    """
+
+    used_s: float
+
+
+class UpstreamState:
+    """Measurements of one upstream."""
+
+    def __init__(self, upstream: Upstream, now_s: float) -> None:
+        self.upstream = upstream
+        self.outstanding = 0
+        self.latency_s = FIRST_LATENCY_S
+        self.samples = 0
+        self.error_rate = 0.0
+        self.consecutive_failures = 0
+        self.max_limit = max(MIN_LIMIT, min(MAX_LIMIT, float(upstream.slots)))
+        self.limit = self.max_limit
+        self.fresh_since_s = now_s
+        self.ejected_until_s = 0.0
+        self.ejections = 0
+        self.report: Report | None = None
+        self.suspect: SuspectConnection | None = None
+        self._floor_s = 0.0
+        self._limit_cut_s = 0.0
+
+    def succeed(self, latency_s: float, now_s: float) -> None:
+        """Count an answer whose head came after ``latency_s``."""
+        self.samples += 1
+        self.consecutive_failures = 0
+        self.error_rate *= 1.0 - ERROR_WEIGHT
+        if self.samples == 1:
+            self.latency_s = latency_s
+            self._floor_s = latency_s
+        self.latency_s += (latency_s - self.latency_s) * LATENCY_WEIGHT
+        if self.latency_s < self._floor_s:
+            self._floor_s = self.latency_s
+        else:
+            self._floor_s += (self.latency_s - self._floor_s) * FLOOR_RISE
+        self._adapt_limit(now_s)
+
+    def observe_wait(self, waited_s: float) -> None:
+        """Count an abandoned exchange that would have taken longer than ``waited_s``."""
+        if waited_s > self.latency_s:
+            self.latency_s += (waited_s - self.latency_s) * LATENCY_WEIGHT
+
+    def fail(self, now_s: float) -> None:
+        """Count a failed exchange, or an answer that says that the upstream failed."""
+        self.consecutive_failures += 1
+        self.error_rate += (1.0 - self.error_rate) * ERROR_WEIGHT
+        self.cut_limit(LIMIT_FACTOR_FAILED, now_s)
+
+    def cut_limit(self, factor: float, now_s: float) -> None:
+        """Lower the limit of outstanding requests, at most once a latency."""
+        if now_s - self._limit_cut_s < self.latency_s:
+            return
+        self._limit_cut_s = now_s
+        self.limit = max(MIN_LIMIT, self.limit * factor)
+
+    def current_report(self, now_s: float) -> Report | None:
+        """Return the report, unless it is stale."""
+        report = self.report
+        return report if report is not None and now_s < report.until_s else None
+
+    def _adapt_limit(self, now_s: float) -> None:
+        if self.latency_s > SLOW_RATIO * self._floor_s + SLOW_MARGIN_S:
+            self.cut_limit(LIMIT_FACTOR_SLOW, now_s)
+        elif self.limit < self.max_limit:
+            self.limit = min(self.max_limit, self.limit + 1.0 / self.limit)
+
+
+class UpstreamStates:
+    """The measurements of all upstreams by upstream id."""
+
+    def __init__(self, clock: Callable[[], float], timeline: Timeline) -> None:
+        self.by_id: dict[str, UpstreamState] = {}
+        self._clock = clock
+        self._timeline = timeline
+
+    def of(self, upstream: Upstream) -> UpstreamState:
+        """Return the state of ``upstream``, made at its first use."""
+        state = self.by_id.get(upstream.upstream_id)
+        if state is None:
+            state = UpstreamState(upstream, self._clock())
+            self.by_id[upstream.upstream_id] = state
+        return state
+
+    def keep_only(self, upstream_ids: Iterable[str]) -> None:
+        """Forget upstreams that no longer exist and have nothing outstanding."""
+        kept = set(upstream_ids)
+        for upstream_id in list(self.by_id):
+            if upstream_id not in kept and self.by_id[upstream_id].outstanding == 0:
+                del self.by_id[upstream_id]
+
+    def eject_if_failing(self, upstream: Upstream, peers: tuple[Upstream, ...]) -> bool:
+        """Take a failing upstream out of use for a while.
+
+        At most ``EJECT_MAX_FRACTION`` of ``peers``, all upstreams of the service, are out at once,
+        and never all of them.
+        """
+        state = self.of(upstream)
+        now_s = self._clock()
+        if now_s < state.ejected_until_s or not _is_failing(state):
+            return False
+        out = sum(1 for peer in peers if self.of(peer).ejected_until_s > now_s)
+        if out + 1 > len(peers) * EJECT_MAX_FRACTION:
+            return False
+        length_s = min(EJECT_S * 2**state.ejections, EJECT_LIMIT_S)
+        state.ejections += 1
+        state.ejected_until_s = now_s + length_s
+        state.fresh_since_s = state.ejected_until_s
+        # One more failure after its return takes it out again.
+        state.consecutive_failures = EJECT_CONSECUTIVE_FAILURES - 1
+        state.error_rate = 0.0
+        self._timeline.record(
+            "upstream_ejected", upstream.upstream_id, service=upstream.service, seconds=length_s
+        )
+        return True
+
+
+def _is_failing(state: UpstreamState) -> bool:
+    return (
+        state.consecutive_failures >= EJECT_CONSECUTIVE_FAILURES
+        or state.error_rate >= EJECT_ERROR_RATE
+    )
--- /dev/null
+++ b/laburnumswitch/request/claim.py
@@ -0,0 +1,213 @@
+"""Claims of idempotency keys: rows that make the same order run at most once through any entry.
+
+A claim row is created before an order is sent anywhere, on the condition that it doesn't exist.
+Each attempt has a unique id, so that an attempt whose commit was lost finds out by reading whether
+the row is its own. Nothing but the attempt that holds a row changes it.
+"""
+
+from base64 import b64decode
+from base64 import b64encode
+from hashlib import sha256
+from typing import Literal
+from typing import NamedTuple
+from typing import TypedDict
+
+from gevent import sleep
+from msgspec.json import decode
+from msgspec.json import encode
+
+from laburnumswitch.connection.reader import CallerRequest
+from laburnumswitch.exceptions import AnswerNotKept
+from laburnumswitch.exceptions import ClaimInProgress
+from laburnumswitch.exceptions import Conflict
+from laburnumswitch.exceptions import Failure
+from laburnumswitch.exceptions import KeyReused
+from laburnumswitch.exceptions import NotRun
+from laburnumswitch.exceptions import OutcomeUnknown
+from laburnumswitch.exceptions import RunUnknown
+from laburnumswitch.exceptions import Throttled
+from laburnumswitch.exceptions import Unavailable
+from laburnumswitch.process.claims import RowChange
+from laburnumswitch.process.table import ABSENT_VERSION
+from laburnumswitch.process.table import Committed
+from laburnumswitch.process.table import Row
+from laburnumswitch.request.context import RequestContext
+
+FORMAT = 1
+ROW_ANSWER_BYTES = 8_192
+OBJECT_ANSWER_BYTES = 1_048_576
+EXPIRY_MARGIN_S = 2.0
+SETTLE_TRIES = 3
+SETTLE_PAUSE_S = 0.05
+WRITE_TRIES = 12
+WRITE_PAUSE_S = 0.1
+WRITE_PAUSE_LIMIT_S = 5.0
+DIGEST_HEX_CHARACTERS = 40
+
+ClaimState = Literal["claimed", "answered", "unkept", "unknown"]
+
+
+class ClaimRow(TypedDict, total=False):
+    """Value of a claim's row. ``until_s`` is the Unix time by which a claimed run has ended.
+
+    ``answer`` is a ``StoredAnswer`` in base64; ``object`` names the object that holds it instead.
+    """
+
+    format: int
+    state: ClaimState
+    attempt: str
+    request: str
+    entry: str
+    until_s: float
+    answer: str
+    object: str
+
+
+class Claim(NamedTuple):
+    """A claim held by this attempt; ``version`` is that of its row."""
+
+    key: str
+    version: int
+    row: ClaimRow
+
+
+class StoredAnswer(NamedTuple):
+    """An answer as it is kept for repeats."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+ClaimFailure = ClaimInProgress | KeyReused | RunUnknown | NotRun | AnswerNotKept
+
+
+def claim_key(
+    context: RequestContext, service: str, key: str, request: CallerRequest, run_limit_s: float
+) -> Claim | StoredAnswer | ClaimFailure:
+    """Claim ``key`` for ``request``, or find what became of the claim that was there first.
+
+    :param run_limit_s: seconds from now by which the run will have ended.
+    """
+    row_key = claim_row_key(service, key)
+    attempt = f"{context.vm_id}-{context.random.getrandbits(96):024x}"
+    row: ClaimRow = {
+        "format": FORMAT,
+        "state": "claimed",
+        "attempt": attempt,
+        "request": digest_request(request),
+        "entry": context.vm_id,
+        "until_s": context.wall_clock() + run_limit_s + EXPIRY_MARGIN_S,
+    }
+    result = context.claims.commit(RowChange(row_key, ABSENT_VERSION, row))
+    if isinstance(result, Committed):
+        return Claim(row_key, result.version, row)
+    if isinstance(result, OutcomeUnknown | Conflict):
+        return settle_claim(context, row_key, row)
+    return NotRun("the order could not be claimed")
+
+
+def settle_claim(
+    context: RequestContext, row_key: str, row: ClaimRow
+) -> Claim | StoredAnswer | ClaimFailure:
+    """Decide by reading whether this attempt holds the row, and write again only conditionally."""
+    for _ in range(SETTLE_TRIES):
+        found = context.claims.table.read((row_key,))
+        if isinstance(found, Unavailable | Throttled):
+            sleep(SETTLE_PAUSE_S)
+            continue
+        actual = found[row_key]
+        if actual.value is not None:
+            return _judge(context, actual, row)
+        result = context.claims.commit(RowChange(row_key, ABSENT_VERSION, row))
+        if isinstance(result, Committed):
+            return Claim(row_key, result.version, row)
+    return NotRun("the order could not be claimed")
+
+
+def record_answer(context: RequestContext, claim: Claim, answer: StoredAnswer) -> None | Failure:
+    """Add the answer to the claim's row, small ones in the row and larger ones as an object."""
+    encoded = encode((answer.status, answer.headers, b64encode(answer.body).decode()))
+    row: ClaimRow = {**claim.row, "state": "answered"}
+    if len(encoded) <= ROW_ANSWER_BYTES:
+        row["answer"] = b64encode(encoded).decode()
+    else:
+        row["object"] = f"answer/{sha256(encoded).hexdigest()}"
+        stored = context.objects.put(row["object"], encoded)
+        if isinstance(stored, Unavailable):
+            return stored
+    return _write(context, claim, row)
+
+
+def record_state(context: RequestContext, claim: Claim, state: ClaimState) -> None | Failure:
+    """Note that the run's outcome is unknown, or that its answer isn't kept."""
+    return _write(context, claim, {**claim.row, "state": state})
+
+
+def release_claim(context: RequestContext, claim: Claim) -> None | Failure:
+    """Withdraw the claim of a request that was not run."""
+    return _write(context, claim, None)
+
+
+def claim_row_key(service: str, key: str) -> str:
+    """Return the key of the row that claims ``key`` for ``service``."""
+    return f"claim/{service}/{sha256(key.encode('latin-1')).hexdigest()[:DIGEST_HEX_CHARACTERS]}"
+
+
+def digest_request(request: CallerRequest) -> str:
+    """Return a digest of what makes two requests the same."""
+    head = request.head
+    digest = sha256(f"{head.method} {head.target}\n".encode("latin-1"))
+    digest.update(request.body)
+    return digest.hexdigest()[:DIGEST_HEX_CHARACTERS]
+
+
+def _judge(
+    context: RequestContext, actual: Row, row: ClaimRow
+) -> Claim | StoredAnswer | ClaimFailure:
+    found: ClaimRow = actual.value
+    if found["attempt"] == row["attempt"]:
+        return Claim(actual.key, actual.version, row)
+    if found["request"] != row["request"]:
+        return KeyReused()
+    state = found["state"]
+    if state == "answered":
+        return _load_answer(context, found)
+    if state == "unkept":
+        return AnswerNotKept()
+    if state == "claimed" and context.wall_clock() < found["until_s"]:
+        return ClaimInProgress()
+    return RunUnknown("the first attempt under this key has no known outcome")
+
+
+def _load_answer(
+    context: RequestContext, found: ClaimRow
+) -> StoredAnswer | AnswerNotKept | ClaimInProgress:
+    if "answer" in found:
+        encoded = b64decode(found["answer"])
+    else:
+        content = context.objects.get(found["object"])
+        if isinstance(content, Unavailable):
+            return ClaimInProgress()
+        if not isinstance(content, bytes):
+            return AnswerNotKept()
+        encoded = content
+    status, headers, body = decode(encoded)
+    return StoredAnswer(status, tuple((name, value) for name, value in headers), b64decode(body))
+
+
+def _write(context: RequestContext, claim: Claim, row: ClaimRow | None) -> None | Failure:
+    """Change the claim's row, trying again while the store is down or the answer was lost.
+
+    The condition on the row's version makes a repeat harmless: after a first change that took
+    effect, the repeat conflicts.
+    """
+    pause_s = WRITE_PAUSE_S
+    result: Failure | None = None
+    for _ in range(WRITE_TRIES):
+        result = context.claims.commit(RowChange(claim.key, claim.version, row))
+        if isinstance(result, Committed | Conflict):
+            return None
+        sleep(pause_s * (0.5 + context.random.random()))
+        pause_s = min(pause_s * 2, WRITE_PAUSE_LIMIT_S)
+    return result
--- /dev/null
+++ b/laburnumswitch/request/context.py
@@ -0,0 +1,110 @@
+"""What the request path needs of the process it runs in."""
+
+from collections.abc import Callable
+from random import Random
+from time import monotonic
+from time import time
+from typing import NamedTuple
+
+from laburnumswitch.connection.pool import Pool
+from laburnumswitch.declaration import Service
+from laburnumswitch.process.budget import RetryBudget
+from laburnumswitch.process.claims import ClaimCommitter
+from laburnumswitch.process.latency import QuantileEstimate
+from laburnumswitch.process.objects import Objects
+from laburnumswitch.process.queue import ServiceQueue
+from laburnumswitch.process.request_counts import RequestCounts
+from laburnumswitch.process.table import Table
+from laburnumswitch.process.timeline import Timeline
+from laburnumswitch.process.upstreams import UpstreamStates
+from laburnumswitch.request.routing import ChooseUpstream
+from laburnumswitch.request.routing import two_choices
+from laburnumswitch.upstream import Upstream
+
+
+class ServiceState:
+    """What the process keeps for one service."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self.queue = ServiceQueue(clock)
+        self.latency = QuantileEstimate()
+        self.shed_unreported = 0
+        self.shed_reported_s = 0.0
+
+
+class RequestContext(NamedTuple):
+    """Plain callables and states that outlive a request; made by ``make_context``."""
+
+    service_by_host: Callable[[str], Service | None]
+    upstreams_of: Callable[[str], tuple[Upstream, ...]]
+    zone_is_out: Callable[[str], bool]
+    has_configuration: Callable[[], bool]
+    timeline: Timeline
+    availability_zone: str
+    vm_id: str
+    clock: Callable[[], float]
+    wall_clock: Callable[[], float]
+    random: Random
+    pool: Pool
+    states: UpstreamStates
+    budget: RetryBudget
+    claims: ClaimCommitter
+    objects: Objects
+    counts: RequestCounts
+    choose: ChooseUpstream
+    state_by_service: dict[str, ServiceState]
+
+    def service_state(self, service: Service) -> ServiceState:
+        """Return the state of ``service``, made at its first use."""
+        state = self.state_by_service.get(service.name)
+        if state is None:
+            state = ServiceState(self.clock)
+            self.state_by_service[service.name] = state
+        return state
+
+
+def make_context(
+    *,
+    service_by_host: Callable[[str], Service | None],
+    upstreams_of: Callable[[str], tuple[Upstream, ...]],
+    zone_is_out: Callable[[str], bool],
+    has_configuration: Callable[[], bool],
+    table: Table,
+    objects: Objects,
+    timeline: Timeline,
+    availability_zone: str,
+    vm_id: str,
+    random: Random,
+    clock: Callable[[], float] = monotonic,
+    wall_clock: Callable[[], float] = time,
+    pool: Pool | None = None,
+    choose: ChooseUpstream | None = None,
+) -> RequestContext:
+    """Return the context of a process.
+
+    :param upstreams_of: has to return the same tuple object while nothing changed.
+    :param choose: the routing policy; that of the product by default.
+    """
+    states = UpstreamStates(clock, timeline)
+    if choose is None:
+        choose = two_choices(states, availability_zone, zone_is_out, clock, random)
+    return RequestContext(
+        service_by_host,
+        upstreams_of,
+        zone_is_out,
+        has_configuration,
+        timeline,
+        availability_zone,
+        vm_id,
+        clock,
+        wall_clock,
+        random,
+        pool or Pool(clock),
+        states,
+        RetryBudget(),
+        ClaimCommitter(table),
+        objects,
+        RequestCounts(),
+        choose,
+        {},
+    )
--- /dev/null
+++ b/laburnumswitch/request/delivery.py
@@ -0,0 +1,222 @@
+"""Delivers one request to an upstream, with the repeats that are safe."""
+
+from typing import NamedTuple
+
+from gevent import spawn
+from gevent.queue import Queue
+
+from laburnumswitch.connection.exchange import AnswerHead
+from laburnumswitch.connection.reader import CallerRequest
+from laburnumswitch.declaration import Service
+from laburnumswitch.exceptions import AnswerLost
+from laburnumswitch.exceptions import ConnectFailed
+from laburnumswitch.exceptions import FirstByteLate
+from laburnumswitch.exceptions import NotRun
+from laburnumswitch.exceptions import Refused
+from laburnumswitch.exceptions import RunUnknown
+from laburnumswitch.request.admission import admit
+from laburnumswitch.request.attempt import Attempt
+from laburnumswitch.request.attempt import AttemptFailure
+from laburnumswitch.request.attempt import BUFFER_BYTES
+from laburnumswitch.request.attempt import Delivered
+from laburnumswitch.request.context import RequestContext
+from laburnumswitch.request.headers import encode_request
+from laburnumswitch.upstream import Upstream
+
+MAX_ATTEMPTS = 3
+HEDGED_METHODS = frozenset(("GET", "HEAD"))
+RETRIED_STATUSES = frozenset((500, 502, 503, 504))
+HEDGE_MIN_S = 0.005
+SILENT_MIN_S = 0.25
+SILENT_RATIO = 4.0
+DEADLINE_SHARE = 0.5
+
+
+class DeliveryTerms(NamedTuple):
+    """How one request is to be delivered. ``deadline_s`` is an instant of the clock.
+
+    ``body_limit`` is the number of bytes of the answer's body that are read before it is passed on.
+    """
+
+    request: CallerRequest
+    request_id: str
+    deadline_s: float
+    idempotent: bool
+    rank: int
+    body_limit: int = BUFFER_BYTES
+
+
+class Delivery:
+    """State of delivering one request."""
+
+    def __init__(self, context: RequestContext, service: Service, terms: DeliveryTerms) -> None:
+        self._context = context
+        self._service = service
+        self._terms = terms
+        self._encoded = encode_request(terms.request, terms.request_id)
+        self._method = terms.request.head.method
+        self._tried: frozenset[str] = frozenset()
+        self._attempts = 0
+        self._may_have_run = False
+        self._timed_out = False
+        self._failed_answer: Delivered | None = None
+
+    def run(self) -> Delivered | NotRun | RunUnknown:
+        """Deliver the request."""
+        while True:
+            upstream = admit(
+                self._context,
+                self._service,
+                self._terms.rank,
+                self._terms.deadline_s,
+                self._tried,
+            )
+            if isinstance(upstream, NotRun):
+                return self._give_up(upstream.reason)
+            result = self._try(upstream)
+            if isinstance(result, Delivered) and not self._is_failed_answer(result):
+                return result
+            if isinstance(result, Delivered):
+                self._failed_answer = result
+            if not self._may_repeat(result):
+                return self._give_up(_reason_of(result))
+            self._context.timeline.record(
+                "retry",
+                self._terms.request_id,
+                upstream=upstream.upstream_id,
+                reason=_reason_of(result),
+            )
+
+    def _try(self, upstream: Upstream) -> Delivered | AttemptFailure:
+        self._attempts += 1
+        self._tried |= {upstream.upstream_id}
+        attempt = Attempt(self._context, self._service, upstream)
+        try:
+            result = self._exchange(attempt)
+        except BaseException:
+            attempt.finish()
+            raise
+        if not isinstance(result, Delivered):
+            self._note_failure(result)
+            attempt.finish()
+        return result
+
+    def _exchange(self, attempt: Attempt) -> Delivered | AttemptFailure:
+        deadline_s = self._terms.deadline_s
+        failure = attempt.send(
+            self._method, self._encoded, deadline_s, idempotent=self._terms.idempotent
+        )
+        if failure is not None:
+            return failure
+        first_byte_by_s = self._first_byte_by_s(attempt)
+        head = attempt.read_head(first_byte_by_s, deadline_s)
+        if isinstance(head, AnswerHead):
+            return attempt.read_body(head, deadline_s, self._terms.body_limit)
+        if not isinstance(head, FirstByteLate):
+            return head
+        if self._method in HEDGED_METHODS and self._terms.idempotent:
+            return self._hedge(attempt)
+        attempt.suspect_connection()
+        return head
+
+    def _first_byte_by_s(self, attempt: Attempt) -> float:
+        deadline_s = self._terms.deadline_s
+        if not self._terms.idempotent:
+            return deadline_s
+        latency = self._context.service_state(self._service).latency
+        left_s = deadline_s - attempt.sent_s
+        if self._method in HEDGED_METHODS and latency.is_known():
+            return attempt.sent_s + min(max(latency.value_s, HEDGE_MIN_S), left_s)
+        if not attempt.pooled:
+            return deadline_s
+        silent_s = max(SILENT_RATIO * latency.value_s, SILENT_MIN_S)
+        return attempt.sent_s + min(silent_s, left_s * DEADLINE_SHARE)
+
+    def _hedge(self, first: Attempt) -> Delivered | AttemptFailure:
+        """Go on waiting for ``first``, and ask a second upstream beside it if that is allowed."""
+        second = self._second_attempt()
+        if second is None:
+            return self._finish_alone(first)
+        self._context.counts.hedges += 1
+        results: Queue = Queue()
+        by_attempt = {
+            first: spawn(lambda: results.put((first, self._finish_alone(first)))),
+            second: spawn(lambda: results.put((second, self._send_alone(second)))),
+        }
+        winner = None
+        try:
+            result = None
+            for _ in by_attempt:
+                winner, result = results.get()
+                if isinstance(result, Delivered):
+                    return result
+            return result
+        finally:
+            for attempt, task in by_attempt.items():
+                task.kill()
+                if attempt is not winner or not isinstance(result, Delivered):
+                    attempt.abandon()
+
+    def _second_attempt(self) -> Attempt | None:
+        context = self._context
+        if self._attempts >= MAX_ATTEMPTS or context.clock() >= self._terms.deadline_s:
+            return None
+        upstreams = context.upstreams_of(self._service.name)
+        upstream = context.choose(self._service, upstreams, self._tried)
+        if upstream is None or not context.budget.spend():
+            return None
+        self._attempts += 1
+        self._tried |= {upstream.upstream_id}
+        return Attempt(context, self._service, upstream)
+
+    def _finish_alone(self, attempt: Attempt) -> Delivered | AttemptFailure:
+        deadline_s = self._terms.deadline_s
+        head = attempt.read_head(deadline_s, deadline_s)
+        if isinstance(head, FirstByteLate):
+            attempt.suspect_connection()
+        if not isinstance(head, AnswerHead):
+            return head
+        return attempt.read_body(head, deadline_s, self._terms.body_limit)
+
+    def _send_alone(self, attempt: Attempt) -> Delivered | AttemptFailure:
+        failure = attempt.send(self._method, self._encoded, self._terms.deadline_s, idempotent=True)
+        return failure if failure is not None else self._finish_alone(attempt)
+
+    def _note_failure(self, failure: AttemptFailure) -> None:
+        if isinstance(failure, AnswerLost | FirstByteLate):
+            self._may_have_run = True
+            self._timed_out = isinstance(failure, FirstByteLate) or failure.reason == "timeout"
+
+    def _is_failed_answer(self, delivered: Delivered) -> bool:
+        return (
+            self._terms.idempotent
+            and delivered.rest is None
+            and delivered.head.status in RETRIED_STATUSES
+        )
+
+    def _may_repeat(self, result: Delivered | AttemptFailure) -> bool:
+        if self._attempts >= MAX_ATTEMPTS:
+            return False
+        if self._context.clock() >= self._terms.deadline_s:
+            return False
+        if isinstance(result, ConnectFailed):
+            return True
+        if not self._terms.idempotent and not isinstance(result, Refused):
+            return False
+        if not self._context.budget.spend():
+            return False
+        self._context.counts.retries += 1
+        return True
+
+    def _give_up(self, reason: str) -> Delivered | NotRun | RunUnknown:
+        if self._failed_answer is not None:
+            return self._failed_answer
+        if self._may_have_run:
+            return RunUnknown(reason, self._timed_out)
+        return NotRun(reason)
+
+
+def _reason_of(result: Delivered | AttemptFailure) -> str:
+    if isinstance(result, Delivered):
+        return f"status {result.head.status}"
+    return result.tag
