--- a/laburnumswitch/exceptions.py
+++ b/laburnumswitch/exceptions.py
@@ -239,6 +239,10 @@
     """A row of the table does not have the fields that it must have."""
 
     key: str
+class CallerRefused(Failure):
+    """A caller's bytes are not a request that the callers' port takes; nothing was run."""
+
+    status: int
     reason: str
 
 
@@ -275,3 +279,41 @@
 
 def _did_you_mean(near: str) -> str:
     return f", did you mean {near!r}?" if near else ""
+class FirstByteLate(Failure):
+    """At least one byte was sent and not one byte of an answer came within a limit."""
+
+    address: str
+    pooled: bool
+
+
+@dataclass(frozen=True)
+class NotRun(Failure):
+    """A request was given up before any byte of it reached an upstream."""
+
+    reason: str
+    retry_after_s: int = 1
+
+
+@dataclass(frozen=True)
+class RunUnknown(Failure):
+    """A request reached an upstream, and whether it ran is not known."""
+
+    reason: str
+    timed_out: bool = False
+
+
+@dataclass(frozen=True)
+class ClaimInProgress(Failure):
+    """Another attempt under the same key has not ended yet."""
+
+    retry_after_s: int = 1
+
+
+@dataclass(frozen=True)
+class KeyReused(Failure):
+    """A key came again with a request that differs from its first one; nothing was run."""
+
+
+@dataclass(frozen=True)
+class AnswerNotKept(Failure):
+    """A request under this key was answered, and its answer was too large or too old to keep."""
