--- a/laburnumswitch/exceptions.py
+++ b/laburnumswitch/exceptions.py
@@ -239,6 +239,9 @@
     """A row of the table does not have the fields that it must have."""
 
     key: str
+    reason: str
+
+
 class CallerRefused(Failure):
     """A caller's bytes are not a request that the callers' port takes; nothing was run."""
 
@@ -279,6 +282,8 @@
 
 def _did_you_mean(near: str) -> str:
     return f", did you mean {near!r}?" if near else ""
+
+
 class FirstByteLate(Failure):
     """At least one byte was sent and not one byte of an answer came within a limit."""
 
--- a/laburnumswitch/process/membership.py
+++ b/laburnumswitch/process/membership.py
@@ -25,9 +25,8 @@
     def hear(self, heartbeat: Heartbeat) -> None:
         """Take in a heartbeat; one that arrives late cannot replace a newer one of its boot."""
         known = self._heard_by_id.get(heartbeat.vm_id)
-        if known is not None and known.heartbeat.boot == heartbeat.boot:
-            if heartbeat.clock < known.heartbeat.clock:
-                return
+        if known is not None and _is_late(heartbeat, known.heartbeat):
+            return
         self._heard_by_id[heartbeat.vm_id] = _Heard(self._clock(), heartbeat)
 
     def is_heard(self, vm_id: str) -> bool:
@@ -45,9 +44,7 @@
     def heartbeats(self) -> tuple[Heartbeat, ...]:
         """Return the newest heartbeat of each peer that is heard."""
         return tuple(
-            known.heartbeat
-            for vm_id, known in self._heard_by_id.items()
-            if self.is_heard(vm_id)
+            known.heartbeat for vm_id, known in self._heard_by_id.items() if self.is_heard(vm_id)
         )
 
     def forget_silent(self) -> None:
@@ -56,3 +53,7 @@
         for vm_id, known in list(self._heard_by_id.items()):
             if now_s - known.at_s > FORGET_LIMIT_S:
                 del self._heard_by_id[vm_id]
+
+
+def _is_late(heartbeat: Heartbeat, newest: Heartbeat) -> bool:
+    return heartbeat.boot == newest.boot and heartbeat.clock < newest.clock
--- a/laburnumswitch/process/peers.py
+++ b/laburnumswitch/process/peers.py
@@ -1,4 +1,4 @@
-"""Talks to the peers: one task for each, which sends heartbeats and fetches what it is behind on."""
+"""One task for each peer, which sends heartbeats and fetches what this entry is behind on."""
 
 from collections.abc import Callable
 from collections.abc import Mapping
@@ -94,8 +94,9 @@
             self._context.sleep(HEARTBEAT_INTERVAL_S)
 
     def _fetch_upstreams(self, vm: Vm, heartbeat: Heartbeat) -> None:
+        directory = self._context.directory
         for hint in heartbeat.shards:
-            if not self._context.directory.is_behind(hint.shard, hint.epoch, hint.upstream_revision):
+            if not directory.is_behind(hint.shard, hint.epoch, hint.upstream_revision):
                 continue
             answer = call_json(
                 self._client(vm.address),
@@ -105,7 +106,7 @@
                 ShardUpstreams,
             )
             if isinstance(answer, ShardUpstreams):
-                self._context.directory.apply(answer)
+                directory.apply(answer)
 
     def _client(self, address: str) -> Client:
         client = self._client_by_address.get(address)
