--- a/laburnumswitch/exceptions.py
+++ b/laburnumswitch/exceptions.py
@@ -10,6 +10,10 @@
 from laburnumswitch.change import Change
 
 
+def _did_you_mean(near: str) -> str:
+    return f", did you mean {near!r}?" if near else ""
+
+
 @dataclass(frozen=True)
 class Failure:
     """Root of all failures."""
@@ -242,13 +246,6 @@
     reason: str
 
 
-class CallerRefused(Failure):
-    """A caller's bytes are not a request that the callers' port takes; nothing was run."""
-
-    status: int
-    reason: str
-
-
 @dataclass(frozen=True)
 class DocumentBroken(Failure):
     """A configuration document is missing, or is not the one that its version names."""
@@ -280,10 +277,54 @@
     actor: str
 
 
-def _did_you_mean(near: str) -> str:
-    return f", did you mean {near!r}?" if near else ""
+@dataclass(frozen=True)
+class RemovalsRefused(Failure):
+    """A publication would remove declarations, which must be allowed on purpose."""
+
+    changes: tuple[Change, ...]
 
+    def describe(self) -> str:
+        """Return a line for the refusal and one for each removal."""
+        head = f"{self.tag}: allow removals on purpose, or publish every folder together"
+        return "\n".join((head, *(f"  {change.describe()}" for change in self.changes)))
+
+
+@dataclass(frozen=True)
+class ZoneStillBusy(Failure):
+    """Tasks were still running in a zone when the wait for its end was over."""
+
+    zone: str
+    running: int
 
+
+@dataclass(frozen=True)
+class UnknownZone(Failure):
+    """No VM is listed in a zone of this name; ``near`` is one that looks like it, or empty."""
+
+    zone: str
+    near: str
+
+    def describe(self) -> str:
+        """Return one line for people."""
+        return f"{self.tag}: no VM is listed in {self.zone!r}{_did_you_mean(self.near)}"
+
+
+@dataclass(frozen=True)
+class CallerRefused(Failure):
+    """A caller's bytes are not a request that the callers' port takes; nothing was run."""
+
+    status: int
+    reason: str
+
+
+@dataclass(frozen=True)
+class ConnectionLimit(Failure):
+    """All connections that this process may have to a worker are in use; no byte was sent."""
+
+    worker_id: str
+
+
+@dataclass(frozen=True)
 class FirstByteLate(Failure):
     """At least one byte was sent and not one byte of an answer came within a limit."""
 
