--- a/laburnumswitch/exceptions.py
+++ b/laburnumswitch/exceptions.py
@@ -91,3 +91,71 @@
     """The named object does not exist."""
 
     name: str
+
+
+@dataclass(frozen=True)
+class LedgerConflict(Failure):
+    """A record does not agree with the ledger that it is to be applied to."""
+
+    record: str
+    reason: str
+
+
+@dataclass(frozen=True)
+class FormatUnknown(Failure):
+    """A row or object has a format above the highest that this version reads."""
+
+    name: str
+    format: int
+
+
+@dataclass(frozen=True)
+class OwnershipLost(Failure):
+    """Another entry took the shard over."""
+
+    shard: int
+    owner: str
+    epoch: int
+
+
+@dataclass(frozen=True)
+class JournalBroken(Failure):
+    """A journal row or snapshot that the head names cannot be read."""
+
+    name: str
+    reason: str
+
+
+@dataclass(frozen=True)
+class JobTooLarge(Failure):
+    """No worker, even an empty one, can hold one task of the job."""
+
+    job: str
+    size: tuple[int, ...]
+    largest: tuple[int, ...]
+
+
+@dataclass(frozen=True)
+class QuotaTooSmall(Failure):
+    """The team's whole quota cannot hold one task of the job."""
+
+    job: str
+    team: str
+    quota: tuple[int, ...]
+
+
+@dataclass(frozen=True)
+class ScheduleInvalid(Failure):
+    """A job's cron expression or time zone cannot be read."""
+
+    job: str
+    reason: str
+
+
+@dataclass(frozen=True)
+class DependencyPending(Failure):
+    """A job that this one runs after has not finished."""
+
+    job: str
+    dependency: str
+    state: str
--- /dev/null
+++ b/laburnumswitch/process/class_profile.py
@@ -0,0 +1,58 @@
+"""Learned sizes and run times of classes of work, since the declared ones are often far off."""
+
+from msgspec import Struct
+
+from laburnumswitch.process.work import Work
+from laburnumswitch.size import Size
+
+SMOOTHING = 0.2
+PEAK_DECAY = 0.98
+
+
+class _Profile(Struct):
+    cpu_millis: float
+    memory_mb: float
+    run_time_s: float
+    runs: int = 0
+
+
+class ClassProfiles:
+    """Peak processors and memory, and mean run time, by class."""
+
+    def __init__(self) -> None:
+        self._by_class: dict[str, _Profile] = {}
+
+    def observe_usage(self, work: Work, cpu_millis: int, memory_mb: int) -> None:
+        """Learn from one lagging report; peaks decay slowly."""
+        profile = self._profile(work)
+        profile.cpu_millis = max(float(cpu_millis), profile.cpu_millis * PEAK_DECAY)
+        profile.memory_mb = max(float(memory_mb), profile.memory_mb * PEAK_DECAY)
+
+    def observe_run(self, work: Work, run_time_s: float) -> None:
+        """Learn the run time of a finished task."""
+        profile = self._profile(work)
+        if not profile.runs:
+            profile.run_time_s = run_time_s
+        profile.run_time_s += SMOOTHING * (run_time_s - profile.run_time_s)
+        profile.runs += 1
+
+    def run_time_s(self, work: Work) -> float:
+        """Return the expected run time."""
+        profile = self._by_class.get(work.name)
+        return work.run_time_s if profile is None or not profile.runs else profile.run_time_s
+
+    def surplus(self, work: Work) -> Size:
+        """Return by how much a task is expected to use more than it declared."""
+        profile = self._by_class.get(work.name)
+        if profile is None:
+            return Size(0, 0, 0)
+        return Size(
+            max(0, int(profile.cpu_millis) - work.size.cpu_millis),
+            max(0, int(profile.memory_mb) - work.size.memory_mb),
+        )
+
+    def _profile(self, work: Work) -> _Profile:
+        profile = self._by_class.get(work.name)
+        if profile is None:
+            profile = self._by_class[work.name] = _Profile(0.0, 0.0, work.run_time_s)
+        return profile
--- /dev/null
+++ b/laburnumswitch/process/context.py
@@ -0,0 +1,44 @@
+"""What the scheduler is given by the composition root."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+from random import Random
+from typing import NamedTuple
+
+from laburnumswitch.declaration import Configuration
+from laburnumswitch.process.hint import ShardHint
+from laburnumswitch.process.objects import Objects
+from laburnumswitch.process.table import Table
+from laburnumswitch.process.timeline import Timeline
+from laburnumswitch.process.vms import Vm
+from laburnumswitch.process.workers import Workers
+
+
+class SchedulerContext(NamedTuple):
+    """Seams, clocks and views of one entry.
+
+    ``vms`` returns the known worker VMs, and the same tuple object until one changes.
+    ``live_entries`` returns the ids of entry VMs believed live, this one included. ``clock`` is
+    monotonic and ``wall_clock`` Unix time, both in seconds.
+
+    ``services_outlive_store`` lets replicas of services keep their leases while the table cannot be
+    reached. A replica may then run beside its successor where a worker is cut off from a new owner
+    but not from the old one; batch tasks never do.
+    """
+
+    vm_id: str
+    table: Table
+    objects: Objects
+    workers: Workers
+    configuration: Callable[[], Configuration]
+    vms: Callable[[], tuple[Vm, ...]]
+    live_entries: Callable[[], tuple[str, ...]]
+    entry_is_heard: Callable[[str], bool]
+    shard_hints: Callable[[], Mapping[int, ShardHint]]
+    shard_count: int
+    timeline: Timeline
+    clock: Callable[[], float]
+    wall_clock: Callable[[], float]
+    sleep: Callable[[float], None]
+    random: Random
+    services_outlive_store: bool = False
--- /dev/null
+++ b/laburnumswitch/process/progress.py
@@ -0,0 +1,88 @@
+"""Counts of ended tasks, which shards write for admission."""
+
+from msgspec import Struct
+
+from laburnumswitch.process.batch_builder import BatchBuilder
+from laburnumswitch.process.ledger import Group
+from laburnumswitch.process.ledger import Ledger
+from laburnumswitch.process.records import Forgotten
+from laburnumswitch.process.records import FORMAT
+from laburnumswitch.process.table import Put
+
+FORGET_AFTER_S = 30.0
+PUTS_PER_BATCH = 20
+
+
+class Progress(Struct, frozen=True):
+    """Value of a progress row: all ended tasks of one group of a shard."""
+
+    finished: int
+    failed: int
+    cancelled: int
+    format: int = FORMAT
+
+
+def progress_prefix(job_id: str) -> str:
+    """Return the prefix of the keys of a job's progress rows."""
+    return f"progress/{job_id}/"
+
+
+class ProgressWriter:
+    """Which counts of a shard were written.
+
+    Counts are written when a group becomes idle, under the group's number, which is never used
+    again; a group that came back after it was forgotten has another row.
+    """
+
+    def __init__(self, shard: int) -> None:
+        self._shard = shard
+        self._written_by_group: dict[int, Progress] = {}
+        self._idle_since_by_group: dict[int, float] = {}
+
+    def gather(self, batch: BatchBuilder, ledger: Ledger, now_s: float) -> None:
+        """Add the counts of idle groups to a batch, and forget groups idle for long."""
+        puts = 0
+        forgotten = []
+        for group in ledger.group_by_number.values():
+            if not group.is_idle:
+                self._idle_since_by_group.pop(group.number, None)
+                continue
+            if self._is_written(group):
+                since_s = self._idle_since_by_group.setdefault(group.number, now_s)
+                if now_s - since_s >= FORGET_AFTER_S and not _is_taken_in(batch, group):
+                    forgotten.append(group.number)
+                continue
+            if puts < PUTS_PER_BATCH:
+                puts += 1
+                self._write(batch, group)
+        if forgotten:
+            batch.records.append(Forgotten(tuple(forgotten)))
+            batch.on_commit.append(lambda: self._forget(forgotten))
+
+    def _is_written(self, group: Group) -> bool:
+        if group.work.service:
+            return True
+        return self._written_by_group.get(group.number) == _count(group)
+
+    def _write(self, batch: BatchBuilder, group: Group) -> None:
+        progress = _count(group)
+        key = f"{progress_prefix(group.work.job_id)}{self._shard}-{group.number}"
+        batch.put(Put(key, progress))
+
+        def note_written() -> None:
+            self._written_by_group[group.number] = progress
+
+        batch.on_commit.append(note_written)
+
+    def _forget(self, numbers: list[int]) -> None:
+        for number in numbers:
+            self._written_by_group.pop(number, None)
+            self._idle_since_by_group.pop(number, None)
+
+
+def _count(group: Group) -> Progress:
+    return Progress(group.finished, group.failed, group.cancelled)
+
+
+def _is_taken_in(batch: BatchBuilder, group: Group) -> bool:
+    return group.work.job_id in batch.taken_job_ids
--- /dev/null
+++ b/laburnumswitch/process/snapshot.py
@@ -0,0 +1,202 @@
+"""Snapshots of ledgers in the object store, and trimming of the journal behind them."""
+
+from typing import Any
+
+from msgspec import DecodeError
+from msgspec import Struct
+from msgspec import ValidationError
+from msgspec.json import decode
+from msgspec.json import encode
+
+from laburnumswitch.exceptions import Failure
+from laburnumswitch.exceptions import FormatUnknown
+from laburnumswitch.exceptions import JournalBroken
+from laburnumswitch.exceptions import NotFound
+from laburnumswitch.exceptions import Unavailable
+from laburnumswitch.process.head import Head
+from laburnumswitch.process.head import journal_key
+from laburnumswitch.process.ledger import Group
+from laburnumswitch.process.ledger import Ledger
+from laburnumswitch.process.ledger import Run
+from laburnumswitch.process.ledger import Worker
+from laburnumswitch.process.objects import Objects
+from laburnumswitch.process.records import FORMAT
+from laburnumswitch.process.work import Again
+from laburnumswitch.process.work import read_work
+from laburnumswitch.process.work import TaskKey
+from laburnumswitch.size import Size
+
+SNAPSHOT_EVERY_BATCHES = 200
+TRIM_ROWS_PER_BATCH = 3
+
+
+class _Format(Struct):
+    format: int = FORMAT
+
+
+class _WorkerState(Struct, array_like=True):
+    number: int
+    worker_id: str
+    boot: str
+    availability_zone: str
+    rack: str
+    capacity: Size
+
+
+class _RunState(Struct, array_like=True):
+    index: int
+    worker: int
+    run: int
+    failures: int = 0
+    checkpoint_run: int = 0
+    final: bool = False
+
+
+class _GroupState(Struct, array_like=True):
+    number: int
+    raw_work: dict[str, Any]
+    fresh: list[list[int]]
+    again: list[Again]
+    running: list[_RunState]
+    finished: int
+    failed: int
+    cancelled: int
+    is_cancelled: bool
+
+
+class _State(Struct):
+    seq: int
+    next_worker: int
+    next_group: int
+    workers: list[_WorkerState]
+    groups: list[_GroupState]
+    format: int = FORMAT
+
+
+def snapshot_name(shard: int, seq: int) -> str:
+    """Return the name of a snapshot object."""
+    return f"snapshot/{shard}/{seq:012d}"
+
+
+def encode_ledger(ledger: Ledger) -> bytes:
+    """Return the whole state of a ledger."""
+    workers = [
+        _WorkerState(
+            worker.number,
+            worker.worker_id,
+            worker.boot,
+            worker.availability_zone,
+            worker.rack,
+            worker.capacity,
+        )
+        for worker in ledger.worker_by_number.values()
+    ]
+    groups = [_encode_group(group) for group in ledger.group_by_number.values()]
+    return encode(_State(ledger.seq, ledger.next_worker, ledger.next_group, workers, groups))
+
+
+def decode_ledger(name: str, content: bytes) -> Ledger | FormatUnknown | JournalBroken:
+    """Rebuild a ledger from a snapshot."""
+    try:
+        found = decode(content, type=_Format).format
+        if found > FORMAT:
+            return FormatUnknown(name, found)
+        return _rebuild(decode(content, type=_State))
+    except (DecodeError, ValidationError, KeyError) as error:
+        return JournalBroken(name, str(error))
+
+
+def load_ledger(
+    objects: Objects, head: Head
+) -> Ledger | FormatUnknown | JournalBroken | Unavailable:
+    """Return the ledger of the snapshot that the head names, or an empty one where it has none."""
+    if not head.snapshot:
+        return Ledger()
+    name = snapshot_name(head.shard, head.snapshot)
+    content = objects.get(name)
+    if isinstance(content, NotFound):
+        return JournalBroken(name, "no such snapshot")
+    if isinstance(content, Failure):
+        return content
+    return decode_ledger(name, content)
+
+
+def store_ledger(objects: Objects, shard: int, ledger: Ledger) -> int | Unavailable:
+    """Store a snapshot and return its ``seq``, which a later commit writes into the head."""
+    stored = objects.put(snapshot_name(shard, ledger.seq), encode_ledger(ledger))
+    if isinstance(stored, Unavailable):
+        return stored
+    return ledger.seq
+
+
+def trimmed_keys(shard: int, trimmed_seq: int, snapshot_seq: int) -> tuple[str, ...]:
+    """Return the journal rows that the next batch deletes, a few at a time.
+
+    :param trimmed_seq: the last row already deleted.
+    :param snapshot_seq: the ``seq`` that the head's snapshot holds.
+    """
+    last = min(snapshot_seq, trimmed_seq + TRIM_ROWS_PER_BATCH)
+    return tuple(journal_key(shard, seq) for seq in range(trimmed_seq + 1, last + 1))
+
+
+def _encode_group(group: Group) -> _GroupState:
+    running = [
+        _RunState(index, run.worker, run.run, run.failures, run.checkpoint_run, run.final)
+        for index, run in group.running.items()
+    ]
+    return _GroupState(
+        group.number,
+        group.raw_work,
+        group.fresh,
+        list(group.again.values()),
+        running,
+        group.finished,
+        group.failed,
+        group.cancelled,
+        group.is_cancelled,
+    )
+
+
+def _rebuild(state: _State) -> Ledger:
+    ledger = Ledger()
+    ledger.seq = state.seq
+    ledger.next_worker = state.next_worker
+    ledger.next_group = state.next_group
+    for stored in state.workers:
+        worker = Worker(
+            stored.number,
+            stored.worker_id,
+            stored.boot,
+            stored.availability_zone,
+            stored.rack,
+            stored.capacity,
+        )
+        ledger.worker_by_number[worker.number] = worker
+        ledger.number_by_worker_id[worker.worker_id] = worker.number
+    for stored in state.groups:
+        _rebuild_group(ledger, stored)
+    return ledger
+
+
+def _rebuild_group(ledger: Ledger, stored: _GroupState) -> None:
+    group = Group(
+        stored.number,
+        read_work(stored.raw_work),
+        stored.raw_work,
+        stored.fresh,
+        {again.index: again for again in stored.again},
+        {},
+        stored.finished,
+        stored.failed,
+        stored.cancelled,
+        stored.is_cancelled,
+    )
+    ledger.group_by_number[group.number] = group
+    ledger.number_by_job_id[group.work.job_id] = group.number
+    for run in stored.running:
+        worker = ledger.worker_by_number[run.worker]
+        group.running[run.index] = Run(
+            run.worker, run.run, run.failures, run.checkpoint_run, run.final
+        )
+        worker.runs.add(TaskKey(group.number, run.index))
+        worker.committed = worker.committed.plus(group.work.size)
--- /dev/null
+++ b/tests/process/bench.py
@@ -0,0 +1,92 @@
+"""One table, some workers and entries, driven step by step."""
+
+from laburnumswitch.process.class_profile import ClassProfiles
+from laburnumswitch.process.head import Head
+from laburnumswitch.process.head import read_head
+from laburnumswitch.process.inbox import Chunk
+from laburnumswitch.process.inbox import inbox_put
+from laburnumswitch.process.interference import Interference
+from laburnumswitch.process.journal import replay_journal
+from laburnumswitch.process.ownership import take_over
+from laburnumswitch.process.policy import Learned
+from laburnumswitch.process.shard import Ownership
+from laburnumswitch.process.shard import Shard
+from laburnumswitch.process.shared_rows import SharedRows
+from laburnumswitch.process.snapshot import load_ledger
+from laburnumswitch.process.table import Put
+from laburnumswitch.process.table import Transaction
+from laburnumswitch.process.work import Work
+from laburnumswitch.process.work import write_work
+from laburnumswitch.size import Size
+from standin.table import MemoryTable
+from tests.fakes import FakeClock
+from tests.fakes import FakeObjects
+from tests.fakes import FakeWorkers
+from tests.fakes import make_context
+from tests.fakes import make_vm
+
+SMALL = Size(1_000, 1_000)
+
+
+def make_work(job_id="j@1", size=SMALL, **changes) -> Work:
+    fields = {"name": job_id.partition("@")[0], "team": "team", "command": ("run",)}
+    return Work(job_id=job_id, size=size, **{**fields, **changes})
+
+
+class Bench:
+    """A cluster of one shard under one clock."""
+
+    def __init__(self, vms=None, **changes) -> None:
+        self.clock = FakeClock()
+        self.table = MemoryTable(clock=self.clock)
+        self.objects = FakeObjects()
+        self.workers = FakeWorkers(self.clock)
+        self.vms = tuple(vms or (make_vm(1), make_vm(2)))
+        self.changes = changes
+        self.chunks = 0
+        for vm in self.vms:
+            self.workers.add(vm)
+
+    def take_over(self, vm_id="e1", table=None) -> Shard:
+        context = make_context(
+            table or self.table,
+            self.clock,
+            self.workers,
+            lambda: self.vms,
+            vm_id,
+            self.objects,
+            **self.changes,
+        )
+        head = read_head(self.table, 0)
+        sent_s = self.clock()
+        owned = take_over(self.table, head, vm_id)
+        assert isinstance(owned, Head), owned
+        ledger = replay_journal(self.table, owned, load_ledger(self.objects, owned))
+        shared = SharedRows(context.table)
+        shared.refresh(self.clock())
+        learned = Learned(Interference(), ClassProfiles())
+        shard = Shard(context, shared, Ownership(owned, ledger, sent_s, self.clock()), learned)
+        shard.shared = shared
+        return shard
+
+    def submit(self, work: Work, count=1, first=0) -> None:
+        self.chunks += 1
+        chunk = Chunk(write_work(work), first, count)
+        self.table.commit(Transaction((), (inbox_put(0, f"c{self.chunks}", chunk),)))
+
+    def put(self, key, value) -> None:
+        self.table.commit(Transaction((), (Put(key, value),)))
+
+    def drive(self, *shards: Shard, seconds=1.0, step_s=0.25) -> None:
+        """Let time pass: workers expire leases, shards exchange and commit."""
+        end_s = self.clock.now_s + seconds
+        while self.clock.now_s < end_s:
+            self.clock.sleep(step_s)
+            self.workers.expire()
+            for shard in shards:
+                shard.shared.refresh(self.clock())
+                for address in shard.workers.addresses():
+                    shard.workers.exchange(address)
+                while shard.turn():
+                    pass
+                shard.store_snapshot()
