--- /dev/null
+++ b/laburnumswitch/command/access.py
@@ -0,0 +1,160 @@
+"""How commands reach the platform and the entries, and the options that say where they are."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+from getpass import getuser
+from time import time
+from typing import Any
+from typing import NamedTuple
+
+import click
+from gevent import sleep as gevent_sleep
+
+from laburnumswitch.command.output import fail
+from laburnumswitch.connection.client import Client
+from laburnumswitch.exceptions import FileProblem
+from laburnumswitch.exceptions import ProblemsFound
+from laburnumswitch.process.keys import read_keys
+from laburnumswitch.process.keys import SCHEME
+from laburnumswitch.process.objects import Objects
+from laburnumswitch.process.objects import ObjectsClient
+from laburnumswitch.process.settings import Platform
+from laburnumswitch.process.settings import read_settings
+from laburnumswitch.process.table import Table
+from laburnumswitch.process.table import TableClient
+from laburnumswitch.process.vms import Vms
+from laburnumswitch.process.vms import VmsClient
+
+ENVIRONMENT_PREFIX = "LABURNUMSWITCH"
+
+
+def _open_table(address: str) -> Table:
+    return TableClient(Client(address))
+
+
+def _open_objects(address: str) -> Objects:
+    return ObjectsClient(Client(address))
+
+
+def _open_vms(address: str) -> Vms:
+    return VmsClient(Client(address))
+
+
+def _open_entry(address: str, headers: Mapping[str, str]) -> Client:
+    return Client(address, lambda: headers)
+
+
+class Access(NamedTuple):
+    """What commands use of the world outside."""
+
+    open_table: Callable[[str], Table] = _open_table
+    open_objects: Callable[[str], Objects] = _open_objects
+    open_vms: Callable[[str], Vms] = _open_vms
+    open_entry: Callable[[str, Mapping[str, str]], Client] = _open_entry
+    sleep: Callable[[float], object] = gevent_sleep
+    clock: Callable[[], float] = time
+
+
+class Target(NamedTuple):
+    """Where a command was told to go. ``platform`` is ``None`` where it was not told."""
+
+    platform: Platform | None
+    entries: tuple[str, ...]
+    headers: Mapping[str, str]
+
+    def need_platform(self) -> Platform:
+        """Return the platform's addresses, or end with wrong usage."""
+        if self.platform is None:
+            raise click.UsageError("needs --platform ADDRESS or --settings FILE")
+        return self.platform
+
+    def need_any(self) -> None:
+        """End with wrong usage where neither platform nor entries are known."""
+        if self.platform is None and not self.entries:
+            raise click.UsageError("needs --entry ADDRESS, --platform ADDRESS or --settings FILE")
+
+
+def target_options(command: Callable[..., Any]) -> Callable[..., Any]:
+    """Add the options from which ``read_target`` makes a ``Target``."""
+    for option in reversed(_TARGET_OPTIONS):
+        command = option(command)
+    return command
+
+
+def json_option(command: Callable[..., Any]) -> Callable[..., Any]:
+    """Add ``--json``."""
+    return click.option("--json", "as_json", is_flag=True, help="Print JSON for programs.")(command)
+
+
+def read_target(
+    platform: str | None,
+    settings_file: str | None,
+    entry_addresses: tuple[str, ...],
+    key_file: str | None,
+) -> Target:
+    """Return where to go, by options first and by the settings file for what they leave out."""
+    places = Platform(platform, platform, platform) if platform else None
+    if settings_file is not None:
+        settings = read_settings(settings_file)
+        if isinstance(settings, ProblemsFound):
+            fail(settings)
+        places = places or settings.platform
+        key_file = key_file or settings.key_file
+        entry_addresses = entry_addresses or (settings.admin_address,)
+    for address in entry_addresses + ((platform,) if platform else ()):
+        _check_address(address)
+    return Target(places, entry_addresses, _headers(key_file))
+
+
+def operator_name() -> str:
+    """Return who runs the command, for the rows that it writes."""
+    try:
+        return getuser()
+    except (KeyError, OSError):
+        return "unknown"
+
+
+def _headers(key_file: str | None) -> dict[str, str]:
+    if key_file is None:
+        return {}
+    keys = read_keys(key_file)
+    if isinstance(keys, FileProblem):
+        fail(keys)
+    return {"Authorization": SCHEME + keys[0]}
+
+
+def _check_address(address: str) -> None:
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdecimal():
+        raise click.UsageError(f"{address!r} is not an address such as 10.0.0.7:8300")
+
+
+_TARGET_OPTIONS = (
+    click.option(
+        "--platform",
+        metavar="ADDRESS",
+        envvar=f"{ENVIRONMENT_PREFIX}_PLATFORM",
+        help="Address that serves the platform's table, objects and VM list.",
+    ),
+    click.option(
+        "--settings",
+        "settings_file",
+        metavar="FILE",
+        envvar=f"{ENVIRONMENT_PREFIX}_SETTINGS",
+        help="Settings file of an entry, for what the other options leave out.",
+    ),
+    click.option(
+        "--entry",
+        "entry_addresses",
+        metavar="ADDRESS",
+        multiple=True,
+        envvar=f"{ENVIRONMENT_PREFIX}_ENTRIES",
+        help="Admin address of an entry; may be given several times, each is tried in turn.",
+    ),
+    click.option(
+        "--key-file",
+        metavar="FILE",
+        envvar=f"{ENVIRONMENT_PREFIX}_KEY_FILE",
+        help="Shared keys; the first one is sent to entries.",
+    ),
+)
--- /dev/null
+++ b/laburnumswitch/command/output.py
@@ -0,0 +1,109 @@
+"""What commands print, and the exit codes that they end with."""
+
+import sys
+from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
+from typing import Any
+from typing import NoReturn
+
+import click
+from msgspec.json import encode
+
+from laburnumswitch.exceptions import AnswerLost
+from laburnumswitch.exceptions import ConfigurationChanged
+from laburnumswitch.exceptions import Conflict
+from laburnumswitch.exceptions import ConnectFailed
+from laburnumswitch.exceptions import Failure
+from laburnumswitch.exceptions import OutcomeUnknown
+from laburnumswitch.exceptions import Throttled
+from laburnumswitch.exceptions import Unavailable
+from laburnumswitch.exceptions import ZoneChanged
+
+EXIT_FAILURE = 1
+EXIT_USAGE = 2
+EXIT_CONFLICT = 3
+EXIT_UNAVAILABLE = 4
+EXIT_UNKNOWN = 5
+
+COLUMN_GAP = "  "
+
+Cells = Mapping[str, Any]
+
+
+def print_rows(rows: Sequence[Cells], as_json: bool) -> None:
+    """Print rows as a table for people, or as one JSON object for programs."""
+    if as_json:
+        print_json({"rows": list(rows)})
+        return
+    columns = _columns(rows)
+    if not columns:
+        click.echo("none")
+        return
+    lines = [[column.replace("_", " ").upper() for column in columns]]
+    lines += [[_cell(row.get(column, "")) for column in columns] for row in rows]
+    widths = [max(len(line[index]) for line in lines) for index in range(len(columns))]
+    numeric = [_is_numeric(rows, column) for column in columns]
+    for line in lines:
+        click.echo(_aligned(line, widths, numeric))
+
+
+def print_json(value: object) -> None:
+    """Print one JSON value on one line."""
+    click.echo(encode(value).decode())
+
+
+def warn(failure: Failure) -> None:
+    """Print a failure that does not end the command."""
+    click.echo(f"warning: {failure.describe()}", err=True)
+
+
+def fail(failure: Failure, as_json: bool = False) -> NoReturn:
+    """Print a failure and end with its exit code."""
+    if as_json:
+        answer = {"failure": failure.tag, "message": failure.describe()}
+        click.echo(encode(answer).decode(), err=True)
+    else:
+        click.echo(failure.describe(), err=True)
+    sys.exit(exit_code(failure))
+
+
+def exit_code(failure: Failure) -> int:
+    """Return the exit code that scripts can tell outcomes apart by."""
+    if isinstance(failure, Conflict | ConfigurationChanged | ZoneChanged):
+        return EXIT_CONFLICT
+    if isinstance(failure, Unavailable | Throttled | ConnectFailed):
+        return EXIT_UNAVAILABLE
+    if isinstance(failure, OutcomeUnknown | AnswerLost):
+        return EXIT_UNKNOWN
+    return EXIT_FAILURE
+
+
+def _columns(rows: Iterable[Cells]) -> list[str]:
+    return list(dict.fromkeys(column for row in rows for column in row))
+
+
+def _is_numeric(rows: Iterable[Cells], column: str) -> bool:
+    values = [row[column] for row in rows if column in row]
+    return all(isinstance(value, int | float) and not isinstance(value, bool) for value in values)
+
+
+def _aligned(line: list[str], widths: list[int], numeric: list[bool]) -> str:
+    cells = [
+        text.rjust(width) if right else text.ljust(width)
+        for text, width, right in zip(line, widths, numeric, strict=True)
+    ]
+    return COLUMN_GAP.join(cells).rstrip()
+
+
+def _cell(value: object) -> str:
+    if value is None:
+        return ""
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, float):
+        return f"{value:.3f}".rstrip("0").rstrip(".")
+    if isinstance(value, str):
+        # A control character from a remote end must not reach the terminal.
+        return "".join(part if part.isprintable() else "?" for part in value)
+    return encode(value).decode()
--- /dev/null
+++ b/laburnumswitch/command/zones.py
@@ -0,0 +1,212 @@
+"""``zones`` and ``zone``: taking availability zones out of service and returning them."""
+
+from typing import Any
+
+import click
+
+from laburnumswitch.command.access import Access
+from laburnumswitch.command.access import json_option
+from laburnumswitch.command.access import operator_name
+from laburnumswitch.command.access import read_target
+from laburnumswitch.command.access import Target
+from laburnumswitch.command.access import target_options
+from laburnumswitch.command.operator_link import ask_any
+from laburnumswitch.command.operator_link import ask_or_read
+from laburnumswitch.command.operator_link import Rows
+from laburnumswitch.command.output import fail
+from laburnumswitch.command.output import print_rows
+from laburnumswitch.command.output import warn
+from laburnumswitch.exceptions import AnswerMalformed
+from laburnumswitch.exceptions import Failure
+from laburnumswitch.exceptions import UnknownZone
+from laburnumswitch.exceptions import ZoneStillBusy
+from laburnumswitch.process.settings import Platform
+from laburnumswitch.process.table import Table
+from laburnumswitch.process.vms import Vm
+from laburnumswitch.process.zones import read_zones
+from laburnumswitch.process.zones import set_zone
+from laburnumswitch.process.zones import State
+from laburnumswitch.process.zones import ZoneState
+from laburnumswitch.units import decode_unit
+from laburnumswitch.units import Seconds
+from laburnumswitch.yamlfields import nearest
+
+WAIT_INTERVAL_S = 1.0
+
+
+@click.command()
+@target_options
+@json_option
+@click.pass_obj
+def zones(access: Access, as_json: bool, **options: Any) -> None:
+    """Show the availability zones and whether they are in service.
+
+    \b
+    Examples:
+      laburnumswitch zones --entry 10.0.0.7:8300 --key-file keys
+      laburnumswitch zones --platform 10.0.0.2:7000 --json
+    """
+    target = read_target(**options)
+    target.need_any()
+    rows = ask_or_read(access, target, "/operator/zones", _rows_of_platform)
+    if isinstance(rows, Failure):
+        fail(rows, as_json)
+    print_rows(rows, as_json)
+
+
+@click.group()
+def zone() -> None:
+    """Take an availability zone out of service, or return it."""
+
+
+@zone.command("out")
+@click.argument("name")
+@target_options
+@click.option("--wait", is_flag=True, help="Wait until no task runs in the zone.")
+@click.option("--wait-limit", default="10m", show_default=True, help="Longest wait.")
+@click.option("--force", is_flag=True, help="Also where no VM is listed in the zone.")
+@json_option
+@click.pass_obj
+def zone_out(
+    access: Access,
+    name: str,
+    wait: bool,
+    wait_limit: str,
+    force: bool,
+    as_json: bool,
+    **options: Any,
+) -> None:
+    """Take the zone NAME out of service: no task starts there any more.
+
+    While the platform's table is down nothing changes and the exit code is 4; no task can start in
+    any zone meanwhile. Repeat the command when the table is back.
+
+    \b
+    Examples:
+      laburnumswitch zone out az-2 --platform 10.0.0.2:7000
+      laburnumswitch zone out az-2 --settings settings.yaml --wait --wait-limit 5m
+    """
+    target = read_target(**options)
+    if wait and not target.entries:
+        raise click.UsageError("--wait needs --entry ADDRESS or --settings FILE")
+    limit_s = parse_seconds(wait_limit)
+    found = _set(access, target, name, "out", force, as_json)
+    if wait:
+        busy = _wait_until_empty(access, target, name, limit_s)
+        if busy is not None:
+            fail(busy, as_json)
+    _print_zone(found, as_json)
+
+
+@zone.command("in")
+@click.argument("name")
+@target_options
+@click.option("--force", is_flag=True, help="Also where no VM is listed in the zone.")
+@json_option
+@click.pass_obj
+def zone_in(access: Access, name: str, force: bool, as_json: bool, **options: Any) -> None:
+    """Return the zone NAME to service.
+
+    \b
+    Example:
+      laburnumswitch zone in az-2 --platform 10.0.0.2:7000
+    """
+    found = _set(access, read_target(**options), name, "in", force, as_json)
+    _print_zone(found, as_json)
+
+
+def parse_seconds(text: str) -> float:
+    """Return a duration given on the command line, or end with wrong usage."""
+    try:
+        return float(decode_unit(Seconds, text))
+    except ValueError as error:
+        raise click.UsageError(str(error)) from error
+
+
+def _set(
+    access: Access, target: Target, name: str, state: State, force: bool, as_json: bool
+) -> ZoneState:
+    platform = target.need_platform()
+    table = access.open_table(platform.table)
+    if not force:
+        unknown = _check_name(access, platform, table, name)
+        if unknown is not None:
+            fail(unknown, as_json)
+    outcome = set_zone(table, name, state, operator_name(), access.clock, access.sleep)
+    if isinstance(outcome, Failure):
+        fail(outcome, as_json)
+    return outcome
+
+
+def _check_name(access: Access, platform: Platform, table: Table, name: str) -> UnknownZone | None:
+    vms = _live_vms(access, platform)
+    if isinstance(vms, Failure):
+        # A zone must be takeable while the list is down, so its name is not checked then.
+        warn(vms)
+        return None
+    listed = {vm.availability_zone for vm in vms}
+    if name in listed:
+        return None
+    states = read_zones(table)
+    if not isinstance(states, Failure) and name in states:
+        return None
+    return UnknownZone(name, nearest(name, listed))
+
+
+def _rows_of_platform(access: Access, platform: Platform) -> Rows | Failure:
+    states = read_zones(access.open_table(platform.table))
+    if isinstance(states, Failure):
+        return states
+    vms = _live_vms(access, platform)
+    if isinstance(vms, Failure):
+        warn(vms)
+        vms = ()
+    names = sorted(states.keys() | {vm.availability_zone for vm in vms})
+    return tuple(
+        {
+            "zone": name,
+            "state": states.get(name, ZoneState(name)).state,
+            "entries": _count(vms, name, "entry"),
+            "workers": _count(vms, name, "worker"),
+        }
+        for name in names
+    )
+
+
+def _live_vms(access: Access, platform: Platform) -> tuple[Vm, ...] | Failure:
+    changes = access.open_vms(platform.vms).changes_after(0)
+    if isinstance(changes, Failure):
+        return changes
+    return tuple(vm for vm in changes.vms if vm.state != "gone")
+
+
+def _count(vms: tuple[Vm, ...], name: str, role: str) -> int:
+    return sum(vm.availability_zone == name and vm.role == role for vm in vms)
+
+
+def _wait_until_empty(access: Access, target: Target, name: str, limit_s: float) -> Failure | None:
+    give_up_s = access.clock() + limit_s
+    while True:
+        running = _running_in(access, target, name)
+        if running == 0:
+            return None
+        if access.clock() >= give_up_s:
+            return running if isinstance(running, Failure) else ZoneStillBusy(name, running)
+        access.sleep(WAIT_INTERVAL_S)
+
+
+def _running_in(access: Access, target: Target, name: str) -> int | Failure:
+    """Return the number of tasks that run in a zone, by the first entry that knows it as out."""
+    answer = ask_any(access, target, "GET", "/operator/zones")
+    if isinstance(answer, Failure):
+        return answer
+    for row in answer.rows:
+        if row.get("zone") == name and row.get("state") == "out":
+            running = row.get("running")
+            if isinstance(running, int):
+                return running
+    return AnswerMalformed(answer.address, f"no count of running tasks in {name}, taken out")
+
+
+def _print_zone(found: ZoneState, as_json: bool) -> None:
+    print_rows([{"zone": found.name, "state": found.state}], as_json)
--- a/laburnumswitch/exceptions.py
+++ b/laburnumswitch/exceptions.py
@@ -273,5 +273,37 @@
     actor: str
 
 
+@dataclass(frozen=True)
+class RemovalsRefused(Failure):
+    """A publication would remove declarations, which must be allowed on purpose."""
+
+    changes: tuple[Change, ...]
+
+    def describe(self) -> str:
+        """Return a line for the refusal and one for each removal."""
+        head = f"{self.tag}: allow removals on purpose, or publish every folder together"
+        return "\n".join((head, *(f"  {change.describe()}" for change in self.changes)))
+
+
+@dataclass(frozen=True)
+class ZoneStillBusy(Failure):
+    """Tasks were still running in a zone when the wait for its end was over."""
+
+    zone: str
+    running: int
+
+
+@dataclass(frozen=True)
+class UnknownZone(Failure):
+    """No VM is listed in a zone of this name; ``near`` is one that looks like it, or empty."""
+
+    zone: str
+    near: str
+
+    def describe(self) -> str:
+        """Return one line for people."""
+        return f"{self.tag}: no VM is listed in {self.zone!r}{_did_you_mean(self.near)}"
+
+
 def _did_you_mean(near: str) -> str:
     return f", did you mean {near!r}?" if near else ""
