--- /dev/null
+++ b/tests/command/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the command line."""
--- /dev/null
+++ b/tests/memory.py
@@ -0,0 +1,60 @@
+"""Fakes at the seams to the platform and to the entries, held in memory."""
+
+from urllib.parse import urlsplit
+
+from msgspec.json import encode
+
+from laburnumswitch.connection.client import Response
+from laburnumswitch.exceptions import ConnectFailed
+from laburnumswitch.exceptions import Failure
+from laburnumswitch.exceptions import NotFound
+from laburnumswitch.exceptions import Unavailable
+from laburnumswitch.process.objects import Stored
+
+
+class MemoryObjects:
+    """The object store, with the fault switch ``down``."""
+
+    def __init__(self):
+        self.down = False
+        self.by_name = {}
+
+    def put(self, name, content):
+        if self.down:
+            return Unavailable("the object store is down")
+        self.by_name[name] = content
+        return Stored()
+
+    def get(self, name):
+        if self.down:
+            return Unavailable("the object store is down")
+        return self.by_name.get(name, NotFound(name))
+
+
+class MemoryEntry:
+    """The operators' endpoints of one entry: ``answers`` by path, failures included."""
+
+    def __init__(self, address):
+        self.address = address
+        self.answers = {}
+        self.calls = []
+
+    def call(self, method, target, body=b"", timeout_s=2.0):
+        path = urlsplit(target).path
+        self.calls.append((method, target))
+        answer = self.answers.get(path)
+        if isinstance(answer, Failure):
+            return answer
+        if answer is None:
+            return Response(404, (), b"")
+        return Response(200, (), encode({"rows": answer}))
+
+    def close(self):
+        pass
+
+
+def silent_entry(address):
+    """Return an entry that nobody can connect to."""
+    entry = MemoryEntry(address)
+    entry.call = lambda *_: ConnectFailed(address, "refused")
+    return entry
--- a/tests/version/test_publish.py
+++ b/tests/version/test_publish.py
@@ -17,10 +17,8 @@
 from laburnumswitch.declaration import Team
 from laburnumswitch.exceptions import ConfigurationChanged
 from laburnumswitch.exceptions import DocumentBroken
-from laburnumswitch.exceptions import NotFound
 from laburnumswitch.exceptions import OutcomeUnknown
 from laburnumswitch.exceptions import Unavailable
-from laburnumswitch.process.objects import Stored
 from laburnumswitch.process.timeline import Timeline
 from laburnumswitch.size import Size
 from laburnumswitch.version.adoption import adopt
@@ -38,23 +36,7 @@
 from laburnumswitch.version.publish import read_in_force
 from laburnumswitch.version.publish import Unchanged
 from standin.table import MemoryTable
-
-
-class MemoryObjects:
-    def __init__(self):
-        self.down = False
-        self.by_name = {}
-
-    def put(self, name, content):
-        if self.down:
-            return Unavailable("the object store is down")
-        self.by_name[name] = content
-        return Stored()
-
-    def get(self, name):
-        if self.down:
-            return Unavailable("the object store is down")
-        return self.by_name.get(name, NotFound(name))
+from tests.memory import MemoryObjects
 
 
 class InterruptedTable(MemoryTable):
