--- a/laburnumswitch/connection/caller.py
+++ b/laburnumswitch/connection/caller.py
@@ -12,10 +12,13 @@
 from typing import NamedTuple
 
 from absl import logging
+from gevent import sleep
 from gevent import socket
+from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler
 from gevent.pywsgi import WSGIServer
 
+from laburnumswitch.connection.readable import is_readable
 from laburnumswitch.connection.reader import CallerClosed
 from laburnumswitch.connection.reader import CallerLimits
 from laburnumswitch.connection.reader import CallerRequest
@@ -24,6 +27,8 @@
 
 OUTCOME_HEADER = "Laburnumswitch-Outcome"
 STATUS_INTERNAL_ERROR = 500
+STATUS_UNAVAILABLE = 503
+DRAIN_POLL_S = 0.02
 LINGER_S = 1.0
 LINGER_BYTES = 1_048_576
 READ_BLOCK_BYTES = 65_536
@@ -67,12 +72,20 @@
         """
         reader = self.rfile
         limits = self.server.limits
-        head = reader.read_head(limits)
+        self.server.idle.add(self)
+        try:
+            head = reader.read_head(limits)
+        finally:
+            self.server.idle.discard(self)
         if isinstance(head, CallerClosed):
             return None
         if isinstance(head, CallerRefused):
             return self._refuse(head)
+        held_bytes = limits.body_bytes if head.chunked else head.content_length
+        if self.server.held_bytes + held_bytes > limits.held_bytes:
+            return self._refuse(CallerRefused(STATUS_UNAVAILABLE, "too many bodies at a time"))
         self.server.busy += 1
+        self.server.held_bytes += held_bytes
         try:
             arrived_s = monotonic()
             body = reader.read_body(head, limits)
@@ -84,6 +97,7 @@
             return self._answer(request)
         finally:
             self.server.busy -= 1
+            self.server.held_bytes -= held_bytes
 
     def _answer(self, request: CallerRequest) -> bool | None:
         try:
@@ -136,6 +150,8 @@
     def _refuse(self, refused: CallerRefused) -> None:
         body = refused.reason.encode() + b"\n"
         headers = ((OUTCOME_HEADER, "not-run"), ("Content-Type", "text/plain"))
+        if refused.status == STATUS_UNAVAILABLE:
+            headers += (("Retry-After", "1"),)
         answer = CallerAnswer(refused.status, headers, body, len(body))
         try:
             self.socket.settimeout(LINGER_S)
@@ -161,7 +177,11 @@
 
 
 class CallerServer(WSGIServer):
-    """The callers' port. ``busy`` counts requests whose answer has not been sent."""
+    """The callers' port.
+
+    ``busy`` counts requests whose answer has not been sent, ``held_bytes`` the bytes of their
+    bodies. ``idle`` holds the connections that wait for their next request.
+    """
 
     handler_class = StrictHandler
 
@@ -174,11 +194,50 @@
     ) -> None:
         options = {} if ssl_context is None else {"ssl_context": ssl_context}
         super().__init__(
-            address, application, backlog=BACKLOG_CONNECTIONS, log=None, error_log=None, **options
+            address,
+            application,
+            backlog=BACKLOG_CONNECTIONS,
+            spawn=Pool(limits.connections),
+            log=None,
+            error_log=None,
+            **options,
         )
         self.limits = limits
         self.draining = False
         self.busy = 0
+        self.held_bytes = 0
+        self.idle: set[StrictHandler] = set()
+
+    def drain(self, limit_s: float) -> bool:
+        """Accept nothing more and wait for the requests in flight.
+
+        What still comes over an open connection is answered with ``Connection: close``.
+
+        :param limit_s: longest wait in seconds.
+        :return: whether every request in flight was answered.
+        """
+        self.draining = True
+        # Connections that wait in the backlog are still accepted.
+        sleep(DRAIN_POLL_S)
+        self.close()
+        until_s = monotonic() + limit_s
+        while monotonic() < until_s:
+            if self.busy == 0:
+                self._close_idle()
+            if self.busy == 0 and not self.idle:
+                return True
+            sleep(DRAIN_POLL_S)
+        return self.busy == 0
+
+    def _close_idle(self) -> None:
+        for handler in list(self.idle):
+            if not is_readable(handler.socket):
+                handler.socket.close()
+
+    def wrap_socket_and_handle(self, client_socket: socket.socket, address: tuple) -> object:
+        """Handle a connection over TLS, with a limit on the time of the handshake."""
+        client_socket.settimeout(self.limits.head_s)
+        return super().wrap_socket_and_handle(client_socket, address)
 
 
 def _encode_head(
--- a/laburnumswitch/connection/exchange.py
+++ b/laburnumswitch/connection/exchange.py
@@ -33,10 +33,10 @@
 class UpstreamConnection:
     """One connection to an upstream, which carries one exchange at a time."""
 
-    def __init__(self, address: str, sock: socket.socket, opened_s: float) -> None:
+    def __init__(self, address: str, worker_id: str, sock: socket.socket, opened_s: float) -> None:
         self.address = address
+        self.worker_id = worker_id
         self.sock = sock
-        self.opened_s = opened_s
         self.used_s = opened_s
         self.exchanges = 0
 
@@ -118,7 +118,10 @@
         except OSError as error:
             if self.bytes_written == 0:
                 return ConnectFailed(connection.address, type(error).__name__)
-            return AnswerLost(connection.address, type(error).__name__)
+            if isinstance(error, TimeoutError):
+                return AnswerLost(connection.address, "timeout")
+            # The upstream may have answered early and closed; reading the answer tells.
+            return None
         self._sent_whole = True
         return None
 
--- a/laburnumswitch/connection/head.py
+++ b/laburnumswitch/connection/head.py
@@ -19,6 +19,7 @@
 )
 _HOST = compile_pattern(r"(\[[0-9A-Fa-f:.]+\]|[0-9A-Za-z._-]+)(?::([0-9]{1,5}))?")
 _DIGITS = compile_pattern(r"[0-9]+")
+_FRAMING_FIELDS = frozenset(("connection", "content-length", "host", "transfer-encoding"))
 _UNSUPPORTED_METHODS = frozenset(("CONNECT", "TRACE"))
 
 
@@ -60,6 +61,9 @@
         if field is None:
             return CallerRefused(STATUS_BAD_REQUEST, "malformed header line")
         name = field[1].decode("ascii")
+        if "_" in name and name.lower().replace("_", "-") in _FRAMING_FIELDS:
+            # Some upstreams read underscores as hyphens.
+            return CallerRefused(STATUS_BAD_REQUEST, "misleading header name")
         value = field[2].decode("latin-1")
         headers.append((name, value))
         values_by_name.setdefault(name.lower(), []).append(value)
--- a/laburnumswitch/connection/pool.py
+++ b/laburnumswitch/connection/pool.py
@@ -2,8 +2,6 @@
 
 from collections import deque
 from collections.abc import Callable
-from select import poll
-from select import POLLIN
 from ssl import SSLContext
 from time import monotonic
 
@@ -11,52 +9,56 @@
 from gevent import socket
 
 from laburnumswitch.connection.exchange import UpstreamConnection
+from laburnumswitch.connection.readable import is_readable
 from laburnumswitch.exceptions import ConnectFailed
+from laburnumswitch.exceptions import ConnectionLimit
+from laburnumswitch.upstream import Upstream
 
 IDLE_LIMIT_S = 15.0
 REAP_INTERVAL_S = 2.0
 CONNECTIONS_PER_WORKER = 64
 ENTRIES_SHARING_A_WORKER = 8
-CONNECTIONS_PER_HOST = CONNECTIONS_PER_WORKER // ENTRIES_SHARING_A_WORKER
+WORKER_SHARE = CONNECTIONS_PER_WORKER // ENTRIES_SHARING_A_WORKER
 
 
 class Pool:
-    """Idle connections by address, and a limit on the open ones to each worker's IP number."""
+    """Idle connections by address, and a limit on the open ones to each worker."""
 
     def __init__(
         self,
         clock: Callable[[], float] = monotonic,
         ssl_context: SSLContext | None = None,
-        connections_per_host: int = CONNECTIONS_PER_HOST,
+        worker_share: int = WORKER_SHARE,
     ) -> None:
         self.opened = 0
         self.reused = 0
         self.retired = 0
         self._clock = clock
         self._ssl_context = ssl_context
-        self._connections_per_host = connections_per_host
+        self._worker_share = worker_share
         self._idle_by_address: dict[str, deque[UpstreamConnection]] = {}
-        self._open_by_host: dict[str, int] = {}
+        self._open_by_worker: dict[str, int] = {}
 
     def take(
-        self, address: str, connect_limit_s: float, idle_limit_s: float = IDLE_LIMIT_S
-    ) -> UpstreamConnection | ConnectFailed:
+        self, upstream: Upstream, connect_limit_s: float, idle_limit_s: float = IDLE_LIMIT_S
+    ) -> UpstreamConnection | ConnectFailed | ConnectionLimit:
         """Return a connection for one exchange.
 
         :param idle_limit_s: longest time since the last use of a pooled one; 0 asks for a new one.
         """
-        idle = self._idle_by_address.get(address)
+        idle = self._idle_by_address.get(upstream.address)
         while idle and idle_limit_s > 0:
             connection = idle.pop()
             if self._clock() - connection.used_s > idle_limit_s:
                 # The others of this address have been idle for even longer.
                 idle.append(connection)
                 break
-            if _is_quiet(connection):
+            # One with something to read was closed by the other end or is out of step.
+            if not is_readable(connection.sock):
                 self.reused += 1
                 return connection
             self.discard(connection)
-        return self._open(address, connect_limit_s)
+        return self._open(upstream, connect_limit_s)
 
     def give_back(self, connection: UpstreamConnection) -> None:
         """Pool a connection whose exchange ended cleanly."""
@@ -65,12 +67,7 @@
 
     def discard(self, connection: UpstreamConnection) -> None:
         """Close a connection that was taken."""
-        host = _host_of(connection.address)
-        left = self._open_by_host.get(host, 0) - 1
-        if left > 0:
-            self._open_by_host[host] = left
-        else:
-            self._open_by_host.pop(host, None)
+        self._count_closed(connection.worker_id)
         connection.close()
 
     def retire(self, address: str, unused_since_s: float) -> int:
@@ -100,47 +97,48 @@
             sleep(REAP_INTERVAL_S)
             self.reap()
 
-    def _open(self, address: str, connect_limit_s: float) -> UpstreamConnection | ConnectFailed:
-        host = _host_of(address)
-        if not self._make_room(host):
-            return ConnectFailed(address, "ConnectionLimit")
-        self._open_by_host[host] = self._open_by_host.get(host, 0) + 1
+    def _open(
+        self, upstream: Upstream, connect_limit_s: float
+    ) -> UpstreamConnection | ConnectFailed | ConnectionLimit:
+        worker_id = upstream.worker_id
+        if not self._make_room(worker_id):
+            return ConnectionLimit(worker_id)
+        self._open_by_worker[worker_id] = self._open_by_worker.get(worker_id, 0) + 1
         sock = None
         try:
-            port = int(address.rpartition(":")[2])
-            sock = socket.create_connection((host, port), timeout=connect_limit_s)
+            sock = self._connect(upstream.address, connect_limit_s)
+        except OSError as error:
+            return ConnectFailed(upstream.address, type(error).__name__)
+        finally:
+            if sock is None:
+                self._count_closed(worker_id)
+        self.opened += 1
+        return UpstreamConnection(upstream.address, worker_id, sock, self._clock())
+
+    def _connect(self, address: str, connect_limit_s: float) -> socket.socket:
+        host, _, port = address.rpartition(":")
+        sock = socket.create_connection((host, int(port)), timeout=connect_limit_s)
+        try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             if self._ssl_context is not None:
-                sock = self._ssl_context.wrap_socket(sock, server_hostname=host)
-        except OSError as error:
-            self._open_by_host[host] -= 1
-            if sock is not None:
-                sock.close()
-            return ConnectFailed(address, type(error).__name__)
+                return self._ssl_context.wrap_socket(sock, server_hostname=host)
         except BaseException:
-            self._open_by_host[host] -= 1
-            if sock is not None:
-                sock.close()
+            sock.close()
             raise
-        self.opened += 1
-        return UpstreamConnection(address, sock, self._clock())
+        return sock
+
+    def _count_closed(self, worker_id: str) -> None:
+        left = self._open_by_worker[worker_id] - 1
+        if left > 0:
+            self._open_by_worker[worker_id] = left
+        else:
+            del self._open_by_worker[worker_id]
 
-    def _make_room(self, host: str) -> bool:
-        if self._open_by_host.get(host, 0) < self._connections_per_host:
+    def _make_room(self, worker_id: str) -> bool:
+        if self._open_by_worker.get(worker_id, 0) < self._worker_share:
             return True
-        for address, idle in self._idle_by_address.items():
-            if idle and _host_of(address) == host:
+        for idle in self._idle_by_address.values():
+            if idle and idle[0].worker_id == worker_id:
                 self.discard(idle.popleft())
                 return True
         return False
-
-
-def _host_of(address: str) -> str:
-    return address.rpartition(":")[0]
-
-
-def _is_quiet(connection: UpstreamConnection) -> bool:
-    # An idle connection with something to read was closed by the other end or is out of step.
-    poller = poll()
-    poller.register(connection.sock.fileno(), POLLIN)
-    return not poller.poll(0)
--- a/laburnumswitch/connection/reader.py
+++ b/laburnumswitch/connection/reader.py
@@ -29,10 +29,13 @@
 
     ``idle_s`` is how long a connection may wait between requests, ``head_s`` and ``body_s`` how
     long a head and a body may take, ``send_s`` how long a caller may take to accept one block.
+    ``held_bytes`` limits the bodies of all requests that are being read or answered together.
     """
 
     head_bytes: int = 16_384
-    body_bytes: int = 4_194_304
+    body_bytes: int = 2_097_152
+    held_bytes: int = 33_554_432
+    connections: int = 4_096
     idle_s: float = 75.0
     head_s: float = 5.0
     body_s: float = 15.0
@@ -70,10 +73,6 @@
         self.closed = True
         self._buffer = b""
 
-    def has_bytes(self) -> bool:
-        """Return whether part of a further request has been read."""
-        return bool(self._buffer)
-
     def read_head(self, limits: CallerLimits) -> RequestHead | CallerRefused | CallerClosed:
         """Return the next request's head."""
         if not self._buffer and not self._await_first_byte(limits.idle_s):
--- a/laburnumswitch/exceptions.py
+++ b/laburnumswitch/exceptions.py
@@ -101,6 +101,13 @@
     reason: str
 
 
+@dataclass(frozen=True)
+class ConnectionLimit(Failure):
+    """All connections that this process may have to a worker are in use; no byte was sent."""
+
+    worker_id: str
+
+
 @dataclass(frozen=True)
 class FirstByteLate(Failure):
     """At least one byte was sent and not one byte of an answer came within a limit."""
--- a/laburnumswitch/request/attempt.py
+++ b/laburnumswitch/request/attempt.py
@@ -10,8 +10,10 @@
 from laburnumswitch.declaration import Service
 from laburnumswitch.exceptions import AnswerLost
 from laburnumswitch.exceptions import ConnectFailed
+from laburnumswitch.exceptions import ConnectionLimit
 from laburnumswitch.exceptions import FirstByteLate
 from laburnumswitch.exceptions import Refused
+from laburnumswitch.process.upstreams import LIMIT_FACTOR_FAILED
 from laburnumswitch.process.upstreams import SuspectConnection
 from laburnumswitch.request.context import RequestContext
 from laburnumswitch.request.headers import values_of
@@ -36,7 +38,7 @@
     rest: "Attempt | None"
 
 
-AttemptFailure = ConnectFailed | AnswerLost | FirstByteLate | Refused
+AttemptFailure = ConnectFailed | ConnectionLimit | AnswerLost | FirstByteLate | Refused
 
 
 class Attempt:
@@ -57,7 +59,7 @@
 
     def send(
         self, method: str, encoded: bytes, deadline_s: float, idempotent: bool
-    ) -> ConnectFailed | AnswerLost | None:
+    ) -> ConnectFailed | ConnectionLimit | AnswerLost | None:
         """Connect if necessary, and send the request."""
         context = self._context
         now_s = context.clock()
@@ -66,7 +68,9 @@
         if self._state.suspect is not None:
             idle_limit_s = 0.0
         connect_limit_s = min(CONNECT_LIMIT_S, max(deadline_s - now_s, 0.001))
-        taken = context.pool.take(self.upstream.address, connect_limit_s, idle_limit_s)
+        taken = context.pool.take(self.upstream, connect_limit_s, idle_limit_s)
+        if isinstance(taken, ConnectionLimit):
+            return taken
         if isinstance(taken, ConnectFailed):
             self._fail()
             return taken
@@ -95,7 +99,7 @@
         self._clear_suspicion()
         latency_s = self._context.clock() - self.sent_s
         if self._is_refusal(head):
-            self._state.cut_limit(0.7, self._context.clock())
+            self._state.cut_limit(LIMIT_FACTOR_FAILED, self._context.clock())
             return Refused(self.upstream.address, head.status, "refused before running")
         if head.status >= FIRST_FAILED_STATUS:
             self._fail()
--- a/laburnumswitch/request/delivery.py
+++ b/laburnumswitch/request/delivery.py
@@ -1,7 +1,9 @@
 """Delivers one request to an upstream, with the repeats that are safe."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
+from gevent import killall
 from gevent import spawn
 from gevent.queue import Queue
 
@@ -10,6 +12,7 @@
 from laburnumswitch.declaration import Service
 from laburnumswitch.exceptions import AnswerLost
 from laburnumswitch.exceptions import ConnectFailed
+from laburnumswitch.exceptions import ConnectionLimit
 from laburnumswitch.exceptions import FirstByteLate
 from laburnumswitch.exceptions import NotRun
 from laburnumswitch.exceptions import Refused
@@ -139,23 +142,24 @@
             return self._finish_alone(first)
         self._context.counts.hedges += 1
         results: Queue = Queue()
-        by_attempt = {
-            first: spawn(lambda: results.put((first, self._finish_alone(first)))),
-            second: spawn(lambda: results.put((second, self._send_alone(second)))),
-        }
-        winner = None
+        tasks = [
+            spawn(_report, results, first, self._finish_alone),
+            spawn(_report, results, second, self._send_alone),
+        ]
+        racing = {first, second}
+        result: Delivered | AttemptFailure | None = None
         try:
-            result = None
-            for _ in by_attempt:
-                winner, result = results.get()
-                if isinstance(result, Delivered):
-                    return result
-            return result
+            while racing and not isinstance(result, Delivered):
+                attempt, result = results.get()
+                racing.discard(attempt)
+                if not isinstance(result, Delivered):
+                    self._may_have_run = True
+                    attempt.finish()
         finally:
-            for attempt, task in by_attempt.items():
-                task.kill()
-                if attempt is not winner or not isinstance(result, Delivered):
-                    attempt.abandon()
+            killall(tasks)
+            for attempt in racing:
+                attempt.abandon()
+        return result
 
     def _second_attempt(self) -> Attempt | None:
         context = self._context
@@ -199,7 +203,7 @@
             return False
         if self._context.clock() >= self._terms.deadline_s:
             return False
-        if isinstance(result, ConnectFailed):
+        if isinstance(result, ConnectFailed | ConnectionLimit):
             return True
         if not self._terms.idempotent and not isinstance(result, Refused):
             return False
@@ -216,6 +220,19 @@
         return NotRun(reason)
 
 
+def _report(
+    results: Queue,
+    attempt: Attempt,
+    finish: Callable[[Attempt], Delivered | AttemptFailure],
+) -> None:
+    # Whatever happens in the task, the one that waits for it gets a result.
+    result: Delivered | AttemptFailure = AnswerLost(attempt.upstream.address, "error")
+    try:
+        result = finish(attempt)
+    finally:
+        results.put((attempt, result))
+
+
 def _reason_of(result: Delivered | AttemptFailure) -> str:
     if isinstance(result, Delivered):
         return f"status {result.head.status}"
--- a/laburnumswitch/request/forward.py
+++ b/laburnumswitch/request/forward.py
@@ -6,8 +6,6 @@
 from ssl import SSLContext
 from urllib.parse import unquote
 
-from gevent import sleep
-
 from laburnumswitch.connection.caller import Application
 from laburnumswitch.connection.caller import CallerAnswer
 from laburnumswitch.connection.caller import CallerServer
@@ -35,7 +33,6 @@
 KEY_HEADER = "idempotency-key"
 TIMEOUT_HEADER = "request-timeout"
 PRIORITY_HEADER = "priority"
-DRAIN_POLL_S = 0.02
 MIN_TIMEOUT_S = 0.001
 URGENCY_HIGH = 2
 URGENCY_LOW = 5
@@ -60,18 +57,12 @@
 def drain(server: CallerServer, context: RequestContext, limit_s: float) -> bool:
     """Stop gracefully: accept nothing more and wait for the requests in flight.
 
-    Connections that stay open get ``Connection: close`` with their next answer.
-
     :param limit_s: longest wait in seconds.
     :return: whether every request in flight was answered.
     """
-    server.draining = True
-    server.close()
-    until_s = context.clock() + limit_s
-    while server.busy > 0 and context.clock() < until_s:
-        sleep(DRAIN_POLL_S)
+    whole = server.drain(limit_s)
     context.timeline.record("drained", context.vm_id, unanswered=server.busy)
-    return server.busy == 0
+    return whole
 
 
 def answer_requests(context: RequestContext) -> Application:
