--- /dev/null
+++ b/tests/request/test_outcomes.py
@@ -0,0 +1,230 @@
+"""Each way an upstream can fail, and the outcome that its caller is told."""
+
+from gevent import sleep
+from testtools import TestCase
+from testtools.matchers import Contains
+from testtools.matchers import Equals
+from testtools.matchers import HasLength
+
+from tests.request.fakes import answering
+from tests.request.fakes import call
+from tests.request.fakes import context_of
+from tests.request.fakes import FakeUpstream
+from tests.request.fakes import get
+from tests.request.fakes import kinds_of
+from tests.request.fakes import OK_ANSWER
+from tests.request.fakes import ORDERS
+from tests.request.fakes import post
+from tests.request.fakes import request
+from tests.request.fakes import served
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+LARGE = b"0123456789abcdef" * 65_536
+
+
+def closing_after(raw):
+    def script(sock, _request, _number):
+        sock.sendall(raw)
+        sock.close()
+
+    return script
+
+
+def silent(sock, _request, _number):
+    sleep(30)
+
+
+def silent_on_reuse():
+    """Return a script that answers the first request of each connection and no later one."""
+    seen = set()
+
+    def script(sock, _request, _number):
+        if sock in seen:
+            return
+        seen.add(sock)
+        sock.sendall(OK_ANSWER)
+
+    return script
+
+
+class TestOutcomes(TestCase):
+    def upstream(self, script=None):
+        upstream = FakeUpstream(script or answering())
+        self.addCleanup(upstream.close)
+        return upstream
+
+    def test_order_runs_once_and_is_unknown_where_its_answer_is_lost(self):
+        for raw in (b"", HEAD, HEAD + b"Content-Length: 5\r\n\r\nabc"):
+            broken = self.upstream(closing_after(raw))
+            other = self.upstream()
+            context = context_of(broken.as_upstream(), other.as_upstream())
+            context = context._replace(choose=lambda _s, upstreams, _t: upstreams[0])
+            with served(context) as port:
+                reply = call(port, post())
+            self.expectThat((reply.status, reply.outcome), Equals((502, "unknown")), str(raw))
+            self.expectThat(broken.requests, HasLength(1))
+            self.expectThat(other.requests, HasLength(0))
+
+    def test_order_that_times_out_is_unknown_at_its_deadline(self):
+        slow = self.upstream(silent)
+        with served(context_of(slow.as_upstream())) as port:
+            reply = call(port, post(b"rice", "Request-Timeout: 0.05"))
+        self.assertThat((reply.status, reply.outcome), Equals((504, "unknown")))
+
+    def test_order_moves_on_from_an_upstream_that_refuses_connections(self):
+        gone = self.upstream()
+        gone.close()
+        other = self.upstream()
+        upstreams = (gone.as_upstream(), other.as_upstream())
+        context = context_of(*upstreams)
+        context = context._replace(choose=lambda _s, ups, tried: ups[len(tried)])
+        with served(context) as port:
+            self.assertThat(call(port, post()).status, Equals(200))
+        self.assertThat(other.requests, HasLength(1))
+
+    def test_nothing_ran_where_every_upstream_refuses_connections(self):
+        gone = self.upstream()
+        gone.close()
+        with served(context_of(gone.as_upstream())) as port:
+            reply = call(port, post())
+        self.assertThat((reply.status, reply.outcome), Equals((503, "not-run")))
+        self.assertThat(reply.headers, Contains("retry-after"))
+
+    def test_idempotent_request_is_repeated_elsewhere(self):
+        for raw in (b"", HEAD + b"Content-Length: 5\r\n\r\nabc", OK_ANSWER.replace(b"200", b"503")):
+            broken = self.upstream(closing_after(raw))
+            other = self.upstream()
+            context = context_of(broken.as_upstream(), other.as_upstream())
+            context = context._replace(choose=lambda _s, ups, tried: ups[len(tried)])
+            with served(context) as port:
+                reply = call(port, request("PUT", "/x", b"1"))
+            self.expectThat((reply.status, reply.outcome), Equals((200, "answered")), str(raw))
+            self.expectThat(kinds_of(context), Contains("retry"))
+            self.expectThat(context.counts.sends, Equals(2))
+
+    def test_declared_refusal_was_not_run(self):
+        raw = b"HTTP/1.1 503 Busy\r\nX-Refused: yes\r\nContent-Length: 0\r\n\r\n"
+        busy = self.upstream(answering(raw))
+        state = ORDERS.state._replace(refused_header="X-Refused")
+        for service, outcome in ((ORDERS._replace(state=state), "not-run"), (ORDERS, "answered")):
+            with served(context_of(busy.as_upstream(), service=service)) as port:
+                reply = call(port, post())
+            self.expectThat((reply.status, reply.outcome), Equals((503, outcome)))
+
+    def test_declared_path_is_idempotent_only_where_it_names_the_target(self):
+        service = ORDERS._replace(idempotent_paths=("/quote/",))
+        for target, sends in (("/quote/1?x", 2), ("/quote", 1), ("/quote/../orders", 1)):
+            broken = self.upstream(closing_after(b""))
+            upstreams = (broken.as_upstream("1"), broken.as_upstream("2"))
+            with served(context_of(*upstreams, service=service)) as port:
+                self.expectThat(
+                    call(port, request("POST", target, b"1")).outcome, Equals("unknown")
+                )
+            self.expectThat(broken.requests, HasLength(sends), target)
+
+    def test_retry_budget_bounds_the_sends(self):
+        broken = self.upstream(closing_after(b""))
+        context = context_of(*(broken.as_upstream(str(n)) for n in range(20)))
+        with served(context) as port:
+            for _ in range(100):
+                call(port, get())
+        self.assertThat(context.counts.sends <= 100 * 1.1 + 5, Equals(True))
+        self.assertThat(context.counts.sends > 105, Equals(True))
+
+    def test_large_answer_is_streamed_whole(self):
+        raw = HEAD + b"Content-Length: %d\r\n\r\n" % len(LARGE) + LARGE
+        upstream = self.upstream(answering(raw))
+        context = context_of(upstream.as_upstream())
+        with served(context) as port:
+            self.assertThat(call(port, get()).body == LARGE, Equals(True))
+            call(port, get())
+        self.assertThat(upstream.connections, Equals(1))
+        self.assertThat(context.states.of(upstream.as_upstream()).outstanding, Equals(0))
+
+    def test_large_answer_that_breaks_is_not_passed_off_as_whole(self):
+        raw = HEAD + b"Transfer-Encoding: chunked\r\n\r\n100000\r\n" + LARGE[:500_000]
+        upstream = self.upstream(closing_after(raw))
+        context = context_of(upstream.as_upstream())
+        with served(context) as port:
+            self.assertRaises(ValueError, call, port, get())
+        self.assertThat(kinds_of(context), Contains("answer_cut"))
+        self.assertThat(context.states.of(upstream.as_upstream()).outstanding, Equals(0))
+
+    def test_silent_connection_is_blamed_in_place_of_its_upstream(self):
+        upstream = self.upstream(silent_on_reuse())
+        context = context_of(upstream.as_upstream())
+        replies = []
+        with served(context) as port:
+            for _ in range(2):
+                replies.append(call(port, request("PUT", "/x", b"1", "Request-Timeout: 0.3")))
+            replies.append(call(port, request("PUT", "/x", b"1")))
+        self.assertThat([reply.status for reply in replies], Equals([200, 504, 200]))
+        self.assertThat(kinds_of(context), Contains("connection_retired"))
+        state = context.states.of(upstream.as_upstream())
+        self.assertThat(state.consecutive_failures, Equals(0))
+
+    def test_silent_upstream_is_blamed_once_a_fresh_connection_is_silent_too(self):
+        upstream = self.upstream(lambda sock, _r, number: number == 1 and sock.sendall(OK_ANSWER))
+        context = context_of(upstream.as_upstream())
+        with served(context) as port:
+            for _ in range(3):
+                call(port, request("PUT", "/x", b"1", "Request-Timeout: 0.05"))
+        state = context.states.of(upstream.as_upstream())
+        self.assertThat(state.consecutive_failures, Equals(1))
+
+    def test_slow_read_is_hedged_and_its_answer_is_not_crossed(self):
+        slow = self.upstream(silent)
+        fast = self.upstream()
+        upstreams = (slow.as_upstream(), fast.as_upstream())
+        context = context_of(*upstreams)
+        context = context._replace(choose=lambda _s, ups, tried: ups[len(tried)])
+        latency = context.service_state(ORDERS).latency
+        for _ in range(60):
+            latency.add(0.001)
+        with served(context) as port:
+            self.assertThat(call(port, get()).body, Equals(b"ok"))
+        self.assertThat(context.counts.hedges, Equals(1))
+        self.assertThat(context.states.of(upstreams[0]).outstanding, Equals(0))
+
+    def test_headers_of_one_hop_go_no_further(self):
+        raw = OK_ANSWER.replace(
+            b"\r\n\r\n",
+            b"\r\nConnection: X-Hop\r\nX-Hop: 1\r\nSet-Cookie: a\r\nSet-Cookie: b\r\n"
+            b"Laburnumswitch-Outcome: not-run\r\n\r\n",
+        )
+        upstream = self.upstream(answering(raw))
+        lines = ("Connection: X-Mine, close", "X-Mine: 1", "TE: trailers", "X-Other: 2")
+        with served(context_of(upstream.as_upstream())) as port:
+            reply = call(port, get("/", *lines))
+        sent = upstream.requests[0].lower()
+        for name in (b"x-mine", b"connection", b"te:"):
+            self.expectThat(name in sent, Equals(False), str(name))
+        self.expectThat(sent, Contains(b"x-other: 2"))
+        self.expectThat("x-hop" in reply.headers, Equals(False))
+        self.expectThat(reply.outcome, Equals("answered"))
+
+    def test_only_newest_zone_state_and_leaving_upstreams_count(self):
+        out, leaving, used = (self.upstream() for _ in range(3))
+        upstreams = (
+            out.as_upstream(availability_zone="b"),
+            leaving.as_upstream(leaving=True),
+            used.as_upstream(availability_zone="c"),
+        )
+        context = context_of(*upstreams, zone_is_out=lambda zone: zone == "b")
+        with served(context) as port:
+            for _ in range(10):
+                call(port, get())
+        self.assertThat([len(fake.requests) for fake in (out, leaving, used)], Equals([0, 0, 10]))
+
+    def test_unknown_host_and_malformed_limits_are_refused(self):
+        upstream = self.upstream()
+        cases = (
+            (get().replace(b"orders.example", b"other.example"), 404),
+            (get("/", "Request-Timeout: soon"), 400),
+            (post(b"1", "Idempotency-Key: a", "Idempotency-Key: b"), 400),
+        )
+        with served(context_of(upstream.as_upstream())) as port:
+            for raw, status in cases:
+                reply = call(port, raw)
+                self.expectThat((reply.status, reply.outcome), Equals((status, "not-run")))
+        self.assertThat(upstream.requests, HasLength(0))
