--- /dev/null
+++ b/laburnumswitch/process/admission.py
@@ -0,0 +1,300 @@
+"""Admits what is declared: jobs by generation and schedule, and the replicas of services.
+
+Any entry may run this, and races are settled by conditions on the rows; usually the one that
+rendezvous hashing prefers does.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from laburnumswitch.declaration import Configuration
+from laburnumswitch.declaration import Job
+from laburnumswitch.declaration import Service
+from laburnumswitch.exceptions import DependencyPending
+from laburnumswitch.exceptions import Failure
+from laburnumswitch.exceptions import JobTooLarge
+from laburnumswitch.exceptions import QuotaTooSmall
+from laburnumswitch.process.completion import complete_jobs
+from laburnumswitch.process.context import SchedulerContext
+from laburnumswitch.process.distribution import largest_capacity
+from laburnumswitch.process.distribution import Part
+from laburnumswitch.process.distribution import split_tasks
+from laburnumswitch.process.distribution import spread_replicas
+from laburnumswitch.process.inbox import Chunk
+from laburnumswitch.process.inbox import inbox_put
+from laburnumswitch.process.job_row import FINAL_STATES
+from laburnumswitch.process.job_row import job_key
+from laburnumswitch.process.job_row import JOB_PREFIX
+from laburnumswitch.process.job_row import JobRow
+from laburnumswitch.process.job_row import read_jobs
+from laburnumswitch.process.job_row import StoredJob
+from laburnumswitch.process.job_row import UNADMITTED_STATES
+from laburnumswitch.process.schedule import FiredRows
+from laburnumswitch.process.schedule import Firing
+from laburnumswitch.process.schedule import FIRINGS_PER_PASS
+from laburnumswitch.process.schedule import first_mark
+from laburnumswitch.process.schedule import next_firing
+from laburnumswitch.process.schedule import read_fired
+from laburnumswitch.process.service_row import change_service
+from laburnumswitch.process.service_row import service_key
+from laburnumswitch.process.shared_rows import SERVICE_PREFIX
+from laburnumswitch.process.shared_rows import SharedRows
+from laburnumswitch.process.table import ABSENT_VERSION
+from laburnumswitch.process.table import Committed
+from laburnumswitch.process.table import Condition
+from laburnumswitch.process.table import Put
+from laburnumswitch.process.table import Row
+from laburnumswitch.process.table import scan_all
+from laburnumswitch.process.table import Transaction
+from laburnumswitch.process.work import read_work
+from laburnumswitch.process.work import work_of_job
+from laburnumswitch.process.work import work_of_service
+from laburnumswitch.process.work import write_work
+from laburnumswitch.size import Size
+
+KEEP_ENDED_JOBS = 20
+
+
+class _NoFiring(NamedTuple):
+    conditions: tuple[Condition, ...] = ()
+    puts: tuple[Put, ...] = ()
+    deletes: tuple[str, ...] = ()
+
+
+NO_FIRING = _NoFiring()
+
+
+class Admission:
+    """What one entry remembers between passes: fired rows, and schedules that cannot be read."""
+
+    def __init__(self, context: SchedulerContext, shared: SharedRows) -> None:
+        self.invalid_by_job: dict[str, Failure] = {}
+        self._context = context
+        self._shared = shared
+        self._fired_by_job: dict[str, FiredRows] = {}
+
+    def run_pass(self) -> None:
+        """Admit and complete whatever is due; what fails is tried again by the next pass."""
+        configuration = self._context.configuration()
+        if not configuration.version or not self._context.vms():
+            return
+        rows = scan_all(self._context.table, JOB_PREFIX)
+        if isinstance(rows, Failure):
+            return
+        stored = read_jobs(rows)
+        self._admit_generations(configuration, stored)
+        self._fire_schedules(configuration, stored)
+        self._admit_waiting(configuration, stored)
+        self._admit_services(configuration)
+        complete_jobs(self._context, stored)
+        self._prune(configuration, stored)
+
+    def _admit_generations(
+        self, configuration: Configuration, stored: tuple[StoredJob, ...]
+    ) -> None:
+        known = {item.job.job_id for item in stored}
+        for job in configuration.jobs:
+            job_id = f"{job.name}@{job.generation}"
+            if not job.schedule and job_id not in known:
+                self._create(configuration, job, job_id, stored, NO_FIRING)
+
+    def _fire_schedules(self, configuration: Configuration, stored: tuple[StoredJob, ...]) -> None:
+        for job in configuration.jobs:
+            if not job.schedule:
+                continue
+            for _ in range(FIRINGS_PER_PASS):
+                if not self._fire_next(configuration, job, stored):
+                    break
+
+    def _fire_next(
+        self, configuration: Configuration, job: Job, stored: tuple[StoredJob, ...]
+    ) -> bool:
+        table = self._context.table
+        now_s = self._context.wall_clock()
+        fired = self._fired_by_job.get(job.name) or read_fired(table, job.name)
+        if isinstance(fired, Failure):
+            return False
+        if fired is None:
+            mark = first_mark(job.name, now_s)
+            table.commit(Transaction(mark.conditions, mark.puts))
+            return False
+        firing = next_firing(job, fired, now_s)
+        if isinstance(firing, Failure):
+            self.invalid_by_job[job.name] = firing
+            return False
+        self.invalid_by_job.pop(job.name, None)
+        if firing is None:
+            self._fired_by_job[job.name] = fired
+            return False
+        # Whatever comes of it, the rows are read again before the next firing.
+        self._fired_by_job.pop(job.name, None)
+        job_id = f"{job.name}@{firing.instant}"
+        return self._create(configuration, job, job_id, stored, firing)
+
+    def _create(
+        self,
+        configuration: Configuration,
+        job: Job,
+        job_id: str,
+        stored: tuple[StoredJob, ...],
+        firing: Firing | _NoFiring,
+    ) -> bool:
+        work = work_of_job(job, job_id)
+        row = JobRow(
+            job_id=job_id,
+            name=job.name,
+            team=job.team,
+            tasks=job.tasks,
+            state="waiting",
+            created_s=self._context.wall_clock(),
+            work=write_work(work),
+            after=job.after,
+        )
+        empty = Row(job_key(job_id), ABSENT_VERSION, {})
+        return self._decide(configuration, StoredJob(empty, row), stored, firing)
+
+    def _admit_waiting(self, configuration: Configuration, stored: tuple[StoredJob, ...]) -> None:
+        for item in stored:
+            if item.job.state in UNADMITTED_STATES:
+                self._decide(configuration, item, stored, NO_FIRING)
+
+    def _decide(
+        self,
+        configuration: Configuration,
+        item: StoredJob,
+        stored: tuple[StoredJob, ...],
+        firing: Firing | _NoFiring,
+    ) -> bool:
+        """Write the job's row as waiting, impossible or admitted, with its tasks if admitted."""
+        job = item.job
+        obstacle = self._find_obstacle(configuration, job, stored)
+        state = _state_with(obstacle)
+        reason = obstacle.describe() if obstacle else ""
+        if item.row.version and (state, reason) == (job.state, job.reason):
+            return False
+        parts: tuple[Part, ...] = ()
+        if obstacle is None:
+            parts = self._split(job)
+        value = {**item.row.value, **_fields(job), "state": state, "reason": reason}
+        outcome = self._context.table.commit(
+            Transaction(
+                (Condition(item.row.key, item.row.version), *firing.conditions),
+                (
+                    Put(item.row.key, value),
+                    *firing.puts,
+                    *_inbox_puts(job.job_id, job.work, parts),
+                ),
+                firing.deletes,
+            )
+        )
+        if isinstance(outcome, Committed):
+            self._context.timeline.record("job_" + state, job.job_id, reason=reason)
+        return isinstance(outcome, Committed)
+
+    def _find_obstacle(
+        self, configuration: Configuration, job: JobRow, stored: tuple[StoredJob, ...]
+    ) -> Failure | None:
+        size = _size(job)
+        largest = largest_capacity(size, self._context.vms())
+        if largest is not None:
+            return JobTooLarge(job.job_id, tuple(size), tuple(largest))
+        for team in configuration.teams:
+            if team.name == job.team and not size.fits(team.quota):
+                return QuotaTooSmall(job.job_id, team.name, tuple(team.quota))
+        for name in job.after:
+            state = _newest_state(name, stored)
+            if state != "finished":
+                return DependencyPending(job.job_id, name, state)
+        return None
+
+    def _split(self, job: JobRow) -> tuple[Part, ...]:
+        return split_tasks(
+            _size(job),
+            job.tasks,
+            self._context.vms(),
+            self._context.shard_hints(),
+            self._context.shard_count,
+            self._shared.zone_is_in,
+        )
+
+    def _admit_services(self, configuration: Configuration) -> None:
+        rows = scan_all(self._context.table, SERVICE_PREFIX)
+        if isinstance(rows, Failure):
+            return
+        row_by_key = {row.key: row for row in rows}
+        service_by_key = {service_key(service.name): service for service in configuration.services}
+        for key in sorted(row_by_key.keys() | service_by_key.keys()):
+            row = row_by_key.get(key, Row(key, ABSENT_VERSION, None))
+            self._admit_service(row, service_by_key.get(key))
+
+    def _admit_service(self, row: Row, service: Service | None) -> None:
+        reason = ""
+        if service is not None:
+            largest = largest_capacity(service.size, self._context.vms())
+            if largest is not None:
+                reason = JobTooLarge(service.name, tuple(service.size), tuple(largest)).describe()
+        change = change_service(row, service, reason, self._context.wall_clock())
+        if change is None:
+            return
+        parts: tuple[Part, ...] = ()
+        work = {}
+        if change.added:
+            work = write_work(work_of_service(service, change.job_id))
+            parts = spread_replicas(
+                service.size,
+                change.added,
+                self._context.vms(),
+                self._context.shard_count,
+                self._shared.zone_is_in,
+            )
+        puts = _inbox_puts(change.job_id, work, parts)
+        outcome = self._context.table.commit(
+            Transaction((Condition(row.key, row.version),), (Put(row.key, change.value), *puts))
+        )
+        self._context.timeline.record(
+            "service_changed",
+            row.key.removeprefix(SERVICE_PREFIX),
+            added=len(change.added),
+            outcome=type(outcome).__name__,
+        )
+
+    def _prune(self, configuration: Configuration, stored: tuple[StoredJob, ...]) -> None:
+        current = {f"{job.name}@{job.generation}" for job in configuration.jobs}
+        ended_by_name: dict[str, list[StoredJob]] = {}
+        for item in stored:
+            is_over = item.job.state in FINAL_STATES or item.job.state == "impossible"
+            if is_over and item.job.job_id not in current:
+                ended_by_name.setdefault(item.job.name, []).append(item)
+        for ended in ended_by_name.values():
+            ended.sort(key=lambda item: item.job.created_s)
+            for item in ended[:-KEEP_ENDED_JOBS]:
+                condition = Condition(item.row.key, item.row.version)
+                self._context.table.commit(Transaction((condition,), (), (item.row.key,)))
+
+
+def _size(job: JobRow) -> Size:
+    return read_work(job.work).size
+
+
+def _newest_state(name: str, stored: Iterable[StoredJob]) -> str:
+    jobs = [item.job for item in stored if item.job.name == name]
+    if not jobs:
+        return "absent"
+    return max(jobs, key=lambda job: job.created_s).state
+
+
+def _state_with(obstacle: Failure | None) -> str:
+    if obstacle is None:
+        return "admitted"
+    return "waiting" if isinstance(obstacle, DependencyPending) else "impossible"
+
+
+def _fields(job: JobRow) -> dict:
+    return {name: getattr(job, name) for name in job.__struct_fields__}
+
+
+def _inbox_puts(job_id: str, work: dict, parts: Iterable[Part]) -> list[Put]:
+    return [
+        inbox_put(part.shard, f"{job_id}-{part.first}", Chunk(work, part.first, part.count))
+        for part in parts
+    ]
--- a/laburnumswitch/process/hint.py
+++ b/laburnumswitch/process/hint.py
@@ -16,8 +16,9 @@
 class ShardHint(NamedTuple):
     """One owned shard.
 
-    ``upstream_revision`` rises with every change of the shard's upstreams. ``largest_free`` is the
-    free size of the worker with the most room; ``pending`` counts tasks that wait.
+    ``upstream_revision`` rises with every change of the shard's upstreams. While it is 0 a new
+    owner does not know them yet, and those of the earlier epoch are to be kept. ``largest_free``
+    is the free size of the worker with the most room; ``pending`` counts tasks that wait.
     """
 
     shard: int
--- /dev/null
+++ b/laburnumswitch/process/job_row.py
@@ -0,0 +1,119 @@
+"""Rows of admitted jobs, and their cancellation."""
+
+from collections.abc import Iterable
+from typing import Any
+from typing import Literal
+from typing import NamedTuple
+
+from absl import logging
+from msgspec import convert
+from msgspec import Struct
+from msgspec import ValidationError
+
+from laburnumswitch.exceptions import Failure
+from laburnumswitch.exceptions import NotFound
+from laburnumswitch.process.records import FORMAT
+from laburnumswitch.process.shared_rows import CANCELLED_PREFIX
+from laburnumswitch.process.table import CommitFailure
+from laburnumswitch.process.table import Committed
+from laburnumswitch.process.table import Condition
+from laburnumswitch.process.table import Put
+from laburnumswitch.process.table import ReadFailure
+from laburnumswitch.process.table import Row
+from laburnumswitch.process.table import Table
+from laburnumswitch.process.table import Transaction
+
+JOB_PREFIX = "job/"
+JobState = Literal[
+    "waiting", "impossible", "admitted", "cancelling", "cancelled", "finished", "failed"
+]
+FINAL_STATES = frozenset({"cancelled", "finished", "failed"})
+UNADMITTED_STATES = frozenset({"waiting", "impossible"})
+
+
+class JobRow(Struct, frozen=True, kw_only=True):
+    """Value of a job's row. ``reason`` is the tag and text of a failure, empty without one.
+
+    ``work`` is the JSON form of a ``Work``. The counts of ended tasks are filled in at the end.
+    """
+
+    job_id: str
+    name: str
+    team: str
+    tasks: int
+    state: JobState
+    created_s: float
+    work: dict[str, Any]
+    after: tuple[str, ...] = ()
+    reason: str = ""
+    finished: int = 0
+    failed: int = 0
+    cancelled: int = 0
+    ended_s: float = 0.0
+    format: int = FORMAT
+
+
+class StoredJob(NamedTuple):
+    """A job's row as read, with the whole value so that unknown fields are kept."""
+
+    row: Row
+    job: JobRow
+
+    def change(self, **changes: Any) -> dict[str, Any]:
+        """Return the row's next value."""
+        return {**self.row.value, **changes}
+
+
+def job_key(job_id: str) -> str:
+    """Return the key of a job's row."""
+    return JOB_PREFIX + job_id
+
+
+def read_jobs(rows: Iterable[Row]) -> tuple[StoredJob, ...]:
+    """Decode job rows; those that cannot be read are logged and left alone."""
+    stored = []
+    for row in rows:
+        try:
+            job = convert(row.value, JobRow)
+        except ValidationError as error:
+            logging.error("job row not read key=%s reason=%s", row.key, error)
+            continue
+        if job.format <= FORMAT:
+            stored.append(StoredJob(row, job))
+    return tuple(stored)
+
+
+def cancel_jobs_by_id(
+    table: Table, job_ids: Iterable[str], now_s: float
+) -> Committed | CommitFailure | ReadFailure | NotFound:
+    """Cancel jobs in one transaction; those that ended already are left as they are.
+
+    Repeating a cancellation is safe. Tasks that run are stopped; one that ends by itself before
+    that is counted as it ended.
+    """
+    job_ids = tuple(job_ids)
+    rows = table.read(tuple(job_key(job_id) for job_id in job_ids))
+    if isinstance(rows, Failure):
+        return rows
+    conditions: list[Condition] = []
+    puts: list[Put] = []
+    for job_id in job_ids:
+        row = rows[job_key(job_id)]
+        if row.value is None:
+            return NotFound(job_id)
+        for stored in read_jobs((row,)):
+            if stored.job.state in FINAL_STATES or stored.job.state == "cancelling":
+                continue
+            conditions.append(Condition(row.key, row.version))
+            puts.extend(_cancellation(stored, now_s))
+    return table.commit(Transaction(tuple(conditions), tuple(puts)))
+
+
+def _cancellation(stored: StoredJob, now_s: float) -> list[Put]:
+    if stored.job.state in UNADMITTED_STATES:
+        changes = {"state": "cancelled", "cancelled": stored.job.tasks, "ended_s": now_s}
+        return [Put(stored.row.key, stored.change(**changes))]
+    return [
+        Put(stored.row.key, stored.change(state="cancelling")),
+        Put(CANCELLED_PREFIX + stored.job.job_id, {"format": FORMAT, "cancelled_s": now_s}),
+    ]
--- a/laburnumswitch/process/moves.py
+++ b/laburnumswitch/process/moves.py
@@ -17,12 +17,14 @@
 from laburnumswitch.process.worker_state import WorkerState
 
 REPLACE_LIMIT_S = 8.0
+LEAVING_NOTICE_S = 1.5
 
 
 class Moves:
-    """Since when replicas wait for their successors."""
+    """Since when replicas wait for their successors, and since when they are said to leave."""
 
     def __init__(self) -> None:
+        self.leaving_since_by_key: dict[TaskKey, float] = {}
         self._final_since_by_key: dict[TaskKey, float] = {}
 
     def leave_workers(
@@ -78,6 +80,7 @@
     def forget_run(self, key: TaskKey) -> None:
         """Drop what is known of a run that has ended."""
         self._final_since_by_key.pop(key, None)
+        self.leaving_since_by_key.pop(key, None)
 
     def _drain(
         self,
@@ -103,7 +106,10 @@
             if not has_successor and must_leave(worker) and now_s - since_s < REPLACE_LIMIT_S:
                 # The successor was given to another shard, whose progress is not seen here.
                 return
-        state.want_stop(key, group.running[key.index].run, "drain", now_s)
+        # Entries are told that the upstream is leaving before it is told to drain.
+        leaving_since_s = self.leaving_since_by_key.setdefault(key, now_s)
+        if now_s - leaving_since_s >= LEAVING_NOTICE_S:
+            state.want_stop(key, group.running[key.index].run, "drain", now_s)
 
 
 def cancel_jobs(
--- /dev/null
+++ b/laburnumswitch/process/schedule.py
@@ -0,0 +1,97 @@
+"""Firings of scheduled jobs.
+
+The rows ``fired/<job>/<instant>`` are made in order, so the last one says what comes next. A firing
+is conditional on the last one as it was read and on the absence of its own row: two entries cannot
+both make it, and an entry that was paused cannot repeat an old one.
+"""
+
+from datetime import datetime
+from datetime import UTC
+from typing import NamedTuple
+from zoneinfo import ZoneInfo
+from zoneinfo import ZoneInfoNotFoundError
+
+from cronsim import CronSim
+from cronsim import CronSimError
+
+from laburnumswitch.declaration import Job
+from laburnumswitch.exceptions import Failure
+from laburnumswitch.exceptions import ScheduleInvalid
+from laburnumswitch.process.records import FORMAT
+from laburnumswitch.process.table import ABSENT_VERSION
+from laburnumswitch.process.table import Condition
+from laburnumswitch.process.table import Put
+from laburnumswitch.process.table import ReadFailure
+from laburnumswitch.process.table import scan_all
+from laburnumswitch.process.table import Table
+
+FIRINGS_PER_PASS = 5
+KEEP_FIRED_ROWS = 48
+INSTANT_FORMAT = "%Y%m%dT%H%M%SZ"
+
+
+class Firing(NamedTuple):
+    """One firing that is due, and what its transaction needs."""
+
+    instant: str
+    conditions: tuple[Condition, ...]
+    puts: tuple[Put, ...]
+    deletes: tuple[str, ...]
+
+
+class FiredRows(NamedTuple):
+    """The fired rows of one job: the last one, and the keys of old ones to delete."""
+
+    last_key: str
+    last_version: int
+    old_keys: tuple[str, ...]
+
+
+def fired_prefix(job: str) -> str:
+    """Return the prefix of the keys of a job's firings."""
+    return f"fired/{job}/"
+
+
+def read_fired(table: Table, job: str) -> FiredRows | None | ReadFailure:
+    """Read a job's fired rows; ``None`` where there are none yet."""
+    rows = scan_all(table, fired_prefix(job))
+    if isinstance(rows, Failure):
+        return rows
+    if not rows:
+        return None
+    old_keys = tuple(row.key for row in rows[:-KEEP_FIRED_ROWS])
+    return FiredRows(rows[-1].key, rows[-1].version, old_keys)
+
+
+def first_mark(job: str, now_s: float) -> Firing:
+    """Return what notes that a schedule is in force from now on, without firing it."""
+    key = fired_prefix(job) + _name_instant(now_s)
+    value = {"format": FORMAT, "fired": False}
+    return Firing("", (Condition(key, ABSENT_VERSION),), (Put(key, value),), ())
+
+
+def next_firing(job: Job, fired: FiredRows, now_s: float) -> Firing | None | ScheduleInvalid:
+    """Return the first firing after the last one, or ``None`` where it is not due."""
+    last_s = _read_instant(fired.last_key.rpartition("/")[2])
+    try:
+        zone = ZoneInfo(job.time_zone)
+        instant = next(CronSim(job.schedule, datetime.fromtimestamp(last_s, zone)))
+    except (CronSimError, ZoneInfoNotFoundError, ValueError, StopIteration) as error:
+        return ScheduleInvalid(job.name, str(error) or type(error).__name__)
+    if instant.timestamp() > now_s:
+        return None
+    name = _name_instant(instant.timestamp())
+    key = fired_prefix(job.name) + name
+    conditions = (
+        Condition(fired.last_key, fired.last_version),
+        Condition(key, ABSENT_VERSION),
+    )
+    return Firing(name, conditions, (Put(key, {"format": FORMAT, "fired": True}),), fired.old_keys)
+
+
+def _name_instant(instant_s: float) -> str:
+    return datetime.fromtimestamp(instant_s, UTC).strftime(INSTANT_FORMAT)
+
+
+def _read_instant(name: str) -> float:
+    return datetime.strptime(name, INSTANT_FORMAT).replace(tzinfo=UTC).timestamp()
--- /dev/null
+++ b/laburnumswitch/process/scheduler.py
@@ -0,0 +1,252 @@
+"""Which shards this entry runs, and what the rest of the entry sees of them."""
+
+from absl import logging
+from gevent import Greenlet
+from gevent import joinall
+from gevent import spawn
+
+from laburnumswitch.exceptions import Failure
+from laburnumswitch.process.admission import Admission
+from laburnumswitch.process.class_profile import ClassProfiles
+from laburnumswitch.process.context import SchedulerContext
+from laburnumswitch.process.head import decode_head
+from laburnumswitch.process.head import Head
+from laburnumswitch.process.head import head_key
+from laburnumswitch.process.hint import ShardHint
+from laburnumswitch.process.interference import Interference
+from laburnumswitch.process.journal import replay_journal
+from laburnumswitch.process.ledger import Ledger
+from laburnumswitch.process.ownership import may_take_over
+from laburnumswitch.process.ownership import observe_head
+from laburnumswitch.process.ownership import preferred_entry
+from laburnumswitch.process.ownership import rank_entries
+from laburnumswitch.process.ownership import release
+from laburnumswitch.process.ownership import SeenHead
+from laburnumswitch.process.ownership import take_over
+from laburnumswitch.process.placement import choose_room
+from laburnumswitch.process.plan import Choose
+from laburnumswitch.process.policy import Learned
+from laburnumswitch.process.quota import team_uses
+from laburnumswitch.process.shard import find_first_seq
+from laburnumswitch.process.shard import Ownership
+from laburnumswitch.process.shard import run_shard
+from laburnumswitch.process.shard import Shard
+from laburnumswitch.process.shared_rows import SharedRows
+from laburnumswitch.process.snapshot import load_ledger
+from laburnumswitch.process.table import ReadFailure
+from laburnumswitch.process.views import JobView
+from laburnumswitch.process.views import TaskView
+from laburnumswitch.process.views import view_jobs
+from laburnumswitch.process.views import view_tasks
+from laburnumswitch.process.views import view_workers
+from laburnumswitch.process.views import WorkerView
+from laburnumswitch.upstream import Upstream
+
+MANAGE_EVERY_S = 0.25
+OBSERVE_EVERY_S = 0.5
+ADMIT_EVERY_S = 1.0
+YIELD_AFTER_S = 5.0
+OBSERVED_RANKS = 2
+LOAD_ATTEMPTS = 3
+
+
+class Scheduler:
+    """The owned shards of one entry, with one task each."""
+
+    def __init__(self, context: SchedulerContext, choose: Choose = choose_room) -> None:
+        self.shared = SharedRows(context.table)
+        self.shard_by_number: dict[int, Shard] = {}
+        self.admission = Admission(context, self.shared)
+        self._context = context
+        self._choose = choose
+        self._learned = Learned(Interference(), ClassProfiles())
+        self._task_by_shard: dict[int, Greenlet] = {}
+        self._seen_by_shard: dict[int, SeenHead] = {}
+        self._other_preferred_s: dict[int, float] = {}
+        self._stopping: set[int] = set()
+        self._draining = False
+        self._observe_due_s = float("-inf")
+
+    def run(self) -> None:
+        """Run until drained."""
+        tasks = [spawn(self._refresh_forever), spawn(self._admit_forever)]
+        while not self._draining:
+            self.manage()
+            self._context.sleep(MANAGE_EVERY_S)
+        joinall(tasks)
+
+    def drain(self, limit_s: float) -> bool:
+        """Release all shards, and return whether that ended within ``limit_s`` seconds.
+
+        A batch that is being committed is finished first, so no answer is left unknown.
+        """
+        self._draining = True
+        self._stopping.update(self.shard_by_number)
+        tasks = list(self._task_by_shard.values())
+        joinall(tasks, timeout=limit_s)
+        return all(task.dead for task in tasks)
+
+    def manage(self) -> None:
+        """Drop lost shards, yield those that another entry is preferred for, take over others."""
+        self._drop_ended()
+        entries = self._context.live_entries()
+        rank_by_shard = {
+            shard: self._rank(shard, entries) for shard in range(self._context.shard_count)
+        }
+        self._yield_shards(rank_by_shard)
+        now_s = self._context.clock()
+        if now_s < self._observe_due_s:
+            return
+        self._observe_due_s = now_s + OBSERVE_EVERY_S
+        self._observe(rank_by_shard)
+        for shard, rank in rank_by_shard.items():
+            if rank == 0 and shard not in self.shard_by_number and not self._draining:
+                self._try_take_over(shard)
+
+    def hints(self) -> tuple[ShardHint, ...]:
+        """Return what peers should know of the owned shards."""
+        return tuple(
+            ShardHint(
+                shard.shard,
+                shard.head.epoch,
+                shard.upstream_revision,
+                shard.policy.index.total_free(),
+                shard.policy.index.largest_free(),
+                sum(group.count_pending() for group in shard.ledger.group_by_number.values()),
+                team_uses(shard.ledger),
+            )
+            for shard in self.shard_by_number.values()
+            if not shard.lost
+        )
+
+    def upstreams(self, shard: int) -> tuple[Upstream, ...]:
+        """Return the running replicas of an owned shard; empty for others."""
+        owned = self.shard_by_number.get(shard)
+        return owned.upstreams if owned is not None and not owned.lost else ()
+
+    def job_rows(self) -> tuple[JobView, ...] | ReadFailure:
+        """Return all admitted jobs, newest first."""
+        return view_jobs(self._context.table)
+
+    def worker_rows(self) -> tuple[WorkerView, ...]:
+        """Return the workers of the owned shards."""
+        now_s = self._context.clock()
+        views = []
+        for shard in self.shard_by_number.values():
+            views.extend(view_workers(shard, now_s))
+        return tuple(sorted(views))
+
+    def task_rows(self, job_id: str) -> tuple[TaskView, ...]:
+        """Return the tasks of a job in the owned shards."""
+        views = []
+        for shard in self.shard_by_number.values():
+            views.extend(view_tasks(shard, job_id))
+        return tuple(views)
+
+    def _rank(self, shard: int, entries: tuple[str, ...]) -> int:
+        ranked = rank_entries(f"shard/{shard}", entries)
+        vm_id = self._context.vm_id
+        return ranked.index(vm_id) if vm_id in ranked else len(ranked)
+
+    def _yield_shards(self, rank_by_shard: dict[int, int]) -> None:
+        now_s = self._context.clock()
+        for shard in self.shard_by_number:
+            if rank_by_shard[shard] == 0:
+                self._other_preferred_s.pop(shard, None)
+                continue
+            since_s = self._other_preferred_s.setdefault(shard, now_s)
+            if now_s - since_s >= YIELD_AFTER_S:
+                self._stopping.add(shard)
+
+    def _observe(self, rank_by_shard: dict[int, int]) -> None:
+        # The second in rank watches too, so that its wait has begun when the first one vanishes.
+        shards = [
+            shard
+            for shard, rank in rank_by_shard.items()
+            if rank < OBSERVED_RANKS and shard not in self.shard_by_number
+        ]
+        if not shards:
+            return
+        rows = self._context.table.read(tuple(head_key(shard) for shard in shards))
+        if isinstance(rows, Failure):
+            return
+        now_s = self._context.clock()
+        for shard in shards:
+            head = decode_head(rows[head_key(shard)], shard)
+            if isinstance(head, Head):
+                seen = self._seen_by_shard.get(shard)
+                self._seen_by_shard[shard] = observe_head(head, seen, now_s)
+            else:
+                logging.error("head not read shard=%d reason=%s", shard, head.describe())
+
+    def _try_take_over(self, shard: int) -> None:
+        seen = self._seen_by_shard.get(shard)
+        if seen is None:
+            return
+        owner = seen.head.owner
+        # A head that names this entry is left from an earlier process, or from a lost answer.
+        heard = owner != self._context.vm_id and self._context.entry_is_heard(owner)
+        if owner == self._context.vm_id or may_take_over(seen, heard, self._context.clock()):
+            self._take_over(seen.head)
+
+    def _take_over(self, head: Head) -> None:
+        context = self._context
+        sent_s = context.clock()
+        owned = take_over(context.table, head, context.vm_id)
+        if not isinstance(owned, Head):
+            self._seen_by_shard.pop(head.shard, None)
+            return
+        known_s = context.clock()
+        ledger = self._load(owned)
+        if isinstance(ledger, Failure):
+            logging.error("shard not loaded shard=%d reason=%s", head.shard, ledger.describe())
+            release(context.table, owned)
+            return
+        first_seq = find_first_seq(context, head.shard)
+        ownership = Ownership(owned, ledger, sent_s, known_s, first_seq)
+        shard = Shard(context, self.shared, ownership, self._learned, self._choose)
+        context.timeline.record("shard_taken_over", str(head.shard), epoch=owned.epoch)
+        self.shard_by_number[head.shard] = shard
+        self._stopping.discard(head.shard)
+        self._task_by_shard[head.shard] = spawn(
+            run_shard, shard, lambda: head.shard in self._stopping, context.sleep
+        )
+
+    def _load(self, owned: Head) -> Ledger | Failure:
+        for _ in range(LOAD_ATTEMPTS):
+            ledger = load_ledger(self._context.objects, owned)
+            if not isinstance(ledger, Failure):
+                ledger = replay_journal(self._context.table, owned, ledger)
+            if not isinstance(ledger, Failure):
+                return ledger
+            self._context.sleep(MANAGE_EVERY_S)
+        return ledger
+
+    def _drop_ended(self) -> None:
+        for number in tuple(self.shard_by_number):
+            if self._task_by_shard[number].dead:
+                self.shard_by_number[number].workers.close()
+                del self.shard_by_number[number]
+                del self._task_by_shard[number]
+                self._stopping.discard(number)
+                self._other_preferred_s.pop(number, None)
+                self._seen_by_shard.pop(number, None)
+
+    def _refresh_forever(self) -> None:
+        while not self._draining:
+            self.shared.refresh(self._context.clock())
+            self._context.sleep(MANAGE_EVERY_S)
+
+    def _admit(self) -> None:
+        try:
+            self.admission.run_pass()
+        except Exception:
+            # One declaration that trips a fault must not end the admission of all others.
+            logging.exception("admission pass failed")
+
+    def _admit_forever(self) -> None:
+        while not self._draining:
+            entries = self._context.live_entries()
+            if preferred_entry("admission", entries) == self._context.vm_id:
+                self._admit()
+            self._context.sleep(ADMIT_EVERY_S)
--- a/laburnumswitch/process/shard.py
+++ b/laburnumswitch/process/shard.py
@@ -48,7 +48,9 @@
 from laburnumswitch.process.snapshot import snapshot_name
 from laburnumswitch.process.snapshot import store_ledger
 from laburnumswitch.process.snapshot import trimmed_keys
+from laburnumswitch.process.upstreams import list_upstreams
 from laburnumswitch.process.work import TaskKey
+from laburnumswitch.upstream import Upstream
 
 COMMIT_EVERY_S = 0.25
 INBOX_EVERY_S = 0.5
@@ -88,7 +90,9 @@
         self.policy = ShardPolicy(context, learned, self.head, self.ledger, self.workers, choose)
         self._context = context
         self._shared = shared
-        self._moves = Moves()
+        self.moves = Moves()
+        self.upstreams: tuple[Upstream, ...] = ()
+        self.upstream_revision = 0
         self._taken_over_s = ownership.known_s
         self._inbox_due_s = ownership.known_s
         self._taken_s_by_group: dict[int, float] = {}
@@ -129,6 +133,18 @@
         self._trimmed_seq += len(trimmed)
         return batch.urgent
 
+    def refresh_upstreams(self) -> None:
+        """List the running replicas anew, and raise the revision where the list changed.
+
+        The revision stays 0 until the workers have told a new owner what they run.
+        """
+        if not self.upstream_revision and not self.workers.has_heard_services():
+            return
+        upstreams = list_upstreams(self.ledger, self.workers, self.moves)
+        if upstreams != self.upstreams or not self.upstream_revision:
+            self.upstreams = upstreams
+            self.upstream_revision += 1
+
     def give_up(self) -> None:
         """Release the shard, after which any entry may take it at once."""
         if self.lost:
@@ -162,10 +178,10 @@
         collect_withdrawals(batch, self.ledger, states, workers.must_leave)
         collect_workers(batch, self.ledger, workers.own_vms, state_by_worker_id)
         cancel_jobs(batch, self.ledger, self._shared.cancelled, state_by_worker_id, now_s)
-        self._moves.leave_workers(
+        self.moves.leave_workers(
             batch, self.ledger, state_by_worker_id, workers.must_leave, workers.is_silent, now_s
         )
-        self._moves.drain_final(self.ledger, state_by_worker_id, workers.must_leave, now_s)
+        self.moves.drain_final(self.ledger, state_by_worker_id, workers.must_leave, now_s)
         retire_replicas(
             batch, self.ledger, self._shared, self._taken_s_by_group, self._taken_over_s
         )
@@ -248,7 +264,7 @@
         for act in builder.on_commit:
             act()
         for key in ended_on:
-            self._moves.forget_run(key)
+            self.moves.forget_run(key)
         self.policy.records_applied(batch.records, ended_on)
 
     def _find_ended(self, batch: Batch) -> dict[TaskKey, int]:
@@ -302,6 +318,7 @@
             spawn(run_link, workers, address)
         while shard.turn():
             pass
+        shard.refresh_upstreams()
         shard.store_snapshot()
         sleep(COMMIT_EVERY_S)
     shard.give_up()
--- a/laburnumswitch/process/shard_workers.py
+++ b/laburnumswitch/process/shard_workers.py
@@ -99,7 +99,7 @@
     def close(self) -> None:
         """Send and take in nothing more."""
         self.closed = True
-        for due in self.due_by_address.values():
+        for due in tuple(self.due_by_address.values()):
             due.set()
 
     def must_leave(self, worker: Worker) -> bool:
@@ -124,6 +124,16 @@
             reported_s = max(state.reported_s, reported_s)
         return self._context.clock() - reported_s > SILENT_S
 
+    def has_heard_services(self) -> bool:
+        """Return whether every worker with replicas has told what it runs, or is silent."""
+        for worker in self._ledger.worker_by_number.values():
+            state = self.state_by_worker_id.get(worker.worker_id)
+            if (state is None or state.needs_full) and not self.is_silent(worker):
+                keys = worker.runs
+                if any(self._ledger.group_by_number[key.group].work.service for key in keys):
+                    return False
+        return True
+
     def _orders(self, state: WorkerState) -> WorkerOrders:
         now_s = self._context.clock()
         granting = may_grant(self.committed_sent_s, now_s)
@@ -177,11 +187,12 @@
 def run_link(workers: ShardWorkers, address: str) -> None:
     """Exchange orders and reports with one address of workers, on time and when orders are due."""
     due = workers.due_by_address[address]
-    while not workers.closed and address in workers.addresses():
-        due.clear()
-        workers.exchange(address)
-        due.wait(RENEW_EVERY_S)
-    if workers.due_by_address.get(address) is due:
+    try:
+        while not workers.closed and address in workers.addresses():
+            due.clear()
+            workers.exchange(address)
+            due.wait(RENEW_EVERY_S)
+    finally:
         del workers.due_by_address[address]
 
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -4,6 +4,7 @@
 
 from laburnumswitch.declaration import Configuration
 from laburnumswitch.exceptions import NotFound
+from laburnumswitch.exceptions import OutcomeUnknown
 from laburnumswitch.exceptions import Unavailable
 from laburnumswitch.process.context import SchedulerContext
 from laburnumswitch.process.objects import Stored
@@ -180,6 +181,9 @@
             return Unavailable("answer lost")
         return {address: report}
 
+    def seen_from(self, cut: set[str]) -> "CutWorkers":
+        return CutWorkers(self, cut)
+
     def expire(self) -> None:
         for worker in self.by_id.values():
             worker.expire()
@@ -205,6 +209,45 @@
         ]
 
 
+class CutWorkers:
+    """The same workers for an entry that cannot reach those in ``cut``."""
+
+    def __init__(self, workers: FakeWorkers, cut: set[str]) -> None:
+        self._workers = workers
+        self._cut = cut
+
+    def exchange(self, address, by_worker):
+        if address in self._cut:
+            return Unavailable("cut off")
+        return self._workers.exchange(address, by_worker)
+
+
+class FaultyTable:
+    """A table whose next commits are lost on their way, or meet an interfering call first."""
+
+    def __init__(self, table) -> None:
+        self.table = table
+        self.lose_commits = 0
+        self.delayed: list = []
+        self.before_commit = None
+
+    def read(self, keys):
+        return self.table.read(keys)
+
+    def scan(self, prefix, after=""):
+        return self.table.scan(prefix, after)
+
+    def commit(self, transaction):
+        if self.before_commit is not None:
+            act, self.before_commit = self.before_commit, None
+            act()
+        if self.lose_commits:
+            self.lose_commits -= 1
+            self.delayed.append(transaction)
+            return OutcomeUnknown("lost on its way")
+        return self.table.commit(transaction)
+
+
 def make_vm(number: int, zone: str = "a", rack: str = "r0", capacity=None, state="live") -> Vm:
     worker_id = f"w{number}"
     capacity = capacity or Size(8_000, 16_000)
--- a/tests/process/bench.py
+++ b/tests/process/bench.py
@@ -44,14 +44,15 @@
         self.vms = tuple(vms or (make_vm(1), make_vm(2)))
         self.changes = changes
         self.chunks = 0
+        self.violations: list[str] = []
         for vm in self.vms:
             self.workers.add(vm)
 
-    def take_over(self, vm_id="e1", table=None) -> Shard:
+    def take_over(self, vm_id="e1", table=None, cut=()) -> Shard:
         context = make_context(
             table or self.table,
             self.clock,
-            self.workers,
+            self.workers.seen_from(set(cut)),
             lambda: self.vms,
             vm_id,
             self.objects,
@@ -83,10 +84,23 @@
         while self.clock.now_s < end_s:
             self.clock.sleep(step_s)
             self.workers.expire()
+            self.check()
             for shard in shards:
                 shard.shared.refresh(self.clock())
                 for address in shard.workers.addresses():
                     shard.workers.exchange(address)
                 while shard.turn():
                     pass
+                shard.refresh_upstreams()
                 shard.store_snapshot()
+                self.check()
+
+    def check(self) -> None:
+        """Note every promise that the workers' own state shows broken."""
+        for task_id, workers in self.workers.running().items():
+            if len(workers) > 1:
+                self.violations.append(f"{task_id} runs on {workers}")
+        self.violations.extend(f"{worker} is full" for worker in self.workers.overcommitted())
+
+    def place_of(self, task_id: str) -> str:
+        return self.workers.running().get(task_id, [""])[0]
--- a/tests/process/test_shard.py
+++ b/tests/process/test_shard.py
@@ -1,12 +1,35 @@
 """One owned shard against workers and a table that fail."""
 
 from testtools import TestCase
+from testtools.matchers import Contains
 from testtools.matchers import Equals
+from testtools.matchers import GreaterThan
 from testtools.matchers import HasLength
 
+from laburnumswitch.process.head import read_head
+from laburnumswitch.process.lease import HOLD_S
+from laburnumswitch.process.lease import LEASE_S
+from laburnumswitch.process.shared_rows import CANCELLED_PREFIX
+from laburnumswitch.size import Size
+from tests.fakes import FaultyTable
+from tests.fakes import make_vm
 from tests.process.bench import Bench
 from tests.process.bench import make_work
 
+TASK = "j@1:0"
+
+
+def start_one(bench, shard, **changes):
+    bench.submit(make_work(**changes))
+    bench.drive(shard, seconds=2)
+    return bench.place_of(TASK)
+
+
+def start_times(bench, task_id):
+    return [
+        entry[0] for entry in bench.workers.history if entry[1] == "start" and entry[3] == task_id
+    ]
+
 
 class TestRun(TestCase):
     def test_task_is_started_ended_and_journaled(self):
@@ -18,8 +41,304 @@
         for task_id, (worker_id,) in bench.workers.running().items():
             bench.workers.by_id[worker_id].end(task_id)
         bench.drive(shard, seconds=3)
-        replayed = bench.take_over("e2").ledger
-        group = replayed.find_group("j@1")
-        self.assertThat(group.finished, Equals(3))
-        self.assertThat(group.is_idle, Equals(True))
+        group = bench.take_over("e2").ledger.find_group("j@1")
+        self.assertThat((group.finished, group.is_idle), Equals((3, True)))
+        self.assertThat(bench.violations, Equals([]))
+
+    def test_failed_task_is_retried_elsewhere_and_then_counted_as_failed(self):
+        bench = Bench()
+        shard = bench.take_over()
+        places = [start_one(bench, shard, retries=1)]
+        bench.workers.by_id[places[0]].end(TASK, "failed")
+        bench.drive(shard, seconds=4)
+        places.append(bench.place_of(TASK))
+        bench.workers.by_id[places[1]].end(TASK, "failed")
+        bench.drive(shard, seconds=4)
+        self.assertThat(set(places), Equals({"w1", "w2"}))
+        self.assertThat(shard.ledger.find_group("j@1").failed, Equals(1))
+
+    def test_checkpoint_is_resumed_once(self):
+        bench = Bench()
+        shard = bench.take_over()
+        worker = bench.workers.by_id[start_one(bench, shard, checkpointable=True)]
+        worker.end(TASK, "evicted", TASK + ".1")
+        bench.drive(shard, seconds=3)
+        second = bench.workers.by_id[bench.place_of(TASK)]
+        self.assertThat(second.run_by_task[TASK].checkpoint, Equals(TASK + ".1"))
+        second.reboot()
+        bench.drive(shard, seconds=3)
+        third = bench.workers.by_id[bench.place_of(TASK)]
+        self.assertThat(third.run_by_task[TASK].checkpoint, Equals(""))
+        self.assertThat(bench.workers.runs_of(TASK), Equals([1, 2, 3]))
+
+
+class TestOwners(TestCase):
+    def test_stale_owner_loses_and_nothing_runs_twice(self):
+        bench = Bench()
+        first = bench.take_over("e1")
+        bench.submit(make_work(), count=4)
+        bench.drive(first, seconds=1)
+        second = bench.take_over("e2")
+        bench.submit(make_work("k@1"), count=4)
+        bench.drive(first, second, seconds=10)
+        self.assertThat((first.lost, second.lost), Equals((True, False)))
+        self.assertThat(bench.workers.running(), HasLength(8))
+        self.assertThat(bench.violations, Equals([]))
+
+    def test_inbox_row_is_taken_in_once_by_two_owners(self):
+        bench = Bench()
+        first = bench.take_over("e1")
+        bench.drive(first, seconds=1)
+        bench.submit(make_work(), count=2)
+        second = bench.take_over("e2")
+        bench.drive(second, first, seconds=3)
+        ledger = bench.take_over("e3").ledger
+        group = ledger.find_group("j@1")
+        self.assertThat(len(group.running) + group.count_pending(), Equals(2))
+
+    def test_paused_owner_grants_nothing_past_its_hold(self):
+        bench = Bench()
+        shard = bench.take_over()
+        worker = bench.workers.by_id[start_one(bench, shard)]
+        bench.drive(shard, seconds=1)
+        until = worker.until_by_task[TASK]
+        bench.clock.sleep(HOLD_S + 0.1)
+        shard.workers.exchange(worker.worker_id)
+        shard.workers.exchange(worker.worker_id)
+        self.assertThat(worker.until_by_task[TASK], Equals(until))
+
+    def test_cut_off_owner_cannot_keep_a_run_beside_its_successor(self):
+        bench = Bench()
+        first = bench.take_over("e1")
+        place = start_one(bench, first)
+        bench.table.down = True
+        for _ in range(4):
+            # The first owner cannot commit any more, but still reaches the worker.
+            bench.drive(first, seconds=0.25)
+        bench.table.down = False
+        second = bench.take_over("e2", cut={place})
+        taken_s = bench.clock()
+        stale = first.workers
+        for _ in range(60):
+            bench.drive(second, seconds=0.25)
+            stale.exchange(place)
+            bench.check()
+        self.assertThat(bench.violations, Equals([]))
+        self.assertThat(bench.place_of(TASK), Equals({"w1": "w2", "w2": "w1"}[place]))
+        self.assertThat(start_times(bench, TASK)[1] - taken_s, GreaterThan(LEASE_S))
+
+    def test_graceful_release_hands_running_tasks_over(self):
+        bench = Bench()
+        first = bench.take_over("e1")
+        start_one(bench, first)
+        first.give_up()
+        self.assertThat(read_head(bench.table, 0).owner, Equals(""))
+        second = bench.take_over("e2")
+        bench.drive(second, seconds=10)
+        self.assertThat(bench.workers.runs_of(TASK), Equals([1]))
+        self.assertThat(bench.workers.running(), HasLength(1))
+
+
+class TestTable(TestCase):
+    def test_lost_answer_of_a_commit_that_took_effect(self):
+        bench = Bench()
+        shard = bench.take_over()
+        bench.drive(shard, seconds=1)
+        bench.submit(make_work(), count=5)
+        bench.table.lose_answers = 3
+        bench.drive(shard, seconds=3)
+        self.assertThat(bench.workers.running(), HasLength(5))
+        self.assertThat(bench.take_over("e2").ledger.find_group("j@1").running, HasLength(5))
+        self.assertThat(bench.violations, Equals([]))
+
+    def test_lost_commit_is_fenced_before_it_is_written_again(self):
+        bench = Bench()
+        table = FaultyTable(bench.table)
+        shard = bench.take_over(table=table)
+        bench.drive(shard, seconds=1)
+        bench.submit(make_work(), count=5)
+        table.lose_commits = 1
+        bench.drive(shard, seconds=3)
+        self.assertThat(bench.workers.running(), HasLength(5))
+        before = read_head(bench.table, 0)
+        late = bench.table.commit(table.delayed[0])
+        self.assertThat(type(late).__name__, Equals("Conflict"))
+        self.assertThat(read_head(bench.table, 0), Equals(before))
+
+    def test_nothing_starts_while_the_store_is_down_and_all_runs_afterwards(self):
+        bench = Bench()
+        shard = bench.take_over()
+        place = start_one(bench, shard, checkpointable=True)
+        worker = bench.workers.by_id[place]
+        bench.submit(make_work("k@1"), count=2)
+        bench.table.down = True
+        bench.drive(shard, seconds=20)
+        self.assertThat(bench.workers.runs_of("k@1:0"), Equals([]))
+        self.assertThat(worker.run_by_task, Equals({}))
+        bench.table.down = False
+        bench.drive(shard, seconds=6)
+        self.assertThat(bench.workers.running(), HasLength(3))
+        again = bench.workers.by_id[bench.place_of(TASK)].run_by_task[TASK]
+        self.assertThat(again.checkpoint, Equals(TASK + ".1"))
+        self.assertThat(bench.violations, Equals([]))
+
+    def test_replicas_may_outlive_the_store(self):
+        bench = Bench(services_outlive_store=True)
+        shard = bench.take_over()
+        bench.put("service/s", {"handed": [{"job_id": "j@1", "indexes": [0]}]})
+        start_one(bench, shard, service="s")
+        bench.table.down = True
+        bench.drive(shard, seconds=30)
+        self.assertThat(bench.workers.runs_of(TASK), Equals([1]))
+        self.assertThat(bench.workers.running(), HasLength(1))
+
+
+class TestWorkers(TestCase):
+    def test_unreachable_worker_is_replaced_only_after_its_leases_lapsed(self):
+        bench = Bench()
+        shard = bench.take_over()
+        worker = bench.workers.by_id[start_one(bench, shard)]
+        worker.reachable = False
+        bench.drive(shard, seconds=5)
+        self.assertThat(bench.workers.runs_of(TASK), Equals([1]))
+        bench.drive(shard, seconds=5)
+        self.assertThat(bench.workers.runs_of(TASK), Equals([1, 2]))
+        worker.reachable = True
+        bench.drive(shard, seconds=5)
+        self.assertThat(bench.workers.runs_of(TASK), Equals([1, 2]))
+        self.assertThat(bench.violations, Equals([]))
+
+    def test_slow_worker_clock_within_the_bound_does_not_double_a_run(self):
+        bench = Bench()
+        for worker in bench.workers.by_id.values():
+            worker.rate = 0.995
+        shard = bench.take_over()
+        worker = bench.workers.by_id[start_one(bench, shard)]
+        worker.reachable = False
+        bench.drive(shard, seconds=12, step_s=0.01)
+        self.assertThat(bench.workers.runs_of(TASK), Equals([1, 2]))
+        self.assertThat(bench.violations, Equals([]))
+
+    def test_rebooted_worker_ends_its_runs(self):
+        bench = Bench()
+        shard = bench.take_over()
+        worker = bench.workers.by_id[start_one(bench, shard)]
+        worker.reboot()
+        bench.drive(shard, seconds=3)
+        self.assertThat(bench.workers.runs_of(TASK), Equals([1, 2]))
+        self.assertThat(bench.violations, Equals([]))
+
+    def test_lost_answer_of_a_start_is_repeated_harmlessly(self):
+        bench = Bench()
+        shard = bench.take_over()
+        bench.drive(shard, seconds=1)
+        for worker in bench.workers.by_id.values():
+            worker.loses_answers = 3
+        bench.submit(make_work(), count=2)
+        bench.drive(shard, seconds=4)
+        self.assertThat(bench.workers.running(), HasLength(2))
+        self.assertThat([len(bench.workers.runs_of(t)) for t in ("j@1:0", "j@1:1")], Equals([1, 1]))
+
+    def test_worker_failing_everything_is_quarantined_and_jobs_finish(self):
+        bench = Bench()
+        shard = bench.take_over()
+        bad = bench.workers.by_id["w1"]
+        bad.fails_everything = True
+        for number in range(4):
+            bench.submit(make_work(f"job{number}@1", retries=1), count=2)
+        bench.drive(shard, seconds=15)
+        starts = [entry for entry in bench.workers.history if entry[1:3] == ("start", "w1")]
+        self.assertThat(bench.workers.running(), HasLength(8))
+        self.assertThat(shard.policy.quarantine.is_quarantined("w1", bench.clock()), Equals(True))
+        bench.drive(shard, seconds=10)
+        later = [entry for entry in bench.workers.history if entry[1:3] == ("start", "w1")]
+        self.assertThat(later, Equals(starts))
+
+
+class TestZones(TestCase):
+    def make_bench(self):
+        return Bench((make_vm(1, "a", "ra"), make_vm(2, "b", "rb")))
+
+    def test_zone_out_that_races_a_start_wins(self):
+        bench = Bench((make_vm(1, "a"),))
+        table = FaultyTable(bench.table)
+        shard = bench.take_over(table=table)
+        bench.submit(make_work())
+        # The zone leaves between the planning of the start and its commit.
+        while not shard.ledger.find_group("j@1"):
+            bench.drive(shard, seconds=0.25)
+            if shard.ledger.find_group("j@1") and bench.place_of(TASK):
+                self.fail("started too early to race")
+            table.before_commit = lambda: bench.put("zone/a", "out")
+        bench.drive(shard, seconds=5)
+        self.assertThat(bench.workers.runs_of(TASK), Equals([]))
+        bench.put("zone/a", "in")
+        bench.drive(shard, seconds=2)
+        self.assertThat(bench.workers.runs_of(TASK), Equals([1]))
+
+    def test_batch_is_checkpointed_and_moves(self):
+        bench = self.make_bench()
+        shard = bench.take_over()
+        place = start_one(bench, shard, checkpointable=True)
+        zone, other = ("a", "w2") if place == "w1" else ("b", "w1")
+        bench.put(f"zone/{zone}", "out")
+        bench.drive(shard, seconds=4)
+        self.assertThat(bench.place_of(TASK), Equals(other))
+        checkpoint = bench.workers.by_id[other].run_by_task[TASK].checkpoint
+        self.assertThat(checkpoint, Equals(TASK + ".1"))
+
+    def test_replica_is_replaced_before_it_is_drained(self):
+        bench = self.make_bench()
+        shard = bench.take_over()
+        bench.put("service/s", {"handed": [{"job_id": "j@1", "indexes": [0]}]})
+        place = start_one(bench, shard, service="s")
+        bench.put(f"zone/{'a' if place == 'w1' else 'b'}", "out")
+        counts = []
+        for _ in range(24):
+            bench.drive(shard, seconds=0.25)
+            counts.append(len(bench.workers.running()))
+        self.assertThat(min(counts), Equals(1))
+        self.assertThat(counts, Contains(2))
+        self.assertThat(counts[-1], Equals(1))
+        self.assertThat(bench.workers.by_id[place].run_by_task, Equals({}))
+        self.assertThat([item.leaving for item in shard.upstreams], Equals([False]))
+
+    def test_leaving_worker_is_left(self):
+        bench = Bench()
+        shard = bench.take_over()
+        place = start_one(bench, shard)
+        bench.vms = tuple(
+            vm._replace(state="leaving") if vm.vm_id == place else vm for vm in bench.vms
+        )
+        bench.drive(shard, seconds=3)
+        self.assertThat(bench.place_of(TASK) not in ("", place), Equals(True))
+
+
+class TestCancellation(TestCase):
+    def test_wave_is_one_batch_and_ends_everything(self):
+        bench = Bench((make_vm(1, capacity=Size(20_000, 40_000)),))
+        shard = bench.take_over()
+        for number in range(30):
+            bench.submit(make_work(f"job{number}@1"), count=2)
+        bench.drive(shard, seconds=4)
+        self.assertThat(bench.workers.running(), HasLength(20))
+        seq = shard.head.seq
+        for number in range(30):
+            bench.put(f"{CANCELLED_PREFIX}job{number}@1", {})
+        shard.shared.refresh(bench.clock() + 2)
+        shard.turn()
+        self.assertThat(shard.head.seq, Equals(seq + 1))
+        bench.drive(shard, seconds=4)
         self.assertThat(bench.workers.running(), Equals({}))
+        cancelled = sum(group.cancelled for group in shard.ledger.group_by_number.values())
+        self.assertThat(cancelled, Equals(60))
+
+    def test_cancelled_run_may_still_report_its_end(self):
+        bench = Bench()
+        shard = bench.take_over()
+        worker = bench.workers.by_id[start_one(bench, shard)]
+        bench.put(CANCELLED_PREFIX + "j@1", {})
+        worker.end(TASK)
+        bench.drive(shard, seconds=3)
+        group = shard.ledger.find_group("j@1")
+        self.assertThat((group.finished, group.cancelled), Equals((1, 0)))
