--- a/laburnumswitch/entry.py
+++ b/laburnumswitch/entry.py
@@ -6,6 +6,7 @@
 from signal import SIGTERM
 from time import monotonic
 from time import time
+from typing import Any
 from uuid import uuid4
 
 from absl import logging
@@ -25,6 +26,7 @@
 from laburnumswitch.process.heartbeat import Heartbeat
 from laburnumswitch.process.heartbeat import ShardUpstreams
 from laburnumswitch.process.hint import ShardHint
+from laburnumswitch.process.job_row import cancel_jobs_by_id
 from laburnumswitch.process.keys import KeyFile
 from laburnumswitch.process.keys import open_keys
 from laburnumswitch.process.layout import read_or_create_layout
@@ -33,7 +35,6 @@
 from laburnumswitch.process.metrics import Metrics
 from laburnumswitch.process.metrics import Sample
 from laburnumswitch.process.objects import ObjectsClient
-from laburnumswitch.process.jobrows import cancel_job
 from laburnumswitch.process.operator import event_rows
 from laburnumswitch.process.operator import make_operator_handler
 from laburnumswitch.process.operator import OperatorContext
@@ -53,6 +54,7 @@
 from laburnumswitch.process.stopping import Stopping
 from laburnumswitch.process.table import TableClient
 from laburnumswitch.process.timeline import Timeline
+from laburnumswitch.process.views import view_jobs
 from laburnumswitch.process.vms import VmsClient
 from laburnumswitch.process.workers import WorkersClient
 from laburnumswitch.process.zonewatch import run_zone_watch
@@ -138,15 +140,15 @@
         operator_context = OperatorContext(
             {
                 "status": lambda request: [self.status_row()],
-                "workers": lambda request: self.scheduler.worker_rows() if self.scheduler else [],
+                "workers": lambda request: self.worker_rows(),
                 "timeline": event_rows(self.timeline),
             },
             {
                 "zones": lambda request: zone_rows(self.directory),
-                "jobs": lambda request: self.scheduler.job_rows() if self.scheduler else [],
+                "jobs": lambda request: self.job_rows(),
             },
             self.peers.clients,
-            lambda job_id: cancel_job(self.table, job_id),
+            lambda job_id: cancel_jobs_by_id(self.table, (job_id,), time()),
         )
         handlers = {
             "healthz": make_health_handler(),
@@ -250,9 +252,18 @@
             events_lost=self.timeline.lost,
         )
 
+    def worker_rows(self) -> list[dict[str, Any]]:
+        """Return the workers of the shards owned here."""
+        return [view._asdict() for view in self.scheduler.worker_rows()] if self.scheduler else []
+
+    def job_rows(self) -> list[dict[str, Any]] | Failure:
+        """Return the jobs that the platform's table holds."""
+        views = view_jobs(self.table)
+        return views if isinstance(views, Failure) else [view._asdict() for view in views]
+
     def control_bytes(self) -> int:
         """Return the bytes that this process exchanged for control so far."""
-        platform = sum(client.bytes_sent + client.bytes_received for client in self.platform_clients)
+        platform = sum(client.control_bytes() for client in self.platform_clients)
         peers = self.peers.control_bytes() + self.traffic.body_bytes
         return platform + peers + self.workers.control_bytes()
 
--- a/laburnumswitch/process/operator.py
+++ b/laburnumswitch/process/operator.py
@@ -76,7 +76,7 @@
     gathered_by_name: Mapping[str, LocalRows]
     shared_by_name: Mapping[str, LocalRows]
     peer_clients: Callable[[], tuple[Client, ...]]
-    cancel_job: Callable[[str], None | Failure]
+    cancel_job: Callable[[str], object | Failure]
 
 
 def make_operator_handler(context: OperatorContext) -> Handler:
@@ -159,7 +159,7 @@
 
 def _cancel_job(context: OperatorContext, job_id: str) -> AdminReply:
     outcome = context.cancel_job(job_id)
-    if outcome is None:
+    if not isinstance(outcome, Failure):
         return reply_json(RowList(rows=[]))
     status = 404 if outcome.tag == "NotFound" else 503
     return reject(status, outcome.describe())
--- a/laburnumswitch/process/peers.py
+++ b/laburnumswitch/process/peers.py
@@ -84,8 +84,7 @@
 
     def control_bytes(self) -> int:
         """Return the bytes sent to and received from the peers so far."""
-        clients = self._client_by_address.values()
-        return sum(client.bytes_sent + client.bytes_received for client in clients)
+        return sum(client.control_bytes() for client in self._client_by_address.values())
 
     def _run_peer(self, vm: Vm) -> None:
         while not self._context.stopping() and self._listed(vm.vm_id) == vm:
--- a/laburnumswitch/process/workers.py
+++ b/laburnumswitch/process/workers.py
@@ -157,5 +157,4 @@
 
     def control_bytes(self) -> int:
         """Return the bytes sent to and received from the workers so far."""
-        clients = self._by_address.values()
-        return sum(client.bytes_sent + client.bytes_received for client in clients)
+        return sum(client.control_bytes() for client in self._by_address.values())
