Add the demonstration: steps, publication, probe, figures

One command has to show the whole path under faults at both users' sizes. The steps start every process, publish the examples at a faster pace, cause the faults one after another under load, and judge the records.

--- /dev/null
+++ b/scripts/cluster.py
@@ -0,0 +1,241 @@
+"""The processes of the demonstration and the calls that steer them."""
+
+import os
+from time import monotonic
+from typing import Any
+from typing import NamedTuple
+
+from gevent import socket
+from msgspec.json import decode
+from msgspec.json import encode
+from msgspec.yaml import encode as encode_yaml
+
+from laburnumswitch.connection.client import Client
+from laburnumswitch.connection.client import Response
+from laburnumswitch.process.vms import Vm
+from scripts.launcher import Launcher
+from scripts.launcher import ProcessFailedError
+from scripts.launcher import run_to_end
+from scripts.profiles import Profile
+from scripts.profiles import RackPlan
+from standin.entries import Entry
+from standin.records import append_to
+from standin.records import ProcessStopped
+
+HOST = "127.0.0.1"
+KEY = "the-key-of-one-demonstration"
+READY_DELAY = "1500ms"
+DRAIN_LIMIT = "10s"
+COMMAND_LIMIT_S = 20.0
+STOP_LIMIT_S = 20.0
+SHARDS = 8
+FIRST_ENTRY_HOST = 100
+
+
+class Rack(NamedTuple):
+    """One process of workers."""
+
+    name: str
+    zone: str
+    address: str
+    first: int
+    count: int
+
+
+class Cluster:
+    """Platform, racks, callers and entries of one run, and their records in one directory."""
+
+    def __init__(self, launcher: Launcher, profile: Profile, seed: int) -> None:
+        self.launcher = launcher
+        self.profile = profile
+        self.racks: list[Rack] = []
+        self.entry_by_vm: dict[str, Entry] = {}
+        self.zone_by_vm: dict[str, str] = {}
+        self.record = append_to(self._path("launcher.records"))
+        self._seed = seed
+        self._entries_started = 0
+        self._client_by_address: dict[str, Client] = {}
+        self._platform = ""
+        self._callers = ""
+
+    def start_standins(self) -> None:
+        """Start the platform, the racks and the callers."""
+        self._platform = self._start_standin("platform", "platform", "--address", f"{HOST}:0")
+        self._callers = self._start_standin(
+            "callers",
+            "callers",
+            *("--address", f"{HOST}:0"),
+            *("--seed", str(self._seed)),
+            *("--delay-ms", str(self.profile.caller_delay_ms)),
+        )
+        os.mkdir(self._path("checkpoints"))
+        first = 1
+        for number, plan in enumerate(self.profile.racks, 1):
+            self._start_rack(number, plan, first)
+            first += plan.count
+
+    def start_entry(self) -> Entry:
+        """Start a fresh entry on a fresh VM, and list the VM."""
+        number = self._entries_started
+        self._entries_started += 1
+        zone = number % len(self.profile.zones)
+        host = f"127.0.{zone + 1}.{FIRST_ENTRY_HOST + number}"
+        vm_id = f"entry-{number + 1}"
+        entry = Entry(vm_id, f"{host}:{_free_port(host)}", f"{host}:{_free_port(host)}")
+        self.entry_by_vm[vm_id] = entry
+        self.zone_by_vm[vm_id] = self.profile.zones[zone]
+        settings = self._write_settings(entry)
+        self.launcher.start(vm_id, "-m", "laburnumswitch", "entry", "--settings", settings)
+        self.list_entry(vm_id, "live")
+        return entry
+
+    def list_entry(self, vm_id: str, state: str) -> None:
+        """Set the state of an entry's VM in the platform's list."""
+        entry = self.entry_by_vm[vm_id]
+        vm = Vm(vm_id, "entry", entry.admin_address, self.zone_by_vm[vm_id], state)
+        self.call(self._platform, "POST", "/vms", vm)
+
+    def list_rack(self, rack: Rack, state: str) -> None:
+        """Set the state of a rack's VMs in the platform's list."""
+        for number in range(rack.first, rack.first + rack.count):
+            vm = Vm(
+                f"worker-{number:03}",
+                "worker",
+                rack.address,
+                rack.zone,
+                state,
+                rack.name,
+                self.profile.capacity,
+            )
+            self.call(self._platform, "POST", "/vms", vm)
+
+    def balance(self) -> None:
+        """Tell the callers' balancer which entries there are."""
+        entries = [
+            entry for vm_id, entry in self.entry_by_vm.items() if self.launcher.is_running(vm_id)
+        ]
+        self.call(self._callers, "POST", "/entries", {"entries": entries})
+
+    def set_platform_faults(self, **faults: object) -> None:
+        """Set fault switches of the platform."""
+        self.call(self._platform, "POST", "/faults", faults)
+
+    def set_rack_faults(self, rack: Rack, **faults: object) -> None:
+        """Set fault switches of a rack."""
+        self.call(rack.address, "POST", "/faults", faults)
+
+    def set_load(self, sources: list) -> None:
+        """Set what the callers send from now on."""
+        self.call(self._callers, "POST", "/load", {"sources": sources})
+
+    def progress(self) -> Any:
+        """Return what the callers have sent and measured."""
+        return self.call(self._callers, "GET", "/progress", None)
+
+    def platform_use(self) -> Any:
+        """Return the use of the platform's budgets."""
+        return self.call(self._platform, "GET", "/use", None)
+
+    def command(self, *arguments: str) -> str:
+        """Run a command of the product against the platform and return what it wrote.
+
+        :raises ProcessFailedError: if it fails.
+        """
+        options = ("--platform", self._platform)
+        code, output = run_to_end(("-m", "laburnumswitch", *arguments, *options), COMMAND_LIMIT_S)
+        if code != 0:
+            raise ProcessFailedError(f"{' '.join(arguments)}: exit code {code}: {output}")
+        return output
+
+    def kill_process(self, name: str) -> None:
+        """End a process by SIGKILL, on record."""
+        began_s = monotonic()
+        self.launcher.kill(name)
+        self.record(ProcessStopped(began_s, monotonic(), name, False))
+
+    def stop_entry(self, vm_id: str) -> int:
+        """End an entry by SIGTERM, on record, and return its exit code."""
+        self.list_entry(vm_id, "leaving")
+        began_s = monotonic()
+        self.launcher.terminate(vm_id)
+        code = self.launcher.wait(vm_id, STOP_LIMIT_S)
+        self.record(ProcessStopped(began_s, monotonic(), vm_id, True))
+        self.list_entry(vm_id, "gone")
+        return code
+
+    def record_paths(self) -> tuple[str, ...]:
+        """Return the files of records."""
+        names = os.listdir(self.launcher.directory)
+        return tuple(self._path(name) for name in names if name.endswith(".records"))
+
+    def ask_admin(self, entry: Entry, target: str) -> Response | None:
+        """Return the answer of an entry's admin port, ``None`` where there is none."""
+        client = Client(entry.admin_address, lambda: {"Authorization": f"Bearer {KEY}"})
+        response = client.call("GET", target, b"", 1.0)
+        client.close()
+        return response if isinstance(response, Response) else None
+
+    def call(self, address: str, method: str, target: str, body: object) -> Any:
+        """Call a stand-in.
+
+        :raises ProcessFailedError: if it does not answer.
+        """
+        client = self._client_by_address.setdefault(address, Client(address))
+        payload = b"" if body is None else encode(body)
+        response = client.call(method, target, payload, 5.0)
+        if not isinstance(response, Response) or response.status != 200:
+            raise ProcessFailedError(f"{method} {target} of {address}: {response}")
+        return decode(response.body)
+
+    def _start_standin(self, name: str, *arguments: str) -> str:
+        records = self._path(f"{name}.records")
+        self.launcher.start(name, "-m", "standin", *arguments, "--records", records)
+        return self.launcher.address_of(name)
+
+    def _start_rack(self, number: int, plan: RackPlan, first: int) -> None:
+        name = f"rack-{number}"
+        zone = self.profile.zones[plan.zone]
+        address = self._start_standin(
+            name,
+            "workers",
+            *("--address", f"127.0.{plan.zone + 1}.{number}:0"),
+            *("--rack", name, "--zone", zone),
+            *("--first", str(first), "--count", str(plan.count)),
+            *("--cpu-millis", str(self.profile.capacity.cpu_millis)),
+            *("--memory-mb", str(self.profile.capacity.memory_mb)),
+            *("--accelerators", str(self.profile.capacity.accelerators)),
+            *("--seed", str(self._seed)),
+            *("--delay-ms", str(self.profile.zone_delay_ms)),
+            *("--checkpoints", self._path("checkpoints")),
+        )
+        rack = Rack(name, zone, address, first, plan.count)
+        self.racks.append(rack)
+        self.list_rack(rack, "live")
+
+    def _write_settings(self, entry: Entry) -> str:
+        with open(self._path("keys"), "w") as file:
+            file.write(KEY + "\n")
+        platform = dict.fromkeys(("table", "objects", "vms"), self._platform)
+        settings = {
+            "vm_id": entry.vm_id,
+            "availability_zone": self.zone_by_vm[entry.vm_id],
+            "caller_address": entry.caller_address,
+            "admin_address": entry.admin_address,
+            "platform": platform,
+            "key_file": self._path("keys"),
+            "shard_count": SHARDS,
+            "limits": {"ready_delay": READY_DELAY, "drain_limit": DRAIN_LIMIT},
+        }
+        path = self._path(f"{entry.vm_id}.yaml")
+        with open(path, "wb") as file:
+            file.write(encode_yaml(settings))
+        return path
+
+    def _path(self, name: str) -> str:
+        return os.path.join(self.launcher.directory, name)
+
+
+def _free_port(host: str) -> int:
+    with socket.socket() as sock:
+        sock.bind((host, 0))
+        return sock.getsockname()[1]
--- a/scripts/publication.py
+++ b/scripts/publication.py
@@ -1,26 +1,32 @@
-"""What the demonstration publishes beside the examples: jobs that run once, and a probe service."""
+"""What the demonstration publishes: the examples at a faster pace, and some jobs of its own.
+
+Schedules are left out, so that every job runs once for each generation, and run times are shorter.
+"""
 
 import os
+import re
+from collections.abc import Callable
 from shutil import copytree
 
-from laburnumswitch.version.reading import read_paths
-
 from laburnumswitch.declaration import Configuration
 from laburnumswitch.exceptions import ProblemsFound
+from laburnumswitch.units import decode_unit
+from laburnumswitch.units import Seconds
+from laburnumswitch.version.reading import read_paths
 from scripts.launcher import ProcessFailedError
 
 PROBE_HOST = "probe.demo"
 SECOND_PROBE_HOST = "probe-2.demo"
 FILE_NAME = "demo.laburnumswitch.yaml"
-LOADING_TASKS = 60
-FORECAST_TASKS = 24
 FAILING_JOB = "failing-everywhere"
 IMPOSSIBLE_JOB = "never-fitting"
+JOBS_THAT_DO_NOT_FINISH = frozenset((FAILING_JOB, IMPOSSIBLE_JOB))
+RUN_TIME_DIVISOR = 150
 
 DOCUMENT = """\
 kind: team
 name: demo
-quota: {{cpu: 400, memory: 1000GB}}
+quota: {{cpu: 400, memory: 1TB}}
 ---
 kind: service
 name: probe
@@ -32,24 +38,15 @@
 command: [probe, --service-ms=1]
 ---
 kind: job
-name: demo-loading
-team: demo
-command: [plan-loads]
-cpu: 2
-memory: 4GB
-tasks: {loading}
-run_time: 12s
-checkpointable: true
----
-kind: job
 name: demo-forecast
 team: demo
 command: [forecast]
 cpu: 1
 memory: 2GB
-tasks: {forecast}
+tasks: 24
 run_time: 5s
 urgent: true
+generation: {generation}
 ---
 kind: job
 name: {failing}
@@ -71,28 +68,30 @@
 
 
 class Publication:
-    """The folder that is published: a copy of the examples and the demonstration's own file."""
+    """The folder that is published."""
 
     def __init__(self, directory: str, examples: str) -> None:
         self.directory = os.path.join(directory, "declarations")
-        if os.path.isdir(examples):
-            copytree(examples, self.directory)
-        else:
-            os.mkdir(self.directory)
-        self.write((PROBE_HOST,))
-
-    def write(self, probe_hosts: tuple[str, ...]) -> None:
-        """Write the demonstration's file with the hosts of its probe service."""
+        copytree(examples, self.directory)
+        for path in _files_below(self.directory):
+            _rewrite(path, quicken)
+        self.write((PROBE_HOST,), 1)
+
+    def write(self, probe_hosts: tuple[str, ...], generation: int) -> None:
+        """Write the demonstration's own file."""
         text = DOCUMENT.format(
             hosts=", ".join(probe_hosts),
-            loading=LOADING_TASKS,
-            forecast=FORECAST_TASKS,
+            generation=generation,
             failing=FAILING_JOB,
             impossible=IMPOSSIBLE_JOB,
         )
         with open(os.path.join(self.directory, FILE_NAME), "w") as file:
             file.write(text)
 
+    def change(self) -> None:
+        """Declare what the second version adds: a host of the probe, and another run of a job."""
+        self.write((PROBE_HOST, SECOND_PROBE_HOST), 2)
+
     def read(self) -> Configuration:
         """Return what the folder declares.
 
@@ -102,3 +101,25 @@
         if isinstance(configuration, ProblemsFound):
             raise ProcessFailedError(configuration.describe())
         return configuration
+
+
+def quicken(text: str) -> str:
+    """Return declarations without schedules, and with run times divided."""
+    text = re.sub(r"(?m)^(schedule|time_zone):.*\n", "", text)
+    return re.sub(r"(?m)^run_time: (.*)$", _quicker, text)
+
+
+def _quicker(match: re.Match[str]) -> str:
+    seconds = decode_unit(Seconds, match[1].strip()) / RUN_TIME_DIVISOR
+    return f"run_time: {max(1, round(1000 * seconds))}ms"
+
+
+def _files_below(directory: str) -> list[str]:
+    return [os.path.join(folder, name) for folder, _, names in os.walk(directory) for name in names]
+
+
+def _rewrite(path: str, change: Callable[[str], str]) -> None:
+    with open(path) as file:
+        text = file.read()
+    with open(path, "w") as file:
+        file.write(change(text))
--- /dev/null
+++ b/scripts/summary.py
@@ -0,0 +1,100 @@
+"""The figures of the demonstration, as a table for people and as JSON."""
+
+from typing import Any
+from typing import NamedTuple
+
+from scripts.usage import EntryUse
+from standin.callers import Tail
+from standin.history import Verdict
+
+LABEL_WIDTH = 48
+CORE_PERCENT = 100
+
+
+class Summary(NamedTuple):
+    """Everything that the demonstration measured; ``broken`` names promises that did not hold."""
+
+    profile: str
+    seed: int
+    duration_s: float
+    verdict: Verdict
+    broken: tuple[str, ...]
+    tail_by_stream: dict[str, Tail]
+    entries: list[EntryUse]
+    platform: dict[str, Any]
+
+    def as_json(self) -> dict[str, Any]:
+        """Return the figures as mappings."""
+        return {
+            **self._asdict(),
+            "verdict": self.verdict._asdict(),
+            "tail_by_stream": {name: tail._asdict() for name, tail in self.tail_by_stream.items()},
+            "entries": [use._asdict() for use in self.entries],
+        }
+
+
+def lines_of(summary: Summary) -> list[str]:
+    """Return the table."""
+    verdict = summary.verdict
+    rows = [
+        ("requests sent", verdict.requests),
+        ("  answered", verdict.answered),
+        ("  of these with an error status", verdict.answered_with_error),
+        ("  not run", verdict.not_run),
+        ("  unknown", verdict.unknown),
+        ("orders run more than once", verdict.orders_run_twice),
+        ('"not run" answers that did run', verdict.not_run_but_ran),
+        ("answers of another request", verdict.foreign_answers),
+        ("runs", verdict.runs),
+        ("  evicted", verdict.evictions),
+        ("batch tasks finished", verdict.tasks_finished),
+        ("  finished more than once", verdict.tasks_finished_twice),
+        ("  running in two places", verdict.tasks_in_two_places),
+        ("  lost", verdict.tasks_lost),
+        ("checkpoints resumed more than once", verdict.checkpoints_resumed_twice),
+        ("worst commitment of a worker", f"{verdict.worst_commitment:.1%}"),
+        (
+            "last start in the zone after it was taken out",
+            f"{verdict.last_start_in_zone_out_s:.2f} s",
+        ),
+        ("requests cut by planned stops", verdict.requests_cut_by_planned_stops),
+        ("configuration in force everywhere after", _seconds(verdict.configuration_everywhere_s)),
+        ("configuration reverted", verdict.configuration_reverts),
+    ]
+    lines = [f"{label:<{LABEL_WIDTH}}{value}" for label, value in rows]
+    lines += [_tail_line(stream, tail) for stream, tail in sorted(summary.tail_by_stream.items())]
+    lines += [_entry_line(use) for use in summary.entries]
+    lines += [_budget_line(name, summary.platform[name]) for name in ("writes", "reads")]
+    lines.append(_verdict_line(summary))
+    return lines
+
+
+def _seconds(value: float) -> str:
+    return f"{value:.2f} s"
+
+
+def _tail_line(stream: str, tail: Tail) -> str:
+    return (
+        f"{stream:<{LABEL_WIDTH}}p50 {tail.p50_ms:.1f} ms  p99 {tail.p99_ms:.1f} ms"
+        f"  p99.9 {tail.p999_ms:.1f} ms"
+    )
+
+
+def _entry_line(use: EntryUse) -> str:
+    traffic = "control traffic not reported"
+    if use.control_bytes_per_s is not None:
+        traffic = f"control {use.control_bytes_per_s / 1000:.1f} KB/s"
+    share = f"{use.cpu_share * CORE_PERCENT:.1f}% of a core"
+    return f"{use.vm_id:<{LABEL_WIDTH}}{use.peak_memory_mb:.0f} MB  {share}  {traffic}"
+
+
+def _budget_line(name: str, use: list[int]) -> str:
+    total, peak, refused = use
+    label = f"platform {name}"
+    return f"{label:<{LABEL_WIDTH}}{total} in all, {peak} in the busiest second, {refused} refused"
+
+
+def _verdict_line(summary: Summary) -> str:
+    if summary.broken:
+        return f"BROKEN after {summary.duration_s:.0f} s: {', '.join(summary.broken)}"
+    return f"every promise held, {summary.duration_s:.0f} s"
--- /dev/null
+++ b/scripts/usage.py
@@ -0,0 +1,71 @@
+"""What each entry uses: memory, processor share and control traffic."""
+
+import re
+from time import monotonic
+from typing import NamedTuple
+
+from scripts.cluster import Cluster
+from standin.entries import Entry
+
+CONTROL_BYTES = re.compile(
+    r"(?m)^laburnumswitch_control_bytes(?:_total)?(?:\{[^}]*\})? ([0-9.eE+]+)"
+)
+
+
+class EntryUse(NamedTuple):
+    """Use of one entry; ``control_bytes_per_s`` is ``None`` where its metrics do not tell."""
+
+    vm_id: str
+    peak_memory_mb: float
+    cpu_share: float
+    control_bytes_per_s: float | None
+
+
+class _Sample(NamedTuple):
+    at_s: float
+    cpu_s: float
+    control_bytes: float | None
+
+
+class UseMeter:
+    """Use of the entries between ``begin`` and ``end``."""
+
+    def __init__(self, cluster: Cluster) -> None:
+        self._cluster = cluster
+        self._first_by_vm: dict[str, _Sample] = {}
+
+    def begin(self) -> None:
+        """Take the first sample of each entry that runs."""
+        for vm_id in self._running():
+            self._first_by_vm[vm_id] = self._sample(vm_id)
+
+    def end(self) -> list[EntryUse]:
+        """Return the use of each entry that still runs; later ones count from their start."""
+        uses = []
+        for vm_id in self._running():
+            started_s = self._cluster.launcher.started_s_by_name[vm_id]
+            first = self._first_by_vm.get(vm_id, _Sample(started_s, 0.0, 0.0))
+            last = self._sample(vm_id)
+            peak_mb = self._cluster.launcher.use_of(vm_id).peak_memory_mb
+            duration_s = last.at_s - first.at_s
+            bytes_per_s = None
+            if last.control_bytes is not None:
+                bytes_per_s = (last.control_bytes - (first.control_bytes or 0.0)) / duration_s
+            cpu_share = (last.cpu_s - first.cpu_s) / duration_s
+            uses.append(EntryUse(vm_id, peak_mb, cpu_share, bytes_per_s))
+        return uses
+
+    def _running(self) -> list[str]:
+        launcher = self._cluster.launcher
+        return [vm_id for vm_id in self._cluster.entry_by_vm if launcher.is_running(vm_id)]
+
+    def _sample(self, vm_id: str) -> _Sample:
+        cpu_s = self._cluster.launcher.use_of(vm_id).cpu_s
+        return _Sample(monotonic(), cpu_s, self._control_bytes(self._cluster.entry_by_vm[vm_id]))
+
+    def _control_bytes(self, entry: Entry) -> float | None:
+        answer = self._cluster.ask_admin(entry, "/metrics")
+        if answer is None:
+            return None
+        found = CONTROL_BYTES.findall(answer.body.decode())
+        return sum(map(float, found)) if found else None
--- a/standin/history.py
+++ b/standin/history.py
@@ -28,6 +28,7 @@
 LAST_START_LIMIT_S = 3.0
 CONFIGURATION_LIMIT_S = 17.0
 COMMITMENT_LIMIT = 1.0
+FIRST_ERROR_STATUS = 400
 ORDERED_STOPS = ("finished", "killed", "evicted")
 
 
@@ -47,6 +48,7 @@
 
     requests: int
     answered: int
+    answered_with_error: int
     not_run: int
     unknown: int
     orders_run_twice: int
@@ -84,6 +86,10 @@
     return Verdict(
         requests=sum(outcomes.values()),
         answered=outcomes["answered"],
+        answered_with_error=sum(
+            attempt.outcome == "answered" and attempt.status >= FIRST_ERROR_STATUS
+            for attempt in asked
+        ),
         not_run=outcomes["not-run"],
         unknown=outcomes["unknown"],
         orders_run_twice=_orders_run_twice(executed),
--- a/standin/upstream.py
+++ b/standin/upstream.py
@@ -1,7 +1,7 @@
 """One replica of a service: an HTTP server with a limited number of slots.
 
-Its command may name a vendor's manner of reporting state (``json``, ``headers`` or ``metrics``)
-and the mean service time, as in ``serve --report=json --service-ms=8``.
+Its program decides how it reports its state, and its command may name the mean service time in
+milliseconds, as in ``prices --service-ms=8``.
 """
 
 from collections.abc import Callable
@@ -22,14 +22,16 @@
 from standin.server import Call
 from standin.server import Reply
 from standin.server import start_server
+from standin.vendors import State
+from standin.vendors import vendor_of
 
 DEFAULT_SERVICE_MS = 8.0
 SPREAD = 0.4
 QUEUE_LIMIT = 64
 DRAIN_GRACE_S = 2.0
 DRAIN_QUIET_S = 0.5
+DEFAULT_FILLER_BYTES = 64
 MAX_FILLER_BYTES = 4_000_000
-STATE_PATHS = ("/health", "/healthz", "/status", "/metrics")
 REQUEST_HEADER = "x-caller-request"
 REFUSED_HEADER = ("X-Request-Refused", "draining")
 
@@ -45,14 +47,6 @@
         self.silent_since_s = -1.0
 
 
-class State(NamedTuple):
-    """What a replica reports of itself; ``load`` is a share from 0 to 1."""
-
-    ready: bool
-    leaving: bool
-    load: float
-
-
 class Answer(NamedTuple):
     """What a replica says in the body of an answer, so that the caller can tell whose it is."""
 
@@ -79,7 +73,7 @@
         self._upstream_id = f"{order.task_id}.{order.run}"
         self._slots = order.slots or 8
         self._free_slots = BoundedSemaphore(self._slots)
-        self._manner = _word(order.command, "report", "json")
+        self._vendor = vendor_of(order.command)
         self._mean_s = float(_word(order.command, "service-ms", str(DEFAULT_SERVICE_MS))) / 1000
         self._holds = holds
         self._slowdown = slowdown
@@ -124,32 +118,39 @@
         first_call_s = self._first_call_s_by_peer.setdefault(call.peer, self._clock())
         if first_call_s <= self._faults.silent_since_s:
             Event().wait()
+        if call.path == self._vendor.path:
+            sleep(2 * self._faults.delay_s)
+            return self._vendor.page(self._state())
+        self._in_flight += 1
+        self._last_call_s = self._clock()
+        try:
+            return self._serve(call)
+        finally:
+            self._in_flight -= 1
+
+    def _serve(self, call: Call) -> Reply:
         sleep(2 * self._faults.delay_s)
         if not self._holds():
             raise AnswerDroppedError
-        if call.path in STATE_PATHS:
-            return report(self._manner, self._state())
-        self._last_call_s = self._clock()
-        if self._draining_since_s >= 0 or self._in_flight >= QUEUE_LIMIT:
-            return Reply(503, headers=(REFUSED_HEADER, *self._state_headers()))
+        if self._draining_since_s >= 0 or self._in_flight > QUEUE_LIMIT:
+            return self._refusal(call)
         return self._execute(call)
 
+    def _refusal(self, call: Call) -> Reply:
+        headers = (REFUSED_HEADER, *self._vendor.headers(self._state()))
+        return Reply(503, encode(self._answer(call, "refused")), headers)
+
     def _execute(self, call: Call) -> Reply:
-        self._in_flight += 1
-        started_s = self._clock()
-        completed = False
-        began = False
-        try:
-            with self._free_slots:
-                began = True
+        with self._free_slots:
+            started_s = self._clock()
+            completed = False
+            try:
                 sleep(self._service_s())
-            if not self._holds():
-                raise AnswerDroppedError
-            completed = True
-        finally:
-            self._in_flight -= 1
-            if began:
+                completed = self._holds()
+            finally:
                 self._record(self._executed(call, started_s, completed))
+        if not completed:
+            raise AnswerDroppedError
         return self._reply(call)
 
     def _service_s(self) -> float:
@@ -168,15 +169,19 @@
         )
 
     def _reply(self, call: Call) -> Reply:
-        filler = "x" * min(MAX_FILLER_BYTES, int(call.query.get("size", "64")))
-        request_id = call.headers.get(REQUEST_HEADER, "")
-        key = call.headers.get("idempotency-key", "")
-        body = encode(Answer(request_id, key, self._upstream_id, filler))
+        size = min(MAX_FILLER_BYTES, int(call.query.get("size", DEFAULT_FILLER_BYTES)))
+        body = encode(self._answer(call, "x" * size))
         truncated = self._faults.truncate_answers > 0
         if truncated:
             self._faults.truncate_answers -= 1
         status = 200 if call.method == "GET" else 201
-        return Reply(status, body, self._state_headers(), truncated=truncated)
+        headers = self._vendor.headers(self._state())
+        return Reply(status, body, headers, truncated=truncated)
+
+    def _answer(self, call: Call, filler: str) -> Answer:
+        request_id = call.headers.get(REQUEST_HEADER, "")
+        key = call.headers.get("idempotency-key", "")
+        return Answer(request_id, key, self._upstream_id, filler)
 
     def _state(self) -> State:
         if self._faults.lies:
@@ -184,36 +189,6 @@
         leaving = self._draining_since_s >= 0
         return State(not leaving, leaving, self.busy_share())
 
-    def _state_headers(self) -> tuple[tuple[str, str], ...]:
-        return header_report(self._state()) if self._manner == "headers" else ()
-
-
-def report(manner: str, state: State) -> Reply:
-    """Return the state page in a vendor's manner."""
-    if manner == "metrics":
-        lines = (
-            f"replica_ready {int(state.ready)}",
-            f"replica_draining {int(state.leaving)}",
-            f"replica_load_permille {round(state.load * 1000)}",
-        )
-        return Reply(200, "\n".join(lines).encode() + b"\n", content_type="text/plain")
-    if manner == "headers":
-        return Reply(200, b"", header_report(state))
-    page = {
-        "status": "UP" if state.ready else "DOWN",
-        "details": {"draining": state.leaving, "busyPercent": round(state.load * 100, 1)},
-    }
-    return Reply(200, encode(page))
-
-
-def header_report(state: State) -> tuple[tuple[str, str], ...]:
-    """Return the state as headers of an answer."""
-    return (
-        ("X-Upstream-State", "ready" if state.ready else "down"),
-        ("X-Upstream-Leaving", str(int(state.leaving))),
-        ("X-Upstream-Load", f"{state.load:.3f}"),
-    )
-
 
 def _word(command: tuple[str, ...], name: str, default: str) -> str:
     prefix = f"--{name}="
--- a/tests/standin/test_upstream.py
+++ b/tests/standin/test_upstream.py
@@ -4,6 +4,7 @@
 
 from gevent import spawn
 from gevent.event import Event
+from msgspec.json import decode
 from testtools import TestCase
 from testtools.matchers import Equals
 from testtools.matchers import IsInstance
@@ -15,12 +16,11 @@
 from standin.records import Cut
 from standin.records import Executed
 from standin.records import Record
-from standin.upstream import header_report
 from standin.upstream import HttpReplica
 from standin.upstream import ReplicaFaults
-from standin.upstream import report
 from standin.upstream import REQUEST_HEADER
-from standin.upstream import State
+from standin.vendors import State
+from standin.vendors import vendor_of
 
 ORDER = StartOrder("shop:0", 1, 1e9, Size(1, 1), ("serve", "--service-ms=1"), 0.0, "", "shop", 2)
 
@@ -97,9 +97,12 @@
         self.assertThat((type(cut), type(executed)), Equals((Cut, Executed)))
 
 
-class TestReport(TestCase):
-    def test_three_manners_tell_the_same_state(self):
-        state = State(True, False, 0.25)
-        self.assertThat(b'"busyPercent":25.0' in report("json", state).body, Equals(True))
-        self.assertThat(b"replica_load_permille 250" in report("metrics", state).body, Equals(True))
-        self.assertThat(dict(header_report(state))["X-Upstream-Load"], Equals("0.250"))
+class TestVendors(TestCase):
+    def test_each_vendor_tells_the_state_in_its_own_way(self):
+        state = State(True, True, 0.25)
+        orders = vendor_of(("order-confirmations",)).page(state).body
+        snapshots = vendor_of(("footfall-snapshots",)).page(state).body
+        prices = vendor_of(("prices", "--port")).headers(state)
+        self.assertThat(decode(orders)["load"], Equals({"percent": 25.0}))
+        self.assertThat(snapshots.split()[-1], Equals(b"0.250"))
+        self.assertThat(dict(prices)["X-Backend-Load"], Equals("0.250"))
