--- a/laburnumswitch/exceptions.py
+++ b/laburnumswitch/exceptions.py
@@ -10,6 +10,10 @@
 from laburnumswitch.change import Change
 
 
+def _did_you_mean(near: str) -> str:
+    return f", did you mean {near!r}?" if near else ""
+
+
 @dataclass(frozen=True)
 class Failure:
     """Root of all failures."""
@@ -239,10 +243,6 @@
     """A row of the table does not have the fields that it must have."""
 
     key: str
-class CallerRefused(Failure):
-    """A caller's bytes are not a request that the callers' port takes; nothing was run."""
-
-    status: int
     reason: str
 
 
@@ -277,8 +277,54 @@
     actor: str
 
 
-def _did_you_mean(near: str) -> str:
-    return f", did you mean {near!r}?" if near else ""
+@dataclass(frozen=True)
+class RemovalsRefused(Failure):
+    """A publication would remove declarations, which must be allowed on purpose."""
+
+    changes: tuple[Change, ...]
+
+    def describe(self) -> str:
+        """Return a line for the refusal and one for each removal."""
+        head = f"{self.tag}: allow removals on purpose, or publish every folder together"
+        return "\n".join((head, *(f"  {change.describe()}" for change in self.changes)))
+
+
+@dataclass(frozen=True)
+class ZoneStillBusy(Failure):
+    """Tasks were still running in a zone when the wait for its end was over."""
+
+    zone: str
+    running: int
+
+
+@dataclass(frozen=True)
+class UnknownZone(Failure):
+    """No VM is listed in a zone of this name; ``near`` is one that looks like it, or empty."""
+
+    zone: str
+    near: str
+
+    def describe(self) -> str:
+        """Return one line for people."""
+        return f"{self.tag}: no VM is listed in {self.zone!r}{_did_you_mean(self.near)}"
+
+
+@dataclass(frozen=True)
+class CallerRefused(Failure):
+    """A caller's bytes are not a request that the callers' port takes; nothing was run."""
+
+    status: int
+    reason: str
+
+
+@dataclass(frozen=True)
+class ConnectionLimit(Failure):
+    """All connections that this process may have to a worker are in use; no byte was sent."""
+
+    worker_id: str
+
+
+@dataclass(frozen=True)
 class FirstByteLate(Failure):
     """At least one byte was sent and not one byte of an answer came within a limit."""
 
@@ -317,3 +363,71 @@
 @dataclass(frozen=True)
 class AnswerNotKept(Failure):
     """A request under this key was answered, and its answer was too large or too old to keep."""
+
+
+@dataclass(frozen=True)
+class LedgerConflict(Failure):
+    """A record does not agree with the ledger that it is to be applied to."""
+
+    record: str
+    reason: str
+
+
+@dataclass(frozen=True)
+class FormatUnknown(Failure):
+    """A row or object has a format above the highest that this version reads."""
+
+    name: str
+    format: int
+
+
+@dataclass(frozen=True)
+class OwnershipLost(Failure):
+    """Another entry took the shard over."""
+
+    shard: int
+    owner: str
+    epoch: int
+
+
+@dataclass(frozen=True)
+class JournalBroken(Failure):
+    """A journal row or snapshot that the head names cannot be read."""
+
+    name: str
+    reason: str
+
+
+@dataclass(frozen=True)
+class JobTooLarge(Failure):
+    """No worker, even an empty one, can hold one task of the job."""
+
+    job: str
+    size: tuple[int, ...]
+    largest: tuple[int, ...]
+
+
+@dataclass(frozen=True)
+class QuotaTooSmall(Failure):
+    """The team's whole quota cannot hold one task of the job."""
+
+    job: str
+    team: str
+    quota: tuple[int, ...]
+
+
+@dataclass(frozen=True)
+class ScheduleInvalid(Failure):
+    """A job's cron expression or time zone cannot be read."""
+
+    job: str
+    reason: str
+
+
+@dataclass(frozen=True)
+class DependencyPending(Failure):
+    """A job that this one runs after has not finished."""
+
+    job: str
+    dependency: str
+    state: str
