--- a/laburnumswitch/exceptions.py
+++ b/laburnumswitch/exceptions.py
@@ -147,3 +147,10 @@
 @dataclass(frozen=True)
 class AnswerNotKept(Failure):
     """A request under this key was answered, and its answer was too large or too old to keep."""
+
+
+@dataclass(frozen=True)
+class ReportUnreadable(Failure):
+    """An upstream's report of its state doesn't say what its service declares."""
+
+    reason: str
--- /dev/null
+++ b/laburnumswitch/process/reports.py
@@ -0,0 +1,127 @@
+"""Reads upstreams' reports of their own state as their service declares them.
+
+A report can only keep work away from an upstream: how well it answers is measured. Where a report
+names a field more than once, the worst value counts.
+"""
+
+from math import isfinite
+from typing import Any
+from typing import NamedTuple
+
+from msgspec import DecodeError
+from msgspec.json import decode
+
+from laburnumswitch.declaration import StateReport
+from laburnumswitch.exceptions import ReportUnreadable
+
+LEAVING_VALUES = frozenset(("true", "1", "yes", "on", "leaving", "draining", "stopping"))
+MAX_PAGE_BYTES = 262_144
+
+
+class Reported(NamedTuple):
+    """What one report says; ``load`` is a fraction of the capacity and at most 1.0.
+
+    ``leaving`` and ``load`` are ``None`` where the report doesn't say.
+    """
+
+    ready: bool
+    leaving: bool | None
+    load: float | None
+
+
+Values = dict[str, list[str]]
+
+
+def read_page(declared: StateReport, body: bytes) -> Reported | ReportUnreadable:
+    """Read a JSON or metrics page."""
+    if len(body) > MAX_PAGE_BYTES:
+        return ReportUnreadable("page too large")
+    if declared.manner == "metrics":
+        return _interpret(declared, _metric_values(body))
+    try:
+        page = decode(body)
+    except (DecodeError, RecursionError):
+        return ReportUnreadable("not JSON")
+    names = (declared.ready_field, declared.leaving_field, declared.load_field)
+    return _interpret(declared, {name: _json_values(page, name) for name in names if name})
+
+
+def read_headers(
+    declared: StateReport, headers: tuple[tuple[str, str], ...]
+) -> Reported | ReportUnreadable:
+    """Read the headers of an answer."""
+    names = {
+        name.lower(): name
+        for name in (declared.ready_field, declared.leaving_field, declared.load_field)
+        if name
+    }
+    values: Values = {}
+    for name, value in headers:
+        declared_name = names.get(name.lower())
+        if declared_name is not None:
+            values.setdefault(declared_name, []).append(value.strip())
+    if not values:
+        return ReportUnreadable("no header reports a state")
+    return _interpret(declared, values, ready_by_default=True)
+
+
+def _interpret(
+    declared: StateReport, values: Values, ready_by_default: bool = False
+) -> Reported | ReportUnreadable:
+    ready = True
+    if declared.ready_field:
+        texts = values.get(declared.ready_field, [])
+        if not texts and not ready_by_default:
+            return ReportUnreadable(f"no field {declared.ready_field}")
+        accepted = {text.lower() for text in declared.ready_values}
+        ready = all(_normalize(text) in accepted for text in texts)
+    leaving = None
+    if values.get(declared.leaving_field):
+        leaving = any(_normalize(text) in LEAVING_VALUES for text in values[declared.leaving_field])
+    return Reported(ready, leaving, _load(declared, values))
+
+
+def _load(declared: StateReport, values: Values) -> float | None:
+    loads = []
+    for text in values.get(declared.load_field, []):
+        try:
+            load = float(text.rstrip("%")) * declared.load_scale
+        except ValueError:
+            continue
+        if isfinite(load) and load >= 0.0:
+            loads.append(min(load, 1.0))
+    return max(loads, default=None)
+
+
+def _normalize(text: str) -> str:
+    lower = text.strip().lower()
+    # Metrics and some JSON pages write 1.0 for 1.
+    return lower[:-2] if lower.endswith(".0") else lower
+
+
+def _json_values(page: Any, dotted_name: str) -> list[str]:
+    value = page
+    for name in dotted_name.split("."):
+        if not isinstance(value, dict) or name not in value:
+            return []
+        value = value[name]
+    if isinstance(value, bool):
+        return ["true" if value else "false"]
+    if isinstance(value, str | int | float):
+        return [str(value)]
+    return []
+
+
+def _metric_values(body: bytes) -> Values:
+    values: Values = {}
+    for line in body.decode("utf-8", "replace").splitlines():
+        if line.startswith("#") or not line.strip():
+            continue
+        if "{" in line:
+            name, _, rest = line.partition("{")
+            fields = rest.rpartition("}")[2].split()
+        else:
+            name, *fields = line.split()
+        if fields:
+            values.setdefault(name.strip(), []).append(fields[0])
+    return values
--- a/laburnumswitch/process/upstreams.py
+++ b/laburnumswitch/process/upstreams.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from laburnumswitch.process.reports import Reported
 from laburnumswitch.process.timeline import Timeline
 from laburnumswitch.upstream import Upstream
 
@@ -20,20 +21,16 @@
 SLOW_START_S = 10.0
 EJECT_CONSECUTIVE_FAILURES = 5
 EJECT_ERROR_RATE = 0.5
+STALE_INTERVALS = 3.0
 EJECT_S = 5.0
 EJECT_LIMIT_S = 60.0
 EJECT_MAX_FRACTION = 0.5
 
 
 class Report(NamedTuple):
-    """What an upstream said of itself. ``load`` is a fraction of its capacity, if known.
+    """The last report of an upstream, which counts until ``until_s`` of the clock."""
 
-    The report counts until ``until_s`` of the clock.
-    """
-
-    ready: bool
-    leaving: bool
-    load: float | None
+    reported: Reported
     until_s: float
 
 
@@ -61,7 +58,8 @@
         self.fresh_since_s = now_s
         self.ejected_until_s = 0.0
         self.ejections = 0
-        self.report: Report | None = None
+        self.leaving = False
+        self._report: Report | None = None
         self.suspect: SuspectConnection | None = None
         self._floor_s = 0.0
         self._limit_cut_s = 0.0
@@ -99,10 +97,16 @@
         self._limit_cut_s = now_s
         self.limit = max(MIN_LIMIT, self.limit * factor)
 
-    def current_report(self, now_s: float) -> Report | None:
-        """Return the report, unless it is stale."""
-        report = self.report
-        return report if report is not None and now_s < report.until_s else None
+    def take_report(self, reported: Reported, until_s: float) -> None:
+        """Take a report of the upstream; that it is leaving outlasts the report."""
+        self._report = Report(reported, until_s)
+        if reported.leaving is not None:
+            self.leaving = reported.leaving
+
+    def reported_at(self, now_s: float) -> Reported | None:
+        """Return what the upstream reports, unless that is stale."""
+        report = self._report
+        return report.reported if report is not None and now_s < report.until_s else None
 
     def _adapt_limit(self, now_s: float) -> None:
         if self.latency_s > SLOW_RATIO * self._floor_s + SLOW_MARGIN_S:
@@ -127,6 +131,16 @@
             self.by_id[upstream.upstream_id] = state
         return state
 
+    def take_report(self, upstream: Upstream, reported: Reported, interval_s: float) -> None:
+        """Take a report of ``upstream``, which is due again after ``interval_s``."""
+        state = self.of(upstream)
+        was_leaving = state.leaving
+        state.take_report(reported, self._clock() + interval_s * STALE_INTERVALS)
+        if state.leaving and not was_leaving:
+            self._timeline.record(
+                "upstream_leaving", upstream.upstream_id, service=upstream.service
+            )
+
     def keep_only(self, upstream_ids: Iterable[str]) -> None:
         """Forget upstreams that no longer exist and have nothing outstanding."""
         kept = set(upstream_ids)
--- a/laburnumswitch/request/attempt.py
+++ b/laburnumswitch/request/attempt.py
@@ -13,6 +13,8 @@
 from laburnumswitch.exceptions import ConnectionLimit
 from laburnumswitch.exceptions import FirstByteLate
 from laburnumswitch.exceptions import Refused
+from laburnumswitch.process.reports import read_headers
+from laburnumswitch.process.reports import Reported
 from laburnumswitch.process.upstreams import LIMIT_FACTOR_FAILED
 from laburnumswitch.process.upstreams import SuspectConnection
 from laburnumswitch.request.context import RequestContext
@@ -97,6 +99,7 @@
             self._fail()
             return head
         self._clear_suspicion()
+        self._take_report(head)
         latency_s = self._context.clock() - self.sent_s
         if self._is_refusal(head):
             self._state.cut_limit(LIMIT_FACTOR_FAILED, self._context.clock())
@@ -165,6 +168,15 @@
                 self._context.pool.discard(self._connection)
         self._context.service_state(self._service).queue.wake()
 
+    def _take_report(self, head: AnswerHead) -> None:
+        declared = self._service.state
+        if declared.manner != "headers":
+            return
+        reported = read_headers(declared, head.headers)
+        if isinstance(reported, Reported):
+            states = self._context.states
+            states.take_report(self.upstream, reported, declared.interval_s)
+
     def _is_refusal(self, head: AnswerHead) -> bool:
         name = self._service.state.refused_header
         if head.status != STATUS_UNAVAILABLE or not name:
--- a/laburnumswitch/request/claim.py
+++ b/laburnumswitch/request/claim.py
@@ -13,6 +13,7 @@
 from typing import TypedDict
 
 from gevent import sleep
+from gevent import spawn
 from msgspec.json import decode
 from msgspec.json import encode
 
@@ -37,6 +38,7 @@
 ROW_ANSWER_BYTES = 8_192
 OBJECT_ANSWER_BYTES = 1_048_576
 EXPIRY_MARGIN_S = 2.0
+NOT_CLAIMED = "the order could not be claimed"
 SETTLE_TRIES = 3
 SETTLE_PAUSE_S = 0.05
 WRITE_TRIES = 12
@@ -102,9 +104,13 @@
     result = context.claims.commit(RowChange(row_key, ABSENT_VERSION, row))
     if isinstance(result, Committed):
         return Claim(row_key, result.version, row)
-    if isinstance(result, OutcomeUnknown | Conflict):
+    if isinstance(result, Conflict):
+        settled = settle_claim(context, row_key, row)
+        # There was a row, so an earlier attempt may have run.
+        return ClaimInProgress() if isinstance(settled, NotRun) else settled
+    if isinstance(result, OutcomeUnknown):
         return settle_claim(context, row_key, row)
-    return NotRun("the order could not be claimed")
+    return NotRun(NOT_CLAIMED)
 
 
 def settle_claim(
@@ -122,7 +128,8 @@
         result = context.claims.commit(RowChange(row_key, ABSENT_VERSION, row))
         if isinstance(result, Committed):
             return Claim(row_key, result.version, row)
-    return NotRun("the order could not be claimed")
+    spawn(_withdraw, context, row_key, row)
+    return NotRun(NOT_CLAIMED)
 
 
 def record_answer(context: RequestContext, claim: Claim, answer: StoredAnswer) -> None | Failure:
@@ -196,6 +203,20 @@
     return StoredAnswer(status, tuple((name, value) for name, value in headers), b64decode(body))
 
 
+def _withdraw(context: RequestContext, row_key: str, row: ClaimRow) -> None:
+    """Delete the row of an attempt that gave up before it knew whether it held the row."""
+    pause_s = WRITE_PAUSE_S
+    for _ in range(WRITE_TRIES):
+        found = context.claims.table.read((row_key,))
+        if not isinstance(found, Unavailable | Throttled):
+            actual = found[row_key]
+            if actual.value is not None and actual.value["attempt"] == row["attempt"]:
+                release_claim(context, Claim(row_key, actual.version, row))
+            return
+        sleep(pause_s * (0.5 + context.random.random()))
+        pause_s = min(pause_s * 2, WRITE_PAUSE_LIMIT_S)
+
+
 def _write(context: RequestContext, claim: Claim, row: ClaimRow | None) -> None | Failure:
     """Change the claim's row, trying again while the store is down or the answer was lost.
 
--- a/laburnumswitch/request/routing.py
+++ b/laburnumswitch/request/routing.py
@@ -57,13 +57,19 @@
         now_s = clock()
 
         def usable(state: UpstreamState) -> bool:
-            return _has_room(state, now_s, tried, zone_is_out)
+            return _is_usable(state, now_s, tried, zone_is_out)
+
+        def ready(state: UpstreamState) -> bool:
+            return usable(state) and _says_ready(state, now_s)
 
         def lightly_used(state: UpstreamState) -> bool:
-            return state.outstanding < state.limit * OWN_ZONE_MAX_USE and usable(state)
+            return state.outstanding < state.limit * OWN_ZONE_MAX_USE and ready(state)
 
         state = _better_of_two(fleet.near, lightly_used, now_s, random)
         if state is None:
+            state = _better_of_two(fleet.all, ready, now_s, random)
+        if state is None and not any(_says_ready(each, now_s) for each in fleet.all):
+            # Reports that leave a service without any upstream are not believed.
             state = _better_of_two(fleet.all, usable, now_s, random)
         return None if state is None else state.upstream
 
@@ -92,7 +98,7 @@
     return min(found, key=lambda state: _score(state, now_s))
 
 
-def _has_room(
+def _is_usable(
     state: UpstreamState,
     now_s: float,
     tried: frozenset[str],
@@ -100,19 +106,24 @@
 ) -> bool:
     if state.outstanding >= int(state.limit) or now_s < state.ejected_until_s:
         return False
-    if state.upstream.upstream_id in tried or zone_is_out(state.upstream.availability_zone):
+    upstream = state.upstream
+    if upstream.upstream_id in tried or state.leaving:
         return False
-    report = state.current_report(now_s)
-    return report is None or (report.ready and not report.leaving)
+    return not zone_is_out(upstream.availability_zone)
+
+
+def _says_ready(state: UpstreamState, now_s: float) -> bool:
+    reported = state.reported_at(now_s)
+    return reported is None or reported.ready
 
 
 def _score(state: UpstreamState, now_s: float) -> float:
     score = (state.outstanding + 1) / state.limit * state.latency_s
     score *= 1.0 + ERROR_PENALTY * state.error_rate
-    report = state.current_report(now_s)
-    if report is not None and report.load is not None:
+    reported = state.reported_at(now_s)
+    if reported is not None and reported.load is not None:
         # A report may only make an upstream less attractive than its measurements.
-        score *= 1.0 + LOAD_PENALTY * min(max(report.load, 0.0), 1.0)
+        score *= 1.0 + LOAD_PENALTY * reported.load
     age_s = now_s - state.fresh_since_s
     if age_s < SLOW_START_S:
         score /= max(SLOW_START_MIN, age_s / SLOW_START_S)
--- /dev/null
+++ b/tests/request/test_claim.py
@@ -0,0 +1,190 @@
+"""Orders under an idempotency key, through two entries over one table."""
+
+from random import Random
+
+from gevent import joinall
+from gevent import sleep
+from gevent import spawn
+from gevent.event import Event
+from testtools import TestCase
+from testtools.matchers import Contains
+from testtools.matchers import Equals
+from testtools.matchers import HasLength
+from testtools.matchers import IsInstance
+
+from laburnumswitch.exceptions import Conflict
+from laburnumswitch.process.claims import ClaimCommitter
+from laburnumswitch.process.claims import RowChange
+from laburnumswitch.process.table import Committed
+from laburnumswitch.process.table import Put
+from laburnumswitch.process.table import Transaction
+from laburnumswitch.request.claim import claim_row_key
+from standin.table import MemoryTable
+from tests.request.fakes import answering
+from tests.request.fakes import call
+from tests.request.fakes import context_of
+from tests.request.fakes import FakeUpstream
+from tests.request.fakes import get
+from tests.request.fakes import MemoryObjects
+from tests.request.fakes import OK_ANSWER
+from tests.request.fakes import post
+from tests.request.fakes import served
+
+KEYED = post(b"rice", "Idempotency-Key: k1")
+
+
+class TestClaim(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.table = MemoryTable()
+        self.objects = MemoryObjects()
+        self.now_s = [1_000.0]
+
+    def upstream(self, script=None):
+        upstream = FakeUpstream(script or answering())
+        self.addCleanup(upstream.close)
+        return upstream
+
+    def entry(self, upstream, number=1, **fields):
+        """Return the port of an entry that shares the table with the others."""
+        context = context_of(
+            upstream.as_upstream(),
+            table=self.table,
+            objects=self.objects,
+            wall_clock=lambda: self.now_s[0],
+            vm_id=f"entry-{number}",
+            random=Random(number),
+            **fields,
+        )
+        manager = served(context)
+        port = manager.__enter__()
+        self.addCleanup(manager.__exit__, None, None, None)
+        return port, context
+
+    def two_entries(self, upstream):
+        return self.entry(upstream, 1)[0], self.entry(upstream, 2)[0]
+
+    def test_repeat_through_another_entry_gets_the_stored_answer(self):
+        upstream = self.upstream(answering(OK_ANSWER.replace(b"200 OK", b"201 Made\r\nA: b")))
+        first, second = self.two_entries(upstream)
+        call(first, KEYED)
+        reply = call(second, KEYED)
+        self.assertThat((reply.status, reply.body), Equals((201, b"ok")))
+        self.assertThat(reply.outcome, Equals("answered"))
+        self.assertThat(reply.headers["idempotency-replayed"], Equals("true"))
+        self.assertThat(reply.headers["a"], Equals("b"))
+        self.assertThat(upstream.requests, HasLength(1))
+
+    def test_same_key_at_once_through_two_entries_runs_once(self):
+        go = Event()
+
+        def script(sock, _request, _number):
+            go.wait(5)
+            sock.sendall(OK_ANSWER)
+
+        upstream = self.upstream(script)
+        ports = self.two_entries(upstream)
+        calls = [spawn(call, ports[n % 2], KEYED) for n in range(8)]
+        joinall(calls, timeout=0.2)
+        go.set()
+        replies = [task.get(timeout=5) for task in calls]
+        self.assertThat(upstream.requests, HasLength(1))
+        self.assertThat(sorted(reply.status for reply in replies), Equals([200] + [409] * 7))
+        refused = [reply for reply in replies if reply.status == 409]
+        self.assertThat({reply.outcome for reply in refused}, Equals({"unknown"}))
+        self.assertThat(refused[0].headers, Contains("retry-after"))
+
+    def test_other_request_under_the_same_key_is_refused(self):
+        upstream = self.upstream()
+        first, second = self.two_entries(upstream)
+        call(first, KEYED)
+        reply = call(second, post(b"flour", "Idempotency-Key: k1"))
+        self.assertThat((reply.status, reply.outcome), Equals((422, "not-run")))
+        self.assertThat(upstream.requests, HasLength(1))
+
+    def test_unknown_outcome_stays_unknown_and_is_never_run_again(self):
+        upstream = self.upstream(lambda sock, _request, _number: sock.close())
+        first, second = self.two_entries(upstream)
+        for port in (first, second, first):
+            reply = call(port, KEYED)
+            self.expectThat((reply.status, reply.outcome), Equals((502, "unknown")))
+        self.assertThat(upstream.requests, HasLength(1))
+
+    def test_claim_of_an_entry_that_died_turns_unknown_after_its_deadline(self):
+        upstream = self.upstream()
+        port, _ = self.entry(upstream)
+        call(port, KEYED)
+        key = claim_row_key("orders", "k1")
+        row = self.table.read((key,))[key].value
+        self.table.commit(Transaction((), (Put(key, {**row, "state": "claimed"}),)))
+        self.assertThat(call(port, KEYED).status, Equals(409))
+        self.now_s[0] += 60.0
+        reply = call(port, KEYED)
+        self.assertThat((reply.status, reply.outcome), Equals((502, "unknown")))
+        self.assertThat(upstream.requests, HasLength(1))
+
+    def test_claim_of_a_request_that_was_not_run_is_released(self):
+        gone = self.upstream()
+        gone.close()
+        port, _ = self.entry(gone)
+        self.assertThat(call(port, KEYED).outcome, Equals("not-run"))
+        upstream = self.upstream()
+        self.assertThat(call(self.entry(upstream, 2)[0], KEYED).status, Equals(200))
+
+    def test_store_down_keeps_orders_with_a_key_from_running(self):
+        upstream = self.upstream()
+        port, _ = self.entry(upstream)
+        self.table.down = True
+        reply = call(port, KEYED)
+        self.assertThat((reply.status, reply.outcome), Equals((503, "not-run")))
+        self.assertThat(call(port, get()).status, Equals(200))
+        self.assertThat(call(port, post()).status, Equals(200))
+        self.table.down = False
+        self.assertThat(call(port, KEYED).status, Equals(200))
+        self.assertThat(upstream.requests, HasLength(3))
+
+    def test_store_that_goes_down_during_the_run_leaves_the_answer_and_the_claim(self):
+        def script(sock, _request, _number):
+            self.table.down = True
+            sock.sendall(OK_ANSWER)
+
+        upstream = self.upstream(script)
+        port, _ = self.entry(upstream)
+        self.assertThat(call(port, KEYED).status, Equals(200))
+        self.assertThat(call(port, KEYED).outcome, Equals("not-run"))
+        self.table.down = False
+        while call(port, KEYED).status == 409:
+            sleep(0.01)
+        self.assertThat(call(port, KEYED).headers, Contains("idempotency-replayed"))
+        self.assertThat(upstream.requests, HasLength(1))
+
+    def test_lost_answers_of_the_store_double_nothing(self):
+        for lost in (1, 2, 3):
+            upstream = self.upstream()
+            port, _ = self.entry(upstream, lost)
+            self.table.lose_answers = lost
+            raw = post(b"rice", f"Idempotency-Key: lost-{lost}")
+            self.expectThat(call(port, raw).status, Equals(200))
+            self.table.lose_answers = 0
+            self.expectThat(call(port, raw).headers, Contains("idempotency-replayed"))
+            self.expectThat(upstream.requests, HasLength(1))
+
+    def test_larger_answer_is_kept_as_an_object(self):
+        body = bytes(range(256)) * 100
+        raw = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+        upstream = self.upstream(answering(raw))
+        first, second = self.two_entries(upstream)
+        call(first, KEYED)
+        self.assertThat(call(second, KEYED).body, Equals(body))
+        self.assertThat(list(self.objects.by_name)[0], Contains("answer/"))
+
+    def test_conflict_of_one_claim_fails_no_other(self):
+        self.table.commit(Transaction((), (Put("claim/3", {"n": 0}),)))
+        committer = ClaimCommitter(self.table)
+        changes = [RowChange(f"claim/{n}", 0, {"n": n}) for n in range(10)]
+        tasks = [spawn(committer.commit, change) for change in changes]
+        results = [task.get(timeout=5) for task in tasks]
+        self.assertThat(results.pop(3), IsInstance(Conflict))
+        for result in results:
+            self.expectThat(result, IsInstance(Committed))
+        self.assertThat(committer.transactions <= 2, Equals(True))
