--- a/laburnumswitch/request/admission.py
+++ b/laburnumswitch/request/admission.py
@@ -6,11 +6,11 @@
 from laburnumswitch.process.queue import Verdict
 from laburnumswitch.request.context import RequestContext
 from laburnumswitch.request.context import ServiceState
+from laburnumswitch.request.context import SHED_EVENT_INTERVAL_S
 from laburnumswitch.upstream import Upstream
 
 RANK_BY_PRIORITY = {"high": 0, "normal": 1, "low": 2}
 WAITING_PER_SLOT = 2
-SHED_EVENT_INTERVAL_S = 1.0
 
 
 def admit(
--- a/laburnumswitch/request/context.py
+++ b/laburnumswitch/request/context.py
@@ -21,6 +21,8 @@
 from laburnumswitch.request.routing import two_choices
 from laburnumswitch.upstream import Upstream
 
+SHED_EVENT_INTERVAL_S = 1.0
+
 
 class ServiceState:
     """What the process keeps for one service."""
@@ -29,7 +31,7 @@
         self.queue = ServiceQueue(clock)
         self.latency = QuantileEstimate()
         self.shed_unreported = 0
-        self.shed_reported_s = 0.0
+        self.shed_reported_s = -SHED_EVENT_INTERVAL_S
 
 
 class RequestContext(NamedTuple):
--- /dev/null
+++ b/tests/request/test_admission.py
@@ -0,0 +1,94 @@
+"""Waiting, shedding and their order."""
+
+from gevent import sleep
+from gevent import spawn
+from testtools import TestCase
+from testtools.matchers import Contains
+from testtools.matchers import Equals
+from testtools.matchers import HasLength
+from testtools.matchers import IsInstance
+
+from laburnumswitch.exceptions import NotRun
+from laburnumswitch.process.queue import MIN_CAPACITY
+from laburnumswitch.process.queue import ServiceQueue
+from laburnumswitch.process.queue import Verdict
+from laburnumswitch.request.admission import admit
+from laburnumswitch.upstream import Upstream
+from tests.request.fakes import call
+from tests.request.fakes import context_of
+from tests.request.fakes import get
+from tests.request.fakes import kinds_of
+from tests.request.fakes import ORDERS
+from tests.request.fakes import served
+
+UPSTREAM = Upstream("u", "orders", "127.0.0.1:1", "a", "w", 1)
+
+
+class TestAdmission(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.now_s = 0.0
+        self.context = context_of(UPSTREAM, clock=lambda: self.now_s)
+        self.state = self.context.states.of(UPSTREAM)
+        self.queue = self.context.service_state(ORDERS).queue
+
+    def admit_later(self, rank, order):
+        def run():
+            result = admit(self.context, ORDERS, rank, self.now_s + 10.0)
+            if not isinstance(result, NotRun):
+                self.state.outstanding += 1
+                order.append(rank)
+            return result
+
+        task = spawn(run)
+        sleep(0)
+        return task
+
+    def free_slot(self):
+        self.state.outstanding -= 1
+        self.queue.wake()
+        sleep(0)
+
+    def test_waiting_requests_go_by_priority_then_by_arrival(self):
+        self.state.outstanding = 1
+        order = []
+        for rank in (2, 1, 0, 1):
+            self.admit_later(rank, order)
+        for _ in range(4):
+            self.free_slot()
+        self.assertThat(order, Equals([0, 1, 1, 2]))
+
+    def test_full_queue_sheds_the_lowest_priority_first(self):
+        self.state.outstanding = 1
+        low = [self.admit_later(2, []) for _ in range(MIN_CAPACITY)]
+        late = self.admit_later(2, [])
+        high = self.admit_later(0, [])
+        sleep(0)
+        self.assertThat(late.value, IsInstance(NotRun))
+        self.assertThat(low[-1].value, IsInstance(NotRun))
+        self.assertThat([task.ready() for task in low[:-1]], Equals([False] * (MIN_CAPACITY - 1)))
+        self.assertThat(high.ready(), Equals(False))
+        self.assertThat(self.context.counts.shed, Equals(2))
+        self.assertThat(kinds_of(self.context), Contains("shed"))
+
+    def test_shed_request_is_answered_at_once_as_not_run(self):
+        context = context_of(UPSTREAM)
+        context.states.of(UPSTREAM).outstanding = 1
+        with served(context) as port:
+            reply = call(port, get())
+        self.assertThat((reply.status, reply.outcome), Equals((503, "not-run")))
+        self.assertThat(reply.headers, Contains("retry-after"))
+
+    def test_turn_that_comes_together_with_the_end_of_the_wait_is_not_lost(self):
+        queue = ServiceQueue(lambda: 0.0)
+        verdicts = []
+        spawn(lambda: verdicts.append(queue.wait(0, 1, 0.01, 10)))
+        sleep(0)
+        queue.wake()
+        sleep(0.02)
+        self.assertThat(verdicts, Equals([Verdict.TURN]))
+        self.assertThat(queue, HasLength(0))
+
+    def test_no_upstream_is_told_without_waiting(self):
+        context = context_of()
+        self.assertThat(admit(context, ORDERS, 0, 10.0).reason, Equals("no upstream"))
