--- a/laburnumswitch/exceptions.py
+++ b/laburnumswitch/exceptions.py
@@ -431,3 +431,10 @@
     job: str
     dependency: str
     state: str
+
+
+@dataclass(frozen=True)
+class ReportUnreadable(Failure):
+    """An upstream's report of its state doesn't say what its service declares."""
+
+    reason: str
