Switch Nagle's algorithm off on accepted connections

Cause: gevent's WSGI handler writes head and body apart, and each call to the admin port or a stand-in waited about 40 ms for the delayed acknowledgement of the head. Ruled out: the claim committer's gathering time, which is 2 ms.

--- a/laburnumswitch/connection/caller.py
+++ b/laburnumswitch/connection/caller.py
@@ -16,13 +16,13 @@
 from gevent import socket
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler
-from gevent.pywsgi import WSGIServer
 
 from laburnumswitch.connection.readable import is_readable
 from laburnumswitch.connection.reader import CallerClosed
 from laburnumswitch.connection.reader import CallerLimits
 from laburnumswitch.connection.reader import CallerRequest
 from laburnumswitch.connection.reader import SocketReader
+from laburnumswitch.connection.server import NoDelayServer
 from laburnumswitch.exceptions import CallerRefused
 
 OUTCOME_HEADER = "Laburnumswitch-Outcome"
@@ -176,7 +176,7 @@
             left_bytes -= len(block)
 
 
-class CallerServer(WSGIServer):
+class CallerServer(NoDelayServer):
     """The callers' port.
 
     ``busy`` counts requests whose answer has not been sent, ``held_bytes`` the bytes of their
--- a/laburnumswitch/process/admin.py
+++ b/laburnumswitch/process/admin.py
@@ -10,12 +10,13 @@
 from typing import NamedTuple
 from urllib.parse import parse_qs
 
-from gevent.pywsgi import WSGIServer
 from msgspec import DecodeError
 from msgspec import ValidationError
 from msgspec.json import decode
 from msgspec.json import encode
 
+from laburnumswitch.connection.server import NoDelayServer
+
 BODY_LIMIT_BYTES = 4 * 1024 * 1024
 JSON = "application/json"
 TEXT = "text/plain; charset=utf-8"
@@ -90,7 +91,7 @@
 
 def serve_admin(
     address: str, context: AdminContext, ssl_arguments: Mapping[str, Any] | None = None
-) -> WSGIServer:
+) -> NoDelayServer:
     """Return the server of the admin port, not yet started."""
 
     def application(
@@ -106,7 +107,7 @@
         return [reply.body]
 
     host, _, port = address.rpartition(":")
-    return WSGIServer((host, int(port)), application, log=None, **(ssl_arguments or {}))
+    return NoDelayServer((host, int(port)), application, log=None, **(ssl_arguments or {}))
 
 
 def _answer(environ: dict[str, Any], context: AdminContext) -> AdminReply:
--- a/standin/server.py
+++ b/standin/server.py
@@ -10,9 +10,10 @@
 
 from gevent import GreenletExit
 from gevent.pool import Pool
-from gevent.pywsgi import WSGIServer
 from msgspec.json import encode
 
+from laburnumswitch.connection.server import NoDelayServer
+
 HEADER_PREFIX = "HTTP_"
 
 
@@ -61,7 +62,7 @@
 NOT_FOUND = Reply(HTTPStatus.NOT_FOUND, b"not found", content_type="text/plain")
 
 
-def start_server(address: str, handle: Handler) -> WSGIServer:
+def start_server(address: str, handle: Handler) -> NoDelayServer:
     """Serve ``handle`` on ``address``, such as ``127.0.0.1:0``, and return the started server.
 
     Stopping the server with a timeout of 0 ends its connections at once.
@@ -79,14 +80,14 @@
         return _half(reply.body) if reply.truncated else [reply.body]
 
     spawn = Pool()
-    server = WSGIServer((host, int(port)), application, backlog=1024, spawn=spawn, log=None)
+    server = NoDelayServer((host, int(port)), application, backlog=1024, spawn=spawn, log=None)
     # The server would look its own name up in the name service otherwise.
     server.environ["SERVER_NAME"] = host
     server.start()
     return server
 
 
-def bound_address(server: WSGIServer) -> str:
+def bound_address(server: NoDelayServer) -> str:
     """Return the address that a started server listens on."""
     return f"{server.server_host}:{server.server_port}"
 
