Test the composition root: the whole path, a fresh entry in an outage, a graceful stop

Found by it: the metrics' collectors registered themselves in the library's process-wide registry, so that two daemons could not share a process; each now has its own registry. Replicas of services keep their leases while the table is down (services_outlive_store), so that routing goes on; batch tasks do not.

--- a/laburnumswitch/entry.py
+++ b/laburnumswitch/entry.py
@@ -349,6 +349,7 @@
             wall_clock=time,
             sleep=sleep,
             random=SystemRandom(),
+            services_outlive_store=True,
         )
 
     def _run_own_upstreams(self) -> None:
--- a/laburnumswitch/process/metrics.py
+++ b/laburnumswitch/process/metrics.py
@@ -34,8 +34,11 @@
 
     def __init__(self) -> None:
         self._registry = Registry()
-        self._events = Counter("laburnumswitch_events_total", "Events of the time line, by kind.")
-        self._registry.register(self._events)
+        self._events = Counter(
+            "laburnumswitch_events_total",
+            "Events of the time line, by kind.",
+            registry=self._registry,
+        )
         self._sampled: list[_Sampled] = []
         self.add_counter(
             "process_cpu_seconds_total", "Processor time of this process.", _processor_seconds
@@ -50,15 +53,17 @@
 
     def add_gauge(self, name: str, help_text: str, read: Callable[[], float]) -> None:
         """Register a value that may fall."""
-        self._add(Gauge(name, help_text), lambda: [Sample({}, read())])
+        gauge = Gauge(name, help_text, registry=self._registry)
+        self._sampled.append(_Sampled(gauge, lambda: [Sample({}, read())]))
 
     def add_counter(self, name: str, help_text: str, read: Callable[[], float]) -> None:
         """Register a value that only rises."""
-        self._add(Counter(name, help_text), lambda: [Sample({}, read())])
+        self.add_counters(name, help_text, lambda: [Sample({}, read())])
 
     def add_counters(self, name: str, help_text: str, read: Callable[[], Iterable[Sample]]) -> None:
         """Register a value that only rises, under several labels."""
-        self._add(Counter(name, help_text), read)
+        counter = Counter(name, help_text, registry=self._registry)
+        self._sampled.append(_Sampled(counter, read))
 
     def render(self, accept: str) -> tuple[bytes, str]:
         """Return the page and its content type."""
@@ -68,10 +73,6 @@
         content, headers = render(self._registry, [accept])
         return content, headers["Content-Type"]
 
-    def _add(self, collector: Counter | Gauge, read: Callable[[], Iterable[Sample]]) -> None:
-        self._registry.register(collector)
-        self._sampled.append(_Sampled(collector, read))
-
 
 def _processor_seconds() -> float:
     usage = getrusage(RUSAGE_SELF)
--- /dev/null
+++ b/tests/test_entry.py
@@ -0,0 +1,163 @@
+"""The whole path through two entries in one process, on real sockets to the stand-ins."""
+
+from collections.abc import Callable
+from tempfile import TemporaryDirectory
+
+from gevent import sleep
+from gevent import spawn
+from testtools import TestCase
+from testtools.matchers import Equals
+from testtools.matchers import IsInstance
+
+from laburnumswitch.connection.client import Client
+from laburnumswitch.connection.client import Response
+from laburnumswitch.declaration import Configuration
+from laburnumswitch.declaration import Job
+from laburnumswitch.declaration import Service
+from laburnumswitch.declaration import Team
+from laburnumswitch.entry import Daemon
+from laburnumswitch.process.keys import open_keys
+from laburnumswitch.process.objects import ObjectsClient
+from laburnumswitch.process.settings import Limits
+from laburnumswitch.process.settings import Platform as PlatformAddresses
+from laburnumswitch.process.settings import Settings
+from laburnumswitch.process.table import TableClient
+from laburnumswitch.process.vms import Vm
+from laburnumswitch.size import Size
+from laburnumswitch.version.publish import publish
+from laburnumswitch.version.publish import Published
+from laburnumswitch.version.publish import read_in_force
+from standin.platform import Platform
+from standin.records import RunEnded
+from standin.server import bound_address
+from standin.server import start_server
+from standin.table import MemoryTable
+from standin.vms import MemoryVms
+from standin.workers import Rack
+from standin.workers import RackSettings
+
+WAIT_LIMIT_S = 60.0
+POLL_S = 0.05
+HOST = "127.0.0.1"
+SMALL = Size(1000, 1000)
+DECLARED = Configuration(
+    services=(Service("orders", "shop", (HOST,), 2, SMALL, command=("orders",)),),
+    jobs=(Job("loading", "shop", ("loading",), SMALL, tasks=3, run_time_s=0.2),),
+    teams=(Team("shop", Size(64_000, 64_000)),),
+)
+
+
+class TestEntry(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.folder = TemporaryDirectory()
+        self.addCleanup(self.folder.cleanup)
+        self.keys_path = f"{self.folder.name}/keys"
+        with open(self.keys_path, "w", encoding="ascii") as keys:
+            keys.write("a-key-for-the-tests-only\n")
+        self.records = []
+        self.platform = Platform(MemoryTable(), MemoryVms())
+        self.platform_address = self.serve(self.platform.handle)
+        # The list of VMs is a service of its own, which outlives an outage of the store.
+        self.vms = MemoryVms()
+        self.vms_address = self.serve(Platform(MemoryTable(), self.vms).handle)
+        self.start_rack()
+        self.daemons = [self.start_daemon("entry-1"), self.start_daemon("entry-2")]
+
+    def serve(self, handle: Callable) -> str:
+        server = start_server("127.0.0.1:0", handle)
+        self.addCleanup(server.stop, timeout=0)
+        return bound_address(server)
+
+    def start_rack(self) -> None:
+        capacity = Size(8000, 16_000)
+        settings = RackSettings(
+            "rack-1", "127.0.0.1", "north", 1, 3, capacity, 1, 1.0, self.folder.name
+        )
+        rack = Rack(settings, self.records.append)
+        address = self.serve(rack.handle)
+        task = spawn(rack.run)
+        self.addCleanup(task.kill)
+        for worker_id in rack.by_worker:
+            vm = Vm(worker_id, "worker", address, "north", "live", "rack-1", capacity)
+            self.vms.put(vm)
+
+    def start_daemon(self, vm_id: str) -> Daemon:
+        settings = Settings(
+            vm_id,
+            "north",
+            "127.0.0.1:0",
+            "127.0.0.1:0",
+            PlatformAddresses(self.platform_address, self.platform_address, self.vms_address),
+            self.keys_path,
+            shard_count=2,
+            limits=Limits(ready_delay=0.0),
+        )
+        daemon = Daemon(settings, open_keys(self.keys_path))
+        daemon.start()
+        self.addCleanup(daemon.stop)
+        address = f"127.0.0.1:{daemon.admin_server.server_port}"
+        self.vms.put(Vm(vm_id, "entry", address, "north", "live"))
+        return daemon
+
+    def publish(self) -> None:
+        client = Client(self.platform_address)
+        table, objects = TableClient(client), ObjectsClient(client)
+        outcome = publish(table, objects, DECLARED, read_in_force(table, objects))
+        self.assertThat(outcome, IsInstance(Published))
+
+    def wait_until(self, what: str, condition: Callable[[], bool]) -> None:
+        waited_s = 0.0
+        while not condition():
+            sleep(POLL_S)
+            waited_s += POLL_S
+            self.assertThat((what, waited_s < WAIT_LIMIT_S), Equals((what, True)))
+
+    def order(self, daemon: Daemon, key: str) -> Response:
+        headers = {"Idempotency-Key": key}
+        client = Client(f"127.0.0.1:{daemon.caller_server.server_port}", lambda: headers)
+        self.addCleanup(client.close)
+        return client.call("POST", "/orders", b"{}", timeout_s=10.0)
+
+    def has_upstreams(self, daemon: Daemon) -> bool:
+        return len(daemon.directory.upstreams_of("orders")) == 2
+
+    def test_published_work_is_placed_run_and_answered(self):
+        unpublished = self.order(self.daemons[0], "key-0")
+        self.assertThat(unpublished.status, Equals(503))
+        self.publish()
+        for daemon in self.daemons:
+            self.wait_until("upstreams", lambda daemon=daemon: self.has_upstreams(daemon))
+        answers = [self.order(daemon, "key-1") for daemon in self.daemons]
+        self.assertThat([answer.status for answer in answers], Equals([201, 201]))
+        self.assertThat(answers[0].body, Equals(answers[1].body))
+        self.assertThat(dict(answers[1].headers)["Idempotency-Replayed"], Equals("true"))
+        self.wait_until("finished tasks", lambda: len(self.finished_tasks()) >= 3)
+        self.assertThat(len(set(self.finished_tasks())), Equals(len(self.finished_tasks())))
+
+    def finished_tasks(self) -> list[str]:
+        ends = [record for record in self.records if isinstance(record, RunEnded)]
+        return [end.task_id for end in ends if end.kind == "finished"]
+
+    def test_fresh_entry_serves_from_its_peers_during_a_store_outage(self):
+        self.publish()
+        self.wait_until("upstreams", lambda: self.has_upstreams(self.daemons[0]))
+        self.platform.table.down = True
+        fresh = self.start_daemon("entry-3")
+        self.wait_until("peers' upstreams", lambda: self.has_upstreams(fresh))
+        self.wait_until("peers' configuration", lambda: fresh.unready_reason() == "")
+        reader = Client(f"127.0.0.1:{fresh.caller_server.server_port}")
+        self.addCleanup(reader.close)
+        self.assertThat(reader.call("GET", "/orders/1", timeout_s=10.0).status, Equals(200))
+        self.assertThat(self.order(fresh, "key-during-outage").status, Equals(503))
+        self.platform.table.down = False
+
+    def test_stopping_entry_is_not_ready_and_gives_up_its_shards(self):
+        self.publish()
+        first, second = self.daemons
+        self.wait_until("shards", lambda: len(first.shard_hints() + second.shard_hints()) == 2)
+        first.leaving.set()
+        self.assertThat(first.unready_reason(), Equals("stopping"))
+        first.stop()
+        self.wait_until("takeover", lambda: len(second.shard_hints()) == 2)
+        self.assertThat(first.shard_hints(), Equals(()))
