Tell what changed since the version an operator compared with

--expect refused another version without saying what had changed. The row remembers the names of the last 16 versions, so the difference can be shown. Every example of the help texts and of these pages is run by a test.

--- a/laburnumswitch/version/publish.py
+++ b/laburnumswitch/version/publish.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 from typing import NamedTuple
+from typing import NotRequired
 from typing import TypedDict
 
 from gevent import sleep as gevent_sleep
@@ -34,15 +35,24 @@
 from laburnumswitch.version.document import object_name
 
 CONFIGURATION_KEY = "configuration"
+PREVIOUS_VERSIONS = 16
+
+
+class VersionName(TypedDict):
+    """What names one version of the configuration."""
+
+    version: int
+    digest: str
 
 
 class ConfigurationRow(TypedDict):
-    """Value of the row ``configuration``."""
+    """Value of the row ``configuration``; ``previous`` has the last versions, newest first."""
 
     format: int
     version: int
     digest: str
     object: str
+    previous: NotRequired[list[VersionName]]
 
 
 class InForce(NamedTuple):
@@ -92,12 +102,29 @@
         return InForce(row, NO_CONFIGURATION)
     if isinstance(pointer, RowMalformed):
         return pointer
-    configuration = _fetch(objects, pointer)
+    configuration = _fetch(objects, pointer["version"], pointer["digest"])
     if isinstance(configuration, Failure):
         return configuration
     return InForce(row, configuration)
 
 
+def read_previous(
+    objects: Objects, in_force: InForce, version: int
+) -> Configuration | Unavailable | DocumentBroken:
+    """Return an earlier version, of which the last ``PREVIOUS_VERSIONS`` are remembered."""
+    if version == NO_CONFIGURATION.version:
+        return NO_CONFIGURATION
+    for name in _previous(in_force):
+        if name["version"] == version:
+            return _fetch(objects, version, name["digest"])
+    return DocumentBroken(version, "this version is not remembered")
+
+
+def describe_change(expected: Configuration, now: Configuration) -> ConfigurationChanged:
+    """Return the failure that tells an operator what somebody else published meanwhile."""
+    return ConfigurationChanged(expected.version, now.version, difference(expected, now))
+
+
 def publish(
     table: Table,
     objects: Objects,
@@ -115,7 +142,7 @@
     if not difference(now.configuration, declared):
         return Unchanged(now.configuration)
     if now.row.version != expected.row.version:
-        return _changed(expected, now)
+        return describe_change(expected.configuration, now.configuration)
     return _commit(table, objects, declared, expected, sleep)
 
 
@@ -133,7 +160,9 @@
     stored = objects.put(name, document)
     if isinstance(stored, Failure):
         return stored
-    pointer = ConfigurationRow(format=FORMAT, version=version, digest=digest, object=name)
+    pointer = ConfigurationRow(
+        format=FORMAT, version=version, digest=digest, object=name, previous=_previous(expected)
+    )
     value: dict[str, Any] = {**(expected.row.value or {}), **pointer}
     outcome = write_row(table, CONFIGURATION_KEY, expected.row.version, value, sleep)
     if isinstance(outcome, Conflict):
@@ -154,23 +183,24 @@
         return now
     if not difference(now.configuration, declared):
         return Unchanged(now.configuration)
-    return _changed(expected, now)
+    return describe_change(expected.configuration, now.configuration)
 
 
-def _changed(expected: InForce, now: InForce) -> ConfigurationChanged:
-    return ConfigurationChanged(
-        expected.configuration.version,
-        now.configuration.version,
-        difference(expected.configuration, now.configuration),
-    )
+def _previous(in_force: InForce) -> list[VersionName]:
+    """Return the names of the version in force and of those before it, newest first."""
+    pointer = read_pointer(in_force.row)
+    if pointer is None or isinstance(pointer, RowMalformed):
+        return []
+    newest = VersionName(version=pointer["version"], digest=pointer["digest"])
+    return [newest, *pointer.get("previous", ())][:PREVIOUS_VERSIONS]
 
 
 def _fetch(
-    objects: Objects, pointer: ConfigurationRow
+    objects: Objects, version: int, digest: str
 ) -> Configuration | Unavailable | DocumentBroken:
-    content = objects.get(pointer["object"])
+    content = objects.get(object_name(version, digest))
     if isinstance(content, NotFound):
-        return DocumentBroken(pointer["version"], f"{content.name} is missing")
+        return DocumentBroken(version, f"{content.name} is missing")
     if isinstance(content, Unavailable):
         return content
-    return decode_document(content, pointer["version"], pointer["digest"])
+    return decode_document(content, version, digest)
--- a/laburnumswitch/version/reading.py
+++ b/laburnumswitch/version/reading.py
@@ -3,6 +3,7 @@
 import os
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Iterator
 from typing import Any
 from typing import NamedTuple
 
@@ -92,19 +93,20 @@
 
 
 def _collect(paths: Iterable[str]) -> list[str]:
-    files = set()
+    """Return the files to read; one that is reached by two paths is read once."""
+    by_real_path: dict[str, str] = {}
     for path in paths:
-        if not os.path.isdir(path):
-            files.add(os.path.normpath(path))
-            continue
-        for folder, below, names in os.walk(path):
-            below[:] = [name for name in below if not name.startswith(".")]
-            files.update(
-                os.path.normpath(os.path.join(folder, name))
-                for name in names
-                if name == FILE_NAME or name.endswith(f".{FILE_NAME}")
-            )
-    return sorted(files)
+        for found in _files_below(path) if os.path.isdir(path) else (path,):
+            by_real_path.setdefault(os.path.realpath(found), os.path.normpath(found))
+    return sorted(by_real_path.values())
+
+
+def _files_below(path: str) -> Iterator[str]:
+    for folder, below, names in os.walk(path):
+        below[:] = [name for name in below if not name.startswith(".")]
+        for name in names:
+            if name == FILE_NAME or name.endswith(f".{FILE_NAME}"):
+                yield os.path.join(folder, name)
 
 
 def _read_document(document: YamlDocument) -> Declared | ProblemsFound:
--- /dev/null
+++ b/tests/command/test_help.py
@@ -0,0 +1,79 @@
+"""Every example in the help texts and the operators' pages is a command that works."""
+
+import re
+import shlex
+from contextlib import chdir
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from testtools.matchers import Equals
+from testtools.matchers import GreaterThan
+
+from laburnumswitch.command import main
+from laburnumswitch.process.table import Put
+from laburnumswitch.process.table import Transaction
+from tests.command.case import CommandCase
+from tests.command.test_declarations import JOB
+from tests.command.test_declarations import TEAM
+
+PAGES = Path(__file__).parents[2] / "docs" / "operators"
+EXAMPLE = re.compile(r"^ *laburnumswitch (.*)$", re.MULTILINE)
+SETTINGS = """\
+vm_id: e1
+availability_zone: az-1
+caller_address: 10.0.0.7:8080
+admin_address: 10.0.0.7:8300
+platform: {table: 10.0.0.2:7000, objects: 10.0.0.2:7000, vms: 10.0.0.2:7000}
+key_file: keys
+"""
+
+
+class TestHelp(CommandCase):
+    def setUp(self):
+        super().setUp()
+        zones = [{"zone": "az-2", "state": "out", "running": 0}]
+        entry = self.entry(
+            "10.0.0.7:8300", status=[], zones=zones, jobs=[], workers=[], timeline=[]
+        )
+        entry.answers["/operator/jobs/truck-loading"] = [{"job": "truck-loading"}]
+        self.table.commit(Transaction((), (Put("job/truck-loading", {}),)))
+        self.on_sleep = self._interrupt
+
+    def test_examples_of_every_command(self):
+        with TemporaryDirectory() as working_folder, chdir(working_folder):
+            folder = Path("services/orders")
+            folder.mkdir(parents=True)
+            (folder / "laburnumswitch.yaml").write_text(f"{TEAM}---\n{JOB}", "utf-8")
+            Path("settings.yaml").write_text(SETTINGS, "utf-8")
+            Path("keys").write_text("key-0123456789abcdef\n", "utf-8")
+            for path in _command_paths():
+                _, text, _ = self.run_command(*path, "--help")
+                examples = EXAMPLE.findall(text)
+                self.assertThat(len(examples), GreaterThan(0), path)
+                self._run_examples(examples)
+            for page in PAGES.glob("*.md"):
+                self._run_examples(EXAMPLE.findall(page.read_text("utf-8")))
+
+    def _run_examples(self, examples):
+        for example in examples:
+            code, _, errors = self.run_command(*shlex.split(example.split(" > ")[0]))
+            if "--follow" in example:
+                expected = 1
+            elif "--expect" in example:
+                expected = 3
+            elif example.startswith("entry"):
+                expected = 1
+            else:
+                expected = 0
+            self.assertThat(
+                (example, code, errors if code != expected else ""), Equals((example, expected, ""))
+            )
+
+    def _interrupt(self, _):
+        raise KeyboardInterrupt
+
+
+def _command_paths():
+    for name, command in main.commands.items():
+        below = getattr(command, "commands", None)
+        yield from ((name, part) for part in below) if below else ((name,),)
--- a/tests/version/test_publish.py
+++ b/tests/version/test_publish.py
@@ -2,9 +2,11 @@
 
 from itertools import permutations
 
+from gevent import GreenletExit
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies
+from testtools import ExpectedException
 from testtools import TestCase
 from testtools.matchers import Equals
 from testtools.matchers import IsInstance
@@ -26,6 +28,7 @@
 from laburnumswitch.version.adoption import Adopted
 from laburnumswitch.version.adoption import ConfigurationHint
 from laburnumswitch.version.adoption import NO_HINT
+from laburnumswitch.version.adoption import run_adoption
 from laburnumswitch.version.document import decode_document
 from laburnumswitch.version.document import difference
 from laburnumswitch.version.document import digest_of
@@ -143,6 +146,39 @@
         self.assertThat((row.value["later"], row.value["version"]), Equals((7, 2)))
 
 
+class TestPublishersInAnyOrder(TestCase):
+    @settings(derandomize=True, deadline=None, max_examples=200)
+    @given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.integers(0, 1),
+                strategies.sampled_from("xyz"),
+                strategies.booleans(),
+                strategies.integers(0, 2),
+            ),
+            max_size=8,
+        )
+    )
+    def test_each_version_is_one_publication_and_no_other_outcome_changes_anything(self, steps):
+        table, objects = MemoryTable(), MemoryObjects()
+        seen = [read_in_force(table, objects)] * 2
+        for publisher, name, compares, table.lose_answers in steps:
+            before = read_in_force(table, objects)
+            if compares:
+                seen[publisher] = before
+            outcome = publish(table, objects, declare(name), seen[publisher], no_sleep)
+            table.lose_answers = 0
+            after = read_in_force(table, objects)
+            if isinstance(outcome, Published):
+                expected = (before.configuration.version + 1, declare(name).jobs)
+                now = (after.configuration.version, after.configuration.jobs)
+                self.assertThat(now, Equals(expected))
+                self.assertThat(before.row, Equals(seen[publisher].row))
+            else:
+                self.assertThat(outcome, IsInstance(Unchanged | ConfigurationChanged))
+                self.assertThat(after, Equals(before))
+
+
 class TestDocument(TestCase):
     def test_document_is_canonical_and_reads_back(self):
         document = encode_document(declare("x", "y")._replace(version=3))
@@ -225,6 +261,24 @@
         self.publish(declare("z"))
         self.assertThat(self.adopt_once(), Equals(7))
 
+    def test_loop_goes_on_through_an_outage(self):
+        self.publish(declare("x"))
+        self.table.down = True
+        versions = []
+
+        def sleep(_):
+            versions.append(self.adopted.configuration.version)
+            self.table.down = False
+            if len(versions) == 2:
+                raise GreenletExit
+
+        peer = Unavailable("no peer")
+        with ExpectedException(GreenletExit):
+            run_adoption(
+                self.adopted, self.table, self.objects, lambda: NO_HINT, lambda *_: peer, sleep
+            )
+        self.assertThat(versions, Equals([0, 1]))
+
     def test_peer_serves_a_document_that_the_store_lost(self):
         self.publish(declare("x"))
         (document,) = self.objects.by_name.values()
--- a/tests/version/test_reading.py
+++ b/tests/version/test_reading.py
@@ -132,6 +132,10 @@
             ),
         )
 
+    def test_references_to_a_file_with_problems_are_not_judged(self):
+        found = problems(TEAM.replace("100", "0"), JOB)
+        self.assertThat(found, Equals([(InvalidValue, "0.yaml", 3, 14, "quota.cpu")]))
+
     def test_cycle_of_jobs_is_named_once(self):
         first = JOB + "after: [b]\n"
         second = JOB.replace("loading", "b") + "after: [c]\n"
@@ -176,6 +180,8 @@
 
     def test_deep_nesting_is_refused(self):
         self.assertThat(problems("[" * 60_000)[0][0], Equals(NotYaml))
+        found = problems("[" * 40 + "]" * 40)
+        self.assertThat(found, Equals([(NotYaml, "0.yaml", 1, 13, "")]))
 
     def test_large_file_is_refused(self):
         self.assertThat(read("#" * 70_000).describe(), Contains("larger than 65536 bytes"))
