--- a/laburnumswitch/exceptions.py
+++ b/laburnumswitch/exceptions.py
@@ -10,6 +10,10 @@
 from laburnumswitch.change import Change
 
 
+def _did_you_mean(near: str) -> str:
+    return f", did you mean {near!r}?" if near else ""
+
+
 @dataclass(frozen=True)
 class Failure:
     """Root of all failures."""
@@ -305,5 +309,132 @@
         return f"{self.tag}: no VM is listed in {self.zone!r}{_did_you_mean(self.near)}"
 
 
-def _did_you_mean(near: str) -> str:
-    return f", did you mean {near!r}?" if near else ""
+@dataclass(frozen=True)
+class CallerRefused(Failure):
+    """A caller's bytes are not a request that the callers' port takes; nothing was run."""
+
+    status: int
+    reason: str
+
+
+@dataclass(frozen=True)
+class ConnectionLimit(Failure):
+    """All connections that this process may have to a worker are in use; no byte was sent."""
+
+    worker_id: str
+
+
+@dataclass(frozen=True)
+class FirstByteLate(Failure):
+    """At least one byte was sent and not one byte of an answer came within a limit."""
+
+    address: str
+    pooled: bool
+
+
+@dataclass(frozen=True)
+class NotRun(Failure):
+    """A request was given up before any byte of it reached an upstream."""
+
+    reason: str
+    retry_after_s: int = 1
+
+
+@dataclass(frozen=True)
+class RunUnknown(Failure):
+    """A request reached an upstream, and whether it ran is not known."""
+
+    reason: str
+    timed_out: bool = False
+
+
+@dataclass(frozen=True)
+class ClaimInProgress(Failure):
+    """Another attempt under the same key has not ended yet."""
+
+    retry_after_s: int = 1
+
+
+@dataclass(frozen=True)
+class KeyReused(Failure):
+    """A key came again with a request that differs from its first one; nothing was run."""
+
+
+@dataclass(frozen=True)
+class AnswerNotKept(Failure):
+    """A request under this key was answered, and its answer was too large or too old to keep."""
+
+
+@dataclass(frozen=True)
+class LedgerConflict(Failure):
+    """A record does not agree with the ledger that it is to be applied to."""
+
+    record: str
+    reason: str
+
+
+@dataclass(frozen=True)
+class FormatUnknown(Failure):
+    """A row or object has a format above the highest that this version reads."""
+
+    name: str
+    format: int
+
+
+@dataclass(frozen=True)
+class OwnershipLost(Failure):
+    """Another entry took the shard over."""
+
+    shard: int
+    owner: str
+    epoch: int
+
+
+@dataclass(frozen=True)
+class JournalBroken(Failure):
+    """A journal row or snapshot that the head names cannot be read."""
+
+    name: str
+    reason: str
+
+
+@dataclass(frozen=True)
+class JobTooLarge(Failure):
+    """No worker, even an empty one, can hold one task of the job."""
+
+    job: str
+    size: tuple[int, ...]
+    largest: tuple[int, ...]
+
+
+@dataclass(frozen=True)
+class QuotaTooSmall(Failure):
+    """The team's whole quota cannot hold one task of the job."""
+
+    job: str
+    team: str
+    quota: tuple[int, ...]
+
+
+@dataclass(frozen=True)
+class ScheduleInvalid(Failure):
+    """A job's cron expression or time zone cannot be read."""
+
+    job: str
+    reason: str
+
+
+@dataclass(frozen=True)
+class DependencyPending(Failure):
+    """A job that this one runs after has not finished."""
+
+    job: str
+    dependency: str
+    state: str
+
+
+@dataclass(frozen=True)
+class ReportUnreadable(Failure):
+    """An upstream's report of its state doesn't say what its service declares."""
+
+    reason: str
--- a/laburnumswitch/process/workers.py
+++ b/laburnumswitch/process/workers.py
@@ -154,3 +154,7 @@
         if isinstance(answer, Failure):
             return Unavailable(answer.describe())
         return answer.by_worker
+
+    def control_bytes(self) -> int:
+        """Return the bytes sent to and received from the workers so far."""
+        return sum(client.control_bytes() for client in self._by_address.values())
