Follow what the entries serve: job rows, gathered events, workers' runs

A cancellation written straight to the table set a field that the job's row counts tasks in, so that entries could not read the row any more: it now uses the entries' own cancellation.

--- a/laburnumswitch/command/jobs.py
+++ b/laburnumswitch/command/jobs.py
@@ -8,6 +8,7 @@
 from laburnumswitch.command.access import Access
 from laburnumswitch.command.access import json_option
 from laburnumswitch.command.access import read_target
+from laburnumswitch.command.access import Target
 from laburnumswitch.command.access import target_options
 from laburnumswitch.command.operator_link import ask_any
 from laburnumswitch.command.operator_link import ask_or_read
@@ -17,17 +18,15 @@
 from laburnumswitch.exceptions import Conflict
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.exceptions import NotFound
-from laburnumswitch.exceptions import RowMalformed
-from laburnumswitch.process.conditional import write_row
+from laburnumswitch.exceptions import OutcomeUnknown
+from laburnumswitch.exceptions import Throttled
+from laburnumswitch.exceptions import Unavailable
+from laburnumswitch.process.job_row import cancel_jobs_by_id
 from laburnumswitch.process.settings import Platform
-from laburnumswitch.process.table import ABSENT_VERSION
-from laburnumswitch.process.table import Row
-from laburnumswitch.process.table import scan_all
-from laburnumswitch.process.table import Table
+from laburnumswitch.process.views import view_jobs
 
-PREFIX = "job/"
 CANCEL_ATTEMPTS = 10
-CANCELLED_FIELD = "cancelled"
+RETRY_DELAY_S = 0.3
 
 
 @click.command()
@@ -44,7 +43,7 @@
     """
     target = read_target(**options)
     target.need_any()
-    rows = ask_or_read(access, target, "/operator/jobs", _list_rows)
+    rows = ask_or_read(access, target, "/operator/jobs", _list_jobs)
     if isinstance(rows, Failure):
         fail(rows, as_json)
     print_rows(rows, as_json)
@@ -65,15 +64,12 @@
 
     \b
     Example:
-      laburnumswitch job show truck-loading --entry 10.0.0.7:8300 --key-file keys
+      laburnumswitch job show truck-loading@20261203T173000Z --entry 10.0.0.7:8300 --key-file keys
     """
     target = read_target(**options)
     target.need_any()
 
-    def read_row(access: Access, platform: Platform) -> Rows | Failure:
-        return _show_row(access.open_table(platform.table), job_id)
-
-    rows = ask_or_read(access, target, f"/operator/jobs/{quote(job_id, safe='')}", read_row)
+    rows = _find_job(access, target, job_id)
     if isinstance(rows, Failure):
         fail(rows, as_json)
     if as_json or len(rows) != 1:
@@ -90,66 +86,55 @@
 def job_cancel(access: Access, job_id: str, as_json: bool, **options: Any) -> None:
     """Cancel the job ID: its tasks that wait never start, those that run are stopped.
 
-    Repeating it is safe. With --platform it writes to the table, else it asks an entry.
+    Repeating it is safe, and a job that has ended is left as it is. With --platform it writes to
+    the table, else it asks an entry.
 
     \b
     Example:
-      laburnumswitch job cancel truck-loading --platform 10.0.0.2:7000
+      laburnumswitch job cancel truck-loading@20261203T173000Z --platform 10.0.0.2:7000
     """
     target = read_target(**options)
     target.need_any()
-    outcome: object
     if target.platform is not None:
-        outcome = cancel(access.open_table(target.platform.table), job_id, access)
+        outcome = _cancel_on_platform(access, target.platform, job_id)
     else:
         path = f"/operator/jobs/{quote(job_id, safe='')}/cancel"
         outcome = ask_any(access, target, "POST", path)
     if isinstance(outcome, Failure):
         fail(outcome, as_json)
-    print_rows([{"job": job_id, CANCELLED_FIELD: True}], as_json)
+    rows = _find_job(access, target, job_id)
+    state = rows[0].get("state", "") if isinstance(rows, tuple) and rows else ""
+    print_rows([{"job_id": job_id, "state": state}], as_json)
+
 
+def _cancel_on_platform(access: Access, platform: Platform, job_id: str) -> object | Failure:
+    """Cancel until an answer settles it; entries that change the row meanwhile are no conflict.
 
-def cancel(table: Table, job_id: str, access: Access) -> None | Failure:
-    """Set ``cancelled`` in a job's row; entries that change the row meanwhile are no conflict."""
-    key = PREFIX + job_id
-    outcome: object = None
+    :return: ``OutcomeUnknown`` where an answer was lost and none after it settled what happened.
+    """
+    table = access.open_table(platform.table)
+    lost: OutcomeUnknown | None = None
     for _ in range(CANCEL_ATTEMPTS):
-        rows = table.read((key,))
+        outcome = cancel_jobs_by_id(table, (job_id,), access.clock())
+        if not isinstance(outcome, Conflict | OutcomeUnknown | Throttled):
+            return lost if lost and isinstance(outcome, Unavailable) else outcome
+        if isinstance(outcome, OutcomeUnknown):
+            lost = outcome
+        access.sleep(RETRY_DELAY_S)
+    return lost or outcome
+
+
+def _find_job(access: Access, target: Target, job_id: str) -> Rows | Failure:
+    def read_row(access: Access, platform: Platform) -> Rows | Failure:
+        rows = _list_jobs(access, platform)
         if isinstance(rows, Failure):
             return rows
-        row = rows[key]
-        if row.version == ABSENT_VERSION:
-            return NotFound(key)
-        if not isinstance(row.value, dict):
-            return RowMalformed(key, "expected a mapping")
-        if row.value.get(CANCELLED_FIELD) is True:
-            return None
-        value = {**row.value, CANCELLED_FIELD: True}
-        outcome = write_row(table, key, row.version, value, access.sleep)
-        if not isinstance(outcome, Conflict):
-            break
-    return outcome if isinstance(outcome, Failure) else None
-
-
-def _list_rows(access: Access, platform: Platform) -> Rows | Failure:
-    rows = scan_all(access.open_table(platform.table), PREFIX)
-    if isinstance(rows, Failure):
-        return rows
-    return tuple(_scalars(row) for row in rows)
+        found = tuple(row for row in rows if row["job_id"] == job_id)
+        return found or NotFound(job_id)
 
-
-def _show_row(table: Table, job_id: str) -> Rows | Failure:
-    key = PREFIX + job_id
-    rows = table.read((key,))
-    if isinstance(rows, Failure):
-        return rows
-    row = rows[key]
-    if row.version == ABSENT_VERSION:
-        return NotFound(key)
-    return ({"job": job_id, **(row.value if isinstance(row.value, dict) else {})},)
+    return ask_or_read(access, target, f"/operator/jobs/{quote(job_id, safe='')}", read_row)
 
 
-def _scalars(row: Row) -> dict[str, Any]:
-    fields = row.value if isinstance(row.value, dict) else {}
-    cells = {name: value for name, value in fields.items() if not isinstance(value, dict | list)}
-    return {"job": row.key.removeprefix(PREFIX), **cells}
+def _list_jobs(access: Access, platform: Platform) -> Rows | Failure:
+    views = view_jobs(access.open_table(platform.table))
+    return views if isinstance(views, Failure) else tuple(view._asdict() for view in views)
--- a/laburnumswitch/command/status.py
+++ b/laburnumswitch/command/status.py
@@ -1,6 +1,10 @@
 """``status`` and ``workers``: what the entries know."""
 
+from typing import Any
+
 import click
+from msgspec import convert
+from msgspec import ValidationError
 
 from laburnumswitch.command.access import Access
 from laburnumswitch.command.access import json_option
@@ -10,13 +14,18 @@
 from laburnumswitch.command.output import fail
 from laburnumswitch.command.output import print_rows
 from laburnumswitch.exceptions import Failure
+from laburnumswitch.size import Size
+from laburnumswitch.units import MILLIS_PER_CORE
+
+MB_PER_GB = 1_000
+SIZE_COLUMNS = ("capacity", "committed")
 
 
 @click.command()
 @target_options
 @json_option
 @click.pass_obj
-def status(access: Access, as_json: bool, **options: str) -> None:
+def status(access: Access, as_json: bool, **options: Any) -> None:
     """Show the entries: zone, configuration in force, shards, live peers.
 
     \b
@@ -31,7 +40,7 @@
 @target_options
 @json_option
 @click.pass_obj
-def workers(access: Access, as_json: bool, **options: str) -> None:
+def workers(access: Access, as_json: bool, **options: Any) -> None:
     """Show the workers: rack, capacity, what is committed, quarantine.
 
     \b
@@ -42,11 +51,26 @@
     _print_list(access, "/operator/workers", as_json, options)
 
 
-def _print_list(access: Access, path: str, as_json: bool, options: dict[str, str]) -> None:
+def _print_list(access: Access, path: str, as_json: bool, options: dict[str, Any]) -> None:
     target = read_target(**options)
     if not target.entries:
         raise click.UsageError("needs --entry ADDRESS or --settings FILE")
     answer = ask_any(access, target, "GET", path)
     if isinstance(answer, Failure):
         fail(answer, as_json)
-    print_rows(answer.rows, as_json)
+    rows = answer.rows if as_json else [_readable(row) for row in answer.rows]
+    print_rows(rows, as_json)
+
+
+def _readable(row: dict[str, Any]) -> dict[str, Any]:
+    """Return a row with its sizes as text."""
+    return {name: _size(value) if name in SIZE_COLUMNS else value for name, value in row.items()}
+
+
+def _size(value: object) -> object:
+    try:
+        size = convert(value, Size)
+    except ValidationError:
+        return value
+    text = f"{size.cpu_millis / MILLIS_PER_CORE:g} cores, {size.memory_mb / MB_PER_GB:g} GB"
+    return f"{text}, {size.accelerators} accelerators" if size.accelerators else text
--- a/laburnumswitch/command/timeline.py
+++ b/laburnumswitch/command/timeline.py
@@ -1,10 +1,12 @@
 """``timeline``: the events of all entries, cause before effect."""
 
+from collections import deque
 from collections.abc import Iterable
 from typing import Any
 from typing import NamedTuple
 
 import click
+from msgspec.json import encode
 
 from laburnumswitch.command.access import Access
 from laburnumswitch.command.access import json_option
@@ -12,17 +14,15 @@
 from laburnumswitch.command.access import Target
 from laburnumswitch.command.access import target_options
 from laburnumswitch.command.operator_link import ask_any
-from laburnumswitch.command.operator_link import ask_one
-from laburnumswitch.command.operator_link import EntryAnswer
 from laburnumswitch.command.output import fail
 from laburnumswitch.command.output import print_json
 from laburnumswitch.command.output import print_rows
 from laburnumswitch.command.output import warn
 from laburnumswitch.command.zones import parse_seconds
 from laburnumswitch.exceptions import Failure
-from laburnumswitch.exceptions import Unavailable
 
 FOLLOW_INTERVAL_S = 1.0
+OVERLAP_READS = 10
 
 Event = dict[str, Any]
 
@@ -60,7 +60,8 @@
 ) -> None:
     """Merge the events of all entries, in an order that has causes before effects.
 
-    Asks every entry given and every entry that the first one knows. --json prints one event a line.
+    The entries given are tried in turn; the one that answers gathers the events of all that it
+    hears. --json prints one event a line.
 
     \b
     Examples:
@@ -73,12 +74,14 @@
         raise click.UsageError("needs --entry ADDRESS or --settings FILE")
     since_s = access.clock() - parse_seconds(since) if since else 0.0
     filters = Filters(job, worker, zone, request, since_s)
-    after_by_address = dict.fromkeys(_addresses(access, target), 0)
+    reader = _Reader(access, target)
     while True:
-        events = _collect(access, target, after_by_address)
-        if isinstance(events, Failure) and not follow:
-            fail(events, as_json)
-        if not isinstance(events, Failure):
+        events = reader.read()
+        if isinstance(events, Failure):
+            if not follow:
+                fail(events, as_json)
+            warn(events)
+        else:
             _print_events([event for event in events if matches(event, filters)], as_json, follow)
         if not follow:
             return
@@ -106,35 +109,49 @@
         return True
     subject = str(event.get("subject", ""))
     if kind == "job":
-        # A task is named after its job, and a run after its task.
-        return subject == name or subject.startswith((f"{name}.", f"{name}/"))
+        return name in _names_of_job(subject)
     return subject == name
 
 
-def _addresses(access: Access, target: Target) -> tuple[str, ...]:
-    answer = ask_any(access, target, "GET", "/operator/status")
-    rows = answer.rows if isinstance(answer, EntryAnswer) else ()
-    known = [row["address"] for row in rows if isinstance(row.get("address"), str)]
-    return tuple(dict.fromkeys((*target.entries, *known)))
+def _names_of_job(subject: str) -> tuple[str, str]:
+    """Return the id and the declared name of the job that a task, run or job belongs to."""
+    job_id = subject.partition(":")[0]
+    return job_id, job_id.partition("@")[0]
 
 
-def _collect(
-    access: Access, target: Target, after_by_address: dict[str, int]
-) -> list[Event] | Failure:
-    """Return the new events of all entries in order, and remember how far each was read."""
-    events: list[Event] = []
-    answered = False
-    for address, after in after_by_address.items():
-        answer = ask_one(access, target, address, "GET", f"/operator/timeline?after={after}")
+class _Reader:
+    """Reads the events of all entries, each once.
+
+    An entry may record an event with a clock below the highest one seen, though not one from
+    before the last few heartbeats. So each read begins at what was highest ``OVERLAP_READS`` ago.
+    """
+
+    def __init__(self, access: Access, target: Target) -> None:
+        self._access = access
+        self._target = target
+        self._highest: deque[int] = deque([0], maxlen=OVERLAP_READS)
+        self._clock_by_key: dict[str, int] = {}
+
+    def read(self) -> list[Event] | Failure:
+        """Return the events that are new since the last read, causes before effects."""
+        after = self._highest[0]
+        answer = ask_any(self._access, self._target, "GET", f"/operator/timeline?after={after}")
         if isinstance(answer, Failure):
-            warn(answer)
-            continue
-        answered = True
-        events.extend(answer.rows)
-        after_by_address[address] = max([after, *map(_clock, answer.rows)])
-    if not answered:
-        return Unavailable("no entry answered")
-    return sorted(events, key=_order)
+            return answer
+        found = {_key(event): event for event in answer.rows}
+        new = [event for key, event in found.items() if key not in self._clock_by_key]
+        self._clock_by_key.update({_key(event): _clock(event) for event in new})
+        self._highest.append(max([self._highest[-1], *map(_clock, new)]))
+        self._forget(self._highest[0])
+        return sorted(new, key=_order)
+
+    def _forget(self, after: int) -> None:
+        kept = {key: clock for key, clock in self._clock_by_key.items() if clock > after}
+        self._clock_by_key = kept
+
+
+def _key(event: Event) -> str:
+    return encode(event, order="sorted").decode()
 
 
 def _print_events(events: Iterable[Event], as_json: bool, follow: bool) -> None:
--- a/laburnumswitch/command/zones.py
+++ b/laburnumswitch/command/zones.py
@@ -32,6 +32,7 @@
 from laburnumswitch.yamlfields import nearest
 
 WAIT_INTERVAL_S = 1.0
+EMPTY_READS = 3
 
 
 @click.command()
@@ -78,6 +79,8 @@
 ) -> None:
     """Take the zone NAME out of service: no task starts there any more.
 
+    --wait ends when every worker listed in the zone is reported on and runs nothing.
+
     While the platform's table is down nothing changes and the exit code is 4; no task can start in
     any zone meanwhile. Repeat the command when the table is back.
 
@@ -185,27 +188,41 @@
 
 
 def _wait_until_empty(access: Access, target: Target, name: str, limit_s: float) -> Failure | None:
+    """Wait until a zone is seen empty ``EMPTY_READS`` times in a row.
+
+    A start that was committed just before the zone was taken out may reach the shard owner's view
+    a little later, so one read is not enough.
+    """
     give_up_s = access.clock() + limit_s
+    empty_reads = 0
     while True:
-        running = _running_in(access, target, name)
-        if running == 0:
+        busy = _find_busy(access, target, name)
+        empty_reads = empty_reads + 1 if busy is None else 0
+        if empty_reads == EMPTY_READS:
             return None
-        if access.clock() >= give_up_s:
-            return running if isinstance(running, Failure) else ZoneStillBusy(name, running)
+        if busy is not None and access.clock() >= give_up_s:
+            return busy
         access.sleep(WAIT_INTERVAL_S)
 
 
-def _running_in(access: Access, target: Target, name: str) -> int | Failure:
-    """Return the number of tasks that run in a zone, by the first entry that knows it as out."""
-    answer = ask_any(access, target, "GET", "/operator/zones")
+def _find_busy(access: Access, target: Target, name: str) -> Failure | None:
+    """Return what is known to run in a zone, or that some worker there is not reported on."""
+    vms = _live_vms(access, target.need_platform())
+    if isinstance(vms, Failure):
+        return vms
+    answer = ask_any(access, target, "GET", "/operator/workers")
     if isinstance(answer, Failure):
         return answer
-    for row in answer.rows:
-        if row.get("zone") == name and row.get("state") == "out":
-            running = row.get("running")
-            if isinstance(running, int):
-                return running
-    return AnswerMalformed(answer.address, f"no count of running tasks in {name}, taken out")
+    rows = [row for row in answer.rows if row.get("availability_zone") == name]
+    reported = {row.get("worker_id") for row in rows}
+    listed = {vm.vm_id for vm in vms if vm.availability_zone == name and vm.role == "worker"}
+    runs = [row.get("runs") for row in rows]
+    if not all(isinstance(number, int) for number in runs):
+        return AnswerMalformed(answer.address, "a worker without a number of runs")
+    unreported = len(listed - reported)
+    if sum(runs) or unreported:
+        return ZoneStillBusy(name, sum(runs), unreported)
+    return None
 
 
 def _print_zone(found: ZoneState, as_json: bool) -> None:
--- a/laburnumswitch/exceptions.py
+++ b/laburnumswitch/exceptions.py
@@ -291,10 +291,11 @@
 
 @dataclass(frozen=True)
 class ZoneStillBusy(Failure):
-    """Tasks were still running in a zone when the wait for its end was over."""
+    """Tasks run in a zone, or no entry reports on some worker that is listed there."""
 
     zone: str
     running: int
+    unreported: int
 
 
 @dataclass(frozen=True)
--- a/laburnumswitch/version/fields.py
+++ b/laburnumswitch/version/fields.py
@@ -28,8 +28,8 @@
     description="at most 63 lower-case letters, digits and inner hyphens",
 )
 _HOST = Meta(
-    pattern=rf"\A(?=.{{1,253}}\Z){_LABEL}(\.{_LABEL})*(:[0-9]{{1,5}})?\Z",
-    description="a host name such as orders.example, with a port or without",
+    pattern=rf"\A(?=.{{1,253}}\Z){_LABEL}(\.{_LABEL})*\Z",
+    description="a host name without a port, such as orders.example",
 )
 _METHOD = Meta(pattern=r"\A[A-Z]{1,20}\Z", description="an HTTP method in capitals")
 _URL_PATH = Meta(
@@ -66,6 +66,9 @@
     load_scale: Annotated[
         float, Meta(gt=0, description="times the load gives a fraction; 0.01 for a percentage")
     ] = 1.0
+    refused_header: Annotated[
+        FieldName, Meta(description="header of a 503 that was refused before any of it was run")
+    ] = ""
 
 
 class ServiceFields(NamedTuple):
@@ -92,7 +95,7 @@
         tuple[Method, ...], Meta(description="methods that may be sent again")
     ] = Service._field_defaults["idempotent_methods"]
     idempotent_paths: Annotated[
-        tuple[UrlPath, ...], Meta(description="paths that may be sent again under any method")
+        tuple[UrlPath, ...], Meta(description="paths under which any method may be sent again")
     ] = ()
     priority: Annotated[Priority, Meta(description="who is shed last under overload")] = "normal"
     standing: Annotated[bool, Meta(description="never evicted to relieve a worker")] = False
@@ -174,6 +177,7 @@
             leaving_field=state.leaving_field,
             load_field=state.load_field,
             load_scale=state.load_scale,
+            refused_header=state.refused_header,
         ),
     )
 
--- a/tests/command/case.py
+++ b/tests/command/case.py
@@ -27,7 +27,8 @@
         if self.down:
             return Unavailable("the list is down")
         entry = Vm("e1", "entry", "127.0.0.1:1", "az-1", "live")
-        return VmChanges(1, (entry, entry._replace(vm_id="e2", availability_zone="az-2")))
+        worker = Vm("w1", "worker", "127.0.0.1:2", "az-1", "live")
+        return VmChanges(1, (entry, worker, entry._replace(vm_id="e2", availability_zone="az-2")))
 
 
 class CommandCase(TestCase):
--- a/tests/command/test_help.py
+++ b/tests/command/test_help.py
@@ -5,6 +5,7 @@
 from contextlib import chdir
 from pathlib import Path
 from tempfile import TemporaryDirectory
+from urllib.parse import quote
 
 from testtools.matchers import Equals
 from testtools.matchers import GreaterThan
@@ -15,9 +16,11 @@
 from tests.command.case import CommandCase
 from tests.command.test_declarations import JOB
 from tests.command.test_declarations import TEAM
+from tests.command.test_operators import job_row
 
 PAGES = Path(__file__).parents[2] / "docs" / "operators"
 EXAMPLE = re.compile(r"^ *laburnumswitch (.*)$", re.MULTILINE)
+JOB_ID = "truck-loading@20261203T173000Z"
 SETTINGS = """\
 vm_id: e1
 availability_zone: az-1
@@ -31,13 +34,11 @@
 class TestHelp(CommandCase):
     def setUp(self):
         super().setUp()
-        zones = [{"zone": "az-2", "state": "out", "running": 0}]
-        entry = self.entry(
-            "10.0.0.7:8300", status=[], zones=zones, jobs=[], workers=[], timeline=[]
+        entry = self.entry("10.0.0.7:8300", status=[], zones=[], jobs=[], workers=[], timeline=[])
+        entry.answers[f"/operator/jobs/{quote(JOB_ID)}"] = [{"job_id": JOB_ID}]
+        self.table.commit(
+            Transaction((), (Put(f"job/{JOB_ID}", job_row("truck-loading", "admitted")),))
         )
-        entry.answers["/operator/jobs/truck-loading"] = [{"job": "truck-loading"}]
-        self.table.commit(Transaction((), (Put("job/truck-loading", {}),)))
-        self.on_sleep = self._interrupt
 
     def test_examples_of_every_command(self):
         with TemporaryDirectory() as working_folder, chdir(working_folder):
@@ -56,6 +57,7 @@
 
     def _run_examples(self, examples):
         for example in examples:
+            self.on_sleep = self._interrupt if "--follow" in example else self.slept.append
             code, _, errors = self.run_command(*shlex.split(example.split(" > ")[0]))
             if "--follow" in example:
                 expected = 1
--- a/tests/command/test_operators.py
+++ b/tests/command/test_operators.py
@@ -2,6 +2,7 @@
 
 from tempfile import NamedTemporaryFile
 
+from msgspec.json import decode
 from testtools.matchers import Contains
 from testtools.matchers import Equals
 
@@ -50,79 +51,100 @@
         self.on_sleep = lambda _: setattr(self.table, "down", True)
         self.assertThat(self.zone("out", "az-1", *PLATFORM)[0], Equals(EXIT_UNKNOWN))
 
-    def test_wait_ends_when_no_task_runs(self):
-        entry = self.entry(E2, zones=[{"zone": "az-1", "state": "in", "running": 0}])
-        answers = iter((3, 1, 0))
+    def worker(self, runs, worker_id="w1"):
+        return {"worker_id": worker_id, "availability_zone": "az-1", "runs": runs}
+
+    def wait(self):
+        return self.zone("out", "az-1", "--wait", "--wait-limit", "9s", *PLATFORM, *ENTRIES)
+
+    def test_wait_ends_when_the_zone_stays_empty(self):
+        entry = self.entry(E2)
+        numbers = iter((3, 0, 1, 0, 0, 0))
 
         def call(*_):
-            entry.answers["/operator/zones"] = [
-                {"zone": "az-1", "state": "out", "running": next(answers)}
-            ]
-            return type(entry).call(entry, "GET", "/operator/zones")
+            entry.answers["/operator/workers"] = [self.worker(next(numbers))]
+            return type(entry).call(entry, "GET", "/operator/workers")
 
         entry.call = call
-        code, _, _ = self.zone("out", "az-1", "--wait", *PLATFORM, *ENTRIES)
-        self.assertThat((code, len(self.slept)), Equals((0, 2)))
+        self.assertThat((self.wait()[0], len(self.slept)), Equals((0, 5)))
 
     def test_wait_has_a_limit(self):
-        self.entry(E1, zones=[{"zone": "az-1", "state": "out", "running": 2}])
-        code, _, errors = self.zone(
-            "out", "az-1", "--wait", "--wait-limit", "5s", *PLATFORM, *ENTRIES
-        )
+        self.entry(E1, workers=[self.worker(2)])
+        code, _, errors = self.wait()
         self.assertThat((code, "running=2" in errors), Equals((EXIT_FAILURE, True)))
 
-    def test_entry_that_does_not_know_the_zone_as_out_is_not_believed(self):
-        self.entry(E1, zones=[{"zone": "az-1", "state": "in", "running": 0}])
-        code, _, _ = self.zone("out", "az-1", "--wait", "--wait-limit", "5s", *PLATFORM, *ENTRIES)
-        self.assertThat(code, Equals(EXIT_FAILURE))
+    def test_worker_that_no_entry_reports_on_is_not_taken_as_empty(self):
+        self.entry(E1, workers=[self.worker(0, "w2")])
+        code, _, errors = self.wait()
+        self.assertThat((code, "unreported=1" in errors), Equals((EXIT_FAILURE, True)))
+
+
+def job_row(name, state):
+    row = {"job_id": f"{name}@1", "name": name, "team": "a", "tasks": 3, "state": state}
+    return {**row, "created_s": 1.0, "work": {}, "format": 1, "later": 7}
 
 
 class TestJobs(CommandCase):
     def setUp(self):
         super().setUp()
-        value = {"format": 1, "state": "admitted", "tasks": 3, "declaration": {"name": "x"}}
-        self.table.commit(Transaction((), (Put("job/x", value),)))
+        rows = {
+            name: job_row(name, state) for name, state in (("x", "admitted"), ("y", "finished"))
+        }
+        puts = tuple(Put(f"job/{name}@1", row) for name, row in rows.items())
+        self.table.commit(Transaction((), puts))
+
+    def job(self, name="x"):
+        return self.table.read((f"job/{name}@1",))[f"job/{name}@1"].value
 
-    def job(self):
-        return self.table.read(("job/x",))["job/x"].value
+    def cancel(self, name="x", where=PLATFORM):
+        return self.run_command("job", "cancel", f"{name}@1", *where)
 
     def test_platform_answers_when_no_entry_does(self):
         code, answer = self.run_json("jobs", *PLATFORM, *ENTRIES)
-        row = {"job": "x", "format": 1, "state": "admitted", "tasks": 3}
-        self.assertThat((code, answer["rows"]), Equals((0, [row])))
+        states = {row["job_id"]: row["state"] for row in answer["rows"]}
+        self.assertThat((code, states), Equals((0, {"x@1": "admitted", "y@1": "finished"})))
 
-    def test_show_of_an_unknown_job_fails(self):
-        self.assertThat(self.run_command("job", "show", "y", *PLATFORM)[0], Equals(EXIT_FAILURE))
+    def test_show_one_job(self):
+        code, output, _ = self.run_command("job", "show", "x@1", *PLATFORM)
+        self.assertThat((code, "admitted" in output), Equals((0, True)))
+        self.assertThat(self.run_command("job", "show", "z", *PLATFORM)[0], Equals(EXIT_FAILURE))
 
-    def test_cancel_keeps_the_row_and_repeats_safely(self):
+    def test_cancel_keeps_unknown_fields_and_repeats_safely(self):
         for _ in range(2):
-            self.assertThat(self.run_command("job", "cancel", "x", *PLATFORM)[0], Equals(0))
-        self.assertThat((self.job()["cancelled"], self.job()["tasks"]), Equals((True, 3)))
-        self.assertThat(self.table.commits, Equals(2))
+            self.assertThat(self.cancel()[0], Equals(0))
+        self.assertThat((self.job()["state"], self.job()["later"]), Equals(("cancelling", 7)))
+
+    def test_cancel_leaves_a_job_that_ended(self):
+        code, output, _ = self.cancel("y")
+        self.assertThat((code, "finished" in output), Equals((0, True)))
+        self.assertThat(self.job("y"), Equals(job_row("y", "finished")))
 
     def test_cancel_with_a_lost_answer_is_settled(self):
         self.table.lose_answers = 1
-        self.assertThat(self.run_command("job", "cancel", "x", *PLATFORM)[0], Equals(0))
-        self.assertThat(self.table.commits, Equals(2))
+        self.assertThat(self.cancel()[0], Equals(0))
+
+    def test_cancel_with_a_lost_answer_before_an_outage_is_unknown(self):
+        self.table.lose_answers = 1
+        self.on_sleep = lambda _: setattr(self.table, "down", True)
+        self.assertThat(self.cancel()[0], Equals(EXIT_UNKNOWN))
 
     def test_cancel_goes_on_when_an_entry_changes_the_row(self):
         commit = self.table.commit
 
         def race(transaction):
             self.table.commit = commit
-            commit(Transaction((), (Put("job/x", {**self.job(), "state": "running"}),)))
+            commit(Transaction((), (Put("job/x@1", {**self.job(), "tasks": 4}),)))
             return commit(transaction)
 
         self.table.commit = race
-        self.assertThat(self.run_command("job", "cancel", "x", *PLATFORM)[0], Equals(0))
-        self.assertThat((self.job()["state"], self.job()["cancelled"]), Equals(("running", True)))
+        self.assertThat(self.cancel()[0], Equals(0))
+        self.assertThat((self.job()["state"], self.job()["tasks"]), Equals(("cancelling", 4)))
 
     def test_cancel_over_entries_is_unknown_after_a_lost_answer(self):
-        self.entry(E1).answers["/operator/jobs/x/cancel"] = AnswerLost(E1, "Timeout")
-        cancel = ("job", "cancel", "x", *ENTRIES)
-        self.assertThat(self.run_command(*cancel)[0], Equals(EXIT_UNKNOWN))
-        self.entry(E2).answers["/operator/jobs/x/cancel"] = []
-        self.assertThat(self.run_command(*cancel)[0], Equals(0))
+        self.entry(E1).answers["/operator/jobs/x%401/cancel"] = AnswerLost(E1, "Timeout")
+        self.assertThat(self.cancel(where=ENTRIES)[0], Equals(EXIT_UNKNOWN))
+        self.entry(E2).answers["/operator/jobs/x%401/cancel"] = []
+        self.assertThat(self.cancel(where=ENTRIES)[0], Equals(0))
 
 
 class TestReading(CommandCase):
@@ -146,21 +168,47 @@
         self.assertThat(self.run_command("workers", *ENTRIES)[0], Equals(EXIT_UNAVAILABLE))
         self.assertThat(self.run_command("workers")[0], Equals(EXIT_USAGE))
 
-    def test_timeline_merges_known_entries_by_cause(self):
-        def event(clock, subject, kind="start", **details):
-            names = ("clock", "wall_s", "process", "availability_zone", "kind", "subject")
-            values = (clock, 900.0 + clock, "e", "az-1", kind, subject)
-            return {**dict(zip(names, values, strict=True)), "details": details}
-
-        self.entry(E1, status=[{"vm": "e2", "address": E2}])
-        self.entries[E1].answers["/operator/timeline"] = [event(5, "x.0"), event(9, "y.0")]
-        self.entry(E2, timeline=[event(7, "w1", "quarantine", job="x"), event(2, "x")])
-        _, output, _ = self.run_command("timeline", *ENTRIES[:2], "--job", "x", "--json")
-        clocks = [line.split('"clock":')[1].split(",")[0] for line in output.splitlines()]
-        self.assertThat(clocks, Equals(["2", "5", "7"]))
-        _, output, _ = self.run_command("timeline", *ENTRIES[:2], "--since", "94s")
-        self.assertThat(output.count("az-1"), Equals(2))
+    def test_sizes_are_readable(self):
+        self.entry(E1, workers=[{"worker_id": "w1", "capacity": [64_000, 250_000, 0]}])
+        self.assertThat(self.run_command("workers", *ENTRIES)[1], Contains("64 cores, 250 GB\n"))
+
+
+def event(clock, subject, kind="start", **details):
+    names = ("clock", "wall_s", "process", "availability_zone", "kind", "subject", "details")
+    values = (clock, 900.0 + clock, "e", "az-1", kind, subject, details)
+    return dict(zip(names, values, strict=True))
+
+
+class TestTimeline(CommandCase):
+    def clocks(self, *arguments):
+        output = self.run_command("timeline", *ENTRIES, "--json", *arguments)[1]
+        return [decode(line)["clock"] for line in output.splitlines()]
+
+    def test_filters_and_order_by_cause(self):
+        events = [event(7, "w1", worker="w1"), event(2, "x@1:0", worker="w2"), event(5, "xy@1")]
+        self.entry(E2, timeline=[*events, event(9, "x@1", job="x")])
+        self.assertThat(self.clocks(), Equals([2, 5, 7, 9]))
+        self.assertThat(self.clocks("--job", "x"), Equals([2, 9]))
+        self.assertThat(self.clocks("--job", "x@1"), Equals([2, 9]))
+        self.assertThat(self.clocks("--worker", "w2"), Equals([2]))
+        self.assertThat(self.clocks("--zone", "az-2"), Equals([]))
+        self.assertThat(self.clocks("--since", "94s"), Equals([7, 9]))
+
+    def test_follow_prints_each_event_once_and_late_ones_too(self):
+        entry = self.entry(E1, timeline=[event(8, "a")])
+        later = iter(([event(8, "a"), event(6, "b")], [event(6, "b"), event(9, "c")]))
+
+        def sleep(_):
+            events = next(later, None)
+            if events is None:
+                raise KeyboardInterrupt
+            entry.answers["/operator/timeline"] = events
+
+        self.on_sleep = sleep
+        self.assertThat(self.clocks("--follow"), Equals([8, 6, 9]))
+
 
+class TestCompletion(CommandCase):
     def test_completion_scripts(self):
         for shell in ("bash", "fish", "zsh"):
             code, output, _ = self.run_command("completion", shell)
