Print instants as text, name events alike, and check that every declared value has a field

Unix seconds were hard to read for people, and two events were named with hyphens where the others use underscores.

--- a/laburnumswitch/command/jobs.py
+++ b/laburnumswitch/command/jobs.py
@@ -15,6 +15,7 @@
 from laburnumswitch.command.operator_link import Rows
 from laburnumswitch.command.output import fail
 from laburnumswitch.command.output import print_rows
+from laburnumswitch.command.output import readable_time
 from laburnumswitch.exceptions import Conflict
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.exceptions import NotFound
@@ -27,6 +28,7 @@
 
 CANCEL_ATTEMPTS = 10
 RETRY_DELAY_S = 0.3
+INSTANT_COLUMNS = ("created_s", "ended_s")
 
 
 @click.command()
@@ -46,7 +48,7 @@
     rows = ask_or_read(access, target, "/operator/jobs", _list_jobs)
     if isinstance(rows, Failure):
         fail(rows, as_json)
-    print_rows(rows, as_json)
+    print_rows(rows if as_json else [_readable(row) for row in rows], as_json)
 
 
 @click.group()
@@ -75,7 +77,8 @@
     if as_json or len(rows) != 1:
         print_rows(rows, as_json)
         return
-    print_rows([{"field": name, "value": value} for name, value in rows[0].items()], as_json)
+    cells = _readable(rows[0]).items()
+    print_rows([{"field": name, "value": value} for name, value in cells], as_json)
 
 
 @job.command("cancel")
@@ -138,3 +141,14 @@
 def _list_jobs(access: Access, platform: Platform) -> Rows | Failure:
     views = view_jobs(access.open_table(platform.table))
     return views if isinstance(views, Failure) else tuple(view._asdict() for view in views)
+
+
+def _readable(row: dict[str, Any]) -> dict[str, Any]:
+    """Return a row with its instants as text."""
+    cells = {}
+    for name, value in row.items():
+        if name in INSTANT_COLUMNS and isinstance(value, int | float):
+            cells[name.removesuffix("_s")] = readable_time(value)
+        else:
+            cells[name] = value
+    return cells
--- a/laburnumswitch/command/output.py
+++ b/laburnumswitch/command/output.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
+from datetime import datetime
+from datetime import UTC
 from typing import Any
 from typing import NoReturn
 
@@ -26,6 +28,7 @@
 EXIT_UNAVAILABLE = 4
 EXIT_UNKNOWN = 5
 
+MAX_UNIX_TIME_S = 253_402_300_799
 COLUMN_GAP = "  "
 
 Cells = Mapping[str, Any]
@@ -53,6 +56,13 @@
     click.echo(encode(value).decode())
 
 
+def readable_time(wall_s: float) -> str:
+    """Return Unix time as text in UTC, empty for an instant that has not come yet."""
+    if not 0 < wall_s < MAX_UNIX_TIME_S:
+        return ""
+    return datetime.fromtimestamp(wall_s, UTC).isoformat(timespec="milliseconds")[:-6] + "Z"
+
+
 def warn(failure: Failure) -> None:
     """Print a failure that does not end the command."""
     click.echo(f"warning: {failure.describe()}", err=True)
--- a/laburnumswitch/command/timeline.py
+++ b/laburnumswitch/command/timeline.py
@@ -17,6 +17,7 @@
 from laburnumswitch.command.output import fail
 from laburnumswitch.command.output import print_json
 from laburnumswitch.command.output import print_rows
+from laburnumswitch.command.output import readable_time
 from laburnumswitch.command.output import warn
 from laburnumswitch.command.zones import parse_seconds
 from laburnumswitch.exceptions import Failure
@@ -169,12 +170,12 @@
     pairs = details.items() if isinstance(details, dict) else ()
     return {
         "clock": _clock(event),
-        "time": f"{_wall_s(event):.3f}",
+        "time": readable_time(_wall_s(event)),
         "process": event.get("process", ""),
         "zone": event.get("availability_zone", ""),
         "kind": event.get("kind", ""),
         "subject": event.get("subject", ""),
-        "details": " ".join(f"{name}={value}" for name, value in pairs),
+        "details": " ".join(f"{name}={value}" for name, value in pairs if value != ""),
     }
 
 
--- a/laburnumswitch/version/adoption.py
+++ b/laburnumswitch/version/adoption.py
@@ -65,7 +65,7 @@
         self.configuration = candidate
         self.document = document
         self._timeline.record(
-            "configuration-adopted", str(hint.version), digest=hint.digest, source=source
+            "configuration_adopted", str(hint.version), digest=hint.digest, source=source
         )
         return True
 
@@ -75,7 +75,7 @@
             return
         self._refused = (hint, failure.tag)
         self._timeline.record(
-            "configuration-refused", str(hint.version), source=source, reason=failure.describe()
+            "configuration_refused", str(hint.version), source=source, reason=failure.describe()
         )
 
 
--- a/tests/command/test_operators.py
+++ b/tests/command/test_operators.py
@@ -106,7 +106,9 @@
 
     def test_show_one_job(self):
         code, output, _ = self.run_command("job", "show", "x@1", *PLATFORM)
-        self.assertThat((code, "admitted" in output), Equals((0, True)))
+        lines = [line.split() for line in output.splitlines()]
+        self.assertThat((code, ["state", "admitted"] in lines), Equals((0, True)))
+        self.assertThat(lines, Contains(["created", "1970-01-01T00:00:01.000Z"]))
         self.assertThat(self.run_command("job", "show", "z", *PLATFORM)[0], Equals(EXIT_FAILURE))
 
     def test_cancel_keeps_unknown_fields_and_repeats_safely(self):
--- a/tests/version/test_publish.py
+++ b/tests/version/test_publish.py
@@ -291,4 +291,4 @@
         for _ in range(3):
             self.assertThat(self.adopt_once(hint, lambda version, digest: wrong), Equals(0))
         events = self.adopted._timeline.after(0)
-        self.assertThat([event.kind for event in events], Equals(["configuration-refused"]))
+        self.assertThat([event.kind for event in events], Equals(["configuration_refused"]))
--- a/tests/version/test_reading.py
+++ b/tests/version/test_reading.py
@@ -9,6 +9,10 @@
 from testtools.matchers import IsInstance
 
 from laburnumswitch.declaration import Configuration
+from laburnumswitch.declaration import Job
+from laburnumswitch.declaration import Service
+from laburnumswitch.declaration import StateReport
+from laburnumswitch.declaration import Team
 from laburnumswitch.exceptions import CyclicOrder
 from laburnumswitch.exceptions import DuplicateKey
 from laburnumswitch.exceptions import DuplicateName
@@ -20,6 +24,10 @@
 from laburnumswitch.exceptions import UnknownField
 from laburnumswitch.exceptions import UnknownName
 from laburnumswitch.size import Size
+from laburnumswitch.version.fields import JobFields
+from laburnumswitch.version.fields import ServiceFields
+from laburnumswitch.version.fields import StateFields
+from laburnumswitch.version.fields import TeamFields
 from laburnumswitch.version.reading import read_files
 from laburnumswitch.version.reading import read_paths
 from laburnumswitch.version.reading import SourceFile
@@ -83,6 +91,20 @@
         self.assertThat(outcome.jobs[0].command, Equals(("no", "on", "1:30")))
 
 
+class TestFields(TestCase):
+    def test_everything_that_can_be_declared_has_a_field(self):
+        sizes = {"cpu", "memory", "accelerators"}
+        for declared, fields in (
+            (StateReport, StateFields),
+            (Service, ServiceFields),
+            (Job, JobFields),
+            (Team, TeamFields),
+        ):
+            names = {name.removesuffix("_s") for name in declared._fields}
+            expected = (names - {"size"}) | (sizes if "size" in names else set())
+            self.assertThat(set(fields._fields) - {"kind"}, Equals(expected))
+
+
 class TestProblems(TestCase):
     def test_all_problems_of_a_set_are_collected(self):
         broken = SERVICE.replace("replicas: 3", "replcas: 3").replace("0.5", "-1")
