--- a/laburnumswitch/connection/caller.py
+++ b/laburnumswitch/connection/caller.py
@@ -12,12 +12,15 @@
 from typing import NamedTuple
 
 from absl import logging
+from gevent import Greenlet
 from gevent import sleep
 from gevent import socket
+from gevent import spawn
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler
 from gevent.pywsgi import WSGIServer
 
+from laburnumswitch.connection.head import RequestHead
 from laburnumswitch.connection.readable import is_readable
 from laburnumswitch.connection.reader import CallerClosed
 from laburnumswitch.connection.reader import CallerLimits
@@ -29,6 +32,7 @@
 STATUS_INTERNAL_ERROR = 500
 STATUS_UNAVAILABLE = 503
 DRAIN_POLL_S = 0.02
+IDLE_SWEEP_S = 1.0
 LINGER_S = 1.0
 LINGER_BYTES = 1_048_576
 READ_BLOCK_BYTES = 65_536
@@ -64,19 +68,32 @@
 
     def __init__(self, sock: socket.socket, address: tuple, server: "CallerServer") -> None:
         super().__init__(sock, address, server, rfile=SocketReader(sock))
+        self.idle_since_s = 0.0
 
     def handle_one_request(self) -> bool | None:
         """Read one request and answer it.
 
         :return: ``True`` to go on with this connection, ``None`` to close it.
         """
-        reader = self.rfile
-        limits = self.server.limits
+        if not self._await_request():
+            return None
+        self.server.busy += 1
+        try:
+            return self._handle_request()
+        finally:
+            self.server.busy -= 1
+
+    def _await_request(self) -> bool:
+        self.idle_since_s = monotonic()
         self.server.idle.add(self)
         try:
-            head = reader.read_head(limits)
+            return self.rfile.await_first_byte()
         finally:
             self.server.idle.discard(self)
+
+    def _handle_request(self) -> bool | None:
+        limits = self.server.limits
+        head = self.rfile.read_head(limits)
         if isinstance(head, CallerClosed):
             return None
         if isinstance(head, CallerRefused):
@@ -84,21 +101,21 @@
         held_bytes = limits.body_bytes if head.chunked else head.content_length
         if self.server.held_bytes + held_bytes > limits.held_bytes:
             return self._refuse(CallerRefused(STATUS_UNAVAILABLE, "too many bodies at a time"))
-        self.server.busy += 1
         self.server.held_bytes += held_bytes
         try:
-            arrived_s = monotonic()
-            body = reader.read_body(head, limits)
-            if isinstance(body, CallerClosed):
-                return None
-            if isinstance(body, CallerRefused):
-                return self._refuse(body)
-            request = CallerRequest(head, body, str(self.client_address[0]), arrived_s)
-            return self._answer(request)
+            return self._read_and_answer(head)
         finally:
-            self.server.busy -= 1
             self.server.held_bytes -= held_bytes
 
+    def _read_and_answer(self, head: RequestHead) -> bool | None:
+        arrived_s = monotonic()
+        body = self.rfile.read_body(head, self.server.limits)
+        if isinstance(body, CallerClosed):
+            return None
+        if isinstance(body, CallerRefused):
+            return self._refuse(body)
+        return self._answer(CallerRequest(head, body, str(self.client_address[0]), arrived_s))
+
     def _answer(self, request: CallerRequest) -> bool | None:
         try:
             answer = self.server.application(request)
@@ -179,8 +196,8 @@
 class CallerServer(WSGIServer):
     """The callers' port.
 
-    ``busy`` counts requests whose answer has not been sent, ``held_bytes`` the bytes of their
-    bodies. ``idle`` holds the connections that wait for their next request.
+    ``busy`` counts requests from their first byte until their answer is sent, ``held_bytes`` the
+    bytes of their bodies. ``idle`` holds the connections that wait for their next request.
     """
 
     handler_class = StrictHandler
@@ -207,6 +224,20 @@
         self.busy = 0
         self.held_bytes = 0
         self.idle: set[StrictHandler] = set()
+        self._idle_sweep: Greenlet | None = None
+
+    def start(self) -> None:
+        """Start listening, and closing connections that stay idle for too long."""
+        super().start()
+        if self._idle_sweep is None:
+            self._idle_sweep = spawn(self._sweep_idle)
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self._idle_sweep is not None:
+            self._idle_sweep.kill(block=False)
+            self._idle_sweep = None
+        super().close()
 
     def drain(self, limit_s: float) -> bool:
         """Accept nothing more and wait for the requests in flight.
@@ -223,15 +254,21 @@
         until_s = monotonic() + limit_s
         while monotonic() < until_s:
             if self.busy == 0:
-                self._close_idle()
+                self._close_idle(monotonic())
             if self.busy == 0 and not self.idle:
                 return True
             sleep(DRAIN_POLL_S)
         return self.busy == 0
 
-    def _close_idle(self) -> None:
+    def _sweep_idle(self) -> None:
+        interval_s = min(IDLE_SWEEP_S, self.limits.idle_s / 2)
+        while True:
+            sleep(interval_s)
+            self._close_idle(monotonic() - self.limits.idle_s)
+
+    def _close_idle(self, idle_since_s: float) -> None:
         for handler in list(self.idle):
-            if not is_readable(handler.socket):
+            if handler.idle_since_s <= idle_since_s and not is_readable(handler.socket):
                 handler.socket.close()
 
     def wrap_socket_and_handle(self, client_socket: socket.socket, address: tuple) -> object:
--- a/laburnumswitch/connection/exchange.py
+++ b/laburnumswitch/connection/exchange.py
@@ -52,6 +52,10 @@
         super().__init__(method)
         self.whole = False
         self.surplus = False
+        self.fields: list[tuple[str, str]] = []
+        self._name = ""
+        self._value = ""
+        self._in_value = False
 
     def take_body(self) -> bytes:
         """Return the part of the body that was parsed and not yet taken."""
@@ -59,6 +63,13 @@
         self._body_buffer.clear()
         return block
 
+    def declared_length(self) -> int | None:
+        """Return the length of the body in bytes, if the head declares it."""
+        for name, value in self.fields:
+            if name.lower() == "content-length":
+                return int(value)
+        return None
+
     def feed(self, data: bytes) -> None:
         """Parse one block; an empty one is the end of the stream."""
         try:
@@ -72,8 +83,24 @@
         if self.whole:
             self.surplus = True
             raise HTTPParseError("bytes after the answer")
+        self.fields.clear()
         super()._on_message_begin()
 
+    def _on_header_field(self, string: str) -> None:
+        if self._in_value:
+            self._flush_header()
+        self._name += string
+
+    def _on_header_value(self, string: str) -> None:
+        self._in_value = True
+        self._value += string
+
+    def _flush_header(self) -> None:
+        if self._name:
+            self.fields.append((self._name, self._value))
+        self._name = self._value = ""
+        self._in_value = False
+
     def _on_body(self, buf: bytearray) -> None:
         if not self.surplus:
             super()._on_body(buf)
@@ -150,9 +177,16 @@
             if not block and not parser.whole:
                 return self._lost("closed")
             head_bytes += len(block)
-        length = parser.content_length
-        headers = tuple(parser.items())
-        return AnswerHead(parser.get_code(), parser.status_message or "", headers, length)
+        return AnswerHead(
+            parser.get_code(),
+            parser.status_message or "",
+            tuple(parser.fields),
+            parser.declared_length(),
+        )
+
+    def is_whole(self) -> bool:
+        """Return whether the end of the answer has been received."""
+        return self._parser.whole
 
     def read_block(self, deadline_s: float) -> bytes | AnswerLost:
         """Return the next part of the body, and ``b""`` at its end."""
--- a/laburnumswitch/connection/reader.py
+++ b/laburnumswitch/connection/reader.py
@@ -73,11 +73,21 @@
         self.closed = True
         self._buffer = b""
 
+    def await_first_byte(self) -> bool:
+        """Wait for the next request without a limit, and return whether one began."""
+        if self._buffer:
+            return True
+        # The server closes connections that stay idle for too long, which saves a timer here.
+        self._sock.settimeout(None)
+        try:
+            self._buffer = self._sock.recv(READ_BLOCK_BYTES)
+        except OSError:
+            return False
+        return bool(self._buffer)
+
     def read_head(self, limits: CallerLimits) -> RequestHead | CallerRefused | CallerClosed:
         """Return the next request's head."""
-        if not self._buffer and not self._await_first_byte(limits.idle_s):
-            return CallerClosed()
-        deadline_s = self._clock() + limits.head_s
+        deadline_s = 0.0
         while True:
             if self._buffer.startswith(b"\r\n"):
                 self._buffer = self._buffer[2:]
@@ -91,6 +101,7 @@
                 raw = self._buffer[:end]
                 self._buffer = self._buffer[end + 4 :]
                 return parse_head(raw)
+            deadline_s = deadline_s or self._clock() + limits.head_s
             try:
                 self._fill(deadline_s)
             except TimeoutError:
@@ -118,13 +129,6 @@
         except (OSError, _EndOfStreamError):
             return CallerClosed()
 
-    def _await_first_byte(self, idle_s: float) -> bool:
-        try:
-            self._fill(self._clock() + idle_s)
-        except (OSError, _EndOfStreamError):
-            return False
-        return True
-
     def _fill(self, deadline_s: float) -> None:
         left_s = deadline_s - self._clock()
         if left_s <= 0:
--- a/laburnumswitch/request/attempt.py
+++ b/laburnumswitch/request/attempt.py
@@ -113,6 +113,10 @@
 
     def read_body(self, head: AnswerHead, deadline_s: float, limit: int) -> Delivered | AnswerLost:
         """Read the body up to ``limit`` bytes, and finish where that is all of it."""
+        if self._exchange.is_whole():
+            block = self._exchange.read_block(deadline_s)
+            self.finish()
+            return Delivered(self.upstream, head, block, None)
         blocks = []
         size = 0
         while size <= limit:
--- a/tests/connection/test_caller.py
+++ b/tests/connection/test_caller.py
@@ -192,6 +192,15 @@
             sock.sendall(b"GET / HTTP/1.1\r\n" + HOST + b"\r\n")
             self.assertThat(ended.wait(5), Equals(True))
 
+    def test_idle_connection_is_closed_and_a_used_one_is_not(self):
+        raw = b"GET / HTTP/1.1\r\n" + HOST + b"\r\n"
+        with serving(limits=SMALL._replace(idle_s=0.2)) as server, connect(server) as sock:
+            for _ in range(5):
+                sleep(0.06)
+                sock.sendall(raw)
+                self.assertThat(sock.recv(200), StartsWith(b"HTTP/1.1 200"))
+            self.assertThat(read_all(sock), Equals(b""))
+
     def test_drain_cuts_nothing_and_closes_what_is_idle(self):
         go = Event()
         began = Event()
@@ -215,6 +224,17 @@
             self.assertThat(read_all(idle), Equals(b""))
             self.assertThat(draining.get(timeout=5), Equals(True))
 
+    def test_drain_waits_for_a_request_whose_head_has_begun(self):
+        limits = SMALL._replace(head_s=5.0)
+        with serving(limits=limits) as server, connect(server) as sock:
+            sock.sendall(b"GET / HTTP/1.1\r\n")
+            sleep(0.02)
+            draining = spawn(server.drain, 5.0)
+            sleep(0.06)
+            sock.sendall(HOST + b"\r\n")
+            self.assertThat(read_all(sock), StartsWith(b"HTTP/1.1 200"))
+            self.assertThat(draining.get(timeout=5), Equals(True))
+
     def test_any_bytes_are_answered_or_the_connection_closed(self):
         pieces = strategies.one_of(
             strategies.sampled_from(FRAGMENTS), strategies.binary(max_size=8)
