--- /dev/null
+++ b/scripts/measure_request.py
@@ -0,0 +1,265 @@
+"""Measures what the request path costs, and its routing policy against the baselines.
+
+Starts real processes on loopback, a handful at a time, and ends every one that it started.
+"""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from contextlib import ExitStack
+from os import cpu_count
+from pathlib import Path
+from platform import python_version
+from subprocess import PIPE
+from subprocess import Popen
+from subprocess import TimeoutExpired
+from sys import executable
+from time import sleep
+from typing import NamedTuple
+
+import click
+from msgspec.json import decode
+from msgspec.json import encode
+
+from scripts.request_report import Cost
+from scripts.request_report import PolicyResult
+from scripts.request_report import render
+from scripts.request_report import Results
+from scripts.request_roles import EntryResults
+from scripts.request_roles import EntrySettings
+from scripts.request_roles import LoadSettings
+from scripts.request_roles import Sample
+from scripts.request_roles import UpstreamSettings
+from scripts.request_roles import UpstreamsSettings
+
+POLICIES = ("product", "least_outstanding", "round_robin", "random")
+SLOTS = 4
+SERVICE_S = 0.05
+UPSTREAMS = 8
+CAPACITY_RPS = UPSTREAMS * SLOTS / SERVICE_S
+SLOW_FACTOR = 5
+ENTRIES = 2
+LOADERS = 2
+LATENCY_ROUND_S = 1.0
+RATE_ROUND_S = 1.5
+RATE_CONNECTIONS = 8
+FAULTY_S = 5.0
+FAULTY_LOAD = 0.5
+OVERLOAD_S = 4.0
+OVERLOAD = 3.0
+RECOVERY_S = 5.0
+RECOVERY_LOAD = 0.5
+RECOVERY_WINDOW_S = 0.5
+RECOVERED_SHARE = 0.99
+RECOVERED_LATENCY_S = 0.25
+ORDER_SHARE = 0.2
+END_LIMIT_S = 8.0
+STATUS_OK = 200
+NOT_KNOWN = float("nan")
+
+
+class Running(NamedTuple):
+    """One started process and the addresses it serves."""
+
+    process: Popen
+    addresses: tuple[str, ...]
+
+
+@contextmanager
+def started(role: str, settings: NamedTuple) -> Iterator[Running]:
+    """Start one process and end it when the block ends, however it ends."""
+    process = Popen([executable, "-m", "scripts.request_roles", role], stdin=PIPE, stdout=PIPE)
+    try:
+        process.stdin.write(encode(settings) + b"\n")
+        process.stdin.flush()
+        yield Running(process, tuple(decode(process.stdout.readline())))
+    finally:
+        process.terminate()
+        try:
+            process.wait(END_LIMIT_S)
+        except TimeoutExpired:
+            process.kill()
+            process.wait()
+
+
+def load(settings: tuple[LoadSettings, ...]) -> list[Sample]:
+    """Run load processes together and return their samples."""
+    with ExitStack() as stack:
+        return _run_load([stack.enter_context(started("load", each)) for each in settings])
+
+
+def _run_load(running: list[Running]) -> list[Sample]:
+    for each in running:
+        each.process.stdin.write(b"\n")
+        each.process.stdin.flush()
+    return [
+        sample
+        for each in running
+        for sample in decode(each.process.stdout.readline(), type=list[Sample])
+    ]
+
+
+def end_entry(running: Running) -> EntryResults:
+    """End an entry or relay and return what it counted."""
+    running.process.terminate()
+    return decode(running.process.stdout.readline(), type=EntryResults)
+
+
+def measure_cost(rounds: int) -> tuple[Cost, ...]:
+    """Measure direct calls, a bare relay and an entry in turn, so that they share conditions."""
+    upstreams = UpstreamsSettings((UpstreamSettings(),) * 4)
+    with started("upstreams", upstreams) as running:
+        return tuple(_cost_round(running.addresses, number) for number in range(rounds))
+
+
+def _cost_round(addresses: tuple[str, ...], number: int) -> Cost:
+    direct = _latencies_us(addresses, number)
+    relay, relay_rate = _cost_of(EntrySettings(addresses, timeout_s=5.0, relay=True), number)
+    entry, entry_rate = _cost_of(EntrySettings(addresses, timeout_s=5.0), number)
+    click.echo(f"cost round {number}: entry {entry_rate:.0f}, relay {relay_rate:.0f} a cpu second")
+    return Cost(
+        _quantile(direct, 0.5),
+        _quantile(direct, 0.99),
+        _quantile(relay, 0.5),
+        _quantile(relay, 0.99),
+        _quantile(entry, 0.5),
+        _quantile(entry, 0.99),
+        relay_rate,
+        entry_rate,
+    )
+
+
+def _cost_of(settings: EntrySettings, number: int) -> tuple[list[float], float]:
+    with started("entry", settings) as running:
+        latencies = _latencies_us(running.addresses, number)
+    with started("entry", settings) as running:
+        each = LoadSettings(running.addresses, RATE_ROUND_S, connections=RATE_CONNECTIONS)
+        idle_cpu_s = _cpu_s(running.process.pid)
+        samples = load((each,) * LOADERS)
+        cpu_s = _cpu_s(running.process.pid) - idle_cpu_s
+    return latencies, len(samples) / cpu_s
+
+
+def _cpu_s(pid: int) -> float:
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / 100.0
+
+
+def _latencies_us(addresses: tuple[str, ...], seed: int) -> list[float]:
+    samples = load((LoadSettings(addresses[:1], LATENCY_ROUND_S, seed=seed),))
+    return [sample.latency_s * 1e6 for sample in samples]
+
+
+def profile_entry() -> tuple[str, ...]:
+    """Return where an entry's time goes."""
+    with started("upstreams", UpstreamsSettings((UpstreamSettings(),) * 4)) as upstreams:
+        settings = EntrySettings(upstreams.addresses, timeout_s=5.0, profile=True)
+        with started("entry", settings) as entry:
+            each = LoadSettings(entry.addresses, RATE_ROUND_S, connections=RATE_CONNECTIONS)
+            load((each,) * LOADERS)
+            return end_entry(entry).profile
+
+
+def measure_policy(policy: str, seed: int) -> PolicyResult:
+    """Run one policy with faulty upstreams and under overload."""
+    faulty = _run_faulty(policy, seed)
+    peak, after, results = _run_overload(policy, seed)
+    good = [sample for sample in faulty if sample.status == STATUS_OK]
+    shed = [sample.latency_s * 1e3 for sample in peak if sample.outcome == "not-run"]
+    high = [sample for sample in peak if sample.priority == 0]
+    requests = sum(each.requests for each in results)
+    result = PolicyResult(
+        policy,
+        seed,
+        len(good) / len(faulty),
+        _quantile([sample.latency_s * 1e3 for sample in faulty], 0.5),
+        _quantile([sample.latency_s * 1e3 for sample in faulty], 0.99),
+        _count_ok(peak) / (CAPACITY_RPS * OVERLOAD_S),
+        _count_ok(high) / len(high),
+        _quantile(shed, 0.5),
+        _quantile(shed, 0.99),
+        sum(each.sends for each in results) / requests,
+        _recovery_s(after),
+    )
+    click.echo(f"{result}")
+    return result
+
+
+def _run_faulty(policy: str, seed: int) -> list[Sample]:
+    sound = UpstreamSettings(SLOTS, SERVICE_S)
+    slow = UpstreamSettings(SLOTS, SERVICE_S * SLOW_FACTOR)
+    failing = UpstreamSettings(SLOTS, SERVICE_S, failing=True)
+    kinds = (slow, failing) + (sound,) * (UPSTREAMS - 2)
+    with _fleet(kinds, policy, seed) as entries:
+        addresses = tuple(entry.addresses[0] for entry in entries)
+        rate = CAPACITY_RPS * FAULTY_LOAD
+        return load((LoadSettings(addresses, FAULTY_S, rate, 1, seed, ORDER_SHARE),))
+
+
+def _run_overload(policy: str, seed: int) -> tuple[list[Sample], list[Sample], list[EntryResults]]:
+    kinds = (UpstreamSettings(SLOTS, SERVICE_S),) * UPSTREAMS
+    with _fleet(kinds, policy, seed) as entries:
+        addresses = tuple(entry.addresses[0] for entry in entries)
+        rate = CAPACITY_RPS * OVERLOAD / LOADERS
+        peak = load(
+            tuple(
+                LoadSettings(addresses, OVERLOAD_S, rate, 1, seed * 10 + number, ORDER_SHARE)
+                for number in range(LOADERS)
+            )
+        )
+        rate = CAPACITY_RPS * RECOVERY_LOAD
+        after = load((LoadSettings(addresses, RECOVERY_S, rate, 1, seed, ORDER_SHARE),))
+        return peak, after, [end_entry(entry) for entry in entries]
+
+
+@contextmanager
+def _fleet(
+    kinds: tuple[UpstreamSettings, ...], policy: str, seed: int
+) -> Iterator[tuple[Running, Running]]:
+    with started("upstreams", UpstreamsSettings(kinds, seed)) as upstreams:
+        first = EntrySettings(upstreams.addresses, policy, SLOTS, seed=seed)
+        second = first._replace(seed=seed + 1_000)
+        with started("entry", first) as one, started("entry", second) as two:
+            sleep(0.2)
+            yield one, two
+
+
+def _recovery_s(samples: list[Sample]) -> float:
+    """Return the start of the first window from which on every window is as without overload."""
+    recovered_s = 0.0
+    for number in range(int(RECOVERY_S / RECOVERY_WINDOW_S)):
+        begin_s = number * RECOVERY_WINDOW_S
+        window = [s for s in samples if begin_s <= s.at_s < begin_s + RECOVERY_WINDOW_S]
+        good = [s for s in window if s.status == STATUS_OK and s.latency_s < RECOVERED_LATENCY_S]
+        if len(good) < RECOVERED_SHARE * len(window):
+            recovered_s = begin_s + RECOVERY_WINDOW_S
+    return recovered_s
+
+
+def _count_ok(samples: list[Sample]) -> int:
+    return sum(1 for sample in samples if sample.status == STATUS_OK)
+
+
+def _quantile(values: list[float], fraction: float) -> float:
+    if not values:
+        return NOT_KNOWN
+    return sorted(values)[min(int(len(values) * fraction), len(values) - 1)]
+
+
+@click.command()
+@click.option("--seeds", default=5, show_default=True, help="Seeds of each policy, and rounds.")
+@click.option("--json", "json_path", default="out/measure_request.json", show_default=True)
+@click.option("--page", default="docs/MEASUREMENTS-requests.md", show_default=True)
+def main(seeds: int, json_path: str, page: str) -> None:
+    """Measure the request path, and write the figures and the page made from them."""
+    numbers = tuple(range(1, seeds + 1))
+    cost = measure_cost(seeds)
+    profile = profile_entry()
+    policies = tuple(measure_policy(policy, seed) for seed in numbers for policy in POLICIES)
+    results = Results(python_version(), cpu_count() or 0, numbers, cost, profile, policies)
+    Path(json_path).parent.mkdir(parents=True, exist_ok=True)
+    Path(json_path).write_bytes(encode(results))
+    Path(page).write_text(render(results))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/scripts/request_report.py
@@ -0,0 +1,145 @@
+"""Page of the request path's measurement, made from the figures of one run."""
+
+from statistics import median
+from typing import NamedTuple
+
+
+class Cost(NamedTuple):
+    """One round of the cost measurement: latencies in microseconds, rates for a processor second.
+
+    The latencies are those of one connection; the rates are reached with many.
+    """
+
+    direct_p50: float
+    direct_p99: float
+    relay_p50: float
+    relay_p99: float
+    entry_p50: float
+    entry_p99: float
+    relay_rate: float
+    entry_rate: float
+
+
+class PolicyResult(NamedTuple):
+    """One policy under one seed; shares are fractions, latencies in milliseconds.
+
+    ``faulty_*``: one slow and one failing upstream at half load. ``overload_*``: three times the
+    capacity. ``recovery_s``: seconds after the overload until requests are answered as before.
+    """
+
+    policy: str
+    seed: int
+    faulty_goodput: float
+    faulty_p50: float
+    faulty_p99: float
+    overload_goodput: float
+    overload_high: float
+    shed_p50: float
+    shed_p99: float
+    sends_per_request: float
+    recovery_s: float
+
+
+class Results(NamedTuple):
+    """Everything one run measured."""
+
+    python: str
+    processors: int
+    seeds: tuple[int, ...]
+    cost: tuple[Cost, ...]
+    profile: tuple[str, ...]
+    policies: tuple[PolicyResult, ...]
+
+
+COLUMNS = (
+    ("faulty_goodput", "goodput, faulty", 3),
+    ("faulty_p50", "p50 ms, faulty", 0),
+    ("faulty_p99", "p99 ms, faulty", 0),
+    ("overload_goodput", "goodput / capacity, 3x", 3),
+    ("overload_high", "high priority answered, 3x", 3),
+    ("shed_p50", "shed p50 ms", 1),
+    ("shed_p99", "shed p99 ms", 1),
+    ("sends_per_request", "sends / requests", 3),
+    ("recovery_s", "recovery s", 1),
+)
+
+
+def render(results: Results) -> str:
+    """Return the page in Markdown."""
+    return "\n".join(
+        (
+            "# Measurements of the request path",
+            "",
+            "Written by `python -m scripts.measure_request`; do not edit. Each figure is the median"
+            " of one run's rounds with the lowest and highest in brackets. All processes share one"
+            f" machine of {results.processors} processors with other work, Python"
+            f" {results.python}.",
+            "",
+            *_cost_lines(results),
+            "",
+            *_policy_lines(results),
+            "",
+        )
+    )
+
+
+def _cost_lines(results: Results) -> list[str]:
+    rounds = results.cost
+    added_p50 = [cost.entry_p50 - cost.direct_p50 for cost in rounds]
+    added_p99 = [cost.entry_p99 - cost.direct_p99 for cost in rounds]
+    relay_p50 = [cost.relay_p50 - cost.direct_p50 for cost in rounds]
+    share = [cost.entry_rate / cost.relay_rate for cost in rounds]
+    return [
+        f"## Cost of the proxy ({len(rounds)} rounds)",
+        "",
+        "| figure | median [lowest, highest] |",
+        "| --- | --- |",
+        f"| direct call, p50 | {_spread([c.direct_p50 for c in rounds], 0)} µs |",
+        f"| direct call, p99 | {_spread([c.direct_p99 for c in rounds], 0)} µs |",
+        f"| added by an entry, p50 | {_spread(added_p50, 0)} µs |",
+        f"| added by an entry, p99 | {_spread(added_p99, 0)} µs |",
+        f"| added by a bare relay, p50 | {_spread(relay_p50, 0)} µs |",
+        f"| entry, requests a processor second | {_spread([c.entry_rate for c in rounds], 0)} |",
+        f"| bare relay, requests a processor second | {_spread([c.relay_rate for c in rounds], 0)} |",
+        f"| entry's share of the relay's rate | {_spread(share, 2)} |",
+        "",
+        "The bare relay copies blocks between two sockets on the same event loop without looking"
+        " into them, so its rate is the limit of the loop for a proxy.",
+        "",
+        "Where the entry's own time goes, by cProfile, which slows Python code more than system"
+        " calls:",
+        "",
+        *(f"* `{line}`" for line in results.profile),
+    ]
+
+
+def _policy_lines(results: Results) -> list[str]:
+    by_policy: dict[str, list[PolicyResult]] = {}
+    for result in results.policies:
+        by_policy.setdefault(result.policy, []).append(result)
+    names = list(by_policy)
+    lines = [
+        f"## Routing policies ({len(results.seeds)} seeds each, interleaved)",
+        "",
+        "Two entries before eight upstreams of four slots, 50 ms a request. *Faulty*: one upstream"
+        " five times slower and one that fails everything, at half of the capacity. *3x*: offered"
+        " load of three times the capacity, then recovery at half of it. Goodput counts answers"
+        " with status 200 within a second, over requests offered, or over the capacity for 3x.",
+        "",
+        f"| figure | {' | '.join(names)} |",
+        f"| --- |{' --- |' * len(names)}",
+    ]
+    for field, title, digits in COLUMNS:
+        cells = [
+            _spread([getattr(result, field) for result in by_policy[name]], digits)
+            for name in names
+        ]
+        lines.append(f"| {title} | {' | '.join(cells)} |")
+    return lines
+
+
+def _spread(values: list[float], digits: int) -> str:
+    known = [value for value in values if value == value]
+    if not known:
+        return "none"
+    return f"{median(known):.{digits}f} [{min(known):.{digits}f}, {max(known):.{digits}f}]"
--- a/scripts/request_roles.py
+++ b/scripts/request_roles.py
@@ -43,7 +43,7 @@
 LOOPBACK = "127.0.0.1"
 HOST = "measured.example"
 BLOCK_BYTES = 65_536
-PROFILE_LINES = 40
+PROFILE_LINES = 15
 DRAIN_LIMIT_S = 3.0
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 3\r\n\r\nok\n"
 FAILED_ANSWER = b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n"
