Let only as many requests wait as are likely to get a slot in time

Under three times the load every shed request waited 35 ms before it was told so. The queue now holds what in-flight requests and mean latency say can be served within 25 ms, and sheds the rest at once.

--- a/laburnumswitch/connection/caller.py
+++ b/laburnumswitch/connection/caller.py
@@ -67,6 +67,7 @@
     """Handles one caller's connection."""
 
     def __init__(self, sock: socket.socket, address: tuple, server: "CallerServer") -> None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         super().__init__(sock, address, server, rfile=SocketReader(sock))
         self.idle_since_s = 0.0
 
--- a/laburnumswitch/process/queue.py
+++ b/laburnumswitch/process/queue.py
@@ -6,8 +6,8 @@
 
 from gevent.event import Event
 
-MAX_WAIT_S = 0.035
-MIN_CAPACITY = 16
+MAX_WAIT_S = 0.025
+MIN_CAPACITY = 2
 
 
 class Verdict(Enum):
@@ -51,7 +51,8 @@
     def wait(self, rank: int, number: int, until_s: float, capacity: int) -> Verdict:
         """Wait for a turn until an instant of the clock.
 
-        :param capacity: most requests that may wait; where there are more, the last in order goes.
+        :param capacity: most requests that may wait, though never fewer than ``MIN_CAPACITY``;
+            where there are more, the last in order goes.
         """
         limit_s = until_s - self._clock()
         if limit_s <= 0:
--- a/laburnumswitch/request/admission.py
+++ b/laburnumswitch/request/admission.py
@@ -10,7 +10,6 @@
 from laburnumswitch.upstream import Upstream
 
 RANK_BY_PRIORITY = {"high": 0, "normal": 1, "low": 2}
-WAITING_PER_SLOT = 2
 
 
 def admit(
@@ -47,12 +46,10 @@
     number = state.queue.next_number()
     until_s = min(context.clock() + MAX_WAIT_S, deadline_s)
     while True:
-        upstreams = context.upstreams_of(service.name)
-        capacity = WAITING_PER_SLOT * sum(upstream.slots for upstream in upstreams)
-        verdict = state.queue.wait(rank, number, until_s, capacity)
+        verdict = state.queue.wait(rank, number, until_s, state.queue_capacity())
         if verdict is not Verdict.TURN:
             return _shed(context, service, state, verdict)
-        upstream = context.choose(service, upstreams, tried)
+        upstream = context.choose(service, context.upstreams_of(service.name), tried)
         if upstream is not None:
             return upstream
 
--- a/laburnumswitch/request/attempt.py
+++ b/laburnumswitch/request/attempt.py
@@ -53,6 +53,8 @@
         self._service = service
         self._state = context.states.of(upstream)
         self._state.outstanding += 1
+        self._service_state = context.service_state(service)
+        self._service_state.in_flight += 1
         self._connection: UpstreamConnection | None = None
         self._exchange: Exchange | None = None
         self._unused_since_s = 0.0
@@ -108,7 +110,7 @@
             self._fail()
         else:
             self._state.succeed(latency_s, self._context.clock())
-            self._context.service_state(self._service).latency.add(latency_s)
+            self._service_state.add_latency(latency_s)
         return head
 
     def read_body(self, head: AnswerHead, deadline_s: float, limit: int) -> Delivered | AnswerLost:
@@ -165,12 +167,13 @@
             return
         self._finished = True
         self._state.outstanding -= 1
+        self._service_state.in_flight -= 1
         if self._connection is not None:
             if self._exchange is not None and self._exchange.ended_cleanly():
                 self._context.pool.give_back(self._connection)
             else:
                 self._context.pool.discard(self._connection)
-        self._context.service_state(self._service).queue.wake()
+        self._service_state.queue.wake()
 
     def _take_report(self, head: AnswerHead) -> None:
         declared = self._service.state
--- a/laburnumswitch/request/context.py
+++ b/laburnumswitch/request/context.py
@@ -12,16 +12,19 @@
 from laburnumswitch.process.claims import ClaimCommitter
 from laburnumswitch.process.latency import QuantileEstimate
 from laburnumswitch.process.objects import Objects
+from laburnumswitch.process.queue import MAX_WAIT_S
 from laburnumswitch.process.queue import ServiceQueue
 from laburnumswitch.process.request_counts import RequestCounts
 from laburnumswitch.process.table import Table
 from laburnumswitch.process.timeline import Timeline
+from laburnumswitch.process.upstreams import FIRST_LATENCY_S
 from laburnumswitch.process.upstreams import UpstreamStates
 from laburnumswitch.request.routing import ChooseUpstream
 from laburnumswitch.request.routing import two_choices
 from laburnumswitch.upstream import Upstream
 
 SHED_EVENT_INTERVAL_S = 1.0
+LATENCY_WEIGHT = 0.05
 
 
 class ServiceState:
@@ -30,9 +33,20 @@
     def __init__(self, clock: Callable[[], float]) -> None:
         self.queue = ServiceQueue(clock)
         self.latency = QuantileEstimate()
+        self.mean_latency_s = FIRST_LATENCY_S
+        self.in_flight = 0
         self.shed_unreported = 0
         self.shed_reported_s = -SHED_EVENT_INTERVAL_S
 
+    def add_latency(self, latency_s: float) -> None:
+        """Count one answered request."""
+        self.latency.add(latency_s)
+        self.mean_latency_s += (latency_s - self.mean_latency_s) * LATENCY_WEIGHT
+
+    def queue_capacity(self) -> int:
+        """Return how many requests are likely to get a slot within the longest wait."""
+        return int(MAX_WAIT_S * self.in_flight / self.mean_latency_s)
+
 
 class RequestContext(NamedTuple):
     """Plain callables and states that outlive a request; made by ``make_context``."""
--- a/scripts/request_report.py
+++ b/scripts/request_report.py
@@ -88,6 +88,8 @@
     added_p50 = [cost.entry_p50 - cost.direct_p50 for cost in rounds]
     added_p99 = [cost.entry_p99 - cost.direct_p99 for cost in rounds]
     relay_p50 = [cost.relay_p50 - cost.direct_p50 for cost in rounds]
+    entry_rates = [cost.entry_rate for cost in rounds]
+    relay_rates = [cost.relay_rate for cost in rounds]
     share = [cost.entry_rate / cost.relay_rate for cost in rounds]
     return [
         f"## Cost of the proxy ({len(rounds)} rounds)",
@@ -99,8 +101,8 @@
         f"| added by an entry, p50 | {_spread(added_p50, 0)} µs |",
         f"| added by an entry, p99 | {_spread(added_p99, 0)} µs |",
         f"| added by a bare relay, p50 | {_spread(relay_p50, 0)} µs |",
-        f"| entry, requests a processor second | {_spread([c.entry_rate for c in rounds], 0)} |",
-        f"| bare relay, requests a processor second | {_spread([c.relay_rate for c in rounds], 0)} |",
+        f"| entry, requests a processor second | {_spread(entry_rates, 0)} |",
+        f"| bare relay, requests a processor second | {_spread(relay_rates, 0)} |",
         f"| entry's share of the relay's rate | {_spread(share, 2)} |",
         "",
         "The bare relay copies blocks between two sockets on the same event loop without looking"
--- a/scripts/request_roles.py
+++ b/scripts/request_roles.py
@@ -28,6 +28,7 @@
 from msgspec.json import decode
 from msgspec.json import encode
 
+from laburnumswitch.connection.pool import Pool
 from laburnumswitch.declaration import Service
 from laburnumswitch.process.timeline import Timeline
 from laburnumswitch.process.upstreams import UpstreamStates
@@ -45,6 +46,7 @@
 BLOCK_BYTES = 65_536
 PROFILE_LINES = 15
 DRAIN_LIMIT_S = 3.0
+UNLIMITED_CONNECTIONS = 1_000_000
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 3\r\n\r\nok\n"
 FAILED_ANSWER = b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n"
 
@@ -262,7 +264,12 @@
     if settings.policy == "product":
         return context
     states = UpstreamStates(monotonic, context.timeline)
-    return context._replace(states=states, choose=BASELINES[settings.policy](states, random))
+    # The baselines are to have no limit of any kind.
+    return context._replace(
+        pool=Pool(worker_share=UNLIMITED_CONNECTIONS),
+        states=states,
+        choose=BASELINES[settings.policy](states, random),
+    )
 
 
 def _upstream_handler(
--- a/tests/request/test_admission.py
+++ b/tests/request/test_admission.py
@@ -9,7 +9,7 @@
 from testtools.matchers import IsInstance
 
 from laburnumswitch.exceptions import NotRun
-from laburnumswitch.process.queue import MIN_CAPACITY
+from laburnumswitch.process.queue import MAX_WAIT_S
 from laburnumswitch.process.queue import ServiceQueue
 from laburnumswitch.process.queue import Verdict
 from laburnumswitch.request.admission import admit
@@ -30,7 +30,9 @@
         self.now_s = 0.0
         self.context = context_of(UPSTREAM, clock=lambda: self.now_s)
         self.state = self.context.states.of(UPSTREAM)
-        self.queue = self.context.service_state(ORDERS).queue
+        self.service_state = self.context.service_state(ORDERS)
+        self.service_state.in_flight = 1_000
+        self.queue = self.service_state.queue
 
     def admit_later(self, rank, order):
         def run():
@@ -60,13 +62,16 @@
 
     def test_full_queue_sheds_the_lowest_priority_first(self):
         self.state.outstanding = 1
-        low = [self.admit_later(2, []) for _ in range(MIN_CAPACITY)]
+        capacity = 5
+        self.service_state.in_flight = int(capacity / MAX_WAIT_S)
+        self.service_state.mean_latency_s = 1.0
+        low = [self.admit_later(2, []) for _ in range(capacity)]
         late = self.admit_later(2, [])
         high = self.admit_later(0, [])
         sleep(0)
         self.assertThat(late.value, IsInstance(NotRun))
         self.assertThat(low[-1].value, IsInstance(NotRun))
-        self.assertThat([task.ready() for task in low[:-1]], Equals([False] * (MIN_CAPACITY - 1)))
+        self.assertThat([task.ready() for task in low[:-1]], Equals([False] * (capacity - 1)))
         self.assertThat(high.ready(), Equals(False))
         self.assertThat(self.context.counts.shed, Equals(2))
         self.assertThat(kinds_of(self.context), Contains("shed"))
