Bound the time of a claim, expire old claims, and watch reports under test

A hanging store held a keyed order back for several seconds; it is now given up as not run within its deadline or a second, and the claim withdrawn when the store answers.

--- a/laburnumswitch/connection/caller.py
+++ b/laburnumswitch/connection/caller.py
@@ -109,13 +109,12 @@
             self.server.held_bytes -= held_bytes
 
     def _read_and_answer(self, head: RequestHead) -> bool | None:
-        arrived_s = monotonic()
         body = self.rfile.read_body(head, self.server.limits)
         if isinstance(body, CallerClosed):
             return None
         if isinstance(body, CallerRefused):
             return self._refuse(body)
-        return self._answer(CallerRequest(head, body, str(self.client_address[0]), arrived_s))
+        return self._answer(CallerRequest(head, body, str(self.client_address[0]), monotonic()))
 
     def _answer(self, request: CallerRequest) -> bool | None:
         try:
--- a/laburnumswitch/connection/reader.py
+++ b/laburnumswitch/connection/reader.py
@@ -43,7 +43,7 @@
 
 
 class CallerRequest(NamedTuple):
-    """One whole request. ``arrived_s`` is the clock when its head was complete."""
+    """One whole request. ``arrived_s`` is the clock when its last byte had come."""
 
     head: RequestHead
     body: bytes
--- a/laburnumswitch/process/claims.py
+++ b/laburnumswitch/process/claims.py
@@ -19,6 +19,8 @@
 
 GATHER_S = 0.002
 BATCH_ROWS = 64
+MAX_WAITING = 512
+FULL_RETRY_AFTER_S = 1.0
 
 
 class RowChange(NamedTuple):
@@ -49,6 +51,8 @@
 
     def commit(self, change: RowChange) -> Committed | CommitFailure:
         """Commit one change and return its own outcome."""
+        if len(self._waiting) >= MAX_WAITING:
+            return Throttled(FULL_RETRY_AFTER_S)
         outcome = AsyncResult()
         self._waiting.append(_Waiting(change, outcome))
         if not self._running:
--- a/laburnumswitch/request/forward.py
+++ b/laburnumswitch/request/forward.py
@@ -33,6 +33,7 @@
 TIMEOUT_HEADER = "request-timeout"
 PRIORITY_HEADER = "priority"
 MIN_TIMEOUT_S = 0.001
+SLOW_SHARE = 0.25
 URGENCY_HIGH = 2
 URGENCY_LOW = 5
 DEFAULT_LIMITS = CallerLimits()
@@ -130,9 +131,16 @@
 ) -> CallerAnswer:
     outcome = _outcome_of(result)
     context.counts.by_outcome[(service.name, outcome)] += 1
-    if outcome != "answered":
+    taken_s = context.clock() - terms.request.arrived_s
+    if outcome != "answered" or not terms.idempotent or taken_s > service.timeout_s * SLOW_SHARE:
         context.timeline.record(
-            "outcome", terms.request_id, service=service.name, outcome=outcome, reason=result.tag
+            "outcome",
+            terms.request_id,
+            service=service.name,
+            outcome=outcome,
+            reason=result.tag if isinstance(result, Failure) else "",
+            milliseconds=round(taken_s * 1_000),
+            upstream=result.upstream.upstream_id if isinstance(result, Delivered) else "",
         )
     if isinstance(result, Delivered):
         return _delivered(context, service, terms, result)
--- a/laburnumswitch/request/keyed.py
+++ b/laburnumswitch/request/keyed.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from gevent import Greenlet
 from gevent import spawn
 
 from laburnumswitch.declaration import Service
@@ -22,14 +23,14 @@
 from laburnumswitch.request.headers import returned_headers
 
 RECORD_WAIT_S = 0.25
+CLAIM_LIMIT_S = 1.0
 
 
 def deliver_once(
     context: RequestContext, service: Service, terms: DeliveryTerms, key: str
 ) -> Delivered | StoredAnswer | Failure:
     """Deliver the request if no other attempt under ``key`` came first."""
-    limit_s = terms.deadline_s - context.clock()
-    claim = claim_key(context, service.name, key, terms.request, limit_s)
+    claim = _claim_in_time(context, service, terms, key)
     if not isinstance(claim, Claim):
         context.timeline.record("claim_refused", terms.request_id, row=_row_of(service, claim))
         return claim
@@ -43,6 +44,24 @@
     return result
 
 
+def _claim_in_time(
+    context: RequestContext, service: Service, terms: DeliveryTerms, key: str
+) -> Claim | StoredAnswer | Failure:
+    """Claim ``key``; where the store takes too long, give up and withdraw what comes of it."""
+    limit_s = terms.deadline_s - context.clock()
+    task = spawn(claim_key, context, service.name, key, terms.request, limit_s)
+    task.join(min(limit_s, CLAIM_LIMIT_S))
+    if task.ready():
+        return task.get()
+
+    def withdraw(ended: Greenlet) -> None:
+        if isinstance(ended.value, Claim):
+            release_claim(context, ended.value)
+
+    task.link(lambda ended: spawn(withdraw, ended))
+    return NotRun("the store is too slow to claim the order")
+
+
 def _settle(context: RequestContext, claim: Claim, result: Delivered | NotRun | RunUnknown) -> None:
     if isinstance(result, NotRun):
         _finish(context, lambda: release_claim(context, claim), RECORD_WAIT_S)
--- a/laburnumswitch/request/watch.py
+++ b/laburnumswitch/request/watch.py
@@ -33,13 +33,15 @@
     ]
 
 
-def supervise_reports(context: RequestContext, services: Services) -> None:
+def supervise_reports(
+    context: RequestContext, services: Services, interval_s: float = SUPERVISE_INTERVAL_S
+) -> None:
     """Keep one task for each upstream whose reports are asked for, and forget gone upstreams."""
     task_by_id: dict[str, Greenlet] = {}
     try:
         while True:
             _supervise_once(context, services, task_by_id)
-            sleep(SUPERVISE_INTERVAL_S)
+            sleep(interval_s)
     finally:
         for task in task_by_id.values():
             task.kill()
--- a/tests/request/test_claim.py
+++ b/tests/request/test_claim.py
@@ -19,6 +19,8 @@
 from laburnumswitch.process.table import Put
 from laburnumswitch.process.table import Transaction
 from laburnumswitch.request.claim import claim_row_key
+from laburnumswitch.request.expiry import expire_some
+from laburnumswitch.request.expiry import RETENTION_S
 from standin.table import MemoryTable
 from tests.request.fakes import answering
 from tests.request.fakes import call
@@ -169,6 +171,33 @@
             self.expectThat(call(port, raw).headers, Contains("idempotency-replayed"))
             self.expectThat(upstream.requests, HasLength(1))
 
+    def test_store_that_hangs_holds_no_order_back_and_leaves_no_claim(self):
+        upstream = self.upstream()
+        port, _ = self.entry(upstream)
+        go = Event()
+        commit = self.table.commit
+        self.table.commit = lambda transaction: go.wait(10) and commit(transaction)
+        reply = call(port, post(b"rice", "Idempotency-Key: k1", "Request-Timeout: 0.05"))
+        self.assertThat((reply.status, reply.outcome), Equals((503, "not-run")))
+        go.set()
+        while self.table.commits < 2:
+            sleep(0.01)
+        self.assertThat(call(port, KEYED).status, Equals(200))
+        self.assertThat(upstream.requests, HasLength(1))
+
+    def test_old_claims_expire_and_young_ones_stay(self):
+        upstream = self.upstream()
+        port, context = self.entry(upstream)
+        call(port, KEYED)
+        self.assertThat(expire_some(context, ""), Equals(""))
+        self.now_s[0] += RETENTION_S
+        young = post(b"rice", "Idempotency-Key: k2")
+        call(port, young)
+        self.now_s[0] += 60.0
+        expire_some(context, "")
+        keys = [row.key for row in self.table.scan("claim/")]
+        self.assertThat(keys, Equals([claim_row_key("orders", "k2")]))
+
     def test_larger_answer_is_kept_as_an_object(self):
         body = bytes(range(256)) * 100
         raw = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
--- a/tests/request/test_outcomes.py
+++ b/tests/request/test_outcomes.py
@@ -1,10 +1,12 @@
 """Each way an upstream can fail, and the outcome that its caller is told."""
 
 from gevent import sleep
+from gevent import socket
 from testtools import TestCase
 from testtools.matchers import Contains
 from testtools.matchers import Equals
 from testtools.matchers import HasLength
+from testtools.matchers import LessThan
 
 from tests.request.fakes import answering
 from tests.request.fakes import call
@@ -12,6 +14,7 @@
 from tests.request.fakes import FakeUpstream
 from tests.request.fakes import get
 from tests.request.fakes import kinds_of
+from tests.request.fakes import LOOPBACK
 from tests.request.fakes import OK_ANSWER
 from tests.request.fakes import ORDERS
 from tests.request.fakes import post
@@ -141,6 +144,27 @@
         self.assertThat(upstream.connections, Equals(1))
         self.assertThat(context.states.of(upstream.as_upstream()).outstanding, Equals(0))
 
+    def test_slow_caller_holds_the_upstream_back_in_place_of_filling_memory(self):
+        sent = [0]
+
+        def script(sock, _request, _number):
+            sock.sendall(HEAD + b"Content-Length: %d\r\n\r\n" % (100 * len(LARGE)))
+            for _ in range(100):
+                sock.sendall(LARGE)
+                sent[0] += 1
+
+        upstream = self.upstream(script)
+        with (
+            served(context_of(upstream.as_upstream())) as port,
+            socket.create_connection((LOOPBACK, port), timeout=10) as sock,
+        ):
+            sock.sendall(get())
+            before = -1
+            while sent[0] != before:
+                before = sent[0]
+                sleep(0.1)
+            self.assertThat(sent[0], LessThan(50))
+
     def test_large_answer_that_breaks_is_not_passed_off_as_whole(self):
         raw = HEAD + b"Transfer-Encoding: chunked\r\n\r\n100000\r\n" + LARGE[:500_000]
         upstream = self.upstream(closing_after(raw))
