--- a/laburnumswitch/connection/caller.py
+++ b/laburnumswitch/connection/caller.py
@@ -18,7 +18,6 @@
 from gevent import spawn
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler
-from gevent.pywsgi import WSGIServer
 
 from laburnumswitch.connection.head import RequestHead
 from laburnumswitch.connection.readable import is_readable
@@ -26,6 +25,7 @@
 from laburnumswitch.connection.reader import CallerLimits
 from laburnumswitch.connection.reader import CallerRequest
 from laburnumswitch.connection.reader import SocketReader
+from laburnumswitch.connection.server import NoDelayServer
 from laburnumswitch.exceptions import CallerRefused
 
 OUTCOME_HEADER = "Laburnumswitch-Outcome"
@@ -193,7 +193,7 @@
             left_bytes -= len(block)
 
 
-class CallerServer(WSGIServer):
+class CallerServer(NoDelayServer):
     """The callers' port.
 
     ``busy`` counts requests from their first byte until their answer is sent, ``held_bytes`` the
