--- a/laburnumswitch/request/context.py
+++ b/laburnumswitch/request/context.py
@@ -103,7 +103,9 @@
     """
     states = UpstreamStates(clock, timeline)
     if choose is None:
-        choose = two_choices(states, availability_zone, zone_is_out, clock, random)
+        # Choices are many and need no secrecy, unlike the ids that are drawn from ``random``.
+        quick_random = Random(random.getrandbits(64))
+        choose = two_choices(states, availability_zone, zone_is_out, clock, quick_random)
     return RequestContext(
         service_by_host,
         upstreams_of,
--- a/tests/connection/test_caller.py
+++ b/tests/connection/test_caller.py
@@ -103,6 +103,7 @@
             (b"x\r\n", 400),
             (b"3\nabc\r\n0\r\n\r\n", 400),
             (b"3\r\nabcd\r\n0\r\n\r\n", 400),
+            (b"3\r\nabcXY0\r\n\r\n", 400),
             (b"-3\r\nabc\r\n", 400),
             (b"0x3\r\nabc\r\n0\r\n\r\n", 400),
             (b"3 \r\nabc\r\n0\r\n\r\n", 400),
