Blame a reused connection that closes or stays silent before its upstream, and repeat there afresh

A service with one upstream got 504 for an idempotent request whose pooled connection had gone silent, and an upstream was counted as failing for closing an idle connection.

--- a/laburnumswitch/process/upstreams.py
+++ b/laburnumswitch/process/upstreams.py
@@ -37,10 +37,12 @@
 class SuspectConnection(NamedTuple):
     """A pooled connection that gave no byte of an answer; the upstream isn't blamed yet.
 
-    ``used_s`` is the instant of its last use before that.
+    ``used_s`` is the instant of its last use before that. It is not ``certain`` where the upstream
+    may just have been slow.
     """
 
     used_s: float
+    certain: bool
 
 
 class UpstreamState:
--- a/laburnumswitch/request/attempt.py
+++ b/laburnumswitch/request/attempt.py
@@ -70,6 +70,7 @@
         # An order isn't trusted to a connection that may have gone silent since its last use.
         idle_limit_s = IDLE_LIMIT_S if idempotent else ORDER_IDLE_LIMIT_S
         if self._state.suspect is not None:
+            # A new connection tells whether the old one or the upstream is at fault.
             idle_limit_s = 0.0
         connect_limit_s = min(CONNECT_LIMIT_S, max(deadline_s - now_s, 0.001))
         taken = context.pool.take(self.upstream, connect_limit_s, idle_limit_s)
@@ -98,10 +99,15 @@
         if isinstance(head, FirstByteLate):
             return head
         if isinstance(head, AnswerLost):
-            self._fail()
+            if self.may_repeat_here():
+                self.suspect_connection()
+            else:
+                self._fail()
             return head
-        self._clear_suspicion()
-        self._take_report(head)
+        if self._state.suspect is not None:
+            self._clear_suspicion()
+        if self._service.state.manner == "headers":
+            self._take_report(head)
         latency_s = self._context.clock() - self.sent_s
         if self._is_refusal(head):
             self._state.cut_limit(LIMIT_FACTOR_FAILED, self._context.clock())
@@ -147,10 +153,14 @@
     def suspect_connection(self) -> None:
         """Suspect the connection, and not yet the upstream, where not a byte has come back."""
         if self.pooled and self._state.suspect is None:
-            self._state.suspect = SuspectConnection(self._unused_since_s)
+            self._state.suspect = SuspectConnection(self._unused_since_s, certain=True)
         else:
             self._fail()
 
+    def may_repeat_here(self) -> bool:
+        """Return whether the failure may be that of a pooled connection and not of its upstream."""
+        return self.pooled and self._exchange is not None and not self._exchange.got_bytes
+
     def abandon(self) -> None:
         """Give the exchange up for another one that was answered first."""
         if self._finished:
@@ -158,7 +168,7 @@
         if self._exchange is not None and not self._exchange.got_bytes:
             self._state.observe_wait(self._context.clock() - self.sent_s)
             if self.pooled and self._state.suspect is None:
-                self._state.suspect = SuspectConnection(self._unused_since_s)
+                self._state.suspect = SuspectConnection(self._unused_since_s, certain=False)
         self.finish()
 
     def finish(self) -> None:
@@ -177,8 +187,6 @@
 
     def _take_report(self, head: AnswerHead) -> None:
         declared = self._service.state
-        if declared.manner != "headers":
-            return
         reported = read_headers(declared, head.headers)
         if isinstance(reported, Reported):
             states = self._context.states
@@ -197,10 +205,12 @@
 
     def _clear_suspicion(self) -> None:
         suspect = self._state.suspect
-        if suspect is None or self.pooled:
+        if self.pooled:
             return
         self._state.suspect = None
         retired = self._context.pool.retire(self.upstream.address, suspect.used_s)
+        if not suspect.certain and retired == 0:
+            return
         self._context.timeline.record(
             "connection_retired",
             self.upstream.upstream_id,
--- a/laburnumswitch/request/delivery.py
+++ b/laburnumswitch/request/delivery.py
@@ -101,6 +101,8 @@
             raise
         if not isinstance(result, Delivered):
             self._note_failure(result)
+            if attempt.may_repeat_here():
+                self._tried -= {upstream.upstream_id}
             attempt.finish()
         return result
 
