--- a/laburnumswitch/request/delivery.py
+++ b/laburnumswitch/request/delivery.py
@@ -119,23 +119,30 @@
             return attempt.read_body(head, deadline_s, self._terms.body_limit)
         if not isinstance(head, FirstByteLate):
             return head
-        if self._method in HEDGED_METHODS and self._terms.idempotent:
+        if self._may_hedge():
             return self._hedge(attempt)
         attempt.suspect_connection()
         return head
 
     def _first_byte_by_s(self, attempt: Attempt) -> float:
+        """Return until when to wait for the first byte before something else is tried."""
+        latency = self._context.service_state(self._service).latency
+        if self._may_hedge() and latency.is_known():
+            hedge_by_s = attempt.sent_s + max(latency.value_s, HEDGE_MIN_S)
+            return min(hedge_by_s, self._terms.deadline_s)
+        return self._silent_by_s(attempt)
+
+    def _silent_by_s(self, attempt: Attempt) -> float:
+        """Return from when on a connection without a byte of the answer counts as silent."""
         deadline_s = self._terms.deadline_s
-        if not self._terms.idempotent:
+        if not self._terms.idempotent or not attempt.pooled:
             return deadline_s
         latency = self._context.service_state(self._service).latency
-        left_s = deadline_s - attempt.sent_s
-        if self._method in HEDGED_METHODS and latency.is_known():
-            return attempt.sent_s + min(max(latency.value_s, HEDGE_MIN_S), left_s)
-        if not attempt.pooled:
-            return deadline_s
         silent_s = max(SILENT_RATIO * latency.value_s, SILENT_MIN_S)
-        return attempt.sent_s + min(silent_s, left_s * DEADLINE_SHARE)
+        return attempt.sent_s + min(silent_s, (deadline_s - attempt.sent_s) * DEADLINE_SHARE)
+
+    def _may_hedge(self) -> bool:
+        return self._method in HEDGED_METHODS and self._terms.idempotent
 
     def _hedge(self, first: Attempt) -> Delivered | AttemptFailure:
         """Go on waiting for ``first``, and ask a second upstream beside it if that is allowed."""
@@ -177,7 +184,7 @@
 
     def _finish_alone(self, attempt: Attempt) -> Delivered | AttemptFailure:
         deadline_s = self._terms.deadline_s
-        head = attempt.read_head(deadline_s, deadline_s)
+        head = attempt.read_head(self._silent_by_s(attempt), deadline_s)
         if isinstance(head, FirstByteLate):
             attempt.suspect_connection()
         if not isinstance(head, AnswerHead):
--- a/tests/request/test_outcomes.py
+++ b/tests/request/test_outcomes.py
@@ -37,6 +37,12 @@
     return OK_ANSWER.replace(b"ok", b"%02d" % number)
 
 
+def know_latency(context):
+    """Make 1 ms the known latency of the service, so that slow reads are hedged."""
+    for _ in range(60):
+        context.service_state(ORDERS).latency.add(0.001)
+
+
 def silent(sock, _request, _number):
     sleep(30)
 
@@ -197,16 +203,18 @@
         self.assertThat(context.states.of(upstream.as_upstream()).outstanding, Equals(0))
 
     def test_silent_connection_is_blamed_in_place_of_its_upstream(self):
-        upstream = self.upstream(silent_on_reuse())
-        context = context_of(upstream.as_upstream())
-        with served(context) as port:
-            for _ in range(2):
-                reply = call(port, request("PUT", "/x", b"1", "Request-Timeout: 0.5"))
-                self.assertThat(reply.status, Equals(200))
-        self.assertThat(upstream.connections, Equals(2))
-        self.assertThat(kinds_of(context), Contains("connection_retired"))
-        state = context.states.of(upstream.as_upstream())
-        self.assertThat(state.consecutive_failures, Equals(0))
+        for method in ("PUT", "GET"):
+            upstream = self.upstream(silent_on_reuse())
+            context = context_of(upstream.as_upstream())
+            know_latency(context)
+            with served(context) as port:
+                for _ in range(2):
+                    reply = call(port, request(method, "/x", b"", "Request-Timeout: 0.5"))
+                    self.expectThat(reply.status, Equals(200), method)
+            self.expectThat(upstream.connections, Equals(2))
+            self.expectThat(kinds_of(context), Contains("connection_retired"))
+            state = context.states.of(upstream.as_upstream())
+            self.expectThat(state.consecutive_failures, Equals(0))
 
     def test_silent_upstream_is_blamed_once_a_fresh_connection_is_silent_too(self):
         upstream = self.upstream(lambda sock, _r, number: number == 1 and sock.sendall(OK_ANSWER))
@@ -234,9 +242,7 @@
         upstreams = (slow.as_upstream(), fast.as_upstream())
         context = context_of(*upstreams)
         context = context._replace(choose=lambda _s, ups, tried: ups[len(tried)])
-        latency = context.service_state(ORDERS).latency
-        for _ in range(60):
-            latency.add(0.001)
+        know_latency(context)
         with served(context) as port:
             self.assertThat(call(port, get()).body, Equals(b"ok"))
         self.assertThat(context.counts.hedges, Equals(1))
