--- a/laburnumswitch/process/queue.py
+++ b/laburnumswitch/process/queue.py
@@ -66,13 +66,13 @@
                 return Verdict.DISPLACED
             last.event.set()
         try:
-            woken = waiter.event.wait(limit_s)
+            waiter.event.wait(limit_s)
         finally:
             if waiter in self._waiting:
                 self._waiting.remove(waiter)
         if waiter.displaced:
             return Verdict.DISPLACED
-        return Verdict.TURN if woken or waiter.event.is_set() else Verdict.LATE
+        return Verdict.TURN if waiter.event.is_set() else Verdict.LATE
 
     def wake(self) -> None:
         """Give the turn to the first in order."""
--- a/tests/request/fakes.py
+++ b/tests/request/fakes.py
@@ -125,7 +125,8 @@
     headers = {}
     while (line := reader.readline()) not in (b"\r\n", b""):
         name, _, value = line.decode("latin-1").partition(":")
-        headers[name.lower()] = value.strip()
+        known = headers.get(name.lower())
+        headers[name.lower()] = value.strip() if known is None else f"{known}, {value.strip()}"
     if headers.get("transfer-encoding") == "chunked":
         return CallerReply(status, headers, _read_chunks(reader))
     return CallerReply(status, headers, reader.read(int(headers.get("content-length", 0))))
