--- a/laburnumswitch/process/collect.py
+++ b/laburnumswitch/process/collect.py
@@ -29,8 +29,14 @@
     """
     for state in states:
         worker = ledger.find_worker(state.worker_id)
-        if worker is None or worker.boot != state.boot:
+        if worker is None:
+            continue
+        if state.old_events and worker.boot == state.old_boot:
+            for event in state.old_events:
+                _collect_event(batch, ledger, worker, event, on_end)
+        if worker.boot != state.boot:
             continue
+        state.old_events = []
         for event in state.events:
             _collect_event(batch, ledger, worker, event, on_end)
         for key in state.vanished & worker.runs:
--- a/laburnumswitch/process/ledger.py
+++ b/laburnumswitch/process/ledger.py
@@ -276,10 +276,10 @@
         return None
 
     def _apply_cancelled(self, record: Cancelled) -> LedgerConflict | None:
+        if any(number not in self.group_by_number for number in record.groups):
+            return _conflict(record, "unknown group")
         for number in record.groups:
-            group = self.group_by_number.get(number)
-            if group is None:
-                return _conflict(record, f"unknown group {number}")
+            group = self.group_by_number[number]
             group.cancelled += group.count_pending()
             group.is_cancelled = True
             group.fresh.clear()
@@ -318,11 +318,11 @@
         return None
 
     def _apply_forgotten(self, record: Forgotten) -> LedgerConflict | None:
-        for number in record.groups:
-            group = self.group_by_number.get(number)
-            if group is None or not group.is_idle:
-                return _conflict(record, f"group {number} is not idle")
-            del self.group_by_number[number]
+        groups = [self.group_by_number.get(number) for number in record.groups]
+        if any(group is None or not group.is_idle for group in groups):
+            return _conflict(record, "unknown group or not idle")
+        for group in groups:
+            del self.group_by_number[group.number]
             del self.number_by_job_id[group.work.job_id]
         return None
 
--- a/laburnumswitch/process/shard.py
+++ b/laburnumswitch/process/shard.py
@@ -101,6 +101,7 @@
         self._old_snapshot = 0
         self._zone_revision = shared.revision
         self._batches = 0
+        self._last_failure = ""
 
     def turn(self) -> bool:
         """Gather one batch and commit it.
@@ -234,9 +235,15 @@
         if isinstance(outcome, Conflict):
             self._resolve_conflict(outcome)
         elif isinstance(outcome, Failure) and not isinstance(outcome, OwnershipLost):
-            logging.warning("commit failed shard=%d reason=%s", self.shard, outcome.describe())
+            self._note_failure(outcome)
         return False
 
+    def _note_failure(self, failure: Failure) -> None:
+        if failure.tag != self._last_failure:
+            logging.warning("commit failed shard=%d reason=%s", self.shard, failure.describe())
+            self._context.timeline.record("commit_failed", str(self.shard), reason=failure.tag)
+        self._last_failure = failure.tag
+
     def _settle(self, batch: Batch) -> Head | Failure | None:
         # Nothing else is committed or started before this is decided.
         while not self.lost:
@@ -258,6 +265,7 @@
         if conflict is not None:
             self._stop_on(conflict)
             return
+        self._last_failure = ""
         self.head = head
         self.ledger.seq = head.seq
         self.workers.committed_sent_s = sent_s
--- a/laburnumswitch/process/worker_state.py
+++ b/laburnumswitch/process/worker_state.py
@@ -67,6 +67,8 @@
         self.usage_by_key: dict[TaskKey, Usage] = {}
         self.usage_is_new = False
         self.events: list[RunEvent] = []
+        self.old_boot = ""
+        self.old_events: list[RunEvent] = []
         self.last_number = 0
         self.acknowledged = 0
         self.orphans: tuple[RunReport, ...] = ()
@@ -170,8 +172,12 @@
         self.sent_percent_by_key = {}
 
     def _begin_boot(self, boot: str) -> None:
+        # What the earlier boot reported still counts, though the worker has forgotten it.
+        if self.events:
+            self.old_boot = self.boot
+            self.old_events = self.events
         self.boot = boot
-        self.events.clear()
+        self.events = []
         self.last_number = 0
         self.acknowledged = 0
         self.usage_by_key.clear()
--- /dev/null
+++ b/tests/process/test_ledger.py
@@ -0,0 +1,135 @@
+"""The ledger as a function of its records."""
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+from msgspec.json import decode
+from msgspec.json import encode
+from testtools import TestCase
+from testtools.matchers import Equals
+from testtools.matchers import Is
+from testtools.matchers import IsInstance
+
+from laburnumswitch.exceptions import FormatUnknown
+from laburnumswitch.exceptions import JournalBroken
+from laburnumswitch.exceptions import LedgerConflict
+from laburnumswitch.process.ledger import Ledger
+from laburnumswitch.process.records import Cancelled
+from laburnumswitch.process.records import ChunkTaken
+from laburnumswitch.process.records import Ended
+from laburnumswitch.process.records import Forgotten
+from laburnumswitch.process.records import GivenAway
+from laburnumswitch.process.records import How
+from laburnumswitch.process.records import JournalRow
+from laburnumswitch.process.records import read_journal_row
+from laburnumswitch.process.records import Replaced
+from laburnumswitch.process.records import Retired
+from laburnumswitch.process.records import Started
+from laburnumswitch.process.records import WorkerGone
+from laburnumswitch.process.records import WorkerSeen
+from laburnumswitch.process.snapshot import decode_ledger
+from laburnumswitch.process.snapshot import encode_ledger
+from laburnumswitch.process.work import Again
+from laburnumswitch.process.work import write_work
+from laburnumswitch.size import Size
+from tests.process.bench import make_work
+
+EXAMPLES = 300
+small = st.integers(0, 3)
+indexes = st.lists(small, min_size=1, max_size=2, unique=True).map(tuple)
+works = st.builds(
+    lambda job, cpu, retries, service: write_work(
+        make_work(f"j{job}@1", Size(cpu * 500, 500), retries=retries, service=service)
+    ),
+    small,
+    st.integers(1, 4),
+    st.integers(0, 1),
+    st.sampled_from(("", "s")),
+)
+records = st.one_of(
+    st.builds(
+        lambda n, boot, cpu: WorkerSeen(f"w{n}", f"b{boot}", "a", "r", Size(cpu * 500, 4_000)),
+        small,
+        st.integers(0, 1),
+        st.integers(1, 4),
+    ),
+    st.builds(WorkerGone, small),
+    st.builds(
+        lambda work, first, count, again: ChunkTaken("c", work, first, count, again),
+        works,
+        small,
+        small,
+        st.lists(st.builds(Again, small, st.integers(1, 3), small, small), max_size=1).map(tuple),
+    ),
+    st.builds(lambda worker, group, index: Started(worker, group, index), small, small, indexes),
+    st.builds(
+        lambda worker, group, index, run: Started(worker, group, (index,), (run,)),
+        small,
+        small,
+        small,
+        st.integers(1, 3),
+    ),
+    st.builds(Ended, st.sampled_from(How), small, indexes),
+    st.builds(Cancelled, indexes),
+    st.builds(lambda group, first, count: GivenAway(group, first, count), small, small, small),
+    st.builds(Replaced, small, indexes),
+    st.builds(Retired, small, indexes),
+    st.builds(Forgotten, indexes),
+)
+
+
+def state_of(ledger):
+    return decode(encode_ledger(ledger))
+
+
+class TestRecords(TestCase):
+    @settings(derandomize=True, deadline=None, max_examples=EXAMPLES)
+    @given(st.lists(records, max_size=60), st.integers(0, 60))
+    def test_snapshot_and_replay_give_the_same_state(self, stream, cut):
+        ledger = Ledger()
+        applied = [record for record in stream if ledger.apply(record) is None]
+        replayed = Ledger()
+        self.assertThat(replayed.apply_all(applied[:cut]), Is(None))
+        replayed = decode_ledger("snapshot", encode_ledger(replayed))
+        row = decode(encode(JournalRow(1, "b", tuple(applied[cut:]))))
+        rest = read_journal_row("journal", row)
+        self.assertThat(replayed.apply_all(rest.records), Is(None))
+        self.assertThat(state_of(replayed), Equals(state_of(ledger)))
+
+    @settings(derandomize=True, deadline=None, max_examples=EXAMPLES)
+    @given(st.lists(records, max_size=80))
+    def test_no_worker_is_ever_committed_beyond_its_capacity_by_a_start(self, stream):
+        ledger = Ledger()
+        for record in stream:
+            before = state_of(ledger)
+            verified = ledger.verify((record,))
+            if ledger.apply(record) is not None:
+                self.assertThat(state_of(ledger), Equals(before))
+                continue
+            self.assertThat(verified, Is(None))
+            if isinstance(record, Started):
+                worker = ledger.worker_by_number[record.worker]
+                self.assertThat(worker.committed.fits(worker.capacity), Is(True))
+            for worker in ledger.worker_by_number.values():
+                sizes = [ledger.group_by_number[key.group].work.size for key in worker.runs]
+                self.assertThat(sum(size.cpu_millis for size in sizes), Equals(worker.committed[0]))
+
+    def test_batch_that_fills_a_worker_twice_is_refused_before_it_is_committed(self):
+        ledger = Ledger()
+        ledger.apply(WorkerSeen("w", "b", "a", "r", Size(1_000, 1_000)))
+        ledger.apply(ChunkTaken("c", write_work(make_work()), 0, 3))
+        starts = (Started(0, 0, (0,)), Started(0, 0, (1,)))
+        self.assertThat(ledger.verify(starts), IsInstance(LedgerConflict))
+        self.assertThat(ledger.verify((starts[0], starts[0])), IsInstance(LedgerConflict))
+
+    def test_newer_format_and_missing_row_are_refused_by_type(self):
+        newer = read_journal_row("k", {"format": 99, "epoch": 1, "batch": "b", "records": []})
+        self.assertThat(newer, IsInstance(FormatUnknown))
+        self.assertThat(read_journal_row("k", None), IsInstance(JournalBroken))
+
+    def test_fields_of_a_newer_version_survive_a_snapshot(self):
+        ledger = Ledger()
+        work = {**write_work(make_work()), "later": [1]}
+        ledger.apply(ChunkTaken("c", work, 0, 1))
+        kept = decode_ledger("s", encode_ledger(ledger)).find_group("j@1").raw_work
+        self.assertThat(kept["later"], Equals([1]))
