Reserve a worker for the job that starves, not for the one that always waits

A job with many tasks counted as waiting though its tasks kept starting, so it took the reservation and a large task never ran. Waiting now counts from the last start of the job. Baselines of placement, relief and quarantine stand behind the same interfaces.

--- a/laburnumswitch/process/policy.py
+++ b/laburnumswitch/process/policy.py
@@ -1,5 +1,6 @@
 """The policies of one shard together: what starts where, what is relieved and given away."""
 
+from collections.abc import Callable
 from collections.abc import Mapping
 from typing import NamedTuple
 
@@ -11,6 +12,7 @@
 from laburnumswitch.process.interference import Interference
 from laburnumswitch.process.ledger import Group
 from laburnumswitch.process.ledger import Ledger
+from laburnumswitch.process.ledger import Run
 from laburnumswitch.process.ledger import Worker
 from laburnumswitch.process.placement import choose_room
 from laburnumswitch.process.placement import Room
@@ -49,6 +51,17 @@
     profiles: ClassProfiles
 
 
+class Policies(NamedTuple):
+    """What varies between the policies in force and the baselines to measure them against."""
+
+    choose: Choose = choose_room
+    make_relief: Callable[[Interference, float], Relief] = Relief
+    make_quarantine: Callable[[], Quarantine] = Quarantine
+
+
+IN_FORCE = Policies()
+
+
 class ShardPolicy:
     """Decisions of one shard's owner. All of it is lost with the owner, and learned again."""
 
@@ -59,19 +72,19 @@
         head: Head,
         ledger: Ledger,
         workers: ShardWorkers,
-        choose: Choose = choose_room,
+        policies: Policies = IN_FORCE,
     ) -> None:
         now_s = context.clock()
         self.index = RoomIndex()
-        self.quarantine = Quarantine()
+        self.quarantine = policies.make_quarantine()
         self.handover = Handover(context, head.shard, head.epoch)
         self._context = context
         self._learned = learned
         self._shard = head.shard
         self._ledger = ledger
         self._workers = workers
-        self._choose = choose
-        self._relief = Relief(learned.interference, now_s)
+        self._choose = policies.choose
+        self._relief = policies.make_relief(learned.interference, now_s)
         self._progress = ProgressWriter(head.shard)
         self._changed: set[int] = set()
         self._started_s_by_key: dict[TaskKey, float] = {}
@@ -125,17 +138,19 @@
             self._avoid_by_key[key] = self._avoid_by_key.get(key, NOWHERE) | {worker_id}
         return How.STOPPED if blamed else how
 
-    def records_applied(self, records: tuple[Record, ...], ended_on: Mapping[TaskKey, int]) -> None:
+    def records_applied(
+        self, records: tuple[Record, ...], ended_by_key: Mapping[TaskKey, Run]
+    ) -> None:
         """Take in what was committed.
 
-        :param ended_on: numbers of the workers on which the batch ended runs.
+        :param ended_by_key: numbers of the workers on which the batch ended runs.
         """
         now_s = self._context.clock()
         for record in records:
             if isinstance(record, Started):
                 self._note_started(record, now_s)
             elif isinstance(record, Ended):
-                self._note_ended(record, ended_on)
+                self._note_ended(record, ended_by_key)
             elif isinstance(record, WorkerSeen | WorkerGone):
                 self.all_changed()
 
@@ -297,6 +312,8 @@
         worker = self._ledger.worker_by_number[record.worker]
         group = self._ledger.group_by_number[record.group]
         state = self._workers.state_by_worker_id.get(worker.worker_id)
+        # A group waits since its last start, so that one with many tasks does not look starved.
+        self._waiting_since_by_group[record.group] = now_s
         for index in record.indexes:
             key = TaskKey(record.group, index)
             self._started_s_by_key[key] = now_s
@@ -311,7 +328,7 @@
                 worker=worker.worker_id,
             )
 
-    def _note_ended(self, record: Ended, ended_on: Mapping[TaskKey, int]) -> None:
+    def _note_ended(self, record: Ended, ended_by_key: Mapping[TaskKey, Run]) -> None:
         group = self._ledger.group_by_number[record.group]
         for index in record.indexes:
             key = TaskKey(record.group, index)
@@ -320,11 +337,14 @@
             if index not in group.again:
                 self._avoid_by_key.pop(key, None)
                 self._not_before_by_key.pop(key, None)
-            self._changed.add(ended_on[key])
-            worker = self._ledger.worker_by_number.get(ended_on[key])
+            self._changed.add(ended_by_key[key].worker)
+            worker = self._ledger.worker_by_number.get(ended_by_key[key].worker)
             state = worker and self._workers.state_by_worker_id.get(worker.worker_id)
             if state:
                 state.forget_run(key)
             self._context.timeline.record(
-                "run_ended", group.task_id(index), how=How(record.how).name.lower()
+                "run_ended",
+                group.task_id(index),
+                run=ended_by_key[key].run,
+                how=How(record.how).name.lower(),
             )
--- a/laburnumswitch/process/scheduler.py
+++ b/laburnumswitch/process/scheduler.py
@@ -23,9 +23,9 @@
 from laburnumswitch.process.ownership import release
 from laburnumswitch.process.ownership import SeenHead
 from laburnumswitch.process.ownership import take_over
-from laburnumswitch.process.placement import choose_room
-from laburnumswitch.process.plan import Choose
+from laburnumswitch.process.policy import IN_FORCE
 from laburnumswitch.process.policy import Learned
+from laburnumswitch.process.policy import Policies
 from laburnumswitch.process.quota import team_uses
 from laburnumswitch.process.shard import find_first_seq
 from laburnumswitch.process.shard import Ownership
@@ -53,12 +53,12 @@
 class Scheduler:
     """The owned shards of one entry, with one task each."""
 
-    def __init__(self, context: SchedulerContext, choose: Choose = choose_room) -> None:
+    def __init__(self, context: SchedulerContext, policies: Policies = IN_FORCE) -> None:
         self.shared = SharedRows(context.table)
         self.shard_by_number: dict[int, Shard] = {}
         self.admission = Admission(context, self.shared)
         self._context = context
-        self._choose = choose
+        self._policies = policies
         self._learned = Learned(Interference(), ClassProfiles())
         self._task_by_shard: dict[int, Greenlet] = {}
         self._seen_by_shard: dict[int, SeenHead] = {}
@@ -204,7 +204,7 @@
             return
         first_seq = find_first_seq(context, head.shard)
         ownership = Ownership(owned, ledger, sent_s, known_s, first_seq)
-        shard = Shard(context, self.shared, ownership, self._learned, self._choose)
+        shard = Shard(context, self.shared, ownership, self._learned, self._policies)
         context.timeline.record("shard_taken_over", str(head.shard), epoch=owned.epoch)
         self.shard_by_number[head.shard] = shard
         self._stopping.discard(head.shard)
--- a/laburnumswitch/process/shard.py
+++ b/laburnumswitch/process/shard.py
@@ -5,7 +5,6 @@
 
 from absl import logging
 from gevent import spawn
-from gevent.event import Event
 
 from laburnumswitch.exceptions import Conflict
 from laburnumswitch.exceptions import Failure
@@ -30,17 +29,18 @@
 from laburnumswitch.process.journal import TookEffect
 from laburnumswitch.process.lease import HEAD_TOUCH_S
 from laburnumswitch.process.ledger import Ledger
+from laburnumswitch.process.ledger import Run
 from laburnumswitch.process.moves import cancel_jobs
 from laburnumswitch.process.moves import Moves
 from laburnumswitch.process.moves import retire_replicas
 from laburnumswitch.process.ownership import release
-from laburnumswitch.process.placement import choose_room
-from laburnumswitch.process.plan import Choose
+from laburnumswitch.process.policy import IN_FORCE
 from laburnumswitch.process.policy import Learned
+from laburnumswitch.process.policy import Policies
 from laburnumswitch.process.policy import ShardPolicy
 from laburnumswitch.process.records import Ended
 from laburnumswitch.process.records import Started
-from laburnumswitch.process.shard_workers import run_link
+from laburnumswitch.process.shard_workers import run_links
 from laburnumswitch.process.shard_workers import ShardWorkers
 from laburnumswitch.process.shared_rows import SharedRows
 from laburnumswitch.process.shared_rows import ZONE_PREFIX
@@ -78,7 +78,7 @@
         shared: SharedRows,
         ownership: Ownership,
         learned: Learned,
-        choose: Choose = choose_room,
+        policies: Policies = IN_FORCE,
     ) -> None:
         self.shard = ownership.head.shard
         self.head = ownership.head
@@ -87,7 +87,7 @@
         self.workers = ShardWorkers(
             context, shared, self.shard, self.head.epoch, self.ledger, ownership.sent_s
         )
-        self.policy = ShardPolicy(context, learned, self.head, self.ledger, self.workers, choose)
+        self.policy = ShardPolicy(context, learned, self.head, self.ledger, self.workers, policies)
         self._context = context
         self._shared = shared
         self.moves = Moves()
@@ -260,7 +260,7 @@
         return None
 
     def _take_effect(self, builder: BatchBuilder, batch: Batch, head: Head, sent_s: float) -> None:
-        ended_on = self._find_ended(batch)
+        ended_by_key = self._find_ended(batch)
         conflict = self.ledger.apply_all(batch.records)
         if conflict is not None:
             self._stop_on(conflict)
@@ -271,18 +271,18 @@
         self.workers.committed_sent_s = sent_s
         for act in builder.on_commit:
             act()
-        for key in ended_on:
+        for key in ended_by_key:
             self.moves.forget_run(key)
-        self.policy.records_applied(batch.records, ended_on)
+        self.policy.records_applied(batch.records, ended_by_key)
 
-    def _find_ended(self, batch: Batch) -> dict[TaskKey, int]:
-        ended_on = {}
+    def _find_ended(self, batch: Batch) -> dict[TaskKey, Run]:
+        ended_by_key = {}
         for record in batch.records:
             if isinstance(record, Ended):
                 for index in record.indexes:
                     key = TaskKey(record.group, index)
-                    ended_on[key] = self.ledger.find_run(key).worker
-        return ended_on
+                    ended_by_key[key] = self.ledger.find_run(key)
+        return ended_by_key
 
     def _resolve_conflict(self, conflict: Conflict) -> None:
         if conflict.key.startswith(ZONE_PREFIX):
@@ -319,15 +319,13 @@
 
 def run_shard(shard: Shard, must_stop: Callable[[], bool], sleep: Callable[[float], None]) -> None:
     """Run an owned shard until it is lost or given up, with one task for each worker address."""
-    workers = shard.workers
+    links = spawn(run_links, shard.workers, sleep)
     while not shard.lost and not must_stop():
-        for address in set(workers.addresses()) - set(workers.due_by_address):
-            workers.due_by_address[address] = Event()
-            spawn(run_link, workers, address)
         while shard.turn():
             pass
         shard.refresh_upstreams()
         shard.store_snapshot()
         sleep(COMMIT_EVERY_S)
     shard.give_up()
-    workers.close()
+    shard.workers.close()
+    links.join()
--- a/laburnumswitch/process/shard_workers.py
+++ b/laburnumswitch/process/shard_workers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from gevent import spawn
 from gevent.event import Event
 
 from laburnumswitch.exceptions import Failure
@@ -19,6 +20,7 @@
 from laburnumswitch.process.workers import WorkerOrders
 
 RENEW_EVERY_S = 1.0
+LINK_EVERY_S = 0.25
 SILENT_S = 2.5
 SAVE_AFTER_S = 4.0
 
@@ -96,11 +98,15 @@
         if vm is not None and vm.address in self.due_by_address:
             self.due_by_address[vm.address].set()
 
+    def wake_all(self) -> None:
+        """Have an exchange with every address at once."""
+        for due in tuple(self.due_by_address.values()):
+            due.set()
+
     def close(self) -> None:
         """Send and take in nothing more."""
         self.closed = True
-        for due in tuple(self.due_by_address.values()):
-            due.set()
+        self.wake_all()
 
     def must_leave(self, worker: Worker) -> bool:
         """Return whether all work is to move off a worker."""
@@ -184,14 +190,31 @@
         return state
 
 
+def run_links(workers: ShardWorkers, sleep: Callable[[float], None]) -> None:
+    """Keep one task for each address of workers, and have it exchange on time.
+
+    This does not wait for the table, so leases are renewed while a commit takes long.
+    """
+    elapsed_s = 0.0
+    while not workers.closed:
+        for address in set(workers.addresses()) - set(workers.due_by_address):
+            workers.due_by_address[address] = Event()
+            spawn(run_link, workers, address)
+        sleep(LINK_EVERY_S)
+        elapsed_s += LINK_EVERY_S
+        if elapsed_s >= RENEW_EVERY_S:
+            elapsed_s = 0.0
+            workers.wake_all()
+
+
 def run_link(workers: ShardWorkers, address: str) -> None:
-    """Exchange orders and reports with one address of workers, on time and when orders are due."""
+    """Exchange orders and reports with one address of workers whenever that is due."""
     due = workers.due_by_address[address]
     try:
         while not workers.closed and address in workers.addresses():
             due.clear()
             workers.exchange(address)
-            due.wait(RENEW_EVERY_S)
+            due.wait()
     finally:
         del workers.due_by_address[address]
 
--- /dev/null
+++ b/standin/placement.py
@@ -0,0 +1,70 @@
+"""Baselines of placement, relief and quarantine behind the interfaces of the policies in force."""
+
+from collections.abc import Iterable
+from random import Random
+
+from laburnumswitch.process.interference import Interference
+from laburnumswitch.process.placement import Room
+from laburnumswitch.process.placement import RoomIndex
+from laburnumswitch.process.policy import Policies
+from laburnumswitch.process.quarantine import Quarantine
+from laburnumswitch.process.relief import Neighbour
+from laburnumswitch.process.relief import Relief
+from laburnumswitch.process.relief import ReliefOrders
+from laburnumswitch.process.work import Work
+
+HIGH_SLOWDOWN = 1.25
+
+
+def choose_first_fit(
+    index: RoomIndex,
+    work: Work,
+    interference: Interference,
+    random: Random,
+    avoid: frozenset[str] = frozenset(),
+) -> Room | None:
+    """Return the fitting room with the lowest number, blind to interference."""
+    for number in sorted(index.room_by_number):
+        room = index.room_by_number[number]
+        if room.worker_id not in avoid and work.size.fits(room.free):
+            return room
+    return None
+
+
+class NoRelief(Relief):
+    """Relieves nothing."""
+
+    def relieve(
+        self, worker_id: str, neighbours: Iterable[Neighbour], now_s: float
+    ) -> ReliefOrders:
+        """Return no orders."""
+        return ReliefOrders({}, ())
+
+
+class ReliefAtOnce(Relief):
+    """Evicts a batch run on every report of a slow service, without throttle, wait or budget."""
+
+    def relieve(
+        self, worker_id: str, neighbours: Iterable[Neighbour], now_s: float
+    ) -> ReliefOrders:
+        """Return the eviction of the newest batch run beside a slow service."""
+        neighbours = tuple(neighbours)
+        slow = any(item.is_service and item.slowdown > HIGH_SLOWDOWN for item in neighbours)
+        batch = [item for item in neighbours if not item.is_service and not item.is_standing]
+        if not slow or not batch:
+            return ReliefOrders({}, ())
+        return ReliefOrders({}, (max(batch, key=lambda item: item.started_s).key,))
+
+
+class NoQuarantine(Quarantine):
+    """Blames no worker."""
+
+    def note_failed(self, worker_id: str, job: str, now_s: float) -> bool:
+        """Return that the worker is not to blame."""
+        return False
+
+
+FIRST_FIT_BLIND = Policies(choose=choose_first_fit, make_relief=NoRelief)
+RELIEF_AT_ONCE = Policies(make_relief=ReliefAtOnce)
+NO_RELIEF = Policies(make_relief=NoRelief)
+NO_QUARANTINE = Policies(make_quarantine=NoQuarantine)
--- a/tests/process/bench.py
+++ b/tests/process/bench.py
@@ -15,6 +15,8 @@
 from laburnumswitch.process.snapshot import load_ledger
 from laburnumswitch.process.table import Put
 from laburnumswitch.process.table import Transaction
+from laburnumswitch.process.timeline import Event
+from laburnumswitch.process.timeline import Timeline
 from laburnumswitch.process.work import Work
 from laburnumswitch.process.work import write_work
 from laburnumswitch.size import Size
@@ -45,6 +47,7 @@
         self.changes = changes
         self.chunks = 0
         self.violations: list[str] = []
+        self.timelines: list[Timeline] = []
         for vm in self.vms:
             self.workers.add(vm)
 
@@ -58,6 +61,7 @@
             self.objects,
             **self.changes,
         )
+        self.timelines.append(context.timeline)
         head = read_head(self.table, 0)
         sent_s = self.clock()
         owned = take_over(self.table, head, vm_id)
@@ -95,6 +99,10 @@
                 shard.store_snapshot()
                 self.check()
 
+    def events(self) -> list[Event]:
+        """Return the events of all owners."""
+        return [event for timeline in self.timelines for event in timeline.after(0)]
+
     def check(self) -> None:
         """Note every promise that the workers' own state shows broken."""
         for task_id, workers in self.workers.running().items():
--- /dev/null
+++ b/tests/process/test_policies.py
@@ -0,0 +1,215 @@
+"""Placement, interference, relief, quarantine and quotas, one by one."""
+
+from random import Random
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+from testtools import TestCase
+from testtools.matchers import Equals
+from testtools.matchers import GreaterThan
+from testtools.matchers import Is
+from testtools.matchers import LessThan
+
+from laburnumswitch.declaration import Team
+from laburnumswitch.process.hint import ShardHint
+from laburnumswitch.process.hint import TeamUse
+from laburnumswitch.process.interference import Interference
+from laburnumswitch.process.placement import choose_room
+from laburnumswitch.process.placement import Room
+from laburnumswitch.process.placement import RoomIndex
+from laburnumswitch.process.quarantine import Quarantine
+from laburnumswitch.process.quota import QuotaBook
+from laburnumswitch.process.relief import Neighbour
+from laburnumswitch.process.relief import Relief
+from laburnumswitch.process.work import TaskKey
+from laburnumswitch.process.workers import Usage
+from laburnumswitch.size import Size
+from tests.fakes import make_vm
+from tests.process.bench import Bench
+from tests.process.bench import make_work
+
+CAPACITY = Size(8_000, 16_000)
+
+
+def make_rooms(count, free=CAPACITY, **changes):
+    index = RoomIndex()
+    for number in range(count):
+        zone, rack = "ab"[number % 2], f"r{number % 4}"
+        index.put(Room(number, f"w{number}", zone, rack, CAPACITY, free, **changes))
+    return index
+
+
+class TestPlacement(TestCase):
+    @settings(derandomize=True, deadline=None, max_examples=100)
+    @given(st.lists(st.tuples(st.integers(1, 9), st.integers(1, 9)), max_size=300), st.integers())
+    def test_index_finds_room_exactly_where_some_worker_fits(self, sizes, seed):
+        index = make_rooms(40)
+        random = Random(seed)
+        for cpu, memory in sizes:
+            work = make_work(size=Size(cpu * 1_000, memory * 1_800))
+            rooms = index.room_by_number.values()
+            fits = any(work.size.fits(room.free) for room in rooms)
+            chosen = choose_room(index, work, Interference(), random)
+            self.assertThat(chosen is not None, Equals(fits))
+            if chosen is not None:
+                index.take(chosen.number, work)
+                self.assertThat(min(chosen.free) >= 0, Is(True))
+
+    def test_replicas_spread_over_zones_and_racks(self):
+        index = make_rooms(8)
+        places = []
+        for _ in range(4):
+            work = make_work(service="s")
+            room = choose_room(index, work, Interference(), Random(1))
+            index.take(room.number, work)
+            places.append((room.availability_zone, room.rack))
+        self.assertThat(len(set(places)), Equals(4))
+        self.assertThat([zone for zone, _ in places].count("a"), Equals(2))
+
+    def test_batch_keeps_off_a_service_that_it_slows(self):
+        interference = Interference()
+        for _ in range(30):
+            interference.observe("s", 2.0, {"noisy": 0.3})
+            interference.observe("s", 1.0, {"quiet": 0.3})
+        index = RoomIndex()
+        index.put(Room(0, "w0", "a", "r", CAPACITY, Size(4_000, 8_000), {"s": 4_000}, {"s": 1}))
+        index.put(Room(1, "w1", "a", "r", CAPACITY, CAPACITY))
+        for name, expected in (("noisy", 1), ("quiet", 0)):
+            room = choose_room(index, make_work(name + "@1"), interference, Random(1))
+            self.assertThat(room.number, Equals(expected))
+
+    def test_worker_that_uses_more_than_it_declared_gets_no_more(self):
+        bench = Bench((make_vm(1),))
+        shard = bench.take_over()
+        bench.submit(make_work())
+        bench.drive(shard, seconds=2)
+        bench.workers.by_id["w1"].usage = (Usage("j@1:0", 9_000, 100),)
+        bench.drive(shard, seconds=1)
+        bench.submit(make_work("k@1"))
+        bench.drive(shard, seconds=3)
+        self.assertThat(bench.workers.runs_of("k@1:0"), Equals([]))
+
+    def test_large_task_is_not_starved_by_small_ones(self):
+        bench = Bench((make_vm(1), make_vm(2)))
+        shard = bench.take_over()
+        bench.submit(make_work("small@1"), count=400)
+        bench.drive(shard, seconds=2)
+        bench.submit(make_work("big@1", Size(8_000, 8_000), run_time_s=9_999.0))
+        random = Random(1)
+        for _ in range(80):
+            bench.drive(shard, seconds=1)
+            running = list(bench.workers.running().items())
+            for task_id, (worker_id,) in random.sample(running, min(4, len(running))):
+                bench.workers.by_id[worker_id].end(task_id)
+        self.assertThat(bench.workers.runs_of("big@1:0"), Equals([1]))
+
+
+class TestInterference(TestCase):
+    def test_unknown_pair_shrinks_to_what_the_aggressor_does_to_others(self):
+        interference = Interference()
+        before = interference.coefficient("new", "noisy")
+        for _ in range(20):
+            interference.observe("s", 3.0, {"noisy": 0.5})
+        self.assertThat(interference.coefficient("new", "noisy"), GreaterThan(before + 1.0))
+
+    def test_learned_pair_predicts_its_slowdown(self):
+        interference = Interference()
+        random = Random(3)
+        for _ in range(400):
+            shares = {"noisy": random.random() / 2, "quiet": random.random() / 2}
+            slowdown = 1.0 + 2.0 * shares["noisy"] + random.gauss(0.0, 0.05)
+            interference.observe("s", max(1.0, slowdown), shares)
+        self.assertThat(abs(interference.coefficient("s", "noisy") - 2.0), LessThan(0.4))
+        self.assertThat(interference.coefficient("s", "quiet"), LessThan(0.3))
+
+
+class TestRelief(TestCase):
+    def neighbours(self, slowdown, standing=False):
+        return (
+            Neighbour("s", "s", True, True, False, 0.3, slowdown, 0.0),
+            Neighbour("b", "b", False, standing, True, 0.3, 1.0, 1.0),
+        )
+
+    def drive(self, slowdowns, standing=False):
+        relief = Relief(Interference(), 0.0)
+        percents, evictions = [], []
+        for now_s, slowdown in enumerate(slowdowns):
+            orders = relief.relieve("w", self.neighbours(slowdown, standing), float(now_s))
+            percents.append(orders.percent_by_key["b"])
+            evictions.extend(now_s for _ in orders.evictions)
+        return percents, evictions
+
+    def test_throttles_before_it_evicts_and_evicts_within_the_budget(self):
+        percents, evictions = self.drive([3.0] * 100)
+        self.assertThat(percents, Equals(sorted(percents, reverse=True)))
+        self.assertThat(set(percents), Equals({60, 30}))
+        self.assertThat(evictions[0], GreaterThan(percents.index(30) + 7))
+        self.assertThat(len(evictions), LessThan(100 / 8 + 1))
+
+    def test_one_spike_evicts_nothing_and_the_throttle_is_lifted(self):
+        percents, evictions = self.drive([3.0] * 2 + [1.0] * 60)
+        self.assertThat(evictions, Equals([]))
+        self.assertThat(percents[-1], Equals(100))
+
+    def test_standing_work_is_never_evicted(self):
+        self.assertThat(self.drive([5.0] * 300, standing=True)[1], Equals([]))
+
+
+class TestQuarantine(TestCase):
+    def test_job_that_fails_on_good_workers_is_to_blame(self):
+        quarantine = Quarantine()
+        for number in range(8):
+            quarantine.note_finished(f"w{number}", "good")
+        for round_number in range(3):
+            for number in range(8):
+                quarantine.note_failed(f"w{number}", "broken", float(round_number))
+        held = [n for n in range(8) if quarantine.is_quarantined(f"w{n}", 3.0)]
+        self.assertThat(held, Equals([]))
+
+    def test_backoff_doubles_and_a_finished_task_clears_it(self):
+        quarantine = Quarantine()
+        for number in range(3):
+            quarantine.note_failed("w", f"j{number}", 0.0)
+        self.assertThat(quarantine.is_quarantined("w", 29.0), Is(True))
+        self.assertThat(quarantine.is_quarantined("w", 31.0), Is(False))
+        quarantine.note_failed("w", "j1", 31.0)
+        self.assertThat(quarantine.is_quarantined("w", 31.0 + 59.0), Is(True))
+        quarantine.note_finished("w", "j1")
+        self.assertThat(quarantine.is_on_probation("w"), Is(False))
+
+
+class TestQuota(TestCase):
+    def test_use_in_other_shards_counts(self):
+        hint = ShardHint(1, 1, 1, used_by_team=(TeamUse("t", Size(3_000, 0)),))
+        book = QuotaBook((Team("t", Size(4_000, 9_000)),), {}, (hint,), 2)
+        self.assertThat(book.allows("t", Size(2_000, 0)), Is(False))
+        self.assertThat(book.allows("t", Size(1_000, 0)), Is(True))
+        book.take("t", Size(1_000, 0))
+        self.assertThat(book.allows("t", Size(1_000, 0)), Is(False))
+
+
+class TestWorkerState(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.bench = Bench((make_vm(1),))
+        self.shard = self.bench.take_over()
+        self.bench.submit(make_work())
+        self.bench.drive(self.shard, seconds=2)
+        self.state = self.shard.workers.state_by_worker_id["w1"]
+
+    def test_run_that_a_batch_under_way_ends_is_not_started(self):
+        key = TaskKey(0, 0)
+        self.state.expect_run(key, 1)
+        ledger, now_s = self.shard.ledger, self.bench.clock()
+        orders = self.state.make_orders(ledger, 9e9, 9e9, {key}, now_s)
+        self.assertThat(orders.starts, Equals(()))
+        orders = self.state.make_orders(ledger, 9e9, 9e9, set(), now_s)
+        self.assertThat([start.run for start in orders.starts], Equals([1]))
+
+    def test_new_owner_withdraws_no_run_that_may_have_been_sent(self):
+        self.bench.put("zone/a", "out")
+        self.bench.workers.by_id["w1"].reachable = False
+        second = self.bench.take_over("e2")
+        self.bench.drive(second, seconds=3)
+        self.assertThat(second.ledger.find_group("j@1").running.keys(), Equals({0}))
--- /dev/null
+++ b/tests/process/test_scheduler.py
@@ -0,0 +1,179 @@
+"""Several entries that share shards, driven by one clock."""
+
+from gevent import sleep as yield_to_others
+from gevent import spawn
+from testtools import TestCase
+from testtools.matchers import Equals
+from testtools.matchers import HasLength
+
+from laburnumswitch.declaration import Configuration
+from laburnumswitch.declaration import Job
+from laburnumswitch.declaration import Service
+from laburnumswitch.process.head import read_head
+from laburnumswitch.process.hint import ShardHint
+from laburnumswitch.process.scheduler import Scheduler
+from laburnumswitch.size import Size
+from standin.table import MemoryTable
+from tests.fakes import FakeClock
+from tests.fakes import FakeObjects
+from tests.fakes import FakeWorkers
+from tests.fakes import make_context
+from tests.fakes import make_vm
+
+SHARDS = 4
+SMALL = Size(1_000, 1_000)
+
+
+class Entries:
+    """Schedulers whose loops run under one clock; a killed one does nothing more."""
+
+    def __init__(self, case, count=3, racks=6, configuration=None) -> None:
+        self.clock = FakeClock()
+        self.table = MemoryTable(clock=self.clock)
+        self.objects = FakeObjects()
+        self.workers = FakeWorkers(self.clock)
+        self.vms = tuple(make_vm(n, "ab"[n % 2], f"rack{n % racks}") for n in range(2 * racks))
+        for vm in self.vms:
+            self.workers.add(vm)
+        self.configuration = configuration or Configuration(1)
+        self.live = {f"e{n}" for n in range(count)}
+        self.scheduler_by_id = {vm_id: self.make(vm_id) for vm_id in sorted(self.live)}
+        case.addCleanup(self.end)
+
+    def make(self, vm_id) -> Scheduler:
+        def sleep(seconds: float) -> None:
+            until_s = self.clock() + seconds
+            while self.clock() < until_s or (vm_id not in self.live and not self.ended):
+                yield_to_others(0)
+
+        self.ended = False
+        context = make_context(
+            self.table,
+            self.clock,
+            self.workers,
+            lambda: self.vms,
+            vm_id,
+            self.objects,
+            live_entries=lambda: tuple(sorted(self.live)),
+            entry_is_heard=lambda entry: entry in self.live,
+            shard_hints=lambda: self.hints(),
+            shard_count=SHARDS,
+            configuration=lambda: self.configuration,
+            sleep=sleep,
+        )
+        return Scheduler(context)
+
+    def hints(self) -> dict[int, ShardHint]:
+        live = [self.scheduler_by_id[vm_id] for vm_id in self.live]
+        return {hint.shard: hint for scheduler in live for hint in scheduler.hints()}
+
+    def owners(self) -> dict[int, str]:
+        return {
+            shard: vm_id
+            for vm_id in self.live
+            for shard in self.scheduler_by_id[vm_id].shard_by_number
+        }
+
+    def drive(self, seconds, step_s=0.25) -> None:
+        end_s = self.clock() + seconds
+        while self.clock() < end_s:
+            self.clock.sleep(step_s)
+            self.workers.expire()
+            for vm_id in sorted(self.live):
+                scheduler = self.scheduler_by_id[vm_id]
+                scheduler.shared.refresh(self.clock())
+                scheduler.manage()
+                if vm_id == min(self.live):
+                    scheduler.admission.run_pass()
+            for _ in range(6):
+                yield_to_others(0)
+
+    def end(self) -> None:
+        self.ended = True
+        for scheduler in self.scheduler_by_id.values():
+            scheduler._draining = True
+            for shard in scheduler.shard_by_number.values():
+                shard.lost = True
+                shard.workers.close()
+        self.clock.sleep(10)
+        for _ in range(10):
+            yield_to_others(0)
+
+
+class TestEntries(TestCase):
+    def test_shards_are_spread_and_move_when_an_entry_is_killed(self):
+        entries = Entries(self)
+        entries.drive(2)
+        owners = entries.owners()
+        self.assertThat(owners, HasLength(SHARDS))
+        victim = owners[0]
+        entries.live.discard(victim)
+        entries.drive(2.5)
+        self.assertThat(entries.owners(), HasLength(SHARDS))
+        self.assertThat(victim in entries.owners().values(), Equals(False))
+
+    def test_drain_releases_every_shard_at_once(self):
+        entries = Entries(self, count=2)
+        entries.drive(2)
+        vm_id = entries.owners()[0]
+        owned = set(entries.scheduler_by_id[vm_id].shard_by_number)
+        draining = spawn(entries.scheduler_by_id[vm_id].drain, 30.0)
+        entries.drive(0.75)
+        self.assertThat(draining.value, Equals(True))
+        heads = [read_head(entries.table, shard) for shard in owned]
+        self.assertThat({head.owner for head in heads} & {vm_id}, Equals(set()))
+        entries.live.discard(vm_id)
+        entries.drive(1)
+        self.assertThat(entries.owners(), HasLength(SHARDS))
+
+    def test_returning_entry_gets_its_shards_back(self):
+        entries = Entries(self, count=2)
+        entries.drive(2)
+        before = entries.owners()
+        entries.live.add("e9")
+        entries.scheduler_by_id["e9"] = entries.make("e9")
+        entries.drive(10)
+        after = entries.owners()
+        moved = {shard for shard in after if after[shard] != before[shard]}
+        self.assertThat({after[shard] for shard in moved}, Equals({"e9"}))
+        self.assertThat(after, HasLength(SHARDS))
+
+    def test_declared_work_runs_over_all_shards_and_finishes_once(self):
+        job = Job("j", "team", ("run",), SMALL, tasks=60)
+        service = Service("s", "team", ("s",), 3, SMALL)
+        entries = Entries(self, configuration=Configuration(1, "", (service,), (job,)))
+        entries.drive(6)
+        running = entries.workers.running()
+        self.assertThat(running, HasLength(63))
+        entries.live.discard(entries.owners()[0])
+        entries.drive(4)
+        for task_id, (worker_id,) in entries.workers.running().items():
+            if task_id.startswith("j@"):
+                entries.workers.by_id[worker_id].end(task_id)
+        entries.drive(6)
+        survivor = entries.scheduler_by_id[min(entries.live)]
+        (view,) = survivor.job_rows()
+        self.assertThat((view.state, view.finished), Equals(("finished", 60)))
+        upstreams = [
+            upstream
+            for vm_id in entries.live
+            for shard in range(SHARDS)
+            for upstream in entries.scheduler_by_id[vm_id].upstreams(shard)
+        ]
+        self.assertThat({upstream.service for upstream in upstreams}, Equals({"s"}))
+        self.assertThat(upstreams, HasLength(3))
+        self.assertThat({item.availability_zone for item in upstreams}, Equals({"a", "b"}))
+
+    def test_tasks_without_room_go_to_a_shard_that_has_some(self):
+        entries = Entries(self)
+        entries.drive(2)
+        # All tasks are handed to one shard, whose workers hold only some of them.
+        job = Job("j", "team", ("run",), Size(4_000, 1_000), tasks=24)
+        hints, entries.hints = entries.hints, dict
+        entries.vms, vms = entries.vms[:2], entries.vms
+        entries.configuration = Configuration(1, "", (), (job,))
+        entries.scheduler_by_id[min(entries.live)].admission.run_pass()
+        entries.vms, entries.hints = vms, hints
+        entries.drive(30)
+        self.assertThat(entries.workers.running(), HasLength(24))
+        self.assertThat(entries.workers.overcommitted(), Equals([]))
