Tell a second end of a task from one that nobody could know of

In place of the plain count there are two checks as strict: every other second end on the workers, and the ledger's own rows, which must count each job's tasks exactly. Requests to replicas that drain are judged too.

--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -1,6 +1,7 @@
 """The processes of the demonstration and the calls that steer them."""
 
 import os
+from collections.abc import Callable
 from time import monotonic
 from typing import Any
 from typing import NamedTuple
@@ -20,6 +21,7 @@
 from scripts.profiles import RackPlan
 from standin.entries import Entry
 from standin.records import append_to
+from standin.records import ProcessPaused
 from standin.records import ProcessStopped
 
 HOST = "127.0.0.1"
@@ -153,6 +155,19 @@
         self.launcher.kill(name)
         self.record(ProcessStopped(began_s, monotonic(), name, False))
 
+    def pause_processes(self, names: tuple[str, ...]) -> Callable[[], None]:
+        """Pause processes by SIGSTOP, and return the function that resumes them, on record."""
+        began_s = monotonic()
+        for name in names:
+            self.launcher.pause(name)
+
+        def resume() -> None:
+            for name in names:
+                self.record(ProcessPaused(began_s, monotonic(), name))
+                self.launcher.resume(name)
+
+        return resume
+
     def stop_entry(self, vm_id: str) -> int:
         """End an entry by SIGTERM, on record, and return its exit code."""
         self.list_entry(vm_id, "leaving")
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -6,6 +6,7 @@
 import os
 import sys
 from random import Random
+from shutil import copytree
 from tempfile import TemporaryDirectory
 from time import monotonic
 
@@ -28,7 +29,7 @@
 from scripts.steps import kill_and_replace_entry
 from scripts.steps import lose_store
 from scripts.steps import open_stage
-from scripts.steps import pause_entry_and_kill_rack
+from scripts.steps import pause_and_kill
 from scripts.steps import publish_again
 from scripts.steps import settle
 from scripts.steps import Stage
@@ -52,7 +53,8 @@
 @click.option("--profile", type=click.Choice(sorted(PROFILE_BY_NAME)), default="boutik")
 @click.option("--seed", default=1, show_default=True)
 @click.option("--json", "json_file", type=click.Path(dir_okay=False), help="File for the figures.")
-def main(profile: str, seed: int, json_file: str | None) -> None:
+@click.option("--keep", type=click.Path(file_okay=False), help="Folder for records and logs.")
+def main(profile: str, seed: int, json_file: str | None, keep: str | None) -> None:
     """Run the demonstration; exit with 0 if every promise held."""
     with TemporaryDirectory(prefix="laburnumswitch-") as directory, Launcher(directory) as launcher:
         try:
@@ -60,6 +62,9 @@
         except ProcessFailedError as error:
             click.echo(f"failed: {error}", err=True)
             sys.exit(EXIT_FAILED)
+        finally:
+            if keep:
+                copytree(directory, keep, dirs_exist_ok=True)
     click.echo("\n".join(lines_of(summary)))
     if json_file:
         with open(json_file, "wb") as file:
@@ -85,7 +90,7 @@
     break_a_worker(stage)
     take_zone_out_and_in(stage)
     kill_and_replace_entry(stage)
-    pause_entry_and_kill_rack(stage)
+    pause_and_kill(stage)
     lose_store(stage)
     publish_again(stage)
     break_connections(stage)
--- a/scripts/steps.py
+++ b/scripts/steps.py
@@ -17,7 +17,8 @@
 from scripts.publication import JOBS_THAT_DO_NOT_FINISH
 from scripts.publication import Publication
 from standin.callers import Source
-from standin.history import Expectation
+from standin.ends import tasks_not_counted
+from standin.expectation import Expectation
 from standin.records import read_records
 from standin.records import Record
 from standin.records import RunEnded
@@ -27,7 +28,7 @@
 SETTLE_LIMIT_S = 25.0
 POLL_S = 0.25
 ZONE_OUT_S = 8.0
-ENTRY_PAUSE_S = 8.0
+PAUSE_S = 9.0
 LISTED_AS_GONE_AFTER_S = 2.0
 OUTAGE_S = 3.0
 SILENT_S = 3.0
@@ -104,19 +105,20 @@
     _add_entry(stage)
 
 
-def pause_entry_and_kill_rack(stage: Stage) -> None:
-    """Pause an entry for longer than a lease, and kill the smallest rack meanwhile."""
+def pause_and_kill(stage: Stage) -> None:
+    """Pause an entry and a rack for longer than a lease, and kill the smallest rack meanwhile."""
     vm_id = "entry-3"
-    stage.cluster.launcher.pause(vm_id)
-    stage.say(f"paused {vm_id}")
+    paused = (vm_id, stage.cluster.racks[0].name)
+    resume = stage.cluster.pause_processes(paused)
+    stage.say(f"paused {' and '.join(paused)}")
     rack = min(stage.cluster.racks, key=lambda found: found.count)
     stage.cluster.kill_process(rack.name)
     stage.say(f"killed {rack.name} with {rack.count} workers")
     sleep(LISTED_AS_GONE_AFTER_S)
     stage.cluster.list_rack(rack, "gone")
-    sleep(ENTRY_PAUSE_S - LISTED_AS_GONE_AFTER_S)
-    stage.cluster.launcher.resume(vm_id)
-    stage.say(f"resumed {vm_id}")
+    sleep(PAUSE_S - LISTED_AS_GONE_AFTER_S)
+    resume()
+    stage.say(f"resumed {' and '.join(paused)}")
     sleep(QUIET_S)
 
 
@@ -255,13 +257,7 @@
 
 
 def _tasks_left(stage: Stage, expectation: Expectation) -> int:
-    finished = {
-        record.task_id
-        for record in read_records(stage.cluster.record_paths())
-        if isinstance(record, RunEnded) and record.kind == "finished"
-    }
-    done = [expectation.job_of(task_id) for task_id in finished]
-    return sum(max(0, tasks - done.count(job)) for job, tasks in expectation.tasks_by_job.items())
+    return tasks_not_counted(read_records(stage.cluster.record_paths()), expectation)
 
 
 def _wait_until(condition: Callable[[], bool], limit_s: float, complaint: str) -> None:
--- a/standin/platform.py
+++ b/standin/platform.py
@@ -35,7 +35,7 @@
 from standin.vms import MemoryVms
 
 OBJECTS_PREFIX = "/objects/"
-RECORDED_PREFIXES = ("zone/", "configuration")
+RECORDED_PREFIXES = ("zone/", "configuration", "progress/")
 
 
 class Faults(TypedDict, total=False):
--- a/standin/records.py
+++ b/standin/records.py
@@ -49,6 +49,15 @@
     kind: str
 
 
+class EndAcknowledged(NamedTuple):
+    """A worker was told that the end of a run is safely in the ledger."""
+
+    at_s: float
+    worker_id: str
+    task_id: str
+    run: int
+
+
 class Executed(NamedTuple):
     """An upstream began to execute a request, so that it has run whatever comes after."""
 
@@ -59,6 +68,20 @@
     method: str
 
 
+class DrainBegan(NamedTuple):
+    """A replica was told to take no more requests."""
+
+    at_s: float
+    upstream_id: str
+
+
+class RefusedWhileDraining(NamedTuple):
+    """A replica that drains was sent a request, and refused it without running it."""
+
+    at_s: float
+    upstream_id: str
+
+
 class Cut(NamedTuple):
     """A run's end cut ``requests`` exchanges that were in flight at its upstream."""
 
@@ -89,7 +112,7 @@
 
 
 class RowPut(NamedTuple):
-    """The table committed a row of the zones or the configuration; ``value`` is JSON."""
+    """The table committed a row of zones, configuration or progress; ``value`` is JSON."""
 
     at_s: float
     key: str
@@ -108,6 +131,14 @@
     planned: bool
 
 
+class ProcessPaused(NamedTuple):
+    """The launcher paused a process by SIGSTOP and resumed it by SIGCONT."""
+
+    began_s: float
+    ended_s: float
+    name: str
+
+
 class ConfigurationSeen(NamedTuple):
     """A daemon was seen with a version of the configuration in force."""
 
@@ -120,11 +151,15 @@
     WorkerUp
     | RunStarted
     | RunEnded
+    | EndAcknowledged
     | Executed
+    | DrainBegan
+    | RefusedWhileDraining
     | Cut
     | Asked
     | RowPut
     | ProcessStopped
+    | ProcessPaused
     | ConfigurationSeen
 )
 
@@ -134,11 +169,15 @@
         WorkerUp,
         RunStarted,
         RunEnded,
+        EndAcknowledged,
         Executed,
+        DrainBegan,
+        RefusedWhileDraining,
         Cut,
         Asked,
         RowPut,
         ProcessStopped,
+        ProcessPaused,
         ConfigurationSeen,
     )
 }
