--- a/Makefile
+++ b/Makefile
@@ -5,9 +5,9 @@
 SEED ?= 1
 JSON ?=
 READY := $(VENV)/.ready
-SOURCES := laburnumswitch standin scripts spec tests
+SOURCES := laburnumswitch bundle standin scripts spec tests
 
-.PHONY: demo test lint format check-format clean
+.PHONY: binary demo test lint format
 
 $(READY): requirements-dev.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -28,3 +28,6 @@
 format: $(READY)
 	$(BIN)/ruff check --quiet --fix $(SOURCES)
 	$(BIN)/black --quiet $(SOURCES)
+
+binary: $(READY)
+	$(BIN)/python -m bundle.build --output build/laburnumswitch
--- /dev/null
+++ b/bundle/__init__.py
@@ -0,0 +1,1 @@
+"""Builds the one-file program."""
