--- a/laburnumswitch/process/operator.py
+++ b/laburnumswitch/process/operator.py
@@ -152,7 +152,7 @@
     if isinstance(rows, Failure):
         return reject(503, rows.describe())
     for row in rows:
-        if row.get("job") == job_id:
+        if row.get("job_id") == job_id:
             return _reply_rows([row])
     return reject(404, "JobNotFound")
 
--- a/laburnumswitch/process/table.py
+++ b/laburnumswitch/process/table.py
@@ -14,6 +14,7 @@
 from laburnumswitch.exceptions import AnswerMalformed
 from laburnumswitch.exceptions import Conflict
 from laburnumswitch.exceptions import ConnectFailed
+from laburnumswitch.exceptions import Failure
 from laburnumswitch.exceptions import OutcomeUnknown
 from laburnumswitch.exceptions import Refused
 from laburnumswitch.exceptions import Throttled
@@ -21,6 +22,9 @@
 
 ABSENT_VERSION = 0
 SCAN_LIMIT_ROWS = 500
+STATUS_BAD_REQUEST = 400
+STATUS_SERVER_ERROR = 500
+STATUS_UNAVAILABLE = 503
 
 
 class Row(NamedTuple):
@@ -118,7 +122,7 @@
             return Conflict(answer.key, answer.expected_version, answer.version)
         if isinstance(answer, Throttled):
             return answer
-        if isinstance(answer, ConnectFailed | Refused):
+        if _had_no_effect(answer):
             return Unavailable(answer.describe())
         return OutcomeUnknown(answer.describe())
 
@@ -140,6 +144,16 @@
         after = page[-1].key
 
 
+def _had_no_effect(failure: Failure) -> bool:
+    if isinstance(failure, ConnectFailed):
+        return True
+    # Any other status may come from something on the way after the table took the call.
+    return isinstance(failure, Refused) and (
+        failure.status == STATUS_UNAVAILABLE
+        or STATUS_BAD_REQUEST <= failure.status < STATUS_SERVER_ERROR
+    )
+
+
 def _read_failure(
     answer: ConnectFailed | AnswerLost | AnswerMalformed | Refused | Throttled,
 ) -> ReadFailure:
--- a/laburnumswitch/process/zonewatch.py
+++ b/laburnumswitch/process/zonewatch.py
@@ -33,5 +33,5 @@
     known = {zone.name: zone.state for zone in directory.zones()}
     for name, zone in by_name.items():
         if known.get(name, "in") != zone.state:
-            timeline.record("zone-state", name, state=zone.state, version=zone.version)
+            timeline.record("zone_state", name, state=zone.state, version=zone.version)
     directory.hear_zones(ZoneHint(*zone) for zone in by_name.values())
--- a/tests/process/test_admin.py
+++ b/tests/process/test_admin.py
@@ -83,6 +83,12 @@
         answer = decode(client.call("GET", "/operator/workers?local=1").body)
         self.assertThat(answer, Equals({"rows": [{"worker": "w1"}]}))
 
+    def test_one_job_is_found_by_its_id(self):
+        client = self.start_server(self.make_context([{"job_id": "x@1"}, {"job_id": "y@1"}]))
+        answer = decode(client.call("GET", "/operator/jobs/y%401").body)
+        self.assertThat(answer, Equals({"rows": [{"job_id": "y@1"}]}))
+        self.assertThat(client.call("GET", "/operator/jobs/z").status, Equals(404))
+
     def test_list_that_cannot_be_read_says_so(self):
         client = self.start_server(self.make_context(Unavailable("the table is down")))
         self.assertThat(client.call("GET", "/operator/jobs").status, Equals(503))
