--- /dev/null
+++ b/laburnumswitch/exceptions/__init__.py
@@ -0,0 +1,101 @@
+"""Every failure of the scheduler, as tagged outcomes under one root.
+
+A failure is a value: functions return it in place of their result, and callers branch on its type.
+Only the command line turns one into an exit code and a line of text.
+"""
+
+from laburnumswitch.exceptions.files import CyclicOrder
+from laburnumswitch.exceptions.files import DuplicateKey
+from laburnumswitch.exceptions.files import DuplicateName
+from laburnumswitch.exceptions.files import FileProblem
+from laburnumswitch.exceptions.files import FileUnreadable
+from laburnumswitch.exceptions.files import InvalidValue
+from laburnumswitch.exceptions.files import MissingField
+from laburnumswitch.exceptions.files import NotUtf8
+from laburnumswitch.exceptions.files import NotYaml
+from laburnumswitch.exceptions.files import ProblemsFound
+from laburnumswitch.exceptions.files import UnknownField
+from laburnumswitch.exceptions.files import UnknownName
+from laburnumswitch.exceptions.platform import AnswerLost
+from laburnumswitch.exceptions.platform import AnswerMalformed
+from laburnumswitch.exceptions.platform import Conflict
+from laburnumswitch.exceptions.platform import ConnectFailed
+from laburnumswitch.exceptions.platform import FormatUnknown
+from laburnumswitch.exceptions.platform import NotFound
+from laburnumswitch.exceptions.platform import OutcomeUnknown
+from laburnumswitch.exceptions.platform import Refused
+from laburnumswitch.exceptions.platform import RowMalformed
+from laburnumswitch.exceptions.platform import Throttled
+from laburnumswitch.exceptions.platform import Unavailable
+from laburnumswitch.exceptions.requests import AnswerNotKept
+from laburnumswitch.exceptions.requests import CallerRefused
+from laburnumswitch.exceptions.requests import ClaimInProgress
+from laburnumswitch.exceptions.requests import ConnectionLimit
+from laburnumswitch.exceptions.requests import FirstByteLate
+from laburnumswitch.exceptions.requests import KeyReused
+from laburnumswitch.exceptions.requests import NotRun
+from laburnumswitch.exceptions.requests import ReportUnreadable
+from laburnumswitch.exceptions.requests import RunUnknown
+from laburnumswitch.exceptions.root import Failure
+from laburnumswitch.exceptions.scheduling import ConfigurationChanged
+from laburnumswitch.exceptions.scheduling import DependencyPending
+from laburnumswitch.exceptions.scheduling import DocumentBroken
+from laburnumswitch.exceptions.scheduling import JobTooLarge
+from laburnumswitch.exceptions.scheduling import JournalBroken
+from laburnumswitch.exceptions.scheduling import LedgerConflict
+from laburnumswitch.exceptions.scheduling import OwnershipLost
+from laburnumswitch.exceptions.scheduling import QuotaTooSmall
+from laburnumswitch.exceptions.scheduling import RemovalsRefused
+from laburnumswitch.exceptions.scheduling import ScheduleInvalid
+from laburnumswitch.exceptions.scheduling import UnknownZone
+from laburnumswitch.exceptions.scheduling import ZoneChanged
+from laburnumswitch.exceptions.scheduling import ZoneStillBusy
+
+__all__ = [
+    "AnswerLost",
+    "AnswerMalformed",
+    "AnswerNotKept",
+    "CallerRefused",
+    "ClaimInProgress",
+    "ConfigurationChanged",
+    "Conflict",
+    "ConnectFailed",
+    "ConnectionLimit",
+    "CyclicOrder",
+    "DependencyPending",
+    "DocumentBroken",
+    "DuplicateKey",
+    "DuplicateName",
+    "Failure",
+    "FileProblem",
+    "FileUnreadable",
+    "FirstByteLate",
+    "FormatUnknown",
+    "InvalidValue",
+    "JobTooLarge",
+    "JournalBroken",
+    "KeyReused",
+    "LedgerConflict",
+    "MissingField",
+    "NotFound",
+    "NotRun",
+    "NotUtf8",
+    "NotYaml",
+    "OutcomeUnknown",
+    "OwnershipLost",
+    "ProblemsFound",
+    "QuotaTooSmall",
+    "Refused",
+    "RemovalsRefused",
+    "ReportUnreadable",
+    "RowMalformed",
+    "RunUnknown",
+    "ScheduleInvalid",
+    "Throttled",
+    "Unavailable",
+    "UnknownField",
+    "UnknownName",
+    "UnknownZone",
+    "ZoneChanged",
+    "ZoneStillBusy",
+]
--- /dev/null
+++ b/tests/test_exceptions.py
@@ -0,0 +1,31 @@
+"""Every failure of the package stands under one root and can be imported from one place."""
+
+from pkgutil import iter_modules
+
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from laburnumswitch import exceptions
+
+
+def subclasses(failure):
+    for below in failure.__subclasses__():
+        yield below
+        yield from subclasses(below)
+
+
+class TestExceptions(TestCase):
+    def test_the_package_exports_every_failure(self):
+        defined = {
+            name
+            for module in iter_modules(exceptions.__path__)
+            for name, value in vars(
+                __import__(f"{exceptions.__name__}.{module.name}", fromlist=["_"])
+            ).items()
+            if isinstance(value, type) and value.__module__.startswith(exceptions.__name__)
+        }
+        self.assertThat(set(exceptions.__all__), Equals(defined))
+
+    def test_every_failure_stands_under_the_root(self):
+        failures = {failure.__name__ for failure in subclasses(exceptions.Failure)}
+        self.assertThat({*exceptions.__all__} - failures, Equals({"Failure"}))
