Index the stored events of the time line so that they can be found again

The spill wrote objects that nothing listed. An event counts as lost only if it was dropped before it was stored, and a stopping entry stores its last events.

--- a/laburnumswitch/entry.py
+++ b/laburnumswitch/entry.py
@@ -46,7 +46,7 @@
 from laburnumswitch.process.roster import run_roster
 from laburnumswitch.process.scheduler import Scheduler
 from laburnumswitch.process.settings import Settings
-from laburnumswitch.process.spill import run_spill
+from laburnumswitch.process.spill import Spill
 from laburnumswitch.process.status import make_health_handler
 from laburnumswitch.process.status import make_metrics_handler
 from laburnumswitch.process.status import make_peer_handler
@@ -69,6 +69,7 @@
 EVENT_LOOP = "libev-cext"
 UPSTREAM_REFRESH_S = 0.1
 LAYOUT_RETRY_S = 1.0
+LAST_SPILL_LIMIT_S = 2.0
 
 
 class Daemon:
@@ -298,14 +299,8 @@
         )
         watch = (self.directory, self.table, self.timeline, sleep, self.stopped.is_set)
         spawn(run_zone_watch, *watch)
-        spawn(
-            run_spill,
-            self.timeline,
-            self.objects,
-            f"{self.settings.vm_id}-{self.boot}",
-            self.stopped.wait,
-            self.stopped.is_set,
-        )
+        spill = Spill(self.timeline, self.objects, self.table, self.settings.vm_id, self.boot, time)
+        self.spill_task = spawn(spill.run, self.stopped.wait, self.stopped.is_set)
         spawn(self._run_scheduler)
         logging.info("event=started boot=%s", self.boot)
 
@@ -318,6 +313,7 @@
         if self.scheduler is not None:
             self.scheduler.drain(limits.drain_limit)
         self.stopped.set()
+        self.spill_task.join(LAST_SPILL_LIMIT_S)
         logging.info("event=stopped drained=%s", str(drained).lower())
 
     def _run_scheduler(self) -> None:
--- a/laburnumswitch/process/timeline.py
+++ b/laburnumswitch/process/timeline.py
@@ -23,7 +23,11 @@
 
 
 class Timeline:
-    """Bounded memory of events; what overflows before it is read is counted as lost."""
+    """Bounded memory of events.
+
+    ``stored`` is the clock up to which the events are in the object store. What overflows before
+    it is stored is counted as lost.
+    """
 
     def __init__(
         self,
@@ -35,6 +39,7 @@
     ) -> None:
         self.lost = 0
         self.clock = 0
+        self.stored = 0
         self._process = process
         self._availability_zone = availability_zone
         self._wall_clock = wall_clock
@@ -45,7 +50,8 @@
         """Append one event."""
         self.clock += 1
         self._count_event(kind)
-        if len(self._events) == self._events.maxlen:
+        is_full = len(self._events) == self._events.maxlen
+        if is_full and self._events[0].clock > self.stored:
             self.lost += 1
         self._events.append(
             Event(
--- a/tests/memory.py
+++ b/tests/memory.py
@@ -30,6 +30,12 @@
             return Unavailable("the object store is down")
         return self.by_name.get(name, NotFound(name))
 
+    def remove(self, name):
+        if self.down:
+            return Unavailable("the object store is down")
+        self.by_name.pop(name, None)
+        return Stored()
+
 
 class MemoryEntry:
     """The operators' endpoints of one entry: ``answers`` by path, failures included."""
