--- a/laburnumswitch/connection/caller.py
+++ b/laburnumswitch/connection/caller.py
@@ -139,7 +139,7 @@
         try:
             self.socket.settimeout(self.server.limits.send_s)
             if bodiless:
-                self.socket.sendall(encoded)
+                self._send_whole(encoded)
                 return True if keep_alive else None
             if not self._send_body(encoded, answer, chunked):
                 return None
@@ -148,7 +148,7 @@
         return True if keep_alive else None
 
     def _send_body(self, encoded: bytes, answer: CallerAnswer, chunked: bool) -> bool:
-        send = self.socket.sendall
+        send = self._send_whole
         if not chunked:
             send(encoded + answer.body)
             return answer.stream is None or answer.stream(send)
@@ -164,6 +164,12 @@
         send(b"0\r\n\r\n")
         return True
 
+    def _send_whole(self, data: bytes) -> None:
+        # Nearly always one call sends everything, and spares what sendall asks of the socket first.
+        sent = self.socket.send(data)
+        if sent < len(data):
+            self.socket.sendall(memoryview(data)[sent:])
+
     def _refuse(self, refused: CallerRefused) -> None:
         body = refused.reason.encode() + b"\n"
         headers = ((OUTCOME_HEADER, "not-run"), ("Content-Type", "text/plain"))
--- a/laburnumswitch/request/forward.py
+++ b/laburnumswitch/request/forward.py
@@ -26,6 +26,7 @@
 from laburnumswitch.request.delivery import Delivery
 from laburnumswitch.request.delivery import DeliveryTerms
 from laburnumswitch.request.headers import REQUEST_ID_HEADER
+from laburnumswitch.request.headers import REQUEST_ID_NAME
 from laburnumswitch.request.headers import returned_headers
 from laburnumswitch.request.keyed import deliver_once
 
@@ -214,7 +215,7 @@
 
 
 def _request_id(request: CallerRequest, vm_id: str, numbers: Iterator[int]) -> str:
-    values = request.head.values(REQUEST_ID_HEADER.lower())
+    values = request.head.values(REQUEST_ID_NAME)
     if len(values) == 1 and _REQUEST_ID.fullmatch(values[0]):
         return values[0]
     return f"{vm_id}-{next(numbers)}"
--- a/laburnumswitch/request/headers.py
+++ b/laburnumswitch/request/headers.py
@@ -5,6 +5,7 @@
 Headers = tuple[tuple[str, str], ...]
 
 REQUEST_ID_HEADER = "X-Request-Id"
+REQUEST_ID_NAME = "x-request-id"
 OUTCOME_HEADER = "Laburnumswitch-Outcome"
 HOP_BY_HOP = frozenset(
     (
