Keep batch work off services by expected slowdown, and throttle only as much as is needed

Done: a room beside a service takes a class only while the expected slowdown stays below a limit; throttles cover the worst runs that are expected to give the wanted reduction, and are lifted in steps; shares count throttles.

--- a/laburnumswitch/process/placement.py
+++ b/laburnumswitch/process/placement.py
@@ -7,6 +7,8 @@
 from bisect import bisect_left
 from bisect import insort
 from collections import Counter
+from collections.abc import Callable
+from collections.abc import Iterable
 from random import Random
 
 from msgspec import field
@@ -19,7 +21,7 @@
 TIGHT_CANDIDATES = 8
 RANDOM_CANDIDATES = 8
 SCAN_ALL_LIMIT = 24
-HEADROOM_FRACTION = 0.08
+MAX_SERVICE_SLOWDOWN = 1.2
 FIT_WEIGHT = 1.0
 SLOWDOWN_WEIGHT = 3.0
 BATCH_SLOWDOWN_WEIGHT = 0.5
@@ -59,6 +61,10 @@
         }
 
 
+def _suits_always(room: Room) -> bool:
+    return True
+
+
 class RoomIndex:
     """Rooms by worker number, ordered by free processors."""
 
@@ -96,15 +102,21 @@
             self.replicas_by_zone[work.service, room.availability_zone] += 1
             self.replicas_by_rack[work.service, room.rack] += 1
 
-    def candidates(self, work: Work, avoid: frozenset[str], random: Random) -> list[Room]:
-        """Return up to a bounded number of rooms that fit; empty only where none fits."""
+    def candidates(
+        self,
+        work: Work,
+        avoid: frozenset[str],
+        random: Random,
+        suits: Callable[[Room], bool] = _suits_always,
+    ) -> list[Room]:
+        """Return up to a bounded number of rooms that fit and suit; empty only where none does."""
         start = bisect_left(self._by_cpu, (work.size.cpu_millis, -1))
         count = len(self._by_cpu) - start
         if count <= SCAN_ALL_LIMIT:
-            return self._fitting(work, avoid, range(start, start + count), count)
-        tight = self._fitting(work, avoid, range(start, start + count), TIGHT_CANDIDATES)
+            return self._fitting(work, avoid, suits, range(start, start + count), count)
+        tight = self._fitting(work, avoid, suits, range(start, start + count), TIGHT_CANDIDATES)
         picks = [start + int(random.random() * count) for _ in range(RANDOM_CANDIDATES)]
-        others = self._fitting(work, avoid, picks, RANDOM_CANDIDATES)
+        others = self._fitting(work, avoid, suits, picks, RANDOM_CANDIDATES)
         return tight + [room for room in others if room not in tight]
 
     def largest_free(self) -> Size:
@@ -120,11 +132,24 @@
             total = total.plus(room.free)
         return total
 
-    def _fitting(self, work: Work, avoid: frozenset[str], positions, limit: int) -> list[Room]:
+    def has_room(self, size: Size) -> bool:
+        """Return whether some room is large enough, whatever it is kept for."""
+        start = bisect_left(self._by_cpu, (size.cpu_millis, -1))
+        rooms = (self.room_by_number[number] for _, number in self._by_cpu[start:])
+        return any(size.fits(room.free) for room in rooms)
+
+    def _fitting(
+        self,
+        work: Work,
+        avoid: frozenset[str],
+        suits: Callable[[Room], bool],
+        positions: Iterable[int],
+        limit: int,
+    ) -> list[Room]:
         found: list[Room] = []
         for position in positions:
             room = self.room_by_number[self._by_cpu[position][1]]
-            if room.worker_id in avoid or not fits(work, room):
+            if room.worker_id in avoid or not fits(work, room) or not suits(room):
                 continue
             found.append(room)
             if len(found) >= limit:
@@ -141,19 +166,14 @@
 
 
 def fits(work: Work, room: Room) -> bool:
-    """Return whether a task fits; batch work leaves headroom beside services."""
+    """Return whether a task fits by size and by what the room is kept for."""
     if not work.size.fits(room.free) or (room.single and room.millis_by_class):
         return False
     if work.service:
         return True
     if work.name in room.paused_classes:
         return False
-    if room.reserved_for and room.reserved_for != work.job_id:
-        return False
-    if not room.services:
-        return True
-    headroom = int(room.capacity.cpu_millis * HEADROOM_FRACTION)
-    return work.size.cpu_millis + headroom <= room.free.cpu_millis
+    return room.reserved_for in ("", work.job_id)
 
 
 def choose_room(
@@ -167,12 +187,34 @@
 
     :param avoid: ids of workers that this task is not to run on.
     """
-    rooms = index.candidates(work, avoid, random)
-    if not rooms:
-        return None
     if work.service:
-        return min(rooms, key=lambda room: _score_service(index, work, room, interference))
-    return min(rooms, key=lambda room: _score_batch(work, room, interference))
+        rooms = index.candidates(work, avoid, random)
+        return min(
+            rooms,
+            key=lambda room: _score_service(index, work, room, interference),
+            default=None,
+        )
+    rooms = index.candidates(
+        work, avoid, random, lambda room: _spares_services(work, room, interference)
+    )
+    return min(rooms, key=lambda room: _score_batch(work, room, interference), default=None)
+
+
+def _spares_services(work: Work, room: Room, interference: Interference) -> bool:
+    """Return whether no service beside the task is expected to be slowed too much.
+
+    This is the headroom of services: less for classes that are known to be quiet.
+    """
+    if not room.services:
+        return True
+    shares = room.share_by_class()
+    share = work.size.cpu_millis / max(1, room.capacity.cpu_millis)
+    shares[work.name] = shares.get(work.name, 0.0) + share
+    for service in room.services:
+        others = {name: part for name, part in shares.items() if name != service}
+        if interference.slowdown(service, others) > MAX_SERVICE_SLOWDOWN:
+            return False
+    return True
 
 
 def _score_batch(work: Work, room: Room, interference: Interference) -> float:
@@ -182,6 +224,7 @@
         added += interference.coefficient(service, work.name) * share
     score = FIT_WEIGHT * _leftover(work.size, room) + SLOWDOWN_WEIGHT * added
     score += BATCH_SLOWDOWN_WEIGHT * _own_slowdown(work, room, interference)
+    score += BATCH_SLOWDOWN_WEIGHT * _caused_slowdown(work, room, interference)
     if not work.size.accelerators and room.free.accelerators:
         score += ACCELERATOR_WEIGHT
     return score
@@ -204,6 +247,14 @@
     return slowdown
 
 
+def _caused_slowdown(work: Work, room: Room, interference: Interference) -> float:
+    """Return the slowdown caused to each class beside the task, weighted by its share."""
+    slowdown = 0.0
+    for name, millis in room.millis_by_class.items():
+        slowdown += interference.coefficient(name, work.name) * millis
+    return slowdown / max(1, room.capacity.cpu_millis)
+
+
 def _leftover(size: Size, room: Room) -> float:
     cpu = (room.free.cpu_millis - size.cpu_millis) / max(1, room.capacity.cpu_millis)
     memory = (room.free.memory_mb - size.memory_mb) / max(1, room.capacity.memory_mb)
--- a/laburnumswitch/process/plan.py
+++ b/laburnumswitch/process/plan.py
@@ -66,7 +66,8 @@
         self._queue = queue
         self._now_s = now_s
         self._tasks: dict[tuple[int, int], list[Again]] = {}
-        self._hopeless: list[tuple[bool, Size]] = []
+        self._hopeless: list[Size] = []
+        self._hopeless_classes: set[tuple[str, Size]] = set()
 
     def is_full(self) -> bool:
         return self.count >= STARTS_PER_BATCH
@@ -85,7 +86,7 @@
         if room is None and avoid:
             room = queue.choose(queue.index, work, queue.interference, queue.random, NOWHERE)
         if room is None:
-            self._hopeless.append((bool(work.service), work.size))
+            self._note_hopeless(work)
             self.without_room.append(group.number)
             return False
         queue.index.take(room.number, work)
@@ -118,10 +119,16 @@
     def _is_hopeless(self, work: Work) -> bool:
         if work.job_id == self._queue.reserved_job:
             return False
-        return any(
-            service == bool(work.service) and size.fits(work.size)
-            for service, size in self._hopeless
-        )
+        if (work.name, work.size) in self._hopeless_classes:
+            return True
+        return any(size.fits(work.size) for size in self._hopeless)
+
+    def _note_hopeless(self, work: Work) -> None:
+        # Room may be left that only this class is kept from.
+        if self._queue.index.has_room(work.size):
+            self._hopeless_classes.add((work.name, work.size))
+        else:
+            self._hopeless.append(work.size)
 
 
 def plan_starts(batch: BatchBuilder, ledger: Ledger, queue: Queue, now_s: float) -> Plan:
--- a/laburnumswitch/process/policy.py
+++ b/laburnumswitch/process/policy.py
@@ -259,15 +259,26 @@
         return room
 
     def _learn(self, worker: Worker, state: WorkerState) -> None:
-        room = self.index.room_by_number.get(worker.number)
+        share_by_key = {key: self._share(worker, state, key) for key in worker.runs}
+        share_by_class: dict[str, float] = {}
+        for key, share in share_by_key.items():
+            name = self._ledger.group_by_number[key.group].work.name
+            share_by_class[name] = share_by_class.get(name, 0.0) + share
         for key, usage in state.usage_by_key.items():
-            group = self._ledger.group_by_number.get(key.group)
-            if group is None or key.index not in group.running:
+            if key not in share_by_key:
                 continue
-            self._learned.profiles.observe_usage(group.work, usage.cpu_millis, usage.memory_mb)
-            if room is not None and usage.slowdown >= 1.0:
-                shares = room.share_by_class(except_for=group.work.name)
-                self._learned.interference.observe(group.work.name, usage.slowdown, shares)
+            work = self._ledger.group_by_number[key.group].work
+            self._learned.profiles.observe_usage(work, usage.cpu_millis, usage.memory_mb)
+            if len(share_by_key) < 2:
+                continue
+            beside = dict(share_by_class)
+            beside[work.name] -= share_by_key[key]
+            self._learned.interference.observe(work.name, usage.slowdown, beside)
+
+    def _share(self, worker: Worker, state: WorkerState, key: TaskKey) -> float:
+        millis = self._ledger.group_by_number[key.group].work.size.cpu_millis
+        percent = state.percent_by_key.get(key, 100)
+        return millis / max(1, worker.capacity.cpu_millis) * percent / 100
 
     def _relieve(self, worker: Worker, state: WorkerState) -> None:
         now_s = self._context.clock()
--- a/laburnumswitch/process/relief.py
+++ b/laburnumswitch/process/relief.py
@@ -5,7 +5,6 @@
 back are slower than steps forward, and evictions have a budget. Standing work is never evicted.
 """
 
-from collections.abc import Callable
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -14,17 +13,19 @@
 
 from laburnumswitch.process.interference import Interference
 
-HIGH_SLOWDOWN = 1.25
-LOW_SLOWDOWN = 1.10
+HIGH_SLOWDOWN = 1.3
+LOW_SLOWDOWN = 1.25
+TARGET_SLOWDOWN = 1.25
 SMOOTHING = 0.4
-STEP_S = 3.0
-LIFT_S = 10.0
+STEP_S = 4.0
+LIFT_S = 6.0
+LIFT_FACTOR = 0.5
+LEAST_REDUCTION = 0.02
 EVICT_AFTER_S = 8.0
 EVICTION_EVERY_S = 10.0
 MAX_EVICTIONS_SAVED = 3.0
 PAUSE_S = 60.0
-THROTTLE_STEPS = (100, 60, 30)
-CULPRIT_FRACTION = 0.7
+THROTTLE_PERCENT = 40
 
 
 class Neighbour(NamedTuple):
@@ -48,17 +49,16 @@
 
 
 class _WorkerRelief(Struct):
+    # ``reduction`` is by how much throttles are meant to lower the slowdown now.
     slowdown: float = 1.0
-    step: int = 0
+    reduction: float = 0.0
+    is_exhausted: bool = False
     changed_s: float = float("-inf")
     high_since_s: float | None = None
     low_since_s: float | None = None
     paused_until_by_class: dict[str, float] = field(default_factory=dict)
 
 
-Relieve = Callable[[str, Iterable[Neighbour], float], ReliefOrders]
-
-
 class Relief:
     """Steps by worker, and the eviction budget of one shard."""
 
@@ -94,21 +94,16 @@
         state = self._by_worker.setdefault(worker_id, _WorkerRelief())
         worst = max(item.slowdown for item in services)
         state.slowdown += SMOOTHING * (worst - state.slowdown)
-        self._move_step(state, now_s)
+        self._change_reduction(state, now_s)
         evictions = self._evict(state, services, batch, now_s)
-        percent = THROTTLE_STEPS[state.step]
-        culprits = self._culprits(services, batch) if state.step else frozenset()
-        return ReliefOrders(
-            {item.key: percent if item.class_name in culprits else 100 for item in batch},
-            evictions,
-        )
+        return ReliefOrders(self._throttle(state, services, batch), evictions)
 
-    def _move_step(self, state: _WorkerRelief, now_s: float) -> None:
+    def _change_reduction(self, state: _WorkerRelief, now_s: float) -> None:
         if state.slowdown > HIGH_SLOWDOWN:
             state.low_since_s = None
             state.high_since_s = now_s if state.high_since_s is None else state.high_since_s
-            if now_s - state.changed_s >= STEP_S and state.step < len(THROTTLE_STEPS) - 1:
-                state.step += 1
+            if now_s - state.changed_s >= STEP_S:
+                state.reduction += state.slowdown - TARGET_SLOWDOWN
                 state.changed_s = now_s
             return
         state.high_since_s = None
@@ -116,10 +111,27 @@
             state.low_since_s = None
             return
         state.low_since_s = now_s if state.low_since_s is None else state.low_since_s
-        if state.step and now_s - max(state.low_since_s, state.changed_s) >= LIFT_S:
-            state.step -= 1
+        if now_s - max(state.low_since_s, state.changed_s) >= LIFT_S:
+            state.reduction *= LIFT_FACTOR
+            if state.reduction < LEAST_REDUCTION:
+                state.reduction = 0.0
             state.changed_s = now_s
 
+    def _throttle(
+        self, state: _WorkerRelief, services: list[Neighbour], batch: list[Neighbour]
+    ) -> dict[object, int]:
+        """Throttle as few runs as are expected to give the wanted reduction, worst first."""
+        percent_by_key = {item.key: 100 for item in batch}
+        reduced = 0.0
+        blamed = sorted(batch, key=lambda item: (-self._blame(services, item), item.started_s))
+        for item in blamed:
+            if reduced >= state.reduction:
+                break
+            percent_by_key[item.key] = THROTTLE_PERCENT
+            reduced += self._blame(services, item) * (1 - THROTTLE_PERCENT / 100)
+        state.is_exhausted = reduced < state.reduction
+        return percent_by_key
+
     def _evict(
         self,
         state: _WorkerRelief,
@@ -127,17 +139,18 @@
         batch: list[Neighbour],
         now_s: float,
     ) -> tuple[object, ...]:
-        fully_throttled = state.step == len(THROTTLE_STEPS) - 1
-        if not fully_throttled or state.high_since_s is None:
+        if not state.is_exhausted or state.high_since_s is None:
             return ()
-        if now_s - max(state.high_since_s, state.changed_s) < EVICT_AFTER_S:
+        if now_s - state.high_since_s < EVICT_AFTER_S:
             return ()
         evictable = [item for item in batch if not item.is_standing and item.is_checkpointable]
         if not evictable or not self._spend(now_s):
             return ()
         worst = max(evictable, key=lambda item: (self._blame(services, item), item.started_s))
         state.paused_until_by_class[worst.class_name] = now_s + PAUSE_S
-        state.changed_s = now_s
+        # What was evicted no longer has to be throttled, and its effect is waited for.
+        state.reduction = max(0.0, state.reduction - self._blame(services, worst))
+        state.high_since_s = now_s
         return (worst.key,)
 
     def _spend(self, now_s: float) -> bool:
@@ -149,22 +162,6 @@
         self._saved_evictions -= 1.0
         return True
 
-    def _culprits(self, services: list[Neighbour], batch: list[Neighbour]) -> frozenset[str]:
-        # The classes that together explain most of the slowdown, worst first.
-        blame_by_class: dict[str, float] = {}
-        for item in batch:
-            blame = self._blame(services, item)
-            blame_by_class[item.class_name] = blame_by_class.get(item.class_name, 0.0) + blame
-        total = sum(blame_by_class.values())
-        culprits = set()
-        explained = 0.0
-        for name in sorted(blame_by_class, key=blame_by_class.get, reverse=True):
-            culprits.add(name)
-            explained += blame_by_class[name]
-            if explained >= CULPRIT_FRACTION * total:
-                break
-        return frozenset(culprits)
-
     def _blame(self, services: list[Neighbour], item: Neighbour) -> float:
         return max(
             self._interference.coefficient(service.class_name, item.class_name) * item.share
--- /dev/null
+++ b/scripts/interference_model.py
@@ -0,0 +1,200 @@
+"""A small model of interference on a few workers, to compare policies of one shard."""
+
+from random import Random
+from typing import NamedTuple
+
+from laburnumswitch.process.class_profile import ClassProfiles
+from laburnumswitch.process.head import read_head
+from laburnumswitch.process.inbox import Chunk
+from laburnumswitch.process.inbox import inbox_put
+from laburnumswitch.process.interference import Interference
+from laburnumswitch.process.ledger import Ledger
+from laburnumswitch.process.ownership import take_over
+from laburnumswitch.process.policy import Learned
+from laburnumswitch.process.policy import Policies
+from laburnumswitch.process.shard import Ownership
+from laburnumswitch.process.shard import Shard
+from laburnumswitch.process.shared_rows import SharedRows
+from laburnumswitch.process.table import Put
+from laburnumswitch.process.table import Transaction
+from laburnumswitch.process.work import Work
+from laburnumswitch.process.work import write_work
+from laburnumswitch.process.workers import Usage
+from laburnumswitch.size import Size
+from standin.table import MemoryTable
+from tests.fakes import FakeClock
+from tests.fakes import FakeWorker
+from tests.fakes import FakeWorkers
+from tests.fakes import make_context
+from tests.fakes import make_vm
+
+WORKERS = 24
+CAPACITY = Size(16_000, 60_000)
+REPLICAS = 12
+SERVICE = Size(4_000, 8_000)
+TASK = Size(2_000, 4_000)
+CLASSES = ("noisy", "middling", "quiet")
+COEFFICIENTS = {"noisy": 3.0, "middling": 1.0, "quiet": 0.2, "orders": 0.1}
+TASKS_PER_WAVE = 90
+WAVE_S = 20.0
+RUN_S = 30.0
+STEP_S = 0.25
+DURATION_S = 240.0
+WARM_UP_S = 30.0
+USAGE_LAG_S = 3.0
+
+
+class ModelResult(NamedTuple):
+    """Slowdown of the replicas over time, batch work done and what was evicted."""
+
+    slowdown_p50: float
+    slowdown_p99: float
+    batch_core_seconds: float
+    finished: int
+    evictions: int
+    standing_evictions: int
+
+
+class Model:
+    """Workers whose runs slow each other by hidden coefficients, reported with a lag."""
+
+    def __init__(self, policies: Policies, seed: int) -> None:
+        self.random = Random(seed)
+        self.clock = FakeClock()
+        self.table = MemoryTable(clock=self.clock)
+        self.workers = FakeWorkers(self.clock)
+        vms = tuple(make_vm(n, "abc"[n % 3], f"r{n // 8}", CAPACITY) for n in range(WORKERS))
+        for vm in vms:
+            self.workers.add(vm)
+        context = make_context(self.table, self.clock, self.workers, vms, random=Random(seed + 1))
+        head = take_over(self.table, read_head(self.table, 0), "e1")
+        self.shared = SharedRows(self.table)
+        learned = Learned(Interference(), ClassProfiles())
+        now_s = self.clock()
+        self.shard = Shard(
+            context, self.shared, Ownership(head, Ledger(), now_s, now_s), learned, policies
+        )
+        self.coefficient_by_pair = self._draw_coefficients()
+        self.left_s_by_task: dict[str, float] = {}
+        self.slowdowns: list[float] = []
+        self.core_seconds = 0.0
+        self.lagging: list[tuple[float, FakeWorker, tuple[Usage, ...]]] = []
+        self.waves = 0
+        self._submit_services()
+
+    def run(self) -> ModelResult:
+        """Let the whole time pass and return the measures."""
+        end_s = self.clock() + DURATION_S
+        warm_s = self.clock() + WARM_UP_S
+        next_wave_s = self.clock()
+        while self.clock() < end_s:
+            if self.clock() >= next_wave_s:
+                next_wave_s += WAVE_S
+                self._submit_wave()
+            self._step(measured=self.clock() >= warm_s)
+        history = self.workers.history
+        evicted = [entry for entry in history if entry[1] in ("evicted", "killed")]
+        slowdowns = sorted(self.slowdowns)
+        return ModelResult(
+            slowdowns[len(slowdowns) // 2],
+            slowdowns[int(len(slowdowns) * 0.99)],
+            self.core_seconds,
+            sum(entry[1] == "finished" for entry in history),
+            len(evicted),
+            sum(entry[3].startswith("orders") for entry in evicted),
+        )
+
+    def _draw_coefficients(self) -> dict[tuple[str, str], float]:
+        return {
+            (victim, aggressor): base * self.random.uniform(0.5, 1.5)
+            for victim in ("orders", *CLASSES)
+            for aggressor, base in COEFFICIENTS.items()
+        }
+
+    def _submit(self, work: Work, count: int) -> None:
+        put = inbox_put(0, work.job_id, Chunk(write_work(work), 0, count))
+        self.table.commit(Transaction((), (put,)))
+
+    def _submit_services(self) -> None:
+        handed = [{"job_id": "orders@r1", "indexes": list(range(REPLICAS))}]
+        self.table.commit(Transaction((), (Put("service/orders", {"handed": handed}),)))
+        work = Work(
+            job_id="orders@r1",
+            name="orders",
+            team="shop",
+            command=("orders",),
+            size=SERVICE,
+            service="orders",
+            standing=True,
+        )
+        self._submit(work, REPLICAS)
+
+    def _submit_wave(self) -> None:
+        self.waves += 1
+        noisy = TASKS_PER_WAVE // 2 if self.waves % 3 == 0 else TASKS_PER_WAVE // 6
+        counts = (noisy, TASKS_PER_WAVE // 3, TASKS_PER_WAVE // 3)
+        for name, count in zip(CLASSES, counts, strict=True):
+            work = Work(
+                job_id=f"{name}@{self.waves}",
+                name=name,
+                team="batch",
+                command=(name,),
+                size=TASK,
+                run_time_s=RUN_S,
+                checkpointable=True,
+            )
+            self._submit(work, count)
+
+    def _step(self, measured: bool) -> None:
+        self.clock.sleep(STEP_S)
+        self.workers.expire()
+        for worker in self.workers.by_id.values():
+            self._progress(worker, measured)
+        now_s = self.clock()
+        while self.lagging and self.lagging[0][0] <= now_s:
+            _, worker, usage = self.lagging.pop(0)
+            worker.usage = usage
+        self.shared.refresh(now_s)
+        if int(now_s / STEP_S) % 4 == 0:
+            for address in self.shard.workers.addresses():
+                self.shard.workers.exchange(address)
+        else:
+            self._send_starts()
+        while self.shard.turn():
+            pass
+
+    def _send_starts(self) -> None:
+        for address, state in self.shard.workers.state_by_worker_id.items():
+            if state.unconfirmed:
+                self.shard.workers.exchange(address)
+
+    def _progress(self, worker: FakeWorker, measured: bool) -> None:
+        usage = []
+        for task_id, start in tuple(worker.run_by_task.items()):
+            slowdown = self._slowdown(worker, task_id)
+            usage.append(Usage(task_id, start.size.cpu_millis, start.size.memory_mb, slowdown))
+            if start.service:
+                if measured:
+                    self.slowdowns.append(slowdown)
+                continue
+            rate = worker.percent_by_task.get(task_id, 100) / 100 / slowdown
+            if measured:
+                self.core_seconds += STEP_S * rate * start.size.cpu_millis / 1_000
+            left_s = self.left_s_by_task.get(task_id, self.random.uniform(0.5, 1.5) * RUN_S)
+            left_s -= STEP_S * rate
+            self.left_s_by_task[task_id] = left_s
+            if left_s <= 0.0:
+                worker.end(task_id)
+        self.lagging.append((self.clock() + USAGE_LAG_S, worker, tuple(usage)))
+
+    def _slowdown(self, worker: FakeWorker, victim: str) -> float:
+        name = victim.partition("@")[0]
+        slowdown = 1.0
+        for task_id, start in worker.run_by_task.items():
+            if task_id == victim:
+                continue
+            share = start.size.cpu_millis / CAPACITY.cpu_millis
+            percent = worker.percent_by_task.get(task_id, 100)
+            pair = (name, task_id.partition("@")[0])
+            slowdown += self.coefficient_by_pair[pair] * share * percent / 100
+        return slowdown
--- /dev/null
+++ b/scripts/measured_ledger.py
@@ -0,0 +1,212 @@
+"""Slopes of one ledger: memory, placement, replay, snapshot and record sizes."""
+
+from gc import collect
+from random import Random
+from statistics import median
+from time import perf_counter
+from tracemalloc import get_traced_memory
+from tracemalloc import start as start_tracing
+from tracemalloc import stop as stop_tracing
+from typing import NamedTuple
+
+from msgspec.json import decode
+from msgspec.json import encode
+
+from laburnumswitch.process.interference import Interference
+from laburnumswitch.process.ledger import Ledger
+from laburnumswitch.process.placement import choose_room
+from laburnumswitch.process.placement import Room
+from laburnumswitch.process.placement import RoomIndex
+from laburnumswitch.process.plan import Choose
+from laburnumswitch.process.records import ChunkTaken
+from laburnumswitch.process.records import Ended
+from laburnumswitch.process.records import How
+from laburnumswitch.process.records import JournalRow
+from laburnumswitch.process.records import read_journal_row
+from laburnumswitch.process.records import Record
+from laburnumswitch.process.records import Started
+from laburnumswitch.process.records import WorkerSeen
+from laburnumswitch.process.snapshot import decode_ledger
+from laburnumswitch.process.snapshot import encode_ledger
+from laburnumswitch.process.work import Work
+from laburnumswitch.process.work import write_work
+from laburnumswitch.size import Size
+from standin.placement import choose_first_fit
+
+CAPACITY = Size(64_000, 250_000)
+TASK = Size(2_300, 9_000)
+TASKS_PER_JOB = 500
+STARTS_PER_ROW = 100
+DECISIONS = 2_000
+
+
+class LedgerSlope(NamedTuple):
+    """Measurements at one size; times in the units of their names."""
+
+    workers: int
+    tasks: int
+    bytes_per_worker: float
+    bytes_per_task: float
+    placement_us: float
+    placement_p99_us: float
+    first_fit_us: float
+    replay_records_per_s: float
+    replay_ms: float
+    snapshot_bytes: int
+    snapshot_encode_ms: float
+    snapshot_load_ms: float
+    start_record_bytes: float
+    end_record_bytes: float
+
+
+def measure_ledger(workers: int, tasks: int, seed: int) -> LedgerSlope:
+    """Build a ledger of ``workers`` that run ``tasks`` and measure it."""
+    seen = [_seen(number) for number in range(workers)]
+    work_rows = _work_rows(tasks, workers, Random(seed))
+    worker_bytes, task_bytes = _memory(seen, work_rows)
+    rows = [encode(row) for row in _journal_rows((*seen, *work_rows))]
+    started_s = perf_counter()
+    ledger = _replay(rows)
+    replay_s = perf_counter() - started_s
+    started_s = perf_counter()
+    snapshot = encode_ledger(ledger)
+    encode_s = perf_counter() - started_s
+    started_s = perf_counter()
+    decode_ledger("snapshot", snapshot)
+    load_s = perf_counter() - started_s
+    times = _placement_times(ledger, choose_room, Random(seed))
+    blind = _placement_times(ledger, choose_first_fit, Random(seed))
+    records = len(seen) + len(work_rows)
+    return LedgerSlope(
+        workers,
+        tasks,
+        worker_bytes / workers,
+        task_bytes / tasks,
+        median(times) * 1e6,
+        sorted(times)[int(len(times) * 0.99)] * 1e6,
+        median(blind) * 1e6,
+        records / replay_s,
+        replay_s * 1e3,
+        len(snapshot),
+        encode_s * 1e3,
+        load_s * 1e3,
+        _start_bytes(work_rows),
+        _end_bytes(work_rows),
+    )
+
+
+def _seen(number: int) -> WorkerSeen:
+    zone = f"zone-{number % 4}"
+    rack = f"rack-{number // 8}"
+    return WorkerSeen(f"worker-{number:05d}", f"boot-{number:08x}", zone, rack, CAPACITY)
+
+
+def _work_rows(tasks: int, workers: int, random: Random) -> list[Record]:
+    """Return chunks and starts as a planner with interleaved workers writes them."""
+    rows: list[Record] = []
+    order = [number % workers for number in range(tasks)]
+    random.shuffle(order)
+    for group, first in enumerate(range(0, tasks, TASKS_PER_JOB)):
+        count = min(TASKS_PER_JOB, tasks - first)
+        work = Work(
+            job_id=f"weekly-comparison-{group}@20261203T020000Z",
+            name=f"class-{group % 12}",
+            team=f"team-{group % 4}",
+            command=("compare", "--week", str(group)),
+            size=TASK,
+            run_time_s=58.0,
+        )
+        rows.append(ChunkTaken(f"chunk-{group}", write_work(work), 0, count))
+        indexes_by_worker: dict[int, list[int]] = {}
+        for index in range(count):
+            indexes_by_worker.setdefault(order[first + index], []).append(index)
+        for worker, indexes in indexes_by_worker.items():
+            rows.append(Started(worker, group, tuple(indexes)))
+    return rows
+
+
+def _memory(seen: list[WorkerSeen], work_rows: list[Record]) -> tuple[int, int]:
+    collect()
+    start_tracing()
+    ledger = Ledger()
+    base = get_traced_memory()[0]
+    ledger.apply_all(decode_records(seen))
+    collect()
+    with_workers = get_traced_memory()[0]
+    ledger.apply_all(decode_records(work_rows))
+    collect()
+    with_tasks = get_traced_memory()[0]
+    stop_tracing()
+    return with_workers - base, with_tasks - with_workers
+
+
+def decode_records(records: list[Record]) -> tuple[Record, ...]:
+    """Return records as they come out of the table, sharing no memory with the given ones."""
+    row = decode(encode(JournalRow(1, "batch", tuple(records))))
+    return read_journal_row("row", row).records
+
+
+def _journal_rows(records: tuple[Record, ...]) -> list[JournalRow]:
+    return [
+        JournalRow(1, f"entry-1-1-{first}", records[first : first + STARTS_PER_ROW])
+        for first in range(0, len(records), STARTS_PER_ROW)
+    ]
+
+
+def _replay(rows: list[bytes]) -> Ledger:
+    ledger = Ledger()
+    for row in rows:
+        conflict = ledger.apply_all(read_journal_row("row", decode(row)).records)
+        if conflict is not None:
+            raise RuntimeError(conflict.describe())
+    return ledger
+
+
+def _placement_times(ledger: Ledger, choose: Choose, random: Random) -> list[float]:
+    """Time decisions on workers that are as full as the ledger says, with some room each."""
+    index = RoomIndex()
+    interference = Interference()
+    for worker in ledger.worker_by_number.values():
+        millis_by_class: dict[str, int] = {}
+        for key in worker.runs:
+            name = ledger.group_by_number[key.group].work.name
+            millis_by_class[name] = millis_by_class.get(name, 0) + TASK.cpu_millis
+        free = worker.free
+        if random.random() < 0.5:
+            free = Size(random.randrange(2_000), free.memory_mb)
+        zone, rack = worker.availability_zone, worker.rack
+        services = {"orders": 1} if worker.number % 3 == 0 else {}
+        index.put(
+            Room(
+                worker.number,
+                worker.worker_id,
+                zone,
+                rack,
+                worker.capacity,
+                free,
+                millis_by_class,
+                services,
+            )
+        )
+    times = []
+    for number in range(DECISIONS):
+        work = ledger.group_by_number[number % len(ledger.group_by_number)].work
+        started_s = perf_counter()
+        room = choose(index, work, interference, random)
+        if room is not None:
+            index.take(room.number, work)
+        times.append(perf_counter() - started_s)
+    return times
+
+
+def _start_bytes(records: list[Record]) -> float:
+    starts = [record for record in records if isinstance(record, Started)]
+    count = sum(len(record.indexes) for record in starts)
+    return sum(len(encode(record)) + 1 for record in starts) / count
+
+
+def _end_bytes(records: list[Record]) -> float:
+    starts = [record for record in records if isinstance(record, Started)]
+    ends = [Ended(How.FINISHED, record.group, record.indexes) for record in starts]
+    count = sum(len(record.indexes) for record in ends)
+    return sum(len(encode(record)) + 1 for record in ends) / count
--- /dev/null
+++ b/scripts/measured_load.py
@@ -0,0 +1,305 @@
+"""Shards under 850 starts and as many ends a second, against the table's budgets."""
+
+from collections import deque
+from random import Random
+from statistics import median
+from time import perf_counter
+from time import process_time
+from typing import NamedTuple
+
+from msgspec.json import encode
+
+from laburnumswitch.process.class_profile import ClassProfiles
+from laburnumswitch.process.context import SchedulerContext
+from laburnumswitch.process.head import read_head
+from laburnumswitch.process.inbox import Chunk
+from laburnumswitch.process.inbox import inbox_put
+from laburnumswitch.process.interference import Interference
+from laburnumswitch.process.ledger import Ledger
+from laburnumswitch.process.ownership import shard_of_rack
+from laburnumswitch.process.ownership import take_over
+from laburnumswitch.process.policy import Learned
+from laburnumswitch.process.shard import Ownership
+from laburnumswitch.process.shard import Shard
+from laburnumswitch.process.shared_rows import SharedRows
+from laburnumswitch.process.table import Committed
+from laburnumswitch.process.table import Transaction
+from laburnumswitch.process.vms import Vm
+from laburnumswitch.process.work import Work
+from laburnumswitch.process.work import write_work
+from laburnumswitch.size import Size
+from standin.table import MemoryTable
+from tests.fakes import FakeClock
+from tests.fakes import FakeObjects
+from tests.fakes import FakeWorkers
+from tests.fakes import make_context
+
+CAPACITY = Size(64_000, 250_000)
+TASK = Size(2_300, 9_000)
+WORKERS_PER_RACK = 8
+STEP_S = 0.25
+RENEW_STEPS = 4
+WARM_UP_S = 6.0
+MEASURE_S = 12.0
+RESERVE = 1.02
+
+
+class Load(NamedTuple):
+    """What is asked: tasks running, starts a second, shards, and the table's budgets a second."""
+
+    workers: int
+    running: int
+    starts_per_s: int
+    shards: int
+    entries: int
+    writes_per_s: float
+    reads_per_s: float
+    seed: int
+
+
+class LoadResult(NamedTuple):
+    """What came of it. Control traffic counts journal, heads, orders and reports as JSON."""
+
+    workers: int
+    shards: int
+    entries: int
+    running: int
+    starts_per_s: float
+    ends_per_s: float
+    commits_per_s: float
+    rows_written_per_s: float
+    rows_read_per_s: float
+    throttled: int
+    start_delay_p50_s: float
+    start_delay_p99_s: float
+    table_bytes_per_s_and_entry: float
+    worker_bytes_per_s_and_entry: float
+    core_fraction_per_entry: float
+    turn_ms_per_shard: float
+    overcommitted: int
+
+
+class _CountingTable(MemoryTable):
+    def __init__(self, load: Load, clock: FakeClock) -> None:
+        super().__init__(load.writes_per_s, load.reads_per_s, clock)
+        self.bytes = 0
+        self.throttled = 0
+
+    def commit(self, transaction):
+        outcome = super().commit(transaction)
+        self.bytes += len(encode(transaction._asdict()))
+        self.throttled += not isinstance(outcome, Committed)
+        return outcome
+
+
+class _CountingWorkers(FakeWorkers):
+    def __init__(self, clock: FakeClock, address_by_worker: dict[str, str]) -> None:
+        super().__init__(clock)
+        self.bytes = 0
+        self._ids_by_address: dict[str, list[str]] = {}
+        for worker_id, address in address_by_worker.items():
+            self._ids_by_address.setdefault(address, []).append(worker_id)
+
+    def exchange(self, address, by_worker):
+        reports = {}
+        for worker_id, orders in by_worker.items():
+            reports[worker_id] = self.by_id[worker_id].exchange(orders)
+        self.bytes += len(encode(by_worker)) + len(encode(reports))
+        return reports
+
+
+class _Cluster:
+    def __init__(self, load: Load) -> None:
+        self.load = load
+        self.random = Random(load.seed)
+        self.clock = FakeClock()
+        self.table = _CountingTable(load, self.clock)
+        self.vms = _make_vms(load.workers)
+        addresses = {vm.vm_id: vm.address for vm in self.vms}
+        self.workers = _CountingWorkers(self.clock, addresses)
+        for vm in self.vms:
+            self.workers.add(vm)
+        context = make_context(
+            self.table, self.clock, self.workers, self.vms, shard_count=load.shards
+        )
+        self.shared = SharedRows(self.table)
+        self.shared.refresh(self.clock())
+        self.shards = [_own(context, self.shared, shard) for shard in range(load.shards)]
+        self.shard_weights = _weights(self.vms, load.shards)
+        self.jobs = 0
+        self.submitted_s: dict[str, float] = {}
+        self.pending_submissions: deque = deque()
+        self.worker_cpu_s = 0.0
+        self.shard_cpu_s = 0.0
+        self.turns = 0
+        self.step_number = 0
+
+    def submit(self, tasks: int) -> None:
+        """Hand one job of ``tasks`` tasks out, as admission does."""
+        self.jobs += 1
+        work = Work(
+            job_id=f"weekly-comparison-{self.jobs}@20261203T020000Z",
+            name=f"class-{self.jobs % 12}",
+            team=f"team-{self.jobs % 4}",
+            command=("compare", "--week", str(self.jobs)),
+            size=TASK,
+            run_time_s=58.0,
+        )
+        puts = []
+        first = 0
+        for shard, weight in enumerate(self.shard_weights):
+            last = round(tasks * sum(self.shard_weights[: shard + 1]))
+            if last > first and weight:
+                chunk = Chunk(write_work(work), first, last - first)
+                puts.append(inbox_put(shard, work.job_id, chunk))
+            first = last
+        self.pending_submissions.append((work.job_id, Transaction((), tuple(puts))))
+
+    def step(self) -> None:
+        """Let one step of time pass."""
+        self.clock.sleep(STEP_S)
+        self.step_number += 1
+        while self.pending_submissions:
+            job_id, transaction = self.pending_submissions[0]
+            if not isinstance(self.table.commit(transaction), Committed):
+                break
+            self.submitted_s[job_id] = self.clock()
+            self.pending_submissions.popleft()
+        self.shared.refresh(self.clock())
+        order = list(self.shards)
+        self.random.shuffle(order)
+        for shard in order:
+            self._exchange(shard)
+            started_s = process_time()
+            for _ in range(2):
+                if not shard.turn():
+                    break
+            shard.store_snapshot()
+            self.shard_cpu_s += process_time() - started_s
+            self.turns += 1
+
+    def end_some(self, count: int) -> None:
+        """Let random running tasks finish."""
+        workers = list(self.workers.by_id.values())
+        ended = 0
+        while ended < count:
+            worker = workers[int(self.random.random() * len(workers))]
+            if worker.run_by_task:
+                worker.end(next(iter(worker.run_by_task)))
+                ended += 1
+
+    def _exchange(self, shard: Shard) -> None:
+        started_s = process_time()
+        for number, address in enumerate(shard.workers.addresses()):
+            due = (self.step_number + number) % RENEW_STEPS == 0
+            waiting = any(
+                shard.workers.state_by_worker_id[worker_id].unconfirmed
+                for worker_id in shard.workers.addresses()[address]
+            )
+            if due or waiting:
+                shard.workers.exchange(address)
+        self.worker_cpu_s += process_time() - started_s
+
+
+def measure_load(load: Load) -> LoadResult:
+    """Fill the workers, then keep starts and ends going and measure."""
+    cluster = _Cluster(load)
+    cluster.table.writes.per_second = cluster.table.reads.per_second = float("inf")
+    cluster.submit(load.running)
+    while len(_running(cluster)) < load.running and cluster.step_number < 400:
+        cluster.step()
+    cluster.table.writes.per_second = load.writes_per_s
+    cluster.table.reads.per_second = load.reads_per_s
+    _run(cluster, WARM_UP_S)
+    before = _counters(cluster)
+    history_from = len(cluster.workers.history)
+    started_s = cluster.clock()
+    wall_s = perf_counter()
+    _run(cluster, MEASURE_S)
+    elapsed_s = cluster.clock() - started_s
+    del wall_s
+    after = _counters(cluster)
+    delta = {name: after[name] - before[name] for name in after}
+    history = cluster.workers.history[history_from:]
+    delays = sorted(_delays(cluster, history)) or [float("inf")]
+    return LoadResult(
+        load.workers,
+        load.shards,
+        load.entries,
+        len(_running(cluster)),
+        sum(entry[1] == "start" for entry in history) / elapsed_s,
+        sum(entry[1] == "finished" for entry in history) / elapsed_s,
+        delta["commits"] / elapsed_s,
+        delta["writes"] / elapsed_s,
+        delta["reads"] / elapsed_s,
+        delta["throttled"],
+        median(delays),
+        delays[int(len(delays) * 0.99)],
+        delta["table_bytes"] / elapsed_s / load.entries,
+        delta["worker_bytes"] / elapsed_s / load.entries,
+        (delta["worker_cpu_s"] + delta["shard_cpu_s"]) / elapsed_s / load.entries,
+        delta["shard_cpu_s"] / max(1, delta["turns"]) * 1e3,
+        len(cluster.workers.overcommitted()),
+    )
+
+
+def _run(cluster: _Cluster, seconds: float) -> None:
+    per_step = int(cluster.load.starts_per_s * STEP_S)
+    for number in range(int(seconds / STEP_S)):
+        if number % int(1 / STEP_S) == 0:
+            cluster.submit(cluster.load.starts_per_s)
+        cluster.end_some(per_step)
+        cluster.step()
+
+
+def _counters(cluster: _Cluster) -> dict[str, float]:
+    return {
+        "commits": cluster.table.commits,
+        "writes": cluster.table.writes.spent,
+        "reads": cluster.table.reads.spent,
+        "throttled": cluster.table.throttled,
+        "table_bytes": cluster.table.bytes,
+        "worker_bytes": cluster.workers.bytes,
+        "worker_cpu_s": cluster.worker_cpu_s,
+        "shard_cpu_s": cluster.shard_cpu_s,
+        "turns": cluster.turns,
+    }
+
+
+def _delays(cluster: _Cluster, history: list[tuple]) -> list[float]:
+    delays = []
+    for now_s, kind, _, task_id, run in history:
+        submitted_s = cluster.submitted_s.get(task_id.rpartition(":")[0])
+        if kind == "start" and run == 1 and submitted_s is not None:
+            delays.append(now_s - submitted_s)
+    return delays
+
+
+def _running(cluster: _Cluster) -> list[str]:
+    workers = cluster.workers.by_id.values()
+    return [task_id for worker in workers for task_id in worker.run_by_task]
+
+
+def _make_vms(count: int) -> tuple[Vm, ...]:
+    vms = []
+    for number in range(count):
+        rack = f"rack-{number // WORKERS_PER_RACK}"
+        zone = f"zone-{number // WORKERS_PER_RACK % 4}"
+        vms.append(Vm(f"w{number:05d}", "worker", rack, zone, "live", rack, CAPACITY))
+    return tuple(vms)
+
+
+def _weights(vms: tuple[Vm, ...], shards: int) -> list[float]:
+    weights = [0.0] * shards
+    for vm in vms:
+        weights[shard_of_rack(vm.rack, shards)] += 1.0 / len(vms)
+    return weights
+
+
+def _own(context: SchedulerContext, shared: SharedRows, shard: int) -> Shard:
+    now_s = context.clock()
+    head = take_over(context.table, read_head(context.table, shard), context.vm_id)
+    learned = Learned(Interference(), ClassProfiles())
+    objects = FakeObjects()
+    ownership = Ownership(head, Ledger(), now_s, now_s)
+    return Shard(context._replace(objects=objects), shared, ownership, learned)
--- a/standin/placement.py
+++ b/standin/placement.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from laburnumswitch.process.interference import Interference
+from laburnumswitch.process.placement import choose_room
 from laburnumswitch.process.placement import Room
 from laburnumswitch.process.placement import RoomIndex
 from laburnumswitch.process.policy import Policies
@@ -14,6 +15,7 @@
 from laburnumswitch.process.work import Work
 
 HIGH_SLOWDOWN = 1.25
+NO_INTERFERENCE = Interference()
 
 
 def choose_first_fit(
@@ -23,7 +25,12 @@
     random: Random,
     avoid: frozenset[str] = frozenset(),
 ) -> Room | None:
-    """Return the fitting room with the lowest number, blind to interference."""
+    """Return the fitting room with the lowest number, blind to interference.
+
+    Replicas of services are spread as in the policy in force, so that both have the same exposure.
+    """
+    if work.service:
+        return choose_room(index, work, NO_INTERFERENCE, random, avoid)
     for number in sorted(index.room_by_number):
         room = index.room_by_number[number]
         if room.worker_id not in avoid and work.size.fits(room.free):
