Send workers only what is new between renewals; read interference from one lookup

Done: exchanges between renewals carry only workers with news, all runs are asked for every 30 s, coefficients are kept shrunk.

--- a/laburnumswitch/process/interference.py
+++ b/laburnumswitch/process/interference.py
@@ -28,11 +28,17 @@
     def __init__(self) -> None:
         self._by_pair: dict[tuple[str, str], _Coefficient] = {}
         self._by_aggressor: dict[str, _Coefficient] = {}
+        # Shrunk values, as of the last time that the pair or the aggressor was observed: placement
+        # reads many coefficients for each one that is learned.
+        self._value_by_pair: dict[tuple[str, str], float] = {}
+        self._value_by_aggressor: dict[str, float] = {}
 
     def coefficient(self, victim: str, aggressor: str) -> float:
         """Return the expected slowdown of ``victim`` beside a whole worker of ``aggressor``."""
-        prior = _shrink(self._by_aggressor.get(aggressor), PRIOR)
-        return _shrink(self._by_pair.get((victim, aggressor)), prior)
+        value = self._value_by_pair.get((victim, aggressor))
+        if value is not None:
+            return value
+        return self._value_by_aggressor.get(aggressor, PRIOR)
 
     def slowdown(self, victim: str, share_by_class: Mapping[str, float]) -> float:
         """Return the expected slowdown of a victim, at least 1.
@@ -49,26 +55,28 @@
             return
         error = slowdown - self.slowdown(victim, share_by_class)
         for aggressor, share in share_by_class.items():
+            if not share:
+                continue
             step = LEARNING_RATE * error * share / norm
-            prior = _shrink(self._by_aggressor.get(aggressor), PRIOR)
-            _learn(self._by_pair, (victim, aggressor), prior, step)
-            _learn(self._by_aggressor, aggressor, PRIOR, step)
+            general = _learn(self._by_aggressor, aggressor, PRIOR, step)
+            prior = self._value_by_aggressor[aggressor] = _shrink(general, PRIOR)
+            pair = (victim, aggressor)
+            self._value_by_pair[pair] = _shrink(_learn(self._by_pair, pair, prior, step), prior)
 
     def pairs(self) -> dict[tuple[str, str], float]:
         """Return every learned coefficient, for operators."""
         return {pair: self.coefficient(*pair) for pair in self._by_pair}
 
 
-def _shrink(learned: _Coefficient | None, prior: float) -> float:
-    if learned is None:
-        return prior
+def _shrink(learned: _Coefficient, prior: float) -> float:
     weight = learned.observations / (learned.observations + PRIOR_WEIGHT)
     return weight * learned.value + (1.0 - weight) * prior
 
 
-def _learn(by_key: dict, key: object, prior: float, step: float) -> None:
+def _learn(by_key: dict, key: object, prior: float, step: float) -> _Coefficient:
     learned = by_key.get(key)
     if learned is None:
         learned = by_key[key] = _Coefficient(prior)
     learned.value = min(MAX_COEFFICIENT, max(0.0, learned.value + step))
     learned.observations += 1.0
+    return learned
--- a/laburnumswitch/process/placement.py
+++ b/laburnumswitch/process/placement.py
@@ -207,12 +207,14 @@
     """
     if not room.services:
         return True
-    shares = room.share_by_class()
-    share = work.size.cpu_millis / max(1, room.capacity.cpu_millis)
-    shares[work.name] = shares.get(work.name, 0.0) + share
+    coefficient = interference.coefficient
+    limit = (MAX_SERVICE_SLOWDOWN - 1.0) * max(1, room.capacity.cpu_millis)
     for service in room.services:
-        others = {name: part for name, part in shares.items() if name != service}
-        if interference.slowdown(service, others) > MAX_SERVICE_SLOWDOWN:
+        slowdown = coefficient(service, work.name) * work.size.cpu_millis
+        for name, millis in room.millis_by_class.items():
+            if name != service:
+                slowdown += coefficient(service, name) * millis
+        if slowdown > limit:
             return False
     return True
 
@@ -223,8 +225,7 @@
     for service in room.services:
         added += interference.coefficient(service, work.name) * share
     score = FIT_WEIGHT * _leftover(work.size, room) + SLOWDOWN_WEIGHT * added
-    score += BATCH_SLOWDOWN_WEIGHT * _own_slowdown(work, room, interference)
-    score += BATCH_SLOWDOWN_WEIGHT * _caused_slowdown(work, room, interference)
+    score += BATCH_SLOWDOWN_WEIGHT * _mutual_slowdown(work, room, interference)
     if not work.size.accelerators and room.free.accelerators:
         score += ACCELERATOR_WEIGHT
     return score
@@ -247,11 +248,13 @@
     return slowdown
 
 
-def _caused_slowdown(work: Work, room: Room, interference: Interference) -> float:
-    """Return the slowdown caused to each class beside the task, weighted by its share."""
+def _mutual_slowdown(work: Work, room: Room, interference: Interference) -> float:
+    """Return the slowdown of the task, plus that which it causes weighted by share."""
+    coefficient = interference.coefficient
+    class_name = work.name
     slowdown = 0.0
     for name, millis in room.millis_by_class.items():
-        slowdown += interference.coefficient(name, work.name) * millis
+        slowdown += (coefficient(class_name, name) + coefficient(name, class_name)) * millis
     return slowdown / max(1, room.capacity.cpu_millis)
 
 
--- a/laburnumswitch/process/shard_workers.py
+++ b/laburnumswitch/process/shard_workers.py
@@ -57,6 +57,7 @@
         self._owned_since_s = context.clock()
         self._vms: tuple[Vm, ...] | None = None
         self._vm_by_id: dict[str, Vm] = {}
+        self._renewal_due: set[str] = set()
 
     def addresses(self) -> dict[str, list[str]]:
         """Return the ids of this shard's workers by address, from the newest list of VMs."""
@@ -68,13 +69,18 @@
             by_address.setdefault(vm.address, []).append(vm.vm_id)
         return by_address
 
-    def exchange(self, address: str) -> None:
-        """Send orders to the workers behind one address and take their reports."""
+    def exchange(self, address: str, everyone: bool = True) -> None:
+        """Send orders to the workers behind one address and take their reports.
+
+        :param everyone: whether to include workers for which nothing is new.
+        """
         if self.closed:
             return
         by_worker = {}
         for worker_id in self.addresses().get(address, ()):
-            by_worker[worker_id] = self._orders(self.state_by_worker_id[worker_id])
+            state = self.state_by_worker_id[worker_id]
+            if everyone or state.has_news:
+                by_worker[worker_id] = self._orders(state)
         if not by_worker:
             return
         reports = self._context.workers.exchange(address, by_worker)
@@ -92,14 +98,26 @@
                 state.take_report(self._ledger, report, now_s)
             self.on_exchange(state, report is not None)
 
+    def take_renewal(self, address: str) -> bool:
+        """Return whether a renewal is due to an address, and count it as done."""
+        is_due = address in self._renewal_due
+        self._renewal_due.discard(address)
+        return is_due
+
     def wake(self, worker_id: str) -> None:
         """Have orders for a worker sent at once."""
         vm = self._vm_by_id.get(worker_id)
         if vm is not None and vm.address in self.due_by_address:
             self.due_by_address[vm.address].set()
 
+    def add_address(self, address: str) -> None:
+        """Begin exchanges with an address."""
+        self.due_by_address[address] = Event()
+        self._renewal_due.add(address)
+
     def wake_all(self) -> None:
         """Have an exchange with every address at once."""
+        self._renewal_due = set(self.due_by_address)
         for due in tuple(self.due_by_address.values()):
             due.set()
 
@@ -198,7 +216,7 @@
     elapsed_s = 0.0
     while not workers.closed:
         for address in set(workers.addresses()) - set(workers.due_by_address):
-            workers.due_by_address[address] = Event()
+            workers.add_address(address)
             spawn(run_link, workers, address)
         sleep(LINK_EVERY_S)
         elapsed_s += LINK_EVERY_S
@@ -213,7 +231,7 @@
     try:
         while not workers.closed and address in workers.addresses():
             due.clear()
-            workers.exchange(address)
+            workers.exchange(address, workers.take_renewal(address))
             due.wait()
     finally:
         del workers.due_by_address[address]
--- a/laburnumswitch/process/worker_state.py
+++ b/laburnumswitch/process/worker_state.py
@@ -21,7 +21,7 @@
 from laburnumswitch.process.workers import WorkerReport
 
 NEVER_S = float("-inf")
-FULL_EVERY_S = 5.0
+FULL_EVERY_S = 30.0
 STOP_LIMIT_S = 15.0
 
 StopHow = Literal["drain", "checkpoint", "kill"]
@@ -59,11 +59,11 @@
         self.reported_s = NEVER_S
         self.epoch = 0
         self.needs_full = True
+        self.has_news = True
         self.unconfirmed: dict[TaskKey, Unconfirmed] = {}
         self.port_by_key: dict[TaskKey, int] = {}
         self.stop_by_key: dict[TaskKey, WantedStop] = {}
         self.percent_by_key: dict[TaskKey, int] = {}
-        self.sent_percent_by_key: dict[TaskKey, int] = {}
         self.usage_by_key: dict[TaskKey, Usage] = {}
         self.usage_is_new = False
         self.events: list[RunEvent] = []
@@ -85,6 +85,7 @@
     def expect_run(self, key: TaskKey, run: int) -> None:
         """Send the start of a run that was just committed."""
         self.unconfirmed[key] = Unconfirmed(run, NO_GRANT, False)
+        self.has_news = True
 
     def forget_run(self, key: TaskKey) -> None:
         """Drop everything about a run that has ended."""
@@ -93,7 +94,6 @@
             self.port_by_key,
             self.stop_by_key,
             self.percent_by_key,
-            self.sent_percent_by_key,
             self.usage_by_key,
         ):
             by_key.pop(key, None)
@@ -105,6 +105,7 @@
         if earlier is not None and (earlier.how == how or earlier.how == "kill"):
             return
         self.stop_by_key[key] = WantedStop(run, how, earlier.since_s if earlier else now_s)
+        self.has_news = True
 
     def make_orders(
         self,
@@ -120,6 +121,7 @@
         :param service_until: the grant for replicas of services.
         :param ending: runs that must not be started any more; ``None`` where none may be.
         """
+        self.has_news = False
         self.needs_full = self.needs_full or now_s - self._full_s >= FULL_EVERY_S
         worker = ledger.find_worker(self.worker_id)
         if worker is None or worker.boot != self.boot or self.reported_s == NEVER_S:
@@ -131,7 +133,6 @@
         starts = []
         if ending is not None:
             starts = self._make_starts(ledger, until, service_until, ending)
-        self.sent_percent_by_key = dict(self.percent_by_key)
         return WorkerOrders(
             self.boot,
             self.owner_epoch,
@@ -169,7 +170,7 @@
     def fail_exchange(self) -> None:
         """Note that the orders of the last exchange may or may not have arrived."""
         self.needs_full = True
-        self.sent_percent_by_key = {}
+        self.has_news = True
 
     def _begin_boot(self, boot: str) -> None:
         # What the earlier boot reported still counts, though the worker has forgotten it.
--- a/scripts/measured_load.py
+++ b/scripts/measured_load.py
@@ -3,7 +3,6 @@
 from collections import deque
 from random import Random
 from statistics import median
-from time import perf_counter
 from time import process_time
 from typing import NamedTuple
 
@@ -192,12 +191,7 @@
         started_s = process_time()
         for number, address in enumerate(shard.workers.addresses()):
             due = (self.step_number + number) % RENEW_STEPS == 0
-            waiting = any(
-                shard.workers.state_by_worker_id[worker_id].unconfirmed
-                for worker_id in shard.workers.addresses()[address]
-            )
-            if due or waiting:
-                shard.workers.exchange(address)
+            shard.workers.exchange(address, due)
         self.worker_cpu_s += process_time() - started_s
 
 
@@ -214,10 +208,8 @@
     before = _counters(cluster)
     history_from = len(cluster.workers.history)
     started_s = cluster.clock()
-    wall_s = perf_counter()
     _run(cluster, MEASURE_S)
     elapsed_s = cluster.clock() - started_s
-    del wall_s
     after = _counters(cluster)
     delta = {name: after[name] - before[name] for name in after}
     history = cluster.workers.history[history_from:]
