Hold a report of use against what ran beside when it was measured

Done: shares are kept for some seconds, the general effect of a class follows its pairs, and the history is its own module.

--- a/laburnumswitch/process/interference.py
+++ b/laburnumswitch/process/interference.py
@@ -13,6 +13,7 @@
 PRIOR = 0.4
 PRIOR_WEIGHT = 4.0
 LEARNING_RATE = 0.25
+GENERAL_RATE = 0.1
 MAX_COEFFICIENT = 8.0
 MIN_SHARE = 0.01
 
@@ -58,10 +59,17 @@
             if not share:
                 continue
             step = LEARNING_RATE * error * share / norm
-            general = _learn(self._by_aggressor, aggressor, PRIOR, step)
-            prior = self._value_by_aggressor[aggressor] = _shrink(general, PRIOR)
+            prior = self._value_by_aggressor.get(aggressor, PRIOR)
             pair = (victim, aggressor)
-            self._value_by_pair[pair] = _shrink(_learn(self._by_pair, pair, prior, step), prior)
+            learned = _learn(self._by_pair, pair, prior, step)
+            self._value_by_pair[pair] = _shrink(learned, prior)
+            self._generalise(aggressor, learned.value)
+
+    def _generalise(self, aggressor: str, value: float) -> None:
+        known = self._by_aggressor.get(aggressor)
+        step = GENERAL_RATE * (value - (known.value if known else PRIOR))
+        general = _learn(self._by_aggressor, aggressor, PRIOR, step)
+        self._value_by_aggressor[aggressor] = _shrink(general, PRIOR)
 
     def pairs(self) -> dict[tuple[str, str], float]:
         """Return every learned coefficient, for operators."""
--- a/laburnumswitch/process/placement.py
+++ b/laburnumswitch/process/placement.py
@@ -51,15 +51,6 @@
     paused_classes: frozenset[str] = frozenset()
     single: bool = False
 
-    def share_by_class(self, except_for: str = "") -> dict[str, float]:
-        """Return the share of the processors of every class but one."""
-        total = max(1, self.capacity.cpu_millis)
-        return {
-            name: millis / total
-            for name, millis in self.millis_by_class.items()
-            if name != except_for
-        }
-
 
 def _suits_always(room: Room) -> bool:
     return True
--- a/laburnumswitch/process/policy.py
+++ b/laburnumswitch/process/policy.py
@@ -5,7 +5,6 @@
 from typing import NamedTuple
 
 from laburnumswitch.process.batch_builder import BatchBuilder
-from laburnumswitch.process.class_profile import ClassProfiles
 from laburnumswitch.process.context import SchedulerContext
 from laburnumswitch.process.handover import Handover
 from laburnumswitch.process.head import Head
@@ -35,6 +34,8 @@
 from laburnumswitch.process.relief import Relief
 from laburnumswitch.process.rooms import make_room
 from laburnumswitch.process.shard_workers import ShardWorkers
+from laburnumswitch.process.usage_history import Learned
+from laburnumswitch.process.usage_history import UsageHistory
 from laburnumswitch.process.work import TaskKey
 from laburnumswitch.process.worker_state import NEVER_S
 from laburnumswitch.process.worker_state import WorkerState
@@ -44,13 +45,6 @@
 RESERVE_AFTER_S = 30.0
 
 
-class Learned(NamedTuple):
-    """What one entry learns for all of its shards."""
-
-    interference: Interference
-    profiles: ClassProfiles
-
-
 class Policies(NamedTuple):
     """What varies between the policies in force and the baselines to measure them against."""
 
@@ -92,6 +86,7 @@
         self._avoid_by_key: dict[TaskKey, frozenset[str]] = {}
         self._waiting_since_by_group: dict[int, float] = {}
         self._noted_by_key: dict[TaskKey, int] = {}
+        self._usage = UsageHistory(context, learned, ledger)
         self._expiry_s = float("inf")
         self._reserved: tuple[str, int] = ("", -1)
         workers.on_exchange = self.worker_changed
@@ -111,7 +106,7 @@
         self._changed.add(worker.number)
         if answered and state.usage_is_new:
             state.usage_is_new = False
-            self._learn(worker, state)
+            self._usage.take(worker, state)
             self._relieve(worker, state)
 
     def run_ended(self, key: TaskKey, worker_id: str, how: How) -> How:
@@ -258,28 +253,6 @@
             room.single = self.quarantine.is_on_probation(worker.worker_id)
         return room
 
-    def _learn(self, worker: Worker, state: WorkerState) -> None:
-        share_by_key = {key: self._share(worker, state, key) for key in worker.runs}
-        share_by_class: dict[str, float] = {}
-        for key, share in share_by_key.items():
-            name = self._ledger.group_by_number[key.group].work.name
-            share_by_class[name] = share_by_class.get(name, 0.0) + share
-        for key, usage in state.usage_by_key.items():
-            if key not in share_by_key:
-                continue
-            work = self._ledger.group_by_number[key.group].work
-            self._learned.profiles.observe_usage(work, usage.cpu_millis, usage.memory_mb)
-            if len(share_by_key) < 2:
-                continue
-            beside = dict(share_by_class)
-            beside[work.name] -= share_by_key[key]
-            self._learned.interference.observe(work.name, usage.slowdown, beside)
-
-    def _share(self, worker: Worker, state: WorkerState, key: TaskKey) -> float:
-        millis = self._ledger.group_by_number[key.group].work.size.cpu_millis
-        percent = state.percent_by_key.get(key, 100)
-        return millis / max(1, worker.capacity.cpu_millis) * percent / 100
-
     def _relieve(self, worker: Worker, state: WorkerState) -> None:
         now_s = self._context.clock()
         neighbours = []
--- a/laburnumswitch/process/scheduler.py
+++ b/laburnumswitch/process/scheduler.py
@@ -24,7 +24,6 @@
 from laburnumswitch.process.ownership import SeenHead
 from laburnumswitch.process.ownership import take_over
 from laburnumswitch.process.policy import IN_FORCE
-from laburnumswitch.process.policy import Learned
 from laburnumswitch.process.policy import Policies
 from laburnumswitch.process.quota import team_uses
 from laburnumswitch.process.shard import find_first_seq
@@ -34,6 +33,7 @@
 from laburnumswitch.process.shared_rows import SharedRows
 from laburnumswitch.process.snapshot import load_ledger
 from laburnumswitch.process.table import ReadFailure
+from laburnumswitch.process.usage_history import Learned
 from laburnumswitch.process.views import JobView
 from laburnumswitch.process.views import TaskView
 from laburnumswitch.process.views import view_jobs
--- a/laburnumswitch/process/shard.py
+++ b/laburnumswitch/process/shard.py
@@ -35,7 +35,6 @@
 from laburnumswitch.process.moves import retire_replicas
 from laburnumswitch.process.ownership import release
 from laburnumswitch.process.policy import IN_FORCE
-from laburnumswitch.process.policy import Learned
 from laburnumswitch.process.policy import Policies
 from laburnumswitch.process.policy import ShardPolicy
 from laburnumswitch.process.records import Ended
@@ -49,6 +48,7 @@
 from laburnumswitch.process.snapshot import store_ledger
 from laburnumswitch.process.snapshot import trimmed_keys
 from laburnumswitch.process.upstreams import list_upstreams
+from laburnumswitch.process.usage_history import Learned
 from laburnumswitch.process.work import TaskKey
 from laburnumswitch.upstream import Upstream
 
--- a/scripts/interference_model.py
+++ b/scripts/interference_model.py
@@ -10,13 +10,13 @@
 from laburnumswitch.process.interference import Interference
 from laburnumswitch.process.ledger import Ledger
 from laburnumswitch.process.ownership import take_over
-from laburnumswitch.process.policy import Learned
 from laburnumswitch.process.policy import Policies
 from laburnumswitch.process.shard import Ownership
 from laburnumswitch.process.shard import Shard
 from laburnumswitch.process.shared_rows import SharedRows
 from laburnumswitch.process.table import Put
 from laburnumswitch.process.table import Transaction
+from laburnumswitch.process.usage_history import Learned
 from laburnumswitch.process.work import Work
 from laburnumswitch.process.work import write_work
 from laburnumswitch.process.workers import Usage
--- a/scripts/measured_load.py
+++ b/scripts/measured_load.py
@@ -17,12 +17,12 @@
 from laburnumswitch.process.ledger import Ledger
 from laburnumswitch.process.ownership import shard_of_rack
 from laburnumswitch.process.ownership import take_over
-from laburnumswitch.process.policy import Learned
 from laburnumswitch.process.shard import Ownership
 from laburnumswitch.process.shard import Shard
 from laburnumswitch.process.shared_rows import SharedRows
 from laburnumswitch.process.table import Committed
 from laburnumswitch.process.table import Transaction
+from laburnumswitch.process.usage_history import Learned
 from laburnumswitch.process.vms import Vm
 from laburnumswitch.process.work import Work
 from laburnumswitch.process.work import write_work
--- a/tests/process/bench.py
+++ b/tests/process/bench.py
@@ -8,7 +8,6 @@
 from laburnumswitch.process.interference import Interference
 from laburnumswitch.process.journal import replay_journal
 from laburnumswitch.process.ownership import take_over
-from laburnumswitch.process.policy import Learned
 from laburnumswitch.process.shard import Ownership
 from laburnumswitch.process.shard import Shard
 from laburnumswitch.process.shared_rows import SharedRows
@@ -17,6 +16,7 @@
 from laburnumswitch.process.table import Transaction
 from laburnumswitch.process.timeline import Event
 from laburnumswitch.process.timeline import Timeline
+from laburnumswitch.process.usage_history import Learned
 from laburnumswitch.process.work import Work
 from laburnumswitch.process.work import write_work
 from laburnumswitch.size import Size
