Check leases and the life of a run in models

Two guards are the worker's: a refusal and a stop of a run that it does not hold have to be final, or a delayed second start order runs it after its end.

--- a/spec/model.py
+++ b/spec/model.py
@@ -40,7 +40,11 @@
 
 
 class Model(NamedTuple):
-    """One protocol. ``goal`` must stay reachable without faults from every reachable state."""
+    """One protocol.
+
+    ``goal`` must stay reachable without faults from every reachable state. Once reached it holds
+    for good, so that the search for progress ends there.
+    """
 
     name: str
     initial: Any
@@ -144,6 +148,8 @@
 
     def transitions(wrapped: tuple[Any, bool]) -> list[tuple[str, tuple[Any, bool]]]:
         state, faults = wrapped
+        if model.goal(state):
+            return []
         found = [
             (name, (successor, faults))
             for name, successors in (all_steps if faults else calm_steps)
--- a/spec/report.py
+++ b/spec/report.py
@@ -4,6 +4,7 @@
 from functools import cache
 from typing import NamedTuple
 
+from spec.lease import LEASE
 from spec.model import check
 from spec.model import Finding
 from spec.model import Model
@@ -11,8 +12,9 @@
 from spec.model import PROGRESS
 from spec.model import refute
 from spec.ownership import OWNERSHIP
+from spec.run import RUN
 
-MODEL_BY_NAME = {model.name: model for model in (OWNERSHIP,)}
+MODEL_BY_NAME = {model.name: model for model in (OWNERSHIP, LEASE, RUN)}
 BEGIN = "<!-- begin: written by python -m spec -->"
 END = "<!-- end: written by python -m spec -->"
 
