Check claims and the adoption of configurations in models; one fault found

The claim model breaks progress where a released claim's row is deleted: begin, answer_lost, settle (told not run), write_lands. A claim that lands late then blocks its key, and the caller who was told 'not run' can never have the order run. Proposed: release leaves a row in state 'released', and the next claim is conditional on its version. Nothing runs twice in either form.

--- a/spec/lease.py
+++ b/spec/lease.py
@@ -173,9 +173,9 @@
     initial=State(),
     actions=(
         Action("take_over", _take_over, PROCESS + "ownership.take_over"),
-        Action("send_touch", _send_touch, PROCESS + "ownership.touch"),
-        Action("touch_lands", _touch_lands, PROCESS + "ownership.touch"),
-        Action("touch_answered", _touch_answered, PROCESS + "ownership.touch"),
+        Action("send_touch", _send_touch, PROCESS + "journal.touch_head"),
+        Action("touch_lands", _touch_lands, PROCESS + "journal.touch_head"),
+        Action("touch_answered", _touch_answered, PROCESS + "journal.touch_head"),
         Action("check_hold", _check_hold, PROCESS + "lease.grant_until"),
         Action("read_clock", _read_clock, PROCESS + "lease.grant_until"),
         Action("grant", _grant, PROCESS + "lease.grant_until"),
--- a/spec/model.py
+++ b/spec/model.py
@@ -42,8 +42,8 @@
 class Model(NamedTuple):
     """One protocol.
 
-    ``goal`` must stay reachable without faults from every reachable state. Once reached it holds
-    for good, so that the search for progress ends there.
+    ``goal`` must stay reachable without faults from every reachable state. Where it holds for good
+    once it is reached, even under faults, the search for progress ends there.
     """
 
     name: str
@@ -52,6 +52,7 @@
     invariants: dict[str, Callable[[Any], bool]]
     goal: Callable[[Any], bool]
     mutations: tuple[Mutation, ...]
+    goal_is_stable: bool = True
 
     @property
     def guards(self) -> Guards:
@@ -148,7 +149,7 @@
 
     def transitions(wrapped: tuple[Any, bool]) -> list[tuple[str, tuple[Any, bool]]]:
         state, faults = wrapped
-        if model.goal(state):
+        if model.goal(state) and (model.goal_is_stable or not faults):
             return []
         found = [
             (name, (successor, faults))
@@ -166,7 +167,8 @@
         (model.initial, True),
         transitions,
         {},
-        lambda values: model.goal(values["state"]),
+        lambda values: model.goal(values["state"])
+        and (model.goal_is_stable or not values["faults"]),
     )
     result = check_liveness(protocol)
     holds = result["holds"]
--- a/spec/report.py
+++ b/spec/report.py
@@ -4,6 +4,8 @@
 from functools import cache
 from typing import NamedTuple
 
+from spec.adoption import ADOPTION
+from spec.claim import CLAIM
 from spec.lease import LEASE
 from spec.model import check
 from spec.model import Finding
@@ -14,7 +16,7 @@
 from spec.ownership import OWNERSHIP
 from spec.run import RUN
 
-MODEL_BY_NAME = {model.name: model for model in (OWNERSHIP, LEASE, RUN)}
+MODEL_BY_NAME = {model.name: model for model in (OWNERSHIP, LEASE, RUN, ADOPTION, CLAIM)}
 BEGIN = "<!-- begin: written by python -m spec -->"
 END = "<!-- end: written by python -m spec -->"
 
