--- a/laburnumswitch/process/queue.py
+++ b/laburnumswitch/process/queue.py
@@ -6,8 +6,8 @@
 
 from gevent.event import Event
 
-MAX_WAIT_S = 0.035
-MIN_CAPACITY = 16
+MAX_WAIT_S = 0.025
+MIN_CAPACITY = 2
 
 
 class Verdict(Enum):
@@ -51,7 +51,8 @@
     def wait(self, rank: int, number: int, until_s: float, capacity: int) -> Verdict:
         """Wait for a turn until an instant of the clock.
 
-        :param capacity: most requests that may wait; where there are more, the last in order goes.
+        :param capacity: most requests that may wait, though never fewer than ``MIN_CAPACITY``;
+            where there are more, the last in order goes.
         """
         limit_s = until_s - self._clock()
         if limit_s <= 0:
@@ -65,13 +66,13 @@
                 return Verdict.DISPLACED
             last.event.set()
         try:
-            woken = waiter.event.wait(limit_s)
+            waiter.event.wait(limit_s)
         finally:
             if waiter in self._waiting:
                 self._waiting.remove(waiter)
         if waiter.displaced:
             return Verdict.DISPLACED
-        return Verdict.TURN if woken or waiter.event.is_set() else Verdict.LATE
+        return Verdict.TURN if waiter.event.is_set() else Verdict.LATE
 
     def wake(self) -> None:
         """Give the turn to the first in order."""
--- a/laburnumswitch/request/attempt.py
+++ b/laburnumswitch/request/attempt.py
@@ -53,6 +53,8 @@
         self._service = service
         self._state = context.states.of(upstream)
         self._state.outstanding += 1
+        self._service_state = context.service_state(service)
+        self._service_state.in_flight += 1
         self._connection: UpstreamConnection | None = None
         self._exchange: Exchange | None = None
         self._unused_since_s = 0.0
@@ -68,6 +70,7 @@
         # An order isn't trusted to a connection that may have gone silent since its last use.
         idle_limit_s = IDLE_LIMIT_S if idempotent else ORDER_IDLE_LIMIT_S
         if self._state.suspect is not None:
+            # A new connection tells whether the old one or the upstream is at fault.
             idle_limit_s = 0.0
         connect_limit_s = min(CONNECT_LIMIT_S, max(deadline_s - now_s, 0.001))
         taken = context.pool.take(self.upstream, connect_limit_s, idle_limit_s)
@@ -96,10 +99,15 @@
         if isinstance(head, FirstByteLate):
             return head
         if isinstance(head, AnswerLost):
-            self._fail()
+            if self.may_repeat_here():
+                self.suspect_connection()
+            else:
+                self._fail()
             return head
-        self._clear_suspicion()
-        self._take_report(head)
+        if self._state.suspect is not None:
+            self._clear_suspicion()
+        if self._service.state.manner == "headers":
+            self._take_report(head)
         latency_s = self._context.clock() - self.sent_s
         if self._is_refusal(head):
             self._state.cut_limit(LIMIT_FACTOR_FAILED, self._context.clock())
@@ -108,11 +116,15 @@
             self._fail()
         else:
             self._state.succeed(latency_s, self._context.clock())
-            self._context.service_state(self._service).latency.add(latency_s)
+            self._service_state.add_latency(latency_s)
         return head
 
     def read_body(self, head: AnswerHead, deadline_s: float, limit: int) -> Delivered | AnswerLost:
         """Read the body up to ``limit`` bytes, and finish where that is all of it."""
+        if self._exchange.is_whole():
+            block = self._exchange.read_block(deadline_s)
+            self.finish()
+            return Delivered(self.upstream, head, block, None)
         blocks = []
         size = 0
         while size <= limit:
@@ -141,10 +153,14 @@
     def suspect_connection(self) -> None:
         """Suspect the connection, and not yet the upstream, where not a byte has come back."""
         if self.pooled and self._state.suspect is None:
-            self._state.suspect = SuspectConnection(self._unused_since_s)
+            self._state.suspect = SuspectConnection(self._unused_since_s, certain=True)
         else:
             self._fail()
 
+    def may_repeat_here(self) -> bool:
+        """Return whether the failure may be that of a pooled connection and not of its upstream."""
+        return self.pooled and self._exchange is not None and not self._exchange.got_bytes
+
     def abandon(self) -> None:
         """Give the exchange up for another one that was answered first."""
         if self._finished:
@@ -152,7 +168,7 @@
         if self._exchange is not None and not self._exchange.got_bytes:
             self._state.observe_wait(self._context.clock() - self.sent_s)
             if self.pooled and self._state.suspect is None:
-                self._state.suspect = SuspectConnection(self._unused_since_s)
+                self._state.suspect = SuspectConnection(self._unused_since_s, certain=False)
         self.finish()
 
     def finish(self) -> None:
@@ -161,17 +177,16 @@
             return
         self._finished = True
         self._state.outstanding -= 1
+        self._service_state.in_flight -= 1
         if self._connection is not None:
             if self._exchange is not None and self._exchange.ended_cleanly():
                 self._context.pool.give_back(self._connection)
             else:
                 self._context.pool.discard(self._connection)
-        self._context.service_state(self._service).queue.wake()
+        self._service_state.queue.wake()
 
     def _take_report(self, head: AnswerHead) -> None:
         declared = self._service.state
-        if declared.manner != "headers":
-            return
         reported = read_headers(declared, head.headers)
         if isinstance(reported, Reported):
             states = self._context.states
@@ -190,10 +205,12 @@
 
     def _clear_suspicion(self) -> None:
         suspect = self._state.suspect
-        if suspect is None or self.pooled:
+        if self.pooled:
             return
         self._state.suspect = None
         retired = self._context.pool.retire(self.upstream.address, suspect.used_s)
+        if not suspect.certain and retired == 0:
+            return
         self._context.timeline.record(
             "connection_retired",
             self.upstream.upstream_id,
--- a/scripts/steps.py
+++ b/scripts/steps.py
@@ -17,7 +17,8 @@
 from scripts.publication import JOBS_THAT_DO_NOT_FINISH
 from scripts.publication import Publication
 from standin.callers import Source
-from standin.history import Expectation
+from standin.ends import tasks_not_counted
+from standin.expectation import Expectation
 from standin.records import read_records
 from standin.records import Record
 from standin.records import RunEnded
@@ -27,9 +28,12 @@
 SETTLE_LIMIT_S = 25.0
 POLL_S = 0.25
 ZONE_OUT_S = 8.0
-ENTRY_PAUSE_S = 8.0
+PAUSE_S = 9.0
 LISTED_AS_GONE_AFTER_S = 2.0
 OUTAGE_S = 3.0
+SILENT_S = 3.0
+QUIET_S = 1.5
+CUT_ANSWERS = 5
 STATUS_OK = 200
 ORDER_PATH = "/orders"
 READ_PATH = "/latest"
@@ -69,6 +73,7 @@
     sources = sources_of(stage.publication.read(), stage.cluster.profile)
     stage.cluster.set_load(sources)
     stage.say("callers send requests")
+    sleep(QUIET_S)
 
 
 def take_zone_out_and_in(stage: Stage) -> None:
@@ -79,6 +84,7 @@
     sleep(ZONE_OUT_S)
     stage.cluster.command("zone", "in", zone)
     stage.say(f"zone {zone} is back in service")
+    sleep(QUIET_S)
 
 
 def break_a_worker(stage: Stage) -> None:
@@ -99,19 +105,21 @@
     _add_entry(stage)
 
 
-def pause_entry_and_kill_rack(stage: Stage) -> None:
-    """Pause an entry for longer than a lease, and kill the smallest rack meanwhile."""
+def pause_and_kill(stage: Stage) -> None:
+    """Pause an entry and a rack for longer than a lease, and kill the smallest rack meanwhile."""
     vm_id = "entry-3"
-    stage.cluster.launcher.pause(vm_id)
-    stage.say(f"paused {vm_id}")
+    paused = (vm_id, stage.cluster.racks[0].name)
+    resume = stage.cluster.pause_processes(paused)
+    stage.say(f"paused {' and '.join(paused)}")
     rack = min(stage.cluster.racks, key=lambda found: found.count)
     stage.cluster.kill_process(rack.name)
     stage.say(f"killed {rack.name} with {rack.count} workers")
     sleep(LISTED_AS_GONE_AFTER_S)
     stage.cluster.list_rack(rack, "gone")
-    sleep(ENTRY_PAUSE_S - LISTED_AS_GONE_AFTER_S)
-    stage.cluster.launcher.resume(vm_id)
-    stage.say(f"resumed {vm_id}")
+    sleep(PAUSE_S - LISTED_AS_GONE_AFTER_S)
+    resume()
+    stage.say(f"resumed {' and '.join(paused)}")
+    sleep(QUIET_S)
 
 
 def lose_store(stage: Stage) -> None:
@@ -121,6 +129,15 @@
     sleep(OUTAGE_S)
     stage.cluster.set_platform_faults(down=False, lose_answers=3)
     stage.say("the platform is up again and loses three answers")
+    sleep(QUIET_S)
+
+
+def break_connections(stage: Stage) -> None:
+    """Let the open connections to a rack's replicas go silent, and cut some answers short."""
+    rack = stage.cluster.racks[2]
+    stage.cluster.set_rack_faults(rack, silent=True, truncate_answers=CUT_ANSWERS)
+    stage.say(f"connections to {rack.name} are silent and {CUT_ANSWERS} answers are cut short")
+    sleep(SILENT_S)
 
 
 def publish_again(stage: Stage) -> None:
@@ -128,6 +145,7 @@
     stage.publication.change()
     stage.cluster.command("publish", stage.publication.directory, "--yes")
     stage.say("published the second version")
+    sleep(QUIET_S)
 
 
 def stop_entry(stage: Stage) -> None:
@@ -239,13 +257,7 @@
 
 
 def _tasks_left(stage: Stage, expectation: Expectation) -> int:
-    finished = {
-        record.task_id
-        for record in read_records(stage.cluster.record_paths())
-        if isinstance(record, RunEnded) and record.kind == "finished"
-    }
-    done = [expectation.job_of(task_id) for task_id in finished]
-    return sum(max(0, tasks - done.count(job)) for job, tasks in expectation.tasks_by_job.items())
+    return tasks_not_counted(read_records(stage.cluster.record_paths()), expectation)
 
 
 def _wait_until(condition: Callable[[], bool], limit_s: float, complaint: str) -> None:
