--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -57,12 +57,14 @@
         self._seed = seed
         self._entries_started = 0
         self._client_by_address: dict[str, Client] = {}
-        self._platform = ""
+        self.platform_address = ""
         self._callers = ""
 
     def start_standins(self) -> None:
         """Start the platform, the racks and the callers."""
-        self._platform = self._start_standin("platform", "platform", "--address", f"{HOST}:0")
+        self.platform_address = self._start_standin(
+            "platform", "platform", "--address", f"{HOST}:0"
+        )
         self._callers = self._start_standin(
             "callers",
             "callers",
@@ -95,7 +97,7 @@
         """Set the state of an entry's VM in the platform's list."""
         entry = self.entry_by_vm[vm_id]
         vm = Vm(vm_id, "entry", entry.admin_address, self.zone_by_vm[vm_id], state)
-        self.call(self._platform, "POST", "/vms", vm)
+        self.call(self.platform_address, "POST", "/vms", vm)
 
     def list_rack(self, rack: Rack, state: str) -> None:
         """Set the state of a rack's VMs in the platform's list."""
@@ -109,7 +111,7 @@
                 rack.name,
                 self.profile.capacity,
             )
-            self.call(self._platform, "POST", "/vms", vm)
+            self.call(self.platform_address, "POST", "/vms", vm)
 
     def balance(self) -> None:
         """Tell the callers' balancer which entries there are."""
@@ -120,7 +122,7 @@
 
     def set_platform_faults(self, **faults: object) -> None:
         """Set fault switches of the platform."""
-        self.call(self._platform, "POST", "/faults", faults)
+        self.call(self.platform_address, "POST", "/faults", faults)
 
     def set_rack_faults(self, rack: Rack, **faults: object) -> None:
         """Set fault switches of a rack."""
@@ -136,14 +138,14 @@
 
     def platform_use(self) -> Any:
         """Return the use of the platform's budgets."""
-        return self.call(self._platform, "GET", "/use", None)
+        return self.call(self.platform_address, "GET", "/use", None)
 
     def command(self, *arguments: str) -> str:
         """Run a command of the product against the platform and return what it wrote.
 
         :raises ProcessFailedError: if it fails.
         """
-        options = ("--platform", self._platform)
+        options = ("--platform", self.platform_address)
         code, output = run_to_end(("-m", "laburnumswitch", *arguments, *options), COMMAND_LIMIT_S)
         if code != 0:
             raise ProcessFailedError(f"{' '.join(arguments)}: exit code {code}: {output}")
@@ -230,7 +232,7 @@
     def _write_settings(self, entry: Entry) -> str:
         with open(self._path("keys"), "w") as file:
             file.write(KEY + "\n")
-        platform = dict.fromkeys(("table", "objects", "vms"), self._platform)
+        platform = dict.fromkeys(("table", "objects", "vms"), self.platform_address)
         settings = {
             "vm_id": entry.vm_id,
             "availability_zone": self.zone_by_vm[entry.vm_id],
