Name worker, zone, run, shard and claim row in the events that lacked them

An eviction did not say of which run, the end of a run did not say where, and a refused claim did not name the row that tells which other request holds it.

--- a/laburnumswitch/process/policy.py
+++ b/laburnumswitch/process/policy.py
@@ -297,7 +297,9 @@
             self._context.timeline.record(
                 "eviction",
                 self._ledger.group_by_number[key.group].task_id(key.index),
+                run=run.run,
                 worker=worker.worker_id,
+                zone=worker.availability_zone,
                 reason="relief",
             )
 
@@ -326,6 +328,8 @@
                 group.task_id(index),
                 run=group.running[index].run,
                 worker=worker.worker_id,
+                zone=worker.availability_zone,
+                shard=self._shard,
             )
 
     def _note_ended(self, record: Ended, ended_by_key: Mapping[TaskKey, Run]) -> None:
@@ -347,4 +351,7 @@
                 group.task_id(index),
                 run=ended_by_key[key].run,
                 how=How(record.how).name.lower(),
+                worker=worker.worker_id if worker else "",
+                zone=worker.availability_zone if worker else "",
+                shard=self._shard,
             )
--- a/laburnumswitch/request/delivery.py
+++ b/laburnumswitch/request/delivery.py
@@ -87,6 +87,8 @@
                 "retry",
                 self._terms.request_id,
                 upstream=upstream.upstream_id,
+                worker=upstream.worker_id,
+                zone=upstream.availability_zone,
                 reason=_reason_of(result),
             )
 
--- a/laburnumswitch/request/forward.py
+++ b/laburnumswitch/request/forward.py
@@ -140,7 +140,7 @@
             outcome=outcome,
             reason=result.tag if isinstance(result, Failure) else "",
             milliseconds=round(taken_s * 1_000),
-            upstream=result.upstream.upstream_id if isinstance(result, Delivered) else "",
+            **_upstream_details(result),
         )
     if isinstance(result, Delivered):
         return _delivered(context, service, terms, result)
@@ -161,6 +161,17 @@
     return _plain(status, "whether the request ran is unknown", outcome, terms.request_id)
 
 
+def _upstream_details(result: Delivered | StoredAnswer | Failure) -> dict[str, str]:
+    if not isinstance(result, Delivered):
+        return {}
+    upstream = result.upstream
+    return {
+        "upstream": upstream.upstream_id,
+        "worker": upstream.worker_id,
+        "zone": upstream.availability_zone,
+    }
+
+
 def _outcome_of(result: Delivered | StoredAnswer | Failure) -> str:
     if isinstance(result, Delivered | StoredAnswer | AnswerNotKept):
         return "answered"
--- a/laburnumswitch/request/keyed.py
+++ b/laburnumswitch/request/keyed.py
@@ -12,6 +12,7 @@
 from laburnumswitch.request.attempt import Delivered
 from laburnumswitch.request.claim import Claim
 from laburnumswitch.request.claim import claim_key
+from laburnumswitch.request.claim import claim_row_key
 from laburnumswitch.request.claim import OBJECT_ANSWER_BYTES
 from laburnumswitch.request.claim import record_answer
 from laburnumswitch.request.claim import record_state
@@ -32,7 +33,10 @@
     """Deliver the request if no other attempt under ``key`` came first."""
     claim = _claim_in_time(context, service, terms, key)
     if not isinstance(claim, Claim):
-        context.timeline.record("claim_refused", terms.request_id, row=_row_of(service, claim))
+        row = claim_row_key(service.name, key)
+        context.timeline.record(
+            "claim_refused", terms.request_id, row=row, reason=type(claim).__name__
+        )
         return claim
     context.timeline.record("claimed", terms.request_id, row=claim.key)
     try:
@@ -85,7 +89,3 @@
             context.timeline.record("claim_not_settled", context.vm_id, reason=failure.tag)
 
     spawn(run).join(wait_s)
-
-
-def _row_of(service: Service, result: StoredAnswer | Failure) -> str:
-    return f"{service.name}: {type(result).__name__}"
