--- a/laburnumswitch/exceptions/__init__.py
+++ b/laburnumswitch/exceptions/__init__.py
@@ -40,6 +40,7 @@
 from laburnumswitch.exceptions.scheduling import ConfigurationChanged
 from laburnumswitch.exceptions.scheduling import DependencyPending
 from laburnumswitch.exceptions.scheduling import DocumentBroken
+from laburnumswitch.exceptions.scheduling import EventsLost
 from laburnumswitch.exceptions.scheduling import JobTooLarge
 from laburnumswitch.exceptions.scheduling import JournalBroken
 from laburnumswitch.exceptions.scheduling import LedgerConflict
@@ -67,6 +68,7 @@
     "DuplicateKey",
     "DuplicateName",
     "Failure",
+    "EventsLost",
     "FileProblem",
     "FileUnreadable",
     "FirstByteLate",
--- a/laburnumswitch/exceptions/scheduling.py
+++ b/laburnumswitch/exceptions/scheduling.py
@@ -129,3 +129,11 @@
     def describe(self) -> str:
         """Return one line for people."""
         return f"{self.tag}: no VM is listed in {self.zone!r}{did_you_mean(self.near)}"
+
+
+@dataclass(frozen=True)
+class EventsLost(Failure):
+    """An entry dropped events of the time line before they were stored."""
+
+    process: str
+    number: int
--- a/laburnumswitch/process/eventkinds.py
+++ b/laburnumswitch/process/eventkinds.py
@@ -1,40 +1,41 @@
 """Every kind of event that an entry records, for the code, the pages and the tests."""
 
-from typing import get_args
+from collections.abc import Mapping
 from typing import Literal
 
-EventKind = Literal[
-    "answer_cut",
-    "batch_refused",
-    "claim_not_settled",
-    "claim_refused",
-    "claimed",
-    "commit_failed",
-    "commit_unknown",
-    "configuration_adopted",
-    "configuration_refused",
-    "connection_retired",
-    "drained",
-    "eviction",
-    "job_admitted",
-    "job_cancelled",
-    "job_failed",
-    "job_finished",
-    "job_impossible",
-    "job_waiting",
-    "outcome",
-    "retry",
-    "run_ended",
-    "run_started",
-    "service_changed",
-    "shard_lost",
-    "shard_released",
-    "shard_taken_over",
-    "shed",
-    "tasks_given_away",
-    "upstream_ejected",
-    "upstream_leaving",
-    "zone_state",
-]
+Subject = Literal["job", "request", "service", "shard", "task", "upstream", "version", "vm", "zone"]
 
-KINDS: frozenset[str] = frozenset(get_args(EventKind))
+SUBJECT_BY_KIND: Mapping[str, Subject] = {
+    "answer_cut": "request",
+    "batch_refused": "shard",
+    "claim_not_settled": "vm",
+    "claim_refused": "request",
+    "claimed": "request",
+    "commit_failed": "shard",
+    "commit_unknown": "shard",
+    "configuration_adopted": "version",
+    "configuration_refused": "version",
+    "connection_retired": "upstream",
+    "drained": "vm",
+    "eviction": "task",
+    "job_admitted": "job",
+    "job_cancelled": "job",
+    "job_failed": "job",
+    "job_finished": "job",
+    "job_impossible": "job",
+    "job_waiting": "job",
+    "outcome": "request",
+    "retry": "request",
+    "run_ended": "task",
+    "run_started": "task",
+    "service_changed": "service",
+    "shard_lost": "shard",
+    "shard_released": "shard",
+    "shard_taken_over": "shard",
+    "shed": "service",
+    "tasks_given_away": "job",
+    "upstream_ejected": "upstream",
+    "upstream_leaving": "upstream",
+    "zone_state": "zone",
+}
+KINDS: frozenset[str] = frozenset(SUBJECT_BY_KIND)
--- a/tests/command/test_operators.py
+++ b/tests/command/test_operators.py
@@ -194,6 +194,7 @@
         self.assertThat(self.clocks("--job", "x@1"), Equals([2, 9]))
         self.assertThat(self.clocks("--worker", "w2"), Equals([2]))
         self.assertThat(self.clocks("--zone", "az-2"), Equals([]))
+        self.assertThat(self.clocks("--job", "x@1:0"), Equals([2]))
         self.assertThat(self.clocks("--since", "94s"), Equals([7, 9]))
 
     def test_follow_prints_each_event_once_and_late_ones_too(self):
