--- a/laburnumswitch/entry.py
+++ b/laburnumswitch/entry.py
@@ -22,6 +22,7 @@
 from laburnumswitch.process.admin import serve_admin
 from laburnumswitch.process.admin import Traffic
 from laburnumswitch.process.context import SchedulerContext
+from laburnumswitch.process.counted_table import CountedTable
 from laburnumswitch.process.directory import Directory
 from laburnumswitch.process.heartbeat import Heartbeat
 from laburnumswitch.process.heartbeat import ShardUpstreams
@@ -32,8 +33,13 @@
 from laburnumswitch.process.layout import read_or_create_layout
 from laburnumswitch.process.logs import set_up_logs
 from laburnumswitch.process.membership import Membership
+from laburnumswitch.process.metric_sources import add_commit_metrics
+from laburnumswitch.process.metric_sources import add_entry_metrics
+from laburnumswitch.process.metric_sources import add_request_metrics
+from laburnumswitch.process.metric_sources import add_table_metrics
+from laburnumswitch.process.metric_sources import EntryNumbers
+from laburnumswitch.process.metric_sources import TaskNumbers
 from laburnumswitch.process.metrics import Metrics
-from laburnumswitch.process.metrics import Sample
 from laburnumswitch.process.objects import ObjectsClient
 from laburnumswitch.process.operator import event_rows
 from laburnumswitch.process.operator import make_operator_handler
@@ -91,13 +97,15 @@
         timeout_s = settings.limits.platform_timeout
         self.platform_clients = tuple(Client(address) for address in settings.platform)
         table_client, objects_client, vms_client = self.platform_clients
-        self.table = TableClient(table_client, timeout_s)
+        self.metrics = Metrics()
+        note_call = add_table_metrics(self.metrics)
+        self.note_commit = add_commit_metrics(self.metrics)
+        self.table = CountedTable(TableClient(table_client, timeout_s), note_call, monotonic)
         self.objects = ObjectsClient(objects_client)
         self.vms = VmsClient(vms_client, timeout_s)
         self.workers = WorkersClient()
 
     def _build_views(self, settings: Settings, keys: KeyFile) -> None:
-        self.metrics = Metrics()
         self.timeline = Timeline(
             settings.vm_id,
             settings.availability_zone,
@@ -164,30 +172,25 @@
         self._add_metrics()
 
     def _add_metrics(self) -> None:
-        counts = self.request_context.counts
-        self.metrics.add_counters(
-            "laburnumswitch_requests_total",
-            "Callers' requests, by service and outcome.",
-            lambda: [
-                Sample({"service": service, "outcome": outcome}, number)
-                for (service, outcome), number in counts.by_outcome.items()
-            ],
+        context = self.request_context
+        add_request_metrics(
+            self.metrics,
+            context.counts,
+            context.state_by_service,
+            lambda: context.budget.refused,
         )
-        for name, help_text, read in (
-            ("sends", "Requests written to an upstream.", lambda: counts.sends),
-            ("retries", "Requests written again.", lambda: counts.retries),
-            ("shed", "Requests shed before they were written.", lambda: counts.shed),
-            ("control_bytes", "Bytes exchanged for control.", self.control_bytes),
-            ("events_lost", "Events dropped from the time line.", lambda: self.timeline.lost),
-        ):
-            self.metrics.add_counter(f"laburnumswitch_{name}_total", help_text, read)
-        self.metrics.add_gauge(
-            "laburnumswitch_configuration_version",
-            "Version of the configuration in force.",
-            lambda: self.adopted.configuration.version,
-        )
-        self.metrics.add_gauge(
-            "laburnumswitch_shards_owned", "Shards owned.", lambda: len(self.shard_hints())
+        add_entry_metrics(
+            self.metrics,
+            EntryNumbers(
+                is_ready=lambda: not self.unready_reason(),
+                configuration_version=lambda: self.adopted.configuration.version,
+                shards_owned=lambda: len(self.shard_hints()),
+                live_entries=lambda: len(self.membership.live_entries()),
+                events_lost=lambda: self.timeline.lost,
+                control_bytes=self.control_bytes,
+                heartbeats_missed=lambda: self.peers.heartbeats_missed,
+                tasks=self.task_numbers,
+            ),
         )
 
     def has_configuration(self) -> bool:
@@ -218,6 +221,10 @@
         """Return what peers are told of the shards owned here."""
         return self.scheduler.hints() if self.scheduler else ()
 
+    def task_numbers(self) -> TaskNumbers:
+        """Return how many tasks wait and run in the shards owned here."""
+        return self.scheduler.task_numbers() if self.scheduler else TaskNumbers()
+
     def peers_shard_hints(self) -> dict[int, ShardHint]:
         """Return the newest hint of every shard, this entry's own included."""
         by_shard = {hint.shard: hint for hint in self.shard_hints()}
@@ -346,6 +353,7 @@
             sleep=sleep,
             random=SystemRandom(),
             services_outlive_store=True,
+            note_commit=self.note_commit,
         )
 
     def _run_own_upstreams(self) -> None:
--- a/laburnumswitch/process/context.py
+++ b/laburnumswitch/process/context.py
@@ -24,6 +24,8 @@
     ``services_outlive_store`` lets replicas of services keep their leases while the table cannot be
     reached. A replica may then run beside its successor where a worker is cut off from a new owner
     but not from the old one; batch tasks never do.
+
+    ``note_commit`` is told the outcome of a shard's batch and the seconds until it was decided.
     """
 
     vm_id: str
@@ -42,3 +44,4 @@
     sleep: Callable[[float], None]
     random: Random
     services_outlive_store: bool = False
+    note_commit: Callable[[str, float], None] = lambda outcome, taken_s: None
--- a/laburnumswitch/process/metrics.py
+++ b/laburnumswitch/process/metrics.py
@@ -1,5 +1,6 @@
 """Metrics of the daemon, in Prometheus' text format."""
 
+from collections import Counter as CounterOf
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -10,9 +11,12 @@
 
 from aioprometheus import Counter
 from aioprometheus import Gauge
+from aioprometheus import Histogram
 from aioprometheus import Registry
 from aioprometheus.renderer import render
 
+from laburnumswitch.process.timeline import Event
+
 PAGE_BYTES = sysconf("SC_PAGE_SIZE")
 MEMORY_FILE = "/proc/self/statm"
 
@@ -30,16 +34,24 @@
 
 
 class Metrics:
-    """The registry; all but the events are read from their owners when the page is asked for."""
+    """The registry; most values are read from their owners when the page is asked for."""
 
     def __init__(self) -> None:
+        self.events_by_kind: CounterOf[str] = CounterOf()
+        self.ended_by_how: CounterOf[str] = CounterOf()
+        self.names: list[str] = []
         self._registry = Registry()
-        self._events = Counter(
+        self._sampled: list[_Sampled] = []
+        self.add_counters(
             "laburnumswitch_events_total",
             "Events of the time line, by kind.",
-            registry=self._registry,
+            lambda: _samples("kind", self.events_by_kind),
+        )
+        self.add_counters(
+            "laburnumswitch_runs_ended_total",
+            "Ends of runs, by how they ended.",
+            lambda: _samples("how", self.ended_by_how),
         )
-        self._sampled: list[_Sampled] = []
         self.add_counter(
             "process_cpu_seconds_total", "Processor time of this process.", _processor_seconds
         )
@@ -47,14 +59,35 @@
             "process_resident_memory_bytes", "Resident memory of this process.", _resident_bytes
         )
 
-    def count_event(self, kind: str) -> None:
+    def count_event(self, event: Event) -> None:
         """Count one event of the time line."""
-        self._events.inc({"kind": kind})
+        self.events_by_kind[event.kind] += 1
+        if event.kind == "run_ended":
+            self.ended_by_how[str(event.details["how"])] += 1
 
     def add_gauge(self, name: str, help_text: str, read: Callable[[], float]) -> None:
         """Register a value that may fall."""
+        self.add_gauges(name, help_text, lambda: [Sample({}, read())])
+
+    def add_gauges(self, name: str, help_text: str, read: Callable[[], Iterable[Sample]]) -> None:
+        """Register a value that may fall, under several labels."""
+        self.names.append(name)
         gauge = Gauge(name, help_text, registry=self._registry)
-        self._sampled.append(_Sampled(gauge, lambda: [Sample({}, read())]))
+        self._sampled.append(_Sampled(gauge, read))
+
+    def add_histogram(self, name: str, help_text: str, buckets: tuple[float, ...]) -> Histogram:
+        """Register a distribution and return it, for its owner to add values to.
+
+        :param buckets: upper bounds, without the infinite one.
+        """
+        self.names.append(name)
+        bounds = (*buckets, float("inf"))
+        return Histogram(name, help_text, registry=self._registry, buckets=bounds)
+
+    def add_direct_counter(self, name: str, help_text: str) -> Counter:
+        """Register a counter and return it, for its owner to raise."""
+        self.names.append(name)
+        return Counter(name, help_text, registry=self._registry)
 
     def add_counter(self, name: str, help_text: str, read: Callable[[], float]) -> None:
         """Register a value that only rises."""
@@ -62,6 +95,7 @@
 
     def add_counters(self, name: str, help_text: str, read: Callable[[], Iterable[Sample]]) -> None:
         """Register a value that only rises, under several labels."""
+        self.names.append(name)
         counter = Counter(name, help_text, registry=self._registry)
         self._sampled.append(_Sampled(counter, read))
 
@@ -74,6 +108,10 @@
         return content, headers["Content-Type"]
 
 
+def _samples(label: str, number_by_value: Mapping[str, int]) -> list[Sample]:
+    return [Sample({label: value}, number) for value, number in number_by_value.items()]
+
+
 def _processor_seconds() -> float:
     usage = getrusage(RUSAGE_SELF)
     return usage.ru_utime + usage.ru_stime
--- a/laburnumswitch/process/peers.py
+++ b/laburnumswitch/process/peers.py
@@ -48,6 +48,7 @@
     """The tasks and the clients, by peer."""
 
     def __init__(self, context: PeerContext) -> None:
+        self.heartbeats_missed = 0
         self._context = context
         self._task_by_id: dict[str, Greenlet] = {}
         self._client_by_address: dict[str, Client] = {}
@@ -99,6 +100,8 @@
             if isinstance(answer, Heartbeat) and answer.vm_id == vm.vm_id:
                 receive_heartbeat(self._context, answer)
                 self._fetch_upstreams(vm, answer)
+            else:
+                self.heartbeats_missed += 1
             self._context.sleep(HEARTBEAT_INTERVAL_S)
 
     def _fetch_upstreams(self, vm: Vm, heartbeat: Heartbeat) -> None:
--- a/laburnumswitch/process/policy.py
+++ b/laburnumswitch/process/policy.py
@@ -303,6 +303,18 @@
                 reason="relief",
             )
 
+    def longest_urgent_wait_s(self) -> float:
+        """Return how long the urgent group that waits longest has had no start, in seconds."""
+        now_s = self._context.clock()
+        waits = [
+            now_s - since_s
+            for number, since_s in self._waiting_since_by_group.items()
+            if (group := self._ledger.group_by_number.get(number)) is not None
+            and (group.work.urgent or group.work.service)
+            and group.count_pending()
+        ]
+        return max(waits, default=0.0)
+
     def _note_once(self, key: TaskKey, run: int) -> bool:
         if self._noted_by_key.get(key) == run:
             return False
--- a/laburnumswitch/process/scheduler.py
+++ b/laburnumswitch/process/scheduler.py
@@ -16,6 +16,7 @@
 from laburnumswitch.process.interference import Interference
 from laburnumswitch.process.journal import replay_journal
 from laburnumswitch.process.ledger import Ledger
+from laburnumswitch.process.metric_sources import TaskNumbers
 from laburnumswitch.process.ownership import may_take_over
 from laburnumswitch.process.ownership import observe_head
 from laburnumswitch.process.ownership import preferred_entry
@@ -119,6 +120,16 @@
             if not shard.lost
         )
 
+    def task_numbers(self) -> TaskNumbers:
+        """Return how many tasks of the owned shards wait and run."""
+        shards = [shard for shard in self.shard_by_number.values() if not shard.lost]
+        groups = [group for shard in shards for group in shard.ledger.group_by_number.values()]
+        return TaskNumbers(
+            sum(group.count_pending() for group in groups),
+            sum(len(group.running) for group in groups),
+            max((shard.policy.longest_urgent_wait_s() for shard in shards), default=0.0),
+        )
+
     def upstreams(self, shard: int) -> tuple[Upstream, ...]:
         """Return the running replicas of an owned shard; empty for others."""
         owned = self.shard_by_number.get(shard)
--- a/laburnumswitch/process/shard.py
+++ b/laburnumswitch/process/shard.py
@@ -54,6 +54,7 @@
 
 COMMIT_EVERY_S = 0.25
 INBOX_EVERY_S = 0.5
+OUTCOME_BY_TAG = {"Head": "Committed", "NoneType": "HadNoEffect"}
 
 
 class Ownership(NamedTuple):
@@ -228,6 +229,8 @@
         if isinstance(outcome, OutcomeUnknown):
             self._context.timeline.record("commit_unknown", str(self.shard), batch=batch_id)
             outcome = self._settle(batch)
+        tag = outcome.tag if isinstance(outcome, Failure) else type(outcome).__name__
+        self._context.note_commit(OUTCOME_BY_TAG.get(tag, tag), self._context.clock() - sent_s)
         if isinstance(outcome, Head):
             self._take_effect(builder, batch, outcome, sent_s)
             return not self.lost
--- a/laburnumswitch/process/timeline.py
+++ b/laburnumswitch/process/timeline.py
@@ -35,7 +35,7 @@
         availability_zone: str,
         wall_clock: Callable[[], float],
         capacity: int = CAPACITY_EVENTS,
-        count_event: Callable[[str], None] = lambda kind: None,
+        count_event: Callable[[Event], None] = lambda event: None,
     ) -> None:
         self.lost = 0
         self.clock = 0
@@ -49,21 +49,20 @@
     def record(self, kind: str, subject: str, **details: str | int | float) -> None:
         """Append one event."""
         self.clock += 1
-        self._count_event(kind)
         is_full = len(self._events) == self._events.maxlen
         if is_full and self._events[0].clock > self.stored:
             self.lost += 1
-        self._events.append(
-            Event(
-                self.clock,
-                self._wall_clock(),
-                self._process,
-                self._availability_zone,
-                kind,
-                subject,
-                details,
-            )
+        event = Event(
+            self.clock,
+            self._wall_clock(),
+            self._process,
+            self._availability_zone,
+            kind,
+            subject,
+            details,
         )
+        self._events.append(event)
+        self._count_event(event)
 
     def observe(self, clock: int) -> None:
         """Move the logical clock past that of a message just received."""
