--- /dev/null
+++ b/tests/process/test_metrics.py
@@ -0,0 +1,110 @@
+"""The metrics page shows what happened, with bounded labels and Prometheus' names."""
+
+from testtools import TestCase
+from testtools.matchers import Contains
+from testtools.matchers import Equals
+
+from laburnumswitch.process.counted_table import CountedTable
+from laburnumswitch.process.metric_sources import add_entry_metrics
+from laburnumswitch.process.metric_sources import add_request_metrics
+from laburnumswitch.process.metric_sources import add_table_metrics
+from laburnumswitch.process.metric_sources import EntryNumbers
+from laburnumswitch.process.metric_sources import TaskNumbers
+from laburnumswitch.process.metrics import Metrics
+from laburnumswitch.process.request_counts import RequestCounts
+from laburnumswitch.process.table import Condition
+from laburnumswitch.process.table import Put
+from laburnumswitch.process.table import Transaction
+from laburnumswitch.process.timeline import Timeline
+from laburnumswitch.size import Size
+from standin.table import MemoryTable
+from tests.fakes import FakeClock
+from tests.process.bench import Bench
+from tests.process.bench import make_work
+
+
+class TestMetrics(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.metrics = Metrics()
+        self.clock = FakeClock()
+
+    def page(self):
+        return self.metrics.render("")[0].decode().splitlines()
+
+    def test_calls_of_the_table_by_outcome_and_seconds(self):
+        inner = MemoryTable()
+        table = CountedTable(inner, add_table_metrics(self.metrics), self.clock)
+        table.commit(Transaction((), (Put("a", 1),)))
+        table.commit(Transaction((Condition("a", 99),)))
+        inner.lose_answers = 1
+        table.commit(Transaction())
+        inner.down = True
+        inner.read = lambda keys: self.clock.sleep(0.3) or MemoryTable().read(keys)
+        self.assertThat(table.read(("a",))["a"].version, Equals(0))
+        table.scan("a")
+        page = self.page()
+        for call, outcome in (
+            ("commit", "Succeeded"),
+            ("commit", "Conflict"),
+            ("commit", "OutcomeUnknown"),
+            ("read", "Succeeded"),
+            ("scan", "Unavailable"),
+        ):
+            line = f'laburnumswitch_table_calls_total{{call="{call}",outcome="{outcome}"}} 1'
+            self.assertThat(page, Contains(line))
+        bucket = 'laburnumswitch_table_call_seconds_bucket{call="read",le="%s"} %d.0'
+        self.assertThat(page, Contains(bucket % ("0.2", 0)))
+        self.assertThat(page, Contains(bucket % ("0.5", 1)))
+
+    def test_events_are_counted_though_the_time_line_forgets_them(self):
+        timeline = Timeline("e1", "a", self.clock, 1, self.metrics.count_event)
+        numbers = EntryNumbers(
+            lambda: True,
+            lambda: 7,
+            lambda: 1,
+            lambda: 3,
+            lambda: timeline.lost,
+            lambda: 0,
+            lambda: 4,
+            lambda: TaskNumbers(5, 6, 1.5),
+        )
+        add_entry_metrics(self.metrics, numbers)
+        timeline.record("shard_taken_over", "0", epoch=1)
+        timeline.record("run_ended", "x@1:0", how="evicted")
+        timeline.record("run_ended", "x@1:1", how="finished")
+        expected = (
+            'laburnumswitch_events_total{kind="run_ended"} 2',
+            'laburnumswitch_runs_ended_total{how="finished"} 1',
+            "laburnumswitch_evictions_total 1",
+            "laburnumswitch_shard_takeovers_total 1",
+            "laburnumswitch_events_lost_total 2",
+            "laburnumswitch_heartbeats_missed_total 4",
+            "laburnumswitch_oldest_pending_urgent_seconds 1.5",
+        )
+        for line in expected:
+            self.assertThat(self.page(), Contains(line))
+
+    def test_latency_of_requests_by_service(self):
+        counts = RequestCounts()
+        add_request_metrics(self.metrics, counts, {}, lambda: 2)
+        counts.note_seconds("orders", 0.03)
+        counts.note_seconds("orders", 3.0)
+        page = self.page()
+        bucket = 'laburnumswitch_request_seconds_bucket{le="%s",service="orders"} %d.0'
+        for bound, number in (("0.02", 0), ("0.05", 1), ("5.0", 2)):
+            self.assertThat(page, Contains(bucket % (bound, number)))
+        self.assertThat(page, Contains("laburnumswitch_retries_refused_total 2"))
+
+
+class TestShards(TestCase):
+    def test_commits_and_waiting_urgent_tasks(self):
+        noted = []
+        bench = Bench(note_commit=lambda outcome, taken_s: noted.append(outcome))
+        shard = bench.take_over()
+        bench.submit(make_work("big", Size(10**9, 1_000), urgent=True))
+        bench.drive(shard, seconds=5.0)
+        self.assertThat(shard.policy.longest_urgent_wait_s() >= 3.0, Equals(True))
+        bench.table.down = True
+        bench.drive(shard, seconds=2.0)
+        self.assertThat({"Committed", "Unavailable"}, Equals(set(noted)))
