--- a/laburnumswitch/entry.py
+++ b/laburnumswitch/entry.py
@@ -17,6 +17,7 @@
 
 from laburnumswitch.connection.client import Client
 from laburnumswitch.declaration import Service
+from laburnumswitch.exceptions import CannotListen
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.process.admin import AdminContext
 from laburnumswitch.process.admin import serve_admin
@@ -378,9 +379,12 @@
     if isinstance(keys, Failure):
         return keys
     daemon = Daemon(settings, keys)
+    try:
+        daemon.start()
+    except OSError as error:
+        return CannotListen(str(error))
     for number in (SIGTERM, SIGINT):
         signal_handler(number, daemon.leaving.set)
-    daemon.start()
     daemon.leaving.wait()
     daemon.stop()
     return None
--- a/laburnumswitch/exceptions/__init__.py
+++ b/laburnumswitch/exceptions/__init__.py
@@ -29,6 +29,7 @@
 from laburnumswitch.exceptions.platform import Unavailable
 from laburnumswitch.exceptions.requests import AnswerNotKept
 from laburnumswitch.exceptions.requests import CallerRefused
+from laburnumswitch.exceptions.requests import CannotListen
 from laburnumswitch.exceptions.requests import ClaimInProgress
 from laburnumswitch.exceptions.requests import ConnectionLimit
 from laburnumswitch.exceptions.requests import FirstByteLate
@@ -57,6 +58,7 @@
     "AnswerMalformed",
     "AnswerNotKept",
     "CallerRefused",
+    "CannotListen",
     "ClaimInProgress",
     "ConfigurationChanged",
     "Conflict",
--- a/laburnumswitch/exceptions/requests.py
+++ b/laburnumswitch/exceptions/requests.py
@@ -13,6 +13,13 @@
     reason: str
 
 
+@dataclass(frozen=True)
+class CannotListen(Failure):
+    """An address of the settings cannot be listened on."""
+
+    reason: str
+
+
 @dataclass(frozen=True)
 class ConnectionLimit(Failure):
     """All connections that this process may have to a worker are in use; no byte was sent."""
--- a/tests/command/test_help.py
+++ b/tests/command/test_help.py
@@ -20,6 +20,9 @@
 
 PAGES = Path(__file__).parents[2] / "docs" / "operators"
 EXAMPLE = re.compile(r"^ *laburnumswitch (.*)$", re.MULTILINE)
+BLOCK = re.compile(r"^ *```(\w*)\n(.*?)^ *```$", re.MULTILINE | re.DOTALL)
+INLINE = re.compile(r"`laburnumswitch ([a-z]+(?: [a-z]+)?)")
+DATA_LANGUAGES = {"yaml", "promql", "json", "http"}
 JOB_ID = "truck-loading@20261203T173000Z"
 SETTINGS = """\
 vm_id: e1
@@ -55,6 +58,18 @@
             for page in PAGES.glob("*.md"):
                 self._run_examples(EXAMPLE.findall(page.read_text("utf-8")))
 
+    def test_pages_show_no_other_commands(self):
+        for page in PAGES.glob("*.md"):
+            text = page.read_text("utf-8")
+            for language, block in BLOCK.findall(text):
+                lines = [line.strip() for line in block.splitlines()]
+                commands = [line for line in lines if line.startswith("laburnumswitch ")]
+                known = lines if language in DATA_LANGUAGES else commands
+                self.assertThat((page.name, known), Equals((page.name, lines)))
+            for words in INLINE.findall(text):
+                path = words.split()
+                self.assertThat((path, tuple(path) in set(_command_names())), Equals((path, True)))
+
     def _run_examples(self, examples):
         for example in examples:
             self.on_sleep = self._interrupt if "--follow" in example else self.slept.append
@@ -75,6 +90,11 @@
         raise KeyboardInterrupt
 
 
+def _command_names():
+    for path in _command_paths():
+        yield from (path, path[:1])
+
+
 def _command_paths():
     for name, command in main.commands.items():
         below = getattr(command, "commands", None)
