--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -6,6 +6,7 @@
 from gevent import sleep
 from gevent import spawn
 from testtools import TestCase
+from testtools.matchers import ContainsAll
 from testtools.matchers import Equals
 from testtools.matchers import IsInstance
 
@@ -21,6 +22,8 @@
 from laburnumswitch.process.settings import Limits
 from laburnumswitch.process.settings import Platform as PlatformAddresses
 from laburnumswitch.process.settings import Settings
+from laburnumswitch.process.spill_index import read_batch
+from laburnumswitch.process.spill_index import read_indexes
 from laburnumswitch.process.table import TableClient
 from laburnumswitch.process.vms import Vm
 from laburnumswitch.size import Size
@@ -161,3 +164,15 @@
         first.stop()
         self.wait_until("takeover", lambda: len(second.shard_hints()) == 2)
         self.assertThat(first.shard_hints(), Equals(()))
+        self.assertThat(self.stored_kinds("entry-1"), ContainsAll(["drained", "shard_released"]))
+
+    def stored_kinds(self, process: str) -> list[str]:
+        objects = ObjectsClient(Client(self.platform_address))
+        indexes = read_indexes(self.platform.table)
+        return [
+            event["kind"]
+            for index in indexes
+            if index["process"] == process
+            for stored in index["objects"]
+            for event in read_batch(objects, stored["name"])
+        ]
