--- a/laburnumswitch/process/operator.py
+++ b/laburnumswitch/process/operator.py
@@ -27,6 +27,7 @@
 from laburnumswitch.process.timeline import Timeline
 
 GATHER_TIMEOUT_S = 1.5
+LIVE_EVENTS = 2_000
 
 
 class StatusRow(TypedDict):
@@ -98,11 +99,14 @@
 
 
 def event_rows(timeline: Timeline) -> LocalRows:
-    """Return the list of the events above the clock that the query's ``after`` names."""
+    """Return the list of the newest events above the clock that the query's ``after`` names.
+
+    Older ones are in the object store: a longer answer would hold up callers' requests.
+    """
 
     def rows(request: AdminRequest) -> Iterable[EventRow]:
         after = request.query.get("after", "0")
-        events = timeline.after(int(after) if after.isdigit() else 0)
+        events = timeline.after(int(after) if after.isdigit() else 0)[-LIVE_EVENTS:]
         return [_event_row(event) for event in events]
 
     return rows
--- a/laburnumswitch/process/spill.py
+++ b/laburnumswitch/process/spill.py
@@ -30,7 +30,7 @@
 
 SPILL_INTERVAL_S = 15.0
 MAX_OBJECTS = 240
-MAX_BATCH_EVENTS = 10_000
+MAX_BATCH_EVENTS = 5_000
 EXPIRY_EVERY_TURNS = 40
 KEEP_S = 24 * 3600.0
 REMOVALS_PER_TURN = 4
--- a/tests/process/test_timeline.py
+++ b/tests/process/test_timeline.py
@@ -4,8 +4,12 @@
 from testtools.matchers import Equals
 from testtools.matchers import LessThan
 
+from laburnumswitch.process.admin import AdminRequest
+from laburnumswitch.process.operator import event_rows
+from laburnumswitch.process.operator import LIVE_EVENTS
 from laburnumswitch.process.spill import EXPIRY_EVERY_TURNS
 from laburnumswitch.process.spill import KEEP_S
+from laburnumswitch.process.spill import MAX_BATCH_EVENTS
 from laburnumswitch.process.spill import MAX_OBJECTS
 from laburnumswitch.process.spill import REMOVALS_PER_TURN
 from laburnumswitch.process.spill import Spill
@@ -45,6 +49,24 @@
             timeline.record("end", f"task-{number}")
         self.assertThat(timeline.lost, Equals(1))
 
+    def test_live_answer_is_bounded_and_keeps_the_newest(self):
+        timeline = make_timeline(capacity=2 * LIVE_EVENTS)
+        for _ in range(LIVE_EVENTS + 5):
+            timeline.record("start", "task-1")
+        request = AdminRequest("GET", (), {"after": "2"}, {}, b"")
+        clocks = [row["clock"] for row in event_rows(timeline)(request)]
+        self.assertThat(clocks, Equals(list(range(6, LIVE_EVENTS + 6))))
+
+    def test_large_backlog_is_stored_in_several_batches(self):
+        timeline, objects = make_timeline(capacity=2 * MAX_BATCH_EVENTS), MemoryObjects()
+        spill = Spill(timeline, objects, MemoryTable(), "entry-1", "boot", lambda: 0.0)
+        for _ in range(MAX_BATCH_EVENTS + 1):
+            timeline.record("start", "task-1")
+        spill.turn()
+        spill.turn()
+        sizes = [len(read_batch(objects, name)) for name in sorted(objects.by_name)]
+        self.assertThat(sizes, Equals([MAX_BATCH_EVENTS, 1]))
+
 
 class TestSpill(TestCase):
     def setUp(self):
