--- a/laburnumswitch/command/picture.py
+++ b/laburnumswitch/command/picture.py
@@ -33,6 +33,7 @@
 LEGEND_ROW = 16
 TICKS = 6
 SHORTEST_SPAN_S = 0.001
+DATE_LENGTH = len("2026-12-03")
 
 HTML_HEAD = """\
 <!doctype html>
@@ -47,7 +48,13 @@
 .wait { stroke-width: 6; opacity: 0.3 }
 .link:hover, .wait:hover { opacity: 1 }
 """
-HUE_BY_KIND = {kind: 360 * number // len(KINDS) for number, kind in enumerate(sorted(KINDS))}
+# Steps by the golden angle, in degrees, keep the hues of neighbours in the alphabet far apart.
+HUE_STEP = 137.5
+LIGHTNESSES = (35, 50, 65)
+LOOK_BY_KIND = {
+    kind: (round(HUE_STEP * number) % 360, LIGHTNESSES[number % len(LIGHTNESSES)])
+    for number, kind in enumerate(sorted(KINDS))
+}
 UNKNOWN_COLOUR = "#000"
 
 
@@ -109,8 +116,10 @@
 
 def colour_of(kind: str) -> str:
     """Return the colour of a kind, black for one of a newer version."""
-    hue = HUE_BY_KIND.get(kind)
-    return UNKNOWN_COLOUR if hue is None else f"hsl({hue}, 75%, 42%)"
+    if kind not in LOOK_BY_KIND:
+        return UNKNOWN_COLOUR
+    hue, lightness = LOOK_BY_KIND[kind]
+    return f"hsl({hue}, 75%, {lightness}%)"
 
 
 def _make_scale(events: list[Event]) -> _Scale:
@@ -133,12 +142,13 @@
 
 
 def _draw_ticks(picture: Element, scale: _Scale, bottom: float) -> None:
+    _text(picture, 10, TOP - 12, readable_time(scale.first_s)[:DATE_LENGTH], "start")
     for number in range(TICKS + 1):
         wall_s = scale.first_s + scale.span_s * number / TICKS
         x = scale.x(wall_s)
         _line(picture, "tick", (x, TOP, x, bottom - 30))
         anchor = "end" if number == TICKS else "middle"
-        _text(picture, x, TOP - 12, readable_time(wall_s), anchor)
+        _text(picture, x, TOP - 12, readable_time(wall_s)[DATE_LENGTH + 1 :], anchor)
 
 
 def _draw_lanes(picture: Element, scale: _Scale) -> None:
--- a/tests/command/test_timeline.py
+++ b/tests/command/test_timeline.py
@@ -11,6 +11,8 @@
 
 from laburnumswitch.command.output import EXIT_UNAVAILABLE
 from laburnumswitch.command.output import EXIT_USAGE
+from laburnumswitch.command.picture import colour_of
+from laburnumswitch.process.eventkinds import KINDS
 from laburnumswitch.process.spill import Spill
 from laburnumswitch.process.timeline import Event
 from laburnumswitch.process.timeline import Timeline
@@ -168,6 +170,9 @@
         self.assertThat(page.startswith("<!doctype html>"), Equals(True))
         self.assertThat("<script>" in page, Equals(False))
 
+    def test_kinds_have_colours_of_their_own(self):
+        self.assertThat(len({colour_of(kind) for kind in KINDS}), Equals(len(KINDS)))
+
     def test_nothing_to_draw(self):
         self.assertThat(self.titles(self.draw(), "circle"), Equals([]))
 
