--- a/laburnumswitch/exceptions/__init__.py
+++ b/laburnumswitch/exceptions/__init__.py
@@ -29,6 +29,7 @@
 from laburnumswitch.exceptions.platform import Unavailable
 from laburnumswitch.exceptions.requests import AnswerNotKept
 from laburnumswitch.exceptions.requests import CallerRefused
+from laburnumswitch.exceptions.requests import CannotListen
 from laburnumswitch.exceptions.requests import ClaimInProgress
 from laburnumswitch.exceptions.requests import ConnectionLimit
 from laburnumswitch.exceptions.requests import FirstByteLate
@@ -40,6 +41,7 @@
 from laburnumswitch.exceptions.scheduling import ConfigurationChanged
 from laburnumswitch.exceptions.scheduling import DependencyPending
 from laburnumswitch.exceptions.scheduling import DocumentBroken
+from laburnumswitch.exceptions.scheduling import EventsLost
 from laburnumswitch.exceptions.scheduling import JobTooLarge
 from laburnumswitch.exceptions.scheduling import JournalBroken
 from laburnumswitch.exceptions.scheduling import LedgerConflict
@@ -56,6 +58,7 @@
     "AnswerMalformed",
     "AnswerNotKept",
     "CallerRefused",
+    "CannotListen",
     "ClaimInProgress",
     "ConfigurationChanged",
     "Conflict",
@@ -67,6 +70,7 @@
     "DuplicateKey",
     "DuplicateName",
     "Failure",
+    "EventsLost",
     "FileProblem",
     "FileUnreadable",
     "FirstByteLate",
--- a/laburnumswitch/request/forward.py
+++ b/laburnumswitch/request/forward.py
@@ -133,6 +133,7 @@
     outcome = _outcome_of(result)
     context.counts.by_outcome[(service.name, outcome)] += 1
     taken_s = context.clock() - terms.request.arrived_s
+    context.counts.note_seconds(service.name, taken_s)
     if outcome != "answered" or not terms.idempotent or taken_s > service.timeout_s * SLOW_SHARE:
         context.timeline.record(
             "outcome",
@@ -141,7 +142,7 @@
             outcome=outcome,
             reason=result.tag if isinstance(result, Failure) else "",
             milliseconds=round(taken_s * 1_000),
-            upstream=result.upstream.upstream_id if isinstance(result, Delivered) else "",
+            **_upstream_details(result),
         )
     if isinstance(result, Delivered):
         return _delivered(context, service, terms, result)
@@ -162,6 +163,17 @@
     return _plain(status, "whether the request ran is unknown", outcome, terms.request_id)
 
 
+def _upstream_details(result: Delivered | StoredAnswer | Failure) -> dict[str, str]:
+    if not isinstance(result, Delivered):
+        return {}
+    upstream = result.upstream
+    return {
+        "upstream": upstream.upstream_id,
+        "worker": upstream.worker_id,
+        "zone": upstream.availability_zone,
+    }
+
+
 def _outcome_of(result: Delivered | StoredAnswer | Failure) -> str:
     if isinstance(result, Delivered | StoredAnswer | AnswerNotKept):
         return "answered"
