--- a/scripts/measure_request.py
+++ b/scripts/measure_request.py
@@ -54,7 +54,7 @@
 ORDER_SHARE = 0.2
 END_LIMIT_S = 8.0
 STATUS_OK = 200
-NOT_KNOWN = float("nan")
+NOT_KNOWN = None
 
 
 class Running(NamedTuple):
@@ -239,7 +239,7 @@
     return sum(1 for sample in samples if sample.status == STATUS_OK)
 
 
-def _quantile(values: list[float], fraction: float) -> float:
+def _quantile(values: list[float], fraction: float) -> float | None:
     if not values:
         return NOT_KNOWN
     return sorted(values)[min(int(len(values) * fraction), len(values) - 1)]
@@ -249,16 +249,23 @@
 @click.option("--seeds", default=5, show_default=True, help="Seeds of each policy, and rounds.")
 @click.option("--json", "json_path", default="out/measure_request.json", show_default=True)
 @click.option("--page", default="docs/MEASUREMENTS-requests.md", show_default=True)
-def main(seeds: int, json_path: str, page: str) -> None:
+@click.option("--render-only", is_flag=True, help="Make the page from the figures of last time.")
+def main(seeds: int, json_path: str, page: str, render_only: bool) -> None:
     """Measure the request path, and write the figures and the page made from them."""
+    if not render_only:
+        results = _measure(seeds)
+        Path(json_path).parent.mkdir(parents=True, exist_ok=True)
+        Path(json_path).write_bytes(encode(results))
+    results = decode(Path(json_path).read_bytes(), type=Results)
+    Path(page).write_text(render(results))
+
+
+def _measure(seeds: int) -> Results:
     numbers = tuple(range(1, seeds + 1))
     cost = measure_cost(seeds)
     profile = profile_entry()
     policies = tuple(measure_policy(policy, seed) for seed in numbers for policy in POLICIES)
-    results = Results(python_version(), cpu_count() or 0, numbers, cost, profile, policies)
-    Path(json_path).parent.mkdir(parents=True, exist_ok=True)
-    Path(json_path).write_bytes(encode(results))
-    Path(page).write_text(render(results))
+    return Results(python_version(), cpu_count() or 0, numbers, cost, profile, policies)
 
 
 if __name__ == "__main__":
--- a/scripts/request_report.py
+++ b/scripts/request_report.py
@@ -23,8 +23,9 @@
 class PolicyResult(NamedTuple):
     """One policy under one seed; shares are fractions, latencies in milliseconds.
 
-    ``faulty_*``: one slow and one failing upstream at half load. ``overload_*``: three times the
-    capacity. ``recovery_s``: seconds after the overload until requests are answered as before.
+    ``faulty_*``: one slow and one failing upstream at half load. ``overload_*`` and ``shed_*``:
+    three times the capacity; the latter are ``None`` where nothing was shed. ``recovery_s``:
+    seconds after the overload until requests are answered as before.
     """
 
     policy: str
@@ -34,8 +35,8 @@
     faulty_p99: float
     overload_goodput: float
     overload_high: float
-    shed_p50: float
-    shed_p99: float
+    shed_p50: float | None
+    shed_p99: float | None
     sends_per_request: float
     recovery_s: float
 
@@ -51,6 +52,9 @@
     policies: tuple[PolicyResult, ...]
 
 
+INFINITY = float("inf")
+PRODUCT = "product"
+WAITING = "_wait_for_end"
 COLUMNS = (
     ("faulty_goodput", "goodput, faulty", 3),
     ("faulty_p50", "p50 ms, faulty", 0),
@@ -64,6 +68,24 @@
 )
 
 
+class Target(NamedTuple):
+    """A limit that every seed of the product's policy is to keep."""
+
+    field: str
+    title: str
+    at_least: float
+    at_most: float
+
+
+TARGETS = (
+    Target("overload_goodput", "goodput at 3x, of the capacity", 0.9, INFINITY),
+    Target("overload_high", "high priority answered at 3x", 0.99, INFINITY),
+    Target("shed_p99", "99% of shed requests told within, ms", 0.0, 50.0),
+    Target("sends_per_request", "sends for each request", 0.0, 1.1),
+    Target("recovery_s", "recovery after the overload, s", 0.0, 5.0),
+)
+
+
 def render(results: Results) -> str:
     """Return the page in Markdown."""
     return "\n".join(
@@ -79,6 +101,8 @@
             "",
             *_policy_lines(results),
             "",
+            *_target_lines(results),
+            "",
         )
     )
 
@@ -108,10 +132,10 @@
         "The bare relay copies blocks between two sockets on the same event loop without looking"
         " into them, so its rate is the limit of the loop for a proxy.",
         "",
-        "Where the entry's own time goes, by cProfile, which slows Python code more than system"
-        " calls:",
+        "Where an entry's time goes, by cProfile, which slows Python code more than system calls;"
+        " shares of all time, waiting included:",
         "",
-        *(f"* `{line}`" for line in results.profile),
+        *(f"* `{line}`" for line in results.profile if not line.startswith(WAITING)),
     ]
 
 
@@ -126,7 +150,10 @@
         "Two entries before eight upstreams of four slots, 50 ms a request. *Faulty*: one upstream"
         " five times slower and one that fails everything, at half of the capacity. *3x*: offered"
         " load of three times the capacity, then recovery at half of it. Goodput counts answers"
-        " with status 200 within a second, over requests offered, or over the capacity for 3x.",
+        " with status 200 within a second, over requests offered, or over the capacity for 3x."
+        " Recovery counts from the start of the following load, about a second after the overload"
+        " ends; 5.0 means that it did not recover while it was watched. The baselines have no"
+        " limits, so they shed nothing.",
         "",
         f"| figure | {' | '.join(names)} |",
         f"| --- |{' --- |' * len(names)}",
@@ -140,8 +167,27 @@
     return lines
 
 
-def _spread(values: list[float], digits: int) -> str:
-    known = [value for value in values if value == value]
+def _target_lines(results: Results) -> list[str]:
+    own = [result for result in results.policies if result.policy == PRODUCT]
+    lines = [
+        "## Targets under overload, seed by seed",
+        "",
+        "| target | limit | median [lowest, highest] | seeds within it |",
+        "| --- | --- | --- | --- |",
+    ]
+    for target in TARGETS:
+        values = [getattr(result, target.field) for result in own]
+        kept = sum(
+            value is not None and target.at_least <= value <= target.at_most for value in values
+        )
+        limit = f"≤ {target.at_most}" if target.at_least == 0.0 else f"≥ {target.at_least}"
+        spread = _spread(values, 3)
+        lines.append(f"| {target.title} | {limit} | {spread} | {kept} of {len(values)} |")
+    return lines
+
+
+def _spread(values: list[float | None], digits: int) -> str:
+    known = [value for value in values if value is not None]
     if not known:
         return "none"
     return f"{median(known):.{digits}f} [{min(known):.{digits}f}, {max(known):.{digits}f}]"
