--- a/tests/connection/test_exchange.py
+++ b/tests/connection/test_exchange.py
@@ -3,6 +3,9 @@
 from time import monotonic
 
 from gevent import sleep
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
 from testtools import TestCase
 from testtools.matchers import Equals
 from testtools.matchers import IsInstance
@@ -39,6 +42,20 @@
     (OK_ANSWER.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"), "asked to close"),
     (b"HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok", "an old version"),
 )
+FRAGMENTS = (
+    HEAD,
+    b"\r\n",
+    b"\n",
+    b"Content-Length: 3\r\n",
+    b"Content-Length: x\r\n",
+    b"Transfer-Encoding: chunked\r\n",
+    b"3\r\nabc\r\n",
+    b"0\r\n\r\n",
+    b"abc",
+    b"HTTP/1.1 100 Continue\r\n\r\n",
+    b"HTTP/1.1 999 \r\n",
+    b"X: \xff\x00\r\n",
+)
 
 
 class TestExchange(TestCase):
@@ -125,6 +142,27 @@
             self.exchange(upstream, method="HEAD")
         self.assertThat(fake.connections, Equals(2))
 
+    def test_any_answer_is_either_whole_or_lost(self):
+        pieces = strategies.one_of(
+            strategies.sampled_from(FRAGMENTS), strategies.binary(max_size=6)
+        )
+
+        @settings(derandomize=True, deadline=None, max_examples=150, database=None)
+        @given(strategies.lists(pieces, max_size=8))
+        def run(parts):
+            def script(sock, _request, _number):
+                sock.sendall(b"".join(parts))
+                sock.close()
+
+            fake = FakeUpstream(script)
+            try:
+                result = self.exchange(fake.as_upstream())
+                assert isinstance(result, bytes | AnswerLost), result
+            finally:
+                fake.close()
+
+        run()
+
     def test_failed_connect_sends_no_byte(self):
         fake, upstream = self.upstream(answering())
         fake.close()
