--- a/tests/connection/test_exchange.py
+++ b/tests/connection/test_exchange.py
@@ -186,7 +186,9 @@
         now_s[0] += 14.0
         self.assertThat(self.pool.take(upstream, 1.0), Equals(first))
         self.pool.give_back(first)
-        now_s[0] += 16.0
+        now_s[0] += 2.0
+        self.assertThat(self.pool.take(upstream, 1.0, 1.0) is first, Equals(False))
+        now_s[0] += 14.0
         self.pool.reap()
         self.assertThat(self.pool.retired, Equals(1))
         self.assertThat(self.pool.take(upstream, 1.0) is first, Equals(False))
--- a/tests/request/test_claim.py
+++ b/tests/request/test_claim.py
@@ -5,6 +5,7 @@
 from gevent import joinall
 from gevent import sleep
 from gevent import spawn
+from gevent import Timeout
 from gevent.event import Event
 from testtools import TestCase
 from testtools.matchers import Contains
@@ -13,12 +14,14 @@
 from testtools.matchers import IsInstance
 
 from laburnumswitch.exceptions import Conflict
+from laburnumswitch.exceptions import Unavailable
 from laburnumswitch.process.claims import ClaimCommitter
 from laburnumswitch.process.claims import RowChange
 from laburnumswitch.process.table import Committed
 from laburnumswitch.process.table import Put
 from laburnumswitch.process.table import Transaction
 from laburnumswitch.request.claim import claim_row_key
+from laburnumswitch.request.claim import SETTLE_TRIES
 from laburnumswitch.request.expiry import expire_some
 from laburnumswitch.request.expiry import RETENTION_S
 from standin.table import MemoryTable
@@ -180,8 +183,39 @@
         reply = call(port, post(b"rice", "Idempotency-Key: k1", "Request-Timeout: 0.05"))
         self.assertThat((reply.status, reply.outcome), Equals((503, "not-run")))
         go.set()
-        while self.table.commits < 2:
-            sleep(0.01)
+        with Timeout(5):
+            while self.table.commits < 2:
+                sleep(0.01)
+        self.assertThat(call(port, KEYED).status, Equals(200))
+        self.assertThat(upstream.requests, HasLength(1))
+
+    def fail_reads(self, times):
+        read = self.table.read
+        left = [times]
+
+        def failing(keys):
+            left[0] -= 1
+            return Unavailable("down") if left[0] >= 0 else read(keys)
+
+        self.table.read = failing
+
+    def test_existing_claim_that_cannot_be_read_is_not_called_not_run(self):
+        upstream = self.upstream()
+        port, _ = self.entry(upstream)
+        call(port, KEYED)
+        self.fail_reads(SETTLE_TRIES)
+        reply = call(port, KEYED)
+        self.assertThat((reply.status, reply.outcome), Equals((409, "unknown")))
+
+    def test_claim_that_could_not_be_settled_is_withdrawn(self):
+        upstream = self.upstream()
+        port, _ = self.entry(upstream)
+        self.table.lose_answers = 1
+        self.fail_reads(SETTLE_TRIES + 1)
+        self.assertThat(call(port, KEYED).outcome, Equals("not-run"))
+        with Timeout(5):
+            while self.table.scan("claim/"):
+                sleep(0.01)
         self.assertThat(call(port, KEYED).status, Equals(200))
         self.assertThat(upstream.requests, HasLength(1))
 
