--- a/laburnumswitch/process/moves.py
+++ b/laburnumswitch/process/moves.py
@@ -41,10 +41,10 @@
         A replica on a silent worker is replaced too, before its lease has lapsed.
         """
         for worker in ledger.worker_by_number.values():
-            if not worker.runs:
-                continue
             leaves = must_leave(worker)
             silent = is_silent(worker)
+            if not worker.runs or not (leaves or silent):
+                continue
             state = state_by_worker_id.get(worker.worker_id)
             replaced: dict[int, list[int]] = {}
             for key in worker.runs:
@@ -55,7 +55,7 @@
                     if leaves and state is not None:
                         _stop_batch_run(state, group, key, now_s)
                     continue
-                if (leaves or silent) and _is_wanted(group, key):
+                if _is_wanted(group, key):
                     replaced.setdefault(key.group, []).append(key.index)
             for number, indexes in replaced.items():
                 batch.records.append(Replaced(number, tuple(indexes)))
--- a/laburnumswitch/process/usage_history.py
+++ b/laburnumswitch/process/usage_history.py
@@ -11,9 +11,11 @@
 from laburnumswitch.process.ledger import Worker
 from laburnumswitch.process.work import TaskKey
 from laburnumswitch.process.worker_state import WorkerState
+from laburnumswitch.process.workers import Usage
 
 REPORT_LAG_S = 3.0
 SHARES_KEPT = 8
+BATCH_SAMPLE = 4
 
 
 class Learned(NamedTuple):
@@ -44,22 +46,34 @@
         history = self._shares_by_worker.setdefault(worker.number, deque(maxlen=SHARES_KEPT))
         history.append(_Shares(now_s, share_by_key))
         old = [shares for shares in history if shares.seen_s <= now_s - REPORT_LAG_S]
-        for key, usage in state.usage_by_key.items():
-            if key not in share_by_key:
-                continue
+        then = old[-1].share_by_key if old else {}
+        share_by_class = self._sum_by_class(then)
+        for key, usage in self._sample(state.usage_by_key, share_by_key):
             work = self._ledger.group_by_number[key.group].work
             self._learned.profiles.observe_usage(work, usage.cpu_millis, usage.memory_mb)
-            if old and key in old[-1].share_by_key:
-                beside = self._sum_by_class(old[-1].share_by_key, key)
+            if key in then:
+                beside = dict(share_by_class)
+                beside[work.name] -= then[key]
                 self._learned.interference.observe(work.name, usage.slowdown, beside)
 
-    def _sum_by_class(
-        self, share_by_key: Mapping[TaskKey, float], victim: TaskKey
-    ) -> dict[str, float]:
+    def _sample(
+        self, usage_by_key: Mapping[TaskKey, Usage], running: Mapping[TaskKey, float]
+    ) -> list[tuple[TaskKey, Usage]]:
+        """Return the reports of all replicas, and of a few batch runs at random."""
+        services, batch = [], []
+        for key, usage in usage_by_key.items():
+            if key in running:
+                is_service = self._ledger.group_by_number[key.group].work.service
+                (services if is_service else batch).append((key, usage))
+        if len(batch) > BATCH_SAMPLE:
+            batch = self._context.random.sample(batch, BATCH_SAMPLE)
+        return services + batch
+
+    def _sum_by_class(self, share_by_key: Mapping[TaskKey, float]) -> dict[str, float]:
         share_by_class: dict[str, float] = {}
         for key, share in share_by_key.items():
             group = self._ledger.group_by_number.get(key.group)
-            if group is not None and key != victim:
+            if group is not None:
                 name = group.work.name
                 share_by_class[name] = share_by_class.get(name, 0.0) + share
         return share_by_class
--- a/scripts/interference_model.py
+++ b/scripts/interference_model.py
@@ -58,7 +58,8 @@
 class Model:
     """Workers whose runs slow each other by hidden coefficients, reported with a lag."""
 
-    def __init__(self, policies: Policies, seed: int) -> None:
+    def __init__(self, policies: Policies, seed: int, lag_s: float = USAGE_LAG_S) -> None:
+        self.lag_s = lag_s
         self.random = Random(seed)
         self.clock = FakeClock()
         self.table = MemoryTable(clock=self.clock)
@@ -185,7 +186,7 @@
             self.left_s_by_task[task_id] = left_s
             if left_s <= 0.0:
                 worker.end(task_id)
-        self.lagging.append((self.clock() + USAGE_LAG_S, worker, tuple(usage)))
+        self.lagging.append((self.clock() + self.lag_s, worker, tuple(usage)))
 
     def _slowdown(self, worker: FakeWorker, victim: str) -> float:
         name = victim.partition("@")[0]
--- /dev/null
+++ b/scripts/measure_scheduling.py
@@ -0,0 +1,294 @@
+"""Measures the scheduling core and writes the figures as JSON and as a page.
+
+Run ``python -m scripts.measure_scheduling``; ``--help`` shows where the figures go.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Sequence
+from os import cpu_count
+from pathlib import Path
+from platform import python_version
+from statistics import median
+from typing import NamedTuple
+
+import click
+from msgspec.json import encode
+from msgspec.json import format as format_json
+
+from laburnumswitch.process.policy import IN_FORCE
+from scripts.interference_model import DURATION_S
+from scripts.interference_model import Model
+from scripts.interference_model import ModelResult
+from scripts.interference_model import REPLICAS
+from scripts.interference_model import WORKERS
+from scripts.measured_ledger import LedgerSlope
+from scripts.measured_ledger import measure_ledger
+from scripts.measured_load import Load
+from scripts.measured_load import LoadResult
+from scripts.measured_load import measure_load
+from standin.placement import FIRST_FIT_BLIND
+from standin.placement import NO_RELIEF
+from standin.placement import RELIEF_AT_ONCE
+
+SIZES = (100, 300, 1_000, 2_200)
+LARGEST_WORKERS = 2_200
+LARGEST_TASKS = 49_100
+STARTS_PER_S = 850
+SHARDS_AND_USAGE_S = ((8, 5.0), (16, 5.0), (32, 5.0), (16, 10.0))
+ENTRIES = 40
+WRITES_PER_S = 400.0
+READS_PER_S = 2_000.0
+SEEDS = (1, 2, 3, 4, 5)
+LAGS_S = (1.0, 3.0, 6.0)
+POLICIES = {
+    "in force": IN_FORCE,
+    "first fit, blind": FIRST_FIT_BLIND,
+    "relief at once": RELIEF_AT_ONCE,
+    "no relief": NO_RELIEF,
+}
+
+
+class PolicyRun(NamedTuple):
+    """One run of the model."""
+
+    policy: str
+    seed: int
+    lag_s: float
+    result: ModelResult
+
+
+class Figures(NamedTuple):
+    """All figures of one run of this command."""
+
+    python: str
+    cores: int
+    ledger: tuple[LedgerSlope, ...]
+    load: tuple[LoadResult, ...]
+    policies: tuple[PolicyRun, ...]
+    lags: tuple[PolicyRun, ...]
+
+
+@click.command()
+@click.option("--json", "json_path", default="out/scheduling.json", show_default=True)
+@click.option("--page", default="docs/MEASUREMENTS-scheduling.md", show_default=True)
+def main(json_path: str, page: str) -> None:
+    """Measure the scheduling core."""
+    figures = measure()
+    target = Path(json_path)
+    target.parent.mkdir(parents=True, exist_ok=True)
+    target.write_bytes(format_json(encode(_plain(figures)), indent=1))
+    Path(page).write_text(write_page(figures), encoding="utf-8")
+
+
+def measure() -> Figures:
+    """Run every measurement, one after the other."""
+    ledger = []
+    for workers in SIZES:
+        click.echo(f"ledger of {workers} workers")
+        ledger.append(measure_ledger(workers, workers * LARGEST_TASKS // LARGEST_WORKERS, 1))
+    load = []
+    for shards, usage_every_s in SHARDS_AND_USAGE_S:
+        click.echo(f"{STARTS_PER_S} starts a second over {shards} shards")
+        asked = Load(
+            LARGEST_WORKERS,
+            LARGEST_TASKS,
+            STARTS_PER_S,
+            shards,
+            ENTRIES,
+            WRITES_PER_S,
+            READS_PER_S,
+            usage_every_s,
+            1,
+        )
+        load.append(measure_load(asked))
+    policies = []
+    for name, policy in POLICIES.items():
+        click.echo(f"policy {name}")
+        policies.extend(PolicyRun(name, seed, 3.0, Model(policy, seed).run()) for seed in SEEDS)
+    lags = []
+    for lag_s in LAGS_S:
+        click.echo(f"reports lag {lag_s:g} s")
+        for seed in SEEDS:
+            result = Model(IN_FORCE, seed, lag_s).run()
+            lags.append(PolicyRun("in force", seed, lag_s, result))
+    return Figures(
+        python_version(), cpu_count() or 0, tuple(ledger), tuple(load), tuple(policies), tuple(lags)
+    )
+
+
+def write_page(figures: Figures) -> str:
+    """Return the page for developers."""
+    parts = [
+        "# Scheduling, measured",
+        "Written by `python -m scripts.measure_scheduling`; do not edit. Python "
+        f"{figures.python}, a shared machine of {figures.cores} cores, one process. Times are of "
+        "that machine and vary with its load.",
+        _ledger_part(figures.ledger),
+        _load_part(figures.load),
+        _policy_part(figures.policies, figures.lags),
+    ]
+    return "\n\n".join(parts) + "\n"
+
+
+def _ledger_part(slopes: Sequence[LedgerSlope]) -> str:
+    rows = [
+        (
+            slope.workers,
+            slope.tasks,
+            f"{slope.bytes_per_worker:.0f}",
+            f"{slope.bytes_per_task:.0f}",
+            f"{slope.placement_us:.0f} / {slope.placement_p99_us:.0f}",
+            f"{slope.first_fit_us:.0f}",
+            f"{slope.replay_ms:.0f}",
+            f"{slope.snapshot_bytes / 1024:.0f}",
+            f"{slope.snapshot_encode_ms:.1f} / {slope.snapshot_load_ms:.0f}",
+            f"{slope.start_record_bytes:.1f} / {slope.end_record_bytes:.1f}",
+        )
+        for slope in sorted(slopes)
+    ]
+    largest = slopes[-1]
+    total_mb = (
+        largest.bytes_per_worker * largest.workers + largest.bytes_per_task * largest.tasks
+    ) / 1e6
+    table = _table(
+        (
+            "workers",
+            "tasks running",
+            "bytes a worker",
+            "bytes a task",
+            "placement us p50 / p99",
+            "first fit us p50",
+            "replay ms",
+            "snapshot KiB",
+            "snapshot write / load ms",
+            "bytes a start / an end",
+        ),
+        rows,
+    )
+    return (
+        "## One ledger\n\nAll workers in one shard, which no daemon has to carry: shards divide "
+        "these figures. Bytes of records count the record alone, for jobs of 500 tasks that are "
+        "spread at random, and grow where fewer tasks of a job start on one worker.\n\n"
+        f"{table}\n\nThe whole ledger of the largest size takes {total_mb:.1f} MB in one process."
+    )
+
+
+def _load_part(results: Sequence[LoadResult]) -> str:
+    rows = [
+        (
+            result.shards,
+            f"{result.usage_every_s:g}",
+            result.running,
+            f"{result.starts_per_s:.0f} / {result.ends_per_s:.0f}",
+            f"{result.commits_per_s:.0f}",
+            f"{result.rows_written_per_s:.0f}",
+            f"{result.rows_read_per_s:.0f}",
+            result.throttled,
+            f"{result.start_delay_p50_s:.2f} / {result.start_delay_p99_s:.2f}",
+            f"{result.table_bytes_per_s_and_entry / 1000:.1f}",
+            f"{result.worker_bytes_per_s_and_entry / 1000:.1f}",
+            f"{result.core_fraction_per_entry * 100:.1f}%",
+            f"{result.turn_ms_per_shard:.1f}",
+            result.overcommitted,
+        )
+        for result in results
+    ]
+    table = _table(
+        (
+            "shards",
+            "use reported every s",
+            "running",
+            "starts / ends a second",
+            "commits/s",
+            "rows written/s",
+            "rows read/s",
+            "commits refused",
+            "inbox to start s p50 / p99",
+            "table KB/s an entry",
+            "worker KB/s an entry",
+            "core an entry",
+            "turn ms",
+            "workers over capacity",
+        ),
+        rows,
+    )
+    first = results[0]
+    return (
+        f"## {STARTS_PER_S} starts a second\n\n{first.workers} workers, the load spread over "
+        f"{first.entries} entries, against the table's stand-in with budgets of "
+        f"{WRITES_PER_S:.0f} rows written and {READS_PER_S:.0f} rows read a second. Shards are "
+        "driven under one injected clock in steps of 0.25 s. Bytes are those of the JSON bodies "
+        "both ways, without HTTP heads; those with workers are mostly their reports of use, whose "
+        "pace is the platform's. The part of a core covers the fake workers' own work too, and not "
+        "the network. Heads that are watched and shared rows come on top: about "
+        f"{first.entries} entries times 5 reads a second.\n\n{table}"
+    )
+
+
+def _policy_part(runs: Sequence[PolicyRun], lags: Sequence[PolicyRun]) -> str:
+    blind = {run.seed: run.result for run in runs if run.policy == "first fit, blind"}
+    rows = [
+        _policy_row(name, [run for run in runs if run.policy == name], blind) for name in POLICIES
+    ]
+    heads = (
+        "policy",
+        "slowdown p50",
+        "slowdown p99, median (spread)",
+        "batch work against blind first fit, median (spread)",
+        "evictions, median (spread)",
+        "standing evictions",
+    )
+    lag_rows = [
+        _policy_row(f"reports lag {lag_s:g} s", [run for run in lags if run.lag_s == lag_s], blind)
+        for lag_s in LAGS_S
+    ]
+    return (
+        f"## Policies\n\nA model of {WORKERS} workers with {REPLICAS} replicas of one standing "
+        f"service and waves of three classes of batch work, {DURATION_S:.0f} s, {len(SEEDS)} "
+        "seeds; each seed draws its own coefficients, which the policies do not see. Slowdown is that of "
+        "the replicas, where 1.0 is undisturbed; batch work is progress in core-seconds. Replicas "
+        "are spread alike under every policy.\n\n"
+        f"{_table(heads, rows)}\n\nThe policy in force assumes a lag of 3 s:\n\n"
+        f"{_table(heads, lag_rows)}"
+    )
+
+
+def _policy_row(
+    name: str, runs: Sequence[PolicyRun], blind: dict[int, ModelResult]
+) -> tuple[str, ...]:
+    results = [run.result for run in runs]
+    ratios = [
+        run.result.batch_core_seconds / blind[run.seed].batch_core_seconds * 100 for run in runs
+    ]
+    return (
+        name,
+        f"{median(result.slowdown_p50 for result in results):.2f}",
+        _spread([result.slowdown_p99 for result in results], ".2f"),
+        _spread(ratios, ".0f", "%"),
+        _spread([result.evictions for result in results], ".0f"),
+        str(sum(result.standing_evictions for result in results)),
+    )
+
+
+def _spread(values: Sequence[float], digits: str, unit: str = "") -> str:
+    low, high = min(values), max(values)
+    return f"{median(values):{digits}}{unit} ({low:{digits}} to {high:{digits}})"
+
+
+def _table(heads: Sequence[str], rows: Iterable[Sequence[object]]) -> str:
+    lines = ["| " + " | ".join(heads) + " |", "|" + " --- |" * len(heads)]
+    lines.extend("| " + " | ".join(str(cell) for cell in row) + " |" for row in rows)
+    return "\n".join(lines)
+
+
+def _plain(value: object) -> object:
+    """Turn named tuples into objects with field names, for JSON."""
+    if hasattr(value, "_asdict"):
+        return {name: _plain(item) for name, item in value._asdict().items()}
+    if isinstance(value, tuple):
+        return [_plain(item) for item in value]
+    return value
+
+
+if __name__ == "__main__":
+    main()
--- a/scripts/measured_load.py
+++ b/scripts/measured_load.py
@@ -26,10 +26,12 @@
 from laburnumswitch.process.vms import Vm
 from laburnumswitch.process.work import Work
 from laburnumswitch.process.work import write_work
+from laburnumswitch.process.workers import Usage
 from laburnumswitch.size import Size
 from standin.table import MemoryTable
 from tests.fakes import FakeClock
 from tests.fakes import FakeObjects
+from tests.fakes import FakeWorker
 from tests.fakes import FakeWorkers
 from tests.fakes import make_context
 
@@ -40,7 +42,6 @@
 RENEW_STEPS = 4
 WARM_UP_S = 6.0
 MEASURE_S = 12.0
-RESERVE = 1.02
 
 
 class Load(NamedTuple):
@@ -53,6 +54,7 @@
     entries: int
     writes_per_s: float
     reads_per_s: float
+    usage_every_s: float
     seed: int
 
 
@@ -62,6 +64,7 @@
     workers: int
     shards: int
     entries: int
+    usage_every_s: float
     running: int
     starts_per_s: float
     ends_per_s: float
@@ -92,9 +95,13 @@
 
 
 class _CountingWorkers(FakeWorkers):
-    def __init__(self, clock: FakeClock, address_by_worker: dict[str, str]) -> None:
+    def __init__(
+        self, clock: FakeClock, address_by_worker: dict[str, str], usage_every_s: float
+    ) -> None:
         super().__init__(clock)
         self.bytes = 0
+        self._usage_every_s = usage_every_s
+        self._usage_due_by_worker: dict[str, float] = {}
         self._ids_by_address: dict[str, list[str]] = {}
         for worker_id, address in address_by_worker.items():
             self._ids_by_address.setdefault(address, []).append(worker_id)
@@ -102,10 +109,23 @@
     def exchange(self, address, by_worker):
         reports = {}
         for worker_id, orders in by_worker.items():
-            reports[worker_id] = self.by_id[worker_id].exchange(orders)
+            worker = self.by_id[worker_id]
+            report = worker.exchange(orders)
+            reports[worker_id] = report._replace(usage=self._usage(worker))
         self.bytes += len(encode(by_worker)) + len(encode(reports))
         return reports
 
+    def _usage(self, worker: FakeWorker) -> tuple[Usage, ...]:
+        # Workers measure every few seconds, not for every exchange.
+        due_s = self._usage_due_by_worker.get(worker.worker_id, 0.0)
+        if self._clock() < due_s:
+            return ()
+        self._usage_due_by_worker[worker.worker_id] = self._clock() + self._usage_every_s
+        return tuple(
+            Usage(task_id, run.size.cpu_millis - 100, run.size.memory_mb - 100, 1.1)
+            for task_id, run in worker.run_by_task.items()
+        )
+
 
 class _Cluster:
     def __init__(self, load: Load) -> None:
@@ -115,7 +135,7 @@
         self.table = _CountingTable(load, self.clock)
         self.vms = _make_vms(load.workers)
         addresses = {vm.vm_id: vm.address for vm in self.vms}
-        self.workers = _CountingWorkers(self.clock, addresses)
+        self.workers = _CountingWorkers(self.clock, addresses, load.usage_every_s)
         for vm in self.vms:
             self.workers.add(vm)
         context = make_context(
@@ -218,6 +238,7 @@
         load.workers,
         load.shards,
         load.entries,
+        load.usage_every_s,
         len(_running(cluster)),
         sum(entry[1] == "start" for entry in history) / elapsed_s,
         sum(entry[1] == "finished" for entry in history) / elapsed_s,
