--- a/laburnumswitch/process/inbox.py
+++ b/laburnumswitch/process/inbox.py
@@ -24,7 +24,7 @@
 GIVE_AWAY_TASKS = 200
 
 
-class Chunk(Struct, frozen=True, omit_defaults=True):
+class Chunk(Struct, frozen=True):
     """Value of an inbox row: ``count`` fresh tasks from ``first``, and some that ran before.
 
     ``work`` is the JSON form of a ``Work``.
--- a/scripts/measure_scheduling.py
+++ b/scripts/measure_scheduling.py
@@ -245,9 +245,9 @@
     return (
         f"## Policies\n\nA model of {WORKERS} workers with {REPLICAS} replicas of one standing "
         f"service and waves of three classes of batch work, {DURATION_S:.0f} s, {len(SEEDS)} "
-        "seeds; each seed draws its own coefficients, which the policies do not see. Slowdown is that of "
-        "the replicas, where 1.0 is undisturbed; batch work is progress in core-seconds. Replicas "
-        "are spread alike under every policy.\n\n"
+        "seeds; each seed draws its own coefficients, which the policies do not see. Slowdown is "
+        "that of the replicas, where 1.0 is undisturbed; batch work is progress in core-seconds. "
+        "Replicas are spread alike under every policy.\n\n"
         f"{_table(heads, rows)}\n\nThe policy in force assumes a lag of 3 s:\n\n"
         f"{_table(heads, lag_rows)}"
     )
--- a/tests/process/test_scheduler.py
+++ b/tests/process/test_scheduler.py
@@ -67,6 +67,10 @@
         live = [self.scheduler_by_id[vm_id] for vm_id in self.live]
         return {hint.shard: hint for scheduler in live for hint in scheduler.hints()}
 
+    def upstreams(self, shard):
+        live = [self.scheduler_by_id[vm_id] for vm_id in self.live]
+        return tuple(item for scheduler in live for item in scheduler.upstreams(shard))
+
     def owners(self) -> dict[int, str]:
         return {
             shard: vm_id
@@ -177,3 +181,19 @@
         entries.drive(30)
         self.assertThat(entries.workers.running(), HasLength(24))
         self.assertThat(entries.workers.overcommitted(), Equals([]))
+
+    def test_running_replicas_stay_listed_through_a_takeover(self):
+        service = Service("s", "team", ("s",), 4, SMALL)
+        entries = Entries(self, configuration=Configuration(1, "", (service,), ()))
+        entries.drive(6)
+        known = {shard: entries.upstreams(shard) for shard in range(SHARDS)}
+        self.assertThat(sum(len(listed) for listed in known.values()), Equals(4))
+        for vm_id in tuple(entries.owners().values())[:1]:
+            entries.live.discard(vm_id)
+        for _ in range(24):
+            entries.drive(0.25)
+            for hint in entries.hints().values():
+                # What a peer shows: lists of revision 0 are not taken.
+                if hint.upstream_revision:
+                    known[hint.shard] = entries.upstreams(hint.shard)
+            self.assertThat(sum(len(listed) for listed in known.values()), Equals(4))
