--- a/tests/process/test_admission.py
+++ b/tests/process/test_admission.py
@@ -13,10 +13,13 @@
 from laburnumswitch.declaration import Job
 from laburnumswitch.declaration import Service
 from laburnumswitch.declaration import Team
+from laburnumswitch.exceptions import Conflict
 from laburnumswitch.exceptions import NotFound
 from laburnumswitch.process.admission import Admission
 from laburnumswitch.process.job_row import cancel_jobs_by_id
 from laburnumswitch.process.progress import Progress
+from laburnumswitch.process.schedule import next_firing
+from laburnumswitch.process.schedule import read_fired
 from laburnumswitch.process.shared_rows import SharedRows
 from laburnumswitch.process.table import Put
 from laburnumswitch.process.table import Transaction
@@ -94,6 +97,19 @@
         self.admission(table).run_pass()
         self.assertThat(self.handed(), Equals([0, 1, 2]))
 
+    def test_tasks_that_a_shard_took_in_meanwhile_are_not_handed_out_again(self):
+        self.declare(make_job(tasks=3))
+        table = FaultyTable(self.table)
+
+        def admit_and_take_in():
+            self.admission(vm_id="e2").run_pass()
+            keys = tuple(row.key for row in self.table.scan("inbox/"))
+            self.table.commit(Transaction((), (), keys))
+
+        table.before_commit = admit_and_take_in
+        self.admission(table).run_pass()
+        self.assertThat(self.handed(), Equals([]))
+
     def test_lost_answer_does_not_admit_twice(self):
         self.declare(make_job(tasks=3))
         self.table.lose_answers = 1
@@ -193,6 +209,23 @@
         self.assertThat(self.fired(), HasLength(1))
         self.assertThat(self.handed(), Equals([0]))
 
+    def test_stale_entry_cannot_fire_again_what_was_fired_and_pruned(self):
+        job = make_job(schedule="*/10 * * * *")
+        for pruned in ("job/", "fired/"):
+            self.declare(job)
+            self.admission().run_pass()
+            stale = read_fired(self.table, "j")
+            self.clock.sleep(600)
+            firing = next_firing(job, stale, self.clock())
+            self.clock.sleep(600)
+            self.admission(vm_id="e2").run_pass()
+            keys = [row.key for row in self.table.scan(pruned)]
+            # Of the firings only the newest is kept, as after a long pause.
+            kept = keys[-1:] if pruned == "fired/" else []
+            self.table.commit(Transaction((), (), tuple(set(keys) - set(kept))))
+            outcome = self.table.commit(Transaction(firing.conditions, firing.puts))
+            self.assertThat(outcome, IsInstance(Conflict))
+
     def test_time_zone_decides_the_instant(self):
         self.declare(make_job(schedule="0 6 * * *", time_zone="Asia/Ho_Chi_Minh"))
         admission = self.admission()
--- a/tests/process/test_policies.py
+++ b/tests/process/test_policies.py
@@ -24,7 +24,9 @@
 from laburnumswitch.process.relief import Relief
 from laburnumswitch.process.relief import THROTTLE_PERCENT
 from laburnumswitch.process.work import TaskKey
+from laburnumswitch.process.worker_state import Unconfirmed
 from laburnumswitch.process.workers import Usage
+from laburnumswitch.process.workers import WorkerReport
 from laburnumswitch.size import Size
 from tests.fakes import make_vm
 from tests.process.bench import Bench
@@ -162,6 +164,18 @@
             orders = relief.relieve("w", neighbours, float(now_s))
         self.assertThat(orders.percent_by_key, Equals({"q": 100, "n": THROTTLE_PERCENT}))
 
+    def test_nothing_is_evicted_while_more_can_be_throttled(self):
+        relief = Relief(Interference(), 0.0)
+        service = Neighbour("s", "s", True, True, False, 0.3, 1.34, 0.0)
+        batch = [Neighbour(n, "b", False, False, True, 0.06, 1.0, float(n)) for n in range(10)]
+        throttled = 0
+        for now_s in range(60):
+            orders = relief.relieve("w", (service, *batch), float(now_s))
+            if orders.evictions:
+                break
+            throttled = list(orders.percent_by_key.values()).count(THROTTLE_PERCENT)
+        self.assertThat(throttled, Equals(10))
+
     def test_one_spike_evicts_nothing_and_the_throttle_is_lifted(self):
         percents, evictions = self.drive([3.0] * 2 + [1.0] * 60)
         self.assertThat(evictions, Equals([]))
@@ -222,6 +236,14 @@
         orders = self.state.make_orders(ledger, 9e9, 9e9, set(), now_s)
         self.assertThat([start.run for start in orders.starts], Equals([1]))
 
+    def test_missing_run_is_over_only_once_its_grant_has_passed(self):
+        key, ledger = TaskKey(0, 0), self.shard.ledger
+        self.state.unconfirmed[key] = Unconfirmed(1, until=100.0, may_be_sent=True)
+        for clock, vanished in ((99.0, set()), (101.0, {key})):
+            report = WorkerReport(self.state.boot, clock, 1, runs=())
+            self.state.take_report(ledger, report, self.bench.clock())
+            self.assertThat(self.state.vanished, Equals(vanished))
+
     def test_new_owner_withdraws_no_run_that_may_have_been_sent(self):
         self.bench.put("zone/a", "out")
         self.bench.workers.by_id["w1"].reachable = False
--- a/tests/process/test_shard.py
+++ b/tests/process/test_shard.py
@@ -9,6 +9,7 @@
 from laburnumswitch.process.head import read_head
 from laburnumswitch.process.lease import HOLD_S
 from laburnumswitch.process.lease import LEASE_S
+from laburnumswitch.process.moves import REPLACE_LIMIT_S
 from laburnumswitch.process.shared_rows import CANCELLED_PREFIX
 from laburnumswitch.size import Size
 from tests.fakes import FaultyTable
@@ -228,6 +229,20 @@
         self.assertThat(bench.workers.runs_of(TASK), Equals([1, 2]))
         self.assertThat(bench.violations, Equals([]))
 
+    def test_end_reported_before_a_reboot_still_counts(self):
+        bench = Bench()
+        shard = bench.take_over()
+        worker = bench.workers.by_id[start_one(bench, shard)]
+        bench.table.down = True
+        worker.end(TASK)
+        bench.drive(shard, seconds=0.5)
+        worker.reboot()
+        bench.drive(shard, seconds=0.5)
+        bench.table.down = False
+        bench.drive(shard, seconds=3)
+        self.assertThat(shard.ledger.find_group("j@1").finished, Equals(1))
+        self.assertThat(bench.workers.runs_of(TASK), Equals([1]))
+
     def test_lost_answer_of_a_start_is_repeated_harmlessly(self):
         bench = Bench()
         shard = bench.take_over()
@@ -303,6 +318,19 @@
         self.assertThat(bench.workers.by_id[place].run_by_task, Equals({}))
         self.assertThat([item.leaving for item in shard.upstreams], Equals([False]))
 
+    def test_replica_without_a_place_elsewhere_stays_until_the_limit(self):
+        bench = self.make_bench()
+        shard = bench.take_over()
+        bench.put("service/s", {"handed": [{"job_id": "j@1", "indexes": [0]}]})
+        place = start_one(bench, shard, service="s")
+        bench.submit(make_work("full@1", Size(8_000, 8_000)))
+        bench.drive(shard, seconds=2)
+        bench.put(f"zone/{'a' if place == 'w1' else 'b'}", "out")
+        bench.drive(shard, seconds=REPLACE_LIMIT_S - 1)
+        self.assertThat(bench.place_of(TASK), Equals(place))
+        bench.drive(shard, seconds=5)
+        self.assertThat(bench.place_of(TASK), Equals(""))
+
     def test_leaving_worker_is_left(self):
         bench = Bench()
         shard = bench.take_over()
