--- a/laburnumswitch/process/worker_state.py
+++ b/laburnumswitch/process/worker_state.py
@@ -3,6 +3,8 @@
 from typing import Literal
 from typing import NamedTuple
 
+from xxhash import xxh64_intdigest
+
 from laburnumswitch.process.lease import LEASE_S
 from laburnumswitch.process.ledger import Group
 from laburnumswitch.process.ledger import Ledger
@@ -74,6 +76,7 @@
         self.orphans: tuple[RunReport, ...] = ()
         self.vanished: set[TaskKey] = set()
         self._full_s = NEVER_S
+        self._phase_s = xxh64_intdigest(worker_id.encode()) / 2**64 * FULL_EVERY_S
 
     def expect_runs(self, ledger: Ledger, may_be_sent: bool) -> None:
         """Treat every run of the ledger on this worker as not confirmed, as after a takeover."""
@@ -165,7 +168,9 @@
         if report.runs is not None:
             self._compare_runs(ledger, report)
             self.needs_full = False
-            self._full_s = now_s
+            # The first interval differs by worker, so that full reports do not come all at once.
+            phase_s = self._phase_s if self._full_s == NEVER_S else 0.0
+            self._full_s = now_s - phase_s
 
     def fail_exchange(self) -> None:
         """Note that the orders of the last exchange may or may not have arrived."""
