--- a/laburnumswitch/connection/client.py
+++ b/laburnumswitch/connection/client.py
@@ -85,6 +85,10 @@
             _close(sock)
         return response
 
+    def control_bytes(self) -> int:
+        """Return the bytes sent and received so far."""
+        return self.bytes_sent + self.bytes_received
+
     def close(self) -> None:
         """Close the idle connections."""
         while self._idle:
--- a/laburnumswitch/process/shard.py
+++ b/laburnumswitch/process/shard.py
@@ -39,6 +39,7 @@
 from laburnumswitch.process.policy import ShardPolicy
 from laburnumswitch.process.records import Ended
 from laburnumswitch.process.records import Started
+from laburnumswitch.process.replicas import list_upstreams
 from laburnumswitch.process.shard_workers import run_links
 from laburnumswitch.process.shard_workers import ShardWorkers
 from laburnumswitch.process.shared_rows import SharedRows
@@ -47,7 +48,6 @@
 from laburnumswitch.process.snapshot import snapshot_name
 from laburnumswitch.process.snapshot import store_ledger
 from laburnumswitch.process.snapshot import trimmed_keys
-from laburnumswitch.process.upstreams import list_upstreams
 from laburnumswitch.process.usage_history import Learned
 from laburnumswitch.process.work import TaskKey
 from laburnumswitch.upstream import Upstream
