Do not count a run as over while its end may be among events not yet reported

A report carries a bounded number of events, so a run that a full report does not name may have ended in one that had no place. Such a run is now over only by a report without events. Reports of workers that have seen a newer owner are left alone.

--- a/laburnumswitch/process/worker_state.py
+++ b/laburnumswitch/process/worker_state.py
@@ -62,6 +62,7 @@
         self.epoch = 0
         self.needs_full = True
         self.has_news = True
+        self._ask_again = False
         self.unconfirmed: dict[TaskKey, Unconfirmed] = {}
         self.port_by_key: dict[TaskKey, int] = {}
         self.stop_by_key: dict[TaskKey, WantedStop] = {}
@@ -149,7 +150,12 @@
         )
 
     def take_report(self, ledger: Ledger, report: WorkerReport, now_s: float) -> None:
-        """Take one answer in. Events wait in ``events`` until a batch holds them."""
+        """Take one answer in. Events wait in ``events`` until a batch holds them.
+
+        A worker that has seen a higher epoch obeys another owner; its answer is left alone.
+        """
+        if report.epoch > self.owner_epoch:
+            return
         if report.boot != self.boot:
             self._begin_boot(report.boot)
         self.clock = report.clock
@@ -166,8 +172,9 @@
                 self.usage_by_key[key] = usage
                 self.usage_is_new = True
         if report.runs is not None:
+            self._ask_again = False
             self._compare_runs(ledger, report)
-            self.needs_full = False
+            self.needs_full = self._ask_again
             # The first interval differs by worker, so that full reports do not come all at once.
             phase_s = self._phase_s if self._full_s == NEVER_S else 0.0
             self._full_s = now_s - phase_s
@@ -216,11 +223,14 @@
             seen.add(key)
             self._confirm(key, held.port)
         self.orphans = tuple(orphans)
-        with_event = {event.task_id for event in self.events if event.kind != "started"}
-        for key in worker.runs - seen:
-            task_id = ledger.group_by_number[key.group].task_id(key.index)
-            if task_id not in with_event:
-                self._note_missing(key, report.clock)
+        missing = worker.runs - seen
+        if missing and report.events:
+            # The end of a missing run may be among events that this report had no place for.
+            self.has_news = True
+            self._ask_again = True
+            return
+        for key in missing:
+            self._note_missing(key, report.clock)
 
     def _note_missing(self, key: TaskKey, clock: float) -> None:
         start = self.unconfirmed.get(key)
--- a/tests/process/test_policies.py
+++ b/tests/process/test_policies.py
@@ -25,6 +25,7 @@
 from laburnumswitch.process.relief import THROTTLE_PERCENT
 from laburnumswitch.process.work import TaskKey
 from laburnumswitch.process.worker_state import Unconfirmed
+from laburnumswitch.process.workers import RunEvent
 from laburnumswitch.process.workers import Usage
 from laburnumswitch.process.workers import WorkerReport
 from laburnumswitch.size import Size
@@ -244,6 +245,21 @@
             self.state.take_report(ledger, report, self.bench.clock())
             self.assertThat(self.state.vanished, Equals(vanished))
 
+    def test_run_missing_from_a_report_with_events_may_have_ended_unseen(self):
+        ledger, now_s = self.shard.ledger, self.bench.clock()
+        other = RunEvent(99, "started", "other@1:0", 1)
+        report = WorkerReport(self.state.boot, 9.0, 1, (other,), runs=())
+        self.state.take_report(ledger, report, now_s)
+        self.assertThat((self.state.vanished, self.state.needs_full), Equals((set(), True)))
+        self.state.take_report(ledger, report._replace(events=()), now_s)
+        self.assertThat(self.state.vanished, Equals({TaskKey(0, 0)}))
+
+    def test_report_to_a_newer_owner_is_left_alone(self):
+        ledger, now_s = self.shard.ledger, self.bench.clock()
+        seen_s = self.state.reported_s
+        self.state.take_report(ledger, WorkerReport(self.state.boot, 9.0, 2, runs=()), now_s + 1)
+        self.assertThat((self.state.reported_s, self.state.vanished), Equals((seen_s, set())))
+
     def test_new_owner_withdraws_no_run_that_may_have_been_sent(self):
         self.bench.put("zone/a", "out")
         self.bench.workers.by_id["w1"].reachable = False
