--- a/tests/process/test_policies.py
+++ b/tests/process/test_policies.py
@@ -24,7 +24,10 @@
 from laburnumswitch.process.relief import Relief
 from laburnumswitch.process.relief import THROTTLE_PERCENT
 from laburnumswitch.process.work import TaskKey
+from laburnumswitch.process.worker_state import Unconfirmed
+from laburnumswitch.process.workers import RunEvent
 from laburnumswitch.process.workers import Usage
+from laburnumswitch.process.workers import WorkerReport
 from laburnumswitch.size import Size
 from tests.fakes import make_vm
 from tests.process.bench import Bench
@@ -162,6 +165,18 @@
             orders = relief.relieve("w", neighbours, float(now_s))
         self.assertThat(orders.percent_by_key, Equals({"q": 100, "n": THROTTLE_PERCENT}))
 
+    def test_nothing_is_evicted_while_more_can_be_throttled(self):
+        relief = Relief(Interference(), 0.0)
+        service = Neighbour("s", "s", True, True, False, 0.3, 1.34, 0.0)
+        batch = [Neighbour(n, "b", False, False, True, 0.3, 1.0, float(n)) for n in range(10)]
+        throttled = 0
+        for now_s in range(60):
+            orders = relief.relieve("w", (service, *batch), float(now_s))
+            if orders.evictions:
+                break
+            throttled = list(orders.percent_by_key.values()).count(THROTTLE_PERCENT)
+        self.assertThat(throttled, Equals(10))
+
     def test_one_spike_evicts_nothing_and_the_throttle_is_lifted(self):
         percents, evictions = self.drive([3.0] * 2 + [1.0] * 60)
         self.assertThat(evictions, Equals([]))
@@ -222,6 +237,29 @@
         orders = self.state.make_orders(ledger, 9e9, 9e9, set(), now_s)
         self.assertThat([start.run for start in orders.starts], Equals([1]))
 
+    def test_missing_run_is_over_only_once_its_grant_has_passed(self):
+        key, ledger = TaskKey(0, 0), self.shard.ledger
+        self.state.unconfirmed[key] = Unconfirmed(1, until=100.0, may_be_sent=True)
+        for clock, vanished in ((99.0, set()), (101.0, {key})):
+            report = WorkerReport(self.state.boot, clock, 1, runs=())
+            self.state.take_report(ledger, report, self.bench.clock())
+            self.assertThat(self.state.vanished, Equals(vanished))
+
+    def test_run_missing_from_a_report_with_events_may_have_ended_unseen(self):
+        ledger, now_s = self.shard.ledger, self.bench.clock()
+        other = RunEvent(99, "started", "other@1:0", 1)
+        report = WorkerReport(self.state.boot, 9.0, 1, (other,), runs=())
+        self.state.take_report(ledger, report, now_s)
+        self.assertThat((self.state.vanished, self.state.needs_full), Equals((set(), True)))
+        self.state.take_report(ledger, report._replace(events=()), now_s)
+        self.assertThat(self.state.vanished, Equals({TaskKey(0, 0)}))
+
+    def test_report_to_a_newer_owner_is_left_alone(self):
+        ledger, now_s = self.shard.ledger, self.bench.clock()
+        seen_s = self.state.reported_s
+        self.state.take_report(ledger, WorkerReport(self.state.boot, 9.0, 2, runs=()), now_s + 1)
+        self.assertThat((self.state.reported_s, self.state.vanished), Equals((seen_s, set())))
+
     def test_new_owner_withdraws_no_run_that_may_have_been_sent(self):
         self.bench.put("zone/a", "out")
         self.bench.workers.by_id["w1"].reachable = False
