--- a/scripts/publication.py
+++ b/scripts/publication.py
@@ -21,7 +21,7 @@
 FAILING_JOB = "failing-everywhere"
 IMPOSSIBLE_JOB = "never-fitting"
 JOBS_THAT_DO_NOT_FINISH = frozenset((FAILING_JOB, IMPOSSIBLE_JOB))
-RUN_TIME_DIVISOR = 300
+RUN_TIME_DIVISOR = 500
 
 DOCUMENT = """\
 kind: team
@@ -44,7 +44,7 @@
 cpu: 1
 memory: 2GB
 tasks: 24
-run_time: 5s
+run_time: 3s
 urgent: true
 generation: {generation}
 ---
@@ -55,7 +55,7 @@
 cpu: 1
 memory: 1GB
 tasks: 2
-run_time: 5s
+run_time: 3s
 ---
 kind: job
 name: {impossible}
@@ -63,7 +63,7 @@
 command: [simulate]
 cpu: 300
 memory: 1GB
-run_time: 5s
+run_time: 3s
 """
 
 
--- a/scripts/steps.py
+++ b/scripts/steps.py
@@ -25,7 +25,7 @@
 from standin.records import RunStarted
 
 READY_LIMIT_S = 25.0
-SETTLE_LIMIT_S = 25.0
+SETTLE_LIMIT_S = 30.0
 POLL_S = 0.25
 ZONE_OUT_S = 8.0
 PAUSE_S = 9.0
