Wait until every entry answers for every service, and count attempts

Entries are ready before they know the replicas, so the first half second of load met 122 answers of "not run" that had nothing to do with the faults shown. Retries hid what single attempts met; the table has both now.

--- a/scripts/steps.py
+++ b/scripts/steps.py
@@ -16,6 +16,8 @@
 from scripts.probe import Probe
 from scripts.publication import JOBS_THAT_DO_NOT_FINISH
 from scripts.publication import Publication
+from standin.caller_connection import CallerConnections
+from standin.caller_connection import CallerRequest
 from standin.callers import Source
 from standin.ends import tasks_not_counted
 from standin.expectation import Expectation
@@ -26,6 +28,7 @@
 
 READY_LIMIT_S = 25.0
 SETTLE_LIMIT_S = 30.0
+ANSWER_LIMIT_S = 1.0
 POLL_S = 0.25
 ZONE_OUT_S = 8.0
 PAUSE_S = 9.0
@@ -64,7 +67,8 @@
     _wait_until(lambda: _all_ready(cluster), READY_LIMIT_S, "entries are not ready")
     stage.say(f"{len(cluster.entry_by_vm)} entries are ready")
     _wait_until(lambda: _replicas_run(stage), READY_LIMIT_S, "replicas do not run")
-    stage.say("all replicas of the services run")
+    _wait_until(lambda: _all_answer(stage), READY_LIMIT_S, "services do not answer")
+    stage.say("all replicas run, and every entry answers for every service")
     stage.probe.watch(list(cluster.entry_by_vm.values()))
 
 
@@ -243,17 +247,28 @@
 
 
 def _running_replicas(records: list[Record]) -> int:
-    started = sum(isinstance(record, RunStarted) and record.service != "" for record in records)
-    services = {
+    started = {
         (record.task_id, record.run)
         for record in records
         if isinstance(record, RunStarted) and record.service
     }
-    ended = sum(
-        isinstance(record, RunEnded) and (record.task_id, record.run) in services
-        for record in records
+    ended = {(record.task_id, record.run) for record in records if isinstance(record, RunEnded)}
+    return len(started - ended)
+
+
+def _all_answer(stage: Stage) -> bool:
+    hosts = [service.hosts[0] for service in stage.publication.read().services]
+    return all(
+        _answers(CallerConnections(entry.caller_address), hosts)
+        for entry in stage.cluster.entry_by_vm.values()
+    )
+
+
+def _answers(connections: CallerConnections, hosts: list[str]) -> bool:
+    requests = [CallerRequest("GET", host, READ_PATH, ()) for host in hosts]
+    return all(
+        connections.send(request, ANSWER_LIMIT_S).outcome == "answered" for request in requests
     )
-    return started - ended
 
 
 def _tasks_left(stage: Stage, expectation: Expectation) -> int:
--- a/standin/history.py
+++ b/standin/history.py
@@ -43,6 +43,9 @@
     requests: int
     answered: int
     answered_with_error: int
+    attempts: int
+    attempts_not_run: int
+    attempts_unknown: int
     not_run: int
     unknown: int
     orders_run_twice: int
@@ -88,6 +91,9 @@
             attempt.outcome == "answered" and attempt.status >= FIRST_ERROR_STATUS
             for attempt in asked
         ),
+        attempts=len(asked),
+        attempts_not_run=sum(attempt.outcome in NOT_EXECUTED_OUTCOMES for attempt in asked),
+        attempts_unknown=sum(attempt.outcome == "unknown" for attempt in asked),
         not_run=outcomes["not-run"],
         unknown=outcomes["unknown"],
         orders_run_twice=_orders_run_twice(executed),
