Run the request path's background tasks, and keep surplus bytes out of control answers

Cause: nothing called start_background, so page reports, idle connections and old claims were never looked after; and the library's parser joins two answers that arrive in one block ('hi' and 'hi' gave 'hihi'), which the control client took for one. The guarded parser is now shared by both clients.

--- a/laburnumswitch/connection/client.py
+++ b/laburnumswitch/connection/client.py
@@ -15,8 +15,8 @@
 from gevent import Timeout
 from gevent.select import poll
 from geventhttpclient.response import HTTPParseError
-from geventhttpclient.response import HTTPResponse
 
+from laburnumswitch.connection.parser import AnswerParser
 from laburnumswitch.exceptions import AnswerLost
 from laburnumswitch.exceptions import ConnectFailed
 
@@ -122,15 +122,15 @@
         return encoded
 
     def _receive(self, sock: socket.socket, method: str) -> tuple[Response, bool]:
-        parser = HTTPResponse(method)
-        while not parser.message_complete:
+        parser = AnswerParser(method)
+        while not parser.whole:
             block = sock.recv(READ_BLOCK_BYTES)
             if not block:
                 raise ConnectionResetError("closed before the end of the answer")
             self.bytes_received += len(block)
             parser.feed(block)
-        response = Response(parser.status_code, tuple(parser.items()), bytes(parser._body_buffer))
-        return response, not parser.should_close()
+        response = Response(parser.status_code, tuple(parser.fields), parser.take_body())
+        return response, not (parser.surplus or parser.should_close())
 
 
 def _is_readable(sock: socket.socket) -> bool:
--- a/laburnumswitch/connection/exchange.py
+++ b/laburnumswitch/connection/exchange.py
@@ -10,15 +10,15 @@
 
 from gevent import socket
 from geventhttpclient.response import HTTPParseError
-from geventhttpclient.response import HTTPResponse
 
+from laburnumswitch.connection.parser import AnswerParser
+from laburnumswitch.connection.parser import FIRST_FINAL_STATUS
 from laburnumswitch.exceptions import AnswerLost
 from laburnumswitch.exceptions import ConnectFailed
 from laburnumswitch.exceptions import FirstByteLate
 
 READ_BLOCK_BYTES = 65_536
 HEAD_LIMIT_BYTES = 65_536
-FIRST_FINAL_STATUS = 200
 
 
 class AnswerHead(NamedTuple):
@@ -45,72 +45,6 @@
         self.sock.close()
 
 
-class _AnswerParser(HTTPResponse):
-    """Parser of one answer that reports bytes beyond its end in place of reading them as next."""
-
-    def __init__(self, method: str) -> None:
-        super().__init__(method)
-        self.whole = False
-        self.surplus = False
-        self.fields: list[tuple[str, str]] = []
-        self._name = ""
-        self._value = ""
-        self._in_value = False
-
-    def take_body(self) -> bytes:
-        """Return the part of the body that was parsed and not yet taken."""
-        block = bytes(self._body_buffer)
-        self._body_buffer.clear()
-        return block
-
-    def declared_length(self) -> int | None:
-        """Return the length of the body in bytes, if the head declares it."""
-        for name, value in self.fields:
-            if name.lower() == "content-length":
-                return int(value)
-        return None
-
-    def feed(self, data: bytes) -> None:
-        """Parse one block; an empty one is the end of the stream."""
-        try:
-            super().feed(data)
-        except HTTPParseError:
-            if not self.whole:
-                raise
-            self.surplus = True
-
-    def _on_message_begin(self) -> None:
-        if self.whole:
-            self.surplus = True
-            raise HTTPParseError("bytes after the answer")
-        self.fields.clear()
-        super()._on_message_begin()
-
-    def _on_header_field(self, string: str) -> None:
-        if self._in_value:
-            self._flush_header()
-        self._name += string
-
-    def _on_header_value(self, string: str) -> None:
-        self._in_value = True
-        self._value += string
-
-    def _flush_header(self) -> None:
-        if self._name:
-            self.fields.append((self._name, self._value))
-        self._name = self._value = ""
-        self._in_value = False
-
-    def _on_body(self, buf: bytearray) -> None:
-        if not self.surplus:
-            super()._on_body(buf)
-
-    def _on_message_complete(self) -> None:
-        super()._on_message_complete()
-        if self.get_code() >= FIRST_FINAL_STATUS:
-            self.whole = True
-
-
 class Exchange:
     """State of one exchange."""
 
@@ -124,7 +58,7 @@
         self.bytes_written = 0
         self.got_bytes = False
         self._clock = clock
-        self._parser = _AnswerParser(method)
+        self._parser = AnswerParser(method)
         self._sent_whole = False
         self._ended_by_close = False
 
--- a/laburnumswitch/entry.py
+++ b/laburnumswitch/entry.py
@@ -1,6 +1,5 @@
 """Composition root of the entry daemon: builds the parts, wires them, runs them and stops them."""
 
-from collections.abc import Callable
 from random import SystemRandom
 from signal import SIGINT
 from signal import SIGTERM
@@ -16,7 +15,6 @@
 from gevent import spawn
 
 from laburnumswitch.connection.client import Client
-from laburnumswitch.declaration import Service
 from laburnumswitch.exceptions import CannotListen
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.process.admin import AdminContext
@@ -68,10 +66,12 @@
 from laburnumswitch.request.context import make_context
 from laburnumswitch.request.forward import drain
 from laburnumswitch.request.forward import serve_callers
+from laburnumswitch.request.watch import start_background
 from laburnumswitch.version.adoption import Adopted
 from laburnumswitch.version.adoption import ConfigurationHint
 from laburnumswitch.version.adoption import NO_HINT
 from laburnumswitch.version.adoption import run_adoption
+from laburnumswitch.version.hosts import make_service_by_host
 
 EVENT_LOOP = "libev-cext"
 UPSTREAM_REFRESH_S = 0.1
@@ -132,7 +132,7 @@
 
     def _build_request_path(self, settings: Settings) -> None:
         self.request_context = make_context(
-            service_by_host=self._make_service_by_host(),
+            service_by_host=make_service_by_host(lambda: self.adopted.configuration),
             upstreams_of=self.directory.upstreams_of,
             zone_is_out=self.directory.zone_is_out,
             has_configuration=self.has_configuration,
@@ -276,27 +276,13 @@
         peers = self.peers.control_bytes() + self.traffic.body_bytes
         return platform + peers + self.workers.control_bytes()
 
-    def _make_service_by_host(self) -> Callable[[str], Service | None]:
-        built_for = -1
-        by_host: dict[str, Service] = {}
-
-        def service_by_host(host: str) -> Service | None:
-            nonlocal built_for, by_host
-            configuration = self.adopted.configuration
-            if configuration.version != built_for:
-                services = configuration.services
-                by_host = {name: service for service in services for name in service.hosts}
-                built_for = configuration.version
-            return by_host.get(host)
-
-        return service_by_host
-
     def start(self) -> None:
         """Open the ports and run the tasks."""
         self.admin_server.start()
         self.caller_server.start()
         spawn(run_roster, self.roster, self.vms, sleep, self.stopped.is_set)
         spawn(self.peers.run)
+        start_background(self.request_context, lambda: self.adopted.configuration.services)
         spawn(
             run_adoption,
             self.adopted,
--- /dev/null
+++ b/tests/connection/test_client.py
@@ -0,0 +1,50 @@
+"""A control connection never gives one call the bytes of another's answer."""
+
+from gevent.server import StreamServer
+from testtools import TestCase
+from testtools.matchers import Equals
+from testtools.matchers import IsInstance
+
+from laburnumswitch.connection.client import Client
+from laburnumswitch.exceptions import AnswerLost
+from laburnumswitch.exceptions import ConnectFailed
+
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n%b"
+
+
+class TestClient(TestCase):
+    def start(self, answers: list[bytes]) -> Client:
+        self.connections = 0
+
+        def serve(sock, address):
+            self.connections += 1
+            while answers and sock.recv(65_536):
+                sock.sendall(answers.pop(0))
+
+        server = StreamServer(("127.0.0.1", 0), serve)
+        server.start()
+        self.addCleanup(server.stop)
+        client = Client(f"127.0.0.1:{server.server_port}")
+        self.addCleanup(client.close)
+        return client
+
+    def test_clean_connection_is_used_again(self):
+        client = self.start([ANSWER % b"hi", ANSWER % b"ho"])
+        bodies = [client.call("GET", "/").body for _ in range(2)]
+        self.assertThat(bodies, Equals([b"hi", b"ho"]))
+        self.assertThat(self.connections, Equals(1))
+
+    def test_second_answer_in_one_block_is_left_out_and_ends_the_connection(self):
+        client = self.start([ANSWER % b"hi" + ANSWER % b"no", ANSWER % b"ho"])
+        bodies = [client.call("GET", "/").body for _ in range(2)]
+        self.assertThat(bodies, Equals([b"hi", b"ho"]))
+        self.assertThat(self.connections, Equals(2))
+
+    def test_short_answer_is_lost_and_never_repeated(self):
+        client = self.start([ANSWER % b"x", ANSWER % b"ho"])
+        outcome = client.call("GET", "/", timeout_s=0.2)
+        self.assertThat(outcome, IsInstance(AnswerLost))
+        self.assertThat(self.connections, Equals(1))
+
+    def test_refused_connection_sent_nothing(self):
+        self.assertThat(Client("127.0.0.1:9").call("GET", "/"), IsInstance(ConnectFailed))
