Store the last events also when a stop comes during a turn; test what survived mutation

Four changes that should have failed a test did not: formats of a newer version, the last store on a stop, missed heartbeats, and the seconds of requests. Each has a test now.

--- a/laburnumswitch/process/spill.py
+++ b/laburnumswitch/process/spill.py
@@ -65,10 +65,11 @@
         self._expired: _Expired | None = None
 
     def run(self, sleep: Callable[[float], None], stopping: Callable[[], bool]) -> None:
-        """Take a turn every ``SPILL_INTERVAL_S``, and a last one when the process stops."""
+        """Take a turn every ``SPILL_INTERVAL_S``, and store the last events on a stop."""
         while not stopping():
-            sleep(SPILL_INTERVAL_S)
             self.turn()
+            sleep(SPILL_INTERVAL_S)
+        self.finish()
 
     def turn(self) -> None:
         """Store the new events, if any; then change one row, if one is due."""
@@ -76,11 +77,14 @@
         self._store_events()
         if self._turns % EXPIRY_EVERY_TURNS == 0:
             self._find_expired()
-        if self._remove_expired():
-            return
-        if self._index_is_due:
+        if not self._remove_expired():
             self._write_index()
 
+    def finish(self) -> None:
+        """Store the last events."""
+        self._store_events()
+        self._write_index()
+
     def _store_events(self) -> None:
         events = self._timeline.after(self._timeline.stored)[:MAX_BATCH_EVENTS]
         if not events:
@@ -97,6 +101,8 @@
             self._objects.remove(self._stored.popleft()["name"])
 
     def _write_index(self) -> None:
+        if not self._index_is_due:
+            return
         index = SpillIndex(
             format=FORMAT,
             process=self._process,
--- a/tests/command/test_timeline.py
+++ b/tests/command/test_timeline.py
@@ -14,6 +14,8 @@
 from laburnumswitch.command.picture import colour_of
 from laburnumswitch.process.eventkinds import KINDS
 from laburnumswitch.process.spill import Spill
+from laburnumswitch.process.table import Put
+from laburnumswitch.process.table import Transaction
 from laburnumswitch.process.timeline import Event
 from laburnumswitch.process.timeline import Timeline
 from laburnumswitch.request.claim import claim_row_key
@@ -81,6 +83,20 @@
         code, clocks, errors = self.read(*PLATFORM)
         self.assertThat((code, clocks, errors.count("warning")), Equals((0, [3], 1)))
 
+    def test_formats_of_a_newer_version_are_named_and_not_misread(self):
+        for number in range(2):
+            self.record(900.0, "run_started", f"x@1:{number}")
+            self.store()
+        name = min(self.objects.by_name)
+        self.objects.by_name[name] = encode({"format": 2, "events": []})
+        key = "timeline/e2-boot"
+        index = {"format": 2, "process": "e2", "lost": 0, "objects": []}
+        self.table.commit(Transaction((), (Put(key, index), Put(f"{key}-2", "no index"))))
+        code, clocks, errors = self.read(*PLATFORM)
+        self.assertThat((code, clocks), Equals((0, [2])))
+        self.assertThat(errors.count("FormatUnknown"), Equals(2))
+        self.assertThat(errors.count("RowMalformed"), Equals(1))
+
     def test_lost_events_are_told(self):
         for number in range(23):
             self.record(900.0, "run_started", f"x@1:{number}")
--- a/tests/process/test_metrics.py
+++ b/tests/process/test_metrics.py
@@ -1,21 +1,32 @@
 """The metrics page shows what happened, with bounded labels and Prometheus' names."""
 
+from gevent import sleep as yield_to_others
+from msgspec.json import encode
 from testtools import TestCase
 from testtools.matchers import Contains
 from testtools.matchers import Equals
 
+from laburnumswitch.connection.client import Client
+from laburnumswitch.connection.client import Response
+from laburnumswitch.exceptions import ConnectFailed
 from laburnumswitch.process.counted_table import CountedTable
+from laburnumswitch.process.directory import Directory
+from laburnumswitch.process.heartbeat import Heartbeat
+from laburnumswitch.process.membership import Membership
 from laburnumswitch.process.metric_sources import add_entry_metrics
 from laburnumswitch.process.metric_sources import add_request_metrics
 from laburnumswitch.process.metric_sources import add_table_metrics
 from laburnumswitch.process.metric_sources import EntryNumbers
 from laburnumswitch.process.metric_sources import TaskNumbers
 from laburnumswitch.process.metrics import Metrics
+from laburnumswitch.process.peers import PeerContext
+from laburnumswitch.process.peers import Peers
 from laburnumswitch.process.request_counts import RequestCounts
 from laburnumswitch.process.table import Condition
 from laburnumswitch.process.table import Put
 from laburnumswitch.process.table import Transaction
 from laburnumswitch.process.timeline import Timeline
+from laburnumswitch.process.vms import Vm
 from laburnumswitch.size import Size
 from standin.table import MemoryTable
 from tests.fakes import FakeClock
@@ -85,6 +96,29 @@
         for line in expected:
             self.assertThat(self.page(), Contains(line))
 
+    def test_heartbeats_that_a_peer_does_not_answer(self):
+        answers = [ConnectFailed("a", "refused"), Response(401, (), b""), self.heartbeat("e2")]
+        peer = Client("127.0.0.1:9")
+        peer.call = lambda *_: answers.pop(0)
+        vm = Vm("e2", "entry", "127.0.0.1:9", "a", "live")
+        context = PeerContext(
+            "e1",
+            Membership("e1", self.clock),
+            Directory(),
+            Timeline("e1", "a", self.clock),
+            lambda: (vm,),
+            lambda: Heartbeat("e1", "boot", "a", 1),
+            lambda address: peer,
+            lambda delay_s: yield_to_others(0),
+            lambda: not answers,
+        )
+        peers = Peers(context)
+        peers.run()
+        self.assertThat((answers, peers.heartbeats_missed), Equals(([], 2)))
+
+    def heartbeat(self, vm_id):
+        return Response(200, (), encode(Heartbeat(vm_id, "boot", "a", 1)))
+
     def test_latency_of_requests_by_service(self):
         counts = RequestCounts()
         add_request_metrics(self.metrics, counts, {}, lambda: 2)
--- a/tests/process/test_timeline.py
+++ b/tests/process/test_timeline.py
@@ -116,6 +116,21 @@
         self.assertThat(len(self.objects.by_name), Equals(MAX_OBJECTS))
         self.assertThat(self.stored_subjects()[0], Equals("2"))
 
+    def test_stop_during_a_turn_loses_no_event(self):
+        stopping = []
+        put = self.objects.put
+
+        def stop_while_storing(name, content):
+            if not stopping:
+                stopping.append(True)
+                self.timeline.record("drained", "entry-1")
+            return put(name, content)
+
+        self.objects.put = stop_while_storing
+        self.timeline.record("start", "task-1")
+        self.spill.run(lambda delay_s: None, lambda: bool(stopping))
+        self.assertThat(self.stored_subjects(), Equals(["task-1", "entry-1"]))
+
     def test_no_turn_changes_more_than_one_row_while_an_old_boot_is_removed(self):
         old = make_timeline(capacity=100)
         old_spill = self.make_spill("boot-0", old)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -6,6 +6,7 @@
 from gevent import sleep
 from gevent import spawn
 from testtools import TestCase
+from testtools.matchers import Contains
 from testtools.matchers import ContainsAll
 from testtools.matchers import Equals
 from testtools.matchers import IsInstance
@@ -137,6 +138,12 @@
         self.assertThat(dict(answers[1].headers)["Idempotency-Replayed"], Equals("true"))
         self.wait_until("finished tasks", lambda: len(self.finished_tasks()) >= 3)
         self.assertThat(len(set(self.finished_tasks())), Equals(len(self.finished_tasks())))
+        pages = [daemon.metrics.render("")[0].decode() for daemon in self.daemons]
+        for page in pages:
+            self.assertThat(page, Contains('_request_seconds_count{service="orders"} 1.0'))
+            self.assertThat(page, Contains('_table_calls_total{call="commit",outcome="Succeeded"}'))
+        commits = 'laburnumswitch_shard_commits_total{outcome="Committed"}'
+        self.assertThat(any(commits in page for page in pages), Equals(True))
 
     def finished_tasks(self) -> list[str]:
         ends = [record for record in self.records if isinstance(record, RunEnded)]
@@ -162,6 +169,7 @@
         first.leaving.set()
         self.assertThat(first.unready_reason(), Equals("stopping"))
         first.stop()
+        self.assertThat(first.timeline.after(first.timeline.stored), Equals(()))
         self.wait_until("takeover", lambda: len(second.shard_hints()) == 2)
         self.assertThat(first.shard_hints(), Equals(()))
         self.assertThat(self.stored_kinds("entry-1"), ContainsAll(["drained", "shard_released"]))
