Carry the logical clock through rows, so that an order's second claim sorts after its first

Rows of claims, heads and inboxes now carry it. The field is added and taken out around the table's client, so values compare as before and a lost batch settles as before.

--- a/laburnumswitch/entry.py
+++ b/laburnumswitch/entry.py
@@ -22,6 +22,7 @@
 from laburnumswitch.process.admin import AdminContext
 from laburnumswitch.process.admin import serve_admin
 from laburnumswitch.process.admin import Traffic
+from laburnumswitch.process.clocked_table import ClockedTable
 from laburnumswitch.process.context import SchedulerContext
 from laburnumswitch.process.counted_table import CountedTable
 from laburnumswitch.process.directory import Directory
@@ -113,6 +114,7 @@
             time,
             count_event=self.metrics.count_event,
         )
+        self.table = ClockedTable(self.table, self.timeline)
         self.roster = Roster()
         self.directory = Directory()
         self.membership = Membership(settings.vm_id, monotonic)
--- /dev/null
+++ b/laburnumswitch/process/clocked_table.py
@@ -0,0 +1,71 @@
+"""Carries the logical clock through the table, so that what was read there sorts after its cause.
+
+Heartbeats carry the clock once a second. An entry that acts on a row which another one wrote a
+moment ago would record its event with a clock below that of the cause.
+"""
+
+from typing import Any
+
+from msgspec import to_builtins
+
+from laburnumswitch.exceptions import Failure
+from laburnumswitch.process.table import CommitFailure
+from laburnumswitch.process.table import Committed
+from laburnumswitch.process.table import Put
+from laburnumswitch.process.table import ReadFailure
+from laburnumswitch.process.table import Row
+from laburnumswitch.process.table import Table
+from laburnumswitch.process.table import Transaction
+from laburnumswitch.process.timeline import Timeline
+
+CLOCK_FIELD = "_clock"
+STAMPED_PREFIXES = ("claim/", "head/", "inbox/")
+MAX_CLOCK = 2**52
+# The writer records events of the commit only once it hears of it, with others in between.
+EVENTS_UNTIL_ANSWER = 1_000
+
+
+class ClockedTable:
+    """Adds the clock to rows that entries act on, and takes it out again when they are read."""
+
+    def __init__(self, table: Table, timeline: Timeline) -> None:
+        self._table = table
+        self._timeline = timeline
+
+    def read(self, keys: tuple[str, ...]) -> dict[str, Row] | ReadFailure:
+        """Return the rows by key, absent ones included."""
+        rows = self._table.read(keys)
+        if isinstance(rows, Failure):
+            return rows
+        return {key: self._hear(row) for key, row in rows.items()}
+
+    def scan(self, prefix: str, after: str = "") -> tuple[Row, ...] | ReadFailure:
+        """Return up to ``SCAN_LIMIT_ROWS`` rows under ``prefix`` with keys above ``after``."""
+        rows = self._table.scan(prefix, after)
+        if isinstance(rows, Failure):
+            return rows
+        return tuple(self._hear(row) for row in rows)
+
+    def commit(self, transaction: Transaction) -> Committed | CommitFailure:
+        """Apply ``transaction`` if all its conditions hold."""
+        clock = self._timeline.clock + EVENTS_UNTIL_ANSWER
+        puts = tuple(_stamp(put, clock) for put in transaction.puts)
+        return self._table.commit(transaction._replace(puts=puts))
+
+    def _hear(self, row: Row) -> Row:
+        if not isinstance(row.value, dict) or CLOCK_FIELD not in row.value:
+            return row
+        value = dict(row.value)
+        clock = value.pop(CLOCK_FIELD)
+        if isinstance(clock, int) and self._timeline.clock < clock < MAX_CLOCK:
+            self._timeline.observe(clock)
+        return row._replace(value=value)
+
+
+def _stamp(put: Put, clock: int) -> Put:
+    if not put.key.startswith(STAMPED_PREFIXES):
+        return put
+    value: Any = to_builtins(put.value)
+    if not isinstance(value, dict):
+        return put
+    return put._replace(value={**value, CLOCK_FIELD: clock})
--- /dev/null
+++ b/tests/process/test_clocked_table.py
@@ -0,0 +1,69 @@
+"""The logical clock travels with rows, and nobody sees it in them."""
+
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from laburnumswitch.process.clocked_table import CLOCK_FIELD
+from laburnumswitch.process.clocked_table import ClockedTable
+from laburnumswitch.process.clocked_table import MAX_CLOCK
+from laburnumswitch.process.head import Head
+from laburnumswitch.process.head import read_head
+from laburnumswitch.process.inbox import Chunk
+from laburnumswitch.process.inbox import inbox_put
+from laburnumswitch.process.journal import Batch
+from laburnumswitch.process.journal import commit_batch
+from laburnumswitch.process.journal import settle_batch
+from laburnumswitch.process.journal import TookEffect
+from laburnumswitch.process.ownership import take_over
+from laburnumswitch.process.table import Put
+from laburnumswitch.process.table import Transaction
+from laburnumswitch.process.timeline import Timeline
+from standin.table import MemoryTable
+
+
+class TestClockedTable(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.inner = MemoryTable()
+        self.writer, self.reader = (Timeline(name, "a", lambda: 0.0) for name in ("z", "b"))
+        self.written = ClockedTable(self.inner, self.writer)
+        self.read = ClockedTable(self.inner, self.reader)
+
+    def put(self, *puts):
+        return self.written.commit(Transaction((), puts))
+
+    def test_effect_of_a_row_sorts_after_the_event_of_its_writer(self):
+        for put, see in (
+            (Put("claim/s/1", {"state": "claimed"}), lambda: self.read.read(("claim/s/1",))),
+            (inbox_put(0, "c1", Chunk({"job_id": "j"}, 0, 1)), lambda: self.read.scan("inbox/0")),
+        ):
+            for _ in range(50):
+                self.writer.record("claimed", "r1")
+            self.put(put)
+            self.writer.record("claimed", "r1")
+            see()
+            self.reader.record("claim_refused", "r2")
+            self.assertThat(self.writer.clock < self.reader.clock, Equals(True))
+
+    def test_rows_read_as_they_were_written(self):
+        chunk = Chunk({"job_id": "j"}, 0, 1)
+        self.put(Put("claim/s/1", {"state": "claimed"}), inbox_put(0, "c1", chunk))
+        self.put(Put("zone/a", {"state": "out"}))
+        rows = [*self.read.scan(""), *self.read.read(("claim/s/1", "absent")).values()]
+        self.assertThat([CLOCK_FIELD in (row.value or {}) for row in rows], Equals([False] * 5))
+        self.assertThat(CLOCK_FIELD in self.inner.read(("zone/a",))["zone/a"].value, Equals(False))
+
+    def test_batch_with_a_lost_answer_is_still_settled_as_taken(self):
+        head = take_over(self.written, read_head(self.written, 0), "e1")
+        self.assertIsInstance(head, Head)
+        batch = Batch("batch-1")
+        self.inner.lose_answers = 1
+        commit_batch(self.written, head, batch)
+        self.writer.record("commit_unknown", "0")
+        self.assertIsInstance(settle_batch(self.written, head, batch), TookEffect)
+
+    def test_clock_that_is_none_is_not_taken(self):
+        for clock in ("9", None, MAX_CLOCK, -1):
+            self.inner.commit(Transaction((), (Put("claim/s/1", {CLOCK_FIELD: clock}),)))
+            self.assertThat(self.read.read(("claim/s/1",))["claim/s/1"].value, Equals({}))
+        self.assertThat(self.reader.clock, Equals(0))
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -3,14 +3,17 @@
 from collections.abc import Callable
 from tempfile import TemporaryDirectory
 
+from click.testing import CliRunner
 from gevent import sleep
 from gevent import spawn
+from msgspec.json import decode
 from testtools import TestCase
 from testtools.matchers import Contains
 from testtools.matchers import ContainsAll
 from testtools.matchers import Equals
 from testtools.matchers import IsInstance
 
+from laburnumswitch.command import main
 from laburnumswitch.connection.client import Client
 from laburnumswitch.connection.client import Response
 from laburnumswitch.declaration import Configuration
@@ -138,6 +141,8 @@
         self.assertThat(dict(answers[1].headers)["Idempotency-Replayed"], Equals("true"))
         self.wait_until("finished tasks", lambda: len(self.finished_tasks()) >= 3)
         self.assertThat(len(set(self.finished_tasks())), Equals(len(self.finished_tasks())))
+        kinds = self.kinds_under_key("key-1")
+        self.assertThat(kinds, Equals(["claimed", "outcome", "claim_refused", "outcome"]))
         pages = [daemon.metrics.render("")[0].decode() for daemon in self.daemons]
         for page in pages:
             self.assertThat(page, Contains('_request_seconds_count{service="orders"} 1.0'))
@@ -145,6 +150,15 @@
         commits = 'laburnumswitch_shard_commits_total{outcome="Committed"}'
         self.assertThat(any(commits in page for page in pages), Equals(True))
 
+    def kinds_under_key(self, key: str) -> list[str]:
+        """Return what the command shows of an order, asked of the second entry."""
+        entry = f"127.0.0.1:{self.daemons[1].admin_server.server_port}"
+        where = ("--platform", self.platform_address, "--entry", entry)
+        arguments = ("timeline", *where, "--key-file", self.keys_path, "--request", key, "--json")
+        result = CliRunner().invoke(main, arguments, catch_exceptions=False)
+        self.assertThat((result.exit_code, result.stderr), Equals((0, "")))
+        return [decode(line)["kind"] for line in result.stdout.splitlines()]
+
     def finished_tasks(self) -> list[str]:
         ends = [record for record in self.records if isinstance(record, RunEnded)]
         return [end.task_id for end in ends if end.kind == "finished"]
