--- a/laburnumswitch/process/admission.py
+++ b/laburnumswitch/process/admission.py
@@ -52,7 +52,9 @@
 from laburnumswitch.process.work import write_work
 from laburnumswitch.size import Size
 
-KEEP_ENDED_JOBS = 20
+KEEP_ENDED_JOBS = 10
+ACTIVE_EVERY_S = 2.0
+IDLE_EVERY_S = 5.0
 
 
 class _NoFiring(NamedTuple):
@@ -72,6 +74,22 @@
         self._context = context
         self._shared = shared
         self._fired_by_job: dict[str, FiredRows] = {}
+        self._version = 0
+        self._due_s = float("-inf")
+
+    def is_due(self) -> bool:
+        """Return whether a pass is worth its reads: all job rows are read by each."""
+        configuration = self._context.configuration()
+        if configuration.version != self._version or self._context.clock() >= self._due_s:
+            return True
+        now_s = self._context.wall_clock()
+        for job in configuration.jobs:
+            fired = self._fired_by_job.get(job.name)
+            if job.schedule and fired is not None:
+                firing = next_firing(job, fired, now_s)
+                if firing is not None and not isinstance(firing, Failure):
+                    return True
+        return False
 
     def run_pass(self) -> None:
         """Admit and complete whatever is due; what fails is tried again by the next pass."""
@@ -82,6 +100,9 @@
         if isinstance(rows, Failure):
             return
         stored = read_jobs(rows)
+        is_active = any(item.job.state not in FINAL_STATES for item in stored)
+        self._due_s = self._context.clock() + (ACTIVE_EVERY_S if is_active else IDLE_EVERY_S)
+        self._version = configuration.version
         self._admit_generations(configuration, stored)
         self._fire_schedules(configuration, stored)
         self._admit_waiting(configuration, stored)
--- a/laburnumswitch/process/scheduler.py
+++ b/laburnumswitch/process/scheduler.py
@@ -44,7 +44,7 @@
 
 MANAGE_EVERY_S = 0.25
 OBSERVE_EVERY_S = 0.5
-ADMIT_EVERY_S = 1.0
+ADMIT_EVERY_S = 0.5
 YIELD_AFTER_S = 5.0
 OBSERVED_RANKS = 2
 LOAD_ATTEMPTS = 3
@@ -239,7 +239,8 @@
 
     def _admit(self) -> None:
         try:
-            self.admission.run_pass()
+            if self.admission.is_due():
+                self.admission.run_pass()
         except Exception:
             # One declaration that trips a fault must not end the admission of all others.
             logging.exception("admission pass failed")
--- a/tests/process/test_admission.py
+++ b/tests/process/test_admission.py
@@ -199,6 +199,23 @@
             Equals(["1210", "1220", "1230", "1240", "1250", "1300"]),
         )
 
+    def test_pass_is_due_at_a_firing_a_new_version_and_after_a_while(self):
+        self.declare(make_job(schedule="*/10 * * * *"))
+        admission = self.admission()
+        for _ in range(2):
+            admission.run_pass()
+        self.assertThat(admission.is_due(), Equals(False))
+        self.clock.sleep(4.0)
+        self.assertThat(admission.is_due(), Equals(False))
+        self.configuration = self.configuration._replace(version=2)
+        self.assertThat(admission.is_due(), Equals(True))
+        self.clock.sleep(594.0)
+        admission.run_pass()
+        self.clock.sleep(1.5)
+        self.assertThat(admission.is_due(), Equals(False))
+        self.clock.sleep(0.5)
+        self.assertThat(admission.is_due(), Equals(True))
+
     def test_entry_that_was_paused_cannot_fire_an_old_instant_again(self):
         self.declare(make_job(schedule="*/10 * * * *"))
         self.admission().run_pass()
