--- a/scripts/measure_scheduling.py
+++ b/scripts/measure_scheduling.py
@@ -186,7 +186,8 @@
             result.throttled,
             f"{result.start_delay_p50_s:.2f} / {result.start_delay_p99_s:.2f}",
             f"{result.table_bytes_per_s_and_entry / 1000:.1f}",
-            f"{result.worker_bytes_per_s_and_entry / 1000:.1f}",
+            f"{result.worker_bytes_per_s_and_entry / 1000:.1f} / "
+            f"{result.usage_bytes_per_s_and_entry / 1000:.1f}",
             f"{result.core_fraction_per_entry * 100:.1f}%",
             f"{result.turn_ms_per_shard:.1f}",
             result.overcommitted,
@@ -205,7 +206,7 @@
             "commits refused",
             "inbox to start s p50 / p99",
             "table KB/s an entry",
-            "worker KB/s an entry",
+            "worker KB/s an entry, all / reports of use",
             "core an entry",
             "turn ms",
             "workers over capacity",
--- a/scripts/measured_load.py
+++ b/scripts/measured_load.py
@@ -76,6 +76,7 @@
     start_delay_p99_s: float
     table_bytes_per_s_and_entry: float
     worker_bytes_per_s_and_entry: float
+    usage_bytes_per_s_and_entry: float
     core_fraction_per_entry: float
     turn_ms_per_shard: float
     overcommitted: int
@@ -100,6 +101,7 @@
     ) -> None:
         super().__init__(clock)
         self.bytes = 0
+        self.usage_bytes = 0
         self._usage_every_s = usage_every_s
         self._usage_due_by_worker: dict[str, float] = {}
         self._ids_by_address: dict[str, list[str]] = {}
@@ -111,7 +113,9 @@
         for worker_id, orders in by_worker.items():
             worker = self.by_id[worker_id]
             report = worker.exchange(orders)
-            reports[worker_id] = report._replace(usage=self._usage(worker))
+            usage = self._usage(worker)
+            self.usage_bytes += len(encode(usage))
+            reports[worker_id] = report._replace(usage=usage)
         self.bytes += len(encode(by_worker)) + len(encode(reports))
         return reports
 
@@ -250,6 +254,7 @@
         delays[int(len(delays) * 0.99)],
         delta["table_bytes"] / elapsed_s / load.entries,
         delta["worker_bytes"] / elapsed_s / load.entries,
+        delta["usage_bytes"] / elapsed_s / load.entries,
         (delta["worker_cpu_s"] + delta["shard_cpu_s"]) / elapsed_s / load.entries,
         delta["shard_cpu_s"] / max(1, delta["turns"]) * 1e3,
         len(cluster.workers.overcommitted()),
@@ -273,6 +278,7 @@
         "throttled": cluster.table.throttled,
         "table_bytes": cluster.table.bytes,
         "worker_bytes": cluster.workers.bytes,
+        "usage_bytes": cluster.workers.usage_bytes,
         "worker_cpu_s": cluster.worker_cpu_s,
         "shard_cpu_s": cluster.shard_cpu_s,
         "turns": cluster.turns,
