--- a/laburnumswitch/process/policy.py
+++ b/laburnumswitch/process/policy.py
@@ -281,10 +281,24 @@
             self._context.timeline.record(
                 "eviction",
                 self._ledger.group_by_number[key.group].task_id(key.index),
+                run=run.run,
                 worker=worker.worker_id,
+                zone=worker.availability_zone,
                 reason="relief",
             )
 
+    def longest_urgent_wait_s(self) -> float:
+        """Return how long the urgent group that waits longest has had no start, in seconds."""
+        now_s = self._context.clock()
+        waits = [
+            now_s - since_s
+            for number, since_s in self._waiting_since_by_group.items()
+            if (group := self._ledger.group_by_number.get(number)) is not None
+            and (group.work.urgent or group.work.service)
+            and group.count_pending()
+        ]
+        return max(waits, default=0.0)
+
     def _note_once(self, key: TaskKey, run: int) -> bool:
         if self._noted_by_key.get(key) == run:
             return False
@@ -310,6 +324,8 @@
                 group.task_id(index),
                 run=group.running[index].run,
                 worker=worker.worker_id,
+                zone=worker.availability_zone,
+                shard=self._shard,
             )
 
     def _note_ended(self, record: Ended, ended_by_key: Mapping[TaskKey, Run]) -> None:
@@ -331,4 +347,7 @@
                 group.task_id(index),
                 run=ended_by_key[key].run,
                 how=How(record.how).name.lower(),
+                worker=worker.worker_id if worker else "",
+                zone=worker.availability_zone if worker else "",
+                shard=self._shard,
             )
