Judge a second end of a task by the lease of the first

An end is now excused only if it was not acknowledged within its lease and the worker's process was cut off within 5 s; an acknowledgement within the lease breaks the promise also where it comes after the next start, which was excused before.

--- a/scripts/summary.py
+++ b/scripts/summary.py
@@ -52,7 +52,7 @@
         ("  evicted", verdict.evictions),
         ("batch tasks finished", verdict.tasks_finished),
         ("  finished more than once", verdict.tasks_finished_twice),
-        ("  finished again, first end unreported", verdict.tasks_finished_unreported),
+        ("  run again, their end told after its lease", verdict.tasks_finished_unreported),
         ("  counted wrongly by the ledger", verdict.tasks_counted_wrongly),
         ("  running in two places", verdict.tasks_in_two_places),
         ("  lost", verdict.tasks_lost),
--- a/standin/records.py
+++ b/standin/records.py
@@ -50,12 +50,16 @@
 
 
 class EndAcknowledged(NamedTuple):
-    """A worker was told that the end of a run is safely in the ledger."""
+    """A worker was told that the end of a run was taken in.
+
+    ``within_lease`` is whether that was before the lease, which the run had at its end, lapsed.
+    """
 
     at_s: float
     worker_id: str
     task_id: str
     run: int
+    within_lease: bool
 
 
 class Executed(NamedTuple):
