--- /dev/null
+++ b/scripts/capacity_measure.py
@@ -0,0 +1,253 @@
+"""Slopes for the capacity page, each measured on one machine."""
+
+import sys
+from collections.abc import Callable
+from subprocess import PIPE
+from subprocess import Popen
+from time import perf_counter
+from time import process_time
+from time import time
+from tracemalloc import get_traced_memory
+from tracemalloc import start as start_tracing
+from tracemalloc import stop as stop_tracing
+from typing import NamedTuple
+
+from msgspec import convert
+from msgspec.json import decode
+from msgspec.json import encode
+
+from laburnumswitch.declaration import Configuration
+from laburnumswitch.declaration import Job
+from laburnumswitch.declaration import Service
+from laburnumswitch.declaration import StateReport
+from laburnumswitch.declaration import Team
+from laburnumswitch.process.heartbeat import Heartbeat
+from laburnumswitch.process.heartbeat import ZoneHint
+from laburnumswitch.process.hint import ShardHint
+from laburnumswitch.process.hint import TeamUse
+from laburnumswitch.process.job_row import JobRow
+from laburnumswitch.process.job_row import read_jobs
+from laburnumswitch.process.table import Row
+from laburnumswitch.process.timeline import CAPACITY_EVENTS
+from laburnumswitch.process.timeline import Timeline
+from laburnumswitch.process.work import Work
+from laburnumswitch.process.work import write_work
+from laburnumswitch.process.workers import RunEvent
+from laburnumswitch.process.workers import StartOrder
+from laburnumswitch.process.workers import WorkerOrders
+from laburnumswitch.process.workers import WorkersClient
+from laburnumswitch.size import Size
+from laburnumswitch.version.document import decode_document
+from laburnumswitch.version.document import digest_of
+from laburnumswitch.version.document import encode_document
+
+RACK_WORKERS = 8
+EXCHANGES = 300
+REPEATS = 20
+KB = 1024
+SIZE = Size(2_300, 9_000)
+
+
+class ExchangeSlope(NamedTuple):
+    """Exchanges with one rack over HTTP on loopback; processor time is the entry's alone."""
+
+    runs_per_worker: int
+    with_usage: bool
+    bytes_per_exchange: float
+    cpu_us_per_exchange: float
+
+
+class HeartbeatSlope(NamedTuple):
+    """One heartbeat of an entry with ``shards`` shards to each of ``peers`` peers a second."""
+
+    peers: int
+    shards: int
+    payload_bytes: int
+    bytes_per_s: float
+    codec_us: float
+
+
+class ConfigurationSlope(NamedTuple):
+    """One document of ``declarations`` jobs and services."""
+
+    declarations: int
+    document_bytes: int
+    adopt_ms: float
+
+
+class AdmissionSlope(NamedTuple):
+    """One pass of admission over ``rows`` job rows: what it reads and how long decoding takes."""
+
+    rows: int
+    bytes_per_row: float
+    decode_us_per_row: float
+
+
+class DaemonBase(NamedTuple):
+    """An entry's program with nothing to do, and a time line that is full."""
+
+    resident_mb: float
+    timeline_mb: float
+
+
+class OrderBytes(NamedTuple):
+    """JSON bytes of one start order and of the events that a run reports."""
+
+    start: int
+    events: int
+
+
+def measure_exchange(runs: int, with_usage: bool) -> ExchangeSlope:
+    """Exchange orders and reports with a thin stand-in of one rack."""
+    command = [sys.executable, "-m", "scripts.capacity_rack", str(RACK_WORKERS), str(runs)]
+    rack = Popen(command, stdin=PIPE, stdout=PIPE)
+    try:
+        address = f"127.0.0.1:{int(rack.stdout.readline())}"
+        return _exchange(address, runs, with_usage)
+    finally:
+        rack.stdin.close()
+        rack.wait(10)
+
+
+def _exchange(address: str, runs: int, with_usage: bool) -> ExchangeSlope:
+    client = WorkersClient()
+    orders = {
+        f"w{worker:05d}": WorkerOrders(f"boot-{worker:08x}", 1, 7.5, full=with_usage)
+        for worker in range(RACK_WORKERS)
+    }
+    first = client.exchange(address, orders)
+    if not isinstance(first, dict):
+        raise RuntimeError(first.describe())
+    before = client.control_bytes()
+    started_s = process_time()
+    for _ in range(EXCHANGES):
+        client.exchange(address, orders)
+    spent_s = process_time() - started_s
+    sent = client.control_bytes() - before
+    return ExchangeSlope(runs, with_usage, sent / EXCHANGES, spent_s / EXCHANGES * 1e6)
+
+
+def measure_heartbeat(peers: int, shards: int, teams: int, zones: int) -> HeartbeatSlope:
+    """Encode and decode the heartbeat of an entry that owns its part of ``shards``."""
+    own = max(1, round(shards / (peers + 1)))
+    uses = tuple(TeamUse(f"team-{team:03d}", SIZE) for team in range(teams))
+    heartbeat = Heartbeat(
+        vm_id="entry-00001",
+        boot="8c1f2e9a7b",
+        availability_zone="zone-1",
+        clock=1_000_000,
+        configuration_version=1_200,
+        configuration_digest="0" * 64,
+        zones=tuple(ZoneHint(f"zone-{zone}", "in", 90_000 + zone) for zone in range(zones)),
+        shards=tuple(ShardHint(shard, 12, 40_000, SIZE, SIZE, 120, uses) for shard in range(own)),
+    )
+    payload = encode(heartbeat)
+
+    def codec() -> None:
+        convert(decode(encode(heartbeat)), Heartbeat)
+
+    # Each pair of entries exchanges two heartbeats each way in a second.
+    return HeartbeatSlope(peers, own, len(payload), 4.0 * len(payload) * peers, _time_us(codec))
+
+
+def measure_configuration(declarations: int, teams: int) -> ConfigurationSlope:
+    """Decode and check a document as adoption does."""
+    services = tuple(
+        Service(
+            f"service-{number}",
+            f"team-{number % teams:03d}",
+            (f"service-{number}.example.com",),
+            4,
+            SIZE,
+            ("serve", "--number", str(number)),
+            state=StateReport("json", ready_field="status.ready", load_field="load.percent"),
+        )
+        for number in range(declarations // 4)
+    )
+    jobs = tuple(
+        Job(
+            f"job-{number}",
+            f"team-{number % teams:03d}",
+            ("compare", "--week", str(number)),
+            SIZE,
+            tasks=500,
+            schedule="0 2 * * *",
+        )
+        for number in range(declarations - len(services))
+    )
+    team_list = tuple(Team(f"team-{number:03d}", SIZE) for number in range(teams))
+    document = encode_document(Configuration(7, "", services, jobs, team_list))
+    digest = digest_of(document)
+
+    def adopt() -> None:
+        adopted = decode_document(document, 7, digest)
+        if not isinstance(adopted, Configuration):
+            raise RuntimeError(adopted.describe())
+
+    return ConfigurationSlope(declarations, len(document), _time_us(adopt) / 1e3)
+
+
+def measure_admission(rows: int) -> AdmissionSlope:
+    """Decode the rows of ended jobs as one pass of admission does."""
+    encoded = [encode(Row(f"job/{_job_row(n).job_id}", n, _job_row(n))) for n in range(rows)]
+
+    def read_all() -> None:
+        read_jobs(Row(*decode(row)) for row in encoded)
+
+    size = sum(map(len, encoded)) / rows
+    return AdmissionSlope(rows, size, _time_us(read_all, 3) / rows)
+
+
+def _job_row(number: int) -> JobRow:
+    job_id = f"job-{number // 20}@20261203T{number % 20:02d}0000Z"
+    work = Work(job_id, f"job-{number // 20}", "team-001", ("compare", "--week"), SIZE, 58.0)
+    return JobRow(
+        job_id=job_id,
+        name=work.name,
+        team=work.team,
+        tasks=500,
+        state="finished",
+        created_s=1_796_000_000.5,
+        work=write_work(work),
+        finished=500,
+        ended_s=1_796_000_100.5,
+    )
+
+
+def measure_orders() -> OrderBytes:
+    """Encode a start order and the two events of a run."""
+    name = "job-1200@20261203T020000Z:499"
+    start = StartOrder(name, 1, 12_345.678, SIZE, ("compare", "--week"), 58.0)
+    events = (RunEvent(40_000, "started", name, 1), RunEvent(40_001, "finished", name, 1))
+    return OrderBytes(len(encode(start)) + 1, sum(len(encode(event)) + 1 for event in events))
+
+
+def measure_base() -> DaemonBase:
+    """Return the memory of a process that has loaded the entry's program, and of a time line."""
+    program = (
+        "import laburnumswitch.entry, laburnumswitch.command\n"
+        "print(next(line for line in open('/proc/self/status') if line.startswith('VmRSS')))"
+    )
+    finished = Popen([sys.executable, "-c", program], stdout=PIPE, text=True)
+    line, _ = finished.communicate(timeout=30)
+    return DaemonBase(int(line.split()[1]) / KB, _timeline_bytes() / KB / KB)
+
+
+def _timeline_bytes() -> int:
+    start_tracing()
+    timeline = Timeline("entry-00001", "zone-1", time)
+    for number in range(CAPACITY_EVENTS):
+        timeline.record("run_started", f"job-{number}@20261203T020000Z:4", run=1, worker="w00001")
+    size = get_traced_memory()[0]
+    stop_tracing()
+    return size
+
+
+def _time_us(action: Callable[[], None], repeats: int = REPEATS) -> float:
+    """Return the shortest of some repeats, which other processes disturb least."""
+    times = []
+    for _ in range(repeats):
+        started_s = perf_counter()
+        action()
+        times.append(perf_counter() - started_s)
+    return min(times) * 1e6
--- /dev/null
+++ b/scripts/capacity_rack.py
@@ -0,0 +1,59 @@
+"""Thin stand-in of one rack for the measurement of exchanges: canned reports over HTTP.
+
+Run as ``python -m scripts.capacity_rack WORKERS RUNS``; prints its port and serves until its
+standard input is closed.
+"""
+
+import sys
+
+from gevent import spawn
+from gevent.os import tp_read
+from gevent.pywsgi import WSGIServer
+from msgspec import convert
+from msgspec.json import decode
+from msgspec.json import encode
+
+from laburnumswitch.connection.server import NoDelayServer
+from laburnumswitch.process.workers import RunReport
+from laburnumswitch.process.workers import Usage
+from laburnumswitch.process.workers import WorkerOrders
+from laburnumswitch.process.workers import WorkerReport
+
+
+def task_name(worker: int, run: int) -> str:
+    """Return the name of a task as jobs have it."""
+    return f"weekly-comparison-{worker}@20261203T020000Z:{run}"
+
+
+def make_answer(workers: int, runs: int, full: bool, usage: bool) -> bytes:
+    """Return the reports of a whole rack."""
+    by_worker = {}
+    for worker in range(workers):
+        names = [task_name(worker, run) for run in range(runs)]
+        held = tuple(RunReport(name, 1, 20_000) for name in names) if full else None
+        used = tuple(Usage(name, 2_200, 8_900, 1.1) for name in names) if usage else ()
+        by_worker[f"w{worker:05d}"] = WorkerReport(f"boot-{worker:08x}", 1.5, 1, (), held, used)
+    return encode((by_worker,))
+
+
+def serve(workers: int, runs: int) -> None:
+    """Serve until standard input is closed."""
+    plain = make_answer(workers, runs, False, False)
+    with_usage = make_answer(workers, runs, True, True)
+
+    def answer(environ, start_response):
+        orders = convert(decode(environ["wsgi.input"].read())["by_worker"], dict[str, WorkerOrders])
+        full = any(each.full for each in orders.values())
+        body = with_usage if full else plain
+        start_response("200 OK", [("Content-Length", str(len(body)))])
+        return [body]
+
+    server: WSGIServer = NoDelayServer(("127.0.0.1", 0), answer, log=None)
+    server.start()
+    print(server.server_port, flush=True)
+    spawn(server.serve_forever)
+    tp_read(sys.stdin.fileno(), 1)
+
+
+if __name__ == "__main__":
+    serve(int(sys.argv[1]), int(sys.argv[2]))
