Exchange heartbeats once a pair, and fetch what teams use apart from them

Cause: each heartbeat repeated the use of every team in every shard, and both ends of a pair called each other. An exchange informs both ends, so a peer heard within 0.7 s is not called; what teams use is fetched every 5 s, joined over an entry's shards.

Also: an owner that has just taken over and does not know its upstreams yet (revision 0) no longer empties the list that requests are routed by.

--- a/laburnumswitch/entry.py
+++ b/laburnumswitch/entry.py
@@ -26,6 +26,7 @@
 from laburnumswitch.process.directory import Directory
 from laburnumswitch.process.heartbeat import Heartbeat
 from laburnumswitch.process.heartbeat import ShardUpstreams
+from laburnumswitch.process.heartbeat import TeamUses
 from laburnumswitch.process.hint import ShardHint
 from laburnumswitch.process.job_row import cancel_jobs_by_id
 from laburnumswitch.process.keys import KeyFile
@@ -48,6 +49,7 @@
 from laburnumswitch.process.operator import zone_rows
 from laburnumswitch.process.peers import PeerContext
 from laburnumswitch.process.peers import Peers
+from laburnumswitch.process.quota import join_team_uses
 from laburnumswitch.process.roster import Roster
 from laburnumswitch.process.roster import run_roster
 from laburnumswitch.process.scheduler import Scheduler
@@ -127,6 +129,7 @@
             self.roster.entries,
             self.make_heartbeat,
             lambda address: Client(address, keys.headers),
+            monotonic,
             sleep,
             self.stopped.is_set,
         )
@@ -166,7 +169,7 @@
             "healthz": make_health_handler(),
             "readyz": make_ready_handler(self.unready_reason),
             "metrics": make_metrics_handler(self.metrics),
-            "peer": make_peer_handler(self.peer_context, self.read_document),
+            "peer": make_peer_handler(self.peer_context, self.read_document, self.team_uses),
             "operator": make_operator_handler(operator_context),
         }
         self.traffic = Traffic()
@@ -229,15 +232,24 @@
         return self.scheduler.task_numbers() if self.scheduler else TaskNumbers()
 
     def peers_shard_hints(self) -> dict[int, ShardHint]:
-        """Return the newest hint of every shard, this entry's own included."""
+        """Return the newest hint of every shard, this entry's own included.
+
+        What a peer's teams use in all its shards is counted with the first of them.
+        """
         by_shard = {hint.shard: hint for hint in self.shard_hints()}
         for heartbeat in self.membership.heartbeats():
+            uses = self.peers.team_uses_by_id.get(heartbeat.vm_id, ())
             for hint in heartbeat.shards:
                 known = by_shard.get(hint.shard)
                 if known is None or hint.epoch > known.epoch:
-                    by_shard[hint.shard] = hint
+                    by_shard[hint.shard] = hint._replace(used_by_team=uses)
+                    uses = ()
         return by_shard
 
+    def team_uses(self) -> TeamUses:
+        """Return what teams use in the shards owned here."""
+        return TeamUses(self.settings.vm_id, join_team_uses(self.shard_hints()))
+
     def make_heartbeat(self) -> Heartbeat:
         """Return what this entry tells its peers now."""
         return Heartbeat(
@@ -248,7 +260,7 @@
             *self.adopted.hint,
             self.leaving.is_set(),
             self.directory.zones(),
-            self.shard_hints(),
+            tuple(hint._replace(used_by_team=()) for hint in self.shard_hints()),
         )
 
     def status_row(self) -> StatusRow:
--- a/laburnumswitch/process/directory.py
+++ b/laburnumswitch/process/directory.py
@@ -6,6 +6,8 @@
 from laburnumswitch.process.heartbeat import ZoneHint
 from laburnumswitch.upstream import Upstream
 
+UNKNOWN_REVISION = 0
+
 
 class Directory:
     """Newest upstreams by shard and newest state by availability zone.
@@ -19,7 +21,12 @@
         self._zone_by_name: dict[str, ZoneHint] = {}
 
     def is_behind(self, shard: int, epoch: int, revision: int) -> bool:
-        """Return whether ``(epoch, revision)`` is newer than what is held for ``shard``."""
+        """Return whether ``(epoch, revision)`` is newer than what is held for ``shard``.
+
+        Revision 0 says that an owner does not know its upstreams yet, just after a takeover.
+        """
+        if revision == UNKNOWN_REVISION:
+            return False
         held = self._by_shard.get(shard)
         return held is None or (epoch, revision) > (held.epoch, held.revision)
 
--- a/laburnumswitch/process/heartbeat.py
+++ b/laburnumswitch/process/heartbeat.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from laburnumswitch.process.hint import ShardHint
+from laburnumswitch.process.hint import TeamUse
 from laburnumswitch.upstream import Upstream
 
 FORMAT = 1
@@ -19,6 +20,7 @@
 class Heartbeat(NamedTuple):
     """What an entry tells each peer about once a second.
 
+    The shards' hints leave out what teams use, which peers fetch less often as ``TeamUses``.
     ``clock`` is the sender's logical clock. ``leaving`` is set while the sender drains.
     """
 
@@ -42,3 +44,11 @@
     revision: int
     upstreams: tuple[Upstream, ...] = ()
     format: int = FORMAT
+
+
+class TeamUses(NamedTuple):
+    """What each team's batch tasks hold in all shards of one entry together."""
+
+    vm_id: str
+    used_by_team: tuple[TeamUse, ...] = ()
+    format: int = FORMAT
--- a/laburnumswitch/process/membership.py
+++ b/laburnumswitch/process/membership.py
@@ -7,6 +7,7 @@
 
 HEARD_LIMIT_S = 1.6
 FORGET_LIMIT_S = 30.0
+INFINITE_S = float("inf")
 
 
 class _Heard(NamedTuple):
@@ -33,8 +34,17 @@
         """Return whether ``vm_id`` is this entry or was heard within ``HEARD_LIMIT_S``."""
         if vm_id == self._vm_id:
             return True
+        return self.silence_s(vm_id) <= HEARD_LIMIT_S
+
+    def silence_s(self, vm_id: str) -> float:
+        """Return the seconds since ``vm_id`` was heard, infinity for one that never was."""
+        known = self._heard_by_id.get(vm_id)
+        return INFINITE_S if known is None else self._clock() - known.at_s
+
+    def newest(self, vm_id: str) -> Heartbeat | None:
+        """Return the newest heartbeat of a peer that is heard."""
         known = self._heard_by_id.get(vm_id)
-        return known is not None and self._clock() - known.at_s <= HEARD_LIMIT_S
+        return known.heartbeat if known is not None and self.is_heard(vm_id) else None
 
     def live_entries(self) -> tuple[str, ...]:
         """Return this entry and every peer that is heard and not leaving, sorted."""
--- a/laburnumswitch/process/peers.py
+++ b/laburnumswitch/process/peers.py
@@ -14,12 +14,16 @@
 from laburnumswitch.process.directory import Directory
 from laburnumswitch.process.heartbeat import Heartbeat
 from laburnumswitch.process.heartbeat import ShardUpstreams
+from laburnumswitch.process.heartbeat import TeamUses
+from laburnumswitch.process.hint import TeamUse
 from laburnumswitch.process.membership import Membership
 from laburnumswitch.process.timeline import Timeline
 from laburnumswitch.process.vms import Vm
 
 HEARTBEAT_INTERVAL_S = 1.0
 HEARTBEAT_TIMEOUT_S = 0.8
+CALL_AFTER_SILENCE_S = 0.7
+TEAM_USES_INTERVAL_S = 5.0
 STATUS_OK = 200
 
 
@@ -33,6 +37,7 @@
     entries: Callable[[], tuple[Vm, ...]]
     make_heartbeat: Callable[[], Heartbeat]
     make_client: Callable[[str], Client]
+    clock: Callable[[], float]
     sleep: Callable[[float], None]
     stopping: Callable[[], bool]
 
@@ -45,13 +50,15 @@
 
 
 class Peers:
-    """The tasks and the clients, by peer."""
+    """The tasks, the clients and what teams use, by peer."""
 
     def __init__(self, context: PeerContext) -> None:
         self.heartbeats_missed = 0
+        self.team_uses_by_id: dict[str, tuple[TeamUse, ...]] = {}
         self._context = context
         self._task_by_id: dict[str, Greenlet] = {}
         self._client_by_address: dict[str, Client] = {}
+        self._team_uses_due_by_id: dict[str, float] = {}
 
     def run(self) -> None:
         """Keep one task running for each listed peer until the process stops."""
@@ -88,22 +95,38 @@
         return sum(client.control_bytes() for client in self._client_by_address.values())
 
     def _run_peer(self, vm: Vm) -> None:
+        membership = self._context.membership
         while not self._context.stopping() and self._listed(vm.vm_id) == vm:
-            answer = call_json(
-                self._client(vm.address),
-                "POST",
-                "/peer/heartbeat",
-                self._context.make_heartbeat(),
-                Heartbeat,
-                HEARTBEAT_TIMEOUT_S,
-            )
-            if isinstance(answer, Heartbeat) and answer.vm_id == vm.vm_id:
-                receive_heartbeat(self._context, answer)
-                self._fetch_upstreams(vm, answer)
-            else:
-                self.heartbeats_missed += 1
+            # An exchange informs both ends, so whoever was heard just now need not be called.
+            if membership.silence_s(vm.vm_id) >= CALL_AFTER_SILENCE_S:
+                self._exchange_heartbeats(vm)
+            heartbeat = membership.newest(vm.vm_id)
+            if heartbeat is not None:
+                self._fetch_upstreams(vm, heartbeat)
+                self._fetch_team_uses(vm)
             self._context.sleep(HEARTBEAT_INTERVAL_S)
 
+    def _exchange_heartbeats(self, vm: Vm) -> None:
+        answer = call_json(
+            self._client(vm.address),
+            "POST",
+            "/peer/heartbeat",
+            self._context.make_heartbeat(),
+            Heartbeat,
+            HEARTBEAT_TIMEOUT_S,
+        )
+        if isinstance(answer, Heartbeat) and answer.vm_id == vm.vm_id:
+            receive_heartbeat(self._context, answer)
+
+    def _fetch_team_uses(self, vm: Vm) -> None:
+        now_s = self._context.clock()
+        if now_s < self._team_uses_due_by_id.get(vm.vm_id, now_s):
+            return
+        self._team_uses_due_by_id[vm.vm_id] = now_s + TEAM_USES_INTERVAL_S
+        answer = call_json(self._client(vm.address), "GET", "/peer/teams", None, TeamUses)
+        if isinstance(answer, TeamUses):
+            self.team_uses_by_id[vm.vm_id] = answer.used_by_team
+
     def _fetch_upstreams(self, vm: Vm, heartbeat: Heartbeat) -> None:
         directory = self._context.directory
         for hint in heartbeat.shards:
--- a/laburnumswitch/process/quota.py
+++ b/laburnumswitch/process/quota.py
@@ -79,5 +79,14 @@
     return tuple(TeamUse(team, used) for team, used in batch_use(ledger).items())
 
 
+def join_team_uses(hints: Iterable[ShardHint]) -> tuple[TeamUse, ...]:
+    """Return what teams use in several shards together."""
+    used: dict[str, Size] = {}
+    for hint in hints:
+        for use in hint.used_by_team:
+            used[use.team] = used.get(use.team, ZERO).plus(use.used)
+    return tuple(TeamUse(team, size) for team, size in used.items())
+
+
 def _part(size: Size, count: int) -> Size:
     return Size(*(part // count for part in size))
--- a/laburnumswitch/process/status.py
+++ b/laburnumswitch/process/status.py
@@ -9,6 +9,7 @@
 from laburnumswitch.process.admin import reply_json
 from laburnumswitch.process.admin import TEXT
 from laburnumswitch.process.heartbeat import Heartbeat
+from laburnumswitch.process.heartbeat import TeamUses
 from laburnumswitch.process.metrics import Metrics
 from laburnumswitch.process.peers import PeerContext
 from laburnumswitch.process.peers import receive_heartbeat
@@ -45,11 +46,14 @@
 
 
 def make_peer_handler(
-    context: PeerContext, read_document: Callable[[int, str], bytes | None]
+    context: PeerContext,
+    read_document: Callable[[int, str], bytes | None],
+    team_uses: Callable[[], TeamUses],
 ) -> Handler:
     """Return the handler of everything below ``/peer``.
 
     :param read_document: the configuration document of a version and digest, if it is in force.
+    :param team_uses: what teams use in the shards owned here.
     """
 
     def handle(request: AdminRequest) -> AdminReply:
@@ -59,6 +63,8 @@
                 return reply_json(context.make_heartbeat())
             case "GET", ("shard", shard) if shard.isdigit():
                 return _shard_upstreams(context, int(shard))
+            case "GET", ("teams",):
+                return reply_json(team_uses())
             case "GET", ("configuration", name):
                 version, _, digest = name.partition("-")
                 document = read_document(int(version), digest) if version.isdigit() else None
--- a/tests/process/test_directory.py
+++ b/tests/process/test_directory.py
@@ -28,6 +28,14 @@
         found = [upstream.upstream_id for upstream in directory.upstreams_of("orders")]
         self.assertThat(found, Equals(["a.2"]))
 
+    def test_owner_that_does_not_know_yet_empties_no_list(self):
+        directory = Directory()
+        directory.apply(ShardUpstreams(0, 1, 4, (make_upstream("a.1"),)))
+        directory.apply(ShardUpstreams(0, 2, 0, ()))
+        self.assertThat(len(directory.upstreams_of("orders")), Equals(1))
+        directory.apply(ShardUpstreams(0, 2, 1, ()))
+        self.assertThat(directory.upstreams_of("orders"), Equals(()))
+
     def test_zone_state_follows_the_highest_version(self):
         directory = Directory()
         directory.hear_zones([ZoneHint("north", "out", 7)])
--- /dev/null
+++ b/tests/process/test_peers.py
@@ -0,0 +1,111 @@
+"""Heartbeats between two entries: one exchange a pair, and who is called when."""
+
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from laburnumswitch.connection.client import Client
+from laburnumswitch.process.admin import AdminContext
+from laburnumswitch.process.admin import serve_admin
+from laburnumswitch.process.admin import Traffic
+from laburnumswitch.process.directory import Directory
+from laburnumswitch.process.heartbeat import Heartbeat
+from laburnumswitch.process.heartbeat import ShardUpstreams
+from laburnumswitch.process.heartbeat import TeamUses
+from laburnumswitch.process.hint import ShardHint
+from laburnumswitch.process.hint import TeamUse
+from laburnumswitch.process.membership import Membership
+from laburnumswitch.process.peers import PeerContext
+from laburnumswitch.process.peers import Peers
+from laburnumswitch.process.status import make_peer_handler
+from laburnumswitch.process.timeline import Timeline
+from laburnumswitch.process.vms import Vm
+from laburnumswitch.size import Size
+from laburnumswitch.upstream import Upstream
+
+UPSTREAM = Upstream("orders:0.1", "orders", "127.0.0.1:9", "north", "worker-1", 8)
+USE = TeamUse("shop", Size(2000, 100))
+
+
+class Node:
+    """One entry's half of the peer protocol. Its peers' tasks run ``rounds`` times."""
+
+    def __init__(self, vm_id: str, clock, hints: tuple[ShardHint, ...] = ()) -> None:
+        self.vm_id = vm_id
+        self.listed: tuple[Vm, ...] = ()
+        self.sent = 0
+        self.rounds = 0
+        self.hints = hints
+        timeline = Timeline(vm_id, "north", lambda: 0.0)
+        self.context = PeerContext(
+            vm_id,
+            Membership(vm_id, clock),
+            Directory(),
+            timeline,
+            lambda: self.listed,
+            self.make_heartbeat,
+            Client,
+            clock,
+            lambda seconds: None,
+            self.is_over,
+        )
+        self.peers = Peers(self.context)
+        handler = make_peer_handler(
+            self.context, lambda version, digest: None, lambda: TeamUses(vm_id, (USE,))
+        )
+        admin = AdminContext({"peer": handler}, lambda key: True, Traffic())
+        self.server = serve_admin("127.0.0.1:0", admin)
+        self.server.start()
+
+    @property
+    def vm(self) -> Vm:
+        address = f"127.0.0.1:{self.server.server_port}"
+        return Vm(self.vm_id, "entry", address, "north", "live")
+
+    def make_heartbeat(self) -> Heartbeat:
+        self.sent += 1
+        return Heartbeat(self.vm_id, "boot", "north", self.sent, shards=self.hints)
+
+    def is_over(self) -> bool:
+        self.rounds -= 1
+        return self.rounds < 0
+
+    def talk_to(self, vm: Vm) -> None:
+        self.listed = (vm,)
+        self.rounds = 1
+        self.peers._run_peer(vm)
+
+
+class TestPeers(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.now_s = 100.0
+        self.first = Node("entry-1", lambda: self.now_s)
+        self.second = Node("entry-2", lambda: self.now_s, (ShardHint(3, 1, 1),))
+        upstreams = ShardUpstreams(3, 1, 1, (UPSTREAM,))
+        self.second.context.directory.apply(upstreams)
+        for node in (self.first, self.second):
+            self.addCleanup(node.server.stop)
+
+    def test_one_exchange_informs_both_ends(self):
+        self.first.talk_to(self.second.vm)
+        self.assertThat(self.first.context.membership.is_heard("entry-2"), Equals(True))
+        self.assertThat(self.second.context.membership.is_heard("entry-1"), Equals(True))
+        self.second.talk_to(self.first.vm)
+        self.assertThat((self.first.sent, self.second.sent), Equals((1, 1)))
+
+    def test_peer_that_fell_silent_is_called(self):
+        self.first.talk_to(self.second.vm)
+        self.now_s += 1.0
+        self.second.talk_to(self.first.vm)
+        self.assertThat((self.first.sent, self.second.sent), Equals((2, 2)))
+
+    def test_newer_upstreams_and_team_uses_are_fetched_whoever_called(self):
+        self.second.talk_to(self.first.vm)
+        self.first.talk_to(self.second.vm)
+        found = self.first.context.directory.upstreams_of("orders")
+        self.assertThat(found, Equals((UPSTREAM,)))
+        self.assertThat(self.first.peers.team_uses_by_id, Equals({"entry-2": (USE,)}))
+
+    def test_answer_of_another_vm_at_the_address_is_not_heard(self):
+        self.first.talk_to(self.second.vm._replace(vm_id="entry-3"))
+        self.assertThat(self.first.context.membership.is_heard("entry-3"), Equals(False))
