--- a/tests/test_operator_pages.py
+++ b/tests/test_operator_pages.py
@@ -71,6 +71,11 @@
             unlisted = names - set(re.findall(r"`(\w+)`", listed[kind][1]))
             self.assertThat((kind, unlisted), Equals((kind, set())))
 
+    def test_index_names_every_page(self):
+        named = set(re.findall(r"`([\w-]+\.md)`", (PAGES / "README.md").read_text("utf-8")))
+        pages = {page.name for page in PAGES.glob("*.md")}
+        self.assertThat(named | {"README.md"}, Equals(pages))
+
     def test_metrics_named_in_other_pages_exist(self):
         names = set(registered_names())
         names |= {name + end for name in names for end in HISTOGRAM_ENDS}
