--- a/laburnumswitch/process/scheduler.py
+++ b/laburnumswitch/process/scheduler.py
@@ -25,7 +25,6 @@
 from laburnumswitch.process.ownership import SeenHead
 from laburnumswitch.process.ownership import take_over
 from laburnumswitch.process.policy import IN_FORCE
-from laburnumswitch.process.policy import Learned
 from laburnumswitch.process.policy import Policies
 from laburnumswitch.process.quota import team_uses
 from laburnumswitch.process.shard import find_first_seq
@@ -35,6 +34,7 @@
 from laburnumswitch.process.shared_rows import SharedRows
 from laburnumswitch.process.snapshot import load_ledger
 from laburnumswitch.process.table import ReadFailure
+from laburnumswitch.process.usage_history import Learned
 from laburnumswitch.process.views import JobView
 from laburnumswitch.process.views import TaskView
 from laburnumswitch.process.views import view_jobs
@@ -45,7 +45,7 @@
 
 MANAGE_EVERY_S = 0.25
 OBSERVE_EVERY_S = 0.5
-ADMIT_EVERY_S = 1.0
+ADMIT_EVERY_S = 0.5
 YIELD_AFTER_S = 5.0
 OBSERVED_RANKS = 2
 LOAD_ATTEMPTS = 3
@@ -250,7 +250,8 @@
 
     def _admit(self) -> None:
         try:
-            self.admission.run_pass()
+            if self.admission.is_due():
+                self.admission.run_pass()
         except Exception:
             # One declaration that trips a fault must not end the admission of all others.
             logging.exception("admission pass failed")
--- a/laburnumswitch/process/worker_state.py
+++ b/laburnumswitch/process/worker_state.py
@@ -3,6 +3,8 @@
 from typing import Literal
 from typing import NamedTuple
 
+from xxhash import xxh64_intdigest
+
 from laburnumswitch.process.lease import LEASE_S
 from laburnumswitch.process.ledger import Group
 from laburnumswitch.process.ledger import Ledger
@@ -21,7 +23,7 @@
 from laburnumswitch.process.workers import WorkerReport
 
 NEVER_S = float("-inf")
-FULL_EVERY_S = 5.0
+FULL_EVERY_S = 30.0
 STOP_LIMIT_S = 15.0
 
 StopHow = Literal["drain", "checkpoint", "kill"]
@@ -59,11 +61,12 @@
         self.reported_s = NEVER_S
         self.epoch = 0
         self.needs_full = True
+        self.has_news = True
+        self._ask_again = False
         self.unconfirmed: dict[TaskKey, Unconfirmed] = {}
         self.port_by_key: dict[TaskKey, int] = {}
         self.stop_by_key: dict[TaskKey, WantedStop] = {}
         self.percent_by_key: dict[TaskKey, int] = {}
-        self.sent_percent_by_key: dict[TaskKey, int] = {}
         self.usage_by_key: dict[TaskKey, Usage] = {}
         self.usage_is_new = False
         self.events: list[RunEvent] = []
@@ -74,6 +77,7 @@
         self.orphans: tuple[RunReport, ...] = ()
         self.vanished: set[TaskKey] = set()
         self._full_s = NEVER_S
+        self._phase_s = xxh64_intdigest(worker_id.encode()) / 2**64 * FULL_EVERY_S
 
     def expect_runs(self, ledger: Ledger, may_be_sent: bool) -> None:
         """Treat every run of the ledger on this worker as not confirmed, as after a takeover."""
@@ -85,6 +89,7 @@
     def expect_run(self, key: TaskKey, run: int) -> None:
         """Send the start of a run that was just committed."""
         self.unconfirmed[key] = Unconfirmed(run, NO_GRANT, False)
+        self.has_news = True
 
     def forget_run(self, key: TaskKey) -> None:
         """Drop everything about a run that has ended."""
@@ -93,7 +98,6 @@
             self.port_by_key,
             self.stop_by_key,
             self.percent_by_key,
-            self.sent_percent_by_key,
             self.usage_by_key,
         ):
             by_key.pop(key, None)
@@ -105,6 +109,7 @@
         if earlier is not None and (earlier.how == how or earlier.how == "kill"):
             return
         self.stop_by_key[key] = WantedStop(run, how, earlier.since_s if earlier else now_s)
+        self.has_news = True
 
     def make_orders(
         self,
@@ -120,6 +125,7 @@
         :param service_until: the grant for replicas of services.
         :param ending: runs that must not be started any more; ``None`` where none may be.
         """
+        self.has_news = False
         self.needs_full = self.needs_full or now_s - self._full_s >= FULL_EVERY_S
         worker = ledger.find_worker(self.worker_id)
         if worker is None or worker.boot != self.boot or self.reported_s == NEVER_S:
@@ -131,7 +137,6 @@
         starts = []
         if ending is not None:
             starts = self._make_starts(ledger, until, service_until, ending)
-        self.sent_percent_by_key = dict(self.percent_by_key)
         return WorkerOrders(
             self.boot,
             self.owner_epoch,
@@ -145,7 +150,12 @@
         )
 
     def take_report(self, ledger: Ledger, report: WorkerReport, now_s: float) -> None:
-        """Take one answer in. Events wait in ``events`` until a batch holds them."""
+        """Take one answer in. Events wait in ``events`` until a batch holds them.
+
+        A worker that has seen a higher epoch obeys another owner; its answer is left alone.
+        """
+        if report.epoch > self.owner_epoch:
+            return
         if report.boot != self.boot:
             self._begin_boot(report.boot)
         self.clock = report.clock
@@ -162,14 +172,17 @@
                 self.usage_by_key[key] = usage
                 self.usage_is_new = True
         if report.runs is not None:
+            self._ask_again = False
             self._compare_runs(ledger, report)
-            self.needs_full = False
-            self._full_s = now_s
+            self.needs_full = self._ask_again
+            # The first interval differs by worker, so that full reports do not come all at once.
+            phase_s = self._phase_s if self._full_s == NEVER_S else 0.0
+            self._full_s = now_s - phase_s
 
     def fail_exchange(self) -> None:
         """Note that the orders of the last exchange may or may not have arrived."""
         self.needs_full = True
-        self.sent_percent_by_key = {}
+        self.has_news = True
 
     def _begin_boot(self, boot: str) -> None:
         # What the earlier boot reported still counts, though the worker has forgotten it.
@@ -210,11 +223,14 @@
             seen.add(key)
             self._confirm(key, held.port)
         self.orphans = tuple(orphans)
-        with_event = {event.task_id for event in self.events if event.kind != "started"}
-        for key in worker.runs - seen:
-            task_id = ledger.group_by_number[key.group].task_id(key.index)
-            if task_id not in with_event:
-                self._note_missing(key, report.clock)
+        missing = worker.runs - seen
+        if missing and report.events:
+            # The end of a missing run may be among events that this report had no place for.
+            self.has_news = True
+            self._ask_again = True
+            return
+        for key in missing:
+            self._note_missing(key, report.clock)
 
     def _note_missing(self, key: TaskKey, clock: float) -> None:
         start = self.unconfirmed.get(key)
