--- a/laburnumswitch/process/peers.py
+++ b/laburnumswitch/process/peers.py
@@ -117,6 +117,8 @@
         )
         if isinstance(answer, Heartbeat) and answer.vm_id == vm.vm_id:
             receive_heartbeat(self._context, answer)
+        else:
+            self.heartbeats_missed += 1
 
     def _fetch_team_uses(self, vm: Vm) -> None:
         now_s = self._context.clock()
--- a/tests/process/test_metrics.py
+++ b/tests/process/test_metrics.py
@@ -97,7 +97,9 @@
             self.assertThat(self.page(), Contains(line))
 
     def test_heartbeats_that_a_peer_does_not_answer(self):
-        answers = [ConnectFailed("a", "refused"), Response(401, (), b""), self.heartbeat("e2")]
+        no_team_uses = Response(404, (), b"")
+        refused = [ConnectFailed("a", "refused"), Response(401, (), b"")]
+        answers = [*refused, self.heartbeat("e2"), no_team_uses]
         peer = Client("127.0.0.1:9")
         peer.call = lambda *_: answers.pop(0)
         vm = Vm("e2", "entry", "127.0.0.1:9", "a", "live")
@@ -109,6 +111,7 @@
             lambda: (vm,),
             lambda: Heartbeat("e1", "boot", "a", 1),
             lambda address: peer,
+            self.clock,
             lambda delay_s: yield_to_others(0),
             lambda: not answers,
         )
