Take the end of a run that is reported after its lapse was recorded

A worker that was paused beyond its lease could finish a run, and report that only after the ledger held the lapse. The report was dropped, and the task ran a second time although it had not started again.

While the task is pending for the next run in this shard, such a report is now its end: the record LateFinished removes the pending task and counts it as finished once, and the group's other pending tasks wait for the next batch, which is due at once. The record holds only from pending for the run after the one that finished, so a task that was started again, given away, cancelled or ended stays as it was.

The story of random faults now counts late ends among the accepted ones, which is stricter.

--- a/laburnumswitch/process/batch_builder.py
+++ b/laburnumswitch/process/batch_builder.py
@@ -5,6 +5,7 @@
 from laburnumswitch.process.journal import Batch
 from laburnumswitch.process.records import Ended
 from laburnumswitch.process.records import How
+from laburnumswitch.process.records import LateFinished
 from laburnumswitch.process.records import Record
 from laburnumswitch.process.table import Condition
 from laburnumswitch.process.table import Put
@@ -31,6 +32,7 @@
         self._puts: list[Put] = []
         self._deletes: list[str] = []
         self._ended: dict[TaskKey, How] = {}
+        self._late: set[TaskKey] = set()
 
     @property
     def is_empty(self) -> bool:
@@ -45,6 +47,19 @@
         self.ending.add(key)
         return True
 
+    def end_late(self, key: TaskKey, run: int) -> None:
+        """Record that a pending task is over, since its last run had finished.
+
+        The record goes before any that removes the group's other pending tasks. Starts of these
+        wait for the next batch, which is due at once.
+        """
+        if key in self._late:
+            return
+        self._late.add(key)
+        self.records.append(LateFinished(key.group, key.index, run))
+        self.settled_groups.add(key.group)
+        self.urgent = True
+
     def ends(self, key: TaskKey) -> bool:
         """Return whether this batch ends the present run of a task."""
         return key in self._ended
--- a/laburnumswitch/process/collect.py
+++ b/laburnumswitch/process/collect.py
@@ -123,7 +123,12 @@
     batch: BatchBuilder, ledger: Ledger, worker: Worker, event: RunEvent, on_end: OnEnd
 ) -> None:
     key = find_key(ledger, event.task_id)
-    run = ledger.find_run(key) if key else None
+    if key is None:
+        return
+    if event.kind == "finished" and ledger.ended_too_early(key, event.run):
+        batch.end_late(key, event.run)
+        return
+    run = ledger.find_run(key)
     if run is None or run.run != event.run or run.worker != worker.number:
         return
     how = _how_ended(event)
--- a/laburnumswitch/process/journal.py
+++ b/laburnumswitch/process/journal.py
@@ -14,7 +14,7 @@
 from laburnumswitch.process.head import journal_key
 from laburnumswitch.process.head import read_head
 from laburnumswitch.process.ledger import Ledger
-from laburnumswitch.process.records import FORMAT
+from laburnumswitch.process.records import format_of
 from laburnumswitch.process.records import JournalRow
 from laburnumswitch.process.records import read_journal_row
 from laburnumswitch.process.records import Record
@@ -67,7 +67,7 @@
     value = _next_value(head, batch)
     puts = [Put(head_key(head.shard), value)]
     if batch.records:
-        row = JournalRow(head.epoch, batch.batch_id, batch.records, FORMAT)
+        row = JournalRow(head.epoch, batch.batch_id, batch.records, format_of(batch.records))
         puts.append(Put(journal_key(head.shard, head.seq + 1), row))
     outcome = table.commit(
         Transaction(
--- a/laburnumswitch/process/ledger.py
+++ b/laburnumswitch/process/ledger.py
@@ -16,6 +16,7 @@
 from laburnumswitch.process.records import Forgotten
 from laburnumswitch.process.records import GivenAway
 from laburnumswitch.process.records import How
+from laburnumswitch.process.records import LateFinished
 from laburnumswitch.process.records import Record
 from laburnumswitch.process.records import Replaced
 from laburnumswitch.process.records import Retired
@@ -144,6 +145,14 @@
         group = self.group_by_number.get(key.group)
         return None if group is None else group.running.get(key.index)
 
+    def ended_too_early(self, key: TaskKey, run: int) -> bool:
+        """Return whether a batch task is pending because ``run``, its last one, did not finish."""
+        group = self.group_by_number.get(key.group)
+        if group is None or group.work.service:
+            return False
+        pending = group.again.get(key.index)
+        return pending is not None and pending.next_run == run + 1
+
     def verify(self, records: Iterable[Record]) -> LedgerConflict | None:
         """Return why a batch would not apply.
 
@@ -158,6 +167,8 @@
                 conflict = self._verify_start(record, started, room_by_worker)
             elif isinstance(record, Ended):
                 conflict = self._verify_end(record, ended)
+            elif isinstance(record, LateFinished):
+                conflict = self._verify_late(record, started)
             else:
                 conflict = None
             if conflict is not None:
@@ -208,6 +219,13 @@
             ended.add(key)
         return None
 
+    def _verify_late(self, record: LateFinished, settled: set[TaskKey]) -> LedgerConflict | None:
+        key = TaskKey(record.group, record.index)
+        if key in settled or not self.ended_too_early(key, record.run):
+            return _conflict(record, f"task {record.index} is not pending after run {record.run}")
+        settled.add(key)
+        return None
+
     def _apply_worker_seen(self, record: WorkerSeen) -> LedgerConflict | None:
         worker = self.find_worker(record.worker_id)
         if worker is None:
@@ -275,6 +293,15 @@
             _settle_end(group, index, run, record.how)
         return None
 
+    def _apply_late_finished(self, record: LateFinished) -> LedgerConflict | None:
+        conflict = self._verify_late(record, set())
+        if conflict is not None:
+            return conflict
+        group = self.group_by_number[record.group]
+        group.remove_pending(record.index)
+        group.finished += 1
+        return None
+
     def _apply_cancelled(self, record: Cancelled) -> LedgerConflict | None:
         if any(number not in self.group_by_number for number in record.groups):
             return _conflict(record, "unknown group")
@@ -356,4 +383,5 @@
     Replaced: Ledger._apply_replaced,
     Retired: Ledger._apply_retired,
     Forgotten: Ledger._apply_forgotten,
+    LateFinished: Ledger._apply_late_finished,
 }
--- a/laburnumswitch/process/policy.py
+++ b/laburnumswitch/process/policy.py
@@ -26,6 +26,7 @@
 from laburnumswitch.process.quota import QuotaBook
 from laburnumswitch.process.records import Ended
 from laburnumswitch.process.records import How
+from laburnumswitch.process.records import LateFinished
 from laburnumswitch.process.records import Record
 from laburnumswitch.process.records import Started
 from laburnumswitch.process.records import WorkerGone
@@ -146,6 +147,8 @@
                 self._note_started(record, now_s)
             elif isinstance(record, Ended):
                 self._note_ended(record, ended_by_key)
+            elif isinstance(record, LateFinished):
+                self._note_late(record)
             elif isinstance(record, WorkerSeen | WorkerGone):
                 self.all_changed()
 
@@ -328,6 +331,20 @@
                 shard=self._shard,
             )
 
+    def _note_late(self, record: LateFinished) -> None:
+        key = TaskKey(record.group, record.index)
+        self._avoid_by_key.pop(key, None)
+        self._not_before_by_key.pop(key, None)
+        self._context.timeline.record(
+            "run_ended",
+            self._ledger.group_by_number[record.group].task_id(record.index),
+            run=record.run,
+            how="finished_late",
+            worker="",
+            zone="",
+            shard=self._shard,
+        )
+
     def _note_ended(self, record: Ended, ended_by_key: Mapping[TaskKey, Run]) -> None:
         group = self._ledger.group_by_number[record.group]
         for index in record.indexes:
--- a/laburnumswitch/process/records.py
+++ b/laburnumswitch/process/records.py
@@ -5,6 +5,7 @@
 Journal rows are never rewritten, so trailing fields that this version does not know stay there.
 """
 
+from collections.abc import Iterable
 from enum import IntEnum
 from typing import Any
 
@@ -18,6 +19,8 @@
 from laburnumswitch.size import Size
 
 FORMAT = 1
+# Rows that hold a late end: readers that do not know it refuse them by their format.
+LATE_FORMAT = 2
 
 
 class How(IntEnum):
@@ -115,6 +118,17 @@
     groups: tuple[int, ...]
 
 
+class LateFinished(Struct, frozen=True, tag=11, array_like=True):
+    """A task is over: run ``run``, which was counted as lapsed, had finished.
+
+    Holds only while the task is pending for the run after that one.
+    """
+
+    group: int
+    index: int
+    run: int
+
+
 Record = (
     WorkerSeen
     | WorkerGone
@@ -126,6 +140,7 @@
     | Replaced
     | Retired
     | Forgotten
+    | LateFinished
 )
 
 
@@ -138,11 +153,17 @@
     format: int = FORMAT
 
 
+def format_of(records: Iterable[Record]) -> int:
+    """Return the lowest format whose readers know all of ``records``."""
+    has_late = any(isinstance(record, LateFinished) for record in records)
+    return LATE_FORMAT if has_late else FORMAT
+
+
 def read_journal_row(key: str, value: Any) -> JournalRow | FormatUnknown | JournalBroken:
     """Decode the value of a journal row."""
     if not isinstance(value, dict):
         return JournalBroken(key, "no such row")
-    if value.get("format", FORMAT) > FORMAT:
+    if value.get("format", FORMAT) > LATE_FORMAT:
         return FormatUnknown(key, value["format"])
     try:
         return convert(value, JournalRow)
--- a/tests/process/test_ledger.py
+++ b/tests/process/test_ledger.py
@@ -18,9 +18,11 @@
 from laburnumswitch.process.records import ChunkTaken
 from laburnumswitch.process.records import Ended
 from laburnumswitch.process.records import Forgotten
+from laburnumswitch.process.records import format_of
 from laburnumswitch.process.records import GivenAway
 from laburnumswitch.process.records import How
 from laburnumswitch.process.records import JournalRow
+from laburnumswitch.process.records import LateFinished
 from laburnumswitch.process.records import read_journal_row
 from laburnumswitch.process.records import Replaced
 from laburnumswitch.process.records import Retired
@@ -75,6 +77,7 @@
     st.builds(Replaced, small, indexes),
     st.builds(Retired, small, indexes),
     st.builds(Forgotten, indexes),
+    st.builds(LateFinished, small, small, st.integers(0, 2)),
 )
 
 
@@ -122,6 +125,44 @@
         self.assertThat(ledger.verify(starts), IsInstance(LedgerConflict))
         self.assertThat(ledger.verify((starts[0], starts[0])), IsInstance(LedgerConflict))
 
+    def test_late_end_holds_only_while_the_task_is_pending_for_the_next_run(self):
+        late = LateFinished(0, 0, 1)
+        again = Again(0, 2, 0, 0)
+        for before in (
+            (ChunkTaken("c", write_work(make_work()), 0, 1),),
+            (ChunkTaken("c", write_work(make_work()), 0, 0, (Again(0, 3, 0, 0),)),),
+            (ChunkTaken("c", write_work(make_work(service="s")), 0, 0, (again,)),),
+            *(
+                (ChunkTaken("c", write_work(make_work()), 0, 0, (again,)), then)
+                for then in (
+                    Started(0, 0, (0,), (2,)),
+                    GivenAway(0, 0, 0, (0,)),
+                    Cancelled((0,)),
+                    late,
+                )
+            ),
+        ):
+            ledger = Ledger()
+            ledger.apply(WorkerSeen("w", "b", "a", "r", Size(1_000, 1_000)))
+            self.assertThat(ledger.apply_all(before), Is(None))
+            self.assertThat(ledger.verify((late,)), IsInstance(LedgerConflict))
+            self.assertThat(ledger.apply(late), IsInstance(LedgerConflict))
+
+    def test_start_of_a_task_that_ends_late_in_the_same_batch_is_refused(self):
+        ledger = Ledger()
+        ledger.apply(WorkerSeen("w", "b", "a", "r", Size(1_000, 1_000)))
+        ledger.apply(ChunkTaken("c", write_work(make_work()), 0, 0, (Again(0, 2, 0, 0),)))
+        batch = (LateFinished(0, 0, 1), Started(0, 0, (0,), (2,)))
+        self.assertThat(ledger.verify(batch), IsInstance(LedgerConflict))
+        self.assertThat(ledger.verify(batch[::-1]), IsInstance(LedgerConflict))
+        self.assertThat(ledger.verify((batch[0],)), Is(None))
+
+    def test_only_rows_with_a_late_end_have_the_newer_format(self):
+        self.assertThat(format_of((Forgotten((0,)),)), Equals(1))
+        row = JournalRow(1, "b", (LateFinished(0, 0, 1),), format_of((LateFinished(0, 0, 1),)))
+        self.assertThat(row.format, Equals(2))
+        self.assertThat(read_journal_row("k", decode(encode(row))), Equals(row))
+
     def test_newer_format_and_missing_row_are_refused_by_type(self):
         newer = read_journal_row("k", {"format": 99, "epoch": 1, "batch": "b", "records": []})
         self.assertThat(newer, IsInstance(FormatUnknown))
--- a/tests/process/test_shard.py
+++ b/tests/process/test_shard.py
@@ -243,6 +243,52 @@
         self.assertThat(shard.ledger.find_group("j@1").finished, Equals(1))
         self.assertThat(bench.workers.runs_of(TASK), Equals([1]))
 
+    def test_late_finish_ends_a_task_that_was_not_started_again(self):
+        bench = Bench((make_vm(1),))
+        shard = bench.take_over()
+        worker = bench.workers.by_id[start_one(bench, shard)]
+        worker.reachable = False
+        worker.end(TASK)
+        bench.drive(shard, seconds=10)
+        self.assertThat(shard.ledger.find_group("j@1").again[0].next_run, Equals(2))
+        worker.reachable = True
+        bench.drive(shard, seconds=5)
+        group = bench.take_over("e2").ledger.find_group("j@1")
+        self.assertThat((group.finished, group.is_idle), Equals((1, True)))
+        self.assertThat(bench.workers.runs_of(TASK), Equals([1]))
+        ends = [event.details["how"] for event in bench.events() if event.kind == "run_ended"]
+        self.assertThat(ends, Equals(["lapsed", "finished_late"]))
+
+    def test_late_finish_counts_beside_a_cancellation_in_the_same_batch(self):
+        bench = Bench((make_vm(1),))
+        shard = bench.take_over()
+        bench.submit(make_work(), count=2)
+        bench.drive(shard, seconds=2)
+        worker = bench.workers.by_id["w1"]
+        worker.reachable = False
+        worker.end(TASK)
+        bench.drive(shard, seconds=10)
+        worker.reachable = True
+        bench.put(CANCELLED_PREFIX + "j@1", {})
+        bench.drive(shard, seconds=5)
+        group = shard.ledger.find_group("j@1")
+        self.assertThat((group.finished, group.cancelled, shard.lost), Equals((1, 1, False)))
+
+    def test_late_finish_is_dropped_once_the_next_run_was_started(self):
+        bench = Bench()
+        shard = bench.take_over()
+        worker = bench.workers.by_id[start_one(bench, shard)]
+        worker.reachable = False
+        worker.end(TASK)
+        bench.drive(shard, seconds=10)
+        worker.reachable = True
+        bench.drive(shard, seconds=5)
+        self.assertThat(shard.ledger.find_group("j@1").finished, Equals(0))
+        bench.workers.by_id[bench.place_of(TASK)].end(TASK)
+        bench.drive(shard, seconds=3)
+        self.assertThat(shard.ledger.find_group("j@1").finished, Equals(1))
+        self.assertThat(bench.workers.runs_of(TASK), Equals([1, 2]))
+
     def test_lost_answer_of_a_start_is_repeated_harmlessly(self):
         bench = Bench()
         shard = bench.take_over()
