Add TLS with mutual verification for the links between entries

Links were plain whatever the settings said. Both ends now can verify the other's certificate: its authority, time, IP number, and the availability zone that it names against the one that the platform lists. Files are looked at once a second, and a broken one leaves the last good contexts in force; open connections go on. A refusal is the value PeerNotTrusted, a kind of ConnectFailed, on whichever end it arises: a client that a TLS 1.3 server refuses learns it from the alert or a 403 that the server writes before it reads a byte of a request. Not wired to the daemon and the commands yet.

--- a/laburnumswitch/connection/client.py
+++ b/laburnumswitch/connection/client.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 from select import POLLIN
-from ssl import SSLContext
+from ssl import SSLError
 from time import monotonic
 from typing import NamedTuple
 
@@ -17,8 +17,12 @@
 from geventhttpclient.response import HTTPParseError
 
 from laburnumswitch.connection.parser import AnswerParser
+from laburnumswitch.connection.tls import ClientTls
+from laburnumswitch.connection.tls import refusal_reason
+from laburnumswitch.connection.tls import STATUS_NOT_TRUSTED
 from laburnumswitch.exceptions import AnswerLost
 from laburnumswitch.exceptions import ConnectFailed
+from laburnumswitch.exceptions import PeerNotTrusted
 
 READ_BLOCK_BYTES = 65_536
 IDLE_LIMIT_S = 20.0
@@ -45,13 +49,13 @@
         self,
         address: str,
         headers: Callable[[], Mapping[str, str]] = dict,
-        ssl_context: SSLContext | None = None,
+        tls: ClientTls | None = None,
     ) -> None:
         self.address = address
         self.bytes_sent = 0
         self.bytes_received = 0
         self._headers = headers
-        self._ssl_context = ssl_context
+        self._tls = tls
         self._idle: list[_PooledSocket] = []
 
     def call(
@@ -60,7 +64,8 @@
         """Send one request and return the whole answer.
 
         :param timeout_s: limit in seconds of connecting, sending and receiving together.
-        :return: ``ConnectFailed`` only where no byte was sent.
+        :return: ``ConnectFailed`` only where no byte was sent; its kind ``PeerNotTrusted`` where
+            an end refused the other's certificate, by which no byte was taken.
         """
         sock = None
         sent = False
@@ -72,6 +77,9 @@
                 response, reusable = self._receive(sock, method)
         except (Timeout, OSError, HTTPParseError) as error:
             _close(sock)
+            refusal = refusal_reason(error, not sent) if isinstance(error, SSLError) else None
+            if refusal is not None:
+                return PeerNotTrusted(self.address, refusal)
             reason = type(error).__name__
             if sent:
                 return AnswerLost(self.address, reason)
@@ -79,6 +87,9 @@
         except BaseException:
             _close(sock)
             raise
+        if self._tls is not None and response.status == STATUS_NOT_TRUSTED:
+            _close(sock)
+            return PeerNotTrusted(self.address, response.body.decode("utf-8", "replace"))
         if reusable and len(self._idle) < POOL_SIZE:
             self._idle.append(_PooledSocket(sock, monotonic()))
         else:
@@ -98,8 +109,8 @@
         host, _, port = self.address.rpartition(":")
         sock = socket.create_connection((host, int(port)), timeout=timeout_s)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        if self._ssl_context is not None:
-            sock = self._ssl_context.wrap_socket(sock, server_hostname=host)
+        if self._tls is not None:
+            sock = self._tls.wrap_socket(sock, server_hostname=host)
         sock.settimeout(None)
         return sock
 
--- a/laburnumswitch/connection/server.py
+++ b/laburnumswitch/connection/server.py
@@ -1,8 +1,11 @@
 """HTTP server whose answers leave at once."""
 
+from absl import logging
 from gevent import socket
 from gevent.pywsgi import WSGIServer
 
+from laburnumswitch.connection.tls import HandshakeFailedError
+
 
 class NoDelayServer(WSGIServer):
     """WSGI server with Nagle's algorithm off on each accepted connection.
@@ -15,3 +18,13 @@
         """Serve one connection."""
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         super().handle(sock, address)
+
+    def wrap_socket_and_handle(
+        self, client_socket: socket.socket, address: tuple[str, int]
+    ) -> object:
+        """Serve one connection over TLS, unless its handshake fails."""
+        try:
+            return super().wrap_socket_and_handle(client_socket, address)
+        except HandshakeFailedError as error:
+            logging.warning("event=handshake_failed peer=%s reason=%s", address[0], error)
+            return None
--- a/laburnumswitch/exceptions/__init__.py
+++ b/laburnumswitch/exceptions/__init__.py
@@ -23,6 +23,7 @@
 from laburnumswitch.exceptions.platform import FormatUnknown
 from laburnumswitch.exceptions.platform import NotFound
 from laburnumswitch.exceptions.platform import OutcomeUnknown
+from laburnumswitch.exceptions.platform import PeerNotTrusted
 from laburnumswitch.exceptions.platform import Refused
 from laburnumswitch.exceptions.platform import RowMalformed
 from laburnumswitch.exceptions.platform import Throttled
@@ -87,6 +88,7 @@
     "NotYaml",
     "OutcomeUnknown",
     "OwnershipLost",
+    "PeerNotTrusted",
     "ProblemsFound",
     "QuotaTooSmall",
     "Refused",
--- a/laburnumswitch/exceptions/platform.py
+++ b/laburnumswitch/exceptions/platform.py
@@ -13,6 +13,11 @@
     reason: str
 
 
+@dataclass(frozen=True)
+class PeerNotTrusted(ConnectFailed):
+    """One end refused the other's certificate, so not one byte of the call was taken."""
+
+
 @dataclass(frozen=True)
 class AnswerLost(Failure):
     """At least one byte was sent and no whole answer came back."""
--- a/laburnumswitch/process/keys.py
+++ b/laburnumswitch/process/keys.py
@@ -1,30 +1,21 @@
 """Shared keys of peers and operators, rotated by changing a file."""
 
-import os
 from collections.abc import Callable
 from hmac import compare_digest
 from time import monotonic
-from typing import NamedTuple
 
 from laburnumswitch.exceptions import FileProblem
 from laburnumswitch.exceptions import FileUnreadable
 from laburnumswitch.exceptions import InvalidValue
 from laburnumswitch.exceptions import NotUtf8
 from laburnumswitch.yamlfile import read_file
+from laburnumswitch.yamlfile import stamp_file
 
 MIN_KEY_CHARACTERS = 16
 CHECK_INTERVAL_S = 1.0
 SCHEME = "Bearer "
 
 
-class FileStamp(NamedTuple):
-    """What changes when a file is replaced or written."""
-
-    modified_ns: int
-    size: int
-    inode: int
-
-
 def read_keys(path: str) -> tuple[str, ...] | FileProblem:
     """Read a key file: one key a line; empty lines and lines that begin with ``#`` are left out."""
     content = read_file(path)
@@ -62,7 +53,7 @@
         self._path = path
         self._keys = keys
         self._clock = clock
-        self._stamp = _stamp(path)
+        self._stamp = stamp_file(path)
         self._checked_s = clock()
 
     def headers(self) -> dict[str, str]:
@@ -82,7 +73,7 @@
         if now_s - self._checked_s < CHECK_INTERVAL_S:
             return
         self._checked_s = now_s
-        stamp = _stamp(self._path)
+        stamp = stamp_file(self._path)
         if stamp == self._stamp and self.problem is None:
             return
         keys = read_keys(self._path)
@@ -100,11 +91,3 @@
     if isinstance(keys, FileProblem):
         return keys
     return KeyFile(path, keys, clock)
-
-
-def _stamp(path: str) -> FileStamp | None:
-    try:
-        status = os.stat(path)
-    except OSError:
-        return None
-    return FileStamp(status.st_mtime_ns, status.st_size, status.st_ino)
--- a/laburnumswitch/yamlfile.py
+++ b/laburnumswitch/yamlfile.py
@@ -5,6 +5,7 @@
 size of the file. Scalars follow the core schema of YAML 1.2: ``on`` and ``no`` are texts.
 """
 
+import os
 import re
 from collections.abc import Iterator
 from math import isfinite
@@ -56,6 +57,14 @@
     column: int
 
 
+class FileStamp(NamedTuple):
+    """What changes when a file is replaced or written."""
+
+    modified_ns: int
+    size: int
+    inode: int
+
+
 class YamlDocument(NamedTuple):
     """One document of a file. ``by_path`` has the place of each value, ``keys`` of each key."""
 
@@ -82,6 +91,15 @@
     problems: tuple[FileProblem, ...]
 
 
+def stamp_file(path: str) -> FileStamp | None:
+    """Return what tells a changed file, or ``None`` where there is no file."""
+    try:
+        status = os.stat(path)
+    except OSError:
+        return None
+    return FileStamp(status.st_mtime_ns, status.st_size, status.st_ino)
+
+
 def read_file(path: str) -> bytes | FileUnreadable:
     """Return the bytes of a file of at most ``MAX_FILE_BYTES``."""
     try:
