Understand messages of the adjacent newer version

Cause: messages travel as arrays, and a longer array was refused as malformed, so that an older entry did not hear a newer one. What is known is now decoded and the rest left out, also inside of lists; wrong types are still refused. The strict way is tried first, so equal versions pay nothing.

--- a/laburnumswitch/connection/answer.py
+++ b/laburnumswitch/connection/answer.py
@@ -2,13 +2,12 @@
 
 from typing import TypeVar
 
-from msgspec import convert
 from msgspec import DecodeError
 from msgspec import ValidationError
-from msgspec.json import decode
 from msgspec.json import encode
 
 from laburnumswitch.connection.client import Client
+from laburnumswitch.connection.lenient import decode_known
 from laburnumswitch.exceptions import AnswerLost
 from laburnumswitch.exceptions import AnswerMalformed
 from laburnumswitch.exceptions import ConnectFailed
@@ -43,7 +42,7 @@
         reason = response.body[:200].decode("utf-8", "replace")
         return Refused(client.address, response.status, reason)
     try:
-        return convert(decode(response.body), answer_type)
+        return decode_known(response.body, answer_type)
     except (DecodeError, ValidationError) as error:
         return AnswerMalformed(client.address, str(error))
 
--- a/laburnumswitch/process/admin.py
+++ b/laburnumswitch/process/admin.py
@@ -12,9 +12,9 @@
 
 from msgspec import DecodeError
 from msgspec import ValidationError
-from msgspec.json import decode
 from msgspec.json import encode
 
+from laburnumswitch.connection.lenient import decode_known
 from laburnumswitch.connection.server import NoDelayServer
 
 BODY_LIMIT_BYTES = 4 * 1024 * 1024
@@ -44,7 +44,7 @@
 
     def decode(self, body_type: type) -> Any:
         """Return the JSON body as ``body_type``; raises what msgspec raises."""
-        return decode(self.body, type=body_type)
+        return decode_known(self.body, body_type)
 
 
 class AdminReply(NamedTuple):
