Wake admission and shards instead of waiting for their timers

An urgent job waited for three timers one after the other: admission's poll, the shard's reading of its inbox, and the shard's next turn.

* Admission sleeps until the next instant of a schedule where that comes before its poll.
It keeps the instants of its last pass, so the cron expressions are no longer evaluated at every poll, and a schedule's first mark and first instant are found by the same pass.
* Scheduler.wake_admission is to be called when a configuration was adopted.
* After a commit that handed tasks to a shard, admission has that shard read its inbox in a turn that is due at once: immediately for urgent jobs and replicas, otherwise once at the end of the pass.
Scheduler.wake_shard does it for an owned shard, and SchedulerContext.wake_peer, which does nothing unless given, asks the owner of another.

All of these are hints: a lost one costs the timer that ran before. The sum of timers from a schedule's instant to a committed start is derived from constants; it was 1.25 s and is 0.75 s with the shard's wake-up counted as lost. The sum after publication is left as it was until admission is woken on adoption.

--- a/laburnumswitch/process/admission.py
+++ b/laburnumswitch/process/admission.py
@@ -4,6 +4,7 @@
 rendezvous hashing prefers does.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -34,6 +35,7 @@
 from laburnumswitch.process.schedule import FIRINGS_PER_PASS
 from laburnumswitch.process.schedule import first_mark
 from laburnumswitch.process.schedule import next_firing
+from laburnumswitch.process.schedule import next_instant
 from laburnumswitch.process.schedule import read_fired
 from laburnumswitch.process.service_row import change_service
 from laburnumswitch.process.service_row import service_key
@@ -55,6 +57,7 @@
 KEEP_ENDED_JOBS = 10
 ACTIVE_EVERY_S = 2.0
 IDLE_EVERY_S = 5.0
+SHORTEST_PAUSE_S = 0.001
 
 
 class _NoFiring(NamedTuple):
@@ -67,13 +70,25 @@
 
 
 class Admission:
-    """What one entry remembers between passes: fired rows, and schedules that cannot be read."""
+    """What one entry remembers between passes: fired rows, and schedules that cannot be read.
 
-    def __init__(self, context: SchedulerContext, shared: SharedRows) -> None:
+    ``wake_owner`` is told each shard that was handed tasks: at once where these are urgent or
+    replicas, otherwise once at the end of the pass.
+    """
+
+    def __init__(
+        self,
+        context: SchedulerContext,
+        shared: SharedRows,
+        wake_owner: Callable[[int], None] = lambda shard: None,
+    ) -> None:
         self.invalid_by_job: dict[str, Failure] = {}
         self._context = context
         self._shared = shared
+        self._wake_owner = wake_owner
+        self._handed_shards: set[int] = set()
         self._fired_by_job: dict[str, FiredRows] = {}
+        self._instant_by_job: dict[str, float] = {}
         self._version = 0
         self._due_s = float("-inf")
 
@@ -83,13 +98,18 @@
         if configuration.version != self._version or self._context.clock() >= self._due_s:
             return True
         now_s = self._context.wall_clock()
-        for job in configuration.jobs:
-            fired = self._fired_by_job.get(job.name)
-            if job.schedule and fired is not None:
-                firing = next_firing(job, fired, now_s)
-                if firing is not None and not isinstance(firing, Failure):
-                    return True
-        return False
+        return any(instant_s <= now_s for instant_s in self._instant_by_job.values())
+
+    def next_instant_in_s(self, looked_s: float) -> float:
+        """Return the seconds until the next instant of a schedule, infinite where none is known.
+
+        :param looked_s: Unix time before the last look. Earlier instants were seen by it; later
+            ones may have passed meanwhile.
+        """
+        instants = [at_s for at_s in self._instant_by_job.values() if at_s > looked_s]
+        if not instants:
+            return float("inf")
+        return max(SHORTEST_PAUSE_S, min(instants) - self._context.wall_clock())
 
     def run_pass(self) -> None:
         """Admit and complete whatever is due; what fails is tried again by the next pass."""
@@ -107,6 +127,7 @@
         self._fire_schedules(configuration, stored)
         self._admit_waiting(configuration, stored)
         self._admit_services(configuration)
+        self._wake_handed()
         complete_jobs(self._context, stored)
         self._prune(configuration, stored)
 
@@ -120,6 +141,7 @@
                 self._create(configuration, job, job_id, stored, NO_FIRING)
 
     def _fire_schedules(self, configuration: Configuration, stored: tuple[StoredJob, ...]) -> None:
+        self._instant_by_job.clear()
         for job in configuration.jobs:
             if not job.schedule:
                 continue
@@ -137,8 +159,8 @@
             return False
         if fired is None:
             mark = first_mark(job.name, now_s)
-            table.commit(Transaction(mark.conditions, mark.puts))
-            return False
+            # Once the mark is there, the next look finds the first instant.
+            return isinstance(table.commit(Transaction(mark.conditions, mark.puts)), Committed)
         firing = next_firing(job, fired, now_s)
         if isinstance(firing, Failure):
             self.invalid_by_job[job.name] = firing
@@ -146,6 +168,9 @@
         self.invalid_by_job.pop(job.name, None)
         if firing is None:
             self._fired_by_job[job.name] = fired
+            instant_s = next_instant(job, fired)
+            if not isinstance(instant_s, Failure):
+                self._instant_by_job[job.name] = instant_s
             return False
         # Whatever comes of it, the rows are read again before the next firing.
         self._fired_by_job.pop(job.name, None)
@@ -210,6 +235,7 @@
         )
         if isinstance(outcome, Committed):
             self._context.timeline.record("job_" + state, job.job_id, reason=reason)
+            self._note_handed(parts, read_work(job.work).urgent)
         return isinstance(outcome, Committed)
 
     def _find_obstacle(
@@ -272,6 +298,8 @@
         outcome = self._context.table.commit(
             Transaction((Condition(row.key, row.version),), (Put(row.key, change.value), *puts))
         )
+        if isinstance(outcome, Committed):
+            self._note_handed(parts, True)
         self._context.timeline.record(
             "service_changed",
             row.key.removeprefix(SERVICE_PREFIX),
@@ -279,6 +307,15 @@
             outcome=type(outcome).__name__,
         )
 
+    def _note_handed(self, parts: Iterable[Part], at_once: bool) -> None:
+        self._handed_shards.update(part.shard for part in parts)
+        if at_once:
+            self._wake_handed()
+
+    def _wake_handed(self) -> None:
+        while self._handed_shards:
+            self._wake_owner(self._handed_shards.pop())
+
     def _prune(self, configuration: Configuration, stored: tuple[StoredJob, ...]) -> None:
         current = {f"{job.name}@{job.generation}" for job in configuration.jobs}
         ended_by_name: dict[str, list[StoredJob]] = {}
--- a/laburnumswitch/process/context.py
+++ b/laburnumswitch/process/context.py
@@ -5,6 +5,8 @@
 from random import Random
 from typing import NamedTuple
 
+from gevent.event import Event
+
 from laburnumswitch.declaration import Configuration
 from laburnumswitch.process.hint import ShardHint
 from laburnumswitch.process.objects import Objects
@@ -14,6 +16,11 @@
 from laburnumswitch.process.workers import Workers
 
 
+def wait_for(event: Event, seconds: float) -> None:
+    """Wait until an event is set, at most for so many seconds."""
+    event.wait(seconds)
+
+
 class SchedulerContext(NamedTuple):
     """Seams, clocks and views of one entry.
 
@@ -26,6 +33,9 @@
     but not from the old one; batch tasks never do.
 
     ``note_commit`` is told the outcome of a shard's batch and the seconds until it was decided.
+
+    ``wait`` sleeps like ``sleep`` until an event is set. ``wake_peer`` asks the peer that owns a
+    shard to read its inbox now. It returns at once, and a request that is lost costs only time.
     """
 
     vm_id: str
@@ -45,3 +55,5 @@
     random: Random
     services_outlive_store: bool = False
     note_commit: Callable[[str, float], None] = lambda outcome, taken_s: None
+    wait: Callable[[Event, float], None] = wait_for
+    wake_peer: Callable[[int], None] = lambda shard: None
--- a/laburnumswitch/process/schedule.py
+++ b/laburnumswitch/process/schedule.py
@@ -70,17 +70,25 @@
     return Firing("", (Condition(key, ABSENT_VERSION),), (Put(key, value),), ())
 
 
-def next_firing(job: Job, fired: FiredRows, now_s: float) -> Firing | None | ScheduleInvalid:
-    """Return the first firing after the last one, or ``None`` where it is not due."""
+def next_instant(job: Job, fired: FiredRows) -> float | ScheduleInvalid:
+    """Return the Unix time of the first instant after the last firing."""
     last_s = _read_instant(fired.last_key.rpartition("/")[2])
     try:
         zone = ZoneInfo(job.time_zone)
         instant = next(CronSim(job.schedule, datetime.fromtimestamp(last_s, zone)))
     except (CronSimError, ZoneInfoNotFoundError, ValueError, StopIteration) as error:
         return ScheduleInvalid(job.name, str(error) or type(error).__name__)
-    if instant.timestamp() > now_s:
+    return instant.timestamp()
+
+
+def next_firing(job: Job, fired: FiredRows, now_s: float) -> Firing | None | ScheduleInvalid:
+    """Return the first firing after the last one, or ``None`` where it is not due."""
+    instant_s = next_instant(job, fired)
+    if isinstance(instant_s, Failure):
+        return instant_s
+    if instant_s > now_s:
         return None
-    name = _name_instant(instant.timestamp())
+    name = _name_instant(instant_s)
     key = fired_prefix(job.name) + name
     conditions = (
         Condition(fired.last_key, fired.last_version),
--- a/laburnumswitch/process/scheduler.py
+++ b/laburnumswitch/process/scheduler.py
@@ -4,6 +4,7 @@
 from gevent import Greenlet
 from gevent import joinall
 from gevent import spawn
+from gevent.event import Event
 
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.process.admission import Admission
@@ -57,7 +58,7 @@
     def __init__(self, context: SchedulerContext, policies: Policies = IN_FORCE) -> None:
         self.shared = SharedRows(context.table)
         self.shard_by_number: dict[int, Shard] = {}
-        self.admission = Admission(context, self.shared)
+        self.admission = Admission(context, self.shared, self._wake_owner)
         self._context = context
         self._policies = policies
         self._learned = Learned(Interference(), ClassProfiles())
@@ -66,6 +67,7 @@
         self._other_preferred_s: dict[int, float] = {}
         self._stopping: set[int] = set()
         self._draining = False
+        self._admission_woken = Event()
         self._observe_due_s = float("-inf")
 
     def run(self) -> None:
@@ -104,6 +106,21 @@
             if rank == 0 and shard not in self.shard_by_number and not self._draining:
                 self._try_take_over(shard)
 
+    def wake_admission(self) -> None:
+        """Have admission look at once, such as after a configuration was adopted."""
+        self._admission_woken.set()
+
+    def wake_shard(self, number: int) -> bool:
+        """Have an owned shard read its inbox at once, and return whether this entry owns it.
+
+        Nothing is passed on to a peer, so that two entries cannot send a request back and forth.
+        """
+        shard = self.shard_by_number.get(number)
+        if shard is None or shard.lost:
+            return False
+        shard.wake()
+        return True
+
     def hints(self) -> tuple[ShardHint, ...]:
         """Return what peers should know of the owned shards."""
         return tuple(
@@ -220,7 +237,7 @@
         self.shard_by_number[head.shard] = shard
         self._stopping.discard(head.shard)
         self._task_by_shard[head.shard] = spawn(
-            run_shard, shard, lambda: head.shard in self._stopping, context.sleep
+            run_shard, shard, lambda: head.shard in self._stopping, context.sleep, context.wait
         )
 
     def _load(self, owned: Head) -> Ledger | Failure:
@@ -248,6 +265,10 @@
             self.shared.refresh(self._context.clock())
             self._context.sleep(MANAGE_EVERY_S)
 
+    def _wake_owner(self, shard: int) -> None:
+        if not self.wake_shard(shard):
+            self._context.wake_peer(shard)
+
     def _admit(self) -> None:
         try:
             if self.admission.is_due():
@@ -258,7 +279,11 @@
 
     def _admit_forever(self) -> None:
         while not self._draining:
+            # Cleared first, so that a wake-up during a pass counts for the next one.
+            self._admission_woken.clear()
+            looked_s = self._context.wall_clock()
             entries = self._context.live_entries()
             if preferred_entry("admission", entries) == self._context.vm_id:
                 self._admit()
-            self._context.sleep(ADMIT_EVERY_S)
+            pause_s = min(ADMIT_EVERY_S, self.admission.next_instant_in_s(looked_s))
+            self._context.wait(self._admission_woken, pause_s)
--- a/laburnumswitch/process/shard.py
+++ b/laburnumswitch/process/shard.py
@@ -5,6 +5,7 @@
 
 from absl import logging
 from gevent import spawn
+from gevent.event import Event
 
 from laburnumswitch.exceptions import Conflict
 from laburnumswitch.exceptions import Failure
@@ -85,6 +86,7 @@
         self.head = ownership.head
         self.ledger = ownership.ledger
         self.lost = False
+        self.woken = Event()
         self.workers = ShardWorkers(
             context, shared, self.shard, self.head.epoch, self.ledger, ownership.sent_s
         )
@@ -135,6 +137,11 @@
         self._trimmed_seq += len(trimmed)
         return batch.urgent
 
+    def wake(self) -> None:
+        """Have the inbox read by a turn that is due at once."""
+        self._inbox_due_s = float("-inf")
+        self.woken.set()
+
     def refresh_upstreams(self) -> None:
         """List the running replicas anew, and raise the revision where the list changed.
 
@@ -320,15 +327,22 @@
     return int(rows[0].key.rpartition("/")[2])
 
 
-def run_shard(shard: Shard, must_stop: Callable[[], bool], sleep: Callable[[float], None]) -> None:
+def run_shard(
+    shard: Shard,
+    must_stop: Callable[[], bool],
+    sleep: Callable[[float], None],
+    wait: Callable[[Event, float], None],
+) -> None:
     """Run an owned shard until it is lost or given up, with one task for each worker address."""
     links = spawn(run_links, shard.workers, sleep)
     while not shard.lost and not must_stop():
+        # Cleared first, so that a wake-up during the turn counts for the next one.
+        shard.woken.clear()
         while shard.turn():
             pass
         shard.refresh_upstreams()
         shard.store_snapshot()
-        sleep(COMMIT_EVERY_S)
+        wait(shard.woken, COMMIT_EVERY_S)
     shard.give_up()
     shard.workers.close()
     links.join()
--- a/scripts/capacity_sizing.py
+++ b/scripts/capacity_sizing.py
@@ -176,8 +176,11 @@
 
 
 def urgent_due_worst_s() -> float:
-    """Return the sum of all timers between the instant of a schedule and a committed start."""
-    return ADMIT_EVERY_S + INBOX_EVERY_S + COMMIT_EVERY_S
+    """Return the sum of all timers between the instant of a schedule and a committed start.
+
+    Admission wakes at the instant itself. The wake-up of the shard is counted as lost.
+    """
+    return INBOX_EVERY_S + COMMIT_EVERY_S
 
 
 def _mix(usual: float, rare: float, share: float) -> float:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -273,4 +273,6 @@
         "sleep": clock.sleep,
         "random": Random(1),
     }
-    return SchedulerContext(**{**fields, **changes})
+    fields.update(changes)
+    fields.setdefault("wait", lambda event, seconds: fields["sleep"](seconds))
+    return SchedulerContext(**fields)
--- a/tests/process/test_scheduler.py
+++ b/tests/process/test_scheduler.py
@@ -2,6 +2,7 @@
 
 from gevent import sleep as yield_to_others
 from gevent import spawn
+from gevent.event import Event
 from testtools import TestCase
 from testtools.matchers import Equals
 from testtools.matchers import HasLength
@@ -11,7 +12,10 @@
 from laburnumswitch.declaration import Service
 from laburnumswitch.process.head import read_head
 from laburnumswitch.process.hint import ShardHint
+from laburnumswitch.process.scheduler import ADMIT_EVERY_S
 from laburnumswitch.process.scheduler import Scheduler
+from laburnumswitch.process.shard import COMMIT_EVERY_S
+from laburnumswitch.process.shard import INBOX_EVERY_S
 from laburnumswitch.size import Size
 from standin.table import MemoryTable
 from tests.fakes import FakeClock
@@ -21,6 +25,7 @@
 from tests.fakes import make_vm
 
 SHARDS = 4
+INSTANT_S = 1020.0
 SMALL = Size(1_000, 1_000)
 
 
@@ -36,14 +41,22 @@
         for vm in self.vms:
             self.workers.add(vm)
         self.configuration = configuration or Configuration(1)
+        self.wake_peer = lambda shard: None
         self.live = {f"e{n}" for n in range(count)}
         self.scheduler_by_id = {vm_id: self.make(vm_id) for vm_id in sorted(self.live)}
         case.addCleanup(self.end)
 
     def make(self, vm_id) -> Scheduler:
         def sleep(seconds: float) -> None:
+            wait(Event(), seconds)
+
+        def wait(event: Event, seconds: float) -> None:
             until_s = self.clock() + seconds
-            while self.clock() < until_s or (vm_id not in self.live and not self.ended):
+            while (
+                vm_id not in self.live
+                and not self.ended
+                or not (event.is_set() or self.clock() >= until_s)
+            ):
                 yield_to_others(0)
 
         self.ended = False
@@ -60,6 +73,8 @@
             shard_count=SHARDS,
             configuration=lambda: self.configuration,
             sleep=sleep,
+            wait=wait,
+            wake_peer=lambda shard: self.wake_peer(shard),
         )
         return Scheduler(context)
 
@@ -71,6 +86,9 @@
         live = [self.scheduler_by_id[vm_id] for vm_id in self.live]
         return tuple(item for scheduler in live for item in scheduler.upstreams(shard))
 
+    def admitted(self, name) -> bool:
+        return any(row.value["name"] == name for row in self.table.scan("job/"))
+
     def owners(self) -> dict[int, str]:
         return {
             shard: vm_id
@@ -92,6 +110,11 @@
             for _ in range(6):
                 yield_to_others(0)
 
+    def settle(self) -> None:
+        """Let everything run that is due without any time passing."""
+        for _ in range(40):
+            yield_to_others(0)
+
     def end(self) -> None:
         self.ended = True
         for scheduler in self.scheduler_by_id.values():
@@ -197,3 +220,76 @@
                 if hint.upstream_revision:
                     known[hint.shard] = entries.upstreams(hint.shard)
             self.assertThat(sum(len(listed) for listed in known.values()), Equals(4))
+
+
+class TestWakeUps(TestCase):
+    def admit_urgent(self, entries, vm_id):
+        job = Job("j", "team", ("run",), SMALL, urgent=True)
+        entries.configuration = Configuration(2, "", (), (job,))
+        entries.scheduler_by_id[vm_id].admission.run_pass()
+        entries.settle()
+        (row,) = [row for row in entries.table.scan("job/") if row.value["name"] == "j"]
+        self.assertThat(row.value["state"], Equals("admitted"))
+
+    def test_urgent_job_starts_at_once_in_a_shard_of_the_entry_that_admits_it(self):
+        entries = Entries(self, count=1)
+        entries.drive(3)
+        self.admit_urgent(entries, "e0")
+        self.assertThat(entries.workers.running(), HasLength(1))
+
+    def test_urgent_job_starts_at_once_in_a_shard_of_a_peer_that_is_woken(self):
+        entries, asked = Entries(self, count=2), []
+
+        def wake(shard):
+            asked.append(shard)
+            entries.scheduler_by_id[entries.owners()[shard]].wake_shard(shard)
+
+        entries.wake_peer = wake
+        self.drive_until_peer_owns_all(entries)
+        self.admit_urgent(entries, "e9")
+        self.assertThat(asked, HasLength(1))
+        self.assertThat(entries.workers.running(), HasLength(1))
+
+    def test_wake_up_that_is_lost_costs_only_the_timers(self):
+        entries = Entries(self, count=2)
+        self.drive_until_peer_owns_all(entries)
+        self.admit_urgent(entries, "e9")
+        self.assertThat(entries.workers.running(), HasLength(0))
+        entries.drive(INBOX_EVERY_S + COMMIT_EVERY_S)
+        self.assertThat(entries.workers.running(), HasLength(1))
+
+    def drive_until_peer_owns_all(self, entries):
+        entries.drive(3)
+        # Not live for the others, so it owns nothing; admission is open to any entry.
+        entries.scheduler_by_id["e9"] = entries.make("e9")
+        entries.scheduler_by_id["e9"].shared.refresh(entries.clock())
+
+    def test_adopted_configuration_is_admitted_at_once_when_woken(self):
+        entries = Entries(self, count=1)
+        entries.drive(3)
+        scheduler = entries.scheduler_by_id["e0"]
+        spawn(scheduler._admit_forever)
+        entries.settle()
+        for version, wakes in ((2, True), (3, False)):
+            job = Job(f"j{version}", "team", ("run",), SMALL)
+            entries.configuration = Configuration(version, "", (), (job,))
+            if wakes:
+                scheduler.wake_admission()
+            entries.settle()
+            self.assertThat(entries.admitted(f"j{version}"), Equals(wakes))
+        entries.clock.sleep(ADMIT_EVERY_S)
+        entries.settle()
+        self.assertThat(entries.admitted("j3"), Equals(True))
+
+    def test_admission_wakes_at_the_instant_of_a_schedule_itself(self):
+        job = Job("j", "team", ("run",), SMALL, urgent=True, schedule="* * * * *")
+        entries = Entries(self, count=1, configuration=Configuration(1, "", (), (job,)))
+        entries.clock.now_s = INSTANT_S - 5.3125
+        spawn(entries.scheduler_by_id["e0"]._admit_forever)
+        entries.settle()
+        while entries.clock() < INSTANT_S:
+            self.assertThat(entries.admitted("j"), Equals(False))
+            entries.clock.sleep(0.0625)
+            entries.settle()
+        self.assertThat(entries.clock(), Equals(INSTANT_S))
+        self.assertThat(entries.admitted("j"), Equals(True))
