Wire TLS into the entry, its callers' port and the operators' commands

The section tls of the settings was read and had no effect. A new section caller_tls puts the callers' port behind a certificate that rotates the same way.

--- a/laburnumswitch/command/access.py
+++ b/laburnumswitch/command/access.py
@@ -12,6 +12,9 @@
 
 from laburnumswitch.command.output import fail
 from laburnumswitch.connection.client import Client
+from laburnumswitch.connection.tls import ClientTls
+from laburnumswitch.connection.tls import open_certificates
+from laburnumswitch.connection.tls import TlsFiles
 from laburnumswitch.exceptions import FileProblem
 from laburnumswitch.exceptions import ProblemsFound
 from laburnumswitch.process.keys import read_keys
@@ -40,8 +43,8 @@
     return VmsClient(Client(address))
 
 
-def _open_entry(address: str, headers: Mapping[str, str]) -> Client:
-    return Client(address, lambda: headers)
+def _open_entry(address: str, headers: Mapping[str, str], tls: ClientTls | None) -> Client:
+    return Client(address, lambda: headers, tls)
 
 
 class Access(NamedTuple):
@@ -50,7 +53,7 @@
     open_table: Callable[[str], Table] = _open_table
     open_objects: Callable[[str], Objects] = _open_objects
     open_vms: Callable[[str], Vms] = _open_vms
-    open_entry: Callable[[str, Mapping[str, str]], Client] = _open_entry
+    open_entry: Callable[[str, Mapping[str, str], ClientTls | None], Client] = _open_entry
     sleep: Callable[[float], object] = gevent_sleep
     clock: Callable[[], float] = time
 
@@ -61,6 +64,7 @@
     platform: Platform | None
     entries: tuple[str, ...]
     headers: Mapping[str, str]
+    tls: ClientTls | None = None
 
     def need_platform(self) -> Platform:
         """Return the platform's addresses, or end with wrong usage."""
@@ -91,8 +95,12 @@
     settings_file: str | None,
     entry_addresses: tuple[str, ...],
     key_file: str | None,
+    certificate: str | None,
+    key: str | None,
+    authorities: str | None,
 ) -> Target:
     """Return where to go, by options first and by the settings file for what they leave out."""
+    tls_files = (certificate, key, authorities)
     places = Platform(platform, platform, platform) if platform else None
     if settings_file is not None:
         settings = read_settings(settings_file)
@@ -100,10 +108,12 @@
             fail(settings)
         places = places or settings.platform
         key_file = key_file or settings.key_file
+        if not any(tls_files) and settings.tls is not None:
+            tls_files = settings.tls
         entry_addresses = entry_addresses or (settings.admin_address,)
     for address in entry_addresses + ((platform,) if platform else ()):
         _check_address(address)
-    return Target(places, entry_addresses, _headers(key_file))
+    return Target(places, entry_addresses, _headers(key_file), _open_tls(*tls_files))
 
 
 def operator_name() -> str:
@@ -123,6 +133,20 @@
     return {"Authorization": SCHEME + keys[0]}
 
 
+def _open_tls(
+    certificate: str | None, key: str | None, authorities: str | None
+) -> ClientTls | None:
+    files = (certificate, key, authorities)
+    if not any(files):
+        return None
+    if not all(files):
+        raise click.UsageError("--certificate, --key and --authorities go together")
+    certificates = open_certificates(TlsFiles(certificate, key, authorities))
+    if isinstance(certificates, FileProblem):
+        fail(certificates)
+    return ClientTls(certificates)
+
+
 def _check_address(address: str) -> None:
     host, _, port = address.rpartition(":")
     if not host or not port.isdecimal():
@@ -157,4 +181,22 @@
         envvar=f"{ENVIRONMENT_PREFIX}_KEY_FILE",
         help="Shared keys; the first one is sent to entries.",
     ),
+    click.option(
+        "--certificate",
+        metavar="FILE",
+        envvar=f"{ENVIRONMENT_PREFIX}_CERTIFICATE",
+        help="Certificate shown to entries (PEM); needs --key and --authorities.",
+    ),
+    click.option(
+        "--key",
+        metavar="FILE",
+        envvar=f"{ENVIRONMENT_PREFIX}_KEY",
+        help="Private key of the certificate (PEM).",
+    ),
+    click.option(
+        "--authorities",
+        metavar="FILE",
+        envvar=f"{ENVIRONMENT_PREFIX}_AUTHORITIES",
+        help="Authorities that an entry's certificate must come from (PEM).",
+    ),
 )
--- a/laburnumswitch/command/operator_link.py
+++ b/laburnumswitch/command/operator_link.py
@@ -78,7 +78,7 @@
     access: Access, target: Target, address: str, method: str, path: str
 ) -> EntryAnswer | Failure:
     """Ask one entry."""
-    client = access.open_entry(address, target.headers)
+    client = access.open_entry(address, target.headers, target.tls)
     answer = call_json(client, method, path, None, RowsAnswer, TIMEOUT_S)
     client.close()
     if isinstance(answer, Refused) and answer.status == STATUS_NOT_FOUND:
--- a/laburnumswitch/connection/caller.py
+++ b/laburnumswitch/connection/caller.py
@@ -26,6 +26,7 @@
 from laburnumswitch.connection.reader import CallerRequest
 from laburnumswitch.connection.reader import SocketReader
 from laburnumswitch.connection.server import NoDelayServer
+from laburnumswitch.connection.tls import ServerTls
 from laburnumswitch.exceptions import CallerRefused
 
 OUTCOME_HEADER = "Laburnumswitch-Outcome"
@@ -213,7 +214,7 @@
         address: tuple[str, int],
         application: Application,
         limits: CallerLimits,
-        ssl_context: SSLContext | None = None,
+        ssl_context: SSLContext | ServerTls | None = None,
     ) -> None:
         options = {} if ssl_context is None else {"ssl_context": ssl_context}
         super().__init__(
--- a/laburnumswitch/entry.py
+++ b/laburnumswitch/entry.py
@@ -31,6 +31,9 @@
 from laburnumswitch.process.keys import KeyFile
 from laburnumswitch.process.keys import open_keys
 from laburnumswitch.process.layout import read_or_create_layout
+from laburnumswitch.process.links import Links
+from laburnumswitch.process.links import open_links
+from laburnumswitch.process.links import PLAIN_LINKS
 from laburnumswitch.process.logs import set_up_logs
 from laburnumswitch.process.membership import Membership
 from laburnumswitch.process.metric_sources import add_commit_metrics
@@ -83,9 +86,10 @@
 class Daemon:
     """The parts of one entry and the two steps of its stop."""
 
-    def __init__(self, settings: Settings, keys: KeyFile) -> None:
+    def __init__(self, settings: Settings, keys: KeyFile, links: Links = PLAIN_LINKS) -> None:
         """Build and wire every part; nothing runs and no port is open yet."""
         self.settings = settings
+        self.links = links
         self.leaving = Stopping()
         self.stopped = Stopping()
         self.boot = uuid4().hex[:12]
@@ -117,6 +121,7 @@
         self.table = ClockedTable(self.table, self.timeline)
         self.roster = Roster()
         self.directory = Directory()
+        peer_tls = self.links.peer_tls(self.roster.zone_of)
         self.membership = Membership(settings.vm_id, monotonic)
         self.adopted = Adopted(self.timeline)
         self.peer_context = PeerContext(
@@ -126,7 +131,7 @@
             self.timeline,
             self.roster.entries,
             self.make_heartbeat,
-            lambda address: Client(address, keys.headers),
+            lambda address: Client(address, keys.headers, peer_tls),
             sleep,
             self.stopped.is_set,
         )
@@ -146,7 +151,9 @@
             random=SystemRandom(),
         )
         host, _, port = settings.caller_address.rpartition(":")
-        self.caller_server = serve_callers((host, int(port)), self.request_context)
+        self.caller_server = serve_callers(
+            (host, int(port)), self.request_context, ssl_context=self.links.caller_tls()
+        )
 
     def _build_admin(self, settings: Settings, keys: KeyFile) -> None:
         operator_context = OperatorContext(
@@ -171,7 +178,8 @@
         }
         self.traffic = Traffic()
         context = AdminContext(handlers, keys.accepts, self.traffic)
-        self.admin_server = serve_admin(settings.admin_address, context)
+        arguments = self.links.admin_arguments(self.roster.zone_of)
+        self.admin_server = serve_admin(settings.admin_address, context, arguments)
         self._add_metrics()
 
     def _add_metrics(self) -> None:
@@ -366,7 +374,10 @@
     keys = open_keys(settings.key_file)
     if isinstance(keys, Failure):
         return keys
-    daemon = Daemon(settings, keys)
+    links = open_links(settings)
+    if isinstance(links, Failure):
+        return links
+    daemon = Daemon(settings, keys, links)
     try:
         daemon.start()
     except OSError as error:
--- a/laburnumswitch/process/roster.py
+++ b/laburnumswitch/process/roster.py
@@ -37,6 +37,20 @@
         """Return the listed entry VMs."""
         return self._entries
 
+    def zone_of(self, address: str) -> str | None:
+        """Return the availability zone of the VM that listens at, or connects from, ``address``.
+
+        Only the IP number of one that connects is listed. An address that is not listed, or that
+        VMs of several zones share, has no zone.
+        """
+        host = address.rpartition(":")[0]
+        vms = self._by_id.values()
+        listens = {vm.availability_zone for vm in vms if vm.address == address}
+        zones = listens or {
+            vm.availability_zone for vm in vms if vm.address.rpartition(":")[0] == host
+        }
+        return zones.pop() if len(zones) == 1 else None
+
     def workers(self) -> tuple[Vm, ...]:
         """Return the listed workers."""
         return self._workers
--- a/laburnumswitch/process/settings.py
+++ b/laburnumswitch/process/settings.py
@@ -91,6 +91,13 @@
     authorities: Annotated[FilePath, Meta(description="PEM file of the trusted authorities")]
 
 
+class CallerTls(NamedTuple):
+    """Files of the certificate that callers are shown; they need none themselves."""
+
+    certificate: Annotated[FilePath, Meta(description="PEM file of the certificate chain")]
+    key: Annotated[FilePath, Meta(description="PEM file of the private key")]
+
+
 class Settings(NamedTuple):
     """Settings of one entry."""
 
@@ -111,7 +118,12 @@
         Literal["debug", "info", "warning", "error"], Meta(description="least level that is logged")
     ] = "info"
     limits: Annotated[Limits, Meta(description="limits and delays")] = Limits()
-    tls: Annotated[Tls | None, Meta(description="certificates; without it links are plain")] = None
+    tls: Annotated[
+        Tls | None, Meta(description="certificates towards entries and operators; plain without it")
+    ] = None
+    caller_tls: Annotated[
+        CallerTls | None, Meta(description="certificate towards callers; plain without it")
+    ] = None
 
 
 def read_settings(path: str) -> Settings | ProblemsFound:
--- a/laburnumswitch/request/forward.py
+++ b/laburnumswitch/request/forward.py
@@ -12,6 +12,7 @@
 from laburnumswitch.connection.caller import OUTCOME_HEADER
 from laburnumswitch.connection.reader import CallerLimits
 from laburnumswitch.connection.reader import CallerRequest
+from laburnumswitch.connection.tls import ServerTls
 from laburnumswitch.declaration import Service
 from laburnumswitch.exceptions import AnswerNotKept
 from laburnumswitch.exceptions import ClaimInProgress
@@ -48,7 +49,7 @@
 def serve_callers(
     address: tuple[str, int],
     context: RequestContext,
-    ssl_context: SSLContext | None = None,
+    ssl_context: SSLContext | ServerTls | None = None,
     limits: CallerLimits = DEFAULT_LIMITS,
 ) -> CallerServer:
     """Return the callers' port, listening once it is started."""
--- a/scripts/reference.py
+++ b/scripts/reference.py
@@ -15,6 +15,7 @@
 from msgspec import Meta
 from msgspec.json import encode
 
+from laburnumswitch.process.settings import CallerTls
 from laburnumswitch.process.settings import Limits
 from laburnumswitch.process.settings import Platform
 from laburnumswitch.process.settings import Settings
@@ -41,6 +42,7 @@
     Platform,
     Limits,
     Tls,
+    CallerTls,
 )
 TYPES_BY_NAME = {target.__name__: target for target in TYPES}
 WORDS_BY_TYPE = {
--- a/tests/command/case.py
+++ b/tests/command/case.py
@@ -65,6 +65,6 @@
         code, output, _ = self.run_command(*arguments, "--json")
         return code, decode(output)
 
-    def _open_entry(self, address, headers):
+    def _open_entry(self, address, headers, tls):
         self.headers.append(dict(headers))
         return self.entries.get(address) or silent_entry(address)
--- a/tests/command/test_help.py
+++ b/tests/command/test_help.py
@@ -17,6 +17,7 @@
 from tests.command.test_declarations import JOB
 from tests.command.test_declarations import TEAM
 from tests.command.test_operators import job_row
+from tests.connection.certificates import Authority
 
 PAGES = Path(__file__).parents[2] / "docs" / "operators"
 EXAMPLE = re.compile(r"^ *laburnumswitch (.*)$", re.MULTILINE)
@@ -50,6 +51,8 @@
             (folder / "laburnumswitch.yaml").write_text(f"{TEAM}---\n{JOB}", "utf-8")
             Path("settings.yaml").write_text(SETTINGS, "utf-8")
             Path("keys").write_text("key-0123456789abcdef\n", "utf-8")
+            files = Authority(Path(), "authorities").issue("me")
+            self.assertThat(files, Equals(("me.pem", "me.key", "authorities.pem")))
             for path in _command_paths():
                 _, text, _ = self.run_command(*path, "--help")
                 examples = EXAMPLE.findall(text)
