--- a/laburnumswitch/entry.py
+++ b/laburnumswitch/entry.py
@@ -32,6 +32,9 @@
 from laburnumswitch.process.keys import KeyFile
 from laburnumswitch.process.keys import open_keys
 from laburnumswitch.process.layout import read_or_create_layout
+from laburnumswitch.process.links import Links
+from laburnumswitch.process.links import open_links
+from laburnumswitch.process.links import PLAIN_LINKS
 from laburnumswitch.process.logs import set_up_logs
 from laburnumswitch.process.membership import Membership
 from laburnumswitch.process.metric_sources import add_commit_metrics
@@ -87,9 +90,10 @@
 class Daemon:
     """The parts of one entry and the two steps of its stop."""
 
-    def __init__(self, settings: Settings, keys: KeyFile) -> None:
+    def __init__(self, settings: Settings, keys: KeyFile, links: Links = PLAIN_LINKS) -> None:
         """Build and wire every part; nothing runs and no port is open yet."""
         self.settings = settings
+        self.links = links
         self.leaving = Stopping()
         self.stopped = Stopping()
         self.boot = uuid4().hex[:12]
@@ -121,8 +125,9 @@
         self.table = ClockedTable(self.table, self.timeline)
         self.roster = Roster()
         self.directory = Directory()
+        peer_tls = self.links.peer_tls(self.roster.zone_of)
         self.membership = Membership(settings.vm_id, monotonic)
-        self.adopted = Adopted(self.timeline)
+        self.adopted = Adopted(self.timeline, self.wake_admission)
         self.peer_context = PeerContext(
             settings.vm_id,
             self.membership,
@@ -130,7 +135,7 @@
             self.timeline,
             self.roster.entries,
             self.make_heartbeat,
-            lambda address: Client(address, keys.headers),
+            lambda address: Client(address, keys.headers, peer_tls),
             monotonic,
             sleep,
             self.stopped.is_set,
@@ -159,7 +164,9 @@
             random=SystemRandom(),
         )
         host, _, port = settings.caller_address.rpartition(":")
-        self.caller_server = serve_callers((host, int(port)), self.request_context)
+        self.caller_server = serve_callers(
+            (host, int(port)), self.request_context, ssl_context=self.links.caller_tls()
+        )
 
     def _build_admin(self, settings: Settings, keys: KeyFile) -> None:
         operator_context = OperatorContext(
@@ -179,12 +186,15 @@
             "healthz": make_health_handler(),
             "readyz": make_ready_handler(self.readiness.unready_reason),
             "metrics": make_metrics_handler(self.metrics),
-            "peer": make_peer_handler(self.peer_context, self.read_document, self.team_uses),
+            "peer": make_peer_handler(
+                self.peer_context, self.read_document, self.team_uses, self.wake_shard
+            ),
             "operator": make_operator_handler(operator_context),
         }
         self.traffic = Traffic()
         context = AdminContext(handlers, keys.accepts, self.traffic)
-        self.admin_server = serve_admin(settings.admin_address, context)
+        arguments = self.links.admin_arguments(self.roster.zone_of)
+        self.admin_server = serve_admin(settings.admin_address, context, arguments)
         self._add_metrics()
 
     def _add_metrics(self) -> None:
@@ -250,6 +260,15 @@
                     uses = ()
         return by_shard
 
+    def wake_admission(self) -> None:
+        """Have admission look at a configuration that was just adopted."""
+        if self.scheduler is not None:
+            self.scheduler.wake_admission()
+
+    def wake_shard(self, shard: int) -> bool:
+        """Have a shard that is owned here read its inbox; false for other shards."""
+        return self.scheduler is not None and self.scheduler.wake_shard(shard)
+
     def team_uses(self) -> TeamUses:
         """Return what teams use in the shards owned here."""
         return TeamUses(self.settings.vm_id, join_team_uses(self.shard_hints()))
@@ -358,6 +377,7 @@
             sleep=sleep,
             random=SystemRandom(),
             services_outlive_store=True,
+            wake_peer=self.peers.wake,
             note_commit=self.note_commit,
         )
 
@@ -382,7 +402,10 @@
     keys = open_keys(settings.key_file)
     if isinstance(keys, Failure):
         return keys
-    daemon = Daemon(settings, keys)
+    links = open_links(settings)
+    if isinstance(links, Failure):
+        return links
+    daemon = Daemon(settings, keys, links)
     try:
         daemon.start()
     except OSError as error:
--- a/laburnumswitch/process/peers.py
+++ b/laburnumswitch/process/peers.py
@@ -84,6 +84,13 @@
                 return response.body
         return NotFound(name)
 
+    def wake(self, shard: int) -> None:
+        """Tell the owner of a shard that there is something in its inbox; returns at once."""
+        for heartbeat in self._context.membership.heartbeats():
+            vm = self._listed(heartbeat.vm_id)
+            if vm is not None and any(hint.shard == shard for hint in heartbeat.shards):
+                spawn(self._client(vm.address).call, "POST", f"/peer/wake/{shard}")
+
     def clients(self) -> tuple[Client, ...]:
         """Return the clients of the peers that are heard."""
         heard = {heartbeat.vm_id for heartbeat in self._context.membership.heartbeats()}
--- a/laburnumswitch/process/status.py
+++ b/laburnumswitch/process/status.py
@@ -49,11 +49,13 @@
     context: PeerContext,
     read_document: Callable[[int, str], bytes | None],
     team_uses: Callable[[], TeamUses],
+    wake_shard: Callable[[int], bool],
 ) -> Handler:
     """Return the handler of everything below ``/peer``.
 
     :param read_document: the configuration document of a version and digest, if it is in force.
     :param team_uses: what teams use in the shards owned here.
+    :param wake_shard: has a shard owned here read its inbox; false for other shards.
     """
 
     def handle(request: AdminRequest) -> AdminReply:
@@ -63,6 +65,9 @@
                 return reply_json(context.make_heartbeat())
             case "GET", ("shard", shard) if shard.isdigit():
                 return _shard_upstreams(context, int(shard))
+            case "POST", ("wake", shard) if shard.isdigit():
+                if wake_shard(int(shard)):
+                    return AdminReply(200, b"", TEXT)
             case "GET", ("teams",):
                 return reply_json(team_uses())
             case "GET", ("configuration", name):
--- a/laburnumswitch/version/adoption.py
+++ b/laburnumswitch/version/adoption.py
@@ -39,9 +39,14 @@
 class Adopted:
     """The configuration in force in this process, and the document that peers may ask for."""
 
-    def __init__(self, timeline: Timeline) -> None:
+    def __init__(self, timeline: Timeline, on_adopt: Callable[[], None] = lambda: None) -> None:
+        """Hold no configuration yet.
+
+        :param on_adopt: called after each adoption.
+        """
         self.configuration = NO_CONFIGURATION
         self.document = b""
+        self._on_adopt = on_adopt
         self._timeline = timeline
         self._refused = (NO_HINT, "")
 
@@ -67,6 +72,7 @@
         self._timeline.record(
             "configuration_adopted", str(hint.version), digest=hint.digest, source=source
         )
+        self._on_adopt()
         return True
 
     def refuse(self, hint: ConfigurationHint, source: str, failure: Failure) -> None:
--- a/tests/process/test_peers.py
+++ b/tests/process/test_peers.py
@@ -1,5 +1,6 @@
 """Heartbeats between two entries: one exchange a pair, and who is called when."""
 
+from gevent.queue import Queue
 from testtools import TestCase
 from testtools.matchers import Equals
 
@@ -49,8 +50,12 @@
             self.is_over,
         )
         self.peers = Peers(self.context)
+        self.woken = Queue()
         handler = make_peer_handler(
-            self.context, lambda version, digest: None, lambda: TeamUses(vm_id, (USE,))
+            self.context,
+            lambda version, digest: None,
+            lambda: TeamUses(vm_id, (USE,)),
+            lambda shard: self.woken.put(shard) or True,
         )
         admin = AdminContext({"peer": handler}, lambda key: True, Traffic())
         self.server = serve_admin("127.0.0.1:0", admin)
@@ -109,3 +114,10 @@
     def test_answer_of_another_vm_at_the_address_is_not_heard(self):
         self.first.talk_to(self.second.vm._replace(vm_id="entry-3"))
         self.assertThat(self.first.context.membership.is_heard("entry-3"), Equals(False))
+
+    def test_owner_of_a_shard_is_woken_and_no_other(self):
+        self.first.talk_to(self.second.vm)
+        self.first.peers.wake(8)
+        self.first.peers.wake(3)
+        self.assertThat(self.second.woken.get(timeout=10), Equals(3))
+        self.assertThat(self.second.woken.empty(), Equals(True))
