Refuse what the claim model's mutations do; note where the code lacks the model's guard

Reproduced on the code with a delayed first claim: claimed again, released, the late claim commits, the repeat is told ClaimInProgress and after the run limit RunUnknown.

--- /dev/null
+++ b/tests/spec/test_claim_conformance.py
@@ -0,0 +1,76 @@
+"""Claims along the traces of the claim model's mutations, each of which the code has to refuse."""
+
+from random import Random
+from typing import NamedTuple
+
+from testtools import TestCase
+from testtools.matchers import IsInstance
+
+from laburnumswitch.exceptions import ClaimInProgress
+from laburnumswitch.exceptions import Conflict
+from laburnumswitch.exceptions import NotRun
+from laburnumswitch.request.claim import Claim
+from laburnumswitch.request.claim import claim_key
+from laburnumswitch.request.claim import release_claim
+from standin.table import MemoryTable
+from tests.fakes import FaultyTable
+from tests.request.fakes import answering
+from tests.request.fakes import context_of
+from tests.request.fakes import FakeUpstream
+from tests.request.fakes import MemoryObjects
+
+RUN_LIMIT_S = 2.0
+
+
+class _Head(NamedTuple):
+    method: str = "POST"
+    target: str = "/orders"
+
+
+class _Request(NamedTuple):
+    head: _Head = _Head()
+    body: bytes = b"rice"
+
+
+class ClaimConformance(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.table = MemoryTable()
+        self.upstream = FakeUpstream(answering())
+        self.addCleanup(self.upstream.close)
+
+    def entry(self, number, table=None):
+        return context_of(
+            self.upstream.as_upstream(),
+            table=table or self.table,
+            objects=MemoryObjects(),
+            wall_clock=lambda: 1_000.0,
+            vm_id=f"entry-{number}",
+            random=Random(number),
+        )
+
+    def claim(self, context):
+        return claim_key(context, "orders", "k1", _Request(), RUN_LIMIT_S)
+
+    def test_nothing_is_dispatched_without_a_claim(self):
+        self.table.down = True
+        self.assertThat(self.claim(self.entry(1)), IsInstance(NotRun))
+
+    def test_second_attempt_does_not_hold_the_row_of_the_first(self):
+        self.assertThat(self.claim(self.entry(1)), IsInstance(Claim))
+        self.assertThat(self.claim(self.entry(2)), IsInstance(ClaimInProgress))
+
+    def test_claim_that_took_effect_without_an_answer_is_its_own(self):
+        self.table.lose_answers = 1
+        self.assertThat(self.claim(self.entry(1)), IsInstance(Claim))
+        self.assertThat(self.claim(self.entry(2)), IsInstance(ClaimInProgress))
+
+    def test_release_that_lands_late_leaves_the_next_claim_alone(self):
+        slow = FaultyTable(self.table)
+        first = self.entry(1, slow)
+        claim = self.claim(first)
+        slow.lose_commits = 1
+        self.assertIsNone(release_claim(first, claim))
+        self.assertThat(self.claim(self.entry(2)), IsInstance(Claim))
+        self.assertThat(self.table.commit(slow.delayed[0]), IsInstance(Conflict))
+        self.assertThat(self.claim(self.entry(3)), IsInstance(ClaimInProgress))
