--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 READY := $(VENV)/.ready
 SOURCES := laburnumswitch bundle standin scripts spec tests
 
-.PHONY: binary demo test lint format
+.PHONY: binary demo measure test lint format
 
 $(READY): requirements-dev.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -31,3 +31,10 @@
 
 binary: $(READY)
 	$(BIN)/python -m bundle.build --output build/laburnumswitch
+
+measure: $(READY)
+	$(BIN)/python -m scripts.measure_request
+	$(BIN)/python -m scripts.measure_scheduling
+	$(BIN)/python -m scripts.measure_faults
+	$(BIN)/python -m scripts.capacity
+	$(BIN)/python -m scripts.plot_measurements
