--- a/laburnumswitch/process/links.py
+++ b/laburnumswitch/process/links.py
@@ -34,9 +34,6 @@
         return None if self.callers is None else ServerTls(self.callers)
 
 
-PLAIN_LINKS = Links()
-
-
 def open_links(settings: Settings) -> Links | FileProblem:
     """Open the files that the settings name, and warn of plain links off loopback."""
     entries = callers = None
