--- a/laburnumswitch/entry.py
+++ b/laburnumswitch/entry.py
@@ -34,7 +34,6 @@
 from laburnumswitch.process.layout import read_or_create_layout
 from laburnumswitch.process.links import Links
 from laburnumswitch.process.links import open_links
-from laburnumswitch.process.links import PLAIN_LINKS
 from laburnumswitch.process.logs import set_up_logs
 from laburnumswitch.process.membership import Membership
 from laburnumswitch.process.metric_sources import add_commit_metrics
@@ -90,10 +89,10 @@
 class Daemon:
     """The parts of one entry and the two steps of its stop."""
 
-    def __init__(self, settings: Settings, keys: KeyFile, links: Links = PLAIN_LINKS) -> None:
+    def __init__(self, settings: Settings, keys: KeyFile, links: Links | None = None) -> None:
         """Build and wire every part; nothing runs and no port is open yet."""
         self.settings = settings
-        self.links = links
+        self.links = links or Links()
         self.leaving = Stopping()
         self.stopped = Stopping()
         self.boot = uuid4().hex[:12]
@@ -117,15 +116,11 @@
 
     def _build_views(self, settings: Settings, keys: KeyFile) -> None:
         self.timeline = Timeline(
-            settings.vm_id,
-            settings.availability_zone,
-            time,
-            count_event=self.metrics.count_event,
+            settings.vm_id, settings.availability_zone, time, count_event=self.metrics.count_event
         )
         self.table = ClockedTable(self.table, self.timeline)
         self.roster = Roster()
         self.directory = Directory()
-        peer_tls = self.links.peer_tls(self.roster.zone_of)
         self.membership = Membership(settings.vm_id, monotonic)
         self.adopted = Adopted(self.timeline, self.wake_admission)
         self.peer_context = PeerContext(
@@ -135,7 +130,7 @@
             self.timeline,
             self.roster.entries,
             self.make_heartbeat,
-            lambda address: Client(address, keys.headers, peer_tls),
+            lambda address: Client(address, keys.headers, self.links.peer_tls(self.roster.zone_of)),
             monotonic,
             sleep,
             self.stopped.is_set,
@@ -164,9 +159,8 @@
             random=SystemRandom(),
         )
         host, _, port = settings.caller_address.rpartition(":")
-        self.caller_server = serve_callers(
-            (host, int(port)), self.request_context, ssl_context=self.links.caller_tls()
-        )
+        tls = self.links.caller_tls()
+        self.caller_server = serve_callers((host, int(port)), self.request_context, tls)
 
     def _build_admin(self, settings: Settings, keys: KeyFile) -> None:
         operator_context = OperatorContext(
