Suspect upstreams that owe first bytes, and pay before leaving them

Cause, found in the code: a fresh or non-idempotent exchange with a paused process (whose kernel accepts) had no limit but the deadline; an abandoned loser of a hedge never counted as a failure, so nothing was ejected while hedges emptied the budget; and a read that found no token after that waited out its deadline, or was given up with 504 at the silence limit.

An upstream that has owed first bytes for max(4 x the service's p95 estimate, 0.25 s) while a peer answered a later request is suspected (event upstream_stalled). It gets one probe at a time, with doubling pauses, until its first byte; ejected and suspected ones together are at most half. Idempotent requests that wait there leave once paid for, earliest deadline first. Orders never leave and are no probes for 30 s. Requests of a service that is slow as a whole aren't affected.

--- a/laburnumswitch/process/budget.py
+++ b/laburnumswitch/process/budget.py
@@ -23,6 +23,10 @@
         """Count one request."""
         self._tokens = min(self._tokens + self._tokens_per_request, MAX_TOKENS)
 
+    def has(self, tokens: float) -> bool:
+        """Return whether there are as many tokens, without taking any."""
+        return self._tokens >= tokens
+
     def spend(self) -> bool:
         """Take the token of one repeated send; ``False`` where there is none."""
         if self._tokens < 1.0:
--- a/laburnumswitch/process/eventkinds.py
+++ b/laburnumswitch/process/eventkinds.py
@@ -35,6 +35,7 @@
     "shed": "service",
     "tasks_given_away": "job",
     "upstream_ejected": "upstream",
+    "upstream_stalled": "upstream",
     "upstream_leaving": "upstream",
     "zone_state": "zone",
 }
--- a/laburnumswitch/process/upstreams.py
+++ b/laburnumswitch/process/upstreams.py
@@ -25,6 +25,9 @@
 EJECT_S = 5.0
 EJECT_LIMIT_S = 60.0
 EJECT_MAX_FRACTION = 0.5
+STALL_MEMORY_S = 1.0
+PROBE_INTERVAL_S = 1.0
+PROBE_INTERVAL_LIMIT_S = 8.0
 
 
 class Report(NamedTuple):
@@ -63,9 +66,44 @@
         self.leaving = False
         self._report: Report | None = None
         self.suspect: SuspectConnection | None = None
+        self.stalled = False
+        self.stalled_at_s = 0.0
+        self.silent_since_s: float | None = None
+        self.answered_sent_s = 0.0
+        self._probe_due_s = 0.0
+        self._probe_interval_s = PROBE_INTERVAL_S
+        self._last_sent_s = 0.0
         self._floor_s = 0.0
         self._limit_cut_s = 0.0
 
+    def note_sent(self, now_s: float) -> None:
+        """Count a request of which the upstream now owes the first byte."""
+        forgotten = self.outstanding <= 1 and now_s - self._last_sent_s > STALL_MEMORY_S
+        if self.silent_since_s is None or forgotten:
+            self.silent_since_s = now_s
+        self._last_sent_s = now_s
+        if self.stalled:
+            self._probe_due_s = now_s + self._probe_interval_s
+            self._probe_interval_s = min(2 * self._probe_interval_s, PROBE_INTERVAL_LIMIT_S)
+
+    def note_first_byte(self, sent_s: float, now_s: float) -> None:
+        """Count a first byte, which clears the upstream of being stalled."""
+        self.answered_sent_s = max(self.answered_sent_s, sent_s)
+        self.silent_since_s = now_s if self.outstanding > 1 else None
+        self.stalled = False
+        self._probe_interval_s = PROBE_INTERVAL_S
+
+    def is_withheld(self, now_s: float) -> bool:
+        """Return whether it is stalled and not due for a probe, of which there is one at a time."""
+        return self.stalled and (self.outstanding > 0 or now_s < self._probe_due_s)
+
+    def stall(self, now_s: float) -> None:
+        """Suspect the upstream until its next first byte, of which probes give it a chance."""
+        if not self.stalled:
+            self._probe_due_s = now_s + PROBE_INTERVAL_S
+        self.stalled = True
+        self.stalled_at_s = now_s
+
     def succeed(self, latency_s: float, now_s: float) -> None:
         """Count an answer whose head came after ``latency_s``."""
         self.samples += 1
@@ -160,8 +198,7 @@
         now_s = self._clock()
         if now_s < state.ejected_until_s or not _is_failing(state):
             return False
-        out = sum(1 for peer in peers if self.of(peer).ejected_until_s > now_s)
-        if out + 1 > len(peers) * EJECT_MAX_FRACTION:
+        if not self._may_take_out(upstream, peers, now_s):
             return False
         length_s = min(EJECT_S * 2**state.ejections, EJECT_LIMIT_S)
         state.ejections += 1
@@ -175,6 +212,52 @@
         )
         return True
 
+    def stall_if_silent(
+        self, upstream: Upstream, peers: tuple[Upstream, ...], limit_s: float
+    ) -> bool:
+        """Suspect an upstream that has owed first bytes for ``limit_s`` while a peer was faster.
+
+        A peer that has answered a request that was sent later tells a stalled upstream from a
+        service that is slow as a whole. The bound is that of ejection.
+
+        :return: whether the upstream is suspected now.
+        """
+        state = self.of(upstream)
+        now_s = self._clock()
+        since_s = state.silent_since_s
+        if since_s is None or now_s - since_s < limit_s:
+            return state.stalled
+        if not any(self.of(peer).answered_sent_s > since_s for peer in peers):
+            return state.stalled
+        if not state.stalled:
+            if not self._may_take_out(upstream, peers, now_s):
+                return False
+            self._timeline.record(
+                "upstream_stalled",
+                upstream.upstream_id,
+                service=upstream.service,
+                seconds=now_s - since_s,
+            )
+        state.stall(now_s)
+        return True
+
+    def stalled_ids(self, upstreams: tuple[Upstream, ...], within_s: float) -> frozenset[str]:
+        """Return the ids of the upstreams that were found stalled less than ``within_s`` ago."""
+        since_s = self._clock() - within_s
+        return frozenset(
+            upstream.upstream_id
+            for upstream in upstreams
+            if self.of(upstream).stalled and self.of(upstream).stalled_at_s > since_s
+        )
+
+    def _may_take_out(self, upstream: Upstream, peers: tuple[Upstream, ...], now_s: float) -> bool:
+        out = sum(1 for peer in peers if peer != upstream and self._is_out(peer, now_s))
+        return out + 1 <= len(peers) * EJECT_MAX_FRACTION
+
+    def _is_out(self, upstream: Upstream, now_s: float) -> bool:
+        state = self.of(upstream)
+        return state.stalled or state.ejected_until_s > now_s
+
 
 def _is_failing(state: UpstreamState) -> bool:
     return (
--- a/laburnumswitch/request/attempt.py
+++ b/laburnumswitch/request/attempt.py
@@ -59,6 +59,7 @@
         self._exchange: Exchange | None = None
         self._unused_since_s = 0.0
         self.pooled = False
+        self.probes = self._state.stalled
         self._finished = False
 
     def send(
@@ -87,6 +88,7 @@
         failure = self._exchange.send(encoded, deadline_s)
         if self._exchange.bytes_written > 0:
             context.counts.sends += 1
+            self._state.note_sent(self.sent_s)
         if failure is not None:
             self._fail()
         return failure
@@ -98,6 +100,8 @@
         head = self._exchange.read_head(first_byte_by_s, deadline_s)
         if isinstance(head, FirstByteLate):
             return head
+        if self._exchange.got_bytes:
+            self._state.note_first_byte(self.sent_s, self._context.clock())
         if isinstance(head, AnswerLost):
             if self.may_repeat_here():
                 self.suspect_connection()
@@ -161,6 +165,12 @@
         """Return whether the failure may be that of a pooled connection and not of its upstream."""
         return self.pooled and self._exchange is not None and not self._exchange.got_bytes
 
+    def is_stalled(self, limit_s: float) -> bool:
+        """Return whether the upstream as a whole has given no first byte for ``limit_s``."""
+        context = self._context
+        peers = context.upstreams_of(self._service.name)
+        return context.states.stall_if_silent(self.upstream, peers, limit_s)
+
     def abandon(self) -> None:
         """Give the exchange up for another one that was answered first."""
         if self._finished:
--- a/laburnumswitch/request/context.py
+++ b/laburnumswitch/request/context.py
@@ -35,6 +35,8 @@
         self.latency = QuantileEstimate()
         self.mean_latency_s = FIRST_LATENCY_S
         self.in_flight = 0
+        # Deadlines of the requests that wait for a token to leave a silent upstream, in order.
+        self.moving: list[float] = []
         self.shed_unreported = 0
         self.shed_reported_s = -SHED_EVENT_INTERVAL_S
 
--- a/laburnumswitch/request/delivery.py
+++ b/laburnumswitch/request/delivery.py
@@ -1,6 +1,8 @@
 """Delivers one request to an upstream, with the repeats that are safe."""
 
+from bisect import insort
 from collections.abc import Callable
+from math import inf
 from typing import NamedTuple
 
 from gevent import killall
@@ -33,6 +35,9 @@
 SILENT_MIN_S = 0.25
 SILENT_RATIO = 4.0
 DEADLINE_SHARE = 0.5
+MOVE_RECHECK_S = 0.05
+ORDERS_KEEP_AWAY_S = 30.0
+PROBE_TOKENS = 3.0
 
 
 class DeliveryTerms(NamedTuple):
@@ -62,6 +67,7 @@
         self._attempts = 0
         self._may_have_run = False
         self._timed_out = False
+        self._repeat_is_paid = False
         self._failed_answer: Delivered | None = None
 
     def run(self) -> Delivered | NotRun | RunUnknown:
@@ -72,7 +78,7 @@
                 self._service,
                 self._terms.rank,
                 self._terms.deadline_s,
-                self._tried,
+                self._avoided(),
             )
             if isinstance(upstream, NotRun):
                 return self._give_up(upstream.reason)
@@ -92,6 +98,20 @@
                 reason=_reason_of(result),
             )
 
+    def _avoided(self) -> frozenset[str]:
+        """Return the ids that aren't to be used.
+
+        A probe of a stalled upstream is a first attempt that the budget allows to leave it again.
+        An order is one only where no other request has been for long.
+        """
+        within_s = inf
+        if not self._terms.idempotent:
+            within_s = ORDERS_KEEP_AWAY_S
+        elif self._attempts == 0 and self._context.budget.has(PROBE_TOKENS):
+            return self._tried
+        upstreams = self._context.upstreams_of(self._service.name)
+        return self._tried | self._context.states.stalled_ids(upstreams, within_s)
+
     def _try(self, upstream: Upstream) -> Delivered | AttemptFailure:
         self._attempts += 1
         self._tried |= {upstream.upstream_id}
@@ -103,7 +123,7 @@
             raise
         if not isinstance(result, Delivered):
             self._note_failure(result)
-            if attempt.may_repeat_here():
+            if attempt.may_repeat_here() and not attempt.is_stalled(self._silent_s()):
                 self._tried -= {upstream.upstream_id}
             attempt.finish()
         return result
@@ -122,26 +142,26 @@
         if not isinstance(head, FirstByteLate):
             return head
         if self._may_hedge():
+            attempt.is_stalled(self._silent_s())
             return self._hedge(attempt)
-        attempt.suspect_connection()
-        return head
+        return self._finish_alone(attempt)
 
     def _first_byte_by_s(self, attempt: Attempt) -> float:
         """Return until when to wait for the first byte before something else is tried."""
         latency = self._context.service_state(self._service).latency
-        if self._may_hedge() and latency.is_known():
+        if self._may_hedge() and latency.is_known() and not attempt.probes:
             hedge_by_s = attempt.sent_s + max(latency.value_s, HEDGE_MIN_S)
             return min(hedge_by_s, self._terms.deadline_s)
         return self._silent_by_s(attempt)
 
     def _silent_by_s(self, attempt: Attempt) -> float:
         """Return from when on a connection without a byte of the answer counts as silent."""
-        deadline_s = self._terms.deadline_s
-        if not self._terms.idempotent or not attempt.pooled:
-            return deadline_s
+        left_s = self._terms.deadline_s - attempt.sent_s
+        return attempt.sent_s + min(self._silent_s(), left_s * DEADLINE_SHARE)
+
+    def _silent_s(self) -> float:
         latency = self._context.service_state(self._service).latency
-        silent_s = max(SILENT_RATIO * latency.value_s, SILENT_MIN_S)
-        return attempt.sent_s + min(silent_s, (deadline_s - attempt.sent_s) * DEADLINE_SHARE)
+        return max(SILENT_RATIO * latency.value_s, SILENT_MIN_S)
 
     def _may_hedge(self) -> bool:
         return self._method in HEDGED_METHODS and self._terms.idempotent
@@ -177,7 +197,10 @@
         if self._attempts >= MAX_ATTEMPTS or context.clock() >= self._terms.deadline_s:
             return None
         upstreams = context.upstreams_of(self._service.name)
-        upstream = context.choose(self._service, upstreams, self._tried)
+        moving = context.service_state(self._service).moving
+        if moving and moving[0] < self._terms.deadline_s:
+            return None
+        upstream = context.choose(self._service, upstreams, self._avoided())
         if upstream is None or not context.budget.spend():
             return None
         self._attempts += 1
@@ -187,12 +210,51 @@
     def _finish_alone(self, attempt: Attempt) -> Delivered | AttemptFailure:
         deadline_s = self._terms.deadline_s
         head = attempt.read_head(self._silent_by_s(attempt), deadline_s)
+        if isinstance(head, FirstByteLate):
+            head = self._wait_or_move(attempt)
         if isinstance(head, FirstByteLate):
             attempt.suspect_connection()
         if not isinstance(head, AnswerHead):
             return head
         return attempt.read_body(head, deadline_s, self._terms.body_limit)
 
+    def _wait_or_move(self, attempt: Attempt) -> AnswerHead | AnswerLost | FirstByteLate | Refused:
+        """Go on waiting for a silent upstream until the request is paid for elsewhere.
+
+        Of those that wait for a token, the one with the earliest deadline gets it first.
+        """
+        clock = self._context.clock
+        deadline_s = self._terms.deadline_s
+        moving = self._context.service_state(self._service).moving
+        # One that may not leave would keep those with later deadlines from leaving.
+        queued = False
+        try:
+            while True:
+                if not queued and self._may_move(attempt):
+                    insort(moving, deadline_s)
+                    queued = True
+                if queued and self._pay_move(moving):
+                    return FirstByteLate(attempt.upstream.address, attempt.pooled)
+                until_s = min(clock() + MOVE_RECHECK_S, deadline_s)
+                head = attempt.read_head(until_s, deadline_s)
+                if not isinstance(head, FirstByteLate) or clock() >= deadline_s:
+                    return head
+        finally:
+            if queued:
+                moving.remove(deadline_s)
+
+    def _may_move(self, attempt: Attempt) -> bool:
+        silent = attempt.is_stalled(self._silent_s()) or attempt.pooled
+        return silent and self._terms.idempotent and self._attempts < MAX_ATTEMPTS
+
+    def _pay_move(self, moving: list[float]) -> bool:
+        if self._repeat_is_paid:
+            return True
+        if self._attempts >= MAX_ATTEMPTS or moving[0] < self._terms.deadline_s:
+            return False
+        self._repeat_is_paid = self._context.budget.spend()
+        return self._repeat_is_paid
+
     def _send_alone(self, attempt: Attempt) -> Delivered | AttemptFailure:
         failure = attempt.send(self._method, self._encoded, self._terms.deadline_s, idempotent=True)
         return failure if failure is not None else self._finish_alone(attempt)
@@ -218,7 +280,8 @@
             return True
         if not self._terms.idempotent and not isinstance(result, Refused):
             return False
-        if not self._context.budget.spend():
+        paid, self._repeat_is_paid = self._repeat_is_paid, False
+        if not paid and not self._context.budget.spend():
             return False
         self._context.counts.retries += 1
         return True
--- a/laburnumswitch/request/routing.py
+++ b/laburnumswitch/request/routing.py
@@ -106,6 +106,8 @@
 ) -> bool:
     if state.outstanding >= int(state.limit) or now_s < state.ejected_until_s:
         return False
+    if state.is_withheld(now_s):
+        return False
     upstream = state.upstream
     if upstream.upstream_id in tried or state.leaving:
         return False
--- a/scripts/measure_request.py
+++ b/scripts/measure_request.py
@@ -3,6 +3,7 @@
 Starts real processes on loopback, a handful at a time, and ends every one that it started.
 """
 
+from collections.abc import Iterable
 from collections.abc import Iterator
 from contextlib import contextmanager
 from contextlib import ExitStack
@@ -65,9 +66,13 @@
 
 
 @contextmanager
-def started(role: str, settings: NamedTuple) -> Iterator[Running]:
-    """Start one process and end it when the block ends, however it ends."""
-    process = Popen([executable, "-m", "scripts.request_roles", role], stdin=PIPE, stdout=PIPE)
+def started(role: str, settings: NamedTuple, directory: str | None = None) -> Iterator[Running]:
+    """Start one process and end it when the block ends, however it ends.
+
+    :param directory: another work tree whose code the process is to run.
+    """
+    command = [executable, "-m", "scripts.request_roles", role]
+    process = Popen(command, stdin=PIPE, stdout=PIPE, cwd=directory)
     try:
         process.stdin.write(encode(settings) + b"\n")
         process.stdin.flush()
@@ -88,14 +93,20 @@
 
 
 def _run_load(running: list[Running]) -> list[Sample]:
+    begin_load(running)
+    return [sample for each in running for sample in samples_of(each)]
+
+
+def begin_load(running: Iterable[Running]) -> None:
+    """Let started load processes begin."""
     for each in running:
         each.process.stdin.write(b"\n")
         each.process.stdin.flush()
-    return [
-        sample
-        for each in running
-        for sample in decode(each.process.stdout.readline(), type=list[Sample])
-    ]
+
+
+def samples_of(running: Running) -> list[Sample]:
+    """Wait for the end of a load process and return its samples."""
+    return decode(running.process.stdout.readline(), type=list[Sample])
 
 
 def end_entry(running: Running) -> EntryResults:
