Fakes: a stop of a run that a worker does not hold is final

Cause: FakeWorker ignored a stop of a run that it did not hold, so a delayed start of that number ran afterwards; the model's duties refusal_is_final and stop_is_final forbid it. The stand-in worker kept both duties already, FakeWorker only the first.

--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -124,6 +124,7 @@
         for stop in orders.stops:
             held = self.run_by_task.get(stop.task_id)
             if held is None or held.run != stop.run:
+                self._fence(stop)
                 continue
             saved = f"{stop.task_id}.{stop.run}" if stop.how == "checkpoint" else ""
             self.end(stop.task_id, "evicted" if saved else "killed", saved)
@@ -146,6 +147,12 @@
         if self.fails_everything:
             self.end(start.task_id, "failed")
 
+    def _fence(self, stop) -> None:
+        # A start that arrives after its stop must not begin.
+        if self._seen_run_by_task.get(stop.task_id, 0) < stop.run:
+            self._seen_run_by_task[stop.task_id] = stop.run
+            self._emit("killed", stop.task_id, stop.run)
+
     def _remove(self, task_id: str, kind: str) -> None:
         start = self.run_by_task.pop(task_id)
         del self.until_by_task[task_id]
--- a/tests/standin/test_worker.py
+++ b/tests/standin/test_worker.py
@@ -16,6 +16,8 @@
 from standin.worker import CHECKPOINT_S
 from standin.worker import Worker
 from standin.worker import WorkerSettings
+from tests.fakes import FakeClock
+from tests.fakes import FakeWorker
 
 SIZE = Size(1000, 100)
 LONG_S = 1000.0
@@ -97,6 +99,12 @@
         report = self.send(starts=(order,))
         self.assertThat((self.kinds(report), report.runs), Equals((["refused"], ())))
 
+    def test_number_that_was_refused_does_not_start_later(self):
+        refused = self.start(lease_s=-1.0)
+        self.send(starts=(refused,))
+        report = self.send(starts=(refused, self.start(lease_s=5.0)))
+        self.assertThat((self.kinds(report), report.runs), Equals((["refused"], ())))
+
     def test_start_that_arrives_after_its_stop_does_not_begin(self):
         self.send(stops=(StopOrder("t", 1, "kill"),))
         report = self.send(starts=(self.start(),))
@@ -184,3 +192,27 @@
         self.assertThat(self.send().usage, Equals(()))
         self.now_s += 2.0
         self.assertThat([usage.task_id for usage in self.send().usage], Equals(["t"]))
+
+
+class TestFakeWorkerKeepsTheDuties(TestCase):
+    """The worker that the scheduler is tested with must remember the same numbers as seen."""
+
+    def setUp(self):
+        super().setUp()
+        self.worker = FakeWorker("w1", FakeClock(), [])
+
+    def send(self, **orders) -> list[str]:
+        report = self.worker.exchange(WorkerOrders(self.worker.boot, 1, full=True, **orders))
+        self.assertThat(report.runs, Equals(()))
+        return [event.kind for event in report.events]
+
+    def start(self, lease_s: float) -> StartOrder:
+        return StartOrder("t", 1, self.worker.own_clock() + lease_s, SIZE, ("load",), LONG_S)
+
+    def test_refusal_is_final(self):
+        self.send(starts=(self.start(-1.0),))
+        self.assertThat(self.send(starts=(self.start(5.0),)), Equals(["refused"]))
+
+    def test_stop_is_final(self):
+        self.send(stops=(StopOrder("t", 1, "kill"),))
+        self.assertThat(self.send(starts=(self.start(5.0),)), Equals(["killed"]))
