Admission: rows of ended jobs are moved out of what each pass reads

Cause: admission scanned and decoded every job row in each pass, ended ones included, by far the first thing to break at size. Done: the commit that ends a job (completion, or cancellation before admission) moves its row from job/<id> to ended/<id>. Admission scans job/ only. It looks a declared generation up by key where no row in force exists, remembers that it ended, and creates a job only on condition that neither row exists, so an entry that was paused cannot admit again what began and ended meanwhile. Dependencies see the newest ended row of the name, operators' lists read both prefixes, each job once, and cancelling an ended job leaves it and tells its state. Rows left by the earlier layout are moved, 50 a pass. Once a minute one page of ended rows is looked at, and up to 50 that ended more than 7 days ago are deleted, but not the newest row of a declared job nor that of a declared generation. This replaces the limit of 10 ended rows a name; impossible jobs keep it. Tests: AdmissionCase.states reads both prefixes and now also asserts that no job has two rows. A job that waits for another has all ended rows of that name read in each pass. A job that is declared again with its old generation, more than 7 days after it ended and was taken out, runs again. A job that fires often keeps 7 days of rows, more than 10.

--- a/laburnumswitch/process/admission.py
+++ b/laburnumswitch/process/admission.py
@@ -21,8 +21,10 @@
 from laburnumswitch.process.distribution import Part
 from laburnumswitch.process.distribution import split_tasks
 from laburnumswitch.process.distribution import spread_replicas
+from laburnumswitch.process.ended_rows import EndedRows
 from laburnumswitch.process.inbox import Chunk
 from laburnumswitch.process.inbox import inbox_put
+from laburnumswitch.process.job_row import ended_key
 from laburnumswitch.process.job_row import FINAL_STATES
 from laburnumswitch.process.job_row import job_key
 from laburnumswitch.process.job_row import JOB_PREFIX
@@ -45,6 +47,7 @@
 from laburnumswitch.process.table import Committed
 from laburnumswitch.process.table import Condition
 from laburnumswitch.process.table import Put
+from laburnumswitch.process.table import ReadFailure
 from laburnumswitch.process.table import Row
 from laburnumswitch.process.table import scan_all
 from laburnumswitch.process.table import Transaction
@@ -54,7 +57,7 @@
 from laburnumswitch.process.work import write_work
 from laburnumswitch.size import Size
 
-KEEP_ENDED_JOBS = 10
+KEEP_IMPOSSIBLE_JOBS = 10
 ACTIVE_EVERY_S = 2.0
 IDLE_EVERY_S = 5.0
 SHORTEST_PAUSE_S = 0.001
@@ -86,6 +89,7 @@
         self._context = context
         self._shared = shared
         self._wake_owner = wake_owner
+        self._ended = EndedRows(context)
         self._handed_shards: set[int] = set()
         self._fired_by_job: dict[str, FiredRows] = {}
         self._instant_by_job: dict[str, float] = {}
@@ -93,7 +97,7 @@
         self._due_s = float("-inf")
 
     def is_due(self) -> bool:
-        """Return whether a pass is worth its reads: all job rows are read by each."""
+        """Return whether a pass is worth its reads: all jobs in force are read by each."""
         configuration = self._context.configuration()
         if configuration.version != self._version or self._context.clock() >= self._due_s:
             return True
@@ -123,22 +127,30 @@
         is_active = any(item.job.state not in FINAL_STATES for item in stored)
         self._due_s = self._context.clock() + (ACTIVE_EVERY_S if is_active else IDLE_EVERY_S)
         self._version = configuration.version
+        self._ended.begin_pass()
         self._admit_generations(configuration, stored)
         self._fire_schedules(configuration, stored)
         self._admit_waiting(configuration, stored)
         self._admit_services(configuration)
         self._wake_handed()
         complete_jobs(self._context, stored)
-        self._prune(configuration, stored)
+        self._ended.move_left(stored)
+        self._ended.prune(configuration)
+        self._prune_impossible(configuration, stored)
 
     def _admit_generations(
         self, configuration: Configuration, stored: tuple[StoredJob, ...]
     ) -> None:
         known = {item.job.job_id for item in stored}
-        for job in configuration.jobs:
-            job_id = f"{job.name}@{job.generation}"
-            if not job.schedule and job_id not in known:
-                self._create(configuration, job, job_id, stored, NO_FIRING)
+        job_by_id = {f"{job.name}@{job.generation}": job for job in configuration.jobs}
+        # Looked up after the rows in force were read: a job that ended meanwhile is in either.
+        unseen = self._ended.select_unseen(
+            job_id for job_id, job in job_by_id.items() if not job.schedule and job_id not in known
+        )
+        if isinstance(unseen, Failure):
+            return
+        for job_id in unseen:
+            self._create(configuration, job_by_id[job_id], job_id, stored, NO_FIRING)
 
     def _fire_schedules(self, configuration: Configuration, stored: tuple[StoredJob, ...]) -> None:
         self._instant_by_job.clear()
@@ -214,6 +226,8 @@
         """Write the job's row as waiting, impossible or admitted, with its tasks if admitted."""
         job = item.job
         obstacle = self._find_obstacle(configuration, job, stored)
+        if isinstance(obstacle, ReadFailure):
+            return False
         state = _state_with(obstacle)
         reason = obstacle.describe() if obstacle else ""
         if item.row.version and (state, reason) == (job.state, job.reason):
@@ -222,9 +236,13 @@
         if obstacle is None:
             parts = self._split(job)
         value = {**item.row.value, **_fields(job), "state": state, "reason": reason}
+        conditions = [Condition(item.row.key, item.row.version), *firing.conditions]
+        if not item.row.version:
+            # An entry that was paused must not admit again what began and ended meanwhile.
+            conditions.append(Condition(ended_key(job.job_id), ABSENT_VERSION))
         outcome = self._context.table.commit(
             Transaction(
-                (Condition(item.row.key, item.row.version), *firing.conditions),
+                tuple(conditions),
                 (
                     Put(item.row.key, value),
                     *firing.puts,
@@ -249,7 +267,10 @@
             if team.name == job.team and not size.fits(team.quota):
                 return QuotaTooSmall(job.job_id, team.name, tuple(team.quota))
         for name in job.after:
-            state = _newest_state(name, stored)
+            ended = self._ended.newest(name)
+            if isinstance(ended, Failure):
+                return ended
+            state = _newest_state(name, stored if ended is None else (ended, *stored))
             if state != "finished":
                 return DependencyPending(job.job_id, name, state)
         return None
@@ -316,16 +337,17 @@
         while self._handed_shards:
             self._wake_owner(self._handed_shards.pop())
 
-    def _prune(self, configuration: Configuration, stored: tuple[StoredJob, ...]) -> None:
+    def _prune_impossible(
+        self, configuration: Configuration, stored: tuple[StoredJob, ...]
+    ) -> None:
         current = {f"{job.name}@{job.generation}" for job in configuration.jobs}
-        ended_by_name: dict[str, list[StoredJob]] = {}
+        impossible_by_name: dict[str, list[StoredJob]] = {}
         for item in stored:
-            is_over = item.job.state in FINAL_STATES or item.job.state == "impossible"
-            if is_over and item.job.job_id not in current:
-                ended_by_name.setdefault(item.job.name, []).append(item)
-        for ended in ended_by_name.values():
-            ended.sort(key=lambda item: item.job.created_s)
-            for item in ended[:-KEEP_ENDED_JOBS]:
+            if item.job.state == "impossible" and item.job.job_id not in current:
+                impossible_by_name.setdefault(item.job.name, []).append(item)
+        for impossible in impossible_by_name.values():
+            impossible.sort(key=lambda item: item.job.created_s)
+            for item in impossible[:-KEEP_IMPOSSIBLE_JOBS]:
                 condition = Condition(item.row.key, item.row.version)
                 self._context.table.commit(Transaction((condition,), (), (item.row.key,)))
 
--- a/laburnumswitch/process/completion.py
+++ b/laburnumswitch/process/completion.py
@@ -7,19 +7,21 @@
 
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.process.context import SchedulerContext
+from laburnumswitch.process.job_row import ended_key
 from laburnumswitch.process.job_row import FINAL_STATES
+from laburnumswitch.process.job_row import move_to_ended
 from laburnumswitch.process.job_row import StoredJob
 from laburnumswitch.process.progress import Progress
 from laburnumswitch.process.shared_rows import CANCELLED_PREFIX
 from laburnumswitch.process.table import Committed
 from laburnumswitch.process.table import Condition
-from laburnumswitch.process.table import Put
 from laburnumswitch.process.table import Row
 from laburnumswitch.process.table import scan_all
 from laburnumswitch.process.table import Transaction
 
 PROGRESS_PREFIX = "progress/"
 DELETES_PER_PASS = 50
+LOOKUPS_PER_PASS = 200
 
 
 def complete_jobs(context: SchedulerContext, stored: Iterable[StoredJob]) -> None:
@@ -32,20 +34,34 @@
         rows_by_job_id.setdefault(row.key.split("/")[1], []).append(row)
     stored_by_job_id = {item.job.job_id: item for item in stored}
     left_over: list[Row] = []
+    absent_ids: list[str] = []
     for job_id, progress_rows in rows_by_job_id.items():
         item = stored_by_job_id.get(job_id)
         if item is None:
-            continue
-        if item.job.state in FINAL_STATES:
+            absent_ids.append(job_id)
+        elif item.job.state in FINAL_STATES:
             left_over.extend(progress_rows)
         else:
             _complete(context, item, progress_rows)
+    for job_id in _find_ended(context, absent_ids):
+        left_over.extend(rows_by_job_id[job_id])
     # An owner that took over writes the counts of idle groups again, also of jobs that have ended.
     keys = tuple(row.key for row in left_over[:DELETES_PER_PASS])
     if keys:
         context.table.commit(Transaction((), (), keys))
 
 
+def _find_ended(context: SchedulerContext, job_ids: list[str]) -> list[str]:
+    # Drawn at random, so that rows of which no job is known cannot keep the others from a look.
+    drawn = context.random.sample(job_ids, min(len(job_ids), LOOKUPS_PER_PASS))
+    if not drawn:
+        return []
+    rows = context.table.read(tuple(ended_key(job_id) for job_id in drawn))
+    if isinstance(rows, Failure):
+        return []
+    return [job_id for job_id in drawn if rows[ended_key(job_id)].version]
+
+
 def sum_progress(rows: Iterable[Row]) -> Progress | None:
     """Return the sum of progress rows, or ``None`` where one cannot be read."""
     finished = failed = cancelled = 0
@@ -72,11 +88,12 @@
         cancelled=total.cancelled,
         ended_s=context.wall_clock(),
     )
+    put, moved_key = move_to_ended(item, value)
     outcome = context.table.commit(
         Transaction(
             (Condition(item.row.key, item.row.version),),
-            (Put(item.row.key, value),),
-            (*(row.key for row in rows), CANCELLED_PREFIX + item.job.job_id),
+            (put,),
+            (moved_key, *(row.key for row in rows), CANCELLED_PREFIX + item.job.job_id),
         )
     )
     if isinstance(outcome, Committed):
--- a/laburnumswitch/process/job_row.py
+++ b/laburnumswitch/process/job_row.py
@@ -24,6 +24,7 @@
 from laburnumswitch.process.table import Transaction
 
 JOB_PREFIX = "job/"
+ENDED_PREFIX = "ended/"
 JobState = Literal[
     "waiting", "impossible", "admitted", "cancelling", "cancelled", "finished", "failed"
 ]
@@ -69,6 +70,16 @@
     return JOB_PREFIX + job_id
 
 
+def ended_key(job_id: str) -> str:
+    """Return the key that a job's row has once the job is in a final state."""
+    return ENDED_PREFIX + job_id
+
+
+def move_to_ended(stored: StoredJob, value: dict[str, Any]) -> tuple[Put, str]:
+    """Return the write of an ended job's row and the key to delete, for one transaction."""
+    return Put(ended_key(stored.job.job_id), value), stored.row.key
+
+
 def read_jobs(rows: Iterable[Row]) -> tuple[StoredJob, ...]:
     """Decode job rows; those that cannot be read are logged and left alone."""
     stored = []
@@ -92,27 +103,37 @@
     that is counted as it ended.
     """
     job_ids = tuple(job_ids)
-    rows = table.read(tuple(job_key(job_id) for job_id in job_ids))
+    keys = tuple(key(job_id) for job_id in job_ids for key in (job_key, ended_key))
+    rows = table.read(keys)
     if isinstance(rows, Failure):
         return rows
     conditions: list[Condition] = []
     puts: list[Put] = []
+    deletes: list[str] = []
     for job_id in job_ids:
         row = rows[job_key(job_id)]
         if row.value is None:
-            return NotFound(job_id)
+            if rows[ended_key(job_id)].value is None:
+                return NotFound(job_id)
+            continue
         for stored in read_jobs((row,)):
             if stored.job.state in FINAL_STATES or stored.job.state == "cancelling":
                 continue
             conditions.append(Condition(row.key, row.version))
-            puts.extend(_cancellation(stored, now_s))
-    return table.commit(Transaction(tuple(conditions), tuple(puts)))
+            if stored.job.state in UNADMITTED_STATES:
+                put, moved_key = move_to_ended(stored, _cancelled_value(stored, now_s))
+                puts.append(put)
+                deletes.append(moved_key)
+            else:
+                puts.extend(_cancellation(stored, now_s))
+    return table.commit(Transaction(tuple(conditions), tuple(puts), tuple(deletes)))
+
+
+def _cancelled_value(stored: StoredJob, now_s: float) -> dict[str, Any]:
+    return stored.change(state="cancelled", cancelled=stored.job.tasks, ended_s=now_s)
 
 
 def _cancellation(stored: StoredJob, now_s: float) -> list[Put]:
-    if stored.job.state in UNADMITTED_STATES:
-        changes = {"state": "cancelled", "cancelled": stored.job.tasks, "ended_s": now_s}
-        return [Put(stored.row.key, stored.change(**changes))]
     return [
         Put(stored.row.key, stored.change(state="cancelling")),
         Put(CANCELLED_PREFIX + stored.job.job_id, {"format": FORMAT, "cancelled_s": now_s}),
--- a/laburnumswitch/process/views.py
+++ b/laburnumswitch/process/views.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from laburnumswitch.exceptions import Failure
+from laburnumswitch.process.job_row import ENDED_PREFIX
 from laburnumswitch.process.job_row import JOB_PREFIX
 from laburnumswitch.process.job_row import read_jobs
 from laburnumswitch.process.ledger import Worker
@@ -59,6 +60,11 @@
     rows = scan_all(table, JOB_PREFIX)
     if isinstance(rows, Failure):
         return rows
+    # Read after the rows in force: a job that ends between the two is in both, never in neither.
+    ended = scan_all(table, ENDED_PREFIX)
+    if isinstance(ended, Failure):
+        return ended
+    job_by_id = {job.job_id: job for _, job in read_jobs((*rows, *ended))}
     views = [
         JobView(
             job.job_id,
@@ -73,7 +79,7 @@
             job.ended_s,
             job.reason,
         )
-        for _, job in read_jobs(rows)
+        for job in job_by_id.values()
     ]
     return tuple(sorted(views, key=lambda view: -view.created_s))
 
--- a/tests/command/test_operators.py
+++ b/tests/command/test_operators.py
@@ -121,6 +121,17 @@
         self.assertThat((code, "finished" in output), Equals((0, True)))
         self.assertThat(self.job("y"), Equals(job_row("y", "finished")))
 
+    def test_ended_row_is_listed_shown_and_not_cancelled(self):
+        row = job_row("z", "failed")
+        self.table.commit(Transaction((), (Put("ended/z@1", row),)))
+        _, answer = self.run_json("jobs", *PLATFORM)
+        self.assertThat([row["job_id"] for row in answer["rows"]].count("z@1"), Equals(1))
+        code, output, _ = self.run_command("job", "show", "z@1", *PLATFORM)
+        self.assertThat((code, "failed" in output), Equals((0, True)))
+        code, output, _ = self.cancel("z")
+        self.assertThat((code, "failed" in output), Equals((0, True)))
+        self.assertThat(self.table.scan("ended/")[0].value, Equals(row))
+
     def test_cancel_with_a_lost_answer_is_settled(self):
         self.table.lose_answers = 1
         self.assertThat(self.cancel()[0], Equals(0))
--- a/tests/process/test_admission.py
+++ b/tests/process/test_admission.py
@@ -68,7 +68,10 @@
         return [row.value for row in self.table.scan(prefix)]
 
     def states(self):
-        return {value["job_id"]: value["state"] for value in self.values("job/")}
+        rows = (*self.values("job/"), *self.values("ended/"))
+        states = {value["job_id"]: value["state"] for value in rows}
+        self.assertThat(states, HasLength(len(rows)))
+        return states
 
     def handed(self):
         return sorted(
