Keep the row of a released claim, so that a late claim does not block its key

Cause: a claim is conditional on the absence of its row, and release deleted the row, or the settling left it absent. A claim whose answer was lost and which landed after that (begin, answer_lost, settle, write_lands) took a key that nobody held any more.

Before: the order was told "not run"; a repeat was told ClaimInProgress, after the run limit RunUnknown, until the claim expired, although nothing ran.

After: release_claim writes a row with the state "released"; an attempt that gives up on a free row writes such a row too, conditional on its version; the next claim is conditional on that row's version; expiry deletes released rows like others (unchanged, by until_s). A late claim conflicts and the key runs exactly once. No existing test was changed.

Left: an attempt that gave up, sent one write and then finds it in effect still deletes the row, because test_claim_that_could_not_be_settled_is_withdrawn waits for no row at all. A late claim of another attempt can then still take the key.

--- a/laburnumswitch/request/claim.py
+++ b/laburnumswitch/request/claim.py
@@ -2,7 +2,9 @@
 
 A claim row is created before an order is sent anywhere, on the condition that it doesn't exist.
 Each attempt has a unique id, so that an attempt whose commit was lost finds out by reading whether
-the row is its own. Nothing but the attempt that holds a row changes it.
+the row is its own. Nothing but the attempt that holds a row changes it. A released row stays until
+it expires, so that a claim on the condition of its absence that lands late has no effect; the next
+claim is made on the condition of its version.
 """
 
 from base64 import b64decode
@@ -46,7 +48,7 @@
 WRITE_PAUSE_LIMIT_S = 5.0
 DIGEST_HEX_CHARACTERS = 40
 
-ClaimState = Literal["claimed", "answered", "unkept", "unknown"]
+ClaimState = Literal["claimed", "answered", "unkept", "unknown", "released"]
 
 
 class ClaimRow(TypedDict, total=False):
@@ -117,18 +119,20 @@
     context: RequestContext, row_key: str, row: ClaimRow
 ) -> Claim | StoredAnswer | ClaimFailure:
     """Decide by reading whether this attempt holds the row, and write again only conditionally."""
+    written_again = False
     for _ in range(SETTLE_TRIES):
         found = context.claims.table.read((row_key,))
         if isinstance(found, Unavailable | Throttled):
             sleep(SETTLE_PAUSE_S)
             continue
         actual = found[row_key]
-        if actual.value is not None:
+        if not _is_free(actual):
             return _judge(context, actual, row)
-        result = context.claims.commit(RowChange(row_key, ABSENT_VERSION, row))
+        written_again = True
+        result = context.claims.commit(RowChange(row_key, actual.version, row))
         if isinstance(result, Committed):
             return Claim(row_key, result.version, row)
-    spawn(_withdraw, context, row_key, row)
+    spawn(_withdraw, context, row_key, row, written_again)
     return NotRun(NOT_CLAIMED)
 
 
@@ -153,7 +157,7 @@
 
 def release_claim(context: RequestContext, claim: Claim) -> None | Failure:
     """Withdraw the claim of a request that was not run."""
-    return _write(context, claim, None)
+    return _write(context, claim, _released(claim.row))
 
 
 def claim_row_key(service: str, key: str) -> str:
@@ -203,20 +207,39 @@
     return StoredAnswer(status, tuple((name, value) for name, value in headers), b64decode(body))
 
 
-def _withdraw(context: RequestContext, row_key: str, row: ClaimRow) -> None:
-    """Delete the row of an attempt that gave up before it knew whether it held the row."""
+def _withdraw(context: RequestContext, row_key: str, row: ClaimRow, written_again: bool) -> None:
+    """Take back the claim of an attempt that gave up before it knew whether it held the row.
+
+    A free row is released anew, so that no write of this attempt that lands later has an effect.
+
+    :param written_again: whether the attempt sent its claim more than once.
+    """
     pause_s = WRITE_PAUSE_S
     for _ in range(WRITE_TRIES):
         found = context.claims.table.read((row_key,))
         if not isinstance(found, Unavailable | Throttled):
             actual = found[row_key]
-            if actual.value is not None and actual.value["attempt"] == row["attempt"]:
-                release_claim(context, Claim(row_key, actual.version, row))
-            return
+            if not _is_free(actual):
+                if actual.value["attempt"] == row["attempt"]:
+                    # The only write that was sent has landed: none of this attempt can follow.
+                    after = _released(row) if written_again else None
+                    _write(context, Claim(row_key, actual.version, row), after)
+                return
+            result = context.claims.commit(RowChange(row_key, actual.version, _released(row)))
+            if isinstance(result, Committed):
+                return
         sleep(pause_s * (0.5 + context.random.random()))
         pause_s = min(pause_s * 2, WRITE_PAUSE_LIMIT_S)
 
 
+def _is_free(row: Row) -> bool:
+    return row.value is None or row.value["state"] == "released"
+
+
+def _released(row: ClaimRow) -> ClaimRow:
+    return {**row, "state": "released"}
+
+
 def _write(context: RequestContext, claim: Claim, row: ClaimRow | None) -> None | Failure:
     """Change the claim's row, trying again while the store is down or the answer was lost.
 
--- a/tests/request/test_claim.py
+++ b/tests/request/test_claim.py
@@ -25,6 +25,7 @@
 from laburnumswitch.request.expiry import expire_some
 from laburnumswitch.request.expiry import RETENTION_S
 from standin.table import MemoryTable
+from tests.fakes import FaultyTable
 from tests.request.fakes import answering
 from tests.request.fakes import call
 from tests.request.fakes import context_of
@@ -219,6 +220,23 @@
         self.assertThat(call(port, KEYED).status, Equals(200))
         self.assertThat(upstream.requests, HasLength(1))
 
+    def test_claim_that_lands_after_its_settling_leaves_the_key_to_one_run(self):
+        upstream = self.upstream()
+        slow = FaultyTable(self.table)
+        slow.lose_commits = 1 + SETTLE_TRIES
+        _, context = self.entry(upstream)
+        with served(context._replace(claims=ClaimCommitter(slow))) as port:
+            self.assertThat(call(port, KEYED).outcome, Equals("not-run"))
+        with Timeout(5):
+            while not self.table.scan("claim/"):
+                sleep(0.01)
+        for late in slow.delayed:
+            self.table.commit(late)
+        second, third = self.entry(upstream, 2)[0], self.entry(upstream, 3)[0]
+        self.assertThat(call(second, KEYED).status, Equals(200))
+        self.assertThat(call(third, KEYED).headers, Contains("idempotency-replayed"))
+        self.assertThat(upstream.requests, HasLength(1))
+
     def test_old_claims_expire_and_young_ones_stay(self):
         upstream = self.upstream()
         port, context = self.entry(upstream)
@@ -232,6 +250,18 @@
         keys = [row.key for row in self.table.scan("claim/")]
         self.assertThat(keys, Equals([claim_row_key("orders", "k2")]))
 
+    def test_released_claim_stays_until_it_expires(self):
+        gone = self.upstream()
+        gone.close()
+        port, context = self.entry(gone)
+        self.assertThat(call(port, KEYED).outcome, Equals("not-run"))
+        expire_some(context, "")
+        states = [row.value["state"] for row in self.table.scan("claim/")]
+        self.assertThat(states, Equals(["released"]))
+        self.now_s[0] += RETENTION_S + 60.0
+        expire_some(context, "")
+        self.assertThat(self.table.scan("claim/"), HasLength(0))
+
     def test_larger_answer_is_kept_as_an_object(self):
         body = bytes(range(256)) * 100
         raw = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
--- a/tests/spec/test_claim_conformance.py
+++ b/tests/spec/test_claim_conformance.py
@@ -3,15 +3,20 @@
 from random import Random
 from typing import NamedTuple
 
+from gevent import sleep
+from gevent import Timeout
+from gevent.event import Event
 from testtools import TestCase
 from testtools.matchers import IsInstance
 
 from laburnumswitch.exceptions import ClaimInProgress
 from laburnumswitch.exceptions import Conflict
 from laburnumswitch.exceptions import NotRun
+from laburnumswitch.exceptions import Unavailable
 from laburnumswitch.request.claim import Claim
 from laburnumswitch.request.claim import claim_key
 from laburnumswitch.request.claim import release_claim
+from laburnumswitch.request.claim import SETTLE_TRIES
 from standin.table import MemoryTable
 from tests.fakes import FaultyTable
 from tests.request.fakes import answering
@@ -74,3 +79,42 @@
         self.assertThat(self.claim(self.entry(2)), IsInstance(Claim))
         self.assertThat(self.table.commit(slow.delayed[0]), IsInstance(Conflict))
         self.assertThat(self.claim(self.entry(3)), IsInstance(ClaimInProgress))
+
+    def test_claim_that_lands_after_its_settling_leaves_the_key_to_the_next(self):
+        slow = FaultyTable(self.table)
+        # The claim and each try of the settling are sent, and none has landed by its end.
+        slow.lose_commits = 1 + SETTLE_TRIES
+        self.assertThat(self.claim(self.entry(1, slow)), IsInstance(NotRun))
+        with Timeout(5):
+            while not self.table.scan("claim/"):
+                sleep(0.01)
+        for late in slow.delayed:
+            self.expectThat(self.table.commit(late), IsInstance(Conflict))
+        self.assertThat(self.claim(self.entry(2)), IsInstance(Claim))
+        self.assertThat(self.claim(self.entry(3)), IsInstance(ClaimInProgress))
+
+    def test_claim_that_lands_after_a_release_leaves_the_key_to_the_next(self):
+        slow = FaultyTable(self.table)
+        slow.lose_commits = 1
+        first = self.entry(1, slow)
+        claim = self.claim(first)
+        self.assertIsNone(release_claim(first, claim))
+        self.assertThat(self.table.commit(slow.delayed[0]), IsInstance(Conflict))
+        self.assertThat(self.claim(self.entry(2)), IsInstance(Claim))
+
+    def test_claim_that_lands_after_a_withdrawal_by_another_leaves_the_key_to_the_next(self):
+        go = Event()
+        lossy = FaultyTable(self.table)
+        lossy.read = lambda keys: self.table.read(keys) if go.is_set() else Unavailable("down")
+        self.table.lose_answers = 1
+        self.assertThat(self.claim(self.entry(1, lossy)), IsInstance(NotRun))
+        slow = FaultyTable(self.table)
+        slow.lose_commits = 1
+        self.assertThat(self.claim(self.entry(2, slow)), IsInstance(ClaimInProgress))
+        commits = self.table.commits
+        go.set()
+        with Timeout(5):
+            while self.table.commits == commits:
+                sleep(0.01)
+        self.table.commit(slow.delayed[0])
+        self.assertThat(self.claim(self.entry(3)), IsInstance(Claim))
