--- a/laburnumswitch/entry.py
+++ b/laburnumswitch/entry.py
@@ -25,6 +25,7 @@
 from laburnumswitch.process.counted_table import CountedTable
 from laburnumswitch.process.directory import Directory
 from laburnumswitch.process.heartbeat import Heartbeat
+from laburnumswitch.process.heartbeat import join_shard_hints
 from laburnumswitch.process.heartbeat import ShardUpstreams
 from laburnumswitch.process.heartbeat import TeamUses
 from laburnumswitch.process.hint import ShardHint
@@ -76,7 +77,7 @@
 from laburnumswitch.request.watch import start_background
 from laburnumswitch.version.adoption import Adopted
 from laburnumswitch.version.adoption import ConfigurationHint
-from laburnumswitch.version.adoption import NO_HINT
+from laburnumswitch.version.adoption import newest_hint
 from laburnumswitch.version.adoption import run_adoption
 from laburnumswitch.version.hosts import make_service_by_host
 
@@ -223,14 +224,6 @@
             return self.adopted.document
         return None
 
-    def newest_hint(self) -> ConfigurationHint:
-        """Return the highest version of the configuration that a live peer has told."""
-        hints = [
-            ConfigurationHint(heartbeat.configuration_version, heartbeat.configuration_digest)
-            for heartbeat in self.membership.heartbeats()
-        ]
-        return max(hints, default=NO_HINT)
-
     def shard_hints(self) -> tuple[ShardHint, ...]:
         """Return what peers are told of the shards owned here."""
         return self.scheduler.hints() if self.scheduler else ()
@@ -240,19 +233,10 @@
         return self.scheduler.task_numbers() if self.scheduler else TaskNumbers()
 
     def peers_shard_hints(self) -> dict[int, ShardHint]:
-        """Return the newest hint of every shard, this entry's own included.
-
-        What a peer's teams use in all its shards is counted with the first of them.
-        """
-        by_shard = {hint.shard: hint for hint in self.shard_hints()}
-        for heartbeat in self.membership.heartbeats():
-            uses = self.peers.team_uses_by_id.get(heartbeat.vm_id, ())
-            for hint in heartbeat.shards:
-                known = by_shard.get(hint.shard)
-                if known is None or hint.epoch > known.epoch:
-                    by_shard[hint.shard] = hint._replace(used_by_team=uses)
-                    uses = ()
-        return by_shard
+        """Return the newest hint of every shard, this entry's own included."""
+        return join_shard_hints(
+            self.shard_hints(), self.membership.heartbeats(), self.peers.team_uses_by_id
+        )
 
     def wake_admission(self) -> None:
         """Have admission look at a configuration that was just adopted."""
@@ -319,7 +303,7 @@
             self.adopted,
             self.table,
             self.objects,
-            self.newest_hint,
+            lambda: newest_hint(self.membership.heartbeats()),
             self.peers.fetch_configuration,
         )
         watch = (self.directory, self.table, self.timeline, sleep, self.stopped.is_set)
--- a/laburnumswitch/process/heartbeat.py
+++ b/laburnumswitch/process/heartbeat.py
@@ -1,5 +1,7 @@
 """Messages between entries. All of them are hints; none is binding."""
 
+from collections.abc import Iterable
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from laburnumswitch.process.hint import ShardHint
@@ -52,3 +54,23 @@
     vm_id: str
     used_by_team: tuple[TeamUse, ...] = ()
     format: int = FORMAT
+
+
+def join_shard_hints(
+    own: Iterable[ShardHint],
+    heartbeats: Iterable[Heartbeat],
+    team_uses_by_id: Mapping[str, tuple[TeamUse, ...]],
+) -> dict[int, ShardHint]:
+    """Return the newest hint of every shard, by shard.
+
+    What a peer's teams use in all its shards is counted with the first of them.
+    """
+    by_shard = {hint.shard: hint for hint in own}
+    for heartbeat in heartbeats:
+        uses = team_uses_by_id.get(heartbeat.vm_id, ())
+        for hint in heartbeat.shards:
+            known = by_shard.get(hint.shard)
+            if known is None or hint.epoch > known.epoch:
+                by_shard[hint.shard] = hint._replace(used_by_team=uses)
+                uses = ()
+    return by_shard
--- a/laburnumswitch/version/adoption.py
+++ b/laburnumswitch/version/adoption.py
@@ -1,6 +1,7 @@
 """Adoption: an entry takes higher versions of the configuration, from the store or from a peer."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from gevent import sleep as gevent_sleep
@@ -8,6 +9,7 @@
 from laburnumswitch.declaration import Configuration
 from laburnumswitch.declaration import NO_CONFIGURATION
 from laburnumswitch.exceptions import Failure
+from laburnumswitch.process.heartbeat import Heartbeat
 from laburnumswitch.process.objects import Objects
 from laburnumswitch.process.table import Table
 from laburnumswitch.process.timeline import Timeline
@@ -31,6 +33,15 @@
 NO_HINT = ConfigurationHint(0, "")
 
 
+def newest_hint(heartbeats: Iterable[Heartbeat]) -> ConfigurationHint:
+    """Return the highest version that a live peer has told, ``NO_HINT`` where none has."""
+    hints = [
+        ConfigurationHint(heartbeat.configuration_version, heartbeat.configuration_digest)
+        for heartbeat in heartbeats
+    ]
+    return max(hints, default=NO_HINT)
+
+
 def adopt(current: Configuration, candidate: Configuration) -> Configuration:
     """Return whichever is to be in force: the candidate only where its version is higher."""
     return candidate if candidate.version > current.version else current
--- a/tests/process/test_peers.py
+++ b/tests/process/test_peers.py
@@ -10,6 +10,7 @@
 from laburnumswitch.process.admin import Traffic
 from laburnumswitch.process.directory import Directory
 from laburnumswitch.process.heartbeat import Heartbeat
+from laburnumswitch.process.heartbeat import join_shard_hints
 from laburnumswitch.process.heartbeat import ShardUpstreams
 from laburnumswitch.process.heartbeat import TeamUses
 from laburnumswitch.process.hint import ShardHint
@@ -121,3 +122,14 @@
         self.first.peers.wake(3)
         self.assertThat(self.second.woken.get(timeout=10), Equals(3))
         self.assertThat(self.second.woken.empty(), Equals(True))
+
+
+class TestJoinShardHints(TestCase):
+    def test_higher_epoch_wins_and_team_uses_count_once(self):
+        own = (ShardHint(1, 5, 1),)
+        shards = (ShardHint(1, 4, 9), ShardHint(2, 1, 1), ShardHint(3, 1, 1))
+        heartbeat = Heartbeat("entry-2", "boot", "north", 1, shards=shards)
+        joined = join_shard_hints(own, (heartbeat,), {"entry-2": (USE,)})
+        self.assertThat(joined[1].epoch, Equals(5))
+        uses = [use for hint in joined.values() for use in hint.used_by_team]
+        self.assertThat(uses, Equals([USE]))
