Let a withdrawn claim always leave a released row

Cause: the withdrawal of a claim that had landed deleted its row, so a claim of another attempt that was in flight then could land late and block the key (listed as known red until now). Before: the last claim was told ClaimInProgress. After: it is granted, and the list is empty.

--- a/laburnumswitch/request/claim.py
+++ b/laburnumswitch/request/claim.py
@@ -119,7 +119,6 @@
     context: RequestContext, row_key: str, row: ClaimRow
 ) -> Claim | StoredAnswer | ClaimFailure:
     """Decide by reading whether this attempt holds the row, and write again only conditionally."""
-    written_again = False
     for _ in range(SETTLE_TRIES):
         found = context.claims.table.read((row_key,))
         if isinstance(found, Unavailable | Throttled):
@@ -128,11 +127,10 @@
         actual = found[row_key]
         if not _is_free(actual):
             return _judge(context, actual, row)
-        written_again = True
         result = context.claims.commit(RowChange(row_key, actual.version, row))
         if isinstance(result, Committed):
             return Claim(row_key, result.version, row)
-    spawn(_withdraw, context, row_key, row, written_again)
+    spawn(_withdraw, context, row_key, row)
     return NotRun(NOT_CLAIMED)
 
 
@@ -207,12 +205,11 @@
     return StoredAnswer(status, tuple((name, value) for name, value in headers), b64decode(body))
 
 
-def _withdraw(context: RequestContext, row_key: str, row: ClaimRow, written_again: bool) -> None:
+def _withdraw(context: RequestContext, row_key: str, row: ClaimRow) -> None:
     """Take back the claim of an attempt that gave up before it knew whether it held the row.
 
-    A free row is released anew, so that no write of this attempt that lands later has an effect.
-
-    :param written_again: whether the attempt sent its claim more than once.
+    The row is released and stays, so that no claim that lands later has an effect, be it of this
+    attempt or of another one that was in flight at the same time.
     """
     pause_s = WRITE_PAUSE_S
     for _ in range(WRITE_TRIES):
@@ -221,9 +218,7 @@
             actual = found[row_key]
             if not _is_free(actual):
                 if actual.value["attempt"] == row["attempt"]:
-                    # The only write that was sent has landed: none of this attempt can follow.
-                    after = _released(row) if written_again else None
-                    _write(context, Claim(row_key, actual.version, row), after)
+                    _write(context, Claim(row_key, actual.version, row), _released(row))
                 return
             result = context.claims.commit(RowChange(row_key, actual.version, _released(row)))
             if isinstance(result, Committed):
--- a/laburnumswitch/version/adoption.py
+++ b/laburnumswitch/version/adoption.py
@@ -18,7 +18,7 @@
 from laburnumswitch.version.publish import CONFIGURATION_KEY
 from laburnumswitch.version.publish import read_pointer
 
-POLL_INTERVAL_S = 1.0
+POLL_INTERVAL_S = 0.5
 
 FetchFromPeer = Callable[[int, str], "bytes | Failure"]
 
--- a/scripts/capacity_sizing.py
+++ b/scripts/capacity_sizing.py
@@ -3,9 +3,11 @@
 from collections import Counter
 from typing import NamedTuple
 
+from laburnumswitch.process.admission import ACTIVE_EVERY_S
+from laburnumswitch.process.ended_rows import PRUNE_EVERY_S
 from laburnumswitch.process.ownership import preferred_entry
 from laburnumswitch.process.peers import HEARTBEAT_INTERVAL_S
-from laburnumswitch.process.scheduler import ADMIT_EVERY_S
+from laburnumswitch.process.peers import TEAM_USES_INTERVAL_S
 from laburnumswitch.process.scheduler import OBSERVE_EVERY_S
 from laburnumswitch.process.shard import COMMIT_EVERY_S
 from laburnumswitch.process.shard import INBOX_EVERY_S
@@ -32,7 +34,9 @@
 TEAMS = 130
 ZONES = 9
 DECLARATIONS = 2_000
-KEPT_JOB_ROWS = 26_000
+JOBS_PER_DAY = 26_000
+OPEN_JOB_HOURS = 1.0
+OPEN_JOB_ROWS = JOBS_PER_DAY / 24 * OPEN_JOB_HOURS
 CHANGES_PER_DAY = 1_200
 DAY_S = 86_400.0
 BUDGET_BYTES_PER_S = 25_000.0
@@ -42,7 +46,7 @@
 BUDGET_CONFIGURATION_S = 17.0
 BUDGET_WRITES_PER_S = 400.0
 BUDGET_READS_PER_S = 2_000.0
-HTTP_CALLS_PER_HEARTBEAT = 2
+HTTP_CALLS_PER_HEARTBEAT = 1 + 2 * HEARTBEAT_INTERVAL_S / TEAM_USES_INTERVAL_S
 CONFIGURATION_COPIES = 4
 OBSERVED_RANKS = 2
 
@@ -146,12 +150,13 @@
 
 def admission_core(slopes: Slopes) -> float:
     """Return the fraction of a core that the admitting entry spends on its passes."""
-    return KEPT_JOB_ROWS * slopes.admission.decode_us_per_row / 1e6 / ADMIT_EVERY_S
+    return OPEN_JOB_ROWS * slopes.admission.decode_us_per_row / 1e6 / ACTIVE_EVERY_S
 
 
 def admission_bytes_per_s(slopes: Slopes) -> float:
     """Return what the admitting entry reads for its passes."""
-    return KEPT_JOB_ROWS * slopes.admission.bytes_per_row / ADMIT_EVERY_S
+    rows_per_s = OPEN_JOB_ROWS / ACTIVE_EVERY_S + SCAN_LIMIT_ROWS / PRUNE_EVERY_S
+    return rows_per_s * slopes.admission.bytes_per_row
 
 
 def reads_per_s(entries: int, shards: int) -> float:
@@ -160,19 +165,16 @@
         1 / POLL_INTERVAL_S + 1 / ZONES_EVERY_S + 1 / CANCELLED_EVERY_S + 1 / SERVICES_EVERY_S
     )
     heads = OBSERVED_RANKS * shards / OBSERVE_EVERY_S
-    admission = KEPT_JOB_ROWS / SCAN_LIMIT_ROWS / ADMIT_EVERY_S
+    admission = OPEN_JOB_ROWS / SCAN_LIMIT_ROWS / ACTIVE_EVERY_S
     return entries * each_entry + heads + shards / INBOX_EVERY_S + admission
 
 
 def urgent_worst_s(configuration: ConfigurationSlope) -> float:
-    """Return the sum of all timers between publication and a committed start."""
-    return (
-        POLL_INTERVAL_S
-        + configuration.adopt_ms / 1e3
-        + ADMIT_EVERY_S
-        + INBOX_EVERY_S
-        + COMMIT_EVERY_S
-    )
+    """Return the sum of all timers between publication and a committed start.
+
+    Adoption wakes admission in the same process. The wake-up of the shard is counted as lost.
+    """
+    return POLL_INTERVAL_S + configuration.adopt_ms / 1e3 + urgent_due_worst_s()
 
 
 def urgent_due_worst_s() -> float:
