--- a/tests/process/bench.py
+++ b/tests/process/bench.py
@@ -29,6 +29,8 @@
 
 SMALL = Size(1_000, 1_000)
 
+TASK = "j@1:0"
+
 
 def make_work(job_id="j@1", size=SMALL, **changes) -> Work:
     fields = {"name": job_id.partition("@")[0], "team": "team", "command": ("run",)}
@@ -112,3 +114,15 @@
 
     def place_of(self, task_id: str) -> str:
         return self.workers.running().get(task_id, [""])[0]
+
+
+def start_one(bench, shard, **changes):
+    bench.submit(make_work(**changes))
+    bench.drive(shard, seconds=2)
+    return bench.place_of(TASK)
+
+
+def start_times(bench, task_id):
+    return [
+        entry[0] for entry in bench.workers.history if entry[1] == "start" and entry[3] == task_id
+    ]
