--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 PROFILE ?= boutik
 SEED ?= 1
 JSON ?=
+BINARY ?=
 READY := $(VENV)/.ready
 SOURCES := laburnumswitch bundle standin scripts spec tests
 
@@ -15,7 +16,8 @@
 	touch $(READY)
 
 demo: $(READY)
-	$(BIN)/python -m scripts.demo --profile $(PROFILE) --seed $(SEED) $(if $(JSON),--json $(JSON))
+	$(BIN)/python -m scripts.demo --profile $(PROFILE) --seed $(SEED) $(if $(JSON),--json $(JSON)) \
+		$(if $(BINARY),--binary $(BINARY))
 
 test: $(READY)
 	$(BIN)/python -m pytest -n 6
--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -1,6 +1,7 @@
 """The processes of the demonstration and the calls that steer them."""
 
 import os
+import sys
 from collections.abc import Callable
 from time import monotonic
 from typing import Any
@@ -24,6 +25,7 @@
 from standin.records import ProcessPaused
 from standin.records import ProcessStopped
 
+PRODUCT = (sys.executable, "-m", "laburnumswitch")
 HOST = "127.0.0.1"
 KEY = "the-key-of-one-demonstration"
 READY_DELAY = "1500ms"
@@ -47,7 +49,13 @@
 class Cluster:
     """Platform, racks, callers and entries of one run, and their records in one directory."""
 
-    def __init__(self, launcher: Launcher, profile: Profile, seed: int) -> None:
+    def __init__(
+        self, launcher: Launcher, profile: Profile, seed: int, product: tuple[str, ...] = PRODUCT
+    ) -> None:
+        """Start nothing yet.
+
+        :param product: command that the product's own commands follow.
+        """
         self.launcher = launcher
         self.profile = profile
         self.racks: list[Rack] = []
@@ -55,6 +63,7 @@
         self.zone_by_vm: dict[str, str] = {}
         self.record = append_to(self._path("launcher.records"))
         self._seed = seed
+        self._product = product
         self._entries_started = 0
         self._client_by_address: dict[str, Client] = {}
         self.platform_address = ""
@@ -89,7 +98,7 @@
         self.entry_by_vm[vm_id] = entry
         self.zone_by_vm[vm_id] = self.profile.zones[zone]
         settings = self._write_settings(entry)
-        self.launcher.start(vm_id, "-m", "laburnumswitch", "entry", "--settings", settings)
+        self.launcher.start(vm_id, *self._product, "entry", "--settings", settings)
         self.list_entry(vm_id, "live")
         return entry
 
@@ -146,7 +155,7 @@
         :raises ProcessFailedError: if it fails.
         """
         options = ("--platform", self.platform_address)
-        code, output = run_to_end(("-m", "laburnumswitch", *arguments, *options), COMMAND_LIMIT_S)
+        code, output = run_to_end((*self._product, *arguments, *options), COMMAND_LIMIT_S)
         if code != 0:
             raise ProcessFailedError(f"{' '.join(arguments)}: exit code {code}: {output}")
         return output
@@ -206,7 +215,8 @@
 
     def _start_standin(self, name: str, *arguments: str) -> str:
         records = self._path(f"{name}.records")
-        self.launcher.start(name, "-m", "standin", *arguments, "--records", records)
+        command = (sys.executable, "-m", "standin", *arguments, "--records", records)
+        self.launcher.start(name, *command)
         return self.launcher.address_of(name)
 
     def _start_rack(self, number: int, plan: RackPlan, first: int) -> None:
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -16,6 +16,7 @@
 from msgspec.json import format as format_json
 
 from scripts.cluster import Cluster
+from scripts.cluster import PRODUCT
 from scripts.launcher import Launcher
 from scripts.launcher import ProcessFailedError
 from scripts.probe import Probe
@@ -54,11 +55,15 @@
 @click.option("--seed", default=1, show_default=True)
 @click.option("--json", "json_file", type=click.Path(dir_okay=False), help="File for the figures.")
 @click.option("--keep", type=click.Path(file_okay=False), help="Folder for records and logs.")
-def main(profile: str, seed: int, json_file: str | None, keep: str | None) -> None:
+@click.option("--binary", type=click.Path(exists=True), help="One-file program to run.")
+def main(
+    profile: str, seed: int, json_file: str | None, keep: str | None, binary: str | None
+) -> None:
     """Run the demonstration; exit with 0 if every promise held."""
+    product = (os.path.abspath(binary),) if binary else PRODUCT
     with TemporaryDirectory(prefix="laburnumswitch-") as directory, Launcher(directory) as launcher:
         try:
-            summary = run_demo(launcher, PROFILE_BY_NAME[profile], seed)
+            summary = run_demo(launcher, PROFILE_BY_NAME[profile], seed, product)
         except ProcessFailedError as error:
             click.echo(f"failed: {error}", err=True)
             sys.exit(EXIT_FAILED)
@@ -72,14 +77,16 @@
     sys.exit(EXIT_BROKEN if summary.broken else 0)
 
 
-def run_demo(launcher: Launcher, profile: Profile, seed: int) -> Summary:
+def run_demo(
+    launcher: Launcher, profile: Profile, seed: int, product: tuple[str, ...] = PRODUCT
+) -> Summary:
     """Go through all steps and return the figures."""
     began_s = monotonic()
 
     def say(text: str) -> None:
         click.echo(f"{monotonic() - began_s:5.1f} s  {text}")
 
-    cluster = Cluster(launcher, profile, seed)
+    cluster = Cluster(launcher, profile, seed, product)
     publication = Publication(launcher.directory, os.path.join(EXAMPLES, profile.name))
     first = publication.read()
     stage = Stage(cluster, publication, Probe(cluster.record), Random(seed), say)
--- a/scripts/launcher.py
+++ b/scripts/launcher.py
@@ -57,9 +57,8 @@
             signal(number, lambda *_: None)
         self.end_all()
 
-    def start(self, name: str, *arguments: str) -> None:
-        """Start ``python`` with ``arguments``; its output goes to files named after it."""
-        command = [sys.executable, *arguments]
+    def start(self, name: str, *command: str) -> None:
+        """Start ``command``; its output goes to files named after the process."""
         out = self._log(name, "out")
         error = self._log(name, "err")
         with out, error:
@@ -153,11 +152,11 @@
 
 
 def run_to_end(
-    arguments: tuple[str, ...], limit_s: float, clock: Callable[[], float] = monotonic
+    command: tuple[str, ...], limit_s: float, clock: Callable[[], float] = monotonic
 ) -> tuple[int, str]:
-    """Run ``python`` with ``arguments`` and return its exit code and what it wrote."""
+    """Run ``command`` and return its exit code and what it wrote."""
     with TemporaryFile("w+") as output:
-        process = Popen([sys.executable, *arguments], stdout=output, stderr=output)
+        process = Popen(command, stdout=output, stderr=output)
         until_s = clock() + limit_s
         while process.poll() is None and clock() < until_s:
             sleep(POLL_S)
--- a/tests/scripts/test_launcher.py
+++ b/tests/scripts/test_launcher.py
@@ -2,6 +2,7 @@
 
 import os
 from signal import SIGTERM
+from sys import executable
 from tempfile import TemporaryDirectory
 
 from testtools import TestCase
@@ -30,7 +31,7 @@
         self.launcher = Launcher(folder.name)
 
     def start(self, name: str, program: str = SLEEPER) -> int:
-        self.launcher.start(name, "-c", program)
+        self.launcher.start(name, executable, "-c", program)
         self.launcher.address_of(name)
         return self.launcher.by_name[name].pid
 
@@ -57,6 +58,6 @@
 
     def test_process_that_ends_without_an_address_is_told_with_its_words(self):
         with self.launcher:
-            self.launcher.start("a", "-c", "raise SystemExit('no such rack')")
+            self.launcher.start("a", executable, "-c", "raise SystemExit('no such rack')")
             error = self.assertRaises(ProcessFailedError, self.launcher.address_of, "a")
         self.assertThat("no such rack" in str(error), Equals(True))
