--- a/laburnumswitch/process/shard.py
+++ b/laburnumswitch/process/shard.py
@@ -44,13 +44,13 @@
 from laburnumswitch.process.shard_workers import run_links
 from laburnumswitch.process.shard_workers import ShardWorkers
 from laburnumswitch.process.shared_rows import SharedRows
-from laburnumswitch.process.shared_rows import ZONE_PREFIX
 from laburnumswitch.process.snapshot import SNAPSHOT_EVERY_BATCHES
 from laburnumswitch.process.snapshot import snapshot_name
 from laburnumswitch.process.snapshot import store_ledger
 from laburnumswitch.process.snapshot import trimmed_keys
 from laburnumswitch.process.usage_history import Learned
 from laburnumswitch.process.work import TaskKey
+from laburnumswitch.process.zones import PREFIX as ZONE_PREFIX
 from laburnumswitch.upstream import Upstream
 
 COMMIT_EVERY_S = 0.25
--- a/laburnumswitch/process/shared_rows.py
+++ b/laburnumswitch/process/shared_rows.py
@@ -1,31 +1,19 @@
 """Rows that every shard of an entry needs, read once for all of them."""
 
-from typing import Any
-from typing import NamedTuple
-
 from laburnumswitch.exceptions import Failure
-from laburnumswitch.process.table import ABSENT_VERSION
 from laburnumswitch.process.table import Condition
 from laburnumswitch.process.table import scan_all
 from laburnumswitch.process.table import Table
+from laburnumswitch.process.zones import PREFIX as ZONE_PREFIX
+from laburnumswitch.process.zones import read_zones
+from laburnumswitch.process.zones import zone_key
+from laburnumswitch.process.zones import ZoneState
 
-ZONE_PREFIX = "zone/"
 CANCELLED_PREFIX = "cancelled/"
 SERVICE_PREFIX = "service/"
 ZONES_EVERY_S = 0.5
 CANCELLED_EVERY_S = 1.0
 SERVICES_EVERY_S = 3.0
-ZONE_OUT = "out"
-
-
-class ZoneState(NamedTuple):
-    """One zone row; ``version`` is 0 for a row that does not exist, which means in."""
-
-    version: int
-    is_out: bool
-
-
-ZONE_IN = ZoneState(ABSENT_VERSION, False)
 
 
 class SharedRows:
@@ -52,13 +40,9 @@
 
     def refresh_zones(self) -> None:
         """Read the zone rows now, such as after a conflict on one of them."""
-        rows = scan_all(self._table, ZONE_PREFIX)
-        if isinstance(rows, Failure):
+        zones = read_zones(self._table)
+        if isinstance(zones, Failure):
             return
-        zones = {
-            row.key.removeprefix(ZONE_PREFIX): ZoneState(row.version, zone_is_out(row.value))
-            for row in rows
-        }
         if zones != self.zone_by_name or not self.zones_known:
             self.revision += 1
         self.zone_by_name = zones
@@ -66,15 +50,18 @@
 
     def zone_is_in(self, name: str) -> bool:
         """Return whether starts in a zone may be planned."""
-        return self.zones_known and not self.zone_by_name.get(name, ZONE_IN).is_out
+        return self.zones_known and not self.zone_is_out(name)
 
     def zone_is_out(self, name: str) -> bool:
         """Return whether a zone is known to be out."""
-        return self.zone_by_name.get(name, ZONE_IN).is_out
+        return self._zone(name).state == "out"
 
     def zone_condition(self, name: str) -> Condition:
         """Return the condition under which starts in a zone commit."""
-        return Condition(ZONE_PREFIX + name, self.zone_by_name.get(name, ZONE_IN).version)
+        return Condition(zone_key(name), self._zone(name).version)
+
+    def _zone(self, name: str) -> ZoneState:
+        return self.zone_by_name.get(name, ZoneState(name))
 
     def _refresh_cancelled(self) -> None:
         rows = scan_all(self._table, CANCELLED_PREFIX)
@@ -98,10 +85,3 @@
             return False
         self._due_by_prefix[prefix] = now_s + every_s
         return True
-
-
-def zone_is_out(value: Any) -> bool:
-    """Return whether the value of a zone row means out."""
-    if isinstance(value, dict):
-        value = value.get("state")
-    return value == ZONE_OUT
--- a/tests/process/bench.py
+++ b/tests/process/bench.py
@@ -19,6 +19,8 @@
 from laburnumswitch.process.usage_history import Learned
 from laburnumswitch.process.work import Work
 from laburnumswitch.process.work import write_work
+from laburnumswitch.process.zones import zone_key
+from laburnumswitch.process.zones import ZoneRow
 from laburnumswitch.size import Size
 from standin.table import MemoryTable
 from tests.fakes import FakeClock
@@ -81,6 +83,10 @@
         chunk = Chunk(write_work(work), first, count)
         self.table.commit(Transaction((), (inbox_put(0, f"c{self.chunks}", chunk),)))
 
+    def put_zone(self, name, state):
+        row = ZoneRow(format=1, state=state, actor="operator", changed_s=0.0)
+        self.put(zone_key(name), row)
+
     def put(self, key, value) -> None:
         self.table.commit(Transaction((), (Put(key, value),)))
 
--- a/tests/process/test_policies.py
+++ b/tests/process/test_policies.py
@@ -261,7 +261,7 @@
         self.assertThat((self.state.reported_s, self.state.vanished), Equals((seen_s, set())))
 
     def test_new_owner_withdraws_no_run_that_may_have_been_sent(self):
-        self.bench.put("zone/a", "out")
+        self.bench.put_zone("a", "out")
         self.bench.workers.by_id["w1"].reachable = False
         second = self.bench.take_over("e2")
         self.bench.drive(second, seconds=3)
--- a/tests/process/test_random_faults.py
+++ b/tests/process/test_random_faults.py
@@ -71,7 +71,7 @@
 
     def zone(self, name, state):
         if not self.bench.table.down:
-            self.bench.put(f"zone/{name}", state)
+            self.bench.put_zone(name, state)
 
     def down(self, yes, _):
         self.bench.table.down = yes
@@ -97,7 +97,7 @@
         self.bench.table.down = False
         self.bench.table.lose_answers = 0
         for zone in "ab":
-            self.bench.put(f"zone/{zone}", "in")
+            self.bench.put_zone(zone, "in")
         for worker in self.bench.workers.by_id.values():
             worker.reachable, worker.loses_answers = True, 0
         self.owners.append(self.bench.take_over("last"))
--- a/tests/process/test_shard_moves.py
+++ b/tests/process/test_shard_moves.py
@@ -30,10 +30,10 @@
             bench.drive(shard, seconds=0.25)
             if shard.ledger.find_group("j@1") and bench.place_of(TASK):
                 self.fail("started too early to race")
-            table.before_commit = lambda: bench.put("zone/a", "out")
+            table.before_commit = lambda: bench.put_zone("a", "out")
         bench.drive(shard, seconds=5)
         self.assertThat(bench.workers.runs_of(TASK), Equals([]))
-        bench.put("zone/a", "in")
+        bench.put_zone("a", "in")
         bench.drive(shard, seconds=2)
         self.assertThat(bench.workers.runs_of(TASK), Equals([1]))
 
@@ -42,7 +42,7 @@
         shard = bench.take_over()
         place = start_one(bench, shard, checkpointable=True)
         zone, other = ("a", "w2") if place == "w1" else ("b", "w1")
-        bench.put(f"zone/{zone}", "out")
+        bench.put_zone(zone, "out")
         bench.drive(shard, seconds=4)
         self.assertThat(bench.place_of(TASK), Equals(other))
         checkpoint = bench.workers.by_id[other].run_by_task[TASK].checkpoint
@@ -53,7 +53,7 @@
         shard = bench.take_over()
         bench.put("service/s", {"handed": [{"job_id": "j@1", "indexes": [0]}]})
         place = start_one(bench, shard, service="s")
-        bench.put(f"zone/{'a' if place == 'w1' else 'b'}", "out")
+        bench.put_zone("a" if place == "w1" else "b", "out")
         counts = []
         for _ in range(24):
             bench.drive(shard, seconds=0.25)
@@ -71,7 +71,7 @@
         place = start_one(bench, shard, service="s")
         bench.submit(make_work("full@1", Size(8_000, 8_000)))
         bench.drive(shard, seconds=2)
-        bench.put(f"zone/{'a' if place == 'w1' else 'b'}", "out")
+        bench.put_zone("a" if place == "w1" else "b", "out")
         bench.drive(shard, seconds=REPLACE_LIMIT_S - 1)
         self.assertThat(bench.place_of(TASK), Equals(place))
         bench.drive(shard, seconds=5)
