--- a/scripts/request_report.py
+++ b/scripts/request_report.py
@@ -1,5 +1,6 @@
 """Page of the request path's measurement, made from the figures of one run."""
 
+from re import compile as compile_pattern
 from statistics import median
 from typing import NamedTuple
 
@@ -55,6 +56,7 @@
 INFINITY = float("inf")
 PRODUCT = "product"
 WAITING = "_wait_for_end"
+ADDRESS = compile_pattern(r" at 0x[0-9a-f]+")
 COLUMNS = (
     ("faulty_goodput", "goodput, faulty", 3),
     ("faulty_p50", "p50 ms, faulty", 0),
@@ -135,7 +137,11 @@
         "Where an entry's time goes, by cProfile, which slows Python code more than system calls;"
         " shares of all time, waiting included:",
         "",
-        *(f"* `{line}`" for line in results.profile if not line.startswith(WAITING)),
+        *(
+            f"* `{ADDRESS.sub('', line)}`"
+            for line in results.profile
+            if not line.startswith(WAITING)
+        ),
     ]
 
 
