--- a/laburnumswitch/process/relief.py
+++ b/laburnumswitch/process/relief.py
@@ -68,11 +68,6 @@
         self._saved_evictions = 1.0
         self._refilled_s = now_s
 
-    def is_paused(self, worker_id: str, class_name: str, now_s: float) -> bool:
-        """Return whether a class was evicted from a worker lately and stays off it."""
-        state = self._by_worker.get(worker_id)
-        return bool(state and state.paused_until_by_class.get(class_name, now_s) > now_s)
-
     def paused_classes(self, worker_id: str, now_s: float) -> frozenset[str]:
         """Return the classes that stay off a worker now."""
         state = self._by_worker.get(worker_id)
--- a/scripts/measure_faults.py
+++ b/scripts/measure_faults.py
@@ -50,7 +50,6 @@
 TAKEOVER_LIMIT_S = 15.0
 HEAD_POLL_S = 0.02
 JOBS_FILE = "jobs.laburnumswitch.yaml"
-BATCH_JOB = "measured-batch"
 BATCH_DECLARATION = """\
 kind: job
 name: measured-batch
