--- a/laburnumswitch/command/daemon.py
+++ b/laburnumswitch/command/daemon.py
@@ -8,20 +8,43 @@
 
 
 @click.command()
-@click.option("--settings", "settings_file", metavar="FILE", required=True, help="Settings file.")
-def entry(settings_file: str) -> None:
+@click.option("--settings", "settings_file", metavar="FILE", help="Settings file (YAML).")
+@click.option(
+    "--node-settings",
+    "node_file",
+    metavar="FILE",
+    envvar="LABURNUMSWITCH_CONFIG",
+    help="Settings that the users' platform writes (TOML); taken without --settings.",
+)
+def entry(settings_file: str | None, node_file: str | None) -> None:
     """Run the entry daemon until it is stopped by SIGTERM.
 
     \b
     Example:
       laburnumswitch entry --settings /etc/laburnumswitch/settings.yaml
     """
+    if settings_file is None and node_file is None:
+        raise click.UsageError("one of --settings and --node-settings is needed")
+    outcome = _run_on_platform(node_file) if settings_file is None else _run(settings_file)
+    if isinstance(outcome, Failure):
+        fail(outcome)
+
+
+# The daemons' modules are imported late, so that the other commands start without them.
+
+
+def _run(settings_file: str) -> None | Failure:
     settings = read_settings(settings_file)
     if isinstance(settings, Failure):
-        fail(settings)
-    # Imported late, so that the other commands start without the daemon's modules.
+        return settings
     from laburnumswitch.entry import run_entry
 
-    outcome = run_entry(settings)
-    if isinstance(outcome, Failure):
-        fail(outcome)
+    return run_entry(settings)
+
+
+def _run_on_platform(node_file: str) -> None | Failure:
+    from laburnumswitch.dispatch_entry import run_dispatch_entry
+    from laburnumswitch.platform.settings import read_deployment
+
+    deployment = read_deployment(node_file)
+    return deployment if isinstance(deployment, Failure) else run_dispatch_entry(deployment)
--- a/laburnumswitch/connection/answer.py
+++ b/laburnumswitch/connection/answer.py
@@ -14,6 +14,8 @@
 from laburnumswitch.exceptions import Refused
 from laburnumswitch.exceptions import Throttled
 
+# Enough for the rows that a failed condition returns.
+REASON_LIMIT_BYTES = 65_536
 STATUS_OK = 200
 STATUS_TOO_MANY_REQUESTS = 429
 
@@ -39,7 +41,7 @@
     if response.status == STATUS_TOO_MANY_REQUESTS:
         return Throttled(_retry_after_s(response.headers))
     if response.status != STATUS_OK:
-        reason = response.body[:200].decode("utf-8", "replace")
+        reason = response.body[:REASON_LIMIT_BYTES].decode("utf-8", "replace")
         return Refused(client.address, response.status, reason)
     try:
         return decode_known(response.body, answer_type)
--- a/laburnumswitch/connection/client.py
+++ b/laburnumswitch/connection/client.py
@@ -9,6 +9,7 @@
 from select import POLLIN
 from ssl import SSLError
 from time import monotonic
+from types import MappingProxyType
 from typing import NamedTuple
 
 from gevent import socket
@@ -27,6 +28,7 @@
 READ_BLOCK_BYTES = 65_536
 IDLE_LIMIT_S = 20.0
 POOL_SIZE = 4
+NO_HEADERS: Mapping[str, str] = MappingProxyType({})
 
 
 class Response(NamedTuple):
@@ -50,20 +52,32 @@
         address: str,
         headers: Callable[[], Mapping[str, str]] = dict,
         tls: ClientTls | None = None,
+        pool_size: int = POOL_SIZE,
     ) -> None:
         self.address = address
+        self.connections_opened = 0
         self.bytes_sent = 0
         self.bytes_received = 0
         self._headers = headers
         self._tls = tls
+        self._pool_size = pool_size
         self._idle: list[_PooledSocket] = []
 
     def call(
-        self, method: str, target: str, body: bytes = b"", timeout_s: float = 2.0
+        self,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        timeout_s: float = 2.0,
+        extra_headers: Mapping[str, str] = NO_HEADERS,
     ) -> Response | ConnectFailed | AnswerLost:
         """Send one request and return the whole answer.
 
+        After a timeout the idle connections are closed too: what silenced one of them may have
+        silenced all.
+
         :param timeout_s: limit in seconds of connecting, sending and receiving together.
+        :param extra_headers: headers of this request alone.
         :return: ``ConnectFailed`` only where no byte was sent; its kind ``PeerNotTrusted`` where
             an end refused the other's certificate, by which no byte was taken.
         """
@@ -73,10 +87,12 @@
             with Timeout(timeout_s):
                 sock = self._take_idle() or self._connect(timeout_s)
                 sent = True
-                sock.sendall(self._encode(method, target, body))
+                sock.sendall(self._encode(method, target, body, extra_headers))
                 response, reusable = self._receive(sock, method)
         except (Timeout, OSError, HTTPParseError) as error:
             _close(sock)
+            if isinstance(error, Timeout):
+                self.close()
             refusal = refusal_reason(error, not sent) if isinstance(error, SSLError) else None
             if refusal is not None:
                 return PeerNotTrusted(self.address, refusal)
@@ -90,7 +106,7 @@
         if self._tls is not None and response.status == STATUS_NOT_TRUSTED:
             _close(sock)
             return PeerNotTrusted(self.address, response.body.decode("utf-8", "replace"))
-        if reusable and len(self._idle) < POOL_SIZE:
+        if reusable and len(self._idle) < self._pool_size:
             self._idle.append(_PooledSocket(sock, monotonic()))
         else:
             _close(sock)
@@ -108,6 +124,7 @@
     def _connect(self, timeout_s: float) -> socket.socket:
         host, _, port = self.address.rpartition(":")
         sock = socket.create_connection((host, int(port)), timeout=timeout_s)
+        self.connections_opened += 1
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         if self._tls is not None:
             sock = self._tls.wrap_socket(sock, server_hostname=host)
@@ -122,9 +139,12 @@
             _close(pooled.sock)
         return None
 
-    def _encode(self, method: str, target: str, body: bytes) -> bytes:
+    def _encode(
+        self, method: str, target: str, body: bytes, extra_headers: Mapping[str, str]
+    ) -> bytes:
         lines = [f"{method} {target} HTTP/1.1", f"Host: {self.address}"]
         lines.extend(f"{name}: {value}" for name, value in self._headers().items())
+        lines.extend(f"{name}: {value}" for name, value in extra_headers.items())
         if body:
             lines.append("Content-Type: application/json")
         lines.append(f"Content-Length: {len(body)}")
--- /dev/null
+++ b/laburnumswitch/dispatch_entry.py
@@ -0,0 +1,221 @@
+"""Composition root of an entry on the users' platform.
+
+``entry.py`` wires an entry for the project's own platform protocol; this module wires one whose
+jobs are submitted by request and whose store, workers and operators speak the users' platform.
+"""
+
+from signal import SIGINT
+from signal import SIGTERM
+from time import CLOCK_BOOTTIME
+from time import clock_gettime
+from time import monotonic
+from time import time
+from uuid import uuid4
+
+from gevent import config
+from gevent import signal_handler
+from gevent import sleep
+from gevent import spawn
+from gevent.event import Event
+
+from laburnumswitch.connection.client import Client
+from laburnumswitch.dispatch_metrics import register_dispatch_metrics
+from laburnumswitch.exceptions import CannotListen
+from laburnumswitch.exceptions import Failure
+from laburnumswitch.platform.advice import AdviceClient
+from laburnumswitch.platform.callers import decode_submission
+from laburnumswitch.platform.callers import encode_pending
+from laburnumswitch.platform.callers import encode_state
+from laburnumswitch.platform.callers import PATIENCE_HEADER
+from laburnumswitch.platform.discovery import decode_worker
+from laburnumswitch.platform.discovery import WORKERS_TABLE
+from laburnumswitch.platform.operations import decode_operation
+from laburnumswitch.platform.operations import OPERATIONS_TABLE
+from laburnumswitch.platform.store import StoreClient
+from laburnumswitch.platform.workers import HttpWorkerLink
+from laburnumswitch.process.admin import AdminContext
+from laburnumswitch.process.admin import AdminReply
+from laburnumswitch.process.admin import AdminRequest
+from laburnumswitch.process.admin import serve_admin
+from laburnumswitch.process.admin import Traffic
+from laburnumswitch.process.decisions import CAPACITY_LINES
+from laburnumswitch.process.decisions import DecisionLog
+from laburnumswitch.process.decisions import run_writer
+from laburnumswitch.process.decisions import write_last
+from laburnumswitch.process.deployment import Deployment
+from laburnumswitch.process.dispatch.dispatcher import DispatchContext
+from laburnumswitch.process.dispatch.dispatcher import Dispatcher
+from laburnumswitch.process.dispatch.takeover import begin_dispatch
+from laburnumswitch.process.dispatch.work import Limits
+from laburnumswitch.process.leadership.leadership import Identity
+from laburnumswitch.process.leadership.leadership import Leadership
+from laburnumswitch.process.leadership.leadership import LeadershipContext
+from laburnumswitch.process.leadership.owner_link import LeadershipOwnerLink
+from laburnumswitch.process.leadership.peers import make_peer_handler
+from laburnumswitch.process.leadership.peers import PeerCalls
+from laburnumswitch.process.leadership.term import HeldTerm
+from laburnumswitch.process.metrics import Metrics
+from laburnumswitch.process.operations import follow_operations
+from laburnumswitch.process.operations import Operations
+from laburnumswitch.request.callers_port import InFlight
+from laburnumswitch.request.callers_port import make_callers_port
+from laburnumswitch.request.submission import answer_request
+from laburnumswitch.request.submission import SubmissionContext
+
+# The balancer takes an entry out after two checks a second apart that failed.
+READY_DELAY_S = 2.6
+# The process ends this much before the platform would kill it, in seconds.
+KILL_MARGIN_S = 1.0
+DRAIN_INTERVAL_S = 0.05
+EVENT_LOOP = "libev-cext"
+
+
+class DispatchEntry:
+    """One entry: its ports, its view of operators and owner, and its share of the dispatching."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        self.deployment = deployment
+        self.incarnation = uuid4().hex[:8]
+        self.leaving = Event()
+        self.stopped = Event()
+        self.log = DecisionLog(deployment.vm_id, time, CAPACITY_LINES)
+        self.table = StoreClient(Client(deployment.store_address))
+        self.operations = Operations(self.log)
+        self.peer_calls = PeerCalls()
+        identity = Identity(
+            deployment.vm_id, self.incarnation, deployment.peer_address, deployment.cpu_cores
+        )
+        self.leadership = Leadership(
+            LeadershipContext(
+                identity=identity,
+                table=self.table,
+                calls=self.peer_calls,
+                begin_dispatch=self._begin_dispatch,
+                log=self.log,
+                clock=monotonic,
+                boot_clock=_boot_clock,
+                sleep=sleep,
+                is_stopped=self.leaving.is_set,
+            )
+        )
+        self.submissions = SubmissionContext(
+            operations=self.operations,
+            table=self.table,
+            owner=LeadershipOwnerLink(self.leadership, self.peer_calls, deployment.vm_id),
+            decode_submission=decode_submission,
+            encode_state=encode_state,
+            encode_pending=encode_pending,
+            log=self.log,
+            clock=monotonic,
+            wall_clock=time,
+            sleep=sleep,
+        )
+        self.in_flight = InFlight()
+        self.callers_port = make_callers_port(
+            deployment.caller_address,
+            lambda request: answer_request(self.submissions, request),
+            self.in_flight,
+            self.leaving.is_set,
+            PATIENCE_HEADER,
+            lambda: self._limits().body_bytes,
+        )
+        self.metrics = Metrics()
+        register_dispatch_metrics(self.metrics, self.leadership, self.in_flight, self.log)
+        handlers = {
+            "peer": make_peer_handler(lambda: self.leadership, self.incarnation),
+            "metrics": self._render_metrics,
+        }
+        self.peer_port = serve_admin(
+            deployment.peer_address, AdminContext(handlers, _accept_every_key, Traffic())
+        )
+        self.health_port = serve_admin(
+            deployment.health_address,
+            AdminContext({"v1": self._check_health}, _accept_every_key, Traffic()),
+        )
+
+    def start(self) -> None:
+        """Open the ports and run the tasks."""
+        self.log.note("start", self.incarnation, cores=self.deployment.cpu_cores)
+        self.peer_port.start()
+        self.health_port.start()
+        self.callers_port.start()
+        spawn(run_writer, self.log, self.stopped.is_set)
+        spawn(
+            follow_operations,
+            self.operations,
+            self.table,
+            OPERATIONS_TABLE,
+            decode_operation,
+            monotonic,
+            sleep,
+            self.stopped.is_set,
+        )
+        spawn(self.leadership.run)
+
+    def stop(self) -> None:
+        """Leave gracefully: hand over, let the balancer notice, finish what is in flight."""
+        began_s = monotonic()
+        self.log.note("stop", self.incarnation, in_flight=self.in_flight.count)
+        self.leadership.release()
+        sleep(READY_DELAY_S)
+        end_s = began_s + self.deployment.bounds.grace_s - KILL_MARGIN_S
+        while self.in_flight.count and monotonic() < end_s:
+            sleep(DRAIN_INTERVAL_S)
+        self.log.note("stopped", self.incarnation, in_flight=self.in_flight.count)
+        self.stopped.set()
+        write_last(self.log.take())
+
+    def _begin_dispatch(
+        self, held: HeldTerm, proved_s: float, may_predecessor_act: bool
+    ) -> Dispatcher:
+        context = DispatchContext(
+            deployment=self.deployment,
+            table=self.table,
+            workers_table=WORKERS_TABLE,
+            decode_worker=decode_worker,
+            make_link=HttpWorkerLink,
+            ask_advice=AdviceClient(self.deployment.advice_address).ask,
+            operations=self.operations,
+            log=self.log,
+            clock=monotonic,
+            wall_clock=time,
+            boot_clock=_boot_clock,
+            sleep=sleep,
+        )
+        return begin_dispatch(context, held, proved_s, may_predecessor_act)
+
+    def _limits(self) -> Limits:
+        configuration = self.operations.configuration
+        return configuration.limits if configuration else Limits()
+
+    def _check_health(self, request: AdminRequest) -> AdminReply:
+        is_ready = self.operations.configuration is not None and not self.leaving.is_set()
+        return AdminReply(200 if is_ready else 503, b"{}")
+
+    def _render_metrics(self, request: AdminRequest) -> AdminReply:
+        content, content_type = self.metrics.render(request.headers.get("accept", "*/*"))
+        return AdminReply(200, content, content_type)
+
+
+def run_dispatch_entry(deployment: Deployment) -> None | Failure:
+    """Run one entry until a signal asks it to stop and it has left gracefully."""
+    config.loop = EVENT_LOOP
+    entry = DispatchEntry(deployment)
+    try:
+        entry.start()
+    except OSError as error:
+        return CannotListen(str(error))
+    for number in (SIGTERM, SIGINT):
+        signal_handler(number, entry.leaving.set)
+    entry.leaving.wait()
+    entry.stop()
+    return None
+
+
+def _boot_clock() -> float:
+    return clock_gettime(CLOCK_BOOTTIME)
+
+
+def _accept_every_key(authorization: str) -> bool:
+    # The internal ports are reachable by entries only.
+    return True
--- /dev/null
+++ b/laburnumswitch/dispatch_metrics.py
@@ -0,0 +1,55 @@
+"""Counters of one entry on the users' platform, for the metrics page."""
+
+from collections.abc import Callable
+
+from laburnumswitch.process.decisions import DecisionLog
+from laburnumswitch.process.dispatch.dispatcher import Dispatcher
+from laburnumswitch.process.leadership.leadership import Leadership
+from laburnumswitch.process.metrics import Metrics
+from laburnumswitch.process.metrics import Sample
+from laburnumswitch.request.callers_port import InFlight
+
+
+def register_dispatch_metrics(
+    metrics: Metrics, leadership: Leadership, in_flight: InFlight, log: DecisionLog
+) -> None:
+    """Register what the entry counts; an entry that is not the owner shows zeros of dispatching."""
+
+    def of_owner(read: Callable[[Dispatcher], float]) -> Callable[[], float]:
+        return lambda: read(leadership.dispatcher) if leadership.dispatcher else 0.0
+
+    metrics.add_counters(
+        "laburnumswitch_caller_answers_total",
+        "Answers to callers, by status.",
+        lambda: [
+            Sample({"status": str(status)}, count)
+            for status, count in in_flight.answered_by_status.items()
+        ],
+    )
+    metrics.add_gauge(
+        "laburnumswitch_in_flight", "Requests being answered.", lambda: in_flight.count
+    )
+    metrics.add_gauge(
+        "laburnumswitch_is_owner",
+        "1 on the owner.",
+        lambda: float(leadership.dispatcher is not None),
+    )
+    metrics.add_counter(
+        "laburnumswitch_takeovers_total", "Takeovers.", lambda: leadership.takeovers
+    )
+    metrics.add_counter(
+        "laburnumswitch_log_lines_dropped_total", "Log lines dropped.", lambda: log.dropped
+    )
+    reads: dict[str, tuple[str, Callable[[Dispatcher], float]]] = {
+        "waiting_steps": ("Steps with tasks to start.", lambda d: len(d.waiting_by_step)),
+        "jobs": ("Jobs known.", lambda d: len(d.jobs_by_id)),
+        "workers": ("Workers known.", lambda d: len(d.workers_by_id)),
+        "starts": ("Starts sent by this owner.", lambda d: d.counters.starts),
+        "refused_starts": ("Starts refused.", lambda d: d.counters.refused_starts),
+        "uncertain_starts": ("Starts unanswered.", lambda d: d.counters.uncertain_starts),
+        "renewals": ("Lease renewals sent.", lambda d: d.counters.renewals),
+        "throttles": ("Throttles sent.", lambda d: d.counters.throttles),
+        "batches": ("Batches committed.", lambda d: d.recorder.batches),
+    }
+    for name, (help_text, read) in reads.items():
+        metrics.add_gauge(f"laburnumswitch_owner_{name}", help_text, of_owner(read))
--- a/laburnumswitch/exceptions/__init__.py
+++ b/laburnumswitch/exceptions/__init__.py
@@ -21,13 +21,16 @@
 from laburnumswitch.exceptions.platform import Conflict
 from laburnumswitch.exceptions.platform import ConnectFailed
 from laburnumswitch.exceptions.platform import FormatUnknown
+from laburnumswitch.exceptions.platform import HistoryLost
 from laburnumswitch.exceptions.platform import NotFound
 from laburnumswitch.exceptions.platform import OutcomeUnknown
 from laburnumswitch.exceptions.platform import PeerNotTrusted
 from laburnumswitch.exceptions.platform import Refused
 from laburnumswitch.exceptions.platform import RowMalformed
+from laburnumswitch.exceptions.platform import StartRefused
 from laburnumswitch.exceptions.platform import Throttled
 from laburnumswitch.exceptions.platform import Unavailable
+from laburnumswitch.exceptions.platform import WorkerRestarted
 from laburnumswitch.exceptions.requests import AnswerNotKept
 from laburnumswitch.exceptions.requests import CallerRefused
 from laburnumswitch.exceptions.requests import CannotListen
@@ -76,6 +79,7 @@
     "FileUnreadable",
     "FirstByteLate",
     "FormatUnknown",
+    "HistoryLost",
     "InvalidValue",
     "JobTooLarge",
     "JournalBroken",
@@ -97,11 +101,13 @@
     "RowMalformed",
     "RunUnknown",
     "ScheduleInvalid",
+    "StartRefused",
     "Throttled",
     "Unavailable",
     "UnknownField",
     "UnknownName",
     "UnknownZone",
+    "WorkerRestarted",
     "ZoneChanged",
     "ZoneStillBusy",
 ]
--- a/laburnumswitch/exceptions/platform.py
+++ b/laburnumswitch/exceptions/platform.py
@@ -94,3 +94,26 @@
 
     name: str
     format: int
+
+
+@dataclass(frozen=True)
+class HistoryLost(Failure):
+    """The store no longer has the changes after a version; the table has to be read whole."""
+
+    table: str
+    after: int
+
+
+@dataclass(frozen=True)
+class StartRefused(Failure):
+    """A worker refused a start, so this run has not begun there."""
+
+    worker_id: str
+    reason: str
+
+
+@dataclass(frozen=True)
+class WorkerRestarted(Failure):
+    """The address belongs to another incarnation of the worker, which did nothing."""
+
+    worker_id: str
--- /dev/null
+++ b/laburnumswitch/platform/advice.py
@@ -0,0 +1,41 @@
+"""The service that tells which workers may run a step of some queues."""
+
+from msgspec import Struct
+
+from laburnumswitch.connection.answer import call_json
+from laburnumswitch.connection.client import Client
+from laburnumswitch.exceptions import Failure
+from laburnumswitch.process.dispatch.tickets import Tickets
+from laburnumswitch.process.dispatch.work import TaskKey
+
+MAX_WORKERS_PER_CALL = 100
+MS_PER_S = 1000.0
+
+
+class _Advice(Struct, rename={"valid_ms": "validMs"}):
+    good: list[tuple[str, str]] = []
+    valid_ms: float = 0.0
+
+
+class AdviceClient:
+    """Asks for tickets over HTTP."""
+
+    def __init__(self, address: str) -> None:
+        self._client = Client(address)
+
+    def ask(
+        self, step: TaskKey, worker_ids: tuple[str, ...], timeout_s: float
+    ) -> Tickets | Failure:
+        """Return tickets for those of the workers that may run a step.
+
+        :param step: any task of the step.
+        :param worker_ids: at most ``MAX_WORKERS_PER_CALL``; more are left out.
+        """
+        body = {
+            "step": f"{step.job_id}.{step.occurrence}.{step.step}",
+            "workers": worker_ids[:MAX_WORKERS_PER_CALL],
+        }
+        answer = call_json(self._client, "POST", "/v1/advise", body, _Advice, timeout_s)
+        if isinstance(answer, Failure):
+            return answer
+        return Tickets(dict(answer.good), answer.valid_ms / MS_PER_S)
--- /dev/null
+++ b/laburnumswitch/platform/discovery.py
@@ -0,0 +1,57 @@
+"""What workers write about themselves into the store."""
+
+from typing import Any
+
+from msgspec import convert
+from msgspec import Struct
+from msgspec import ValidationError
+
+from laburnumswitch.exceptions import RowMalformed
+from laburnumswitch.process.dispatch.reports import WorkerEntry
+
+WORKERS_TABLE = "servers"
+STATES = ("ready", "draining")
+
+
+class _Capacity(Struct, rename={"cpu_millis": "cpu", "memory_mb": "memMb", "accelerators": "gpu"}):
+    cpu_millis: int
+    memory_mb: int
+    accelerators: int = 0
+
+
+class _Worker(Struct, rename={"cold_ms": "coldRemainingMs"}):
+    service: str
+    address: str
+    zone: str
+    state: str
+    capacity: _Capacity
+    labels: list[str]
+    # ``born`` is the Unix millisecond of the start, which tells two incarnations apart.
+    born: int = 0
+    cold_ms: float = 0.0
+    machine: str = ""
+
+
+def decode_worker(key: str, value: Any) -> WorkerEntry | RowMalformed:
+    """Return a worker's entry; one that another program wrote may be malformed."""
+    try:
+        fields = convert(value, _Worker)
+    except ValidationError as error:
+        return RowMalformed(key, str(error))
+    if fields.state not in STATES:
+        return RowMalformed(key, f"state {fields.state!r}")
+    # Labels are the worker's kind and, last, its rack.
+    return WorkerEntry(
+        worker_id=key.partition("/")[2],
+        service=fields.service,
+        address=fields.address,
+        availability_zone=fields.zone,
+        is_draining=fields.state == "draining",
+        cpu_millis=fields.capacity.cpu_millis,
+        memory_mb=fields.capacity.memory_mb,
+        accelerators=fields.capacity.accelerators,
+        labels=tuple(fields.labels),
+        rack=fields.labels[-1] if fields.labels else "",
+        incarnation=fields.born,
+        is_cold=fields.cold_ms > 0,
+    )
--- /dev/null
+++ b/laburnumswitch/platform/operations.py
@@ -0,0 +1,130 @@
+"""What operators write into the store: configuration, availability zones out, maintenance waves."""
+
+from typing import Any
+
+from msgspec import convert
+from msgspec import Struct
+from msgspec import ValidationError
+
+from laburnumswitch.exceptions import RowMalformed
+from laburnumswitch.process.dispatch.work import Limits
+from laburnumswitch.process.dispatch.work import Queue
+from laburnumswitch.process.dispatch.work import QueueConfiguration
+from laburnumswitch.process.operations import MaintenanceWave
+from laburnumswitch.process.operations import Operation
+from laburnumswitch.process.operations import ZoneOrder
+from laburnumswitch.process.table import Row
+
+OPERATIONS_TABLE = "op"
+CONFIGURATION_KEY = "op/config"
+EVACUATION_PREFIX = "op/evacuate/"
+WAVE_PREFIX = "op/wave/"
+MS_PER_S = 1000.0
+
+
+class _Advice(Struct, rename={"decide_ms": "decideMs", "each_ms": "eachMs", "valid_ms": "validMs"}):
+    decide_ms: float = 0.0
+    each_ms: float = 0.0
+    valid_ms: float = 0.0
+
+
+class _Route(
+    Struct,
+    rename={
+        "path_prefix": "pathPrefix",
+        "timeout_ms": "timeoutMs",
+        "target_duration_ms": "targetDurationMs",
+        "max_attempts": "maxAttempts",
+    },
+):
+    # A route is a queue of jobs; ``targetDurationMs`` is the constant part of its objective.
+    name: str
+    host: str
+    path_prefix: str
+    service: str
+    timeout_ms: float = 3000.0
+    target_duration_ms: float = 1000.0
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    advice: _Advice | None = None
+
+
+class _Service(Struct, rename={"guards_capacity": "rejectsOverload"}):
+    name: str
+    # ``rejectsOverload``: its workers refuse what exceeds their capacity.
+    guards_capacity: bool = False
+
+
+class _Limits(
+    Struct, frozen=True, rename={"body_bytes": "maxBodyBytes", "idle_ms": "idleTimeoutMs"}
+):
+    body_bytes: int = 262_144
+    idle_ms: float = 15_000.0
+
+
+class _Configuration(Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = _Limits()
+
+
+class _Wave(Struct, rename={"number": "wave", "duration_s": "durationS", "max_count": "maxCount"}):
+    number: int
+    machines: tuple[str, ...]
+    duration_s: float = 0.0
+    max_count: int = 1
+
+
+def decode_configuration(value: Any) -> QueueConfiguration | RowMalformed:
+    """Return one version of the configuration."""
+    try:
+        fields = convert(value, _Configuration)
+    except ValidationError as error:
+        return RowMalformed(CONFIGURATION_KEY, str(error))
+    return QueueConfiguration(
+        fields.version,
+        {route.name: _to_queue(route) for route in fields.routes},
+        {service.name: service.guards_capacity for service in fields.services},
+        Limits(fields.limits.body_bytes, fields.limits.idle_ms / MS_PER_S),
+    )
+
+
+def decode_wave(key: str, value: Any) -> MaintenanceWave | RowMalformed:
+    """Return one maintenance wave."""
+    try:
+        wave = convert(value, _Wave)
+    except ValidationError as error:
+        return RowMalformed(key, str(error))
+    return MaintenanceWave(wave.number, wave.machines, wave.duration_s, wave.max_count)
+
+
+def _to_queue(route: _Route) -> Queue:
+    advice = route.advice or _Advice()
+    return Queue(
+        name=route.name,
+        host=route.host,
+        path_prefix=route.path_prefix,
+        service=route.service,
+        priority=route.priority,
+        max_attempts=route.max_attempts,
+        stretch=route.stretch,
+        objective_s=route.target_duration_ms / MS_PER_S,
+        timeout_s=route.timeout_ms / MS_PER_S,
+        needs_advice=route.advice is not None,
+        advice_base_s=advice.decide_ms / MS_PER_S,
+        advice_each_s=advice.each_ms / MS_PER_S,
+        advice_valid_s=advice.valid_ms / MS_PER_S,
+    )
+
+
+def decode_operation(row: Row) -> Operation | RowMalformed | None:
+    """Return what a row of the operators means, ``None`` for one of an unknown kind."""
+    if row.key == CONFIGURATION_KEY and row.value is not None:
+        return decode_configuration(row.value)
+    if row.key.startswith(EVACUATION_PREFIX):
+        return ZoneOrder(row.key.removeprefix(EVACUATION_PREFIX), row.value is not None)
+    if row.key.startswith(WAVE_PREFIX) and row.value is not None:
+        return decode_wave(row.key, row.value)
+    return None
--- /dev/null
+++ b/laburnumswitch/platform/settings.py
@@ -0,0 +1,106 @@
+"""The settings file that the platform writes for each process (TOML)."""
+
+import tomllib
+
+from msgspec import convert
+from msgspec import Struct
+from msgspec import ValidationError
+
+from laburnumswitch.exceptions import FileUnreadable
+from laburnumswitch.exceptions import InvalidValue
+from laburnumswitch.exceptions import ProblemsFound
+from laburnumswitch.process.deployment import Bounds
+from laburnumswitch.process.deployment import Deployment
+from laburnumswitch.yamlfile import read_file
+
+MS_PER_S = 1000.0
+
+
+class _Listen(Struct):
+    front: str
+    ready: str
+
+
+class _Limits(Struct, rename={"cpu_share": "cpuShare", "memory_mb": "memoryMb"}):
+    cpu_share: float
+    cores: float
+    memory_mb: int
+
+
+class _Bounds(
+    Struct,
+    rename={
+        "drain_ms": "drainMs",
+        "grace_s": "graceS",
+        "hold_max_ms": "holdMaxMs",
+        "stop_ms": "stopMs",
+        "harm_ms": "harmMs",
+        "far_factor": "farFactor",
+        "restore_ms": "restoreMs",
+        "pace_ms": "paceMs",
+    },
+):
+    # holdMaxMs is the longest lease that a worker grants; paceMs is the delay of a throttle.
+    drain_ms: float
+    grace_s: float
+    hold_max_ms: float
+    stop_ms: float
+    harm_ms: float
+    far_factor: float = 1.0
+    restore_ms: float = 0.0
+    pace_ms: float = 0.0
+
+
+class _Store(Struct):
+    address: str
+
+
+class _Settings(
+    Struct, rename={"internal_ports": "internalPorts", "machine_class": "machineClass"}
+):
+    node: str
+    ip: str
+    zone: str
+    internal_ports: tuple[int, int]
+    listen: _Listen
+    limits: _Limits
+    bounds: _Bounds
+    platform: _Store
+    advice: str = ""
+
+
+def read_deployment(path: str) -> Deployment | ProblemsFound:
+    """Read and check the platform's settings file.
+
+    :return: ``ProblemsFound`` names the file and the field.
+    """
+    content = read_file(path)
+    if isinstance(content, FileUnreadable):
+        return ProblemsFound((content,))
+    try:
+        fields = convert(tomllib.loads(content.decode()), _Settings)
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError, ValidationError) as error:
+        reason, _, field = str(error).partition(" - at ")
+        return ProblemsFound((InvalidValue(path, 1, 1, field.strip("`$.") or "file", reason),))
+    bounds = fields.bounds
+    return Deployment(
+        vm_id=fields.node,
+        availability_zone=fields.zone,
+        caller_address=fields.listen.front,
+        health_address=fields.listen.ready,
+        peer_address=f"{fields.ip}:{fields.internal_ports[0]}",
+        store_address=fields.platform.address,
+        advice_address=fields.advice,
+        cpu_cores=fields.limits.cpu_share * fields.limits.cores,
+        memory_mb=fields.limits.memory_mb,
+        bounds=Bounds(
+            drain_s=bounds.drain_ms / MS_PER_S,
+            grace_s=bounds.grace_s,
+            lease_s=bounds.hold_max_ms / MS_PER_S,
+            stop_s=bounds.stop_ms / MS_PER_S,
+            harm_s=bounds.harm_ms / MS_PER_S,
+            far_factor=bounds.far_factor,
+            restore_s=bounds.restore_ms / MS_PER_S,
+            throttle_delay_s=bounds.pace_ms / MS_PER_S,
+        ),
+    )
--- /dev/null
+++ b/laburnumswitch/platform/store.py
@@ -0,0 +1,205 @@
+"""The platform's transactional store, as the product's ``FeedTable``.
+
+A row's key here is ``<table>/<key of the store>``. The rows of operators, workers and reports stay
+in the unnamed partition, where the platform expects them; all others share one partition, because a
+transaction covers one partition only.
+"""
+
+from base64 import b64decode
+from base64 import b64encode
+from typing import Any
+from urllib.parse import urlencode
+
+from msgspec import DecodeError
+from msgspec import Struct
+from msgspec.json import decode
+from msgspec.json import encode
+
+from laburnumswitch.connection.answer import call_json
+from laburnumswitch.connection.client import Client
+from laburnumswitch.exceptions import AnswerMalformed
+from laburnumswitch.exceptions import Conflict
+from laburnumswitch.exceptions import ConnectFailed
+from laburnumswitch.exceptions import Failure
+from laburnumswitch.exceptions import HistoryLost
+from laburnumswitch.exceptions import OutcomeUnknown
+from laburnumswitch.exceptions import Refused
+from laburnumswitch.exceptions import Throttled
+from laburnumswitch.exceptions import Unavailable
+from laburnumswitch.process.table import ABSENT_VERSION
+from laburnumswitch.process.table import Changes
+from laburnumswitch.process.table import CommitFailure
+from laburnumswitch.process.table import Committed
+from laburnumswitch.process.table import had_no_effect
+from laburnumswitch.process.table import read_failure
+from laburnumswitch.process.table import ReadFailure
+from laburnumswitch.process.table import Row
+from laburnumswitch.process.table import SCAN_LIMIT_ROWS
+from laburnumswitch.process.table import Transaction
+
+OWN_PARTITION = "laburnumswitch"
+UNPARTITIONED_TABLES = frozenset({"op", "servers", "status"})
+# Limit of one call in seconds; the store answers within 9 ms when it is well.
+CALL_TIMEOUT_S = 1.0
+# A long poll may end this much later, in seconds, than it asked for before it counts as lost.
+POLL_SLACK_S = 0.7
+STATUS_HISTORY_GONE = 410
+STATUS_CONDITION_FAILED = 412
+MS_PER_S = 1000.0
+
+
+class _Row(Struct):
+    table: str
+    key: str
+    # ``ver`` is the version at which the row changed last.
+    ver: int = ABSENT_VERSION
+    value: str = ""
+    part: str = ""
+    tombstone: bool = False
+
+
+class _Rows(Struct, rename={"has_more": "hasMore", "now_ms": "nowMs"}):
+    # ``ver`` is the newest version of the whole store, ``nowMs`` its steady clock.
+    rows: list[_Row] = []
+    ver: int = 0
+    now_ms: float = 0.0
+    has_more: bool = False
+
+
+class StoreClient:
+    """Rows over HTTP; each call is sent once."""
+
+    def __init__(self, client: Client, timeout_s: float = CALL_TIMEOUT_S) -> None:
+        self._client = client
+        self._timeout_s = timeout_s
+        self.calls = 0
+
+    def read(self, keys: tuple[str, ...]) -> dict[str, Row] | ReadFailure:
+        """Return the rows by key, absent ones included."""
+        row_by_key = {}
+        for key in keys:
+            table, name = _split(key)
+            page = self._get(table, name, name + "\0", 1)
+            if not isinstance(page, _Rows):
+                return read_failure(page)
+            rows = [row for row in _decode_rows(page.rows) if row.key == key]
+            row_by_key[key] = rows[0] if rows else Row(key, ABSENT_VERSION, None)
+        return row_by_key
+
+    def scan(self, prefix: str, after: str = "") -> tuple[Row, ...] | ReadFailure:
+        """Return up to ``SCAN_LIMIT_ROWS`` rows under ``prefix`` with keys above ``after``."""
+        table, name = _split(prefix)
+        first = _split(after)[1] + "\0" if after else name
+        page = self._get(table, first, "", SCAN_LIMIT_ROWS)
+        if not isinstance(page, _Rows):
+            return read_failure(page)
+        return tuple(row for row in _decode_rows(page.rows) if row.key.startswith(prefix))
+
+    def load(self, table: str) -> Changes | ReadFailure:
+        """Return every row of a table, and the version to follow its changes from."""
+        rows: list[Row] = []
+        first = ""
+        version = 0
+        while True:
+            page = self._get(table, first, "", SCAN_LIMIT_ROWS)
+            if not isinstance(page, _Rows):
+                return read_failure(page)
+            # Changes between two pages come again with the feed, which starts at the first page.
+            version = version or page.ver
+            rows.extend(_decode_rows(page.rows))
+            if not page.has_more or not page.rows:
+                return Changes(tuple(rows), version, page.now_ms / MS_PER_S)
+            first = page.rows[-1].key + "\0"
+
+    def follow(self, table: str, after: int, wait_s: float) -> Changes | HistoryLost | ReadFailure:
+        """Return the rows of a table that changed after a version, as soon as there are any."""
+        query = urlencode({"table": table, "after": after, "waitMs": int(wait_s * MS_PER_S)})
+        answer = self._call("GET", f"/v1/rows-feed?{query}", None, wait_s + POLL_SLACK_S)
+        if isinstance(answer, _Rows):
+            return Changes(_decode_rows(answer.rows), answer.ver, answer.now_ms / MS_PER_S)
+        if isinstance(answer, Refused) and answer.status == STATUS_HISTORY_GONE:
+            return HistoryLost(table, after)
+        return read_failure(answer)
+
+    def commit(self, transaction: Transaction) -> Committed | CommitFailure:
+        """Apply ``transaction`` if all its conditions hold."""
+        body = {
+            "expectedRev": [
+                {**_address(condition.key), "ver": condition.version}
+                for condition in transaction.conditions
+            ],
+            "puts": [
+                {**_address(put.key), "value": b64encode(encode(put.value)).decode()}
+                for put in transaction.puts
+            ],
+            "remove": [_address(key) for key in transaction.deletes],
+        }
+        answer = self._call("POST", "/v1/rows-tx", body, self._timeout_s)
+        if isinstance(answer, _Rows):
+            return Committed(answer.ver)
+        if isinstance(answer, Throttled):
+            return answer
+        if isinstance(answer, Refused) and answer.status == STATUS_CONDITION_FAILED:
+            return _conflict(transaction, answer)
+        if had_no_effect(answer):
+            return Unavailable(answer.describe())
+        return OutcomeUnknown(answer.describe())
+
+    def _get(self, table: str, first: str, end: str, limit: int) -> _Rows | Failure:
+        fields = {"table": table, "part": _partition(table), "limit": limit}
+        if first:
+            fields["from"] = first
+        if end:
+            # ``target`` is the end of the range, which excludes it.
+            fields["target"] = end
+        return self._call("GET", f"/v1/rows-get?{urlencode(fields)}", None, self._timeout_s)
+
+    def _call(
+        self, method: str, target: str, body: object, timeout_s: float
+    ) -> _Rows | ConnectFailed | Failure:
+        self.calls += 1
+        return call_json(self._client, method, target, body, _Rows, timeout_s)
+
+
+def _conflict(transaction: Transaction, refusal: Refused) -> Conflict | OutcomeUnknown:
+    try:
+        found = decode(refusal.reason, type=_Rows)
+    except DecodeError as error:
+        return OutcomeUnknown(AnswerMalformed(refusal.address, str(error)).describe())
+    version_by_key = {f"{row.table}/{row.key}": row.ver for row in found.rows if not row.tombstone}
+    for condition in transaction.conditions:
+        actual = version_by_key.get(condition.key, ABSENT_VERSION)
+        if actual != condition.version:
+            return Conflict(condition.key, condition.version, actual)
+    first = transaction.conditions[0]
+    return Conflict(first.key, first.version, ABSENT_VERSION)
+
+
+def _decode_rows(rows: list[_Row]) -> tuple[Row, ...]:
+    return tuple(
+        Row(f"{row.table}/{row.key}", row.ver, None if row.tombstone else _decode_value(row.value))
+        for row in rows
+        if row.part == _partition(row.table)
+    )
+
+
+def _decode_value(value: str) -> Any:
+    # Rows of other writers may hold anything: readers check what they get.
+    try:
+        return decode(b64decode(value))
+    except (ValueError, DecodeError):
+        return {}
+
+
+def _partition(table: str) -> str:
+    return "" if table in UNPARTITIONED_TABLES else OWN_PARTITION
+
+
+def _split(key: str) -> tuple[str, str]:
+    table, _, name = key.partition("/")
+    return table, name
+
+
+def _address(key: str) -> dict[str, str]:
+    table, name = _split(key)
+    return {"table": table, "part": _partition(table), "key": name}
--- /dev/null
+++ b/laburnumswitch/platform/workers.py
@@ -0,0 +1,151 @@
+"""Calls of workers: lease renewals, starts, stops and throttles."""
+
+from typing import Any
+
+from msgspec import DecodeError
+from msgspec import Struct
+from msgspec import ValidationError
+from msgspec.json import decode
+from msgspec.json import encode
+
+from laburnumswitch.connection.client import Client
+from laburnumswitch.exceptions import AnswerLost
+from laburnumswitch.exceptions import AnswerMalformed
+from laburnumswitch.exceptions import ConnectFailed
+from laburnumswitch.exceptions import Failure
+from laburnumswitch.exceptions import Refused
+from laburnumswitch.exceptions import StartRefused
+from laburnumswitch.exceptions import Throttled
+from laburnumswitch.exceptions import Unavailable
+from laburnumswitch.exceptions import WorkerRestarted
+from laburnumswitch.process.dispatch.reports import Acknowledged
+from laburnumswitch.process.dispatch.reports import EndReport
+from laburnumswitch.process.dispatch.reports import How
+from laburnumswitch.process.dispatch.reports import Renewal
+from laburnumswitch.process.dispatch.reports import RunReport
+from laburnumswitch.process.dispatch.reports import StartOrder
+from laburnumswitch.process.dispatch.reports import WorkerEntry
+from laburnumswitch.process.dispatch.reports import WorkerReport
+from laburnumswitch.process.dispatch.work import TaskKey
+
+MS_PER_S = 1000.0
+# Idle connections kept to one worker, which takes 64 from all entries together.
+POOL_SIZE = 12
+STATUS_OK = 200
+STATUS_CONFLICT = 409
+STATUS_OTHER_INCARNATION = 421
+STATUS_THROTTLED = 429
+STATUS_UNAVAILABLE = 503
+
+
+class _Answer(Struct, rename={"clock_ms": "clockMs"}):
+    clock_ms: float = 0.0
+    reason: str = ""
+    born: int = 0
+    # Rows of [task, run, saved, percent, measure], where ``saved`` is the last checkpoint.
+    running: list[list[Any]] = []
+    # Rows of [number, task, run, how, saved].
+    ended: list[list[Any]] = []
+
+
+class HttpWorkerLink:
+    """Calls of one incarnation of a worker, each sent once."""
+
+    def __init__(self, entry: WorkerEntry) -> None:
+        self._worker_id = entry.worker_id
+        headers = {"X-Expect-Instance": entry.worker_id}
+        self._client = Client(entry.address, lambda: headers, pool_size=POOL_SIZE)
+
+    def renew(self, renewal: Renewal, timeout_s: float) -> WorkerReport | Failure:
+        """Renew the lease and return the runs and ends."""
+        body: dict[str, Any] = {"fence": renewal.fence, "lastSeen": renewal.acknowledged}
+        if renewal.until_s is not None:
+            body["untilMs"] = int(renewal.until_s * MS_PER_S)
+        if renewal.wait_s:
+            body["waitMs"] = int(renewal.wait_s * MS_PER_S)
+        answer = self._call("/v1/hold", body, timeout_s)
+        if isinstance(answer, Failure):
+            return answer
+        try:
+            running = tuple(_decode_run(row) for row in answer.running)
+            ended = tuple(_decode_end(row) for row in answer.ended)
+        except (ValueError, TypeError, IndexError) as error:
+            return AnswerMalformed(self._client.address, str(error))
+        return WorkerReport(answer.clock_ms / MS_PER_S, answer.born, running, ended)
+
+    def start(self, order: StartOrder, timeout_s: float) -> Acknowledged | Failure:
+        """Start a run."""
+        body: dict[str, Any] = {
+            "task": format_task(order.task),
+            "run": order.run,
+            "spec": order.spec,
+            "untilMs": int(order.until_s * MS_PER_S),
+            "fence": order.fence,
+        }
+        if order.checkpoint:
+            body["lastCheckpoint"] = order.checkpoint
+        if order.ticket:
+            body["ticket"] = order.ticket
+        return self._acknowledge("/v1/run-start", body, timeout_s)
+
+    def stop(self, task: TaskKey, run: int, fence: int, timeout_s: float) -> Acknowledged | Failure:
+        """Stop a run."""
+        body = {"task": format_task(task), "run": run, "fence": fence}
+        return self._acknowledge("/v1/run-stop", body, timeout_s)
+
+    def throttle(
+        self, task: TaskKey, run: int, percent: int, fence: int, timeout_s: float
+    ) -> Acknowledged | Failure:
+        """Limit a run to a share of its speed."""
+        body = {"task": format_task(task), "run": run, "percent": percent, "fence": fence}
+        return self._acknowledge("/v1/pace", body, timeout_s)
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._client.close()
+
+    def _acknowledge(self, path: str, body: dict, timeout_s: float) -> Acknowledged | Failure:
+        answer = self._call(path, body, timeout_s)
+        return answer if isinstance(answer, Failure) else Acknowledged(answer.clock_ms / MS_PER_S)
+
+    def _call(self, path: str, body: dict, timeout_s: float) -> _Answer | Failure:
+        response = self._client.call("POST", path, encode(body), timeout_s)
+        if isinstance(response, ConnectFailed | AnswerLost):
+            return response
+        if response.status == STATUS_OTHER_INCARNATION:
+            return WorkerRestarted(self._worker_id)
+        if response.status == STATUS_THROTTLED:
+            return Throttled(1.0)
+        if response.status == STATUS_UNAVAILABLE:
+            return Unavailable(f"{self._worker_id} is unhealthy")
+        if response.status not in (STATUS_OK, STATUS_CONFLICT):
+            return Refused(self._client.address, response.status, response.body[:200].decode())
+        try:
+            answer = decode(response.body, type=_Answer)
+        except (DecodeError, ValidationError) as error:
+            return AnswerMalformed(self._client.address, str(error))
+        if response.status == STATUS_CONFLICT:
+            return StartRefused(self._worker_id, answer.reason)
+        return answer
+
+
+def format_task(task: TaskKey) -> str:
+    """Return a task's name as the platform writes it."""
+    return f"{task.job_id}.{task.occurrence}.{task.step}.{task.index}"
+
+
+def parse_task(name: str) -> TaskKey:
+    """Return the task that a name of the platform means."""
+    job_id, occurrence, step, index = name.split(".")
+    return TaskKey(job_id, int(occurrence), int(step), int(index))
+
+
+def _decode_run(row: list[Any]) -> RunReport:
+    task, run, checkpoint, percent = row[:4]
+    measure = row[4] if len(row) > 4 else 0
+    return RunReport(parse_task(task), run, checkpoint or "", float(percent), float(measure or 0))
+
+
+def _decode_end(row: list[Any]) -> EndReport:
+    number, task, run, how, checkpoint = row[:5]
+    return EndReport(number, parse_task(task), run, How(how), checkpoint or "")
--- /dev/null
+++ b/laburnumswitch/process/dispatch/placing.py
@@ -0,0 +1,118 @@
+"""Where a waiting task goes. Each chooser is a plain function over the workers' present state."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from laburnumswitch.process.dispatch.fleet import Worker
+from laburnumswitch.process.dispatch.tails import over_probability
+from laburnumswitch.process.dispatch.tails import TailModel
+from laburnumswitch.process.dispatch.work import Step
+
+# A filling task may raise the expected number of serving tasks over target by this much: above it,
+# what it disturbs is worth more than what it earns.
+HARM_LIMIT = 0.25
+# Weight of a processor that a filling task has to share, against one serving task over target.
+CROWDING_WEIGHT = 0.3
+# Weight of serving neighbours that are hurt by other filling images than the new one.
+DISSIMILARITY_WEIGHT = 0.5
+# Weight of a full worker against an empty one, so that ties are packed tightly.
+PACKING_WEIGHT = 0.2
+# Penalty of a worker away from the rack of the data: the task takes several times as long.
+FAR_PENALTY = 10.0
+
+
+class Choice(NamedTuple):
+    """A worker and the cost by which it was chosen, lower is better."""
+
+    worker: Worker
+    cost: float
+
+
+class PlacementContext(NamedTuple):
+    """What choosers know beside the workers."""
+
+    model: TailModel
+    filling_images: tuple[str, ...]
+
+
+Cost = Callable[[Step, Worker, PlacementContext], float]
+
+
+def choose_worker(
+    step: Step, workers: Iterable[Worker], context: PlacementContext
+) -> Choice | None:
+    """Return the best worker with room for a task, ``None`` where there is none."""
+    cost_of = cost_function(step)
+    best: Choice | None = None
+    for worker in workers:
+        if not worker.fits(step):
+            continue
+        cost = cost_of(step, worker, context)
+        if step.data_rack and worker.entry.rack != step.data_rack:
+            cost += FAR_PENALTY
+        if best is None or cost < best.cost:
+            best = Choice(worker, cost)
+    return best
+
+
+def cost_function(step: Step) -> Cost:
+    """Return the cost by which workers for a step are compared."""
+    if step.filling:
+        return filling_cost
+    if step.tail_target_ms > 0:
+        return serving_cost
+    return packing_cost
+
+
+def packing_cost(step: Step, worker: Worker, context: PlacementContext) -> float:
+    """Return a lower cost for fuller workers.
+
+    Load pattern: short urgent tasks between wide ones. Best fit keeps whole workers free for them.
+    """
+    return PACKING_WEIGHT * (1.0 - worker.used_cpu_millis / worker.entry.cpu_millis)
+
+
+def serving_cost(step: Step, worker: Worker, context: PlacementContext) -> float:
+    """Return a lower cost beside serving tasks that are hurt by the same filling images.
+
+    Load pattern: serving tasks of several images arrive before the filling work. Where neighbours
+    are alike, nearly every filling image finds workers on which it harms nobody.
+    """
+    model = context.model
+    neighbours = worker.serving_runs()
+    unlike = sum(
+        1.0 - model.similarity(step.image, run.step.image, context.filling_images)
+        for run in neighbours
+    )
+    dissimilarity = unlike / len(neighbours) if neighbours else 0.5
+    share_by_image = filling_shares(worker)
+    harm = over_probability(model.expect(None, step.image, share_by_image))
+    return DISSIMILARITY_WEIGHT * dissimilarity + harm + packing_cost(step, worker, context)
+
+
+def filling_cost(step: Step, worker: Worker, context: PlacementContext) -> float:
+    """Return the expected harm to serving neighbours, and to the task by crowding.
+
+    Load pattern: filling work arrives in waves beside serving tasks that reserve most processors.
+    """
+    model = context.model
+    share_by_image = filling_shares(worker)
+    share = step.cpu_millis / worker.entry.cpu_millis
+    harm = 0.0
+    for run in worker.serving_runs():
+        now = model.expect(run.task, run.step.image, share_by_image)
+        rise = model.coefficient(run.step.image, step.image) * share
+        harm += over_probability(now + rise) - over_probability(now)
+    lacking = step.cpu_millis - worker.idle_cpu_millis()
+    crowding = max(0.0, lacking / step.cpu_millis) if step.cpu_millis else 0.0
+    return harm + CROWDING_WEIGHT * crowding
+
+
+def filling_shares(worker: Worker) -> dict[str, float]:
+    """Return the share of a worker's processors that each filling image takes, as reserved."""
+    share_by_image: dict[str, float] = {}
+    for run in worker.filling_runs():
+        share = run.step.cpu_millis * run.throttle / 100.0 / worker.entry.cpu_millis
+        share_by_image[run.step.image] = share_by_image.get(run.step.image, 0.0) + share
+    return share_by_image
--- /dev/null
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -0,0 +1,304 @@
+"""Decides which waiting tasks start where, and sends the starts."""
+
+from collections.abc import Iterable
+
+from gevent import spawn
+
+from laburnumswitch.exceptions import ConnectFailed
+from laburnumswitch.exceptions import Failure
+from laburnumswitch.exceptions import Refused
+from laburnumswitch.exceptions import StartRefused
+from laburnumswitch.exceptions import Throttled
+from laburnumswitch.exceptions import Unavailable
+from laburnumswitch.exceptions import WorkerRestarted
+from laburnumswitch.process.dispatch.dispatcher import Dispatcher
+from laburnumswitch.process.dispatch.dispatcher import ORDER_TIMEOUT_S
+from laburnumswitch.process.dispatch.dispatcher import task_name
+from laburnumswitch.process.dispatch.dispatcher import WaitingStep
+from laburnumswitch.process.dispatch.fleet import ActiveRun
+from laburnumswitch.process.dispatch.fleet import Worker
+from laburnumswitch.process.dispatch.jobs import Job
+from laburnumswitch.process.dispatch.jobs import Task
+from laburnumswitch.process.dispatch.ordering import order_key
+from laburnumswitch.process.dispatch.placing import choose_worker
+from laburnumswitch.process.dispatch.placing import HARM_LIMIT
+from laburnumswitch.process.dispatch.placing import PlacementContext
+from laburnumswitch.process.dispatch.reports import StartOrder
+from laburnumswitch.process.dispatch.tickets import Tickets
+from laburnumswitch.process.dispatch.work import Queue
+from laburnumswitch.process.dispatch.work import Step
+from laburnumswitch.process.dispatch.worker_task import void_unanswered_starts
+
+# Steps that wait for room, time or calmer neighbours are looked at so often, in seconds.
+PLAN_INTERVAL_S = 0.2
+# Events within this time, in seconds, share one plan.
+GATHER_S = 0.002
+# A worker that has not answered for so long, in seconds, gets no starts: two renewals were missed.
+SILENT_S = 2.2
+# After a refused start a worker gets none for so long, in seconds.
+REFUSED_PAUSE_S = 0.3
+UNHEALTHY_PAUSE_S = 1.0
+# A filling task waits at most so long, in seconds, for a worker on which it harms nobody.
+CALM_WAIT_S = 3.0
+# Tickets are not used in their last part, in seconds, so that they hold when the start arrives.
+TICKET_MARGIN_S = 0.3
+ADVICE_WORKERS = 30
+
+
+def run_planner(dispatcher: Dispatcher) -> None:
+    """Plan whenever something has changed, until the ownership ends."""
+    context = dispatcher.context
+    while not dispatcher.is_stopped():
+        dispatcher.wake.wait(PLAN_INTERVAL_S)
+        context.sleep(GATHER_S)
+        dispatcher.wake.clear()
+        if dispatcher.may_act():
+            plan(dispatcher)
+
+
+def plan(dispatcher: Dispatcher) -> None:
+    """Start what can be started now, in the order of the waiting steps."""
+    now_s = dispatcher.context.wall_clock()
+    keyed = []
+    for waiting in dispatcher.waiting_by_step.values():
+        queue = dispatcher.queue_of(waiting.job)
+        if queue is not None and _is_due(dispatcher, waiting, now_s):
+            key = order_key(waiting.job, waiting.occurrence, waiting.runs, queue, now_s)
+            keyed.append((key, queue, waiting))
+    if not keyed:
+        return
+    keyed.sort(key=lambda each: each[0])
+    usable_by_service: dict[str, list[Worker]] = {}
+    for _, queue, waiting in keyed:
+        if queue.service not in usable_by_service:
+            usable_by_service[queue.service] = _usable_workers(dispatcher, queue.service)
+        _start_step(dispatcher, queue, waiting, usable_by_service[queue.service])
+
+
+def _is_due(dispatcher: Dispatcher, waiting: WaitingStep, now_s: float) -> bool:
+    if waiting.job.may_run_unseen and not dispatcher.settled:
+        return False
+    if waiting.job.submission.occurrences and now_s < waiting.occurrence.due_s:
+        return False
+    return dispatcher.context.clock() >= waiting.runs.retry_after_s
+
+
+def _usable_workers(dispatcher: Dispatcher, service: str) -> list[Worker]:
+    now_s = dispatcher.context.clock()
+    zones_out = dispatcher.context.operations.zones_out
+    return [
+        worker
+        for worker in dispatcher.workers_by_id.values()
+        if worker.entry.service == service
+        and worker.is_reached
+        and worker.is_listed(now_s)
+        and dispatcher.recorder.committed >= worker.listed_by_batch
+        and not worker.entry.is_draining
+        and worker.entry.availability_zone not in zones_out
+        and now_s >= worker.blocked_until_s
+        and now_s - worker.heard_s < SILENT_S
+        and not dispatcher.quarantine.is_quarantined(worker.worker_id, now_s)
+    ]
+
+
+def _start_step(
+    dispatcher: Dispatcher, queue: Queue, waiting: WaitingStep, usable: list[Worker]
+) -> None:
+    step = waiting.runs.step
+    candidates = usable
+    if step.required_label:
+        candidates = [each for each in usable if step.required_label in each.entry.labels]
+    tickets = _tickets(dispatcher, queue, waiting, candidates)
+    if tickets is not None:
+        candidates = [each for each in candidates if each.worker_id in tickets]
+    if step.gang:
+        _start_gang(dispatcher, waiting, candidates, tickets or {})
+        return
+    for task in list(waiting.runs.waiting()):
+        worker = _choose(dispatcher, waiting, task, candidates)
+        if worker is None:
+            return
+        _start_task(dispatcher, waiting.job, task, worker, tickets or {})
+
+
+def _choose(
+    dispatcher: Dispatcher, waiting: WaitingStep, task: Task, candidates: Iterable[Worker]
+) -> Worker | None:
+    step = waiting.runs.step
+    now_s = dispatcher.context.clock()
+    open_to = [
+        worker
+        for worker in candidates
+        if now_s >= worker.blocked_until_s and _spread_allows(step, worker, task)
+    ]
+    context = PlacementContext(dispatcher.model, tuple(dispatcher.filling_images))
+    choice = choose_worker(step, open_to, context)
+    if choice is None:
+        return None
+    waited_s = now_s - waiting.runs.ready_since_s
+    if step.filling and choice.cost > HARM_LIMIT and waited_s < CALM_WAIT_S:
+        return None
+    return choice.worker
+
+
+def _spread_allows(step: Step, worker: Worker, task: Task) -> bool:
+    if task.key in worker.runs_by_task:
+        return False
+    if not step.max_per_worker:
+        return True
+    beside = sum(1 for key in worker.runs_by_task if key[:3] == task.key[:3])
+    return beside < step.max_per_worker
+
+
+def _start_gang(
+    dispatcher: Dispatcher,
+    waiting: WaitingStep,
+    candidates: list[Worker],
+    tickets: dict[str, str],
+) -> None:
+    """Start all members of a gang at once, where all have room together; else none."""
+    if waiting.runs.active:
+        return
+    step = waiting.runs.step
+    groups = [candidates]
+    if step.same_rack:
+        racks = sorted({worker.entry.rack for worker in candidates})
+        groups = [[each for each in candidates if each.entry.rack == rack] for rack in racks]
+        groups.append(candidates)
+    for group in groups:
+        placed = _place_gang(dispatcher, waiting, group)
+        if placed is not None:
+            break
+    else:
+        return
+    number = max(dispatcher.next_run(task) for task in waiting.runs.tasks)
+    checkpoint = max(task.checkpoint for task in waiting.runs.tasks)
+    for task, worker in placed:
+        task.last_run = number - 1
+        task.checkpoint = checkpoint
+        _start_task(dispatcher, waiting.job, task, worker, tickets)
+
+
+def _place_gang(
+    dispatcher: Dispatcher, waiting: WaitingStep, group: list[Worker]
+) -> list[tuple[Task, Worker]] | None:
+    step = waiting.runs.step
+    free = {worker.worker_id: _free_places(step, worker) for worker in group}
+    placed: list[tuple[Task, Worker]] = []
+    for worker in sorted(group, key=lambda each: free[each.worker_id], reverse=True):
+        places = min(free[worker.worker_id], step.max_per_worker or step.count)
+        while places > 0 and len(placed) < step.count:
+            placed.append((waiting.runs.tasks[len(placed)], worker))
+            places -= 1
+    return placed if len(placed) == step.count else None
+
+
+def _free_places(step: Step, worker: Worker) -> int:
+    entry = worker.entry
+    places = [step.count]
+    if step.cpu_millis and not step.filling:
+        places.append((entry.cpu_millis - worker.used_cpu_millis) // step.cpu_millis)
+    if step.memory_mb:
+        places.append((entry.memory_mb - worker.used_memory_mb) // step.memory_mb)
+    if step.accelerators:
+        places.append((entry.accelerators - worker.used_accelerators) // step.accelerators)
+    return max(0, min(places))
+
+
+def _start_task(
+    dispatcher: Dispatcher, job: Job, task: Task, worker: Worker, tickets: dict[str, str]
+) -> None:
+    run = dispatcher.begin_run(job, task, worker)
+    order = StartOrder(
+        task.key,
+        run.run,
+        job.submission.spec,
+        worker.grant_until_s(dispatcher.context.deployment.bounds.lease_s),
+        worker.fence,
+        task.checkpoint,
+        tickets.get(worker.worker_id, ""),
+    )
+    dispatcher.counters.starts += 1
+    spawn(_send_start, dispatcher, job, worker, run, order)
+
+
+def _send_start(
+    dispatcher: Dispatcher, job: Job, worker: Worker, run: ActiveRun, order: StartOrder
+) -> None:
+    context = dispatcher.context
+    outcome = worker.link.start(order, ORDER_TIMEOUT_S)
+    now_s = context.clock()
+    context.log.note(
+        "run_start",
+        task_name(run.task),
+        run=run.run,
+        worker=worker.worker_id,
+        waited_s=round(run.started_s - job.step_runs(run.task).ready_since_s, 3),
+        outcome=outcome.tag if isinstance(outcome, Failure) else "started",
+        reason=getattr(outcome, "reason", ""),
+    )
+    if dispatcher.is_stopped() or worker.runs_by_task.get(run.task) is not run:
+        return
+    if not isinstance(outcome, Failure):
+        run.confirmed_s = now_s
+        if job.is_final():
+            dispatcher.order_stop(worker, run, "its job has ended")
+        return
+    if not _is_certainly_not_started(outcome):
+        dispatcher.counters.uncertain_starts += 1
+        run.is_uncertain = True
+        void_unanswered_starts(dispatcher, worker)
+        return
+    dispatcher.counters.refused_starts += 1
+    worker.blocked_until_s = now_s + (
+        UNHEALTHY_PAUSE_S if isinstance(outcome, Throttled | Unavailable) else REFUSED_PAUSE_S
+    )
+    if isinstance(outcome, StartRefused) and outcome.reason == "old":
+        job.task(run.task).last_run += 1
+    dispatcher.release_run(worker, run, f"start refused: {outcome.tag}")
+
+
+def _is_certainly_not_started(outcome: Failure) -> bool:
+    kinds = ConnectFailed | StartRefused | WorkerRestarted | Throttled | Unavailable | Refused
+    return isinstance(outcome, kinds)
+
+
+def _tickets(
+    dispatcher: Dispatcher, queue: Queue, waiting: WaitingStep, candidates: list[Worker]
+) -> dict[str, str] | None:
+    """Return tickets by worker, ``None`` for a queue that needs none."""
+    if not queue.needs_advice:
+        return None
+    key = (waiting.job.job_id, waiting.occurrence.number, waiting.runs.tasks[0].key.step)
+    known = dispatcher.tickets_by_step.get(key)
+    if known is not None and dispatcher.context.clock() < known[0]:
+        return known[1].ticket_by_worker
+    if known is None or known[0] > 0:
+        # An entry of instant 0 marks a call that is on its way.
+        dispatcher.tickets_by_step[key] = (0.0, Tickets({}, 0.0))
+        step = waiting.runs.step
+        room = [each for each in candidates if each.fits(step)] or candidates
+        ids = tuple(each.worker_id for each in room[:ADVICE_WORKERS])
+        spawn(_ask_advice, dispatcher, queue, waiting, key, ids)
+    return {}
+
+
+def _ask_advice(
+    dispatcher: Dispatcher,
+    queue: Queue,
+    waiting: WaitingStep,
+    key: tuple[str, int, int],
+    ids: tuple[str, ...],
+) -> None:
+    context = dispatcher.context
+    asked_s = context.clock()
+    timeout_s = 1.0 + queue.advice_base_s + queue.advice_each_s * len(ids)
+    answer = context.ask_advice(waiting.runs.tasks[0].key, ids, timeout_s)
+    if isinstance(answer, Failure):
+        context.log.note("advice_failed", waiting.job.job_id, reason=answer.describe())
+        context.sleep(REFUSED_PAUSE_S)
+        dispatcher.tickets_by_step.pop(key, None)
+        return
+    valid_s = answer.valid_s or queue.advice_valid_s
+    dispatcher.tickets_by_step[key] = (asked_s + valid_s - TICKET_MARGIN_S, answer)
+    dispatcher.wake.set()
--- /dev/null
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -0,0 +1,142 @@
+"""How a new owner learns what earlier owners left: stored jobs, and what runs on the workers."""
+
+from gevent import spawn
+from msgspec import convert
+from msgspec import ValidationError
+
+from laburnumswitch.exceptions import Failure
+from laburnumswitch.exceptions import RowMalformed
+from laburnumswitch.process.dispatch.dispatcher import DispatchContext
+from laburnumswitch.process.dispatch.dispatcher import Dispatcher
+from laburnumswitch.process.dispatch.dispatcher import FLEET_TABLE
+from laburnumswitch.process.dispatch.feeds import apply_cancellation_row
+from laburnumswitch.process.dispatch.feeds import apply_submission_row
+from laburnumswitch.process.dispatch.feeds import follow_cancellations
+from laburnumswitch.process.dispatch.feeds import follow_submissions
+from laburnumswitch.process.dispatch.feeds import follow_workers
+from laburnumswitch.process.dispatch.fleet import SLOWEST_CLOCK
+from laburnumswitch.process.dispatch.planner import run_planner
+from laburnumswitch.process.dispatch.progress import CANCELLATIONS_TABLE
+from laburnumswitch.process.dispatch.progress import decode_progress
+from laburnumswitch.process.dispatch.progress import PROGRESS_TABLE
+from laburnumswitch.process.dispatch.progress import restore_progress
+from laburnumswitch.process.dispatch.progress import SUBMISSIONS_TABLE
+from laburnumswitch.process.dispatch.recorder import OWNERSHIP_S
+from laburnumswitch.process.dispatch.recorder import Recorder
+from laburnumswitch.process.dispatch.recorder import RecorderContext
+from laburnumswitch.process.dispatch.reports import WorkerEntry
+from laburnumswitch.process.dispatch.worker_task import run_worker
+from laburnumswitch.process.leadership.term import HeldTerm
+from laburnumswitch.process.table import Changes
+from laburnumswitch.process.table import Row
+
+RETRY_S = 0.1
+SETTLE_INTERVAL_S = 0.05
+
+
+def begin_dispatch(
+    context: DispatchContext, held: HeldTerm, proved_s: float, may_predecessor_act: bool
+) -> Dispatcher:
+    """Start dispatching under a term that was just taken.
+
+    :param proved_s: when the commit of the term was sent, on the clock that counts suspensions.
+    :param may_predecessor_act: whether the earlier owner may not know yet that it was superseded.
+    """
+    recorder_context = RecorderContext(
+        context.table, context.log, context.boot_clock, context.sleep
+    )
+    recorder = Recorder(recorder_context, held, proved_s)
+    dispatcher = Dispatcher(context, recorder)
+    spawn(recorder.run, dispatcher.is_stopped)
+    spawn(_run, dispatcher, may_predecessor_act)
+    return dispatcher
+
+
+def _run(dispatcher: Dispatcher, may_predecessor_act: bool) -> None:
+    lease_s = dispatcher.context.deployment.bounds.lease_s / SLOWEST_CLOCK
+    unseen_s = lease_s + (OWNERSHIP_S if may_predecessor_act else 0.0)
+    dispatcher.settled = dispatcher.epoch == 1
+    version = _load_jobs(dispatcher)
+    _load_fleet(dispatcher, unseen_s)
+    if dispatcher.is_stopped():
+        return
+    dispatcher.is_loaded.set()
+    spawn(follow_submissions, dispatcher, version)
+    spawn(follow_cancellations, dispatcher, version)
+    spawn(follow_workers, dispatcher)
+    spawn(run_planner, dispatcher)
+    if not dispatcher.settled:
+        _settle(dispatcher)
+
+
+def _load_jobs(dispatcher: Dispatcher) -> int:
+    """Read all jobs and return the version of the store that they are known up to."""
+    submissions = _load(dispatcher, SUBMISSIONS_TABLE)
+    progress = _load(dispatcher, PROGRESS_TABLE)
+    cancellations = _load(dispatcher, CANCELLATIONS_TABLE)
+    for row in submissions.rows:
+        apply_submission_row(dispatcher, row, may_run_unseen=True)
+    for row in progress.rows:
+        _apply_progress(dispatcher, row)
+    for row in cancellations.rows:
+        apply_cancellation_row(dispatcher, row)
+    return submissions.version
+
+
+def _apply_progress(dispatcher: Dispatcher, row: Row) -> None:
+    job_id = row.key.partition("/")[2]
+    progress = decode_progress(row.key, row.value)
+    if isinstance(progress, RowMalformed):
+        dispatcher.context.log.note("progress_malformed", job_id, reason=progress.reason)
+        return
+    job = dispatcher.jobs_by_id.get(job_id)
+    if job is not None:
+        restore_progress(job, progress)
+        dispatcher.refresh_waiting(job)
+        dispatcher.forget_if_over(job)
+    else:
+        dispatcher.final_by_id[job_id] = progress.state
+
+
+def _load_fleet(dispatcher: Dispatcher, unseen_s: float) -> None:
+    """Read the workers on which the earlier owner may have left runs, and talk to each."""
+    for row in _load(dispatcher, FLEET_TABLE).rows:
+        try:
+            entries = convert(row.value, list[WorkerEntry])
+        except ValidationError as error:
+            dispatcher.context.log.note("fleet_malformed", row.key, reason=str(error))
+            continue
+        for entry in entries:
+            worker = dispatcher.add_worker(entry)
+            worker.lapse_bound_s = dispatcher.context.clock() + unseen_s
+            spawn(run_worker, dispatcher, worker)
+
+
+def _settle(dispatcher: Dispatcher) -> None:
+    """Wait until the runs of earlier owners are known or have certainly lapsed."""
+    context = dispatcher.context
+    began_s = context.clock()
+    inherited = list(dispatcher.workers_by_id.values())
+    while not dispatcher.is_stopped():
+        now_s = context.clock()
+        unknown = [
+            worker.worker_id
+            for worker in inherited
+            if not (worker.is_reached or worker.is_gone or worker.has_certainly_lapsed(now_s))
+        ]
+        if not unknown:
+            dispatcher.settled = True
+            dispatcher.wake.set()
+            context.log.note("settled", str(dispatcher.epoch), after_s=round(now_s - began_s, 3))
+            return
+        context.sleep(SETTLE_INTERVAL_S)
+
+
+def _load(dispatcher: Dispatcher, table: str) -> Changes:
+    while not dispatcher.is_stopped():
+        changes = dispatcher.context.table.load(table)
+        if not isinstance(changes, Failure):
+            return changes
+        dispatcher.context.log.note("load_failed", table, reason=changes.describe())
+        dispatcher.context.sleep(RETRY_S)
+    return Changes((), 0, 0.0)
--- /dev/null
+++ b/laburnumswitch/process/leadership/peers.py
@@ -0,0 +1,140 @@
+"""Calls between entries over HTTP with JSON, and the handlers that answer them."""
+
+from collections.abc import Callable
+from urllib.parse import urlencode
+
+from gevent import Timeout
+from gevent.event import Event
+
+from laburnumswitch.connection.answer import call_json
+from laburnumswitch.connection.client import Client
+from laburnumswitch.exceptions import Failure
+from laburnumswitch.process.admin import AdminReply
+from laburnumswitch.process.admin import AdminRequest
+from laburnumswitch.process.admin import reject
+from laburnumswitch.process.admin import reply_json
+from laburnumswitch.process.dispatch.dispatcher import Dispatcher
+from laburnumswitch.process.dispatch.work import Submission
+from laburnumswitch.process.leadership.leadership import Identity
+from laburnumswitch.process.leadership.leadership import Leadership
+from laburnumswitch.process.leadership.messages import JobStateAnswer
+from laburnumswitch.process.leadership.messages import WatchAnswer
+
+# Limit of a call in seconds; entries answer each other within some milliseconds.
+CALL_TIMEOUT_S = 0.4
+WATCH_LIMIT_S = 2.0
+
+
+class PeerCalls:
+    """Calls of other entries, by address."""
+
+    def __init__(self) -> None:
+        self._client_by_address: dict[str, Client] = {}
+
+    def watch(
+        self, address: str, identity: Identity, wait_s: float, timeout_s: float
+    ) -> WatchAnswer | Failure:
+        """Wait at the owner until it leaves, or until ``wait_s`` is over."""
+        fields = {"vm": identity.vm_id, "cores": identity.cpu_cores, "wait": wait_s}
+        target = f"/peer/watch?{urlencode(fields)}"
+        return call_json(self._client(address), "GET", target, None, WatchAnswer, timeout_s)
+
+    def tell_submitted(self, address: str, submission: Submission) -> bool | Failure:
+        """Tell the owner of a job that was just stored."""
+        client = self._client(address)
+        return call_json(client, "POST", "/peer/submitted", submission, bool, CALL_TIMEOUT_S)
+
+    def tell_cancelled(self, address: str, job_id: str) -> bool | Failure:
+        """Tell the owner of a cancellation that was just stored."""
+        target = f"/peer/cancelled/{job_id}"
+        return call_json(self._client(address), "POST", target, None, bool, CALL_TIMEOUT_S)
+
+    def job_state(self, address: str, job_id: str) -> JobStateAnswer | Failure:
+        """Ask the owner for the state of a job."""
+        target = f"/peer/state/{job_id}"
+        return call_json(self._client(address), "GET", target, None, JobStateAnswer, CALL_TIMEOUT_S)
+
+    def _client(self, address: str) -> Client:
+        client = self._client_by_address.get(address)
+        if client is None:
+            client = self._client_by_address[address] = Client(address)
+        return client
+
+
+def make_peer_handler(
+    leadership: Callable[[], Leadership], incarnation: str
+) -> Callable[[AdminRequest], AdminReply]:
+    """Return the handler of what other entries ask."""
+
+    def watch(request: AdminRequest) -> AdminReply:
+        owner = leadership()
+        dispatcher = owner.dispatcher
+        if dispatcher is not None and not dispatcher.is_stopped():
+            owner.note_watcher(request.query["vm"], float(request.query["cores"]))
+            _wait(dispatcher.stopped, min(WATCH_LIMIT_S, float(request.query["wait"])))
+        return reply_json(_describe(owner, incarnation))
+
+    def submitted(request: AdminRequest) -> AdminReply:
+        dispatcher = _active(leadership())
+        if dispatcher is None:
+            return reject(503, "NotOwner")
+        dispatcher.add_job(request.decode(Submission))
+        return reply_json(True)
+
+    def cancelled(request: AdminRequest) -> AdminReply:
+        dispatcher = _active(leadership())
+        if dispatcher is None:
+            return reject(503, "NotOwner")
+        dispatcher.cancel_job(request.rest[1])
+        return reply_json(True)
+
+    def state(request: AdminRequest) -> AdminReply:
+        dispatcher = _active(leadership())
+        if dispatcher is None:
+            return reject(503, "NotOwner")
+        return reply_json(describe_job(dispatcher, request.rest[1]))
+
+    handler_by_call = {
+        "watch": watch,
+        "submitted": submitted,
+        "cancelled": cancelled,
+        "state": state,
+    }
+
+    def handle(request: AdminRequest) -> AdminReply:
+        handler = handler_by_call.get(request.rest[0] if request.rest else "")
+        return handler(request) if handler else reject(404, "NotFound")
+
+    return handle
+
+
+def describe_job(dispatcher: Dispatcher, job_id: str) -> JobStateAnswer:
+    """Return what the owner knows of a job."""
+    state = dispatcher.shown_state(job_id)
+    return JobStateAnswer(state or "", dispatcher.is_loaded.is_set())
+
+
+def _active(leadership: Leadership) -> Dispatcher | None:
+    dispatcher = leadership.dispatcher
+    if dispatcher is None or dispatcher.is_stopped() or not dispatcher.is_loaded.is_set():
+        return None
+    return dispatcher
+
+
+def _describe(owner: Leadership, incarnation: str) -> WatchAnswer:
+    dispatcher = owner.dispatcher
+    if dispatcher is None or dispatcher.is_stopped():
+        return WatchAnswer(0, incarnation, False, (), {}, 0.0)
+    return WatchAnswer(
+        dispatcher.epoch,
+        incarnation,
+        True,
+        owner.candidates(),
+        dispatcher.pending_by_queue(),
+        dispatcher.recorder.silent_s(),
+    )
+
+
+def _wait(event: Event, timeout_s: float) -> None:
+    with Timeout(timeout_s, False):
+        event.wait()
--- a/laburnumswitch/process/quarantine.py
+++ b/laburnumswitch/process/quarantine.py
@@ -29,7 +29,11 @@
 class Quarantine:
     """Recent failures by worker and job, in the memory of the shard's owner."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self, first_backoff_s: float = FIRST_BACKOFF_S, max_backoff_s: float = MAX_BACKOFF_S
+    ) -> None:
+        self._first_backoff_s = first_backoff_s
+        self._max_backoff_s = max_backoff_s
         self._by_worker: dict[str, _Record] = {}
         self._failed_on_by_job: dict[str, set[str]] = {}
         self._finished_on_by_job: dict[str, set[str]] = {}
@@ -53,7 +57,7 @@
             return False
         earlier = record.quarantined
         if earlier is None or now_s >= earlier.until_s:
-            backoff_s = min(MAX_BACKOFF_S, 2 * earlier.backoff_s) if earlier else FIRST_BACKOFF_S
+            backoff_s = self._next_backoff_s(earlier)
             record.quarantined = Quarantined(now_s + backoff_s, backoff_s)
         return True
 
@@ -84,6 +88,11 @@
         self._failed_on_by_job.pop(job, None)
         self._finished_on_by_job.pop(job, None)
 
+    def _next_backoff_s(self, earlier: Quarantined | None) -> float:
+        if earlier is None:
+            return self._first_backoff_s
+        return min(self._max_backoff_s, 2 * earlier.backoff_s)
+
     def _is_to_blame(self, job: str, worker_id: str) -> bool:
         # A job that fails on workers that finish other work, and finishes nowhere, is at fault.
         if self._finished_on_by_job.get(job):
--- a/laburnumswitch/process/table.py
+++ b/laburnumswitch/process/table.py
@@ -15,6 +15,7 @@
 from laburnumswitch.exceptions import Conflict
 from laburnumswitch.exceptions import ConnectFailed
 from laburnumswitch.exceptions import Failure
+from laburnumswitch.exceptions import HistoryLost
 from laburnumswitch.exceptions import OutcomeUnknown
 from laburnumswitch.exceptions import Refused
 from laburnumswitch.exceptions import Throttled
@@ -63,6 +64,14 @@
     version: int
 
 
+class Changes(NamedTuple):
+    """Rows as of ``version``; a removed one has no value. ``now_s`` is the store's steady clock."""
+
+    rows: tuple[Row, ...]
+    version: int
+    now_s: float
+
+
 class _Rows(NamedTuple):
     rows: list[Row]
 
@@ -91,6 +100,16 @@
         """Apply ``transaction`` if all its conditions hold."""
 
 
+class FeedTable(Table, Protocol):
+    """A table whose changes can be followed."""
+
+    def load(self, table: str) -> Changes | ReadFailure:
+        """Return every row whose key starts with ``table`` and a slash."""
+
+    def follow(self, table: str, after: int, wait_s: float) -> Changes | HistoryLost | ReadFailure:
+        """Return what changed after a version, as soon as there is something."""
+
+
 class TableClient:
     """The table over HTTP with JSON."""
 
@@ -103,7 +122,7 @@
         answer = self._call("/table/read", {"keys": keys}, _Rows)
         if isinstance(answer, _Rows):
             return {row.key: row for row in answer.rows}
-        return _read_failure(answer)
+        return read_failure(answer)
 
     def scan(self, prefix: str, after: str = "") -> tuple[Row, ...] | ReadFailure:
         """Return up to ``SCAN_LIMIT_ROWS`` rows under ``prefix`` with keys above ``after``."""
@@ -111,7 +130,7 @@
         answer = self._call("/table/scan", body, _Rows)
         if isinstance(answer, _Rows):
             return tuple(answer.rows)
-        return _read_failure(answer)
+        return read_failure(answer)
 
     def commit(self, transaction: Transaction) -> Committed | CommitFailure:
         """Apply ``transaction`` if all its conditions hold."""
@@ -122,7 +141,7 @@
             return Conflict(answer.key, answer.expected_version, answer.version)
         if isinstance(answer, Throttled):
             return answer
-        if _had_no_effect(answer):
+        if had_no_effect(answer):
             return Unavailable(answer.describe())
         return OutcomeUnknown(answer.describe())
 
@@ -144,7 +163,8 @@
         after = page[-1].key
 
 
-def _had_no_effect(failure: Failure) -> bool:
+def had_no_effect(failure: Failure) -> bool:
+    """Return whether a failed transaction certainly did nothing."""
     if isinstance(failure, ConnectFailed):
         return True
     # Any other status may come from something on the way after the table took the call.
@@ -154,9 +174,10 @@
     )
 
 
-def _read_failure(
+def read_failure(
     answer: ConnectFailed | AnswerLost | AnswerMalformed | Refused | Throttled,
 ) -> ReadFailure:
+    """Return the failure of a read as the callers of the table know it."""
     if isinstance(answer, Throttled):
         return answer
     return Unavailable(answer.describe())
