Rank workers for a step once, and keep the expected tails of each worker

Cause: a profile of 12 s of the owner showed 5.3 s in the cost of filling tasks, evaluated for every task on every worker at every event. Now a heap holds the costs of a step, only the chosen worker is evaluated again, and a step that waits for calm is looked at every 0.15 s. Images that nothing is known of no longer count as alike.

--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -1,5 +1,7 @@
 """State of the workers that one owner holds: room, runs, leases and fencing tokens."""
 
+from typing import NamedTuple
+
 from laburnumswitch.process.dispatch.reports import WorkerEntry
 from laburnumswitch.process.dispatch.reports import WorkerLink
 from laburnumswitch.process.dispatch.work import Step
@@ -15,6 +17,16 @@
 SERVING_USE = 0.6
 
 
+class Outlook(NamedTuple):
+    """A serving run's image, the expected logarithm of its tail over its target, and the
+    probability that the tail exceeds the target.
+    """
+
+    image: str
+    expected: float
+    over: float
+
+
 class ActiveRun:
     """One run that may exist on a worker.
 
@@ -93,6 +105,8 @@
         self.used_memory_mb = 0
         self.used_accelerators = 0
         self.filling_cpu_millis = 0
+        # Expected tails of the serving runs, by the placement's model; ``None`` once out of date.
+        self.outlook: list[Outlook] | None = None
 
     @property
     def worker_id(self) -> str:
@@ -119,6 +133,7 @@
         return run
 
     def _reserve(self, step: Step, sign: int) -> None:
+        self.outlook = None
         if step.filling:
             self.filling_cpu_millis += sign * step.cpu_millis
         else:
--- a/laburnumswitch/process/dispatch/placing.py
+++ b/laburnumswitch/process/dispatch/placing.py
@@ -2,8 +2,12 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from heapq import heapify
+from heapq import heappop
+from heapq import heappush
 from typing import NamedTuple
 
+from laburnumswitch.process.dispatch.fleet import Outlook
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.tails import over_probability
 from laburnumswitch.process.dispatch.tails import TailModel
@@ -39,21 +43,37 @@
 Cost = Callable[[Step, Worker, PlacementContext], float]
 
 
-def choose_worker(
-    step: Step, workers: Iterable[Worker], context: PlacementContext
-) -> Choice | None:
-    """Return the best worker with room for a task, ``None`` where there is none."""
-    cost_of = cost_function(step)
-    best: Choice | None = None
-    for worker in workers:
-        if not worker.fits(step):
-            continue
-        cost = cost_of(step, worker, context)
-        if step.data_rack and worker.entry.rack != step.data_rack:
+class Ranking:
+    """Workers with room for a step, the cheapest first.
+
+    A worker that was taken is offered again with its new cost.
+    """
+
+    def __init__(self, step: Step, workers: Iterable[Worker], context: PlacementContext) -> None:
+        self._step = step
+        self._context = context
+        self._cost_of = cost_function(step)
+        self._heap: list[tuple[float, int, Worker]] = []
+        for number, worker in enumerate(workers):
+            if worker.fits(step):
+                self._heap.append((self._cost(worker), number, worker))
+        heapify(self._heap)
+
+    def best(self) -> Choice | None:
+        """Return the cheapest worker, ``None`` where no worker has room."""
+        return Choice(self._heap[0][2], self._heap[0][0]) if self._heap else None
+
+    def update_best(self, may_take_more: bool) -> None:
+        """Offer the worker that was cheapest with its cost now, or not at all."""
+        _, number, worker = heappop(self._heap)
+        if may_take_more and worker.fits(self._step):
+            heappush(self._heap, (self._cost(worker), number, worker))
+
+    def _cost(self, worker: Worker) -> float:
+        cost = self._cost_of(self._step, worker, self._context)
+        if self._step.data_rack and worker.entry.rack != self._step.data_rack:
             cost += FAR_PENALTY
-        if best is None or cost < best.cost:
-            best = Choice(worker, cost)
-    return best
+        return cost
 
 
 def cost_function(step: Step) -> Cost:
@@ -97,18 +117,28 @@
     Load pattern: filling work arrives in waves beside serving tasks that reserve most processors.
     """
     model = context.model
-    share_by_image = filling_shares(worker)
     share = step.cpu_millis / worker.entry.cpu_millis
     harm = 0.0
-    for run in worker.serving_runs():
-        now = model.expect(run.task, run.step.image, share_by_image)
-        rise = model.coefficient(run.step.image, step.image) * share
-        harm += over_probability(now + rise) - over_probability(now)
+    for image, expected, over in outlook(worker, model):
+        rise = model.coefficient(image, step.image) * share
+        if rise > 0.0:
+            harm += over_probability(expected + rise) - over
     lacking = step.cpu_millis - worker.idle_cpu_millis()
     crowding = max(0.0, lacking / step.cpu_millis) if step.cpu_millis else 0.0
     return harm + CROWDING_WEIGHT * crowding
 
 
+def outlook(worker: Worker, model: TailModel) -> list[Outlook]:
+    """Return the expected tails of a worker's serving runs, from its memory where it holds them."""
+    if worker.outlook is None:
+        share_by_image = filling_shares(worker)
+        worker.outlook = []
+        for run in worker.serving_runs():
+            expected = model.expect(run.task, run.step.image, share_by_image)
+            worker.outlook.append(Outlook(run.step.image, expected, over_probability(expected)))
+    return worker.outlook
+
+
 def filling_shares(worker: Worker) -> dict[str, float]:
     """Return the share of a worker's processors that each filling image takes, as reserved."""
     share_by_image: dict[str, float] = {}
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -1,7 +1,5 @@
 """Decides which waiting tasks start where, and sends the starts."""
 
-from collections.abc import Iterable
-
 from gevent import spawn
 
 from laburnumswitch.exceptions import ConnectFailed
@@ -20,9 +18,9 @@
 from laburnumswitch.process.dispatch.jobs import Job
 from laburnumswitch.process.dispatch.jobs import Task
 from laburnumswitch.process.dispatch.ordering import order_key
-from laburnumswitch.process.dispatch.placing import choose_worker
 from laburnumswitch.process.dispatch.placing import HARM_LIMIT
 from laburnumswitch.process.dispatch.placing import PlacementContext
+from laburnumswitch.process.dispatch.placing import Ranking
 from laburnumswitch.process.dispatch.reports import StartOrder
 from laburnumswitch.process.dispatch.tickets import Tickets
 from laburnumswitch.process.dispatch.work import Queue
@@ -43,6 +41,8 @@
 # Tickets are not used in their last part, in seconds, so that they hold when the start arrives.
 TICKET_MARGIN_S = 0.3
 ADVICE_WORKERS = 30
+# Filling tasks that wait for calmer neighbours are looked at again after this time, in seconds.
+CALM_RETRY_S = 0.15
 
 
 def run_planner(dispatcher: Dispatcher) -> None:
@@ -114,39 +114,37 @@
     if step.gang:
         _start_gang(dispatcher, waiting, candidates, tickets or {})
         return
-    for task in list(waiting.runs.waiting()):
-        worker = _choose(dispatcher, waiting, task, candidates)
-        if worker is None:
-            return
-        _start_task(dispatcher, waiting.job, task, worker, tickets or {})
+    _start_each(dispatcher, waiting, candidates, tickets or {})
 
 
-def _choose(
-    dispatcher: Dispatcher, waiting: WaitingStep, task: Task, candidates: Iterable[Worker]
-) -> Worker | None:
+def _start_each(
+    dispatcher: Dispatcher,
+    waiting: WaitingStep,
+    candidates: list[Worker],
+    tickets: dict[str, str],
+) -> None:
     step = waiting.runs.step
     now_s = dispatcher.context.clock()
-    open_to = [
-        worker
-        for worker in candidates
-        if now_s >= worker.blocked_until_s and _spread_allows(step, worker, task)
-    ]
     context = PlacementContext(dispatcher.model, tuple(dispatcher.filling_images))
-    choice = choose_worker(step, open_to, context)
-    if choice is None:
-        return None
-    waited_s = now_s - waiting.runs.ready_since_s
-    if step.filling and choice.cost > HARM_LIMIT and waited_s < CALM_WAIT_S:
-        return None
-    return choice.worker
+    open_to = (each for each in candidates if _spread_allows(step, each, waiting))
+    ranking = Ranking(step, open_to, context)
+    waits_for_calm = step.filling and now_s - waiting.runs.ready_since_s < CALM_WAIT_S
+    for task in list(waiting.runs.waiting()):
+        choice = ranking.best()
+        if choice is None:
+            return
+        if waits_for_calm and choice.cost > HARM_LIMIT:
+            waiting.runs.retry_after_s = now_s + CALM_RETRY_S
+            return
+        _start_task(dispatcher, waiting.job, task, choice.worker, tickets)
+        ranking.update_best(_spread_allows(step, choice.worker, waiting))
 
 
-def _spread_allows(step: Step, worker: Worker, task: Task) -> bool:
-    if task.key in worker.runs_by_task:
-        return False
+def _spread_allows(step: Step, worker: Worker, waiting: WaitingStep) -> bool:
     if not step.max_per_worker:
         return True
-    beside = sum(1 for key in worker.runs_by_task if key[:3] == task.key[:3])
+    name = waiting.runs.tasks[0].key[:3]
+    beside = sum(1 for key in worker.runs_by_task if key[:3] == name)
     return beside < step.max_per_worker
 
 
--- a/laburnumswitch/process/dispatch/tails.py
+++ b/laburnumswitch/process/dispatch/tails.py
@@ -105,16 +105,20 @@
         self._base_by_run.pop(run, None)
 
     def similarity(self, first: str, second: str, filling: tuple[str, ...]) -> float:
-        """Return how alike two serving images are hurt, from 0 to 1.
+        """Return how alike two serving images are hurt, from 0 (or not known) to 1.
 
         :param filling: the filling images that are known.
         """
         if first == second:
             return 1.0
-        ours = [self.coefficient(first, image) for image in filling]
-        theirs = [self.coefficient(second, image) for image in filling]
-        scale = sqrt(sum(x * x for x in ours) * sum(y * y for y in theirs))
-        return sum(x * y for x, y in zip(ours, theirs, strict=True)) / scale if scale else 0.0
+        pairs = [
+            (self.coefficient(first, image), self.coefficient(second, image))
+            for image in filling
+            if (first, image) in self._coefficient_by_pair
+            and (second, image) in self._coefficient_by_pair
+        ]
+        scale = sqrt(sum(x * x for x, _ in pairs) * sum(y * y for _, y in pairs))
+        return sum(x * y for x, y in pairs) / scale if scale else 0.0
 
     def rows(self) -> list[tuple[str, str, float, float]]:
         """Return serving image, filling image, coefficient and variance of every known pair."""
--- a/laburnumswitch/process/dispatch/worker_task.py
+++ b/laburnumswitch/process/dispatch/worker_task.py
@@ -216,6 +216,7 @@
         image = run.step.image
         used_by_image[image] = used_by_image.get(image, 0.0) + run.measure / capacity
     model = dispatcher.model
+    worker.outlook = None
     for run in serving:
         ratio = run.measure / run.step.tail_target_ms
         model.observe(run.task, run.step.image, ratio, used_by_image)
