Order by what a job can still earn; know what an earlier owner may still start

Order: least slack first spreads work over jobs that all come late. Jobs that can still be on time go first, and among them those that earn most for the work left. After a suspension an owner acts only after a commit.

--- a/laburnumswitch/dispatch_entry.py
+++ b/laburnumswitch/dispatch_entry.py
@@ -54,6 +54,7 @@
 from laburnumswitch.process.leadership.peers import make_peer_handler
 from laburnumswitch.process.leadership.peers import PeerCalls
 from laburnumswitch.process.leadership.term import HeldTerm
+from laburnumswitch.process.leadership.term import Predecessor
 from laburnumswitch.process.metrics import Metrics
 from laburnumswitch.process.operations import follow_operations
 from laburnumswitch.process.operations import Operations
@@ -166,7 +167,7 @@
         write_last(self.log.take())
 
     def _begin_dispatch(
-        self, held: HeldTerm, proved_s: float, may_predecessor_act: bool
+        self, held: HeldTerm, proved_s: float, predecessor: Predecessor
     ) -> Dispatcher:
         context = DispatchContext(
             deployment=self.deployment,
@@ -182,7 +183,7 @@
             boot_clock=_boot_clock,
             sleep=sleep,
         )
-        return begin_dispatch(context, held, proved_s, may_predecessor_act)
+        return begin_dispatch(context, held, proved_s, predecessor)
 
     def _limits(self) -> Limits:
         configuration = self.operations.configuration
--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -20,12 +20,12 @@
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.jobs import Job
 from laburnumswitch.process.dispatch.jobs import JobState
-from laburnumswitch.process.dispatch.jobs import Occurrence
-from laburnumswitch.process.dispatch.jobs import StepRuns
 from laburnumswitch.process.dispatch.jobs import Task
+from laburnumswitch.process.dispatch.jobs import WaitingStep
 from laburnumswitch.process.dispatch.recorder import Recorder
 from laburnumswitch.process.dispatch.reports import EndReport
 from laburnumswitch.process.dispatch.reports import How
+from laburnumswitch.process.dispatch.reports import RunReport
 from laburnumswitch.process.dispatch.reports import WorkerEntry
 from laburnumswitch.process.dispatch.reports import WorkerLink
 from laburnumswitch.process.dispatch.tails import TailModel
@@ -46,6 +46,10 @@
 # Limit of one order in seconds; workers answer within a few milliseconds.
 ORDER_TIMEOUT_S = 0.4
 
+# Submissions reach the owner by the feed within this time, in seconds.
+STRAY_WAIT_S = 3.0
+# How much each new job moves the mean work of its queue.
+MEAN_RATE = 0.05
 FLEET_TABLE = "fleet"
 # Rows of the list of workers: a row of the platform holds 64 KiB, an entry takes some 200 bytes.
 FLEET_PARTS = 16
@@ -70,12 +74,12 @@
     sleep: Callable[[float], None]
 
 
-class WaitingStep(NamedTuple):
-    """A step with tasks to start."""
+class Stray(NamedTuple):
+    """A run of a job that is not known yet, and when it was first seen."""
 
-    job: Job
-    occurrence: Occurrence
-    runs: StepRuns
+    worker: Worker
+    row: RunReport
+    seen_s: float
 
 
 class Counters:
@@ -94,6 +98,7 @@
     """Everything that one ownership knows.
 
     :ivar settled: whether all runs of earlier owners are known or have certainly lapsed.
+    :ivar doubts_new_jobs: whether the earlier owner may start jobs that come in until then.
     """
 
     def __init__(self, context: DispatchContext, recorder: Recorder) -> None:
@@ -106,6 +111,8 @@
         self.waiting_by_step: dict[tuple[str, int, int], WaitingStep] = {}
         self.tickets_by_step: dict[tuple[str, int, int], tuple[float, Tickets]] = {}
         self.model = TailModel()
+        self.stray_by_task: dict[TaskKey, Stray] = {}
+        self.mean_work_by_queue: dict[str, float] = {}
         self.filling_images: dict[str, None] = {}
         self.quarantine = Quarantine(FIRST_REST_S, MAX_REST_S)
         self.counters = Counters()
@@ -113,6 +120,7 @@
         self.stopped = Event()
         self.is_loaded = Event()
         self.settled = True
+        self.doubts_new_jobs = False
 
     def is_stopped(self) -> bool:
         """Return whether this ownership has ended."""
@@ -129,14 +137,26 @@
         for worker in self.workers_by_id.values():
             worker.link.close()
 
+    def supersede(self) -> None:
+        """End this ownership for another entry's.
+
+        Closing the connections does not take back orders that were sent: the successor's fences do.
+        """
+        self.context.log.note("superseded", str(self.epoch))
+        self.recorder.is_lost = True
+        self.stop()
+
     # Jobs
 
     def add_job(self, submission: Submission, may_run_unseen: bool = False) -> Job | None:
         """Take a stored job in; one that is known already changes nothing."""
         if submission.job_id in self.jobs_by_id or submission.job_id in self.final_by_id:
             return None
-        job = Job(submission, may_run_unseen)
+        doubtful = self.doubts_new_jobs and not self.settled
+        job = Job(submission, may_run_unseen or doubtful)
         self.jobs_by_id[job.job_id] = job
+        mean = self.mean_work_by_queue.get(submission.queue, job.work)
+        self.mean_work_by_queue[submission.queue] = mean + MEAN_RATE * (job.work - mean)
         for step in submission.steps:
             if step.filling and step.image:
                 self.filling_images[step.image] = None
@@ -147,6 +167,7 @@
             tasks=sum(step.count for step in submission.steps),
             age_s=round(self.context.wall_clock() - submission.submitted_s, 3),
         )
+        self._adopt_strays(job)
         self.refresh_waiting(job)
         return job
 
@@ -228,6 +249,39 @@
             self.waiting_by_step.pop(task.key[:3], None)
         return run
 
+    def adopt_run(self, worker: Worker, row: RunReport) -> bool:
+        """Take over a run that an earlier owner started, where its task still waits for one."""
+        job = self.jobs_by_id.get(row.task.job_id)
+        task = job and job.task(row.task)
+        if not task or job.is_final() or not task.is_waiting() or row.run < task.last_run:
+            return False
+        now_s = self.context.clock()
+        job.begin_run(task, row.run, worker.worker_id)
+        run = ActiveRun(row.task, row.run, job.step_runs(row.task).step, worker.fence, now_s)
+        run.update(row, now_s)
+        worker.add_run(run)
+        task.checkpoint = row.checkpoint or task.checkpoint
+        self.refresh_waiting(job)
+        self.context.log.note(
+            "run_adopted", task_name(row.task), run=row.run, worker=worker.worker_id
+        )
+        return True
+
+    def note_stray(self, worker: Worker, row: RunReport) -> bool:
+        """Remember a run whose job is not known, and return whether to wait for its job."""
+        now_s = self.context.clock()
+        known = self.stray_by_task.get(row.task)
+        if known is None or known.worker is not worker or known.row.run != row.run:
+            known = self.stray_by_task[row.task] = Stray(worker, row, now_s)
+        return now_s - known.seen_s < STRAY_WAIT_S
+
+    def _adopt_strays(self, job: Job) -> None:
+        strays = [key for key in self.stray_by_task if key.job_id == job.job_id]
+        for key in strays:
+            stray = self.stray_by_task.pop(key)
+            if not stray.worker.is_gone:
+                self.adopt_run(stray.worker, stray.row)
+
     def release_run(self, worker: Worker, run: ActiveRun, reason: str) -> None:
         """Note that a run does not exist any more, without an end: its task waits again."""
         if worker.runs_by_task.get(run.task) is not run:
--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from laburnumswitch.process.dispatch.reports import RunReport
 from laburnumswitch.process.dispatch.reports import WorkerEntry
 from laburnumswitch.process.dispatch.reports import WorkerLink
 from laburnumswitch.process.dispatch.work import Step
@@ -69,6 +70,16 @@
         self.throttle = 100
         self.under_s = now_s
 
+    def update(self, row: RunReport, now_s: float) -> None:
+        """Take over what the worker reports of the run."""
+        if self.confirmed_s is None:
+            self.confirmed_s = now_s
+            self.is_uncertain = False
+        if row.percent > self.percent:
+            self.progressed_s = now_s
+        self.percent = row.percent
+        self.measure = row.measure
+
     @property
     def is_serving(self) -> bool:
         """Return whether the run's measure is the tail of its users' response times."""
--- a/laburnumswitch/process/dispatch/jobs.py
+++ b/laburnumswitch/process/dispatch/jobs.py
@@ -2,12 +2,14 @@
 
 from collections.abc import Iterator
 from enum import StrEnum
+from typing import NamedTuple
 
 from laburnumswitch.process.dispatch.work import Step
 from laburnumswitch.process.dispatch.work import Submission
 from laburnumswitch.process.dispatch.work import TaskKey
 
 MS_PER_S = 1000.0
+MILLIS_PER_CORE = 1000.0
 # A task whose estimate is missing counts as this long, in seconds: the order of a short request.
 DEFAULT_ESTIMATE_S = 1.0
 
@@ -114,6 +116,8 @@
     """One submitted job.
 
     :ivar has_begun: whether any task was started, by any owner as far as it is known.
+    :ivar work: estimated core-seconds of one pass through the steps.
+    :ivar chains_s: by step, the longest estimated chain of work from its start to the job's end.
     :ivar may_run_unseen: whether an earlier owner may have started tasks that nobody has seen yet.
     """
 
@@ -123,6 +127,8 @@
         self.has_begun = False
         self.may_run_unseen = may_run_unseen
         self.is_stored = True
+        self.chains_s = chain_s(submission.steps)
+        self.work = sum(step.count * step_work(step) for step in submission.steps)
         count = max(1, submission.occurrences)
         self.occurrences = [Occurrence(submission, number) for number in range(count)]
 
@@ -199,6 +205,19 @@
                     yield from (task for task in runs.tasks if task.run)
 
 
+class WaitingStep(NamedTuple):
+    """A step with tasks to start."""
+
+    job: Job
+    occurrence: Occurrence
+    runs: StepRuns
+
+
+def step_work(step: Step) -> float:
+    """Return the estimated core-seconds of one task."""
+    return step.cpu_millis / MILLIS_PER_CORE * step_estimate_s(step)
+
+
 def step_estimate_s(step: Step) -> float:
     """Return the estimated duration of one task."""
     return step.estimate_ms / MS_PER_S or DEFAULT_ESTIMATE_S
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -12,11 +12,11 @@
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
 from laburnumswitch.process.dispatch.dispatcher import ORDER_TIMEOUT_S
 from laburnumswitch.process.dispatch.dispatcher import task_name
-from laburnumswitch.process.dispatch.dispatcher import WaitingStep
 from laburnumswitch.process.dispatch.fleet import ActiveRun
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.jobs import Job
 from laburnumswitch.process.dispatch.jobs import Task
+from laburnumswitch.process.dispatch.jobs import WaitingStep
 from laburnumswitch.process.dispatch.ordering import order_key
 from laburnumswitch.process.dispatch.placing import HARM_LIMIT
 from laburnumswitch.process.dispatch.placing import PlacementContext
@@ -63,7 +63,7 @@
     for waiting in dispatcher.waiting_by_step.values():
         queue = dispatcher.queue_of(waiting.job)
         if queue is not None and _is_due(dispatcher, waiting, now_s):
-            key = order_key(waiting.job, waiting.occurrence, waiting.runs, queue, now_s)
+            key = order_key(waiting, queue, dispatcher.mean_work_by_queue[queue.name], now_s)
             keyed.append((key, queue, waiting))
     if not keyed:
         return
--- a/laburnumswitch/process/dispatch/recorder.py
+++ b/laburnumswitch/process/dispatch/recorder.py
@@ -36,6 +36,8 @@
 TOUCH_S = 0.5
 # An owner acts for so long, in seconds, after it sent its last successful commit.
 OWNERSHIP_S = 8.0
+# The two clocks may drift apart by so much, in seconds, without a suspension.
+SUSPENSION_TOLERANCE_S = 0.3
 RETRY_FIRST_S = 0.05
 RETRY_MAX_S = 0.5
 # A transaction takes 100 entries; a final job takes three of them, and the term one.
@@ -47,6 +49,7 @@
 
     table: FeedTable
     log: DecisionLog
+    clock: Callable[[], float]
     boot_clock: Callable[[], float]
     sleep: Callable[[float], None]
 
@@ -67,6 +70,7 @@
         self._next_batch = 1
         self._jobs_by_id: dict[str, Job] = {}
         self._value_by_key: dict[str, Any] = {}
+        self._suspended_s = self._suspension_s()
         self._has_work = Event()
         self._settled = Event()
 
@@ -85,14 +89,21 @@
         return self._next_batch
 
     def is_certain(self) -> bool:
-        """Return whether nobody else can act as the owner now."""
+        """Return whether nobody else can act as the owner now.
+
+        After a suspension of the VM that takes a new commit.
+        """
         age_s = self._context.boot_clock() - self.proved_s
-        return not self.is_lost and age_s < OWNERSHIP_S
+        was_suspended = self._suspension_s() - self._suspended_s > SUSPENSION_TOLERANCE_S
+        return not self.is_lost and not was_suspended and age_s < OWNERSHIP_S
 
     def silent_s(self) -> float:
         """Return the time in seconds since the last successful commit was sent."""
         return self._context.boot_clock() - self.proved_s
 
+    def _suspension_s(self) -> float:
+        return self._context.boot_clock() - self._context.clock()
+
     def wait_for(self, batch: int, timeout_s: float) -> bool:
         """Wait until a batch has taken effect, and return whether it has."""
         deadline_s = self._context.boot_clock() + timeout_s
@@ -173,6 +184,7 @@
         failures = 0
         while True:
             sent_s = context.boot_clock()
+            suspended_s = self._suspension_s()
             outcome = context.table.commit(transaction)
             if not isinstance(outcome, Committed):
                 failures += 1
@@ -181,6 +193,7 @@
                 outcome = self._look_up(term, isinstance(outcome, Conflict))
             if isinstance(outcome, Committed):
                 self.proved_s = sent_s
+                self._suspended_s = suspended_s
                 if failures:
                     context.log.note("commit_settled", term.batch, attempts=failures + 1)
                 return outcome.version
--- a/laburnumswitch/process/dispatch/takeover.py
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -27,6 +27,7 @@
 from laburnumswitch.process.dispatch.reports import WorkerEntry
 from laburnumswitch.process.dispatch.worker_task import run_worker
 from laburnumswitch.process.leadership.term import HeldTerm
+from laburnumswitch.process.leadership.term import Predecessor
 from laburnumswitch.process.table import Changes
 from laburnumswitch.process.table import Row
 
@@ -35,27 +36,27 @@
 
 
 def begin_dispatch(
-    context: DispatchContext, held: HeldTerm, proved_s: float, may_predecessor_act: bool
+    context: DispatchContext, held: HeldTerm, proved_s: float, predecessor: Predecessor
 ) -> Dispatcher:
     """Start dispatching under a term that was just taken.
 
     :param proved_s: when the commit of the term was sent, on the clock that counts suspensions.
-    :param may_predecessor_act: whether the earlier owner may not know yet that it was superseded.
     """
     recorder_context = RecorderContext(
-        context.table, context.log, context.boot_clock, context.sleep
+        context.table, context.log, context.clock, context.boot_clock, context.sleep
     )
     recorder = Recorder(recorder_context, held, proved_s)
     dispatcher = Dispatcher(context, recorder)
     spawn(recorder.run, dispatcher.is_stopped)
-    spawn(_run, dispatcher, may_predecessor_act)
+    spawn(_run, dispatcher, predecessor)
     return dispatcher
 
 
-def _run(dispatcher: Dispatcher, may_predecessor_act: bool) -> None:
+def _run(dispatcher: Dispatcher, predecessor: Predecessor) -> None:
     lease_s = dispatcher.context.deployment.bounds.lease_s / SLOWEST_CLOCK
-    unseen_s = lease_s + (OWNERSHIP_S if may_predecessor_act else 0.0)
+    unseen_s = lease_s + (0.0 if predecessor is Predecessor.ENDED else OWNERSHIP_S)
     dispatcher.settled = dispatcher.epoch == 1
+    dispatcher.doubts_new_jobs = predecessor is Predecessor.SILENT
     version = _load_jobs(dispatcher)
     _load_fleet(dispatcher, unseen_s)
     if dispatcher.is_stopped():
--- a/laburnumswitch/process/dispatch/worker_task.py
+++ b/laburnumswitch/process/dispatch/worker_task.py
@@ -153,7 +153,7 @@
     for run in list(worker.runs_by_task.values()):
         row = reported.pop((run.task, run.run), None)
         if row is not None:
-            _update(run, row, now_s)
+            run.update(row, now_s)
             _keep_checkpoint(dispatcher, row)
             if run.is_stopping and now_s - run.stop_sent_s > STOP_REPEAT_S:
                 dispatcher.order_stop(worker, run, "stop repeated")
@@ -162,17 +162,7 @@
         elif run.confirmed_s is None and run.fence < fence:
             dispatcher.release_run(worker, run, "start voided by a higher fence")
     for row in reported.values():
-        _take_unknown(dispatcher, worker, row, now_s)
-
-
-def _update(run: ActiveRun, row: RunReport, now_s: float) -> None:
-    if run.confirmed_s is None:
-        run.confirmed_s = now_s
-        run.is_uncertain = False
-    if row.percent > run.percent:
-        run.progressed_s = now_s
-    run.percent = row.percent
-    run.measure = row.measure
+        _take_unknown(dispatcher, worker, row)
 
 
 def _keep_checkpoint(dispatcher: Dispatcher, row: RunReport) -> None:
@@ -182,23 +172,17 @@
         task.checkpoint = row.checkpoint
 
 
-def _take_unknown(dispatcher: Dispatcher, worker: Worker, row: RunReport, now_s: float) -> None:
+def _take_unknown(dispatcher: Dispatcher, worker: Worker, row: RunReport) -> None:
     """Adopt a run of an earlier owner where its task still waits for one, else stop it."""
     job = dispatcher.jobs_by_id.get(row.task.job_id)
-    task = job and job.task(row.task)
     known = worker.runs_by_task.get(row.task)
     if known is not None and known.run > row.run:
         return
-    if task and task.is_waiting() and not job.is_final() and row.run >= task.last_run:
-        job.begin_run(task, row.run, worker.worker_id)
-        run = ActiveRun(row.task, row.run, job.step_runs(row.task).step, worker.fence, now_s)
-        _update(run, row, now_s)
-        worker.add_run(run)
-        task.checkpoint = row.checkpoint or task.checkpoint
-        dispatcher.refresh_waiting(job)
-        dispatcher.context.log.note(
-            "run_adopted", task_name(row.task), run=row.run, worker=worker.worker_id
-        )
+    is_final = row.task.job_id in dispatcher.final_by_id
+    if job is None and not is_final and dispatcher.note_stray(worker, row):
+        # Its submission may be on its way to this owner: the run is adopted with its job.
+        return
+    if job is not None and dispatcher.adopt_run(worker, row):
         return
     dispatcher.context.log.note(
         "run_unwanted", task_name(row.task), run=row.run, worker=worker.worker_id
--- a/laburnumswitch/process/leadership/leadership.py
+++ b/laburnumswitch/process/leadership/leadership.py
@@ -12,6 +12,7 @@
 from laburnumswitch.process.leadership.messages import WatchAnswer
 from laburnumswitch.process.leadership.term import HeldTerm
 from laburnumswitch.process.leadership.term import NO_OWNER
+from laburnumswitch.process.leadership.term import Predecessor
 from laburnumswitch.process.leadership.term import read_term
 from laburnumswitch.process.leadership.term import Term
 from laburnumswitch.process.leadership.term import TERM_KEY
@@ -67,6 +68,9 @@
     ) -> WatchAnswer | Failure:
         """Wait at the owner until it leaves, or until ``wait_s`` is over."""
 
+    def supersede(self, address: str, epoch: int) -> bool | Failure:
+        """Tell an earlier owner of a higher epoch; it answers once it gives no orders any more."""
+
 
 class LeadershipContext(NamedTuple):
     """What leadership needs of the process; clocks are in seconds."""
@@ -74,7 +78,7 @@
     identity: Identity
     table: FeedTable
     calls: OwnerCalls
-    begin_dispatch: Callable[[HeldTerm, float, bool], Dispatcher]
+    begin_dispatch: Callable[[HeldTerm, float, Predecessor], Dispatcher]
     log: DecisionLog
     clock: Callable[[], float]
     boot_clock: Callable[[], float]
@@ -111,9 +115,9 @@
                 continue
             self.owner = held.term
             if held.term.owner == NO_OWNER:
-                self._take_after_rank(held, "released", False)
+                self._take_after_rank(held, "released", Predecessor.ENDED)
             elif held.term.owner == context.identity.vm_id:
-                self._take(held, "restarted", False)
+                self._take(held, "restarted", Predecessor.ENDED)
             else:
                 self._follow(held)
 
@@ -184,16 +188,16 @@
         while not self._context.is_stopped():
             answer = self._watch(held.term)
             if isinstance(answer, ConnectFailed):
-                self._replace(held, "refused", REFUSED_S)
+                self._replace(held, "refused", REFUSED_S, Predecessor.REFUSING)
                 return
             if isinstance(answer, Failure):
-                self._replace(held, "silent", SILENT_S)
+                self._replace(held, "silent", SILENT_S, Predecessor.SILENT)
                 return
             if not answer.is_owner or answer.epoch != held.term.epoch:
                 self._after_stepping_down(held, answer)
                 return
             if answer.store_silent_s > STORE_SILENT_S:
-                self._replace(held, "cut off from the store", REFUSED_S)
+                self._replace(held, "cut off from the store", REFUSED_S, Predecessor.SILENT)
                 return
 
     def _after_stepping_down(self, held: HeldTerm, answer: WatchAnswer) -> None:
@@ -201,12 +205,12 @@
         if isinstance(now, Failure) or now.term.epoch != held.term.epoch:
             return
         if now.term.owner == NO_OWNER:
-            self._take_after_rank(now, "released", False)
+            self._take_after_rank(now, "released", Predecessor.ENDED)
         elif answer.incarnation != held.term.incarnation:
             # The owner's process started again: the one that held the term is gone.
-            self._take_after_rank(now, "restarted elsewhere", False)
+            self._take_after_rank(now, "restarted elsewhere", Predecessor.ENDED)
         else:
-            self._replace(now, "stepped down", REFUSED_S)
+            self._replace(now, "stepped down", REFUSED_S, Predecessor.ENDED)
 
     def _watch(self, term: Term) -> WatchAnswer | Failure:
         context = self._context
@@ -218,7 +222,9 @@
             self.pending_by_queue = answer.pending_by_queue
         return answer
 
-    def _replace(self, held: HeldTerm, reason: str, unchanged_s: float) -> None:
+    def _replace(
+        self, held: HeldTerm, reason: str, unchanged_s: float, predecessor: Predecessor
+    ) -> None:
         """Take over if the owner's row stays as it is for a time."""
         context = self._context
         before = read_term(context.table)
@@ -230,11 +236,11 @@
         if isinstance(now, Failure):
             return
         if now.term.owner == NO_OWNER:
-            self._take_after_rank(now, "released", False)
+            self._take_after_rank(now, "released", Predecessor.ENDED)
         elif now.version == before.version:
-            self._take_after_rank(now, reason, True)
+            self._take_after_rank(now, reason, predecessor)
 
-    def _take_after_rank(self, held: HeldTerm, reason: str, may_predecessor_act: bool) -> None:
+    def _take_after_rank(self, held: HeldTerm, reason: str, predecessor: Predecessor) -> None:
         context = self._context
         delay_s = self._rank_delay_s(held.term)
         if delay_s > 0.0:
@@ -242,7 +248,7 @@
             now = read_term(context.table)
             if isinstance(now, Failure) or now.version != held.version:
                 return
-        self._take(held, reason, may_predecessor_act)
+        self._take(held, reason, predecessor)
 
     def _rank_delay_s(self, term: Term) -> float:
         identity = self._context.identity
@@ -251,7 +257,7 @@
             return min(MAX_RANK, others.index(identity.vm_id)) * RANK_DELAY_S
         return FIRST_DELAY_S / max(identity.cpu_cores, 0.1)
 
-    def _take(self, held: HeldTerm, reason: str, may_predecessor_act: bool) -> None:
+    def _take(self, held: HeldTerm, reason: str, predecessor: Predecessor) -> None:
         context = self._context
         if context.is_stopped():
             return
@@ -272,12 +278,17 @@
             str(epoch),
             reason=reason,
             predecessor=held.term.owner,
+            predecessor_is=predecessor,
             outcome="taken" if taken else outcome.tag,
         )
         if taken is None:
             context.sleep(RETRY_S)
             return
+        if predecessor is Predecessor.SILENT and held.term.address:
+            answer = context.calls.supersede(held.term.address, epoch)
+            if answer is True:
+                predecessor = Predecessor.ENDED
         self.owner = term
         self.takeovers += 1
         self.watcher_by_vm.clear()
-        self.dispatcher = context.begin_dispatch(taken, sent_s, may_predecessor_act)
+        self.dispatcher = context.begin_dispatch(taken, sent_s, predecessor)
--- a/laburnumswitch/process/leadership/peers.py
+++ b/laburnumswitch/process/leadership/peers.py
@@ -23,6 +23,7 @@
 # Limit of a call in seconds; entries answer each other within some milliseconds.
 CALL_TIMEOUT_S = 0.4
 WATCH_LIMIT_S = 2.0
+SUPERSEDE_LIMIT_S = 0.5
 
 
 class PeerCalls:
@@ -54,6 +55,11 @@
         target = f"/peer/state/{job_id}"
         return call_json(self._client(address), "GET", target, None, JobStateAnswer, CALL_TIMEOUT_S)
 
+    def supersede(self, address: str, epoch: int) -> bool | Failure:
+        """Tell an earlier owner of a higher epoch; it answers once it gives no orders any more."""
+        target = f"/peer/supersede/{epoch}"
+        return call_json(self._client(address), "POST", target, None, bool, SUPERSEDE_LIMIT_S)
+
     def _client(self, address: str) -> Client:
         client = self._client_by_address.get(address)
         if client is None:
@@ -74,6 +80,12 @@
             _wait(dispatcher.stopped, min(WATCH_LIMIT_S, float(request.query["wait"])))
         return reply_json(_describe(owner, incarnation))
 
+    def supersede(request: AdminRequest) -> AdminReply:
+        dispatcher = leadership().dispatcher
+        if dispatcher is not None and dispatcher.epoch < int(request.rest[1]):
+            dispatcher.supersede()
+        return reply_json(True)
+
     def submitted(request: AdminRequest) -> AdminReply:
         dispatcher = _active(leadership())
         if dispatcher is None:
@@ -96,6 +108,7 @@
 
     handler_by_call = {
         "watch": watch,
+        "supersede": supersede,
         "submitted": submitted,
         "cancelled": cancelled,
         "state": state,
--- a/laburnumswitch/process/leadership/term.py
+++ b/laburnumswitch/process/leadership/term.py
@@ -1,5 +1,6 @@
 """The row that names the owner. Every commit of an owner is conditional on its version."""
 
+from enum import StrEnum
 from typing import Any
 from typing import NamedTuple
 
@@ -29,6 +30,18 @@
     batch: str = ""
 
 
+class Predecessor(StrEnum):
+    """What is known of the earlier owner at a takeover.
+
+    One that has ended, or has confirmed that it was superseded, gives no order any more. One that
+    refuses connections takes in no new job; a silent one may do both until its ownership lapses.
+    """
+
+    ENDED = "ended"
+    REFUSING = "refusing"
+    SILENT = "silent"
+
+
 class HeldTerm(NamedTuple):
     """A term and the version of its row."""
 
