--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -314,7 +314,11 @@
         if not task or not self._takes_end(task, end):
             self.wake.set()
             batch = self.recorder.committed
-            if task and end.how is How.FAILED and not job.is_final():
+            if task and task.run == end.run:
+                # Another member of the gang has ended as done for all.
+                job.end_run(task)
+                self.forget_if_over(job)
+            elif task and end.how is How.FAILED and not job.is_final():
                 self._count_failure(worker, job, task, end)
                 batch = self.recorder.note_job(job)
             worker.ends_by_commit.append((batch, end.number))
--- a/laburnumswitch/process/dispatch/worker_task.py
+++ b/laburnumswitch/process/dispatch/worker_task.py
@@ -87,7 +87,7 @@
 def _await_stored(dispatcher: Dispatcher, worker: Worker) -> None:
     if not worker.ends_by_commit:
         return
-    batch = worker.ends_by_commit[-1][0]
+    batch = max(batch for batch, _ in worker.ends_by_commit)
     if not dispatcher.recorder.wait_for(batch, STORE_WAIT_S):
         dispatcher.context.sleep(UNSTORED_PAUSE_S)
 
--- /dev/null
+++ b/tests/process/dispatch/bench.py
@@ -0,0 +1,136 @@
+"""One owner over a table and workers in memory, on the real clock of gevent."""
+
+from random import Random
+from time import monotonic
+from time import time
+
+from gevent import sleep
+
+from laburnumswitch.exceptions import Unavailable
+from laburnumswitch.process.decisions import DecisionLog
+from laburnumswitch.process.deployment import Bounds
+from laburnumswitch.process.deployment import Deployment
+from laburnumswitch.process.dispatch.dispatcher import DispatchContext
+from laburnumswitch.process.dispatch.progress import submission_key
+from laburnumswitch.process.dispatch.reports import WorkerEntry
+from laburnumswitch.process.dispatch.takeover import begin_dispatch
+from laburnumswitch.process.dispatch.work import Queue
+from laburnumswitch.process.dispatch.work import QueueConfiguration
+from laburnumswitch.process.dispatch.work import Step
+from laburnumswitch.process.dispatch.work import Submission
+from laburnumswitch.process.leadership.term import HeldTerm
+from laburnumswitch.process.leadership.term import Predecessor
+from laburnumswitch.process.leadership.term import read_term
+from laburnumswitch.process.leadership.term import Term
+from laburnumswitch.process.leadership.term import TERM_KEY
+from laburnumswitch.process.operations import Operations
+from laburnumswitch.process.table import Condition
+from laburnumswitch.process.table import Put
+from laburnumswitch.process.table import Transaction
+from standin.fleet.feed_table import FeedMemoryTable
+from standin.fleet.judge import Judge
+from standin.fleet.worker import FleetWorker
+
+WAIT_LIMIT_S = 30.0
+BOUNDS = Bounds(
+    drain_s=2.0,
+    grace_s=6.0,
+    lease_s=6.0,
+    stop_s=0.4,
+    harm_s=4.0,
+    far_factor=3.0,
+    restore_s=0.1,
+    throttle_delay_s=0.1,
+)
+DEPLOYMENT = Deployment("vm-1", "a", "", "", "", "", "", 1.0, 300, BOUNDS)
+QUEUE = Queue("orders", "orders.example", "/o/", "shop", max_attempts=2)
+
+
+def make_entry(number, **changes):
+    entry = WorkerEntry(
+        worker_id=f"w{number}",
+        service="shop",
+        address=f"10.0.0.{number}:80",
+        availability_zone="a",
+        is_draining=False,
+        cpu_millis=4000,
+        memory_mb=8000,
+        accelerators=0,
+        labels=("kind", "r1"),
+        rack="r1",
+        incarnation=1,
+    )
+    return entry._replace(**changes)
+
+
+def make_submission(job_id, *steps, **fields):
+    steps = steps or (Step(2, cpu_millis=1000, memory_mb=100, estimate_ms=20),)
+    return Submission(job_id, "orders", "spec", tuple(steps), time(), **fields)
+
+
+def wait_until(holds, limit_s=WAIT_LIMIT_S):
+    deadline_s = monotonic() + limit_s
+    while not holds():
+        if monotonic() > deadline_s:
+            raise AssertionError("the condition did not come to hold")
+        sleep(0.005)
+
+
+class DispatchBench:
+    """A table, workers, operators' wishes, and the owners that were begun over them."""
+
+    def __init__(self, workers=2, **entry_changes):
+        self.table = FeedMemoryTable()
+        self.judge = Judge()
+        self.log = DecisionLog("vm-1", time, 100_000)
+        self.operations = Operations(self.log)
+        self.operations.apply(QueueConfiguration(1, {QUEUE.name: QUEUE}, {"shop": True}))
+        self.worker_by_id = {}
+        self.boot_offset_s = 0.0
+        for number in range(1, workers + 1):
+            self.add_worker(make_entry(number, **entry_changes))
+
+    def add_worker(self, entry):
+        worker = FleetWorker(entry, self.judge, monotonic, Random(entry.worker_id))
+        self.worker_by_id[entry.worker_id] = worker
+        self.list_worker(entry)
+        return worker
+
+    def list_worker(self, entry):
+        self.table.commit(Transaction((), (Put(f"servers/{entry.worker_id}", entry),)))
+
+    def submit(self, submission, tell=None):
+        self.judge.note_submitted(submission)
+        put = Put(submission_key(submission.job_id), submission)
+        self.table.commit(Transaction((Condition(put.key, 0),), (put,)))
+        if tell is not None:
+            tell.add_job(submission)
+
+    def context(self):
+        return DispatchContext(
+            deployment=DEPLOYMENT,
+            table=self.table,
+            workers_table="servers",
+            decode_worker=lambda key, value: WorkerEntry(*value[:8], tuple(value[8]), *value[9:]),
+            make_link=lambda entry: self.worker_by_id[entry.worker_id],
+            ask_advice=lambda *arguments: Unavailable("no advice here"),
+            operations=self.operations,
+            log=self.log,
+            clock=monotonic,
+            wall_clock=time,
+            boot_clock=lambda: monotonic() + self.boot_offset_s,
+            sleep=sleep,
+        )
+
+    def begin(self, vm_id="vm-1", predecessor=Predecessor.ENDED):
+        held = read_term(self.table)
+        term = Term(held.term.epoch + 1, vm_id, f"{vm_id}-i", "10.0.0.9:1")
+        outcome = self.table.commit(
+            Transaction((Condition(TERM_KEY, held.version),), (Put(TERM_KEY, term),))
+        )
+        context = self.context()
+        taken = HeldTerm(term, outcome.version)
+        return begin_dispatch(context, taken, context.boot_clock(), predecessor)
+
+    def is_stored_as(self, dispatcher, job_id, state):
+        return dispatcher.shown_state(job_id) == state
--- /dev/null
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -0,0 +1,188 @@
+"""One owner, and two after each other, over workers in memory."""
+
+from gevent import sleep
+from testtools import TestCase
+from testtools.matchers import Equals
+from testtools.matchers import GreaterThan
+
+from laburnumswitch.process.dispatch.jobs import JobState
+from laburnumswitch.process.dispatch.work import Step
+from laburnumswitch.process.dispatch.work import TaskKey
+from laburnumswitch.process.leadership.term import Predecessor
+from tests.process.dispatch.bench import DispatchBench
+from tests.process.dispatch.bench import make_submission
+from tests.process.dispatch.bench import wait_until
+
+LONG = Step(1, cpu_millis=1000, memory_mb=100, estimate_ms=60_000)
+SHORT = Step(2, cpu_millis=1000, memory_mb=100, estimate_ms=20)
+
+
+class TestOneOwner(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.bench = DispatchBench()
+        self.owner = self.bench.begin()
+        self.addCleanup(self.owner.stop)
+
+    def _wait_state(self, job_id, state):
+        wait_until(lambda: self.owner.shown_state(job_id) is state)
+
+    def test_steps_run_in_order_and_the_job_completes(self):
+        later = SHORT._replace(after=(0,))
+        self.bench.submit(make_submission("j1", SHORT, later))
+        self._wait_state("j1", JobState.COMPLETED)
+        self.assertThat(self.bench.judge.breaches, Equals([]))
+        self.assertThat(self.bench.judge.starts, Equals(4))
+
+    def test_a_job_told_twice_and_found_by_the_feed_runs_once(self):
+        submission = make_submission("j1")
+        self.bench.submit(submission, self.owner)
+        self.owner.add_job(submission)
+        self._wait_state("j1", JobState.COMPLETED)
+        self.owner.add_job(submission)
+        sleep(0.05)
+        self.assertThat(self.bench.judge.starts, Equals(2))
+
+    def test_final_state_is_shown_only_once_stored(self):
+        self.bench.submit(make_submission("j1"), self.owner)
+        wait_until(lambda: self.bench.judge.starts == 2)
+        self.bench.table.down = True
+        wait_until(lambda: len(self.bench.judge.done) == 2)
+        job = self.owner.jobs_by_id["j1"]
+        wait_until(job.is_final)
+        self.assertThat(self.owner.shown_state("j1"), Equals(JobState.RUNNING))
+        self.assertThat(self.bench.judge.noted_done, Equals(set()))
+        self.bench.table.down = False
+        self._wait_state("j1", JobState.COMPLETED)
+
+    def test_cancelled_job_stops_its_runs(self):
+        self.bench.submit(make_submission("j1", LONG), self.owner)
+        wait_until(lambda: any(each.running() for each in self.bench.worker_by_id.values()))
+        self.owner.cancel_job("j1")
+        wait_until(lambda: not any(each.running() for each in self.bench.worker_by_id.values()))
+        self.assertThat(self.owner.shown_state("j1"), Equals(JobState.CANCELLED))
+
+    def test_attempts_are_bounded(self):
+        for worker in self.bench.worker_by_id.values():
+            worker.failing = True
+        self.bench.submit(make_submission("j1", SHORT._replace(count=1)), self.owner)
+        self._wait_state("j1", JobState.FAILED)
+        self.assertThat(self.bench.judge.starts, Equals(2))
+
+    def test_lasting_task_is_restarted_after_its_worker(self):
+        lasting = LONG._replace(lasting=True)
+        self.bench.submit(make_submission("j1", lasting), self.owner)
+        wait_until(lambda: self.bench.judge.starts == 1)
+        holder = next(each for each in self.bench.worker_by_id.values() if each.running())
+        holder.restart()
+        wait_until(lambda: self.bench.judge.starts == 2)
+        self.assertThat(self.bench.judge.breaches, Equals([]))
+
+    def test_unanswered_start_is_voided_or_adopted_and_runs_once(self):
+        workers = self.owner.workers_by_id
+        wait_until(lambda: len(workers) == 2 and all(each.is_reached for each in workers.values()))
+        for worker in self.bench.worker_by_id.values():
+            worker.silent = True
+        self.bench.submit(make_submission("j1", SHORT._replace(estimate_ms=3000)), self.owner)
+        wait_until(lambda: self.owner.counters.uncertain_starts > 0)
+        for worker in self.bench.worker_by_id.values():
+            worker.silent = False
+        self._wait_state("j1", JobState.COMPLETED)
+        self.assertThat(self.bench.judge.breaches, Equals([]))
+
+    def test_gang_starts_together_with_one_run_number(self):
+        gang = SHORT._replace(count=4, gang=True)
+        self.bench.submit(make_submission("j1", gang), self.owner)
+        self._wait_state("j1", JobState.COMPLETED)
+        self.assertThat(self.bench.judge.starts, Equals(4))
+
+    def test_nothing_starts_in_a_zone_that_is_out(self):
+        self.bench.operations.replace_zones(frozenset({"a"}))
+        self.bench.submit(make_submission("j1"), self.owner)
+        sleep(0.3)
+        self.assertThat(self.bench.judge.starts, Equals(0))
+        self.bench.operations.replace_zones(frozenset())
+        self._wait_state("j1", JobState.COMPLETED)
+
+    def test_capacity_is_never_exceeded(self):
+        wide = Step(12, cpu_millis=2000, memory_mb=100, estimate_ms=30)
+        self.bench.submit(make_submission("j1", wide), self.owner)
+        self._wait_state("j1", JobState.COMPLETED)
+        self.assertThat(self.owner.counters.refused_starts, Equals(0))
+
+
+class TestTwoOwners(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.bench = DispatchBench()
+        self.first = self.bench.begin("vm-1")
+        self.addCleanup(self.first.stop)
+
+    def _run_long_job(self):
+        self.bench.submit(make_submission("j1", LONG), self.first)
+        wait_until(lambda: self.bench.judge.starts == 1)
+
+    def test_successor_adopts_what_runs(self):
+        self._run_long_job()
+        self.first.stop()
+        second = self.bench.begin("vm-2")
+        self.addCleanup(second.stop)
+        wait_until(lambda: "j1" in second.jobs_by_id)
+        wait_until(lambda: second.jobs_by_id["j1"].task(TaskKey("j1", 0, 0, 0)).run > 0)
+        self.assertThat(self.bench.judge.starts, Equals(1))
+
+    def test_successor_waits_for_a_worker_that_it_cannot_reach(self):
+        self._run_long_job()
+        holder = next(each for each in self.bench.worker_by_id.values() if each.running())
+        self.first.stop()
+        holder.deaf = True
+        second = self.bench.begin("vm-2")
+        self.addCleanup(second.stop)
+        wait_until(lambda: self.bench.judge.starts == 2)
+        self.assertThat(self.bench.judge.breaches, Equals([]))
+
+    def test_end_that_was_not_acknowledged_is_read_again(self):
+        self.bench.submit(make_submission("j1"), self.first)
+        wait_until(lambda: self.bench.judge.starts == 2)
+        self.first.stop()
+        wait_until(lambda: not any(each.running() for each in self.bench.worker_by_id.values()))
+        second = self.bench.begin("vm-2")
+        self.addCleanup(second.stop)
+        wait_until(lambda: second.shown_state("j1") is JobState.COMPLETED)
+        self.assertThat(self.bench.judge.starts, Equals(2))
+
+    def test_superseded_owner_that_is_told_of_a_new_job_starts_it_only_once(self):
+        # Found on the bench: the earlier owner had lost the store and still took jobs in.
+        second = self.bench.begin("vm-2", Predecessor.SILENT)
+        self.addCleanup(second.stop)
+        submission = make_submission("j1", LONG)
+        self.bench.submit(submission, self.first)
+        second.add_job(submission)
+        wait_until(lambda: self.bench.judge.starts > 0)
+        sleep(1.5)
+        self.assertThat(self.bench.judge.breaches, Equals([]))
+        self.assertThat(self.bench.judge.starts, Equals(1))
+
+    def test_superseded_owner_notices_by_its_next_commit(self):
+        second = self.bench.begin("vm-2")
+        self.addCleanup(second.stop)
+        wait_until(self.first.is_stopped)
+        self.assertThat(second.may_act(), Equals(True))
+
+    def test_owner_that_was_suspended_acts_only_after_a_commit(self):
+        wait_until(lambda: self.first.recorder.committed > 0)
+        self.bench.table.down = True
+        self.bench.boot_offset_s = 1.0
+        self.assertThat(self.first.may_act(), Equals(False))
+        self.bench.table.down = False
+        wait_until(self.first.may_act)
+
+    def test_epochs_and_run_numbers_rise(self):
+        self._run_long_job()
+        self.first.stop()
+        second = self.bench.begin("vm-2")
+        self.addCleanup(second.stop)
+        task = TaskKey("j1", 0, 0, 0)
+        wait_until(lambda: "j1" in second.jobs_by_id)
+        number = second.next_run(second.jobs_by_id["j1"].task(task))
+        self.assertThat(number, GreaterThan(1))
