--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -14,18 +14,21 @@
 FENCES_PER_EPOCH = 100_000
 # Workers whose entries lapsed with the store are listed again within this time, in seconds.
 RELIST_S = 2.2
+# A filling run at this share of its speed, in percent, or less is better off elsewhere.
+SLOWED_PERCENT = 30
 # Share of its reservation that a serving task uses, for want of a report: the users' mean load.
 SERVING_USE = 0.6
 
 
 class Outlook(NamedTuple):
     """A serving run's image, the expected logarithm of its tail over its target, and the
-    probability that the tail exceeds the target.
+    probability that the tail exceeds the target; and whether it has been over for a while.
     """
 
     image: str
     expected: float
     over: float
+    stays_over: bool
 
 
 class ActiveRun:
@@ -35,6 +38,7 @@
     :ivar is_uncertain: the start was not answered, and a fence has not voided it yet.
     :ivar is_stopping: it has to end; its room is free once the worker lists the end.
     :ivar under_s: when its tail was last known to be under its target.
+    :ivar slowed_s: since when it has been throttled to a small share, ``None`` where it is not.
     """
 
     __slots__ = (
@@ -52,6 +56,7 @@
         "measure",
         "throttle",
         "under_s",
+        "slowed_s",
     )
 
     def __init__(self, task: TaskKey, run: int, step: Step, fence: int, now_s: float) -> None:
@@ -69,6 +74,7 @@
         self.measure = 0.0
         self.throttle = 100
         self.under_s = now_s
+        self.slowed_s: float | None = None
 
     def update(self, row: RunReport, now_s: float) -> None:
         """Take over what the worker reports of the run."""
--- a/laburnumswitch/process/dispatch/placing.py
+++ b/laburnumswitch/process/dispatch/placing.py
@@ -11,6 +11,7 @@
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.tails import over_probability
 from laburnumswitch.process.dispatch.tails import TailModel
+from laburnumswitch.process.dispatch.throttling import HARMLESS_COEFFICIENT
 from laburnumswitch.process.dispatch.work import Step
 
 # A filling task may raise the expected number of serving tasks over target by this much: above it,
@@ -22,6 +23,9 @@
 DISSIMILARITY_WEIGHT = 0.5
 # Weight of a full worker against an empty one, so that ties are packed tightly.
 PACKING_WEIGHT = 0.2
+# A serving task that has been over its target for so long, in seconds, gets no new neighbour that
+# may hurt it.
+STAYS_OVER_S = 1.0
 # Penalty of a worker away from the rack of the data: the task takes several times as long.
 FAR_PENALTY = 10.0
 
@@ -119,10 +123,12 @@
     model = context.model
     share = step.cpu_millis / worker.entry.cpu_millis
     harm = 0.0
-    for image, expected, over in outlook(worker, model):
+    for image, expected, over, stays_over in outlook(worker, model):
         rise = model.coefficient(image, step.image) * share
         if rise > 0.0:
             harm += over_probability(expected + rise) - over
+        if stays_over and model.highest_coefficient(image, step.image) > HARMLESS_COEFFICIENT:
+            harm += 1.0
     lacking = step.cpu_millis - worker.idle_cpu_millis()
     crowding = max(0.0, lacking / step.cpu_millis) if step.cpu_millis else 0.0
     return harm + CROWDING_WEIGHT * crowding
@@ -135,7 +141,10 @@
         worker.outlook = []
         for run in worker.serving_runs():
             expected = model.expect(run.task, run.step.image, share_by_image)
-            worker.outlook.append(Outlook(run.step.image, expected, over_probability(expected)))
+            stays_over = worker.looked_s - run.under_s > STAYS_OVER_S
+            worker.outlook.append(
+                Outlook(run.step.image, expected, over_probability(expected), stays_over)
+            )
     return worker.outlook
 
 
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -21,6 +21,7 @@
 from laburnumswitch.process.dispatch.placing import HARM_LIMIT
 from laburnumswitch.process.dispatch.placing import PlacementContext
 from laburnumswitch.process.dispatch.placing import Ranking
+from laburnumswitch.process.dispatch.relocation import choose_moves
 from laburnumswitch.process.dispatch.reports import StartOrder
 from laburnumswitch.process.dispatch.tickets import Tickets
 from laburnumswitch.process.dispatch.work import Queue
@@ -41,6 +42,7 @@
 # Tickets are not used in their last part, in seconds, so that they hold when the start arrives.
 TICKET_MARGIN_S = 0.3
 ADVICE_WORKERS = 30
+RELOCATION_INTERVAL_S = 0.4
 # Filling tasks that wait for calmer neighbours are looked at again after this time, in seconds.
 CALM_RETRY_S = 0.15
 
@@ -56,6 +58,22 @@
             plan(dispatcher)
 
 
+def run_relocation(dispatcher: Dispatcher) -> None:
+    """Move throttled filling runs to calmer workers, until the ownership ends."""
+    context = dispatcher.context
+    while not dispatcher.is_stopped():
+        context.sleep(RELOCATION_INTERVAL_S)
+        if not dispatcher.may_act():
+            continue
+        services = {worker.entry.service for worker in dispatcher.workers_by_id.values()}
+        for service in services:
+            usable = _usable_workers(dispatcher, service)
+            placement = PlacementContext(dispatcher.model, tuple(dispatcher.filling_images))
+            for move in choose_moves(usable, placement, context.clock()):
+                reason = f"throttled, room at {move.target.worker_id}"
+                dispatcher.order_stop(move.worker, move.run, reason)
+
+
 def plan(dispatcher: Dispatcher) -> None:
     """Start what can be started now, in the order of the waiting steps."""
     now_s = dispatcher.context.wall_clock()
--- a/laburnumswitch/process/dispatch/takeover.py
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -16,6 +16,7 @@
 from laburnumswitch.process.dispatch.feeds import follow_workers
 from laburnumswitch.process.dispatch.fleet import SLOWEST_CLOCK
 from laburnumswitch.process.dispatch.planner import run_planner
+from laburnumswitch.process.dispatch.planner import run_relocation
 from laburnumswitch.process.dispatch.progress import CANCELLATIONS_TABLE
 from laburnumswitch.process.dispatch.progress import decode_progress
 from laburnumswitch.process.dispatch.progress import PROGRESS_TABLE
@@ -66,6 +67,7 @@
     spawn(follow_cancellations, dispatcher, version)
     spawn(follow_workers, dispatcher)
     spawn(run_planner, dispatcher)
+    spawn(run_relocation, dispatcher)
     if not dispatcher.settled:
         _settle(dispatcher)
 
--- a/laburnumswitch/process/dispatch/worker_task.py
+++ b/laburnumswitch/process/dispatch/worker_task.py
@@ -13,6 +13,7 @@
 from laburnumswitch.process.dispatch.dispatcher import ORDER_TIMEOUT_S
 from laburnumswitch.process.dispatch.dispatcher import task_name
 from laburnumswitch.process.dispatch.fleet import ActiveRun
+from laburnumswitch.process.dispatch.fleet import SLOWED_PERCENT
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.reports import Renewal
 from laburnumswitch.process.dispatch.reports import RunReport
@@ -32,6 +33,8 @@
 # Tails average half a second and a throttle takes effect later: closer looks overshoot.
 LOOK_INTERVAL_S = 0.9
 STOP_REPEAT_S = 0.6
+# Looks are rough: only a tail under this share of its target ends a time over the target.
+CLEARLY_UNDER = 0.9
 
 
 def run_worker(dispatcher: Dispatcher, worker: Worker) -> None:
@@ -204,7 +207,7 @@
     for run in serving:
         ratio = run.measure / run.step.tail_target_ms
         model.observe(run.task, run.step.image, ratio, used_by_image)
-        if ratio < 1.0:
+        if ratio < CLEARLY_UNDER:
             run.under_s = now_s
     if not filling:
         return
@@ -225,6 +228,10 @@
     percent_by_task = choose_throttles(serving_views, filling_views, harm_s)
     for run in filling:
         percent = percent_by_task[run.task]
+        if percent > SLOWED_PERCENT:
+            run.slowed_s = None
+        elif run.slowed_s is None:
+            run.slowed_s = now_s
         if percent != run.throttle and run.confirmed_s is not None:
             spawn(_throttle, dispatcher, worker, run, percent)
 
--- a/standin/fleet/worker.py
+++ b/standin/fleet/worker.py
@@ -142,9 +142,7 @@
             self._changed.set()
         return self._lost(0.0) if self.silent else Acknowledged(self._now_s())
 
-    def stop(
-        self, task: TaskKey, run: int, fence: int, timeout_s: float
-    ) -> Acknowledged | Failure:
+    def stop(self, task: TaskKey, run: int, fence: int, timeout_s: float) -> Acknowledged | Failure:
         """Stop a run."""
         if self.deaf:
             return self._lost(timeout_s)
