--- a/laburnumswitch/process/dispatch/placing.py
+++ b/laburnumswitch/process/dispatch/placing.py
@@ -16,7 +16,7 @@
 
 # A filling task may raise the expected number of serving tasks over target by this much: above it,
 # what it disturbs is worth more than what it earns.
-HARM_LIMIT = 0.25
+HARM_LIMIT = 0.4
 # Weight of a processor that a filling task has to share, against one serving task over target.
 CROWDING_WEIGHT = 0.3
 # Weight of serving neighbours that are hurt by other filling images than the new one.
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -43,6 +43,8 @@
 TICKET_MARGIN_S = 0.3
 ADVICE_WORKERS = 30
 RELOCATION_INTERVAL_S = 0.4
+# It waits for no more than this share of its job's slack: the steps after it need the rest.
+CALM_SLACK_SHARE = 0.3
 # Filling tasks that wait for calmer neighbours are looked at again after this time, in seconds.
 CALM_RETRY_S = 0.15
 
@@ -87,10 +89,11 @@
         return
     keyed.sort(key=lambda each: each[0])
     usable_by_service: dict[str, list[Worker]] = {}
-    for _, queue, waiting in keyed:
+    for key, queue, waiting in keyed:
         if queue.service not in usable_by_service:
             usable_by_service[queue.service] = _usable_workers(dispatcher, queue.service)
-        _start_step(dispatcher, queue, waiting, usable_by_service[queue.service])
+        usable = usable_by_service[queue.service]
+        _start_step(dispatcher, queue, waiting, usable, _calm_wait_s(key.slack_s))
 
 
 def _is_due(dispatcher: Dispatcher, waiting: WaitingStep, now_s: float) -> bool:
@@ -120,7 +123,11 @@
 
 
 def _start_step(
-    dispatcher: Dispatcher, queue: Queue, waiting: WaitingStep, usable: list[Worker]
+    dispatcher: Dispatcher,
+    queue: Queue,
+    waiting: WaitingStep,
+    usable: list[Worker],
+    calm_wait_s: float,
 ) -> None:
     step = waiting.runs.step
     candidates = usable
@@ -132,7 +139,12 @@
     if step.gang:
         _start_gang(dispatcher, waiting, candidates, tickets or {})
         return
-    _start_each(dispatcher, waiting, candidates, tickets or {})
+    _start_each(dispatcher, waiting, candidates, tickets or {}, calm_wait_s)
+
+
+def _calm_wait_s(slack_s: float) -> float:
+    """Return how long a filling step may wait for calm in all, by its job's slack in seconds."""
+    return min(CALM_WAIT_S, CALM_SLACK_SHARE * max(0.0, slack_s))
 
 
 def _start_each(
@@ -140,13 +152,14 @@
     waiting: WaitingStep,
     candidates: list[Worker],
     tickets: dict[str, str],
+    calm_wait_s: float,
 ) -> None:
     step = waiting.runs.step
     now_s = dispatcher.context.clock()
     context = PlacementContext(dispatcher.model, tuple(dispatcher.filling_images))
     open_to = (each for each in candidates if _spread_allows(step, each, waiting))
     ranking = Ranking(step, open_to, context)
-    waits_for_calm = step.filling and now_s - waiting.runs.ready_since_s < CALM_WAIT_S
+    waits_for_calm = step.filling and now_s - waiting.runs.ready_since_s < calm_wait_s
     for task in list(waiting.runs.waiting()):
         choice = ranking.best()
         if choice is None:
--- a/laburnumswitch/process/dispatch/throttling.py
+++ b/laburnumswitch/process/dispatch/throttling.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 # Tails are kept under this share of the target: half the spread of a look below it.
-TARGET_SHARE = 0.85
+TARGET_SHARE = 0.95
 # Expected harm below this rise of the logarithm is not worth a throttle.
 LEAST_HARM = 0.04
 # Throttles are set in steps of so many percent, so that small changes send no call.
