--- /dev/null
+++ b/standin/fleet/api.py
@@ -0,0 +1,191 @@
+"""The emulator's store and workers over HTTP, as the users' platform speaks."""
+
+from base64 import b64decode
+from base64 import b64encode
+from collections.abc import Callable
+from typing import Any
+
+from gevent import sleep
+from msgspec.json import decode
+from msgspec.json import encode
+
+from laburnumswitch.exceptions import Conflict
+from laburnumswitch.exceptions import Failure
+from laburnumswitch.exceptions import HistoryLost
+from laburnumswitch.exceptions import OutcomeUnknown
+from laburnumswitch.exceptions import StartRefused
+from laburnumswitch.platform.workers import format_task
+from laburnumswitch.platform.workers import parse_task
+from laburnumswitch.process.dispatch.reports import Renewal
+from laburnumswitch.process.dispatch.reports import StartOrder
+from laburnumswitch.process.dispatch.reports import WorkerReport
+from laburnumswitch.process.table import Condition
+from laburnumswitch.process.table import Put
+from laburnumswitch.process.table import Row
+from laburnumswitch.process.table import Transaction
+from standin.fleet.feed_table import FeedMemoryTable
+from standin.fleet.worker import FleetWorker
+from standin.server import AnswerDroppedError
+from standin.server import Call
+from standin.server import json_reply
+from standin.server import NOT_FOUND
+from standin.server import Reply
+from standin.server import UNAVAILABLE
+
+OWN_PARTITION = "laburnumswitch"
+UNPARTITIONED_TABLES = frozenset({"op", "servers", "status"})
+PAGE_ROWS = 500
+
+
+class StoreApi:
+    """The store; ``delay_s`` slows every answer down."""
+
+    def __init__(self, table: FeedMemoryTable) -> None:
+        self.table = table
+        self.delay_s = 0.0
+        self.calls = 0
+
+    def handle(self, call: Call) -> Reply:
+        """Answer one call."""
+        self.calls += 1
+        if self.delay_s:
+            sleep(self.delay_s)
+        handler = {
+            "/v1/rows-tx": self._commit,
+            "/v1/rows-get": self._read,
+            "/v1/rows-feed": self._follow,
+        }.get(call.path)
+        return handler(call) if handler else NOT_FOUND
+
+    def _commit(self, call: Call) -> Reply:
+        body = decode(call.body)
+        transaction = Transaction(
+            tuple(Condition(_key(row), row["ver"]) for row in body.get("expectedRev", ())),
+            tuple(Put(_key(row), decode(b64decode(row["value"]))) for row in body.get("puts", ())),
+            tuple(_key(row) for row in body.get("remove", ())),
+        )
+        outcome = self.table.commit(transaction)
+        if isinstance(outcome, OutcomeUnknown):
+            raise AnswerDroppedError
+        if isinstance(outcome, Conflict):
+            rows = self.table.read(tuple(each.key for each in transaction.conditions))
+            found = [_encode_row(row) for row in rows.values() if row.version]
+            return Reply(412, encode({"rows": found, "ver": 0, "nowMs": 0}))
+        if isinstance(outcome, Failure):
+            return UNAVAILABLE
+        return json_reply({"ver": outcome.version, "nowMs": 0})
+
+    def _read(self, call: Call) -> Reply:
+        changes = self.table.load(call.query["table"])
+        if isinstance(changes, Failure):
+            return UNAVAILABLE
+        first = call.query.get("from", "")
+        end = call.query.get("target")
+        limit = min(PAGE_ROWS, int(call.query.get("limit", PAGE_ROWS)))
+        names = [(row.key.partition("/")[2], row) for row in changes.rows]
+        rows = [row for name, row in names if name >= first and (end is None or name < end)]
+        return _rows_reply(rows[:limit], changes.version, changes.now_s, len(rows) > limit)
+
+    def _follow(self, call: Call) -> Reply:
+        wait_s = int(call.query.get("waitMs", 0)) / 1000.0
+        changes = self.table.follow(call.query["table"], int(call.query["after"]), wait_s)
+        if isinstance(changes, HistoryLost):
+            return Reply(410, b"{}")
+        if isinstance(changes, Failure):
+            return UNAVAILABLE
+        return _rows_reply(list(changes.rows), changes.version, changes.now_s, False)
+
+
+def make_worker_handler(worker: FleetWorker) -> Callable[[Call], Reply]:
+    """Return the handler of one worker's calls."""
+
+    def handle(call: Call) -> Reply:
+        if call.headers.get("x-expect-instance", worker.entry.worker_id) != worker.entry.worker_id:
+            return Reply(421, b"{}")
+        body = decode(call.body)
+        answer = {
+            "/v1/hold": _hold,
+            "/v1/run-start": _start,
+            "/v1/run-stop": _stop,
+            "/v1/pace": _pace,
+        }[call.path](worker, body)
+        if isinstance(answer, StartRefused):
+            return Reply(409, encode({"clockMs": 0, "reason": answer.reason}))
+        if isinstance(answer, Failure):
+            raise AnswerDroppedError
+        if isinstance(answer, WorkerReport):
+            return json_reply(_encode_report(answer))
+        return json_reply({"clockMs": int(answer.clock_s * 1000)})
+
+    return handle
+
+
+def _hold(worker: FleetWorker, body: dict[str, Any]) -> Any:
+    until_s = body["untilMs"] / 1000.0 if "untilMs" in body else None
+    wait_s = body.get("waitMs", 0) / 1000.0
+    return worker.renew(Renewal(body["fence"], body["lastSeen"], until_s, wait_s), 5.0)
+
+
+def _start(worker: FleetWorker, body: dict[str, Any]) -> Any:
+    order = StartOrder(
+        parse_task(body["task"]),
+        body["run"],
+        body["spec"],
+        body["untilMs"] / 1000.0,
+        body["fence"],
+        body.get("lastCheckpoint", ""),
+    )
+    return worker.start(order, 5.0)
+
+
+def _stop(worker: FleetWorker, body: dict[str, Any]) -> Any:
+    return worker.stop(parse_task(body["task"]), body["run"], body["fence"], 5.0)
+
+
+def _pace(worker: FleetWorker, body: dict[str, Any]) -> Any:
+    task = parse_task(body["task"])
+    return worker.throttle(task, body["run"], body["percent"], body["fence"], 5.0)
+
+
+def _encode_report(report: WorkerReport) -> dict[str, Any]:
+    return {
+        "clockMs": int(report.clock_s * 1000),
+        "born": report.incarnation,
+        "running": [
+            [format_task(row.task), row.run, row.checkpoint, row.percent, row.measure]
+            for row in report.running
+        ],
+        "ended": [
+            [end.number, format_task(end.task), end.run, end.how, end.checkpoint]
+            for end in report.ended
+        ],
+    }
+
+
+def _rows_reply(rows: list[Row], version: int, now_s: float, has_more: bool) -> Reply:
+    return json_reply(
+        {
+            "rows": [_encode_row(row) for row in rows],
+            "ver": version,
+            "nowMs": int(now_s * 1000),
+            "hasMore": has_more,
+        }
+    )
+
+
+def _encode_row(row: Row) -> dict[str, Any]:
+    table, _, name = row.key.partition("/")
+    encoded = {"table": table, "part": _partition(table), "key": name, "ver": row.version}
+    if row.value is None:
+        return {**encoded, "tombstone": True}
+    return {**encoded, "value": b64encode(encode(row.value)).decode()}
+
+
+def _key(row: dict[str, Any]) -> str:
+    if row["part"] != _partition(row["table"]):
+        raise ValueError(f"partition {row['part']!r} of table {row['table']!r}")
+    return f"{row['table']}/{row['key']}"
+
+
+def _partition(table: str) -> str:
+    return "" if table in UNPARTITIONED_TABLES else OWN_PARTITION
--- /dev/null
+++ b/tests/platform/test_messages.py
@@ -0,0 +1,146 @@
+"""Settings, bodies and rows of the users' platform, decoded into the product's types."""
+
+from tempfile import TemporaryDirectory
+
+from msgspec.json import decode
+from testtools import TestCase
+from testtools.matchers import Contains
+from testtools.matchers import Equals
+from testtools.matchers import IsInstance
+
+from laburnumswitch.exceptions import CallerRefused
+from laburnumswitch.exceptions import ProblemsFound
+from laburnumswitch.exceptions import RowMalformed
+from laburnumswitch.platform.callers import decode_submission
+from laburnumswitch.platform.discovery import decode_worker
+from laburnumswitch.platform.operations import decode_operation
+from laburnumswitch.platform.settings import read_deployment
+from laburnumswitch.platform.workers import format_task
+from laburnumswitch.platform.workers import parse_task
+from laburnumswitch.process.dispatch.work import TaskKey
+from laburnumswitch.process.operations import ZoneOrder
+from laburnumswitch.process.table import Row
+
+SETTINGS = """
+node = "front-1"
+ip = "127.0.0.1"
+zone = "a"
+internalPorts = [7720, 7735]
+unknown = 1
+[listen]
+front = "127.0.0.1:8161"
+ready = "127.0.0.1:8167"
+[limits]
+cpuShare = 0.5
+cores = 2
+memoryMb = 300
+[bounds]
+drainMs = 2000
+graceS = 6
+holdMaxMs = 6000
+stopMs = 400
+harmMs = 4000
+[platform]
+address = "127.0.0.1:8169"
+"""
+WORKER = {
+    "service": "s",
+    "address": "127.0.0.1:80",
+    "zone": "a",
+    "state": "draining",
+    "capacity": {"cpu": 16000, "memMb": 32768, "gpu": 0},
+    "labels": ["kind", "r1-3"],
+    "born": 5,
+    "seq": 4,
+}
+ROUTE = {
+    "name": "r",
+    "host": "h.example",
+    "pathPrefix": "/p/",
+    "service": "s",
+    "timeoutMs": 3000,
+    "targetDurationMs": 250,
+    "priority": 0,
+    "maxAttempts": 4,
+    "stretch": 1.5,
+}
+
+
+def read_text(text):
+    with TemporaryDirectory() as folder:
+        path = f"{folder}/node.toml"
+        with open(path, "w", encoding="utf-8") as settings:
+            settings.write(text)
+        return read_deployment(path)
+
+
+class TestSettings(TestCase):
+    def test_known_fields_are_taken_and_others_ignored(self):
+        deployment = read_text(SETTINGS)
+        self.assertThat(deployment.peer_address, Equals("127.0.0.1:7720"))
+        self.assertThat(deployment.cpu_cores, Equals(1.0))
+        self.assertThat(deployment.bounds.lease_s, Equals(6.0))
+
+    def test_missing_field_is_named(self):
+        problems = read_text(SETTINGS.replace("memoryMb = 300", ""))
+        self.assertThat(problems, IsInstance(ProblemsFound))
+        self.assertThat(problems.describe(), Contains("memoryMb"))
+
+    def test_file_that_is_no_toml(self):
+        self.assertThat(read_text("node ="), IsInstance(ProblemsFound))
+
+    def test_file_that_is_missing(self):
+        self.assertThat(read_deployment("/nonexistent"), IsInstance(ProblemsFound))
+
+
+class TestCallers(TestCase):
+    def test_steps_keep_their_meaning(self):
+        body = b"""{"spec":"x","steps":[{"count":4,"cpu":500,"memMb":256,"affinity":"r1"},
+            {"count":2,"after":[0],"longRunning":true,"targetMs":125,"fills":true}]}"""
+        submission = decode_submission(body, "id", "q", 1.0)
+        first, second = submission.steps
+        self.assertThat((first.cpu_millis, first.data_rack), Equals((500, "r1")))
+        self.assertThat((second.after, second.lasting), Equals(((0,), True)))
+        self.assertThat((second.tail_target_ms, second.filling), Equals((125, True)))
+
+    def test_malformed_bodies_are_refused(self):
+        for body in (b"", b"{}", b'{"spec":"x","steps":[{"count":0}]}', b'{"spec":1,"steps":[]}'):
+            self.assertThat(decode_submission(body, "id", "q", 1.0), IsInstance(CallerRefused))
+
+    def test_step_after_itself_is_refused(self):
+        body = b'{"spec":"x","steps":[{"count":1,"after":[0]}]}'
+        self.assertThat(decode_submission(body, "id", "q", 1.0), IsInstance(CallerRefused))
+
+    def test_task_names(self):
+        task = TaskKey("5c0e7a21d94b36f8", 0, 1, 17)
+        self.assertThat(parse_task(format_task(task)), Equals(task))
+
+
+class TestRows(TestCase):
+    def test_worker(self):
+        entry = decode_worker("servers/i-1", WORKER)
+        self.assertThat((entry.worker_id, entry.rack), Equals(("i-1", "r1-3")))
+        self.assertThat((entry.is_draining, entry.incarnation), Equals((True, 5)))
+
+    def test_worker_of_another_writer_names_no_worker(self):
+        for changes in ({"state": "x"}, {"address": 3}, {"capacity": None}):
+            found = decode_worker("servers/i-1", {**WORKER, **changes})
+            self.assertThat(found, IsInstance(RowMalformed))
+        self.assertThat(decode_worker("servers/i-1", {}), IsInstance(RowMalformed))
+
+    def test_configuration(self):
+        value = {"version": 7, "routes": [ROUTE], "services": [{"name": "s"}]}
+        configuration = decode_operation(Row("op/config", 1, value))
+        queue = configuration.queues_by_name["r"]
+        self.assertThat((queue.objective_s, queue.max_attempts), Equals((0.25, 4)))
+        self.assertThat(configuration.version, Equals(7))
+
+    def test_zone_out_and_back(self):
+        out = decode_operation(Row("op/evacuate/a", 1, {}))
+        back = decode_operation(Row("op/evacuate/a", 2, None))
+        self.assertThat((out, back), Equals((ZoneOrder("a", True), ZoneOrder("a", False))))
+
+    def test_wave(self):
+        value = decode(b'{"wave":1,"machines":["m"],"durationS":20,"maxCount":2}')
+        wave = decode_operation(Row("op/wave/1", 1, value))
+        self.assertThat((wave.vm_ids, wave.max_count), Equals((("m",), 2)))
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,83 @@
+"""The store's client against the emulator over HTTP."""
+
+from testtools import TestCase
+from testtools.matchers import Equals
+from testtools.matchers import IsInstance
+
+from laburnumswitch.connection.client import Client
+from laburnumswitch.exceptions import Conflict
+from laburnumswitch.exceptions import HistoryLost
+from laburnumswitch.exceptions import OutcomeUnknown
+from laburnumswitch.exceptions import Unavailable
+from laburnumswitch.platform.store import StoreClient
+from laburnumswitch.process.table import Committed
+from laburnumswitch.process.table import Condition
+from laburnumswitch.process.table import Put
+from laburnumswitch.process.table import Transaction
+from standin.fleet.api import StoreApi
+from standin.fleet.feed_table import FeedMemoryTable
+from standin.server import bound_address
+from standin.server import start_server
+
+
+class TestStoreClient(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.table = FeedMemoryTable()
+        self.server = start_server("127.0.0.1:0", StoreApi(self.table).handle)
+        self.addCleanup(self.server.stop, 0)
+        self.store = StoreClient(Client(bound_address(self.server)))
+
+    def _put(self, key, value, version=0):
+        return self.store.commit(Transaction((Condition(key, version),), (Put(key, value),)))
+
+    def test_reads_what_it_wrote(self):
+        committed = self._put("progress/a", {"n": 1})
+        self.assertThat(committed, IsInstance(Committed))
+        rows = self.store.read(("progress/a", "progress/b"))
+        self.assertThat(rows["progress/a"].value, Equals({"n": 1}))
+        self.assertThat(rows["progress/a"].version, Equals(committed.version))
+        self.assertThat(rows["progress/b"].version, Equals(0))
+
+    def test_failed_condition_names_the_row_and_its_version(self):
+        first = self._put("progress/a", 1)
+        outcome = self._put("progress/a", 2)
+        self.assertThat(outcome, Equals(Conflict("progress/a", 0, first.version)))
+
+    def test_condition_on_an_absent_row_that_is_expected(self):
+        outcome = self._put("progress/a", 1, version=7)
+        self.assertThat(outcome, Equals(Conflict("progress/a", 7, 0)))
+
+    def test_lost_answer_is_an_unknown_outcome(self):
+        self.table.lose_answers = 1
+        self.assertThat(self._put("progress/a", 1), IsInstance(OutcomeUnknown))
+        self.assertThat(self.store.read(("progress/a",))["progress/a"].value, Equals(1))
+
+    def test_store_that_is_down_did_nothing(self):
+        self.table.down = True
+        self.assertThat(self._put("progress/a", 1), IsInstance(Unavailable))
+
+    def test_load_reads_every_page(self):
+        puts = tuple(Put(f"progress/{number:04}", number) for number in range(1203))
+        self.table.commit(Transaction((), puts))
+        changes = self.store.load("progress")
+        self.assertThat([row.value for row in changes.rows], Equals(list(range(1203))))
+
+    def test_feed_returns_changes_and_removals(self):
+        start = self.store.load("progress").version
+        self._put("progress/a", 1)
+        self._put("progress/b", 2)
+        self.store.commit(Transaction((), (), ("progress/a",)))
+        changes = self.store.follow("progress", start, 0.5)
+        values = {row.key: row.value for row in changes.rows}
+        self.assertThat(values, Equals({"progress/a": None, "progress/b": 2}))
+        self.assertThat(self.store.follow("progress", changes.version, 0.0).rows, Equals(()))
+
+    def test_feed_that_lost_its_history_says_so(self):
+        self._put("progress/a", 1)
+        self.table.forget_history()
+        self.assertThat(self.store.follow("progress", 0, 0.1), IsInstance(HistoryLost))
+
+    def test_rows_of_operators_and_own_rows_are_in_their_partitions(self):
+        self.table.commit(Transaction((), (Put("op/config", {"version": 3}),)))
+        self.assertThat(self.store.load("op").rows[0].value, Equals({"version": 3}))
--- /dev/null
+++ b/tests/platform/test_workers.py
@@ -0,0 +1,77 @@
+"""Calls of a worker against the emulator over HTTP."""
+
+from random import Random
+from time import monotonic
+
+from testtools import TestCase
+from testtools.matchers import Equals
+from testtools.matchers import IsInstance
+
+from laburnumswitch.exceptions import AnswerLost
+from laburnumswitch.exceptions import ConnectFailed
+from laburnumswitch.exceptions import StartRefused
+from laburnumswitch.exceptions import WorkerRestarted
+from laburnumswitch.platform.workers import HttpWorkerLink
+from laburnumswitch.process.dispatch.reports import Acknowledged
+from laburnumswitch.process.dispatch.reports import How
+from laburnumswitch.process.dispatch.reports import Renewal
+from laburnumswitch.process.dispatch.reports import StartOrder
+from laburnumswitch.process.dispatch.work import Step
+from laburnumswitch.process.dispatch.work import Submission
+from laburnumswitch.process.dispatch.work import TaskKey
+from standin.fleet.api import make_worker_handler
+from standin.fleet.judge import Judge
+from standin.fleet.worker import FleetWorker
+from standin.server import bound_address
+from standin.server import start_server
+from tests.process.dispatch.bench import make_entry
+
+TASK = TaskKey("5c0e7a21d94b36f8", 0, 0, 0)
+ORDER = StartOrder(TASK, 1, "spec", 3.0, 7, "")
+
+
+class TestWorkerLink(TestCase):
+    def setUp(self):
+        super().setUp()
+        judge = Judge()
+        judge.note_submitted(
+            Submission(TASK.job_id, "q", "spec", (Step(1, estimate_ms=20, checkpoints=True),), 0.0)
+        )
+        self.worker = FleetWorker(make_entry(1), judge, monotonic, Random(1))
+        self.server = start_server("127.0.0.1:0", make_worker_handler(self.worker))
+        self.addCleanup(self.server.stop, 0)
+        self.link = self._make_link("w1")
+
+    def _make_link(self, worker_id):
+        entry = make_entry(1, worker_id=worker_id, address=bound_address(self.server))
+        return HttpWorkerLink(entry)
+
+    def test_start_and_its_end(self):
+        self.assertThat(self.link.start(ORDER, 1.0), IsInstance(Acknowledged))
+        report = self.link.renew(Renewal(7, 0, 4.0, 1.0), 2.0)
+        self.assertThat([end.how for end in report.ended], Equals([How.DONE]))
+        self.assertThat(report.ended[0].task, Equals(TASK))
+        self.assertThat(report.incarnation, Equals(1))
+        again = self.link.renew(Renewal(7, report.ended[0].number, 4.0, 0.0), 2.0)
+        self.assertThat(again.ended, Equals(()))
+
+    def test_lower_fence_is_refused(self):
+        self.link.renew(Renewal(9, 0, None, 0.0), 1.0)
+        self.assertThat(self.link.start(ORDER, 1.0), Equals(StartRefused("w1", "fence")))
+
+    def test_start_after_its_lease_is_refused(self):
+        late = ORDER._replace(until_s=0.0)
+        self.assertThat(self.link.start(late, 1.0), Equals(StartRefused("w1", "late")))
+
+    def test_other_incarnation(self):
+        link = self._make_link("w2")
+        self.assertThat(link.start(ORDER, 1.0), IsInstance(WorkerRestarted))
+
+    def test_unanswered_start_is_not_repeated(self):
+        self.worker.silent = True
+        self.assertThat(self.link.start(ORDER, 0.5), IsInstance(AnswerLost))
+        self.assertThat(self.worker.judge.starts, Equals(1))
+
+    def test_port_without_listener_took_nothing(self):
+        self.server.stop(0)
+        self.assertThat(self.link.start(ORDER, 0.5), IsInstance(ConnectFailed))
--- /dev/null
+++ b/tests/process/dispatch/test_recorder.py
@@ -0,0 +1,100 @@
+"""Commits of an owner: lost answers, late writes and superseded terms."""
+
+from time import monotonic
+from time import time
+
+from gevent import sleep
+from testtools import TestCase
+from testtools.matchers import Equals
+from testtools.matchers import GreaterThan
+
+from laburnumswitch.process.decisions import DecisionLog
+from laburnumswitch.process.dispatch.jobs import Job
+from laburnumswitch.process.dispatch.jobs import JobState
+from laburnumswitch.process.dispatch.progress import decode_progress
+from laburnumswitch.process.dispatch.progress import progress_key
+from laburnumswitch.process.dispatch.progress import restore_progress
+from laburnumswitch.process.dispatch.recorder import Recorder
+from laburnumswitch.process.dispatch.recorder import RecorderContext
+from laburnumswitch.process.dispatch.work import Step
+from laburnumswitch.process.leadership.term import read_term
+from laburnumswitch.process.leadership.term import Term
+from laburnumswitch.process.leadership.term import TERM_KEY
+from laburnumswitch.process.table import Put
+from laburnumswitch.process.table import Transaction
+from standin.fleet.feed_table import FeedMemoryTable
+from tests.process.dispatch.bench import make_submission
+
+
+class TestRecorder(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.table = FeedMemoryTable()
+        self.table.commit(Transaction((), (Put(TERM_KEY, Term(1, "vm-1", "i")),)))
+        context = RecorderContext(
+            self.table, DecisionLog("vm-1", time, 1000), monotonic, monotonic, sleep
+        )
+        self.recorder = Recorder(context, read_term(self.table), monotonic())
+        self.job = Job(make_submission("j1", Step(3)))
+
+    def _stored(self):
+        row = self.table.read((progress_key("j1"),))[progress_key("j1")]
+        return decode_progress(row.key, row.value)
+
+    def _finish_task(self, index):
+        self.job.mark_done(self.job.occurrences[0].steps[0].tasks[index])
+        return self.recorder.note_job(self.job)
+
+    def test_lost_answer_is_settled_and_not_written_twice(self):
+        self._finish_task(0)
+        self.table.lose_answers = 1
+        self.assertThat(self.recorder.commit(), Equals(True))
+        self.assertThat(self._stored().steps[0].done, Equals("1"))
+        self.assertThat(self.table.commits, Equals(2))
+
+    def test_write_that_lands_late_cannot_undo_a_later_one(self):
+        self._finish_task(0)
+        self.table.delayed = 1
+        self.assertThat(self.recorder.commit(), Equals(True))
+        self._finish_task(1)
+        self.assertThat(self.recorder.commit(), Equals(True))
+        self.assertThat(self.table.run_delayed(), Equals(0))
+        self.assertThat(self._stored().steps[0].done, Equals("3"))
+
+    def test_superseded_owner_commits_nothing(self):
+        self.table.commit(Transaction((), (Put(TERM_KEY, Term(2, "vm-2", "k")),)))
+        self._finish_task(0)
+        self.assertThat(self.recorder.commit(), Equals(False))
+        self.assertThat(self.recorder.is_certain(), Equals(False))
+        self.assertThat(
+            self.table.read((progress_key("j1"),))[progress_key("j1")].version, Equals(0)
+        )
+
+    def test_batch_numbers_tell_when_an_end_is_stored(self):
+        batch = self._finish_task(0)
+        self.assertThat(batch, GreaterThan(self.recorder.committed))
+        self.recorder.commit()
+        self.assertThat(self.recorder.committed, Equals(batch))
+        self.assertThat(self.job.is_stored, Equals(True))
+
+    def test_progress_is_restored(self):
+        self._finish_task(1)
+        task = self.job.occurrences[0].steps[0].tasks[2]
+        task.checkpoint = "c"
+        self.job.count_failure(task, 5, 3)
+        self.recorder.note_job(self.job)
+        self.recorder.commit()
+        successor = Job(self.job.submission)
+        restore_progress(successor, self._stored())
+        tasks = successor.occurrences[0].steps[0].tasks
+        self.assertThat([each.is_done for each in tasks], Equals([False, True, False]))
+        self.assertThat((tasks[2].failures, tasks[2].failed_run), Equals((1, 5)))
+        self.assertThat(tasks[2].checkpoint, Equals("c"))
+        successor.count_failure(tasks[2], 5, 3)
+        self.assertThat(tasks[2].failures, Equals(1))
+
+    def test_released_term_has_no_owner(self):
+        self._finish_task(0)
+        self.recorder.release()
+        self.assertThat(read_term(self.table).term.owner, Equals(""))
+        self.assertThat(self._stored().state, Equals(JobState.QUEUED))
--- /dev/null
+++ b/tests/request/test_submission.py
@@ -0,0 +1,161 @@
+"""Callers' requests about jobs, over a store with faults."""
+
+from time import time
+
+from testtools import TestCase
+from testtools.matchers import Equals
+from testtools.matchers import GreaterThan
+
+from laburnumswitch.exceptions import Unavailable
+from laburnumswitch.platform.callers import decode_submission
+from laburnumswitch.platform.callers import encode_pending
+from laburnumswitch.platform.callers import encode_state
+from laburnumswitch.process.decisions import DecisionLog
+from laburnumswitch.process.dispatch.jobs import JobState
+from laburnumswitch.process.dispatch.progress import cancellation_key
+from laburnumswitch.process.dispatch.progress import Progress
+from laburnumswitch.process.dispatch.progress import progress_key
+from laburnumswitch.process.dispatch.progress import submission_key
+from laburnumswitch.process.dispatch.work import QueueConfiguration
+from laburnumswitch.process.leadership.messages import JobStateAnswer
+from laburnumswitch.process.operations import Operations
+from laburnumswitch.process.table import Put
+from laburnumswitch.process.table import Transaction
+from laburnumswitch.request.submission import answer_request
+from laburnumswitch.request.submission import JobRequest
+from laburnumswitch.request.submission import SubmissionContext
+from standin.fleet.feed_table import FeedMemoryTable
+from tests.fakes import FakeClock
+from tests.process.dispatch.bench import QUEUE
+
+JOB_ID = "5c0e7a21d94b36f8"
+BODY = b'{"spec":"x","steps":[{"count":1}]}'
+
+
+class FakeOwner:
+    def __init__(self):
+        self.told = []
+        self.cancelled = []
+        self.state = ""
+        self.is_away = False
+
+    def tell_submitted(self, submission):
+        self.told.append(submission.job_id)
+
+    def tell_cancelled(self, job_id):
+        self.cancelled.append(job_id)
+
+    def job_state(self, job_id):
+        return Unavailable("away") if self.is_away else JobStateAnswer(self.state, True)
+
+    def pending(self, queue):
+        return 3
+
+
+class TestSubmission(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.table = FeedMemoryTable()
+        self.owner = FakeOwner()
+        self.clock = FakeClock()
+        self.log = DecisionLog("vm-1", time, 1000)
+        self.operations = Operations(self.log)
+        self.operations.apply(QueueConfiguration(1, {QUEUE.name: QUEUE}, {}))
+        self.context = SubmissionContext(
+            self.operations,
+            self.table,
+            self.owner,
+            decode_submission,
+            encode_state,
+            encode_pending,
+            self.log,
+            self.clock,
+            time,
+            self.clock.sleep,
+        )
+
+    def _ask(self, method, path=f"/o/{JOB_ID}", body=b"", host=QUEUE.host):
+        return answer_request(self.context, JobRequest(method, host, path, body, 3.0))
+
+    def _submit(self):
+        return self._ask("POST", body=BODY)
+
+    def _stored(self, key):
+        return self.table.read((key,))[key].version > 0
+
+    def test_accepted_is_stored_and_told(self):
+        self.assertThat(self._submit().status, Equals(200))
+        self.assertThat(self._stored(submission_key(JOB_ID)), Equals(True))
+        self.assertThat(self.owner.told, Equals([JOB_ID]))
+
+    def test_repeat_is_one_job(self):
+        self._submit()
+        commits = self.table.commits
+        self.assertThat(self._submit().status, Equals(200))
+        self.assertThat(self.table.commits, Equals(commits))
+
+    def test_repeat_after_the_end_is_one_job(self):
+        progress = Progress("orders", JobState.COMPLETED, [])
+        self.table.commit(Transaction((), (Put(progress_key(JOB_ID), progress),)))
+        self.assertThat(self._submit().status, Equals(200))
+        self.assertThat(self._stored(submission_key(JOB_ID)), Equals(False))
+
+    def test_lost_answer_is_settled_before_the_answer(self):
+        self.table.lose_answers = 1
+        self.assertThat(self._submit().status, Equals(200))
+        self.assertThat(self.table.commits, Equals(1))
+
+    def test_unknown_outcome_is_never_called_not_run(self):
+        self.table.delayed = 100
+        reply = self._submit()
+        self.assertThat(reply.status, Equals(504))
+        self.assertThat(reply.retry_after_s, GreaterThan(0))
+        self.assertThat(self.table.run_delayed(), Equals(1))
+
+    def test_store_that_is_down_ends_the_request_early(self):
+        self.table.down = True
+        began_s = self.clock()
+        self.assertThat(self._submit().status, Equals(504))
+        self.assertThat(self.clock() - began_s < 1.6, Equals(True))
+
+    def test_routes(self):
+        self.assertThat(self._ask("POST", "/x/1", BODY).status, Equals(404))
+        self.assertThat(self._ask("POST", host="other", body=BODY).status, Equals(404))
+        self.assertThat(self._ask("PUT").status, Equals(405))
+        self.assertThat(self._ask("POST", body=b"{").status, Equals(400))
+        self.assertThat(self._ask("GET", "/o/").body, Equals(b'{"pending":3}'))
+
+    def test_without_a_configuration_nothing_is_taken(self):
+        self.operations.configuration = None
+        self.assertThat(self._submit().status, Equals(503))
+        self.assertThat(self.table.commits, Equals(0))
+
+    def test_state_by_the_owner_or_the_store(self):
+        self.assertThat(self._ask("GET").status, Equals(410))
+        self._submit()
+        self.assertThat(self._ask("GET").body, Equals(b'{"state":"queued"}'))
+        self.owner.state = "running"
+        self.assertThat(self._ask("GET").body, Equals(b'{"state":"running"}'))
+        self.owner.is_away = True
+        self.assertThat(self._ask("GET").body, Equals(b'{"state":"queued"}'))
+        progress = Progress("orders", JobState.COMPLETED, [])
+        self.table.commit(Transaction((), (Put(progress_key(JOB_ID), progress),)))
+        self.assertThat(self._ask("GET").body, Equals(b'{"state":"completed"}'))
+
+    def test_state_that_cannot_be_read_is_not_called_unknown(self):
+        self.owner.is_away = True
+        self.table.down = True
+        self.assertThat(self._ask("GET").status, Equals(503))
+
+    def test_cancel(self):
+        self.assertThat(self._ask("DELETE").status, Equals(410))
+        self._submit()
+        self.assertThat(self._ask("DELETE").status, Equals(200))
+        self.assertThat(self._stored(cancellation_key(JOB_ID)), Equals(True))
+        self.assertThat(self.owner.cancelled, Equals([JOB_ID]))
+        self.owner.is_away = True
+        self.assertThat(self._ask("GET").body, Equals(b'{"state":"cancelled"}'))
+
+    def test_lower_version_of_the_configuration_is_not_adopted(self):
+        self.operations.apply(QueueConfiguration(0, {}, {}))
+        self.assertThat(self._submit().status, Equals(200))
