--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 JSON ?=
 BINARY ?=
 READY := $(VENV)/.ready
-SOURCES := laburnumswitch bundle standin scripts spec tests
+SOURCES := laburnumswitch bundle soak standin scripts spec tests
 
 .PHONY: binary demo measure test lint format
 
--- a/laburnumswitch/command/__init__.py
+++ b/laburnumswitch/command/__init__.py
@@ -8,6 +8,7 @@
 from laburnumswitch.command.daemon import entry
 from laburnumswitch.command.declarations import check
 from laburnumswitch.command.declarations import publish_command
+from laburnumswitch.command.explain import explain
 from laburnumswitch.command.jobs import job
 from laburnumswitch.command.jobs import jobs
 from laburnumswitch.command.status import status
@@ -34,6 +35,7 @@
     check,
     completion,
     entry,
+    explain,
     job,
     jobs,
     publish_command,
--- a/laburnumswitch/connection/client.py
+++ b/laburnumswitch/connection/client.py
@@ -142,7 +142,9 @@
     def _encode(
         self, method: str, target: str, body: bytes, extra_headers: Mapping[str, str]
     ) -> bytes:
-        lines = [f"{method} {target} HTTP/1.1", f"Host: {self.address}"]
+        lines = [f"{method} {target} HTTP/1.1"]
+        if "Host" not in extra_headers:
+            lines.append(f"Host: {self.address}")
         lines.extend(f"{name}: {value}" for name, value in self._headers().items())
         lines.extend(f"{name}: {value}" for name, value in extra_headers.items())
         if body:
--- a/tests/command/test_help.py
+++ b/tests/command/test_help.py
@@ -20,6 +20,7 @@
 from tests.connection.certificates import Authority
 
 PAGES = Path(__file__).parents[2] / "docs" / "operators"
+DECISION = '{"t": 1.0, "vm": "vm-1", "event": "request", "id": "5c0e7a21d94b36f8"}\n'
 EXAMPLE = re.compile(r"^ *laburnumswitch (.*)$", re.MULTILINE)
 BLOCK = re.compile(r"^ *```(\w*)\n(.*?)^ *```$", re.MULTILINE | re.DOTALL)
 INLINE = re.compile(r"`laburnumswitch ([a-z]+(?: [a-z]+)?)")
@@ -50,6 +51,8 @@
             folder.mkdir(parents=True)
             (folder / "laburnumswitch.yaml").write_text(f"{TEAM}---\n{JOB}", "utf-8")
             Path("settings.yaml").write_text(SETTINGS, "utf-8")
+            Path("entry-1.log").write_text(DECISION, "utf-8")
+            Path("entry-2.log").write_text("", "utf-8")
             Path("keys").write_text("key-0123456789abcdef\n", "utf-8")
             files = Authority(Path(), "authorities").issue("me")
             self.assertThat(files, Equals(("me.pem", "me.key", "authorities.pem")))
