--- a/laburnumswitch/process/dispatch/tails.py
+++ b/laburnumswitch/process/dispatch/tails.py
@@ -11,6 +11,7 @@
 from math import erfc
 from math import log
 from math import sqrt
+from typing import NamedTuple
 
 from msgspec import Struct
 
@@ -37,6 +38,13 @@
     variance: float
 
 
+class LearnedTails(NamedTuple):
+    """Rows of serving image, filling image, coefficient and variance; and bases by image."""
+
+    coefficients: list[tuple[str, str, float, float]]
+    base_by_image: dict[str, float]
+
+
 class TailModel:
     """Bases by run and coefficients by pair of images."""
 
@@ -120,17 +128,20 @@
         scale = sqrt(sum(x * x for x, _ in pairs) * sum(y * y for _, y in pairs))
         return sum(x * y for x, y in pairs) / scale if scale else 0.0
 
-    def rows(self) -> list[tuple[str, str, float, float]]:
-        """Return serving image, filling image, coefficient and variance of every known pair."""
-        return [
-            (serving, filling, round(estimate.mean, 3), round(estimate.variance, 3))
+    def learned(self) -> LearnedTails:
+        """Return what a later owner can use."""
+        coefficients = [
+            (serving, filling, round(estimate.mean, 2), round(estimate.variance, 2))
             for (serving, filling), estimate in self._coefficient_by_pair.items()
         ]
+        bases = {image: round(base, 2) for image, base in self._base_by_image.items()}
+        return LearnedTails(coefficients, bases)
 
-    def restore(self, rows: list[tuple[str, str, float, float]]) -> None:
-        """Take over coefficients that an earlier owner learned."""
-        for serving, filling, mean, variance in rows:
+    def restore(self, learned: LearnedTails) -> None:
+        """Take over what an earlier owner learned."""
+        for serving, filling, mean, variance in learned.coefficients:
             self._coefficient_by_pair[serving, filling] = _Estimate(mean, variance)
+        self._base_by_image.update(learned.base_by_image)
 
     def _estimate(self, serving: str, filling: str) -> _Estimate:
         estimate = self._coefficient_by_pair.get((serving, filling))
--- a/laburnumswitch/process/dispatch/takeover.py
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -16,6 +16,8 @@
 from laburnumswitch.process.dispatch.feeds import follow_workers
 from laburnumswitch.process.dispatch.fleet import SLOWEST_CLOCK
 from laburnumswitch.process.dispatch.jobs import FINAL_STATES
+from laburnumswitch.process.dispatch.learning import load_learned
+from laburnumswitch.process.dispatch.learning import run_learning
 from laburnumswitch.process.dispatch.planner import run_planner
 from laburnumswitch.process.dispatch.planner import run_relocation
 from laburnumswitch.process.dispatch.progress import CANCELLATIONS_TABLE
@@ -60,6 +62,7 @@
     dispatcher.settled = dispatcher.epoch == 1
     dispatcher.doubts_new_jobs = predecessor is Predecessor.SILENT
     version = _load_jobs(dispatcher)
+    load_learned(dispatcher)
     _load_fleet(dispatcher, unseen_s)
     if dispatcher.is_stopped():
         return
@@ -70,6 +73,7 @@
     spawn(run_planner, dispatcher)
     spawn(run_relocation, dispatcher)
     spawn(run_retention, dispatcher)
+    spawn(run_learning, dispatcher)
     if not dispatcher.settled:
         _settle(dispatcher)
 
