--- a/laburnumswitch/process/dispatch/ordering.py
+++ b/laburnumswitch/process/dispatch/ordering.py
@@ -41,7 +41,9 @@
 
     Load pattern: bursts of batch jobs that exceed the room for a while. Within one priority the
     jobs that can still meet their objective go first, and among them those that earn most for the
-    work that is left; so work is finished rather than spread over jobs that all come late.
+    work that is left; so work is finished rather than spread over jobs that all come late. That
+    favours small jobs, which only filling work can afford: of steps with reserved room, large ones
+    find room less often anyway, and the one with the least slack goes first.
 
     :param mean_work: mean work of a job of the queue, in core-seconds.
     :param now_s: Unix time in seconds.
@@ -52,7 +54,7 @@
     remaining_s = chains[occurrence.steps.index(runs)]
     slack_s = occurrence.due_s + objective_s - remaining_s - now_s
     worth = FIXED_WORTH * mean_work + job.work
-    left = remaining_work(occurrence)
+    left = remaining_work(occurrence) if runs.step.filling else 0.0
     return OrderKey(
         queue.priority, _tier(runs, slack_s, objective_s), left / max(worth, 1e-9), slack_s
     )
--- a/laburnumswitch/process/dispatch/progress.py
+++ b/laburnumswitch/process/dispatch/progress.py
@@ -6,10 +6,18 @@
 from msgspec import convert
 from msgspec import ValidationError
 
+from laburnumswitch.exceptions import Conflict
+from laburnumswitch.exceptions import Failure
 from laburnumswitch.exceptions import RowMalformed
 from laburnumswitch.process.dispatch.jobs import Job
 from laburnumswitch.process.dispatch.jobs import JobState
 from laburnumswitch.process.dispatch.work import Submission
+from laburnumswitch.process.table import ABSENT_VERSION
+from laburnumswitch.process.table import Committed
+from laburnumswitch.process.table import Condition
+from laburnumswitch.process.table import FeedTable
+from laburnumswitch.process.table import Put
+from laburnumswitch.process.table import Transaction
 
 SUBMISSIONS_TABLE = "submissions"
 PROGRESS_TABLE = "progress"
@@ -104,3 +112,20 @@
         return convert(value, Submission)
     except ValidationError as error:
         return RowMalformed(key, str(error))
+
+
+def store_submission(table: FeedTable, submission: Submission) -> None | Failure:
+    """Store a job unless it is stored already, and return nothing once it certainly is.
+
+    Sent again after an unknown outcome it remains one job, also where the earlier write lands late.
+    """
+    key = submission_key(submission.job_id)
+    outcome = table.commit(Transaction((Condition(key, ABSENT_VERSION),), (Put(key, submission),)))
+    if isinstance(outcome, Committed):
+        return None
+    if not isinstance(outcome, Conflict):
+        return outcome
+    found = table.read((key,))
+    if isinstance(found, Failure):
+        return found
+    return None if found[key].version != ABSENT_VERSION else outcome
--- a/laburnumswitch/process/leadership/owner_link.py
+++ b/laburnumswitch/process/leadership/owner_link.py
@@ -38,6 +38,21 @@
         elif self._has_other_owner():
             self._calls.tell_cancelled(self._leadership.owner.address, job_id)
 
+    def store_submission(self, submission: Submission) -> bool | Failure:
+        """Have the owner store a job, and return ``True`` once it is.
+
+        On the owner itself that would repeat what has just failed.
+        """
+        if not self._has_other_owner() or self._leadership.dispatcher is not None:
+            return False
+        return self._calls.store_submission(self._leadership.owner.address, submission)
+
+    def store_cancellation(self, job_id: str) -> bool | Failure:
+        """Have the owner end a job that it knows, and return ``True`` once that is stored."""
+        if not self._has_other_owner() or self._leadership.dispatcher is not None:
+            return False
+        return self._calls.store_cancellation(self._leadership.owner.address, job_id)
+
     def job_state(self, job_id: str) -> JobStateAnswer | Failure:
         """Ask for the state of a job."""
         dispatcher = self._leadership.dispatcher
--- a/laburnumswitch/process/leadership/peers.py
+++ b/laburnumswitch/process/leadership/peers.py
@@ -14,6 +14,7 @@
 from laburnumswitch.process.admin import reject
 from laburnumswitch.process.admin import reply_json
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
+from laburnumswitch.process.dispatch.progress import store_submission
 from laburnumswitch.process.dispatch.work import Submission
 from laburnumswitch.process.leadership.leadership import Identity
 from laburnumswitch.process.leadership.leadership import Leadership
@@ -22,6 +23,9 @@
 
 # Limit of a call in seconds; entries answer each other within some milliseconds.
 CALL_TIMEOUT_S = 0.4
+# The owner's own calls of the store take part of this.
+STORE_TIMEOUT_S = 0.7
+WAIT_STORED_S = 0.6
 WATCH_LIMIT_S = 2.0
 SUPERSEDE_LIMIT_S = 0.5
 
@@ -50,6 +54,16 @@
         target = f"/peer/cancelled/{job_id}"
         return call_json(self._client(address), "POST", target, None, bool, CALL_TIMEOUT_S)
 
+    def store_submission(self, address: str, submission: Submission) -> bool | Failure:
+        """Have the owner store a job, and return whether it has."""
+        client = self._client(address)
+        return call_json(client, "POST", "/peer/store", submission, bool, STORE_TIMEOUT_S)
+
+    def store_cancellation(self, address: str, job_id: str) -> bool | Failure:
+        """Have the owner end a job, and return whether that is stored."""
+        target = f"/peer/cancel/{job_id}"
+        return call_json(self._client(address), "POST", target, None, bool, STORE_TIMEOUT_S)
+
     def job_state(self, address: str, job_id: str) -> JobStateAnswer | Failure:
         """Ask the owner for the state of a job."""
         target = f"/peer/state/{job_id}"
@@ -100,6 +114,27 @@
         dispatcher.cancel_job(request.rest[1])
         return reply_json(True)
 
+    def store(request: AdminRequest) -> AdminReply:
+        dispatcher = _active(leadership())
+        if dispatcher is None:
+            return reject(503, "NotOwner")
+        submission = request.decode(Submission)
+        outcome = store_submission(dispatcher.context.table, submission)
+        if outcome is not None:
+            return reject(503, outcome.tag)
+        dispatcher.add_job(submission)
+        return reply_json(True)
+
+    def cancel(request: AdminRequest) -> AdminReply:
+        dispatcher = _active(leadership())
+        job_id = request.rest[1]
+        job = dispatcher and dispatcher.jobs_by_id.get(job_id)
+        if not job:
+            return reject(503, "JobUnknown")
+        dispatcher.cancel_job(job_id)
+        is_stored = dispatcher.recorder.wait_for(dispatcher.recorder.note_job(job), WAIT_STORED_S)
+        return reply_json(is_stored)
+
     def state(request: AdminRequest) -> AdminReply:
         dispatcher = _active(leadership())
         if dispatcher is None:
@@ -110,6 +145,8 @@
         "watch": watch,
         "supersede": supersede,
         "submitted": submitted,
+        "store": store,
+        "cancel": cancel,
         "cancelled": cancelled,
         "state": state,
     }
--- a/laburnumswitch/request/submission.py
+++ b/laburnumswitch/request/submission.py
@@ -9,7 +9,6 @@
 from typing import Protocol
 
 from laburnumswitch.exceptions import CallerRefused
-from laburnumswitch.exceptions import Conflict
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.process.decisions import DecisionLog
 from laburnumswitch.process.dispatch.jobs import FINAL_STATES
@@ -18,6 +17,7 @@
 from laburnumswitch.process.dispatch.progress import decode_progress
 from laburnumswitch.process.dispatch.progress import Progress
 from laburnumswitch.process.dispatch.progress import progress_key
+from laburnumswitch.process.dispatch.progress import store_submission
 from laburnumswitch.process.dispatch.progress import submission_key
 from laburnumswitch.process.dispatch.work import Queue
 from laburnumswitch.process.dispatch.work import Submission
@@ -52,6 +52,12 @@
     def tell_cancelled(self, job_id: str) -> None:
         """Tell the owner of a stored cancellation, and wait for it shortly."""
 
+    def store_submission(self, submission: Submission) -> bool | Failure:
+        """Have the owner store a job, and return ``True`` once it is."""
+
+    def store_cancellation(self, job_id: str) -> bool | Failure:
+        """Have the owner end a job that it knows, and return ``True`` once that is stored."""
+
     def job_state(self, job_id: str) -> JobStateAnswer | Failure:
         """Ask for the state of a job."""
 
@@ -134,16 +140,14 @@
     submission = context.decode_submission(request.body, job_id, queue.name, now_s)
     if isinstance(submission, CallerRefused):
         return JobReply(submission.status)
-    key = submission_key(job_id)
-    transaction = Transaction((Condition(key, ABSENT_VERSION),), (Put(key, submission),))
     pause_s = RETRY_FIRST_S
     while True:
-        outcome = context.table.commit(transaction)
-        if isinstance(outcome, Committed):
+        outcome = store_submission(context.table, submission)
+        if outcome is None:
             context.owner.tell_submitted(submission)
             return JobReply(200)
-        found = context.table.read((key,)) if isinstance(outcome, Conflict) else outcome
-        if not isinstance(found, Failure) and _exists(found[key]):
+        # The store may refuse this entry and serve the owner, which then takes the job in at once.
+        if context.owner.store_submission(submission) is True:
             return JobReply(200)
         if context.clock() + pause_s >= give_up_s:
             context.log.note("submit_unknown", job_id, reason=outcome.describe())
@@ -208,6 +212,8 @@
             if isinstance(outcome, Committed):
                 context.owner.tell_cancelled(job_id)
                 return JobReply(200)
+        if isinstance(outcome, Failure) and context.owner.store_cancellation(job_id) is True:
+            return JobReply(200)
         if context.clock() + pause_s >= give_up_s:
             context.log.note("cancel_unknown", job_id, reason=outcome.describe())
             return JobReply(504, retry_after_s=STORE_RETRY_AFTER_S)
--- a/tests/process/dispatch/test_decisions.py
+++ b/tests/process/dispatch/test_decisions.py
@@ -189,8 +189,8 @@
 class TestOrdering(TestCase):
     queue = Queue("q", "", "", "s", stretch=2.0, objective_s=1.0)
 
-    def _key(self, width, submitted_s, now_s, queue=queue):
-        step = Step(width, cpu_millis=1000, estimate_ms=1000)
+    def _key(self, width, submitted_s, now_s, queue=queue, filling=True):
+        step = Step(width, cpu_millis=1000, estimate_ms=1000, filling=filling)
         job = Job(Submission(f"j{width}", "q", "", (step,), submitted_s))
         occurrence = job.occurrences[0]
         return order_key(WaitingStep(job, occurrence, occurrence.steps[0]), queue, 4.0, now_s)
@@ -206,6 +206,12 @@
     def test_among_those_on_time_the_most_worth_for_the_work_goes_first(self):
         self.assertThat(self._key(2, 0.0, 0.0), LessThan(self._key(16, 0.0, 0.0)))
 
+    def test_large_urgent_jobs_do_not_wait_behind_small_ones(self):
+        # Found on the grown bench: a third of the largest tenth of urgent jobs was served.
+        large = self._key(16, 0.0, 1.0, filling=False)
+        small = self._key(2, 0.5, 1.0, filling=False)
+        self.assertThat(large, LessThan(small))
+
     def test_priority_goes_before_all(self):
         urgent = self.queue._replace(priority=0)
         batch = self.queue._replace(priority=2)
--- a/tests/request/test_submission.py
+++ b/tests/request/test_submission.py
@@ -38,6 +38,8 @@
         self.cancelled = []
         self.state = ""
         self.is_away = False
+        self.can_store = False
+        self.stored = []
 
     def tell_submitted(self, submission):
         self.told.append(submission.job_id)
@@ -45,6 +47,13 @@
     def tell_cancelled(self, job_id):
         self.cancelled.append(job_id)
 
+    def store_submission(self, submission):
+        self.stored.append(submission.job_id)
+        return self.can_store
+
+    def store_cancellation(self, job_id):
+        return self.can_store
+
     def job_state(self, job_id):
         return Unavailable("away") if self.is_away else JobStateAnswer(self.state, True)
 
@@ -120,6 +129,19 @@
         self.assertThat(self._submit().status, Equals(504))
         self.assertThat(self.clock() - began_s < 1.6, Equals(True))
 
+    def test_owner_stores_what_this_entry_cannot(self):
+        # Load pattern: the store refuses some entries and serves the others.
+        self.table.down = True
+        self.owner.can_store = True
+        self.assertThat(self._submit().status, Equals(200))
+        self.assertThat(self.owner.stored, Equals([JOB_ID]))
+        self.assertThat(self._ask("DELETE").status, Equals(200))
+
+    def test_owner_is_not_asked_while_the_store_answers(self):
+        self.owner.can_store = True
+        self._submit()
+        self.assertThat(self.owner.stored, Equals([]))
+
     def test_routes(self):
         self.assertThat(self._ask("POST", "/x/1", BODY).status, Equals(404))
         self.assertThat(self._ask("POST", host="other", body=BODY).status, Equals(404))
