Hold workers for large urgent tasks; short urgent steps go before lasting ones

Up to 6% of the workers, those with most room, are left alone by later steps while large urgent tasks wait.

--- a/laburnumswitch/process/dispatch/headroom.py
+++ b/laburnumswitch/process/dispatch/headroom.py
@@ -6,8 +6,11 @@
 """
 
 from collections.abc import Iterable
+from heapq import nlargest
 
 from laburnumswitch.process.dispatch.fleet import Worker
+from laburnumswitch.process.dispatch.jobs import StepRuns
+from laburnumswitch.process.dispatch.work import Step
 
 # A lasting task is held back for so long, in seconds, at most: users expect it to run within three.
 LASTING_WAIT_S = 1.5
@@ -17,6 +20,8 @@
 LEAST_SHARE = 0.03
 # Part of the room that is never kept from lasting tasks, however much urgent work there was.
 MOST_SHARE = 0.15
+# Most workers that are held for large urgent tasks at a time, as a share.
+HELD_SHARE = 0.06
 # Urgent work comes in waves: room is kept for so many times the recent peak of what it used.
 PEAK_FACTOR = 1.3
 # The recent peak fades by this share a second: the users' waves last about eleven seconds.
@@ -49,6 +54,29 @@
         return capacity - used - max(0.0, kept - urgent)
 
 
+def choose_held(step: Step, runs: StepRuns, workers: list[Worker], held: int) -> set[str]:
+    """Return workers that later steps leave alone, so that room for large tasks can grow there.
+
+    Load pattern: short urgent tasks of all sizes on workers that are nearly full. Whatever room
+    becomes free is taken by small tasks at once, and the large ones never find enough of it.
+
+    :param held: number of workers that are held already.
+    """
+    wanted = sum(1 for _ in runs.waiting())
+    limit = max(0, int(HELD_SHARE * len(workers)) - held)
+    large_enough = [
+        worker
+        for worker in workers
+        if worker.entry.cpu_millis >= step.cpu_millis and worker.entry.memory_mb >= step.memory_mb
+    ]
+    by_room = nlargest(
+        min(wanted, limit),
+        large_enough,
+        key=lambda worker: worker.entry.cpu_millis - worker.used_cpu_millis + urgent_use(worker),
+    )
+    return {worker.worker_id for worker in by_room}
+
+
 def urgent_use(worker: Worker) -> float:
     """Return what short tasks with reserved room use on a worker, in thousandths of a core."""
     return sum(
--- a/laburnumswitch/process/dispatch/ordering.py
+++ b/laburnumswitch/process/dispatch/ordering.py
@@ -31,6 +31,7 @@
     """Sort key of a waiting step, lower first."""
 
     priority: int
+    is_lasting: bool
     tier: Tier
     cost_per_worth: float
     slack_s: float
@@ -43,7 +44,8 @@
     jobs that can still meet their objective go first, and among them those that earn most for the
     work that is left; so work is finished rather than spread over jobs that all come late. That
     favours small jobs, which only filling work can afford: of steps with reserved room, large ones
-    find room less often anyway, and the one with the least slack goes first.
+    find room less often anyway, and the one with the least slack goes first. Lasting steps go after
+    short ones of their priority, which keep their room for a moment only.
 
     :param mean_work: mean work of a job of the queue, in core-seconds.
     :param now_s: Unix time in seconds.
@@ -56,7 +58,11 @@
     worth = FIXED_WORTH * mean_work + job.work
     left = remaining_work(occurrence) if runs.step.filling else 0.0
     return OrderKey(
-        queue.priority, _tier(runs, slack_s, objective_s), left / max(worth, 1e-9), slack_s
+        queue.priority,
+        runs.step.lasting,
+        _tier(runs, slack_s, objective_s),
+        left / max(worth, 1e-9),
+        slack_s,
     )
 
 
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -14,6 +14,7 @@
 from laburnumswitch.process.dispatch.dispatcher import task_name
 from laburnumswitch.process.dispatch.fleet import ActiveRun
 from laburnumswitch.process.dispatch.fleet import Worker
+from laburnumswitch.process.dispatch.headroom import choose_held
 from laburnumswitch.process.dispatch.headroom import LASTING_WAIT_S
 from laburnumswitch.process.dispatch.headroom import PLACES_TO_START
 from laburnumswitch.process.dispatch.headroom import urgent_use
@@ -93,6 +94,7 @@
     keyed.sort(key=lambda each: each[0])
     usable_by_service: dict[str, list[Worker]] = {}
     budget_by_service: dict[str, float] = {}
+    held: set[str] = set()
     for key, queue, waiting in keyed:
         if queue.service not in usable_by_service:
             usable_by_service[queue.service] = _usable_workers(dispatcher, queue.service)
@@ -107,7 +109,11 @@
                 continue
             active = waiting.runs.active
         usable = usable_by_service[queue.service]
+        if held and not _has_waited_long(dispatcher, waiting):
+            usable = [worker for worker in usable if worker.worker_id not in held]
         _start_step(dispatcher, queue, waiting, usable, _calm_wait_s(key.slack_s))
+        if not step.lasting and not step.filling:
+            held |= choose_held(step, waiting.runs, usable, len(held))
         if step.lasting and not step.filling:
             taken = (waiting.runs.active - active) * step.cpu_millis
             budget_by_service[queue.service] -= taken
@@ -124,6 +130,12 @@
     return dispatcher.headroom.lasting_budget(usable)
 
 
+def _has_waited_long(dispatcher: Dispatcher, waiting: WaitingStep) -> bool:
+    """Return whether a lasting step has to start now wherever there is room."""
+    waited_s = dispatcher.context.clock() - waiting.runs.ready_since_s
+    return waiting.runs.step.lasting and waited_s >= LASTING_WAIT_S
+
+
 def _may_wait(dispatcher: Dispatcher, queue: Queue, waiting: WaitingStep) -> bool:
     """Return whether a lasting step may leave its room to urgent work for now."""
     if dispatcher.context.clock() - waiting.runs.ready_since_s < LASTING_WAIT_S:
--- a/tests/process/dispatch/test_decisions.py
+++ b/tests/process/dispatch/test_decisions.py
@@ -11,8 +11,10 @@
 
 from laburnumswitch.process.dispatch.fleet import ActiveRun
 from laburnumswitch.process.dispatch.fleet import Worker
+from laburnumswitch.process.dispatch.headroom import choose_held
 from laburnumswitch.process.dispatch.headroom import Headroom
 from laburnumswitch.process.dispatch.jobs import Job
+from laburnumswitch.process.dispatch.jobs import StepRuns
 from laburnumswitch.process.dispatch.jobs import WaitingStep
 from laburnumswitch.process.dispatch.ordering import order_key
 from laburnumswitch.process.dispatch.ordering import Tier
@@ -261,6 +263,17 @@
         busy = make_worker(1, Step(1, cpu_millis=400, image="urgent"))
         self.assertThat(headroom.lasting_budget((busy,)), GreaterThan(3400.0))
 
+    def test_large_tasks_hold_the_workers_with_most_room(self):
+        # Found on the grown bench: small tasks took all room that became free.
+        large = Step(2, cpu_millis=3500)
+        runs = StepRuns(large, "j", 0, 0)
+        workers = [make_worker(number, SERVING, SERVING) for number in range(40)]
+        workers.append(make_worker(99, SERVING))
+        held = choose_held(large, runs, workers, 0)
+        self.assertThat(len(held), Equals(2))
+        self.assertThat("w99" in held, Equals(True))
+        self.assertThat(choose_held(large, runs, workers, 2), Equals(set()))
+
     def test_most_of_the_room_is_never_kept(self):
         headroom = Headroom()
         headroom.update(90_000.0, 10.0)
