--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,10 @@
 READY := $(VENV)/.ready
 SOURCES := laburnumswitch bundle soak standin scripts spec tests
 
-.PHONY: binary demo measure test lint format
+COUNT ?= 1
+SECONDS ?= 10
+
+.PHONY: binary demo measure soak test lint format
 
 $(READY): requirements-dev.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -34,6 +37,9 @@
 binary: $(READY)
 	$(BIN)/python -m bundle.build --output build/laburnumswitch
 
+soak: $(READY)
+	$(BIN)/python -m soak --seed $(SEED) --count $(COUNT) --seconds $(SECONDS)
+
 measure: $(READY)
 	$(BIN)/python -m scripts.measure_request
 	$(BIN)/python -m scripts.measure_scheduling
--- /dev/null
+++ b/tests/process/dispatch/test_retention.py
@@ -0,0 +1,43 @@
+"""Rows of jobs that ended long ago are removed, the submission first."""
+
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from laburnumswitch.process.dispatch.jobs import JobState
+from laburnumswitch.process.dispatch.progress import progress_key
+from laburnumswitch.process.dispatch.progress import submission_key
+from laburnumswitch.process.dispatch.retention import remove_old_jobs
+from laburnumswitch.process.dispatch.retention import RETENTION_S
+from tests.process.dispatch.bench import DispatchBench
+from tests.process.dispatch.bench import make_submission
+from tests.process.dispatch.bench import wait_until
+
+
+class TestRetention(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.bench = DispatchBench()
+        self.owner = self.bench.begin()
+        self.addCleanup(self.owner.stop)
+        self.bench.submit(make_submission("j1"), self.owner)
+        wait_until(lambda: self.owner.shown_state("j1") is JobState.COMPLETED)
+
+    def _version(self, key):
+        return self.bench.table.read((key,))[key].version
+
+    def test_recent_jobs_stay(self):
+        self.assertThat(remove_old_jobs(self.owner), Equals(0))
+        self.assertThat(self._version(submission_key("j1")) > 0, Equals(True))
+
+    def test_old_jobs_go(self):
+        self.owner.ended_s_by_id["j1"] -= RETENTION_S + 1
+        self.assertThat(remove_old_jobs(self.owner), Equals(1))
+        wait_until(lambda: self._version(progress_key("j1")) == 0)
+        self.assertThat(self._version(submission_key("j1")), Equals(0))
+        self.assertThat(self.owner.shown_state("j1"), Equals(None))
+
+    def test_store_that_is_away_keeps_them(self):
+        self.owner.ended_s_by_id["j1"] -= RETENTION_S + 1
+        self.bench.table.down = True
+        self.assertThat(remove_old_jobs(self.owner), Equals(0))
+        self.assertThat(self.owner.shown_state("j1"), Equals(JobState.COMPLETED))
--- /dev/null
+++ b/tests/process/test_operations.py
@@ -0,0 +1,97 @@
+"""Following the operators' wishes, with a history that is lost and a bounded log of decisions."""
+
+from time import monotonic
+from time import time
+
+from gevent import sleep
+from gevent import spawn
+from msgspec.json import decode
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from laburnumswitch.platform.operations import decode_operation
+from laburnumswitch.process.decisions import DecisionLog
+from laburnumswitch.process.operations import follow_operations
+from laburnumswitch.process.operations import Operations
+from laburnumswitch.process.table import Put
+from laburnumswitch.process.table import Transaction
+from standin.fleet.feed_table import FeedMemoryTable
+from tests.platform.test_messages import ROUTE
+from tests.process.dispatch.bench import wait_until
+
+
+class TestOperations(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.table = FeedMemoryTable()
+        self.log = DecisionLog("vm-1", time, 1000)
+        self.operations = Operations(self.log)
+        self.is_stopped = False
+        self.addCleanup(setattr, self, "is_stopped", True)
+        spawn(
+            follow_operations,
+            self.operations,
+            self.table,
+            "op",
+            decode_operation,
+            monotonic,
+            sleep,
+            lambda: self.is_stopped,
+        )
+
+    def _publish(self, version, *routes):
+        value = {"version": version, "routes": routes, "services": []}
+        self.table.commit(Transaction((), (Put("op/config", value),)))
+
+    def _version(self):
+        configuration = self.operations.configuration
+        return configuration.version if configuration else 0
+
+    def test_new_version_is_adopted_and_never_an_earlier_one(self):
+        self._publish(3, ROUTE)
+        wait_until(lambda: self._version() == 3)
+        self._publish(2)
+        self._publish(4, ROUTE)
+        wait_until(lambda: self._version() == 4)
+        self.assertThat(self.operations.route("h.example", "/p/x").name, Equals("r"))
+
+    def test_queue_outlives_its_route(self):
+        self._publish(1, ROUTE)
+        wait_until(lambda: self._version() == 1)
+        self._publish(2)
+        wait_until(lambda: self._version() == 2)
+        self.assertThat(self.operations.route("h.example", "/p/x"), Equals(None))
+        self.assertThat(self.operations.queue("r").name, Equals("r"))
+
+    def test_longest_prefix_wins(self):
+        self._publish(1, ROUTE, {**ROUTE, "name": "longer", "pathPrefix": "/p/q/"})
+        wait_until(lambda: self._version() == 1)
+        self.assertThat(self.operations.route("h.example", "/p/q/x").name, Equals("longer"))
+
+    def test_zone_that_came_back_while_the_history_was_lost(self):
+        self.table.commit(Transaction((), (Put("op/evacuate/a", {}),)))
+        wait_until(lambda: self.operations.zones_out == {"a"})
+        self.table.commit(Transaction((), (), ("op/evacuate/a",)))
+        self.table.forget_history()
+        wait_until(lambda: not self.operations.zones_out)
+
+    def test_store_that_was_away(self):
+        self.table.down = True
+        self._publish(5, ROUTE)
+        sleep(0.3)
+        self.table.down = False
+        self._publish(6, ROUTE)
+        wait_until(lambda: self._version() == 6)
+
+
+class TestDecisionLog(TestCase):
+    def test_lines_beyond_the_capacity_are_counted(self):
+        log = DecisionLog("vm-1", lambda: 1.5, 2)
+        for number in range(5):
+            log.note("event", str(number), age_s=0.1)
+        lines = [decode(line) for line in log.take().splitlines()]
+        self.assertThat(
+            lines[0], Equals({"t": 1.5, "vm": "vm-1", "event": "event", "id": "0", "age_s": 0.1})
+        )
+        self.assertThat(lines[-1], Equals({"vm": "vm-1", "event": "lines_dropped", "n": 3}))
+        self.assertThat(log.take(), Equals(b""))
