Read the settings again at SIGHUP; hold up to 12% of the workers for large urgent tasks

SIGHUP ended the process: it now reads and checks the settings and logs what changed. The soak sends it too, and a test drives a whole entry through its signals.

--- a/laburnumswitch/command/daemon.py
+++ b/laburnumswitch/command/daemon.py
@@ -47,4 +47,6 @@
     from laburnumswitch.platform.settings import read_deployment
 
     deployment = read_deployment(node_file)
-    return deployment if isinstance(deployment, Failure) else run_dispatch_entry(deployment)
+    if isinstance(deployment, Failure):
+        return deployment
+    return run_dispatch_entry(deployment, lambda: read_deployment(node_file))
--- a/laburnumswitch/dispatch_entry.py
+++ b/laburnumswitch/dispatch_entry.py
@@ -4,6 +4,8 @@
 jobs are submitted by request and whose store, workers and operators speak the users' platform.
 """
 
+from collections.abc import Callable
+from signal import SIGHUP
 from signal import SIGINT
 from signal import SIGTERM
 from time import CLOCK_BOOTTIME
@@ -153,6 +155,16 @@
         )
         spawn(self.leadership.run)
 
+    def reload(self, changed: Deployment | Failure) -> None:
+        """Take over settings that were read again; addresses change with the next start only."""
+        if isinstance(changed, Failure):
+            self.log.note("reload", self.incarnation, outcome="refused", reason=changed.describe())
+            return
+        before = self.deployment._asdict()
+        names = [name for name, value in changed._asdict().items() if value != before[name]]
+        self.deployment = changed
+        self.log.note("reload", self.incarnation, outcome="taken", changed=names)
+
     def stop(self) -> None:
         """Leave gracefully: hand over, let the balancer notice, finish what is in flight."""
         began_s = monotonic()
@@ -198,8 +210,13 @@
         return AdminReply(200, content, content_type)
 
 
-def run_dispatch_entry(deployment: Deployment) -> None | Failure:
-    """Run one entry until a signal asks it to stop and it has left gracefully."""
+def run_dispatch_entry(
+    deployment: Deployment, read_again: Callable[[], Deployment | Failure]
+) -> None | Failure:
+    """Run one entry until a signal asks it to stop and it has left gracefully.
+
+    :param read_again: reads the settings, when a signal says that they have changed.
+    """
     config.loop = EVENT_LOOP
     entry = DispatchEntry(deployment)
     try:
@@ -208,6 +225,7 @@
         return CannotListen(str(error))
     for number in (SIGTERM, SIGINT):
         signal_handler(number, entry.leaving.set)
+    signal_handler(SIGHUP, lambda: entry.reload(read_again()))
     entry.leaving.wait()
     entry.stop()
     return None
--- a/laburnumswitch/platform/callers.py
+++ b/laburnumswitch/platform/callers.py
@@ -1,5 +1,8 @@
 """Bodies that callers send to submit a job, and the answers that they get."""
 
+from typing import Any
+
+from msgspec import convert
 from msgspec import DecodeError
 from msgspec import Struct
 from msgspec import ValidationError
@@ -15,47 +18,34 @@
 PATIENCE_HEADER = "HTTP_X_DEADLINE_MS"
 
 
-class _Step(
-    Struct,
-    rename={
-        "memory_mb": "memMb",
-        "accelerators": "gpu",
-        "estimate_ms": "estimateMs",
-        "same_rack": "sameRack",
-        "required_label": "requires",
-        "data_rack": "affinity",
-        "max_per_worker": "antiAffinity",
-        "lasting": "longRunning",
-        "tail_target_ms": "targetMs",
-        "filling": "fills",
-        "max_unavailable": "mayMiss",
-        "cpu_millis": "cpu",
-    },
-):
-    # The names of the fields are those of ``Step``; ``affinity`` names the rack of the data.
-    count: int
-    cpu_millis: int = 0
-    memory_mb: int = 0
-    accelerators: int = 0
-    estimate_ms: float = 0.0
-    after: tuple[int, ...] = ()
-    checkpoints: bool = False
-    gang: bool = False
-    same_rack: bool = False
-    required_label: str = ""
-    data_rack: str = ""
-    max_per_worker: int = 0
-    speculative: bool = False
-    lasting: bool = False
-    image: str = ""
-    tail_target_ms: float = 0.0
-    filling: bool = False
-    max_unavailable: int = 0
+# Fields of a step by the platform's names. ``affinity`` names the rack of the data, ``targetMs``
+# the tail of response times that users of a lasting task accept, ``mayMiss`` how many of its tasks
+# may be away at a time.
+FIELD_BY_NAME = {
+    "count": "count",
+    "cpu": "cpu_millis",
+    "memMb": "memory_mb",
+    "gpu": "accelerators",
+    "estimateMs": "estimate_ms",
+    "after": "after",
+    "checkpoints": "checkpoints",
+    "gang": "gang",
+    "sameRack": "same_rack",
+    "requires": "required_label",
+    "affinity": "data_rack",
+    "antiAffinity": "max_per_worker",
+    "speculative": "speculative",
+    "longRunning": "lasting",
+    "image": "image",
+    "targetMs": "tail_target_ms",
+    "fills": "filling",
+    "mayMiss": "max_unavailable",
+}
 
 
 class _Job(Struct, rename={"first_run_ms": "firstRunMs", "interval_ms": "intervalMs"}):
     spec: str
-    steps: tuple[_Step, ...]
+    steps: list[dict[str, Any]]
     times: int = 0
     first_run_ms: float = 0.0
     interval_ms: float = 0.0
@@ -70,9 +60,9 @@
     """
     try:
         job = decode(body, type=_Job)
+        steps = tuple(_decode_step(fields) for fields in job.steps)
     except (DecodeError, ValidationError) as error:
         return CallerRefused(400, str(error))
-    steps = tuple(Step(*(getattr(step, name) for name in Step._fields)) for step in job.steps)
     for index, step in enumerate(steps):
         if step.count < 1 or any(not 0 <= earlier < index for earlier in step.after):
             return CallerRefused(400, f"step {index} is empty or comes after a later one")
@@ -88,6 +78,12 @@
     )
 
 
+def _decode_step(fields: dict[str, Any]) -> Step:
+    known = {FIELD_BY_NAME[name]: fields[name] for name in fields if name in FIELD_BY_NAME}
+    # A step without tasks is refused with those that have none.
+    return convert(list(Step(**{"count": 0, **known})), Step)
+
+
 def encode_state(state: str) -> bytes:
     """Return the body that tells a job's state."""
     return encode({"state": state})
--- a/laburnumswitch/process/dispatch/headroom.py
+++ b/laburnumswitch/process/dispatch/headroom.py
@@ -21,7 +21,7 @@
 # Part of the room that is never kept from lasting tasks, however much urgent work there was.
 MOST_SHARE = 0.15
 # Most workers that are held for large urgent tasks at a time, as a share.
-HELD_SHARE = 0.06
+HELD_SHARE = 0.12
 # Urgent work comes in waves: room is kept for so many times the recent peak of what it used.
 PEAK_FACTOR = 1.3
 # The recent peak fades by this share a second: the users' waves last about eleven seconds.
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -140,6 +140,7 @@
     kill_many,
     pause_entry,
     restart_entry,
+    hang_up_entry,
     trouble_store_link,
     trouble_worker_link,
     restart_worker,
--- /dev/null
+++ b/tests/test_dispatch_entry.py
@@ -0,0 +1,63 @@
+"""An entry as a process over the emulated platform: start, jobs, reload and a graceful stop."""
+
+import signal
+from pathlib import Path
+from random import Random
+from tempfile import TemporaryDirectory
+
+from gevent import sleep
+from testtools import TestCase
+from testtools.matchers import Contains
+from testtools.matchers import Equals
+
+from laburnumswitch.process.dispatch.jobs import JobState
+from soak.callers import Callers
+from soak.cluster import Cluster
+from tests.process.dispatch.bench import wait_until
+
+LIMIT_S = 60.0
+FIRST_PORT = 26_000
+
+
+class TestDispatchEntry(TestCase):
+    def setUp(self):
+        super().setUp()
+        folder = TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.random = Random(1)
+        self.cluster = Cluster(Path(folder.name), 2, 3, FIRST_PORT, self.random)
+        self.addCleanup(self.cluster.stop)
+        self.cluster.start()
+        fronts = tuple(entry.place.front for entry in self.cluster.entries)
+        self.callers = Callers(self.random, fronts, self.cluster.judge)
+
+    def _log(self, number):
+        return self.cluster.entries[number].place.log.read_text(encoding="utf-8")
+
+    def _complete_a_job(self):
+        before = len(self.callers.accepted)
+        while len(self.callers.accepted) == before:
+            self.callers.run_job()
+        for job_id in sorted(self.callers.accepted - self.callers.cancelled):
+            wait_until(lambda job_id=job_id: self._is_completed(job_id), LIMIT_S)
+
+    def _is_completed(self, job_id):
+        sleep(0.1)
+        return self.callers.state(job_id) == JobState.COMPLETED
+
+    def test_jobs_before_and_after_signals(self):
+        self._complete_a_job()
+        for entry in self.cluster.entries:
+            entry.signal(signal.SIGHUP)
+        for number in range(2):
+            wait_until(lambda number=number: '"event":"reload"' in self._log(number), LIMIT_S)
+        self._complete_a_job()
+        leaving = self.cluster.entries[0]
+        leaving.signal(signal.SIGTERM)
+        wait_until(lambda: not leaving.is_running(), LIMIT_S)
+        self.assertThat(self._log(0), Contains('"event":"stopped"'))
+        self.callers = Callers(
+            self.random, (self.cluster.entries[1].place.front,), self.cluster.judge
+        )
+        self._complete_a_job()
+        self.assertThat(self.cluster.judge.breaches, Equals([]))
