--- a/tests/process/dispatch/test_decisions.py
+++ b/tests/process/dispatch/test_decisions.py
@@ -13,6 +13,7 @@
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.headroom import choose_held
 from laburnumswitch.process.dispatch.headroom import Headroom
+from laburnumswitch.process.dispatch.headroom import HELD_SHARE
 from laburnumswitch.process.dispatch.jobs import Job
 from laburnumswitch.process.dispatch.jobs import StepRuns
 from laburnumswitch.process.dispatch.jobs import WaitingStep
@@ -272,7 +273,8 @@
         held = choose_held(large, runs, workers, 0)
         self.assertThat(len(held), Equals(2))
         self.assertThat("w99" in held, Equals(True))
-        self.assertThat(choose_held(large, runs, workers, 2), Equals(set()))
+        most = int(HELD_SHARE * len(workers))
+        self.assertThat(choose_held(large, runs, workers, most), Equals(set()))
 
     def test_most_of_the_room_is_never_kept(self):
         headroom = Headroom()
