--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -12,6 +12,7 @@
 from gevent.event import Event
 from xxhash import xxh32_intdigest
 
+from laburnumswitch.exceptions import Failure
 from laburnumswitch.exceptions import RowMalformed
 from laburnumswitch.process.decisions import DecisionLog
 from laburnumswitch.process.deployment import Deployment
@@ -55,7 +56,7 @@
 # Rows of the list of workers: a row of the platform holds 64 KiB, an entry takes some 200 bytes.
 FLEET_PARTS = 16
 
-AskAdvice = Callable[[TaskKey, tuple[str, ...], float], object]
+AskAdvice = Callable[[TaskKey, tuple[str, ...], float], Tickets | Failure]
 
 
 class DispatchContext(NamedTuple):
--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -173,12 +173,8 @@
         used = self.used_cpu_millis - serving * (1.0 - SERVING_USE)
         return self.entry.cpu_millis - used - self.filling_cpu_millis
 
-    def note_heard(self, sent_s: float, now_s: float, clock_s: float) -> None:
-        """Note an answer.
-
-        :param sent_s: when the call was sent.
-        :param clock_s: the worker's clock in the answer.
-        """
+    def note_heard(self, now_s: float, clock_s: float) -> None:
+        """Note an answer, unless one with a later clock of the worker has overtaken it."""
         if clock_s <= self.clock_s and self.heard_s:
             return
         self.heard_s = now_s
--- a/laburnumswitch/process/dispatch/jobs.py
+++ b/laburnumswitch/process/dispatch/jobs.py
@@ -70,7 +70,7 @@
         self.done = 0
         self.active = 0
         self.ready_since_s = 0.0
-        # Gangs that broke wait until their last member has ended.
+        # Filling steps that found no calm worker are left alone until then.
         self.retry_after_s = 0.0
 
     def is_done(self) -> bool:
@@ -118,6 +118,7 @@
     :ivar has_begun: whether any task was started, by any owner as far as it is known.
     :ivar work: estimated core-seconds of one pass through the steps.
     :ivar chains_s: by step, the longest estimated chain of work from its start to the job's end.
+    :ivar is_stored: whether the present state is committed.
     :ivar may_run_unseen: whether an earlier owner may have started tasks that nobody has seen yet.
     """
 
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -43,14 +43,16 @@
 UNHEALTHY_PAUSE_S = 1.0
 # A filling task waits at most so long, in seconds, for a worker on which it harms nobody.
 CALM_WAIT_S = 3.0
-# Tickets are not used in their last part, in seconds, so that they hold when the start arrives.
-TICKET_MARGIN_S = 0.3
-ADVICE_WORKERS = 30
-RELOCATION_INTERVAL_S = 0.4
 # It waits for no more than this share of its job's slack: the steps after it need the rest.
 CALM_SLACK_SHARE = 0.3
 # Filling tasks that wait for calmer neighbours are looked at again after this time, in seconds.
 CALM_RETRY_S = 0.15
+# Throttled runs are looked at so often, in seconds: half the time after which one may move.
+RELOCATION_INTERVAL_S = 0.4
+# Tickets are not used in their last part, in seconds, so that they hold when the start arrives.
+TICKET_MARGIN_S = 0.3
+# Workers that the advice service is asked about at a time: it takes some milliseconds for each.
+ADVICE_WORKERS = 30
 
 
 def run_planner(dispatcher: Dispatcher) -> None:
--- a/laburnumswitch/process/dispatch/recorder.py
+++ b/laburnumswitch/process/dispatch/recorder.py
@@ -93,6 +93,10 @@
         self._removals.extend(keys)
         self._has_work.set()
 
+    def request_commit(self) -> None:
+        """Have a batch committed now, also where nothing waits."""
+        self._has_work.set()
+
     def is_certain(self) -> bool:
         """Return whether nobody else can act as the owner now.
 
--- a/laburnumswitch/process/dispatch/worker_task.py
+++ b/laburnumswitch/process/dispatch/worker_task.py
@@ -78,15 +78,11 @@
         _apply_report(dispatcher, worker, answer, sent_s, fence)
     elif isinstance(answer, StartRefused) and fence == worker.fence:
         context.log.note("fenced", worker.worker_id, fence=fence, reason=answer.reason)
-        dispatcher.recorder.note_value(*_touch(dispatcher))
+        # The next commit tells at once whether there is another owner.
+        dispatcher.recorder.request_commit()
     return answer
 
 
-def _touch(dispatcher: Dispatcher) -> tuple[str, int]:
-    # A commit tells at once whether another owner has raised the fence.
-    return "leadership/fenced", dispatcher.epoch
-
-
 def _await_stored(dispatcher: Dispatcher, worker: Worker) -> None:
     if not worker.ends_by_commit:
         return
@@ -116,7 +112,7 @@
         _restart(dispatcher, worker)
     worker.incarnation = report.incarnation or worker.incarnation
     now_s = context.clock()
-    worker.note_heard(sent_s, now_s, report.clock_s)
+    worker.note_heard(now_s, report.clock_s)
     if not worker.is_reached:
         worker.is_reached = True
         context.log.note(
--- a/tests/process/dispatch/bench.py
+++ b/tests/process/dispatch/bench.py
@@ -131,6 +131,3 @@
         context = self.context()
         taken = HeldTerm(term, outcome.version)
         return begin_dispatch(context, taken, context.boot_clock(), predecessor)
-
-    def is_stored_as(self, dispatcher, job_id, state):
-        return dispatcher.shown_state(job_id) == state
--- a/tests/process/dispatch/test_decisions.py
+++ b/tests/process/dispatch/test_decisions.py
@@ -224,14 +224,14 @@
 class TestLease(TestCase):
     def test_lease_is_over_only_by_the_slowest_clock(self):
         worker = make_worker(1)
-        worker.note_heard(0.0, 10.0, 500.0)
+        worker.note_heard(10.0, 500.0)
         worker.grant_until_s(6.0)
         self.assertThat(worker.has_certainly_lapsed(16.05), Equals(False))
         self.assertThat(worker.has_certainly_lapsed(16.2), Equals(True))
 
     def test_grants_between_answers_do_not_extend(self):
         worker = make_worker(1)
-        worker.note_heard(0.0, 10.0, 500.0)
+        worker.note_heard(10.0, 500.0)
         first = worker.grant_until_s(6.0)
         self.assertThat(worker.grant_until_s(6.0), Equals(first))
 
