--- a/laburnumswitch/command/access.py
+++ b/laburnumswitch/command/access.py
@@ -17,16 +17,16 @@
 from laburnumswitch.connection.tls import TlsFiles
 from laburnumswitch.exceptions import FileProblem
 from laburnumswitch.exceptions import ProblemsFound
-from laburnumswitch.process.keys import read_keys
-from laburnumswitch.process.keys import SCHEME
-from laburnumswitch.process.objects import Objects
-from laburnumswitch.process.objects import ObjectsClient
-from laburnumswitch.process.settings import Platform
-from laburnumswitch.process.settings import read_settings
-from laburnumswitch.process.table import Table
-from laburnumswitch.process.table import TableClient
-from laburnumswitch.process.vms import Vms
-from laburnumswitch.process.vms import VmsClient
+from laburnumswitch.process.daemon.settings import Platform
+from laburnumswitch.process.daemon.settings import read_settings
+from laburnumswitch.process.peers.vms import Vms
+from laburnumswitch.process.peers.vms import VmsClient
+from laburnumswitch.process.rows.keys import read_keys
+from laburnumswitch.process.rows.keys import SCHEME
+from laburnumswitch.process.rows.objects import Objects
+from laburnumswitch.process.rows.objects import ObjectsClient
+from laburnumswitch.process.rows.table import Table
+from laburnumswitch.process.rows.table import TableClient
 
 ENVIRONMENT_PREFIX = "LABURNUMSWITCH"
 
--- a/laburnumswitch/command/daemon.py
+++ b/laburnumswitch/command/daemon.py
@@ -4,7 +4,7 @@
 
 from laburnumswitch.command.output import fail
 from laburnumswitch.exceptions import Failure
-from laburnumswitch.process.settings import read_settings
+from laburnumswitch.process.daemon.settings import read_settings
 
 
 @click.command()
--- a/laburnumswitch/command/declarations.py
+++ b/laburnumswitch/command/declarations.py
@@ -18,7 +18,7 @@
 from laburnumswitch.exceptions import FileProblem
 from laburnumswitch.exceptions import ProblemsFound
 from laburnumswitch.exceptions import RemovalsRefused
-from laburnumswitch.process.objects import Objects
+from laburnumswitch.process.rows.objects import Objects
 from laburnumswitch.version.document import difference
 from laburnumswitch.version.publish import describe_change
 from laburnumswitch.version.publish import InForce
--- a/laburnumswitch/command/event_sources.py
+++ b/laburnumswitch/command/event_sources.py
@@ -16,11 +16,11 @@
 from laburnumswitch.exceptions import EventsLost
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.exceptions import NotFound
-from laburnumswitch.process.objects import Objects
-from laburnumswitch.process.settings import Platform
-from laburnumswitch.process.spill_index import read_batch
-from laburnumswitch.process.spill_index import read_indexes
-from laburnumswitch.process.spill_index import SpillIndex
+from laburnumswitch.process.daemon.settings import Platform
+from laburnumswitch.process.observing.spill_index import read_batch
+from laburnumswitch.process.observing.spill_index import read_indexes
+from laburnumswitch.process.observing.spill_index import SpillIndex
+from laburnumswitch.process.rows.objects import Objects
 
 OVERLAP_READS = 10
 
--- a/laburnumswitch/command/jobs.py
+++ b/laburnumswitch/command/jobs.py
@@ -22,9 +22,9 @@
 from laburnumswitch.exceptions import OutcomeUnknown
 from laburnumswitch.exceptions import Throttled
 from laburnumswitch.exceptions import Unavailable
-from laburnumswitch.process.job_row import cancel_jobs_by_id
-from laburnumswitch.process.settings import Platform
-from laburnumswitch.process.views import view_jobs
+from laburnumswitch.process.admission.job_row import cancel_jobs_by_id
+from laburnumswitch.process.daemon.settings import Platform
+from laburnumswitch.process.operating.views import view_jobs
 
 CANCEL_ATTEMPTS = 10
 RETRY_DELAY_S = 0.3
--- a/laburnumswitch/command/operator_link.py
+++ b/laburnumswitch/command/operator_link.py
@@ -16,7 +16,7 @@
 from laburnumswitch.exceptions import OutcomeUnknown
 from laburnumswitch.exceptions import Refused
 from laburnumswitch.exceptions import Unavailable
-from laburnumswitch.process.settings import Platform
+from laburnumswitch.process.daemon.settings import Platform
 
 TIMEOUT_S = 5.0
 STATUS_NOT_FOUND = 404
--- a/laburnumswitch/dispatch_metrics.py
+++ b/laburnumswitch/dispatch_metrics.py
@@ -2,11 +2,11 @@
 
 from collections.abc import Callable
 
-from laburnumswitch.process.decisions import DecisionLog
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
 from laburnumswitch.process.leadership.leadership import Leadership
-from laburnumswitch.process.metrics import Metrics
-from laburnumswitch.process.metrics import Sample
+from laburnumswitch.process.observing.decisions import DecisionLog
+from laburnumswitch.process.observing.metrics import Metrics
+from laburnumswitch.process.observing.metrics import Sample
 from laburnumswitch.request.callers_port import InFlight
 
 
--- a/laburnumswitch/platform/operations.py
+++ b/laburnumswitch/platform/operations.py
@@ -10,10 +10,10 @@
 from laburnumswitch.process.dispatch.work import Limits
 from laburnumswitch.process.dispatch.work import Queue
 from laburnumswitch.process.dispatch.work import QueueConfiguration
-from laburnumswitch.process.operations import MaintenanceWave
-from laburnumswitch.process.operations import Operation
-from laburnumswitch.process.operations import ZoneOrder
-from laburnumswitch.process.table import Row
+from laburnumswitch.process.operating.operations import MaintenanceWave
+from laburnumswitch.process.operating.operations import Operation
+from laburnumswitch.process.operating.operations import ZoneOrder
+from laburnumswitch.process.rows.table import Row
 
 OPERATIONS_TABLE = "op"
 CONFIGURATION_KEY = "op/config"
--- a/laburnumswitch/platform/settings.py
+++ b/laburnumswitch/platform/settings.py
@@ -9,8 +9,8 @@
 from laburnumswitch.exceptions import FileUnreadable
 from laburnumswitch.exceptions import InvalidValue
 from laburnumswitch.exceptions import ProblemsFound
-from laburnumswitch.process.deployment import Bounds
-from laburnumswitch.process.deployment import Deployment
+from laburnumswitch.process.daemon.deployment import Bounds
+from laburnumswitch.process.daemon.deployment import Deployment
 from laburnumswitch.yamlfile import read_file
 
 MS_PER_S = 1000.0
--- a/laburnumswitch/platform/store.py
+++ b/laburnumswitch/platform/store.py
@@ -30,16 +30,16 @@
 from laburnumswitch.exceptions import Unavailable
 from laburnumswitch.process.dispatch.progress import CANCELLATIONS_TABLE
 from laburnumswitch.process.dispatch.progress import SUBMISSIONS_TABLE
-from laburnumswitch.process.table import ABSENT_VERSION
-from laburnumswitch.process.table import Changes
-from laburnumswitch.process.table import CommitFailure
-from laburnumswitch.process.table import Committed
-from laburnumswitch.process.table import had_no_effect
-from laburnumswitch.process.table import read_failure
-from laburnumswitch.process.table import ReadFailure
-from laburnumswitch.process.table import Row
-from laburnumswitch.process.table import SCAN_LIMIT_ROWS
-from laburnumswitch.process.table import Transaction
+from laburnumswitch.process.rows.table import ABSENT_VERSION
+from laburnumswitch.process.rows.table import Changes
+from laburnumswitch.process.rows.table import CommitFailure
+from laburnumswitch.process.rows.table import Committed
+from laburnumswitch.process.rows.table import had_no_effect
+from laburnumswitch.process.rows.table import read_failure
+from laburnumswitch.process.rows.table import ReadFailure
+from laburnumswitch.process.rows.table import Row
+from laburnumswitch.process.rows.table import SCAN_LIMIT_ROWS
+from laburnumswitch.process.rows.table import Transaction
 
 OWN_PARTITION = "laburnumswitch"
 UNPARTITIONED_TABLES = frozenset({"op", "servers", "status"})
--- a/laburnumswitch/process/claims.py
+++ b/laburnumswitch/process/admission/claims.py
@@ -10,12 +10,12 @@
 from laburnumswitch.exceptions import OutcomeUnknown
 from laburnumswitch.exceptions import Throttled
 from laburnumswitch.exceptions import Unavailable
-from laburnumswitch.process.table import CommitFailure
-from laburnumswitch.process.table import Committed
-from laburnumswitch.process.table import Condition
-from laburnumswitch.process.table import Put
-from laburnumswitch.process.table import Table
-from laburnumswitch.process.table import Transaction
+from laburnumswitch.process.rows.table import CommitFailure
+from laburnumswitch.process.rows.table import Committed
+from laburnumswitch.process.rows.table import Condition
+from laburnumswitch.process.rows.table import Put
+from laburnumswitch.process.rows.table import Table
+from laburnumswitch.process.rows.table import Transaction
 
 GATHER_S = 0.002
 BATCH_ROWS = 64
--- a/laburnumswitch/process/completion.py
+++ b/laburnumswitch/process/admission/completion.py
@@ -6,18 +6,18 @@
 from msgspec import ValidationError
 
 from laburnumswitch.exceptions import Failure
-from laburnumswitch.process.context import SchedulerContext
-from laburnumswitch.process.job_row import ended_key
-from laburnumswitch.process.job_row import FINAL_STATES
-from laburnumswitch.process.job_row import move_to_ended
-from laburnumswitch.process.job_row import StoredJob
-from laburnumswitch.process.progress import Progress
-from laburnumswitch.process.shared_rows import CANCELLED_PREFIX
-from laburnumswitch.process.table import Committed
-from laburnumswitch.process.table import Condition
-from laburnumswitch.process.table import Row
-from laburnumswitch.process.table import scan_all
-from laburnumswitch.process.table import Transaction
+from laburnumswitch.process.admission.job_row import ended_key
+from laburnumswitch.process.admission.job_row import FINAL_STATES
+from laburnumswitch.process.admission.job_row import move_to_ended
+from laburnumswitch.process.admission.job_row import StoredJob
+from laburnumswitch.process.ledger.progress import Progress
+from laburnumswitch.process.rows.shared_rows import CANCELLED_PREFIX
+from laburnumswitch.process.rows.table import Committed
+from laburnumswitch.process.rows.table import Condition
+from laburnumswitch.process.rows.table import Row
+from laburnumswitch.process.rows.table import scan_all
+from laburnumswitch.process.rows.table import Transaction
+from laburnumswitch.process.sharding.context import SchedulerContext
 
 PROGRESS_PREFIX = "progress/"
 DELETES_PER_PASS = 50
--- a/laburnumswitch/process/ended_rows.py
+++ b/laburnumswitch/process/admission/ended_rows.py
@@ -4,18 +4,18 @@
 
 from laburnumswitch.declaration import Configuration
 from laburnumswitch.exceptions import Failure
-from laburnumswitch.process.context import SchedulerContext
-from laburnumswitch.process.job_row import ended_key
-from laburnumswitch.process.job_row import ENDED_PREFIX
-from laburnumswitch.process.job_row import FINAL_STATES
-from laburnumswitch.process.job_row import move_to_ended
-from laburnumswitch.process.job_row import read_jobs
-from laburnumswitch.process.job_row import StoredJob
-from laburnumswitch.process.table import Condition
-from laburnumswitch.process.table import ReadFailure
-from laburnumswitch.process.table import scan_all
-from laburnumswitch.process.table import SCAN_LIMIT_ROWS
-from laburnumswitch.process.table import Transaction
+from laburnumswitch.process.admission.job_row import ended_key
+from laburnumswitch.process.admission.job_row import ENDED_PREFIX
+from laburnumswitch.process.admission.job_row import FINAL_STATES
+from laburnumswitch.process.admission.job_row import move_to_ended
+from laburnumswitch.process.admission.job_row import read_jobs
+from laburnumswitch.process.admission.job_row import StoredJob
+from laburnumswitch.process.rows.table import Condition
+from laburnumswitch.process.rows.table import ReadFailure
+from laburnumswitch.process.rows.table import scan_all
+from laburnumswitch.process.rows.table import SCAN_LIMIT_ROWS
+from laburnumswitch.process.rows.table import Transaction
+from laburnumswitch.process.sharding.context import SchedulerContext
 
 ENDED_KEPT_S = 7 * 86_400.0
 PRUNE_EVERY_S = 60.0
--- a/laburnumswitch/process/job_row.py
+++ b/laburnumswitch/process/admission/job_row.py
@@ -12,16 +12,16 @@
 
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.exceptions import NotFound
-from laburnumswitch.process.records import FORMAT
-from laburnumswitch.process.shared_rows import CANCELLED_PREFIX
-from laburnumswitch.process.table import CommitFailure
-from laburnumswitch.process.table import Committed
-from laburnumswitch.process.table import Condition
-from laburnumswitch.process.table import Put
-from laburnumswitch.process.table import ReadFailure
-from laburnumswitch.process.table import Row
-from laburnumswitch.process.table import Table
-from laburnumswitch.process.table import Transaction
+from laburnumswitch.process.ledger.records import FORMAT
+from laburnumswitch.process.rows.shared_rows import CANCELLED_PREFIX
+from laburnumswitch.process.rows.table import CommitFailure
+from laburnumswitch.process.rows.table import Committed
+from laburnumswitch.process.rows.table import Condition
+from laburnumswitch.process.rows.table import Put
+from laburnumswitch.process.rows.table import ReadFailure
+from laburnumswitch.process.rows.table import Row
+from laburnumswitch.process.rows.table import Table
+from laburnumswitch.process.rows.table import Transaction
 
 JOB_PREFIX = "job/"
 ENDED_PREFIX = "ended/"
--- a/laburnumswitch/process/schedule.py
+++ b/laburnumswitch/process/admission/schedule.py
@@ -17,13 +17,13 @@
 from laburnumswitch.declaration import Job
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.exceptions import ScheduleInvalid
-from laburnumswitch.process.records import FORMAT
-from laburnumswitch.process.table import ABSENT_VERSION
-from laburnumswitch.process.table import Condition
-from laburnumswitch.process.table import Put
-from laburnumswitch.process.table import ReadFailure
-from laburnumswitch.process.table import scan_all
-from laburnumswitch.process.table import Table
+from laburnumswitch.process.ledger.records import FORMAT
+from laburnumswitch.process.rows.table import ABSENT_VERSION
+from laburnumswitch.process.rows.table import Condition
+from laburnumswitch.process.rows.table import Put
+from laburnumswitch.process.rows.table import ReadFailure
+from laburnumswitch.process.rows.table import scan_all
+from laburnumswitch.process.rows.table import Table
 
 FIRINGS_PER_PASS = 5
 KEEP_FIRED_ROWS = 48
--- a/laburnumswitch/process/service_row.py
+++ b/laburnumswitch/process/admission/service_row.py
@@ -11,10 +11,10 @@
 from xxhash import xxh64_hexdigest
 
 from laburnumswitch.declaration import Service
-from laburnumswitch.process.records import FORMAT
-from laburnumswitch.process.shared_rows import SERVICE_PREFIX
-from laburnumswitch.process.table import Row
-from laburnumswitch.process.work import work_of_service
+from laburnumswitch.process.ledger.records import FORMAT
+from laburnumswitch.process.rows.shared_rows import SERVICE_PREFIX
+from laburnumswitch.process.rows.table import Row
+from laburnumswitch.process.workers.work import work_of_service
 
 RETIRE_AFTER_S = 30.0
 
--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -14,8 +14,7 @@
 
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.exceptions import RowMalformed
-from laburnumswitch.process.decisions import DecisionLog
-from laburnumswitch.process.deployment import Deployment
+from laburnumswitch.process.daemon.deployment import Deployment
 from laburnumswitch.process.dispatch.fleet import ActiveRun
 from laburnumswitch.process.dispatch.fleet import FENCES_PER_EPOCH
 from laburnumswitch.process.dispatch.fleet import Worker
@@ -35,9 +34,10 @@
 from laburnumswitch.process.dispatch.work import Queue
 from laburnumswitch.process.dispatch.work import Submission
 from laburnumswitch.process.dispatch.work import TaskKey
-from laburnumswitch.process.operations import Operations
-from laburnumswitch.process.quarantine import Quarantine
-from laburnumswitch.process.table import FeedTable
+from laburnumswitch.process.observing.decisions import DecisionLog
+from laburnumswitch.process.operating.operations import Operations
+from laburnumswitch.process.placing.quarantine import Quarantine
+from laburnumswitch.process.rows.table import FeedTable
 
 # Runs of one task that one owner may start; the rest of a run's number is the owner's epoch.
 RUNS_PER_EPOCH = 10_000
--- a/laburnumswitch/process/dispatch/feeds.py
+++ b/laburnumswitch/process/dispatch/feeds.py
@@ -14,7 +14,7 @@
 from laburnumswitch.process.dispatch.progress import SUBMISSIONS_TABLE
 from laburnumswitch.process.dispatch.reports import WorkerEntry
 from laburnumswitch.process.dispatch.worker_task import run_worker
-from laburnumswitch.process.table import Row
+from laburnumswitch.process.rows.table import Row
 
 # Workers write every second, so a long poll would return at once: the pause between two reads, in
 # seconds, well under the two in which a leaving worker has to get no more starts.
--- a/laburnumswitch/process/dispatch/progress.py
+++ b/laburnumswitch/process/dispatch/progress.py
@@ -12,12 +12,12 @@
 from laburnumswitch.process.dispatch.jobs import Job
 from laburnumswitch.process.dispatch.jobs import JobState
 from laburnumswitch.process.dispatch.work import Submission
-from laburnumswitch.process.table import ABSENT_VERSION
-from laburnumswitch.process.table import Committed
-from laburnumswitch.process.table import Condition
-from laburnumswitch.process.table import FeedTable
-from laburnumswitch.process.table import Put
-from laburnumswitch.process.table import Transaction
+from laburnumswitch.process.rows.table import ABSENT_VERSION
+from laburnumswitch.process.rows.table import Committed
+from laburnumswitch.process.rows.table import Condition
+from laburnumswitch.process.rows.table import FeedTable
+from laburnumswitch.process.rows.table import Put
+from laburnumswitch.process.rows.table import Transaction
 
 SUBMISSIONS_TABLE = "submissions"
 PROGRESS_TABLE = "progress"
--- a/laburnumswitch/process/dispatch/recorder.py
+++ b/laburnumswitch/process/dispatch/recorder.py
@@ -13,7 +13,6 @@
 
 from laburnumswitch.exceptions import Conflict
 from laburnumswitch.exceptions import Failure
-from laburnumswitch.process.decisions import DecisionLog
 from laburnumswitch.process.dispatch.jobs import Job
 from laburnumswitch.process.dispatch.progress import describe_progress
 from laburnumswitch.process.dispatch.progress import progress_key
@@ -22,11 +21,12 @@
 from laburnumswitch.process.leadership.term import read_term
 from laburnumswitch.process.leadership.term import Term
 from laburnumswitch.process.leadership.term import TERM_KEY
-from laburnumswitch.process.table import Committed
-from laburnumswitch.process.table import Condition
-from laburnumswitch.process.table import FeedTable
-from laburnumswitch.process.table import Put
-from laburnumswitch.process.table import Transaction
+from laburnumswitch.process.observing.decisions import DecisionLog
+from laburnumswitch.process.rows.table import Committed
+from laburnumswitch.process.rows.table import Condition
+from laburnumswitch.process.rows.table import FeedTable
+from laburnumswitch.process.rows.table import Put
+from laburnumswitch.process.rows.table import Transaction
 
 # Ends that arrive within this time, in seconds, share a commit: half of the store's answer time.
 GATHER_S = 0.008
--- a/laburnumswitch/process/dispatch/retention.py
+++ b/laburnumswitch/process/dispatch/retention.py
@@ -8,7 +8,7 @@
 from laburnumswitch.process.dispatch.progress import cancellation_key
 from laburnumswitch.process.dispatch.progress import progress_key
 from laburnumswitch.process.dispatch.progress import submission_key
-from laburnumswitch.process.table import Transaction
+from laburnumswitch.process.rows.table import Transaction
 
 # Callers may ask for a job's state for two minutes after its end; five times that is kept.
 RETENTION_S = 600.0
--- a/laburnumswitch/process/dispatch/takeover.py
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -33,7 +33,7 @@
 from laburnumswitch.process.dispatch.worker_task import run_worker
 from laburnumswitch.process.leadership.term import HeldTerm
 from laburnumswitch.process.leadership.term import Predecessor
-from laburnumswitch.process.table import Changes
+from laburnumswitch.process.rows.table import Changes
 
 RETRY_S = 0.1
 SETTLE_INTERVAL_S = 0.05
--- a/laburnumswitch/process/leadership/leadership.py
+++ b/laburnumswitch/process/leadership/leadership.py
@@ -7,7 +7,6 @@
 from laburnumswitch.exceptions import Conflict
 from laburnumswitch.exceptions import ConnectFailed
 from laburnumswitch.exceptions import Failure
-from laburnumswitch.process.decisions import DecisionLog
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
 from laburnumswitch.process.leadership.messages import WatchAnswer
 from laburnumswitch.process.leadership.term import HeldTerm
@@ -16,11 +15,12 @@
 from laburnumswitch.process.leadership.term import read_term
 from laburnumswitch.process.leadership.term import Term
 from laburnumswitch.process.leadership.term import TERM_KEY
-from laburnumswitch.process.table import Committed
-from laburnumswitch.process.table import Condition
-from laburnumswitch.process.table import FeedTable
-from laburnumswitch.process.table import Put
-from laburnumswitch.process.table import Transaction
+from laburnumswitch.process.observing.decisions import DecisionLog
+from laburnumswitch.process.rows.table import Committed
+from laburnumswitch.process.rows.table import Condition
+from laburnumswitch.process.rows.table import FeedTable
+from laburnumswitch.process.rows.table import Put
+from laburnumswitch.process.rows.table import Transaction
 
 # A watch waits so long, in seconds, at the owner, so that what it tells is under two seconds old.
 WATCH_WAIT_S = 1.0
--- a/laburnumswitch/process/leadership/peers.py
+++ b/laburnumswitch/process/leadership/peers.py
@@ -9,10 +9,6 @@
 from laburnumswitch.connection.answer import call_json
 from laburnumswitch.connection.client import Client
 from laburnumswitch.exceptions import Failure
-from laburnumswitch.process.admin import AdminReply
-from laburnumswitch.process.admin import AdminRequest
-from laburnumswitch.process.admin import reject
-from laburnumswitch.process.admin import reply_json
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
 from laburnumswitch.process.dispatch.progress import store_submission
 from laburnumswitch.process.dispatch.work import Submission
@@ -20,6 +16,10 @@
 from laburnumswitch.process.leadership.leadership import Leadership
 from laburnumswitch.process.leadership.messages import JobStateAnswer
 from laburnumswitch.process.leadership.messages import WatchAnswer
+from laburnumswitch.process.operating.admin import AdminReply
+from laburnumswitch.process.operating.admin import AdminRequest
+from laburnumswitch.process.operating.admin import reject
+from laburnumswitch.process.operating.admin import reply_json
 
 # Limit of a call in seconds; entries answer each other within some milliseconds.
 CALL_TIMEOUT_S = 0.4
--- a/laburnumswitch/process/leadership/term.py
+++ b/laburnumswitch/process/leadership/term.py
@@ -9,9 +9,9 @@
 
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.exceptions import RowMalformed
-from laburnumswitch.process.table import ABSENT_VERSION
-from laburnumswitch.process.table import FeedTable
-from laburnumswitch.process.table import Row
+from laburnumswitch.process.rows.table import ABSENT_VERSION
+from laburnumswitch.process.rows.table import FeedTable
+from laburnumswitch.process.rows.table import Row
 
 TERM_KEY = "leadership/term"
 NO_OWNER = ""
--- a/laburnumswitch/process/batch_builder.py
+++ b/laburnumswitch/process/ledger/batch_builder.py
@@ -2,14 +2,14 @@
 
 from collections.abc import Callable
 
-from laburnumswitch.process.journal import Batch
-from laburnumswitch.process.records import Ended
-from laburnumswitch.process.records import How
-from laburnumswitch.process.records import LateFinished
-from laburnumswitch.process.records import Record
-from laburnumswitch.process.table import Condition
-from laburnumswitch.process.table import Put
-from laburnumswitch.process.work import TaskKey
+from laburnumswitch.process.ledger.journal import Batch
+from laburnumswitch.process.ledger.records import Ended
+from laburnumswitch.process.ledger.records import How
+from laburnumswitch.process.ledger.records import LateFinished
+from laburnumswitch.process.ledger.records import Record
+from laburnumswitch.process.rows.table import Condition
+from laburnumswitch.process.rows.table import Put
+from laburnumswitch.process.workers.work import TaskKey
 
 
 class BatchBuilder:
--- a/laburnumswitch/process/collect.py
+++ b/laburnumswitch/process/ledger/collect.py
@@ -3,19 +3,19 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 
-from laburnumswitch.process.batch_builder import BatchBuilder
-from laburnumswitch.process.lease import certainly_lapsed
-from laburnumswitch.process.ledger import Ledger
-from laburnumswitch.process.ledger import Worker
-from laburnumswitch.process.records import How
-from laburnumswitch.process.records import WorkerGone
-from laburnumswitch.process.records import WorkerSeen
-from laburnumswitch.process.vms import Vm
-from laburnumswitch.process.work import TaskKey
-from laburnumswitch.process.worker_state import find_key
-from laburnumswitch.process.worker_state import NEVER_S
-from laburnumswitch.process.worker_state import WorkerState
-from laburnumswitch.process.workers import RunEvent
+from laburnumswitch.process.ledger.batch_builder import BatchBuilder
+from laburnumswitch.process.ledger.ledger import Ledger
+from laburnumswitch.process.ledger.ledger import Worker
+from laburnumswitch.process.ledger.records import How
+from laburnumswitch.process.ledger.records import WorkerGone
+from laburnumswitch.process.ledger.records import WorkerSeen
+from laburnumswitch.process.peers.vms import Vm
+from laburnumswitch.process.workers.lease import certainly_lapsed
+from laburnumswitch.process.workers.work import TaskKey
+from laburnumswitch.process.workers.worker_state import find_key
+from laburnumswitch.process.workers.worker_state import NEVER_S
+from laburnumswitch.process.workers.worker_state import WorkerState
+from laburnumswitch.process.workers.workers import RunEvent
 
 OnEnd = Callable[[TaskKey, str, How], How]
 
--- a/laburnumswitch/process/handover.py
+++ b/laburnumswitch/process/ledger/handover.py
@@ -1,15 +1,15 @@
 """Gives tasks that find no room in one shard to another."""
 
-from laburnumswitch.process.batch_builder import BatchBuilder
-from laburnumswitch.process.context import SchedulerContext
-from laburnumswitch.process.hint import ShardHint
-from laburnumswitch.process.inbox import choose_target
-from laburnumswitch.process.inbox import give_away
-from laburnumswitch.process.inbox import GIVE_AWAY_TASKS
-from laburnumswitch.process.inbox import tasks_that_fit
-from laburnumswitch.process.ledger import Group
-from laburnumswitch.process.ownership import shard_of_rack
-from laburnumswitch.process.work import Work
+from laburnumswitch.process.ledger.batch_builder import BatchBuilder
+from laburnumswitch.process.ledger.inbox import choose_target
+from laburnumswitch.process.ledger.inbox import give_away
+from laburnumswitch.process.ledger.inbox import GIVE_AWAY_TASKS
+from laburnumswitch.process.ledger.inbox import tasks_that_fit
+from laburnumswitch.process.ledger.ledger import Group
+from laburnumswitch.process.ledger.ownership import shard_of_rack
+from laburnumswitch.process.peers.hint import ShardHint
+from laburnumswitch.process.sharding.context import SchedulerContext
+from laburnumswitch.process.workers.work import Work
 
 GIVE_AWAY_AFTER_S = 1.0
 SERVICE_GIVE_AWAY_AFTER_S = 0.25
--- a/laburnumswitch/process/head.py
+++ b/laburnumswitch/process/ledger/head.py
@@ -8,11 +8,11 @@
 
 from laburnumswitch.exceptions import FormatUnknown
 from laburnumswitch.exceptions import JournalBroken
-from laburnumswitch.process.records import FORMAT
-from laburnumswitch.process.table import ABSENT_VERSION
-from laburnumswitch.process.table import ReadFailure
-from laburnumswitch.process.table import Row
-from laburnumswitch.process.table import Table
+from laburnumswitch.process.ledger.records import FORMAT
+from laburnumswitch.process.rows.table import ABSENT_VERSION
+from laburnumswitch.process.rows.table import ReadFailure
+from laburnumswitch.process.rows.table import Row
+from laburnumswitch.process.rows.table import Table
 
 NO_OWNER = ""
 
--- a/laburnumswitch/process/inbox.py
+++ b/laburnumswitch/process/ledger/inbox.py
@@ -8,16 +8,16 @@
 from msgspec import Struct
 from msgspec import ValidationError
 
-from laburnumswitch.process.batch_builder import BatchBuilder
-from laburnumswitch.process.hint import ShardHint
-from laburnumswitch.process.ledger import Group
-from laburnumswitch.process.records import ChunkTaken
-from laburnumswitch.process.records import FORMAT
-from laburnumswitch.process.records import GivenAway
-from laburnumswitch.process.table import Condition
-from laburnumswitch.process.table import Put
-from laburnumswitch.process.table import Row
-from laburnumswitch.process.work import Again
+from laburnumswitch.process.ledger.batch_builder import BatchBuilder
+from laburnumswitch.process.ledger.ledger import Group
+from laburnumswitch.process.ledger.records import ChunkTaken
+from laburnumswitch.process.ledger.records import FORMAT
+from laburnumswitch.process.ledger.records import GivenAway
+from laburnumswitch.process.peers.hint import ShardHint
+from laburnumswitch.process.rows.table import Condition
+from laburnumswitch.process.rows.table import Put
+from laburnumswitch.process.rows.table import Row
+from laburnumswitch.process.workers.work import Again
 from laburnumswitch.size import Size
 
 TAKE_IN_ROWS = 50
--- a/laburnumswitch/process/journal.py
+++ b/laburnumswitch/process/ledger/journal.py
@@ -9,22 +9,22 @@
 from laburnumswitch.exceptions import LedgerConflict
 from laburnumswitch.exceptions import OutcomeUnknown
 from laburnumswitch.exceptions import OwnershipLost
-from laburnumswitch.process.head import Head
-from laburnumswitch.process.head import head_key
-from laburnumswitch.process.head import journal_key
-from laburnumswitch.process.head import read_head
-from laburnumswitch.process.ledger import Ledger
-from laburnumswitch.process.records import format_of
-from laburnumswitch.process.records import JournalRow
-from laburnumswitch.process.records import read_journal_row
-from laburnumswitch.process.records import Record
-from laburnumswitch.process.table import CommitFailure
-from laburnumswitch.process.table import Committed
-from laburnumswitch.process.table import Condition
-from laburnumswitch.process.table import Put
-from laburnumswitch.process.table import ReadFailure
-from laburnumswitch.process.table import Table
-from laburnumswitch.process.table import Transaction
+from laburnumswitch.process.ledger.head import Head
+from laburnumswitch.process.ledger.head import head_key
+from laburnumswitch.process.ledger.head import journal_key
+from laburnumswitch.process.ledger.head import read_head
+from laburnumswitch.process.ledger.ledger import Ledger
+from laburnumswitch.process.ledger.records import format_of
+from laburnumswitch.process.ledger.records import JournalRow
+from laburnumswitch.process.ledger.records import read_journal_row
+from laburnumswitch.process.ledger.records import Record
+from laburnumswitch.process.rows.table import CommitFailure
+from laburnumswitch.process.rows.table import Committed
+from laburnumswitch.process.rows.table import Condition
+from laburnumswitch.process.rows.table import Put
+from laburnumswitch.process.rows.table import ReadFailure
+from laburnumswitch.process.rows.table import Table
+from laburnumswitch.process.rows.table import Transaction
 
 REPLAY_READ_ROWS = 200
 
--- a/laburnumswitch/process/layout.py
+++ b/laburnumswitch/process/ledger/layout.py
@@ -8,11 +8,11 @@
 from laburnumswitch.exceptions import Conflict
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.exceptions import RowMalformed
-from laburnumswitch.process.table import ABSENT_VERSION
-from laburnumswitch.process.table import Condition
-from laburnumswitch.process.table import Put
-from laburnumswitch.process.table import Table
-from laburnumswitch.process.table import Transaction
+from laburnumswitch.process.rows.table import ABSENT_VERSION
+from laburnumswitch.process.rows.table import Condition
+from laburnumswitch.process.rows.table import Put
+from laburnumswitch.process.rows.table import Table
+from laburnumswitch.process.rows.table import Transaction
 
 LAYOUT_KEY = "layout"
 FORMAT = 1
--- a/laburnumswitch/process/moves.py
+++ b/laburnumswitch/process/ledger/moves.py
@@ -3,18 +3,18 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 
-from laburnumswitch.process.batch_builder import BatchBuilder
-from laburnumswitch.process.ledger import Group
-from laburnumswitch.process.ledger import Ledger
-from laburnumswitch.process.ledger import Worker
-from laburnumswitch.process.records import Cancelled
-from laburnumswitch.process.records import Replaced
-from laburnumswitch.process.records import Retired
-from laburnumswitch.process.shared_rows import SharedRows
-from laburnumswitch.process.work import REPLACEMENT_STRIDE
-from laburnumswitch.process.work import replica_of
-from laburnumswitch.process.work import TaskKey
-from laburnumswitch.process.worker_state import WorkerState
+from laburnumswitch.process.ledger.batch_builder import BatchBuilder
+from laburnumswitch.process.ledger.ledger import Group
+from laburnumswitch.process.ledger.ledger import Ledger
+from laburnumswitch.process.ledger.ledger import Worker
+from laburnumswitch.process.ledger.records import Cancelled
+from laburnumswitch.process.ledger.records import Replaced
+from laburnumswitch.process.ledger.records import Retired
+from laburnumswitch.process.rows.shared_rows import SharedRows
+from laburnumswitch.process.workers.work import REPLACEMENT_STRIDE
+from laburnumswitch.process.workers.work import replica_of
+from laburnumswitch.process.workers.work import TaskKey
+from laburnumswitch.process.workers.worker_state import WorkerState
 
 REPLACE_LIMIT_S = 8.0
 LEAVING_NOTICE_S = 1.5
--- a/laburnumswitch/process/ownership.py
+++ b/laburnumswitch/process/ledger/ownership.py
@@ -5,16 +5,16 @@
 
 from xxhash import xxh64_intdigest
 
-from laburnumswitch.process.head import Head
-from laburnumswitch.process.head import head_key
-from laburnumswitch.process.head import NO_OWNER
-from laburnumswitch.process.lease import SILENT_HEAD_S
-from laburnumswitch.process.table import CommitFailure
-from laburnumswitch.process.table import Committed
-from laburnumswitch.process.table import Condition
-from laburnumswitch.process.table import Put
-from laburnumswitch.process.table import Table
-from laburnumswitch.process.table import Transaction
+from laburnumswitch.process.ledger.head import Head
+from laburnumswitch.process.ledger.head import head_key
+from laburnumswitch.process.ledger.head import NO_OWNER
+from laburnumswitch.process.rows.table import CommitFailure
+from laburnumswitch.process.rows.table import Committed
+from laburnumswitch.process.rows.table import Condition
+from laburnumswitch.process.rows.table import Put
+from laburnumswitch.process.rows.table import Table
+from laburnumswitch.process.rows.table import Transaction
+from laburnumswitch.process.workers.lease import SILENT_HEAD_S
 
 
 class SeenHead(NamedTuple):
--- a/laburnumswitch/process/progress.py
+++ b/laburnumswitch/process/ledger/progress.py
@@ -2,12 +2,12 @@
 
 from msgspec import Struct
 
-from laburnumswitch.process.batch_builder import BatchBuilder
-from laburnumswitch.process.ledger import Group
-from laburnumswitch.process.ledger import Ledger
-from laburnumswitch.process.records import Forgotten
-from laburnumswitch.process.records import FORMAT
-from laburnumswitch.process.table import Put
+from laburnumswitch.process.ledger.batch_builder import BatchBuilder
+from laburnumswitch.process.ledger.ledger import Group
+from laburnumswitch.process.ledger.ledger import Ledger
+from laburnumswitch.process.ledger.records import Forgotten
+from laburnumswitch.process.ledger.records import FORMAT
+from laburnumswitch.process.rows.table import Put
 
 FORGET_AFTER_S = 30.0
 PUTS_PER_BATCH = 20
--- a/laburnumswitch/process/records.py
+++ b/laburnumswitch/process/ledger/records.py
@@ -15,7 +15,7 @@
 
 from laburnumswitch.exceptions import FormatUnknown
 from laburnumswitch.exceptions import JournalBroken
-from laburnumswitch.process.work import Again
+from laburnumswitch.process.workers.work import Again
 from laburnumswitch.size import Size
 
 FORMAT = 1
--- a/laburnumswitch/process/snapshot.py
+++ b/laburnumswitch/process/ledger/snapshot.py
@@ -13,17 +13,17 @@
 from laburnumswitch.exceptions import JournalBroken
 from laburnumswitch.exceptions import NotFound
 from laburnumswitch.exceptions import Unavailable
-from laburnumswitch.process.head import Head
-from laburnumswitch.process.head import journal_key
-from laburnumswitch.process.ledger import Group
-from laburnumswitch.process.ledger import Ledger
-from laburnumswitch.process.ledger import Run
-from laburnumswitch.process.ledger import Worker
-from laburnumswitch.process.objects import Objects
-from laburnumswitch.process.records import FORMAT
-from laburnumswitch.process.work import Again
-from laburnumswitch.process.work import read_work
-from laburnumswitch.process.work import TaskKey
+from laburnumswitch.process.ledger.head import Head
+from laburnumswitch.process.ledger.head import journal_key
+from laburnumswitch.process.ledger.ledger import Group
+from laburnumswitch.process.ledger.ledger import Ledger
+from laburnumswitch.process.ledger.ledger import Run
+from laburnumswitch.process.ledger.ledger import Worker
+from laburnumswitch.process.ledger.records import FORMAT
+from laburnumswitch.process.rows.objects import Objects
+from laburnumswitch.process.workers.work import Again
+from laburnumswitch.process.workers.work import read_work
+from laburnumswitch.process.workers.work import TaskKey
 from laburnumswitch.size import Size
 
 SNAPSHOT_EVERY_BATCHES = 200
--- /dev/null
+++ b/laburnumswitch/process/observing/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics, events, logs and decisions, for people."""
--- a/laburnumswitch/process/metric_sources.py
+++ b/laburnumswitch/process/observing/metric_sources.py
@@ -10,9 +10,9 @@
 from typing import NamedTuple
 from typing import Protocol
 
-from laburnumswitch.process.metrics import Metrics
-from laburnumswitch.process.metrics import Sample
-from laburnumswitch.process.request_counts import RequestCounts
+from laburnumswitch.process.observing.metrics import Metrics
+from laburnumswitch.process.observing.metrics import Sample
+from laburnumswitch.process.observing.request_counts import RequestCounts
 
 REQUEST_BUCKETS_S = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 15.0)
 STORE_BUCKETS_S = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
--- a/laburnumswitch/process/metrics.py
+++ b/laburnumswitch/process/observing/metrics.py
@@ -15,7 +15,7 @@
 from aioprometheus import Registry
 from aioprometheus.renderer import render
 
-from laburnumswitch.process.timeline import Event
+from laburnumswitch.process.observing.timeline import Event
 
 PAGE_BYTES = sysconf("SC_PAGE_SIZE")
 MEMORY_FILE = "/proc/self/statm"
--- a/laburnumswitch/process/spill.py
+++ b/laburnumswitch/process/observing/spill.py
@@ -11,22 +11,22 @@
 from absl import logging
 
 from laburnumswitch.exceptions import Failure
-from laburnumswitch.process.objects import Objects
-from laburnumswitch.process.spill_index import decode_index
-from laburnumswitch.process.spill_index import describe_batch
-from laburnumswitch.process.spill_index import encode_batch
-from laburnumswitch.process.spill_index import FORMAT
-from laburnumswitch.process.spill_index import index_key
-from laburnumswitch.process.spill_index import INDEX_PREFIX
-from laburnumswitch.process.spill_index import SpilledObject
-from laburnumswitch.process.spill_index import SpillIndex
-from laburnumswitch.process.table import Condition
-from laburnumswitch.process.table import Put
-from laburnumswitch.process.table import Row
-from laburnumswitch.process.table import scan_all
-from laburnumswitch.process.table import Table
-from laburnumswitch.process.table import Transaction
-from laburnumswitch.process.timeline import Timeline
+from laburnumswitch.process.observing.spill_index import decode_index
+from laburnumswitch.process.observing.spill_index import describe_batch
+from laburnumswitch.process.observing.spill_index import encode_batch
+from laburnumswitch.process.observing.spill_index import FORMAT
+from laburnumswitch.process.observing.spill_index import index_key
+from laburnumswitch.process.observing.spill_index import INDEX_PREFIX
+from laburnumswitch.process.observing.spill_index import SpilledObject
+from laburnumswitch.process.observing.spill_index import SpillIndex
+from laburnumswitch.process.observing.timeline import Timeline
+from laburnumswitch.process.rows.objects import Objects
+from laburnumswitch.process.rows.table import Condition
+from laburnumswitch.process.rows.table import Put
+from laburnumswitch.process.rows.table import Row
+from laburnumswitch.process.rows.table import scan_all
+from laburnumswitch.process.rows.table import Table
+from laburnumswitch.process.rows.table import Transaction
 
 SPILL_INTERVAL_S = 15.0
 MAX_OBJECTS = 240
--- a/laburnumswitch/process/spill_index.py
+++ b/laburnumswitch/process/observing/spill_index.py
@@ -15,12 +15,12 @@
 from laburnumswitch.exceptions import NotFound
 from laburnumswitch.exceptions import RowMalformed
 from laburnumswitch.exceptions import Unavailable
-from laburnumswitch.process.objects import Objects
-from laburnumswitch.process.table import ReadFailure
-from laburnumswitch.process.table import Row
-from laburnumswitch.process.table import scan_all
-from laburnumswitch.process.table import Table
-from laburnumswitch.process.timeline import Event
+from laburnumswitch.process.observing.timeline import Event
+from laburnumswitch.process.rows.objects import Objects
+from laburnumswitch.process.rows.table import ReadFailure
+from laburnumswitch.process.rows.table import Row
+from laburnumswitch.process.rows.table import scan_all
+from laburnumswitch.process.rows.table import Table
 
 FORMAT = 1
 INDEX_PREFIX = "timeline/"
--- /dev/null
+++ b/laburnumswitch/process/operating/__init__.py
@@ -0,0 +1,1 @@
+"""What operators ask for and are told."""
--- a/laburnumswitch/process/operations.py
+++ b/laburnumswitch/process/operating/operations.py
@@ -6,12 +6,12 @@
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.exceptions import HistoryLost
 from laburnumswitch.exceptions import RowMalformed
-from laburnumswitch.process.decisions import DecisionLog
 from laburnumswitch.process.dispatch.work import Queue
 from laburnumswitch.process.dispatch.work import QueueConfiguration
-from laburnumswitch.process.table import Changes
-from laburnumswitch.process.table import FeedTable
-from laburnumswitch.process.table import Row
+from laburnumswitch.process.observing.decisions import DecisionLog
+from laburnumswitch.process.rows.table import Changes
+from laburnumswitch.process.rows.table import FeedTable
+from laburnumswitch.process.rows.table import Row
 
 # A feed that has gone silent is noticed after this time, in seconds: a configuration has to be in
 # force within two.
--- a/laburnumswitch/process/operator.py
+++ b/laburnumswitch/process/operating/operator.py
@@ -17,14 +17,14 @@
 from laburnumswitch.connection.answer import call_json
 from laburnumswitch.connection.client import Client
 from laburnumswitch.exceptions import Failure
-from laburnumswitch.process.admin import AdminReply
-from laburnumswitch.process.admin import AdminRequest
-from laburnumswitch.process.admin import Handler
-from laburnumswitch.process.admin import reject
-from laburnumswitch.process.admin import reply_json
-from laburnumswitch.process.directory import Directory
-from laburnumswitch.process.timeline import Event
-from laburnumswitch.process.timeline import Timeline
+from laburnumswitch.process.observing.timeline import Event
+from laburnumswitch.process.observing.timeline import Timeline
+from laburnumswitch.process.operating.admin import AdminReply
+from laburnumswitch.process.operating.admin import AdminRequest
+from laburnumswitch.process.operating.admin import Handler
+from laburnumswitch.process.operating.admin import reject
+from laburnumswitch.process.operating.admin import reply_json
+from laburnumswitch.process.peers.directory import Directory
 
 GATHER_TIMEOUT_S = 1.5
 LIVE_EVENTS = 2_000
--- a/laburnumswitch/process/status.py
+++ b/laburnumswitch/process/operating/status.py
@@ -2,17 +2,17 @@
 
 from collections.abc import Callable
 
-from laburnumswitch.process.admin import AdminReply
-from laburnumswitch.process.admin import AdminRequest
-from laburnumswitch.process.admin import Handler
-from laburnumswitch.process.admin import reject
-from laburnumswitch.process.admin import reply_json
-from laburnumswitch.process.admin import TEXT
-from laburnumswitch.process.heartbeat import Heartbeat
-from laburnumswitch.process.heartbeat import TeamUses
-from laburnumswitch.process.metrics import Metrics
-from laburnumswitch.process.peers import PeerContext
-from laburnumswitch.process.peers import receive_heartbeat
+from laburnumswitch.process.observing.metrics import Metrics
+from laburnumswitch.process.operating.admin import AdminReply
+from laburnumswitch.process.operating.admin import AdminRequest
+from laburnumswitch.process.operating.admin import Handler
+from laburnumswitch.process.operating.admin import reject
+from laburnumswitch.process.operating.admin import reply_json
+from laburnumswitch.process.operating.admin import TEXT
+from laburnumswitch.process.peers.heartbeat import Heartbeat
+from laburnumswitch.process.peers.heartbeat import TeamUses
+from laburnumswitch.process.peers.peers import PeerContext
+from laburnumswitch.process.peers.peers import receive_heartbeat
 
 
 def make_health_handler() -> Handler:
--- a/laburnumswitch/process/views.py
+++ b/laburnumswitch/process/operating/views.py
@@ -4,14 +4,14 @@
 from typing import NamedTuple
 
 from laburnumswitch.exceptions import Failure
-from laburnumswitch.process.job_row import ENDED_PREFIX
-from laburnumswitch.process.job_row import JOB_PREFIX
-from laburnumswitch.process.job_row import read_jobs
-from laburnumswitch.process.ledger import Worker
-from laburnumswitch.process.shard import Shard
-from laburnumswitch.process.table import ReadFailure
-from laburnumswitch.process.table import scan_all
-from laburnumswitch.process.table import Table
+from laburnumswitch.process.admission.job_row import ENDED_PREFIX
+from laburnumswitch.process.admission.job_row import JOB_PREFIX
+from laburnumswitch.process.admission.job_row import read_jobs
+from laburnumswitch.process.ledger.ledger import Worker
+from laburnumswitch.process.rows.table import ReadFailure
+from laburnumswitch.process.rows.table import scan_all
+from laburnumswitch.process.rows.table import Table
+from laburnumswitch.process.sharding.shard import Shard
 from laburnumswitch.size import Size
 
 
--- a/laburnumswitch/process/zones.py
+++ b/laburnumswitch/process/operating/zones.py
@@ -17,12 +17,12 @@
 from laburnumswitch.exceptions import Throttled
 from laburnumswitch.exceptions import Unavailable
 from laburnumswitch.exceptions import ZoneChanged
-from laburnumswitch.process.conditional import write_row
-from laburnumswitch.process.table import ABSENT_VERSION
-from laburnumswitch.process.table import ReadFailure
-from laburnumswitch.process.table import Row
-from laburnumswitch.process.table import scan_all
-from laburnumswitch.process.table import Table
+from laburnumswitch.process.rows.conditional import write_row
+from laburnumswitch.process.rows.table import ABSENT_VERSION
+from laburnumswitch.process.rows.table import ReadFailure
+from laburnumswitch.process.rows.table import Row
+from laburnumswitch.process.rows.table import scan_all
+from laburnumswitch.process.rows.table import Table
 
 PREFIX = "zone/"
 FORMAT = 1
--- a/laburnumswitch/process/zonewatch.py
+++ b/laburnumswitch/process/operating/zonewatch.py
@@ -3,11 +3,11 @@
 from collections.abc import Callable
 
 from laburnumswitch.exceptions import Failure
-from laburnumswitch.process.directory import Directory
-from laburnumswitch.process.heartbeat import ZoneHint
-from laburnumswitch.process.table import Table
-from laburnumswitch.process.timeline import Timeline
-from laburnumswitch.process.zones import read_zones
+from laburnumswitch.process.observing.timeline import Timeline
+from laburnumswitch.process.operating.zones import read_zones
+from laburnumswitch.process.peers.directory import Directory
+from laburnumswitch.process.peers.heartbeat import ZoneHint
+from laburnumswitch.process.rows.table import Table
 
 POLL_INTERVAL_S = 1.0
 
--- /dev/null
+++ b/laburnumswitch/process/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Other entries and VMs: who lives, and what is exchanged."""
--- a/laburnumswitch/process/directory.py
+++ b/laburnumswitch/process/peers/directory.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Iterable
 
-from laburnumswitch.process.heartbeat import ShardUpstreams
-from laburnumswitch.process.heartbeat import ZoneHint
+from laburnumswitch.process.peers.heartbeat import ShardUpstreams
+from laburnumswitch.process.peers.heartbeat import ZoneHint
 from laburnumswitch.upstream import Upstream
 
 UNKNOWN_REVISION = 0
--- a/laburnumswitch/process/heartbeat.py
+++ b/laburnumswitch/process/peers/heartbeat.py
@@ -4,8 +4,8 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from laburnumswitch.process.hint import ShardHint
-from laburnumswitch.process.hint import TeamUse
+from laburnumswitch.process.peers.hint import ShardHint
+from laburnumswitch.process.peers.hint import TeamUse
 from laburnumswitch.upstream import Upstream
 
 FORMAT = 1
--- a/laburnumswitch/process/links.py
+++ b/laburnumswitch/process/peers/links.py
@@ -12,7 +12,7 @@
 from laburnumswitch.connection.tls import TlsFiles
 from laburnumswitch.connection.tls import ZoneOf
 from laburnumswitch.exceptions import FileProblem
-from laburnumswitch.process.settings import Settings
+from laburnumswitch.process.daemon.settings import Settings
 
 
 class Links(NamedTuple):
--- a/laburnumswitch/process/membership.py
+++ b/laburnumswitch/process/peers/membership.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from laburnumswitch.process.heartbeat import Heartbeat
+from laburnumswitch.process.peers.heartbeat import Heartbeat
 
 HEARD_LIMIT_S = 1.6
 FORGET_LIMIT_S = 30.0
--- a/laburnumswitch/process/peers.py
+++ b/laburnumswitch/process/peers/peers.py
@@ -11,14 +11,14 @@
 from laburnumswitch.connection.client import Client
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.exceptions import NotFound
-from laburnumswitch.process.directory import Directory
-from laburnumswitch.process.heartbeat import Heartbeat
-from laburnumswitch.process.heartbeat import ShardUpstreams
-from laburnumswitch.process.heartbeat import TeamUses
-from laburnumswitch.process.hint import TeamUse
-from laburnumswitch.process.membership import Membership
-from laburnumswitch.process.timeline import Timeline
-from laburnumswitch.process.vms import Vm
+from laburnumswitch.process.observing.timeline import Timeline
+from laburnumswitch.process.peers.directory import Directory
+from laburnumswitch.process.peers.heartbeat import Heartbeat
+from laburnumswitch.process.peers.heartbeat import ShardUpstreams
+from laburnumswitch.process.peers.heartbeat import TeamUses
+from laburnumswitch.process.peers.hint import TeamUse
+from laburnumswitch.process.peers.membership import Membership
+from laburnumswitch.process.peers.vms import Vm
 
 HEARTBEAT_INTERVAL_S = 1.0
 HEARTBEAT_TIMEOUT_S = 0.8
--- a/laburnumswitch/process/roster.py
+++ b/laburnumswitch/process/peers/roster.py
@@ -4,9 +4,9 @@
 
 from absl import logging
 
-from laburnumswitch.process.vms import Vm
-from laburnumswitch.process.vms import VmChanges
-from laburnumswitch.process.vms import Vms
+from laburnumswitch.process.peers.vms import Vm
+from laburnumswitch.process.peers.vms import VmChanges
+from laburnumswitch.process.peers.vms import Vms
 
 POLL_INTERVAL_S = 1.0
 
--- a/laburnumswitch/process/class_profile.py
+++ b/laburnumswitch/process/placing/class_profile.py
@@ -2,7 +2,7 @@
 
 from msgspec import Struct
 
-from laburnumswitch.process.work import Work
+from laburnumswitch.process.workers.work import Work
 from laburnumswitch.size import Size
 
 SMOOTHING = 0.2
--- a/laburnumswitch/process/distribution.py
+++ b/laburnumswitch/process/placing/distribution.py
@@ -5,10 +5,10 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from laburnumswitch.process.hint import ShardHint
-from laburnumswitch.process.inbox import tasks_that_fit
-from laburnumswitch.process.ownership import shard_of_rack
-from laburnumswitch.process.vms import Vm
+from laburnumswitch.process.ledger.inbox import tasks_that_fit
+from laburnumswitch.process.ledger.ownership import shard_of_rack
+from laburnumswitch.process.peers.hint import ShardHint
+from laburnumswitch.process.peers.vms import Vm
 from laburnumswitch.size import Size
 from laburnumswitch.size import ZERO
 
--- a/laburnumswitch/process/placement.py
+++ b/laburnumswitch/process/placing/placement.py
@@ -14,8 +14,8 @@
 from msgspec import field
 from msgspec import Struct
 
-from laburnumswitch.process.interference import Interference
-from laburnumswitch.process.work import Work
+from laburnumswitch.process.placing.interference import Interference
+from laburnumswitch.process.workers.work import Work
 from laburnumswitch.size import Size
 
 TIGHT_CANDIDATES = 8
--- a/laburnumswitch/process/plan.py
+++ b/laburnumswitch/process/placing/plan.py
@@ -9,19 +9,19 @@
 from random import Random
 from typing import NamedTuple
 
-from laburnumswitch.process.batch_builder import BatchBuilder
-from laburnumswitch.process.class_profile import ClassProfiles
-from laburnumswitch.process.interference import Interference
-from laburnumswitch.process.ledger import Group
-from laburnumswitch.process.ledger import Ledger
-from laburnumswitch.process.placement import choose_room
-from laburnumswitch.process.placement import Room
-from laburnumswitch.process.placement import RoomIndex
-from laburnumswitch.process.quota import QuotaBook
-from laburnumswitch.process.records import Started
-from laburnumswitch.process.work import Again
-from laburnumswitch.process.work import TaskKey
-from laburnumswitch.process.work import Work
+from laburnumswitch.process.ledger.batch_builder import BatchBuilder
+from laburnumswitch.process.ledger.ledger import Group
+from laburnumswitch.process.ledger.ledger import Ledger
+from laburnumswitch.process.ledger.records import Started
+from laburnumswitch.process.placing.class_profile import ClassProfiles
+from laburnumswitch.process.placing.interference import Interference
+from laburnumswitch.process.placing.placement import choose_room
+from laburnumswitch.process.placing.placement import Room
+from laburnumswitch.process.placing.placement import RoomIndex
+from laburnumswitch.process.placing.quota import QuotaBook
+from laburnumswitch.process.workers.work import Again
+from laburnumswitch.process.workers.work import TaskKey
+from laburnumswitch.process.workers.work import Work
 from laburnumswitch.size import Size
 
 STARTS_PER_BATCH = 400
--- a/laburnumswitch/process/quota.py
+++ b/laburnumswitch/process/placing/quota.py
@@ -4,9 +4,9 @@
 from collections.abc import Mapping
 
 from laburnumswitch.declaration import Team
-from laburnumswitch.process.hint import ShardHint
-from laburnumswitch.process.hint import TeamUse
-from laburnumswitch.process.ledger import Ledger
+from laburnumswitch.process.ledger.ledger import Ledger
+from laburnumswitch.process.peers.hint import ShardHint
+from laburnumswitch.process.peers.hint import TeamUse
 from laburnumswitch.size import Size
 from laburnumswitch.size import ZERO
 
--- a/laburnumswitch/process/relief.py
+++ b/laburnumswitch/process/placing/relief.py
@@ -11,7 +11,7 @@
 from msgspec import field
 from msgspec import Struct
 
-from laburnumswitch.process.interference import Interference
+from laburnumswitch.process.placing.interference import Interference
 
 HIGH_SLOWDOWN = 1.3
 LOW_SLOWDOWN = 1.25
--- a/laburnumswitch/process/rooms.py
+++ b/laburnumswitch/process/placing/rooms.py
@@ -1,10 +1,10 @@
 """What a worker offers, from its ledger entry and its lagging reports."""
 
-from laburnumswitch.process.class_profile import ClassProfiles
-from laburnumswitch.process.ledger import Ledger
-from laburnumswitch.process.ledger import Worker
-from laburnumswitch.process.placement import Room
-from laburnumswitch.process.worker_state import WorkerState
+from laburnumswitch.process.ledger.ledger import Ledger
+from laburnumswitch.process.ledger.ledger import Worker
+from laburnumswitch.process.placing.class_profile import ClassProfiles
+from laburnumswitch.process.placing.placement import Room
+from laburnumswitch.process.workers.worker_state import WorkerState
 from laburnumswitch.size import Size
 
 
--- a/laburnumswitch/process/usage_history.py
+++ b/laburnumswitch/process/placing/usage_history.py
@@ -4,14 +4,14 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from laburnumswitch.process.class_profile import ClassProfiles
-from laburnumswitch.process.context import SchedulerContext
-from laburnumswitch.process.interference import Interference
-from laburnumswitch.process.ledger import Ledger
-from laburnumswitch.process.ledger import Worker
-from laburnumswitch.process.work import TaskKey
-from laburnumswitch.process.worker_state import WorkerState
-from laburnumswitch.process.workers import Usage
+from laburnumswitch.process.ledger.ledger import Ledger
+from laburnumswitch.process.ledger.ledger import Worker
+from laburnumswitch.process.placing.class_profile import ClassProfiles
+from laburnumswitch.process.placing.interference import Interference
+from laburnumswitch.process.sharding.context import SchedulerContext
+from laburnumswitch.process.workers.work import TaskKey
+from laburnumswitch.process.workers.worker_state import WorkerState
+from laburnumswitch.process.workers.workers import Usage
 
 REPORT_LAG_S = 3.0
 SHARES_KEPT = 8
--- a/laburnumswitch/process/clocked_table.py
+++ b/laburnumswitch/process/rows/clocked_table.py
@@ -9,14 +9,14 @@
 from msgspec import to_builtins
 
 from laburnumswitch.exceptions import Failure
-from laburnumswitch.process.table import CommitFailure
-from laburnumswitch.process.table import Committed
-from laburnumswitch.process.table import Put
-from laburnumswitch.process.table import ReadFailure
-from laburnumswitch.process.table import Row
-from laburnumswitch.process.table import Table
-from laburnumswitch.process.table import Transaction
-from laburnumswitch.process.timeline import Timeline
+from laburnumswitch.process.observing.timeline import Timeline
+from laburnumswitch.process.rows.table import CommitFailure
+from laburnumswitch.process.rows.table import Committed
+from laburnumswitch.process.rows.table import Put
+from laburnumswitch.process.rows.table import ReadFailure
+from laburnumswitch.process.rows.table import Row
+from laburnumswitch.process.rows.table import Table
+from laburnumswitch.process.rows.table import Transaction
 
 CLOCK_FIELD = "_clock"
 STAMPED_PREFIXES = ("claim/", "head/", "inbox/")
--- a/laburnumswitch/process/conditional.py
+++ b/laburnumswitch/process/rows/conditional.py
@@ -7,12 +7,12 @@
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.exceptions import OutcomeUnknown
 from laburnumswitch.exceptions import Throttled
-from laburnumswitch.process.table import CommitFailure
-from laburnumswitch.process.table import Committed
-from laburnumswitch.process.table import Condition
-from laburnumswitch.process.table import Put
-from laburnumswitch.process.table import Table
-from laburnumswitch.process.table import Transaction
+from laburnumswitch.process.rows.table import CommitFailure
+from laburnumswitch.process.rows.table import Committed
+from laburnumswitch.process.rows.table import Condition
+from laburnumswitch.process.rows.table import Put
+from laburnumswitch.process.rows.table import Table
+from laburnumswitch.process.rows.table import Transaction
 
 ATTEMPTS = 4
 RETRY_DELAY_S = 0.3
--- a/laburnumswitch/process/counted_table.py
+++ b/laburnumswitch/process/rows/counted_table.py
@@ -4,12 +4,12 @@
 from typing import TypeVar
 
 from laburnumswitch.exceptions import Failure
-from laburnumswitch.process.table import CommitFailure
-from laburnumswitch.process.table import Committed
-from laburnumswitch.process.table import ReadFailure
-from laburnumswitch.process.table import Row
-from laburnumswitch.process.table import Table
-from laburnumswitch.process.table import Transaction
+from laburnumswitch.process.rows.table import CommitFailure
+from laburnumswitch.process.rows.table import Committed
+from laburnumswitch.process.rows.table import ReadFailure
+from laburnumswitch.process.rows.table import Row
+from laburnumswitch.process.rows.table import Table
+from laburnumswitch.process.rows.table import Transaction
 
 T = TypeVar("T")
 
--- a/laburnumswitch/process/shared_rows.py
+++ b/laburnumswitch/process/rows/shared_rows.py
@@ -1,13 +1,13 @@
 """Rows that every shard of an entry needs, read once for all of them."""
 
 from laburnumswitch.exceptions import Failure
-from laburnumswitch.process.table import Condition
-from laburnumswitch.process.table import scan_all
-from laburnumswitch.process.table import Table
-from laburnumswitch.process.zones import PREFIX as ZONE_PREFIX
-from laburnumswitch.process.zones import read_zones
-from laburnumswitch.process.zones import zone_key
-from laburnumswitch.process.zones import ZoneState
+from laburnumswitch.process.operating.zones import PREFIX as ZONE_PREFIX
+from laburnumswitch.process.operating.zones import read_zones
+from laburnumswitch.process.operating.zones import zone_key
+from laburnumswitch.process.operating.zones import ZoneState
+from laburnumswitch.process.rows.table import Condition
+from laburnumswitch.process.rows.table import scan_all
+from laburnumswitch.process.rows.table import Table
 
 CANCELLED_PREFIX = "cancelled/"
 SERVICE_PREFIX = "service/"
--- /dev/null
+++ b/laburnumswitch/process/sharding/__init__.py
@@ -0,0 +1,1 @@
+"""The owner of shards: one task for each shard, and what they share."""
--- a/laburnumswitch/process/context.py
+++ b/laburnumswitch/process/sharding/context.py
@@ -8,12 +8,12 @@
 from gevent.event import Event
 
 from laburnumswitch.declaration import Configuration
-from laburnumswitch.process.hint import ShardHint
-from laburnumswitch.process.objects import Objects
-from laburnumswitch.process.table import Table
-from laburnumswitch.process.timeline import Timeline
-from laburnumswitch.process.vms import Vm
-from laburnumswitch.process.workers import Workers
+from laburnumswitch.process.observing.timeline import Timeline
+from laburnumswitch.process.peers.hint import ShardHint
+from laburnumswitch.process.peers.vms import Vm
+from laburnumswitch.process.rows.objects import Objects
+from laburnumswitch.process.rows.table import Table
+from laburnumswitch.process.workers.workers import Workers
 
 
 def wait_for(event: Event, seconds: float) -> None:
--- a/laburnumswitch/process/lease.py
+++ b/laburnumswitch/process/workers/lease.py
@@ -1,6 +1,6 @@
 """Leases of runs: what an owner may grant, and when a lease has lapsed whatever was delayed."""
 
-from laburnumswitch.process.workers import NO_GRANT
+from laburnumswitch.process.workers.workers import NO_GRANT
 
 LEASE_S = 6.0
 HOLD_S = 1.5
--- a/laburnumswitch/process/replicas.py
+++ b/laburnumswitch/process/workers/replicas.py
@@ -1,10 +1,10 @@
 """Lists the running replicas of a shard for the request path."""
 
-from laburnumswitch.process.ledger import Ledger
-from laburnumswitch.process.moves import Moves
-from laburnumswitch.process.shard_workers import ShardWorkers
-from laburnumswitch.process.work import name_run
-from laburnumswitch.process.work import TaskKey
+from laburnumswitch.process.ledger.ledger import Ledger
+from laburnumswitch.process.ledger.moves import Moves
+from laburnumswitch.process.workers.shard_workers import ShardWorkers
+from laburnumswitch.process.workers.work import name_run
+from laburnumswitch.process.workers.work import TaskKey
 from laburnumswitch.upstream import Upstream
 
 
--- a/laburnumswitch/process/shard_workers.py
+++ b/laburnumswitch/process/workers/shard_workers.py
@@ -6,18 +6,18 @@
 from gevent.event import Event
 
 from laburnumswitch.exceptions import Failure
-from laburnumswitch.process.context import SchedulerContext
-from laburnumswitch.process.lease import may_grant
-from laburnumswitch.process.ledger import Ledger
-from laburnumswitch.process.ledger import Worker
-from laburnumswitch.process.ownership import shard_of_rack
-from laburnumswitch.process.shared_rows import SharedRows
-from laburnumswitch.process.vms import Vm
-from laburnumswitch.process.work import TaskKey
-from laburnumswitch.process.worker_state import lease_end
-from laburnumswitch.process.worker_state import WorkerState
-from laburnumswitch.process.workers import NO_GRANT
-from laburnumswitch.process.workers import WorkerOrders
+from laburnumswitch.process.ledger.ledger import Ledger
+from laburnumswitch.process.ledger.ledger import Worker
+from laburnumswitch.process.ledger.ownership import shard_of_rack
+from laburnumswitch.process.peers.vms import Vm
+from laburnumswitch.process.rows.shared_rows import SharedRows
+from laburnumswitch.process.sharding.context import SchedulerContext
+from laburnumswitch.process.workers.lease import may_grant
+from laburnumswitch.process.workers.work import TaskKey
+from laburnumswitch.process.workers.worker_state import lease_end
+from laburnumswitch.process.workers.worker_state import WorkerState
+from laburnumswitch.process.workers.workers import NO_GRANT
+from laburnumswitch.process.workers.workers import WorkerOrders
 
 RENEW_EVERY_S = 1.0
 LINK_EVERY_S = 0.25
--- a/laburnumswitch/process/upstreams.py
+++ b/laburnumswitch/process/workers/upstreams.py
@@ -4,8 +4,8 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from laburnumswitch.process.reports import Reported
-from laburnumswitch.process.timeline import Timeline
+from laburnumswitch.process.observing.timeline import Timeline
+from laburnumswitch.process.workers.reports import Reported
 from laburnumswitch.upstream import Upstream
 
 LATENCY_WEIGHT = 0.2
--- a/laburnumswitch/process/worker_state.py
+++ b/laburnumswitch/process/workers/worker_state.py
@@ -5,22 +5,22 @@
 
 from xxhash import xxh64_intdigest
 
-from laburnumswitch.process.lease import LEASE_S
-from laburnumswitch.process.ledger import Group
-from laburnumswitch.process.ledger import Ledger
-from laburnumswitch.process.ledger import Run
-from laburnumswitch.process.work import name_run
-from laburnumswitch.process.work import split_task
-from laburnumswitch.process.work import TaskKey
-from laburnumswitch.process.workers import NO_GRANT
-from laburnumswitch.process.workers import RunEvent
-from laburnumswitch.process.workers import RunReport
-from laburnumswitch.process.workers import StartOrder
-from laburnumswitch.process.workers import StopOrder
-from laburnumswitch.process.workers import ThrottleOrder
-from laburnumswitch.process.workers import Usage
-from laburnumswitch.process.workers import WorkerOrders
-from laburnumswitch.process.workers import WorkerReport
+from laburnumswitch.process.ledger.ledger import Group
+from laburnumswitch.process.ledger.ledger import Ledger
+from laburnumswitch.process.ledger.ledger import Run
+from laburnumswitch.process.workers.lease import LEASE_S
+from laburnumswitch.process.workers.work import name_run
+from laburnumswitch.process.workers.work import split_task
+from laburnumswitch.process.workers.work import TaskKey
+from laburnumswitch.process.workers.workers import NO_GRANT
+from laburnumswitch.process.workers.workers import RunEvent
+from laburnumswitch.process.workers.workers import RunReport
+from laburnumswitch.process.workers.workers import StartOrder
+from laburnumswitch.process.workers.workers import StopOrder
+from laburnumswitch.process.workers.workers import ThrottleOrder
+from laburnumswitch.process.workers.workers import Usage
+from laburnumswitch.process.workers.workers import WorkerOrders
+from laburnumswitch.process.workers.workers import WorkerReport
 
 NEVER_S = float("-inf")
 FULL_EVERY_S = 30.0
--- a/laburnumswitch/request/admission.py
+++ b/laburnumswitch/request/admission.py
@@ -2,8 +2,8 @@
 
 from laburnumswitch.declaration import Service
 from laburnumswitch.exceptions import NotRun
-from laburnumswitch.process.queue import MAX_WAIT_S
-from laburnumswitch.process.queue import Verdict
+from laburnumswitch.process.placing.queue import MAX_WAIT_S
+from laburnumswitch.process.placing.queue import Verdict
 from laburnumswitch.request.context import RequestContext
 from laburnumswitch.request.context import ServiceState
 from laburnumswitch.request.context import SHED_EVENT_INTERVAL_S
--- a/laburnumswitch/request/attempt.py
+++ b/laburnumswitch/request/attempt.py
@@ -13,10 +13,10 @@
 from laburnumswitch.exceptions import ConnectionLimit
 from laburnumswitch.exceptions import FirstByteLate
 from laburnumswitch.exceptions import Refused
-from laburnumswitch.process.reports import read_headers
-from laburnumswitch.process.reports import Reported
-from laburnumswitch.process.upstreams import LIMIT_FACTOR_FAILED
-from laburnumswitch.process.upstreams import SuspectConnection
+from laburnumswitch.process.workers.reports import read_headers
+from laburnumswitch.process.workers.reports import Reported
+from laburnumswitch.process.workers.upstreams import LIMIT_FACTOR_FAILED
+from laburnumswitch.process.workers.upstreams import SuspectConnection
 from laburnumswitch.request.context import RequestContext
 from laburnumswitch.request.headers import values_of
 from laburnumswitch.upstream import Upstream
--- a/laburnumswitch/request/claim.py
+++ b/laburnumswitch/request/claim.py
@@ -30,10 +30,10 @@
 from laburnumswitch.exceptions import RunUnknown
 from laburnumswitch.exceptions import Throttled
 from laburnumswitch.exceptions import Unavailable
-from laburnumswitch.process.claims import RowChange
-from laburnumswitch.process.table import ABSENT_VERSION
-from laburnumswitch.process.table import Committed
-from laburnumswitch.process.table import Row
+from laburnumswitch.process.admission.claims import RowChange
+from laburnumswitch.process.rows.table import ABSENT_VERSION
+from laburnumswitch.process.rows.table import Committed
+from laburnumswitch.process.rows.table import Row
 from laburnumswitch.request.context import RequestContext
 
 FORMAT = 1
--- a/laburnumswitch/request/expiry.py
+++ b/laburnumswitch/request/expiry.py
@@ -4,10 +4,10 @@
 
 from laburnumswitch.exceptions import Throttled
 from laburnumswitch.exceptions import Unavailable
-from laburnumswitch.process.table import Condition
-from laburnumswitch.process.table import Row
-from laburnumswitch.process.table import SCAN_LIMIT_ROWS
-from laburnumswitch.process.table import Transaction
+from laburnumswitch.process.rows.table import Condition
+from laburnumswitch.process.rows.table import Row
+from laburnumswitch.process.rows.table import SCAN_LIMIT_ROWS
+from laburnumswitch.process.rows.table import Transaction
 from laburnumswitch.request.context import RequestContext
 
 PREFIX = "claim/"
--- a/laburnumswitch/request/routing.py
+++ b/laburnumswitch/request/routing.py
@@ -4,9 +4,9 @@
 from random import Random
 
 from laburnumswitch.declaration import Service
-from laburnumswitch.process.upstreams import SLOW_START_S
-from laburnumswitch.process.upstreams import UpstreamState
-from laburnumswitch.process.upstreams import UpstreamStates
+from laburnumswitch.process.workers.upstreams import SLOW_START_S
+from laburnumswitch.process.workers.upstreams import UpstreamState
+from laburnumswitch.process.workers.upstreams import UpstreamStates
 from laburnumswitch.upstream import Upstream
 
 # Returns an upstream with room, or ``None``. The third argument holds the ids of upstreams that
--- a/laburnumswitch/request/submission.py
+++ b/laburnumswitch/request/submission.py
@@ -10,7 +10,6 @@
 
 from laburnumswitch.exceptions import CallerRefused
 from laburnumswitch.exceptions import Failure
-from laburnumswitch.process.decisions import DecisionLog
 from laburnumswitch.process.dispatch.jobs import FINAL_STATES
 from laburnumswitch.process.dispatch.jobs import JobState
 from laburnumswitch.process.dispatch.progress import cancellation_key
@@ -22,14 +21,15 @@
 from laburnumswitch.process.dispatch.work import Queue
 from laburnumswitch.process.dispatch.work import Submission
 from laburnumswitch.process.leadership.messages import JobStateAnswer
-from laburnumswitch.process.operations import Operations
-from laburnumswitch.process.table import ABSENT_VERSION
-from laburnumswitch.process.table import Committed
-from laburnumswitch.process.table import Condition
-from laburnumswitch.process.table import FeedTable
-from laburnumswitch.process.table import Put
-from laburnumswitch.process.table import Row
-from laburnumswitch.process.table import Transaction
+from laburnumswitch.process.observing.decisions import DecisionLog
+from laburnumswitch.process.operating.operations import Operations
+from laburnumswitch.process.rows.table import ABSENT_VERSION
+from laburnumswitch.process.rows.table import Committed
+from laburnumswitch.process.rows.table import Condition
+from laburnumswitch.process.rows.table import FeedTable
+from laburnumswitch.process.rows.table import Put
+from laburnumswitch.process.rows.table import Row
+from laburnumswitch.process.rows.table import Transaction
 
 # An attempt to store or read gives up after this time, in seconds: callers may come again at
 # another entry, which may reach the store.
--- a/laburnumswitch/request/watch.py
+++ b/laburnumswitch/request/watch.py
@@ -10,8 +10,8 @@
 from laburnumswitch.declaration import Service
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.exceptions import ReportUnreadable
-from laburnumswitch.process.reports import read_page
-from laburnumswitch.process.reports import Reported
+from laburnumswitch.process.workers.reports import read_page
+from laburnumswitch.process.workers.reports import Reported
 from laburnumswitch.request.context import RequestContext
 from laburnumswitch.request.expiry import expire_claims_forever
 from laburnumswitch.upstream import Upstream
--- a/laburnumswitch/version/adoption.py
+++ b/laburnumswitch/version/adoption.py
@@ -9,10 +9,10 @@
 from laburnumswitch.declaration import Configuration
 from laburnumswitch.declaration import NO_CONFIGURATION
 from laburnumswitch.exceptions import Failure
-from laburnumswitch.process.heartbeat import Heartbeat
-from laburnumswitch.process.objects import Objects
-from laburnumswitch.process.table import Table
-from laburnumswitch.process.timeline import Timeline
+from laburnumswitch.process.observing.timeline import Timeline
+from laburnumswitch.process.peers.heartbeat import Heartbeat
+from laburnumswitch.process.rows.objects import Objects
+from laburnumswitch.process.rows.table import Table
 from laburnumswitch.version.document import decode_document
 from laburnumswitch.version.document import object_name
 from laburnumswitch.version.publish import CONFIGURATION_KEY
--- a/laburnumswitch/version/publish.py
+++ b/laburnumswitch/version/publish.py
@@ -22,11 +22,11 @@
 from laburnumswitch.exceptions import RowMalformed
 from laburnumswitch.exceptions import Throttled
 from laburnumswitch.exceptions import Unavailable
-from laburnumswitch.process.conditional import write_row
-from laburnumswitch.process.objects import Objects
-from laburnumswitch.process.table import ABSENT_VERSION
-from laburnumswitch.process.table import Row
-from laburnumswitch.process.table import Table
+from laburnumswitch.process.rows.conditional import write_row
+from laburnumswitch.process.rows.objects import Objects
+from laburnumswitch.process.rows.table import ABSENT_VERSION
+from laburnumswitch.process.rows.table import Row
+from laburnumswitch.process.rows.table import Table
 from laburnumswitch.version.document import decode_document
 from laburnumswitch.version.document import difference
 from laburnumswitch.version.document import digest_of
--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -9,7 +9,7 @@
 from msgspec.json import encode
 from msgspec.json import format as format_json
 
-from laburnumswitch.process.worker_state import FULL_EVERY_S
+from laburnumswitch.process.workers.worker_state import FULL_EVERY_S
 from scripts.capacity_measure import measure_admission
 from scripts.capacity_measure import measure_base
 from scripts.capacity_measure import measure_configuration
--- a/scripts/capacity_rack.py
+++ b/scripts/capacity_rack.py
@@ -14,10 +14,10 @@
 from msgspec.json import encode
 
 from laburnumswitch.connection.server import NoDelayServer
-from laburnumswitch.process.workers import RunReport
-from laburnumswitch.process.workers import Usage
-from laburnumswitch.process.workers import WorkerOrders
-from laburnumswitch.process.workers import WorkerReport
+from laburnumswitch.process.workers.workers import RunReport
+from laburnumswitch.process.workers.workers import Usage
+from laburnumswitch.process.workers.workers import WorkerOrders
+from laburnumswitch.process.workers.workers import WorkerReport
 
 
 def task_name(worker: int, run: int) -> str:
--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -14,7 +14,7 @@
 
 from laburnumswitch.connection.client import Client
 from laburnumswitch.connection.client import Response
-from laburnumswitch.process.vms import Vm
+from laburnumswitch.process.peers.vms import Vm
 from scripts.launcher import Launcher
 from scripts.launcher import ProcessFailedError
 from scripts.launcher import run_to_end
--- a/scripts/measure_faults.py
+++ b/scripts/measure_faults.py
@@ -20,8 +20,8 @@
 
 from laburnumswitch.connection.client import Client
 from laburnumswitch.exceptions import Failure
-from laburnumswitch.process.table import scan_all
-from laburnumswitch.process.table import TableClient
+from laburnumswitch.process.rows.table import scan_all
+from laburnumswitch.process.rows.table import TableClient
 from scripts.cluster import Cluster
 from scripts.demo import EXAMPLES
 from scripts.fault_figures import Answers
--- a/scripts/measure_scheduling.py
+++ b/scripts/measure_scheduling.py
@@ -15,7 +15,7 @@
 from msgspec.json import encode
 from msgspec.json import format as format_json
 
-from laburnumswitch.process.policy import IN_FORCE
+from laburnumswitch.process.placing.policy import IN_FORCE
 from scripts.interference_model import DURATION_S
 from scripts.interference_model import Model
 from scripts.interference_model import ModelResult
--- a/scripts/reference.py
+++ b/scripts/reference.py
@@ -15,11 +15,11 @@
 from msgspec import Meta
 from msgspec.json import encode
 
-from laburnumswitch.process.settings import CallerTls
-from laburnumswitch.process.settings import Limits
-from laburnumswitch.process.settings import Platform
-from laburnumswitch.process.settings import Settings
-from laburnumswitch.process.settings import Tls
+from laburnumswitch.process.daemon.settings import CallerTls
+from laburnumswitch.process.daemon.settings import Limits
+from laburnumswitch.process.daemon.settings import Platform
+from laburnumswitch.process.daemon.settings import Settings
+from laburnumswitch.process.daemon.settings import Tls
 from laburnumswitch.units import CpuMillis
 from laburnumswitch.units import Megabytes
 from laburnumswitch.units import Seconds
--- a/scripts/request_roles.py
+++ b/scripts/request_roles.py
@@ -30,8 +30,8 @@
 
 from laburnumswitch.connection.pool import Pool
 from laburnumswitch.declaration import Service
-from laburnumswitch.process.timeline import Timeline
-from laburnumswitch.process.upstreams import UpstreamStates
+from laburnumswitch.process.observing.timeline import Timeline
+from laburnumswitch.process.workers.upstreams import UpstreamStates
 from laburnumswitch.request.context import make_context
 from laburnumswitch.request.context import RequestContext
 from laburnumswitch.request.forward import drain
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -9,8 +9,8 @@
 from gevent import spawn
 
 from laburnumswitch.process.dispatch.reports import WorkerEntry
-from laburnumswitch.process.table import Put
-from laburnumswitch.process.table import Transaction
+from laburnumswitch.process.rows.table import Put
+from laburnumswitch.process.rows.table import Transaction
 from soak.callers import HOST
 from soak.callers import PREFIX
 from soak.entries import Entry
--- a/spec/ownership.py
+++ b/spec/ownership.py
@@ -23,8 +23,8 @@
 NOBODY = -1
 IN = 1
 OUT = 2
-OWNERSHIP_MODULE = "laburnumswitch.process.ownership."
-JOURNAL_MODULE = "laburnumswitch.process.journal."
+OWNERSHIP_MODULE = "laburnumswitch.process.ledger.ownership."
+JOURNAL_MODULE = "laburnumswitch.process.ledger.journal."
 
 
 class Head(NamedTuple):
@@ -285,7 +285,9 @@
         Action("answer_lost", _lose_answer, fault=True),
         Action("commit_lost", _lose_commit, fault=True),
         Action("entry_crashes", _crash, fault=True),
-        Action("zone_out", _zone_out, "laburnumswitch.process.zones.set_zone", fault=True),
+        Action(
+            "zone_out", _zone_out, "laburnumswitch.process.operating.zones.set_zone", fault=True
+        ),
     ),
     invariants={
         "never_two_places": _never_two_places,
--- a/spec/run.py
+++ b/spec/run.py
@@ -216,19 +216,27 @@
     name="run",
     initial=State(),
     actions=(
-        Action("take_over", _take_over, PROCESS + "ownership.take_over"),
+        Action("take_over", _take_over, PROCESS + "ledger.ownership.take_over"),
         Action("hold_ends", _hold_ends),
         Action("report", _report),
         Action("acknowledge", _acknowledge),
-        Action("order_start", _order_start, PROCESS + "lease.grant_until"),
+        Action("order_start", _order_start, PROCESS + "workers.lease.grant_until"),
         Action("order_stop", _order_stop, fault=True),
-        Action("commit_start_first", _commit_start_first, PROCESS + "journal.commit_batch"),
-        Action("commit_start_second", _commit_start_second, PROCESS + "journal.commit_batch"),
-        Action("commit_end", _commit_end, PROCESS + "journal.commit_batch"),
-        Action("commit_reboot", _commit_reboot, PROCESS + "journal.commit_batch"),
-        Action("commit_withdrawal", _commit_withdrawal, PROCESS + "collect.collect_withdrawals"),
-        Action("commit_lapse", _commit_lapse, PROCESS + "lease.certainly_lapsed"),
-        Action("commit_second_finished", _commit_second_finished, PROCESS + "journal.commit_batch"),
+        Action("commit_start_first", _commit_start_first, PROCESS + "ledger.journal.commit_batch"),
+        Action(
+            "commit_start_second", _commit_start_second, PROCESS + "ledger.journal.commit_batch"
+        ),
+        Action("commit_end", _commit_end, PROCESS + "ledger.journal.commit_batch"),
+        Action("commit_reboot", _commit_reboot, PROCESS + "ledger.journal.commit_batch"),
+        Action(
+            "commit_withdrawal", _commit_withdrawal, PROCESS + "ledger.collect.collect_withdrawals"
+        ),
+        Action("commit_lapse", _commit_lapse, PROCESS + "workers.lease.certainly_lapsed"),
+        Action(
+            "commit_second_finished",
+            _commit_second_finished,
+            PROCESS + "ledger.journal.commit_batch",
+        ),
         Action("order_arrives", deliver),
         Action("order_arrives_twice", deliver_and_repeat, fault=True),
         Action("order_lost", lose_order, fault=True),
--- a/standin/fleet/api.py
+++ b/standin/fleet/api.py
@@ -19,10 +19,10 @@
 from laburnumswitch.process.dispatch.reports import Renewal
 from laburnumswitch.process.dispatch.reports import StartOrder
 from laburnumswitch.process.dispatch.reports import WorkerReport
-from laburnumswitch.process.table import Condition
-from laburnumswitch.process.table import Put
-from laburnumswitch.process.table import Row
-from laburnumswitch.process.table import Transaction
+from laburnumswitch.process.rows.table import Condition
+from laburnumswitch.process.rows.table import Put
+from laburnumswitch.process.rows.table import Row
+from laburnumswitch.process.rows.table import Transaction
 from standin.fleet.feed_table import FeedMemoryTable
 from standin.fleet.worker import FleetWorker
 from standin.server import AnswerDroppedError
--- a/standin/fleet/feed_table.py
+++ b/standin/fleet/feed_table.py
@@ -7,12 +7,12 @@
 
 from laburnumswitch.exceptions import HistoryLost
 from laburnumswitch.exceptions import OutcomeUnknown
-from laburnumswitch.process.table import Changes
-from laburnumswitch.process.table import CommitFailure
-from laburnumswitch.process.table import Committed
-from laburnumswitch.process.table import ReadFailure
-from laburnumswitch.process.table import Row
-from laburnumswitch.process.table import Transaction
+from laburnumswitch.process.rows.table import Changes
+from laburnumswitch.process.rows.table import CommitFailure
+from laburnumswitch.process.rows.table import Committed
+from laburnumswitch.process.rows.table import ReadFailure
+from laburnumswitch.process.rows.table import Row
+from laburnumswitch.process.rows.table import Transaction
 from standin.table import MemoryTable
 
 
--- a/standin/placement.py
+++ b/standin/placement.py
@@ -3,16 +3,16 @@
 from collections.abc import Iterable
 from random import Random
 
-from laburnumswitch.process.interference import Interference
-from laburnumswitch.process.placement import choose_room
-from laburnumswitch.process.placement import Room
-from laburnumswitch.process.placement import RoomIndex
-from laburnumswitch.process.policy import Policies
-from laburnumswitch.process.quarantine import Quarantine
-from laburnumswitch.process.relief import Neighbour
-from laburnumswitch.process.relief import Relief
-from laburnumswitch.process.relief import ReliefOrders
-from laburnumswitch.process.work import Work
+from laburnumswitch.process.placing.interference import Interference
+from laburnumswitch.process.placing.placement import choose_room
+from laburnumswitch.process.placing.placement import Room
+from laburnumswitch.process.placing.placement import RoomIndex
+from laburnumswitch.process.placing.policy import Policies
+from laburnumswitch.process.placing.quarantine import Quarantine
+from laburnumswitch.process.placing.relief import Neighbour
+from laburnumswitch.process.placing.relief import Relief
+from laburnumswitch.process.placing.relief import ReliefOrders
+from laburnumswitch.process.workers.work import Work
 
 HIGH_SLOWDOWN = 1.25
 NO_INTERFERENCE = Interference()
--- a/standin/policies.py
+++ b/standin/policies.py
@@ -8,7 +8,7 @@
 from random import Random
 
 from laburnumswitch.declaration import Service
-from laburnumswitch.process.upstreams import UpstreamStates
+from laburnumswitch.process.workers.upstreams import UpstreamStates
 from laburnumswitch.request.routing import ChooseUpstream
 from laburnumswitch.upstream import Upstream
 
--- a/standin/table.py
+++ b/standin/table.py
@@ -12,13 +12,13 @@
 from laburnumswitch.exceptions import OutcomeUnknown
 from laburnumswitch.exceptions import Throttled
 from laburnumswitch.exceptions import Unavailable
-from laburnumswitch.process.table import ABSENT_VERSION
-from laburnumswitch.process.table import CommitFailure
-from laburnumswitch.process.table import Committed
-from laburnumswitch.process.table import ReadFailure
-from laburnumswitch.process.table import Row
-from laburnumswitch.process.table import SCAN_LIMIT_ROWS
-from laburnumswitch.process.table import Transaction
+from laburnumswitch.process.rows.table import ABSENT_VERSION
+from laburnumswitch.process.rows.table import CommitFailure
+from laburnumswitch.process.rows.table import Committed
+from laburnumswitch.process.rows.table import ReadFailure
+from laburnumswitch.process.rows.table import Row
+from laburnumswitch.process.rows.table import SCAN_LIMIT_ROWS
+from laburnumswitch.process.rows.table import Transaction
 
 UNLIMITED = float("inf")
 
--- a/standin/vms.py
+++ b/standin/vms.py
@@ -4,8 +4,8 @@
 from time import monotonic
 from typing import NamedTuple
 
-from laburnumswitch.process.vms import Vm
-from laburnumswitch.process.vms import VmChanges
+from laburnumswitch.process.peers.vms import Vm
+from laburnumswitch.process.peers.vms import VmChanges
 
 
 class _Change(NamedTuple):
--- a/tests/command/case.py
+++ b/tests/command/case.py
@@ -9,8 +9,8 @@
 from laburnumswitch.command import main
 from laburnumswitch.command.access import Access
 from laburnumswitch.exceptions import Unavailable
-from laburnumswitch.process.vms import Vm
-from laburnumswitch.process.vms import VmChanges
+from laburnumswitch.process.peers.vms import Vm
+from laburnumswitch.process.peers.vms import VmChanges
 from standin.table import MemoryTable
 from tests.memory import MemoryEntry
 from tests.memory import MemoryObjects
--- a/tests/command/test_help.py
+++ b/tests/command/test_help.py
@@ -11,8 +11,8 @@
 from testtools.matchers import GreaterThan
 
 from laburnumswitch.command import main
-from laburnumswitch.process.table import Put
-from laburnumswitch.process.table import Transaction
+from laburnumswitch.process.rows.table import Put
+from laburnumswitch.process.rows.table import Transaction
 from tests.command.case import CommandCase
 from tests.command.test_declarations import JOB
 from tests.command.test_declarations import TEAM
--- a/tests/command/test_operators.py
+++ b/tests/command/test_operators.py
@@ -11,9 +11,9 @@
 from laburnumswitch.command.output import EXIT_UNKNOWN
 from laburnumswitch.command.output import EXIT_USAGE
 from laburnumswitch.exceptions import AnswerLost
-from laburnumswitch.process.table import Put
-from laburnumswitch.process.table import Transaction
-from laburnumswitch.process.zones import read_zones
+from laburnumswitch.process.operating.zones import read_zones
+from laburnumswitch.process.rows.table import Put
+from laburnumswitch.process.rows.table import Transaction
 from tests.command.case import CommandCase
 from tests.command.case import PLATFORM
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -6,16 +6,16 @@
 from laburnumswitch.exceptions import NotFound
 from laburnumswitch.exceptions import OutcomeUnknown
 from laburnumswitch.exceptions import Unavailable
-from laburnumswitch.process.context import SchedulerContext
-from laburnumswitch.process.objects import Stored
-from laburnumswitch.process.timeline import Timeline
-from laburnumswitch.process.vms import Vm
-from laburnumswitch.process.workers import NO_GRANT
-from laburnumswitch.process.workers import RunEvent
-from laburnumswitch.process.workers import RunReport
-from laburnumswitch.process.workers import StartOrder
-from laburnumswitch.process.workers import WorkerOrders
-from laburnumswitch.process.workers import WorkerReport
+from laburnumswitch.process.observing.timeline import Timeline
+from laburnumswitch.process.peers.vms import Vm
+from laburnumswitch.process.rows.objects import Stored
+from laburnumswitch.process.sharding.context import SchedulerContext
+from laburnumswitch.process.workers.workers import NO_GRANT
+from laburnumswitch.process.workers.workers import RunEvent
+from laburnumswitch.process.workers.workers import RunReport
+from laburnumswitch.process.workers.workers import StartOrder
+from laburnumswitch.process.workers.workers import WorkerOrders
+from laburnumswitch.process.workers.workers import WorkerReport
 from laburnumswitch.size import Size
 from laburnumswitch.size import ZERO
 
--- a/tests/memory.py
+++ b/tests/memory.py
@@ -9,7 +9,7 @@
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.exceptions import NotFound
 from laburnumswitch.exceptions import Unavailable
-from laburnumswitch.process.objects import Stored
+from laburnumswitch.process.rows.objects import Stored
 
 
 class MemoryObjects:
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -18,8 +18,8 @@
 from laburnumswitch.platform.workers import format_task
 from laburnumswitch.platform.workers import parse_task
 from laburnumswitch.process.dispatch.work import TaskKey
-from laburnumswitch.process.operations import ZoneOrder
-from laburnumswitch.process.table import Row
+from laburnumswitch.process.operating.operations import ZoneOrder
+from laburnumswitch.process.rows.table import Row
 
 SETTINGS = """
 node = "front-1"
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -10,10 +10,10 @@
 from laburnumswitch.exceptions import OutcomeUnknown
 from laburnumswitch.exceptions import Unavailable
 from laburnumswitch.platform.store import StoreClient
-from laburnumswitch.process.table import Committed
-from laburnumswitch.process.table import Condition
-from laburnumswitch.process.table import Put
-from laburnumswitch.process.table import Transaction
+from laburnumswitch.process.rows.table import Committed
+from laburnumswitch.process.rows.table import Condition
+from laburnumswitch.process.rows.table import Put
+from laburnumswitch.process.rows.table import Transaction
 from standin.fleet.api import StoreApi
 from standin.fleet.feed_table import FeedMemoryTable
 from standin.server import bound_address
--- a/tests/process/test_ended_rows.py
+++ b/tests/process/admission/test_ended_rows.py
@@ -3,16 +3,16 @@
 from testtools.matchers import Equals
 from testtools.matchers import HasLength
 
-from laburnumswitch.process.ended_rows import ENDED_KEPT_S
-from laburnumswitch.process.ended_rows import PRUNE_EVERY_S
-from laburnumswitch.process.job_row import cancel_jobs_by_id
-from laburnumswitch.process.table import Committed
-from laburnumswitch.process.table import Put
-from laburnumswitch.process.table import Transaction
-from laburnumswitch.process.views import view_jobs
+from laburnumswitch.process.admission.ended_rows import ENDED_KEPT_S
+from laburnumswitch.process.admission.ended_rows import PRUNE_EVERY_S
+from laburnumswitch.process.admission.job_row import cancel_jobs_by_id
+from laburnumswitch.process.operating.views import view_jobs
+from laburnumswitch.process.rows.table import Committed
+from laburnumswitch.process.rows.table import Put
+from laburnumswitch.process.rows.table import Transaction
 from tests.fakes import FaultyTable
-from tests.process.test_admission import AdmissionCase
-from tests.process.test_admission import make_job
+from tests.process.admission.test_admission import AdmissionCase
+from tests.process.admission.test_admission import make_job
 
 
 class ScanHook:
--- a/tests/process/test_readiness.py
+++ b/tests/process/daemon/test_readiness.py
@@ -5,9 +5,9 @@
 
 from laburnumswitch.declaration import Configuration
 from laburnumswitch.declaration import Service
-from laburnumswitch.process.readiness import Readiness
-from laburnumswitch.process.readiness import ReadinessView
-from laburnumswitch.process.readiness import UPSTREAMS_WAIT_LIMIT_S
+from laburnumswitch.process.daemon.readiness import Readiness
+from laburnumswitch.process.daemon.readiness import ReadinessView
+from laburnumswitch.process.daemon.readiness import UPSTREAMS_WAIT_LIMIT_S
 from laburnumswitch.size import Size
 from laburnumswitch.upstream import Upstream
 
--- a/tests/process/test_settings.py
+++ b/tests/process/daemon/test_settings.py
@@ -15,12 +15,12 @@
 from laburnumswitch.exceptions import MissingField
 from laburnumswitch.exceptions import ProblemsFound
 from laburnumswitch.exceptions import UnknownField
-from laburnumswitch.process.keys import CHECK_INTERVAL_S
-from laburnumswitch.process.keys import open_keys
-from laburnumswitch.process.keys import read_keys
-from laburnumswitch.process.settings import parse_settings
-from laburnumswitch.process.settings import read_settings
-from laburnumswitch.process.settings import Settings
+from laburnumswitch.process.daemon.settings import parse_settings
+from laburnumswitch.process.daemon.settings import read_settings
+from laburnumswitch.process.daemon.settings import Settings
+from laburnumswitch.process.rows.keys import CHECK_INTERVAL_S
+from laburnumswitch.process.rows.keys import open_keys
+from laburnumswitch.process.rows.keys import read_keys
 
 TEXT = """\
 vm_id: entry-1
--- a/tests/process/dispatch/bench.py
+++ b/tests/process/dispatch/bench.py
@@ -7,9 +7,8 @@
 from gevent import sleep
 
 from laburnumswitch.exceptions import Unavailable
-from laburnumswitch.process.decisions import DecisionLog
-from laburnumswitch.process.deployment import Bounds
-from laburnumswitch.process.deployment import Deployment
+from laburnumswitch.process.daemon.deployment import Bounds
+from laburnumswitch.process.daemon.deployment import Deployment
 from laburnumswitch.process.dispatch.dispatcher import DispatchContext
 from laburnumswitch.process.dispatch.progress import submission_key
 from laburnumswitch.process.dispatch.reports import WorkerEntry
@@ -23,10 +22,11 @@
 from laburnumswitch.process.leadership.term import read_term
 from laburnumswitch.process.leadership.term import Term
 from laburnumswitch.process.leadership.term import TERM_KEY
-from laburnumswitch.process.operations import Operations
-from laburnumswitch.process.table import Condition
-from laburnumswitch.process.table import Put
-from laburnumswitch.process.table import Transaction
+from laburnumswitch.process.observing.decisions import DecisionLog
+from laburnumswitch.process.operating.operations import Operations
+from laburnumswitch.process.rows.table import Condition
+from laburnumswitch.process.rows.table import Put
+from laburnumswitch.process.rows.table import Transaction
 from standin.fleet.feed_table import FeedMemoryTable
 from standin.fleet.judge import Judge
 from standin.fleet.worker import FleetWorker
--- a/tests/process/dispatch/test_recorder.py
+++ b/tests/process/dispatch/test_recorder.py
@@ -8,7 +8,6 @@
 from testtools.matchers import Equals
 from testtools.matchers import GreaterThan
 
-from laburnumswitch.process.decisions import DecisionLog
 from laburnumswitch.process.dispatch.jobs import Job
 from laburnumswitch.process.dispatch.jobs import JobState
 from laburnumswitch.process.dispatch.progress import decode_progress
@@ -20,8 +19,9 @@
 from laburnumswitch.process.leadership.term import read_term
 from laburnumswitch.process.leadership.term import Term
 from laburnumswitch.process.leadership.term import TERM_KEY
-from laburnumswitch.process.table import Put
-from laburnumswitch.process.table import Transaction
+from laburnumswitch.process.observing.decisions import DecisionLog
+from laburnumswitch.process.rows.table import Put
+from laburnumswitch.process.rows.table import Transaction
 from standin.fleet.feed_table import FeedMemoryTable
 from tests.process.dispatch.bench import make_submission
 
--- a/tests/process/leadership/test_leadership.py
+++ b/tests/process/leadership/test_leadership.py
@@ -12,7 +12,6 @@
 
 from laburnumswitch.exceptions import AnswerLost
 from laburnumswitch.exceptions import ConnectFailed
-from laburnumswitch.process.decisions import DecisionLog
 from laburnumswitch.process.leadership.leadership import Identity
 from laburnumswitch.process.leadership.leadership import Leadership
 from laburnumswitch.process.leadership.leadership import LeadershipContext
@@ -21,8 +20,9 @@
 from laburnumswitch.process.leadership.term import read_term
 from laburnumswitch.process.leadership.term import Term
 from laburnumswitch.process.leadership.term import TERM_KEY
-from laburnumswitch.process.table import Put
-from laburnumswitch.process.table import Transaction
+from laburnumswitch.process.observing.decisions import DecisionLog
+from laburnumswitch.process.rows.table import Put
+from laburnumswitch.process.rows.table import Transaction
 from standin.fleet.feed_table import FeedMemoryTable
 from tests.process.dispatch.bench import wait_until
 
--- a/tests/process/test_journal.py
+++ b/tests/process/ledger/test_journal.py
@@ -8,24 +8,24 @@
 from laburnumswitch.exceptions import OutcomeUnknown
 from laburnumswitch.exceptions import OwnershipLost
 from laburnumswitch.exceptions import Unavailable
-from laburnumswitch.process.head import Head
-from laburnumswitch.process.head import read_head
-from laburnumswitch.process.journal import Batch
-from laburnumswitch.process.journal import commit_batch
-from laburnumswitch.process.journal import HadNoEffect
-from laburnumswitch.process.journal import replay_journal
-from laburnumswitch.process.journal import settle_batch
-from laburnumswitch.process.journal import TookEffect
-from laburnumswitch.process.journal import touch_head
-from laburnumswitch.process.ledger import Ledger
-from laburnumswitch.process.ownership import take_over
-from laburnumswitch.process.records import ChunkTaken
-from laburnumswitch.process.table import Put
-from laburnumswitch.process.table import Transaction
-from laburnumswitch.process.work import write_work
+from laburnumswitch.process.ledger.head import Head
+from laburnumswitch.process.ledger.head import read_head
+from laburnumswitch.process.ledger.journal import Batch
+from laburnumswitch.process.ledger.journal import commit_batch
+from laburnumswitch.process.ledger.journal import HadNoEffect
+from laburnumswitch.process.ledger.journal import replay_journal
+from laburnumswitch.process.ledger.journal import settle_batch
+from laburnumswitch.process.ledger.journal import TookEffect
+from laburnumswitch.process.ledger.journal import touch_head
+from laburnumswitch.process.ledger.ledger import Ledger
+from laburnumswitch.process.ledger.ownership import take_over
+from laburnumswitch.process.ledger.records import ChunkTaken
+from laburnumswitch.process.rows.table import Put
+from laburnumswitch.process.rows.table import Transaction
+from laburnumswitch.process.workers.work import write_work
 from standin.table import MemoryTable
 from tests.fakes import FaultyTable
-from tests.process.bench import make_work
+from tests.process.sharding.bench import make_work
 
 BATCH = Batch("b1", (ChunkTaken("c", write_work(make_work()), 0, 2),))
 
--- a/tests/process/test_eventkinds.py
+++ b/tests/process/observing/test_eventkinds.py
@@ -7,11 +7,11 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
-from laburnumswitch.process.eventkinds import KINDS
-from laburnumswitch.process.job_row import FINAL_STATES
-from laburnumswitch.process.job_row import UNADMITTED_STATES
+from laburnumswitch.process.admission.job_row import FINAL_STATES
+from laburnumswitch.process.admission.job_row import UNADMITTED_STATES
+from laburnumswitch.process.observing.eventkinds import KINDS
 
-PACKAGE = Path(__file__).parents[2] / "laburnumswitch"
+PACKAGE = Path(__file__).parents[3] / "laburnumswitch"
 PREFIX = "job_"
 
 
--- a/tests/process/test_timeline.py
+++ b/tests/process/observing/test_timeline.py
@@ -4,18 +4,18 @@
 from testtools.matchers import Equals
 from testtools.matchers import LessThan
 
-from laburnumswitch.process.admin import AdminRequest
-from laburnumswitch.process.operator import event_rows
-from laburnumswitch.process.operator import LIVE_EVENTS
-from laburnumswitch.process.spill import EXPIRY_EVERY_TURNS
-from laburnumswitch.process.spill import KEEP_S
-from laburnumswitch.process.spill import MAX_BATCH_EVENTS
-from laburnumswitch.process.spill import MAX_OBJECTS
-from laburnumswitch.process.spill import REMOVALS_PER_TURN
-from laburnumswitch.process.spill import Spill
-from laburnumswitch.process.spill_index import read_batch
-from laburnumswitch.process.spill_index import read_indexes
-from laburnumswitch.process.timeline import Timeline
+from laburnumswitch.process.observing.spill import EXPIRY_EVERY_TURNS
+from laburnumswitch.process.observing.spill import KEEP_S
+from laburnumswitch.process.observing.spill import MAX_BATCH_EVENTS
+from laburnumswitch.process.observing.spill import MAX_OBJECTS
+from laburnumswitch.process.observing.spill import REMOVALS_PER_TURN
+from laburnumswitch.process.observing.spill import Spill
+from laburnumswitch.process.observing.spill_index import read_batch
+from laburnumswitch.process.observing.spill_index import read_indexes
+from laburnumswitch.process.observing.timeline import Timeline
+from laburnumswitch.process.operating.admin import AdminRequest
+from laburnumswitch.process.operating.operator import event_rows
+from laburnumswitch.process.operating.operator import LIVE_EVENTS
 from standin.table import MemoryTable
 from tests.memory import MemoryObjects
 
--- a/tests/process/test_admin.py
+++ b/tests/process/operating/test_admin.py
@@ -6,17 +6,17 @@
 
 from laburnumswitch.connection.client import Client
 from laburnumswitch.exceptions import Unavailable
-from laburnumswitch.process.admin import AdminContext
-from laburnumswitch.process.admin import AdminReply
-from laburnumswitch.process.admin import AdminRequest
-from laburnumswitch.process.admin import BODY_LIMIT_BYTES
-from laburnumswitch.process.admin import reply_json
-from laburnumswitch.process.admin import serve_admin
-from laburnumswitch.process.admin import Traffic
-from laburnumswitch.process.heartbeat import Heartbeat
-from laburnumswitch.process.operator import make_operator_handler
-from laburnumswitch.process.operator import OperatorContext
-from laburnumswitch.process.status import make_health_handler
+from laburnumswitch.process.operating.admin import AdminContext
+from laburnumswitch.process.operating.admin import AdminReply
+from laburnumswitch.process.operating.admin import AdminRequest
+from laburnumswitch.process.operating.admin import BODY_LIMIT_BYTES
+from laburnumswitch.process.operating.admin import reply_json
+from laburnumswitch.process.operating.admin import serve_admin
+from laburnumswitch.process.operating.admin import Traffic
+from laburnumswitch.process.operating.operator import make_operator_handler
+from laburnumswitch.process.operating.operator import OperatorContext
+from laburnumswitch.process.operating.status import make_health_handler
+from laburnumswitch.process.peers.heartbeat import Heartbeat
 
 KEY = "Bearer correct-horse-battery"
 
--- a/tests/process/test_operations.py
+++ b/tests/process/operating/test_operations.py
@@ -10,11 +10,11 @@
 from testtools.matchers import Equals
 
 from laburnumswitch.platform.operations import decode_operation
-from laburnumswitch.process.decisions import DecisionLog
-from laburnumswitch.process.operations import follow_operations
-from laburnumswitch.process.operations import Operations
-from laburnumswitch.process.table import Put
-from laburnumswitch.process.table import Transaction
+from laburnumswitch.process.observing.decisions import DecisionLog
+from laburnumswitch.process.operating.operations import follow_operations
+from laburnumswitch.process.operating.operations import Operations
+from laburnumswitch.process.rows.table import Put
+from laburnumswitch.process.rows.table import Transaction
 from standin.fleet.feed_table import FeedMemoryTable
 from tests.platform.test_messages import ROUTE
 from tests.process.dispatch.bench import wait_until
--- a/tests/process/test_zones.py
+++ b/tests/process/operating/test_zones.py
@@ -8,11 +8,11 @@
 from laburnumswitch.exceptions import RowMalformed
 from laburnumswitch.exceptions import Unavailable
 from laburnumswitch.exceptions import ZoneChanged
-from laburnumswitch.process.table import Put
-from laburnumswitch.process.table import Transaction
-from laburnumswitch.process.zones import read_zones
-from laburnumswitch.process.zones import set_zone
-from laburnumswitch.process.zones import ZoneState
+from laburnumswitch.process.operating.zones import read_zones
+from laburnumswitch.process.operating.zones import set_zone
+from laburnumswitch.process.operating.zones import ZoneState
+from laburnumswitch.process.rows.table import Put
+from laburnumswitch.process.rows.table import Transaction
 from standin.table import MemoryTable
 
 
--- a/tests/process/test_directory.py
+++ b/tests/process/peers/test_directory.py
@@ -3,9 +3,9 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
-from laburnumswitch.process.directory import Directory
-from laburnumswitch.process.heartbeat import ShardUpstreams
-from laburnumswitch.process.heartbeat import ZoneHint
+from laburnumswitch.process.peers.directory import Directory
+from laburnumswitch.process.peers.heartbeat import ShardUpstreams
+from laburnumswitch.process.peers.heartbeat import ZoneHint
 from laburnumswitch.upstream import Upstream
 
 
--- a/tests/process/test_membership.py
+++ b/tests/process/peers/test_membership.py
@@ -3,9 +3,9 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
-from laburnumswitch.process.heartbeat import Heartbeat
-from laburnumswitch.process.membership import HEARD_LIMIT_S
-from laburnumswitch.process.membership import Membership
+from laburnumswitch.process.peers.heartbeat import Heartbeat
+from laburnumswitch.process.peers.membership import HEARD_LIMIT_S
+from laburnumswitch.process.peers.membership import Membership
 
 
 def make_heartbeat(vm_id: str, clock: int, **fields: object) -> Heartbeat:
--- a/tests/process/test_policies.py
+++ b/tests/process/placing/test_policies.py
@@ -12,26 +12,26 @@
 from testtools.matchers import LessThan
 
 from laburnumswitch.declaration import Team
-from laburnumswitch.process.hint import ShardHint
-from laburnumswitch.process.hint import TeamUse
-from laburnumswitch.process.interference import Interference
-from laburnumswitch.process.placement import choose_room
-from laburnumswitch.process.placement import Room
-from laburnumswitch.process.placement import RoomIndex
-from laburnumswitch.process.quarantine import Quarantine
-from laburnumswitch.process.quota import QuotaBook
-from laburnumswitch.process.relief import Neighbour
-from laburnumswitch.process.relief import Relief
-from laburnumswitch.process.relief import THROTTLE_PERCENT
-from laburnumswitch.process.work import TaskKey
-from laburnumswitch.process.worker_state import Unconfirmed
-from laburnumswitch.process.workers import RunEvent
-from laburnumswitch.process.workers import Usage
-from laburnumswitch.process.workers import WorkerReport
+from laburnumswitch.process.peers.hint import ShardHint
+from laburnumswitch.process.peers.hint import TeamUse
+from laburnumswitch.process.placing.interference import Interference
+from laburnumswitch.process.placing.placement import choose_room
+from laburnumswitch.process.placing.placement import Room
+from laburnumswitch.process.placing.placement import RoomIndex
+from laburnumswitch.process.placing.quarantine import Quarantine
+from laburnumswitch.process.placing.quota import QuotaBook
+from laburnumswitch.process.placing.relief import Neighbour
+from laburnumswitch.process.placing.relief import Relief
+from laburnumswitch.process.placing.relief import THROTTLE_PERCENT
+from laburnumswitch.process.workers.work import TaskKey
+from laburnumswitch.process.workers.worker_state import Unconfirmed
+from laburnumswitch.process.workers.workers import RunEvent
+from laburnumswitch.process.workers.workers import Usage
+from laburnumswitch.process.workers.workers import WorkerReport
 from laburnumswitch.size import Size
 from tests.fakes import make_vm
-from tests.process.bench import Bench
-from tests.process.bench import make_work
+from tests.process.sharding.bench import Bench
+from tests.process.sharding.bench import make_work
 
 CAPACITY = Size(8_000, 16_000)
 
--- a/tests/process/test_clocked_table.py
+++ b/tests/process/rows/test_clocked_table.py
@@ -3,21 +3,21 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
-from laburnumswitch.process.clocked_table import CLOCK_FIELD
-from laburnumswitch.process.clocked_table import ClockedTable
-from laburnumswitch.process.clocked_table import MAX_CLOCK
-from laburnumswitch.process.head import Head
-from laburnumswitch.process.head import read_head
-from laburnumswitch.process.inbox import Chunk
-from laburnumswitch.process.inbox import inbox_put
-from laburnumswitch.process.journal import Batch
-from laburnumswitch.process.journal import commit_batch
-from laburnumswitch.process.journal import settle_batch
-from laburnumswitch.process.journal import TookEffect
-from laburnumswitch.process.ownership import take_over
-from laburnumswitch.process.table import Put
-from laburnumswitch.process.table import Transaction
-from laburnumswitch.process.timeline import Timeline
+from laburnumswitch.process.ledger.head import Head
+from laburnumswitch.process.ledger.head import read_head
+from laburnumswitch.process.ledger.inbox import Chunk
+from laburnumswitch.process.ledger.inbox import inbox_put
+from laburnumswitch.process.ledger.journal import Batch
+from laburnumswitch.process.ledger.journal import commit_batch
+from laburnumswitch.process.ledger.journal import settle_batch
+from laburnumswitch.process.ledger.journal import TookEffect
+from laburnumswitch.process.ledger.ownership import take_over
+from laburnumswitch.process.observing.timeline import Timeline
+from laburnumswitch.process.rows.clocked_table import CLOCK_FIELD
+from laburnumswitch.process.rows.clocked_table import ClockedTable
+from laburnumswitch.process.rows.clocked_table import MAX_CLOCK
+from laburnumswitch.process.rows.table import Put
+from laburnumswitch.process.rows.table import Transaction
 from standin.table import MemoryTable
 
 
--- a/tests/process/test_table.py
+++ b/tests/process/rows/test_table.py
@@ -6,8 +6,8 @@
 from laburnumswitch.connection.client import Response
 from laburnumswitch.exceptions import AnswerLost
 from laburnumswitch.exceptions import ConnectFailed
-from laburnumswitch.process.table import TableClient
-from laburnumswitch.process.table import Transaction
+from laburnumswitch.process.rows.table import TableClient
+from laburnumswitch.process.rows.table import Transaction
 
 
 class OneAnswer:
--- a/tests/process/test_random_faults.py
+++ b/tests/process/sharding/test_random_faults.py
@@ -8,8 +8,8 @@
 
 from laburnumswitch.size import Size
 from tests.fakes import make_vm
-from tests.process.bench import Bench
-from tests.process.bench import make_work
+from tests.process.sharding.bench import Bench
+from tests.process.sharding.bench import make_work
 
 WORKERS = 4
 steps = st.one_of(
--- a/tests/process/test_shard.py
+++ b/tests/process/sharding/test_shard.py
@@ -5,17 +5,17 @@
 from testtools.matchers import GreaterThan
 from testtools.matchers import HasLength
 
-from laburnumswitch.process.head import read_head
-from laburnumswitch.process.lease import HOLD_S
-from laburnumswitch.process.lease import LEASE_S
-from laburnumswitch.process.shared_rows import CANCELLED_PREFIX
+from laburnumswitch.process.ledger.head import read_head
+from laburnumswitch.process.rows.shared_rows import CANCELLED_PREFIX
+from laburnumswitch.process.workers.lease import HOLD_S
+from laburnumswitch.process.workers.lease import LEASE_S
 from tests.fakes import FaultyTable
 from tests.fakes import make_vm
-from tests.process.bench import Bench
-from tests.process.bench import make_work
-from tests.process.bench import start_one
-from tests.process.bench import start_times
-from tests.process.bench import TASK
+from tests.process.sharding.bench import Bench
+from tests.process.sharding.bench import make_work
+from tests.process.sharding.bench import start_one
+from tests.process.sharding.bench import start_times
+from tests.process.sharding.bench import TASK
 
 
 class TestRun(TestCase):
--- a/tests/process/test_shard_moves.py
+++ b/tests/process/sharding/test_shard_moves.py
@@ -5,15 +5,15 @@
 from testtools.matchers import Equals
 from testtools.matchers import HasLength
 
-from laburnumswitch.process.moves import REPLACE_LIMIT_S
-from laburnumswitch.process.shared_rows import CANCELLED_PREFIX
+from laburnumswitch.process.ledger.moves import REPLACE_LIMIT_S
+from laburnumswitch.process.rows.shared_rows import CANCELLED_PREFIX
 from laburnumswitch.size import Size
 from tests.fakes import FaultyTable
 from tests.fakes import make_vm
-from tests.process.bench import Bench
-from tests.process.bench import make_work
-from tests.process.bench import start_one
-from tests.process.bench import TASK
+from tests.process.sharding.bench import Bench
+from tests.process.sharding.bench import make_work
+from tests.process.sharding.bench import start_one
+from tests.process.sharding.bench import TASK
 
 
 class TestZones(TestCase):
--- a/tests/process/test_reports.py
+++ b/tests/process/workers/test_reports.py
@@ -6,9 +6,9 @@
 
 from laburnumswitch.declaration import StateReport
 from laburnumswitch.exceptions import ReportUnreadable
-from laburnumswitch.process.reports import read_headers
-from laburnumswitch.process.reports import read_page
-from laburnumswitch.process.reports import Reported
+from laburnumswitch.process.workers.reports import read_headers
+from laburnumswitch.process.workers.reports import read_page
+from laburnumswitch.process.workers.reports import Reported
 
 JSON = StateReport(
     "json",
--- a/tests/request/fakes.py
+++ b/tests/request/fakes.py
@@ -11,7 +11,7 @@
 from gevent.server import StreamServer
 
 from laburnumswitch.declaration import Service
-from laburnumswitch.process.timeline import Timeline
+from laburnumswitch.process.observing.timeline import Timeline
 from laburnumswitch.request.context import make_context
 from laburnumswitch.request.context import RequestContext
 from laburnumswitch.request.forward import serve_callers
--- a/tests/request/test_admission.py
+++ b/tests/request/test_admission.py
@@ -9,9 +9,9 @@
 from testtools.matchers import IsInstance
 
 from laburnumswitch.exceptions import NotRun
-from laburnumswitch.process.queue import MAX_WAIT_S
-from laburnumswitch.process.queue import ServiceQueue
-from laburnumswitch.process.queue import Verdict
+from laburnumswitch.process.placing.queue import MAX_WAIT_S
+from laburnumswitch.process.placing.queue import ServiceQueue
+from laburnumswitch.process.placing.queue import Verdict
 from laburnumswitch.request.admission import admit
 from laburnumswitch.upstream import Upstream
 from tests.request.fakes import call
--- a/tests/request/test_claim.py
+++ b/tests/request/test_claim.py
@@ -15,11 +15,11 @@
 
 from laburnumswitch.exceptions import Conflict
 from laburnumswitch.exceptions import Unavailable
-from laburnumswitch.process.claims import ClaimCommitter
-from laburnumswitch.process.claims import RowChange
-from laburnumswitch.process.table import Committed
-from laburnumswitch.process.table import Put
-from laburnumswitch.process.table import Transaction
+from laburnumswitch.process.admission.claims import ClaimCommitter
+from laburnumswitch.process.admission.claims import RowChange
+from laburnumswitch.process.rows.table import Committed
+from laburnumswitch.process.rows.table import Put
+from laburnumswitch.process.rows.table import Transaction
 from laburnumswitch.request.claim import claim_row_key
 from laburnumswitch.request.claim import SETTLE_TRIES
 from laburnumswitch.request.expiry import expire_some
--- a/tests/request/test_routing.py
+++ b/tests/request/test_routing.py
@@ -8,9 +8,9 @@
 from testtools.matchers import GreaterThan
 from testtools.matchers import LessThan
 
-from laburnumswitch.process.reports import Reported
-from laburnumswitch.process.timeline import Timeline
-from laburnumswitch.process.upstreams import UpstreamStates
+from laburnumswitch.process.observing.timeline import Timeline
+from laburnumswitch.process.workers.reports import Reported
+from laburnumswitch.process.workers.upstreams import UpstreamStates
 from laburnumswitch.request.routing import two_choices
 from laburnumswitch.upstream import Upstream
 from tests.request.fakes import ORDERS
--- a/tests/request/test_stalled.py
+++ b/tests/request/test_stalled.py
@@ -8,8 +8,8 @@
 from testtools.matchers import Equals
 from testtools.matchers import HasLength
 
-from laburnumswitch.process.timeline import Timeline
-from laburnumswitch.process.upstreams import UpstreamStates
+from laburnumswitch.process.observing.timeline import Timeline
+from laburnumswitch.process.workers.upstreams import UpstreamStates
 from tests.request.fakes import answering
 from tests.request.fakes import call
 from tests.request.fakes import context_of
--- a/tests/request/test_submission.py
+++ b/tests/request/test_submission.py
@@ -10,7 +10,6 @@
 from laburnumswitch.platform.callers import decode_submission
 from laburnumswitch.platform.callers import encode_pending
 from laburnumswitch.platform.callers import encode_state
-from laburnumswitch.process.decisions import DecisionLog
 from laburnumswitch.process.dispatch.jobs import JobState
 from laburnumswitch.process.dispatch.progress import cancellation_key
 from laburnumswitch.process.dispatch.progress import Progress
@@ -18,9 +17,10 @@
 from laburnumswitch.process.dispatch.progress import submission_key
 from laburnumswitch.process.dispatch.work import QueueConfiguration
 from laburnumswitch.process.leadership.messages import JobStateAnswer
-from laburnumswitch.process.operations import Operations
-from laburnumswitch.process.table import Put
-from laburnumswitch.process.table import Transaction
+from laburnumswitch.process.observing.decisions import DecisionLog
+from laburnumswitch.process.operating.operations import Operations
+from laburnumswitch.process.rows.table import Put
+from laburnumswitch.process.rows.table import Transaction
 from laburnumswitch.request.submission import answer_request
 from laburnumswitch.request.submission import JobRequest
 from laburnumswitch.request.submission import SubmissionContext
--- a/tests/request/test_watch.py
+++ b/tests/request/test_watch.py
@@ -8,7 +8,7 @@
 
 from laburnumswitch.connection.client import Client
 from laburnumswitch.declaration import StateReport
-from laburnumswitch.process.reports import Reported
+from laburnumswitch.process.workers.reports import Reported
 from laburnumswitch.request.watch import ask_state
 from laburnumswitch.request.watch import supervise_reports
 from tests.request.fakes import answering
--- a/tests/spec/test_conformance.py
+++ b/tests/spec/test_conformance.py
@@ -5,14 +5,14 @@
 
 from laburnumswitch.declaration import Configuration
 from laburnumswitch.declaration import Job
-from laburnumswitch.process.lease import certainly_lapsed
-from laburnumswitch.process.lease import CLOCK_RATE_BOUND
-from laburnumswitch.process.lease import grant_until
-from laburnumswitch.process.lease import HOLD_S
-from laburnumswitch.process.lease import LEASE_S
-from laburnumswitch.process.lease import may_grant
-from laburnumswitch.process.timeline import Timeline
-from laburnumswitch.process.workers import NO_GRANT
+from laburnumswitch.process.observing.timeline import Timeline
+from laburnumswitch.process.workers.lease import certainly_lapsed
+from laburnumswitch.process.workers.lease import CLOCK_RATE_BOUND
+from laburnumswitch.process.workers.lease import grant_until
+from laburnumswitch.process.workers.lease import HOLD_S
+from laburnumswitch.process.workers.lease import LEASE_S
+from laburnumswitch.process.workers.lease import may_grant
+from laburnumswitch.process.workers.workers import NO_GRANT
 from laburnumswitch.size import Size
 from laburnumswitch.version.adoption import Adopted
 from laburnumswitch.version.adoption import ConfigurationHint
--- a/tests/standin/test_table.py
+++ b/tests/standin/test_table.py
@@ -7,10 +7,10 @@
 from laburnumswitch.exceptions import Conflict
 from laburnumswitch.exceptions import OutcomeUnknown
 from laburnumswitch.exceptions import Unavailable
-from laburnumswitch.process.table import Committed
-from laburnumswitch.process.table import Condition
-from laburnumswitch.process.table import Put
-from laburnumswitch.process.table import Transaction
+from laburnumswitch.process.rows.table import Committed
+from laburnumswitch.process.rows.table import Condition
+from laburnumswitch.process.rows.table import Put
+from laburnumswitch.process.rows.table import Transaction
 from standin.table import MemoryTable
 
 
--- a/tests/standin/test_workers.py
+++ b/tests/standin/test_workers.py
@@ -11,10 +11,10 @@
 from laburnumswitch.connection.client import Client
 from laburnumswitch.exceptions import AnswerLost
 from laburnumswitch.exceptions import Unavailable
-from laburnumswitch.process.workers import StartOrder
-from laburnumswitch.process.workers import WorkerOrders
-from laburnumswitch.process.workers import WorkerReport
-from laburnumswitch.process.workers import WorkersClient
+from laburnumswitch.process.workers.workers import StartOrder
+from laburnumswitch.process.workers.workers import WorkerOrders
+from laburnumswitch.process.workers.workers import WorkerReport
+from laburnumswitch.process.workers.workers import WorkersClient
 from laburnumswitch.size import Size
 from standin.records import Cut
 from standin.records import Record
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -21,15 +21,15 @@
 from laburnumswitch.declaration import Service
 from laburnumswitch.declaration import Team
 from laburnumswitch.entry import Daemon
-from laburnumswitch.process.keys import open_keys
-from laburnumswitch.process.objects import ObjectsClient
-from laburnumswitch.process.settings import Limits
-from laburnumswitch.process.settings import Platform as PlatformAddresses
-from laburnumswitch.process.settings import Settings
-from laburnumswitch.process.spill_index import read_batch
-from laburnumswitch.process.spill_index import read_indexes
-from laburnumswitch.process.table import TableClient
-from laburnumswitch.process.vms import Vm
+from laburnumswitch.process.daemon.settings import Limits
+from laburnumswitch.process.daemon.settings import Platform as PlatformAddresses
+from laburnumswitch.process.daemon.settings import Settings
+from laburnumswitch.process.observing.spill_index import read_batch
+from laburnumswitch.process.observing.spill_index import read_indexes
+from laburnumswitch.process.peers.vms import Vm
+from laburnumswitch.process.rows.keys import open_keys
+from laburnumswitch.process.rows.objects import ObjectsClient
+from laburnumswitch.process.rows.table import TableClient
 from laburnumswitch.size import Size
 from laburnumswitch.version.publish import publish
 from laburnumswitch.version.publish import Published
--- a/tests/test_entry_tls.py
+++ b/tests/test_entry_tls.py
@@ -21,17 +21,17 @@
 from laburnumswitch.connection.client import Response
 from laburnumswitch.entry import Daemon
 from laburnumswitch.exceptions import FileUnreadable
-from laburnumswitch.process.keys import open_keys
-from laburnumswitch.process.links import Links
-from laburnumswitch.process.links import open_links
-from laburnumswitch.process.roster import Roster
-from laburnumswitch.process.settings import CallerTls
-from laburnumswitch.process.settings import Limits
-from laburnumswitch.process.settings import Platform as PlatformAddresses
-from laburnumswitch.process.settings import Settings
-from laburnumswitch.process.settings import Tls
-from laburnumswitch.process.vms import Vm
-from laburnumswitch.process.vms import VmChanges
+from laburnumswitch.process.daemon.settings import CallerTls
+from laburnumswitch.process.daemon.settings import Limits
+from laburnumswitch.process.daemon.settings import Platform as PlatformAddresses
+from laburnumswitch.process.daemon.settings import Settings
+from laburnumswitch.process.daemon.settings import Tls
+from laburnumswitch.process.peers.links import Links
+from laburnumswitch.process.peers.links import open_links
+from laburnumswitch.process.peers.roster import Roster
+from laburnumswitch.process.peers.vms import Vm
+from laburnumswitch.process.peers.vms import VmChanges
+from laburnumswitch.process.rows.keys import open_keys
 from standin.platform import Platform
 from standin.server import bound_address
 from standin.server import start_server
@@ -130,7 +130,7 @@
 
 class TestLinks(SettingsCase):
     def warnings_of(self, settings):
-        with patch("laburnumswitch.process.links.logging.warning") as warning:
+        with patch("laburnumswitch.process.peers.links.logging.warning") as warning:
             self.assertThat(open_links(settings), IsInstance(Links))
         return [call.args[1] for call in warning.call_args_list]
 
--- a/tests/test_operator_pages.py
+++ b/tests/test_operator_pages.py
@@ -9,10 +9,10 @@
 from testtools.matchers import Equals
 
 from laburnumswitch.entry import Daemon
-from laburnumswitch.process.eventkinds import SUBJECT_BY_KIND
-from laburnumswitch.process.keys import open_keys
-from laburnumswitch.process.settings import Platform
-from laburnumswitch.process.settings import Settings
+from laburnumswitch.process.daemon.settings import Platform
+from laburnumswitch.process.daemon.settings import Settings
+from laburnumswitch.process.observing.eventkinds import SUBJECT_BY_KIND
+from laburnumswitch.process.rows.keys import open_keys
 
 ROOT = Path(__file__).parents[1]
 PAGES = ROOT / "docs" / "operators"
--- a/tests/test_reference.py
+++ b/tests/test_reference.py
@@ -4,8 +4,8 @@
 from testtools.matchers import Contains
 from testtools.matchers import Equals
 
-from laburnumswitch.process.settings import parse_settings
-from laburnumswitch.process.settings import Settings
+from laburnumswitch.process.daemon.settings import parse_settings
+from laburnumswitch.process.daemon.settings import Settings
 from scripts.reference import PAGES
 from scripts.reference import render_page
 from scripts.reference import TYPES_BY_NAME
--- a/tests/version/test_publish.py
+++ b/tests/version/test_publish.py
@@ -21,7 +21,7 @@
 from laburnumswitch.exceptions import DocumentBroken
 from laburnumswitch.exceptions import OutcomeUnknown
 from laburnumswitch.exceptions import Unavailable
-from laburnumswitch.process.timeline import Timeline
+from laburnumswitch.process.observing.timeline import Timeline
 from laburnumswitch.size import Size
 from laburnumswitch.version.adoption import adopt
 from laburnumswitch.version.adoption import adopt_once
