--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -114,6 +114,7 @@
         self.waiting_by_step: dict[tuple[str, int, int], WaitingStep] = {}
         self.tickets_by_step: dict[tuple[str, int, int], tuple[float, Tickets]] = {}
         self.model = TailModel()
+        self.cancelled_early: set[str] = set()
         self.stray_by_task: dict[TaskKey, Stray] = {}
         self.mean_work_by_queue: dict[str, float] = {}
         self.filling_images: dict[str, None] = {}
@@ -172,13 +173,21 @@
             age_s=round(self.context.wall_clock() - submission.submitted_s, 3),
         )
         self._adopt_strays(job)
-        self.refresh_waiting(job)
+        if job.job_id in self.cancelled_early:
+            self.cancelled_early.discard(job.job_id)
+            self.cancel_job(job.job_id)
+        else:
+            self.refresh_waiting(job)
         return job
 
     def cancel_job(self, job_id: str) -> None:
         """End a job by its caller's wish."""
         job = self.jobs_by_id.get(job_id)
-        if job is None or job.is_final():
+        if job is None:
+            # Its submission may still be on its way, and has to find that it was cancelled.
+            self.cancelled_early.add(job_id)
+            return
+        if job.is_final():
             return
         job.state = JobState.CANCELLED
         self.finish_job(job, "cancelled by its caller")
--- a/laburnumswitch/process/dispatch/feeds.py
+++ b/laburnumswitch/process/dispatch/feeds.py
@@ -126,8 +126,9 @@
 
 def apply_cancellation_row(dispatcher: Dispatcher, row: Row) -> None:
     """Cancel the job of a row."""
-    if row.value is not None:
-        dispatcher.cancel_job(row.key.partition("/")[2])
+    job_id = row.key.partition("/")[2]
+    if row.value is not None and job_id not in dispatcher.final_by_id:
+        dispatcher.cancel_job(job_id)
 
 
 def _follow_rows(dispatcher: Dispatcher, table: str, version: int, apply: Any) -> None:
--- a/tests/process/dispatch/test_dispatcher.py
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -64,6 +64,14 @@
         wait_until(lambda: not any(each.running() for each in self.bench.worker_by_id.values()))
         self.assertThat(self.owner.shown_state("j1"), Equals(JobState.CANCELLED))
 
+    def test_cancellation_that_comes_before_its_job_holds(self):
+        # Found by a hunt (UNASKED): the cancellation's message overtook that of the job.
+        self.owner.cancel_job("j1")
+        self.bench.submit(make_submission("j1", LONG), self.owner)
+        sleep(0.3)
+        self.assertThat(self.bench.judge.starts, Equals(0))
+        self.assertThat(self.owner.shown_state("j1"), Equals(JobState.CANCELLED))
+
     def test_attempts_are_bounded(self):
         for worker in self.bench.worker_by_id.values():
             worker.failing = True
