A silent worker counts as lapsed only once the ownership is proved after it

An owner in a zone that was cut off heard nothing of a worker for a lease and started its tasks elsewhere in its zone, while its successor had renewed that worker's leases; a refusal by a higher fence did not stop it either. A lapse now counts only after a later commit of this owner, and a fenced owner acts only after a commit.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -414,6 +414,15 @@
         ]
         return self.recorder.note_value(f"{FLEET_TABLE}/{part}", entries)
 
+    def has_lapsed(self, worker: Worker) -> bool:
+        """Return whether nothing can run on a silent worker any more.
+
+        Its leases have to be over, and this owner has to have committed since: a successor may have
+        renewed them otherwise.
+        """
+        is_over = worker.has_certainly_lapsed(self.context.clock())
+        return is_over and self.recorder.was_owner_at(worker.lapse_bound_s)
+
     def drop_worker(self, worker: Worker, reason: str) -> None:
         """Forget a worker whose runs have certainly ended."""
         worker.is_gone = True
--- a/laburnumswitch/process/dispatch/recorder.py
+++ b/laburnumswitch/process/dispatch/recorder.py
@@ -63,6 +63,8 @@
         self.committed = 0
         self.is_lost = False
         self.proved_s = proved_s
+        self._proved_steady_s = context.clock()
+        self._is_doubted = False
         self.batches = 0
         self._context = context
         self._next_batch = 1
@@ -93,10 +95,6 @@
         self._removals.extend(keys)
         self._has_work.set()
 
-    def request_commit(self) -> None:
-        """Have a batch committed now, also where nothing waits."""
-        self._has_work.set()
-
     def is_certain(self) -> bool:
         """Return whether nobody else can act as the owner now.
 
@@ -104,7 +102,16 @@
         """
         age_s = self._context.boot_clock() - self.proved_s
         was_suspended = self._suspension_s() - self._suspended_s > SUSPENSION_TOLERANCE_S
-        return not self.is_lost and not was_suspended and age_s < OWNERSHIP_S
+        return not (self.is_lost or self._is_doubted or was_suspended) and age_s < OWNERSHIP_S
+
+    def was_owner_at(self, instant_s: float) -> bool:
+        """Return whether nobody else can have been the owner before an instant of the clock."""
+        return self._proved_steady_s > instant_s
+
+    def doubt(self) -> None:
+        """Act no more until a commit has shown that there is no other owner."""
+        self._is_doubted = True
+        self._has_work.set()
 
     def silent_s(self) -> float:
         """Return the time in seconds since the last successful commit was sent."""
@@ -195,6 +202,7 @@
         failures = 0
         while True:
             sent_s = context.boot_clock()
+            steady_s = context.clock()
             suspended_s = self._suspension_s()
             outcome = context.table.commit(transaction)
             if not isinstance(outcome, Committed):
@@ -205,6 +213,8 @@
             if isinstance(outcome, Committed):
                 self.proved_s = sent_s
                 self._suspended_s = suspended_s
+                self._proved_steady_s = steady_s
+                self._is_doubted = False
                 if failures:
                     context.log.note("commit_settled", term.batch, attempts=failures + 1)
                 return outcome.version
--- a/laburnumswitch/process/dispatch/takeover.py
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -124,16 +124,17 @@
     began_s = context.clock()
     inherited = list(dispatcher.workers_by_id.values())
     while not dispatcher.is_stopped():
-        now_s = context.clock()
         unknown = [
             worker.worker_id
             for worker in inherited
-            if not (worker.is_reached or worker.is_gone or worker.has_certainly_lapsed(now_s))
+            if not (worker.is_reached or worker.is_gone or dispatcher.has_lapsed(worker))
         ]
         if not unknown:
             dispatcher.settled = True
             dispatcher.wake.set()
-            context.log.note("settled", str(dispatcher.epoch), after_s=round(now_s - began_s, 3))
+            context.log.note(
+                "settled", str(dispatcher.epoch), after_s=round(context.clock() - began_s, 3)
+            )
             return
         context.sleep(SETTLE_INTERVAL_S)
 
--- a/laburnumswitch/process/dispatch/worker_task.py
+++ b/laburnumswitch/process/dispatch/worker_task.py
@@ -49,7 +49,7 @@
         if isinstance(answer, WorkerRestarted):
             dispatcher.drop_worker(worker, "restarted under another id")
             return
-        if worker.has_certainly_lapsed(context.clock()):
+        if dispatcher.has_lapsed(worker):
             _lapse(dispatcher, worker, answer)
         context.sleep(RETRY_S)
 
@@ -78,8 +78,8 @@
         _apply_report(dispatcher, worker, answer, sent_s, fence)
     elif isinstance(answer, StartRefused) and fence == worker.fence:
         context.log.note("fenced", worker.worker_id, fence=fence, reason=answer.reason)
-        # The next commit tells at once whether there is another owner.
-        dispatcher.recorder.request_commit()
+        # Only a successor raises the fence above this owner's.
+        dispatcher.recorder.doubt()
     return answer
 
 
--- a/tests/process/dispatch/test_dispatcher.py
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -208,6 +208,40 @@
         self.assertThat(number, GreaterThan(1))
 
 
+class TestCutOffOwner(TestCase):
+    """An owner that cannot commit and hears nothing of a worker may have been superseded."""
+
+    def setUp(self):
+        super().setUp()
+        self.bench = DispatchBench()
+        self.owner = self.bench.begin()
+        self.addCleanup(self.owner.stop)
+        self.bench.submit(make_submission("j1", LONG), self.owner)
+        wait_until(lambda: self.bench.judge.starts == 1)
+        holder = next(each for each in self.bench.worker_by_id.values() if each.running())
+        self.holder = self.owner.workers_by_id[holder.entry.worker_id]
+        wait_until(lambda: self.holder.heard_s > 0)
+
+    def test_lapse_counts_only_once_the_ownership_is_proved_after_it(self):
+        # Found by a hunt (TWICE, mix seed 970141223809): the successor had renewed the leases.
+        self.bench.table.down = True
+        self.holder.lapse_bound_s = self.owner.context.clock()
+        sleep(0.05)
+        self.assertThat(self.owner.has_lapsed(self.holder), Equals(False))
+        self.bench.table.down = False
+        wait_until(lambda: self.owner.has_lapsed(self.holder))
+
+    def test_fenced_owner_acts_only_after_a_commit(self):
+        self.bench.table.down = True
+        for worker in self.bench.worker_by_id.values():
+            worker.fence += 10_000_000
+        wait_until(lambda: not self.owner.may_act(), limit_s=6.0)
+        for worker in self.bench.worker_by_id.values():
+            worker.fence = 0
+        self.bench.table.down = False
+        wait_until(self.owner.may_act)
+
+
 class TestRestartedWorker(TestCase):
     def setUp(self):
         super().setUp()
