Recorder: one way to say that a batch is not settled, one age of the last commit

Both branches of the look-up returned the same value, since the versions are equal there; the age of the last commit was worked out twice. Behaviour is unchanged.

--- a/laburnumswitch/process/dispatch/recorder.py
+++ b/laburnumswitch/process/dispatch/recorder.py
@@ -100,9 +100,11 @@
 
         After a suspension of the VM that takes a new commit.
         """
-        age_s = self._context.boot_clock() - self.proved_s
         was_suspended = self._suspension_s() - self._suspended_s > SUSPENSION_TOLERANCE_S
-        return not (self.is_lost or self._is_doubted or was_suspended) and age_s < OWNERSHIP_S
+        return (
+            not (self.is_lost or self._is_doubted or was_suspended)
+            and self.silent_s() < OWNERSHIP_S
+        )
 
     def was_owner_at(self, instant_s: float) -> bool:
         """Return whether nobody else can have been the owner before an instant of the clock."""
@@ -209,7 +211,7 @@
                 failures += 1
                 if failures == 1:
                     context.log.note("commit_failed", term.batch, reason=outcome.describe())
-                outcome = self._look_up(term, isinstance(outcome, Conflict))
+                outcome = self._look_up(term)
             if isinstance(outcome, Committed):
                 self.proved_s = sent_s
                 self._suspended_s = suspended_s
@@ -223,7 +225,7 @@
             context.sleep(pause_s)
             pause_s = min(RETRY_MAX_S, 2 * pause_s)
 
-    def _look_up(self, term: Term, is_conflict: bool) -> Committed | Failure | None:
+    def _look_up(self, term: Term) -> Committed | Failure | None:
         """Return ``Committed`` where the batch took effect, and ``None`` where the term is lost."""
         found = read_term(self._context.table)
         if isinstance(found, Failure):
@@ -232,8 +234,4 @@
             return Committed(found.version)
         if found.version != self.held.version:
             return None
-        return (
-            Conflict(TERM_KEY, self.held.version, found.version)
-            if is_conflict
-            else Conflict(TERM_KEY, found.version, found.version)
-        )
+        return Conflict(TERM_KEY, self.held.version, found.version)
