An unexpected error in one of the owner's tasks ends the ownership

Cause: a task of the owner that raised ended alone, printed by gevent outside the decision log; the owner went on without it, for example without a planner or without the list of workers. Ruled out: restarting just that task, since the state that it left may be half changed; the next ownership reads what is stored and what runs, as after a crash. The two tasks of the process itself begin anew after a pause. Each case is a line of the decision log with the innermost calls. Before: the new test fails (no end of the ownership); after: it passes.

--- a/laburnumswitch/dispatch_entry.py
+++ b/laburnumswitch/dispatch_entry.py
@@ -36,6 +36,7 @@
 from laburnumswitch.platform.store import StoreClient
 from laburnumswitch.platform.workers import HttpWorkerLink
 from laburnumswitch.process.daemon.deployment import Deployment
+from laburnumswitch.process.daemon.tasks import keep_running
 from laburnumswitch.process.dispatch.dispatcher import DispatchContext
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
 from laburnumswitch.process.dispatch.takeover import begin_dispatch
@@ -143,17 +144,8 @@
         self.health_port.start()
         self.callers_port.start()
         spawn(run_writer, self.log, self.stopped.is_set)
-        spawn(
-            follow_operations,
-            self.operations,
-            self.table,
-            OPERATIONS_TABLE,
-            decode_operation,
-            monotonic,
-            sleep,
-            self.stopped.is_set,
-        )
-        spawn(self.leadership.run)
+        for task in (self._follow_operations, self.leadership.run):
+            spawn(keep_running, task, self.log, sleep, self.stopped.is_set)
 
     def reload(self, changed: Deployment | Failure) -> None:
         """Take over settings that were read again; addresses change with the next start only."""
@@ -197,6 +189,17 @@
         )
         return begin_dispatch(context, held, proved_s, predecessor)
 
+    def _follow_operations(self) -> None:
+        follow_operations(
+            self.operations,
+            self.table,
+            OPERATIONS_TABLE,
+            decode_operation,
+            monotonic,
+            sleep,
+            self.stopped.is_set,
+        )
+
     def _limits(self) -> Limits:
         configuration = self.operations.configuration
         return configuration.limits if configuration else Limits()
--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from typing import Any
 from typing import NamedTuple
 
 from gevent import spawn
@@ -142,6 +143,21 @@
         for worker in self.workers_by_id.values():
             worker.link.close()
 
+    def spawn(self, function: Callable[..., Any], *arguments: Any) -> None:
+        """Run a task of this ownership.
+
+        An unexpected error ends the ownership: the state that it left may be half changed, while
+        the next owner reads what is stored and what runs.
+        """
+        spawn(self._run_task, function, arguments)
+
+    def _run_task(self, function: Callable[..., Any], arguments: tuple[Any, ...]) -> None:
+        try:
+            function(*arguments)
+        except Exception:
+            self.context.log.note_error("dispatch_failed", function.__name__, epoch=self.epoch)
+            self.stop()
+
     def supersede(self) -> None:
         """End this ownership for another entry's.
 
@@ -382,7 +398,7 @@
         self.context.log.note(
             "run_stop", task_name(run.task), run=run.run, worker=worker.worker_id, reason=reason
         )
-        spawn(worker.link.stop, run.task, run.run, worker.fence, ORDER_TIMEOUT_S)
+        self.spawn(worker.link.stop, run.task, run.run, worker.fence, ORDER_TIMEOUT_S)
 
     # Workers
 
--- a/laburnumswitch/process/dispatch/feeds.py
+++ b/laburnumswitch/process/dispatch/feeds.py
@@ -2,8 +2,6 @@
 
 from typing import Any
 
-from gevent import spawn
-
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.exceptions import HistoryLost
 from laburnumswitch.exceptions import RowMalformed
@@ -66,10 +64,10 @@
         dispatcher.context.log.note("worker_malformed", worker_id, reason=entry.reason)
         return
     if worker is None:
-        spawn(run_worker, dispatcher, dispatcher.add_worker(entry))
+        dispatcher.spawn(run_worker, dispatcher, dispatcher.add_worker(entry))
     elif _is_other_incarnation(worker, entry, dispatcher.context.clock()):
         dispatcher.drop_worker(worker, "listed as another incarnation")
-        spawn(run_worker, dispatcher, dispatcher.add_worker(entry, worker.fence))
+        dispatcher.spawn(run_worker, dispatcher, dispatcher.add_worker(entry, worker.fence))
     else:
         if entry.is_draining and not worker.entry.is_draining:
             dispatcher.context.log.note("worker_draining", worker_id)
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -1,7 +1,5 @@
 """Decides which waiting tasks start where, and sends the starts."""
 
-from gevent import spawn
-
 from laburnumswitch.exceptions import ConnectFailed
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.exceptions import Refused
@@ -301,7 +299,7 @@
         tickets.get(worker.worker_id, ""),
     )
     dispatcher.counters.starts += 1
-    spawn(_send_start, dispatcher, job, worker, run, order)
+    dispatcher.spawn(_send_start, dispatcher, job, worker, run, order)
 
 
 def _send_start(
@@ -361,7 +359,7 @@
         step = waiting.runs.step
         room = [each for each in candidates if each.fits(step)] or candidates
         ids = tuple(each.worker_id for each in room[:ADVICE_WORKERS])
-        spawn(_ask_advice, dispatcher, queue, waiting, key, ids)
+        dispatcher.spawn(_ask_advice, dispatcher, queue, waiting, key, ids)
     return {}
 
 
--- a/laburnumswitch/process/dispatch/takeover.py
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -1,6 +1,5 @@
 """How a new owner learns what earlier owners left: stored jobs, and what runs on the workers."""
 
-from gevent import spawn
 from msgspec import convert
 from msgspec import ValidationError
 
@@ -51,8 +50,8 @@
     )
     recorder = Recorder(recorder_context, held, proved_s)
     dispatcher = Dispatcher(context, recorder)
-    spawn(recorder.run, dispatcher.is_stopped)
-    spawn(_run, dispatcher, predecessor)
+    dispatcher.spawn(recorder.run, dispatcher.is_stopped)
+    dispatcher.spawn(_run, dispatcher, predecessor)
     return dispatcher
 
 
@@ -67,13 +66,13 @@
     if dispatcher.is_stopped():
         return
     dispatcher.is_loaded.set()
-    spawn(follow_submissions, dispatcher, version)
-    spawn(follow_cancellations, dispatcher, version)
-    spawn(follow_workers, dispatcher)
-    spawn(run_planner, dispatcher)
-    spawn(run_relocation, dispatcher)
-    spawn(run_retention, dispatcher)
-    spawn(run_learning, dispatcher)
+    dispatcher.spawn(follow_submissions, dispatcher, version)
+    dispatcher.spawn(follow_cancellations, dispatcher, version)
+    dispatcher.spawn(follow_workers, dispatcher)
+    dispatcher.spawn(run_planner, dispatcher)
+    dispatcher.spawn(run_relocation, dispatcher)
+    dispatcher.spawn(run_retention, dispatcher)
+    dispatcher.spawn(run_learning, dispatcher)
     if not dispatcher.settled:
         _settle(dispatcher)
 
@@ -115,7 +114,7 @@
         for entry in entries:
             worker = dispatcher.add_worker(entry)
             worker.lapse_bound_s = dispatcher.context.clock() + unseen_s
-            spawn(run_worker, dispatcher, worker)
+            dispatcher.spawn(run_worker, dispatcher, worker)
 
 
 def _settle(dispatcher: Dispatcher) -> None:
--- a/laburnumswitch/process/dispatch/worker_task.py
+++ b/laburnumswitch/process/dispatch/worker_task.py
@@ -4,8 +4,6 @@
 what it means is stored.
 """
 
-from gevent import spawn
-
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.exceptions import StartRefused
 from laburnumswitch.exceptions import WorkerRestarted
@@ -186,7 +184,7 @@
     dispatcher.context.log.note(
         "run_unwanted", task_name(row.task), run=row.run, worker=worker.worker_id
     )
-    spawn(worker.link.stop, row.task, row.run, worker.fence, ORDER_TIMEOUT_S)
+    dispatcher.spawn(worker.link.stop, row.task, row.run, worker.fence, ORDER_TIMEOUT_S)
 
 
 def _look(dispatcher: Dispatcher, worker: Worker, now_s: float) -> None:
@@ -229,7 +227,7 @@
         elif run.slowed_s is None:
             run.slowed_s = now_s
         if percent != run.throttle and run.confirmed_s is not None:
-            spawn(_throttle, dispatcher, worker, run, percent)
+            dispatcher.spawn(_throttle, dispatcher, worker, run, percent)
 
 
 def _full_share(run: ActiveRun, capacity: float) -> float:
--- a/laburnumswitch/process/leadership/leadership.py
+++ b/laburnumswitch/process/leadership/leadership.py
@@ -160,6 +160,8 @@
         if dispatcher.is_stopped() and self.dispatcher is dispatcher:
             dispatcher.stop()
             self.dispatcher = None
+            # An ownership that ended by an error would otherwise begin anew without a pause.
+            self._context.sleep(RETRY_S)
 
     def _is_much_smaller(self) -> bool:
         dispatcher = self.dispatcher
--- a/laburnumswitch/process/observing/decisions.py
+++ b/laburnumswitch/process/observing/decisions.py
@@ -8,6 +8,8 @@
 import os
 from collections import deque
 from collections.abc import Callable
+from sys import exception
+from traceback import format_exception
 from typing import Any
 
 from gevent import sleep
@@ -16,6 +18,8 @@
 from msgspec.json import encode
 
 CAPACITY_LINES = 2_000
+# The innermost calls of a trace stand last; about 25 of them fit.
+MOST_TRACE_CHARACTERS = 3_000
 # Lines wait at most this long, in seconds; more lines in one write cost fewer system calls.
 FLUSH_INTERVAL_S = 0.25
 STANDARD_OUTPUT = 1
@@ -47,6 +51,11 @@
         line.update(inputs)
         self._lines.append(encode(line))
 
+    def note_error(self, event: str, subject: str, **inputs: Any) -> None:
+        """Add a line about the exception that is being handled, with where it was raised."""
+        trace = "".join(format_exception(exception()))[-MOST_TRACE_CHARACTERS:]
+        self.note(event, subject, error=repr(exception()), trace=trace, **inputs)
+
     def take(self) -> bytes:
         """Return the waiting lines, and one that counts what was dropped since the last."""
         if self.dropped > self._reported_dropped:
--- a/tests/process/dispatch/test_dispatcher.py
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -2,6 +2,7 @@
 
 from gevent import sleep
 from testtools import TestCase
+from testtools.matchers import Contains
 from testtools.matchers import Equals
 from testtools.matchers import GreaterThan
 from testtools.matchers import Is
@@ -208,6 +209,25 @@
         self.assertThat(number, GreaterThan(1))
 
 
+class TestUnexpectedError(TestCase):
+    """An error in one of the owner's tasks must not leave the rest running without it."""
+
+    def test_it_ends_the_ownership_and_the_next_one_carries_on(self):
+        bench = DispatchBench()
+        first = bench.begin("vm-1")
+        self.addCleanup(first.stop)
+        bench.submit(make_submission("j1", LONG), first)
+        wait_until(lambda: bench.judge.starts == 1)
+        first.spawn(lambda: {}["missing"])
+        wait_until(first.is_stopped)
+        self.assertThat(bench.log.take().decode(), Contains("KeyError('missing')"))
+        second = bench.begin("vm-1")
+        self.addCleanup(second.stop)
+        wait_until(lambda: "j1" in second.jobs_by_id)
+        wait_until(lambda: second.jobs_by_id["j1"].task(TaskKey("j1", 0, 0, 0)).run > 0)
+        self.assertThat(bench.judge.starts, Equals(1))
+
+
 class TestCutOffOwner(TestCase):
     """An owner that cannot commit and hears nothing of a worker may have been superseded."""
 
