Filling work waits for workers that have speed to give

Cause: a worker whose filling runs were throttled to a stand looked harmless to the next one, since what is throttled raises no tail. Changed: the cost of a worker counts what would be throttled if the task ran there, measured against the run that hurts most; a filling step waits for a calm worker (30 s at most) unless most of the room is free; distance from the data is no harm.

--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -21,13 +21,20 @@
 
 
 class Outlook(NamedTuple):
-    """A serving run's image, the expected logarithm of its tail over its target, and the
-    probability that the tail exceeds the target; and whether it has been over for a while.
+    """What is expected of a serving run.
+
+    :ivar expected: logarithm of its tail over its target.
+    :ivar over: probability that the tail exceeds the target.
+    :ivar unthrottled: ``expected``, if no filling run beside it were throttled.
+    :ivar highest_rise: what the filling run that hurts it most adds to ``unthrottled``.
+    :ivar stays_over: whether it has been over its target for a while.
     """
 
     image: str
     expected: float
     over: float
+    unthrottled: float
+    highest_rise: float
     stays_over: bool
 
 
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -7,6 +7,7 @@
 from laburnumswitch.exceptions import Throttled
 from laburnumswitch.exceptions import Unavailable
 from laburnumswitch.exceptions import WorkerRestarted
+from laburnumswitch.process.dispatch.calm import forced_starts
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
 from laburnumswitch.process.dispatch.dispatcher import ORDER_TIMEOUT_S
 from laburnumswitch.process.dispatch.dispatcher import task_name
@@ -39,10 +40,6 @@
 # After a refused start a worker gets none for so long, in seconds.
 REFUSED_PAUSE_S = 0.3
 UNHEALTHY_PAUSE_S = 1.0
-# A filling task waits at most so long, in seconds, for a worker on which it harms nobody.
-CALM_WAIT_S = 3.0
-# It waits for no more than this share of its job's slack: the steps after it need the rest.
-CALM_SLACK_SHARE = 0.3
 # Filling tasks that wait for calmer neighbours are looked at again after this time, in seconds.
 CALM_RETRY_S = 0.15
 # Throttled runs are looked at so often, in seconds: half the time after which one may move.
@@ -95,7 +92,7 @@
     usable_by_service: dict[str, list[Worker]] = {}
     budget_by_service: dict[str, float] = {}
     held: set[str] = set()
-    for key, queue, waiting in keyed:
+    for _, queue, waiting in keyed:
         if queue.service not in usable_by_service:
             usable_by_service[queue.service] = _usable_workers(dispatcher, queue.service)
             budget_by_service[queue.service] = _lasting_budget(
@@ -111,7 +108,7 @@
         usable = usable_by_service[queue.service]
         if held and not _has_waited_long(dispatcher, waiting):
             usable = [worker for worker in usable if worker.worker_id not in held]
-        _start_step(dispatcher, queue, waiting, usable, _calm_wait_s(key.slack_s))
+        _start_step(dispatcher, queue, waiting, usable)
         if not step.lasting and not step.filling:
             held |= choose_held(step, waiting.runs, usable, len(held))
         if step.lasting and not step.filling:
@@ -178,7 +175,6 @@
     queue: Queue,
     waiting: WaitingStep,
     usable: list[Worker],
-    calm_wait_s: float,
 ) -> None:
     step = waiting.runs.step
     candidates = usable
@@ -190,12 +186,19 @@
     if step.gang:
         _start_gang(dispatcher, waiting, candidates, tickets or {})
         return
-    _start_each(dispatcher, waiting, candidates, tickets or {}, calm_wait_s)
+    forced = _forced_starts(dispatcher, waiting, usable)
+    _start_each(dispatcher, waiting, candidates, tickets or {}, forced)
 
 
-def _calm_wait_s(slack_s: float) -> float:
-    """Return how long a filling step may wait for calm in all, by its job's slack in seconds."""
-    return min(CALM_WAIT_S, CALM_SLACK_SHARE * max(0.0, slack_s))
+def _forced_starts(dispatcher: Dispatcher, waiting: WaitingStep, usable: list[Worker]) -> int:
+    step = waiting.runs.step
+    if not step.filling:
+        return step.count
+    waited_s = dispatcher.context.clock() - waiting.runs.ready_since_s
+    capacity = sum(worker.entry.cpu_millis for worker in usable)
+    reserved = sum(worker.used_cpu_millis for worker in usable)
+    is_running = any(True for _ in waiting.job.active_tasks())
+    return forced_starts(step, waited_s, reserved / max(1, capacity), is_running)
 
 
 def _start_each(
@@ -203,21 +206,22 @@
     waiting: WaitingStep,
     candidates: list[Worker],
     tickets: dict[str, str],
-    calm_wait_s: float,
+    forced: int,
 ) -> None:
+    """Start the tasks of a step; ``forced`` of them go to workers that are not calm, too."""
     step = waiting.runs.step
-    now_s = dispatcher.context.clock()
     context = PlacementContext(dispatcher.model, tuple(dispatcher.filling_images))
     open_to = (each for each in candidates if _spread_allows(step, each, waiting))
     ranking = Ranking(step, open_to, context)
-    waits_for_calm = step.filling and now_s - waiting.runs.ready_since_s < calm_wait_s
     for task in list(waiting.runs.waiting()):
         choice = ranking.best()
         if choice is None:
             return
-        if waits_for_calm and choice.cost > HARM_LIMIT:
-            waiting.runs.retry_after_s = now_s + CALM_RETRY_S
-            return
+        if choice.cost_nearby > HARM_LIMIT:
+            if forced == 0:
+                waiting.runs.retry_after_s = dispatcher.context.clock() + CALM_RETRY_S
+                return
+            forced -= 1
         _start_task(dispatcher, waiting.job, task, choice.worker, tickets)
         ranking.update_best(_spread_allows(step, choice.worker, waiting))
 
--- a/tests/process/dispatch/test_decisions.py
+++ b/tests/process/dispatch/test_decisions.py
@@ -9,6 +9,8 @@
 from testtools.matchers import Is
 from testtools.matchers import LessThan
 
+from laburnumswitch.process.dispatch.calm import CALM_WAIT_S
+from laburnumswitch.process.dispatch.calm import forced_starts
 from laburnumswitch.process.dispatch.fleet import ActiveRun
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.headroom import choose_held
@@ -114,6 +116,23 @@
         choice = Ranking(HARMFUL, (worker,), self.context).best()
         self.assertThat(choice.cost, GreaterThan(1.0))
 
+    def test_worker_whose_filling_runs_are_throttled_is_not_calm(self):
+        """A standstill looks harmless, but what starts there stands still as well."""
+        worker = make_worker(1, SERVING, HARMFUL, HARMFUL, HARMFUL, cpu_millis=16_000)
+        for run in worker.filling_runs():
+            run.throttle = 0
+        choice = Ranking(HARMFUL, (worker,), self.context).best()
+        self.assertThat(choice.cost, GreaterThan(HARM_LIMIT))
+        self.assertThat(
+            Ranking(HARMLESS, (worker,), self.context).best().cost, LessThan(HARM_LIMIT)
+        )
+
+    def test_distance_from_the_data_does_not_count_as_harm(self):
+        step = HARMLESS._replace(data_rack="r2")
+        choice = Ranking(step, (make_worker(1, SERVING),), self.context).best()
+        self.assertThat(choice.cost, GreaterThan(HARM_LIMIT))
+        self.assertThat(choice.cost_nearby, LessThan(HARM_LIMIT))
+
     def test_wide_step_is_spread_as_costs_rise(self):
         workers = [make_worker(number) for number in range(3)]
         ranking = Ranking(HARMLESS, workers, self.context)
@@ -142,6 +161,20 @@
         self.assertThat(Ranking(large, (make_worker(1),), self.context).best(), Is(None))
 
 
+class TestCalm(TestCase):
+    def test_filling_work_waits_for_a_calm_worker_while_most_room_is_reserved(self):
+        self.assertThat(forced_starts(HARMFUL, 10.0, 0.9, False), Equals(0))
+
+    def test_where_most_room_is_free_a_job_runs_something(self):
+        self.assertThat(forced_starts(HARMFUL, 1.4, 0.3, False), Equals(0))
+        self.assertThat(forced_starts(HARMFUL, 1.6, 0.3, False), Equals(1))
+        self.assertThat(forced_starts(HARMFUL, 1.6, 0.3, True), Equals(0))
+
+    def test_in_the_end_all_tasks_of_a_step_start(self):
+        step = HARMFUL._replace(count=8)
+        self.assertThat(forced_starts(step, CALM_WAIT_S, 0.9, True), Equals(8))
+
+
 class TestThrottling(TestCase):
     def test_only_the_blamed_run_is_throttled(self):
         filling = [FillingView("a", "loud", 0.3), FillingView("b", "quiet", 0.3)]
