Ends of a cancelled job send no further stops

Ruled out: repeats by the stop timer, which name another reason. Before: the new test fails with extra stops; after: one stop a run and one job_final line.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -361,9 +361,12 @@
             job.end_run(task)
         task.last_run = max(task.last_run, end.run)
         task.checkpoint = end.checkpoint or task.checkpoint
+        was_final = job.is_final()
         self._count_end(worker, job, task, end)
         worker.ends_by_commit.append((self.recorder.note_job(job), end.number))
-        if job.is_final():
+        if was_final:
+            self.forget_if_over(job)
+        elif job.is_final():
             self.finish_job(job, f"task {task_name(task.key)} {end.how}")
         else:
             self.refresh_waiting(job)
--- a/tests/process/dispatch/test_dispatcher.py
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -1,5 +1,7 @@
 """One owner, and two after each other, over workers in memory."""
 
+from json import loads
+
 from gevent import sleep
 from testtools import TestCase
 from testtools.matchers import Contains
@@ -65,6 +67,20 @@
         wait_until(lambda: not any(each.running() for each in self.bench.worker_by_id.values()))
         self.assertThat(self.owner.shown_state("j1"), Equals(JobState.CANCELLED))
 
+    def test_ends_of_a_cancelled_job_send_no_further_stops(self):
+        step = Step(4, cpu_millis=1000, memory_mb=100, estimate_ms=60_000)
+        self.bench.submit(make_submission("j1", step), self.owner)
+        wait_until(lambda: self.bench.judge.starts == 4)
+        self.bench.log.take()
+        self.owner.cancel_job("j1")
+        wait_until(lambda: not any(each.running() for each in self.bench.worker_by_id.values()))
+        wait_until(lambda: "j1" in self.owner.final_by_id)
+        lines = [loads(line) for line in self.bench.log.take().splitlines()]
+        stops = [line["id"] for line in lines if line["event"] == "run_stop"]
+        self.assertThat(sorted(stops), Equals([f"j1.0.0.{index}" for index in range(4)]))
+        finals = [line for line in lines if line["event"] == "job_final"]
+        self.assertThat(len(finals), Equals(1))
+
     def test_cancellation_that_comes_before_its_job_holds(self):
         # Found by a hunt (UNASKED): the cancellation's message overtook that of the job.
         self.owner.cancel_job("j1")
