Rule out steps that cannot find a calm worker once a pass; leave hot racks

Cause: filling steps that wait for calm are ranked again every 0.15 s over all workers; a burst on a grown site leaves a hundred of them. And a filling step whose data's rack has no calm worker waited for one for up to 30 s although others were calm, since distance goes before all in the ranking. Changed: within a pass, a step that needs no less of an image than one that found no calm worker is not ranked; after the time that the distance would cost, any calm worker will do. Ruled out: longer pauses between looks, which would let calm room pass unused. Before: the test of the hot rack fails (the task runs beside the serving task that it harms); after: it runs in the other rack.

--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -7,7 +7,9 @@
 from laburnumswitch.exceptions import Throttled
 from laburnumswitch.exceptions import Unavailable
 from laburnumswitch.exceptions import WorkerRestarted
+from laburnumswitch.process.dispatch.calm import CalmSearch
 from laburnumswitch.process.dispatch.calm import forced_starts
+from laburnumswitch.process.dispatch.calm import prefers_near
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
 from laburnumswitch.process.dispatch.dispatcher import ORDER_TIMEOUT_S
 from laburnumswitch.process.dispatch.dispatcher import task_name
@@ -92,6 +94,7 @@
     usable_by_service: dict[str, list[Worker]] = {}
     budget_by_service: dict[str, float] = {}
     held: set[str] = set()
+    search = CalmSearch()
     for _, queue, waiting in keyed:
         if queue.service not in usable_by_service:
             usable_by_service[queue.service] = _usable_workers(dispatcher, queue.service)
@@ -108,7 +111,7 @@
         usable = usable_by_service[queue.service]
         if held and not _has_waited_long(dispatcher, waiting):
             usable = [worker for worker in usable if worker.worker_id not in held]
-        _start_step(dispatcher, queue, waiting, usable)
+        _start_step(dispatcher, queue, waiting, usable, search)
         if not step.lasting and not step.filling:
             held |= choose_held(step, waiting.runs, usable, len(held))
         if step.lasting and not step.filling:
@@ -175,8 +178,13 @@
     queue: Queue,
     waiting: WaitingStep,
     usable: list[Worker],
+    search: CalmSearch,
 ) -> None:
     step = waiting.runs.step
+    forced = _forced_starts(dispatcher, waiting, usable)
+    if forced == 0 and search.rules_out(queue.service, step):
+        waiting.runs.retry_after_s = dispatcher.context.clock() + CALM_RETRY_S
+        return
     candidates = usable
     if step.required_label:
         candidates = [each for each in usable if step.required_label in each.entry.labels]
@@ -186,8 +194,10 @@
     if step.gang:
         _start_gang(dispatcher, waiting, candidates, tickets or {})
         return
-    forced = _forced_starts(dispatcher, waiting, usable)
-    _start_each(dispatcher, waiting, candidates, tickets or {}, forced)
+    if not _start_each(dispatcher, waiting, candidates, tickets or {}, forced):
+        waiting.runs.retry_after_s = dispatcher.context.clock() + CALM_RETRY_S
+        if tickets is None:
+            search.note_failed(queue.service, step)
 
 
 def _forced_starts(dispatcher: Dispatcher, waiting: WaitingStep, usable: list[Worker]) -> int:
@@ -207,23 +217,36 @@
     candidates: list[Worker],
     tickets: dict[str, str],
     forced: int,
-) -> None:
-    """Start the tasks of a step; ``forced`` of them go to workers that are not calm, too."""
+) -> bool:
+    """Start the tasks of a step; ``forced`` of them go to workers that are not calm, too.
+
+    :return: whether calm workers were found as long as there was room.
+    """
     step = waiting.runs.step
     context = PlacementContext(dispatcher.model, tuple(dispatcher.filling_images))
     open_to = (each for each in candidates if _spread_allows(step, each, waiting))
-    ranking = Ranking(step, open_to, context)
+    ranking = Ranking(_as_ranked(dispatcher, waiting), open_to, context)
     for task in list(waiting.runs.waiting()):
         choice = ranking.best()
         if choice is None:
-            return
+            return True
         if choice.cost_nearby > HARM_LIMIT:
             if forced == 0:
-                waiting.runs.retry_after_s = dispatcher.context.clock() + CALM_RETRY_S
-                return
+                return False
             forced -= 1
         _start_task(dispatcher, waiting.job, task, choice.worker, tickets)
         ranking.update_best(_spread_allows(step, choice.worker, waiting))
+    return True
+
+
+def _as_ranked(dispatcher: Dispatcher, waiting: WaitingStep) -> Step:
+    step = waiting.runs.step
+    if not (step.filling and step.data_rack):
+        return step
+    waited_s = dispatcher.context.clock() - waiting.runs.ready_since_s
+    if prefers_near(step, waited_s, dispatcher.context.deployment.bounds.far_factor):
+        return step
+    return step._replace(data_rack="")
 
 
 def _spread_allows(step: Step, worker: Worker, waiting: WaitingStep) -> bool:
--- a/tests/process/dispatch/test_decisions.py
+++ b/tests/process/dispatch/test_decisions.py
@@ -10,7 +10,9 @@
 from testtools.matchers import LessThan
 
 from laburnumswitch.process.dispatch.calm import CALM_WAIT_S
+from laburnumswitch.process.dispatch.calm import CalmSearch
 from laburnumswitch.process.dispatch.calm import forced_starts
+from laburnumswitch.process.dispatch.calm import prefers_near
 from laburnumswitch.process.dispatch.fleet import ActiveRun
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.headroom import choose_held
@@ -174,6 +176,32 @@
         step = HARMFUL._replace(count=8)
         self.assertThat(forced_starts(step, CALM_WAIT_S, 0.9, True), Equals(8))
 
+    def test_work_leaves_a_hot_rack_once_waiting_costs_more_than_the_distance(self):
+        step = HARMFUL._replace(estimate_ms=2_000)
+        self.assertThat(prefers_near(step, 3.9, far_factor=3.0), Is(True))
+        self.assertThat(prefers_near(step, 4.1, far_factor=3.0), Is(False))
+
+
+class TestCalmSearch(TestCase):
+    """A burst leaves a hundred steps waiting, on sites with hundreds of workers."""
+
+    def setUp(self):
+        super().setUp()
+        self.search = CalmSearch()
+        self.search.note_failed("shop", HARMFUL)
+
+    def test_step_that_needs_no_less_is_ruled_out(self):
+        self.assertThat(self.search.rules_out("shop", HARMFUL._replace(count=9)), Is(True))
+        self.assertThat(self.search.rules_out("shop", HARMFUL._replace(cpu_millis=800)), Is(False))
+
+    def test_other_images_and_services_are_not(self):
+        self.assertThat(self.search.rules_out("shop", HARMLESS), Is(False))
+        self.assertThat(self.search.rules_out("bank", HARMFUL), Is(False))
+
+    def test_step_that_may_not_use_every_worker_says_nothing(self):
+        self.search.note_failed("shop", HARMLESS._replace(required_label="fast"))
+        self.assertThat(self.search.rules_out("shop", HARMLESS), Is(False))
+
 
 class TestThrottling(TestCase):
     def test_only_the_blamed_run_is_throttled(self):
--- a/tests/process/dispatch/test_dispatcher.py
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -15,6 +15,7 @@
 from laburnumswitch.process.dispatch.work import TaskKey
 from laburnumswitch.process.leadership.term import Predecessor
 from tests.process.dispatch.bench import DispatchBench
+from tests.process.dispatch.bench import make_entry
 from tests.process.dispatch.bench import make_submission
 from tests.process.dispatch.bench import wait_until
 
@@ -225,6 +226,30 @@
         self.assertThat(number, GreaterThan(1))
 
 
+class TestHotRack(TestCase):
+    """Filling work whose data are in a rack where serving tasks bear no more of it."""
+
+    def test_it_runs_away_from_its_data_in_the_end(self):
+        bench = DispatchBench(workers=0)
+        bench.add_worker(make_entry(1, rack="r1"))
+        bench.add_worker(make_entry(2, rack="r2"))
+        owner = bench.begin()
+        self.addCleanup(owner.stop)
+        serving = Step(1, 3000, 100, image="web", tail_target_ms=100, lasting=True, data_rack="r1")
+        bench.submit(make_submission("serving", serving), owner)
+        wait_until(lambda: bench.judge.starts == 1)
+        near = owner.workers_by_id["w1"]
+        for look in range(40):
+            owner.model.observe(look, "web", 9.0, {"loud": 0.2})
+        near.outlook = None
+        step = Step(1, 1000, 100, estimate_ms=50, image="loud", filling=True, data_rack="r1")
+        bench.submit(make_submission("filling", step), owner)
+        wait_until(lambda: owner.shown_state("filling") is JobState.COMPLETED)
+        ends = [loads(line) for line in bench.log.take().splitlines()]
+        holders = [e["worker"] for e in ends if e["event"] == "run_ended" and "filling" in e["id"]]
+        self.assertThat(holders, Equals(["w2"]))
+
+
 class TestUnexpectedError(TestCase):
     """An error in one of the owner's tasks must not leave the rest running without it."""
 
