One mechanism follows tables; lost and regained feeds are logged

Cause: the loops that follow workers, submissions, cancellations and operators' wishes were written three times, and a failed read was retried without a line in the decision log. Now process/rows/following.py holds the loop; feed_lost, feed_regained and feed_history_lost name the table, the version and the reason. No change of what is read when.

--- a/laburnumswitch/dispatch_entry.py
+++ b/laburnumswitch/dispatch_entry.py
@@ -59,8 +59,10 @@
 from laburnumswitch.process.operating.admin import AdminRequest
 from laburnumswitch.process.operating.admin import serve_admin
 from laburnumswitch.process.operating.admin import Traffic
+from laburnumswitch.process.operating.operations import FEED_WAIT_S
 from laburnumswitch.process.operating.operations import follow_operations
 from laburnumswitch.process.operating.operations import Operations
+from laburnumswitch.process.rows.following import Feed
 from laburnumswitch.request.callers_port import InFlight
 from laburnumswitch.request.callers_port import make_callers_port
 from laburnumswitch.request.submission import answer_request
@@ -192,8 +194,7 @@
     def _follow_operations(self) -> None:
         follow_operations(
             self.operations,
-            self.table,
-            OPERATIONS_TABLE,
+            Feed(self.table, OPERATIONS_TABLE, FEED_WAIT_S),
             decode_operation,
             monotonic,
             sleep,
--- a/laburnumswitch/process/dispatch/feeds.py
+++ b/laburnumswitch/process/dispatch/feeds.py
@@ -1,9 +1,7 @@
 """Follows what others write for the owner: workers' entries, submitted jobs and cancellations."""
 
-from typing import Any
+from collections.abc import Callable
 
-from laburnumswitch.exceptions import Failure
-from laburnumswitch.exceptions import HistoryLost
 from laburnumswitch.exceptions import RowMalformed
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
 from laburnumswitch.process.dispatch.fleet import Worker
@@ -12,6 +10,9 @@
 from laburnumswitch.process.dispatch.progress import SUBMISSIONS_TABLE
 from laburnumswitch.process.dispatch.reports import WorkerEntry
 from laburnumswitch.process.dispatch.worker_task import run_worker
+from laburnumswitch.process.rows.following import Feed
+from laburnumswitch.process.rows.following import follow
+from laburnumswitch.process.rows.table import Changes
 from laburnumswitch.process.rows.table import Row
 
 # Workers write every second, so a long poll would return at once: the pause between two reads, in
@@ -23,31 +24,20 @@
 # A worker whose answer is this old, in seconds, is believed less than its entry: it has missed two
 # renewals.
 HEARD_LATELY_S = 2.2
-RETRY_S = 0.2
 
 
 def follow_workers(dispatcher: Dispatcher) -> None:
     """Keep the workers up to date until the ownership ends."""
     context = dispatcher.context
-    version: int | None = None
-    while not dispatcher.is_stopped():
-        if version is None:
-            changes = context.table.load(context.workers_table)
-        else:
-            context.sleep(WORKERS_INTERVAL_S)
-            changes = context.table.follow(context.workers_table, version, FEED_WAIT_S)
-        if dispatcher.is_stopped():
-            return
-        if isinstance(changes, HistoryLost):
-            version = None
-        elif isinstance(changes, Failure):
-            context.sleep(RETRY_S)
-        else:
-            if version is None:
-                _mark_missing(dispatcher, {row.key.partition("/")[2] for row in changes.rows})
-            for row in changes.rows:
-                apply_worker_row(dispatcher, row)
-            version = changes.version
+
+    def apply(changes: Changes, is_whole: bool) -> None:
+        if is_whole:
+            _mark_missing(dispatcher, {row.key.partition("/")[2] for row in changes.rows})
+        for row in changes.rows:
+            apply_worker_row(dispatcher, row)
+
+    feed = Feed(context.table, context.workers_table, FEED_WAIT_S, WORKERS_INTERVAL_S)
+    follow(feed, None, apply, context.log, context.sleep, dispatcher.is_stopped)
 
 
 def apply_worker_row(dispatcher: Dispatcher, row: Row) -> None:
@@ -129,22 +119,17 @@
         dispatcher.cancel_job(job_id)
 
 
-def _follow_rows(dispatcher: Dispatcher, table: str, version: int, apply: Any) -> None:
+def _follow_rows(
+    dispatcher: Dispatcher,
+    table: str,
+    version: int,
+    apply_row: Callable[[Dispatcher, Row], None],
+) -> None:
     context = dispatcher.context
-    known: int | None = version
-    while not dispatcher.is_stopped():
-        context.sleep(SUBMISSIONS_INTERVAL_S)
-        if known is None:
-            changes = context.table.load(table)
-        else:
-            changes = context.table.follow(table, known, FEED_WAIT_S)
-        if dispatcher.is_stopped():
-            return
-        if isinstance(changes, HistoryLost):
-            known = None
-        elif isinstance(changes, Failure):
-            context.sleep(RETRY_S)
-        else:
-            for row in changes.rows:
-                apply(dispatcher, row)
-            known = changes.version
+
+    def apply(changes: Changes, is_whole: bool) -> None:
+        for row in changes.rows:
+            apply_row(dispatcher, row)
+
+    feed = Feed(context.table, table, FEED_WAIT_S, SUBMISSIONS_INTERVAL_S)
+    follow(feed, version, apply, context.log, context.sleep, dispatcher.is_stopped)
--- a/laburnumswitch/process/operating/operations.py
+++ b/laburnumswitch/process/operating/operations.py
@@ -3,20 +3,18 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from laburnumswitch.exceptions import Failure
-from laburnumswitch.exceptions import HistoryLost
 from laburnumswitch.exceptions import RowMalformed
 from laburnumswitch.process.dispatch.work import Queue
 from laburnumswitch.process.dispatch.work import QueueConfiguration
 from laburnumswitch.process.observing.decisions import DecisionLog
+from laburnumswitch.process.rows.following import Feed
+from laburnumswitch.process.rows.following import follow
 from laburnumswitch.process.rows.table import Changes
-from laburnumswitch.process.rows.table import FeedTable
 from laburnumswitch.process.rows.table import Row
 
 # A feed that has gone silent is noticed after this time, in seconds: a configuration has to be in
 # force within two.
 FEED_WAIT_S = 1.0
-RETRY_S = 0.2
 
 
 class MaintenanceWave(NamedTuple):
@@ -48,7 +46,7 @@
         self.heard_s = float("-inf")
         # Jobs outlive their queue's removal from the configuration.
         self._known_queues: dict[str, Queue] = {}
-        self._log = log
+        self.log = log
 
     def queue(self, name: str) -> Queue | None:
         """Return a queue that is, or once was, configured."""
@@ -73,16 +71,16 @@
             changed = self.zones_out ^ {operation.zone}
             if (operation.zone in self.zones_out) != operation.is_out:
                 self.zones_out = changed
-                self._log.note("zone", operation.zone, out=operation.is_out)
+                self.log.note("zone", operation.zone, out=operation.is_out)
         elif isinstance(operation, MaintenanceWave):
             self.waves_by_number[operation.number] = operation
         elif isinstance(operation, RowMalformed):
-            self._log.note("operation_malformed", operation.key, reason=operation.reason)
+            self.log.note("operation_malformed", operation.key, reason=operation.reason)
 
     def replace_zones(self, names: frozenset[str]) -> None:
         """Take the zones that are out from a complete reading."""
         for zone in names ^ self.zones_out:
-            self._log.note("zone", zone, out=zone in names)
+            self.log.note("zone", zone, out=zone in names)
         self.zones_out = names
 
     def _adopt(self, configuration: QueueConfiguration) -> None:
@@ -91,49 +89,26 @@
         before = self.configuration.version if self.configuration else 0
         self.configuration = configuration
         self._known_queues.update(configuration.queues_by_name)
-        self._log.note("configuration", str(configuration.version), before=before)
+        self.log.note("configuration", str(configuration.version), before=before)
 
 
 def follow_operations(
     operations: Operations,
-    table: FeedTable,
-    table_name: str,
+    feed: Feed,
     decode: Callable[[Row], Operation | RowMalformed | None],
     clock: Callable[[], float],
     sleep: Callable[[float], None],
     is_stopped: Callable[[], bool],
 ) -> None:
     """Keep the operators' wishes up to date until the process stops."""
-    version: int | None = None
-    while not is_stopped():
-        changes = _next_changes(operations, table, table_name, decode, version)
-        if isinstance(changes, HistoryLost):
-            version = None
-            continue
-        if isinstance(changes, Failure):
-            sleep(RETRY_S)
-            continue
-        version = max(changes.version, version or 0)
-        operations.heard_s = clock()
 
+    def apply(changes: Changes, is_whole: bool) -> None:
+        decoded = [decode(row) for row in changes.rows]
+        if is_whole:
+            zones = frozenset(each.zone for each in decoded if isinstance(each, ZoneOrder))
+            operations.replace_zones(zones)
+        for operation in decoded:
+            operations.apply(operation)
+        operations.heard_s = clock()
 
-def _next_changes(
-    operations: Operations,
-    table: FeedTable,
-    table_name: str,
-    decode: Callable[[Row], Operation | RowMalformed | None],
-    version: int | None,
-) -> Changes | Failure:
-    if version is not None:
-        changes = table.follow(table_name, version, FEED_WAIT_S)
-    else:
-        changes = table.load(table_name)
-    if isinstance(changes, Failure):
-        return changes
-    decoded = [decode(row) for row in changes.rows]
-    if version is None:
-        zones = frozenset(each.zone for each in decoded if isinstance(each, ZoneOrder))
-        operations.replace_zones(zones)
-    for operation in decoded:
-        operations.apply(operation)
-    return changes
+    follow(feed, None, apply, operations.log, sleep, is_stopped)
