--- /dev/null
+++ b/scripts/worth.py
@@ -0,0 +1,107 @@
+"""Writes where worth is lost on the users' bench, from the scores in ``journal/``.
+
+A bench entry holds the parts of a day's worth and what each kind of request earned. The table sets
+the first score of each site beside the last one.
+"""
+
+from pathlib import Path
+
+import click
+from msgspec import Struct
+from msgspec.json import decode
+
+JOURNAL = Path("journal")
+PAGE = Path("docs/developers/worth.md")
+HEADER = """# Where worth is lost
+
+For developers. Made by `python -m scripts.worth` from the scores in `journal/`; for each site the
+last score and the first. Single runs: a day differs by up to 0.08 from run to run. The mark is what
+the bench holds possible. Urgent, filling and lasting give the share of what each kind of request
+could earn; the worst windows and the worst kind weigh in by site.
+"""
+COLUMNS = (
+    "day",
+    "worth",
+    "mark",
+    "urgent",
+    "filling",
+    "lasting",
+    "worst windows",
+    "worst kind",
+    "prices",
+)
+
+
+class Day(Struct):
+    """One day of a score. ``top`` is the day's mark, ``None`` for days drawn by the bench."""
+
+    name: str
+    G: float
+    by_class: list[float | None]
+    parts: list[tuple[str, float, float]]
+    prices: list[tuple[str, float, float]]
+    top: float | None = None
+    slot: str | None = None
+
+
+class Entry(Struct):
+    """One entry of the journal; those of builds and hunts have no site or score."""
+
+    cmd: str
+    why: str | None = None
+    site: str | None = None
+    score: float | None = None
+    days: list[Day] | None = None
+
+
+@click.command()
+def main() -> None:
+    """Write the page."""
+    PAGE.write_text(HEADER + "".join(describe_site(*pair) for pair in read_scores(JOURNAL)))
+
+
+def read_scores(folder: Path) -> list[tuple[Entry, Entry]]:
+    """Return the first and the last score of each site, by the times in the files' names."""
+    scores_by_site: dict[str, list[Entry]] = {}
+    for path in sorted(folder.glob("*.json")):
+        content = path.read_bytes()
+        if b'"cmd": "score"' not in content and b'"cmd":"score"' not in content:
+            continue
+        entry = decode(content, type=Entry)
+        if entry.site and entry.score is not None and entry.days:
+            scores_by_site.setdefault(entry.site, []).append(entry)
+    return [(scores[0], scores[-1]) for _, scores in sorted(scores_by_site.items())]
+
+
+def describe_site(first: Entry, last: Entry) -> str:
+    """Return a site's section: two tables, the last score's first."""
+    sections = [f"\n## {last.site}\n"]
+    for title, entry in (("Last", last), ("First", first)):
+        sections.append(f"\n{title} score, {entry.score:.3f} ({entry.why}):\n\n")
+        sections.append("| " + " | ".join(COLUMNS) + " |\n" + "| --- " * len(COLUMNS) + "|\n")
+        sections.extend(_row(day) for day in entry.days)
+    return "".join(sections)
+
+
+def _row(day: Day) -> str:
+    value_by_part = {name: value for name, _, value in day.parts}
+    prices = sum(price for _, _, price in day.prices)
+    earned = [_figure(value) for value in day.by_class[:3]]
+    cells = [
+        day.name,
+        _figure(day.G),
+        _figure(day.top),
+        *earned,
+        _figure(value_by_part.get("worst windows")),
+        _figure(value_by_part.get("worst class")),
+        _figure(prices),
+    ]
+    return "| " + " | ".join(cells) + " |\n"
+
+
+def _figure(value: float | None) -> str:
+    return "" if value is None else f"{value:.3f}"
+
+
+if __name__ == "__main__":
+    main()
