Removal of old jobs keeps up with the largest deployment, and forgets jobs that never came

Cause: at most 20 jobs were removed each 10 s, while a deployment ends up to 17 a second: rows and memory grew for good. Cancellations and runs of jobs that never came were kept until the ownership ended.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -115,7 +115,8 @@
         self.waiting_by_step: dict[tuple[str, int, int], WaitingStep] = {}
         self.tickets_by_step: dict[tuple[str, int, int], tuple[float, Tickets]] = {}
         self.model = TailModel()
-        self.cancelled_early: set[str] = set()
+        # When jobs were cancelled whose submissions are still on their way.
+        self.cancelled_s_by_id: dict[str, float] = {}
         self.stray_by_task: dict[TaskKey, Stray] = {}
         self.mean_work_by_queue: dict[str, float] = {}
         self.filling_images: dict[str, None] = {}
@@ -189,8 +190,7 @@
             age_s=round(self.context.wall_clock() - submission.submitted_s, 3),
         )
         self._adopt_strays(job)
-        if job.job_id in self.cancelled_early:
-            self.cancelled_early.discard(job.job_id)
+        if self.cancelled_s_by_id.pop(job.job_id, None) is not None:
             self.cancel_job(job.job_id)
         else:
             self.refresh_waiting(job)
@@ -201,7 +201,7 @@
         job = self.jobs_by_id.get(job_id)
         if job is None:
             # Its submission may still be on its way, and has to find that it was cancelled.
-            self.cancelled_early.add(job_id)
+            self.cancelled_s_by_id[job_id] = self.context.clock()
             return
         if job.is_final():
             return
--- a/laburnumswitch/process/dispatch/retention.py
+++ b/laburnumswitch/process/dispatch/retention.py
@@ -13,8 +13,9 @@
 # Callers may ask for a job's state for two minutes after its end; five times that is kept.
 RETENTION_S = 600.0
 INTERVAL_S = 10.0
-# Jobs removed in one pass, so that the store's writes stay with callers.
-JOBS_PER_PASS = 20
+# Jobs removed in one pass: the largest deployment ends some 17 a second, and a pass that removes
+# fewer than came since the last one would fall behind for good.
+JOBS_PER_PASS = 300
 
 
 def run_retention(dispatcher: Dispatcher) -> None:
@@ -23,6 +24,7 @@
         dispatcher.context.sleep(INTERVAL_S)
         if dispatcher.may_act():
             remove_old_jobs(dispatcher)
+            forget_unknown_jobs(dispatcher)
 
 
 def remove_old_jobs(dispatcher: Dispatcher) -> int:
@@ -43,3 +45,14 @@
         dispatcher.ended_s_by_id.pop(job_id, None)
         removed += 1
     return removed
+
+
+def forget_unknown_jobs(dispatcher: Dispatcher) -> None:
+    """Forget cancellations and runs of jobs that never came."""
+    limit_s = dispatcher.context.clock() - RETENTION_S
+    cancelled = dispatcher.cancelled_s_by_id
+    for job_id in [job_id for job_id, at_s in cancelled.items() if at_s < limit_s]:
+        del cancelled[job_id]
+    strays = dispatcher.stray_by_task
+    for task in [task for task, stray in strays.items() if stray.seen_s < limit_s]:
+        del strays[task]
--- a/tests/process/dispatch/test_retention.py
+++ b/tests/process/dispatch/test_retention.py
@@ -2,12 +2,18 @@
 
 from testtools import TestCase
 from testtools.matchers import Equals
+from testtools.matchers import GreaterThan
 
 from laburnumswitch.process.dispatch.jobs import JobState
 from laburnumswitch.process.dispatch.progress import progress_key
 from laburnumswitch.process.dispatch.progress import submission_key
+from laburnumswitch.process.dispatch.reports import RunReport
+from laburnumswitch.process.dispatch.retention import forget_unknown_jobs
+from laburnumswitch.process.dispatch.retention import INTERVAL_S
+from laburnumswitch.process.dispatch.retention import JOBS_PER_PASS
 from laburnumswitch.process.dispatch.retention import remove_old_jobs
 from laburnumswitch.process.dispatch.retention import RETENTION_S
+from laburnumswitch.process.dispatch.work import TaskKey
 from tests.process.dispatch.bench import DispatchBench
 from tests.process.dispatch.bench import make_submission
 from tests.process.dispatch.bench import wait_until
@@ -36,6 +42,22 @@
         self.assertThat(self._version(submission_key("j1")), Equals(0))
         self.assertThat(self.owner.shown_state("j1"), Equals(None))
 
+    def test_a_pass_keeps_up_with_the_largest_deployment(self):
+        ended_in_a_pass = 17 * INTERVAL_S
+        self.assertThat(JOBS_PER_PASS, GreaterThan(ended_in_a_pass))
+
+    def test_jobs_that_never_came_are_forgotten(self):
+        self.owner.cancel_job("old")
+        self.owner.cancel_job("new")
+        self.owner.cancelled_s_by_id["old"] -= RETENTION_S + 1
+        row = RunReport(TaskKey("old", 0, 0, 0), 1, "", 0.0, 0.0)
+        self.owner.note_stray(self.owner.workers_by_id["w1"], row)
+        stray = self.owner.stray_by_task[row.task]
+        self.owner.stray_by_task[row.task] = stray._replace(seen_s=stray.seen_s - RETENTION_S - 1)
+        forget_unknown_jobs(self.owner)
+        self.assertThat(list(self.owner.cancelled_s_by_id), Equals(["new"]))
+        self.assertThat(self.owner.stray_by_task, Equals({}))
+
     def test_store_that_is_away_keeps_them(self):
         self.owner.ended_s_by_id["j1"] -= RETENTION_S + 1
         self.bench.table.down = True
