A new owner asks the silent one until it confirms its end

It asked once whether the earlier owner had ended, and waited 14.1 s for leases that an owner in a partition could have granted. Lasting tasks of two workers that left meanwhile could not start before 43.2 s; allowed were 39.0 s. The earlier owner's VM was back after 3 s and could have said that nothing of it was left. Ruled out: a planning fault (all tasks started as soon as the owner was settled); a shorter time for which an owner acts without the store, which costs service in each short outage. Now the successor asks again until it has an answer; a process started anew at the address confirms as well. The leases end a lease's length after that.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -18,6 +18,7 @@
 from laburnumswitch.process.daemon.deployment import Deployment
 from laburnumswitch.process.dispatch.fleet import ActiveRun
 from laburnumswitch.process.dispatch.fleet import FENCES_PER_EPOCH
+from laburnumswitch.process.dispatch.fleet import SLOWEST_CLOCK
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.headroom import Headroom
 from laburnumswitch.process.dispatch.jobs import Job
@@ -101,6 +102,7 @@
     """Everything that one ownership knows.
 
     :ivar settled: whether all runs of earlier owners are known or have certainly lapsed.
+    :ivar unseen_until_s: when the last lease ends that earlier owners may have granted.
     :ivar doubts_new_jobs: whether the earlier owner may start jobs that come in until then.
     """
 
@@ -127,6 +129,7 @@
         self.stopped = Event()
         self.is_loaded = Event()
         self.settled = True
+        self.unseen_until_s = 0.0
         self.doubts_new_jobs = False
 
     def is_stopped(self) -> bool:
@@ -168,6 +171,21 @@
         self.recorder.is_lost = True
         self.stop()
 
+    def expect_unseen_runs(self, for_s: float) -> None:
+        """Bound how long runs of earlier owners may last on workers that are not reached."""
+        self.unseen_until_s = self.context.clock() + for_s
+        for worker in self.workers_by_id.values():
+            worker.lapse_bound_s = min(worker.lapse_bound_s, self.unseen_until_s)
+
+    def note_predecessor_ended(self) -> None:
+        """Take in that the earlier owner gives no order any more: its last leases end sooner."""
+        lease_s = self.context.deployment.bounds.lease_s / SLOWEST_CLOCK
+        before_s = self.unseen_until_s - self.context.clock()
+        self.context.log.note("predecessor_ended", str(self.epoch), left_s=round(before_s, 3))
+        self.doubts_new_jobs = False
+        if lease_s < before_s:
+            self.expect_unseen_runs(lease_s)
+
     # Jobs
 
     def add_job(self, submission: Submission, may_run_unseen: bool = False) -> Job | None:
--- a/laburnumswitch/process/dispatch/takeover.py
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -50,19 +50,20 @@
     )
     recorder = Recorder(recorder_context, held, proved_s)
     dispatcher = Dispatcher(context, recorder)
+    lease_s = context.deployment.bounds.lease_s / SLOWEST_CLOCK
+    orders_s = 0.0 if predecessor is Predecessor.ENDED else OWNERSHIP_S
+    dispatcher.expect_unseen_runs(lease_s + orders_s)
+    dispatcher.settled = dispatcher.epoch == 1
+    dispatcher.doubts_new_jobs = predecessor is Predecessor.SILENT
     dispatcher.spawn(recorder.run, dispatcher.is_stopped)
-    dispatcher.spawn(_run, dispatcher, predecessor)
+    dispatcher.spawn(_run, dispatcher)
     return dispatcher
 
 
-def _run(dispatcher: Dispatcher, predecessor: Predecessor) -> None:
-    lease_s = dispatcher.context.deployment.bounds.lease_s / SLOWEST_CLOCK
-    unseen_s = lease_s + (0.0 if predecessor is Predecessor.ENDED else OWNERSHIP_S)
-    dispatcher.settled = dispatcher.epoch == 1
-    dispatcher.doubts_new_jobs = predecessor is Predecessor.SILENT
+def _run(dispatcher: Dispatcher) -> None:
     version = _load_jobs(dispatcher)
     load_learned(dispatcher)
-    _load_fleet(dispatcher, unseen_s)
+    _load_fleet(dispatcher)
     if dispatcher.is_stopped():
         return
     dispatcher.is_loaded.set()
@@ -103,7 +104,7 @@
     return submissions.version
 
 
-def _load_fleet(dispatcher: Dispatcher, unseen_s: float) -> None:
+def _load_fleet(dispatcher: Dispatcher) -> None:
     """Read the workers on which the earlier owner may have left runs, and talk to each."""
     for row in _load(dispatcher, FLEET_TABLE).rows:
         try:
@@ -113,7 +114,7 @@
             continue
         for entry in entries:
             worker = dispatcher.add_worker(entry)
-            worker.lapse_bound_s = dispatcher.context.clock() + unseen_s
+            worker.lapse_bound_s = dispatcher.unseen_until_s
             dispatcher.spawn(run_worker, dispatcher, worker)
 
 
--- a/laburnumswitch/process/leadership/leadership.py
+++ b/laburnumswitch/process/leadership/leadership.py
@@ -301,3 +301,16 @@
         self.takeovers += 1
         self.watcher_by_vm.clear()
         self.dispatcher = context.begin_dispatch(taken, sent_s, predecessor)
+        if predecessor is not Predecessor.ENDED and held.term.address:
+            self.dispatcher.spawn(self._confirm_end, self.dispatcher, held.term.address)
+
+    def _confirm_end(self, dispatcher: Dispatcher, address: str) -> None:
+        """Ask the earlier owner until it confirms that it has ended, or its orders have lapsed.
+
+        A process that was started again at its address confirms it as well.
+        """
+        while not (dispatcher.is_stopped() or dispatcher.settled):
+            if self._context.calls.supersede(address, dispatcher.epoch) is True:
+                dispatcher.note_predecessor_ended()
+                return
+            self._context.sleep(RETRY_S)
--- a/tests/process/dispatch/test_dispatcher.py
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -1,6 +1,7 @@
 """One owner, and two after each other, over workers in memory."""
 
 from json import loads
+from time import monotonic
 
 from gevent import sleep
 from testtools import TestCase
@@ -8,12 +9,15 @@
 from testtools.matchers import Equals
 from testtools.matchers import GreaterThan
 from testtools.matchers import Is
+from testtools.matchers import LessThan
 
+from laburnumswitch.process.dispatch.fleet import SLOWEST_CLOCK
 from laburnumswitch.process.dispatch.jobs import JobState
 from laburnumswitch.process.dispatch.learning import LEARNED_KEY
 from laburnumswitch.process.dispatch.work import Step
 from laburnumswitch.process.dispatch.work import TaskKey
 from laburnumswitch.process.leadership.term import Predecessor
+from tests.process.dispatch.bench import BOUNDS
 from tests.process.dispatch.bench import DispatchBench
 from tests.process.dispatch.bench import make_entry
 from tests.process.dispatch.bench import make_submission
@@ -169,6 +173,22 @@
         wait_until(lambda: self.bench.judge.starts == 2)
         self.assertThat(self.bench.judge.breaches, Equals([]))
 
+    def test_runs_of_a_silent_owner_lapse_sooner_once_it_has_ended(self):
+        """Lasting tasks on a lost worker start again within the users' limit of ten seconds."""
+        self._run_long_job()
+        holder = next(each for each in self.bench.worker_by_id.values() if each.running())
+        self.first.stop()
+        holder.deaf = True
+        second = self.bench.begin("vm-2", Predecessor.SILENT)
+        self.addCleanup(second.stop)
+        wait_until(lambda: second.is_loaded.is_set())
+        worker = second.workers_by_id[holder.entry.worker_id]
+        lease_s = BOUNDS.lease_s / SLOWEST_CLOCK
+        self.assertThat(worker.lapse_bound_s - monotonic(), GreaterThan(lease_s + 5.0))
+        second.note_predecessor_ended()
+        self.assertThat(worker.lapse_bound_s - monotonic(), LessThan(lease_s + 0.1))
+        self.assertThat(second.settled, Equals(False))
+
     def test_end_that_was_not_acknowledged_is_read_again(self):
         self.bench.submit(make_submission("j1"), self.first)
         wait_until(lambda: self.bench.judge.starts == 2)
--- a/tests/process/leadership/test_leadership.py
+++ b/tests/process/leadership/test_leadership.py
@@ -47,7 +47,8 @@
         self.predecessor = predecessor
         self.recorder = FakeRecorder(table, held)
         self.stopped = Event()
-        self.settled = True
+        self.settled = predecessor is Predecessor.ENDED
+        self.predecessor_ended = False
 
     def is_stopped(self):
         return self.stopped.is_set() or self.recorder.is_lost
@@ -55,6 +56,12 @@
     def stop(self):
         self.stopped.set()
 
+    def spawn(self, function, *arguments):
+        spawn(function, *arguments)
+
+    def note_predecessor_ended(self):
+        self.predecessor_ended = True
+
 
 class FakeEntries:
     """Entries by address; those that are dead refuse, and silent ones do not answer."""
@@ -156,6 +163,14 @@
         wait_until(lambda: follower.dispatcher is not None)
         self.assertThat(follower.dispatcher.predecessor, Equals(Predecessor.SILENT))
 
+    def test_silent_owner_is_asked_until_it_confirms_its_end(self):
+        owner, follower = self._owner_and_follower()
+        self.entries.silent.add("vm-1")
+        wait_until(lambda: follower.dispatcher is not None)
+        self.assertThat(follower.dispatcher.predecessor_ended, Equals(False))
+        self.entries.silent.clear()
+        wait_until(lambda: follower.dispatcher.predecessor_ended)
+
     def test_owner_without_store_confirms_that_it_was_superseded(self):
         owner, follower = self._owner_and_follower()
         first = owner.dispatcher
