One view of a service for each planning pass

The plan kept four maps by service beside each other, summed the workers for each filling step, and counted workers held for one service against the limit of all.

--- a/laburnumswitch/process/dispatch/calm.py
+++ b/laburnumswitch/process/dispatch/calm.py
@@ -41,26 +41,26 @@
 
 
 class CalmSearch:
-    """What a pass over the waiting steps has learned about which of them find a calm worker.
+    """What a pass over a service's waiting steps has learned about which of them find calm.
 
     During a pass workers only fill up. A filling step that needs no less than one of the same
     image that found no calm worker finds none either, and need not rank all workers again.
     """
 
     def __init__(self) -> None:
-        self._failed_by_image: dict[tuple[str, str], Step] = {}
+        self._failed_by_image: dict[str, Step] = {}
 
-    def note_failed(self, service: str, step: Step) -> None:
-        """Remember that no worker of a service is calm enough for a step.
+    def note_failed(self, step: Step) -> None:
+        """Remember that no worker is calm enough for a step.
 
         Steps that may not use every worker say nothing about others, and are not remembered.
         """
         if not (step.required_label or step.data_rack or step.max_per_worker):
-            self._failed_by_image[service, step.image] = step
+            self._failed_by_image[step.image] = step
 
-    def rules_out(self, service: str, step: Step) -> bool:
+    def rules_out(self, step: Step) -> bool:
         """Return whether a step is known to find no calm worker."""
-        failed = self._failed_by_image.get((service, step.image))
+        failed = self._failed_by_image.get(step.image)
         if failed is None:
             return False
         return step.cpu_millis >= failed.cpu_millis and step.memory_mb >= failed.memory_mb
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -91,32 +91,59 @@
     if not keyed:
         return
     keyed.sort(key=lambda each: each[0])
-    usable_by_service: dict[str, list[Worker]] = {}
-    budget_by_service: dict[str, float] = {}
-    held: set[str] = set()
-    search = CalmSearch()
+    view_by_service: dict[str, ServiceView] = {}
     for _, queue, waiting in keyed:
-        if queue.service not in usable_by_service:
-            usable_by_service[queue.service] = _usable_workers(dispatcher, queue.service)
-            budget_by_service[queue.service] = _lasting_budget(
-                dispatcher, usable_by_service[queue.service]
-            )
-        step = waiting.runs.step
-        if step.lasting and not step.filling:
-            if budget_by_service[queue.service] < step.cpu_millis and _may_wait(
-                dispatcher, queue, waiting
-            ):
-                continue
-            active = waiting.runs.active
-        usable = usable_by_service[queue.service]
-        if held and not _has_waited_long(dispatcher, waiting):
-            usable = [worker for worker in usable if worker.worker_id not in held]
-        _start_step(dispatcher, queue, waiting, usable, search)
-        if not step.lasting and not step.filling:
-            held |= choose_held(step, waiting.runs, usable, len(held))
-        if step.lasting and not step.filling:
-            taken = (waiting.runs.active - active) * step.cpu_millis
-            budget_by_service[queue.service] -= taken
+        view = view_by_service.get(queue.service)
+        if view is None:
+            view = view_by_service[queue.service] = _view_service(dispatcher, queue.service)
+        _plan_step(dispatcher, queue, waiting, view)
+
+
+class ServiceView:
+    """What one pass over the waiting steps knows of a service.
+
+    :ivar usable: workers that may get starts.
+    :ivar reserved_share: share of their processors that is reserved as the pass begins.
+    :ivar lasting_budget: processors that lasting tasks may still reserve, in thousandths of a core.
+    :ivar held: ids of workers that are kept for large urgent tasks.
+    """
+
+    def __init__(self, usable: list[Worker], lasting_budget: float) -> None:
+        capacity = sum(worker.entry.cpu_millis for worker in usable)
+        reserved = sum(worker.used_cpu_millis for worker in usable)
+        self.usable = usable
+        self.reserved_share = reserved / max(1, capacity)
+        self.lasting_budget = lasting_budget
+        self.held: set[str] = set()
+        self.search = CalmSearch()
+
+    def not_held(self) -> list[Worker]:
+        """Return the usable workers that are not kept for large urgent tasks."""
+        if not self.held:
+            return self.usable
+        return [worker for worker in self.usable if worker.worker_id not in self.held]
+
+
+def _view_service(dispatcher: Dispatcher, service: str) -> ServiceView:
+    usable = _usable_workers(dispatcher, service)
+    return ServiceView(usable, _lasting_budget(dispatcher, usable))
+
+
+def _plan_step(
+    dispatcher: Dispatcher, queue: Queue, waiting: WaitingStep, view: ServiceView
+) -> None:
+    step = waiting.runs.step
+    keeps_room = step.lasting and not step.filling
+    is_over_budget = keeps_room and view.lasting_budget < step.cpu_millis
+    if is_over_budget and _may_wait(dispatcher, queue, waiting):
+        return
+    usable = view.usable if _has_waited_long(dispatcher, waiting) else view.not_held()
+    active = waiting.runs.active
+    _start_step(dispatcher, queue, waiting, usable, view)
+    if keeps_room:
+        view.lasting_budget -= (waiting.runs.active - active) * step.cpu_millis
+    elif not step.filling:
+        view.held |= choose_held(step, waiting.runs, usable, len(view.held))
 
 
 def _lasting_budget(dispatcher: Dispatcher, usable: list[Worker]) -> float:
@@ -178,11 +205,11 @@
     queue: Queue,
     waiting: WaitingStep,
     usable: list[Worker],
-    search: CalmSearch,
+    view: ServiceView,
 ) -> None:
     step = waiting.runs.step
-    forced = _forced_starts(dispatcher, waiting, usable)
-    if forced == 0 and search.rules_out(queue.service, step):
+    forced = _forced_starts(dispatcher, waiting, view.reserved_share)
+    if forced == 0 and view.search.rules_out(step):
         waiting.runs.retry_after_s = dispatcher.context.clock() + CALM_RETRY_S
         return
     candidates = usable
@@ -197,18 +224,16 @@
     if not _start_each(dispatcher, waiting, candidates, tickets or {}, forced):
         waiting.runs.retry_after_s = dispatcher.context.clock() + CALM_RETRY_S
         if tickets is None:
-            search.note_failed(queue.service, step)
+            view.search.note_failed(step)
 
 
-def _forced_starts(dispatcher: Dispatcher, waiting: WaitingStep, usable: list[Worker]) -> int:
+def _forced_starts(dispatcher: Dispatcher, waiting: WaitingStep, reserved_share: float) -> int:
     step = waiting.runs.step
     if not step.filling:
         return step.count
     waited_s = dispatcher.context.clock() - waiting.runs.ready_since_s
-    capacity = sum(worker.entry.cpu_millis for worker in usable)
-    reserved = sum(worker.used_cpu_millis for worker in usable)
     is_running = any(True for _ in waiting.job.active_tasks())
-    return forced_starts(step, waited_s, reserved / max(1, capacity), is_running)
+    return forced_starts(step, waited_s, reserved_share, is_running)
 
 
 def _start_each(
--- a/tests/process/dispatch/test_decisions.py
+++ b/tests/process/dispatch/test_decisions.py
@@ -188,19 +188,18 @@
     def setUp(self):
         super().setUp()
         self.search = CalmSearch()
-        self.search.note_failed("shop", HARMFUL)
+        self.search.note_failed(HARMFUL)
 
     def test_step_that_needs_no_less_is_ruled_out(self):
-        self.assertThat(self.search.rules_out("shop", HARMFUL._replace(count=9)), Is(True))
-        self.assertThat(self.search.rules_out("shop", HARMFUL._replace(cpu_millis=800)), Is(False))
+        self.assertThat(self.search.rules_out(HARMFUL._replace(count=9)), Is(True))
+        self.assertThat(self.search.rules_out(HARMFUL._replace(cpu_millis=800)), Is(False))
 
-    def test_other_images_and_services_are_not(self):
-        self.assertThat(self.search.rules_out("shop", HARMLESS), Is(False))
-        self.assertThat(self.search.rules_out("bank", HARMFUL), Is(False))
+    def test_other_images_are_not(self):
+        self.assertThat(self.search.rules_out(HARMLESS), Is(False))
 
     def test_step_that_may_not_use_every_worker_says_nothing(self):
-        self.search.note_failed("shop", HARMLESS._replace(required_label="fast"))
-        self.assertThat(self.search.rules_out("shop", HARMLESS), Is(False))
+        self.search.note_failed(HARMLESS._replace(required_label="fast"))
+        self.assertThat(self.search.rules_out(HARMLESS), Is(False))
 
 
 class TestThrottling(TestCase):
