A start that is lost while an earlier one is being voided is voided as well

Its first lost start raised the fence and asked the worker until it answered; starts sent meanwhile carried the raised fence, were lost too, and were never below the worker's fence, so nothing released them. The loop then asked without a pause for ever. Ruled out: a lost end (the owner's log has no end of these runs), a job that waits for calm. Now the fence is raised above every lost start, and a worker that is being voided gets no starts. Before: the first test hangs in that loop; after: both pass.

--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -72,7 +72,7 @@
             continue
         services = {worker.entry.service for worker in dispatcher.workers_by_id.values()}
         for service in services:
-            usable = _usable_workers(dispatcher, service)
+            usable = usable_workers(dispatcher, service)
             placement = PlacementContext(dispatcher.model, tuple(dispatcher.filling_images))
             for move in choose_moves(usable, placement, context.clock()):
                 reason = f"throttled, room at {move.target.worker_id}"
@@ -125,7 +125,7 @@
 
 
 def _view_service(dispatcher: Dispatcher, service: str) -> ServiceView:
-    usable = _usable_workers(dispatcher, service)
+    usable = usable_workers(dispatcher, service)
     return ServiceView(usable, _lasting_budget(dispatcher, usable))
 
 
@@ -182,7 +182,8 @@
     return dispatcher.context.clock() >= waiting.runs.retry_after_s
 
 
-def _usable_workers(dispatcher: Dispatcher, service: str) -> list[Worker]:
+def usable_workers(dispatcher: Dispatcher, service: str) -> list[Worker]:
+    """Return the workers of a service that may get starts now."""
     now_s = dispatcher.context.clock()
     zones_out = dispatcher.context.operations.zones_out
     return [
@@ -190,6 +191,7 @@
         for worker in dispatcher.workers_by_id.values()
         if worker.entry.service == service
         and worker.is_reached
+        and not worker.is_voiding
         and worker.is_listed(now_s)
         and dispatcher.recorder.committed >= worker.listed_by_batch
         and not worker.entry.is_draining
--- a/laburnumswitch/process/dispatch/worker_task.py
+++ b/laburnumswitch/process/dispatch/worker_task.py
@@ -258,18 +258,21 @@
 def void_unanswered_starts(dispatcher: Dispatcher, worker: Worker) -> None:
     """Raise the fence of a worker until it answers, so that no earlier start can begin later.
 
-    The answer lists what did start; the rest is released.
+    The answer lists what did start; the rest is released. A start that is lost meanwhile, under the
+    fence that was raised, raises it again.
     """
     if worker.is_voiding:
         return
     worker.is_voiding = True
-    worker.fence += 1
     try:
         while not dispatcher.is_stopped() and not worker.is_gone:
-            if not any(run.is_uncertain for run in worker.runs_by_task.values()):
+            fences = [run.fence for run in worker.runs_by_task.values() if run.is_uncertain]
+            if not fences:
                 return
+            worker.fence = max(worker.fence, max(fences) + 1)
             answer = renew(dispatcher, worker, 0.0, ORDER_TIMEOUT_S)
             if not isinstance(answer, WorkerReport):
                 dispatcher.context.sleep(RETRY_S)
     finally:
         worker.is_voiding = False
+        dispatcher.wake.set()
--- a/tests/process/dispatch/test_dispatcher.py
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -12,10 +12,13 @@
 from testtools.matchers import LessThan
 
 from laburnumswitch.process.dispatch.fleet import SLOWEST_CLOCK
+from laburnumswitch.process.dispatch.jobs import Job
 from laburnumswitch.process.dispatch.jobs import JobState
 from laburnumswitch.process.dispatch.learning import LEARNED_KEY
+from laburnumswitch.process.dispatch.planner import usable_workers
 from laburnumswitch.process.dispatch.work import Step
 from laburnumswitch.process.dispatch.work import TaskKey
+from laburnumswitch.process.dispatch.worker_task import void_unanswered_starts
 from laburnumswitch.process.leadership.term import Predecessor
 from tests.process.dispatch.bench import BOUNDS
 from tests.process.dispatch.bench import DispatchBench
@@ -246,6 +249,42 @@
         self.assertThat(number, GreaterThan(1))
 
 
+class TestUnansweredStarts(TestCase):
+    """Connections to a worker are reset for some seconds, while starts are sent to it."""
+
+    def setUp(self):
+        super().setUp()
+        self.bench = DispatchBench(workers=1)
+        self.owner = self.bench.begin()
+        self.addCleanup(self.owner.stop)
+        wait_until(lambda: "w1" in self.owner.workers_by_id)
+        self.worker = self.owner.workers_by_id["w1"]
+        wait_until(lambda: self.worker.is_reached)
+        self.bench.worker_by_id["w1"].deaf = True
+        self.job = Job(make_submission("j1", Step(2, cpu_millis=100, memory_mb=100)))
+
+    def _lose_start(self, index):
+        task = self.job.task(TaskKey("j1", 0, 0, index))
+        self.owner.begin_run(self.job, task, self.worker).is_uncertain = True
+        self.owner.spawn(void_unanswered_starts, self.owner, self.worker)
+
+    def test_start_that_is_lost_while_an_earlier_one_is_voided_is_voided_as_well(self):
+        self._lose_start(0)
+        wait_until(lambda: self.worker.is_voiding)
+        self._lose_start(1)
+        sleep(0.05)
+        self.bench.worker_by_id["w1"].deaf = False
+        wait_until(lambda: not self.worker.runs_by_task, 5.0)
+        wait_until(lambda: not self.worker.is_voiding, 5.0)
+
+    def test_worker_gets_no_starts_meanwhile(self):
+        self._lose_start(0)
+        wait_until(lambda: self.worker.is_voiding)
+        self.assertThat(usable_workers(self.owner, "shop"), Equals([]))
+        self.bench.worker_by_id["w1"].deaf = False
+        wait_until(lambda: usable_workers(self.owner, "shop") == [self.worker], 5.0)
+
+
 class TestHotRack(TestCase):
     """Filling work whose data are in a rack where serving tasks bear no more of it."""
 
