A start that the worker lists is certain, though its answer is lost later

The loop that voids lost starts then asked the worker for ever. Which test hung is not known: the run ended without its name; the order of events was found by reading the loop. Before: the new test fails; after: it passes, and 428 tests beside the same load in 31 s.

--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -87,7 +87,7 @@
         """Take over what the worker reports of the run."""
         if self.confirmed_s is None:
             self.confirmed_s = now_s
-            self.is_uncertain = False
+        self.is_uncertain = False
         if row.percent > self.percent:
             self.progressed_s = now_s
         self.percent = row.percent
--- a/laburnumswitch/process/dispatch/placing.py
+++ b/laburnumswitch/process/dispatch/placing.py
@@ -22,7 +22,8 @@
 HARM_LIMIT = 0.4
 # Weight of a processor that a filling task has to share, against one serving task over target.
 CROWDING_WEIGHT = 0.3
-# Weight of a task that would have to be throttled to a stand, or throttle others as much.
+# Weight of a task that would have to be throttled to a stand, or throttle others as much: twice the
+# limit of harm, so that a task waits where it would get less than half of its speed.
 THROTTLED_WEIGHT = 0.8
 # Weight of serving neighbours that are hurt by other filling images than the new one.
 DISSIMILARITY_WEIGHT = 0.5
--- a/tests/process/dispatch/test_dispatcher.py
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -16,6 +16,7 @@
 from laburnumswitch.process.dispatch.jobs import JobState
 from laburnumswitch.process.dispatch.learning import LEARNED_KEY
 from laburnumswitch.process.dispatch.planner import usable_workers
+from laburnumswitch.process.dispatch.reports import RunReport
 from laburnumswitch.process.dispatch.work import Step
 from laburnumswitch.process.dispatch.work import TaskKey
 from laburnumswitch.process.dispatch.worker_task import void_unanswered_starts
@@ -277,6 +278,14 @@
         wait_until(lambda: not self.worker.runs_by_task, 5.0)
         wait_until(lambda: not self.worker.is_voiding, 5.0)
 
+    def test_start_that_the_worker_lists_is_certain_though_its_answer_is_lost_later(self):
+        run = self.owner.begin_run(self.job, self.job.task(TaskKey("j1", 0, 0, 0)), self.worker)
+        row = RunReport(run.task, run.run, "", 0.0, 0.0)
+        run.update(row, monotonic())
+        run.is_uncertain = True
+        run.update(row, monotonic())
+        self.assertThat(run.is_uncertain, Is(False))
+
     def test_worker_gets_no_starts_meanwhile(self):
         self._lose_start(0)
         wait_until(lambda: self.worker.is_voiding)
