Clean-up after reading the whole change: one retry loop, one server set-up, counters for hot sums

No change of behaviour. - The three loops of submit, state and cancel are one (_retry); each attempt says what it found. - The admin port and the callers' port share make_server and the reason phrases. - MS_PER_S stood in eight modules; it is in units. - Handlers that need the owner are wrapped once; a wait with a time limit is the event's own. - Owners' watchers that are recent are selected in one place. - What lasting and urgent tasks reserve is counted as runs come and go, like the other counters of a worker. Both sums went over all runs of all workers, one of them in each cost of a placement. - ActiveRun.progressed_s was never read. Ruled out: joining the task's name on the wire with the one in logs, which only happen to agree.

--- a/laburnumswitch/connection/server.py
+++ b/laburnumswitch/connection/server.py
@@ -1,11 +1,29 @@
 """HTTP server whose answers leave at once."""
 
+from collections.abc import Callable
+from typing import Any
+
 from absl import logging
 from gevent import socket
 from gevent.pywsgi import WSGIServer
 
 from laburnumswitch.connection.tls import HandshakeFailedError
 
+# Reason phrases of the statuses that the ports answer with.
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    401: "Unauthorized",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    409: "Conflict",
+    410: "Gone",
+    413: "Content Too Large",
+    429: "Too Many Requests",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
 
 class NoDelayServer(WSGIServer):
     """WSGI server with Nagle's algorithm off on each accepted connection.
@@ -28,3 +46,13 @@
         except HandshakeFailedError as error:
             logging.warning("event=handshake_failed peer=%s reason=%s", address[0], error)
             return None
+
+
+def make_server(address: str, application: Callable[..., Any], **arguments: Any) -> NoDelayServer:
+    """Return the server of a port, not yet started, which logs no requests.
+
+    :param address: host and port.
+    :param arguments: further arguments of gevent's server.
+    """
+    host, _, port = address.rpartition(":")
+    return NoDelayServer((host, int(port)), application, log=None, **arguments)
--- a/laburnumswitch/platform/advice.py
+++ b/laburnumswitch/platform/advice.py
@@ -7,9 +7,9 @@
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.process.dispatch.tickets import Tickets
 from laburnumswitch.process.dispatch.work import TaskKey
+from laburnumswitch.units import MS_PER_S
 
 MAX_WORKERS_PER_CALL = 100
-MS_PER_S = 1000.0
 
 
 class _Advice(Struct, rename={"valid_ms": "validMs"}):
--- a/laburnumswitch/platform/callers.py
+++ b/laburnumswitch/platform/callers.py
@@ -12,8 +12,8 @@
 from laburnumswitch.exceptions import CallerRefused
 from laburnumswitch.process.dispatch.work import Step
 from laburnumswitch.process.dispatch.work import Submission
+from laburnumswitch.units import MS_PER_S
 
-MS_PER_S = 1000.0
 # Header in which callers say how long they wait, in milliseconds.
 PATIENCE_HEADER = "HTTP_X_DEADLINE_MS"
 
--- a/laburnumswitch/platform/operations.py
+++ b/laburnumswitch/platform/operations.py
@@ -14,12 +14,12 @@
 from laburnumswitch.process.operating.operations import Operation
 from laburnumswitch.process.operating.operations import ZoneOrder
 from laburnumswitch.process.rows.table import Row
+from laburnumswitch.units import MS_PER_S
 
 OPERATIONS_TABLE = "op"
 CONFIGURATION_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
 WAVE_PREFIX = "op/wave/"
-MS_PER_S = 1000.0
 
 
 class _Advice(Struct, rename={"decide_ms": "decideMs", "each_ms": "eachMs", "valid_ms": "validMs"}):
--- a/laburnumswitch/platform/settings.py
+++ b/laburnumswitch/platform/settings.py
@@ -11,10 +11,9 @@
 from laburnumswitch.exceptions import ProblemsFound
 from laburnumswitch.process.daemon.deployment import Bounds
 from laburnumswitch.process.daemon.deployment import Deployment
+from laburnumswitch.units import MS_PER_S
 from laburnumswitch.yamlfile import read_file
 
-MS_PER_S = 1000.0
-
 
 class _Listen(Struct):
     front: str
--- a/laburnumswitch/platform/store.py
+++ b/laburnumswitch/platform/store.py
@@ -40,6 +40,7 @@
 from laburnumswitch.process.rows.table import Row
 from laburnumswitch.process.rows.table import SCAN_LIMIT_ROWS
 from laburnumswitch.process.rows.table import Transaction
+from laburnumswitch.units import MS_PER_S
 
 OWN_PARTITION = "laburnumswitch"
 UNPARTITIONED_TABLES = frozenset({"op", "servers", "status"})
@@ -54,7 +55,6 @@
 POLL_SLACK_S = 0.7
 STATUS_HISTORY_GONE = 410
 STATUS_CONDITION_FAILED = 412
-MS_PER_S = 1000.0
 
 
 class _Row(Struct):
--- a/laburnumswitch/platform/workers.py
+++ b/laburnumswitch/platform/workers.py
@@ -27,8 +27,8 @@
 from laburnumswitch.process.dispatch.reports import WorkerEntry
 from laburnumswitch.process.dispatch.reports import WorkerReport
 from laburnumswitch.process.dispatch.work import TaskKey
+from laburnumswitch.units import MS_PER_S
 
-MS_PER_S = 1000.0
 # Idle connections kept to one worker, which takes 64 from all entries together.
 POOL_SIZE = 12
 STATUS_OK = 200
--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -241,7 +241,7 @@
 
     def forget_if_over(self, job: Job) -> None:
         """Keep only the state of a job that is final and has no run left."""
-        if job.is_final() and not any(True for _ in job.active_tasks()):
+        if job.is_final() and not job.is_running():
             self.note_final(job.job_id, job.state)
 
     def note_final(self, job_id: str, state: JobState) -> None:
--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -59,7 +59,6 @@
         "is_stopping",
         "started_s",
         "percent",
-        "progressed_s",
         "measure",
         "throttle",
         "under_s",
@@ -77,7 +76,6 @@
         self.is_stopping = False
         self.started_s = now_s
         self.percent = 0.0
-        self.progressed_s = now_s
         self.measure = 0.0
         self.throttle = 100
         self.under_s = now_s
@@ -88,8 +86,6 @@
         if self.confirmed_s is None:
             self.confirmed_s = now_s
         self.is_uncertain = False
-        if row.percent > self.percent:
-            self.progressed_s = now_s
         self.percent = row.percent
         self.measure = row.measure
 
@@ -129,6 +125,8 @@
         self.used_memory_mb = 0
         self.used_accelerators = 0
         self.filling_cpu_millis = 0
+        self.lasting_cpu_millis = 0
+        self.urgent_cpu_millis = 0
         # Expected tails of the serving runs, by the placement's model; ``None`` once out of date.
         self.outlook: list[Outlook] | None = None
 
@@ -162,6 +160,10 @@
             self.filling_cpu_millis += sign * step.cpu_millis
         else:
             self.used_cpu_millis += sign * step.cpu_millis
+        if step.lasting:
+            self.lasting_cpu_millis += sign * step.cpu_millis
+        if step.is_urgent:
+            self.urgent_cpu_millis += sign * step.cpu_millis
         self.used_memory_mb += sign * step.memory_mb
         self.used_accelerators += sign * step.accelerators
 
@@ -176,8 +178,7 @@
 
     def idle_cpu_millis(self) -> float:
         """Return an estimate of the processors that nothing uses, for filling tasks."""
-        serving = sum(run.step.cpu_millis for run in self.runs_by_task.values() if run.step.lasting)
-        used = self.used_cpu_millis - serving * (1.0 - SERVING_USE)
+        used = self.used_cpu_millis - self.lasting_cpu_millis * (1.0 - SERVING_USE)
         return self.entry.cpu_millis - used - self.filling_cpu_millis
 
     def note_heard(self, now_s: float, clock_s: float) -> None:
--- a/laburnumswitch/process/dispatch/headroom.py
+++ b/laburnumswitch/process/dispatch/headroom.py
@@ -48,7 +48,7 @@
         for worker in workers:
             capacity += worker.entry.cpu_millis
             used += worker.used_cpu_millis
-            urgent += urgent_use(worker)
+            urgent += worker.urgent_cpu_millis
         wanted = max(LEAST_SHARE * capacity, PEAK_FACTOR * self.peak_millis)
         kept = min(wanted, MOST_SHARE * capacity)
         return capacity - used - max(0.0, kept - urgent)
@@ -72,15 +72,8 @@
     by_room = nlargest(
         min(wanted, limit),
         large_enough,
-        key=lambda worker: worker.entry.cpu_millis - worker.used_cpu_millis + urgent_use(worker),
+        key=lambda worker: (
+            worker.entry.cpu_millis - worker.used_cpu_millis + worker.urgent_cpu_millis
+        ),
     )
     return {worker.worker_id for worker in by_room}
-
-
-def urgent_use(worker: Worker) -> float:
-    """Return what short tasks with reserved room use on a worker, in thousandths of a core."""
-    return sum(
-        run.step.cpu_millis
-        for run in worker.runs_by_task.values()
-        if not run.step.lasting and not run.step.filling
-    )
--- a/laburnumswitch/process/dispatch/jobs.py
+++ b/laburnumswitch/process/dispatch/jobs.py
@@ -7,8 +7,8 @@
 from laburnumswitch.process.dispatch.work import Step
 from laburnumswitch.process.dispatch.work import Submission
 from laburnumswitch.process.dispatch.work import TaskKey
+from laburnumswitch.units import MS_PER_S
 
-MS_PER_S = 1000.0
 MILLIS_PER_CORE = 1000.0
 # A task whose estimate is missing counts as this long, in seconds: the order of a short request.
 DEFAULT_ESTIMATE_S = 1.0
@@ -198,6 +198,10 @@
         if failures >= max_attempts:
             self.state = JobState.FAILED
 
+    def is_running(self) -> bool:
+        """Return whether any task has an active run."""
+        return any(runs.active for occurrence in self.occurrences for runs in occurrence.steps)
+
     def active_tasks(self) -> Iterator[Task]:
         """Return the tasks with an active run."""
         for occurrence in self.occurrences:
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -18,7 +18,6 @@
 from laburnumswitch.process.dispatch.headroom import choose_held
 from laburnumswitch.process.dispatch.headroom import LASTING_WAIT_S
 from laburnumswitch.process.dispatch.headroom import PLACES_TO_START
-from laburnumswitch.process.dispatch.headroom import urgent_use
 from laburnumswitch.process.dispatch.jobs import Job
 from laburnumswitch.process.dispatch.jobs import Task
 from laburnumswitch.process.dispatch.jobs import WaitingStep
@@ -142,16 +141,16 @@
     _start_step(dispatcher, queue, waiting, usable, view)
     if keeps_room:
         view.lasting_budget -= (waiting.runs.active - active) * step.cpu_millis
-    elif not step.filling:
+    elif step.is_urgent:
         view.held |= choose_held(step, waiting.runs, usable, len(view.held))
 
 
 def _lasting_budget(dispatcher: Dispatcher, usable: list[Worker]) -> float:
-    used = sum(urgent_use(worker) for worker in usable)
+    used = sum(worker.urgent_cpu_millis for worker in usable)
     waiting = sum(
         (len(each.runs.tasks) - each.runs.done - each.runs.active) * each.runs.step.cpu_millis
         for each in dispatcher.waiting_by_step.values()
-        if not each.runs.step.lasting and not each.runs.step.filling
+        if each.runs.step.is_urgent
     )
     dispatcher.headroom.update(used + waiting, dispatcher.context.clock())
     return dispatcher.headroom.lasting_budget(usable)
@@ -234,8 +233,7 @@
     if not step.filling:
         return step.count
     waited_s = dispatcher.context.clock() - waiting.runs.ready_since_s
-    is_running = any(True for _ in waiting.job.active_tasks())
-    return forced_starts(step, waited_s, reserved_share, is_running)
+    return forced_starts(step, waited_s, reserved_share, waiting.job.is_running())
 
 
 def _start_each(
--- a/laburnumswitch/process/dispatch/work.py
+++ b/laburnumswitch/process/dispatch/work.py
@@ -31,6 +31,11 @@
     filling: bool = False
     max_unavailable: int = 0
 
+    @property
+    def is_urgent(self) -> bool:
+        """Return whether its tasks are short and need room of their own."""
+        return not self.lasting and not self.filling
+
 
 class Submission(NamedTuple):
     """A job as accepted. ``submitted_s`` is Unix time; with ``occurrences`` 0 it runs once, now."""
--- a/laburnumswitch/process/leadership/leadership.py
+++ b/laburnumswitch/process/leadership/leadership.py
@@ -139,13 +139,16 @@
 
     def candidates(self) -> tuple[str, ...]:
         """Return the entries that watch this owner, the largest first."""
+        recent = [(-cpu_cores, vm_id) for vm_id, cpu_cores in self._cores_of_watchers().items()]
+        return tuple(vm_id for _, vm_id in sorted(recent))
+
+    def _cores_of_watchers(self) -> dict[str, float]:
         now_s = self._context.clock()
-        recent = [
-            (-watcher.cpu_cores, vm_id)
+        return {
+            vm_id: watcher.cpu_cores
             for vm_id, watcher in self.watcher_by_vm.items()
             if now_s - watcher.seen_s < WATCHER_EXPIRY_S
-        ]
-        return tuple(vm_id for _, vm_id in sorted(recent))
+        }
 
     def _own(self) -> None:
         dispatcher = self.dispatcher
@@ -167,15 +170,7 @@
         dispatcher = self.dispatcher
         if dispatcher is None or not dispatcher.settled:
             return False
-        now_s = self._context.clock()
-        largest = max(
-            (
-                watcher.cpu_cores
-                for watcher in self.watcher_by_vm.values()
-                if now_s - watcher.seen_s < WATCHER_EXPIRY_S
-            ),
-            default=0.0,
-        )
+        largest = max(self._cores_of_watchers().values(), default=0.0)
         return largest > LARGER_FACTOR * self._context.identity.cpu_cores
 
     def _watch_without_store(self) -> None:
--- a/laburnumswitch/process/leadership/peers.py
+++ b/laburnumswitch/process/leadership/peers.py
@@ -3,9 +3,6 @@
 from collections.abc import Callable
 from urllib.parse import urlencode
 
-from gevent import Timeout
-from gevent.event import Event
-
 from laburnumswitch.connection.answer import call_json
 from laburnumswitch.connection.client import Client
 from laburnumswitch.exceptions import Failure
@@ -30,6 +27,9 @@
 SUPERSEDE_LIMIT_S = 0.5
 
 
+Handler = Callable[[AdminRequest], AdminReply]
+
+
 class PeerCalls:
     """Calls of other entries, by address."""
 
@@ -81,9 +81,7 @@
         return client
 
 
-def make_peer_handler(
-    leadership: Callable[[], Leadership], incarnation: str
-) -> Callable[[AdminRequest], AdminReply]:
+def make_peer_handler(leadership: Callable[[], Leadership], incarnation: str) -> Handler:
     """Return the handler of what other entries ask."""
 
     def watch(request: AdminRequest) -> AdminReply:
@@ -91,7 +89,7 @@
         dispatcher = owner.dispatcher
         if dispatcher is not None and not dispatcher.is_stopped():
             owner.note_watcher(request.query["vm"], float(request.query["cores"]))
-            _wait(dispatcher.stopped, min(WATCH_LIMIT_S, float(request.query["wait"])))
+            dispatcher.stopped.wait(min(WATCH_LIMIT_S, float(request.query["wait"])))
         return reply_json(_describe(owner, incarnation))
 
     def supersede(request: AdminRequest) -> AdminReply:
@@ -100,24 +98,15 @@
             dispatcher.supersede()
         return reply_json(True)
 
-    def submitted(request: AdminRequest) -> AdminReply:
-        dispatcher = _active(leadership())
-        if dispatcher is None:
-            return reject(503, "NotOwner")
+    def submitted(dispatcher: Dispatcher, request: AdminRequest) -> AdminReply:
         dispatcher.add_job(request.decode(Submission))
         return reply_json(True)
 
-    def cancelled(request: AdminRequest) -> AdminReply:
-        dispatcher = _active(leadership())
-        if dispatcher is None:
-            return reject(503, "NotOwner")
+    def cancelled(dispatcher: Dispatcher, request: AdminRequest) -> AdminReply:
         dispatcher.cancel_job(request.rest[1])
         return reply_json(True)
 
-    def store(request: AdminRequest) -> AdminReply:
-        dispatcher = _active(leadership())
-        if dispatcher is None:
-            return reject(503, "NotOwner")
+    def store(dispatcher: Dispatcher, request: AdminRequest) -> AdminReply:
         submission = request.decode(Submission)
         outcome = store_submission(dispatcher.context.table, submission)
         if outcome is not None:
@@ -135,20 +124,24 @@
         is_stored = dispatcher.recorder.wait_for(dispatcher.recorder.note_job(job), WAIT_STORED_S)
         return reply_json(is_stored)
 
-    def state(request: AdminRequest) -> AdminReply:
-        dispatcher = _active(leadership())
-        if dispatcher is None:
-            return reject(503, "NotOwner")
+    def state(dispatcher: Dispatcher, request: AdminRequest) -> AdminReply:
         return reply_json(describe_job(dispatcher, request.rest[1]))
 
+    def for_owner(handle: Callable[[Dispatcher, AdminRequest], AdminReply]) -> Handler:
+        def handle_as_owner(request: AdminRequest) -> AdminReply:
+            dispatcher = _active(leadership())
+            return reject(503, "NotOwner") if dispatcher is None else handle(dispatcher, request)
+
+        return handle_as_owner
+
     handler_by_call = {
         "watch": watch,
         "supersede": supersede,
-        "submitted": submitted,
-        "store": store,
+        "submitted": for_owner(submitted),
+        "store": for_owner(store),
         "cancel": cancel,
-        "cancelled": cancelled,
-        "state": state,
+        "cancelled": for_owner(cancelled),
+        "state": for_owner(state),
     }
 
     def handle(request: AdminRequest) -> AdminReply:
@@ -183,8 +176,3 @@
         dispatcher.pending_by_queue(),
         dispatcher.recorder.silent_s(),
     )
-
-
-def _wait(event: Event, timeout_s: float) -> None:
-    with Timeout(timeout_s, False):
-        event.wait()
--- a/laburnumswitch/process/operating/admin.py
+++ b/laburnumswitch/process/operating/admin.py
@@ -15,22 +15,14 @@
 from msgspec.json import encode
 
 from laburnumswitch.connection.lenient import decode_known
+from laburnumswitch.connection.server import make_server
 from laburnumswitch.connection.server import NoDelayServer
+from laburnumswitch.connection.server import REASONS
 
 BODY_LIMIT_BYTES = 4 * 1024 * 1024
 JSON = "application/json"
 TEXT = "text/plain; charset=utf-8"
 OPEN_PATHS = frozenset({"healthz", "readyz", "metrics"})
-REASONS = {
-    200: "OK",
-    400: "Bad Request",
-    401: "Unauthorized",
-    404: "Not Found",
-    405: "Method Not Allowed",
-    409: "Conflict",
-    413: "Content Too Large",
-    503: "Service Unavailable",
-}
 
 
 class AdminRequest(NamedTuple):
@@ -106,8 +98,7 @@
         start_response(f"{reply.status} {REASONS[reply.status]}", headers)
         return [reply.body]
 
-    host, _, port = address.rpartition(":")
-    return NoDelayServer((host, int(port)), application, log=None, **(ssl_arguments or {}))
+    return make_server(address, application, **(ssl_arguments or {}))
 
 
 def _answer(environ: dict[str, Any], context: AdminContext) -> AdminReply:
--- a/laburnumswitch/request/callers_port.py
+++ b/laburnumswitch/request/callers_port.py
@@ -4,24 +4,15 @@
 from collections.abc import Iterable
 from typing import Any
 
+from laburnumswitch.connection.server import make_server
 from laburnumswitch.connection.server import NoDelayServer
+from laburnumswitch.connection.server import REASONS
 from laburnumswitch.request.submission import JobReply
 from laburnumswitch.request.submission import JobRequest
+from laburnumswitch.units import MS_PER_S
 
-REASONS = {
-    200: "OK",
-    400: "Bad Request",
-    404: "Not Found",
-    405: "Method Not Allowed",
-    410: "Gone",
-    413: "Content Too Large",
-    429: "Too Many Requests",
-    503: "Service Unavailable",
-    504: "Gateway Timeout",
-}
 # Connections that wait to be accepted after a burst of new callers.
 BACKLOG = 512
-MS_PER_S = 1000.0
 
 
 class InFlight:
@@ -82,5 +73,4 @@
             )
         )
 
-    host, _, port = address.rpartition(":")
-    return NoDelayServer((host, int(port)), application, log=None, backlog=BACKLOG)
+    return make_server(address, application, backlog=BACKLOG)
--- a/laburnumswitch/request/submission.py
+++ b/laburnumswitch/request/submission.py
@@ -140,8 +140,8 @@
     submission = context.decode_submission(request.body, job_id, queue.name, now_s)
     if isinstance(submission, CallerRefused):
         return JobReply(submission.status)
-    pause_s = RETRY_FIRST_S
-    while True:
+
+    def attempt() -> JobReply | Failure:
         outcome = store_submission(context.table, submission)
         if outcome is None:
             context.owner.tell_submitted(submission)
@@ -149,31 +149,26 @@
         # The store may refuse this entry and serve the owner, which then takes the job in at once.
         if context.owner.store_submission(submission) is True:
             return JobReply(200)
-        if context.clock() + pause_s >= give_up_s:
-            context.log.note("submit_unknown", job_id, reason=outcome.describe())
-            return JobReply(504, retry_after_s=STORE_RETRY_AFTER_S)
-        context.sleep(pause_s)
-        pause_s = min(RETRY_MAX_S, 2 * pause_s)
+        return outcome
+
+    unknown = JobReply(504, retry_after_s=STORE_RETRY_AFTER_S)
+    return _retry(context, attempt, give_up_s, "submit_unknown", job_id, unknown)
 
 
 def _tell_state(
     context: SubmissionContext, request: JobRequest, queue: Queue, job_id: str, give_up_s: float
 ) -> JobReply:
-    pause_s = RETRY_FIRST_S
-    while True:
+    def attempt() -> JobReply | Failure:
         told = context.owner.job_state(job_id)
         if not isinstance(told, Failure) and told.state:
             return JobReply(200, context.encode_state(told.state))
         stored = _read_state(context, job_id)
         if isinstance(stored, JobState):
             return JobReply(200, context.encode_state(stored))
-        if stored is None:
-            return JobReply(410)
-        if context.clock() + pause_s >= give_up_s:
-            context.log.note("state_unknown", job_id, reason=stored.describe())
-            return JobReply(503, retry_after_s=STORE_RETRY_AFTER_S)
-        context.sleep(pause_s)
-        pause_s = min(RETRY_MAX_S, 2 * pause_s)
+        return JobReply(410) if stored is None else stored
+
+    unknown = JobReply(503, retry_after_s=STORE_RETRY_AFTER_S)
+    return _retry(context, attempt, give_up_s, "state_unknown", job_id, unknown)
 
 
 def _read_state(context: SubmissionContext, job_id: str) -> JobState | Failure | None:
@@ -195,28 +190,52 @@
 def _cancel(
     context: SubmissionContext, request: JobRequest, queue: Queue, job_id: str, give_up_s: float
 ) -> JobReply:
-    pause_s = RETRY_FIRST_S
-    key = submission_key(job_id)
-    while True:
-        outcome = context.table.read((key,))
-        if not isinstance(outcome, Failure):
-            submitted = outcome[key]
-            if not _exists(submitted):
-                return JobReply(410)
-            outcome = context.table.commit(
-                Transaction(
-                    (Condition(key, submitted.version),),
-                    (Put(cancellation_key(job_id), context.wall_clock()),),
-                )
-            )
-            if isinstance(outcome, Committed):
-                context.owner.tell_cancelled(job_id)
-                return JobReply(200)
+    def attempt() -> JobReply | Failure:
+        outcome = _store_cancellation(context, job_id)
         if isinstance(outcome, Failure) and context.owner.store_cancellation(job_id) is True:
             return JobReply(200)
+        return outcome
+
+    unknown = JobReply(504, retry_after_s=STORE_RETRY_AFTER_S)
+    return _retry(context, attempt, give_up_s, "cancel_unknown", job_id, unknown)
+
+
+def _store_cancellation(context: SubmissionContext, job_id: str) -> JobReply | Failure:
+    key = submission_key(job_id)
+    rows = context.table.read((key,))
+    if isinstance(rows, Failure):
+        return rows
+    if not _exists(rows[key]):
+        return JobReply(410)
+    condition = Condition(key, rows[key].version)
+    put = Put(cancellation_key(job_id), context.wall_clock())
+    outcome = context.table.commit(Transaction((condition,), (put,)))
+    if not isinstance(outcome, Committed):
+        return outcome
+    context.owner.tell_cancelled(job_id)
+    return JobReply(200)
+
+
+def _retry(
+    context: SubmissionContext,
+    attempt: Callable[[], JobReply | Failure],
+    give_up_s: float,
+    event: str,
+    job_id: str,
+    unknown: JobReply,
+) -> JobReply:
+    """Repeat an attempt until it has an answer, or until the time to give up.
+
+    :param event: what the log says where the outcome stays unknown, which ``unknown`` answers.
+    """
+    pause_s = RETRY_FIRST_S
+    while True:
+        outcome = attempt()
+        if isinstance(outcome, JobReply):
+            return outcome
         if context.clock() + pause_s >= give_up_s:
-            context.log.note("cancel_unknown", job_id, reason=outcome.describe())
-            return JobReply(504, retry_after_s=STORE_RETRY_AFTER_S)
+            context.log.note(event, job_id, reason=outcome.describe())
+            return unknown
         context.sleep(pause_s)
         pause_s = min(RETRY_MAX_S, 2 * pause_s)
 
--- a/laburnumswitch/units.py
+++ b/laburnumswitch/units.py
@@ -5,6 +5,7 @@
 from math import isfinite
 
 MILLIS_PER_CORE = 1000
+MS_PER_S = 1000.0
 MAX_CORES = 1_000_000
 MAX_MEMORY_MB = 1_000_000_000
 MAX_SECONDS = 366 * 86_400.0
