Keep a SIGHUP that arrives during the start pending

Cause: SIGHUP ends a process that has not installed a handler, and importing the daemon takes 0.4 to 0.8 s. The signal is blocked before the imports, and unblocked once the handler is installed, which now comes before the ports are opened. The handler reads the settings again, so a change is never missed.

Ruled out: installing the handler before the ports alone; the imports take longer than the ports. The test waits until the process blocks the signal and fails on the code before (the process never blocks it).

--- a/bundle/bootstrap.py
+++ b/bundle/bootstrap.py
@@ -55,6 +55,6 @@
 def run() -> None:
     """Install the finder and start the command line."""
     sys.meta_path.insert(0, ExtensionFinder())
-    from laburnumswitch.command import main
+    from laburnumswitch.__main__ import run as run_command_line
 
-    main(prog_name="laburnumswitch")
+    run_command_line()
--- a/laburnumswitch/command/daemon.py
+++ b/laburnumswitch/command/daemon.py
@@ -4,6 +4,7 @@
 
 from laburnumswitch.command.output import fail
 from laburnumswitch.exceptions import Failure
+from laburnumswitch.process.daemon.reload_signal import deliver_reload_signal
 from laburnumswitch.process.daemon.settings import read_settings
 
 
@@ -37,6 +38,8 @@
     settings = read_settings(settings_file)
     if isinstance(settings, Failure):
         return settings
+    # This daemon does not reload its settings: SIGHUP ends it.
+    deliver_reload_signal()
     from laburnumswitch.entry import run_entry
 
     return run_entry(settings)
--- a/laburnumswitch/dispatch_entry.py
+++ b/laburnumswitch/dispatch_entry.py
@@ -36,6 +36,7 @@
 from laburnumswitch.platform.store import StoreClient
 from laburnumswitch.platform.workers import HttpWorkerLink
 from laburnumswitch.process.daemon.deployment import Deployment
+from laburnumswitch.process.daemon.reload_signal import deliver_reload_signal
 from laburnumswitch.process.daemon.supervision import keep_running
 from laburnumswitch.process.dispatch.dispatcher import DispatchContext
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
@@ -224,13 +225,14 @@
     """
     config.loop = EVENT_LOOP
     entry = DispatchEntry(deployment)
+    for signal_number in (SIGTERM, SIGINT):
+        signal_handler(signal_number, entry.stop_requested.set)
+    signal_handler(SIGHUP, lambda: entry.reload(reload_settings()))
+    deliver_reload_signal()
     try:
         entry.start()
     except OSError as error:
         return CannotListen(str(error))
-    for signal_number in (SIGTERM, SIGINT):
-        signal_handler(signal_number, entry.stop_requested.set)
-    signal_handler(SIGHUP, lambda: entry.reload(reload_settings()))
     entry.stop_requested.wait()
     entry.stop()
     return None
--- a/soak/entries.py
+++ b/soak/entries.py
@@ -77,6 +77,12 @@
             self.is_paused = number == signal.SIGSTOP
             self._process.send_signal(number)
 
+    def holds_signal(self, number: int) -> bool:
+        """Return whether the process has blocked a signal, which then stays pending."""
+        status = Path(f"/proc/{self._process.pid}/status").read_text(encoding="ascii")
+        fields = dict(line.split(":", 1) for line in status.splitlines())
+        return bool(int(fields["SigBlk"], 16) >> (number - 1) & 1)
+
     def kill(self) -> None:
         """Kill the process and wait until it has exited."""
         if self.is_running():
--- a/tests/test_dispatch_entry.py
+++ b/tests/test_dispatch_entry.py
@@ -45,6 +45,16 @@
         sleep(0.1)
         return self.callers.read_state(job_id) == JobState.COMPLETED
 
+    def test_reload_signal_during_the_start_is_handled_later(self):
+        # Importing the daemon takes several tenths of a second, in which SIGHUP must not end it.
+        entry = self.cluster.entries[0]
+        entry.kill()
+        entry.start()
+        wait_until(lambda: entry.holds_signal(signal.SIGHUP), WAIT_LIMIT_S)
+        entry.signal(signal.SIGHUP)
+        wait_until(lambda: '"event":"reload"' in self._log(0), WAIT_LIMIT_S)
+        self.assertThat(entry.is_running(), Equals(True))
+
     def test_jobs_complete_before_and_after_reload_and_stop(self):
         self._complete_job()
         for entry in self.cluster.entries:
