Count failed runs as a set, and keep the ends of runs of unknown jobs

Cause: failed runs were counted by the highest run number seen. Progress now stores the numbers of the failed runs. A done task counts no failures any more.

Second: the end of a run whose job the owner did not know yet was acknowledged and lost; the task could run again after it was done. Such an end now waits for its job for as long as an orphan run does.

Both tests fail on the code before.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -6,6 +6,7 @@
 ``worker_session`` talks to each worker, ``planner`` decides what starts, and ``recorder`` commits.
 """
 
+import sys
 from collections.abc import Callable
 from typing import Any
 from typing import NamedTuple
@@ -57,6 +58,8 @@
 ORPHAN_WAIT_S = 3.0
 # Weight of a new job in the moving average of its queue's work (core-seconds per job).
 MEAN_WORK_WEIGHT = 0.05
+# Stands for the batch of an ended run that waits for its job.
+NOT_COMMITTED = sys.maxsize
 FLEET_TABLE = "fleet"
 # Number of rows that store the list of workers: a row of the platform's store holds 64 KiB, and a
 # worker takes about 200 bytes.
@@ -96,6 +99,14 @@
     seen_s: float
 
 
+class OrphanEnd(NamedTuple):
+    """An ended run whose job is not known yet, and when it was first reported."""
+
+    worker: Worker
+    report: EndReport
+    seen_s: float
+
+
 class Counters:
     """Counters for the metrics, from the start of the owner's term."""
 
@@ -138,6 +149,7 @@
         # Times of cancellations whose submissions have not arrived yet.
         self.cancelled_s_by_id: dict[str, float] = {}
         self.orphan_by_task: dict[TaskKey, OrphanRun] = {}
+        self.orphan_ends_by_job_id: dict[str, list[OrphanEnd]] = {}
         self.mean_work_by_queue: dict[str, float] = {}
         # Ordered set of the images of the best-effort steps seen so far.
         self.best_effort_images: dict[str, None] = {}
@@ -359,6 +371,8 @@
             orphan = self.orphan_by_task.pop(key)
             if not orphan.worker.is_dropped:
                 self.adopt_run(orphan.worker, orphan.report)
+        for orphan_end in self.orphan_ends_by_job_id.pop(job.job_id, ()):
+            self._apply_orphan_end(orphan_end)
 
     def release_run(self, worker: Worker, run: ActiveRun, reason: str) -> None:
         """Remove a run that no longer exists although its end was not reported.
@@ -383,6 +397,39 @@
             reason=reason,
         )
 
+    def report_end(self, worker: Worker, end: EndReport) -> None:
+        """Apply the reported end of a run, as soon as its job is known.
+
+        An earlier owner may have started a run of a job whose submission has not arrived yet. Its
+        end is not acknowledged meanwhile, so that it is not lost if this owner's term ends.
+        """
+        job_id = end.task.job_id
+        if job_id in self.jobs_by_id or job_id in self.final_by_id:
+            self.apply_end(worker, end)
+            return
+        orphan = OrphanEnd(worker, end, self.context.clock())
+        self.orphan_ends_by_job_id.setdefault(job_id, []).append(orphan)
+        worker.pending_acknowledgements.append((NOT_COMMITTED, end.number))
+
+    def forget_orphan_ends(self) -> None:
+        """Acknowledge ended runs whose jobs have not become known in time."""
+        limit_s = self.context.clock() - ORPHAN_WAIT_S
+        for job_id, orphans in list(self.orphan_ends_by_job_id.items()):
+            if all(orphan.seen_s < limit_s for orphan in orphans):
+                del self.orphan_ends_by_job_id[job_id]
+                self.context.log.note("run_end_unknown", job_id, ends=len(orphans))
+                for orphan in orphans:
+                    self._apply_orphan_end(orphan)
+
+    def _apply_orphan_end(self, orphan: OrphanEnd) -> None:
+        worker, end, _ = orphan
+        entry = (NOT_COMMITTED, end.number)
+        if worker.is_dropped or entry not in worker.pending_acknowledgements:
+            return
+        position = worker.pending_acknowledgements.index(entry)
+        self.apply_end(worker, end)
+        worker.pending_acknowledgements[position] = worker.pending_acknowledgements.pop()
+
     def apply_end(self, worker: Worker, end: EndReport) -> None:
         """Apply the reported end of a run and queue the job's new state for storage."""
         ended = self.counters.ended_count_by_outcome
--- a/laburnumswitch/process/dispatch/jobs.py
+++ b/laburnumswitch/process/dispatch/jobs.py
@@ -32,15 +32,14 @@
 
     :ivar active_run: number of the active run, 0 for none.
     :ivar last_run: highest number of a run; it never decreases.
-    :ivar failed_run: highest number of a run that is counted in ``failures``.
+    :ivar failed_runs: numbers of the runs that have failed.
     :ivar checkpoint: last checkpoint, from which the next run resumes; empty for none.
     """
 
     __slots__ = (
         "key",
         "is_done",
-        "failures",
-        "failed_run",
+        "failed_runs",
         "checkpoint",
         "active_run",
         "last_run",
@@ -50,8 +49,7 @@
     def __init__(self, key: TaskKey) -> None:
         self.key = key
         self.is_done = False
-        self.failures = 0
-        self.failed_run = 0
+        self.failed_runs: set[int] = set()
         self.checkpoint = ""
         self.active_run = 0
         self.last_run = 0
@@ -196,17 +194,18 @@
             self.state = JobState.COMPLETED
 
     def count_failure(self, task: Task, run: int, max_attempts: int) -> None:
-        """Count a failed run once, and fail the job if no attempts remain."""
-        if run <= task.failed_run:
-            return
+        """Count a failed run once, and fail the job if no attempts remain.
+
+        The ends of a task's runs come from several workers, so a new owner may learn of them in any
+        order. The attempts of a long-running task are unlimited and not counted.
+        """
         step_state = self.step_state(task.key)
-        task.failures += 1
-        task.failed_run = run
-        if step_state.step.long_running:
+        if step_state.step.long_running or task.is_done:
             return
-        failures = task.failures
+        task.failed_runs.add(run)
+        failures = len(task.failed_runs)
         if step_state.step.gang:
-            failures = max(member.failures for member in step_state.tasks)
+            failures = max(len(member.failed_runs) for member in step_state.tasks)
         if failures >= max_attempts:
             self.state = JobState.FAILED
 
--- a/laburnumswitch/process/dispatch/progress.py
+++ b/laburnumswitch/process/dispatch/progress.py
@@ -30,14 +30,13 @@
 class StepProgress(NamedTuple):
     """Progress of one step.
 
-    ``done`` is a bit set of task indexes in hexadecimal. ``failures`` holds for each task index the
-    number of failed runs and the highest of their run numbers.
+    ``done`` is a bit set of task indexes in hexadecimal.
     """
 
     occurrence: int
     step: int
     done: str
-    failures: dict[int, tuple[int, int]]
+    failed_runs_by_index: dict[int, tuple[int, ...]]
     checkpoint_by_index: dict[int, str]
 
 
@@ -74,19 +73,21 @@
         for occurrence in job.occurrences:
             for index, step_state in enumerate(occurrence.steps):
                 done = sum(1 << task.key.index for task in step_state.tasks if task.is_done)
-                failures = {
-                    task.key.index: (task.failures, task.failed_run)
+                failed_runs = {
+                    task.key.index: tuple(sorted(task.failed_runs))
                     for task in step_state.tasks
-                    if task.failures
+                    if task.failed_runs
                 }
                 checkpoints = {
                     task.key.index: task.checkpoint
                     for task in step_state.tasks
                     if task.checkpoint and not task.is_done
                 }
-                if done or failures or checkpoints:
+                if done or failed_runs or checkpoints:
                     steps.append(
-                        StepProgress(occurrence.number, index, f"{done:x}", failures, checkpoints)
+                        StepProgress(
+                            occurrence.number, index, f"{done:x}", failed_runs, checkpoints
+                        )
                     )
     return Progress(job.submission.queue, job.state, steps)
 
@@ -98,7 +99,7 @@
         done = int(stored.done, 16)
         for task in step_state.tasks:
             task.is_done = bool(done >> task.key.index & 1)
-            task.failures, task.failed_run = stored.failures.get(task.key.index, (0, 0))
+            task.failed_runs = set(stored.failed_runs_by_index.get(task.key.index, ()))
             task.checkpoint = stored.checkpoint_by_index.get(task.key.index, "")
         step_state.done_count = done.bit_count()
         job.has_begun = True
--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -93,6 +93,7 @@
 def _await_commit(dispatcher: Dispatcher, worker: Worker) -> None:
     if not worker.pending_acknowledgements:
         return
+    dispatcher.forget_orphan_ends()
     batch = max(batch for batch, _ in worker.pending_acknowledgements)
     if not dispatcher.recorder.wait_for(batch, COMMIT_WAIT_S):
         dispatcher.context.sleep(UNCOMMITTED_PAUSE_S)
@@ -133,7 +134,7 @@
     for end in report.ended:
         if end.number > worker.last_end_number:
             worker.last_end_number = end.number
-            dispatcher.apply_end(worker, end)
+            dispatcher.report_end(worker, end)
     _reconcile(dispatcher, worker, report, sent_s, fence)
     if now_s - worker.last_sample_s >= SAMPLE_INTERVAL_S:
         worker.last_sample_s = now_s
--- a/tests/process/dispatch/test_dispatcher.py
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -11,6 +11,7 @@
 from testtools.matchers import Is
 from testtools.matchers import LessThan
 
+from laburnumswitch.process.dispatch.dispatcher import ORPHAN_WAIT_S
 from laburnumswitch.process.dispatch.fleet import MIN_CLOCK_RATE
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.job_spec import TaskKey
@@ -18,6 +19,8 @@
 from laburnumswitch.process.dispatch.jobs import JobState
 from laburnumswitch.process.dispatch.model_store import LEARNED_KEY
 from laburnumswitch.process.dispatch.planner import usable_workers
+from laburnumswitch.process.dispatch.worker_protocol import EndReport
+from laburnumswitch.process.dispatch.worker_protocol import RunOutcome
 from laburnumswitch.process.dispatch.worker_protocol import RunReport
 from laburnumswitch.process.dispatch.worker_session import void_unanswered_starts
 from laburnumswitch.process.leadership.term import PredecessorState
@@ -203,6 +206,44 @@
         wait_until(lambda: second.reported_state("j1") is JobState.COMPLETED)
         self.assertThat(self.harness.checker.start_count, Equals(2))
 
+    def test_successor_counts_failed_runs_reported_in_any_order(self):
+        """Failed runs that no earlier owner stored are reported by several workers in any order."""
+        self.harness.submit(make_submission("j1", LONG), self.first)
+        wait_until(lambda: self.harness.checker.start_count == 1)
+        job = self.first.jobs_by_id["j1"]
+        task = job.task(TaskKey("j1", 0, 0, 0))
+        first_run, second_run = task.active_run, task.active_run + 1
+        workers = list(self.first.workers_by_id.values())
+        for number, (worker, run) in enumerate(zip(workers, (second_run, first_run), strict=True)):
+            end = EndReport(100 + number, task.key, run, RunOutcome.FAILED, "")
+            self.first.report_end(worker, end)
+        self.assertThat(job.state, Equals(JobState.FAILED))
+
+    def test_end_of_a_run_waits_for_its_job(self):
+        """An earlier owner may run a job to its end before the successor knows the submission."""
+        wait_until(lambda: len(self.first.workers_by_id) == 2)
+        worker = next(iter(self.first.workers_by_id.values()))
+        submission = make_submission("j1", LONG)
+        key = TaskKey("j1", 0, 0, 0)
+        self.first.report_end(worker, EndReport(100, key, 7, RunOutcome.DONE, ""))
+        self.assertThat(worker.take_acknowledgeable(self.first.recorder.committed), Equals(0))
+        self.harness.submit(submission, self.first)
+        self.assertThat(self.first.jobs_by_id["j1"].state, Equals(JobState.COMPLETED))
+        wait_until(lambda: self.first.reported_state("j1") is JobState.COMPLETED)
+        self.assertThat(worker.take_acknowledgeable(self.first.recorder.committed), Equals(100))
+        self.assertThat(self.harness.checker.start_count, Equals(0))
+
+    def test_end_of_a_run_whose_job_never_arrives_is_acknowledged(self):
+        wait_until(lambda: len(self.first.workers_by_id) == 2)
+        worker = next(iter(self.first.workers_by_id.values()))
+        end = EndReport(100, TaskKey("j1", 0, 0, 0), 7, RunOutcome.DONE, "")
+        self.first.report_end(worker, end)
+        orphan = self.first.orphan_ends_by_job_id["j1"][0]
+        long_ago_s = orphan.seen_s - 2 * ORPHAN_WAIT_S
+        self.first.orphan_ends_by_job_id["j1"] = [orphan._replace(seen_s=long_ago_s)]
+        self.first.forget_orphan_ends()
+        self.assertThat(worker.take_acknowledgeable(self.first.recorder.committed), Equals(100))
+
     def test_job_submitted_to_a_superseded_owner_starts_only_once(self):
         # An owner that has lost its connection to the store still accepts jobs from callers.
         second = self.harness.start_owner("vm-2", PredecessorState.SILENT)
--- a/tests/process/dispatch/test_recorder.py
+++ b/tests/process/dispatch/test_recorder.py
@@ -88,10 +88,11 @@
         restore_progress(successor, self._stored())
         tasks = successor.occurrences[0].steps[0].tasks
         self.assertThat([each.is_done for each in tasks], Equals([False, True, False]))
-        self.assertThat((tasks[2].failures, tasks[2].failed_run), Equals((1, 5)))
+        self.assertThat(tasks[2].failed_runs, Equals({5}))
         self.assertThat(tasks[2].checkpoint, Equals("c"))
         successor.count_failure(tasks[2], 5, 3)
-        self.assertThat(tasks[2].failures, Equals(1))
+        self.assertThat(tasks[2].failed_runs, Equals({5}))
+        self.assertThat(successor.is_final(), Equals(False))
 
     def test_released_term_has_no_owner(self):
         self._finish_task(0)
