Let a small owner hand over before it has settled, and store whether it has

Cause (read, not reproduced): an owner handed over to a much larger entry only once it had settled. A small VM that becomes the owner of hundreds of workers, as after a loss of power of all VMs, may never settle, and keeps the term because it still commits.

A successor of an owner that had not settled must not take only that owner's end into account: a silent owner before it may act until its own lease expires. The term now says whether its owner has settled; a term of an earlier version counts as not settled, which is the longer wait.

Ruled out: a longer delay of small candidates at the first start alone; they may still be first.

--- a/laburnumswitch/process/dispatch/recorder.py
+++ b/laburnumswitch/process/dispatch/recorder.py
@@ -69,6 +69,7 @@
     :ivar held_term: the owner's term and the version of its row.
     :ivar committed: number of the last batch that took effect.
     :ivar batches: how many batches took effect, for the metrics.
+    :ivar is_settled: stored with the term, see ``Term``.
     :ivar is_lost: whether the term was lost or released.
     :ivar last_commit_boot_s: when the last successful commit was sent, on the boot clock.
     """
@@ -79,6 +80,7 @@
         self.held_term = held_term
         self.committed = 0
         self.is_lost = False
+        self.is_settled = False
         self.last_commit_boot_s = last_commit_boot_s
         self._last_commit_monotonic_s = context.clock()
         self._awaits_commit = False
@@ -172,7 +174,9 @@
         jobs, values, removals = self._take_batch()
         number = self._next_batch
         self._next_batch += 1
-        term = self.held_term.term._replace(batch=f"{self.held_term.term.incarnation}-{number}")
+        term = self.held_term.term._replace(
+            batch=f"{self.held_term.term.incarnation}-{number}", is_settled=self.is_settled
+        )
         if owner is not None:
             term = term._replace(owner=owner)
         transaction = self._build_transaction(term, jobs, values, removals)
--- a/laburnumswitch/process/dispatch/takeover.py
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -59,8 +59,11 @@
     lease_s = context.deployment.bounds.lease_s / MIN_CLOCK_RATE
     command_window_s = 0.0 if predecessor is PredecessorState.ENDED else OWNER_LEASE_S
     dispatcher.limit_unknown_runs(lease_s + command_window_s)
-    dispatcher.settled = dispatcher.epoch == 1
-    dispatcher.predecessor_may_start_jobs = predecessor is PredecessorState.SILENT
+    dispatcher.settled = recorder.is_settled = dispatcher.epoch == 1
+    dispatcher.predecessor_may_start_jobs = predecessor in (
+        PredecessorState.SILENT,
+        PredecessorState.UNSETTLED,
+    )
     dispatcher.spawn(recorder.run, dispatcher.is_stopped)
     dispatcher.spawn(_run, dispatcher)
     return dispatcher
@@ -136,7 +139,7 @@
             if not (worker.is_reached or worker.is_dropped or dispatcher.has_lapsed(worker))
         ]
         if not unknown:
-            dispatcher.settled = True
+            dispatcher.settled = dispatcher.recorder.is_settled = True
             dispatcher.wake.set()
             context.log.note(
                 "settled", str(dispatcher.epoch), after_s=round(context.clock() - began_s, 3)
--- a/laburnumswitch/process/leadership/leadership.py
+++ b/laburnumswitch/process/leadership/leadership.py
@@ -193,7 +193,7 @@
 
     def _has_much_larger_watcher(self) -> bool:
         dispatcher = self.dispatcher
-        if dispatcher is None or not dispatcher.settled:
+        if dispatcher is None:
             return False
         largest = max(self._cpu_cores_by_watcher().values(), default=0.0)
         return largest > HAND_OVER_CPU_RATIO * self._context.identity.cpu_cores
@@ -333,11 +333,15 @@
             answer = context.owner_client.supersede(observed.term.address, epoch)
             if answer is True:
                 predecessor = PredecessorState.ENDED
+        is_settled = observed.term.is_settled or observed.term.epoch == 0
+        if predecessor is PredecessorState.ENDED and not is_settled:
+            predecessor = PredecessorState.UNSETTLED
         self.current_term = term
         self.takeovers += 1
         self.watcher_by_vm.clear()
         self.dispatcher = context.start_dispatcher(taken, sent_s, predecessor)
-        if predecessor is not PredecessorState.ENDED and observed.term.address:
+        may_still_act = predecessor in (PredecessorState.REFUSING, PredecessorState.SILENT)
+        if may_still_act and is_settled and observed.term.address:
             self.dispatcher.spawn(self._confirm_end, self.dispatcher, observed.term.address)
 
     def _confirm_end(self, dispatcher: Dispatcher, address: str) -> None:
--- a/laburnumswitch/process/leadership/term.py
+++ b/laburnumswitch/process/leadership/term.py
@@ -28,6 +28,8 @@
     :ivar incarnation: identifies one start of the owner's process.
     :ivar address: where other entries reach the owner.
     :ivar batch: id of the owner's last commit.
+    :ivar is_settled: whether the owner knew that all runs of earlier owners were known or had
+        lapsed, and that no earlier owner could send commands any more.
     """
 
     epoch: int = 0
@@ -35,6 +37,7 @@
     incarnation: str = ""
     address: str = ""
     batch: str = ""
+    is_settled: bool = False
 
 
 class PredecessorState(StrEnum):
@@ -43,12 +46,14 @@
     ``ENDED``: it sends no more commands to workers, because its process has ended or it has
     confirmed that it was superseded. ``REFUSING``: it refuses connections, so it accepts no new
     jobs, but may still send commands. ``SILENT``: it does not answer, and may still accept jobs and
-    send commands until its lease (``recorder.OWNER_LEASE_S``) expires.
+    send commands until its lease (``recorder.OWNER_LEASE_S``) expires. ``UNSETTLED``: it has ended
+    itself, but a silent owner before it may not have.
     """
 
     ENDED = "ended"
     REFUSING = "refusing"
     SILENT = "silent"
+    UNSETTLED = "unsettled"
 
 
 class VersionedTerm(NamedTuple):
--- a/tests/process/leadership/test_leadership.py
+++ b/tests/process/leadership/test_leadership.py
@@ -36,6 +36,12 @@
     def touch(self):
         self.table.commit(Transaction((), (Put(TERM_KEY, self.held_term.term),)))
 
+    def store_settled(self, is_settled):
+        self.held_term = self.held_term._replace(
+            term=self.held_term.term._replace(is_settled=is_settled)
+        )
+        self.touch()
+
     def release(self):
         self.table.commit(Transaction((), (Put(TERM_KEY, self.held_term.term._replace(owner="")),)))
         self.is_lost = True
@@ -48,6 +54,7 @@
         self.recorder = FakeRecorder(table, held)
         self.stopped = Event()
         self.settled = predecessor is PredecessorState.ENDED
+        self.recorder.store_settled(self.settled)
         self.predecessor_ended = False
 
     def is_stopped(self):
@@ -180,12 +187,32 @@
         self.assertThat(first.is_stopped(), Equals(True))
 
     def test_own_term_of_an_earlier_process_is_taken_at_once(self):
-        self.table.commit(Transaction((), (Put(TERM_KEY, Term(7, "vm-1", "old", "vm-1")),)))
+        term = Term(7, "vm-1", "old", "vm-1", is_settled=True)
+        self.table.commit(Transaction((), (Put(TERM_KEY, term),)))
         owner = self._add_entry("vm-1", 2.0)
         wait_until(lambda: owner.dispatcher is not None)
         self.assertThat(owner.dispatcher.epoch, Equals(8))
         self.assertThat(owner.dispatcher.predecessor, Equals(PredecessorState.ENDED))
 
+    def test_owner_that_ended_before_it_had_settled_leaves_earlier_owners_unknown(self):
+        """An owner before it may be cut off and still send commands until its own lease expires."""
+        self.table.commit(Transaction((), (Put(TERM_KEY, Term(7, "vm-1", "old", "vm-1")),)))
+        owner = self._add_entry("vm-1", 2.0)
+        wait_until(lambda: owner.dispatcher is not None)
+        self.assertThat(owner.dispatcher.predecessor, Equals(PredecessorState.UNSETTLED))
+        sleep(0.3)
+        self.assertThat(owner.dispatcher.predecessor_ended, Equals(False))
+
+    def test_small_owner_that_never_settles_hands_over_as_well(self):
+        """A small owner of a large fleet may be too slow to reach all workers in time."""
+        owner = self._add_entry("vm-1", 0.5)
+        wait_until(lambda: owner.dispatcher is not None)
+        owner.dispatcher.settled = False
+        owner.dispatcher.recorder.store_settled(False)
+        larger = self._add_entry("vm-2", 2.0)
+        wait_until(lambda: larger.dispatcher is not None)
+        self.assertThat(larger.dispatcher.predecessor, Equals(PredecessorState.UNSETTLED))
+
     def test_small_owner_hands_over_to_a_larger_entry(self):
         owner = self._add_entry("vm-1", 0.5)
         wait_until(lambda: owner.dispatcher is not None)
