Model tail latencies as queues, price workers, and bound planning passes

The model now learns utilisations: load by step, coefficients by pair of images.

Prices of workers. Images that interfere with most serving tasks have few workers; harmless ones took those.

Passes now end after 30 ms and leave half of the time to the rest, and a part of a large fleet is ranked.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -29,7 +29,9 @@
 from laburnumswitch.process.dispatch.jobs import Job
 from laburnumswitch.process.dispatch.jobs import JobState
 from laburnumswitch.process.dispatch.jobs import ReadyStep
+from laburnumswitch.process.dispatch.jobs import step_work
 from laburnumswitch.process.dispatch.jobs import Task
+from laburnumswitch.process.dispatch.opportunity import Demand
 from laburnumswitch.process.dispatch.recorder import Recorder
 from laburnumswitch.process.dispatch.tails import TailLatencyModel
 from laburnumswitch.process.dispatch.tickets import Tickets
@@ -151,8 +153,9 @@
         self.orphan_by_task: dict[TaskKey, OrphanRun] = {}
         self.orphan_ends_by_job_id: dict[str, list[OrphanEnd]] = {}
         self.mean_work_by_queue: dict[str, float] = {}
-        # Ordered set of the images of the best-effort steps seen so far.
-        self.best_effort_images: dict[str, None] = {}
+        self.demand = Demand()
+        self.price_by_worker_id: dict[str, float] = {}
+        self.priced_s = float("-inf")
         self.headroom = Headroom()
         self.quarantine = Quarantine(INITIAL_QUARANTINE_S, MAX_QUARANTINE_S)
         self.counters = Counters()
@@ -235,7 +238,7 @@
         self.mean_work_by_queue[submission.queue] = mean + MEAN_WORK_WEIGHT * (job.work - mean)
         for step in submission.steps:
             if step.best_effort and step.image:
-                self.best_effort_images[step.image] = None
+                self.demand.add(step.image, step.count * step_work(step), self.context.clock())
         self.context.log.note(
             "job_taken",
             job.job_id,
@@ -279,6 +282,11 @@
         """Note a job as final once it has ended and has no active run."""
         if job.is_final() and not job.is_running():
             self.note_final(job.job_id, job.state)
+            self.model.forget_steps(
+                (job.job_id, occurrence.number, index)
+                for occurrence in job.occurrences
+                for index in range(len(occurrence.steps))
+            )
 
     def note_final(self, job_id: str, state: JobState) -> None:
         """Keep the final state of a job until its rows are removed."""
--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -27,20 +27,20 @@
     """Predicted tail latency of a serving run.
 
     :ivar image: image of the serving run.
-    :ivar log_ratio: expected logarithm of the tail latency divided by its target.
+    :ivar utilisation: expected utilisation, see ``tails``.
     :ivar exceedance: probability that the tail latency exceeds the target.
-    :ivar unthrottled_log_ratio: ``log_ratio`` if no best-effort run beside it were throttled.
-    :ivar max_log_ratio_increase: largest contribution of a single best-effort run to
-        ``unthrottled_log_ratio``.
+    :ivar unthrottled_utilisation: ``utilisation`` if no best-effort run beside it were throttled.
+    :ivar max_increase: largest contribution of a single best-effort run to
+        ``unthrottled_utilisation``.
     :ivar is_persistently_over: whether the tail latency has been over its target for longer than
         ``placing.PERSISTENTLY_OVER_S``.
     """
 
     image: str
-    log_ratio: float
+    utilisation: float
     exceedance: float
-    unthrottled_log_ratio: float
-    max_log_ratio_increase: float
+    unthrottled_utilisation: float
+    max_increase: float
     is_persistently_over: bool
 
 
--- a/laburnumswitch/process/dispatch/model_store.py
+++ b/laburnumswitch/process/dispatch/model_store.py
@@ -41,5 +41,5 @@
         return
     dispatcher.model.load_parameters(parameters)
     for _, best_effort_image, _, _ in parameters.coefficients:
-        dispatcher.best_effort_images[best_effort_image] = None
+        dispatcher.demand.add(best_effort_image, 0.0, dispatcher.context.clock())
     dispatcher.context.log.note("learned", LEARNED_KEY, pairs=len(parameters.coefficients))
--- a/laburnumswitch/process/dispatch/placing.py
+++ b/laburnumswitch/process/dispatch/placing.py
@@ -1,15 +1,15 @@
 """Cost functions that rank workers for a task of the dispatch daemon.
 
-A log ratio is the logarithm of a tail latency divided by its target, see ``tails``. The package
-``process.placing`` holds the placement of the other daemon, in ``entry.py``.
+The utilisation of a serving task is modelled in ``tails``. The package ``process.placing`` holds the
+placement of the other daemon, in ``entry.py``.
 """
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 from heapq import heapify
 from heapq import heappop
 from heapq import heappush
-from math import log
 from typing import NamedTuple
 
 from laburnumswitch.process.dispatch.fleet import TailPrediction
@@ -19,7 +19,7 @@
 from laburnumswitch.process.dispatch.tails import TailLatencyModel
 from laburnumswitch.process.dispatch.throttling import MIN_INTERFERENCE
 from laburnumswitch.process.dispatch.throttling import NEGLIGIBLE_COEFFICIENT
-from laburnumswitch.process.dispatch.throttling import TARGET_SHARE
+from laburnumswitch.process.dispatch.throttling import UTILISATION_LIMIT
 
 # How much a best-effort task may raise the expected number of serving tasks over their targets.
 # Beyond this, the interference costs more than the task is worth.
@@ -38,6 +38,8 @@
 # A serving task that has been over its target for this long, in seconds, gets no new neighbour that
 # may interfere with it.
 PERSISTENTLY_OVER_S = 1.0
+# Largest number of workers that are ranked for one best-effort step.
+MAX_RANKED_WORKERS = 160
 # Cost of a worker outside the rack of the data, where a task takes several times as long.
 REMOTE_DATA_PENALTY = 10.0
 
@@ -45,19 +47,24 @@
 class Choice(NamedTuple):
     """A worker and its cost; lower is better.
 
-    :ivar cost_without_distance: the cost without ``REMOTE_DATA_PENALTY``.
+    :ivar own_cost: the cost for the task itself and its neighbours, without ``REMOTE_DATA_PENALTY``
+        and the price of the worker.
     """
 
     worker: Worker
     cost: float
-    cost_without_distance: float
+    own_cost: float
 
 
 class PlacementContext(NamedTuple):
-    """Inputs of the cost functions besides the step and the worker."""
+    """Inputs of the cost functions besides the step and the worker.
+
+    :ivar price_by_worker_id: see ``opportunity``; workers that are missing cost nothing.
+    """
 
     model: TailLatencyModel
     best_effort_images: tuple[str, ...]
+    price_by_worker_id: Mapping[str, float] = {}
 
 
 CostFunction = Callable[[Step, Worker, PlacementContext], float]
@@ -84,7 +91,7 @@
         if not self._heap:
             return None
         cost, _, worker = self._heap[0]
-        return Choice(worker, cost, cost - self._distance_cost(worker))
+        return Choice(worker, cost, cost - self._added_cost(worker))
 
     def requeue_best(self, may_be_reused: bool) -> None:
         """Put the cheapest worker back with its current cost, or remove it."""
@@ -93,11 +100,36 @@
             heappush(self._heap, (self._cost(worker), number, worker))
 
     def _cost(self, worker: Worker) -> float:
-        return self._cost_of(self._step, worker, self._context) + self._distance_cost(worker)
+        return self._cost_of(self._step, worker, self._context) + self._added_cost(worker)
 
-    def _distance_cost(self, worker: Worker) -> float:
+    def _added_cost(self, worker: Worker) -> float:
         is_far = self._step.data_rack and worker.listing.rack != self._step.data_rack
-        return REMOTE_DATA_PENALTY if is_far else 0.0
+        cost = REMOTE_DATA_PENALTY if is_far else 0.0
+        if self._step.best_effort:
+            cost += self._context.price_by_worker_id.get(worker.worker_id, 0.0)
+        return cost
+
+
+def workers_to_rank(step: Step, workers: list[Worker], first: int) -> list[Worker]:
+    """Return the workers to rank for a best-effort step.
+
+    On large fleets these are a part of the workers and those in the rack of the step's data:
+    ranking takes as long as the fleet is large, and a part holds enough suitable workers.
+
+    :param first: where the part begins, so that steps are spread over all workers.
+    """
+    if len(workers) <= MAX_RANKED_WORKERS:
+        return workers
+    start = first % len(workers)
+    chosen = (workers[start:] + workers[:start])[:MAX_RANKED_WORKERS]
+    if step.data_rack:
+        chosen_ids = {worker.worker_id for worker in chosen}
+        chosen += [
+            worker
+            for worker in workers
+            if worker.listing.rack == step.data_rack and worker.worker_id not in chosen_ids
+        ]
+    return chosen
 
 
 def cost_function(step: Step) -> CostFunction:
@@ -149,24 +181,22 @@
     share = step.cpu_millis / worker.listing.cpu_millis
     interference = throttling = 0.0
     for prediction in predict_tails(worker, model):
-        log_ratio_increase = model.coefficient(prediction.image, step.image) * share
-        if log_ratio_increase > MIN_INTERFERENCE:
+        increase = model.coefficient(prediction.image, step.image) * share
+        if increase > MIN_INTERFERENCE:
             interference += (
-                exceedance_probability(prediction.log_ratio + log_ratio_increase)
-                - prediction.exceedance
+                exceedance_probability(prediction.utilisation + increase) - prediction.exceedance
             )
             excess = min(
-                log_ratio_increase,
-                prediction.unthrottled_log_ratio + log_ratio_increase - log(TARGET_SHARE),
+                increase,
+                prediction.unthrottled_utilisation + increase - UTILISATION_LIMIT,
             )
             # Share of its speed that throttling would take from the new task, or from a run that
             # raises the tail latency more, since such a run is throttled first.
-            throttling = max(
-                throttling, excess / max(log_ratio_increase, prediction.max_log_ratio_increase)
-            )
-        upper_bound = model.coefficient_upper_bound(prediction.image, step.image)
-        if prediction.is_persistently_over and upper_bound > NEGLIGIBLE_COEFFICIENT:
-            interference += 1.0
+            throttling = max(throttling, excess / max(increase, prediction.max_increase))
+        if prediction.is_persistently_over:
+            upper_bound = model.coefficient_upper_bound(prediction.image, step.image)
+            if upper_bound > NEGLIGIBLE_COEFFICIENT:
+                interference += 1.0
     missing_cpu_millis = step.cpu_millis - worker.idle_cpu_millis()
     cpu_sharing = max(0.0, missing_cpu_millis / step.cpu_millis) if step.cpu_millis else 0.0
     return interference + THROTTLING_WEIGHT * throttling + CPU_SHARING_WEIGHT * cpu_sharing
@@ -175,34 +205,51 @@
 def predict_tails(worker: Worker, model: TailLatencyModel) -> list[TailPrediction]:
     """Return the predicted tail latencies of a worker's serving runs, cached on the worker."""
     if worker.tail_predictions is None:
-        current = best_effort_shares(worker)
-        unthrottled = best_effort_shares(worker, unthrottled=True)
+        effects_by_image: dict[str, _Effects] = {}
         worker.tail_predictions = []
         for run in worker.serving_runs():
-            log_ratio = model.predict(run.task, run.step.image, current)
+            image = run.step.image
+            effects = effects_by_image.get(image)
+            if effects is None:
+                effects = effects_by_image[image] = _effects(image, worker, model)
+            load = model.load(run.task)
             worker.tail_predictions.append(
                 TailPrediction(
-                    run.step.image,
-                    log_ratio,
-                    exceedance_probability(log_ratio),
-                    model.predict(run.task, run.step.image, unthrottled),
-                    _max_log_ratio_increase(run.step.image, worker, model),
+                    image,
+                    load + effects.current,
+                    exceedance_probability(load + effects.current),
+                    load + effects.unthrottled,
+                    effects.largest,
                     worker.last_sample_s - run.last_under_target_s > PERSISTENTLY_OVER_S,
                 )
             )
     return worker.tail_predictions
 
 
-def _max_log_ratio_increase(serving_image: str, worker: Worker, model: TailLatencyModel) -> float:
-    return (
-        max(
-            (
-                model.coefficient(serving_image, run.step.image) * run.step.cpu_millis
-                for run in worker.best_effort_runs()
-            ),
-            default=0.0,
-        )
-        / worker.listing.cpu_millis
+class _Effects(NamedTuple):
+    """Increases of a serving image's utilisation by the best-effort runs beside it.
+
+    :ivar unthrottled: by all of them, if none were throttled.
+    :ivar largest: largest contribution of a single one to ``unthrottled``.
+    """
+
+    current: float
+    unthrottled: float
+    largest: float
+
+
+def _effects(serving_image: str, worker: Worker, model: TailLatencyModel) -> _Effects:
+    largest = max(
+        (
+            model.coefficient(serving_image, run.step.image) * run.step.cpu_millis
+            for run in worker.best_effort_runs()
+        ),
+        default=0.0,
+    )
+    return _Effects(
+        model.interference(serving_image, best_effort_shares(worker)),
+        model.interference(serving_image, best_effort_shares(worker, unthrottled=True)),
+        largest / worker.listing.cpu_millis,
     )
 
 
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -24,9 +24,11 @@
 from laburnumswitch.process.dispatch.jobs import ReadyStep
 from laburnumswitch.process.dispatch.jobs import Task
 from laburnumswitch.process.dispatch.ordering import order_key
+from laburnumswitch.process.dispatch.opportunity import worker_prices
 from laburnumswitch.process.dispatch.placing import INTERFERENCE_LIMIT
 from laburnumswitch.process.dispatch.placing import PlacementContext
 from laburnumswitch.process.dispatch.placing import Ranking
+from laburnumswitch.process.dispatch.placing import workers_to_rank
 from laburnumswitch.process.dispatch.relocation import choose_moves
 from laburnumswitch.process.dispatch.tickets import Tickets
 from laburnumswitch.process.dispatch.worker_protocol import StartCommand
@@ -45,11 +47,16 @@
 REFUSED_PAUSE_S = 0.3
 # The same pause if the worker was overloaded or unhealthy, in seconds.
 UNHEALTHY_PAUSE_S = 1.0
+# Longest planning pass, in seconds: watchers take an owner that does not answer for a second and a
+# half as lost.
+MAX_PASS_S = 0.03
 # Best-effort steps that found no suitable worker are planned again after this time, in seconds.
 PLACEMENT_RETRY_S = 0.15
 # Interval, in seconds, at which throttled runs are checked: half of ``MIN_THROTTLED_S``, after
 # which one may move.
 RELOCATION_INTERVAL_S = 0.4
+# Interval, in seconds, at which the prices of workers are computed.
+PRICE_INTERVAL_S = 1.0
 # Tickets are not used this shortly before they expire, in seconds, so that they are still valid
 # when the start arrives.
 TICKET_MARGIN_S = 0.3
@@ -60,12 +67,16 @@
 def run_planner(dispatcher: Dispatcher) -> None:
     """Plan whenever the state changes, until the term ends."""
     context = dispatcher.context
+    pause_s = COALESCE_S
     while not dispatcher.is_stopped():
         dispatcher.wake.wait(PLAN_INTERVAL_S)
-        context.sleep(COALESCE_S)
+        context.sleep(pause_s)
         dispatcher.wake.clear()
+        began_s = context.clock()
         if dispatcher.may_act():
             plan(dispatcher)
+        # Planning takes at most half of the processor time, so that leases are renewed meanwhile.
+        pause_s = max(COALESCE_S, context.clock() - began_s)
 
 
 def run_relocation(dispatcher: Dispatcher) -> None:
@@ -81,15 +92,20 @@
         services = {worker.listing.service for worker in dispatcher.workers_by_id.values()}
         for service in services:
             usable = usable_workers(dispatcher, service)
-            placement = PlacementContext(dispatcher.model, tuple(dispatcher.best_effort_images))
+            placement = placement_context(dispatcher)
             for move in choose_moves(usable, placement, context.clock()):
                 reason = f"throttled, moving to {move.target.worker_id}"
                 dispatcher.stop_run(move.worker, move.run, reason)
 
 
 def plan(dispatcher: Dispatcher) -> None:
-    """Run one planning pass over the ready steps, in the order of ``order_key``."""
+    """Run one planning pass over the ready steps, in the order of ``order_key``.
+
+    This handles bursts of wide jobs on large fleets, whose planning takes seconds: after
+    ``MAX_PASS_S`` the rest is left to the next pass, so that workers are served in between.
+    """
     now_s = dispatcher.context.wall_clock()
+    stop_s = dispatcher.context.clock() + MAX_PASS_S
     keyed = []
     for ready in dispatcher.ready_step_by_key.values():
         queue = dispatcher.queue_of(ready.job)
@@ -107,6 +123,9 @@
                 dispatcher, queue.service
             )
         _plan_step(dispatcher, queue, ready, service_state)
+        if dispatcher.context.clock() > stop_s:
+            dispatcher.wake.set()
+            return
 
 
 class ServicePlanningState:
@@ -203,6 +222,19 @@
     return dispatcher.context.clock() >= ready.step_state.retry_after_s
 
 
+def placement_context(dispatcher: Dispatcher) -> PlacementContext:
+    """Return the inputs of the cost functions; prices may be up to ``PRICE_INTERVAL_S`` old."""
+    now_s = dispatcher.context.clock()
+    if now_s - dispatcher.priced_s >= PRICE_INTERVAL_S:
+        dispatcher.priced_s = now_s
+        dispatcher.price_by_worker_id = worker_prices(
+            dispatcher.workers_by_id.values(), dispatcher.demand.work_by_image, dispatcher.model
+        )
+    return PlacementContext(
+        dispatcher.model, tuple(dispatcher.demand.work_by_image), dispatcher.price_by_worker_id
+    )
+
+
 def usable_workers(dispatcher: Dispatcher, service: str) -> list[Worker]:
     """Return the workers of a service that may get starts now."""
     now_s = dispatcher.context.clock()
@@ -270,14 +302,16 @@
     :return: ``False`` if tasks remain because none of the workers with capacity is suitable.
     """
     step = ready.step_state.step
-    context = PlacementContext(dispatcher.model, tuple(dispatcher.best_effort_images))
+    context = placement_context(dispatcher)
+    if step.best_effort:
+        candidates = workers_to_rank(step, candidates, dispatcher.counters.starts)
     eligible = (each for each in candidates if _allows_another_task(step, each, ready))
     ranking = Ranking(_step_to_rank(dispatcher, ready), eligible, context)
     for task in list(ready.step_state.waiting()):
         choice = ranking.best()
         if choice is None:
             return True
-        if choice.cost_without_distance > INTERFERENCE_LIMIT:
+        if choice.own_cost > INTERFERENCE_LIMIT:
             if forced == 0:
                 return False
             forced -= 1
--- a/laburnumswitch/process/dispatch/relocation.py
+++ b/laburnumswitch/process/dispatch/relocation.py
@@ -7,11 +7,14 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from laburnumswitch.process.dispatch.best_effort import FailedPlacements
 from laburnumswitch.process.dispatch.fleet import ActiveRun
 from laburnumswitch.process.dispatch.fleet import Worker
+from laburnumswitch.process.dispatch.placing import Choice
 from laburnumswitch.process.dispatch.placing import INTERFERENCE_LIMIT
 from laburnumswitch.process.dispatch.placing import PlacementContext
 from laburnumswitch.process.dispatch.placing import Ranking
+from laburnumswitch.process.dispatch.placing import workers_to_rank
 
 # A run is moved only after it has been heavily throttled for this long, in seconds, since samples
 # of tail latencies are noisy.
@@ -47,18 +50,28 @@
     ]
     moves: list[Move] = []
     targets: set[str] = set()
-    for _, _, worker, run in sorted(throttled, key=lambda each: each[:2]):
+    failed_placements = FailedPlacements()
+    for _, index, worker, run in sorted(throttled, key=lambda each: each[:2]):
         if len(moves) >= MOVES_PER_PASS:
             break
-        others = (each for each in workers if each is not worker and each.worker_id not in targets)
+        if failed_placements.rules_out(run.step):
+            continue
+        near = workers_to_rank(run.step, workers, index)
+        others = (each for each in near if each is not worker and each.worker_id not in targets)
         choice = Ranking(run.step, others, context).best()
-        if choice is None or choice.cost > MOVE_INTERFERENCE_SHARE * INTERFERENCE_LIMIT:
+        if choice is None or not _is_worth_moving(run, choice):
+            failed_placements.note(run.step)
             continue
         targets.add(choice.worker.worker_id)
         moves.append(Move(worker, run, choice.worker))
     return moves
 
 
+def _is_worth_moving(run: ActiveRun, choice: Choice) -> bool:
+    is_far = run.step.data_rack and choice.worker.listing.rack != run.step.data_rack
+    return not is_far and choice.own_cost <= MOVE_INTERFERENCE_SHARE * INTERFERENCE_LIMIT
+
+
 def _should_move(run: ActiveRun, now_s: float) -> bool:
     if run.throttled_since_s is None or now_s - run.throttled_since_s < MIN_THROTTLED_S:
         return False
--- a/laburnumswitch/process/dispatch/throttling.py
+++ b/laburnumswitch/process/dispatch/throttling.py
@@ -3,16 +3,17 @@
 This handles the case that best-effort work arrives on workers whose serving tasks are near their
 targets. The best-effort tasks with the most interference per processor, as predicted by the model,
 are throttled first. If a tail latency stays over its target nevertheless, all of them are stopped.
-A log ratio is the logarithm of a tail latency divided by its target, see ``tails``.
+The utilisation of a serving task is modelled in ``tails``.
 """
 
-from math import log
 from typing import NamedTuple
 
-# Predicted tail latencies are kept below this share of the target, since samples are noisy.
-TARGET_SHARE = 0.95
-# Interference that is expected to raise the log ratio by less than this is ignored.
-MIN_INTERFERENCE = 0.04
+from laburnumswitch.process.dispatch.tails import TARGET_UTILISATION
+
+# Predicted utilisations are kept below this.
+UTILISATION_LIMIT = TARGET_UTILISATION
+# Interference that is expected to raise the utilisation by less than this is ignored.
+MIN_INTERFERENCE = 0.01
 # Speeds are multiples of this many percent, so that small changes cause no call to the worker.
 SPEED_GRANULARITY_PERCENT = 10
 # Best-effort runs that may interfere are stopped this long, in seconds, before a tail latency has
@@ -21,21 +22,21 @@
 STOP_INTERFERING_MARGIN_S = 2.2
 # All best-effort runs are stopped this long, in seconds, before the same time has passed.
 STOP_ALL_MARGIN_S = 1.4
-# An image counts as harmless if its coefficient is below this (the increase of the log ratio if it
+# An image counts as harmless if its coefficient is below this (the increase of the utilisation if it
 # used all processors of a worker).
-NEGLIGIBLE_COEFFICIENT = 0.6
+NEGLIGIBLE_COEFFICIENT = 0.4
 
 
 class ServingInput(NamedTuple):
     """A serving run as ``choose_throttles`` needs it.
 
-    :ivar baseline: expected log ratio without best-effort work.
+    :ivar load: expected utilisation without best-effort work.
     :ivar coefficient_by_image: expected coefficients by best-effort image.
     :ivar upper_bound_by_image: upper bounds of these coefficients.
     :ivar over_target_s: for how long its tail latency has been over the target.
     """
 
-    baseline: float
+    load: float
     coefficient_by_image: dict[str, float]
     upper_bound_by_image: dict[str, float]
     over_target_s: float
@@ -85,11 +86,11 @@
         for run in best_effort
         if serving_run.coefficient_by_image[run.image] * run.share > MIN_INTERFERENCE
     ]
-    expected = serving_run.baseline + sum(
+    expected = serving_run.load + sum(
         coefficient * run.share * percent_by_key[run.key] / 100.0
         for coefficient, run in interfering
     )
-    excess = expected - log(TARGET_SHARE)
+    excess = expected - UTILISATION_LIMIT
     for coefficient, run in sorted(interfering, key=lambda pair: pair[0], reverse=True):
         if excess <= 0.0:
             return
--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -138,7 +138,8 @@
     _reconcile(dispatcher, worker, report, sent_s, fence)
     if now_s - worker.last_sample_s >= SAMPLE_INTERVAL_S:
         worker.last_sample_s = now_s
-        _update_throttles(dispatcher, worker, now_s)
+        _learn_tails(dispatcher, worker, now_s)
+        _update_throttles(dispatcher, worker)
 
 
 def _handle_restart(dispatcher: Dispatcher, worker: Worker) -> None:
@@ -197,28 +198,34 @@
     dispatcher.spawn(worker.link.stop, report.task, report.run, worker.fence, COMMAND_TIMEOUT_S)
 
 
-def _update_throttles(dispatcher: Dispatcher, worker: Worker, now_s: float) -> None:
-    """Update the model from one worker's samples and set the speed of its best-effort runs."""
-    serving = [run for run in worker.serving_runs() if run.measurement > 0]
-    best_effort = [run for run in worker.best_effort_runs() if not run.is_stopping]
-    capacity = worker.listing.cpu_millis
+def _learn_tails(dispatcher: Dispatcher, worker: Worker, now_s: float) -> None:
+    """Update the model from one worker's samples."""
     used_by_image: dict[str, float] = {}
-    for run in best_effort:
-        image = run.step.image
-        used_by_image[image] = used_by_image.get(image, 0.0) + run.measurement / capacity
-    model = dispatcher.model
+    for run in worker.best_effort_runs():
+        share = run.measurement / worker.listing.cpu_millis
+        used_by_image[run.step.image] = used_by_image.get(run.step.image, 0.0) + share
     worker.tail_predictions = None
-    for run in serving:
-        ratio = run.measurement / run.step.tail_target_ms
-        model.observe(run.task, run.step.image, ratio, used_by_image)
-        if ratio < CLEARLY_UNDER_RATIO:
-            run.last_under_target_s = now_s
+    for run in worker.serving_runs():
+        if run.measurement > 0:
+            ratio = run.measurement / run.step.tail_target_ms
+            dispatcher.model.observe(run.task, run.step.image, ratio, used_by_image, now_s)
+            if ratio < CLEARLY_UNDER_RATIO:
+                run.last_under_target_s = now_s
+
+
+def _update_throttles(dispatcher: Dispatcher, worker: Worker) -> None:
+    """Set the speeds of a worker's best-effort runs as the model expects the tail latencies."""
+    now_s = dispatcher.context.clock()
+    serving = [run for run in worker.serving_runs() if run.measurement > 0]
+    best_effort = [run for run in worker.best_effort_runs() if not run.is_stopping]
     if not best_effort:
         return
+    capacity = worker.listing.cpu_millis
+    model = dispatcher.model
     images = {run.step.image for run in best_effort}
     serving_inputs = [
         ServingInput(
-            model.baseline(run.task, run.step.image),
+            model.load(run.task),
             {image: model.coefficient(run.step.image, image) for image in images},
             {image: model.coefficient_upper_bound(run.step.image, image) for image in images},
             now_s - run.last_under_target_s,
