--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -23,8 +23,8 @@
 from laburnumswitch.process.dispatch.jobs import Job
 from laburnumswitch.process.dispatch.jobs import ReadyStep
 from laburnumswitch.process.dispatch.jobs import Task
-from laburnumswitch.process.dispatch.ordering import order_key
 from laburnumswitch.process.dispatch.opportunity import worker_prices
+from laburnumswitch.process.dispatch.ordering import order_key
 from laburnumswitch.process.dispatch.placing import INTERFERENCE_LIMIT
 from laburnumswitch.process.dispatch.placing import PlacementContext
 from laburnumswitch.process.dispatch.placing import Ranking
--- a/tests/process/dispatch/test_decisions.py
+++ b/tests/process/dispatch/test_decisions.py
@@ -36,8 +36,8 @@
 from laburnumswitch.process.dispatch.tails import exceedance_probability
 from laburnumswitch.process.dispatch.tails import IDLE_RATIO
 from laburnumswitch.process.dispatch.tails import PRIOR_LOAD
-from laburnumswitch.process.dispatch.tails import TARGET_UTILISATION
 from laburnumswitch.process.dispatch.tails import TailLatencyModel
+from laburnumswitch.process.dispatch.tails import TARGET_UTILISATION
 from laburnumswitch.process.dispatch.throttling import BestEffortInput
 from laburnumswitch.process.dispatch.throttling import choose_throttles
 from laburnumswitch.process.dispatch.throttling import ServingInput
