--- a/laburnumswitch/process/dispatch/throttling.py
+++ b/laburnumswitch/process/dispatch/throttling.py
@@ -22,8 +22,8 @@
 STOP_INTERFERING_MARGIN_S = 2.2
 # All best-effort runs are stopped this long, in seconds, before the same time has passed.
 STOP_ALL_MARGIN_S = 1.4
-# An image counts as harmless if its coefficient is below this (the increase of the utilisation if it
-# used all processors of a worker).
+# An image counts as harmless if its coefficient (the increase of the utilisation if it used all
+# processors of a worker) is below this.
 NEGLIGIBLE_COEFFICIENT = 0.4
 
 
