--- /dev/null
+++ b/laburnumswitch/process/dispatch/load_report.py
@@ -0,0 +1,65 @@
+"""Reports the owner's own load once a second, in the decision log.
+
+An owner whose processor is exhausted handles everything late: ends, cancellations and renewals. The
+report tells this from a slow store or slow workers.
+"""
+
+from collections.abc import Callable
+from time import process_time
+from typing import NamedTuple
+
+from laburnumswitch.process.dispatch.dispatcher import Dispatcher
+
+INTERVAL_S = 1.0
+
+
+class OwnerLoad(NamedTuple):
+    """Load of the owner's process.
+
+    :ivar cpu_share: processor time since the last report per second.
+    :ivar lag_s: by how much the report is late: how long greenlets wait for the processor.
+    :ivar since_commit_s: time since the last successful commit was sent.
+    :ivar ready_steps: number of steps with tasks to start.
+    :ivar oldest_answer_s: time since the answer of the worker that has not answered for the longest
+        time, of those that answer at all.
+    """
+
+    cpu_share: float
+    lag_s: float
+    since_commit_s: float
+    ready_steps: int
+    oldest_answer_s: float
+
+
+def run_load_report(
+    dispatcher: Dispatcher, processor_clock: Callable[[], float] = process_time
+) -> None:
+    """Log the load periodically, until the term ends."""
+    context = dispatcher.context
+    while not dispatcher.is_stopped():
+        began_s, used_s = context.clock(), processor_clock()
+        context.sleep(INTERVAL_S)
+        elapsed_s = context.clock() - began_s
+        load = measure_load(dispatcher, elapsed_s, processor_clock() - used_s)
+        context.log.note("owner_load", str(dispatcher.epoch), **load._asdict())
+
+
+def measure_load(dispatcher: Dispatcher, elapsed_s: float, used_s: float) -> OwnerLoad:
+    """Return the load over the last interval.
+
+    :param elapsed_s: length of the interval, on the monotonic clock.
+    :param used_s: processor time that the process used meanwhile.
+    """
+    now_s = dispatcher.context.clock()
+    answers = [
+        now_s - worker.last_answer_s
+        for worker in dispatcher.workers_by_id.values()
+        if worker.is_reached
+    ]
+    return OwnerLoad(
+        round(used_s / elapsed_s, 3),
+        round(elapsed_s - INTERVAL_S, 3),
+        round(dispatcher.recorder.since_last_commit_s(), 3),
+        len(dispatcher.ready_step_by_key),
+        round(max(answers, default=0.0), 3),
+    )
--- a/laburnumswitch/process/dispatch/placing.py
+++ b/laburnumswitch/process/dispatch/placing.py
@@ -1,7 +1,7 @@
 """Cost functions that rank workers for a task of the dispatch daemon.
 
-The utilisation of a serving task is modelled in ``tails``. The package ``process.placing`` holds the
-placement of the other daemon, in ``entry.py``.
+The utilisation of a serving task is modelled in ``tails``. The package ``process.placing`` holds
+the placement of the other daemon, in ``entry.py``.
 """
 
 from collections.abc import Callable
--- a/laburnumswitch/process/dispatch/takeover.py
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -15,6 +15,7 @@
 from laburnumswitch.process.dispatch.feeds import follow_workers
 from laburnumswitch.process.dispatch.fleet import MIN_CLOCK_RATE
 from laburnumswitch.process.dispatch.jobs import FINAL_STATES
+from laburnumswitch.process.dispatch.load_report import run_load_report
 from laburnumswitch.process.dispatch.model_store import load_parameters
 from laburnumswitch.process.dispatch.model_store import run_learning
 from laburnumswitch.process.dispatch.planner import run_planner
@@ -83,6 +84,7 @@
     dispatcher.spawn(run_relocation, dispatcher)
     dispatcher.spawn(run_retention, dispatcher)
     dispatcher.spawn(run_learning, dispatcher)
+    dispatcher.spawn(run_load_report, dispatcher)
     if not dispatcher.settled:
         _settle(dispatcher)
 
