Confirm the ends of all earlier owners, instead of waiting for them

The term now lists the addresses of earlier owners that may still act, and a new owner asks each of them, not only the last.

--- a/laburnumswitch/process/dispatch/recorder.py
+++ b/laburnumswitch/process/dispatch/recorder.py
@@ -69,7 +69,7 @@
     :ivar held_term: the owner's term and the version of its row.
     :ivar committed: number of the last batch that took effect.
     :ivar batches: how many batches took effect, for the metrics.
-    :ivar is_settled: stored with the term, see ``Term``.
+    :ivar unconfirmed: stored with the term, see ``Term``.
     :ivar is_lost: whether the term was lost or released.
     :ivar last_commit_boot_s: when the last successful commit was sent, on the boot clock.
     """
@@ -80,7 +80,7 @@
         self.held_term = held_term
         self.committed = 0
         self.is_lost = False
-        self.is_settled = False
+        self.unconfirmed = held_term.term.unconfirmed
         self.last_commit_boot_s = last_commit_boot_s
         self._last_commit_monotonic_s = context.clock()
         self._awaits_commit = False
@@ -175,7 +175,7 @@
         number = self._next_batch
         self._next_batch += 1
         term = self.held_term.term._replace(
-            batch=f"{self.held_term.term.incarnation}-{number}", is_settled=self.is_settled
+            batch=f"{self.held_term.term.incarnation}-{number}", unconfirmed=self.unconfirmed
         )
         if owner is not None:
             term = term._replace(owner=owner)
--- a/laburnumswitch/process/dispatch/takeover.py
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -60,7 +60,7 @@
     lease_s = context.deployment.bounds.lease_s / MIN_CLOCK_RATE
     command_window_s = 0.0 if predecessor is PredecessorState.ENDED else OWNER_LEASE_S
     dispatcher.limit_unknown_runs(lease_s + command_window_s)
-    dispatcher.settled = recorder.is_settled = dispatcher.epoch == 1
+    dispatcher.settled = dispatcher.epoch == 1
     dispatcher.predecessor_may_start_jobs = predecessor in (
         PredecessorState.SILENT,
         PredecessorState.UNSETTLED,
@@ -141,7 +141,8 @@
             if not (worker.is_reached or worker.is_dropped or dispatcher.has_lapsed(worker))
         ]
         if not unknown:
-            dispatcher.settled = dispatcher.recorder.is_settled = True
+            dispatcher.settled = True
+            dispatcher.recorder.unconfirmed = ()
             dispatcher.wake.set()
             context.log.note(
                 "settled", str(dispatcher.epoch), after_s=round(context.clock() - began_s, 3)
--- a/laburnumswitch/process/leadership/leadership.py
+++ b/laburnumswitch/process/leadership/leadership.py
@@ -308,7 +308,14 @@
             return
         identity = context.identity
         epoch = observed.term.epoch + 1
-        term = Term(epoch, identity.vm_id, identity.incarnation, identity.address)
+        unconfirmed = _unconfirmed_addresses(observed.term, predecessor, identity.address)
+        term = Term(
+            epoch,
+            identity.vm_id,
+            identity.incarnation,
+            identity.address,
+            unconfirmed=unconfirmed,
+        )
         sent_s = context.boot_clock()
         outcome = context.table.commit(
             Transaction((Condition(TERM_KEY, observed.version),), (Put(TERM_KEY, term),))
@@ -333,24 +340,43 @@
             answer = context.owner_client.supersede(observed.term.address, epoch)
             if answer is True:
                 predecessor = PredecessorState.ENDED
-        is_settled = observed.term.is_settled or observed.term.epoch == 0
-        if predecessor is PredecessorState.ENDED and not is_settled:
+                unconfirmed = tuple(each for each in unconfirmed if each != observed.term.address)
+        if predecessor is PredecessorState.ENDED and unconfirmed:
             predecessor = PredecessorState.UNSETTLED
         self.current_term = term
         self.takeovers += 1
         self.watcher_by_vm.clear()
         self.dispatcher = context.start_dispatcher(taken, sent_s, predecessor)
-        may_still_act = predecessor in (PredecessorState.REFUSING, PredecessorState.SILENT)
-        if may_still_act and is_settled and observed.term.address:
-            self.dispatcher.spawn(self._confirm_end, self.dispatcher, observed.term.address)
+        self.dispatcher.recorder.unconfirmed = unconfirmed
+        for address in unconfirmed:
+            self.dispatcher.spawn(self._confirm_end, self.dispatcher, address)
 
     def _confirm_end(self, dispatcher: Dispatcher, address: str) -> None:
         """Repeat ``supersede`` until the earlier owner confirms it or its commands have lapsed.
 
         A process that was restarted at the same address confirms it as well.
         """
+        recorder = dispatcher.recorder
         while not (dispatcher.is_stopped() or dispatcher.settled):
             if self._context.owner_client.supersede(address, dispatcher.epoch) is True:
-                dispatcher.note_predecessor_ended()
+                recorder.unconfirmed = tuple(
+                    each for each in recorder.unconfirmed if each != address
+                )
+                if not recorder.unconfirmed:
+                    dispatcher.note_predecessor_ended()
                 return
             self._context.sleep(RETRY_S)
+
+
+def _unconfirmed_addresses(
+    term: Term, predecessor: PredecessorState, own_address: str
+) -> tuple[str, ...]:
+    """Return where to ask the earlier owners that may still send commands whether they have ended.
+
+    :param term: the predecessor's term.
+    :param own_address: excluded, since this process is the only one there.
+    """
+    addresses = set(term.unconfirmed)
+    if predecessor in (PredecessorState.REFUSING, PredecessorState.SILENT):
+        addresses.add(term.address)
+    return tuple(sorted(addresses - {own_address, ""}))
--- a/laburnumswitch/process/leadership/term.py
+++ b/laburnumswitch/process/leadership/term.py
@@ -28,8 +28,7 @@
     :ivar incarnation: identifies one start of the owner's process.
     :ivar address: where other entries reach the owner.
     :ivar batch: id of the owner's last commit.
-    :ivar is_settled: whether the owner knew that all runs of earlier owners were known or had
-        lapsed, and that no earlier owner could send commands any more.
+    :ivar unconfirmed: addresses of earlier owners that may still send commands to workers.
     """
 
     epoch: int = 0
@@ -37,7 +36,7 @@
     incarnation: str = ""
     address: str = ""
     batch: str = ""
-    is_settled: bool = False
+    unconfirmed: tuple[str, ...] = ()
 
 
 class PredecessorState(StrEnum):
@@ -47,7 +46,7 @@
     confirmed that it was superseded. ``REFUSING``: it refuses connections, so it accepts no new
     jobs, but may still send commands. ``SILENT``: it does not answer, and may still accept jobs and
     send commands until its lease (``recorder.OWNER_LEASE_S``) expires. ``UNSETTLED``: it has ended
-    itself, but a silent owner before it may not have.
+    itself, but an owner before it may still send commands, see ``Term.unconfirmed``.
     """
 
     ENDED = "ended"
--- a/tests/process/dispatch/test_dispatcher.py
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -202,15 +202,12 @@
 
     def test_successor_of_an_owner_that_had_not_settled_waits_for_those_before(self):
         self._run_long_job()
-        wait_until(lambda: read_term(self.harness.table).term.is_settled)
         holder = next(each for each in self.harness.worker_by_id.values() if each.running())
         self.first.stop()
         holder.drops_calls = True
         second = self.harness.start_owner("vm-2", PredecessorState.SILENT)
-        self.addCleanup(second.stop)
-        wait_until(second.is_loaded.is_set)
-        wait_until(lambda: second.recorder.committed > 0)
-        self.assertThat(read_term(self.harness.table).term.is_settled, Equals(False))
+        second.recorder.unconfirmed = ("10.0.0.9:1",)
+        wait_until(lambda: read_term(self.harness.table).term.unconfirmed == ("10.0.0.9:1",))
         second.stop()
         third = self.harness.start_owner("vm-3", PredecessorState.UNSETTLED)
         self.addCleanup(third.stop)
--- a/tests/process/leadership/test_leadership.py
+++ b/tests/process/leadership/test_leadership.py
@@ -2,6 +2,7 @@
 
 from time import monotonic
 from time import time
+from types import SimpleNamespace
 
 from gevent import sleep
 from gevent import spawn
@@ -20,6 +21,7 @@
 from laburnumswitch.process.leadership.term import read_term
 from laburnumswitch.process.leadership.term import Term
 from laburnumswitch.process.leadership.term import TERM_KEY
+from laburnumswitch.process.leadership.term import VersionedTerm
 from laburnumswitch.process.observing.decisions import DecisionLog
 from laburnumswitch.process.rows.table import Put
 from laburnumswitch.process.rows.table import Transaction
@@ -31,17 +33,12 @@
     def __init__(self, table, held_term):
         self.table = table
         self.held_term = held_term
+        self.unconfirmed = held_term.term.unconfirmed
         self.is_lost = False
 
     def touch(self):
         self.table.commit(Transaction((), (Put(TERM_KEY, self.held_term.term),)))
 
-    def store_settled(self, is_settled):
-        self.held_term = self.held_term._replace(
-            term=self.held_term.term._replace(is_settled=is_settled)
-        )
-        self.touch()
-
     def release(self):
         self.table.commit(Transaction((), (Put(TERM_KEY, self.held_term.term._replace(owner="")),)))
         self.is_lost = True
@@ -54,7 +51,6 @@
         self.recorder = FakeRecorder(table, held)
         self.stopped = Event()
         self.settled = predecessor is PredecessorState.ENDED
-        self.recorder.store_settled(self.settled)
         self.predecessor_ended = False
 
     def is_stopped(self):
@@ -130,6 +126,11 @@
         spawn(leadership.run)
         return leadership
 
+    def _add_stopped_entry(self, vm_id):
+        term = VersionedTerm(Term(1, vm_id, f"{vm_id}-i", vm_id), 1)
+        entry = SimpleNamespace(dispatcher=FakeDispatcher(self.table, term, PredecessorState.ENDED))
+        self.owner_client.leadership_by_address[vm_id] = entry
+
     def _owner_and_follower(self):
         owner = self._add_entry("vm-1", 2.0)
         wait_until(lambda: owner.dispatcher is not None)
@@ -187,8 +188,7 @@
         self.assertThat(first.is_stopped(), Equals(True))
 
     def test_own_term_of_an_earlier_process_is_taken_at_once(self):
-        term = Term(7, "vm-1", "old", "vm-1", is_settled=True)
-        self.table.commit(Transaction((), (Put(TERM_KEY, term),)))
+        self.table.commit(Transaction((), (Put(TERM_KEY, Term(7, "vm-1", "old", "vm-1")),)))
         owner = self._add_entry("vm-1", 2.0)
         wait_until(lambda: owner.dispatcher is not None)
         self.assertThat(owner.dispatcher.epoch, Equals(8))
@@ -196,22 +196,39 @@
 
     def test_owner_that_ended_before_it_had_settled_leaves_earlier_owners_unknown(self):
         """An owner before it may be cut off and still send commands until its own lease expires."""
-        self.table.commit(Transaction((), (Put(TERM_KEY, Term(7, "vm-1", "old", "vm-1")),)))
+        self.owner_client.silent.add("vm-0")
+        term = Term(7, "vm-1", "old", "vm-1", unconfirmed=("vm-0", "vm-1"))
+        self.table.commit(Transaction((), (Put(TERM_KEY, term),)))
         owner = self._add_entry("vm-1", 2.0)
         wait_until(lambda: owner.dispatcher is not None)
         self.assertThat(owner.dispatcher.predecessor, Equals(PredecessorState.UNSETTLED))
-        sleep(0.3)
+        self.assertThat(owner.dispatcher.recorder.unconfirmed, Equals(("vm-0",)))
+        self.assertThat(read_term(self.table).term.unconfirmed, Equals(("vm-0",)))
         self.assertThat(owner.dispatcher.predecessor_ended, Equals(False))
 
+    def test_ends_of_all_earlier_owners_are_confirmed(self):
+        self.owner_client.silent.update(("vm-0", "vm-1"))
+        term = Term(7, "vm-1", "old", "vm-1", unconfirmed=("vm-0",))
+        self.table.commit(Transaction((), (Put(TERM_KEY, term),)))
+        owner = self._add_entry("vm-2", 2.0)
+        wait_until(lambda: owner.dispatcher is not None)
+        for address in ("vm-0", "vm-1"):
+            self._add_stopped_entry(address)
+        self.assertThat(owner.dispatcher.predecessor_ended, Equals(False))
+        self.owner_client.silent.remove("vm-0")
+        wait_until(lambda: owner.dispatcher.recorder.unconfirmed == ("vm-1",))
+        self.assertThat(owner.dispatcher.predecessor_ended, Equals(False))
+        self.owner_client.silent.remove("vm-1")
+        wait_until(lambda: owner.dispatcher.predecessor_ended)
+
     def test_small_owner_that_never_settles_hands_over_as_well(self):
         """A small owner of a large fleet may be too slow to reach all workers in time."""
         owner = self._add_entry("vm-1", 0.5)
         wait_until(lambda: owner.dispatcher is not None)
         owner.dispatcher.settled = False
-        owner.dispatcher.recorder.store_settled(False)
         larger = self._add_entry("vm-2", 2.0)
         wait_until(lambda: larger.dispatcher is not None)
-        self.assertThat(larger.dispatcher.predecessor, Equals(PredecessorState.UNSETTLED))
+        self.assertThat(owner.dispatcher, Is(None))
 
     def test_small_owner_hands_over_to_a_larger_entry(self):
         owner = self._add_entry("vm-1", 0.5)
