Tell a refused connection from a partition, and accept ends of later runs

A watcher that cannot connect to the owner took it for refusing connections, also when connecting timed out, as through a partition. Only a refusal by the system counts now.

A new owner may adopt a run from a worker's report that is older than a later run of the same task at another worker. The end of the later run was acknowledged and dropped, so a task that was done ran again. It is accepted now.

Both tests fail on the code before.

--- a/laburnumswitch/connection/client.py
+++ b/laburnumswitch/connection/client.py
@@ -23,6 +23,7 @@
 from laburnumswitch.connection.tls import STATUS_NOT_TRUSTED
 from laburnumswitch.exceptions import AnswerLost
 from laburnumswitch.exceptions import ConnectFailed
+from laburnumswitch.exceptions import ConnectionRefused
 from laburnumswitch.exceptions import PeerNotTrusted
 
 READ_BLOCK_BYTES = 65_536
@@ -77,8 +78,9 @@
 
         :param timeout_s: limit in seconds for connecting, sending and receiving together.
         :param extra_headers: headers of this request only.
-        :return: ``ConnectFailed`` only if no byte was sent. Its subclass ``PeerNotTrusted`` means
-            that one end refused the other's certificate and the server processed no byte.
+        :return: ``ConnectFailed`` only if no byte was sent. Of its subclasses, ``ConnectionRefused``
+            means that nothing listens at the address, and ``PeerNotTrusted`` that one end refused
+            the other's certificate and the server processed no byte.
         """
         sock = None
         sent = False
@@ -98,6 +100,8 @@
             reason = type(error).__name__
             if sent:
                 return AnswerLost(self.address, reason)
+            if isinstance(error, ConnectionRefusedError):
+                return ConnectionRefused(self.address, reason)
             return ConnectFailed(self.address, reason)
         except BaseException:
             _close(sock)
--- a/laburnumswitch/exceptions/__init__.py
+++ b/laburnumswitch/exceptions/__init__.py
@@ -20,6 +20,7 @@
 from laburnumswitch.exceptions.platform import AnswerMalformed
 from laburnumswitch.exceptions.platform import Conflict
 from laburnumswitch.exceptions.platform import ConnectFailed
+from laburnumswitch.exceptions.platform import ConnectionRefused
 from laburnumswitch.exceptions.platform import FormatUnknown
 from laburnumswitch.exceptions.platform import HistoryLost
 from laburnumswitch.exceptions.platform import NotFound
@@ -68,6 +69,7 @@
     "Conflict",
     "ConnectFailed",
     "ConnectionLimit",
+    "ConnectionRefused",
     "CyclicOrder",
     "DependencyPending",
     "DocumentBroken",
--- a/laburnumswitch/exceptions/platform.py
+++ b/laburnumswitch/exceptions/platform.py
@@ -13,6 +13,11 @@
     reason: str
 
 
+@dataclass(frozen=True)
+class ConnectionRefused(ConnectFailed):
+    """Nothing listens at the address."""
+
+
 @dataclass(frozen=True)
 class PeerNotTrusted(ConnectFailed):
     """One side rejected the other's certificate, so no byte of the call was accepted."""
--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -478,11 +478,12 @@
             self.refresh_ready_steps(job)
 
     def _accepts_end(self, task: Task, end: EndReport) -> bool:
-        # A run before the active one does not count: its lease has lapsed.
+        # A run before the active one does not count: its lease has lapsed. One after it shows that
+        # an earlier owner knew the active one, which this owner adopted, to have ended.
         if task.is_done:
             return False
         if task.active_run:
-            return task.active_run == end.run
+            return end.run >= task.active_run
         return end.run > task.last_run or end.outcome is RunOutcome.DONE
 
     def _count_end(self, worker: Worker, job: Job, task: Task, end: EndReport) -> None:
--- a/laburnumswitch/process/leadership/leadership.py
+++ b/laburnumswitch/process/leadership/leadership.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from laburnumswitch.exceptions import Conflict
-from laburnumswitch.exceptions import ConnectFailed
+from laburnumswitch.exceptions import ConnectionRefused
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
 from laburnumswitch.process.leadership.messages import WatchAnswer
@@ -211,7 +211,7 @@
         """Watch the owner until it was replaced or has to be replaced."""
         while not self._context.is_stopped():
             answer = self._watch(observed.term)
-            if isinstance(answer, ConnectFailed):
+            if isinstance(answer, ConnectionRefused):
                 self._take_over_if_unchanged(
                     observed, "refused", TAKEOVER_WAIT_S, PredecessorState.REFUSING
                 )
--- a/tests/process/dispatch/test_dispatcher.py
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -240,6 +240,21 @@
             self.first.report_end(worker, end)
         self.assertThat(job.state, Equals(JobState.FAILED))
 
+    def test_end_of_a_later_run_counts_although_an_earlier_one_was_adopted(self):
+        """A worker's report may be older than the run that another worker reports as done."""
+        self.harness.submit(make_submission("j1", LONG))
+        self.first.stop()
+        second = self.harness.start_owner("vm-2")
+        self.addCleanup(second.stop)
+        wait_until(lambda: len(second.workers_by_id) == 2 and "j1" in second.jobs_by_id)
+        earlier, later = second.workers_by_id.values()
+        task = second.jobs_by_id["j1"].task(TaskKey("j1", 0, 0, 0))
+        second.adopt_run(earlier, RunReport(task.key, 3, "", 10.0, 0.0))
+        second.report_end(later, EndReport(100, task.key, 4, RunOutcome.DONE, ""))
+        self.assertThat(second.jobs_by_id["j1"].state, Equals(JobState.COMPLETED))
+        second.report_end(earlier, EndReport(100, task.key, 3, RunOutcome.STOPPED, ""))
+        self.assertThat(earlier.runs_by_task, Equals({}))
+
     def test_end_of_a_run_waits_for_its_job(self):
         """An earlier owner may run a job to its end before the successor knows the submission."""
         wait_until(lambda: len(self.first.workers_by_id) == 2)
--- a/tests/process/leadership/test_leadership.py
+++ b/tests/process/leadership/test_leadership.py
@@ -13,6 +13,7 @@
 
 from laburnumswitch.exceptions import AnswerLost
 from laburnumswitch.exceptions import ConnectFailed
+from laburnumswitch.exceptions import ConnectionRefused
 from laburnumswitch.process.leadership.leadership import EntryIdentity
 from laburnumswitch.process.leadership.leadership import Leadership
 from laburnumswitch.process.leadership.leadership import LeadershipContext
@@ -67,18 +68,21 @@
 
 
 class FakeOwnerClient:
-    """Calls the entries in memory; those in ``refusing`` and ``silent`` fail."""
+    """Calls the entries in memory; those in ``refusing``, ``silent`` and ``unreachable`` fail."""
 
     def __init__(self):
         self.leadership_by_address = {}
         self.refusing = set()
         self.silent = set()
+        self.unreachable = set()
         self.store_silent_s = 0.0
 
     def watch(self, address, identity, wait_s, timeout_s):
         sleep(0.02)
         if address in self.refusing:
-            return ConnectFailed(address, "refused")
+            return ConnectionRefused(address, "refused")
+        if address in self.unreachable:
+            return ConnectFailed(address, "timeout")
         if address in self.silent:
             return AnswerLost(address, "timeout")
         owner = self.leadership_by_address[address]
@@ -91,7 +95,7 @@
         return WatchAnswer(epoch, f"{address}-i", is_owner, candidates, {"orders": 2}, silent_s)
 
     def supersede(self, address, epoch):
-        if address in self.refusing | self.silent:
+        if address in self.refusing | self.silent | self.unreachable:
             return AnswerLost(address, "timeout")
         self.leadership_by_address[address].dispatcher.stop()
         return True
@@ -171,6 +175,13 @@
         wait_until(lambda: follower.dispatcher is not None)
         self.assertThat(follower.dispatcher.predecessor, Equals(PredecessorState.SILENT))
 
+    def test_owner_that_cannot_be_reached_may_still_act(self):
+        """Connecting through a partition times out; only a refusal shows that nobody listens."""
+        owner, follower = self._owner_and_follower()
+        self.owner_client.unreachable.add("vm-1")
+        wait_until(lambda: follower.dispatcher is not None)
+        self.assertThat(follower.dispatcher.predecessor, Equals(PredecessorState.SILENT))
+
     def test_silent_owner_is_asked_until_it_confirms_its_end(self):
         owner, follower = self._owner_and_follower()
         self.owner_client.silent.add("vm-1")
