--- a/laburnumswitch/connection/client.py
+++ b/laburnumswitch/connection/client.py
@@ -78,8 +78,8 @@
 
         :param timeout_s: limit in seconds for connecting, sending and receiving together.
         :param extra_headers: headers of this request only.
-        :return: ``ConnectFailed`` only if no byte was sent. Of its subclasses, ``ConnectionRefused``
-            means that nothing listens at the address, and ``PeerNotTrusted`` that one end refused
+        :return: ``ConnectFailed`` only if no byte was sent. Its subclass ``ConnectionRefused`` says
+            that nothing listens at the address, and ``PeerNotTrusted`` that one end refused
             the other's certificate and the server processed no byte.
         """
         sock = None
