Finish a job that fails by a run reported late

The next owner reads the second failure before the first. The first one, counted last, used up the attempts and set the job's state to failed, but its steps stayed ready: the planner started the failed task a third time, and done tasks whose ends came later.

Ruled out with a log of the settling: workers not yet reached (212 of 212 within 51 ms).

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -451,6 +451,7 @@
         self.context.log.note(
             "run_ended", task_name(end.task), run=end.run, how=end.outcome, worker=worker.worker_id
         )
+        was_final = job is not None and job.is_final()
         if not task or not self._accepts_end(task, end):
             self.wake.set()
             batch = self.recorder.committed
@@ -462,12 +463,13 @@
                 self._count_failure(worker, job, task, end)
                 batch = self.recorder.queue_job(job)
             worker.pending_acknowledgements.append((batch, end.number))
+            if job and job.is_final() and not was_final:
+                self.finish_job(job, f"task {task_name(task.key)} {end.outcome}")
             return
         if task.active_run:
             job.end_run(task)
         task.last_run = max(task.last_run, end.run)
         task.checkpoint = end.checkpoint or task.checkpoint
-        was_final = job.is_final()
         self._count_end(worker, job, task, end)
         worker.pending_acknowledgements.append((self.recorder.queue_job(job), end.number))
         if was_final:
--- a/tests/process/dispatch/test_dispatcher.py
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -240,6 +240,26 @@
             self.first.report_end(worker, end)
         self.assertThat(job.state, Equals(JobState.FAILED))
 
+    def test_job_that_fails_by_an_earlier_run_reported_last_starts_nothing(self):
+        """Its other tasks must not start again, whether they are done or not."""
+        self.first.stop()
+        second = self.harness.start_owner("vm-2")
+        self.addCleanup(second.stop)
+        wait_until(lambda: len(second.workers_by_id) == 2 and second.is_loaded.is_set())
+        submission = make_submission("j1", SHORT)
+        self.harness.checker.record_submission(submission)
+        second.add_job(submission, may_have_unknown_runs=True)
+        failed, done = (TaskKey("j1", 0, 0, index) for index in range(2))
+        reports = [(failed, 2, RunOutcome.FAILED), (failed, 1, RunOutcome.FAILED)]
+        reports.append((done, 1, RunOutcome.DONE))
+        worker = next(iter(second.workers_by_id.values()))
+        for number, (key, run, outcome) in enumerate(reports):
+            second.report_end(worker, EndReport(100 + number, key, run, outcome, ""))
+        self.assertThat(second.jobs_by_id["j1"].state, Equals(JobState.FAILED))
+        self.assertThat(second.ready_step_by_key, Equals({}))
+        wait_until(lambda: second.reported_state("j1") is JobState.FAILED)
+        self.assertThat(self.harness.checker.start_count, Equals(0))
+
     def test_end_of_a_later_run_counts_although_an_earlier_one_was_adopted(self):
         """A worker's report may be older than the run that another worker reports as done."""
         self.harness.submit(make_submission("j1", LONG))
