--- a/laburnumswitch/process/dispatch/tails.py
+++ b/laburnumswitch/process/dispatch/tails.py
@@ -209,7 +209,7 @@
         )
 
     def load_parameters(self, parameters: ModelParameters) -> None:
-        """Load the parameters that an earlier owner stored."""
+        """Load parameters, such as those that an earlier owner stored."""
         for serving_image, best_effort_image, mean, variance in parameters.coefficients:
             self._coefficient_by_pair[serving_image, best_effort_image] = _Estimate(mean, variance)
 
--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -13,6 +13,8 @@
 from laburnumswitch.process.dispatch.fleet import ActiveRun
 from laburnumswitch.process.dispatch.fleet import HEAVY_THROTTLE_PERCENT
 from laburnumswitch.process.dispatch.fleet import Worker
+from laburnumswitch.process.dispatch.job_spec import TaskKey
+from laburnumswitch.process.dispatch.tails import TailLatencyModel
 from laburnumswitch.process.dispatch.throttling import BestEffortInput
 from laburnumswitch.process.dispatch.throttling import choose_throttles
 from laburnumswitch.process.dispatch.throttling import ServingInput
@@ -138,8 +140,8 @@
     _reconcile(dispatcher, worker, report, sent_s, fence)
     if now_s - worker.last_sample_s >= SAMPLE_INTERVAL_S:
         worker.last_sample_s = now_s
-        _learn_tails(dispatcher, worker, now_s)
-        _update_throttles(dispatcher, worker)
+        learn_tails(dispatcher.model, worker, now_s)
+        _apply_throttles(dispatcher, worker, now_s)
 
 
 def _handle_restart(dispatcher: Dispatcher, worker: Worker) -> None:
@@ -198,7 +200,7 @@
     dispatcher.spawn(worker.link.stop, report.task, report.run, worker.fence, COMMAND_TIMEOUT_S)
 
 
-def _learn_tails(dispatcher: Dispatcher, worker: Worker, now_s: float) -> None:
+def learn_tails(model: TailLatencyModel, worker: Worker, now_s: float) -> None:
     """Update the model from one worker's samples."""
     used_by_image: dict[str, float] = {}
     for run in worker.best_effort_runs():
@@ -208,20 +210,21 @@
     for run in worker.serving_runs():
         if run.measurement > 0:
             ratio = run.measurement / run.step.tail_target_ms
-            dispatcher.model.observe(run.task, run.step.image, ratio, used_by_image, now_s)
+            model.observe(run.task, run.step.image, ratio, used_by_image, now_s)
             if ratio < CLEARLY_UNDER_RATIO:
                 run.last_under_target_s = now_s
 
 
-def _update_throttles(dispatcher: Dispatcher, worker: Worker) -> None:
-    """Set the speeds of a worker's best-effort runs as the model expects the tail latencies."""
-    now_s = dispatcher.context.clock()
+def choose_speeds(
+    model: TailLatencyModel, worker: Worker, max_over_target_s: float, now_s: float
+) -> dict[TaskKey, int]:
+    """Return the percentage of full speed for each best-effort run of a worker.
+
+    :param max_over_target_s: how long a tail latency may stay over its target, in seconds.
+    """
     serving = [run for run in worker.serving_runs() if run.measurement > 0]
     best_effort = [run for run in worker.best_effort_runs() if not run.is_stopping]
-    if not best_effort:
-        return
     capacity = worker.listing.cpu_millis
-    model = dispatcher.model
     images = {run.step.image for run in best_effort}
     serving_inputs = [
         ServingInput(
@@ -236,10 +239,14 @@
         BestEffortInput(run.task, run.step.image, _unthrottled_share(run, capacity))
         for run in best_effort
     ]
+    return choose_throttles(serving_inputs, best_effort_inputs, max_over_target_s)
+
+
+def _apply_throttles(dispatcher: Dispatcher, worker: Worker, now_s: float) -> None:
     max_over_target_s = dispatcher.context.deployment.bounds.max_overrun_s
-    percent_by_task = choose_throttles(serving_inputs, best_effort_inputs, max_over_target_s)
-    for run in best_effort:
-        percent = percent_by_task[run.task]
+    speeds = choose_speeds(dispatcher.model, worker, max_over_target_s, now_s)
+    for task, percent in speeds.items():
+        run = worker.runs_by_task[task]
         if percent > HEAVY_THROTTLE_PERCENT:
             run.throttled_since_s = None
         elif run.throttled_since_s is None:
