--- a/standin/fleet/interference_day.py
+++ b/standin/fleet/interference_day.py
@@ -70,8 +70,8 @@
 
     :ivar over_share: share of the serving tasks' time over their target.
     :ivar finished_share: share of the batch work that is done at the end.
-    :ivar on_time_share: share of the batch jobs that end within ``STRETCH`` times their longest task
-        and ``SLACK_S``, of those that arrive early enough to do so.
+    :ivar on_time_share: share of the batch jobs that end within ``STRETCH`` times their longest
+        task and ``SLACK_S``, of those that arrive early enough to do so.
     :ivar median_job_s: median time from the arrival to the end of the finished batch jobs.
     """
 
