Let no step starve when planning passes are cut short

Urgent steps that wait for room go first and cost about 0.7 ms each on 446 workers, so some forty of them would have kept everything else from starting. Steps without room are skipped until a pass has come to the end, and workers reserved for large urgent tasks stay reserved until then. Small fleets, whose passes are never cut, plan as before. Both tests fail on the code before.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -144,6 +144,10 @@
         self.ended_s_by_id: dict[str, float] = {}
         self.workers_by_id: dict[str, Worker] = {}
         self.ready_step_by_key: dict[tuple[str, int, int], ReadyStep] = {}
+        # Keys of ready steps that found no room in planning passes that were cut short, and ids of
+        # the workers that these passes kept for large urgent tasks.
+        self.skipped_steps: set[tuple[str, int, int]] = set()
+        self.reserved_by_service: dict[str, set[str]] = {}
         # When the tickets expire, on the monotonic clock (0 while a call is in flight), and the
         # tickets.
         self.tickets_by_step_key: dict[tuple[str, int, int], tuple[float, Tickets]] = {}
--- a/laburnumswitch/process/dispatch/placing.py
+++ b/laburnumswitch/process/dispatch/placing.py
@@ -103,13 +103,17 @@
         return self._cost_of(self._step, worker, self._context) + self._added_cost(worker)
 
     def _added_cost(self, worker: Worker) -> float:
-        is_far = self._step.data_rack and worker.listing.rack != self._step.data_rack
-        cost = REMOTE_DATA_PENALTY if is_far else 0.0
+        cost = REMOTE_DATA_PENALTY if is_far_from_data(self._step, worker) else 0.0
         if self._step.best_effort:
             cost += self._context.price_by_worker_id.get(worker.worker_id, 0.0)
         return cost
 
 
+def is_far_from_data(step: Step, worker: Worker) -> bool:
+    """Return whether a worker is outside the rack of a step's data."""
+    return bool(step.data_rack) and worker.listing.rack != step.data_rack
+
+
 def workers_to_rank(step: Step, workers: list[Worker], first: int) -> list[Worker]:
     """Return the workers to rank for a best-effort step.
 
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -102,20 +102,22 @@
     """Run one planning pass over the ready steps, in the order of ``order_key``.
 
     This handles bursts of wide jobs on large fleets, whose planning takes seconds: after
-    ``MAX_PASS_S`` the rest is left to the next pass, so that workers are served in between.
+    ``MAX_PASS_S`` the rest is left to the next pass, so that workers are served in between. Steps
+    that found no room are skipped until a pass has come to the end, so that none starves.
     """
     now_s = dispatcher.context.wall_clock()
-    stop_s = dispatcher.context.clock() + MAX_PASS_S
     keyed = []
-    for ready in dispatcher.ready_step_by_key.values():
+    for step_key, ready in dispatcher.ready_step_by_key.items():
+        if step_key in dispatcher.skipped_steps:
+            continue
         queue = dispatcher.queue_of(ready.job)
         if queue is not None and _is_due(dispatcher, ready, now_s):
             key = order_key(ready, queue, dispatcher.mean_work_by_queue[queue.name], now_s)
             keyed.append((key, queue, ready))
-    if not keyed:
-        return
     keyed.sort(key=lambda each: each[0])
     state_by_service: dict[str, ServicePlanningState] = {}
+    unplaced: list[tuple[str, int, int]] = []
+    stop_s = dispatcher.context.clock() + MAX_PASS_S
     for _, queue, ready in keyed:
         service_state = state_by_service.get(queue.service)
         if service_state is None:
@@ -123,9 +125,16 @@
                 dispatcher, queue.service
             )
         _plan_step(dispatcher, queue, ready, service_state)
+        if ready.step_state.has_waiting():
+            unplaced.append(ready.step_state.tasks[0].key[:3])
         if dispatcher.context.clock() > stop_s:
+            dispatcher.skipped_steps.update(unplaced)
+            for service, state in state_by_service.items():
+                dispatcher.reserved_by_service[service] = state.reserved_workers
             dispatcher.wake.set()
             return
+    dispatcher.skipped_steps.clear()
+    dispatcher.reserved_by_service.clear()
 
 
 class ServicePlanningState:
@@ -157,7 +166,9 @@
 
 def _service_planning_state(dispatcher: Dispatcher, service: str) -> ServicePlanningState:
     usable = usable_workers(dispatcher, service)
-    return ServicePlanningState(usable, _long_running_budget(dispatcher, usable))
+    state = ServicePlanningState(usable, _long_running_budget(dispatcher, usable))
+    state.reserved_workers |= dispatcher.reserved_by_service.get(service, set())
+    return state
 
 
 def _plan_step(
--- a/laburnumswitch/process/dispatch/relocation.py
+++ b/laburnumswitch/process/dispatch/relocation.py
@@ -12,6 +12,7 @@
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.placing import Choice
 from laburnumswitch.process.dispatch.placing import INTERFERENCE_LIMIT
+from laburnumswitch.process.dispatch.placing import is_far_from_data
 from laburnumswitch.process.dispatch.placing import PlacementContext
 from laburnumswitch.process.dispatch.placing import Ranking
 from laburnumswitch.process.dispatch.placing import workers_to_rank
@@ -68,8 +69,9 @@
 
 
 def _is_worth_moving(run: ActiveRun, choice: Choice) -> bool:
-    is_far = run.step.data_rack and choice.worker.listing.rack != run.step.data_rack
-    return not is_far and choice.own_cost <= MOVE_INTERFERENCE_SHARE * INTERFERENCE_LIMIT
+    if is_far_from_data(run.step, choice.worker):
+        return False
+    return choice.own_cost <= MOVE_INTERFERENCE_SHARE * INTERFERENCE_LIMIT
 
 
 def _should_move(run: ActiveRun, now_s: float) -> bool:
--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -44,7 +44,7 @@
 
 @click.command()
 @click.option("--json", "json_path", default="out/capacity.json", show_default=True)
-@click.option("--page", default="docs/CAPACITY.md", show_default=True)
+@click.option("--page", default="docs/MEASUREMENTS-capacity.md", show_default=True)
 def main(json_path: str, page: str) -> None:
     """Measure unit costs, extrapolate them, and write the JSON file and the page."""
     costs = measure()
--- a/tests/process/dispatch/test_dispatcher.py
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -11,6 +11,7 @@
 from testtools.matchers import GreaterThan
 from testtools.matchers import Is
 from testtools.matchers import LessThan
+from testtools.matchers import Not
 
 from laburnumswitch.process.dispatch.dispatcher import ORPHAN_WAIT_S
 from laburnumswitch.process.dispatch.fleet import MIN_CLOCK_RATE
@@ -430,6 +431,45 @@
         wait_until(lambda: len(workers) == 2 and all(each.is_reached for each in workers.values()))
         wait_until(lambda: len(usable_workers(owner, "shop")) == 2)
         jobs = [make_submission(f"j{number}", SHORT) for number in range(20)]
+        self._plan_slowly(harness, owner, jobs, 1)
+        started = sum(job.is_running() for job in owner.jobs_by_id.values())
+        self.assertThat(started, GreaterThan(0))
+        self.assertThat(started, LessThan(len(jobs)))
+        self.assertThat(owner.wake.is_set(), Equals(True))
+        wait_until(lambda: harness.checker.start_count == 2 * len(jobs))
+
+    def test_steps_without_room_do_not_use_up_every_pass(self):
+        """Urgent steps go first; many that wait for room must not keep the others from starting."""
+        harness = DispatchHarness(workers=2)
+        owner = harness.start_owner()
+        self.addCleanup(owner.stop)
+        wait_until(lambda: len(usable_workers(owner, "shop")) == 2)
+        too_large = SHORT._replace(cpu_millis=9000)
+        jobs = [make_submission(f"j{number}", too_large) for number in range(20)]
+        jobs.append(make_submission("batch", SHORT._replace(best_effort=True)))
+        self._plan_slowly(harness, owner, jobs, 8)
+        self.assertThat(owner.jobs_by_id["batch"].is_running(), Equals(True))
+
+    def test_workers_stay_reserved_until_planning_has_come_to_the_end(self):
+        harness = DispatchHarness(workers=20)
+        owner = harness.start_owner()
+        self.addCleanup(owner.stop)
+        wait_until(lambda: len(usable_workers(owner, "shop")) == 20)
+        for worker in owner.workers_by_id.values():
+            worker.used_cpu_millis = 1000
+        whole = SHORT._replace(cpu_millis=4000)
+        jobs = [make_submission(f"j{number}", whole) for number in range(10)]
+        self._plan_slowly(harness, owner, jobs, 1)
+        reserved = set(owner.reserved_by_service["shop"])
+        self.assertThat(len(reserved), Equals(2))
+        self.assertThat(owner.skipped_steps, Not(Equals(set())))
+        later = [make_submission("later", SHORT._replace(count=18, cpu_millis=3000))]
+        self._plan_slowly(harness, owner, later, 1)
+        holders = {task.worker_id for task in owner.jobs_by_id["later"].active_tasks()}
+        self.assertThat(holders & reserved, Equals(set()))
+
+    def _plan_slowly(self, harness, owner, jobs, passes):
+        """Add jobs and run planning passes in which each look at the clock takes a while."""
         for job in jobs:
             harness.checker.record_submission(job)
             owner.add_job(job)
@@ -437,13 +477,9 @@
         ticks = count()
         slow_clock = owner.context._replace(clock=lambda: now_s + next(ticks) * MAX_PASS_S / 30)
         regular_clock, owner.context = owner.context, slow_clock
-        plan(owner)
+        for _ in range(passes):
+            plan(owner)
         owner.context = regular_clock
-        started = sum(job.is_running() for job in owner.jobs_by_id.values())
-        self.assertThat(started, GreaterThan(0))
-        self.assertThat(started, LessThan(len(jobs)))
-        self.assertThat(owner.wake.is_set(), Equals(True))
-        wait_until(lambda: harness.checker.start_count == 2 * len(jobs))
 
 
 class TestUnexpectedError(TestCase):
