--- a/standin/fleet/interference_day.py
+++ b/standin/fleet/interference_day.py
@@ -124,7 +124,7 @@
         self._work_left_by_task: dict[TaskKey, float] = {}
         self._arrived_s_by_job: dict[str, float] = {}
         self._objective_s_by_job: dict[str, float] = {}
-        self._on_time = 0
+        self._on_time: set[str] = set()
         self._open_tasks_by_job: dict[str, int] = {}
         self._job_times_s: list[float] = []
         self._jobs = 0
@@ -147,14 +147,15 @@
                     self._sample(worker)
         done = len(self._work_left_by_task) - sum(self._open_tasks_by_job.values())
         times = sorted(self._job_times_s) or [self.parameters.duration_s]
-        due = sum(
-            arrived_s + self._objective_s_by_job[job_id] < self._now_s
+        due = {
+            job_id
             for job_id, arrived_s in self._arrived_s_by_job.items()
-        )
+            if arrived_s + self._objective_s_by_job[job_id] < self._now_s
+        }
         return DayResult(
             self._over_s / max(self._serving_s, TICK_S),
             done / max(1, len(self._work_left_by_task)),
-            self._on_time / max(1, due),
+            len(due & self._on_time) / max(1, len(due)),
             times[len(times) // 2],
         )
 
@@ -245,7 +246,8 @@
         if not self._open_tasks_by_job[job_id]:
             taken_s = self._now_s - self._arrived_s_by_job[job_id]
             self._job_times_s.append(taken_s)
-            self._on_time += taken_s <= self._objective_s_by_job[job_id]
+            if taken_s <= self._objective_s_by_job[job_id]:
+                self._on_time.add(job_id)
 
     def _ratio(self, worker: Worker, run: ActiveRun) -> float:
         used = self._load_by_job[run.task.job_id].at(self._now_s) + sum(
