--- a/Makefile
+++ b/Makefile
@@ -45,4 +45,5 @@
 	$(BIN)/python -m scripts.measure_scheduling
 	$(BIN)/python -m scripts.measure_faults
 	$(BIN)/python -m scripts.capacity
+	$(BIN)/python -m scripts.interference_days
 	$(BIN)/python -m scripts.plot_measurements
--- a/scripts/interference_days.py
+++ b/scripts/interference_days.py
@@ -24,6 +24,7 @@
     "oracle": Policy(lambda choice: choice.own_cost <= INTERFERENCE_LIMIT, True),
 }
 ORACLE = "oracle"
+RESULTS_FILE = Path("out/interference_days.json")
 
 
 class PolicyDays(NamedTuple):
@@ -37,8 +38,8 @@
 @click.option("--seeds", default=20, show_default=True, help="Number of days.")
 @click.option("--first-seed", default=1, show_default=True)
 @click.option("--policy", "names", multiple=True, type=click.Choice(tuple(POLICIES)))
-@click.option("--json", "json_file", type=click.Path(path_type=Path), help="File for the results.")
-def main(seeds: int, first_seed: int, names: tuple[str, ...], json_file: Path | None) -> None:
+@click.option("--json", "json_file", type=click.Path(path_type=Path), default=RESULTS_FILE)
+def main(seeds: int, first_seed: int, names: tuple[str, ...], json_file: Path) -> None:
     """Emulate days and print the mean outcome of each policy."""
     days = []
     with click.progressbar(names or tuple(POLICIES), label="policies") as progress:
@@ -46,8 +47,8 @@
             days.append(PolicyDays(name, play(name, range(first_seed, first_seed + seeds))))
     for line in render(days):
         click.echo(line)
-    if json_file is not None:
-        json_file.write_bytes(format_json(encode(days)))
+    json_file.parent.mkdir(parents=True, exist_ok=True)
+    json_file.write_bytes(format_json(encode(days)))
 
 
 def play(name: str, seeds: range) -> list[DayResult]:
--- a/scripts/plot_measurements.py
+++ b/scripts/plot_measurements.py
@@ -8,6 +8,7 @@
 from matplotlib.figure import Figure
 from msgspec.json import decode
 
+from scripts.interference_days import PolicyDays
 from scripts.measure_faults import FaultRun
 from scripts.measure_faults import METHODS
 from scripts.request_report import PolicyResult
@@ -15,6 +16,7 @@
 
 FAULTS_FILE = Path("out/faults.json")
 REQUESTS_FILE = Path("out/measure_request.json")
+DAYS_FILE = Path("out/interference_days.json")
 FOLDER = Path("docs/plots")
 SIZE_INCHES = (8.0, 4.0)
 PANELS = (
@@ -25,12 +27,16 @@
 
 @click.command()
 def main() -> None:
-    """Draw every plot."""
+    """Draw the plot of each file of measurements that exists in ``out/``."""
     FOLDER.mkdir(parents=True, exist_ok=True)
     # A fixed salt makes the SVG files reproducible.
     rcParams["svg.hashsalt"] = "laburnumswitch"
-    draw_faults(decode(FAULTS_FILE.read_bytes(), type=list[FaultRun]))
-    draw_policies(decode(REQUESTS_FILE.read_bytes(), type=Results).policies)
+    if FAULTS_FILE.exists():
+        draw_faults(decode(FAULTS_FILE.read_bytes(), type=list[FaultRun]))
+    if REQUESTS_FILE.exists():
+        draw_policies(decode(REQUESTS_FILE.read_bytes(), type=Results).policies)
+    if DAYS_FILE.exists():
+        draw_interference_days(decode(DAYS_FILE.read_bytes(), type=list[PolicyDays]))
 
 
 def draw_faults(runs: list[FaultRun]) -> None:
@@ -66,6 +72,23 @@
     _save(figure, "routing.svg")
 
 
+def draw_interference_days(days: list[PolicyDays]) -> None:
+    """Plot for each policy what its batch jobs gain and its serving tasks lose, a point a seed."""
+    figure = Figure(figsize=SIZE_INCHES)
+    axes = figure.subplots()
+    for policy, results in days:
+        axes.scatter(
+            [100.0 * result.over_share for result in results],
+            [100.0 * result.on_time_share for result in results],
+            s=14,
+            label=policy,
+        )
+    axes.set_xlabel("serving tasks over their target, % of their time")
+    axes.set_ylabel("batch jobs on time, %")
+    axes.legend()
+    _save(figure, "interference.svg")
+
+
 def _save(figure: Figure, name: str) -> None:
     figure.tight_layout()
     figure.savefig(FOLDER / name, metadata={"Date": None})
