--- a/scripts/worth.py
+++ b/scripts/worth.py
@@ -51,7 +51,7 @@
     """A journal entry; only entries of score runs have a site and a score."""
 
     cmd: str
-    why: str | None = None
+    id: str = ""
     site: str | None = None
     score: float | None = None
     days: list[Day] | None = None
@@ -80,7 +80,7 @@
     """Return the section of a site: the table of the last score, then that of the first."""
     sections = [f"\n## {last.site}\n"]
     for title, entry in (("Last", last), ("First", first)):
-        sections.append(f"\n{title} score, {entry.score:.3f} ({entry.why}):\n\n")
+        sections.append(f"\n{title} score, {entry.score:.3f} (journal entry {entry.id}):\n\n")
         sections.append("| " + " | ".join(COLUMNS) + " |\n" + "| --- " * len(COLUMNS) + "|\n")
         sections.extend(_row(day) for day in entry.days)
     return "".join(sections)
