Simplify three places of the planner, the tail model and the leader election

The planner carries the key of a step instead of deriving it again, the tail model tests saturation once, and one function removes an address from those that are not confirmed. Behaviour is as before.

--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -113,12 +113,12 @@
         queue = dispatcher.queue_of(ready.job)
         if queue is not None and _is_due(dispatcher, ready, now_s):
             key = order_key(ready, queue, dispatcher.mean_work_by_queue[queue.name], now_s)
-            keyed.append((key, queue, ready))
+            keyed.append((key, queue, ready, step_key))
     keyed.sort(key=lambda each: each[0])
     state_by_service: dict[str, ServicePlanningState] = {}
     unplaced: list[tuple[str, int, int]] = []
     stop_s = dispatcher.context.clock() + MAX_PASS_S
-    for _, queue, ready in keyed:
+    for _, queue, ready, step_key in keyed:
         service_state = state_by_service.get(queue.service)
         if service_state is None:
             service_state = state_by_service[queue.service] = _service_planning_state(
@@ -126,7 +126,7 @@
             )
         _plan_step(dispatcher, queue, ready, service_state)
         if ready.step_state.has_waiting():
-            unplaced.append(ready.step_state.tasks[0].key[:3])
+            unplaced.append(step_key)
         if dispatcher.context.clock() > stop_s:
             dispatcher.skipped_steps.update(unplaced)
             for service, state in state_by_service.items():
--- a/laburnumswitch/process/dispatch/tails.py
+++ b/laburnumswitch/process/dispatch/tails.py
@@ -150,12 +150,11 @@
                 terms.append((self._advance_coefficient(serving_image, image), share))
         expected = load.mean + sum(estimate.mean * weight for estimate, weight in terms)
         observed = utilisation(min(ratio, SATURATED_RATIO))
-        is_raised = ratio >= SATURATED_RATIO or now_s - offset.saturated_s < SATURATION_RECOVERY_S
         if ratio >= SATURATED_RATIO:
             offset.saturated_s = now_s
             # A sample above the bound is at least that high.
             observed = max(observed, expected)
-        elif is_raised:
+        elif now_s - offset.saturated_s < SATURATION_RECOVERY_S:
             observed = min(observed, expected)
         sample_variance = (SAMPLE_STD_DEV * (1.0 - observed)) ** 2 + MIN_SAMPLE_STD_DEV**2
         error = observed - expected
--- a/laburnumswitch/process/leadership/leadership.py
+++ b/laburnumswitch/process/leadership/leadership.py
@@ -340,7 +340,7 @@
             answer = context.owner_client.supersede(observed.term.address, epoch)
             if answer is True:
                 predecessor = PredecessorState.ENDED
-                unconfirmed = tuple(each for each in unconfirmed if each != observed.term.address)
+                unconfirmed = _without(unconfirmed, observed.term.address)
         if predecessor is PredecessorState.ENDED and unconfirmed:
             predecessor = PredecessorState.UNSETTLED
         self.current_term = term
@@ -359,15 +359,17 @@
         recorder = dispatcher.recorder
         while not (dispatcher.is_stopped() or dispatcher.settled):
             if self._context.owner_client.supersede(address, dispatcher.epoch) is True:
-                recorder.unconfirmed = tuple(
-                    each for each in recorder.unconfirmed if each != address
-                )
+                recorder.unconfirmed = _without(recorder.unconfirmed, address)
                 if not recorder.unconfirmed:
                     dispatcher.note_predecessor_ended()
                 return
             self._context.sleep(RETRY_S)
 
 
+def _without(addresses: tuple[str, ...], address: str) -> tuple[str, ...]:
+    return tuple(each for each in addresses if each != address)
+
+
 def _unconfirmed_addresses(
     term: Term, predecessor: PredecessorState, own_address: str
 ) -> tuple[str, ...]:
