Log for whom a new owner waits, and since when a worker is silent

A worker session no longer logs a lapse after its term has ended, on which nobody acts. No decision changes.

--- a/laburnumswitch/command/explain.py
+++ b/laburnumswitch/command/explain.py
@@ -14,6 +14,7 @@
     {
         "takeover",
         "settled",
+        "settle_waits",
         "ownership_lost",
         "ownership_released",
         "superseded",
@@ -32,6 +33,7 @@
 WORKER_EVENTS = frozenset(
     {
         "worker_lapsed",
+        "worker_silent",
         "worker_restarted",
         "worker_dropped",
         "worker_rests",
--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -138,6 +138,8 @@
         self.listed_in_batch = 0
         # Whether the worker has answered this owner, and has not lapsed since.
         self.is_reached = False
+        # Whether a renewal has failed since the worker's last answer.
+        self.is_silent = False
         self.runs_by_task: dict[TaskKey, ActiveRun] = {}
         self.acknowledged_end = 0
         self.last_end_number = 0
--- a/laburnumswitch/process/dispatch/takeover.py
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -39,6 +39,11 @@
 RETRY_S = 0.1
 # Interval in seconds at which to check whether the runs of earlier owners are known.
 SETTLE_INTERVAL_S = 0.05
+# Workers that have not answered this long after the start of a term, in seconds, are logged; the
+# others answer within some milliseconds.
+SETTLE_LOG_DELAY_S = 0.5
+# Maximum number of workers named in one log line.
+MAX_LOGGED_WORKERS = 20
 
 
 def begin_dispatch(
@@ -134,12 +139,16 @@
     context = dispatcher.context
     began_s = context.clock()
     inherited = list(dispatcher.workers_by_id.values())
+    noted: list[str] = []
     while not dispatcher.is_stopped():
         unknown = [
             worker.worker_id
             for worker in inherited
             if not (worker.is_reached or worker.is_dropped or dispatcher.has_lapsed(worker))
         ]
+        if unknown and context.clock() - began_s >= SETTLE_LOG_DELAY_S and unknown != noted:
+            noted = unknown
+            _note_wait(dispatcher, unknown)
         if not unknown:
             dispatcher.settled = True
             dispatcher.recorder.unconfirmed = ()
@@ -151,6 +160,21 @@
         context.sleep(SETTLE_INTERVAL_S)
 
 
+def _note_wait(dispatcher: Dispatcher, unknown: list[str]) -> None:
+    context = dispatcher.context
+    waiting = sum(
+        ready.job.may_have_unknown_runs for ready in dispatcher.ready_step_by_key.values()
+    )
+    context.log.note(
+        "settle_waits",
+        str(dispatcher.epoch),
+        workers=unknown[:MAX_LOGGED_WORKERS],
+        count=len(unknown),
+        steps=waiting,
+        until_s=round(dispatcher.unknown_runs_until_s - context.clock(), 3),
+    )
+
+
 def _load(dispatcher: Dispatcher, table: str) -> Changes:
     while not dispatcher.is_stopped():
         changes = dispatcher.context.table.load(table)
--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -56,6 +56,9 @@
         if isinstance(answer, WorkerRestarted):
             dispatcher.drop_worker(worker, "another incarnation answers at its address")
             return
+        if dispatcher.is_stopped():
+            return
+        _note_silence(dispatcher, worker, answer)
         if dispatcher.has_lapsed(worker):
             _handle_lapse(dispatcher, worker, answer)
         context.sleep(RETRY_S)
@@ -101,6 +104,22 @@
         dispatcher.context.sleep(UNCOMMITTED_PAUSE_S)
 
 
+def _note_silence(dispatcher: Dispatcher, worker: Worker, failure: Failure) -> None:
+    """Log the first failed renewal since a worker's last answer."""
+    if worker.is_silent:
+        return
+    worker.is_silent = True
+    now_s = dispatcher.context.clock()
+    dispatcher.context.log.note(
+        "worker_silent",
+        worker.worker_id,
+        runs=len(worker.runs_by_task),
+        answered_s_ago=round(now_s - worker.last_answer_s, 3) if worker.last_answer_s else None,
+        lapses_in_s=round(worker.lapse_bound_s - now_s, 3),
+        why=failure.describe(),
+    )
+
+
 def _handle_lapse(dispatcher: Dispatcher, worker: Worker, failure: Failure) -> None:
     if worker.is_reached:
         dispatcher.context.log.note(
@@ -123,6 +142,7 @@
     worker.incarnation = report.incarnation or worker.incarnation
     now_s = context.clock()
     worker.note_answer(now_s, report.clock_s)
+    worker.is_silent = False
     if not worker.is_reached:
         worker.is_reached = True
         context.log.note(
--- a/tests/process/dispatch/test_dispatcher.py
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -185,6 +185,25 @@
         wait_until(lambda: self.harness.checker.start_count == 2)
         self.assertThat(self.harness.checker.violations, Equals([]))
 
+    def test_log_tells_for_whom_a_successor_waits(self):
+        self._run_long_job()
+        holder = next(each for each in self.harness.worker_by_id.values() if each.running())
+        self.first.stop()
+        holder.drops_calls = True
+        self.harness.log.take()
+        second = self.harness.start_owner("vm-2")
+        self.addCleanup(second.stop)
+        lines = []
+
+        def is_noted(event):
+            lines.extend(loads(line) for line in self.harness.log.take().splitlines())
+            return any(line["event"] == event for line in lines)
+
+        wait_until(lambda: is_noted("settle_waits"))
+        noted = next(line for line in lines if line["event"] == "settle_waits")
+        self.assertThat(noted["workers"], Equals([holder.listing.worker_id]))
+        wait_until(lambda: is_noted("worker_silent"))
+
     def test_runs_of_a_silent_owner_lapse_sooner_once_it_has_ended(self):
         """Long-running tasks of a lost worker must restart within 10 s."""
         self._run_long_job()
