--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -185,6 +185,11 @@
         for worker in self.workers_by_id.values():
             worker.link.close()
 
+    def release(self) -> None:
+        """End the term gracefully, so that another entry takes over at once."""
+        self.stop()
+        self.recorder.release()
+
     def spawn(self, function: Callable[..., Any], *arguments: Any) -> None:
         """Run a function in a greenlet.
 
--- a/laburnumswitch/process/leadership/leadership.py
+++ b/laburnumswitch/process/leadership/leadership.py
@@ -149,8 +149,7 @@
         dispatcher = self.dispatcher
         if dispatcher is None:
             return
-        dispatcher.stop()
-        dispatcher.recorder.release()
+        dispatcher.release()
         self.dispatcher = None
         self._context.log.note("ownership_released", str(dispatcher.epoch))
 
--- a/tests/process/dispatch/test_dispatcher.py
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -185,6 +185,40 @@
         wait_until(lambda: self.harness.checker.start_count == 2)
         self.assertThat(self.harness.checker.violations, Equals([]))
 
+    def test_successor_does_not_wait_a_whole_lease_again_for_a_silent_worker(self):
+        """The predecessor left gracefully while it waited for the worker's lease to lapse."""
+        self._run_long_job()
+        holder = next(each for each in self.harness.worker_by_id.values() if each.running())
+        worker = self.first.workers_by_id[holder.listing.worker_id]
+        holder.drops_calls = True
+        wait_until(lambda: worker.lapse_bound_s - monotonic() < 1.0)
+        bound_s = worker.lapse_bound_s
+        self.first.release()
+        second = self.harness.start_owner("vm-2")
+        self.addCleanup(second.stop)
+        wait_until(second.is_loaded.is_set)
+        inherited = second.workers_by_id[holder.listing.worker_id]
+        self.assertThat(inherited.lapse_bound_s - bound_s, LessThan(1.0))
+        wait_until(lambda: self.harness.checker.start_count == 2)
+        self.assertThat(self.harness.checker.violations, Equals([]))
+
+    def test_silent_worker_does_not_hold_up_tasks_that_it_does_not_run(self):
+        """A successor of an owner that left gracefully knows what may run on silent workers."""
+        self._run_long_job()
+        holder = next(each for each in self.harness.worker_by_id.values() if each.running())
+        holder.drops_calls = True
+        wait_until(lambda: len(usable_workers(self.first, "shop")) == 1)
+        step = SHORT._replace(estimate_ms=200)
+        self.harness.submit(make_submission("j2", step, step._replace(after=(0,))), self.first)
+        wait_until(lambda: self.harness.checker.start_count == 3)
+        self.first.release()
+        second = self.harness.start_owner("vm-2")
+        self.addCleanup(second.stop)
+        wait_until(lambda: second.reported_state("j2") is JobState.COMPLETED)
+        worker = second.workers_by_id[holder.listing.worker_id]
+        self.assertThat(second.has_lapsed(worker), Equals(False))
+        self.assertThat(self.harness.checker.violations, Equals([]))
+
     def test_log_tells_for_whom_a_successor_waits(self):
         self._run_long_job()
         holder = next(each for each in self.harness.worker_by_id.values() if each.running())
--- a/tests/process/leadership/test_leadership.py
+++ b/tests/process/leadership/test_leadership.py
@@ -60,6 +60,10 @@
     def stop(self):
         self.stopped.set()
 
+    def release(self):
+        self.stop()
+        self.recorder.release()
+
     def spawn(self, function, *arguments):
         spawn(function, *arguments)
 
