Hand over to the next owner which runs may exist on each worker

Callers saw long-running tasks down for up to 15 s, and every step of the jobs in progress wait for about 6 s, where entries were restarted in turn while workers left.

Cause: starts are not stored, and what an owner knows of them ended with its term. A successor counted every worker that did not answer as one that may run anything, for a whole lease from its own start on, and started no task of an older job meanwhile.

Ruled out: an exhausted owner (lag_s 0.001 s), capacity kept for urgent tasks (161 tasks of new jobs started meanwhile).

An owner that leaves gracefully now stores, in the transaction that ends its term, the runs that may exist on each worker and the rest of their leases. The successor adopts them. It waits only for workers with runs that no owner in the row has known, and no longer than the predecessor would have. Rows count only with the epoch of the direct predecessor, so a term that ended in any other way is followed by the earlier wait.

--- a/laburnumswitch/command/explain.py
+++ b/laburnumswitch/command/explain.py
@@ -13,6 +13,7 @@
 COMMON_EVENTS = frozenset(
     {
         "takeover",
+        "handover",
         "settled",
         "settle_waits",
         "ownership_lost",
--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -22,6 +22,9 @@
 from laburnumswitch.process.dispatch.fleet import FENCES_PER_EPOCH
 from laburnumswitch.process.dispatch.fleet import MIN_CLOCK_RATE
 from laburnumswitch.process.dispatch.fleet import Worker
+from laburnumswitch.process.dispatch.handover import describe_worker
+from laburnumswitch.process.dispatch.handover import HANDOVER_TABLE
+from laburnumswitch.process.dispatch.handover import split_handover
 from laburnumswitch.process.dispatch.headroom import Headroom
 from laburnumswitch.process.dispatch.job_spec import Queue
 from laburnumswitch.process.dispatch.job_spec import Submission
@@ -44,6 +47,7 @@
 from laburnumswitch.process.operating.operations import Operations
 from laburnumswitch.process.placing.quarantine import Quarantine
 from laburnumswitch.process.rows.table import FeedTable
+from laburnumswitch.process.rows.table import Put
 
 # Maximum number of runs of one task in one term. Run numbers are built from the owner's epoch and a
 # counter below this bound.
@@ -62,6 +66,8 @@
 MEAN_WORK_WEIGHT = 0.05
 # Stands for the batch of an ended run that waits for its job.
 NOT_COMMITTED = sys.maxsize
+# How long an owner that leaves waits, in seconds, until it has loaded the stored state.
+MAX_LOAD_WAIT_S = 1.0
 FLEET_TABLE = "fleet"
 # Number of rows that store the list of workers: a row of the platform's store holds 64 KiB, and a
 # worker takes about 200 bytes.
@@ -124,6 +130,7 @@
 class Dispatcher:
     """State of the owner during one term.
 
+    :ivar began_s: when the term began, on the monotonic clock.
     :ivar final_by_id: states of jobs that have ended and have no active run.
     :ivar ended_s_by_id: when this was first noted of each of these jobs, on the monotonic clock.
     :ivar ready_step_by_key: ready steps by job id, occurrence and index of the step.
@@ -139,6 +146,7 @@
         self.context = context
         self.recorder = recorder
         self.epoch = recorder.held_term.term.epoch
+        self.began_s = context.clock()
         self.jobs_by_id: dict[str, Job] = {}
         self.final_by_id: dict[str, JobState] = {}
         self.ended_s_by_id: dict[str, float] = {}
@@ -186,9 +194,42 @@
             worker.link.close()
 
     def release(self) -> None:
-        """End the term gracefully, so that another entry takes over at once."""
+        """End the term gracefully, so that another entry takes over at once.
+
+        The successor is told which runs may exist. An owner that is still loading does not know
+        them, but its own predecessor may have told it.
+        """
+        if not self.is_stopped():
+            self.is_loaded.wait(MAX_LOAD_WAIT_S)
         self.stop()
-        self.recorder.release()
+        self.recorder.release(self._describe_handover() if self.is_loaded.is_set() else ())
+
+    def _describe_handover(self) -> tuple[Put, ...]:
+        now_s = self.context.clock()
+        orphans_by_worker: dict[str, list[RunReport]] = {}
+        for orphan in self.orphan_by_task.values():
+            orphans_by_worker.setdefault(orphan.worker.worker_id, []).append(orphan.report)
+        workers = [
+            describe_worker(
+                worker, self._checkpoint, orphans_by_worker.get(worker.worker_id, ()), now_s
+            )
+            for worker in self.workers_by_id.values()
+        ]
+        rows = split_handover(self.epoch, workers)
+        self.context.log.note(
+            "handover",
+            str(self.epoch),
+            workers=len(workers),
+            unknown=sum(worker.has_unknown_runs for worker in workers),
+            runs=sum(len(worker.runs) for worker in workers),
+            rows=len(rows),
+        )
+        return tuple(Put(f"{HANDOVER_TABLE}/{number}", row) for number, row in enumerate(rows))
+
+    def _checkpoint(self, key: TaskKey) -> str:
+        job = self.jobs_by_id.get(key.job_id)
+        task = job and job.task(key)
+        return task.checkpoint if task else ""
 
     def spawn(self, function: Callable[..., Any], *arguments: Any) -> None:
         """Run a function in a greenlet.
--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -122,6 +122,7 @@
     :ivar clock_s: the worker's clock in its last answer.
     :ivar granted_until_s: end of the lease on the worker's clock.
     :ivar lapse_bound_s: when all granted leases have certainly expired.
+    :ivar has_unknown_runs: whether runs of earlier owners may exist that this owner does not know.
     :ivar blocked_until_s: the worker gets no starts before this time.
     :ivar last_sample_s: when its measurements were last used.
     """
@@ -149,6 +150,7 @@
         self.clock_s = 0.0
         self.granted_until_s = 0.0
         self.lapse_bound_s = 0.0
+        self.has_unknown_runs = False
         self.blocked_until_s = 0.0
         self.last_sample_s = 0.0
         self.used_cpu_millis = 0
--- a/laburnumswitch/process/dispatch/recorder.py
+++ b/laburnumswitch/process/dispatch/recorder.py
@@ -194,14 +194,23 @@
         self._batch_done.set()
         return not self.is_lost
 
-    def release(self) -> None:
-        """Commit all queued changes and leave the term without an owner."""
-        while self._jobs_by_id and self.commit():
+    def release(self, handover: tuple[Put, ...] = ()) -> None:
+        """Commit all queued changes and leave the term without an owner.
+
+        :param handover: rows to store with the end of the term.
+        """
+        # A transaction has no room for large rows of workers beside the handover.
+        while self._has_queued() and self.commit():
             continue
+        for put in handover:
+            self.queue_row(put.key, put.value)
         if not self.is_lost:
             self.commit(NO_OWNER)
         self.is_lost = True
 
+    def _has_queued(self) -> bool:
+        return bool(self._jobs_by_id or self._value_by_key or self._removals)
+
     def _take_batch(self) -> tuple[list[Job], dict[str, Any], tuple[str, ...]]:
         ids = list(self._jobs_by_id)[:JOBS_PER_BATCH]
         jobs = [self._jobs_by_id.pop(job_id) for job_id in ids]
--- a/laburnumswitch/process/dispatch/takeover.py
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -14,6 +14,10 @@
 from laburnumswitch.process.dispatch.feeds import follow_submissions
 from laburnumswitch.process.dispatch.feeds import follow_workers
 from laburnumswitch.process.dispatch.fleet import MIN_CLOCK_RATE
+from laburnumswitch.process.dispatch.fleet import Worker
+from laburnumswitch.process.dispatch.handover import collect_handover
+from laburnumswitch.process.dispatch.handover import HANDOVER_TABLE
+from laburnumswitch.process.dispatch.handover import WorkerHandover
 from laburnumswitch.process.dispatch.jobs import FINAL_STATES
 from laburnumswitch.process.dispatch.load_report import run_load_report
 from laburnumswitch.process.dispatch.model_store import load_parameters
@@ -29,6 +33,7 @@
 from laburnumswitch.process.dispatch.recorder import Recorder
 from laburnumswitch.process.dispatch.recorder import RecorderContext
 from laburnumswitch.process.dispatch.retention import run_retention
+from laburnumswitch.process.dispatch.worker_protocol import RunReport
 from laburnumswitch.process.dispatch.worker_protocol import WorkerListing
 from laburnumswitch.process.dispatch.worker_session import run_worker
 from laburnumswitch.process.leadership.term import PredecessorState
@@ -78,7 +83,8 @@
 def _run(dispatcher: Dispatcher) -> None:
     version = _load_jobs(dispatcher)
     load_parameters(dispatcher)
-    _load_fleet(dispatcher)
+    rows = _load(dispatcher, HANDOVER_TABLE).rows
+    _load_fleet(dispatcher, collect_handover(rows, dispatcher.epoch - 1))
     if dispatcher.is_stopped():
         return
     dispatcher.is_loaded.set()
@@ -120,8 +126,11 @@
     return submissions.version
 
 
-def _load_fleet(dispatcher: Dispatcher) -> None:
-    """Load the workers on which earlier owners may have left runs, and contact each of them."""
+def _load_fleet(dispatcher: Dispatcher, handover_by_worker: dict[str, WorkerHandover]) -> None:
+    """Load the workers on which earlier owners may have left runs, and contact each of them.
+
+    :param handover_by_worker: what the predecessor knew of them, if it left gracefully.
+    """
     for row in _load(dispatcher, FLEET_TABLE).rows:
         try:
             listings = convert(row.value, list[WorkerListing])
@@ -131,9 +140,23 @@
         for listing in listings:
             worker = dispatcher.add_worker(listing)
             worker.lapse_bound_s = dispatcher.unknown_runs_until_s
+            worker.has_unknown_runs = True
+            handover = handover_by_worker.get(worker.worker_id)
+            if handover is not None:
+                _apply_handover(dispatcher, worker, handover)
             dispatcher.spawn(run_worker, dispatcher, worker)
 
 
+def _apply_handover(dispatcher: Dispatcher, worker: Worker, handover: WorkerHandover) -> None:
+    """Adopt the runs that the predecessor knew, until the worker reports or its leases expire."""
+    # The predecessor's term ended before this one began, so the sum is no earlier than the lapse.
+    lapse_bound_s = dispatcher.began_s + handover.lapses_in_s
+    worker.lapse_bound_s = min(worker.lapse_bound_s, lapse_bound_s)
+    worker.has_unknown_runs = handover.has_unknown_runs
+    for run in handover.runs:
+        dispatcher.adopt_run(worker, RunReport(run.task, run.run, run.checkpoint, 0.0, 0.0))
+
+
 def _settle(dispatcher: Dispatcher) -> None:
     """Wait until the runs of earlier owners are known or have certainly lapsed."""
     context = dispatcher.context
@@ -144,7 +167,7 @@
         unknown = [
             worker.worker_id
             for worker in inherited
-            if not (worker.is_reached or worker.is_dropped or dispatcher.has_lapsed(worker))
+            if worker.has_unknown_runs and not (worker.is_dropped or dispatcher.has_lapsed(worker))
         ]
         if unknown and context.clock() - began_s >= SETTLE_LOG_DELAY_S and unknown != noted:
             noted = unknown
--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -129,6 +129,7 @@
         worker.fence += 1
     for run in list(worker.runs_by_task.values()):
         dispatcher.release_run(worker, run, "its lease lapsed without an answer from the worker")
+    worker.has_unknown_runs = False
     if not worker.is_listed(dispatcher.context.clock()):
         dispatcher.drop_worker(worker, "not listed by the platform and not answering")
 
@@ -158,6 +159,7 @@
             worker.last_end_number = end.number
             dispatcher.report_end(worker, end)
     _reconcile(dispatcher, worker, report, sent_s, fence)
+    worker.has_unknown_runs = False
     if now_s - worker.last_sample_s >= SAMPLE_INTERVAL_S:
         worker.last_sample_s = now_s
         learn_tails(dispatcher.model, worker, now_s)
--- a/tests/process/dispatch/test_dispatcher.py
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -219,6 +219,88 @@
         self.assertThat(second.has_lapsed(worker), Equals(False))
         self.assertThat(self.harness.checker.violations, Equals([]))
 
+    def test_wait_for_a_silent_worker_does_not_grow_with_every_handover(self):
+        self._run_long_job()
+        holder = next(each for each in self.harness.worker_by_id.values() if each.running())
+        holder.drops_calls = True
+        bound_s = self.first.workers_by_id[holder.listing.worker_id].lapse_bound_s
+        self.first.release()
+        for number in range(2, 5):
+            owner = self.harness.start_owner(f"vm-{number}")
+            self.addCleanup(owner.stop)
+            wait_until(lambda owner=owner: owner.settled)
+            owner.release()
+        last = self.harness.start_owner("vm-5")
+        self.addCleanup(last.stop)
+        wait_until(last.is_loaded.is_set)
+        inherited = last.workers_by_id[holder.listing.worker_id]
+        self.assertThat(inherited.lapse_bound_s - bound_s, LessThan(2.0))
+        wait_until(lambda: self.harness.checker.start_count == 2)
+        self.assertThat(self.harness.checker.violations, Equals([]))
+
+    def test_owner_that_has_not_settled_hands_over_that_runs_are_unknown(self):
+        """Its successor must not start a task that may run on a worker which neither reached."""
+        self._run_long_job()
+        holder = next(each for each in self.harness.worker_by_id.values() if each.running())
+        self.first.stop()
+        holder.drops_calls = True
+        second = self.harness.start_owner("vm-2", PredecessorState.SILENT)
+        wait_until(second.is_loaded.is_set)
+        second.release()
+        third = self.harness.start_owner("vm-3")
+        self.addCleanup(third.stop)
+        wait_until(third.is_loaded.is_set)
+        worker = third.workers_by_id[holder.listing.worker_id]
+        self.assertThat(worker.has_unknown_runs, Equals(True))
+        holder.drops_calls = False
+        wait_until(lambda: third.settled)
+        self.assertThat(third.jobs_by_id["j1"].is_running(), Equals(True))
+        self.assertThat(self.harness.checker.start_count, Equals(1))
+        self.assertThat(self.harness.checker.violations, Equals([]))
+
+    def test_unanswered_start_is_handed_over_and_runs_once(self):
+        wait_until(lambda: len(usable_workers(self.first, "shop")) == 2)
+        for worker in self.harness.worker_by_id.values():
+            worker.drops_answers = True
+        self.harness.submit(make_submission("j1", LONG), self.first)
+        wait_until(lambda: self.harness.checker.start_count == 1)
+        self.first.release()
+        for worker in self.harness.worker_by_id.values():
+            worker.drops_answers = False
+        second = self.harness.start_owner("vm-2")
+        self.addCleanup(second.stop)
+        wait_until(lambda: all(each.is_reached for each in second.workers_by_id.values()))
+        wait_until(lambda: len(second.workers_by_id) == 2 and second.settled)
+        self.assertThat(second.jobs_by_id["j1"].is_running(), Equals(True))
+        self.assertThat(self.harness.checker.start_count, Equals(1))
+
+    def test_start_that_never_arrived_is_handed_over_and_repeated(self):
+        wait_until(lambda: len(usable_workers(self.first, "shop")) == 2)
+        for worker in self.harness.worker_by_id.values():
+            worker.drops_calls = True
+        self.harness.submit(make_submission("j1", LONG), self.first)
+        wait_until(lambda: self.first.jobs_by_id["j1"].is_running())
+        self.first.release()
+        for worker in self.harness.worker_by_id.values():
+            worker.drops_calls = False
+        second = self.harness.start_owner("vm-2")
+        self.addCleanup(second.stop)
+        wait_until(lambda: self.harness.checker.start_count == 1)
+        self.assertThat(self.harness.checker.violations, Equals([]))
+
+    def test_owner_hands_over_only_once_it_has_loaded_what_was_handed_to_it(self):
+        self._run_long_job()
+        holder = next(each for each in self.harness.worker_by_id.values() if each.running())
+        holder.drops_calls = True
+        self.first.release()
+        self.harness.start_owner("vm-2").release()
+        third = self.harness.start_owner("vm-3")
+        self.addCleanup(third.stop)
+        wait_until(lambda: third.settled)
+        worker = third.workers_by_id[holder.listing.worker_id]
+        self.assertThat(third.has_lapsed(worker), Equals(False))
+        self.assertThat(third.jobs_by_id["j1"].is_running(), Equals(True))
+
     def test_log_tells_for_whom_a_successor_waits(self):
         self._run_long_job()
         holder = next(each for each in self.harness.worker_by_id.values() if each.running())
--- /dev/null
+++ b/tests/process/dispatch/test_handover.py
@@ -0,0 +1,73 @@
+"""Tests of the rows in which an owner tells its successor about the workers."""
+
+from base64 import b64encode
+
+from msgspec.json import encode
+from testtools import TestCase
+from testtools.matchers import Equals
+from testtools.matchers import LessThan
+
+from laburnumswitch.process.dispatch.handover import collect_handover
+from laburnumswitch.process.dispatch.handover import HandedOverRun
+from laburnumswitch.process.dispatch.handover import MAX_ROWS
+from laburnumswitch.process.dispatch.handover import RUNS_PER_ROW
+from laburnumswitch.process.dispatch.handover import split_handover
+from laburnumswitch.process.dispatch.handover import WorkerHandover
+from laburnumswitch.process.dispatch.handover import WORKERS_PER_ROW
+from laburnumswitch.process.dispatch.job_spec import TaskKey
+from laburnumswitch.process.rows.table import Row
+
+ROW_LIMIT_BYTES = 65_536
+TRANSACTION_LIMIT_BYTES = 1_000_000
+
+
+def make_worker(number, run_count):
+    runs = (
+        HandedOverRun(TaskKey(f"{number:08x}{index:08x}", 999, 9, 999), 990_001, "0" * 16)
+        for index in range(run_count)
+    )
+    return WorkerHandover(f"i-{number:010x}", 6.1224489, False, tuple(runs))
+
+
+def store(rows):
+    return [Row(f"handover/{number}", 1, row) for number, row in enumerate(rows)]
+
+
+class TestHandover(TestCase):
+    def test_all_workers_arrive(self):
+        workers = [make_worker(number, 90) for number in range(30)]
+        rows = split_handover(7, workers)
+        self.assertThat(len(rows) > 1, Equals(True))
+        expected = {worker.worker_id: worker for worker in workers}
+        self.assertThat(collect_handover(store(rows), 7), Equals(expected))
+
+    def test_handover_of_another_epoch_is_out_of_date(self):
+        rows = split_handover(7, [make_worker(1, 3)])
+        self.assertThat(collect_handover(store(rows), 8), Equals({}))
+
+    def test_rows_left_by_a_larger_handover_are_ignored(self):
+        earlier = split_handover(7, [make_worker(number, 300) for number in range(9)])
+        later = split_handover(8, [make_worker(1, 3)])
+        rows = store(later) + store(earlier)[len(later) :]
+        self.assertThat(list(collect_handover(rows, 8)), Equals([make_worker(1, 0).worker_id]))
+
+    def test_incomplete_handover_counts_as_none(self):
+        rows = split_handover(7, [make_worker(number, 300) for number in range(9)])
+        self.assertThat(collect_handover(store(rows)[:-1], 7), Equals({}))
+
+    def test_malformed_row_counts_as_none(self):
+        self.assertThat(
+            collect_handover([Row("handover/0", 1, ["later", "format"])], 7), Equals({})
+        )
+
+    def test_rows_and_transaction_stay_within_the_limits_of_the_store(self):
+        largest = WORKERS_PER_ROW
+        workers = [make_worker(number, RUNS_PER_ROW // largest) for number in range(largest)]
+        (row,) = split_handover(7, workers)
+        size = len(encode(row))
+        self.assertThat(size, LessThan(ROW_LIMIT_BYTES))
+        self.assertThat(MAX_ROWS * len(b64encode(encode(row))), LessThan(TRANSACTION_LIMIT_BYTES))
+
+    def test_handover_that_exceeds_a_transaction_is_left_out(self):
+        workers = [make_worker(number, RUNS_PER_ROW) for number in range(MAX_ROWS + 1)]
+        self.assertThat(split_handover(7, workers), Equals(()))
