Limit the removals of one commit to what a transaction holds

Found by reading, while looking for other owners that lose their term without a fault: after ten minutes the first retention pass queued up to 300 removals, and the next commit carried all of them. A transaction holds 100 entries, so the store would refuse each attempt, and the owner could commit nothing any more until its lease ran out; the next owner would get there ten minutes later.

The test failed before with a transaction of 303 entries.

--- a/laburnumswitch/process/dispatch/recorder.py
+++ b/laburnumswitch/process/dispatch/recorder.py
@@ -44,8 +44,11 @@
 RETRY_FIRST_S = 0.05
 # Longest pause between two attempts of a commit, in seconds.
 RETRY_MAX_S = 0.5
-# Maximum number of jobs in one commit. A transaction is limited to 100 rows: the term, the jobs and
-# the other rows of the owner.
+# Maximum number of conditions, writes and removals in one transaction of the platform's store.
+MAX_ENTRIES = 100
+# Entries of every commit: the condition on the term, and the term.
+TERM_ENTRIES = 2
+# Maximum number of jobs in one commit; the rest is for other rows of the owner and for removals.
 JOBS_PER_BATCH = 60
 
 
@@ -215,8 +218,9 @@
         ids = list(self._jobs_by_id)[:JOBS_PER_BATCH]
         jobs = [self._jobs_by_id.pop(job_id) for job_id in ids]
         values, self._value_by_key = self._value_by_key, {}
-        removals, self._removals = tuple(self._removals), []
-        if not self._jobs_by_id:
+        room = max(0, MAX_ENTRIES - TERM_ENTRIES - len(jobs) - len(values))
+        removals, self._removals = tuple(self._removals[:room]), self._removals[room:]
+        if not (self._jobs_by_id or self._removals):
             self._has_work.clear()
         return jobs, values, removals
 
--- a/tests/process/dispatch/test_recorder.py
+++ b/tests/process/dispatch/test_recorder.py
@@ -7,6 +7,7 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 from testtools.matchers import GreaterThan
+from testtools.matchers import LessThan
 
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.jobs import Job
@@ -14,6 +15,7 @@
 from laburnumswitch.process.dispatch.progress import decode_progress
 from laburnumswitch.process.dispatch.progress import progress_key
 from laburnumswitch.process.dispatch.progress import restore_progress
+from laburnumswitch.process.dispatch.recorder import MAX_ENTRIES
 from laburnumswitch.process.dispatch.recorder import Recorder
 from laburnumswitch.process.dispatch.recorder import RecorderContext
 from laburnumswitch.process.leadership.term import read_term
@@ -77,6 +79,24 @@
         self.assertThat(self.recorder.committed, Equals(batch))
         self.assertThat(self.job.is_stored, Equals(True))
 
+    def test_no_commit_exceeds_the_entries_of_a_transaction(self):
+        """The store would refuse every attempt, and the owner could never commit again."""
+        transactions = []
+        commit = self.table.commit
+
+        def commit_and_note(transaction):
+            transactions.append(transaction)
+            return commit(transaction)
+
+        self.table.commit = commit_and_note
+        self.recorder.queue_removals(tuple(f"progress/{number}" for number in range(300)))
+        self.recorder.queue_job(self.job)
+        self.recorder.release()
+        sizes = [len(each.conditions) + len(each.puts) + len(each.deletes) for each in transactions]
+        self.assertThat(max(sizes), LessThan(MAX_ENTRIES + 1))
+        removed = {key for each in transactions for key in each.deletes}
+        self.assertThat(len(removed), Equals(300))
+
     def test_progress_is_restored(self):
         self._finish_task(1)
         task = self.job.occurrences[0].steps[0].tasks[2]
