Grant leases of six seconds also where workers allow ten

A lease only has to outlast the replacement of a silent owner. Since leases never shorten, the end of a longer one that an earlier owner granted stays the bound. Both tests failed before (10.2 s, and 106.1 instead of 110.2).

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -20,6 +20,7 @@
 from laburnumswitch.process.daemon.deployment import Deployment
 from laburnumswitch.process.dispatch.fleet import ActiveRun
 from laburnumswitch.process.dispatch.fleet import FENCES_PER_EPOCH
+from laburnumswitch.process.dispatch.fleet import MAX_LEASE_S
 from laburnumswitch.process.dispatch.fleet import MIN_CLOCK_RATE
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.handover import describe_worker
@@ -231,6 +232,10 @@
         task = job and job.task(key)
         return task.checkpoint if task else ""
 
+    def granted_lease_s(self) -> float:
+        """Return the length of the leases that this owner grants, in seconds."""
+        return min(self.context.deployment.bounds.lease_s, MAX_LEASE_S)
+
     def spawn(self, function: Callable[..., Any], *arguments: Any) -> None:
         """Run a function in a greenlet.
 
--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -10,6 +10,9 @@
 
 # Lowest rate of a worker's clock: the platform allows clocks to be 2% slow.
 MIN_CLOCK_RATE = 0.98
+# Longest lease that an owner grants, in seconds. Leases have to outlast the replacement of a silent
+# owner, which takes about five seconds; tasks of a lost worker wait until its lease has expired.
+MAX_LEASE_S = 6.0
 # Number of fencing tokens per epoch: the owner raises a worker's token to void unanswered starts.
 FENCES_PER_EPOCH = 100_000
 # Workers whose listings expired during an outage of the store are listed again within this time, in
@@ -231,7 +234,9 @@
         until_s = self.clock_s + lease_s
         if until_s > self.granted_until_s:
             self.granted_until_s = until_s
-            self.lapse_bound_s = self.last_answer_s + lease_s / MIN_CLOCK_RATE
+            # A longer lease that an earlier owner granted stays in force.
+            lapse_bound_s = self.last_answer_s + lease_s / MIN_CLOCK_RATE
+            self.lapse_bound_s = max(self.lapse_bound_s, lapse_bound_s)
         return self.granted_until_s
 
     def has_certainly_lapsed(self, now_s: float) -> bool:
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -412,7 +412,7 @@
         task.key,
         run.number,
         job.submission.spec,
-        worker.extend_grant(dispatcher.context.deployment.bounds.lease_s),
+        worker.extend_grant(dispatcher.granted_lease_s()),
         worker.fence,
         task.checkpoint,
         tickets.get(worker.worker_id, ""),
--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -77,7 +77,7 @@
     sent_s = context.clock()
     until_s = None
     if worker.last_answer_s and dispatcher.may_act():
-        until_s = worker.extend_grant(context.deployment.bounds.lease_s)
+        until_s = worker.extend_grant(dispatcher.granted_lease_s())
     fence = worker.fence
     renewal = Renewal(
         fence, worker.take_acknowledgeable(dispatcher.recorder.committed), until_s, wait_s
--- a/tests/process/dispatch/harness.py
+++ b/tests/process/dispatch/harness.py
@@ -86,6 +86,7 @@
         self.operations = Operations(self.log)
         self.operations.apply(QueueConfiguration(1, {QUEUE.name: QUEUE}, {"shop": True}))
         self.worker_by_id = {}
+        self.deployment = DEPLOYMENT
         self.boot_offset_s = 0.0
         for number in range(1, workers + 1):
             self.add_worker(make_listing(number, **listing_changes))
@@ -108,7 +109,7 @@
 
     def context(self):
         return DispatchContext(
-            deployment=DEPLOYMENT,
+            deployment=self.deployment,
             table=self.table,
             workers_table="servers",
             decode_worker=lambda key, value: WorkerListing(*value[:8], tuple(value[8]), *value[9:]),
--- a/tests/process/dispatch/test_dispatcher.py
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -15,6 +15,7 @@
 
 from laburnumswitch.process.dispatch.dispatcher import ORPHAN_WAIT_S
 from laburnumswitch.process.dispatch.fleet import MIN_CLOCK_RATE
+from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.job_spec import TaskKey
 from laburnumswitch.process.dispatch.jobs import Job
@@ -122,6 +123,25 @@
         wait_until(lambda: self.harness.checker.start_count == 2)
         self.assertThat(self.harness.checker.violations, Equals([]))
 
+    def test_lease_of_a_lost_worker_ends_in_time_to_restart_long_running_tasks(self):
+        """Workers grant leases of up to 10 s, but a task may be down for 9 s only."""
+        harness = DispatchHarness()
+        bounds = BOUNDS._replace(lease_s=10.0)
+        harness.deployment = harness.deployment._replace(bounds=bounds)
+        owner = harness.start_owner()
+        self.addCleanup(owner.stop)
+        harness.submit(make_submission("j1", LONG), owner)
+        wait_until(lambda: harness.checker.start_count == 1)
+        worker = next(each for each in owner.workers_by_id.values() if each.runs_by_task)
+        self.assertThat(worker.lapse_bound_s - worker.last_answer_s, LessThan(9.0 - 1.5))
+
+    def test_lease_of_an_earlier_owner_outlasts_a_shorter_one_of_its_successor(self):
+        worker = Worker(make_listing(1), None, 1)
+        worker.lapse_bound_s = 110.2
+        worker.note_answer(100.0, 50.0)
+        worker.extend_grant(6.0)
+        self.assertThat(worker.lapse_bound_s, Equals(110.2))
+
     def test_unanswered_start_is_voided_or_adopted_and_runs_once(self):
         workers = self.owner.workers_by_id
         wait_until(lambda: len(workers) == 2 and all(each.is_reached for each in workers.values()))
