Decode the minimum time until a draining worker leaves

The report of a draining worker says how long it stays at least; the adapter left that out, so the owner could not tell how soon its runs end. WorkerListing.remaining_s holds it, None if the report does not say.

The owner also stores listings, as arrays without field names, and an entry of an earlier version refuses an array with more fields than it knows (the whole row counts as malformed, and a successor would not ask these workers). So the stored listing keeps its fields; a new owner reads the remaining time from the list of workers.

Both tests failed before: the field was unknown, and with the field alone the stored listing had 13 entries instead of 12.

--- a/laburnumswitch/platform/discovery.py
+++ b/laburnumswitch/platform/discovery.py
@@ -8,6 +8,7 @@
 
 from laburnumswitch.exceptions import RowMalformed
 from laburnumswitch.process.dispatch.worker_protocol import WorkerListing
+from laburnumswitch.units import MS_PER_S
 
 WORKERS_TABLE = "servers"
 WORKER_STATES = ("ready", "draining")
@@ -19,7 +20,7 @@
     accelerators: int = 0
 
 
-class _Worker(Struct, rename={"cold_ms": "coldRemainingMs"}):
+class _Worker(Struct, rename={"cold_ms": "coldRemainingMs", "remaining_ms": "remainingMs"}):
     service: str
     address: str
     zone: str
@@ -29,6 +30,8 @@
     # Unix time of the start in milliseconds, which distinguishes incarnations.
     born: int = 0
     cold_ms: float = 0.0
+    # Minimum time until a draining worker leaves.
+    remaining_ms: float | None = None
     machine: str = ""
 
 
@@ -54,4 +57,5 @@
         rack=fields.labels[-1] if fields.labels else "",
         incarnation=fields.born,
         is_cold=fields.cold_ms > 0,
+        remaining_s=None if fields.remaining_ms is None else fields.remaining_ms / MS_PER_S,
     )
--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -539,8 +539,9 @@
     def queue_fleet_row(self, worker_id: str) -> int:
         """Queue the row that stores a worker and return the number of its batch."""
         part = fleet_part(worker_id)
+        # Entries of the version before ``remaining_s`` refuse listings with more fields.
         listings = [
-            worker.listing
+            worker.listing[: WorkerListing._fields.index("remaining_s")]
             for worker in self.workers_by_id.values()
             if fleet_part(worker.worker_id) == part
         ]
--- a/laburnumswitch/process/dispatch/worker_protocol.py
+++ b/laburnumswitch/process/dispatch/worker_protocol.py
@@ -17,6 +17,8 @@
 
     :ivar incarnation: identifies one start of the worker's process, 0 if unknown.
     :ivar is_cold: whether the worker has started recently and runs tasks more slowly.
+    :ivar remaining_s: minimum time until a draining worker leaves, in seconds; ``None`` if unknown.
+        It is not stored, see ``Dispatcher.queue_fleet_row``.
     """
 
     worker_id: str
@@ -31,6 +33,7 @@
     rack: str
     incarnation: int
     is_cold: bool = False
+    remaining_s: float | None = None
 
 
 class RunOutcome(StrEnum):
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -6,6 +6,7 @@
 from testtools import TestCase
 from testtools.matchers import Contains
 from testtools.matchers import Equals
+from testtools.matchers import Is
 from testtools.matchers import IsInstance
 
 from laburnumswitch.exceptions import CallerRefused
@@ -124,6 +125,11 @@
         self.assertThat((worker.worker_id, worker.rack), Equals(("i-1", "r1-3")))
         self.assertThat((worker.is_draining, worker.incarnation), Equals((True, 5)))
 
+    def test_remaining_time_of_a_draining_worker_is_decoded(self):
+        self.assertThat(decode_worker("servers/i-1", WORKER).remaining_s, Is(None))
+        worker = decode_worker("servers/i-1", {**WORKER, "remainingMs": 1500})
+        self.assertThat(worker.remaining_s, Equals(1.5))
+
     def test_malformed_worker_row_is_refused(self):
         for changes in ({"state": "x"}, {"address": 3}, {"capacity": None}):
             found = decode_worker("servers/i-1", {**WORKER, **changes})
--- a/tests/process/dispatch/test_dispatcher.py
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -576,3 +576,14 @@
         long_running = Step(1, cpu_millis=1000, memory_mb=100, long_running=True)
         harness.submit(make_submission("j1", long_running), owner)
         wait_until(lambda: harness.checker.start_count == 1, limit_s=6.0)
+
+
+class TestStoredWorkers(TestCase):
+    def test_listing_is_stored_with_the_fields_that_earlier_versions_know(self):
+        """Entries of an earlier version refuse a listing with more fields."""
+        harness = DispatchHarness(workers=1, is_draining=True, remaining_s=3.0)
+        owner = harness.start_owner()
+        self.addCleanup(owner.stop)
+        wait_until(lambda: harness.table.load("fleet").rows)
+        (row,) = harness.table.load("fleet").rows
+        self.assertThat([len(listing) for listing in row.value], Equals([12]))
