Evacuate workers that announce that they leave

Callers saw long-running tasks away for more than six seconds whenever a worker was replaced as planned (reported: on a worker that said at 5.0 s that it leaves, gone at 9.0 s, running again at 21.4 s), and batch work redone from the last checkpoint after the same wait. The owner only stopped placing tasks on a draining worker; what ran there went with it, and counts as running until its lease has certainly lapsed.

The reported end lets the task start elsewhere at once. Gangs, limits of tasks per worker, labels, evacuated zones, a new owner, and a drain that is taken back are covered by tests. The loop (evacuator) runs only while a worker drains.

The emulated worker now ends the other members of a gang when one ends, as the platform does.

Ruled out: counting the runs as ended once the list drops the worker and its port refuses connections, since both also happen to a worker that is alive behind an outage.

Seen to fail before: test_long_running_tasks_run_elsewhere_before_their_worker_leaves and test_successor_evacuates_a_worker_that_drains_already (nothing started within 30 s), and the other tests of test_evacuator for want of the field or the loop.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -128,6 +128,7 @@
     :ivar ended_s_by_id: when this was first noted of each of these jobs, on the monotonic clock.
     :ivar ready_step_by_key: ready steps by job id, occurrence and index of the step.
     :ivar wake: set when the planner has to run.
+    :ivar is_evacuating: whether ``evacuator`` handles draining workers at present.
     :ivar is_loaded: set once all stored jobs are loaded.
     :ivar settled: whether all runs of earlier owners are known or have certainly lapsed.
     :ivar unknown_runs_until_s: when the last lease ends that earlier owners may have granted.
@@ -165,6 +166,7 @@
         self.counters = Counters()
         self.wake = Event()
         self.stopped = Event()
+        self.is_evacuating = False
         self.is_loaded = Event()
         self.settled = True
         self.unknown_runs_until_s = 0.0
@@ -506,13 +508,21 @@
         if self.quarantine.record_failure(worker.worker_id, job.job_id, self.context.clock()):
             self.context.log.note("worker_rests", worker.worker_id, reason="every run fails")
 
-    def stop_run(self, worker: Worker, run: ActiveRun, reason: str) -> None:
-        """Stop a run; its resources stay reserved until the worker reports its end."""
+    def stop_run(self, worker: Worker, run: ActiveRun, reason: str, **inputs: float | None) -> None:
+        """Stop a run; its resources stay reserved until the worker reports its end.
+
+        :param inputs: values that led to the decision, for the log.
+        """
         now_s = self.context.clock()
         run.is_stopping = True
         run.stop_sent_s = now_s
         self.context.log.note(
-            "run_stop", task_name(run.task), run=run.number, worker=worker.worker_id, reason=reason
+            "run_stop",
+            task_name(run.task),
+            run=run.number,
+            worker=worker.worker_id,
+            reason=reason,
+            **inputs,
         )
         self.spawn(worker.link.stop, run.task, run.number, worker.fence, COMMAND_TIMEOUT_S)
 
@@ -525,6 +535,7 @@
         """
         fence = max(self.epoch * FENCES_PER_EPOCH, earlier_fence + 1)
         worker = Worker(listing, self.context.make_link(listing), fence)
+        worker.note_listing(listing, self.context.clock(), self.context.deployment.bounds.drain_s)
         self.workers_by_id[listing.worker_id] = worker
         worker.listed_in_batch = self.queue_fleet_row(listing.worker_id)
         self.context.log.note(
--- a/laburnumswitch/process/dispatch/feeds.py
+++ b/laburnumswitch/process/dispatch/feeds.py
@@ -4,6 +4,7 @@
 
 from laburnumswitch.exceptions import RowMalformed
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
+from laburnumswitch.process.dispatch.evacuator import start_evacuation
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.progress import CANCELLATIONS_TABLE
 from laburnumswitch.process.dispatch.progress import decode_stored_submission
@@ -57,15 +58,21 @@
         dispatcher.context.log.note("worker_malformed", worker_id, reason=listing.reason)
         return
     if worker is None:
-        dispatcher.spawn(run_worker, dispatcher, dispatcher.add_worker(listing))
+        worker = dispatcher.add_worker(listing)
+        dispatcher.spawn(run_worker, dispatcher, worker)
     elif _is_other_incarnation(worker, listing, dispatcher.context.clock()):
         dispatcher.drop_worker(worker, "listed as another incarnation")
-        dispatcher.spawn(run_worker, dispatcher, dispatcher.add_worker(listing, worker.fence))
+        worker = dispatcher.add_worker(listing, worker.fence)
+        dispatcher.spawn(run_worker, dispatcher, worker)
     else:
         if listing.is_draining and not worker.listing.is_draining:
-            dispatcher.context.log.note("worker_draining", worker_id)
-        worker.listing = listing
-        worker.unlisted_since_s = None
+            dispatcher.context.log.note(
+                "worker_draining", worker_id, remaining_s=listing.remaining_s
+            )
+        drain_s = dispatcher.context.deployment.bounds.drain_s
+        worker.note_listing(listing, dispatcher.context.clock(), drain_s)
+    if worker.leaves_s is not None:
+        start_evacuation(dispatcher)
 
 
 def _is_other_incarnation(worker: Worker, listing: WorkerListing, now_s: float) -> bool:
--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -53,6 +53,9 @@
     :ivar is_stopping: whether a stop was sent; its resources are freed once the worker reports that
         it has ended.
     :ivar progress_percent: part of the work that is done.
+    :ivar reported_s: when the worker last reported it; at first, when it was started.
+    :ivar first_reported_s: when the worker first reported it, then with ``first_progress_percent``
+        of its work done; ``None`` before that.
     :ivar measurement: tail latency or processor use, see ``RunReport``.
     :ivar speed_percent: limit of the speed, 100 when the run is not throttled.
     :ivar last_under_target_s: when its tail latency was last known to be below its target.
@@ -70,6 +73,9 @@
         "is_stopping",
         "started_s",
         "progress_percent",
+        "reported_s",
+        "first_reported_s",
+        "first_progress_percent",
         "measurement",
         "speed_percent",
         "last_under_target_s",
@@ -87,6 +93,9 @@
         self.is_stopping = False
         self.started_s = now_s
         self.progress_percent = 0.0
+        self.reported_s = now_s
+        self.first_reported_s: float | None = None
+        self.first_progress_percent = 0.0
         self.measurement = 0.0
         self.speed_percent = 100
         self.last_under_target_s = now_s
@@ -96,7 +105,11 @@
         """Update the run from a worker's report."""
         if self.confirmed_s is None:
             self.confirmed_s = now_s
+        if self.first_reported_s is None:
+            self.first_reported_s = now_s
+            self.first_progress_percent = report.progress_percent
         self.is_uncertain = False
+        self.reported_s = now_s
         self.progress_percent = report.progress_percent
         self.measurement = report.measurement
 
@@ -115,6 +128,7 @@
     :ivar incarnation: as the worker last reported it, 0 if unknown.
     :ivar is_voiding_starts: whether the fencing token is being raised because starts were not
         answered.
+    :ivar leaves_s: earliest time at which it may leave; ``None`` unless it drains.
     :ivar unlisted_since_s: since when the platform has not listed the worker.
     :ivar acknowledged_end: number up to which ended runs may be acknowledged to the worker.
     :ivar last_end_number: highest number of an ended run that was applied.
@@ -133,6 +147,7 @@
         self.incarnation = 0
         self.is_dropped = False
         self.is_voiding_starts = False
+        self.leaves_s: float | None = None
         self.unlisted_since_s: float | None = None
         # Number of the batch that stores the worker; nothing is started before it is committed.
         self.listed_in_batch = 0
@@ -170,6 +185,22 @@
         """
         return self.unlisted_since_s is None or now_s - self.unlisted_since_s < RELIST_GRACE_S
 
+    def note_listing(self, listing: WorkerListing, now_s: float, drain_s: float) -> None:
+        """Record what the platform lists now.
+
+        :param drain_s: minimum time for which a worker drains if its listing does not say how much
+            is left.
+        """
+        self.listing = listing
+        self.unlisted_since_s = None
+        if not listing.is_draining:
+            self.leaves_s = None
+            return
+        remaining_s = drain_s if listing.remaining_s is None else listing.remaining_s
+        leaves_s = now_s + remaining_s
+        # A listing that arrives late would give a time that is too late.
+        self.leaves_s = leaves_s if self.leaves_s is None else min(leaves_s, self.leaves_s)
+
     def add_run(self, run: ActiveRun) -> None:
         """Add a run and reserve its resources."""
         self.runs_by_task[run.task] = run
--- a/standin/fleet/invariant_checker.py
+++ b/standin/fleet/invariant_checker.py
@@ -27,6 +27,8 @@
         self.acknowledged_tasks: set[TaskKey] = set()
         # Called before a start is checked, to bring the workers' runs up to date.
         self.refresh_callbacks: list[Callable[[], None]] = []
+        # Called when a member of a gang has ended without being done.
+        self.gang_callbacks: list[Callable[[TaskKey], None]] = []
         self._worker_by_task: dict[TaskKey, str] = {}
 
     def record_submission(self, submission: Submission) -> None:
@@ -60,6 +62,11 @@
         if is_done:
             self.done.add(task)
 
+    def break_gang(self, task: TaskKey) -> None:
+        """End the other members of a gang of which one has ended."""
+        for end_members in self.gang_callbacks:
+            end_members(task)
+
     def record_acknowledged(self, task: TaskKey) -> None:
         """Record that a completion was acknowledged before the worker's lease lapsed."""
         self.acknowledged_tasks.add(task)
--- a/standin/fleet/worker.py
+++ b/standin/fleet/worker.py
@@ -82,6 +82,7 @@
         self._lapse_times_s: list[float] = []
         self._changed = Event()
         checker.refresh_callbacks.append(self._advance)
+        checker.gang_callbacks.append(self._end_gang_members)
 
     def restart(self) -> None:
         """Restart under the same id and lose every run."""
@@ -233,6 +234,13 @@
         self._next_end += 1
         self.checker.record_end(run.task, outcome is RunOutcome.DONE)
         self._changed.set()
+        if run.step.gang and outcome not in (RunOutcome.DONE, RunOutcome.BROKEN):
+            self.checker.break_gang(run.task)
+
+    def _end_gang_members(self, task: TaskKey) -> None:
+        for run in list(self._runs_by_task.values()):
+            if run.task[:3] == task[:3]:
+                self._end(run, RunOutcome.BROKEN)
 
     def _remove_acknowledged_ends(self, acknowledged: int) -> None:
         for end, ended_s in self._ended:
