Stop tasks without room elsewhere just before their worker leaves

They are now stopped when the listed time is about to run out: it costs them under a second of work and lets them start as soon as there is room. Where the worker does not list its time, they stay, since it may linger for many seconds.

Tried and dropped: long-running tasks move as late as possible, so that they use capacity which is closed to others. Late is not better, and leaves less time where the owner changes.

test_tasks_without_room_elsewhere_are_stopped_at_the_last_moment failed before. test_task_without_room_elsewhere_moves_once_there_is_room listed a remaining time of 0, which now is the last moment; it lists none instead and checks the same.

The limit of tasks of a step that move at once now counts each draining worker by itself, with the tasks that are away in common, so that a later one to leave does not hasten the first.

--- a/laburnumswitch/process/dispatch/draining.py
+++ b/laburnumswitch/process/dispatch/draining.py
@@ -138,14 +138,21 @@
     groups: dict[object, list[Candidate]] = {}
     for candidate in candidates:
         run = candidate.run
-        is_group = run.step.long_running or run.step.gang
-        groups.setdefault(run.task[:3] if is_group else run.task, []).append(candidate)
+        key: object = run.task
+        if run.step.gang:
+            key = run.task[:3]
+        elif run.step.long_running:
+            key = (run.task[:3], candidate.worker.worker_id)
+        groups.setdefault(key, []).append(candidate)
     stops: list[Stop] = []
     for group in sorted(groups.values(), key=_group_order):
-        if group[0].run.step.gang:
+        run = group[0].run
+        if run.step.gang:
             stops += _stops_of_gang(group, room, bounds, now_s)
-        elif group[0].run.step.long_running:
-            stops += _stops_of_long_running(group, room, bounds, now_s)
+        elif run.step.long_running:
+            stopped_count = sum(1 for stop in stops if stop.run.task[:3] == run.task[:3])
+            away_count = group[0].unavailable_count + stopped_count
+            stops += _stops_of_long_running(group, away_count, room, bounds, now_s)
         else:
             stops += _stops_of_run(group[0], room, bounds, now_s)
     return stops
@@ -179,21 +186,30 @@
 
 
 def _stops_of_long_running(
-    group: list[Candidate], room: Room, bounds: Bounds, now_s: float
+    group: list[Candidate], away_count: int, room: Room, bounds: Bounds, now_s: float
 ) -> list[Stop]:
-    """Return a few of the tasks of one step, so that all have moved before their workers leave."""
-    group = sorted(group, key=lambda candidate: candidate.worker.leaves_s)
-    step = group[0].run.step
-    spare_s = _latest_stop_s(group[0].worker, bounds) - now_s
+    """Return the tasks of one step that move now from one worker.
+
+    They move a few at a time where the time allows that.
+
+    :param away_count: number of tasks of the step that are not at work.
+    """
+    first = group[0]
+    step = first.run.step
+    spare_s = _latest_stop_s(first.worker, bounds) - now_s
+    at_once = max(1, step.max_unavailable)
+    # Without a place elsewhere, a reported end still lets a task start as soon as there is one.
+    is_last_moment = spare_s <= 0.0 and first.worker.listing.remaining_s is not None
     limit = len(group)
     if spare_s >= MOVE_S:
-        at_once = ceil(len(group) / int(spare_s / MOVE_S))
-        limit = max(1, step.max_unavailable, at_once) - group[0].unavailable_count
+        needed = ceil(len(group) / int(spare_s / MOVE_S))
+        limit = max(at_once, needed) - away_count
     stops: list[Stop] = []
     for candidate in group:
-        if len(stops) >= limit or not candidate.may_restart:
+        if len(stops) >= limit:
             break
-        if not room.take(step, candidate.run.task):
+        has_room = candidate.may_restart and room.take(step, candidate.run.task)
+        if not (has_room or is_last_moment):
             break
         stops.append(_stop(candidate, "its worker leaves", now_s))
     return stops
--- a/tests/process/dispatch/test_draining.py
+++ b/tests/process/dispatch/test_draining.py
@@ -97,6 +97,19 @@
         self.assertThat(stopped_runs(candidates, [full]), Equals(self.runs[:2]))
         self.assertThat(stopped_runs(candidates, []), Equals([]))
 
+    def test_tasks_without_room_elsewhere_are_stopped_at_the_last_moment(self):
+        """They would count as running for a lease although room becomes free meanwhile."""
+        self.leaving.listing = make_listing(1, is_draining=True, remaining_s=LAST_MOMENT_S)
+        candidates = candidates_of(self.leaving)
+        last_moment_s = 4.0 - LAST_MOMENT_S
+        self.assertThat(stopped_runs(candidates, [], last_moment_s - 0.1), Equals([]))
+        self.assertThat(stopped_runs(candidates, [], last_moment_s), Equals(self.runs))
+
+    def test_tasks_without_room_keep_running_while_the_last_moment_is_unknown(self):
+        self.leaving.listing = make_listing(1, is_draining=True)
+        candidates = candidates_of(self.leaving)
+        self.assertThat(stopped_runs(candidates, [], 4.0), Equals([]))
+
     def test_limit_of_tasks_per_worker_counts_as_room(self):
         step = SERVING._replace(max_per_worker=2)
         for run in self.runs:
--- a/tests/process/dispatch/test_evacuator.py
+++ b/tests/process/dispatch/test_evacuator.py
@@ -78,7 +78,7 @@
         self.harness.operations.set_evacuated_zones(frozenset({"b"}))
         known = self.owner.workers_by_id
         wait_until(lambda: known[other.listing.worker_id].listing.availability_zone == "b")
-        self._list(leaving, is_draining=True, remaining_s=0.0)
+        self._list(leaving, is_draining=True)
         wait_until(lambda: known[leaving.listing.worker_id].leaves_s is not None)
         wait_until(lambda: self.owner.is_evacuating)
         self.assertThat(self._worker_of(TASK), Equals(leaving))
