Failing test: a run throttled by the predecessor is never at full speed again

Callers see a best-effort job that never completes after a change of the owner. Workers do not report a run's limit, and an adopted run counts as unlimited, so a successor that wants full speed sends nothing. Seen failing; found by reading.

--- a/tests/process/dispatch/test_dispatcher.py
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -301,6 +301,21 @@
         self.assertThat(third.has_lapsed(worker), Equals(False))
         self.assertThat(third.jobs_by_id["j1"].is_running(), Equals(True))
 
+    def test_run_throttled_by_the_predecessor_is_at_full_speed_again(self):
+        """A worker does not report the limit, so a successor cannot take it to be unlimited."""
+        step = LONG._replace(estimate_ms=2_000, best_effort=True, image="batch")
+        self.harness.submit(make_submission("j1", step), self.first)
+        wait_until(lambda: self.harness.checker.start_count == 1)
+        holder = next(each for each in self.harness.worker_by_id.values() if each.running())
+        worker = self.first.workers_by_id[holder.listing.worker_id]
+        (run,) = worker.runs_by_task.values()
+        holder.throttle(run.task, run.number, 0, worker.fence, 1.0)
+        self.first.release()
+        second = self.harness.start_owner("vm-2")
+        self.addCleanup(second.stop)
+        wait_until(lambda: second.reported_state("j1") is JobState.COMPLETED, limit_s=8.0)
+        self.assertThat(self.harness.checker.start_count, Equals(1))
+
     def test_log_tells_for_whom_a_successor_waits(self):
         self._run_long_job()
         holder = next(each for each in self.harness.worker_by_id.values() if each.running())
