Send the speed limit of an adopted run even if it is full speed

Callers saw best-effort jobs that never complete after a change of the owner. Cause: the limit of an adopted run is unknown, but counted as 100%, so a successor that wants full speed sent nothing, and a run that its predecessor had brought to a standstill stayed there. A limit whose answer was lost was counted as not set in the same way. Both are marked as unknown now, and the next sample sends the limit whatever it is. It costs one call for each adopted best-effort run.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -407,6 +407,7 @@
             report.task, report.run, job.step_state(report.task).step, worker.fence, now_s
         )
         run.update(report, now_s)
+        run.is_speed_known = False
         worker.add_run(run)
         task.checkpoint = report.checkpoint or task.checkpoint
         self.refresh_ready_steps(job)
--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -273,7 +273,8 @@
             run.throttled_since_s = None
         elif run.throttled_since_s is None:
             run.throttled_since_s = now_s
-        if percent != run.speed_percent and run.confirmed_s is not None:
+        is_set = run.is_speed_known and percent == run.speed_percent
+        if not is_set and run.confirmed_s is not None:
             dispatcher.spawn(_throttle, dispatcher, worker, run, percent)
 
 
@@ -284,18 +285,20 @@
     reserved share.
     """
     reserved = run.step.cpu_millis / capacity
-    if run.speed_percent < 50 or run.measurement <= 0:
+    if not run.is_speed_known or run.speed_percent < 50 or run.measurement <= 0:
         return reserved
     return min(reserved, run.measurement / capacity * 100.0 / run.speed_percent)
 
 
 def _throttle(dispatcher: Dispatcher, worker: Worker, run: ActiveRun, percent: int) -> None:
     before, run.speed_percent = run.speed_percent, percent
+    run.is_speed_known = True
     dispatcher.counters.throttles += 1
     outcome = worker.link.throttle(run.task, run.number, percent, worker.fence, COMMAND_TIMEOUT_S)
     if isinstance(outcome, Failure):
-        # The next sample sends it again.
+        # It may have taken effect nevertheless; the next sample sends it again.
         run.speed_percent = before
+        run.is_speed_known = False
     dispatcher.context.log.note(
         "throttle",
         task_name(run.task),
