Failing test: a task whose end waited for its job starts again after a handover

An owner that has read the end of a run of a job that it does not know yet neither applies nor acknowledges it. If it leaves then, the handover says that it knows everything of the worker. The successor knows the job, settles at once and starts the task, before it has read that end. It takes an earlier owner that still starts jobs (silent, or cut off), and so is rare.

--- a/tests/process/dispatch/test_dispatcher.py
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -26,6 +26,7 @@
 from laburnumswitch.process.dispatch.worker_protocol import EndReport
 from laburnumswitch.process.dispatch.worker_protocol import RunOutcome
 from laburnumswitch.process.dispatch.worker_protocol import RunReport
+from laburnumswitch.process.dispatch.worker_protocol import StartCommand
 from laburnumswitch.process.dispatch.worker_session import void_unanswered_starts
 from laburnumswitch.process.leadership.term import PredecessorState
 from laburnumswitch.process.leadership.term import read_term
@@ -316,6 +317,27 @@
         wait_until(lambda: second.reported_state("j1") is JobState.COMPLETED, limit_s=8.0)
         self.assertThat(self.harness.checker.start_count, Equals(1))
 
+    def test_task_whose_end_the_predecessor_could_not_apply_does_not_start_again(self):
+        """The predecessor read the end before the submission, from a worker that is silent now."""
+        wait_until(lambda: len(usable_workers(self.first, "shop")) == 2)
+        submission = make_submission("j1", SHORT._replace(count=1))
+        self.harness.checker.record_submission(submission)
+        holder = self.harness.worker_by_id["w1"]
+        fence = self.first.workers_by_id["w1"].fence
+        holder.start(StartCommand(TaskKey("j1", 0, 0, 0), 1, "spec", 1e6, fence, ""), 1.0)
+        wait_until(lambda: "j1" in self.first.orphan_ends_by_job_id)
+        holder.drops_calls = True
+        self.first.release()
+        self.harness.submit(submission)
+        second = self.harness.start_owner("vm-2")
+        self.addCleanup(second.stop)
+        wait_until(lambda: usable_workers(second, "shop"))
+        self.assertThat(second.settled, Equals(False))
+        holder.drops_calls = False
+        wait_until(lambda: second.reported_state("j1") is JobState.COMPLETED)
+        self.assertThat(self.harness.checker.start_count, Equals(1))
+        self.assertThat(self.harness.checker.violations, Equals([]))
+
     def test_log_tells_for_whom_a_successor_waits(self):
         self._run_long_job()
         holder = next(each for each in self.harness.worker_by_id.values() if each.running())
