Hand over that a worker listed ends whose jobs were not known yet

Cause: the handover covers runs, but not ends that were read and neither applied nor acknowledged. The worker of such an end now counts as one with unknown runs, so the successor starts no task of an older job before that worker has answered or its leases have lapsed, as without a handover. The test of the commit before failed (two starts of one task) and passes.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -215,6 +215,16 @@
             )
             for worker in self.workers_by_id.values()
         ]
+        # The successor may know the jobs of these ends and must read them before it starts any task.
+        unapplied = {
+            end.worker.worker_id for ends in self.orphan_ends_by_job_id.values() for end in ends
+        }
+        workers = [
+            worker._replace(
+                has_unknown_runs=worker.has_unknown_runs or worker.worker_id in unapplied
+            )
+            for worker in workers
+        ]
         rows = split_handover(self.epoch, workers)
         self.context.log.note(
             "handover",
