Failing test: a successor starts tasks on workers that are draining

The stored list of workers is written when a worker is added or dropped, so its rows still say that a worker is not draining, or is listed, long after that has changed. A successor uses them until its first read of the platform's list. Since the handover it may settle before that read, so tasks of all jobs may start meanwhile. Seen failing; found by reading.

--- a/tests/process/dispatch/test_dispatcher.py
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -5,6 +5,7 @@
 from time import monotonic
 
 from gevent import sleep
+from gevent.event import Event
 from testtools import TestCase
 from testtools.matchers import Contains
 from testtools.matchers import Equals
@@ -338,6 +339,30 @@
         self.assertThat(self.harness.checker.start_count, Equals(1))
         self.assertThat(self.harness.checker.violations, Equals([]))
 
+    def test_successor_starts_nothing_before_it_has_read_which_workers_are_draining(self):
+        """The stored list of workers does not say which of them have announced their departure."""
+        wait_until(lambda: len(usable_workers(self.first, "shop")) == 2)
+        self.first.release()
+        for worker in self.harness.worker_by_id.values():
+            self.harness.list_worker(worker.listing._replace(is_draining=True))
+        load = self.harness.table.load
+
+        def load_slowly(table):
+            while table == "servers" and not is_readable.is_set():
+                is_readable.wait()
+            return load(table)
+
+        is_readable = Event()
+        self.harness.table.load = load_slowly
+        second = self.harness.start_owner("vm-2")
+        self.addCleanup(second.stop)
+        wait_until(lambda: second.settled and second.recorder.committed > 1)
+        wait_until(lambda: all(each.is_reached for each in second.workers_by_id.values()))
+        self.assertThat(usable_workers(second, "shop"), Equals([]))
+        is_readable.set()
+        wait_until(lambda: all(w.listing.is_draining for w in second.workers_by_id.values()))
+        self.assertThat(usable_workers(second, "shop"), Equals([]))
+
     def test_log_tells_for_whom_a_successor_waits(self):
         self._run_long_job()
         holder = next(each for each in self.harness.worker_by_id.values() if each.running())
