Failing test: an entry that stops while it takes over dies as the owner

Leadership.release finds no dispatcher while the commit of the term is under way, and nobody releases the term afterwards. The entry owns it until its process ends, some three seconds later; its successor finds a dead owner and counts unreachable workers as running for its ownership and a lease (14.1 s), without a handover. Seen failing; found by reading. It takes a SIGTERM within a commit and at most one call to the earlier owner (0.5 s), so rolling restarts on a slow store meet it most.

--- a/tests/process/leadership/test_leadership.py
+++ b/tests/process/leadership/test_leadership.py
@@ -159,6 +159,23 @@
         self.assertThat(follower.dispatcher.predecessor, Equals(PredecessorState.ENDED))
         self.assertThat(read_term(self.table).term.epoch, Equals(2))
 
+    def test_entry_that_stops_while_it_takes_over_leaves_gracefully(self):
+        """Its successor would otherwise find a dead owner, and wait for that one's lease as well."""
+        commit = self.table.commit
+
+        def commit_and_stop(transaction):
+            outcome = commit(transaction)
+            if not self.is_stopped:
+                self.is_stopped = True
+                entry.release()
+            return outcome
+
+        self.table.commit = commit_and_stop
+        entry = self._add_entry("vm-1", 2.0)
+        wait_until(lambda: read_term(self.table).term.epoch == 1)
+        wait_until(lambda: read_term(self.table).term.owner == "", limit_s=3.0)
+        self.assertThat(entry.dispatcher, Is(None))
+
     def test_dead_owner_is_replaced(self):
         owner, follower = self._owner_and_follower()
         self.owner_client.refusing.add("vm-1")
