Release a term that was taken while the process was told to stop

Cause: the release came before the commit of the term had been answered. An entry that finds itself told to stop once it has the term releases it now, with a handover where it has loaded the stored state.

--- a/laburnumswitch/process/leadership/leadership.py
+++ b/laburnumswitch/process/leadership/leadership.py
@@ -349,6 +349,9 @@
         self.dispatcher.recorder.unconfirmed = unconfirmed
         for address in unconfirmed:
             self.dispatcher.spawn(self._confirm_end, self.dispatcher, address)
+        if context.is_stopped():
+            # The process was told to stop before it had the term, and found nothing to release.
+            self.release()
 
     def _confirm_end(self, dispatcher: Dispatcher, address: str) -> None:
         """Repeat ``supersede`` until the earlier owner confirms it or its commands have lapsed.
