Failing tests: a run whose end a worker has not listed yet starts again

A worker lists 500 ends at a time; the rest follow once these are acknowledged, which takes a commit. Where more have gathered (while the store is away, or between two owners), a run may be neither among the runs nor among the ends listed. The owner takes it as vanished and starts its task again, and a new owner counts such a worker as known. The ends are read afterwards and acknowledged: TWICE, and BUDGET if they are failures.

The emulated worker lists at most 500 ends, too, and the report has a field for it that nothing reads yet.

--- a/laburnumswitch/process/dispatch/worker_protocol.py
+++ b/laburnumswitch/process/dispatch/worker_protocol.py
@@ -80,13 +80,15 @@
     """Answer of a worker to a lease renewal.
 
     :ivar clock_s: the worker's monotonic clock.
-    :ivar ended: reports of ended runs that are not acknowledged yet.
+    :ivar ended: reports of ended runs that are not acknowledged yet, the earliest first.
+    :ivar may_have_more_ends: whether later ones may be left out.
     """
 
     clock_s: float
     incarnation: int
     running: tuple[RunReport, ...]
     ended: tuple[EndReport, ...]
+    may_have_more_ends: bool = False
 
 
 class Renewal(NamedTuple):
--- a/standin/fleet/worker.py
+++ b/standin/fleet/worker.py
@@ -22,6 +22,7 @@
 
 MAX_LEASE_S = 6.0
 STARTUP_S = 0.05
+MAX_LISTED_ENDS = 500
 
 
 class _Run:
@@ -54,7 +55,8 @@
     """One worker and its fault switches.
 
     With ``drops_answers`` it carries out renewals and starts but loses the answers, with
-    ``drops_calls`` it ignores all calls, and with ``fails_runs`` the runs that it starts fail.
+    ``drops_calls`` it ignores all calls, and with ``fails_runs`` the runs that it starts fail. An
+    answer lists up to ``max_listed_ends`` ends, the earliest first.
     """
 
     def __init__(
@@ -69,6 +71,7 @@
         self.drops_answers = False
         self.drops_calls = False
         self.fails_runs = False
+        self.max_listed_ends = MAX_LISTED_ENDS
         self.fence = 0
         self.incarnation = listing.incarnation
         self._clock = clock
@@ -127,7 +130,8 @@
             self._now_s(),
             self.incarnation,
             tuple(self._run_report(run) for run in self._runs_by_task.values()),
-            tuple(end for end, _ in self._ended),
+            tuple(end for end, _ in self._ended[: self.max_listed_ends]),
+            len(self._ended) > self.max_listed_ends,
         )
 
     def start(self, order: StartCommand, timeout_s: float) -> Acknowledged | Failure:
--- a/tests/process/dispatch/test_dispatcher.py
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -136,6 +136,16 @@
         self._wait_state("j1", JobState.COMPLETED)
         self.assertThat(self.harness.checker.violations, Equals([]))
 
+    def test_run_whose_end_is_not_listed_yet_does_not_start_again(self):
+        """A worker that has many ends to report lists the rest once the first are acknowledged."""
+        for worker in self.harness.worker_by_id.values():
+            worker.max_listed_ends = 1
+        wait_until(lambda: len(usable_workers(self.owner, "shop")) == 2)
+        self.harness.submit(make_submission("j1", SHORT._replace(count=8)), self.owner)
+        self._wait_state("j1", JobState.COMPLETED)
+        self.assertThat(self.harness.checker.start_count, Equals(8))
+        self.assertThat(self.harness.checker.violations, Equals([]))
+
     def test_gang_starts_together_with_one_run_number(self):
         gang = SHORT._replace(count=4, gang=True)
         self.harness.submit(make_submission("j1", gang), self.owner)
@@ -363,6 +373,21 @@
         wait_until(lambda: all(w.listing.is_draining for w in second.workers_by_id.values()))
         self.assertThat(usable_workers(second, "shop"), Equals([]))
 
+    def test_successor_settles_only_once_it_has_read_all_ends(self):
+        """A run that has ended may be neither among the runs nor among the first ends listed."""
+        step = SHORT._replace(count=60, cpu_millis=100)
+        self.harness.submit(make_submission("j1", step), self.first)
+        wait_until(lambda: self.harness.checker.start_count == step.count)
+        self.first.stop()
+        for worker in self.harness.worker_by_id.values():
+            worker.max_listed_ends = 1
+        wait_until(lambda: not any(each.running() for each in self.harness.worker_by_id.values()))
+        second = self.harness.start_owner("vm-2")
+        self.addCleanup(second.stop)
+        wait_until(lambda: second.reported_state("j1") is JobState.COMPLETED)
+        self.assertThat(self.harness.checker.start_count, Equals(step.count))
+        self.assertThat(self.harness.checker.violations, Equals([]))
+
     def test_log_tells_for_whom_a_successor_waits(self):
         self._run_long_job()
         holder = next(each for each in self.harness.worker_by_id.values() if each.running())
