Take no run as vanished while a worker may have more ends to list

Cause: a report with a full list of ends was read as if it were complete. The adapter now says where later ends may be left out. Until a report is complete, runs that it does not name are kept, and a new owner counts the worker as one with unknown runs. Voiding unanswered starts pauses between such reports.

--- a/laburnumswitch/platform/workers.py
+++ b/laburnumswitch/platform/workers.py
@@ -31,6 +31,8 @@
 
 # Idle connections kept per worker. A worker accepts 64 connections from all entries together.
 POOL_SIZE = 12
+# Number of ended runs that a worker lists at a time.
+MAX_LISTED_ENDS = 500
 STATUS_OK = 200
 STATUS_CONFLICT = 409
 STATUS_OTHER_INCARNATION = 421
@@ -71,7 +73,10 @@
             ended = tuple(_decode_end(row) for row in answer.ended)
         except (ValueError, TypeError, IndexError) as error:
             return AnswerMalformed(self._client.address, str(error))
-        return WorkerReport(answer.clock_ms / MS_PER_S, answer.born, running, ended)
+        may_have_more_ends = len(ended) >= MAX_LISTED_ENDS
+        return WorkerReport(
+            answer.clock_ms / MS_PER_S, answer.born, running, ended, may_have_more_ends
+        )
 
     def start(self, command: StartCommand, timeout_s: float) -> Acknowledged | Failure:
         """Start a run."""
--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -159,7 +159,8 @@
             worker.last_end_number = end.number
             dispatcher.report_end(worker, end)
     _reconcile(dispatcher, worker, report, sent_s, fence)
-    worker.has_unknown_runs = False
+    if not report.may_have_more_ends:
+        worker.has_unknown_runs = False
     if now_s - worker.last_sample_s >= SAMPLE_INTERVAL_S:
         worker.last_sample_s = now_s
         learn_tails(dispatcher.model, worker, now_s)
@@ -189,6 +190,9 @@
             _keep_checkpoint(dispatcher, run_report)
             if run.is_stopping and now_s - run.stop_sent_s > STOP_REPEAT_S:
                 dispatcher.stop_run(worker, run, "repeated: still running after the first stop")
+        elif report.may_have_more_ends:
+            # Its end may be among those that are listed later.
+            continue
         elif run.confirmed_s is not None and run.confirmed_s < sent_s:
             dispatcher.release_run(worker, run, "no longer reported by the worker")
         elif run.confirmed_s is None and run.fence < fence:
@@ -325,7 +329,7 @@
                 return
             worker.fence = max(worker.fence, max(fences) + 1)
             answer = renew(dispatcher, worker, 0.0, COMMAND_TIMEOUT_S)
-            if not isinstance(answer, WorkerReport):
+            if not isinstance(answer, WorkerReport) or answer.may_have_more_ends:
                 dispatcher.context.sleep(RETRY_S)
     finally:
         worker.is_voiding_starts = False
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -12,6 +12,7 @@
 from laburnumswitch.exceptions import StartRefused
 from laburnumswitch.exceptions import WorkerRestarted
 from laburnumswitch.platform.workers import HttpWorkerLink
+from laburnumswitch.platform.workers import MAX_LISTED_ENDS
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.job_spec import Submission
 from laburnumswitch.process.dispatch.job_spec import TaskKey
@@ -55,6 +56,16 @@
         again = self.link.renew(Renewal(7, report.ended[0].number, 4.0, 0.0), 2.0)
         self.assertThat(again.ended, Equals(()))
 
+    def test_full_list_of_ends_may_leave_out_later_ones(self):
+        for run in range(1, MAX_LISTED_ENDS + 2):
+            self.worker.start(COMMAND._replace(run=run, until_s=1e6), 1.0)
+            self.worker.stop(TASK, run, COMMAND.fence, 1.0)
+        report = self.link.renew(Renewal(7, 0, 4.0, 0.0), 2.0)
+        self.assertThat(report.may_have_more_ends, Equals(True))
+        rest = self.link.renew(Renewal(7, report.ended[-1].number, 4.0, 0.0), 2.0)
+        self.assertThat(len(rest.ended), Equals(1))
+        self.assertThat(rest.may_have_more_ends, Equals(False))
+
     def test_lower_fencing_token_is_refused(self):
         self.link.renew(Renewal(9, 0, None, 0.0), 1.0)
         self.assertThat(self.link.start(COMMAND, 1.0), Equals(StartRefused("w1", "fence")))
