Failing test: a job fails by its first failed run while the configuration is unknown

An entry that takes its own term over again right after its start reads the term, the jobs and the workers while the configuration is read beside it. A failed run of a queue that is not known counts with one attempt, so the job fails for good, and the callers see it as failed with attempts left. It takes a read of the configuration that fails or is slower than the others. Seen failing; found by reading.

--- a/tests/process/dispatch/test_dispatcher.py
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -31,6 +31,7 @@
 from laburnumswitch.process.dispatch.worker_session import void_unanswered_starts
 from laburnumswitch.process.leadership.term import PredecessorState
 from laburnumswitch.process.leadership.term import read_term
+from laburnumswitch.process.operating.operations import Operations
 from tests.process.dispatch.harness import BOUNDS
 from tests.process.dispatch.harness import DispatchHarness
 from tests.process.dispatch.harness import make_listing
@@ -388,6 +389,26 @@
         self.assertThat(self.harness.checker.start_count, Equals(step.count))
         self.assertThat(self.harness.checker.violations, Equals([]))
 
+    def test_failed_run_does_not_fail_its_job_before_the_configuration_is_known(self):
+        """An entry that has just started may read the runs before it knows how many may fail."""
+        for worker in self.harness.worker_by_id.values():
+            worker.fails_runs = True
+        self.harness.submit(make_submission("j1", SHORT._replace(count=1)), self.first)
+        wait_until(lambda: self.harness.checker.start_count == 1)
+        self.first.stop()
+        wait_until(lambda: not any(each.running() for each in self.harness.worker_by_id.values()))
+        for worker in self.harness.worker_by_id.values():
+            worker.fails_runs = False
+        known = self.harness.operations
+        self.harness.operations = Operations(self.harness.log)
+        second = self.harness.start_owner("vm-2")
+        self.addCleanup(second.stop)
+        wait_until(lambda: "j1" in second.jobs_by_id)
+        sleep(0.3)
+        self.harness.operations.apply(known.configuration)
+        wait_until(lambda: second.reported_state("j1") is JobState.COMPLETED, limit_s=8.0)
+        self.assertThat(self.harness.checker.start_count, Equals(2))
+
     def test_log_tells_for_whom_a_successor_waits(self):
         self._run_long_job()
         holder = next(each for each in self.harness.worker_by_id.values() if each.running())
