Contact the workers only once the configuration is known

Cause: the ends of runs were applied whether or not this entry knew their queue. A new owner now reads the configuration, like the stored rows, before it contacts the workers. Not covered: a queue that was removed before this entry started, which it never learns of.

--- a/laburnumswitch/process/dispatch/takeover.py
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -84,6 +84,7 @@
     version = _load_jobs(dispatcher)
     load_parameters(dispatcher)
     rows = _load(dispatcher, HANDOVER_TABLE).rows
+    _await_configuration(dispatcher)
     _load_fleet(dispatcher, collect_handover(rows, dispatcher.epoch - 1))
     if dispatcher.is_stopped():
         return
@@ -100,6 +101,13 @@
         _settle(dispatcher)
 
 
+def _await_configuration(dispatcher: Dispatcher) -> None:
+    """Wait until this entry knows the queues, and with them how many runs of a task may fail."""
+    context = dispatcher.context
+    while context.operations.configuration is None and not dispatcher.is_stopped():
+        context.sleep(RETRY_S)
+
+
 def _load_jobs(dispatcher: Dispatcher) -> int:
     """Load all jobs and return the version of the store as of which they were read."""
     submissions = _load(dispatcher, SUBMISSIONS_TABLE)
