Failing test: a run that a successor stops does not count against its worker

A run of a job that was cancelled or has failed is not adopted but stopped, and only adopted runs reserve capacity. Until the stop has taken effect, the owner may start tasks in their place: beyond the capacity of a worker that takes whatever it is told, and refused by the others. The same holds for runs whose job is not known yet. The owner that sent the first stop keeps them reserved; its successor does not. Seen failing; found by reading.

--- a/tests/process/dispatch/test_dispatcher.py
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -24,6 +24,7 @@
 from laburnumswitch.process.dispatch.planner import MAX_PASS_S
 from laburnumswitch.process.dispatch.planner import plan
 from laburnumswitch.process.dispatch.planner import usable_workers
+from laburnumswitch.process.dispatch.worker_protocol import Acknowledged
 from laburnumswitch.process.dispatch.worker_protocol import EndReport
 from laburnumswitch.process.dispatch.worker_protocol import RunOutcome
 from laburnumswitch.process.dispatch.worker_protocol import RunReport
@@ -32,6 +33,8 @@
 from laburnumswitch.process.leadership.term import PredecessorState
 from laburnumswitch.process.leadership.term import read_term
 from laburnumswitch.process.operating.operations import Operations
+from laburnumswitch.process.rows.table import Put
+from laburnumswitch.process.rows.table import Transaction
 from tests.process.dispatch.harness import BOUNDS
 from tests.process.dispatch.harness import DispatchHarness
 from tests.process.dispatch.harness import make_listing
@@ -409,6 +412,30 @@
         wait_until(lambda: second.reported_state("j1") is JobState.COMPLETED, limit_s=8.0)
         self.assertThat(self.harness.checker.start_count, Equals(2))
 
+    def test_run_that_a_successor_does_not_adopt_keeps_its_capacity_until_it_has_ended(self):
+        """Not every worker refuses what does not fit, and a stop takes a while."""
+        self._run_long_job()
+        holder = next(each for each in self.harness.worker_by_id.values() if each.running())
+        self.first.release()
+        put = Put("cancellations/j1", True)
+        self.harness.table.commit(Transaction((), (put,)))
+        stop, stop_requested = holder.stop, Event()
+
+        def stop_later(task, run, fence, timeout_s):
+            stop_requested.set()
+            return Acknowledged(0.0)
+
+        holder.stop = stop_later
+        second = self.harness.start_owner("vm-2")
+        self.addCleanup(second.stop)
+        wait_until(stop_requested.is_set)
+        wait_until(lambda: usable_workers(second, "shop"))
+        sleep(0.1)
+        usable = {each.worker_id for each in usable_workers(second, "shop")}
+        self.assertThat(holder.listing.worker_id in usable, Equals(False))
+        holder.stop = stop
+        wait_until(lambda: len(usable_workers(second, "shop")) == 2)
+
     def test_log_tells_for_whom_a_successor_waits(self):
         self._run_long_job()
         holder = next(each for each in self.harness.worker_by_id.values() if each.running())
