--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -258,6 +258,7 @@
         if worker.listing.service == service
         and worker.is_reached
         and not worker.is_voiding_starts
+        and not worker.has_unreserved_runs
         and worker.is_listed(now_s)
         and dispatcher.recorder.committed >= worker.listed_in_batch
         and not worker.listing.is_draining
--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -199,6 +199,9 @@
             dispatcher.release_run(worker, run, "start voided by a higher fencing token")
     for run_report in report_by_run.values():
         _handle_unknown_run(dispatcher, worker, run_report)
+    worker.has_unreserved_runs = any(
+        run_report.task not in worker.runs_by_task for run_report in report_by_run.values()
+    )
 
 
 def _keep_checkpoint(dispatcher: Dispatcher, report: RunReport) -> None:
