Failing test: the lapse of a silent worker is noticed late

A worker's lease is found to have lapsed only between two calls to it, and these keep their long poll, so each of them takes 1.5 s and a pause.

--- a/tests/process/dispatch/test_dispatcher.py
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -619,6 +619,28 @@
         self.assertThat(number, GreaterThan(1))
 
 
+class TestSilentWorker(TestCase):
+    def test_calls_to_a_silent_worker_do_not_ask_it_to_wait(self):
+        """Its lease is found to have lapsed only between two calls."""
+        harness = DispatchHarness(workers=1)
+        owner = harness.start_owner()
+        self.addCleanup(owner.stop)
+        wait_until(lambda: "w1" in owner.workers_by_id and owner.workers_by_id["w1"].is_reached)
+        holder = harness.worker_by_id["w1"]
+        renew, waits_s = holder.renew, []
+
+        def renew_and_note(renewal, timeout_s):
+            waits_s.append(renewal.wait_s)
+            return renew(renewal, timeout_s)
+
+        holder.drops_calls = True
+        holder.renew = renew_and_note
+        wait_until(lambda: owner.workers_by_id["w1"].is_silent)
+        waits_s.clear()
+        wait_until(lambda: len(waits_s) == 2)
+        self.assertThat(waits_s, Equals([0.0, 0.0]))
+
+
 class TestUnansweredStarts(TestCase):
     """Starts are sent to a worker to which all connections fail for some seconds."""
 
