Call silent workers without a long poll

Cause: a call to a worker that had not lapsed asked it to wait, also after a failed call, so that a lapse was noticed up to 1.75 s late.

--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -48,7 +48,9 @@
     """Renew the lease of one incarnation of a worker until it is dropped or the term ends."""
     context = dispatcher.context
     while not dispatcher.is_stopped() and not worker.is_dropped:
-        answer = renew(dispatcher, worker, RENEWAL_WAIT_S if worker.is_reached else 0.0)
+        # Calls to a silent worker are short, since a lapse of its leases is noticed between them.
+        answers = worker.is_reached and not worker.is_silent
+        answer = renew(dispatcher, worker, RENEWAL_WAIT_S if answers else 0.0)
         if isinstance(answer, WorkerReport):
             if answer.ended:
                 _await_commit(dispatcher, worker)
