--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -138,6 +138,8 @@
     :ivar wake: set when the planner has to run.
     :ivar is_evacuating: whether ``evacuator`` handles draining workers at present.
     :ivar is_loaded: set once all stored jobs are loaded.
+    :ivar has_read_listings: whether the platform's list of workers was read in this term; the stored
+        list does not say which workers are draining.
     :ivar settled: whether all runs of earlier owners are known or have certainly lapsed.
     :ivar unknown_runs_until_s: when the last lease ends that earlier owners may have granted.
     :ivar predecessor_may_start_jobs: whether the earlier owner may still start jobs that are
@@ -177,6 +179,7 @@
         self.stopped = Event()
         self.is_evacuating = False
         self.is_loaded = Event()
+        self.has_read_listings = False
         self.settled = True
         self.unknown_runs_until_s = 0.0
         self.predecessor_may_start_jobs = False
@@ -218,6 +221,16 @@
             )
             for worker in self.workers_by_id.values()
         ]
+        # The successor may know the jobs of these ends and must read them before it starts any task.
+        unapplied = {
+            end.worker.worker_id for ends in self.orphan_ends_by_job_id.values() for end in ends
+        }
+        workers = [
+            worker._replace(
+                has_unknown_runs=worker.has_unknown_runs or worker.worker_id in unapplied
+            )
+            for worker in workers
+        ]
         rows = split_handover(self.epoch, workers)
         self.context.log.note(
             "handover",
@@ -414,6 +427,7 @@
             report.task, report.run, job.step_state(report.task).step, worker.fence, now_s
         )
         run.update(report, now_s)
+        run.is_speed_known = False
         worker.add_run(run)
         task.checkpoint = report.checkpoint or task.checkpoint
         self.refresh_ready_steps(job)
--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -61,6 +61,8 @@
         of its work done; ``None`` before that.
     :ivar measurement: tail latency or processor use, see ``RunReport``.
     :ivar speed_percent: limit of the speed, 100 when the run is not throttled.
+    :ivar is_speed_known: whether ``speed_percent`` is certain; workers do not report the limit that
+        an earlier owner has set.
     :ivar last_under_target_s: when its tail latency was last known to be below its target.
     :ivar throttled_since_s: since when it has been heavily throttled; ``None`` if it is not.
     """
@@ -81,6 +83,7 @@
         "first_progress_percent",
         "measurement",
         "speed_percent",
+        "is_speed_known",
         "last_under_target_s",
         "throttled_since_s",
     )
@@ -101,6 +104,7 @@
         self.first_progress_percent = 0.0
         self.measurement = 0.0
         self.speed_percent = 100
+        self.is_speed_known = True
         self.last_under_target_s = now_s
         self.throttled_since_s: float | None = None
 
@@ -140,6 +144,8 @@
     :ivar granted_until_s: end of the lease on the worker's clock.
     :ivar lapse_bound_s: when all granted leases have certainly expired.
     :ivar has_unknown_runs: whether runs of earlier owners may exist that this owner does not know.
+    :ivar has_unreserved_runs: whether it last reported runs that this owner has not adopted, so that
+        their capacity is not reserved.
     :ivar blocked_until_s: the worker gets no starts before this time.
     :ivar last_sample_s: when its measurements were last used.
     """
@@ -169,6 +175,7 @@
         self.granted_until_s = 0.0
         self.lapse_bound_s = 0.0
         self.has_unknown_runs = False
+        self.has_unreserved_runs = False
         self.blocked_until_s = 0.0
         self.last_sample_s = 0.0
         self.used_cpu_millis = 0
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -248,6 +248,8 @@
 
 def usable_workers(dispatcher: Dispatcher, service: str) -> list[Worker]:
     """Return the workers of a service that may get starts now."""
+    if not dispatcher.has_read_listings:
+        return []
     now_s = dispatcher.context.clock()
     evacuated_zones = dispatcher.context.operations.evacuated_zones
     return [
@@ -256,6 +258,7 @@
         if worker.listing.service == service
         and worker.is_reached
         and not worker.is_voiding_starts
+        and not worker.has_unreserved_runs
         and worker.is_listed(now_s)
         and dispatcher.recorder.committed >= worker.listed_in_batch
         and not worker.listing.is_draining
--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -48,7 +48,9 @@
     """Renew the lease of one incarnation of a worker until it is dropped or the term ends."""
     context = dispatcher.context
     while not dispatcher.is_stopped() and not worker.is_dropped:
-        answer = renew(dispatcher, worker, RENEWAL_WAIT_S if worker.is_reached else 0.0)
+        # Calls to a silent worker are short, since a lapse of its leases is noticed between them.
+        answers = worker.is_reached and not worker.is_silent
+        answer = renew(dispatcher, worker, RENEWAL_WAIT_S if answers else 0.0)
         if isinstance(answer, WorkerReport):
             if answer.ended:
                 _await_commit(dispatcher, worker)
@@ -159,7 +161,8 @@
             worker.last_end_number = end.number
             dispatcher.report_end(worker, end)
     _reconcile(dispatcher, worker, report, sent_s, fence)
-    worker.has_unknown_runs = False
+    if not report.may_have_more_ends:
+        worker.has_unknown_runs = False
     if now_s - worker.last_sample_s >= SAMPLE_INTERVAL_S:
         worker.last_sample_s = now_s
         learn_tails(dispatcher.model, worker, now_s)
@@ -189,12 +192,18 @@
             _keep_checkpoint(dispatcher, run_report)
             if run.is_stopping and now_s - run.stop_sent_s > STOP_REPEAT_S:
                 dispatcher.stop_run(worker, run, "repeated: still running after the first stop")
+        elif report.may_have_more_ends:
+            # Its end may be among those that are listed later.
+            continue
         elif run.confirmed_s is not None and run.confirmed_s < sent_s:
             dispatcher.release_run(worker, run, "no longer reported by the worker")
         elif run.confirmed_s is None and run.fence < fence:
             dispatcher.release_run(worker, run, "start voided by a higher fencing token")
     for run_report in report_by_run.values():
         _handle_unknown_run(dispatcher, worker, run_report)
+    worker.has_unreserved_runs = any(
+        run_report.task not in worker.runs_by_task for run_report in report_by_run.values()
+    )
 
 
 def _keep_checkpoint(dispatcher: Dispatcher, report: RunReport) -> None:
@@ -273,7 +282,8 @@
             run.throttled_since_s = None
         elif run.throttled_since_s is None:
             run.throttled_since_s = now_s
-        if percent != run.speed_percent and run.confirmed_s is not None:
+        is_set = run.is_speed_known and percent == run.speed_percent
+        if not is_set and run.confirmed_s is not None:
             dispatcher.spawn(_throttle, dispatcher, worker, run, percent)
 
 
@@ -284,18 +294,20 @@
     reserved share.
     """
     reserved = run.step.cpu_millis / capacity
-    if run.speed_percent < 50 or run.measurement <= 0:
+    if not run.is_speed_known or run.speed_percent < 50 or run.measurement <= 0:
         return reserved
     return min(reserved, run.measurement / capacity * 100.0 / run.speed_percent)
 
 
 def _throttle(dispatcher: Dispatcher, worker: Worker, run: ActiveRun, percent: int) -> None:
     before, run.speed_percent = run.speed_percent, percent
+    run.is_speed_known = True
     dispatcher.counters.throttles += 1
     outcome = worker.link.throttle(run.task, run.number, percent, worker.fence, COMMAND_TIMEOUT_S)
     if isinstance(outcome, Failure):
-        # The next sample sends it again.
+        # It may have taken effect nevertheless; the next sample sends it again.
         run.speed_percent = before
+        run.is_speed_known = False
     dispatcher.context.log.note(
         "throttle",
         task_name(run.task),
@@ -322,7 +334,7 @@
                 return
             worker.fence = max(worker.fence, max(fences) + 1)
             answer = renew(dispatcher, worker, 0.0, COMMAND_TIMEOUT_S)
-            if not isinstance(answer, WorkerReport):
+            if not isinstance(answer, WorkerReport) or answer.may_have_more_ends:
                 dispatcher.context.sleep(RETRY_S)
     finally:
         worker.is_voiding_starts = False
--- a/tests/process/dispatch/test_dispatcher.py
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -5,6 +5,7 @@
 from time import monotonic
 
 from gevent import sleep
+from gevent.event import Event
 from testtools import TestCase
 from testtools.matchers import Contains
 from testtools.matchers import Equals
@@ -24,12 +25,17 @@
 from laburnumswitch.process.dispatch.planner import MAX_PASS_S
 from laburnumswitch.process.dispatch.planner import plan
 from laburnumswitch.process.dispatch.planner import usable_workers
+from laburnumswitch.process.dispatch.worker_protocol import Acknowledged
 from laburnumswitch.process.dispatch.worker_protocol import EndReport
 from laburnumswitch.process.dispatch.worker_protocol import RunOutcome
 from laburnumswitch.process.dispatch.worker_protocol import RunReport
+from laburnumswitch.process.dispatch.worker_protocol import StartCommand
 from laburnumswitch.process.dispatch.worker_session import void_unanswered_starts
 from laburnumswitch.process.leadership.term import PredecessorState
 from laburnumswitch.process.leadership.term import read_term
+from laburnumswitch.process.operating.operations import Operations
+from laburnumswitch.process.rows.table import Put
+from laburnumswitch.process.rows.table import Transaction
 from tests.process.dispatch.harness import BOUNDS
 from tests.process.dispatch.harness import DispatchHarness
 from tests.process.dispatch.harness import make_listing
@@ -154,6 +160,16 @@
         self._wait_state("j1", JobState.COMPLETED)
         self.assertThat(self.harness.checker.violations, Equals([]))
 
+    def test_run_whose_end_is_not_listed_yet_does_not_start_again(self):
+        """A worker that has many ends to report lists the rest once the first are acknowledged."""
+        for worker in self.harness.worker_by_id.values():
+            worker.max_listed_ends = 1
+        wait_until(lambda: len(usable_workers(self.owner, "shop")) == 2)
+        self.harness.submit(make_submission("j1", SHORT._replace(count=8)), self.owner)
+        self._wait_state("j1", JobState.COMPLETED)
+        self.assertThat(self.harness.checker.start_count, Equals(8))
+        self.assertThat(self.harness.checker.violations, Equals([]))
+
     def test_gang_starts_together_with_one_run_number(self):
         gang = SHORT._replace(count=4, gang=True)
         self.harness.submit(make_submission("j1", gang), self.owner)
@@ -321,6 +337,125 @@
         self.assertThat(third.has_lapsed(worker), Equals(False))
         self.assertThat(third.jobs_by_id["j1"].is_running(), Equals(True))
 
+    def test_run_throttled_by_the_predecessor_is_at_full_speed_again(self):
+        """A worker does not report the limit, so a successor cannot take it to be unlimited."""
+        step = LONG._replace(estimate_ms=2_000, best_effort=True, image="batch")
+        self.harness.submit(make_submission("j1", step), self.first)
+        wait_until(lambda: self.harness.checker.start_count == 1)
+        holder = next(each for each in self.harness.worker_by_id.values() if each.running())
+        worker = self.first.workers_by_id[holder.listing.worker_id]
+        (run,) = worker.runs_by_task.values()
+        holder.throttle(run.task, run.number, 0, worker.fence, 1.0)
+        self.first.release()
+        second = self.harness.start_owner("vm-2")
+        self.addCleanup(second.stop)
+        wait_until(lambda: second.reported_state("j1") is JobState.COMPLETED, limit_s=8.0)
+        self.assertThat(self.harness.checker.start_count, Equals(1))
+
+    def test_task_whose_end_the_predecessor_could_not_apply_does_not_start_again(self):
+        """The predecessor read the end before the submission, from a worker that is silent now."""
+        wait_until(lambda: len(usable_workers(self.first, "shop")) == 2)
+        submission = make_submission("j1", SHORT._replace(count=1))
+        self.harness.checker.record_submission(submission)
+        holder = self.harness.worker_by_id["w1"]
+        fence = self.first.workers_by_id["w1"].fence
+        holder.start(StartCommand(TaskKey("j1", 0, 0, 0), 1, "spec", 1e6, fence, ""), 1.0)
+        wait_until(lambda: "j1" in self.first.orphan_ends_by_job_id)
+        holder.drops_calls = True
+        self.first.release()
+        self.harness.submit(submission)
+        second = self.harness.start_owner("vm-2")
+        self.addCleanup(second.stop)
+        wait_until(lambda: usable_workers(second, "shop"))
+        self.assertThat(second.settled, Equals(False))
+        holder.drops_calls = False
+        wait_until(lambda: second.reported_state("j1") is JobState.COMPLETED)
+        self.assertThat(self.harness.checker.start_count, Equals(1))
+        self.assertThat(self.harness.checker.violations, Equals([]))
+
+    def test_successor_starts_nothing_before_it_has_read_which_workers_are_draining(self):
+        """The stored list of workers does not say which of them have announced their departure."""
+        wait_until(lambda: len(usable_workers(self.first, "shop")) == 2)
+        self.first.release()
+        for worker in self.harness.worker_by_id.values():
+            self.harness.list_worker(worker.listing._replace(is_draining=True))
+        load = self.harness.table.load
+
+        def load_slowly(table):
+            while table == "servers" and not is_readable.is_set():
+                is_readable.wait()
+            return load(table)
+
+        is_readable = Event()
+        self.harness.table.load = load_slowly
+        second = self.harness.start_owner("vm-2")
+        self.addCleanup(second.stop)
+        wait_until(lambda: second.settled and second.recorder.committed > 1)
+        wait_until(lambda: all(each.is_reached for each in second.workers_by_id.values()))
+        self.assertThat(usable_workers(second, "shop"), Equals([]))
+        is_readable.set()
+        wait_until(lambda: all(w.listing.is_draining for w in second.workers_by_id.values()))
+        self.assertThat(usable_workers(second, "shop"), Equals([]))
+
+    def test_successor_settles_only_once_it_has_read_all_ends(self):
+        """A run that has ended may be neither among the runs nor among the first ends listed."""
+        step = SHORT._replace(count=60, cpu_millis=100)
+        self.harness.submit(make_submission("j1", step), self.first)
+        wait_until(lambda: self.harness.checker.start_count == step.count)
+        self.first.stop()
+        for worker in self.harness.worker_by_id.values():
+            worker.max_listed_ends = 1
+        wait_until(lambda: not any(each.running() for each in self.harness.worker_by_id.values()))
+        second = self.harness.start_owner("vm-2")
+        self.addCleanup(second.stop)
+        wait_until(lambda: second.reported_state("j1") is JobState.COMPLETED)
+        self.assertThat(self.harness.checker.start_count, Equals(step.count))
+        self.assertThat(self.harness.checker.violations, Equals([]))
+
+    def test_failed_run_does_not_fail_its_job_before_the_configuration_is_known(self):
+        """An entry that has just started may read the runs before it knows how many may fail."""
+        for worker in self.harness.worker_by_id.values():
+            worker.fails_runs = True
+        self.harness.submit(make_submission("j1", SHORT._replace(count=1)), self.first)
+        wait_until(lambda: self.harness.checker.start_count == 1)
+        self.first.stop()
+        wait_until(lambda: not any(each.running() for each in self.harness.worker_by_id.values()))
+        for worker in self.harness.worker_by_id.values():
+            worker.fails_runs = False
+        known = self.harness.operations
+        self.harness.operations = Operations(self.harness.log)
+        second = self.harness.start_owner("vm-2")
+        self.addCleanup(second.stop)
+        wait_until(lambda: "j1" in second.jobs_by_id)
+        sleep(0.3)
+        self.harness.operations.apply(known.configuration)
+        wait_until(lambda: second.reported_state("j1") is JobState.COMPLETED, limit_s=8.0)
+        self.assertThat(self.harness.checker.start_count, Equals(2))
+
+    def test_run_that_a_successor_does_not_adopt_keeps_its_capacity_until_it_has_ended(self):
+        """Not every worker refuses what does not fit, and a stop takes a while."""
+        self._run_long_job()
+        holder = next(each for each in self.harness.worker_by_id.values() if each.running())
+        self.first.release()
+        put = Put("cancellations/j1", True)
+        self.harness.table.commit(Transaction((), (put,)))
+        stop, stop_requested = holder.stop, Event()
+
+        def stop_later(task, run, fence, timeout_s):
+            stop_requested.set()
+            return Acknowledged(0.0)
+
+        holder.stop = stop_later
+        second = self.harness.start_owner("vm-2")
+        self.addCleanup(second.stop)
+        wait_until(stop_requested.is_set)
+        wait_until(lambda: usable_workers(second, "shop"))
+        sleep(0.1)
+        usable = {each.worker_id for each in usable_workers(second, "shop")}
+        self.assertThat(holder.listing.worker_id in usable, Equals(False))
+        holder.stop = stop
+        wait_until(lambda: len(usable_workers(second, "shop")) == 2)
+
     def test_log_tells_for_whom_a_successor_waits(self):
         self._run_long_job()
         holder = next(each for each in self.harness.worker_by_id.values() if each.running())
@@ -504,6 +639,28 @@
         self.assertThat(number, GreaterThan(1))
 
 
+class TestSilentWorker(TestCase):
+    def test_calls_to_a_silent_worker_do_not_ask_it_to_wait(self):
+        """Its lease is found to have lapsed only between two calls."""
+        harness = DispatchHarness(workers=1)
+        owner = harness.start_owner()
+        self.addCleanup(owner.stop)
+        wait_until(lambda: "w1" in owner.workers_by_id and owner.workers_by_id["w1"].is_reached)
+        holder = harness.worker_by_id["w1"]
+        renew, waits_s = holder.renew, []
+
+        def renew_and_note(renewal, timeout_s):
+            waits_s.append(renewal.wait_s)
+            return renew(renewal, timeout_s)
+
+        holder.drops_calls = True
+        holder.renew = renew_and_note
+        wait_until(lambda: owner.workers_by_id["w1"].is_silent)
+        waits_s.clear()
+        wait_until(lambda: len(waits_s) == 2)
+        self.assertThat(waits_s, Equals([0.0, 0.0]))
+
+
 class TestUnansweredStarts(TestCase):
     """Starts are sent to a worker to which all connections fail for some seconds."""
 
