Sample tail latencies each second although runs end

The guard of the targets is designed for one sample a second: it stops all best-effort work 1.4 s before the limit. But an end of a run cuts a renewal short; if it came less than 0.9 s after the last sample, no sample was taken, and the next renewal waited a whole second again.

A renewal of a worker with both kinds of runs now waits until the next sample is due, a second after the last one. Without best-effort work nothing changes.

The new test failed before the fix, with intervals of 1.78 s.

--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -23,7 +23,7 @@
 from laburnumswitch.process.dispatch.worker_protocol import WorkerReport
 
 # How long the worker holds a renewal open until a run ends, in seconds. Tail latencies are sampled
-# with each answer, so this also gives one sample a second.
+# with the answers, so this is also the longest interval between two samples.
 RENEWAL_WAIT_S = 1.0
 # Time beyond the renewal's wait, in seconds, after which the call counts as lost.
 ANSWER_MARGIN_S = 0.5
@@ -48,7 +48,7 @@
     """Renew the lease of one incarnation of a worker until it is dropped or the term ends."""
     context = dispatcher.context
     while not dispatcher.is_stopped() and not worker.is_dropped:
-        answer = renew(dispatcher, worker, RENEWAL_WAIT_S if worker.is_reached else 0.0)
+        answer = renew(dispatcher, worker, _renewal_wait_s(worker, context.clock()))
         if isinstance(answer, WorkerReport):
             if answer.ended:
                 _await_commit(dispatcher, worker)
@@ -61,6 +61,19 @@
         context.sleep(RETRY_S)
 
 
+def _renewal_wait_s(worker: Worker, now_s: float) -> float:
+    """Return how long the worker may hold the next renewal open.
+
+    Ends of runs cut renewals short. If tail latencies have to be guarded, the next renewal returns
+    when the next sample is due, not a whole wait after the last end.
+    """
+    if not worker.is_reached:
+        return 0.0
+    if not (worker.best_effort_runs() and worker.serving_runs()):
+        return RENEWAL_WAIT_S
+    return min(RENEWAL_WAIT_S, max(0.0, worker.last_sample_s + RENEWAL_WAIT_S - now_s))
+
+
 def renew(
     dispatcher: Dispatcher, worker: Worker, wait_s: float, margin_s: float = ANSWER_MARGIN_S
 ) -> WorkerReport | Failure:
--- /dev/null
+++ b/tests/process/dispatch/test_worker_session.py
@@ -0,0 +1,150 @@
+"""Tests of the sessions with workers, on a clock that only the tests advance."""
+
+from gevent import sleep
+from testtools import TestCase
+from testtools.matchers import AllMatch
+from testtools.matchers import LessThan
+
+from laburnumswitch.process.dispatch.dispatcher import Dispatcher
+from laburnumswitch.process.dispatch.job_spec import Step
+from laburnumswitch.process.dispatch.job_spec import TaskKey
+from laburnumswitch.process.dispatch.recorder import Recorder
+from laburnumswitch.process.dispatch.recorder import RecorderContext
+from laburnumswitch.process.dispatch.worker_protocol import Acknowledged
+from laburnumswitch.process.dispatch.worker_protocol import EndReport
+from laburnumswitch.process.dispatch.worker_protocol import RunOutcome
+from laburnumswitch.process.dispatch.worker_protocol import RunReport
+from laburnumswitch.process.dispatch.worker_protocol import WorkerReport
+from laburnumswitch.process.dispatch.worker_session import run_worker
+from laburnumswitch.process.leadership.term import Term
+from laburnumswitch.process.leadership.term import VersionedTerm
+from tests.process.dispatch.harness import DispatchHarness
+from tests.process.dispatch.harness import make_listing
+from tests.process.dispatch.harness import make_submission
+
+TARGET_MS = 100.0
+SERVING = Step(1, 1000, 100, image="web", tail_target_ms=TARGET_MS, long_running=True)
+FILLING = Step(4, 1600, 100, image="batch", best_effort=True, checkpoints=True)
+SERVING_TASK = TaskKey("j1", 0, 0, 0)
+# Longest interval, in seconds, between two samples for which the guard of the targets is designed.
+LONGEST_SAMPLE_GAP_S = 1.1
+ROUND_TRIP_S = 0.01
+
+
+class ScriptedWorker:
+    """A worker on a clock of its own.
+
+    :ivar end_times_s: when runs end; a renewal that waits then returns at once.
+    :ivar now_s: the clock, advanced by renewals.
+    :ivar answer_times_s: when renewals were answered.
+    """
+
+    def __init__(self):
+        self.now_s = 100.0
+        self.ratio = 0.5
+        self.end_times_s = []
+        self.runs = {}
+        self.answer_times_s = []
+        self.throttles = []
+        self.stop_after_s = None
+        self._ends = 0
+        self.dispatcher = None
+
+    def renew(self, renewal, timeout_s):
+        """Answer once a run ends, or after the wait."""
+        until_s = self.now_s + ROUND_TRIP_S + renewal.wait_s
+        ended = ()
+        if self.end_times_s and self.end_times_s[0] <= until_s:
+            until_s = max(self.now_s + ROUND_TRIP_S, self.end_times_s.pop(0))
+            self._ends += 1
+            task = TaskKey("other", 0, 0, self._ends)
+            ended = (EndReport(self._ends, task, 1, RunOutcome.DONE, ""),)
+        self.now_s = until_s
+        self.answer_times_s.append(self.now_s)
+        if self.stop_after_s is not None and self.now_s > self.stop_after_s:
+            self.dispatcher.stopped.set()
+        running = tuple(
+            RunReport(task, run.number, "", 100.0, self._measurement(run))
+            for task, run in self.runs.items()
+        )
+        return WorkerReport(self.now_s, 1, running, ended)
+
+    def _measurement(self, run):
+        if run.step.tail_target_ms:
+            return self.ratio * run.step.tail_target_ms
+        return run.step.cpu_millis * run.speed_percent / 100.0
+
+    def throttle(self, task, run, percent, fence, timeout_s):
+        """Record the throttle."""
+        self.throttles.append((task, percent))
+        return Acknowledged(self.now_s)
+
+    def close(self):
+        """Do nothing, as there are no connections."""
+
+
+class SessionTestCase(TestCase):
+    """One worker with a serving run, and an owner without greenlets of its own."""
+
+    def setUp(self):
+        super().setUp()
+        self.link = ScriptedWorker()
+        harness = DispatchHarness(workers=0)
+        context = harness.context()._replace(
+            clock=lambda: self.link.now_s,
+            boot_clock=lambda: self.link.now_s,
+            sleep=self._sleep,
+            make_link=lambda listing: self.link,
+        )
+        recorder_context = RecorderContext(
+            context.table, context.log, context.clock, context.boot_clock, context.sleep
+        )
+        term = Term(1, "vm-1", "vm-1-i", "10.0.0.9:1")
+        recorder = Recorder(recorder_context, VersionedTerm(term, 1), self.link.now_s)
+        # Nothing is committed here, and the clock stands still while a real wait would go on.
+        recorder.wait_for = lambda batch, timeout_s: True
+        self.dispatcher = self.link.dispatcher = Dispatcher(context, recorder)
+        self.worker = self.dispatcher.add_worker(make_listing(1))
+        self.job = self.dispatcher.add_job(make_submission("j1", SERVING, FILLING))
+
+    def _sleep(self, duration_s):
+        self.link.now_s += duration_s
+
+    def begin_run(self, step, index=0):
+        task = self.job.task(TaskKey("j1", 0, step, index))
+        run = self.dispatcher.begin_run(self.job, task, self.worker)
+        self.link.runs[task.key] = run
+        return run
+
+    def run_session(self, duration_s):
+        self.link.stop_after_s = self.link.now_s + duration_s
+        run_worker(self.dispatcher, self.worker)
+        sleep(0)
+
+
+class TestSampleInterval(SessionTestCase):
+    """Runs end all the time, so that renewals are answered early."""
+
+    def test_tail_latencies_are_sampled_each_second_although_runs_end(self):
+        # An end just too early for a sample used to delay the next one to almost two seconds.
+        self.begin_run(0)
+        self.begin_run(1)
+        sample_times_s = []
+        self.link.end_times_s = [100.9 + 0.89 * n for n in range(20)]
+        original = self.link.renew
+
+        def renew(renewal, timeout_s):
+            if self.worker.last_sample_s and self.worker.last_sample_s not in sample_times_s:
+                sample_times_s.append(self.worker.last_sample_s)
+            return original(renewal, timeout_s)
+
+        self.link.renew = renew
+        self.run_session(12.0)
+        gaps_s = [later - earlier for earlier, later in zip(sample_times_s, sample_times_s[1:])]
+        self.assertThat(gaps_s, AllMatch(LessThan(LONGEST_SAMPLE_GAP_S)))
+
+    def test_worker_without_best_effort_work_is_not_asked_more_often(self):
+        self.begin_run(0)
+        self.link.end_times_s = [100.9 + 0.89 * n for n in range(20)]
+        self.run_session(12.0)
+        self.assertThat(len(self.link.answer_times_s), LessThan(16))
