Stop a new best-effort run at once where such work is stopped

Where a serving task is over its target for so long that all best-effort work on the worker is stopped, a run that was started there still ran at full speed until the next sample, up to 1.9 s later: images that the model takes for harmless, and forced starts, are placed there all the same.

The owner now applies the guard to a best-effort run once its start is confirmed. The run counts as heavily throttled and may move, like those that were there.

The new test failed before the fix: nothing was throttled.

--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -32,6 +32,7 @@
 from laburnumswitch.process.dispatch.relocation import choose_moves
 from laburnumswitch.process.dispatch.tickets import Tickets
 from laburnumswitch.process.dispatch.worker_protocol import StartCommand
+from laburnumswitch.process.dispatch.worker_session import throttle_new_run
 from laburnumswitch.process.dispatch.worker_session import void_unanswered_starts
 
 # Interval, in seconds, at which steps that wait for capacity, their due time or lower interference
@@ -442,6 +443,8 @@
         run.confirmed_s = now_s
         if job.is_final():
             dispatcher.stop_run(worker, run, "the job has ended")
+        else:
+            throttle_new_run(dispatcher, worker, run)
         return
     if not _is_certainly_not_started(outcome):
         dispatcher.counters.uncertain_starts += 1
--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -259,13 +259,32 @@
     max_over_target_s = dispatcher.context.deployment.bounds.max_overrun_s
     speeds = choose_speeds(dispatcher.model, worker, max_over_target_s, now_s)
     for task, percent in speeds.items():
-        run = worker.runs_by_task[task]
-        if percent > HEAVY_THROTTLE_PERCENT:
-            run.throttled_since_s = None
-        elif run.throttled_since_s is None:
-            run.throttled_since_s = now_s
-        if percent != run.speed_percent and run.confirmed_s is not None:
-            dispatcher.spawn(_throttle, dispatcher, worker, run, percent)
+        _set_speed(dispatcher, worker, worker.runs_by_task[task], percent, now_s)
+
+
+def _set_speed(
+    dispatcher: Dispatcher, worker: Worker, run: ActiveRun, percent: int, now_s: float
+) -> None:
+    if percent > HEAVY_THROTTLE_PERCENT:
+        run.throttled_since_s = None
+    elif run.throttled_since_s is None:
+        run.throttled_since_s = now_s
+    if percent != run.speed_percent and run.confirmed_s is not None:
+        dispatcher.spawn(_throttle, dispatcher, worker, run, percent)
+
+
+def throttle_new_run(dispatcher: Dispatcher, worker: Worker, run: ActiveRun) -> None:
+    """Stop a run that was just started if best-effort work is stopped on its worker.
+
+    Otherwise it would interfere at full speed until the next sample.
+    """
+    if not (run.step.best_effort and worker.serving_runs()):
+        return
+    now_s = dispatcher.context.clock()
+    max_over_target_s = dispatcher.context.deployment.bounds.max_overrun_s
+    speeds = choose_speeds(dispatcher.model, worker, max_over_target_s, now_s)
+    if speeds.get(run.task) == 0:
+        _set_speed(dispatcher, worker, run, 0, now_s)
 
 
 def _unthrottled_share(run: ActiveRun, capacity: float) -> float:
--- a/tests/process/dispatch/test_worker_session.py
+++ b/tests/process/dispatch/test_worker_session.py
@@ -1,13 +1,18 @@
 """Tests of the sessions with workers, on a clock that only the tests advance."""
 
+from itertools import pairwise
+
 from gevent import sleep
 from testtools import TestCase
 from testtools.matchers import AllMatch
+from testtools.matchers import Equals
 from testtools.matchers import LessThan
 
+from laburnumswitch.process.dispatch.best_effort import MAX_PLACEMENT_WAIT_S
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.job_spec import TaskKey
+from laburnumswitch.process.dispatch.planner import plan
 from laburnumswitch.process.dispatch.recorder import Recorder
 from laburnumswitch.process.dispatch.recorder import RecorderContext
 from laburnumswitch.process.dispatch.worker_protocol import Acknowledged
@@ -74,6 +79,10 @@
             return self.ratio * run.step.tail_target_ms
         return run.step.cpu_millis * run.speed_percent / 100.0
 
+    def start(self, command, timeout_s):
+        """Start a run."""
+        return Acknowledged(self.now_s)
+
     def throttle(self, task, run, percent, fence, timeout_s):
         """Record the throttle."""
         self.throttles.append((task, percent))
@@ -140,7 +149,7 @@
 
         self.link.renew = renew
         self.run_session(12.0)
-        gaps_s = [later - earlier for earlier, later in zip(sample_times_s, sample_times_s[1:])]
+        gaps_s = [later - earlier for earlier, later in pairwise(sample_times_s)]
         self.assertThat(gaps_s, AllMatch(LessThan(LONGEST_SAMPLE_GAP_S)))
 
     def test_worker_without_best_effort_work_is_not_asked_more_often(self):
@@ -148,3 +157,24 @@
         self.link.end_times_s = [100.9 + 0.89 * n for n in range(20)]
         self.run_session(12.0)
         self.assertThat(len(self.link.answer_times_s), LessThan(16))
+
+
+class TestStartBesideTaskOverItsTarget(SessionTestCase):
+    """A serving task has been over its target for so long that all best-effort work is stopped."""
+
+    def test_new_run_is_throttled_at_once(self):
+        # It used to run at full speed until the next sample.
+        run = self.begin_run(0)
+        self.run_session(1.0)
+        self.dispatcher.stopped.clear()
+        run.last_under_target_s = self.link.now_s - 3.0
+        self.link.ratio = 1.2
+        step = self.job.occurrences[0].steps[1]
+        step.ready_since_s = self.link.now_s - MAX_PLACEMENT_WAIT_S
+        self.worker.listed_in_batch = 0
+        plan(self.dispatcher)
+        sleep(0)
+        sleep(0)
+        started = {task for task in self.worker.runs_by_task if task.step == 1}
+        self.assertThat(len(started), Equals(FILLING.count))
+        self.assertThat(dict(self.link.throttles), Equals(dict.fromkeys(started, 0)))
