Let adopted runs go on that an earlier owner had throttled

Only the memory of the owner held how far a best-effort run is throttled. A new owner took every run that it adopted for one at full speed, so a run that was throttled to a standstill was never told to go on: its job hung until the run was throttled again for another reason. Callers saw jobs that end late or never after a change of the owner, also after a graceful one.

The owner now estimates the speed of an adopted run from its processor use, and sends the throttle if it differs from the speed that it wants. A run at full speed costs no call.

The new test failed before the fix: no throttle was sent.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -361,6 +361,7 @@
             report.task, report.run, job.step_state(report.task).step, worker.fence, now_s
         )
         run.update(report, now_s)
+        run.speed_percent = run.measured_speed_percent()
         worker.add_run(run)
         task.checkpoint = report.checkpoint or task.checkpoint
         self.refresh_ready_steps(job)
--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -15,6 +15,8 @@
 # Workers whose listings expired during an outage of the store are listed again within this time, in
 # seconds.
 RELIST_GRACE_S = 2.2
+# Speeds are multiples of this many percent, so that small changes cause no call to the worker.
+SPEED_GRANULARITY_PERCENT = 10
 # A best-effort run that is limited to this percentage of its speed or less counts as heavily
 # throttled and may be moved to another worker.
 HEAVY_THROTTLE_PERCENT = 30
@@ -100,6 +102,17 @@
         self.progress_percent = report.progress_percent
         self.measurement = report.measurement
 
+    def measured_speed_percent(self) -> int:
+        """Estimate the limit of the speed of a best-effort run from its processor use.
+
+        Workers do not report throttles. A run that has to share its processors is taken for a
+        throttled one, which costs one call to the worker.
+        """
+        if not (self.step.best_effort and self.step.cpu_millis):
+            return 100
+        share = min(1.0, self.measurement / self.step.cpu_millis)
+        return round(share * 100 / SPEED_GRANULARITY_PERCENT) * SPEED_GRANULARITY_PERCENT
+
     @property
     def is_serving(self) -> bool:
         """Return whether the run serves requests and its measurement is a tail latency."""
--- a/laburnumswitch/process/dispatch/throttling.py
+++ b/laburnumswitch/process/dispatch/throttling.py
@@ -8,14 +8,13 @@
 
 from typing import NamedTuple
 
+from laburnumswitch.process.dispatch.fleet import SPEED_GRANULARITY_PERCENT
 from laburnumswitch.process.dispatch.tails import TARGET_UTILISATION
 
 # Predicted utilisations are kept below this.
 UTILISATION_LIMIT = TARGET_UTILISATION
 # Interference that is expected to raise the utilisation by less than this is ignored.
 MIN_INTERFERENCE = 0.01
-# Speeds are multiples of this many percent, so that small changes cause no call to the worker.
-SPEED_GRANULARITY_PERCENT = 10
 # Best-effort runs that may interfere are stopped this long, in seconds, before a tail latency has
 # been over its target for ``max_over_target_s``. It may have been over for one sample longer than
 # observed, and a throttle takes effect one sample later.
--- a/tests/process/dispatch/test_worker_session.py
+++ b/tests/process/dispatch/test_worker_session.py
@@ -10,6 +10,7 @@
 
 from laburnumswitch.process.dispatch.best_effort import MAX_PLACEMENT_WAIT_S
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
+from laburnumswitch.process.dispatch.fleet import ActiveRun
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.job_spec import TaskKey
 from laburnumswitch.process.dispatch.planner import plan
@@ -178,3 +179,26 @@
         started = {task for task in self.worker.runs_by_task if task.step == 1}
         self.assertThat(len(started), Equals(FILLING.count))
         self.assertThat(dict(self.link.throttles), Equals(dict.fromkeys(started, 0)))
+
+
+class TestAdoptedRuns(SessionTestCase):
+    """Runs of an earlier owner, which throttled some of them."""
+
+    def setUp(self):
+        super().setUp()
+        self.predecessor_runs = {
+            task: ActiveRun(task, 1, step, 1, 0.0)
+            for step, task in (
+                (SERVING, SERVING_TASK),
+                (FILLING, TaskKey("j1", 0, 1, 0)),
+                (FILLING, TaskKey("j1", 0, 1, 1)),
+            )
+        }
+        self.link.runs = self.predecessor_runs
+        self.throttled, self.unthrottled = list(self.predecessor_runs)[1:]
+
+    def test_run_that_the_earlier_owner_had_stopped_works_again(self):
+        # It was taken for a run at full speed, so it was never told to go on.
+        self.predecessor_runs[self.throttled].speed_percent = 0
+        self.run_session(0.5)
+        self.assertThat(self.link.throttles, Equals([(self.throttled, 100)]))
