Keep the limit over a target across a change of the owner

For how long a serving task has been over its target was known to the owner alone, and a new owner began to count when it adopted the run. A task that had been over its target for some seconds beside best-effort work could stay so for the whole limit again, while its callers count on end. A graceful handover to a larger entry, three seconds after the first start, is enough.

A new owner now takes an adopted task as over its target for longer than the limit until a sample is clearly under it: beside a task that is over its target at the first sample, which is taken as the run is adopted, all best-effort work stops at once, and goes on with the next sample clearly under.

The new test failed before the fix: one run was limited to 70%, the other went on.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -362,6 +362,8 @@
         )
         run.update(report, now_s)
         run.speed_percent = run.measured_speed_percent()
+        # It may have been over its target for nearly as long as it may be.
+        run.last_under_target_s = float("-inf")
         worker.add_run(run)
         task.checkpoint = report.checkpoint or task.checkpoint
         self.refresh_ready_steps(job)
--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -57,7 +57,8 @@
     :ivar progress_percent: part of the work that is done.
     :ivar measurement: tail latency or processor use, see ``RunReport``.
     :ivar speed_percent: limit of the speed, 100 when the run is not throttled.
-    :ivar last_under_target_s: when its tail latency was last known to be below its target.
+    :ivar last_under_target_s: when its tail latency was last known to be below its target;
+        minus infinity if that was not seen since the run was adopted.
     :ivar throttled_since_s: since when it has been heavily throttled; ``None`` if it is not.
     """
 
--- a/tests/process/dispatch/test_worker_session.py
+++ b/tests/process/dispatch/test_worker_session.py
@@ -202,3 +202,11 @@
         self.predecessor_runs[self.throttled].speed_percent = 0
         self.run_session(0.5)
         self.assertThat(self.link.throttles, Equals([(self.throttled, 100)]))
+
+    def test_all_best_effort_work_stops_beside_a_task_over_its_target(self):
+        # For how long it has been over its target is not known: it may be nearly the limit.
+        self.link.ratio = 1.2
+        self.run_session(0.5)
+        self.assertThat(
+            sorted(self.link.throttles), Equals([(self.throttled, 0), (self.unthrottled, 0)])
+        )
