Send a throttle again if the answer to the last one was lost

A throttle whose answer is lost may have taken effect, but the owner went on with the speed from before. If the next sample wanted that speed, nothing was sent, and a run that was stopped by the lost throttle stood still for good, with its job.

After an unanswered throttle the next sample now sends the speed that it wants in any case. Until then the run counts with the higher of the two speeds.

The new test failed before the fix: the run was never told to go on.

--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -269,7 +269,8 @@
         run.throttled_since_s = None
     elif run.throttled_since_s is None:
         run.throttled_since_s = now_s
-    if percent != run.speed_percent and run.confirmed_s is not None:
+    is_known = percent == run.speed_percent and not run.is_speed_uncertain
+    if not is_known and run.confirmed_s is not None:
         dispatcher.spawn(_throttle, dispatcher, worker, run, percent)
 
 
@@ -301,11 +302,13 @@
 
 def _throttle(dispatcher: Dispatcher, worker: Worker, run: ActiveRun, percent: int) -> None:
     before, run.speed_percent = run.speed_percent, percent
+    run.is_speed_uncertain = False
     dispatcher.counters.throttles += 1
     outcome = worker.link.throttle(run.task, run.number, percent, worker.fence, COMMAND_TIMEOUT_S)
     if isinstance(outcome, Failure):
-        # The next sample sends it again.
-        run.speed_percent = before
+        # It may have taken effect. The next sample sends what is wanted then.
+        run.speed_percent = max(before, percent)
+        run.is_speed_uncertain = True
     dispatcher.context.log.note(
         "throttle",
         task_name(run.task),
--- a/tests/process/dispatch/test_worker_session.py
+++ b/tests/process/dispatch/test_worker_session.py
@@ -8,6 +8,7 @@
 from testtools.matchers import Equals
 from testtools.matchers import LessThan
 
+from laburnumswitch.exceptions import AnswerLost
 from laburnumswitch.process.dispatch.best_effort import MAX_PLACEMENT_WAIT_S
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
 from laburnumswitch.process.dispatch.fleet import ActiveRun
@@ -52,6 +53,8 @@
         self.runs = {}
         self.answer_times_s = []
         self.throttles = []
+        self.loses_throttle_answers = False
+        self.use_by_task = {}
         self.stop_after_s = None
         self._ends = 0
         self.dispatcher = None
@@ -78,7 +81,7 @@
     def _measurement(self, run):
         if run.step.tail_target_ms:
             return self.ratio * run.step.tail_target_ms
-        return run.step.cpu_millis * run.speed_percent / 100.0
+        return self.use_by_task.get(run.task, run.step.cpu_millis * run.speed_percent / 100.0)
 
     def start(self, command, timeout_s):
         """Start a run."""
@@ -87,6 +90,8 @@
     def throttle(self, task, run, percent, fence, timeout_s):
         """Record the throttle."""
         self.throttles.append((task, percent))
+        if self.loses_throttle_answers:
+            return AnswerLost("w1", "no answer")
         return Acknowledged(self.now_s)
 
     def close(self):
@@ -210,3 +215,31 @@
         self.assertThat(
             sorted(self.link.throttles), Equals([(self.throttled, 0), (self.unthrottled, 0)])
         )
+
+
+class TestLostThrottles(SessionTestCase):
+    """A throttle whose answer is lost may take effect at once, later or not at all."""
+
+    def setUp(self):
+        super().setUp()
+        self.serving = self.begin_run(0)
+        self.filling = self.begin_run(1)
+        self.link.ratio = 0.3
+        self.run_session(5.0)
+        self.dispatcher.stopped.clear()
+
+    def _sample(self, ratio, over_s=0.0):
+        self.link.ratio = ratio
+        self.serving.last_under_target_s = self.link.now_s - over_s
+        self.run_session(0.5)
+        self.dispatcher.stopped.clear()
+
+    def test_run_goes_on_although_the_answer_to_its_stop_was_lost(self):
+        self.link.loses_throttle_answers = True
+        self._sample(0.92, over_s=3.0)
+        self.link.loses_throttle_answers = False
+        self.link.use_by_task = {self.filling.task: 0.0}
+        self._sample(0.3)
+        self.assertThat(
+            self.link.throttles, Equals([(self.filling.task, 0), (self.filling.task, 100)])
+        )
