Notice a throttle that took effect after a later one

A run that the owner had stopped then worked at full speed beside a task over its target, or a run that it had let go on stood still for good; both until its throttle changed again.

The owner now compares the processor use in each sample with the throttle that it last sent, and sends it again if a run clearly uses more, or stands still although it may work. Between these, sharing of processors cannot be told from a throttle, and nothing is sent.

--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -57,6 +57,7 @@
     :ivar progress_percent: part of the work that is done.
     :ivar measurement: tail latency or processor use, see ``RunReport``.
     :ivar speed_percent: limit of the speed, 100 when the run is not throttled.
+    :ivar throttled_s: when the last throttle was sent.
     :ivar is_speed_uncertain: whether the last throttle was not answered.
     :ivar last_under_target_s: when its tail latency was last known to be below its target;
         minus infinity if that was not seen since the run was adopted.
@@ -76,6 +77,7 @@
         "progress_percent",
         "measurement",
         "speed_percent",
+        "throttled_s",
         "is_speed_uncertain",
         "last_under_target_s",
         "throttled_since_s",
@@ -94,6 +96,7 @@
         self.progress_percent = 0.0
         self.measurement = 0.0
         self.speed_percent = 100
+        self.throttled_s = float("-inf")
         self.is_speed_uncertain = False
         self.last_under_target_s = now_s
         self.throttled_since_s: float | None = None
--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -42,6 +42,13 @@
 # A tail latency counts as back under its target only below this share of it, since samples are
 # noisy.
 CLEARLY_UNDER_RATIO = 0.9
+# Time after a start or a throttle, in seconds, from which the processor use of a run shows whether
+# it took effect: throttles take effect with a delay, and the use is an average over half a second.
+THROTTLE_SETTLING_S = 0.8
+# Throttles below this percentage, and uses of processors above them by as much, are told apart.
+WORKING_PERCENT = 50
+# A run that uses less than this share of its processors stands still.
+STANDING_USE = 0.02
 
 
 def run_worker(dispatcher: Dispatcher, worker: Worker) -> None:
@@ -270,10 +277,24 @@
     elif run.throttled_since_s is None:
         run.throttled_since_s = now_s
     is_known = percent == run.speed_percent and not run.is_speed_uncertain
-    if not is_known and run.confirmed_s is not None:
+    if run.confirmed_s is not None and not (is_known and _agrees_with_throttle(run, now_s)):
         dispatcher.spawn(_throttle, dispatcher, worker, run, percent)
 
 
+def _agrees_with_throttle(run: ActiveRun, now_s: float) -> bool:
+    """Return whether the processor use of a run agrees with its last throttle.
+
+    An unanswered throttle may be carried out seconds later, after newer ones. How far a run above
+    zero is throttled cannot be told, since it may have to share its processors.
+    """
+    if now_s - max(run.started_s, run.throttled_s) < THROTTLE_SETTLING_S:
+        return True
+    use = run.measurement / max(1, run.step.cpu_millis)
+    if run.speed_percent < WORKING_PERCENT:
+        return use * 100 < run.speed_percent + WORKING_PERCENT
+    return use > STANDING_USE
+
+
 def throttle_new_run(dispatcher: Dispatcher, worker: Worker, run: ActiveRun) -> None:
     """Stop a run that was just started if best-effort work is stopped on its worker.
 
@@ -303,6 +324,7 @@
 def _throttle(dispatcher: Dispatcher, worker: Worker, run: ActiveRun, percent: int) -> None:
     before, run.speed_percent = run.speed_percent, percent
     run.is_speed_uncertain = False
+    run.throttled_s = dispatcher.context.clock()
     dispatcher.counters.throttles += 1
     outcome = worker.link.throttle(run.task, run.number, percent, worker.fence, COMMAND_TIMEOUT_S)
     if isinstance(outcome, Failure):
--- a/tests/process/dispatch/test_worker_session.py
+++ b/tests/process/dispatch/test_worker_session.py
@@ -243,3 +243,22 @@
         self.assertThat(
             self.link.throttles, Equals([(self.filling.task, 0), (self.filling.task, 100)])
         )
+
+    def test_late_throttle_that_lets_a_stopped_run_go_on_is_noticed(self):
+        # A throttle without an answer may be carried out after a later one.
+        self._sample(0.92, over_s=3.0)
+        self.link.use_by_task = {self.filling.task: FILLING.cpu_millis}
+        self._sample(0.92, over_s=3.0)
+        self.assertThat(self.link.throttles, Equals([(self.filling.task, 0)] * 2))
+
+    def test_late_throttle_that_stops_a_run_is_noticed(self):
+        self.link.use_by_task = {self.filling.task: 0.0}
+        self._sample(0.3)
+        self.assertThat(self.link.throttles, Equals([(self.filling.task, 100)]))
+
+    def test_effect_of_a_recent_throttle_is_awaited(self):
+        self._sample(0.92, over_s=3.0)
+        self.filling.throttled_s = self.link.now_s + 1.0
+        self.link.use_by_task = {self.filling.task: FILLING.cpu_millis}
+        self._sample(0.92, over_s=3.0)
+        self.assertThat(self.link.throttles, Equals([(self.filling.task, 0)]))
