Let one noisy sample not reset the guard of a target

A tail latency counted as back under its target with one sample below 0.9 of it.

Now it takes two samples in a row below 0.9, or one below 0.8.

The new test (over the target but for one sample of 0.88) failed before the fix: the best-effort run was still at speed 3 s after the last sample under the target.

--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -61,6 +61,7 @@
     :ivar is_speed_uncertain: whether the last throttle was not answered.
     :ivar last_under_target_s: when its tail latency was last known to be below its target;
         minus infinity if that was not seen since the run was adopted.
+    :ivar was_under_target: whether its tail latency was clearly below its target in the last sample.
     :ivar throttled_since_s: since when it has been heavily throttled; ``None`` if it is not.
     """
 
@@ -80,6 +81,7 @@
         "throttled_s",
         "is_speed_uncertain",
         "last_under_target_s",
+        "was_under_target",
         "throttled_since_s",
     )
 
@@ -99,6 +101,7 @@
         self.throttled_s = float("-inf")
         self.is_speed_uncertain = False
         self.last_under_target_s = now_s
+        self.was_under_target = False
         self.throttled_since_s: float | None = None
 
     def update(self, report: RunReport, now_s: float) -> None:
--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -39,9 +39,10 @@
 SAMPLE_INTERVAL_S = 0.9
 # A stop is repeated if the run is still reported after this time, in seconds.
 STOP_REPEAT_S = 0.6
-# A tail latency counts as back under its target only below this share of it, since samples are
-# noisy.
+# A tail latency counts as back under its target with two samples below this share of it, or with one
+# sample below the other share, since samples are noisy.
 CLEARLY_UNDER_RATIO = 0.9
+CERTAINLY_UNDER_RATIO = 0.8
 # Time after a start or a throttle, in seconds, from which the processor use of a run shows whether
 # it took effect: throttles take effect with a delay, and the use is an average over half a second.
 THROTTLE_SETTLING_S = 0.8
@@ -231,8 +232,10 @@
         if run.measurement > 0:
             ratio = run.measurement / run.step.tail_target_ms
             model.observe(run.task, run.step.image, ratio, used_by_image, now_s)
-            if ratio < CLEARLY_UNDER_RATIO:
+            is_under = ratio < CLEARLY_UNDER_RATIO
+            if is_under and (run.was_under_target or ratio < CERTAINLY_UNDER_RATIO):
                 run.last_under_target_s = now_s
+            run.was_under_target = is_under
 
 
 def choose_speeds(
--- a/tests/process/dispatch/test_worker_session.py
+++ b/tests/process/dispatch/test_worker_session.py
@@ -262,3 +262,31 @@
         self.link.use_by_task = {self.filling.task: FILLING.cpu_millis}
         self._sample(0.92, over_s=3.0)
         self.assertThat(self.link.throttles, Equals([(self.filling.task, 0)]))
+
+
+class TestNoisySamples(SessionTestCase):
+    """A tail latency is slightly over its target all the time, and its samples are noisy."""
+
+    def test_one_sample_slightly_under_the_target_does_not_reset_the_guard(self):
+        # One such sample in four seconds used to let best-effort work go on beyond the limit.
+        self.begin_run(0)
+        filling = self.begin_run(1)
+        ratios = [0.5, 1.05, 0.88, 1.04, 1.02]
+        original = self.link.renew
+
+        def renew(renewal, timeout_s):
+            if ratios:
+                self.link.ratio = ratios.pop(0)
+            return original(renewal, timeout_s)
+
+        self.link.renew = renew
+        self.run_session(3.0)
+        self.assertThat(filling.speed_percent, Equals(0))
+
+    def test_two_samples_slightly_under_the_target_reset_the_guard(self):
+        self.link.ratio = 0.88
+        serving = self.begin_run(0)
+        self.begin_run(1)
+        serving.last_under_target_s = self.link.now_s - 3.0
+        self.run_session(1.5)
+        self.assertThat(serving.last_under_target_s, Equals(self.worker.last_sample_s))
