Let the scripted worker of the session tests carry out throttles

The test of a late throttle failed as committed: the last renewal of a session was never applied, and throttles were sent only after it, so the test did not wait for what it meant to. The worker now ends a session with an unanswered call, and carries out the throttles that it answers.

--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -61,7 +61,7 @@
     :ivar is_speed_uncertain: whether the last throttle was not answered.
     :ivar last_under_target_s: when its tail latency was last known to be below its target;
         minus infinity if that was not seen since the run was adopted.
-    :ivar was_under_target: whether its tail latency was clearly below its target in the last sample.
+    :ivar was_under_target: whether the last sample was clearly below its target.
     :ivar throttled_since_s: since when it has been heavily throttled; ``None`` if it is not.
     """
 
--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -39,8 +39,8 @@
 SAMPLE_INTERVAL_S = 0.9
 # A stop is repeated if the run is still reported after this time, in seconds.
 STOP_REPEAT_S = 0.6
-# A tail latency counts as back under its target with two samples below this share of it, or with one
-# sample below the other share, since samples are noisy.
+# Samples are noisy: a tail latency counts as back under its target with two samples below this
+# share of it, or with one sample below the other.
 CLEARLY_UNDER_RATIO = 0.9
 CERTAINLY_UNDER_RATIO = 0.8
 # Time after a start or a throttle, in seconds, from which the processor use of a run shows whether
--- a/tests/process/dispatch/test_worker_session.py
+++ b/tests/process/dispatch/test_worker_session.py
@@ -55,12 +55,16 @@
         self.throttles = []
         self.loses_throttle_answers = False
         self.use_by_task = {}
-        self.stop_after_s = None
+        self.stop_after_s = 0.0
         self._ends = 0
         self.dispatcher = None
 
     def renew(self, renewal, timeout_s):
         """Answer once a run ends, or after the wait."""
+        sleep(0)
+        if self.now_s > self.stop_after_s:
+            self.dispatcher.stopped.set()
+            return AnswerLost("w1", "the test is over")
         until_s = self.now_s + ROUND_TRIP_S + renewal.wait_s
         ended = ()
         if self.end_times_s and self.end_times_s[0] <= until_s:
@@ -70,8 +74,6 @@
             ended = (EndReport(self._ends, task, 1, RunOutcome.DONE, ""),)
         self.now_s = until_s
         self.answer_times_s.append(self.now_s)
-        if self.stop_after_s is not None and self.now_s > self.stop_after_s:
-            self.dispatcher.stopped.set()
         running = tuple(
             RunReport(task, run.number, "", 100.0, self._measurement(run))
             for task, run in self.runs.items()
@@ -92,6 +94,7 @@
         self.throttles.append((task, percent))
         if self.loses_throttle_answers:
             return AnswerLost("w1", "no answer")
+        self.runs[task].speed_percent = percent
         return Acknowledged(self.now_s)
 
     def close(self):
