Start nothing before a new owner has read which workers drain

A new owner first loads the stored list of workers, whose listings are as old as the last change of that row, and contacts the workers. What the platform lists now is read at the same time.

The planner now uses no worker before the first read of the platform's listings.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -129,6 +129,8 @@
     :ivar ready_step_by_key: ready steps by job id, occurrence and index of the step.
     :ivar wake: set when the planner has to run.
     :ivar is_loaded: set once all stored jobs are loaded.
+    :ivar knows_listings: whether this owner has read what the platform lists of the workers. The
+        stored listings, which it loads first, may be from before a worker began to drain.
     :ivar settled: whether all runs of earlier owners are known or have certainly lapsed.
     :ivar unknown_runs_until_s: when the last lease ends that earlier owners may have granted.
     :ivar predecessor_may_start_jobs: whether the earlier owner may still start jobs that are
@@ -166,6 +168,7 @@
         self.wake = Event()
         self.stopped = Event()
         self.is_loaded = Event()
+        self.knows_listings = False
         self.settled = True
         self.unknown_runs_until_s = 0.0
         self.predecessor_may_start_jobs = False
--- a/laburnumswitch/process/dispatch/feeds.py
+++ b/laburnumswitch/process/dispatch/feeds.py
@@ -38,6 +38,9 @@
             _mark_missing(dispatcher, {row.key.partition("/")[2] for row in changes.rows})
         for row in changes.rows:
             apply_worker_row(dispatcher, row)
+        if not dispatcher.knows_listings:
+            dispatcher.knows_listings = True
+            dispatcher.wake.set()
 
     feed = Feed(context.table, context.workers_table, FEED_WAIT_S, WORKERS_INTERVAL_S)
     follow_table(feed, None, apply, context.log, context.sleep, dispatcher.is_stopped)
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -249,6 +249,8 @@
 
 def usable_workers(dispatcher: Dispatcher, service: str) -> list[Worker]:
     """Return the workers of a service that may get starts now."""
+    if not dispatcher.knows_listings:
+        return []
     now_s = dispatcher.context.clock()
     evacuated_zones = dispatcher.context.operations.evacuated_zones
     return [
--- a/tests/process/dispatch/test_dispatcher.py
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -5,6 +5,7 @@
 from time import monotonic
 
 from gevent import sleep
+from gevent.event import Event
 from testtools import TestCase
 from testtools.matchers import Contains
 from testtools.matchers import Equals
@@ -175,6 +176,31 @@
         wait_until(lambda: second.jobs_by_id["j1"].task(TaskKey("j1", 0, 0, 0)).active_run > 0)
         self.assertThat(self.harness.checker.start_count, Equals(1))
 
+    def test_successor_starts_nothing_before_it_has_read_which_workers_drain(self):
+        # The stored list of workers, which it loads first, may be from before they began to drain.
+        wait_until(lambda: usable_workers(self.first, "shop"))
+        self.first.stop()
+        load = self.harness.table.load
+        is_slow = Event()
+
+        def load_slowly(table):
+            if table == "servers":
+                is_slow.wait()
+            return load(table)
+
+        self.harness.table.load = load_slowly
+        self.harness.list_worker(make_listing(1, is_draining=True))
+        second = self.harness.start_owner("vm-2")
+        self.addCleanup(second.stop)
+        self.addCleanup(is_slow.set)
+        wait_until(lambda: second.settled and second.workers_by_id["w1"].is_reached)
+        wait_until(lambda: second.workers_by_id["w2"].is_reached)
+        self.assertThat(usable_workers(second, "shop"), Equals([]))
+        is_slow.set()
+        wait_until(lambda: usable_workers(second, "shop"))
+        usable = [worker.worker_id for worker in usable_workers(second, "shop")]
+        self.assertThat(usable, Equals(["w2"]))
+
     def test_successor_waits_for_a_worker_that_it_cannot_reach(self):
         self._run_long_job()
         holder = next(each for each in self.harness.worker_by_id.values() if each.running())
--- a/tests/process/dispatch/test_worker_session.py
+++ b/tests/process/dispatch/test_worker_session.py
@@ -181,6 +181,7 @@
         step = self.job.occurrences[0].steps[1]
         step.ready_since_s = self.link.now_s - MAX_PLACEMENT_WAIT_S
         self.worker.listed_in_batch = 0
+        self.dispatcher.knows_listings = True
         plan(self.dispatcher)
         sleep(0)
         sleep(0)
