Count the wait of a step across a change of the owner

When a step became ready was known to the owner alone, and each new owner counted from the moment when it loaded the job. A long-running task then waits for the sake of urgent ones anew, 1.5 s with each owner: with a graceful handover in between that is more than the three seconds in which callers expect it to run where there is room for it twice over (LOST). The same holds for the first task of a best-effort job while little is reserved.

A step of a stored job now counts as having waited since its job was submitted or due, but for 1.5 s at most: how long it really waited is not stored, and longer waits decide whether best-effort work is placed on unsuitable workers.

The new test failed before the fix: the wait began when the job was loaded.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -28,6 +28,7 @@
 from laburnumswitch.process.dispatch.job_spec import TaskKey
 from laburnumswitch.process.dispatch.jobs import Job
 from laburnumswitch.process.dispatch.jobs import JobState
+from laburnumswitch.process.dispatch.jobs import Occurrence
 from laburnumswitch.process.dispatch.jobs import ReadyStep
 from laburnumswitch.process.dispatch.jobs import step_work
 from laburnumswitch.process.dispatch.jobs import Task
@@ -58,6 +59,9 @@
 # Submissions reach the owner through the feed within this time, in seconds. A run whose job is
 # still unknown after that is stopped.
 ORPHAN_WAIT_S = 3.0
+# Time for which a step of a stored job counts as having waited for an earlier owner, at most, in
+# seconds. When it became ready is not stored; it is enough for waits for the sake of other tasks.
+MAX_INHERITED_WAIT_S = 1.5
 # Weight of a new job in the moving average of its queue's work (core-seconds per job).
 MEAN_WORK_WEIGHT = 0.05
 # Stands for the batch of an ended run that waits for its job.
@@ -329,12 +333,19 @@
                 key = (job.job_id, occurrence.number, index)
                 if step_state in ready:
                     if key not in self.ready_step_by_key:
-                        step_state.ready_since_s = self.context.clock()
+                        step_state.ready_since_s = self._ready_since_s(job, occurrence)
                         self.ready_step_by_key[key] = ReadyStep(job, occurrence, step_state)
                 else:
                     self.ready_step_by_key.pop(key, None)
         self.wake.set()
 
+    def _ready_since_s(self, job: Job, occurrence: Occurrence) -> float:
+        now_s = self.context.clock()
+        if self.is_loaded.is_set() or not job.may_have_unknown_runs:
+            return now_s
+        waited_s = self.context.wall_clock() - occurrence.due_s
+        return now_s - min(max(0.0, waited_s), MAX_INHERITED_WAIT_S)
+
     # Runs
 
     def next_run(self, task: Task) -> int:
--- a/tests/process/dispatch/test_dispatcher.py
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -3,6 +3,7 @@
 from itertools import count
 from json import loads
 from time import monotonic
+from time import time
 
 from gevent import sleep
 from gevent.event import Event
@@ -16,6 +17,7 @@
 
 from laburnumswitch.process.dispatch.dispatcher import ORPHAN_WAIT_S
 from laburnumswitch.process.dispatch.fleet import MIN_CLOCK_RATE
+from laburnumswitch.process.dispatch.headroom import LONG_RUNNING_WAIT_S
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.job_spec import TaskKey
 from laburnumswitch.process.dispatch.jobs import Job
@@ -201,6 +203,20 @@
         usable = [worker.worker_id for worker in usable_workers(second, "shop")]
         self.assertThat(usable, Equals(["w2"]))
 
+    def test_time_that_a_step_waited_counts_for_the_successor(self):
+        # Each owner used to let long-running tasks wait anew for the sake of urgent ones.
+        too_large = Step(1, cpu_millis=100_000, long_running=True)
+        submission = make_submission("j1", too_large)
+        self.harness.submit(submission._replace(submitted_s=time() - 60.0), self.first)
+        self.first.stop()
+        begun_s = monotonic()
+        second = self.harness.start_owner("vm-2")
+        self.addCleanup(second.stop)
+        wait_until(second.is_loaded.is_set)
+        step_state = second.jobs_by_id["j1"].occurrences[0].steps[0]
+        self.assertThat(step_state.ready_since_s, LessThan(begun_s))
+        self.assertThat(step_state.ready_since_s, GreaterThan(begun_s - 2 * LONG_RUNNING_WAIT_S))
+
     def test_successor_waits_for_a_worker_that_it_cannot_reach(self):
         self._run_long_job()
         holder = next(each for each in self.harness.worker_by_id.values() if each.running())
