--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -32,6 +32,7 @@
 from laburnumswitch.process.dispatch.job_spec import TaskKey
 from laburnumswitch.process.dispatch.jobs import Job
 from laburnumswitch.process.dispatch.jobs import JobState
+from laburnumswitch.process.dispatch.jobs import Occurrence
 from laburnumswitch.process.dispatch.jobs import ReadyStep
 from laburnumswitch.process.dispatch.jobs import step_work
 from laburnumswitch.process.dispatch.jobs import Task
@@ -63,6 +64,9 @@
 # Submissions reach the owner through the feed within this time, in seconds. A run whose job is
 # still unknown after that is stopped.
 ORPHAN_WAIT_S = 3.0
+# Time for which a step of a stored job counts as having waited for an earlier owner, at most, in
+# seconds. When it became ready is not stored; it is enough for waits for the sake of other tasks.
+MAX_INHERITED_WAIT_S = 1.5
 # Weight of a new job in the moving average of its queue's work (core-seconds per job).
 MEAN_WORK_WEIGHT = 0.05
 # Stands for the batch of an ended run that waits for its job.
@@ -138,8 +142,8 @@
     :ivar wake: set when the planner has to run.
     :ivar is_evacuating: whether ``evacuator`` handles draining workers at present.
     :ivar is_loaded: set once all stored jobs are loaded.
-    :ivar has_read_listings: whether the platform's list of workers was read in this term; the stored
-        list does not say which workers are draining.
+    :ivar knows_listings: whether this owner has read what the platform lists of the workers. The
+        stored listings, which it loads first, may be from before a worker began to drain.
     :ivar settled: whether all runs of earlier owners are known or have certainly lapsed.
     :ivar unknown_runs_until_s: when the last lease ends that earlier owners may have granted.
     :ivar predecessor_may_start_jobs: whether the earlier owner may still start jobs that are
@@ -179,7 +183,7 @@
         self.stopped = Event()
         self.is_evacuating = False
         self.is_loaded = Event()
-        self.has_read_listings = False
+        self.knows_listings = False
         self.settled = True
         self.unknown_runs_until_s = 0.0
         self.predecessor_may_start_jobs = False
@@ -221,7 +225,7 @@
             )
             for worker in self.workers_by_id.values()
         ]
-        # The successor may know the jobs of these ends and must read them before it starts any task.
+        # The successor may know the jobs of these ends and must read them before it starts tasks.
         unapplied = {
             end.worker.worker_id for ends in self.orphan_ends_by_job_id.values() for end in ends
         }
@@ -392,12 +396,19 @@
                 key = (job.job_id, occurrence.number, index)
                 if step_state in ready:
                     if key not in self.ready_step_by_key:
-                        step_state.ready_since_s = self.context.clock()
+                        step_state.ready_since_s = self._ready_since_s(job, occurrence)
                         self.ready_step_by_key[key] = ReadyStep(job, occurrence, step_state)
                 else:
                     self.ready_step_by_key.pop(key, None)
         self.wake.set()
 
+    def _ready_since_s(self, job: Job, occurrence: Occurrence) -> float:
+        now_s = self.context.clock()
+        if self.is_loaded.is_set() or not job.may_have_unknown_runs:
+            return now_s
+        waited_s = self.context.wall_clock() - occurrence.due_s
+        return now_s - min(max(0.0, waited_s), MAX_INHERITED_WAIT_S)
+
     # Runs
 
     def next_run(self, task: Task) -> int:
@@ -427,7 +438,12 @@
             report.task, report.run, job.step_state(report.task).step, worker.fence, now_s
         )
         run.update(report, now_s)
-        run.is_speed_known = False
+        if report.measurement > 0:
+            run.speed_percent = run.measured_speed_percent()
+        else:
+            run.is_speed_uncertain = True
+        # It may have been over its target for nearly as long as it may be.
+        run.last_under_target_s = float("-inf")
         worker.add_run(run)
         task.checkpoint = report.checkpoint or task.checkpoint
         self.refresh_ready_steps(job)
--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -18,6 +18,8 @@
 # Workers whose listings expired during an outage of the store are listed again within this time, in
 # seconds.
 RELIST_GRACE_S = 2.2
+# Speeds are multiples of this many percent, so that small changes cause no call to the worker.
+SPEED_GRANULARITY_PERCENT = 10
 # A best-effort run that is limited to this percentage of its speed or less counts as heavily
 # throttled and may be moved to another worker.
 HEAVY_THROTTLE_PERCENT = 30
@@ -61,9 +63,11 @@
         of its work done; ``None`` before that.
     :ivar measurement: tail latency or processor use, see ``RunReport``.
     :ivar speed_percent: limit of the speed, 100 when the run is not throttled.
-    :ivar is_speed_known: whether ``speed_percent`` is certain; workers do not report the limit that
-        an earlier owner has set.
-    :ivar last_under_target_s: when its tail latency was last known to be below its target.
+    :ivar throttled_s: when the last throttle was sent.
+    :ivar is_speed_uncertain: whether the last throttle was not answered.
+    :ivar last_under_target_s: when its tail latency was last known to be below its target;
+        minus infinity if that was not seen since the run was adopted.
+    :ivar was_under_target: whether the last sample was clearly below its target.
     :ivar throttled_since_s: since when it has been heavily throttled; ``None`` if it is not.
     """
 
@@ -83,8 +87,10 @@
         "first_progress_percent",
         "measurement",
         "speed_percent",
-        "is_speed_known",
+        "throttled_s",
+        "is_speed_uncertain",
         "last_under_target_s",
+        "was_under_target",
         "throttled_since_s",
     )
 
@@ -104,8 +110,10 @@
         self.first_progress_percent = 0.0
         self.measurement = 0.0
         self.speed_percent = 100
-        self.is_speed_known = True
+        self.throttled_s = float("-inf")
+        self.is_speed_uncertain = False
         self.last_under_target_s = now_s
+        self.was_under_target = False
         self.throttled_since_s: float | None = None
 
     def update(self, report: RunReport, now_s: float) -> None:
@@ -120,6 +128,17 @@
         self.progress_percent = report.progress_percent
         self.measurement = report.measurement
 
+    def measured_speed_percent(self) -> int:
+        """Estimate the limit of the speed of a best-effort run from its processor use.
+
+        Workers do not report throttles. A run that has to share its processors is taken for a
+        throttled one, which costs one call to the worker.
+        """
+        if not (self.step.best_effort and self.step.cpu_millis):
+            return 100
+        share = min(1.0, self.measurement / self.step.cpu_millis)
+        return round(share * 100 / SPEED_GRANULARITY_PERCENT) * SPEED_GRANULARITY_PERCENT
+
     @property
     def is_serving(self) -> bool:
         """Return whether the run serves requests and its measurement is a tail latency."""
@@ -144,8 +163,8 @@
     :ivar granted_until_s: end of the lease on the worker's clock.
     :ivar lapse_bound_s: when all granted leases have certainly expired.
     :ivar has_unknown_runs: whether runs of earlier owners may exist that this owner does not know.
-    :ivar has_unreserved_runs: whether it last reported runs that this owner has not adopted, so that
-        their capacity is not reserved.
+    :ivar has_unreserved_runs: whether it last reported runs that this owner has not adopted, whose
+        capacity is not reserved.
     :ivar blocked_until_s: the worker gets no starts before this time.
     :ivar last_sample_s: when its measurements were last used.
     """
--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -23,7 +23,7 @@
 from laburnumswitch.process.dispatch.worker_protocol import WorkerReport
 
 # How long the worker holds a renewal open until a run ends, in seconds. Tail latencies are sampled
-# with each answer, so this also gives one sample a second.
+# with the answers, so this is also the longest interval between two samples.
 RENEWAL_WAIT_S = 1.0
 # Time beyond the renewal's wait, in seconds, after which the call counts as lost.
 ANSWER_MARGIN_S = 0.5
@@ -39,18 +39,24 @@
 SAMPLE_INTERVAL_S = 0.9
 # A stop is repeated if the run is still reported after this time, in seconds.
 STOP_REPEAT_S = 0.6
-# A tail latency counts as back under its target only below this share of it, since samples are
-# noisy.
+# Samples are noisy: a tail latency counts as back under its target with two samples below this
+# share of it, or with one sample below the other.
 CLEARLY_UNDER_RATIO = 0.9
+CERTAINLY_UNDER_RATIO = 0.8
+# Time after a start or a throttle, in seconds, from which the processor use of a run shows whether
+# it took effect: throttles take effect with a delay, and the use is an average over half a second.
+THROTTLE_SETTLING_S = 0.8
+# Throttles below this percentage, and uses of processors above them by as much, are told apart.
+WORKING_PERCENT = 50
+# A run that uses less than this share of its processors stands still.
+STANDING_USE = 0.02
 
 
 def run_worker(dispatcher: Dispatcher, worker: Worker) -> None:
     """Renew the lease of one incarnation of a worker until it is dropped or the term ends."""
     context = dispatcher.context
     while not dispatcher.is_stopped() and not worker.is_dropped:
-        # Calls to a silent worker are short, since a lapse of its leases is noticed between them.
-        answers = worker.is_reached and not worker.is_silent
-        answer = renew(dispatcher, worker, RENEWAL_WAIT_S if answers else 0.0)
+        answer = renew(dispatcher, worker, _renewal_wait_s(worker, context.clock()))
         if isinstance(answer, WorkerReport):
             if answer.ended:
                 _await_commit(dispatcher, worker)
@@ -66,6 +72,20 @@
         context.sleep(RETRY_S)
 
 
+def _renewal_wait_s(worker: Worker, now_s: float) -> float:
+    """Return how long the worker may hold the next renewal open.
+
+    Ends of runs cut renewals short. If tail latencies have to be guarded, the next renewal returns
+    when the next sample is due, not a whole wait after the last end.
+    """
+    if not worker.is_reached or worker.is_silent:
+        # Calls to a silent worker are short, since a lapse of its leases is noticed between them.
+        return 0.0
+    if not (worker.best_effort_runs() and worker.serving_runs()):
+        return RENEWAL_WAIT_S
+    return min(RENEWAL_WAIT_S, max(0.0, worker.last_sample_s + RENEWAL_WAIT_S - now_s))
+
+
 def renew(
     dispatcher: Dispatcher, worker: Worker, wait_s: float, margin_s: float = ANSWER_MARGIN_S
 ) -> WorkerReport | Failure:
@@ -242,8 +262,10 @@
         if run.measurement > 0:
             ratio = run.measurement / run.step.tail_target_ms
             model.observe(run.task, run.step.image, ratio, used_by_image, now_s)
-            if ratio < CLEARLY_UNDER_RATIO:
+            is_under = ratio < CLEARLY_UNDER_RATIO
+            if is_under and (run.was_under_target or ratio < CERTAINLY_UNDER_RATIO):
                 run.last_under_target_s = now_s
+            run.was_under_target = is_under
 
 
 def choose_speeds(
@@ -277,14 +299,47 @@
     max_over_target_s = dispatcher.context.deployment.bounds.max_overrun_s
     speeds = choose_speeds(dispatcher.model, worker, max_over_target_s, now_s)
     for task, percent in speeds.items():
-        run = worker.runs_by_task[task]
-        if percent > HEAVY_THROTTLE_PERCENT:
-            run.throttled_since_s = None
-        elif run.throttled_since_s is None:
-            run.throttled_since_s = now_s
-        is_set = run.is_speed_known and percent == run.speed_percent
-        if not is_set and run.confirmed_s is not None:
-            dispatcher.spawn(_throttle, dispatcher, worker, run, percent)
+        _set_speed(dispatcher, worker, worker.runs_by_task[task], percent, now_s)
+
+
+def _set_speed(
+    dispatcher: Dispatcher, worker: Worker, run: ActiveRun, percent: int, now_s: float
+) -> None:
+    if percent > HEAVY_THROTTLE_PERCENT:
+        run.throttled_since_s = None
+    elif run.throttled_since_s is None:
+        run.throttled_since_s = now_s
+    is_known = percent == run.speed_percent and not run.is_speed_uncertain
+    if run.confirmed_s is not None and not (is_known and _agrees_with_throttle(run, now_s)):
+        dispatcher.spawn(_throttle, dispatcher, worker, run, percent)
+
+
+def _agrees_with_throttle(run: ActiveRun, now_s: float) -> bool:
+    """Return whether the processor use of a run agrees with its last throttle.
+
+    An unanswered throttle may be carried out seconds later, after newer ones. How far a run above
+    zero is throttled cannot be told, since it may have to share its processors.
+    """
+    if now_s - max(run.started_s, run.throttled_s) < THROTTLE_SETTLING_S:
+        return True
+    use = run.measurement / max(1, run.step.cpu_millis)
+    if run.speed_percent < WORKING_PERCENT:
+        return use * 100 < run.speed_percent + WORKING_PERCENT
+    return use > STANDING_USE
+
+
+def throttle_new_run(dispatcher: Dispatcher, worker: Worker, run: ActiveRun) -> None:
+    """Stop a run that was just started if best-effort work is stopped on its worker.
+
+    Otherwise it would interfere at full speed until the next sample.
+    """
+    if not (run.step.best_effort and worker.serving_runs()):
+        return
+    now_s = dispatcher.context.clock()
+    max_over_target_s = dispatcher.context.deployment.bounds.max_overrun_s
+    speeds = choose_speeds(dispatcher.model, worker, max_over_target_s, now_s)
+    if speeds.get(run.task) == 0:
+        _set_speed(dispatcher, worker, run, 0, now_s)
 
 
 def _unthrottled_share(run: ActiveRun, capacity: float) -> float:
@@ -294,20 +349,21 @@
     reserved share.
     """
     reserved = run.step.cpu_millis / capacity
-    if not run.is_speed_known or run.speed_percent < 50 or run.measurement <= 0:
+    if run.is_speed_uncertain or run.speed_percent < 50 or run.measurement <= 0:
         return reserved
     return min(reserved, run.measurement / capacity * 100.0 / run.speed_percent)
 
 
 def _throttle(dispatcher: Dispatcher, worker: Worker, run: ActiveRun, percent: int) -> None:
     before, run.speed_percent = run.speed_percent, percent
-    run.is_speed_known = True
+    run.is_speed_uncertain = False
+    run.throttled_s = dispatcher.context.clock()
     dispatcher.counters.throttles += 1
     outcome = worker.link.throttle(run.task, run.number, percent, worker.fence, COMMAND_TIMEOUT_S)
     if isinstance(outcome, Failure):
-        # It may have taken effect nevertheless; the next sample sends it again.
-        run.speed_percent = before
-        run.is_speed_known = False
+        # It may have taken effect. The next sample sends what is wanted then.
+        run.speed_percent = max(before, percent)
+        run.is_speed_uncertain = True
     dispatcher.context.log.note(
         "throttle",
         task_name(run.task),
