Send at most two commands to a worker at a time

Commands to a worker now wait for one of two slots, within their own time limits. One that gets none in time was not sent, so a start counts as refused and not as uncertain. Ruled out: closing idle connections earlier, as workers do not close theirs and each new connection is priced.

Seen to fail before the change: test_bursts_of_commands_leave_few_connections_to_each_worker (241 connections to 20 workers, now 60 at most), test_command_that_finds_no_free_connection_in_time_is_not_sent (AnswerLost).

--- a/laburnumswitch/platform/workers.py
+++ b/laburnumswitch/platform/workers.py
@@ -1,7 +1,9 @@
 """HTTP calls to workers: lease renewals, starts, stops and throttles."""
 
+from time import monotonic
 from typing import Any
 
+from gevent.lock import Semaphore
 from msgspec import DecodeError
 from msgspec import Struct
 from msgspec import ValidationError
@@ -29,8 +31,11 @@
 from laburnumswitch.process.dispatch.worker_protocol import WorkerReport
 from laburnumswitch.units import MS_PER_S
 
-# Idle connections kept per worker. A worker accepts 64 connections from all entries together.
-POOL_SIZE = 12
+# Commands sent to one worker at the same time. With a single one, a command that is not answered
+# would hold up all others.
+MAX_PARALLEL_COMMANDS = 2
+# Idle connections kept per worker: one for its renewals and the rest for commands.
+POOL_SIZE = 1 + MAX_PARALLEL_COMMANDS
 STATUS_OK = 200
 STATUS_CONFLICT = 409
 STATUS_OTHER_INCARNATION = 421
@@ -49,12 +54,18 @@
 
 
 class HttpWorkerLink:
-    """Calls one incarnation of a worker, without retries."""
+    """Calls one incarnation of a worker, without retries.
+
+    At most ``MAX_PARALLEL_COMMANDS`` commands are sent at the same time. Others wait, within their
+    own time limits: a burst would otherwise open a connection for each command, and an owner of
+    many workers would run out of descriptors.
+    """
 
     def __init__(self, listing: WorkerListing) -> None:
         self._worker_id = listing.worker_id
         headers = {"X-Expect-Instance": listing.worker_id}
         self._client = Client(listing.address, lambda: headers, pool_size=POOL_SIZE)
+        self._command_slots = Semaphore(MAX_PARALLEL_COMMANDS)
 
     def renew(self, renewal: Renewal, timeout_s: float) -> WorkerReport | Failure:
         """Renew the lease and return the worker's current and ended runs."""
@@ -105,7 +116,14 @@
         self._client.close()
 
     def _acknowledge(self, path: str, body: dict, timeout_s: float) -> Acknowledged | Failure:
-        answer = self._call(path, body, timeout_s)
+        began_s = monotonic()
+        if not self._command_slots.acquire(timeout=timeout_s):
+            return ConnectFailed(self._client.address, "other commands are not answered")
+        try:
+            remaining_s = max(0.0, timeout_s - (monotonic() - began_s))
+            answer = self._call(path, body, remaining_s)
+        finally:
+            self._command_slots.release()
         return answer if isinstance(answer, Failure) else Acknowledged(answer.clock_ms / MS_PER_S)
 
     def _call(self, path: str, body: dict, timeout_s: float) -> _Answer | Failure:
