Bound the connections to all workers by the descriptors of the settings

For one beyond that, the connection that has been idle for longest is closed; if all are in use, the call is not sent and counts as such. Renewals repeat after 0.25 s and commands to a worker are over within some milliseconds, so an idle one is found then, unless there are more workers than connections: that needs more owners. The log line connections_limited (at most one a second) and four metrics tell of it.

Client.close keeps no connection any more that is in use while it is called: the registry of idle ones would have held those of dropped workers for ever. Before, they were left to the garbage collector.

Seen to fail before the change: test_connection_in_use_when_its_client_is_closed_is_not_kept of test_client.py.

--- a/laburnumswitch/connection/client.py
+++ b/laburnumswitch/connection/client.py
@@ -17,6 +17,7 @@
 from gevent.select import poll
 from geventhttpclient.response import HTTPParseError
 
+from laburnumswitch.connection.connection_limit import ConnectionLimit
 from laburnumswitch.connection.response_parser import ResponseParser
 from laburnumswitch.connection.tls import ClientTls
 from laburnumswitch.connection.tls import refusal_reason
@@ -46,7 +47,11 @@
 
 
 class Client:
-    """HTTP client with pooled connections to one address, such as ``10.0.0.7:8300``."""
+    """HTTP client with pooled connections to one address, such as ``10.0.0.7:8300``.
+
+    The constructor takes the number of idle connections to keep, and a limit that the connections
+    share with those of other clients.
+    """
 
     def __init__(
         self,
@@ -54,6 +59,7 @@
         headers: Callable[[], Mapping[str, str]] = dict,
         tls: ClientTls | None = None,
         pool_size: int = POOL_SIZE,
+        limit: ConnectionLimit | None = None,
     ) -> None:
         self.address = address
         self.connections_opened = 0
@@ -62,6 +68,8 @@
         self._headers = headers
         self._tls = tls
         self._pool_size = pool_size
+        self._limit = limit
+        self._is_closed = False
         self._idle: list[_PooledSocket] = []
 
     def call(
@@ -91,9 +99,9 @@
                 sock.sendall(self._encode_request(method, target, body, extra_headers))
                 response, reusable = self._receive(sock, method)
         except (Timeout, OSError, HTTPParseError) as error:
-            _close(sock)
+            self._close_socket(sock)
             if isinstance(error, Timeout):
-                self.close()
+                self._close_idle()
             refusal = refusal_reason(error, not sent) if isinstance(error, SSLError) else None
             if refusal is not None:
                 return PeerNotTrusted(self.address, refusal)
@@ -104,15 +112,15 @@
                 return ConnectionRefused(self.address, reason)
             return ConnectFailed(self.address, reason)
         except BaseException:
-            _close(sock)
+            self._close_socket(sock)
             raise
         if self._tls is not None and response.status == STATUS_NOT_TRUSTED:
-            _close(sock)
+            self._close_socket(sock)
             return PeerNotTrusted(self.address, response.body.decode("utf-8", "replace"))
-        if reusable and len(self._idle) < self._pool_size:
-            self._idle.append(_PooledSocket(sock, monotonic()))
+        if reusable and len(self._idle) < self._pool_size and not self._is_closed:
+            self._keep_idle(sock)
         else:
-            _close(sock)
+            self._close_socket(sock)
         return response
 
     def control_bytes(self) -> int:
@@ -120,28 +128,58 @@
         return self.bytes_sent + self.bytes_received
 
     def close(self) -> None:
-        """Close the idle connections."""
-        while self._idle:
-            _close(self._idle.pop().sock)
+        """Close the idle connections, and those in use once their calls have ended."""
+        self._is_closed = True
+        self._close_idle()
 
     def _connect(self, timeout_s: float) -> socket.socket:
         host, _, port = self.address.rpartition(":")
-        sock = socket.create_connection((host, int(port)), timeout=timeout_s)
-        self.connections_opened += 1
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        if self._tls is not None:
-            sock = self._tls.wrap_socket(sock, server_hostname=host)
-        sock.settimeout(None)
+        if self._limit is not None:
+            self._limit.reserve()
+        try:
+            sock = socket.create_connection((host, int(port)), timeout=timeout_s)
+            self.connections_opened += 1
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if self._tls is not None:
+                sock = self._tls.wrap_socket(sock, server_hostname=host)
+            sock.settimeout(None)
+        except BaseException:
+            if self._limit is not None:
+                self._limit.release()
+            raise
         return sock
 
     def _take_idle(self) -> socket.socket | None:
         while self._idle:
             pooled = self._idle.pop()
+            if self._limit is not None:
+                self._limit.note_in_use(pooled.sock)
             if monotonic() - pooled.idle_since_s < IDLE_TIMEOUT_S and not _is_readable(pooled.sock):
                 return pooled.sock
-            _close(pooled.sock)
+            self._close_socket(pooled.sock)
         return None
 
+    def _keep_idle(self, sock: socket.socket) -> None:
+        self._idle.append(_PooledSocket(sock, monotonic()))
+        if self._limit is not None:
+            self._limit.note_idle(sock, self._close_one_idle)
+
+    def _close_one_idle(self, sock: socket.socket) -> None:
+        self._idle = [pooled for pooled in self._idle if pooled.sock is not sock]
+        self._close_socket(sock)
+
+    def _close_idle(self) -> None:
+        while self._idle:
+            self._close_socket(self._idle.pop().sock)
+
+    def _close_socket(self, sock: socket.socket | None) -> None:
+        if sock is None:
+            return
+        sock.close()
+        if self._limit is not None:
+            self._limit.note_in_use(sock)
+            self._limit.release()
+
     def _encode_request(
         self, method: str, target: str, body: bytes, extra_headers: Mapping[str, str]
     ) -> bytes:
@@ -174,8 +212,3 @@
     poller = poll()
     poller.register(sock, POLLIN)
     return bool(poller.poll(0))
-
-
-def _close(sock: socket.socket | None) -> None:
-    if sock is not None:
-        sock.close()
--- a/laburnumswitch/dispatch_entry.py
+++ b/laburnumswitch/dispatch_entry.py
@@ -21,6 +21,7 @@
 from gevent.event import Event
 
 from laburnumswitch.connection.client import Client
+from laburnumswitch.connection.connection_limit import ConnectionLimit
 from laburnumswitch.dispatch_metrics import register_dispatch_metrics
 from laburnumswitch.exceptions import CannotListen
 from laburnumswitch.exceptions import Failure
@@ -75,6 +76,9 @@
 KILL_MARGIN_S = 1.0
 DRAIN_INTERVAL_S = 0.05
 EVENT_LOOP = "libev-cext"
+# Share of the descriptors for connections that those to workers may take. Callers, other entries
+# and the store use the rest.
+WORKER_CONNECTIONS_SHARE = 0.75
 
 
 class DispatchEntry:
@@ -126,8 +130,13 @@
             DEADLINE_HEADER,
             lambda: self._limits().body_bytes,
         )
+        self.worker_connections = ConnectionLimit(
+            _max_worker_connections(deployment), monotonic, self._note_connection_limit
+        )
         self.metrics = Metrics()
-        register_dispatch_metrics(self.metrics, self.leadership, self.in_flight, self.log)
+        register_dispatch_metrics(
+            self.metrics, self.leadership, self.in_flight, self.log, self.worker_connections
+        )
         handlers = {
             "peer": make_leadership_peer_handler(lambda: self.leadership, self.incarnation),
             "metrics": self._render_metrics,
@@ -159,6 +168,7 @@
         before = self.deployment._asdict()
         changed_names = [name for name, value in changed._asdict().items() if value != before[name]]
         self.deployment = changed
+        self.worker_connections.max_open = _max_worker_connections(changed)
         self.log.note("reload", self.incarnation, outcome="taken", changed=changed_names)
 
     def stop(self) -> None:
@@ -182,7 +192,7 @@
             table=self.table,
             workers_table=WORKERS_TABLE,
             decode_worker=decode_worker,
-            make_link=HttpWorkerLink,
+            make_link=lambda listing: HttpWorkerLink(listing, self.worker_connections),
             ask_advice=AdviceClient(self.deployment.advice_address).ask,
             operations=self.operations,
             log=self.log,
@@ -203,6 +213,16 @@
             self.stopped.is_set,
         )
 
+    def _note_connection_limit(self, limit: ConnectionLimit) -> None:
+        self.log.note(
+            "connections_limited",
+            self.incarnation,
+            limit=limit.max_open,
+            open=limit.open_count,
+            closed_idle=limit.closed_idle_count,
+            refused=limit.refused_count,
+        )
+
     def _limits(self) -> Limits:
         configuration = self.operations.configuration
         return configuration.limits if configuration else Limits()
@@ -238,6 +258,10 @@
     return None
 
 
+def _max_worker_connections(deployment: Deployment) -> int:
+    return int(deployment.max_sockets * WORKER_CONNECTIONS_SHARE)
+
+
 def _boot_clock() -> float:
     return clock_gettime(CLOCK_BOOTTIME)
 
--- a/laburnumswitch/dispatch_metrics.py
+++ b/laburnumswitch/dispatch_metrics.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from laburnumswitch.connection.connection_limit import ConnectionLimit
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
 from laburnumswitch.process.leadership.leadership import Leadership
 from laburnumswitch.process.observing.decisions import DecisionLog
@@ -11,7 +12,11 @@
 
 
 def register_dispatch_metrics(
-    metrics: Metrics, leadership: Leadership, in_flight: InFlightCounter, log: DecisionLog
+    metrics: Metrics,
+    leadership: Leadership,
+    in_flight: InFlightCounter,
+    log: DecisionLog,
+    worker_connections: ConnectionLimit,
 ) -> None:
     """Register the metrics of an entry; those of the dispatcher are 0 unless it is the owner."""
 
@@ -40,6 +45,26 @@
     metrics.add_counter(
         "laburnumswitch_log_lines_dropped_total", "Log lines dropped.", lambda: log.dropped
     )
+    metrics.add_gauge(
+        "laburnumswitch_worker_connections",
+        "Open connections to workers.",
+        lambda: worker_connections.open_count,
+    )
+    metrics.add_gauge(
+        "laburnumswitch_worker_connections_limit",
+        "Largest number of open connections to workers.",
+        lambda: worker_connections.max_open,
+    )
+    metrics.add_counter(
+        "laburnumswitch_worker_connections_closed_total",
+        "Idle connections to workers closed because of the limit.",
+        lambda: worker_connections.closed_idle_count,
+    )
+    metrics.add_counter(
+        "laburnumswitch_worker_connections_refused_total",
+        "Connections to workers not opened because all that the limit allows were in use.",
+        lambda: worker_connections.refused_count,
+    )
     gauges: dict[str, tuple[str, Callable[[Dispatcher], float]]] = {
         "waiting_steps": ("Steps with tasks to start.", lambda d: len(d.ready_step_by_key)),
         "jobs": ("Jobs known.", lambda d: len(d.jobs_by_id)),
--- a/laburnumswitch/platform/settings.py
+++ b/laburnumswitch/platform/settings.py
@@ -14,16 +14,23 @@
 from laburnumswitch.units import MS_PER_S
 from laburnumswitch.yamlfile import read_file
 
+# Descriptors of ``maxFds`` that the platform reserves for files.
+FILE_DESCRIPTORS = 200
+
 
 class _Listen(Struct):
     front: str
     ready: str
 
 
-class _Limits(Struct, rename={"cpu_share": "cpuShare", "memory_mb": "memoryMb"}):
+class _Limits(
+    Struct, rename={"cpu_share": "cpuShare", "memory_mb": "memoryMb", "max_fds": "maxFds"}
+):
     cpu_share: float
     cores: float
     memory_mb: int
+    # The default soft limit of most systems.
+    max_fds: int = 1024
 
 
 class _Bounds(
@@ -104,4 +111,5 @@
             restore_s=bounds.restore_ms / MS_PER_S,
             throttle_delay_s=bounds.pace_ms / MS_PER_S,
         ),
+        max_sockets=max(0, fields.limits.max_fds - FILE_DESCRIPTORS),
     )
--- a/laburnumswitch/platform/workers.py
+++ b/laburnumswitch/platform/workers.py
@@ -11,6 +11,7 @@
 from msgspec.json import encode
 
 from laburnumswitch.connection.client import Client
+from laburnumswitch.connection.connection_limit import ConnectionLimit
 from laburnumswitch.exceptions import AnswerLost
 from laburnumswitch.exceptions import AnswerMalformed
 from laburnumswitch.exceptions import ConnectFailed
@@ -58,13 +59,13 @@
 
     At most ``MAX_PARALLEL_COMMANDS`` commands are sent at the same time. Others wait, within their
     own time limits: a burst would otherwise open a connection for each command, and an owner of
-    many workers would run out of descriptors.
+    many workers would run out of descriptors. ``limit`` bounds the connections to all workers.
     """
 
-    def __init__(self, listing: WorkerListing) -> None:
+    def __init__(self, listing: WorkerListing, limit: ConnectionLimit | None = None) -> None:
         self._worker_id = listing.worker_id
         headers = {"X-Expect-Instance": listing.worker_id}
-        self._client = Client(listing.address, lambda: headers, pool_size=POOL_SIZE)
+        self._client = Client(listing.address, lambda: headers, pool_size=POOL_SIZE, limit=limit)
         self._command_slots = Semaphore(MAX_PARALLEL_COMMANDS)
 
     def renew(self, renewal: Renewal, timeout_s: float) -> WorkerReport | Failure:
--- a/laburnumswitch/process/daemon/deployment.py
+++ b/laburnumswitch/process/daemon/deployment.py
@@ -22,7 +22,10 @@
 
 
 class Deployment(NamedTuple):
-    """Addresses, location and size of one entry. Addresses are ``IP:port``, empty if absent."""
+    """Addresses, location and size of one entry. Addresses are ``IP:port``, empty if absent.
+
+    :ivar max_sockets: number of descriptors that the process may use for connections.
+    """
 
     vm_id: str
     availability_zone: str
@@ -34,3 +37,4 @@
     cpu_cores: float
     memory_mb: int
     bounds: Bounds
+    max_sockets: int = 1024
--- a/tests/connection/test_client.py
+++ b/tests/connection/test_client.py
@@ -1,5 +1,7 @@
 """``Client`` never returns bytes of one call's response to another call."""
 
+from gevent import spawn
+from gevent.event import Event
 from gevent.server import StreamServer
 from testtools import TestCase
 from testtools.matchers import Equals
@@ -46,5 +48,28 @@
         self.assertThat(outcome, IsInstance(AnswerLost))
         self.assertThat(self.connections, Equals(1))
 
+    def test_connection_in_use_when_its_client_is_closed_is_not_kept(self):
+        # The renewal of a worker that was dropped ended later, and its connection stayed open.
+        is_called, may_answer, is_closed = Event(), Event(), Event()
+
+        def serve(sock, address):
+            sock.recv(65_536)
+            is_called.set()
+            may_answer.wait()
+            sock.sendall(ANSWER % b"hi")
+            if not sock.recv(65_536):
+                is_closed.set()
+
+        server = StreamServer(("127.0.0.1", 0), serve)
+        server.start()
+        self.addCleanup(server.stop)
+        client = Client(f"127.0.0.1:{server.server_port}")
+        call = spawn(client.call, "GET", "/")
+        is_called.wait()
+        client.close()
+        may_answer.set()
+        self.assertThat(call.get().body, Equals(b"hi"))
+        self.assertThat(is_closed.wait(10.0), Equals(True))
+
     def test_refused_connection_sent_nothing(self):
         self.assertThat(Client("127.0.0.1:9").call("GET", "/"), IsInstance(ConnectFailed))
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -83,6 +83,10 @@
         # ``holdMaxMs``, in seconds.
         self.assertThat(deployment.bounds.lease_s, Equals(6.0))
 
+    def test_sockets_are_the_descriptors_without_those_for_files(self):
+        text = SETTINGS.replace("memoryMb = 300", "memoryMb = 300\nmaxFds = 4100")
+        self.assertThat(read_deployment_text(text).max_sockets, Equals(3900))
+
     def test_missing_field_is_named(self):
         problems = read_deployment_text(SETTINGS.replace("memoryMb = 300", ""))
         self.assertThat(problems, IsInstance(ProblemsFound))
