Check idle connections without running the event loop

Each call on a kept connection asked gevent's poll whether the other end has closed it, which starts watchers and runs the event loop once; select.poll asks the system alone. On the owner this is once for each renewal and command.

Seen to fail before the change: test_check_of_an_idle_connection_does_not_wait_for_other_greenlets.

--- a/laburnumswitch/connection/client.py
+++ b/laburnumswitch/connection/client.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
+from select import poll
 from select import POLLIN
 from ssl import SSLError
 from time import monotonic
@@ -14,7 +15,6 @@
 
 from gevent import socket
 from gevent import Timeout
-from gevent.select import poll
 from geventhttpclient.response import HTTPParseError
 
 from laburnumswitch.connection.connection_limit import ConnectionLimit
@@ -208,7 +208,8 @@
 
 
 def _is_readable(sock: socket.socket) -> bool:
-    # An idle connection with data to read was closed by the other end or is out of sync.
+    # An idle connection with data to read was closed by the other end or is out of sync. gevent's
+    # ``poll`` would run the event loop once.
     poller = poll()
     poller.register(sock, POLLIN)
     return bool(poller.poll(0))
--- a/tests/connection/test_client.py
+++ b/tests/connection/test_client.py
@@ -15,18 +15,21 @@
 
 
 class TestClient(TestCase):
-    def start(self, answers: list[bytes]) -> Client:
+    def start(self, answers: list[bytes], headers=dict) -> Client:
         self.connections = 0
+        self.closed = Event()
 
         def serve(sock, address):
             self.connections += 1
             while answers and sock.recv(65_536):
                 sock.sendall(answers.pop(0))
+            sock.close()
+            self.closed.set()
 
         server = StreamServer(("127.0.0.1", 0), serve)
         server.start()
         self.addCleanup(server.stop)
-        client = Client(f"127.0.0.1:{server.server_port}")
+        client = Client(f"127.0.0.1:{server.server_port}", headers)
         self.addCleanup(client.close)
         return client
 
@@ -36,6 +39,28 @@
         self.assertThat(bodies, Equals([b"hi", b"ho"]))
         self.assertThat(self.connections, Equals(1))
 
+    def test_connection_closed_by_the_server_while_idle_is_replaced(self):
+        client = self.start([ANSWER % b"hi"])
+        client.call("GET", "/")
+        self.closed.wait()
+        client.call("GET", "/", timeout_s=0.2)
+        self.assertThat(self.connections, Equals(2))
+
+    def test_check_of_an_idle_connection_does_not_wait_for_other_greenlets(self):
+        # The check ran the event loop once for each call to a worker.
+        order = []
+
+        def note_request():
+            order.append("request")
+            return {}
+
+        client = self.start([ANSWER % b"hi", ANSWER % b"ho"], note_request)
+        client.call("GET", "/")
+        order.clear()
+        spawn(order.append, "other greenlet")
+        client.call("GET", "/")
+        self.assertThat(order, Equals(["request", "other greenlet"]))
+
     def test_second_response_in_one_block_is_discarded_and_closes_the_connection(self):
         client = self.start([ANSWER % b"hi" + ANSWER % b"no", ANSWER % b"ho"])
         bodies = [client.call("GET", "/").body for _ in range(2)]
