Report a worker's row with a malformed task id instead of ending the term

A task id that is no text raised AttributeError in the renewal, which ended the owner's term (dispatch_failed). Rows of a report are decoded by their types now, so such an answer is malformed like one with any other wrong field. Found by tests written to keep the decoding unchanged for a faster way; the gain is small: 34.4 us of processor time instead of 37.7 for a report of 16 runs, of more than 1 ms for a whole renewal on loopback (best of seven, without HTTP). Ids seen in the last report are not parsed again.

Seen to fail before the change: test_malformed_rows_are_reported. test_running_rows and test_ended_rows passed before and after.

--- a/laburnumswitch/platform/workers.py
+++ b/laburnumswitch/platform/workers.py
@@ -7,7 +7,7 @@
 from msgspec import DecodeError
 from msgspec import Struct
 from msgspec import ValidationError
-from msgspec.json import decode
+from msgspec.json import Decoder
 from msgspec.json import encode
 
 from laburnumswitch.connection.client import Client
@@ -44,14 +44,31 @@
 STATUS_UNAVAILABLE = 503
 
 
+class _RunRow(Struct, array_like=True):
+    task: str
+    run: int
+    checkpoint: str | None
+    percent: float
+    measurement: float | None = 0.0
+
+
+class _EndRow(Struct, array_like=True):
+    number: int
+    task: str
+    run: int
+    outcome: RunOutcome
+    checkpoint: str | None
+
+
 class _Answer(Struct, rename={"clock_ms": "clockMs"}):
     clock_ms: float = 0.0
     reason: str = ""
     born: int = 0
-    # Runs as [task, run, checkpoint, percent, measurement].
-    running: list[list[Any]] = []
-    # Ended runs as [number, task, run, outcome, checkpoint].
-    ended: list[list[Any]] = []
+    running: list[_RunRow] = []
+    ended: list[_EndRow] = []
+
+
+_ANSWER_DECODER = Decoder(_Answer)
 
 
 class HttpWorkerLink:
@@ -67,6 +84,8 @@
         headers = {"X-Expect-Instance": listing.worker_id}
         self._client = Client(listing.address, lambda: headers, pool_size=POOL_SIZE, limit=limit)
         self._command_slots = Semaphore(MAX_PARALLEL_COMMANDS)
+        # Parsed ids of the tasks in the last report; most of them are in the next one too.
+        self._task_by_id: dict[str, TaskKey] = {}
 
     def renew(self, renewal: Renewal, timeout_s: float) -> WorkerReport | Failure:
         """Renew the lease and return the worker's current and ended runs."""
@@ -79,9 +98,9 @@
         if isinstance(answer, Failure):
             return answer
         try:
-            running = tuple(_decode_run(row) for row in answer.running)
+            running = self._decode_running(answer.running)
             ended = tuple(_decode_end(row) for row in answer.ended)
-        except (ValueError, TypeError, IndexError) as error:
+        except ValueError as error:
             return AnswerMalformed(self._client.address, str(error))
         return WorkerReport(answer.clock_ms / MS_PER_S, answer.born, running, ended)
 
@@ -116,6 +135,21 @@
         """Close all connections."""
         self._client.close()
 
+    def _decode_running(self, rows: list[_RunRow]) -> tuple[RunReport, ...]:
+        known = self._task_by_id
+        task_by_id = {row.task: known.get(row.task) or parse_task_id(row.task) for row in rows}
+        self._task_by_id = task_by_id
+        return tuple(
+            RunReport(
+                task_by_id[row.task],
+                row.run,
+                row.checkpoint or "",
+                row.percent,
+                row.measurement or 0.0,
+            )
+            for row in rows
+        )
+
     def _acknowledge(self, path: str, body: dict, timeout_s: float) -> Acknowledged | Failure:
         began_s = monotonic()
         if not self._command_slots.acquire(timeout=timeout_s):
@@ -140,7 +174,7 @@
         if response.status not in (STATUS_OK, STATUS_CONFLICT):
             return Refused(self._client.address, response.status, response.body[:200].decode())
         try:
-            answer = decode(response.body, type=_Answer)
+            answer = _ANSWER_DECODER.decode(response.body)
         except (DecodeError, ValidationError) as error:
             return AnswerMalformed(self._client.address, str(error))
         if response.status == STATUS_CONFLICT:
@@ -159,14 +193,7 @@
     return TaskKey(job_id, int(occurrence), int(step), int(index))
 
 
-def _decode_run(fields: list[Any]) -> RunReport:
-    task_id, run, checkpoint, percent = fields[:4]
-    measurement = fields[4] if len(fields) > 4 else 0
-    return RunReport(
-        parse_task_id(task_id), run, checkpoint or "", float(percent), float(measurement or 0)
+def _decode_end(row: _EndRow) -> EndReport:
+    return EndReport(
+        row.number, parse_task_id(row.task), row.run, row.outcome, row.checkpoint or ""
     )
-
-
-def _decode_end(fields: list[Any]) -> EndReport:
-    number, task_id, run, outcome, checkpoint = fields[:5]
-    return EndReport(number, parse_task_id(task_id), run, RunOutcome(outcome), checkpoint or "")
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -8,6 +8,7 @@
 from testtools.matchers import IsInstance
 
 from laburnumswitch.exceptions import AnswerLost
+from laburnumswitch.exceptions import AnswerMalformed
 from laburnumswitch.exceptions import ConnectFailed
 from laburnumswitch.exceptions import StartRefused
 from laburnumswitch.exceptions import WorkerRestarted
@@ -16,13 +17,17 @@
 from laburnumswitch.process.dispatch.job_spec import Submission
 from laburnumswitch.process.dispatch.job_spec import TaskKey
 from laburnumswitch.process.dispatch.worker_protocol import Acknowledged
+from laburnumswitch.process.dispatch.worker_protocol import EndReport
 from laburnumswitch.process.dispatch.worker_protocol import Renewal
 from laburnumswitch.process.dispatch.worker_protocol import RunOutcome
+from laburnumswitch.process.dispatch.worker_protocol import RunReport
 from laburnumswitch.process.dispatch.worker_protocol import StartCommand
+from laburnumswitch.process.dispatch.worker_protocol import WorkerReport
 from standin.fleet.api import make_worker_handler
 from standin.fleet.invariant_checker import InvariantChecker
 from standin.fleet.worker import FleetWorker
 from standin.server import bound_address
+from standin.server import json_reply
 from standin.server import start_server
 from tests.process.dispatch.harness import make_listing
 
@@ -75,3 +80,63 @@
     def test_start_without_listener_fails_to_connect(self):
         self.server.stop(0)
         self.assertThat(self.link.start(COMMAND, 0.5), IsInstance(ConnectFailed))
+
+
+class TestReportDecoding(TestCase):
+    """Reports of workers, also of later versions that add fields."""
+
+    def _renew(self, running=(), ended=()):
+        body = {"clockMs": 1500, "born": 3, "running": running, "ended": ended}
+        server = start_server("127.0.0.1:0", lambda call: json_reply(body))
+        self.addCleanup(server.stop, 0)
+        link = HttpWorkerLink(make_listing(1, address=bound_address(server)))
+        self.addCleanup(link.close)
+        return [link.renew(Renewal(7, 0, None, 0.0), 2.0) for _ in range(2)]
+
+    def test_running_rows(self):
+        rows = [
+            ["5c0e7a21d94b36f8.0.1.2", 4, "c7", 50, 12],
+            ["5c0e7a21d94b36f8.3.0.0", 20001, "", 99.5, 0.25],
+            ["5c0e7a21d94b36f8.0.0.1", 1, None, 0, None],
+            ["5c0e7a21d94b36f8.0.0.2", 1, "c1", 10],
+            ["5c0e7a21d94b36f8.0.0.3", 1, "c1", 10, 5, "a later field"],
+        ]
+        expected = (
+            RunReport(TaskKey("5c0e7a21d94b36f8", 0, 1, 2), 4, "c7", 50.0, 12.0),
+            RunReport(TaskKey("5c0e7a21d94b36f8", 3, 0, 0), 20001, "", 99.5, 0.25),
+            RunReport(TaskKey("5c0e7a21d94b36f8", 0, 0, 1), 1, "", 0.0, 0.0),
+            RunReport(TaskKey("5c0e7a21d94b36f8", 0, 0, 2), 1, "c1", 10.0, 0.0),
+            RunReport(TaskKey("5c0e7a21d94b36f8", 0, 0, 3), 1, "c1", 10.0, 5.0),
+        )
+        for report in self._renew(rows):
+            self.assertThat(report, Equals(WorkerReport(1.5, 3, expected, ())))
+
+    def test_ended_rows(self):
+        rows = [
+            [1, "5c0e7a21d94b36f8.0.1.2", 4, "done", "c7"],
+            [2, "5c0e7a21d94b36f8.0.1.3", 4, "alone", None, "a later field"],
+        ]
+        expected = (
+            EndReport(1, TaskKey("5c0e7a21d94b36f8", 0, 1, 2), 4, RunOutcome.DONE, "c7"),
+            EndReport(2, TaskKey("5c0e7a21d94b36f8", 0, 1, 3), 4, RunOutcome.ALONE, ""),
+        )
+        for report in self._renew(ended=rows):
+            self.assertThat(report, Equals(WorkerReport(1.5, 3, (), expected)))
+
+    def test_malformed_rows_are_reported(self):
+        malformed_running = (
+            ["5c0e7a21d94b36f8.0.1", 4, "", 50, 1],
+            ["5c0e7a21d94b36f8.0.1.x", 4, "", 50, 1],
+            [7, 4, "", 50, 1],
+            ["5c0e7a21d94b36f8.0.1.2", 4, "", "fast", 1],
+            ["5c0e7a21d94b36f8.0.1.2", 4, ""],
+            [],
+        )
+        malformed_ended = (
+            [1, "5c0e7a21d94b36f8.0.1.2", 4, "vanished", ""],
+            [1, "5c0e7a21d94b36f8.0.1.2", 4, "done"],
+            [1, "5c0e7a21d94b36f8", 4, "done", ""],
+        )
+        answers = [each for row in malformed_running for each in self._renew([row])]
+        answers += [each for row in malformed_ended for each in self._renew(ended=[row])]
+        self.assertThat({type(each) for each in answers}, Equals({AnswerMalformed}))
