Compute less for each sample of a worker

On the owner, applying one report (reconciling, learning, choosing speeds) is the largest part of a renewal: stand-in without HTTP, 4 serving and 6 best-effort runs 130 us of processor time, 6 and 10 runs 241 us, beside some 90 us for the call on loopback and 34 us for decoding 16 runs. Now upper bounds of coefficients are computed only for runs over their target for long, nothing is chosen without best-effort runs, the lists of serving and best-effort runs are kept until a run is added or removed, and sums are built in one pass: 96 us and 177 us (best of five, before the sort was left out for runs that need no throttle; later runs on the busier machine were too noisy to tell that apart).

The new tests of TestChosenSpeeds pass before and after.

--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -48,6 +48,7 @@
     """A run that may exist on a worker.
 
     :ivar number: run number, which increases with each run of the task.
+    :ivar is_serving: whether it serves requests and its measurement is a tail latency.
     :ivar confirmed_s: when the worker first confirmed it; ``None`` while the start is in flight.
     :ivar is_uncertain: whether its start was not answered and is not yet voided by a fencing token.
     :ivar is_stopping: whether a stop was sent; its resources are freed once the worker reports that
@@ -63,6 +64,7 @@
         "task",
         "number",
         "step",
+        "is_serving",
         "fence",
         "stop_sent_s",
         "confirmed_s",
@@ -80,6 +82,7 @@
         self.task = task
         self.number = number
         self.step = step
+        self.is_serving = step.tail_target_ms > 0
         self.fence = fence
         self.stop_sent_s = float("-inf")
         self.confirmed_s: float | None = None
@@ -100,11 +103,6 @@
         self.progress_percent = report.progress_percent
         self.measurement = report.measurement
 
-    @property
-    def is_serving(self) -> bool:
-        """Return whether the run serves requests and its measurement is a tail latency."""
-        return self.step.tail_target_ms > 0
-
 
 class Worker:
     """State of one incarnation of a worker.
@@ -157,6 +155,9 @@
         self.urgent_cpu_millis = 0
         # Cached predictions for the serving runs; ``None`` when out of date.
         self.tail_predictions: list[TailPrediction] | None = None
+        # Cached lists of runs, replaced when runs are added or removed.
+        self._serving_runs: list[ActiveRun] | None = None
+        self._best_effort_runs: list[ActiveRun] | None = None
 
     @property
     def worker_id(self) -> str:
@@ -183,7 +184,7 @@
         return run
 
     def _reserve(self, step: Step, sign: int) -> None:
-        self.tail_predictions = None
+        self.tail_predictions = self._serving_runs = self._best_effort_runs = None
         if step.best_effort:
             self.best_effort_cpu_millis += sign * step.cpu_millis
         else:
@@ -247,8 +248,14 @@
 
     def serving_runs(self) -> list[ActiveRun]:
         """Return the runs that serve requests and have a tail latency target."""
-        return [run for run in self.runs_by_task.values() if run.is_serving]
+        if self._serving_runs is None:
+            self._serving_runs = [run for run in self.runs_by_task.values() if run.is_serving]
+        return self._serving_runs
 
     def best_effort_runs(self) -> list[ActiveRun]:
         """Return the runs of best-effort tasks."""
-        return [run for run in self.runs_by_task.values() if run.step.best_effort]
+        if self._best_effort_runs is None:
+            self._best_effort_runs = [
+                run for run in self.runs_by_task.values() if run.step.best_effort
+            ]
+        return self._best_effort_runs
--- a/laburnumswitch/process/dispatch/tails.py
+++ b/laburnumswitch/process/dispatch/tails.py
@@ -145,10 +145,15 @@
         load = self._advance_load(task[:3], now_s)
         offset = self._advance_offset(task)
         terms = [(offset.estimate, 1.0)]
+        increase = offset.estimate.mean
+        variance = offset.estimate.variance
         for image, share in share_by_image.items():
             if share > 0.0:
-                terms.append((self._advance_coefficient(serving_image, image), share))
-        expected = load.mean + sum(estimate.mean * weight for estimate, weight in terms)
+                coefficient = self._advance_coefficient(serving_image, image)
+                terms.append((coefficient, share))
+                increase += coefficient.mean * share
+                variance += coefficient.variance * share * share
+        expected = load.mean + increase
         observed = utilisation(min(ratio, SATURATED_RATIO))
         if ratio >= SATURATED_RATIO:
             offset.saturated_s = now_s
@@ -158,11 +163,7 @@
             observed = min(observed, expected)
         sample_variance = (SAMPLE_STD_DEV * (1.0 - observed)) ** 2 + MIN_SAMPLE_STD_DEV**2
         error = observed - expected
-        innovation_variance = (
-            sample_variance
-            + load.variance
-            + sum(estimate.variance * weight * weight for estimate, weight in terms)
-        )
+        innovation_variance = sample_variance + load.variance + variance
         for estimate, weight in terms:
             gain = estimate.variance * weight / innovation_variance
             estimate.mean += gain * error
--- a/laburnumswitch/process/dispatch/throttling.py
+++ b/laburnumswitch/process/dispatch/throttling.py
@@ -32,7 +32,8 @@
 
     :ivar load: expected utilisation without best-effort work.
     :ivar coefficient_by_image: expected coefficients by best-effort image.
-    :ivar upper_bound_by_image: upper bounds of these coefficients.
+    :ivar upper_bound_by_image: upper bounds of these coefficients; used only if its tail latency
+        has been over the target for ``interfering_limit_s`` or longer.
     :ivar over_target_s: for how long its tail latency has been over the target.
     """
 
@@ -54,6 +55,11 @@
     share: float
 
 
+def interfering_limit_s(max_over_target_s: float) -> float:
+    """Return after how long over the target the best-effort runs that may interfere are stopped."""
+    return max_over_target_s - STOP_INTERFERING_MARGIN_S
+
+
 def choose_throttles(
     serving: list[ServingInput], best_effort: list[BestEffortInput], max_over_target_s: float
 ) -> dict[object, int]:
@@ -66,7 +72,7 @@
         _throttle_by_model(serving_run, best_effort, percent_by_key)
         if serving_run.over_target_s >= max_over_target_s - STOP_ALL_MARGIN_S:
             return dict.fromkeys(percent_by_key, 0)
-        if serving_run.over_target_s >= max_over_target_s - STOP_INTERFERING_MARGIN_S:
+        if serving_run.over_target_s >= interfering_limit_s(max_over_target_s):
             for run in best_effort:
                 if serving_run.upper_bound_by_image[run.image] > NEGLIGIBLE_COEFFICIENT:
                     percent_by_key[run.key] = 0.0
@@ -91,6 +97,8 @@
         for coefficient, run in interfering
     )
     excess = expected - UTILISATION_LIMIT
+    if excess <= 0.0:
+        return
     for coefficient, run in sorted(interfering, key=lambda pair: pair[0], reverse=True):
         if excess <= 0.0:
             return
--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -17,6 +17,7 @@
 from laburnumswitch.process.dispatch.tails import TailLatencyModel
 from laburnumswitch.process.dispatch.throttling import BestEffortInput
 from laburnumswitch.process.dispatch.throttling import choose_throttles
+from laburnumswitch.process.dispatch.throttling import interfering_limit_s
 from laburnumswitch.process.dispatch.throttling import ServingInput
 from laburnumswitch.process.dispatch.worker_protocol import Renewal
 from laburnumswitch.process.dispatch.worker_protocol import RunReport
@@ -176,9 +177,11 @@
 
 
 def _keep_checkpoint(dispatcher: Dispatcher, report: RunReport) -> None:
+    if not report.checkpoint:
+        return
     job = dispatcher.jobs_by_id.get(report.task.job_id)
     task = job and job.task(report.task)
-    if task and report.checkpoint:
+    if task:
         task.checkpoint = report.checkpoint
 
 
@@ -222,19 +225,23 @@
 
     :param max_over_target_s: how long a tail latency may stay over its target, in seconds.
     """
-    serving = [run for run in worker.serving_runs() if run.measurement > 0]
     best_effort = [run for run in worker.best_effort_runs() if not run.is_stopping]
+    if not best_effort:
+        return {}
+    serving = [run for run in worker.serving_runs() if run.measurement > 0]
     capacity = worker.listing.cpu_millis
     images = {run.step.image for run in best_effort}
-    serving_inputs = [
-        ServingInput(
-            model.load(run.task),
-            {image: model.coefficient(run.step.image, image) for image in images},
-            {image: model.coefficient_upper_bound(run.step.image, image) for image in images},
-            now_s - run.last_under_target_s,
-        )
-        for run in serving
-    ]
+    limit_s = interfering_limit_s(max_over_target_s)
+    serving_inputs = []
+    for run in serving:
+        image = run.step.image
+        over_target_s = now_s - run.last_under_target_s
+        coefficients = {each: model.coefficient(image, each) for each in images}
+        upper_bounds = {}
+        if over_target_s >= limit_s:
+            upper_bounds = {each: model.coefficient_upper_bound(image, each) for each in images}
+        load = model.load(run.task)
+        serving_inputs.append(ServingInput(load, coefficients, upper_bounds, over_target_s))
     best_effort_inputs = [
         BestEffortInput(run.task, run.step.image, _unthrottled_share(run, capacity))
         for run in best_effort
--- a/tests/process/dispatch/test_decisions.py
+++ b/tests/process/dispatch/test_decisions.py
@@ -41,7 +41,10 @@
 from laburnumswitch.process.dispatch.throttling import BestEffortInput
 from laburnumswitch.process.dispatch.throttling import choose_throttles
 from laburnumswitch.process.dispatch.throttling import ServingInput
+from laburnumswitch.process.dispatch.throttling import STOP_ALL_MARGIN_S
+from laburnumswitch.process.dispatch.throttling import STOP_INTERFERING_MARGIN_S
 from laburnumswitch.process.dispatch.worker_protocol import RunReport
+from laburnumswitch.process.dispatch.worker_session import choose_speeds
 from tests.process.dispatch.harness import make_listing
 
 MAX_OVER_TARGET_S = 4.0
@@ -283,6 +286,42 @@
         self.assertThat(percent, Equals({"a": 0, "b": 0}))
 
 
+class TestChosenSpeeds(TestCase):
+    """Speeds that follow from the model and the runs of a worker."""
+
+    def setUp(self):
+        super().setUp()
+        self.model = make_trained_model()
+
+    def _choose(self, worker, now_s):
+        speeds = choose_speeds(self.model, worker, MAX_OVER_TARGET_S, now_s)
+        return [speeds[run.task] for run in worker.best_effort_runs()]
+
+    def test_interfering_runs_stop_before_all_others(self):
+        worker = make_worker(1, SERVING, HARMFUL._replace(cpu_millis=40), HARMLESS)
+        limit_s = MAX_OVER_TARGET_S - STOP_INTERFERING_MARGIN_S
+        self.assertThat(self._choose(worker, limit_s - 0.01), Equals([100, 100]))
+        self.assertThat(self._choose(worker, limit_s), Equals([0, 100]))
+        self.assertThat(self._choose(worker, MAX_OVER_TARGET_S - STOP_ALL_MARGIN_S), Equals([0, 0]))
+
+    def test_run_that_is_stopping_gets_no_speed(self):
+        worker = make_worker(1, SERVING, HARMFUL)
+        worker.best_effort_runs()[0].is_stopping = True
+        self.assertThat(choose_speeds(self.model, worker, MAX_OVER_TARGET_S, 9.0), Equals({}))
+
+    def test_runs_by_kind_follow_starts_and_ends(self):
+        worker = make_worker(1, SERVING, HARMFUL)
+        serving, best_effort = worker.serving_runs(), worker.best_effort_runs()
+        self.assertThat((len(serving), len(best_effort)), Equals((1, 1)))
+        worker.remove_run(best_effort[0].task)
+        self.assertThat(worker.best_effort_runs(), Equals([]))
+        later = ActiveRun(TaskKey("later", 0, 0, 0), 1, HARMLESS, 1, 0.0)
+        worker.add_run(later)
+        self.assertThat(worker.best_effort_runs(), Equals([later]))
+        worker.remove_run(serving[0].task)
+        self.assertThat(worker.serving_runs(), Equals([]))
+
+
 class TestRelocation(TestCase):
     def setUp(self):
         super().setUp()
