Do not send commands that wait when the link to a worker is closed

Commands that wait for a slot were still sent after the owner's term had ended or the worker was dropped, within their time limit of 0.4 s. Starts were voided by the successor's fencing token, as before, but a graceful release should leave nothing behind it.

Seen to fail before the change: test_commands_that_wait_when_the_link_is_closed_are_not_sent (12 sent).

--- a/laburnumswitch/platform/workers.py
+++ b/laburnumswitch/platform/workers.py
@@ -83,6 +83,7 @@
         self._worker_id = listing.worker_id
         headers = {"X-Expect-Instance": listing.worker_id}
         self._client = Client(listing.address, lambda: headers, pool_size=POOL_SIZE, limit=limit)
+        self._is_closed = False
         self._command_slots = Semaphore(MAX_PARALLEL_COMMANDS)
         # Parsed ids of the tasks in the last report; most of them are in the next one too.
         self._task_by_id: dict[str, TaskKey] = {}
@@ -132,7 +133,8 @@
         return self._acknowledge("/v1/pace", body, timeout_s)
 
     def close(self) -> None:
-        """Close all connections."""
+        """Close all connections; commands that wait are not sent any more."""
+        self._is_closed = True
         self._client.close()
 
     def _decode_running(self, rows: list[_RunRow]) -> tuple[RunReport, ...]:
@@ -155,6 +157,8 @@
         if not self._command_slots.acquire(timeout=timeout_s):
             return ConnectFailed(self._client.address, "other commands are not answered")
         try:
+            if self._is_closed:
+                return ConnectFailed(self._client.address, "the link is closed")
             remaining_s = max(0.0, timeout_s - (monotonic() - began_s))
             answer = self._call(path, body, remaining_s)
         finally:
--- a/tests/platform/test_worker_connections.py
+++ b/tests/platform/test_worker_connections.py
@@ -82,6 +82,20 @@
         joinall(calls)
         self.assertThat(self.request_count, Equals(BURST))
 
+    def test_commands_that_wait_when_the_link_is_closed_are_not_sent(self):
+        # The term has ended or the worker was dropped: the command may be overtaken by a successor.
+        link = self._make_link()
+        self.may_answer.clear()
+        calls = [spawn(link.start, make_command(n), 10.0) for n in range(BURST)]
+        while self.request_count < MAX_CONNECTIONS - 1:
+            sleep(0.001)
+        link.close()
+        self.may_answer.set()
+        joinall(calls)
+        self.assertThat(self.request_count, Equals(MAX_CONNECTIONS - 1))
+        sent = [call for call in calls if isinstance(call.value, Acknowledged)]
+        self.assertThat(len(sent), Equals(MAX_CONNECTIONS - 1))
+
     def test_renewal_does_not_wait_for_commands(self):
         link = self._make_link()
         self.may_answer.clear()
