Read the rest of a feed at once that exceeds one answer of the store

The store returns at most 500 rows of a feed, and does not say that there are more; the owner read one answer each half a second. So the owner saw only a part of the workers' rows, and those that were written again meanwhile moved to the end of the feed.

A full answer is followed by the next read without the pause. The emulated store divides its feed in the same way, but between transactions.

Seen to fail before the change: test_rest_of_a_table_that_exceeds_one_answer_is_read_without_a_pause and test_feed_that_exceeds_one_answer_continues_after_its_last_row.

--- a/laburnumswitch/platform/store.py
+++ b/laburnumswitch/platform/store.py
@@ -135,7 +135,10 @@
         query = urlencode({"table": table, "after": after, "waitMs": int(wait_s * MS_PER_S)})
         answer = self._call("GET", f"/v1/rows-feed?{query}", None, wait_s + POLL_SLACK_S)
         if isinstance(answer, _Rows):
-            return Changes(_decode_rows(answer.rows), answer.ver, answer.now_ms / MS_PER_S)
+            rows = _decode_rows(answer.rows)
+            # The feed does not say whether a full answer holds all changes.
+            has_more = answer.has_more or len(answer.rows) >= SCAN_LIMIT_ROWS
+            return Changes(rows, answer.ver, answer.now_ms / MS_PER_S, has_more)
         if isinstance(answer, Refused) and answer.status == STATUS_HISTORY_GONE:
             return HistoryLost(table, after)
         return to_read_failure(answer)
--- a/laburnumswitch/process/rows/change_feed.py
+++ b/laburnumswitch/process/rows/change_feed.py
@@ -20,7 +20,8 @@
     :ivar table_name: name of the table, the first part of its rows' keys.
     :ivar wait_s: how long a read waits at the store for a change, in seconds.
     :ivar interval_s: pause before each read, in seconds. Without it, reads of a table that changes
-        all the time would return at once, each with few changes.
+        all the time would return at once, each with few changes. There is none if the last answer
+        did not hold all changes.
     """
 
     store: FeedTable
@@ -43,10 +44,11 @@
         which is also done when the store has discarded the history after this version.
     :param apply: called with the changes and with whether they are the whole table.
     """
-    is_unavailable = False
+    is_unavailable = has_more = False
     while not is_stopped():
-        if version is not None and feed.interval_s:
+        if version is not None and feed.interval_s and not has_more:
             sleep(feed.interval_s)
+        has_more = False
         if version is None:
             changes = feed.store.load(feed.table_name)
         else:
@@ -68,3 +70,4 @@
             apply(changes, version is None)
             # After an outage a lagging store may answer with an earlier version.
             version = max(changes.version, version or 0)
+            has_more = changes.has_more
--- a/laburnumswitch/process/rows/table.py
+++ b/laburnumswitch/process/rows/table.py
@@ -68,12 +68,14 @@
 class Changes(NamedTuple):
     """Changed rows up to ``version``; removed ones have no value.
 
-    ``now_s`` is the store's monotonic clock in seconds.
+    ``now_s`` is the store's monotonic clock in seconds. With ``has_more``, there are further changes
+    that exceed one answer of the store.
     """
 
     rows: tuple[Row, ...]
     version: int
     now_s: float
+    has_more: bool = False
 
 
 class _Rows(NamedTuple):
--- a/standin/fleet/api.py
+++ b/standin/fleet/api.py
@@ -102,7 +102,14 @@
             return Reply(410, b"{}")
         if isinstance(changes, Failure):
             return UNAVAILABLE
-        return self._rows_reply(list(changes.rows), changes.version, changes.now_s, False)
+        rows = list(changes.rows)
+        page = rows[:PAGE_ROWS]
+        # The rows of one transaction have the same version and are not divided.
+        while len(page) < len(rows) and page[-1].version == rows[len(page)].version:
+            page.pop()
+        has_more = len(page) < len(rows)
+        version = page[-1].version if has_more else changes.version
+        return self._rows_reply(page, version, changes.now_s, has_more)
 
     def _rows_reply(self, rows: list[Row], version: int, now_s: float, has_more: bool) -> Reply:
         return json_reply(
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -82,6 +82,20 @@
         self.assertThat(values, Equals({"progress/a": None, "progress/b": 2}))
         self.assertThat(self.store.follow("progress", changes.version, 0.0).rows, Equals(()))
 
+    def test_feed_that_exceeds_one_answer_continues_after_its_last_row(self):
+        start = self.store.load("progress").version
+        for first in range(0, 1203, 100):
+            numbers = range(first, min(1203, first + 100))
+            puts = tuple(Put(f"progress/{number:04}", number) for number in numbers)
+            self.store.commit(Transaction((), puts))
+        pages = [self.store.follow("progress", start, 0.5)]
+        while pages[-1].has_more:
+            pages.append(self.store.follow("progress", pages[-1].version, 0.5))
+        values = {row.value for page in pages for row in page.rows}
+        self.assertThat(values, Equals(set(range(1203))))
+        self.assertThat(len(pages), Equals(3))
+        self.assertThat(self.store.follow("progress", pages[-1].version, 0.0).rows, Equals(()))
+
     def test_feed_without_history_reports_it(self):
         self._put("progress/a", 1)
         self.table.drop_history()
--- a/tests/process/rows/test_change_feed.py
+++ b/tests/process/rows/test_change_feed.py
@@ -14,6 +14,7 @@
 from laburnumswitch.process.rows.table import Changes
 
 DOWN = Unavailable("down")
+INTERVAL_S = 0.5
 
 
 class ScriptedTable:
@@ -37,12 +38,13 @@
         self.table = ScriptedTable(*answers)
         self.log = DecisionLog("vm-1", time, 100)
         self.applied = []
+        self.pauses_s = []
         follow_table(
-            Feed(self.table, "jobs", wait_s=1.0),
+            Feed(self.table, "jobs", wait_s=1.0, interval_s=INTERVAL_S),
             version,
             lambda changes, is_whole: self.applied.append((changes.version, is_whole)),
             self.log,
-            lambda seconds: None,
+            self.pauses_s.append,
             # The last answer ends the script and is not applied.
             lambda: not self.table.answers,
         )
@@ -68,3 +70,18 @@
     def test_answer_of_a_lagging_store_does_not_move_the_version_back(self):
         self._follow(8, Changes((), 6, 0.0), Changes((), 9, 0.0), DOWN)
         self.assertThat(self.table.requested_versions, Equals([8, 8, 9]))
+
+    def test_rest_of_a_table_that_exceeds_one_answer_is_read_without_a_pause(self):
+        # The store returns 500 rows at a time. With 3,000 workers that write each second, one such
+        # answer every half a second fell behind, and draining workers got starts.
+        self._follow(
+            3,
+            Changes((), 4, 0.0, has_more=True),
+            Changes((), 5, 0.0, has_more=True),
+            Changes((), 6, 0.0),
+            Changes((), 7, 0.0),
+            DOWN,
+        )
+        self.assertThat(self.table.requested_versions, Equals([3, 4, 5, 6, 7]))
+        # Before the reads from the versions 3, 6 and 7.
+        self.assertThat(self.pauses_s, Equals([INTERVAL_S] * 3))
