--- a/laburnumswitch/platform/workers.py
+++ b/laburnumswitch/platform/workers.py
@@ -1,14 +1,17 @@
 """HTTP calls to workers: lease renewals, starts, stops and throttles."""
 
+from time import monotonic
 from typing import Any
 
+from gevent.lock import Semaphore
 from msgspec import DecodeError
 from msgspec import Struct
 from msgspec import ValidationError
-from msgspec.json import decode
+from msgspec.json import Decoder
 from msgspec.json import encode
 
 from laburnumswitch.connection.client import Client
+from laburnumswitch.connection.connection_limit import ConnectionLimit
 from laburnumswitch.exceptions import AnswerLost
 from laburnumswitch.exceptions import AnswerMalformed
 from laburnumswitch.exceptions import ConnectFailed
@@ -29,8 +32,11 @@
 from laburnumswitch.process.dispatch.worker_protocol import WorkerReport
 from laburnumswitch.units import MS_PER_S
 
-# Idle connections kept per worker. A worker accepts 64 connections from all entries together.
-POOL_SIZE = 12
+# Commands sent to one worker at the same time. With a single one, a command that is not answered
+# would hold up all others.
+MAX_PARALLEL_COMMANDS = 2
+# Idle connections kept per worker: one for its renewals and the rest for commands.
+POOL_SIZE = 1 + MAX_PARALLEL_COMMANDS
 # Number of ended runs that a worker lists at a time.
 MAX_LISTED_ENDS = 500
 STATUS_OK = 200
@@ -40,23 +46,49 @@
 STATUS_UNAVAILABLE = 503
 
 
+class _RunRow(Struct, array_like=True):
+    task: str
+    run: int
+    checkpoint: str | None
+    percent: float
+    measurement: float | None = 0.0
+
+
+class _EndRow(Struct, array_like=True):
+    number: int
+    task: str
+    run: int
+    outcome: RunOutcome
+    checkpoint: str | None
+
+
 class _Answer(Struct, rename={"clock_ms": "clockMs"}):
     clock_ms: float = 0.0
     reason: str = ""
     born: int = 0
-    # Runs as [task, run, checkpoint, percent, measurement].
-    running: list[list[Any]] = []
-    # Ended runs as [number, task, run, outcome, checkpoint].
-    ended: list[list[Any]] = []
+    running: list[_RunRow] = []
+    ended: list[_EndRow] = []
+
+
+_ANSWER_DECODER = Decoder(_Answer)
 
 
 class HttpWorkerLink:
-    """Calls one incarnation of a worker, without retries."""
+    """Calls one incarnation of a worker, without retries.
 
-    def __init__(self, listing: WorkerListing) -> None:
+    At most ``MAX_PARALLEL_COMMANDS`` commands are sent at the same time. Others wait, within their
+    own time limits: a burst would otherwise open a connection for each command, and an owner of
+    many workers would run out of descriptors. ``limit`` bounds the connections to all workers.
+    """
+
+    def __init__(self, listing: WorkerListing, limit: ConnectionLimit | None = None) -> None:
         self._worker_id = listing.worker_id
         headers = {"X-Expect-Instance": listing.worker_id}
-        self._client = Client(listing.address, lambda: headers, pool_size=POOL_SIZE)
+        self._client = Client(listing.address, lambda: headers, pool_size=POOL_SIZE, limit=limit)
+        self._is_closed = False
+        self._command_slots = Semaphore(MAX_PARALLEL_COMMANDS)
+        # Parsed ids of the tasks in the last report; most of them are in the next one too.
+        self._task_by_id: dict[str, TaskKey] = {}
 
     def renew(self, renewal: Renewal, timeout_s: float) -> WorkerReport | Failure:
         """Renew the lease and return the worker's current and ended runs."""
@@ -69,9 +101,9 @@
         if isinstance(answer, Failure):
             return answer
         try:
-            running = tuple(_decode_run(row) for row in answer.running)
+            running = self._decode_running(answer.running)
             ended = tuple(_decode_end(row) for row in answer.ended)
-        except (ValueError, TypeError, IndexError) as error:
+        except ValueError as error:
             return AnswerMalformed(self._client.address, str(error))
         may_have_more_ends = len(ended) >= MAX_LISTED_ENDS
         return WorkerReport(
@@ -106,11 +138,36 @@
         return self._acknowledge("/v1/pace", body, timeout_s)
 
     def close(self) -> None:
-        """Close all connections."""
+        """Close all connections; commands that wait are not sent any more."""
+        self._is_closed = True
         self._client.close()
 
+    def _decode_running(self, rows: list[_RunRow]) -> tuple[RunReport, ...]:
+        known = self._task_by_id
+        task_by_id = {row.task: known.get(row.task) or parse_task_id(row.task) for row in rows}
+        self._task_by_id = task_by_id
+        return tuple(
+            RunReport(
+                task_by_id[row.task],
+                row.run,
+                row.checkpoint or "",
+                row.percent,
+                row.measurement or 0.0,
+            )
+            for row in rows
+        )
+
     def _acknowledge(self, path: str, body: dict, timeout_s: float) -> Acknowledged | Failure:
-        answer = self._call(path, body, timeout_s)
+        began_s = monotonic()
+        if not self._command_slots.acquire(timeout=timeout_s):
+            return ConnectFailed(self._client.address, "other commands are not answered")
+        try:
+            if self._is_closed:
+                return ConnectFailed(self._client.address, "the link is closed")
+            remaining_s = max(0.0, timeout_s - (monotonic() - began_s))
+            answer = self._call(path, body, remaining_s)
+        finally:
+            self._command_slots.release()
         return answer if isinstance(answer, Failure) else Acknowledged(answer.clock_ms / MS_PER_S)
 
     def _call(self, path: str, body: dict, timeout_s: float) -> _Answer | Failure:
@@ -126,7 +183,7 @@
         if response.status not in (STATUS_OK, STATUS_CONFLICT):
             return Refused(self._client.address, response.status, response.body[:200].decode())
         try:
-            answer = decode(response.body, type=_Answer)
+            answer = _ANSWER_DECODER.decode(response.body)
         except (DecodeError, ValidationError) as error:
             return AnswerMalformed(self._client.address, str(error))
         if response.status == STATUS_CONFLICT:
@@ -145,14 +202,7 @@
     return TaskKey(job_id, int(occurrence), int(step), int(index))
 
 
-def _decode_run(fields: list[Any]) -> RunReport:
-    task_id, run, checkpoint, percent = fields[:4]
-    measurement = fields[4] if len(fields) > 4 else 0
-    return RunReport(
-        parse_task_id(task_id), run, checkpoint or "", float(percent), float(measurement or 0)
+def _decode_end(row: _EndRow) -> EndReport:
+    return EndReport(
+        row.number, parse_task_id(row.task), row.run, row.outcome, row.checkpoint or ""
     )
-
-
-def _decode_end(fields: list[Any]) -> EndReport:
-    number, task_id, run, outcome, checkpoint = fields[:5]
-    return EndReport(number, parse_task_id(task_id), run, RunOutcome(outcome), checkpoint or "")
--- a/tests/connection/test_client.py
+++ b/tests/connection/test_client.py
@@ -1,5 +1,7 @@
 """``Client`` never returns bytes of one call's response to another call."""
 
+from gevent import spawn
+from gevent.event import Event
 from gevent.server import StreamServer
 from testtools import TestCase
 from testtools.matchers import Equals
@@ -13,18 +15,21 @@
 
 
 class TestClient(TestCase):
-    def start(self, answers: list[bytes]) -> Client:
+    def start(self, answers: list[bytes], headers=dict) -> Client:
         self.connections = 0
+        self.closed = Event()
 
         def serve(sock, address):
             self.connections += 1
             while answers and sock.recv(65_536):
                 sock.sendall(answers.pop(0))
+            sock.close()
+            self.closed.set()
 
         server = StreamServer(("127.0.0.1", 0), serve)
         server.start()
         self.addCleanup(server.stop)
-        client = Client(f"127.0.0.1:{server.server_port}")
+        client = Client(f"127.0.0.1:{server.server_port}", headers)
         self.addCleanup(client.close)
         return client
 
@@ -34,6 +39,28 @@
         self.assertThat(bodies, Equals([b"hi", b"ho"]))
         self.assertThat(self.connections, Equals(1))
 
+    def test_connection_closed_by_the_server_while_idle_is_replaced(self):
+        client = self.start([ANSWER % b"hi"])
+        client.call("GET", "/")
+        self.closed.wait()
+        client.call("GET", "/", timeout_s=0.2)
+        self.assertThat(self.connections, Equals(2))
+
+    def test_check_of_an_idle_connection_does_not_wait_for_other_greenlets(self):
+        # The check ran the event loop once for each call to a worker.
+        order = []
+
+        def note_request():
+            order.append("request")
+            return {}
+
+        client = self.start([ANSWER % b"hi", ANSWER % b"ho"], note_request)
+        client.call("GET", "/")
+        order.clear()
+        spawn(order.append, "other greenlet")
+        client.call("GET", "/")
+        self.assertThat(order, Equals(["request", "other greenlet"]))
+
     def test_second_response_in_one_block_is_discarded_and_closes_the_connection(self):
         client = self.start([ANSWER % b"hi" + ANSWER % b"no", ANSWER % b"ho"])
         bodies = [client.call("GET", "/").body for _ in range(2)]
@@ -46,5 +73,28 @@
         self.assertThat(outcome, IsInstance(AnswerLost))
         self.assertThat(self.connections, Equals(1))
 
+    def test_connection_in_use_when_its_client_is_closed_is_not_kept(self):
+        # The renewal of a worker that was dropped ended later, and its connection stayed open.
+        is_called, may_answer, is_closed = Event(), Event(), Event()
+
+        def serve(sock, address):
+            sock.recv(65_536)
+            is_called.set()
+            may_answer.wait()
+            sock.sendall(ANSWER % b"hi")
+            if not sock.recv(65_536):
+                is_closed.set()
+
+        server = StreamServer(("127.0.0.1", 0), serve)
+        server.start()
+        self.addCleanup(server.stop)
+        client = Client(f"127.0.0.1:{server.server_port}")
+        call = spawn(client.call, "GET", "/")
+        is_called.wait()
+        client.close()
+        may_answer.set()
+        self.assertThat(call.get().body, Equals(b"hi"))
+        self.assertThat(is_closed.wait(10.0), Equals(True))
+
     def test_refused_connection_sent_nothing(self):
         self.assertThat(Client("127.0.0.1:9").call("GET", "/"), IsInstance(ConnectFailed))
