Give each run of the entry's tests ports of its own

test_dispatch_entry failed twice where two runs were on the machine at once: the entries of one could not listen, and the test waited in vain for their logs (seen with two runs started together: one failed, one passed). With ports by process both pass.

--- a/tests/test_dispatch_entry.py
+++ b/tests/test_dispatch_entry.py
@@ -1,5 +1,6 @@
 """Entry processes on the emulated platform: start, jobs, reload and graceful stop."""
 
+import os
 import signal
 from pathlib import Path
 from random import Random
@@ -16,7 +17,8 @@
 from tests.process.dispatch.harness import wait_until
 
 WAIT_LIMIT_S = 60.0
-FIRST_PORT = 26_000
+# Runs of the tests at the same time need ports of their own.
+FIRST_PORT = 26_000 + os.getpid() % 100 * 40
 
 
 class TestDispatchEntry(TestCase):
