--- a/laburnumswitch/platform/discovery.py
+++ b/laburnumswitch/platform/discovery.py
@@ -54,4 +54,5 @@
         rack=fields.labels[-1] if fields.labels else "",
         incarnation=fields.born,
         is_cold=fields.cold_ms > 0,
+        vm_id=fields.machine,
     )
--- a/laburnumswitch/platform/settings.py
+++ b/laburnumswitch/platform/settings.py
@@ -56,6 +56,10 @@
     address: str
 
 
+class _VmList(Struct):
+    address: str
+
+
 class _Settings(
     Struct, rename={"internal_ports": "internalPorts", "machine_class": "machineClass"}
 ):
@@ -67,6 +71,7 @@
     limits: _Limits
     bounds: _Bounds
     platform: _Store
+    cloud: _VmList | None = None
     advice: str = ""
 
 
@@ -92,6 +97,7 @@
         peer_address=f"{fields.ip}:{fields.internal_ports[0]}",
         store_address=fields.platform.address,
         advice_address=fields.advice,
+        vm_list_address=fields.cloud.address if fields.cloud else "",
         cpu_cores=fields.limits.cpu_share * fields.limits.cores,
         memory_mb=fields.limits.memory_mb,
         bounds=Bounds(
--- a/laburnumswitch/process/daemon/deployment.py
+++ b/laburnumswitch/process/daemon/deployment.py
@@ -34,3 +34,4 @@
     cpu_cores: float
     memory_mb: int
     bounds: Bounds
+    vm_list_address: str = ""
--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -66,6 +66,8 @@
 # Number of rows that store the list of workers: a row of the platform's store holds 64 KiB, and a
 # worker takes about 200 bytes.
 FLEET_PARTS = 16
+# Number of a listing's fields that are stored: earlier versions cannot read rows with more.
+STORED_LISTING_FIELDS = 13
 
 # Asks the advice service which of the given workers may run the step of a task; the last argument
 # is the timeout in seconds.
@@ -540,7 +542,7 @@
         """Queue the row that stores a worker and return the number of its batch."""
         part = fleet_part(worker_id)
         listings = [
-            worker.listing
+            worker.listing[:STORED_LISTING_FIELDS]
             for worker in self.workers_by_id.values()
             if fleet_part(worker.worker_id) == part
         ]
--- a/laburnumswitch/process/dispatch/worker_protocol.py
+++ b/laburnumswitch/process/dispatch/worker_protocol.py
@@ -17,6 +17,7 @@
 
     :ivar incarnation: identifies one start of the worker's process, 0 if unknown.
     :ivar is_cold: whether the worker has started recently and runs tasks more slowly.
+    :ivar vm_id: the VM that runs the worker, empty if unknown.
     """
 
     worker_id: str
@@ -31,6 +32,7 @@
     rack: str
     incarnation: int
     is_cold: bool = False
+    vm_id: str = ""
 
 
 class RunOutcome(StrEnum):
--- a/standin/fleet/api.py
+++ b/standin/fleet/api.py
@@ -3,6 +3,7 @@
 from base64 import b64decode
 from base64 import b64encode
 from collections.abc import Callable
+from collections.abc import Sequence
 from typing import Any
 
 from gevent import sleep
@@ -123,6 +124,44 @@
         return {**encoded, "value": b64encode(encode(row.value)).decode()}
 
 
+class VmListApi:
+    """HTTP interface of the list of VMs, one for each worker.
+
+    ``page_rows`` is the size of a page, ``is_down`` makes it refuse every call.
+    """
+
+    def __init__(self, workers: Sequence[FleetWorker], page_rows: int = 200) -> None:
+        self.workers = workers
+        self.page_rows = page_rows
+        self.is_down = False
+        self.call_count = 0
+
+    def handle(self, call: Call) -> Reply:
+        """Answer one call."""
+        self.call_count += 1
+        if self.is_down:
+            return UNAVAILABLE
+        if call.path != "/v1/machines":
+            return NOT_FOUND
+        first = int(call.query.get("pageToken", 0))
+        end = first + self.page_rows
+        rows = [self._encode_vm(worker) for worker in self.workers[first:end]]
+        next_token = str(end) if end < len(self.workers) else None
+        return json_reply({"machines": rows, "nextToken": next_token})
+
+    def _encode_vm(self, worker: FleetWorker) -> dict[str, Any]:
+        listing = worker.listing
+        return {
+            "machine": listing.vm_id,
+            "pool": listing.service,
+            "state": "down" if worker.is_crashed else "up",
+            "zone": listing.availability_zone,
+            "labels": listing.labels,
+            "capacity": {"cpu": listing.cpu_millis, "memMb": listing.memory_mb, "gpu": 0},
+            "id": "" if worker.is_crashed else listing.worker_id,
+        }
+
+
 def make_worker_handler(worker: FleetWorker) -> Callable[[Call], Reply]:
     """Return the handler of the calls to one worker."""
 
--- a/standin/fleet/worker.py
+++ b/standin/fleet/worker.py
@@ -51,7 +51,7 @@
 
 
 class FleetWorker:
-    """One worker and its fault switches.
+    """One worker and its fault switches; the VM ``vm_id`` of its listing runs it.
 
     With ``drops_answers`` it carries out renewals and starts but loses the answers, with
     ``drops_calls`` it ignores all calls, and with ``fails_runs`` the runs that it starts fail.
@@ -69,6 +69,7 @@
         self.drops_answers = False
         self.drops_calls = False
         self.fails_runs = False
+        self.is_crashed = False
         self.fence = 0
         self.incarnation = listing.incarnation
         self._clock = clock
@@ -83,21 +84,32 @@
         self._changed = Event()
         checker.refresh_callbacks.append(self._advance)
 
+    def crash(self) -> None:
+        """Lose every run and ignore all calls until the restart."""
+        self.is_crashed = self.drops_calls = True
+        self._lose_runs()
+        self._changed.set()
+
     def restart(self) -> None:
         """Restart under the same id and lose every run."""
-        for run in self._runs_by_task.values():
-            self.checker.record_end(run.task, False)
+        if self.is_crashed:
+            self.is_crashed = self.drops_calls = False
+        self._lose_runs()
         self.incarnation += 1
         self.listing = self.listing._replace(incarnation=self.incarnation)
         self.fence = 0
         self._booted_s = self._clock()
         self._lease_until_s = 0.0
-        self._runs_by_task.clear()
         self._last_run_by_task.clear()
         self._ended.clear()
         self._next_end = 1
         self._changed.set()
 
+    def _lose_runs(self) -> None:
+        for run in self._runs_by_task.values():
+            self.checker.record_end(run.task, False)
+        self._runs_by_task.clear()
+
     def running(self) -> tuple[TaskKey, ...]:
         """Return the tasks of the current runs."""
         self._advance()
@@ -121,7 +133,7 @@
             )
             self._changed.wait(max(0.001, min(deadline_s - self._clock(), next_end_s)))
             self._advance()
-        if self.drops_answers:
+        if self.drops_answers or self.is_crashed:
             return self._drop_answer(0.0)
         return WorkerReport(
             self._now_s(),
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -51,6 +51,7 @@
     "capacity": {"cpu": 16000, "memMb": 32768, "gpu": 0},
     "labels": ["kind", "r1-3"],
     "born": 5,
+    "machine": "m-1",
     "seq": 4,
 }
 ROUTE = {
@@ -83,6 +84,11 @@
         # ``holdMaxMs``, in seconds.
         self.assertThat(deployment.bounds.lease_s, Equals(6.0))
 
+    def test_address_of_the_vm_list_is_optional(self):
+        self.assertThat(read_deployment_text(SETTINGS).vm_list_address, Equals(""))
+        with_list = SETTINGS + '[cloud]\naddress = "127.0.0.1:8170"\nratePerS = 60.0\n'
+        self.assertThat(read_deployment_text(with_list).vm_list_address, Equals("127.0.0.1:8170"))
+
     def test_missing_field_is_named(self):
         problems = read_deployment_text(SETTINGS.replace("memoryMb = 300", ""))
         self.assertThat(problems, IsInstance(ProblemsFound))
@@ -123,6 +129,7 @@
         worker = decode_worker("servers/i-1", WORKER)
         self.assertThat((worker.worker_id, worker.rack), Equals(("i-1", "r1-3")))
         self.assertThat((worker.is_draining, worker.incarnation), Equals((True, 5)))
+        self.assertThat(worker.vm_id, Equals("m-1"))
 
     def test_malformed_worker_row_is_refused(self):
         for changes in ({"state": "x"}, {"address": 3}, {"capacity": None}):
--- a/tests/process/dispatch/harness.py
+++ b/tests/process/dispatch/harness.py
@@ -59,6 +59,7 @@
         labels=("kind", "r1"),
         rack="r1",
         incarnation=1,
+        vm_id=f"vm-w{number}",
     )
     return listing._replace(**changes)
 
