Drop a worker that its VM no longer runs, before its lease has lapsed

What callers saw: the tasks of a worker that crashed, was lost or left at the end of its drain waited for its leases to lapse (6.1 s), or for the next worker at its address. Cause: the owner cannot tell a crash from a partition by the worker's silence, and the platform's list of VMs, which can, was never read. The owner now reads the list while a worker with runs has been silent for 1.25 s, at most every half second, and drops a worker that is proven to have ended; its tasks start elsewhere. While no worker with runs is silent nobody is called. A list that fails is logged once an outage, and the wait for the lease stays as it was. Never twice at once: a worker behind a partition is still listed as run by its VM; the list has to be requested after the last answer, and at least two seconds after this incarnation became known; a listing of another incarnation names no VM; a worker that answers, restarts or is dropped while the list is read is left alone. A stall of the owner makes every worker look silent for an instant, so silence is checked twice.

--- a/laburnumswitch/dispatch_entry.py
+++ b/laburnumswitch/dispatch_entry.py
@@ -34,6 +34,7 @@
 from laburnumswitch.platform.operations import decode_operation
 from laburnumswitch.platform.operations import OPERATIONS_TABLE
 from laburnumswitch.platform.store import StoreClient
+from laburnumswitch.platform.vms import VmListClient
 from laburnumswitch.platform.workers import HttpWorkerLink
 from laburnumswitch.process.daemon.deployment import Deployment
 from laburnumswitch.process.daemon.reload_signal import deliver_reload_signal
@@ -177,6 +178,7 @@
     def _start_dispatcher(
         self, held_term: VersionedTerm, term_committed_s: float, predecessor: PredecessorState
     ) -> Dispatcher:
+        vm_list_address = self.deployment.vm_list_address
         context = DispatchContext(
             deployment=self.deployment,
             table=self.table,
@@ -190,6 +192,7 @@
             wall_clock=time,
             boot_clock=_boot_clock,
             sleep=sleep,
+            list_vms=VmListClient(vm_list_address).list_vms if vm_list_address else None,
         )
         return begin_dispatch(context, held_term, term_committed_s, predecessor)
 
--- a/laburnumswitch/dispatch_metrics.py
+++ b/laburnumswitch/dispatch_metrics.py
@@ -49,6 +49,7 @@
         "uncertain_starts": ("Starts unanswered.", lambda d: d.counters.uncertain_starts),
         "renewals": ("Lease renewals sent.", lambda d: d.counters.renewals),
         "throttles": ("Throttles sent.", lambda d: d.counters.throttles),
+        "vm_list_readings": ("Readings of the list of VMs.", lambda d: d.counters.vm_list_readings),
         "batches": ("Batches committed.", lambda d: d.recorder.batches),
     }
     for name, (help_text, read) in gauges.items():
--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -35,6 +35,7 @@
 from laburnumswitch.process.dispatch.recorder import Recorder
 from laburnumswitch.process.dispatch.tails import TailLatencyModel
 from laburnumswitch.process.dispatch.tickets import Tickets
+from laburnumswitch.process.dispatch.vm_list import ListVms
 from laburnumswitch.process.dispatch.worker_protocol import EndReport
 from laburnumswitch.process.dispatch.worker_protocol import RunOutcome
 from laburnumswitch.process.dispatch.worker_protocol import RunReport
@@ -79,6 +80,7 @@
 
     :ivar clock: monotonic, stands still while the VM is suspended.
     :ivar boot_clock: monotonic, includes the time for which the VM was suspended.
+    :ivar list_vms: reads the platform's list of VMs, ``None`` where there is none.
     """
 
     deployment: Deployment
@@ -93,6 +95,7 @@
     wall_clock: Callable[[], float]
     boot_clock: Callable[[], float]
     sleep: Callable[[float], None]
+    list_vms: ListVms | None = None
 
 
 class OrphanRun(NamedTuple):
@@ -120,6 +123,7 @@
         self.uncertain_starts = 0
         self.renewals = 0
         self.throttles = 0
+        self.vm_list_readings = 0
         self.ended_count_by_outcome: dict[str, int] = {}
 
 
--- a/laburnumswitch/process/dispatch/takeover.py
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -29,6 +29,7 @@
 from laburnumswitch.process.dispatch.recorder import Recorder
 from laburnumswitch.process.dispatch.recorder import RecorderContext
 from laburnumswitch.process.dispatch.retention import run_retention
+from laburnumswitch.process.dispatch.vm_watch import watch_vms
 from laburnumswitch.process.dispatch.worker_protocol import WorkerListing
 from laburnumswitch.process.dispatch.worker_session import run_worker
 from laburnumswitch.process.leadership.term import PredecessorState
@@ -85,6 +86,8 @@
     dispatcher.spawn(run_retention, dispatcher)
     dispatcher.spawn(run_learning, dispatcher)
     dispatcher.spawn(run_load_report, dispatcher)
+    if dispatcher.context.list_vms is not None:
+        dispatcher.spawn(watch_vms, dispatcher, dispatcher.context.list_vms)
     if not dispatcher.settled:
         _settle(dispatcher)
 
--- /dev/null
+++ b/laburnumswitch/process/dispatch/vm_watch.py
@@ -0,0 +1,137 @@
+"""Drops silent workers that have certainly ended, so that their tasks restart at once.
+
+The owner alone cannot tell a worker that has crashed from one behind a partition, so the runs of a
+silent worker count as running until its leases have lapsed.
+"""
+
+from typing import NamedTuple
+
+from laburnumswitch.exceptions import Failure
+from laburnumswitch.exceptions import Throttled
+from laburnumswitch.process.dispatch.dispatcher import Dispatcher
+from laburnumswitch.process.dispatch.fleet import Worker
+from laburnumswitch.process.dispatch.vm_list import find_ended_workers
+from laburnumswitch.process.dispatch.vm_list import ListVms
+from laburnumswitch.process.dispatch.vm_list import SilentWorker
+from laburnumswitch.process.dispatch.vm_list import VmList
+
+# A worker counts as silent after this time without an answer, in seconds: it answers a renewal
+# within a second.
+SILENCE_S = 1.25
+# Interval, in seconds, at which the owner looks for silent workers.
+CHECK_INTERVAL_S = 0.2
+# Time, in seconds, after which the silence of a worker is checked again. After a stall of this
+# process, answers that have arrived are applied by then.
+CONFIRMATION_DELAY_S = 0.02
+# Shortest interval between two readings of the list, in seconds.
+READ_INTERVAL_S = 0.5
+# Time limit of a page in seconds. A slow platform takes half a second for each.
+READ_TIMEOUT_S = 1.5
+
+
+class _Incarnation(NamedTuple):
+    """An incarnation of a worker, 0 if unknown, and since when it has been known."""
+
+    number: int
+    known_since_s: float
+
+
+def watch_vms(dispatcher: Dispatcher, list_vms: ListVms) -> None:
+    """Drop silent workers that have certainly ended, until the term ends.
+
+    The list is read only while a silent worker may have runs.
+    """
+    context = dispatcher.context
+    incarnation_by_worker: dict[Worker, _Incarnation] = {}
+    silent: set[Worker] = set()
+    silent_before: set[Worker] = set()
+    earlier: VmList | None = None
+    next_reading_s = 0.0
+    is_failing = False
+    while not dispatcher.is_stopped():
+        context.sleep(CONFIRMATION_DELAY_S if silent - silent_before else CHECK_INTERVAL_S)
+        now_s = context.clock()
+        incarnation_by_worker = {
+            worker: _current_incarnation(worker, incarnation_by_worker.get(worker), now_s)
+            for worker in dispatcher.workers_by_id.values()
+        }
+        silent_before = silent
+        silent = {
+            worker
+            for worker, incarnation in incarnation_by_worker.items()
+            if _may_have_unreachable_runs(worker, incarnation, now_s)
+        }
+        if not silent:
+            earlier = None
+        if now_s < next_reading_s or not silent & silent_before:
+            continue
+        next_reading_s = now_s + READ_INTERVAL_S
+        dispatcher.counters.vm_list_readings += 1
+        rows = list_vms(READ_TIMEOUT_S)
+        if isinstance(rows, Failure):
+            if not is_failing:
+                context.log.note("vm_list_failed", str(dispatcher.epoch), reason=rows.describe())
+            is_failing = True
+            if isinstance(rows, Throttled):
+                next_reading_s = context.clock() + rows.retry_after_s
+            continue
+        is_failing = False
+        vm_list = VmList(now_s, {row.vm_id: row for row in rows})
+        if not dispatcher.is_stopped():
+            _drop_ended_workers(dispatcher, incarnation_by_worker, vm_list, earlier)
+        earlier = vm_list
+
+
+def _current_incarnation(worker: Worker, known: _Incarnation | None, now_s: float) -> _Incarnation:
+    if known is None or known.number != worker.incarnation:
+        return _Incarnation(worker.incarnation, now_s)
+    return known
+
+
+def _may_have_unreachable_runs(worker: Worker, incarnation: _Incarnation, now_s: float) -> bool:
+    if now_s - max(worker.last_answer_s, incarnation.known_since_s) < SILENCE_S:
+        return False
+    if worker.is_reached:
+        return bool(worker.runs_by_task)
+    # An earlier owner may have started runs.
+    return not worker.has_certainly_lapsed(now_s)
+
+
+def _vm_id(worker: Worker) -> str:
+    # The listing of another incarnation may name another VM.
+    is_current = worker.listing.incarnation == worker.incarnation or not worker.incarnation
+    return worker.listing.vm_id if is_current else ""
+
+
+def _drop_ended_workers(
+    dispatcher: Dispatcher,
+    incarnation_by_worker: dict[Worker, _Incarnation],
+    vm_list: VmList,
+    earlier: VmList | None,
+) -> None:
+    now_s = dispatcher.context.clock()
+    worker_by_id = {
+        worker.worker_id: worker
+        for worker, incarnation in incarnation_by_worker.items()
+        # A worker may have answered, restarted or been dropped during the reading.
+        if not worker.is_dropped
+        and worker.incarnation == incarnation.number
+        and _may_have_unreachable_runs(worker, incarnation, now_s)
+    }
+    silent = [
+        SilentWorker(
+            worker_id,
+            _vm_id(worker),
+            incarnation_by_worker[worker].known_since_s,
+            worker.last_answer_s,
+        )
+        for worker_id, worker in worker_by_id.items()
+    ]
+    for worker_id, evidence in find_ended_workers(silent, vm_list, earlier).items():
+        worker = worker_by_id[worker_id]
+        heard_s = worker.last_answer_s or incarnation_by_worker[worker].known_since_s
+        dispatcher.drop_worker(
+            worker,
+            f"{evidence} (read {now_s - vm_list.sent_s:.2f} s ago,"
+            f" last answer {now_s - heard_s:.2f} s ago)",
+        )
--- a/tests/process/dispatch/harness.py
+++ b/tests/process/dispatch/harness.py
@@ -88,6 +88,8 @@
         self.operations.apply(QueueConfiguration(1, {QUEUE.name: QUEUE}, {"shop": True}))
         self.worker_by_id = {}
         self.boot_offset_s = 0.0
+        self.list_vms = None
+        self.deployment = DEPLOYMENT
         for number in range(1, workers + 1):
             self.add_worker(make_listing(number, **listing_changes))
 
@@ -109,7 +111,7 @@
 
     def context(self):
         return DispatchContext(
-            deployment=DEPLOYMENT,
+            deployment=self.deployment,
             table=self.table,
             workers_table="servers",
             decode_worker=lambda key, value: WorkerListing(*value[:8], tuple(value[8]), *value[9:]),
@@ -121,6 +123,7 @@
             wall_clock=time,
             boot_clock=lambda: monotonic() + self.boot_offset_s,
             sleep=sleep,
+            list_vms=self.list_vms,
         )
 
     def start_owner(self, vm_id="vm-1", predecessor=PredecessorState.ENDED):
