Raise the fencing token of a worker that starts again under an id that was dropped

A worker that was dropped and is listed again began with the lowest fencing token of the term. A start for its earlier incarnation that is delivered late could then run beside the task's next run. The owner keeps the highest token of each dropped worker for the length of its term.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -149,6 +149,8 @@
         self.final_by_id: dict[str, JobState] = {}
         self.ended_s_by_id: dict[str, float] = {}
         self.workers_by_id: dict[str, Worker] = {}
+        # Highest fencing token sent to each dropped worker, which may start again under its id.
+        self.fence_by_dropped_id: dict[str, int] = {}
         self.ready_step_by_key: dict[tuple[str, int, int], ReadyStep] = {}
         # Keys of ready steps that found no room in planning passes that were cut short, and ids of
         # the workers that these passes kept for large urgent tasks.
@@ -529,6 +531,7 @@
 
         :param earlier_fence: highest fencing token sent to an earlier incarnation with the same id.
         """
+        earlier_fence = max(earlier_fence, self.fence_by_dropped_id.get(listing.worker_id, 0))
         fence = max(self.epoch * FENCES_PER_EPOCH, earlier_fence + 1)
         worker = Worker(listing, self.context.make_link(listing), fence)
         self.workers_by_id[listing.worker_id] = worker
@@ -564,6 +567,7 @@
     def drop_worker(self, worker: Worker, reason: str) -> None:
         """Remove a worker whose runs have certainly ended."""
         worker.is_dropped = True
+        self.fence_by_dropped_id[worker.worker_id] = worker.fence
         for run in list(worker.runs_by_task.values()):
             self.release_run(worker, run, reason)
         worker.link.close()
--- a/tests/process/dispatch/test_vm_watch.py
+++ b/tests/process/dispatch/test_vm_watch.py
@@ -227,3 +227,17 @@
         wait_until(lambda: owner.workers_by_id and owner.recorder.committed)
         rows = [row for row in self.harness.table.load("fleet").rows if row.value]
         self.assertThat({len(listing) for row in rows for listing in row.value}, Equals({13}))
+
+    def test_restart_under_the_same_id_gets_a_higher_fencing_token(self):
+        # A start for the earlier incarnation may still be delivered, and must have no effect.
+        owner = self._start_owner()
+        holder = self._start_run(owner)
+        self._wait_until_known_long_enough(owner)
+        worker = owner.workers_by_id[holder.listing.worker_id]
+        worker.fence += 5
+        holder.crash()
+        wait_until(lambda: worker.is_dropped)
+        holder.restart()
+        self.harness.list_worker(holder.listing)
+        wait_until(lambda: holder.fence > 0)
+        self.assertThat(holder.fence, GreaterThan(worker.fence))
