--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -19,6 +19,7 @@
 from soak.proxy import Proxy
 from standin.fleet.api import make_worker_handler
 from standin.fleet.api import StoreApi
+from standin.fleet.api import VmListApi
 from standin.fleet.feed_table import FeedMemoryTable
 from standin.fleet.invariant_checker import InvariantChecker
 from standin.fleet.worker import FleetWorker
@@ -48,6 +49,7 @@
             labels=("kind", f"r{number // WORKERS_PER_RACK}"),
             rack=f"r{number // WORKERS_PER_RACK}",
             incarnation=int(time() * 1000),
+            vm_id=f"vm-{number}",
         )
         self.fleet_worker = FleetWorker(listing, checker, monotonic, random)
         self._server = start_server("127.0.0.1:0", make_worker_handler(self.fleet_worker))
@@ -65,6 +67,7 @@
             "capacity": {"cpu": listing.cpu_millis, "memMb": listing.memory_mb, "gpu": 0},
             "labels": listing.labels,
             "born": listing.incarnation,
+            "machine": listing.vm_id,
             "seq": seq,
         }
         return Put(f"servers/{listing.worker_id}", value)
@@ -89,11 +92,14 @@
         self.store = StoreApi(self.table)
         self._store_server = start_server("127.0.0.1:0", self.store.handle)
         self.workers = [EmulatedWorker(number, self.checker, random) for number in range(workers)]
+        self.vm_list = VmListApi([worker.fleet_worker for worker in self.workers])
+        self._vm_list_server = start_server("127.0.0.1:0", self.vm_list.handle)
         self.entries: list[EntryProcess] = []
         for number in range(entries):
             proxy = Proxy(bound_address(self._store_server))
             zone = ZONES[number % len(ZONES)]
-            config = write_settings(folder, number, first_port, zone, proxy.address)
+            addresses = (proxy.address, bound_address(self._vm_list_server))
+            config = write_settings(folder, number, first_port, zone, *addresses)
             self.entries.append(EntryProcess(config, proxy))
         self._is_stopped = False
 
@@ -129,10 +135,13 @@
         self.table.lose_answers = self.table.delayed_commits = 0
         self.table.apply_delayed_commits()
         self.store.delay_s = 0.0
+        self.vm_list.is_down = False
         for zone in ZONES:
             self.set_zone(zone, False)
         for worker in self.workers:
             worker.proxy.set_mode(Mode.PASS)
+            if worker.fleet_worker.is_crashed:
+                worker.fleet_worker.restart()
             worker.fleet_worker.drops_answers = worker.fleet_worker.drops_calls = (
                 worker.fleet_worker.fails_runs
             ) = False
@@ -149,12 +158,17 @@
         for worker in self.workers:
             worker.stop()
         self._store_server.stop(0)
+        self._vm_list_server.stop(0)
 
     def _send_heartbeats(self) -> None:
         seq = 0
         while not self._is_stopped:
             seq += 1
-            rows = tuple(worker.row(seq) for worker in self.workers if worker.sends_heartbeats)
+            rows = tuple(
+                worker.row(seq)
+                for worker in self.workers
+                if worker.sends_heartbeats and not worker.fleet_worker.is_crashed
+            )
             if not self.table.down:
                 self.table.commit(Transaction((), rows))
             sleep(HEARTBEAT_INTERVAL_S)
--- a/soak/entries.py
+++ b/soak/entries.py
@@ -32,6 +32,8 @@
 harmMs = 4000
 [platform]
 address = "{store}"
+[cloud]
+address = "{vm_list}"
 """
 
 
@@ -92,7 +94,12 @@
 
 
 def write_settings(
-    folder: Path, number: int, first_port: int, zone: str, store_address: str
+    folder: Path,
+    number: int,
+    first_port: int,
+    zone: str,
+    store_address: str,
+    vm_list_address: str,
 ) -> EntryConfig:
     """Write the settings file of one entry and return its configuration."""
     peer_port = first_port + number * PORTS_PER_ENTRY
@@ -108,6 +115,7 @@
             ready_port=peer_port + 17,
             cores=2 + number % 2,
             store=store_address,
+            vm_list=vm_list_address,
         ),
         encoding="utf-8",
     )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -84,6 +84,21 @@
     random.choice(cluster.workers).fleet_worker.restart()
 
 
+def crash_worker(cluster: Cluster, random: Random, duration_s: float) -> None:
+    """Crash one worker, and restart it under the same id after the duration."""
+    worker = random.choice(cluster.workers).fleet_worker
+    worker.crash()
+    sleep(duration_s)
+    worker.restart()
+
+
+def stop_vm_list(cluster: Cluster, random: Random, duration_s: float) -> None:
+    """Make the list of VMs refuse every call."""
+    cluster.vm_list.is_down = True
+    sleep(duration_s)
+    cluster.vm_list.is_down = False
+
+
 def fail_worker(cluster: Cluster, random: Random, duration_s: float) -> None:
     """Make one worker fail every run that it starts."""
     worker = random.choice(cluster.workers)
@@ -148,10 +163,12 @@
     disrupt_store_link,
     disrupt_worker_link,
     restart_worker,
+    crash_worker,
     fail_worker,
     silence_worker,
     stop_store,
     slow_store,
+    stop_vm_list,
     lose_commit_answers,
     delay_commits,
     forget_history,
