--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -68,7 +68,7 @@
 # worker takes about 200 bytes.
 FLEET_PARTS = 16
 # Number of a listing's fields that are stored: earlier versions cannot read rows with more.
-STORED_LISTING_FIELDS = 13
+STORED_LISTING_FIELDS = WorkerListing._fields.index("vm_id")
 
 # Asks the advice service which of the given workers may run the step of a task; the last argument
 # is the timeout in seconds.
