Prove the end of crashed workers that only an earlier owner knew

A new owner knows the workers on which an earlier one may have left runs from the stored rows, which do not name the VMs. Where the store's row of a crashed worker has expired before the takeover (3.3 s), the owner waited up to 14 s for it. Such a worker has ended if no listed VM runs it in two readings in a row; a VM that is up without naming its worker, or in an unknown state, leaves it open. Tests seen to fail before: the decision's, and a takeover without the row (the worker was not dropped).

--- a/laburnumswitch/process/dispatch/vm_list.py
+++ b/laburnumswitch/process/dispatch/vm_list.py
@@ -46,6 +46,7 @@
 class SilentWorker(NamedTuple):
     """A worker that does not answer.
 
+    :ivar vm_id: empty if unknown: an earlier owner stores its workers without their VMs.
     :ivar known_since_s: since when this incarnation of the worker has been known.
     :ivar last_answer_s: when the worker last answered, 0 if never.
     """
@@ -56,6 +57,10 @@
     last_answer_s: float
 
 
+VM_REMOVED = "its VM is no longer listed"
+RUN_BY_NONE = "no listed VM runs it"
+_BY_ABSENCE = (VM_REMOVED, RUN_BY_NONE)
+
 # Reads the whole list; the argument is the time limit of each page in seconds.
 ListVms = Callable[[float], tuple[VmRow, ...] | Failure]
 
@@ -65,31 +70,45 @@
 ) -> dict[str, str]:
     """Return the evidence by worker id for each worker that has certainly ended.
 
-    :param earlier: the reading before ``vm_list``. A VM counts as removed only if both lack it,
+    :param earlier: the reading before ``vm_list``. What a list lacks counts only if both lack it,
         since the pages of one reading may be inconsistent.
     """
     evidence_by_id = {}
     for worker in workers:
-        if not _covers(vm_list, worker):
+        evidence = _find_evidence(worker, vm_list)
+        if evidence in _BY_ABSENCE and (
+            earlier is None or _find_evidence(worker, earlier) != evidence
+        ):
             continue
-        row = vm_list.row_by_vm_id.get(worker.vm_id)
-        if row is None:
-            was_listed = earlier is None or worker.vm_id in earlier.row_by_vm_id
-            if not was_listed and _covers(earlier, worker):
-                evidence_by_id[worker.worker_id] = "its VM is no longer listed"
-        elif row.state is VmState.UP:
-            if row.worker_id and row.worker_id != worker.worker_id:
-                evidence_by_id[worker.worker_id] = f"its VM runs {row.worker_id}"
-        elif row.state is not VmState.UNKNOWN:
-            evidence_by_id[worker.worker_id] = f"its VM is {row.state.value}"
+        if evidence is not None:
+            evidence_by_id[worker.worker_id] = evidence
     return evidence_by_id
 
 
+def _find_evidence(worker: SilentWorker, vm_list: VmList) -> str | None:
+    if not _covers(vm_list, worker):
+        return None
+    if not worker.vm_id:
+        may_run_worker = any(
+            row.state is VmState.UNKNOWN
+            or (row.state is VmState.UP and row.worker_id in ("", worker.worker_id))
+            for row in vm_list.row_by_vm_id.values()
+        )
+        return None if may_run_worker else RUN_BY_NONE
+    row = vm_list.row_by_vm_id.get(worker.vm_id)
+    if row is None:
+        return VM_REMOVED
+    if row.state is VmState.UP:
+        runs_another = row.worker_id and row.worker_id != worker.worker_id
+        return f"its VM runs {row.worker_id}" if runs_another else None
+    return None if row.state is VmState.UNKNOWN else f"its VM is {row.state.value}"
+
+
 def _covers(vm_list: VmList, worker: SilentWorker) -> bool:
     """Return whether a list was made while the worker was known and after its last answer."""
     # A list without any VM is not plausible.
     return (
-        bool(worker.vm_id and vm_list.row_by_vm_id)
+        bool(vm_list.row_by_vm_id)
         and vm_list.sent_s > worker.last_answer_s
         and vm_list.sent_s - MAX_DELAY_S > worker.known_since_s
     )
--- a/tests/process/dispatch/test_vm_watch.py
+++ b/tests/process/dispatch/test_vm_watch.py
@@ -15,10 +15,12 @@
 from laburnumswitch.exceptions import Unavailable
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.vm_list import MAX_DELAY_S
+from laburnumswitch.process.dispatch.vm_list import RUN_BY_NONE
 from laburnumswitch.process.dispatch.vm_list import VmRow
 from laburnumswitch.process.dispatch.vm_list import VmState
 from laburnumswitch.process.dispatch.vm_watch import SILENCE_S
 from laburnumswitch.process.leadership.term import PredecessorState
+from laburnumswitch.process.rows.table import Transaction
 from tests.process.dispatch.harness import BOUNDS
 from tests.process.dispatch.harness import DEPLOYMENT
 from tests.process.dispatch.harness import DispatchHarness
@@ -221,6 +223,21 @@
         wait_until(lambda: self.harness.checker.start_count == 2)
         self.assertThat(self.harness.checker.violations, Equals([]))
 
+    def test_new_owner_does_not_wait_for_a_crashed_worker_that_only_the_earlier_owner_knew(self):
+        # The store's row of the worker, which names its VM, has expired before the takeover.
+        owner = self._start_owner()
+        holder = self._start_run(owner)
+        wait_until(lambda: "j1" in owner.jobs_by_id and owner.recorder.committed)
+        holder.crash()
+        owner.stop()
+        key = f"servers/{holder.listing.worker_id}"
+        self.harness.table.commit(Transaction((), (), (key,)))
+        successor = self._start_owner(vm_id="vm-2", predecessor=PredecessorState.SILENT)
+        wait_until(lambda: successor.settled)
+        self.assertThat(self._names_of_events(holder)[-1], Equals("worker_dropped"))
+        reasons = [event.get("reason", "") for event in self.events]
+        self.assertThat(str(reasons), Contains(RUN_BY_NONE))
+
     def test_stored_list_of_workers_can_be_read_by_earlier_versions(self):
         # They refuse rows with a field that they do not know, and would not ask these workers.
         owner = self._start_owner()
