--- a/laburnumswitch/platform/discovery.py
+++ b/laburnumswitch/platform/discovery.py
@@ -58,4 +58,5 @@
         incarnation=fields.born,
         is_cold=fields.cold_ms > 0,
         remaining_s=None if fields.remaining_ms is None else fields.remaining_ms / MS_PER_S,
+        vm_id=fields.machine,
     )
--- a/laburnumswitch/process/daemon/deployment.py
+++ b/laburnumswitch/process/daemon/deployment.py
@@ -38,3 +38,4 @@
     memory_mb: int
     bounds: Bounds
     max_sockets: int = 1024
+    vm_list_address: str = ""
--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -40,6 +40,7 @@
 from laburnumswitch.process.dispatch.recorder import Recorder
 from laburnumswitch.process.dispatch.tails import TailLatencyModel
 from laburnumswitch.process.dispatch.tickets import Tickets
+from laburnumswitch.process.dispatch.vm_list import ListVms
 from laburnumswitch.process.dispatch.worker_protocol import EndReport
 from laburnumswitch.process.dispatch.worker_protocol import RunOutcome
 from laburnumswitch.process.dispatch.worker_protocol import RunReport
@@ -77,6 +78,8 @@
 # Number of rows that store the list of workers: a row of the platform's store holds 64 KiB, and a
 # worker takes about 200 bytes.
 FLEET_PARTS = 16
+# Number of a listing's fields that are stored: earlier versions cannot read rows with more.
+STORED_LISTING_FIELDS = WorkerListing._fields.index("remaining_s")
 
 # Asks the advice service which of the given workers may run the step of a task; the last argument
 # is the timeout in seconds.
@@ -88,6 +91,7 @@
 
     :ivar clock: monotonic, stands still while the VM is suspended.
     :ivar boot_clock: monotonic, includes the time for which the VM was suspended.
+    :ivar list_vms: reads the platform's list of VMs, ``None`` where there is none.
     """
 
     deployment: Deployment
@@ -102,6 +106,7 @@
     wall_clock: Callable[[], float]
     boot_clock: Callable[[], float]
     sleep: Callable[[float], None]
+    list_vms: ListVms | None = None
 
 
 class OrphanRun(NamedTuple):
@@ -129,6 +134,7 @@
         self.uncertain_starts = 0
         self.renewals = 0
         self.throttles = 0
+        self.vm_list_readings = 0
         self.ended_count_by_outcome: dict[str, int] = {}
 
 
@@ -159,6 +165,8 @@
         self.final_by_id: dict[str, JobState] = {}
         self.ended_s_by_id: dict[str, float] = {}
         self.workers_by_id: dict[str, Worker] = {}
+        # Highest fencing token sent to each dropped worker, which may start again under its id.
+        self.fence_by_dropped_id: dict[str, int] = {}
         self.ready_step_by_key: dict[tuple[str, int, int], ReadyStep] = {}
         # Keys of ready steps that found no room in planning passes that were cut short, and ids of
         # the workers that these passes kept for large urgent tasks.
@@ -614,6 +622,7 @@
 
         :param earlier_fence: highest fencing token sent to an earlier incarnation with the same id.
         """
+        earlier_fence = max(earlier_fence, self.fence_by_dropped_id.get(listing.worker_id, 0))
         fence = max(self.epoch * FENCES_PER_EPOCH, earlier_fence + 1)
         worker = Worker(listing, self.context.make_link(listing), fence)
         worker.note_listing(listing, self.context.clock(), self.context.deployment.bounds.drain_s)
@@ -631,9 +640,8 @@
     def queue_fleet_row(self, worker_id: str) -> int:
         """Queue the row that stores a worker and return the number of its batch."""
         part = fleet_part(worker_id)
-        # Entries of the version before ``remaining_s`` refuse listings with more fields.
         listings = [
-            worker.listing[: WorkerListing._fields.index("remaining_s")]
+            worker.listing[:STORED_LISTING_FIELDS]
             for worker in self.workers_by_id.values()
             if fleet_part(worker.worker_id) == part
         ]
@@ -651,6 +659,7 @@
     def drop_worker(self, worker: Worker, reason: str) -> None:
         """Remove a worker whose runs have certainly ended."""
         worker.is_dropped = True
+        self.fence_by_dropped_id[worker.worker_id] = worker.fence
         for run in list(worker.runs_by_task.values()):
             self.release_run(worker, run, reason)
         worker.link.close()
--- a/laburnumswitch/process/dispatch/worker_protocol.py
+++ b/laburnumswitch/process/dispatch/worker_protocol.py
@@ -19,6 +19,7 @@
     :ivar is_cold: whether the worker has started recently and runs tasks more slowly.
     :ivar remaining_s: minimum time until a draining worker leaves, in seconds; ``None`` if unknown.
         It is not stored, see ``Dispatcher.queue_fleet_row``.
+    :ivar vm_id: the VM that runs the worker, empty if unknown.
     """
 
     worker_id: str
@@ -34,6 +35,7 @@
     incarnation: int
     is_cold: bool = False
     remaining_s: float | None = None
+    vm_id: str = ""
 
 
 class RunOutcome(StrEnum):
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -52,6 +52,7 @@
     "capacity": {"cpu": 16000, "memMb": 32768, "gpu": 0},
     "labels": ["kind", "r1-3"],
     "born": 5,
+    "machine": "m-1",
     "seq": 4,
 }
 ROUTE = {
@@ -88,6 +89,11 @@
         text = SETTINGS.replace("memoryMb = 300", "memoryMb = 300\nmaxFds = 4100")
         self.assertThat(read_deployment_text(text).max_sockets, Equals(3900))
 
+    def test_address_of_the_vm_list_is_optional(self):
+        self.assertThat(read_deployment_text(SETTINGS).vm_list_address, Equals(""))
+        with_list = SETTINGS + '[cloud]\naddress = "127.0.0.1:8170"\nratePerS = 60.0\n'
+        self.assertThat(read_deployment_text(with_list).vm_list_address, Equals("127.0.0.1:8170"))
+
     def test_missing_field_is_named(self):
         problems = read_deployment_text(SETTINGS.replace("memoryMb = 300", ""))
         self.assertThat(problems, IsInstance(ProblemsFound))
@@ -128,6 +134,7 @@
         worker = decode_worker("servers/i-1", WORKER)
         self.assertThat((worker.worker_id, worker.rack), Equals(("i-1", "r1-3")))
         self.assertThat((worker.is_draining, worker.incarnation), Equals((True, 5)))
+        self.assertThat(worker.vm_id, Equals("m-1"))
 
     def test_remaining_time_of_a_draining_worker_is_decoded(self):
         self.assertThat(decode_worker("servers/i-1", WORKER).remaining_s, Is(None))
--- a/tests/process/dispatch/harness.py
+++ b/tests/process/dispatch/harness.py
@@ -59,6 +59,7 @@
         labels=("kind", "r1"),
         rack="r1",
         incarnation=1,
+        vm_id=f"vm-w{number}",
     )
     return listing._replace(**changes)
 
@@ -88,6 +89,8 @@
         self.worker_by_id = {}
         self.deployment = DEPLOYMENT
         self.boot_offset_s = 0.0
+        self.list_vms = None
+        self.deployment = DEPLOYMENT
         for number in range(1, workers + 1):
             self.add_worker(make_listing(number, **listing_changes))
 
@@ -121,6 +124,7 @@
             wall_clock=time,
             boot_clock=lambda: monotonic() + self.boot_offset_s,
             sleep=sleep,
+            list_vms=self.list_vms,
         )
 
     def start_owner(self, vm_id="vm-1", predecessor=PredecessorState.ENDED):
