Failing test: jobs of a removed queue never run under an owner that started later

Operations keeps the queues that were removed, since jobs outlive them, but only in the memory of entries that have seen them. After a removal and a restart, the next owner does not know the service, the priority or the number of attempts of accepted jobs: it starts none of their tasks, and a failed run that it reads fails the job. Seen failing; the same test completes where the entry has seen the queue. Not mended here: the owner would have to store the queues of unfinished jobs.

--- a/tests/process/dispatch/test_dispatcher.py
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -16,6 +16,7 @@
 
 from laburnumswitch.process.dispatch.dispatcher import ORPHAN_WAIT_S
 from laburnumswitch.process.dispatch.fleet import MIN_CLOCK_RATE
+from laburnumswitch.process.dispatch.job_spec import QueueConfiguration
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.job_spec import TaskKey
 from laburnumswitch.process.dispatch.jobs import Job
@@ -436,6 +437,19 @@
         holder.stop = stop
         wait_until(lambda: len(usable_workers(second, "shop")) == 2)
 
+    def test_job_outlives_its_queue_although_the_owner_started_after_the_removal(self):
+        for worker in self.harness.worker_by_id.values():
+            worker.drops_calls = True
+        self.harness.submit(make_submission("j1"), self.first)
+        self.first.release()
+        for worker in self.harness.worker_by_id.values():
+            worker.drops_calls = False
+        self.harness.operations = Operations(self.harness.log)
+        self.harness.operations.apply(QueueConfiguration(2, {}, {"shop": True}))
+        second = self.harness.start_owner("vm-2")
+        self.addCleanup(second.stop)
+        wait_until(lambda: second.reported_state("j1") is JobState.COMPLETED, limit_s=10.0)
+
     def test_log_tells_for_whom_a_successor_waits(self):
         self._run_long_job()
         holder = next(each for each in self.harness.worker_by_id.values() if each.running())
