Failing test: an owner that failed hands over what it knows

An unexpected error ends the term because the state may be inconsistent, for example with an end of which only the run was removed. A release that follows still describes the runs. It takes a SIGTERM within the moment between the two, or an error while the release waits for the stored state. Seen failing; found by reading.

--- a/tests/process/dispatch/test_dispatcher.py
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -807,6 +807,25 @@
         self.assertThat(harness.checker.start_count, Equals(1))
 
 
+    def test_hands_nothing_over(self):
+        """What the owner knows may be inconsistent, so its successor has to ask the workers."""
+        harness = DispatchHarness()
+        first = harness.start_owner("vm-1")
+        self.addCleanup(first.stop)
+        harness.submit(make_submission("j1", LONG), first)
+        wait_until(lambda: harness.checker.start_count == 1)
+        for worker in harness.worker_by_id.values():
+            worker.drops_calls = True
+        first.spawn(lambda: {}["missing"])
+        wait_until(first.is_stopped)
+        first.release()
+        second = harness.start_owner("vm-2")
+        self.addCleanup(second.stop)
+        wait_until(second.is_loaded.is_set)
+        unknown = [each.has_unknown_runs for each in second.workers_by_id.values()]
+        self.assertThat(unknown, Equals([True, True]))
+
+
 class TestIsolatedOwner(TestCase):
     """An owner that can reach neither the store nor a worker may have been superseded."""
 
