Hand nothing over after an unexpected error

Cause: a release described the runs whatever had ended the term. It now does so only if the term had not ended before it.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -204,8 +204,10 @@
         """
         if not self.is_stopped():
             self.is_loaded.wait(MAX_LOAD_WAIT_S)
+        # After an unexpected error the state may be inconsistent.
+        is_certain = self.is_loaded.is_set() and not self.is_stopped()
         self.stop()
-        self.recorder.release(self._describe_handover() if self.is_loaded.is_set() else ())
+        self.recorder.release(self._describe_handover() if is_certain else ())
 
     def _describe_handover(self) -> tuple[Put, ...]:
         now_s = self.context.clock()
