--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -136,8 +136,8 @@
     :ivar ready_step_by_key: ready steps by job id, occurrence and index of the step.
     :ivar wake: set when the planner has to run.
     :ivar is_loaded: set once all stored jobs are loaded.
-    :ivar has_read_listings: whether the platform's list of workers was read in this term; the stored
-        list does not say which workers are draining.
+    :ivar has_read_listings: whether the platform's list of workers was read in this term; the
+        stored list does not say which workers are draining.
     :ivar settled: whether all runs of earlier owners are known or have certainly lapsed.
     :ivar unknown_runs_until_s: when the last lease ends that earlier owners may have granted.
     :ivar predecessor_may_start_jobs: whether the earlier owner may still start jobs that are
@@ -220,7 +220,7 @@
             )
             for worker in self.workers_by_id.values()
         ]
-        # The successor may know the jobs of these ends and must read them before it starts any task.
+        # The successor may know the jobs of these ends and must read them before it starts tasks.
         unapplied = {
             end.worker.worker_id for ends in self.orphan_ends_by_job_id.values() for end in ends
         }
--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -127,8 +127,8 @@
     :ivar granted_until_s: end of the lease on the worker's clock.
     :ivar lapse_bound_s: when all granted leases have certainly expired.
     :ivar has_unknown_runs: whether runs of earlier owners may exist that this owner does not know.
-    :ivar has_unreserved_runs: whether it last reported runs that this owner has not adopted, so that
-        their capacity is not reserved.
+    :ivar has_unreserved_runs: whether it last reported runs that this owner has not adopted, so
+        that their capacity is not reserved.
     :ivar blocked_until_s: the worker gets no starts before this time.
     :ivar last_sample_s: when its measurements were last used.
     """
--- a/laburnumswitch/process/dispatch/handover.py
+++ b/laburnumswitch/process/dispatch/handover.py
@@ -38,8 +38,8 @@
 
     :ivar lapses_in_s: time from the end of the owner's term until all leases granted to the worker
         have certainly expired; 0 if they have.
-    :ivar has_unknown_runs: whether runs of earlier owners may exist that are not in ``runs``, or may
-        have ended in a way that is not stored.
+    :ivar has_unknown_runs: whether runs of earlier owners may exist that are not in ``runs``, or
+        may have ended in a way that is not stored.
     """
 
     worker_id: str
--- a/tests/process/leadership/test_leadership.py
+++ b/tests/process/leadership/test_leadership.py
@@ -160,7 +160,7 @@
         self.assertThat(read_term(self.table).term.epoch, Equals(2))
 
     def test_entry_that_stops_while_it_takes_over_leaves_gracefully(self):
-        """Its successor would otherwise find a dead owner, and wait for that one's lease as well."""
+        """Its successor would otherwise find a dead owner, and wait for its lease as well."""
         commit = self.table.commit
 
         def commit_and_stop(transaction):
