Failing test: an owner that learns late of its term acts although it may have been replaced

While the commit of a term has taken effect and is not answered, the entry says that it is not the owner. Where that takes more than 0.65 s (a slow store, or a lost answer and a call to the earlier owner), another entry replaces it as one that has ended. It may act for up to 8 s after its commit was sent: it starts nothing before a commit of its own, but it renews leases until that commit is refused. Its successor counts leases from its own start, so on a worker that only the first one reaches, a task may run while it starts elsewhere. Seen failing; found by reading.

--- a/tests/process/leadership/test_leadership.py
+++ b/tests/process/leadership/test_leadership.py
@@ -36,6 +36,10 @@
         self.held_term = held_term
         self.unconfirmed = held_term.term.unconfirmed
         self.is_lost = False
+        self.awaits_commit = False
+
+    def require_commit(self):
+        self.awaits_commit = True
 
     def touch(self):
         self.table.commit(Transaction((), (Put(TERM_KEY, self.held_term.term),)))
@@ -176,6 +180,24 @@
         wait_until(lambda: read_term(self.table).term.owner == "", limit_s=3.0)
         self.assertThat(entry.dispatcher, Is(None))
 
+    def test_owner_that_learns_late_of_its_term_acts_only_after_a_commit(self):
+        """Others see an entry that does not act as the owner, and may have replaced it as ended."""
+        commit = self.table.commit
+
+        def commit_and_answer_late(transaction):
+            outcome = commit(transaction)
+            self.table.commit = commit
+            wait_until(lambda: read_term(self.table).term.epoch == 2)
+            return outcome
+
+        self.table.commit = commit_and_answer_late
+        first = self._add_entry("vm-1", 2.0)
+        wait_until(lambda: read_term(self.table).term.epoch == 1)
+        second = self._add_entry("vm-2", 2.0)
+        wait_until(lambda: first.dispatcher is not None)
+        self.assertThat(second.dispatcher.predecessor, Equals(PredecessorState.ENDED))
+        self.assertThat(first.dispatcher.recorder.awaits_commit, Equals(True))
+
     def test_dead_owner_is_replaced(self):
         owner, follower = self._owner_and_follower()
         self.owner_client.refusing.add("vm-1")
