Act under a term that was learned of late only after a commit

Cause: an owner counted as certain for 8 s after its commit was sent, also where others could have replaced it before it had started. If the term takes 0.65 s or more to learn of, it now sends nothing before a commit of its own.

--- a/laburnumswitch/process/leadership/leadership.py
+++ b/laburnumswitch/process/leadership/leadership.py
@@ -347,6 +347,9 @@
         self.watcher_by_vm.clear()
         self.dispatcher = context.start_dispatcher(taken, sent_s, predecessor)
         self.dispatcher.recorder.unconfirmed = unconfirmed
+        if context.boot_clock() - sent_s >= TAKEOVER_WAIT_S:
+            # Another entry may have replaced this one meanwhile, since it did not act as the owner.
+            self.dispatcher.recorder.require_commit()
         for address in unconfirmed:
             self.dispatcher.spawn(self._confirm_end, self.dispatcher, address)
         if context.is_stopped():
