--- a/tests/process/dispatch/test_dispatcher.py
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -806,7 +806,6 @@
         wait_until(lambda: second.jobs_by_id["j1"].task(TaskKey("j1", 0, 0, 0)).active_run > 0)
         self.assertThat(harness.checker.start_count, Equals(1))
 
-
     def test_hands_nothing_over(self):
         """What the owner knows may be inconsistent, so its successor has to ask the workers."""
         harness = DispatchHarness()
