--- a/tests/process/dispatch/test_dispatcher.py
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -19,6 +19,7 @@
 from laburnumswitch.process.dispatch.fleet import MIN_CLOCK_RATE
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.headroom import LONG_RUNNING_WAIT_S
+from laburnumswitch.process.dispatch.job_spec import QueueConfiguration
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.job_spec import TaskKey
 from laburnumswitch.process.dispatch.jobs import Job
@@ -497,6 +498,19 @@
         holder.stop = stop
         wait_until(lambda: len(usable_workers(second, "shop")) == 2)
 
+    def test_job_outlives_its_queue_although_the_owner_started_after_the_removal(self):
+        for worker in self.harness.worker_by_id.values():
+            worker.drops_calls = True
+        self.harness.submit(make_submission("j1"), self.first)
+        self.first.release()
+        for worker in self.harness.worker_by_id.values():
+            worker.drops_calls = False
+        self.harness.operations = Operations(self.harness.log)
+        self.harness.operations.apply(QueueConfiguration(2, {}, {"shop": True}))
+        second = self.harness.start_owner("vm-2")
+        self.addCleanup(second.stop)
+        wait_until(lambda: second.reported_state("j1") is JobState.COMPLETED, limit_s=10.0)
+
     def test_log_tells_for_whom_a_successor_waits(self):
         self._run_long_job()
         holder = next(each for each in self.harness.worker_by_id.values() if each.running())
@@ -853,6 +867,24 @@
         wait_until(lambda: second.jobs_by_id["j1"].task(TaskKey("j1", 0, 0, 0)).active_run > 0)
         self.assertThat(harness.checker.start_count, Equals(1))
 
+    def test_hands_nothing_over(self):
+        """What the owner knows may be inconsistent, so its successor has to ask the workers."""
+        harness = DispatchHarness()
+        first = harness.start_owner("vm-1")
+        self.addCleanup(first.stop)
+        harness.submit(make_submission("j1", LONG), first)
+        wait_until(lambda: harness.checker.start_count == 1)
+        for worker in harness.worker_by_id.values():
+            worker.drops_calls = True
+        first.spawn(lambda: {}["missing"])
+        wait_until(first.is_stopped)
+        first.release()
+        second = harness.start_owner("vm-2")
+        self.addCleanup(second.stop)
+        wait_until(second.is_loaded.is_set)
+        unknown = [each.has_unknown_runs for each in second.workers_by_id.values()]
+        self.assertThat(unknown, Equals([True, True]))
+
 
 class TestIsolatedOwner(TestCase):
     """An owner that can reach neither the store nor a worker may have been superseded."""
