--- a/laburnumswitch/process/rows/table.py
+++ b/laburnumswitch/process/rows/table.py
@@ -68,8 +68,8 @@
 class Changes(NamedTuple):
     """Changed rows up to ``version``; removed ones have no value.
 
-    ``now_s`` is the store's monotonic clock in seconds. With ``has_more``, the store may have further
-    changes that exceed one answer.
+    ``now_s`` is the store's monotonic clock in seconds. With ``has_more``, there may be further
+    changes that exceed one answer of the store.
     """
 
     rows: tuple[Row, ...]
