Sample on time also where one best-effort run follows another

The renewal that is sent as a best-effort run ends waited a whole second if that run was the only one, though the next may start some milliseconds later beside the same serving tasks.

The renewal now also returns on time if best-effort work ran at the last sample. The new test failed before the fix: the sample came 1.26 s after the one before.

--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -147,6 +147,7 @@
     :ivar lapse_bound_s: when all granted leases have certainly expired.
     :ivar blocked_until_s: the worker gets no starts before this time.
     :ivar last_sample_s: when its measurements were last used.
+    :ivar had_best_effort: whether best-effort tasks ran on it then.
     """
 
     def __init__(self, listing: WorkerListing, link: WorkerLink, fence: int) -> None:
@@ -172,6 +173,7 @@
         self.lapse_bound_s = 0.0
         self.blocked_until_s = 0.0
         self.last_sample_s = 0.0
+        self.had_best_effort = False
         self.used_cpu_millis = 0
         self.used_memory_mb = 0
         self.used_accelerators = 0
--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -77,7 +77,8 @@
     """
     if not worker.is_reached:
         return 0.0
-    if not (worker.best_effort_runs() and worker.serving_runs()):
+    had_best_effort = worker.had_best_effort or worker.best_effort_runs()
+    if not (had_best_effort and worker.serving_runs()):
         return RENEWAL_WAIT_S
     return min(RENEWAL_WAIT_S, max(0.0, worker.last_sample_s + RENEWAL_WAIT_S - now_s))
 
@@ -161,6 +162,7 @@
     _reconcile(dispatcher, worker, report, sent_s, fence)
     if now_s - worker.last_sample_s >= SAMPLE_INTERVAL_S:
         worker.last_sample_s = now_s
+        worker.had_best_effort = bool(worker.best_effort_runs())
         learn_tails(dispatcher.model, worker, now_s)
         _apply_throttles(dispatcher, worker, now_s)
 
--- a/tests/process/dispatch/test_worker_session.py
+++ b/tests/process/dispatch/test_worker_session.py
@@ -6,6 +6,7 @@
 from testtools import TestCase
 from testtools.matchers import AllMatch
 from testtools.matchers import Equals
+from testtools.matchers import GreaterThan
 from testtools.matchers import LessThan
 
 from laburnumswitch.exceptions import AnswerLost
@@ -161,6 +162,20 @@
         gaps_s = [later - earlier for earlier, later in pairwise(sample_times_s)]
         self.assertThat(gaps_s, AllMatch(LessThan(LONGEST_SAMPLE_GAP_S)))
 
+    def test_sample_is_not_delayed_while_one_best_effort_run_follows_another(self):
+        # A run that ended was the only one when the next renewal was sent.
+        self.begin_run(0)
+        self.begin_run(1)
+        self.run_session(1.5)
+        self.dispatcher.stopped.clear()
+        sampled_s = self.worker.last_sample_s
+        ended = self.worker.best_effort_runs()[0]
+        del self.link.runs[ended.task]
+        self.dispatcher.release_run(self.worker, ended, "it ended")
+        self.run_session(0.0)
+        self.assertThat(self.worker.last_sample_s, GreaterThan(sampled_s))
+        self.assertThat(self.worker.last_sample_s, LessThan(sampled_s + LONGEST_SAMPLE_GAP_S))
+
     def test_worker_without_best_effort_work_is_not_asked_more_often(self):
         self.begin_run(0)
         self.link.end_times_s = [100.9 + 0.89 * n for n in range(20)]
