--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -165,6 +165,7 @@
         capacity is not reserved.
     :ivar blocked_until_s: the worker gets no starts before this time.
     :ivar last_sample_s: when its measurements were last used.
+    :ivar had_best_effort: whether best-effort tasks ran on it then.
     """
 
     def __init__(self, listing: WorkerListing, link: WorkerLink, fence: int) -> None:
@@ -195,6 +196,7 @@
         self.has_unreserved_runs = False
         self.blocked_until_s = 0.0
         self.last_sample_s = 0.0
+        self.had_best_effort = False
         self.used_cpu_millis = 0
         self.used_memory_mb = 0
         self.used_accelerators = 0
--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -82,7 +82,8 @@
     if not worker.is_reached or worker.is_silent:
         # Calls to a silent worker are short, since a lapse of its leases is noticed between them.
         return 0.0
-    if not (worker.best_effort_runs() and worker.serving_runs()):
+    had_best_effort = worker.had_best_effort or worker.best_effort_runs()
+    if not (had_best_effort and worker.serving_runs()):
         return RENEWAL_WAIT_S
     return min(RENEWAL_WAIT_S, max(0.0, worker.last_sample_s + RENEWAL_WAIT_S - now_s))
 
@@ -186,6 +187,7 @@
         worker.has_unknown_runs = False
     if now_s - worker.last_sample_s >= SAMPLE_INTERVAL_S:
         worker.last_sample_s = now_s
+        worker.had_best_effort = bool(worker.best_effort_runs())
         learn_tails(dispatcher.model, worker, now_s)
         _apply_throttles(dispatcher, worker, now_s)
 
