Drop a worker only once

The second drop could also have replaced the remembered fencing token of a later incarnation by a lower one.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -565,7 +565,9 @@
         return is_over and self.recorder.was_owner_at(worker.lapse_bound_s)
 
     def drop_worker(self, worker: Worker, reason: str) -> None:
-        """Remove a worker whose runs have certainly ended."""
+        """Remove a worker whose runs have certainly ended, unless it was removed already."""
+        if worker.is_dropped:
+            return
         worker.is_dropped = True
         self.fence_by_dropped_id[worker.worker_id] = worker.fence
         for run in list(worker.runs_by_task.values()):
--- a/tests/process/dispatch/test_vm_watch.py
+++ b/tests/process/dispatch/test_vm_watch.py
@@ -245,6 +245,16 @@
         rows = [row for row in self.harness.table.load("fleet").rows if row.value]
         self.assertThat({len(listing) for row in rows for listing in row.value}, Equals({12}))
 
+    def test_worker_is_dropped_only_once(self):
+        # A renewal that is in flight at the time may find another reason afterwards.
+        owner = self._start_owner()
+        wait_until(lambda: len(owner.workers_by_id) == 2)
+        worker = owner.workers_by_id["w1"]
+        owner.drop_worker(worker, "its VM is down")
+        owner.drop_worker(worker, "another incarnation answers at its address")
+        names = self._names_of_events(self.harness.worker_by_id["w1"])
+        self.assertThat(names.count("worker_dropped"), Equals(1))
+
     def test_restart_under_the_same_id_gets_a_higher_fencing_token(self):
         # A start for the earlier incarnation may still be delivered, and must have no effect.
         owner = self._start_owner()
