Leave the handover out if the runs of one worker exceed a row

Found in review: a row of more than 64 KiB would be refused at each attempt to release the term, until the process is killed. The test failed before: a row with 801 runs was returned.

--- a/laburnumswitch/process/dispatch/handover.py
+++ b/laburnumswitch/process/dispatch/handover.py
@@ -84,10 +84,12 @@
 
 
 def split_handover(epoch: int, workers: Iterable[WorkerHandover]) -> tuple[HandoverRow, ...]:
-    """Distribute a handover over rows; returns no rows if it is too large for one transaction."""
+    """Distribute a handover over rows; returns none if it exceeds a transaction or a row."""
     parts: list[list[WorkerHandover]] = [[]]
     run_count = 0
     for worker in workers:
+        if len(worker.runs) > RUNS_PER_ROW:
+            return ()
         run_count += len(worker.runs)
         if parts[-1] and (run_count > RUNS_PER_ROW or len(parts[-1]) >= WORKERS_PER_ROW):
             parts.append([])
--- a/tests/process/dispatch/test_handover.py
+++ b/tests/process/dispatch/test_handover.py
@@ -68,6 +68,10 @@
         self.assertThat(size, LessThan(ROW_LIMIT_BYTES))
         self.assertThat(MAX_ROWS * len(b64encode(encode(row))), LessThan(TRANSACTION_LIMIT_BYTES))
 
+    def test_worker_whose_runs_exceed_a_row_leaves_the_handover_out(self):
+        """The store would refuse every attempt to release the term."""
+        self.assertThat(split_handover(7, [make_worker(1, RUNS_PER_ROW + 1)]), Equals(()))
+
     def test_handover_that_exceeds_a_transaction_is_left_out(self):
         workers = [make_worker(number, RUNS_PER_ROW) for number in range(MAX_ROWS + 1)]
         self.assertThat(split_handover(7, workers), Equals(()))
