--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -229,21 +229,18 @@
         orphans_by_worker: dict[str, list[RunReport]] = {}
         for orphan in self.orphan_by_task.values():
             orphans_by_worker.setdefault(orphan.worker.worker_id, []).append(orphan.report)
-        workers = [
-            describe_worker(
-                worker, self._checkpoint, orphans_by_worker.get(worker.worker_id, ()), now_s
-            )
-            for worker in self.workers_by_id.values()
-        ]
-        # The successor may know the jobs of these ends and must read them before it starts tasks.
-        unapplied = {
+        ids_with_unapplied_ends = {
             end.worker.worker_id for ends in self.orphan_ends_by_job_id.values() for end in ends
         }
         workers = [
-            worker._replace(
-                has_unknown_runs=worker.has_unknown_runs or worker.worker_id in unapplied
+            describe_worker(
+                worker,
+                self._checkpoint,
+                orphans_by_worker.get(worker_id, ()),
+                worker_id in ids_with_unapplied_ends,
+                now_s,
             )
-            for worker in workers
+            for worker_id, worker in self.workers_by_id.items()
         ]
         rows = split_handover(self.epoch, workers)
         self.context.log.note(
--- a/laburnumswitch/process/dispatch/handover.py
+++ b/laburnumswitch/process/dispatch/handover.py
@@ -64,11 +64,14 @@
     worker: Worker,
     checkpoint_of: Callable[[TaskKey], str],
     orphans: Iterable[RunReport],
+    has_unapplied_ends: bool,
     now_s: float,
 ) -> WorkerHandover:
     """Return what an owner that sends no more commands knows of a worker.
 
     :param orphans: runs that the worker reported and whose jobs are not known yet.
+    :param has_unapplied_ends: whether it listed ends of runs whose jobs are not known yet. The
+        successor may know these jobs, and must read the ends before it starts tasks.
     """
     runs = [
         HandedOverRun(run.task, run.number, checkpoint_of(run.task))
@@ -78,7 +81,7 @@
     return WorkerHandover(
         worker.worker_id,
         max(0.0, worker.lapse_bound_s - now_s),
-        worker.has_unknown_runs,
+        worker.has_unknown_runs or has_unapplied_ends,
         tuple(runs),
     )
 
