--- a/laburnumswitch/process/dispatch/placing.py
+++ b/laburnumswitch/process/dispatch/placing.py
@@ -209,13 +209,19 @@
 def predict_tails(worker: Worker, model: TailLatencyModel) -> list[TailPrediction]:
     """Return the predicted tail latencies of a worker's serving runs, cached on the worker."""
     if worker.tail_predictions is None:
+        current = best_effort_shares(worker)
+        unthrottled = best_effort_shares(worker, unthrottled=True)
         effects_by_image: dict[str, _Effects] = {}
         worker.tail_predictions = []
         for run in worker.serving_runs():
             image = run.step.image
             effects = effects_by_image.get(image)
             if effects is None:
-                effects = effects_by_image[image] = _effects(image, worker, model)
+                effects = effects_by_image[image] = _Effects(
+                    model.interference(image, current),
+                    model.interference(image, unthrottled),
+                    _largest_effect(image, worker, model),
+                )
             load = model.load(run.task)
             worker.tail_predictions.append(
                 TailPrediction(
@@ -242,7 +248,7 @@
     largest: float
 
 
-def _effects(serving_image: str, worker: Worker, model: TailLatencyModel) -> _Effects:
+def _largest_effect(serving_image: str, worker: Worker, model: TailLatencyModel) -> float:
     largest = max(
         (
             model.coefficient(serving_image, run.step.image) * run.step.cpu_millis
@@ -250,11 +256,7 @@
         ),
         default=0.0,
     )
-    return _Effects(
-        model.interference(serving_image, best_effort_shares(worker)),
-        model.interference(serving_image, best_effort_shares(worker, unthrottled=True)),
-        largest / worker.listing.cpu_millis,
-    )
+    return largest / worker.listing.cpu_millis
 
 
 def best_effort_shares(worker: Worker, unthrottled: bool = False) -> dict[str, float]:
