--- a/laburnumswitch/process/dispatch/draining.py
+++ b/laburnumswitch/process/dispatch/draining.py
@@ -86,7 +86,7 @@
 
         What its members use on the workers that remain becomes free.
         """
-        own = [(free, free.count_runs(task)) for free in self._free]
+        own = [(free, free.worker.count_runs(task)) for free in self._free]
         for free, count in own:
             free.add(step, task, -count)
         if self.take(step, task, step.count):
@@ -109,7 +109,7 @@
         if step.required_label and step.required_label not in self.worker.listing.labels:
             return False
         if step.max_per_worker:
-            count = self.count_runs(task) + self._added_by_step.get(task[:3], 0)
+            count = self.worker.count_runs(task) + self._added_by_step.get(task[:3], 0)
             if count >= step.max_per_worker:
                 return False
         return (
@@ -126,10 +126,6 @@
         key = task[:3]
         self._added_by_step[key] = self._added_by_step.get(key, 0) + count
 
-    def count_runs(self, task: TaskKey) -> int:
-        """Return the number of runs of a task's step on the worker."""
-        return sum(1 for each in self.worker.runs_by_task if each[:3] == task[:3])
-
 
 def choose_stops(
     candidates: Iterable[Candidate], room: Room, bounds: Bounds, now_s: float
--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -262,6 +262,10 @@
         self.used_memory_mb += sign * step.memory_mb
         self.used_accelerators += sign * step.accelerators
 
+    def count_runs(self, task: TaskKey) -> int:
+        """Return the number of runs of a task's step on the worker."""
+        return sum(1 for each in self.runs_by_task if each[:3] == task[:3])
+
     def fits(self, step: Step) -> bool:
         """Return whether the worker has capacity for one more task of a step."""
         listing = self.listing
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -348,9 +348,7 @@
 def _allows_another_task(step: Step, worker: Worker, ready: ReadyStep) -> bool:
     if not step.max_per_worker:
         return True
-    step_key = ready.step_state.tasks[0].key[:3]
-    count = sum(1 for key in worker.runs_by_task if key[:3] == step_key)
-    return count < step.max_per_worker
+    return worker.count_runs(ready.step_state.tasks[0].key) < step.max_per_worker
 
 
 def _start_gang(
