--- a/laburnumswitch/process/dispatch/handover.py
+++ b/laburnumswitch/process/dispatch/handover.py
@@ -12,6 +12,7 @@
 from msgspec import convert
 from msgspec import ValidationError
 
+from laburnumswitch.exceptions import RowMalformed
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.job_spec import TaskKey
 from laburnumswitch.process.dispatch.worker_protocol import RunReport
@@ -103,14 +104,20 @@
     return tuple(HandoverRow(epoch, len(parts), tuple(part)) for part in parts)
 
 
-def collect_handover(rows: Iterable[Row], epoch: int) -> dict[str, WorkerHandover]:
-    """Return the handover of the owner of an epoch, by worker id; empty unless it is complete."""
+def collect_handover(
+    rows: Iterable[Row], epoch: int, report_malformed: Callable[[RowMalformed], None]
+) -> dict[str, WorkerHandover]:
+    """Return the handover of the owner of an epoch, by worker id; empty unless it is complete.
+
+    A malformed row, perhaps of another version, is reported and counts as none: the successor then
+    asks the workers.
+    """
     parts = []
     for row in rows:
         try:
             part = convert(row.value, HandoverRow)
-        except ValidationError:
-            # A row of another format is as good as none: the successor asks the workers.
+        except ValidationError as error:
+            report_malformed(RowMalformed(row.key, str(error)))
             continue
         if part.epoch == epoch:
             parts.append(part)
--- a/laburnumswitch/process/dispatch/takeover.py
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -84,9 +84,9 @@
 def _run(dispatcher: Dispatcher) -> None:
     version = _load_jobs(dispatcher)
     load_parameters(dispatcher)
-    rows = _load(dispatcher, HANDOVER_TABLE).rows
+    handover_by_worker = _load_handover(dispatcher)
     _await_configuration(dispatcher)
-    _load_fleet(dispatcher, collect_handover(rows, dispatcher.epoch - 1))
+    _load_fleet(dispatcher, handover_by_worker)
     if dispatcher.is_stopped():
         return
     dispatcher.is_loaded.set()
@@ -137,6 +137,14 @@
     return submissions.version
 
 
+def _load_handover(dispatcher: Dispatcher) -> dict[str, WorkerHandover]:
+    def report_malformed(malformed: RowMalformed) -> None:
+        dispatcher.context.log.note("handover_malformed", malformed.key, reason=malformed.reason)
+
+    rows = _load(dispatcher, HANDOVER_TABLE).rows
+    return collect_handover(rows, dispatcher.epoch - 1, report_malformed)
+
+
 def _load_fleet(dispatcher: Dispatcher, handover_by_worker: dict[str, WorkerHandover]) -> None:
     """Load the workers on which earlier owners may have left runs, and contact each of them.
 
--- a/tests/process/dispatch/test_handover.py
+++ b/tests/process/dispatch/test_handover.py
@@ -34,31 +34,40 @@
 
 
 class TestHandover(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.malformed = []
+
     def test_all_workers_arrive(self):
         workers = [make_worker(number, 90) for number in range(30)]
         rows = split_handover(7, workers)
         self.assertThat(len(rows) > 1, Equals(True))
         expected = {worker.worker_id: worker for worker in workers}
-        self.assertThat(collect_handover(store(rows), 7), Equals(expected))
+        self.assertThat(collect_handover(store(rows), 7, self.malformed.append), Equals(expected))
 
     def test_handover_of_another_epoch_is_out_of_date(self):
         rows = split_handover(7, [make_worker(1, 3)])
-        self.assertThat(collect_handover(store(rows), 8), Equals({}))
+        self.assertThat(collect_handover(store(rows), 8, self.malformed.append), Equals({}))
 
     def test_rows_left_by_a_larger_handover_are_ignored(self):
         earlier = split_handover(7, [make_worker(number, 300) for number in range(9)])
         later = split_handover(8, [make_worker(1, 3)])
         rows = store(later) + store(earlier)[len(later) :]
-        self.assertThat(list(collect_handover(rows, 8)), Equals([make_worker(1, 0).worker_id]))
+        self.assertThat(
+            list(collect_handover(rows, 8, self.malformed.append)),
+            Equals([make_worker(1, 0).worker_id]),
+        )
 
     def test_incomplete_handover_counts_as_none(self):
         rows = split_handover(7, [make_worker(number, 300) for number in range(9)])
-        self.assertThat(collect_handover(store(rows)[:-1], 7), Equals({}))
+        self.assertThat(collect_handover(store(rows)[:-1], 7, self.malformed.append), Equals({}))
 
     def test_malformed_row_counts_as_none(self):
         self.assertThat(
-            collect_handover([Row("handover/0", 1, ["later", "format"])], 7), Equals({})
+            collect_handover([Row("handover/0", 1, ["later", "format"])], 7, self.malformed.append),
+            Equals({}),
         )
+        self.assertThat([each.key for each in self.malformed], Equals(["handover/0"]))
 
     def test_rows_and_transaction_stay_within_the_limits_of_the_store(self):
         largest = WORKERS_PER_ROW
