Log which start of a worker a run belongs to, and what released it

The reported record cannot tell its hypotheses apart: the log names neither the worker's start that a run belongs to, nor the age of what made the owner take it as ended. run_start says which incarnation the owner knew when it sent the start, and the worker's clock in the answer, which begins anew with a restart; run_released says how old the confirmation of the start and the worker's last answer are; worker_restarted names both incarnations; run_unwanted names the other worker, so that two runs of one task at once can be seen in the owner's own log, and laburnumswitch_owner_duplicate_runs counts them. No decision changes.

--- a/laburnumswitch/dispatch_metrics.py
+++ b/laburnumswitch/dispatch_metrics.py
@@ -75,6 +75,10 @@
         "renewals": ("Lease renewals sent.", lambda d: d.counters.renewals),
         "throttles": ("Throttles sent.", lambda d: d.counters.throttles),
         "vm_list_readings": ("Readings of the list of VMs.", lambda d: d.counters.vm_list_readings),
+        "duplicate_runs": (
+            "Runs that a worker reported while their task also ran elsewhere.",
+            lambda d: d.counters.duplicate_runs,
+        ),
         "batches": ("Batches committed.", lambda d: d.recorder.batches),
     }
     for name, (help_text, read) in gauges.items():
--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -135,6 +135,8 @@
         self.renewals = 0
         self.throttles = 0
         self.vm_list_readings = 0
+        # Runs that a worker reported while their task also ran elsewhere.
+        self.duplicate_runs = 0
         self.ended_count_by_outcome: dict[str, int] = {}
 
 
@@ -491,11 +493,15 @@
             job.end_run(task)
             self.refresh_ready_steps(job)
             self.forget_if_finished(job)
+        now_s = self.context.clock()
         self.context.log.note(
             "run_released",
             task_name(run.task),
             run=run.number,
             worker=worker.worker_id,
+            incarnation=worker.incarnation,
+            confirmed_s_ago=None if run.confirmed_s is None else round(now_s - run.confirmed_s, 3),
+            answered_s_ago=round(now_s - worker.last_answer_s, 3) if worker.last_answer_s else None,
             reason=reason,
         )
 
@@ -660,6 +666,7 @@
         if worker.is_dropped:
             return
         worker.is_dropped = True
+        run_count = len(worker.runs_by_task)
         self.fence_by_dropped_id[worker.worker_id] = worker.fence
         for run in list(worker.runs_by_task.values()):
             self.release_run(worker, run, reason)
@@ -667,7 +674,13 @@
         if self.workers_by_id.get(worker.worker_id) is worker:
             del self.workers_by_id[worker.worker_id]
             self.queue_fleet_row(worker.worker_id)
-        self.context.log.note("worker_dropped", worker.worker_id, reason=reason)
+        self.context.log.note(
+            "worker_dropped",
+            worker.worker_id,
+            incarnation=worker.incarnation or worker.listing.incarnation,
+            runs=run_count,
+            reason=reason,
+        )
         self.wake.set()
 
 
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -427,6 +427,8 @@
     dispatcher: Dispatcher, job: Job, worker: Worker, run: ActiveRun, command: StartCommand
 ) -> None:
     context = dispatcher.context
+    sent_s = context.clock()
+    incarnation = worker.incarnation
     outcome = worker.link.start(command, COMMAND_TIMEOUT_S)
     now_s = context.clock()
     context.log.note(
@@ -434,6 +436,10 @@
         task_name(run.task),
         run=run.number,
         worker=worker.worker_id,
+        incarnation=incarnation,
+        fence=command.fence,
+        took_s=round(now_s - sent_s, 3),
+        worker_clock_s=getattr(outcome, "clock_s", None),
         waited_s=round(run.started_s - job.step_state(run.task).ready_since_s, 3),
         outcome=outcome.tag if isinstance(outcome, Failure) else "started",
         reason=getattr(outcome, "reason", ""),
--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -147,7 +147,12 @@
 def _handle_lapse(dispatcher: Dispatcher, worker: Worker, failure: Failure) -> None:
     if worker.is_reached:
         dispatcher.context.log.note(
-            "worker_lapsed", worker.worker_id, runs=len(worker.runs_by_task), why=failure.describe()
+            "worker_lapsed",
+            worker.worker_id,
+            runs=len(worker.runs_by_task),
+            incarnation=worker.incarnation,
+            answered_s_ago=round(dispatcher.context.clock() - worker.last_answer_s, 3),
+            why=failure.describe(),
         )
         worker.is_reached = False
         worker.fence += 1
@@ -163,7 +168,7 @@
 ) -> None:
     context = dispatcher.context
     if worker.incarnation and report.incarnation and report.incarnation != worker.incarnation:
-        _handle_restart(dispatcher, worker)
+        _handle_restart(dispatcher, worker, report.incarnation)
     worker.incarnation = report.incarnation or worker.incarnation
     now_s = context.clock()
     worker.note_answer(now_s, report.clock_s)
@@ -174,6 +179,7 @@
             "worker_reached",
             worker.worker_id,
             fence=fence,
+            incarnation=worker.incarnation,
             running=len(report.running),
             ended=len(report.ended),
         )
@@ -192,8 +198,14 @@
         _apply_throttles(dispatcher, worker, now_s)
 
 
-def _handle_restart(dispatcher: Dispatcher, worker: Worker) -> None:
-    dispatcher.context.log.note("worker_restarted", worker.worker_id, before=worker.incarnation)
+def _handle_restart(dispatcher: Dispatcher, worker: Worker, incarnation: int) -> None:
+    dispatcher.context.log.note(
+        "worker_restarted",
+        worker.worker_id,
+        before=worker.incarnation,
+        incarnation=incarnation,
+        runs=len(worker.runs_by_task),
+    )
     for run in list(worker.runs_by_task.values()):
         dispatcher.release_run(worker, run, "the worker restarted")
     worker.last_end_number = worker.acknowledged_end = 0
@@ -250,8 +262,18 @@
         return
     if job is not None and dispatcher.adopt_run(worker, report):
         return
+    task = job and job.task(report.task)
+    other = task.worker_id if task and task.active_run else ""
+    if other:
+        dispatcher.counters.duplicate_runs += 1
     dispatcher.context.log.note(
-        "run_unwanted", task_name(report.task), run=report.run, worker=worker.worker_id
+        "run_unwanted",
+        task_name(report.task),
+        run=report.run,
+        worker=worker.worker_id,
+        incarnation=worker.incarnation,
+        active_run=task.active_run if other else 0,
+        active_on=other,
     )
     dispatcher.spawn(worker.link.stop, report.task, report.run, worker.fence, COMMAND_TIMEOUT_S)
 
