--- a/standin/fleet/worker.py
+++ b/standin/fleet/worker.py
@@ -88,6 +88,10 @@
         checker.refresh_callbacks.append(self._advance)
         checker.gang_callbacks.append(self._end_gang_members)
 
+    def set_uptime(self, uptime_s: float) -> None:
+        """Move the worker's clock to the given time since its start, in seconds."""
+        self._booted_s = self._clock() - uptime_s
+
     def crash(self) -> None:
         """Lose every run and ignore all calls until the restart."""
         self.is_crashed = self.drops_calls = True
--- a/tests/process/dispatch/harness.py
+++ b/tests/process/dispatch/harness.py
@@ -94,14 +94,15 @@
         for number in range(1, workers + 1):
             self.add_worker(make_listing(number, **listing_changes))
 
-    def add_worker(self, listing):
+    def add_worker(self, listing, others=()):
         worker = FleetWorker(listing, self.checker, monotonic, Random(listing.worker_id))
         self.worker_by_id[listing.worker_id] = worker
-        self.list_worker(listing)
+        self.list_worker(listing, *others)
         return worker
 
-    def list_worker(self, listing):
-        self.table.commit(Transaction((), (Put(f"servers/{listing.worker_id}", listing),)))
+    def list_worker(self, *listings):
+        rows = tuple(Put(f"servers/{listing.worker_id}", listing) for listing in listings)
+        self.table.commit(Transaction((), rows))
 
     def submit(self, submission, owner=None):
         self.checker.record_submission(submission)
--- /dev/null
+++ b/tests/process/dispatch/test_restarted_worker.py
@@ -0,0 +1,215 @@
+"""Tests of workers that start again under their ids, on which tasks must not run twice."""
+
+from time import monotonic
+
+from gevent import sleep
+from gevent.event import Event
+from testtools import TestCase
+from testtools.matchers import Equals
+from testtools.matchers import Is
+
+from laburnumswitch.exceptions import Refused
+from laburnumswitch.process.dispatch.fleet import MIN_CLOCK_RATE
+from laburnumswitch.process.dispatch.job_spec import Step
+from laburnumswitch.process.dispatch.worker_protocol import WorkerReport
+from tests.process.dispatch.harness import BOUNDS
+from tests.process.dispatch.harness import DispatchHarness
+from tests.process.dispatch.harness import make_listing
+from tests.process.dispatch.harness import make_submission
+from tests.process.dispatch.harness import wait_until
+
+LONG = Step(1, cpu_millis=1000, memory_mb=100, estimate_ms=60_000)
+# Uptime of a worker before its restart, in seconds: its clock is that far ahead of the one that
+# begins anew.
+UPTIME_S = 1000.0
+# Within this time, in seconds, an owner reads the list of workers and plans.
+REACTION_S = 1.5
+
+
+class RestartedWorkerCase(TestCase):
+    """One worker that the owner has reached, and a second one that is listed later."""
+
+    def setUp(self):
+        super().setUp()
+        self.harness = DispatchHarness(workers=1)
+        self.first = self.harness.worker_by_id["w1"]
+        self.first.set_uptime(UPTIME_S)
+        # The first worker's answers to renewals are delayed until this is set.
+        self.answers = Event()
+        self.answers.set()
+        renew = self.first.renew
+
+        def renew_late(renewal, timeout_s):
+            answer = renew(renewal, timeout_s)
+            self.answers.wait()
+            return answer
+
+        self.first.renew = renew_late
+        self.owner = self.harness.start_owner()
+        self.addCleanup(self.owner.stop)
+        wait_until(lambda: "w1" in self.owner.workers_by_id)
+        wait_until(lambda: self.known().is_reached)
+
+    def known(self):
+        return self.owner.workers_by_id["w1"]
+
+    def run_long_job(self):
+        self.harness.submit(make_submission("j1", LONG), self.owner)
+        wait_until(lambda: self.harness.checker.start_count == 1)
+
+    def add_second_worker(self, *others):
+        """Add a worker, which is listed together with the given listings."""
+        self.harness.add_worker(make_listing(2), others)
+        wait_until(lambda: "w2" in self.owner.workers_by_id)
+
+    def check_nothing_ran_twice(self):
+        self.assertThat(self.harness.checker.violations, Equals([]))
+
+
+class TestStartAcceptedAfterTheRestart(RestartedWorkerCase):
+    """The restarted worker accepts a start before the owner knows of the restart."""
+
+    def setUp(self):
+        super().setUp()
+        self.answers.clear()
+        self.first.restart()
+        self.run_long_job()
+
+    def test_run_goes_on_when_the_restart_is_listed(self):
+        self.add_second_worker(self.first.listing)
+        sleep(REACTION_S)
+        self.answers.set()
+        sleep(REACTION_S)
+        self.check_nothing_ran_twice()
+        self.assertThat(self.harness.checker.start_count, Equals(1))
+        self.assertThat(len(self.first.running()), Equals(1))
+
+    def test_run_goes_on_when_the_worker_answers(self):
+        self.add_second_worker()
+        self.answers.set()
+        wait_until(lambda: self.known().incarnation == self.first.incarnation)
+        sleep(REACTION_S)
+        self.check_nothing_ran_twice()
+        self.assertThat(self.harness.checker.start_count, Equals(1))
+
+    def test_run_goes_on_when_it_is_listed_at_another_address(self):
+        self.first.listing = self.first.listing._replace(address="10.0.0.1:81")
+        self.add_second_worker(self.first.listing)
+        sleep(REACTION_S)
+        self.check_nothing_ran_twice()
+        self.assertThat(self.harness.checker.start_count, Equals(1))
+        self.assertThat(self.known().listing.address, Equals("10.0.0.1:81"))
+
+
+class TestRunOfTheEarlierIncarnation(RestartedWorkerCase):
+    """The worker restarts after it has reported the run."""
+
+    def setUp(self):
+        super().setUp()
+        self.run_long_job()
+        wait_until(lambda: any(run.progress_percent for run in self.known().runs_by_task.values()))
+        self.add_second_worker()
+        self.first.restart()
+
+    def test_task_starts_again_when_the_restart_is_listed(self):
+        self.first.drops_calls = True
+        self.harness.list_worker(self.first.listing)
+        wait_until(lambda: self.harness.checker.start_count == 2, REACTION_S)
+        self.check_nothing_ran_twice()
+
+    def test_task_starts_again_when_the_worker_answers(self):
+        wait_until(lambda: self.harness.checker.start_count == 2, REACTION_S)
+        self.check_nothing_ran_twice()
+
+
+class TestOwnerChangeAfterTheRestart(RestartedWorkerCase):
+    def test_successor_waits_for_a_worker_stored_before_its_restart(self):
+        # The stored row of the worker names its earlier incarnation, the listing the present one.
+        self.first.restart()
+        wait_until(lambda: self.known().incarnation == self.first.incarnation)
+        self.harness.list_worker(self.first.listing)
+        self.run_long_job()
+        self.add_second_worker()
+        self.owner.stop()
+        self.first.drops_calls = True
+        second = self.harness.start_owner("vm-2")
+        self.addCleanup(second.stop)
+        wait_until(lambda: self.harness.checker.start_count == 2)
+        self.check_nothing_ran_twice()
+        self.assertThat(second.settled, Is(True))
+
+
+class TestLeaseAfterTheRestart(RestartedWorkerCase):
+    def test_lease_counted_by_the_clock_before_the_restart_has_lapsed_before_the_task_runs_again(
+        self,
+    ):
+        # Calls reach the restarted worker, its answers are lost: its clock began anew, so it takes
+        # the end of a lease for an instant in the far future.
+        self.first.restart()
+        self.first.drops_answers = True
+        self.run_long_job()
+        self.add_second_worker()
+        wait_until(lambda: self.harness.checker.start_count == 2, 3 * BOUNDS.lease_s)
+        self.check_nothing_ran_twice()
+
+
+class TestLateMessages(RestartedWorkerCase):
+    def test_report_from_before_the_restart_that_arrives_late_ends_no_run(self):
+        self.first.restart()
+        wait_until(lambda: self.known().incarnation == self.first.incarnation)
+        self.run_long_job()
+        self.add_second_worker()
+        renew = self.first.renew
+        late_reports = [WorkerReport(UPTIME_S, self.first.incarnation - 1, (), ())]
+
+        def renew_after_late_report(renewal, timeout_s):
+            if late_reports:
+                return late_reports.pop()
+            return renew(renewal, timeout_s)
+
+        self.first.renew = renew_after_late_report
+        wait_until(lambda: not late_reports)
+        sleep(REACTION_S)
+        self.check_nothing_ran_twice()
+        self.assertThat(self.harness.checker.start_count, Equals(1))
+
+    def test_listing_from_before_the_restart_ends_no_run_of_a_silent_worker(self):
+        before = self.first.listing
+        self.first.restart()
+        wait_until(lambda: self.known().incarnation == self.first.incarnation)
+        self.run_long_job()
+        self.add_second_worker()
+        self.first.drops_calls = True
+        known = self.known()
+        wait_until(lambda: monotonic() - known.last_answer_s > 3.0)
+        self.harness.list_worker(before)
+        sleep(REACTION_S)
+        self.check_nothing_ran_twice()
+        self.assertThat(self.harness.checker.start_count, Equals(1))
+
+
+class TestRefusals(RestartedWorkerCase):
+    def test_answer_of_an_intermediary_is_no_refusal(self):
+        # The worker carries out the start, and its answer is replaced on the way back.
+        start = self.first.start
+
+        def start_behind_gateway(command, timeout_s):
+            start(command, timeout_s)
+            return Refused("10.0.0.1:80", 502, "bad gateway")
+
+        self.first.start = start_behind_gateway
+        self.answers.clear()
+        self.run_long_job()
+        self.add_second_worker()
+        sleep(REACTION_S)
+        self.answers.set()
+        self.check_nothing_ran_twice()
+        self.assertThat(self.harness.checker.start_count, Equals(1))
+
+
+class TestLapse(RestartedWorkerCase):
+    def test_task_of_a_lapsed_lease_starts_again_only_once_its_run_has_ended(self):
+        # Ending the runs takes the worker up to ``Bounds.stop_s``, also after a lapse.
+        worker = self.known()
+        lapses_s = worker.last_answer_s + self.owner.granted_lease_s() / MIN_CLOCK_RATE
+        self.assertThat(worker.has_certainly_lapsed(lapses_s + 0.99 * BOUNDS.stop_s), Equals(False))
