Tie a run to the incarnation of the worker that reported it

The header that names the intended worker carries its id, so the new process accepts starts before the owner learns of the restart. When it learned, from an answer or from the listing, it released every run of the worker, also those of the new process. A successor did the same at its first reading of the list, since the stored row named the earlier incarnation: it dropped the worker and counted as settled.

Class of the fault: what is known of one start of a process is applied to the next one. A run now belongs to the incarnation whose report listed it. A restart ends only runs that an earlier incarnation has reported; any other start may have reached the new one, and is kept until it reports under a raised fencing token, or until its lease has lapsed. The worker stays the same in the owner's state, so a successor goes on waiting for it; a new address is stored before anything starts there.

Ruled out: dropping the worker and adopting what it reports, which is a race between its first answer and the next planning pass.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -435,8 +435,11 @@
             self.ready_step_by_key.pop(task.key[:3], None)
         return run
 
-    def adopt_run(self, worker: Worker, report: RunReport) -> bool:
-        """Take over a run that an earlier owner started, if its task is still waiting."""
+    def adopt_run(self, worker: Worker, report: RunReport, incarnation: int = 0) -> bool:
+        """Take over a run that an earlier owner started, if its task is still waiting.
+
+        :param incarnation: the worker's incarnation that has just reported it, 0 if none has.
+        """
         job = self.jobs_by_id.get(report.task.job_id)
         task = job and job.task(report.task)
         if not task or job.is_final() or not task.is_waiting() or report.run < task.last_run:
@@ -446,7 +449,7 @@
         run = ActiveRun(
             report.task, report.run, job.step_state(report.task).step, worker.fence, now_s
         )
-        run.update(report, now_s)
+        run.update(report, now_s, incarnation)
         if report.measurement > 0:
             run.speed_percent = run.measured_speed_percent()
         else:
@@ -622,12 +625,9 @@
 
     # Workers
 
-    def add_worker(self, listing: WorkerListing, earlier_fence: int = 0) -> Worker:
-        """Add a newly listed worker and queue it for storage.
-
-        :param earlier_fence: highest fencing token sent to an earlier incarnation with the same id.
-        """
-        earlier_fence = max(earlier_fence, self.fence_by_dropped_id.get(listing.worker_id, 0))
+    def add_worker(self, listing: WorkerListing) -> Worker:
+        """Add a newly listed worker and queue it for storage."""
+        earlier_fence = self.fence_by_dropped_id.get(listing.worker_id, 0)
         fence = max(self.epoch * FENCES_PER_EPOCH, earlier_fence + 1)
         worker = Worker(listing, self.context.make_link(listing), fence)
         worker.note_listing(listing, self.context.clock(), self.context.deployment.bounds.drain_s)
@@ -652,6 +652,48 @@
         ]
         return self.recorder.queue_row(f"{FLEET_TABLE}/{part}", listings)
 
+    def note_restart(self, worker: Worker, incarnation: int, evidence: str) -> None:
+        """Apply that a worker has started again under its id.
+
+        Runs that an earlier incarnation has reported ended with it. Any other start may have
+        reached the new one: these runs are kept until it reports, or until their leases lapse.
+        """
+        for run in list(worker.runs_by_task.values()):
+            if run.incarnation not in (0, incarnation):
+                self.release_run(worker, run, f"the worker restarted: {evidence}")
+        self._forget_orphans(worker)
+        now_s = self.context.clock()
+        if worker.runs_by_task:
+            lease_s = self.context.deployment.bounds.lease_s / MIN_CLOCK_RATE
+            worker.lapse_bound_s = max(worker.lapse_bound_s, now_s + lease_s)
+        self.context.log.note(
+            "worker_restarted",
+            worker.worker_id,
+            before=worker.known_incarnation(),
+            incarnation=incarnation,
+            reason=evidence,
+            kept_runs=len(worker.runs_by_task),
+        )
+        worker.begin_incarnation(incarnation)
+        self.wake.set()
+
+    def _forget_orphans(self, worker: Worker) -> None:
+        for key, orphan in list(self.orphan_by_task.items()):
+            if orphan.worker is worker:
+                del self.orphan_by_task[key]
+        for job_id, ends in list(self.orphan_ends_by_job_id.items()):
+            self.orphan_ends_by_job_id[job_id] = [end for end in ends if end.worker is not worker]
+            if not self.orphan_ends_by_job_id[job_id]:
+                del self.orphan_ends_by_job_id[job_id]
+
+    def move_worker(self, worker: Worker, listing: WorkerListing) -> None:
+        """Send commands to a worker at its new address, and queue it for storage."""
+        worker.listing = listing
+        worker.link.close()
+        worker.link = self.context.make_link(listing)
+        worker.is_reached = False
+        worker.listed_in_batch = self.queue_fleet_row(worker.worker_id)
+
     def has_lapsed(self, worker: Worker) -> bool:
         """Return whether a worker that does not answer certainly has no runs any more.
 
--- a/laburnumswitch/process/dispatch/feeds.py
+++ b/laburnumswitch/process/dispatch/feeds.py
@@ -63,11 +63,11 @@
     if worker is None:
         worker = dispatcher.add_worker(listing)
         dispatcher.spawn(run_worker, dispatcher, worker)
-    elif _is_other_incarnation(worker, listing, dispatcher.context.clock()):
-        dispatcher.drop_worker(worker, "listed as another incarnation")
-        worker = dispatcher.add_worker(listing, worker.fence)
-        dispatcher.spawn(run_worker, dispatcher, worker)
     else:
+        if _is_restart(worker, listing, dispatcher.context.clock()):
+            dispatcher.note_restart(worker, listing.incarnation, "listed as another incarnation")
+        if listing.address != worker.listing.address:
+            dispatcher.move_worker(worker, listing)
         if listing.is_draining and not worker.listing.is_draining:
             dispatcher.context.log.note(
                 "worker_draining", worker_id, remaining_s=listing.remaining_s
@@ -78,10 +78,8 @@
         start_evacuation(dispatcher)
 
 
-def _is_other_incarnation(worker: Worker, listing: WorkerListing, now_s: float) -> bool:
-    known = worker.incarnation or worker.listing.incarnation
-    if listing.address != worker.listing.address:
-        return True
+def _is_restart(worker: Worker, listing: WorkerListing, now_s: float) -> bool:
+    known = worker.known_incarnation()
     if listing.incarnation == known or not listing.incarnation or not known:
         return False
     # Listings lag behind the worker's own answers. Incarnation numbers rise with the time of the
--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -53,6 +53,8 @@
     """A run that may exist on a worker.
 
     :ivar number: run number, which increases with each run of the task.
+    :ivar incarnation: the worker's incarnation that has reported the run, 0 if none has. A worker
+        may restart before it receives a start, so the answer to the start does not tell.
     :ivar is_serving: whether it serves requests and its measurement is a tail latency.
     :ivar confirmed_s: when the worker first confirmed it; ``None`` while the start is in flight.
     :ivar is_uncertain: whether its start was not answered and is not yet voided by a fencing token.
@@ -75,6 +77,7 @@
     __slots__ = (
         "task",
         "number",
+        "incarnation",
         "step",
         "is_serving",
         "fence",
@@ -99,6 +102,7 @@
     def __init__(self, task: TaskKey, number: int, step: Step, fence: int, now_s: float) -> None:
         self.task = task
         self.number = number
+        self.incarnation = 0
         self.step = step
         self.is_serving = step.tail_target_ms > 0
         self.fence = fence
@@ -119,8 +123,9 @@
         self.was_under_target = False
         self.throttled_since_s: float | None = None
 
-    def update(self, report: RunReport, now_s: float) -> None:
-        """Update the run from a worker's report."""
+    def update(self, report: RunReport, now_s: float, incarnation: int = 0) -> None:
+        """Update the run from a report by an incarnation of the worker, 0 if unknown."""
+        self.incarnation = incarnation
         if self.confirmed_s is None:
             self.confirmed_s = now_s
         if self.first_reported_s is None:
@@ -144,12 +149,12 @@
 
 
 class Worker:
-    """State of one incarnation of a worker.
+    """State of a worker, which may restart under its id.
 
     Times are on the owner's clock, except for ``clock_s`` and ``granted_until_s``.
 
     :ivar fence: fencing token of the commands to the worker.
-    :ivar incarnation: as the worker last reported it, 0 if unknown.
+    :ivar incarnation: as last reported by the worker or listed after a restart, 0 if unknown.
     :ivar is_voiding_starts: whether the fencing token is being raised because starts were not
         answered.
     :ivar leaves_s: earliest time at which it may leave; ``None`` unless it drains.
@@ -221,6 +226,20 @@
         """
         return self.unlisted_since_s is None or now_s - self.unlisted_since_s < RELIST_GRACE_S
 
+    def known_incarnation(self) -> int:
+        """Return the incarnation that commands are meant for, 0 if unknown."""
+        return self.incarnation or self.listing.incarnation
+
+    def begin_incarnation(self, incarnation: int) -> None:
+        """Forget what only the earlier incarnation counted: its clock, leases and ended runs."""
+        self.incarnation = incarnation
+        self.is_reached = False
+        self.last_end_number = self.acknowledged_end = 0
+        self.pending_acknowledgements.clear()
+        self.last_answer_s = self.clock_s = self.granted_until_s = 0.0
+        # The first renewal voids starts that were sent before.
+        self.fence += 1
+
     def note_listing(self, listing: WorkerListing, now_s: float, drain_s: float) -> None:
         """Record what the platform lists now.
 
--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -54,14 +54,18 @@
 
 
 def run_worker(dispatcher: Dispatcher, worker: Worker) -> None:
-    """Renew the lease of one incarnation of a worker until it is dropped or the term ends."""
+    """Renew the lease of a worker until it is dropped or the term ends."""
     context = dispatcher.context
     while not dispatcher.is_stopped() and not worker.is_dropped:
+        link = worker.link
         answer = renew(dispatcher, worker, _renewal_wait_s(worker, context.clock()))
         if isinstance(answer, WorkerReport):
             if answer.ended:
                 _await_commit(dispatcher, worker)
             continue
+        if worker.link is not link:
+            # It has restarted at another address.
+            continue
         if isinstance(answer, WorkerRestarted):
             dispatcher.drop_worker(worker, "another incarnation answers at its address")
             return
@@ -167,8 +171,9 @@
     dispatcher: Dispatcher, worker: Worker, report: WorkerReport, sent_s: float, fence: int
 ) -> None:
     context = dispatcher.context
-    if worker.incarnation and report.incarnation and report.incarnation != worker.incarnation:
-        _handle_restart(dispatcher, worker, report.incarnation)
+    known = worker.known_incarnation()
+    if known and report.incarnation and report.incarnation != known:
+        dispatcher.note_restart(worker, report.incarnation, "it answers as another incarnation")
     worker.incarnation = report.incarnation or worker.incarnation
     now_s = context.clock()
     worker.note_answer(now_s, report.clock_s)
@@ -198,22 +203,6 @@
         _apply_throttles(dispatcher, worker, now_s)
 
 
-def _handle_restart(dispatcher: Dispatcher, worker: Worker, incarnation: int) -> None:
-    dispatcher.context.log.note(
-        "worker_restarted",
-        worker.worker_id,
-        before=worker.incarnation,
-        incarnation=incarnation,
-        runs=len(worker.runs_by_task),
-    )
-    for run in list(worker.runs_by_task.values()):
-        dispatcher.release_run(worker, run, "the worker restarted")
-    worker.last_end_number = worker.acknowledged_end = 0
-    worker.pending_acknowledgements.clear()
-    worker.last_answer_s = worker.clock_s = worker.granted_until_s = 0.0
-    worker.fence += 1
-
-
 def _reconcile(
     dispatcher: Dispatcher, worker: Worker, report: WorkerReport, sent_s: float, fence: int
 ) -> None:
@@ -223,7 +212,7 @@
     for run in list(worker.runs_by_task.values()):
         run_report = report_by_run.pop((run.task, run.number), None)
         if run_report is not None:
-            run.update(run_report, now_s)
+            run.update(run_report, now_s, worker.incarnation)
             _keep_checkpoint(dispatcher, run_report)
             if run.is_stopping and now_s - run.stop_sent_s > STOP_REPEAT_S:
                 dispatcher.stop_run(worker, run, "repeated: still running after the first stop")
@@ -260,7 +249,7 @@
     if job is None and not is_final and dispatcher.note_orphan(worker, report):
         # The job's submission may still be in transit: the run is adopted once it arrives.
         return
-    if job is not None and dispatcher.adopt_run(worker, report):
+    if job is not None and dispatcher.adopt_run(worker, report, worker.incarnation):
         return
     task = job and job.task(report.task)
     other = task.worker_id if task and task.active_run else ""
