Ignore reports and listings of an earlier incarnation of a worker

After a restart, a report of the earlier incarnation that arrives late counted as another restart, and a listing from before it ended the runs once the worker had been silent for 2.2 s: both released runs that the new incarnation went on with (TWICE). Incarnations that have ended are remembered now, and what they say is ignored. A listing with a lower number that is not known to have ended, as after a clock was set back, counts once the leases have lapsed. A report that a later one of the same incarnation overtook, by the worker's clock, is ignored too: it brought an ended run back, and a stop was sent for it.

--- a/laburnumswitch/process/dispatch/feeds.py
+++ b/laburnumswitch/process/dispatch/feeds.py
@@ -25,9 +25,6 @@
 SUBMISSIONS_INTERVAL_S = 0.6
 # How long the store holds a read of a feed open for changes, in seconds.
 FEED_WAIT_S = 1.0
-# A worker's own answer takes precedence over its listing for this long, in seconds: long enough for
-# two missed renewals (``worker_session.RENEWAL_WAIT_S``).
-RECENT_ANSWER_S = 2.2
 
 
 def follow_workers(dispatcher: Dispatcher) -> None:
@@ -64,7 +61,10 @@
         worker = dispatcher.add_worker(listing)
         dispatcher.spawn(run_worker, dispatcher, worker)
     else:
-        if _is_restart(worker, listing, dispatcher.context.clock()):
+        if _is_outdated(dispatcher, worker, listing):
+            worker.unlisted_since_s = None
+            return
+        if _is_restart(worker, listing):
             dispatcher.note_restart(worker, listing.incarnation, "listed as another incarnation")
         if listing.address != worker.listing.address:
             dispatcher.move_worker(worker, listing)
@@ -78,13 +78,21 @@
         start_evacuation(dispatcher)
 
 
-def _is_restart(worker: Worker, listing: WorkerListing, now_s: float) -> bool:
+def _is_restart(worker: Worker, listing: WorkerListing) -> bool:
     known = worker.known_incarnation()
-    if listing.incarnation == known or not listing.incarnation or not known:
-        return False
-    # Listings lag behind the worker's own answers. Incarnation numbers rise with the time of the
-    # start, unless the worker's wall clock was set back in between.
-    return listing.incarnation > known or now_s - worker.last_answer_s > RECENT_ANSWER_S
+    return bool(known and listing.incarnation) and listing.incarnation != known
+
+
+def _is_outdated(dispatcher: Dispatcher, worker: Worker, listing: WorkerListing) -> bool:
+    """Return whether a listing is of an earlier incarnation, since listings lag behind answers.
+
+    Incarnation numbers rise with the time of the start, unless the worker's wall clock was set
+    back. So one that is lower, and is not known to have ended, counts once the leases have lapsed.
+    """
+    if listing.incarnation in worker.ended_incarnations:
+        return True
+    is_lower = 0 < listing.incarnation < worker.known_incarnation()
+    return is_lower and not dispatcher.has_lapsed(worker)
 
 
 def _mark_missing(dispatcher: Dispatcher, listed: set[str]) -> None:
--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -7,6 +7,7 @@
 from laburnumswitch.process.dispatch.worker_protocol import RunReport
 from laburnumswitch.process.dispatch.worker_protocol import WorkerLink
 from laburnumswitch.process.dispatch.worker_protocol import WorkerListing
+from laburnumswitch.process.dispatch.worker_protocol import WorkerReport
 
 # Lowest rate of a worker's clock: the platform allows clocks to be 2% slow.
 MIN_CLOCK_RATE = 0.98
@@ -155,6 +156,7 @@
 
     :ivar fence: fencing token of the commands to the worker.
     :ivar incarnation: as last reported by the worker or listed after a restart, 0 if unknown.
+    :ivar ended_incarnations: those before the known one, whose messages may still arrive.
     :ivar is_voiding_starts: whether the fencing token is being raised because starts were not
         answered.
     :ivar leaves_s: earliest time at which it may leave; ``None`` unless it drains.
@@ -178,6 +180,7 @@
         self.link = link
         self.fence = fence
         self.incarnation = 0
+        self.ended_incarnations: set[int] = set()
         self.is_dropped = False
         self.is_voiding_starts = False
         self.leaves_s: float | None = None
@@ -232,6 +235,7 @@
 
     def begin_incarnation(self, incarnation: int) -> None:
         """Forget what only the earlier incarnation counted: its clock, leases and ended runs."""
+        self.ended_incarnations.add(self.known_incarnation())
         self.incarnation = incarnation
         self.is_reached = False
         self.last_end_number = self.acknowledged_end = 0
@@ -301,8 +305,15 @@
         )
         return self.listing.cpu_millis - used - self.best_effort_cpu_millis
 
+    def is_outdated(self, report: WorkerReport) -> bool:
+        """Return whether a report that the worker made later has already arrived."""
+        if report.incarnation in self.ended_incarnations:
+            return True
+        is_same = report.incarnation in (0, self.incarnation)
+        return is_same and report.clock_s < self.clock_s
+
     def note_answer(self, now_s: float, clock_s: float) -> None:
-        """Record an answer, unless a later one, by the worker's clock, has already arrived."""
+        """Record the latest answer."""
         if clock_s <= self.clock_s and self.last_answer_s:
             return
         self.last_answer_s = now_s
--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -171,6 +171,8 @@
     dispatcher: Dispatcher, worker: Worker, report: WorkerReport, sent_s: float, fence: int
 ) -> None:
     context = dispatcher.context
+    if worker.is_outdated(report):
+        return
     known = worker.known_incarnation()
     if known and report.incarnation and report.incarnation != known:
         dispatcher.note_restart(worker, report.incarnation, "it answers as another incarnation")
--- a/tests/process/dispatch/test_restarted_worker.py
+++ b/tests/process/dispatch/test_restarted_worker.py
@@ -1,5 +1,6 @@
 """Tests of workers that start again under their ids, on which tasks must not run twice."""
 
+from json import loads
 from time import monotonic
 
 from gevent import sleep
@@ -9,8 +10,10 @@
 from testtools.matchers import Is
 
 from laburnumswitch.exceptions import Refused
+from laburnumswitch.exceptions import StartRefused
 from laburnumswitch.process.dispatch.fleet import MIN_CLOCK_RATE
 from laburnumswitch.process.dispatch.job_spec import Step
+from laburnumswitch.process.dispatch.worker_protocol import Renewal
 from laburnumswitch.process.dispatch.worker_protocol import WorkerReport
 from tests.process.dispatch.harness import BOUNDS
 from tests.process.dispatch.harness import DispatchHarness
@@ -57,6 +60,14 @@
         self.harness.submit(make_submission("j1", LONG), self.owner)
         wait_until(lambda: self.harness.checker.start_count == 1)
 
+    def fill_first_worker(self):
+        """Leave no room for other runs on the first worker."""
+        self.first.start = lambda command, timeout_s: StartRefused("w1", "room")
+
+    def wait_until_reported(self):
+        runs = self.known().runs_by_task.values()
+        wait_until(lambda: any(run.progress_percent for run in runs))
+
     def add_second_worker(self, *others):
         """Add a worker, which is listed together with the given listings."""
         self.harness.add_worker(make_listing(2), others)
@@ -107,7 +118,7 @@
     def setUp(self):
         super().setUp()
         self.run_long_job()
-        wait_until(lambda: any(run.progress_percent for run in self.known().runs_by_task.values()))
+        self.wait_until_reported()
         self.add_second_worker()
         self.first.restart()
 
@@ -158,6 +169,8 @@
         self.first.restart()
         wait_until(lambda: self.known().incarnation == self.first.incarnation)
         self.run_long_job()
+        self.wait_until_reported()
+        self.fill_first_worker()
         self.add_second_worker()
         renew = self.first.renew
         late_reports = [WorkerReport(UPTIME_S, self.first.incarnation - 1, (), ())]
@@ -187,6 +200,28 @@
         self.check_nothing_ran_twice()
         self.assertThat(self.harness.checker.start_count, Equals(1))
 
+    def test_report_that_a_later_one_overtook_brings_no_ended_run_back(self):
+        self.run_long_job()
+        self.wait_until_reported()
+        renew = self.first.renew
+        late_reports = [renew(Renewal(self.known().fence, 0, None, 0.0), 1.0)]
+        (run,) = self.known().runs_by_task.values()
+        self.fill_first_worker()
+        self.add_second_worker()
+        self.first.stop(run.task, run.number, self.known().fence, 1.0)
+        wait_until(lambda: self.harness.checker.start_count == 2)
+        self.harness.log.take()
+
+        def renew_after_late_report(renewal, timeout_s):
+            return late_reports.pop() if late_reports else renew(renewal, timeout_s)
+
+        self.first.renew = renew_after_late_report
+        wait_until(lambda: not late_reports)
+        sleep(0.05)
+        self.assertThat(len(self.known().runs_by_task), Equals(0))
+        names = [event["event"] for event in map(loads, self.harness.log.take().splitlines())]
+        self.assertThat("run_unwanted" in names, Equals(False))
+
 
 class TestRefusals(RestartedWorkerCase):
     def test_answer_of_an_intermediary_is_no_refusal(self):
