Send no end of a lease and no acknowledgement to a worker that may have restarted

Two ways to run a task twice (TWICE), both by counters of an earlier incarnation of a worker:

A lease ends at an instant on the worker's clock, which begins anew. The number up to which ends are acknowledged made the restarted worker forget ends that nobody had read: a task that was done there started again.

A renewal now carries neither if the worker may have restarted: after a failed renewal, or if its last answer is older than a process needs to restart. It returns at once, and the next one carries both. Such a worker gets no starts. A run that the known incarnation has not reported counts as running until the longest lease after the last command that carried one has lapsed, the others until their own lease has.

Ruled out: naming the incarnation in the calls, which the platform's header cannot.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -629,7 +629,8 @@
         """Add a newly listed worker and queue it for storage."""
         earlier_fence = self.fence_by_dropped_id.get(listing.worker_id, 0)
         fence = max(self.epoch * FENCES_PER_EPOCH, earlier_fence + 1)
-        worker = Worker(listing, self.context.make_link(listing), fence)
+        lease_s = self.context.deployment.bounds.lease_s
+        worker = Worker(listing, self.context.make_link(listing), fence, lease_s)
         worker.note_listing(listing, self.context.clock(), self.context.deployment.bounds.drain_s)
         self.workers_by_id[listing.worker_id] = worker
         worker.listed_in_batch = self.queue_fleet_row(listing.worker_id)
@@ -662,10 +663,8 @@
             if run.incarnation not in (0, incarnation):
                 self.release_run(worker, run, f"the worker restarted: {evidence}")
         self._forget_orphans(worker)
-        now_s = self.context.clock()
         if worker.runs_by_task:
-            lease_s = self.context.deployment.bounds.lease_s / MIN_CLOCK_RATE
-            worker.lapse_bound_s = max(worker.lapse_bound_s, now_s + lease_s)
+            worker.note_lease_sent(self.context.clock())
         self.context.log.note(
             "worker_restarted",
             worker.worker_id,
@@ -695,13 +694,20 @@
         worker.listed_in_batch = self.queue_fleet_row(worker.worker_id)
 
     def has_lapsed(self, worker: Worker) -> bool:
-        """Return whether a worker that does not answer certainly has no runs any more.
+        """Return whether the leases of a worker that does not answer have certainly expired.
 
-        Its leases must have expired, and this owner must have committed since then: otherwise a
-        successor may have renewed them.
+        Runs that the worker has not reported may have longer ones, see ``has_run_lapsed``.
         """
-        is_over = worker.has_certainly_lapsed(self.context.clock())
-        return is_over and self.recorder.was_owner_at(worker.lapse_bound_s)
+        return self._is_past(worker.lapse_bound_s)
+
+    def has_run_lapsed(self, worker: Worker, run: ActiveRun) -> bool:
+        """Return whether the lease of a run has certainly expired."""
+        return self._is_past(worker.run_lapse_bound_s(run))
+
+    def _is_past(self, lapse_bound_s: float) -> bool:
+        # This owner must have committed since then: otherwise a successor may have renewed leases.
+        is_over = self.context.clock() > lapse_bound_s
+        return is_over and self.recorder.was_owner_at(lapse_bound_s)
 
     def drop_worker(self, worker: Worker, reason: str) -> None:
         """Remove a worker whose runs have certainly ended, unless it was removed already."""
--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -14,6 +14,10 @@
 # Longest lease that an owner grants, in seconds. Leases have to outlast the replacement of a silent
 # owner, which takes about five seconds; tasks of a lost worker wait until its lease has expired.
 MAX_LEASE_S = 6.0
+# A process that has ended is not answering again before this time, in seconds.
+MIN_RESTART_S = 0.1
+# A command is delivered within this time, in seconds, unless its answer is lost.
+DELIVERY_S = 0.5
 # Number of fencing tokens per epoch: the owner raises a worker's token to void unanswered starts.
 FENCES_PER_EPOCH = 100_000
 # Workers whose listings expired during an outage of the store are listed again within this time, in
@@ -166,7 +170,11 @@
     :ivar last_answer_s: when the worker last answered.
     :ivar clock_s: the worker's clock in its last answer.
     :ivar granted_until_s: end of the lease on the worker's clock.
-    :ivar lapse_bound_s: when all granted leases have certainly expired.
+    :ivar max_lease_s: longest lease that it grants, in seconds.
+    :ivar lapse_bound_s: when all leases granted by the known incarnation have certainly expired.
+    :ivar restart_lapse_bound_s: the same for a later incarnation that is not known yet. Its clock
+        begins anew, so it takes the end of a lease for an instant in the far future, and grants the
+        longest lease from the arrival of the command on.
     :ivar has_unknown_runs: whether runs of earlier owners may exist that this owner does not know.
     :ivar has_unreserved_runs: whether it last reported runs that this owner has not adopted, whose
         capacity is not reserved.
@@ -175,8 +183,11 @@
     :ivar had_best_effort: whether best-effort tasks ran on it then.
     """
 
-    def __init__(self, listing: WorkerListing, link: WorkerLink, fence: int) -> None:
+    def __init__(
+        self, listing: WorkerListing, link: WorkerLink, fence: int, max_lease_s: float = MAX_LEASE_S
+    ) -> None:
         self.listing = listing
+        self.max_lease_s = max_lease_s
         self.link = link
         self.fence = fence
         self.incarnation = 0
@@ -200,6 +211,7 @@
         self.clock_s = 0.0
         self.granted_until_s = 0.0
         self.lapse_bound_s = 0.0
+        self.restart_lapse_bound_s = 0.0
         self.has_unknown_runs = False
         self.has_unreserved_runs = False
         self.blocked_until_s = 0.0
@@ -241,6 +253,7 @@
         self.last_end_number = self.acknowledged_end = 0
         self.pending_acknowledgements.clear()
         self.last_answer_s = self.clock_s = self.granted_until_s = 0.0
+        self.lapse_bound_s = max(self.lapse_bound_s, self.restart_lapse_bound_s)
         # The first renewal voids starts that were sent before.
         self.fence += 1
 
@@ -333,10 +346,29 @@
             self.lapse_bound_s = max(self.lapse_bound_s, lapse_bound_s)
         return self.granted_until_s
 
+    def note_lease_sent(self, now_s: float) -> None:
+        """Record that a command with the end of a lease is sent."""
+        self.restart_lapse_bound_s = now_s + DELIVERY_S + self.max_lease_s / MIN_CLOCK_RATE
+
+    def may_have_restarted(self, now_s: float) -> bool:
+        """Return whether another incarnation may have replaced the one that answered last."""
+        return self.is_silent or now_s - self.last_answer_s > MIN_RESTART_S
+
     def has_certainly_lapsed(self, now_s: float) -> bool:
-        """Return whether every lease granted to this incarnation has certainly expired."""
+        """Return whether every lease granted by the known incarnation has certainly expired."""
         return now_s > self.lapse_bound_s
 
+    def run_lapse_bound_s(self, run: ActiveRun) -> float:
+        """Return when the lease of a run has certainly expired."""
+        if run.incarnation:
+            return self.lapse_bound_s
+        return max(self.lapse_bound_s, self.restart_lapse_bound_s)
+
+    def last_lapse_bound_s(self) -> float:
+        """Return when the leases of all runs have certainly expired."""
+        bounds_s = [self.run_lapse_bound_s(run) for run in self.runs_by_task.values()]
+        return max(bounds_s, default=self.lapse_bound_s)
+
     def take_acknowledgeable(self, committed: int) -> int:
         """Return up to which number ended runs may be acknowledged.
 
--- a/laburnumswitch/process/dispatch/handover.py
+++ b/laburnumswitch/process/dispatch/handover.py
@@ -81,7 +81,7 @@
     runs += [HandedOverRun(report.task, report.run, report.checkpoint) for report in orphans]
     return WorkerHandover(
         worker.worker_id,
-        max(0.0, worker.lapse_bound_s - now_s),
+        max(0.0, worker.last_lapse_bound_s() - now_s),
         worker.has_unknown_runs or has_unapplied_ends,
         tuple(runs),
     )
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -258,6 +258,7 @@
         for worker in dispatcher.workers_by_id.values()
         if worker.listing.service == service
         and worker.is_reached
+        and not worker.is_silent
         and not worker.is_voiding_starts
         and not worker.has_unreserved_runs
         and worker.is_listed(now_s)
@@ -410,6 +411,7 @@
     dispatcher: Dispatcher, job: Job, task: Task, worker: Worker, tickets: dict[str, str]
 ) -> None:
     run = dispatcher.begin_run(job, task, worker)
+    worker.note_lease_sent(dispatcher.context.clock())
     command = StartCommand(
         task.key,
         run.number,
--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -83,7 +83,7 @@
     Ends of runs cut renewals short. If tail latencies have to be guarded, the next renewal returns
     when the next sample is due, not a whole wait after the last end.
     """
-    if not worker.is_reached or worker.is_silent:
+    if not worker.is_reached or worker.may_have_restarted(now_s):
         # Calls to a silent worker are short, since a lapse of its leases is noticed between them.
         return 0.0
     had_best_effort = worker.had_best_effort or worker.best_effort_runs()
@@ -97,19 +97,23 @@
 ) -> WorkerReport | Failure:
     """Renew the lease of a worker once and apply its report.
 
-    The lease is not extended while another entry may have become the owner.
+    The lease is not extended while another entry may have become the owner. If the worker may have
+    restarted, it is not extended either and no ended run is acknowledged: the clock and the numbers
+    of ended runs begin anew.
 
     :param margin_s: time beyond ``wait_s`` after which the call counts as lost.
     """
     context = dispatcher.context
     sent_s = context.clock()
     until_s = None
-    if worker.last_answer_s and dispatcher.may_act():
-        until_s = worker.extend_grant(dispatcher.granted_lease_s())
+    acknowledged = 0
+    if not worker.may_have_restarted(sent_s):
+        acknowledged = worker.take_acknowledgeable(dispatcher.recorder.committed)
+        if dispatcher.may_act():
+            until_s = worker.extend_grant(dispatcher.granted_lease_s())
+            worker.note_lease_sent(sent_s)
     fence = worker.fence
-    renewal = Renewal(
-        fence, worker.take_acknowledgeable(dispatcher.recorder.committed), until_s, wait_s
-    )
+    renewal = Renewal(fence, acknowledged, until_s, wait_s)
     dispatcher.counters.renewals += 1
     answer = worker.link.renew(renewal, wait_s + margin_s)
     if dispatcher.is_stopped() or worker.is_dropped:
@@ -161,9 +165,12 @@
         worker.is_reached = False
         worker.fence += 1
     for run in list(worker.runs_by_task.values()):
-        dispatcher.release_run(worker, run, "its lease lapsed without an answer from the worker")
+        if dispatcher.has_run_lapsed(worker, run):
+            dispatcher.release_run(
+                worker, run, "its lease lapsed without an answer from the worker"
+            )
     worker.has_unknown_runs = False
-    if not worker.is_listed(dispatcher.context.clock()):
+    if not worker.runs_by_task and not worker.is_listed(dispatcher.context.clock()):
         dispatcher.drop_worker(worker, "not listed by the platform and not answering")
 
 
--- a/tests/process/dispatch/test_restarted_worker.py
+++ b/tests/process/dispatch/test_restarted_worker.py
@@ -9,10 +9,12 @@
 from testtools.matchers import Equals
 from testtools.matchers import Is
 
+from laburnumswitch.exceptions import AnswerLost
 from laburnumswitch.exceptions import Refused
 from laburnumswitch.exceptions import StartRefused
 from laburnumswitch.process.dispatch.fleet import MIN_CLOCK_RATE
 from laburnumswitch.process.dispatch.job_spec import Step
+from laburnumswitch.process.dispatch.jobs import JobState
 from laburnumswitch.process.dispatch.worker_protocol import Renewal
 from laburnumswitch.process.dispatch.worker_protocol import WorkerReport
 from tests.process.dispatch.harness import BOUNDS
@@ -40,12 +42,16 @@
         # The first worker's answers to renewals are delayed until this is set.
         self.answers = Event()
         self.answers.set()
+        # While this is set, renewals do not reach it.
+        self.is_cut_off = False
         renew = self.first.renew
 
         def renew_late(renewal, timeout_s):
+            if self.is_cut_off:
+                return AnswerLost("w1", "cut off")
             answer = renew(renewal, timeout_s)
             self.answers.wait()
-            return answer
+            return AnswerLost("w1", "cut off") if self.is_cut_off else answer
 
         self.first.renew = renew_late
         self.owner = self.harness.start_owner()
@@ -163,6 +169,21 @@
         wait_until(lambda: self.harness.checker.start_count == 2, 3 * BOUNDS.lease_s)
         self.check_nothing_ran_twice()
 
+    def test_end_numbers_from_before_the_restart_acknowledge_no_end(self):
+        # The task is done on the restarted worker before the owner knows of the restart.
+        short = LONG._replace(estimate_ms=10)
+        self.harness.submit(make_submission("j1", *[short] * 3), self.owner)
+        wait_until(lambda: self.known().acknowledged_end == 3)
+        self.first.restart()
+        self.harness.submit(make_submission("j2", short), self.owner)
+        wait_until(lambda: self.harness.checker.start_count == 4)
+        self.is_cut_off = True
+        wait_until(lambda: self.known().is_silent)
+        self.is_cut_off = False
+        wait_until(lambda: self.owner.reported_state("j2") is JobState.COMPLETED, REACTION_S)
+        self.check_nothing_ran_twice()
+        self.assertThat(self.harness.checker.start_count, Equals(4))
+
 
 class TestLateMessages(RestartedWorkerCase):
     def test_report_from_before_the_restart_that_arrives_late_ends_no_run(self):
