Allow for the time that ending the runs of a lapsed lease takes

The owner released all runs of a silent worker at the instant at which its lease has expired on the slowest clock that the platform allows (2% slow). But timers fire late, and ending a run takes up to the platform's bound for a stop (0.4 s and 0.9 s on the deployments): a worker that is cut off and runs on had two runs of each of its tasks at once (TWICE) for that time.

Leases now count as over after that bound and a twentieth of a second more, for an owner's own leases, and for those of earlier owners. Leases stay as long as they were, since they have to outlast the replacement of a silent owner, so tasks of a lost worker wait for 0.45 s to 0.95 s longer where the list of VMs does not prove its end.

One test of the wait for a silent owner's runs derived its two bounds from the lease alone; they are derived from the lease and the bound for a stop now, the margins stay.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -20,8 +20,8 @@
 from laburnumswitch.process.daemon.deployment import Deployment
 from laburnumswitch.process.dispatch.fleet import ActiveRun
 from laburnumswitch.process.dispatch.fleet import FENCES_PER_EPOCH
+from laburnumswitch.process.dispatch.fleet import lapse_s
 from laburnumswitch.process.dispatch.fleet import MAX_LEASE_S
-from laburnumswitch.process.dispatch.fleet import MIN_CLOCK_RATE
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.handover import describe_worker
 from laburnumswitch.process.dispatch.handover import HANDOVER_TABLE
@@ -264,6 +264,11 @@
         """Return the length of the leases that this owner grants, in seconds."""
         return min(self.context.deployment.bounds.lease_s, MAX_LEASE_S)
 
+    def longest_lapse_s(self) -> float:
+        """Return how long runs may go on after a command of any owner, in seconds."""
+        bounds = self.context.deployment.bounds
+        return lapse_s(bounds.lease_s, bounds.stop_s)
+
     def spawn(self, function: Callable[..., Any], *arguments: Any) -> None:
         """Run a function in a greenlet.
 
@@ -301,12 +306,12 @@
 
     def note_predecessor_ended(self) -> None:
         """Shorten the wait for unknown runs: the earlier owner sends no more commands."""
-        lease_s = self.context.deployment.bounds.lease_s / MIN_CLOCK_RATE
+        longest_s = self.longest_lapse_s()
         remaining_s = self.unknown_runs_until_s - self.context.clock()
         self.context.log.note("predecessor_ended", str(self.epoch), left_s=round(remaining_s, 3))
         self.predecessor_may_start_jobs = False
-        if lease_s < remaining_s:
-            self.limit_unknown_runs(lease_s)
+        if longest_s < remaining_s:
+            self.limit_unknown_runs(longest_s)
 
     # Jobs
 
@@ -629,8 +634,9 @@
         """Add a newly listed worker and queue it for storage."""
         earlier_fence = self.fence_by_dropped_id.get(listing.worker_id, 0)
         fence = max(self.epoch * FENCES_PER_EPOCH, earlier_fence + 1)
-        lease_s = self.context.deployment.bounds.lease_s
-        worker = Worker(listing, self.context.make_link(listing), fence, lease_s)
+        bounds = self.context.deployment.bounds
+        link = self.context.make_link(listing)
+        worker = Worker(listing, link, fence, bounds.lease_s, bounds.stop_s)
         worker.note_listing(listing, self.context.clock(), self.context.deployment.bounds.drain_s)
         self.workers_by_id[listing.worker_id] = worker
         worker.listed_in_batch = self.queue_fleet_row(listing.worker_id)
--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -18,6 +18,8 @@
 MIN_RESTART_S = 0.1
 # A command is delivered within this time, in seconds, unless its answer is lost.
 DELIVERY_S = 0.5
+# Timers of workers fire late by less than this, in seconds.
+TIMER_SLACK_S = 0.05
 # Number of fencing tokens per epoch: the owner raises a worker's token to void unanswered starts.
 FENCES_PER_EPOCH = 100_000
 # Workers whose listings expired during an outage of the store are listed again within this time, in
@@ -171,7 +173,9 @@
     :ivar clock_s: the worker's clock in its last answer.
     :ivar granted_until_s: end of the lease on the worker's clock.
     :ivar max_lease_s: longest lease that it grants, in seconds.
-    :ivar lapse_bound_s: when all leases granted by the known incarnation have certainly expired.
+    :ivar ending_s: longest time that ending its runs takes, in seconds, also after a lapse.
+    :ivar lapse_bound_s: when all leases granted by the known incarnation have certainly expired,
+        and their runs have ended.
     :ivar restart_lapse_bound_s: the same for a later incarnation that is not known yet. Its clock
         begins anew, so it takes the end of a lease for an instant in the far future, and grants the
         longest lease from the arrival of the command on.
@@ -184,10 +188,16 @@
     """
 
     def __init__(
-        self, listing: WorkerListing, link: WorkerLink, fence: int, max_lease_s: float = MAX_LEASE_S
+        self,
+        listing: WorkerListing,
+        link: WorkerLink,
+        fence: int,
+        max_lease_s: float = MAX_LEASE_S,
+        ending_s: float = 0.0,
     ) -> None:
         self.listing = listing
         self.max_lease_s = max_lease_s
+        self.ending_s = ending_s
         self.link = link
         self.fence = fence
         self.incarnation = 0
@@ -342,30 +352,30 @@
         if until_s > self.granted_until_s:
             self.granted_until_s = until_s
             # A longer lease that an earlier owner granted stays in force.
-            lapse_bound_s = self.last_answer_s + lease_s / MIN_CLOCK_RATE
+            lapse_bound_s = self.last_answer_s + lapse_s(lease_s, self.ending_s)
             self.lapse_bound_s = max(self.lapse_bound_s, lapse_bound_s)
         return self.granted_until_s
 
     def note_lease_sent(self, now_s: float) -> None:
         """Record that a command with the end of a lease is sent."""
-        self.restart_lapse_bound_s = now_s + DELIVERY_S + self.max_lease_s / MIN_CLOCK_RATE
+        self.restart_lapse_bound_s = now_s + DELIVERY_S + lapse_s(self.max_lease_s, self.ending_s)
 
     def may_have_restarted(self, now_s: float) -> bool:
         """Return whether another incarnation may have replaced the one that answered last."""
         return self.is_silent or now_s - self.last_answer_s > MIN_RESTART_S
 
     def has_certainly_lapsed(self, now_s: float) -> bool:
-        """Return whether every lease granted by the known incarnation has certainly expired."""
+        """Return whether the runs of the known incarnation have certainly ended by a lapse."""
         return now_s > self.lapse_bound_s
 
     def run_lapse_bound_s(self, run: ActiveRun) -> float:
-        """Return when the lease of a run has certainly expired."""
+        """Return when a run has certainly ended by the lapse of its lease."""
         if run.incarnation:
             return self.lapse_bound_s
         return max(self.lapse_bound_s, self.restart_lapse_bound_s)
 
     def last_lapse_bound_s(self) -> float:
-        """Return when the leases of all runs have certainly expired."""
+        """Return when all runs have certainly ended by the lapse of their leases."""
         bounds_s = [self.run_lapse_bound_s(run) for run in self.runs_by_task.values()]
         return max(bounds_s, default=self.lapse_bound_s)
 
@@ -393,3 +403,12 @@
                 run for run in self.runs_by_task.values() if run.step.best_effort
             ]
         return self._best_effort_runs
+
+
+def lapse_s(lease_s: float, ending_s: float) -> float:
+    """Return how long runs may go on, at most, after a lease was granted.
+
+    :param lease_s: length of the lease on the worker's clock.
+    :param ending_s: longest time that ending the runs takes.
+    """
+    return lease_s / MIN_CLOCK_RATE + TIMER_SLACK_S + ending_s
--- a/laburnumswitch/process/dispatch/takeover.py
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -13,7 +13,6 @@
 from laburnumswitch.process.dispatch.feeds import follow_cancellations
 from laburnumswitch.process.dispatch.feeds import follow_submissions
 from laburnumswitch.process.dispatch.feeds import follow_workers
-from laburnumswitch.process.dispatch.fleet import MIN_CLOCK_RATE
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.handover import collect_handover
 from laburnumswitch.process.dispatch.handover import HANDOVER_TABLE
@@ -68,9 +67,8 @@
     )
     recorder = Recorder(recorder_context, held_term, term_committed_s)
     dispatcher = Dispatcher(context, recorder)
-    lease_s = context.deployment.bounds.lease_s / MIN_CLOCK_RATE
     command_window_s = 0.0 if predecessor is PredecessorState.ENDED else OWNER_LEASE_S
-    dispatcher.limit_unknown_runs(lease_s + command_window_s)
+    dispatcher.limit_unknown_runs(dispatcher.longest_lapse_s() + command_window_s)
     dispatcher.settled = dispatcher.epoch == 1
     dispatcher.predecessor_may_start_jobs = predecessor in (
         PredecessorState.SILENT,
--- a/tests/process/dispatch/test_dispatcher.py
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -540,10 +540,10 @@
         self.addCleanup(second.stop)
         wait_until(lambda: second.is_loaded.is_set())
         worker = second.workers_by_id[holder.listing.worker_id]
-        lease_s = BOUNDS.lease_s / MIN_CLOCK_RATE
-        self.assertThat(worker.lapse_bound_s - monotonic(), GreaterThan(lease_s + 5.0))
+        ended_s = BOUNDS.lease_s / MIN_CLOCK_RATE + BOUNDS.stop_s
+        self.assertThat(worker.lapse_bound_s - monotonic(), GreaterThan(ended_s + 5.0))
         second.note_predecessor_ended()
-        self.assertThat(worker.lapse_bound_s - monotonic(), LessThan(lease_s + 0.1))
+        self.assertThat(worker.lapse_bound_s - monotonic(), LessThan(ended_s + 0.1))
         self.assertThat(second.settled, Equals(False))
 
     def test_successor_of_an_owner_that_had_not_settled_waits_for_those_before(self):
