Take only the listed status as a refusal of a start

Any status but those of an unhealthy worker counted as a certain refusal, also one of an intermediary that answers for a worker which has carried out the start: the task then started elsewhere as well (TWICE). Only 400 counts now, which the platform lists; after any other the start counts as unanswered, is voided by a raised fencing token, and the worker gets no starts for a second.

--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -34,6 +34,7 @@
 from laburnumswitch.process.dispatch.worker_protocol import StartCommand
 from laburnumswitch.process.dispatch.worker_session import throttle_new_run
 from laburnumswitch.process.dispatch.worker_session import void_unanswered_starts
+from laburnumswitch.process.rows.table import STATUS_BAD_REQUEST
 
 # Interval, in seconds, at which steps that wait for capacity, their due time or lower interference
 # are planned again.
@@ -458,6 +459,8 @@
     if not _is_certainly_not_started(outcome):
         dispatcher.counters.uncertain_starts += 1
         run.is_uncertain = True
+        if isinstance(outcome, Refused):
+            worker.blocked_until_s = now_s + UNHEALTHY_PAUSE_S
         void_unanswered_starts(dispatcher, worker)
         return
     dispatcher.counters.refused_starts += 1
@@ -470,7 +473,10 @@
 
 
 def _is_certainly_not_started(outcome: Failure) -> bool:
-    refusals = ConnectFailed | StartRefused | WorkerRestarted | Throttled | Unavailable | Refused
+    if isinstance(outcome, Refused):
+        # Other statuses may come from an intermediary, after the worker has carried out the start.
+        return outcome.status == STATUS_BAD_REQUEST
+    refusals = ConnectFailed | StartRefused | WorkerRestarted | Throttled | Unavailable
     return isinstance(outcome, refusals)
 
 
