Keep unanswered starts of a worker that its VM no longer runs

The list of VMs proves that a silent worker has ended, and all of its runs were released. A start that the worker has not answered may still be delivered, and a worker that restarts under its id carries it out: the task can then run there and elsewhere (TWICE). Such a start is kept now until the worker answers or its leases have lapsed; the other runs are released as before. An answer to a start counts as a sign of life too: a list that was requested before it proves nothing.

Two tests fail on the code before: there the worker is dropped in both, with all its runs.

--- a/laburnumswitch/process/dispatch/vm_watch.py
+++ b/laburnumswitch/process/dispatch/vm_watch.py
@@ -91,10 +91,16 @@
 def _may_have_unreachable_runs(worker: Worker, incarnation: _Incarnation, now_s: float) -> bool:
     if now_s - max(worker.last_answer_s, incarnation.known_since_s) < SILENCE_S:
         return False
-    if worker.is_reached:
-        return bool(worker.runs_by_task)
+    if any(run.confirmed_s is not None for run in worker.runs_by_task.values()):
+        return True
     # An earlier owner may have started runs.
-    return not worker.has_certainly_lapsed(now_s)
+    return worker.has_unknown_runs and not worker.has_certainly_lapsed(now_s)
+
+
+def _last_answer_s(worker: Worker) -> float:
+    """Return when the worker last answered a renewal or a start, 0 if never."""
+    started_s = [run.confirmed_s or 0.0 for run in worker.runs_by_task.values()]
+    return max([worker.last_answer_s, *started_s])
 
 
 def _vm_id(worker: Worker) -> str:
@@ -123,15 +129,27 @@
             worker_id,
             _vm_id(worker),
             incarnation_by_worker[worker].known_since_s,
-            worker.last_answer_s,
+            _last_answer_s(worker),
         )
         for worker_id, worker in worker_by_id.items()
     ]
     for worker_id, evidence in find_ended_workers(silent, vm_list, earlier).items():
         worker = worker_by_id[worker_id]
-        heard_s = worker.last_answer_s or incarnation_by_worker[worker].known_since_s
-        dispatcher.drop_worker(
-            worker,
+        heard_s = _last_answer_s(worker) or incarnation_by_worker[worker].known_since_s
+        reason = (
             f"{evidence} (read {now_s - vm_list.sent_s:.2f} s ago,"
-            f" last answer {now_s - heard_s:.2f} s ago)",
+            f" last answer {now_s - heard_s:.2f} s ago)"
         )
+        _end_worker(dispatcher, worker, reason)
+
+
+def _end_worker(dispatcher: Dispatcher, worker: Worker, reason: str) -> None:
+    """Drop a worker that has ended, unless it may restart and then receive a start."""
+    runs = list(worker.runs_by_task.values())
+    if all(run.confirmed_s is not None for run in runs):
+        dispatcher.drop_worker(worker, reason)
+        return
+    worker.has_unknown_runs = False
+    for run in runs:
+        if run.confirmed_s is not None:
+            dispatcher.release_run(worker, run, reason)
--- a/tests/process/dispatch/test_vm_watch.py
+++ b/tests/process/dispatch/test_vm_watch.py
@@ -11,6 +11,7 @@
 from testtools.matchers import Equals
 from testtools.matchers import GreaterThan
 
+from laburnumswitch.exceptions import AnswerLost
 from laburnumswitch.exceptions import Throttled
 from laburnumswitch.exceptions import Unavailable
 from laburnumswitch.process.dispatch.job_spec import Step
@@ -24,6 +25,7 @@
 from tests.process.dispatch.harness import BOUNDS
 from tests.process.dispatch.harness import DEPLOYMENT
 from tests.process.dispatch.harness import DispatchHarness
+from tests.process.dispatch.harness import make_listing
 from tests.process.dispatch.harness import make_submission
 from tests.process.dispatch.harness import wait_until
 
@@ -172,6 +174,53 @@
         self.assertThat(worker.is_dropped, Equals(False))
         self.assertThat(self.harness.checker.start_count, Equals(1))
 
+    def test_start_that_is_answered_while_the_list_is_read_keeps_its_run(self):
+        # A VM that the list has as down is back already, and its worker answers a start.
+        owner = self._start_owner()
+        holder = self._start_run(owner)
+        self._wait_until_known_long_enough(owner)
+        worker = owner.workers_by_id[holder.listing.worker_id]
+        (run,) = worker.runs_by_task.values()
+
+        def read_slowly():
+            run.confirmed_s = monotonic() + 0.001
+            sleep(0.01)
+            return (VmRow(holder.listing.vm_id, VmState.DOWN, ""),)
+
+        self._true_rows = read_slowly
+        holder.drops_calls = True
+        wait_until(lambda: self.readings > 1)
+        self.assertThat(worker.is_dropped, Equals(False))
+        self.assertThat(self.harness.checker.start_count, Equals(1))
+
+    def test_unanswered_start_may_still_reach_the_restarted_worker(self):
+        self.harness = DispatchHarness(workers=1)
+        self.harness.list_vms = self._list_vms
+        owner = self._start_owner()
+        holder = self._start_run(owner)
+        self._wait_until_known_long_enough(owner)
+        start = holder.start
+        commands = []
+
+        def crash(command, timeout_s):
+            commands.append(command)
+            holder.crash()
+            return AnswerLost("w1", "crashed")
+
+        holder.start = crash
+        self.harness.submit(make_submission("j2", LONG), owner)
+        wait_until(lambda: commands)
+        self.harness.add_worker(make_listing(2))
+        wait_until(lambda: self.harness.checker.start_count >= 2)
+        holder.start = start
+        holder.restart()
+        holder.start(commands[0], 1.0)
+        self.harness.list_worker(holder.listing)
+        wait_until(lambda: owner.workers_by_id["w1"].is_reached)
+        sleep(1.0)
+        self.assertThat(self.harness.checker.start_count, Equals(3))
+        self.assertThat(self.harness.checker.violations, Equals([]))
+
     def test_unavailable_list_is_logged_once_and_changes_nothing(self):
         self.failure = Unavailable("no list")
         self.harness.deployment = DEPLOYMENT._replace(bounds=BOUNDS._replace(lease_s=3.0))
