Keep the settings of removed queues across owners

What callers saw: after a queue was removed from the configuration, its accepted jobs never started under an owner whose entry had started after the removal, and a job of it failed at the first failed run of a task.

Cause: the settings of removed queues were kept in each entry's memory only, and the configuration row holds the current queues only. An unknown queue has no service, so its steps were not planned, and a failed run counted with one attempt.

The owner now stores the settings of all queues that it knows in `queues/<part>`, in its own batches: when it has loaded the stored jobs, and after each new configuration. A new owner reads these rows before it contacts workers and adds them to what its entry knows. Each stored queue carries the version of the newest known configuration that has it; of two settings of a name those of the newer version hold, so a queue that was removed and added again runs with its new settings, and an entry that is behind does not bring the old ones back. A removed queue without jobs for the retention period of ended jobs is forgotten, so the rows stay small.

Weighed against settings in each submission's row: a version before this one cannot read a submission with more fields, and would not run the job while both versions run; the settings would be repeated for each job. The new table is not read by earlier versions, and no row of theirs changes. The settings are stored by name, so that a version with fewer of them can read the rows. There is no store call per job; a takeover reads one more table, and a configuration adds up to eight rows to a batch that is written anyway.

Not covered: a queue that is removed before any owner has known and committed it, or while a version without this change is the owner, is known only to the entries that saw it.

--- a/laburnumswitch/process/dispatch/retention.py
+++ b/laburnumswitch/process/dispatch/retention.py
@@ -1,4 +1,4 @@
-"""Removes the rows of finished jobs after a retention period.
+"""Removes the rows of finished jobs after a retention period, and forgets unused queues.
 
 Until then a repeated submission finds the row of its job and does not create a second one.
 """
@@ -22,11 +22,13 @@
 
 def run_retention(dispatcher: Dispatcher) -> None:
     """Remove old rows periodically, until the term ends."""
+    unused_since_s: dict[str, float] = {}
     while not dispatcher.is_stopped():
         dispatcher.context.sleep(REMOVAL_INTERVAL_S)
         if dispatcher.may_act():
             remove_old_jobs(dispatcher)
             forget_unknown_jobs(dispatcher)
+            forget_unused_queues(dispatcher, unused_since_s)
 
 
 def remove_old_jobs(dispatcher: Dispatcher) -> int:
@@ -59,3 +61,21 @@
     orphans = dispatcher.orphan_by_task
     for task in [task for task, orphan in orphans.items() if orphan.seen_s < limit_s]:
         del orphans[task]
+
+
+def forget_unused_queues(dispatcher: Dispatcher, unused_since_s: dict[str, float]) -> None:
+    """Forget removed queues that have had no jobs for the retention period.
+
+    A job of such a queue may become known late, so a queue without known jobs is kept for a time.
+
+    :param unused_since_s: since when queues have been unused, on the monotonic clock; updated.
+    """
+    operations = dispatcher.context.operations
+    used = {job.submission.queue for job in dispatcher.jobs_by_id.values()}
+    now_s = dispatcher.context.clock()
+    for name in list(operations.known_queue_by_name):
+        if operations.is_configured(name) or name in used:
+            unused_since_s.pop(name, None)
+        elif now_s - unused_since_s.setdefault(name, now_s) > RETENTION_S:
+            operations.forget_queue(name)
+            del unused_since_s[name]
--- a/laburnumswitch/process/dispatch/takeover.py
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -29,6 +29,10 @@
 from laburnumswitch.process.dispatch.progress import PROGRESS_TABLE
 from laburnumswitch.process.dispatch.progress import restore_progress
 from laburnumswitch.process.dispatch.progress import SUBMISSIONS_TABLE
+from laburnumswitch.process.dispatch.queue_store import collect_queues
+from laburnumswitch.process.dispatch.queue_store import QUEUES_TABLE
+from laburnumswitch.process.dispatch.queue_store import run_queue_store
+from laburnumswitch.process.dispatch.queue_store import store_queues
 from laburnumswitch.process.dispatch.recorder import OWNER_LEASE_S
 from laburnumswitch.process.dispatch.recorder import Recorder
 from laburnumswitch.process.dispatch.recorder import RecorderContext
@@ -39,6 +43,7 @@
 from laburnumswitch.process.dispatch.worker_session import run_worker
 from laburnumswitch.process.leadership.term import PredecessorState
 from laburnumswitch.process.leadership.term import VersionedTerm
+from laburnumswitch.process.operating.operations import KnownQueue
 from laburnumswitch.process.rows.table import Changes
 
 # Pause in seconds before a failed read is repeated.
@@ -85,7 +90,10 @@
     version = _load_jobs(dispatcher)
     load_parameters(dispatcher)
     handover_by_worker = _load_handover(dispatcher)
+    stored_queues = _load_queues(dispatcher)
     _await_configuration(dispatcher)
+    # Not left to the first interval of the queue store: this owner may end before.
+    stored_queues = store_queues(dispatcher, stored_queues)
     _load_fleet(dispatcher, handover_by_worker)
     if dispatcher.is_stopped():
         return
@@ -96,6 +104,7 @@
     dispatcher.spawn(run_planner, dispatcher)
     dispatcher.spawn(run_relocation, dispatcher)
     dispatcher.spawn(run_retention, dispatcher)
+    dispatcher.spawn(run_queue_store, dispatcher, stored_queues)
     dispatcher.spawn(run_learning, dispatcher)
     dispatcher.spawn(run_load_report, dispatcher)
     if dispatcher.context.list_vms is not None:
@@ -145,6 +154,18 @@
     return collect_handover(rows, dispatcher.epoch - 1, report_malformed)
 
 
+def _load_queues(dispatcher: Dispatcher) -> dict[str, KnownQueue]:
+    """Load the queues that earlier owners knew, of which some may have been removed since."""
+
+    def report_malformed(malformed: RowMalformed) -> None:
+        dispatcher.context.log.note("queues_malformed", malformed.key, reason=malformed.reason)
+
+    stored = collect_queues(_load(dispatcher, QUEUES_TABLE).rows, report_malformed)
+    for known in stored.values():
+        dispatcher.context.operations.remember_queue(known)
+    return stored
+
+
 def _load_fleet(dispatcher: Dispatcher, handover_by_worker: dict[str, WorkerHandover]) -> None:
     """Load the workers on which earlier owners may have left runs, and contact each of them.
 
--- a/laburnumswitch/process/operating/operations.py
+++ b/laburnumswitch/process/operating/operations.py
@@ -39,10 +39,20 @@
 Operation = QueueConfiguration | ZoneOrder | MaintenanceWave
 
 
+class KnownQueue(NamedTuple):
+    """A queue that is or was configured, and the latest known configuration that contains it."""
+
+    queue: Queue
+    version: int
+
+
 class Operations:
     """Latest operators' instructions known to this entry.
 
     ``updated_s`` is the time of the last successful read.
+
+    :ivar known_queue_by_name: includes removed queues, since their accepted jobs still run. Owners
+        store it, see ``dispatch.queue_store``.
     """
 
     def __init__(self, log: DecisionLog) -> None:
@@ -50,13 +60,28 @@
         self.evacuated_zones: frozenset[str] = frozenset()
         self.waves_by_number: dict[int, MaintenanceWave] = {}
         self.updated_s = float("-inf")
-        # Includes removed queues: jobs outlive their queue's removal from the configuration.
-        self._known_queues: dict[str, Queue] = {}
+        self.known_queue_by_name: dict[str, KnownQueue] = {}
         self.log = log
 
     def queue(self, name: str) -> Queue | None:
         """Return a queue that is or was configured."""
-        return self._known_queues.get(name)
+        known = self.known_queue_by_name.get(name)
+        return known and known.queue
+
+    def is_configured(self, name: str) -> bool:
+        """Return whether the current configuration contains a queue."""
+        return self.configuration is not None and name in self.configuration.queues_by_name
+
+    def remember_queue(self, known: KnownQueue) -> None:
+        """Keep the settings of a queue, unless those of a later configuration are known."""
+        name = known.queue.name
+        current = self.known_queue_by_name.get(name)
+        if current is None or current.version <= known.version:
+            self.known_queue_by_name[name] = known
+
+    def forget_queue(self, name: str) -> None:
+        """Forget a removed queue that has no jobs left."""
+        self.known_queue_by_name.pop(name, None)
 
     def route(self, host: str, path: str) -> Queue | None:
         """Return the configured queue of ``host`` with the longest matching path prefix."""
@@ -94,7 +119,8 @@
             return
         before = self.configuration.version if self.configuration else 0
         self.configuration = configuration
-        self._known_queues.update(configuration.queues_by_name)
+        for queue in configuration.queues_by_name.values():
+            self.remember_queue(KnownQueue(queue, configuration.version))
         self.log.note("configuration", str(configuration.version), before=before)
 
 
