Do not report zero pending jobs while an owner is loading

What callers saw: entries gave no jobs as pending although accepted jobs waited, while a new owner read the stored jobs, and on an entry that had not heard of an owner yet.

Cause: an owner that has not loaded knows no jobs, and counted them; its answer to a watch held the same empty list, which the other entries took for a report, in place of what the earlier owner had reported.

The answer to a watch now says whether the owner has loaded (`knows_jobs`). If not, the other entries and the owner itself go on giving what an earlier owner reported. Without such a report the answer is 503, which callers repeat, as for a state that cannot be read; a number that is too low would say that jobs have begun. It comes at once, as another entry may know the number. A watch that is held by a loading owner is answered when it has loaded, so that the others know the number then and not up to a second later.

Weighed against counting the stored jobs in each entry: that is a read of all jobs of the last ten minutes from 16 partitions, in every entry, while the store serves the takeover. An owner of the previous version does not send the new field and counts as loaded, as before; a watcher of the previous version drops the field, as it does with any appended one.

--- a/laburnumswitch/process/leadership/leadership.py
+++ b/laburnumswitch/process/leadership/leadership.py
@@ -113,13 +113,14 @@
 
     :ivar dispatcher: set while this entry is the owner.
     :ivar current_term: the term as last read or acquired.
-    :ivar pending_by_queue: pending jobs by queue, as the owner last reported them.
+    :ivar pending_by_queue: pending jobs by queue, as an owner last reported them; ``None`` before
+        the first report.
     """
 
     def __init__(self, context: LeadershipContext) -> None:
         self.dispatcher: Dispatcher | None = None
         self.current_term = Term()
-        self.pending_by_queue: dict[str, int] = {}
+        self.pending_by_queue: dict[str, int] | None = None
         self.watcher_by_vm: dict[str, Watcher] = {}
         self.takeovers = 0
         self._context = context
@@ -157,6 +158,10 @@
         """Record that an entry watches this owner."""
         self.watcher_by_vm[vm_id] = Watcher(cpu_cores, self._context.clock())
 
+    def note_pending(self, pending_by_queue: dict[str, int]) -> None:
+        """Record the numbers of pending jobs that an owner reported."""
+        self.pending_by_queue = pending_by_queue
+
     def candidates(self) -> tuple[str, ...]:
         """Return the entries that watch this owner, largest first."""
         ranked = [(-cpu_cores, vm_id) for vm_id, cpu_cores in self._cpu_cores_by_watcher().items()]
@@ -250,7 +255,8 @@
         )
         if not isinstance(answer, Failure) and answer.is_owner:
             self._candidates = answer.candidates
-            self.pending_by_queue = answer.pending_by_queue
+            if answer.knows_jobs:
+                self.note_pending(answer.pending_by_queue)
         return answer
 
     def _take_over_if_unchanged(
--- a/laburnumswitch/process/leadership/messages.py
+++ b/laburnumswitch/process/leadership/messages.py
@@ -10,6 +10,8 @@
     :ivar incarnation: identifies one start of the answering process.
     :ivar candidates: the watching entries in the order in which they take over, largest first.
     :ivar store_silent_s: time since the owner's last successful commit.
+    :ivar knows_jobs: whether the owner has read all stored jobs. Until then ``pending_by_queue`` is
+        empty and says nothing. Earlier versions do not send it.
     """
 
     epoch: int
@@ -18,6 +20,7 @@
     candidates: tuple[str, ...]
     pending_by_queue: dict[str, int]
     store_silent_s: float
+    knows_jobs: bool = True
 
 
 class JobStateAnswer(NamedTuple):
--- a/laburnumswitch/process/leadership/owner_link.py
+++ b/laburnumswitch/process/leadership/owner_link.py
@@ -8,6 +8,7 @@
 from laburnumswitch.process.leadership.leadership import Leadership
 from laburnumswitch.process.leadership.messages import JobStateAnswer
 from laburnumswitch.process.leadership.peer_api import describe_job
+from laburnumswitch.process.leadership.peer_api import loaded_dispatcher
 from laburnumswitch.process.leadership.peer_api import PeerClient
 from laburnumswitch.process.leadership.term import NO_OWNER
 
@@ -73,12 +74,20 @@
             return Unavailable("no owner known")
         return self._peers.job_state(self._leadership.current_term.address, job_id)
 
-    def pending(self, queue: str) -> int:
-        """Return the number of a queue's jobs that had not started, as the owner last reported."""
-        dispatcher = self._leadership.dispatcher
+    def pending(self, queue: str) -> int | Failure:
+        """Return the number of a queue's jobs that had not started, as an owner last reported.
+
+        An owner that is still loading gives the number that its predecessor reported.
+
+        :return: a failure if no number is known, which is not to be taken for none.
+        """
+        dispatcher = loaded_dispatcher(self._leadership)
         if dispatcher is not None:
             return dispatcher.pending_by_queue().get(queue, 0)
-        return self._leadership.pending_by_queue.get(queue, 0)
+        pending_by_queue = self._leadership.pending_by_queue
+        if pending_by_queue is None:
+            return Unavailable("no owner has reported its pending jobs")
+        return pending_by_queue.get(queue, 0)
 
     def _has_other_owner(self) -> bool:
         return self._leadership.current_term.owner not in (NO_OWNER, self._vm_id)
--- a/laburnumswitch/process/leadership/peer_api.py
+++ b/laburnumswitch/process/leadership/peer_api.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from urllib.parse import urlencode
 
+from gevent import wait
+
 from laburnumswitch.connection.client import Client
 from laburnumswitch.connection.json_call import call_json
 from laburnumswitch.exceptions import Failure
@@ -100,7 +102,7 @@
         dispatcher = leadership.dispatcher
         if dispatcher is not None and not dispatcher.is_stopped():
             leadership.note_watcher(request.query["vm"], float(request.query["cores"]))
-            dispatcher.stopped.wait(min(MAX_WATCH_WAIT_S, float(request.query["wait"])))
+            _hold_watch(dispatcher, min(MAX_WATCH_WAIT_S, float(request.query["wait"])))
         return reply_json(_describe_owner(leadership, incarnation))
 
     def supersede(request: AdminRequest) -> AdminReply:
@@ -126,7 +128,7 @@
         return reply_json(True)
 
     def store_cancellation(request: AdminRequest) -> AdminReply:
-        dispatcher = _loaded_dispatcher(get_leadership())
+        dispatcher = loaded_dispatcher(get_leadership())
         job_id = request.path_parts[1]
         job = dispatcher and dispatcher.jobs_by_id.get(job_id)
         if not job:
@@ -140,7 +142,7 @@
 
     def require_owner(handle: Callable[[Dispatcher, AdminRequest], AdminReply]) -> Handler:
         def handle_as_owner(request: AdminRequest) -> AdminReply:
-            dispatcher = _loaded_dispatcher(get_leadership())
+            dispatcher = loaded_dispatcher(get_leadership())
             return reject(503, "NotOwner") if dispatcher is None else handle(dispatcher, request)
 
         return handle_as_owner
@@ -168,13 +170,22 @@
     return JobStateAnswer(state or "", dispatcher.is_loaded.is_set())
 
 
-def _loaded_dispatcher(leadership: Leadership) -> Dispatcher | None:
+def loaded_dispatcher(leadership: Leadership) -> Dispatcher | None:
+    """Return the dispatcher of this entry if it is the owner and has read all stored jobs."""
     dispatcher = leadership.dispatcher
     if dispatcher is None or dispatcher.is_stopped() or not dispatcher.is_loaded.is_set():
         return None
     return dispatcher
 
 
+def _hold_watch(dispatcher: Dispatcher, wait_s: float) -> None:
+    """Wait until the owner steps down or, if it is still loading, knows the stored jobs."""
+    changes = [dispatcher.stopped]
+    if not dispatcher.is_loaded.is_set():
+        changes.append(dispatcher.is_loaded)
+    wait(changes, wait_s, count=1)
+
+
 def _describe_owner(leadership: Leadership, incarnation: str) -> WatchAnswer:
     dispatcher = leadership.dispatcher
     if dispatcher is None or dispatcher.is_stopped():
@@ -186,4 +197,5 @@
         leadership.candidates(),
         dispatcher.pending_by_queue(),
         dispatcher.recorder.since_last_commit_s(),
+        dispatcher.is_loaded.is_set(),
     )
--- a/laburnumswitch/request/job_api.py
+++ b/laburnumswitch/request/job_api.py
@@ -39,6 +39,8 @@
 # Value of ``Retry-After``, in seconds, if the store is unavailable.
 STORE_RETRY_AFTER_S = 1
 CONFIGURATION_RETRY_AFTER_S = 1
+# The same if no owner has told the number of pending jobs.
+OWNER_RETRY_AFTER_S = 1
 ID_DIGITS = 16
 HEXADECIMAL = frozenset("0123456789abcdefABCDEF")
 
@@ -61,7 +63,7 @@
     def job_state(self, job_id: str) -> JobStateAnswer | Failure:
         """Return the state of a job as the owner knows it."""
 
-    def pending(self, queue: str) -> int:
+    def pending(self, queue: str) -> int | Failure:
         """Return the number of jobs of a queue that had not started at the owner's last report."""
 
 
@@ -110,7 +112,7 @@
     if not job_id:
         if request.method != "GET":
             return JobReply(405)
-        return JobReply(200, context.encode_pending(context.owner.pending(queue.name)))
+        return _get_pending(context, queue)
     if len(job_id) != ID_DIGITS or not HEXADECIMAL.issuperset(job_id):
         return JobReply(404)
     answer_by_method = {"POST": _submit, "GET": _get_state, "DELETE": _cancel}
@@ -133,6 +135,15 @@
     return reply
 
 
+def _get_pending(context: JobApiContext, queue: Queue) -> JobReply:
+    pending = context.owner.pending(queue.name)
+    if isinstance(pending, Failure):
+        # A number that may be too low would tell callers that their jobs have begun. Another entry
+        # may know it, so the caller does not wait here.
+        return JobReply(503, retry_after_s=OWNER_RETRY_AFTER_S)
+    return JobReply(200, context.encode_pending(pending))
+
+
 def _submit(
     context: JobApiContext, request: JobRequest, queue: Queue, job_id: str, deadline_s: float
 ) -> JobReply:
--- /dev/null
+++ b/tests/process/leadership/test_peer_api.py
@@ -0,0 +1,87 @@
+"""Answers of the owner to the entries that watch it."""
+
+from types import SimpleNamespace
+
+from gevent import spawn
+from gevent.event import Event
+from msgspec.json import decode
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from laburnumswitch.connection.lenient import decode_known_fields
+from laburnumswitch.process.leadership.messages import WatchAnswer
+from laburnumswitch.process.leadership.peer_api import make_leadership_peer_handler
+from laburnumswitch.process.leadership.peer_api import MAX_WATCH_WAIT_S
+from laburnumswitch.process.operating.admin import AdminRequest
+
+# Shorter than the owner holds a watch, by more than a busy machine delays a greenlet.
+ANSWER_LIMIT_S = MAX_WATCH_WAIT_S / 2
+
+
+class FakeDispatcher:
+    def __init__(self):
+        self.epoch = 7
+        self.stopped = Event()
+        self.is_loaded = Event()
+        self.pending = {}
+        self.recorder = SimpleNamespace(since_last_commit_s=lambda: 0.1)
+
+    def is_stopped(self):
+        return self.stopped.is_set()
+
+    def pending_by_queue(self):
+        return self.pending
+
+
+class TestWatch(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.dispatcher = FakeDispatcher()
+        self.watchers = []
+        self.leadership = SimpleNamespace(
+            dispatcher=self.dispatcher,
+            note_watcher=lambda vm_id, cpu_cores: self.watchers.append(vm_id),
+            candidates=lambda: tuple(self.watchers),
+        )
+        self.handle = make_leadership_peer_handler(lambda: self.leadership, "i1")
+
+    def _watch(self, wait_s):
+        query = {"vm": "vm-2", "cores": "2.0", "wait": str(wait_s)}
+        return self.handle(AdminRequest("GET", ("watch",), query, {}, b"")).body
+
+    def _watch_in_background(self):
+        greenlet = spawn(self._watch, MAX_WATCH_WAIT_S)
+        greenlet.join(0.05)
+        self.assertThat(greenlet.ready(), Equals(False))
+        return greenlet
+
+    def _answer(self, greenlet):
+        return decode_known_fields(greenlet.get(timeout=ANSWER_LIMIT_S), WatchAnswer)
+
+    def test_owner_that_is_still_loading_says_so(self):
+        answer = decode_known_fields(self._watch(0.0), WatchAnswer)
+        self.assertThat((answer.is_owner, answer.knows_jobs), Equals((True, False)))
+
+    def test_watch_is_answered_as_soon_as_the_owner_has_loaded(self):
+        """Watchers would otherwise not know the number of pending jobs for up to a second more."""
+        greenlet = self._watch_in_background()
+        self.dispatcher.pending = {"orders": 6}
+        self.dispatcher.is_loaded.set()
+        answer = self._answer(greenlet)
+        self.assertThat(answer.knows_jobs, Equals(True))
+        self.assertThat(answer.pending_by_queue, Equals({"orders": 6}))
+
+    def test_watch_is_answered_as_soon_as_an_owner_steps_down(self):
+        for is_loaded in (False, True):
+            self.dispatcher = self.leadership.dispatcher = FakeDispatcher()
+            if is_loaded:
+                self.dispatcher.is_loaded.set()
+            greenlet = self._watch_in_background()
+            self.dispatcher.stopped.set()
+            self.assertThat(self._answer(greenlet).is_owner, Equals(False))
+
+    def test_answer_of_the_previous_version_counts_as_known(self):
+        self.dispatcher.is_loaded.set()
+        fields = decode(self._watch(0.0))
+        answer = WatchAnswer(*fields[:6])
+        self.assertThat(answer.knows_jobs, Equals(True))
--- a/tests/request/test_job_api.py
+++ b/tests/request/test_job_api.py
@@ -58,7 +58,7 @@
         return Unavailable("away") if self.is_unavailable else JobStateAnswer(self.state, True)
 
     def pending(self, queue):
-        return 3
+        return Unavailable("still loading") if self.is_unavailable else 3
 
 
 class TestJobApi(TestCase):
@@ -172,6 +172,12 @@
         self.table.down = True
         self.assertThat(self._ask("GET").status, Equals(503))
 
+    def test_unknown_number_of_pending_jobs_is_not_reported_as_a_number(self):
+        self.owner.is_unavailable = True
+        reply = self._ask("GET", "/o/")
+        self.assertThat((reply.status, reply.body), Equals((503, b"")))
+        self.assertThat(reply.retry_after_s, GreaterThan(0))
+
     def test_cancel(self):
         self.assertThat(self._ask("DELETE").status, Equals(410))
         self._submit()
