Do not report numbers of pending jobs that are old

What callers saw: while no owner answered, as after its loss, entries gave the number of pending jobs from its last report, which may be from before the jobs in question were accepted. An entry that had just stopped being the owner gave the number from before its term.

Cause: an entry kept the last reported number without its time.

A report is now given to callers for two seconds; after that the answer is 503 until an owner reports again. In regular operation a report comes about every second, so one late answer to a watch does not show. The age counts the suspension of a VM. An owner that leaves gracefully notes its own numbers, since its entry answers callers for some seconds more.

--- a/laburnumswitch/process/leadership/leadership.py
+++ b/laburnumswitch/process/leadership/leadership.py
@@ -45,6 +45,9 @@
 # An entry without a rank, as at the first start, waits this long divided by its number of cores, so
 # that larger entries go first: the delay of one core, in seconds.
 FIRST_START_DELAY_CORE_S = 0.15
+# A number of pending jobs that was reported longer ago than this, in seconds, is not given to
+# callers. An owner reports it about every ``WATCH_WAIT_S``.
+PENDING_MAX_AGE_S = 2.0
 # Pause in seconds before a failed call is repeated.
 RETRY_S = 0.2
 # An owner hands over to a watcher with more than this many times the owner's cores.
@@ -113,18 +116,18 @@
 
     :ivar dispatcher: set while this entry is the owner.
     :ivar current_term: the term as last read or acquired.
-    :ivar pending_by_queue: pending jobs by queue, as an owner last reported them; ``None`` before
-        the first report.
+    :ivar pending_by_queue: pending jobs by queue, as an owner last reported them.
     """
 
     def __init__(self, context: LeadershipContext) -> None:
         self.dispatcher: Dispatcher | None = None
         self.current_term = Term()
-        self.pending_by_queue: dict[str, int] | None = None
+        self.pending_by_queue: dict[str, int] = {}
         self.watcher_by_vm: dict[str, Watcher] = {}
         self.takeovers = 0
         self._context = context
         self._candidates: tuple[str, ...] = ()
+        self._pending_reported_s = float("-inf")
 
     def run(self) -> None:
         """Follow the owner, or act as the owner, until the process stops."""
@@ -150,6 +153,8 @@
         dispatcher = self.dispatcher
         if dispatcher is None:
             return
+        if dispatcher.is_loaded.is_set() and not dispatcher.is_stopped():
+            self.note_pending(dispatcher.pending_by_queue())
         dispatcher.release()
         self.dispatcher = None
         self._context.log.note("ownership_released", str(dispatcher.epoch))
@@ -161,6 +166,14 @@
     def note_pending(self, pending_by_queue: dict[str, int]) -> None:
         """Record the numbers of pending jobs that an owner reported."""
         self.pending_by_queue = pending_by_queue
+        self._pending_reported_s = self._context.boot_clock()
+
+    def knows_pending(self) -> bool:
+        """Return whether the last report of pending jobs is recent enough for callers.
+
+        Jobs that are accepted while no owner reports would be missing in an old one.
+        """
+        return self._context.boot_clock() - self._pending_reported_s <= PENDING_MAX_AGE_S
 
     def candidates(self) -> tuple[str, ...]:
         """Return the entries that watch this owner, largest first."""
--- a/laburnumswitch/process/leadership/owner_link.py
+++ b/laburnumswitch/process/leadership/owner_link.py
@@ -84,10 +84,9 @@
         dispatcher = loaded_dispatcher(self._leadership)
         if dispatcher is not None:
             return dispatcher.pending_by_queue().get(queue, 0)
-        pending_by_queue = self._leadership.pending_by_queue
-        if pending_by_queue is None:
-            return Unavailable("no owner has reported its pending jobs")
-        return pending_by_queue.get(queue, 0)
+        if not self._leadership.knows_pending():
+            return Unavailable("no owner has reported its pending jobs recently")
+        return self._leadership.pending_by_queue.get(queue, 0)
 
     def _has_other_owner(self) -> bool:
         return self._leadership.current_term.owner not in (NO_OWNER, self._vm_id)
--- a/tests/process/leadership/test_leadership.py
+++ b/tests/process/leadership/test_leadership.py
@@ -55,6 +55,7 @@
         self.predecessor = predecessor
         self.recorder = FakeRecorder(table, held)
         self.stopped = Event()
+        self.is_loaded = Event()
         self.settled = predecessor is PredecessorState.ENDED
         self.predecessor_ended = False
 
--- a/tests/process/leadership/test_owner_link.py
+++ b/tests/process/leadership/test_owner_link.py
@@ -19,6 +19,7 @@
 from laburnumswitch.process.leadership.leadership import EntryIdentity
 from laburnumswitch.process.leadership.leadership import Leadership
 from laburnumswitch.process.leadership.leadership import LeadershipContext
+from laburnumswitch.process.leadership.leadership import PENDING_MAX_AGE_S
 from laburnumswitch.process.leadership.messages import WatchAnswer
 from laburnumswitch.process.leadership.owner_link import OwnerAccess
 from laburnumswitch.process.leadership.peer_api import make_leadership_peer_handler
@@ -60,6 +61,7 @@
             worker.drops_calls = True
         self.is_stopped = False
         self.addCleanup(setattr, self, "is_stopped", True)
+        self.elapsed_s = 0.0
         self.owner = self._make_entry("vm-1", None)
         handler = make_leadership_peer_handler(lambda: self.owner, "vm-1-i")
         self.peers = MemoryPeers(handler)
@@ -76,7 +78,7 @@
                 lambda *arguments: self.fail("the owner is not replaced"),
                 DecisionLog(vm_id, time, 1000),
                 monotonic,
-                monotonic,
+                lambda: monotonic() + self.elapsed_s,
                 sleep,
                 lambda: self.is_stopped,
             )
@@ -135,5 +137,26 @@
         self.assertThat(self.follower_access.pending(QUEUE.name), Equals(4))
         self.assertThat(self.follower_access.pending("other"), Equals(0))
 
+    def test_number_that_is_too_old_is_not_given(self):
+        """While no owner answers, the last number says nothing of the jobs accepted since."""
+        self._start_owner()
+        spawn(self.follower.run)
+        wait_until(lambda: self.follower_access.pending(QUEUE.name) == 0)
+        self.peers.is_cut = True
+        self._submit_jobs()
+        self.elapsed_s = PENDING_MAX_AGE_S + 2.0
+        wait_until(lambda: isinstance(self.follower_access.pending(QUEUE.name), Unavailable))
+
     def test_entry_gives_no_number_before_it_knows_an_owner(self):
         self.assertThat(self.follower_access.pending(QUEUE.name), IsInstance(Unavailable))
+
+    def test_owner_that_leaves_gives_its_last_number(self):
+        """It gave the number from before its term, which may be minutes old."""
+        self._submit_jobs()
+        self.owner.note_pending({QUEUE.name: 1})
+        self._start_owner()
+        wait_until(self.owner.dispatcher.is_loaded.is_set)
+        self.owner.release()
+        self.assertThat(self.owner_access.pending(QUEUE.name), Equals(JOB_COUNT))
+        self.elapsed_s = PENDING_MAX_AGE_S + 2.0
+        self.assertThat(self.owner_access.pending(QUEUE.name), IsInstance(Unavailable))
