Learn the pending jobs of a new owner without a held watch

What callers saw: for a second after an entry had noticed a new owner, it gave the number of pending jobs that the earlier owner had reported, or, by now, 503.

Cause: an owner holds each watch open for a second, also the first one of an entry, and the numbers come with its answer.

An entry now sends its first watch of an owner without a wait. The time limit stays that of a held watch, so a new owner that is slow to answer is not taken for silent any sooner. It is one more call for each entry and each change of the owner. Doing it at the owner, which could answer unknown watchers at once, would leave out an entry that restarts within a term.

--- a/laburnumswitch/process/leadership/leadership.py
+++ b/laburnumswitch/process/leadership/leadership.py
@@ -220,14 +220,17 @@
         if self.current_term.owner in (NO_OWNER, self._context.identity.vm_id):
             self._context.sleep(RETRY_S)
             return
-        answer = self._watch(self.current_term)
+        answer = self._watch(self.current_term, WATCH_WAIT_S)
         if isinstance(answer, Failure) or not answer.is_owner:
             self._context.sleep(RETRY_S)
 
     def _follow(self, observed: VersionedTerm) -> None:
         """Watch the owner until it was replaced or has to be replaced."""
+        # The owner may be new: what an earlier one reported is not kept while a watch is held.
+        wait_s = 0.0
         while not self._context.is_stopped():
-            answer = self._watch(observed.term)
+            answer = self._watch(observed.term, wait_s)
+            wait_s = WATCH_WAIT_S
             if isinstance(answer, ConnectionRefused):
                 self._take_over_if_unchanged(
                     observed, "refused", TAKEOVER_WAIT_S, PredecessorState.REFUSING
@@ -261,10 +264,11 @@
                 current, "stepped down", TAKEOVER_WAIT_S, PredecessorState.ENDED
             )
 
-    def _watch(self, term: Term) -> WatchAnswer | Failure:
+    def _watch(self, term: Term, wait_s: float) -> WatchAnswer | Failure:
         context = self._context
+        # A new owner may be slow to answer, so the time limit is that of a held watch in any case.
         answer = context.owner_client.watch(
-            term.address, context.identity, WATCH_WAIT_S, WATCH_WAIT_S + WATCH_SLACK_S
+            term.address, context.identity, wait_s, WATCH_WAIT_S + WATCH_SLACK_S
         )
         if not isinstance(answer, Failure) and answer.is_owner:
             self._candidates = answer.candidates
--- a/tests/process/leadership/test_leadership.py
+++ b/tests/process/leadership/test_leadership.py
@@ -1,5 +1,6 @@
 """Tests of leader election: entries that watch an owner and take over, on one in-memory table."""
 
+from collections import defaultdict
 from time import monotonic
 from time import time
 from types import SimpleNamespace
@@ -17,6 +18,7 @@
 from laburnumswitch.process.leadership.leadership import EntryIdentity
 from laburnumswitch.process.leadership.leadership import Leadership
 from laburnumswitch.process.leadership.leadership import LeadershipContext
+from laburnumswitch.process.leadership.leadership import WATCH_WAIT_S
 from laburnumswitch.process.leadership.messages import WatchAnswer
 from laburnumswitch.process.leadership.term import PredecessorState
 from laburnumswitch.process.leadership.term import read_term
@@ -85,8 +87,10 @@
         self.silent = set()
         self.unreachable = set()
         self.store_silent_s = 0.0
+        self.waits_by_watcher = defaultdict(list)
 
     def watch(self, address, identity, wait_s, timeout_s):
+        self.waits_by_watcher[identity.vm_id].append(wait_s)
         sleep(0.02)
         if address in self.refusing:
             return ConnectionRefused(address, "refused")
@@ -151,6 +155,19 @@
         wait_until(lambda: follower.pending_by_queue == {"orders": 2})
         return owner, follower
 
+    def test_first_watch_of_a_new_owner_is_not_held(self):
+        """The follower would otherwise keep what the earlier owner reported for a second more."""
+        owner, follower = self._owner_and_follower()
+        self._expect_first_watch_not_held("vm-2")
+        owner.release()
+        wait_until(lambda: follower.dispatcher is not None)
+        self._expect_first_watch_not_held("vm-1")
+
+    def _expect_first_watch_not_held(self, watcher):
+        waits = self.owner_client.waits_by_watcher[watcher]
+        wait_until(lambda: len(waits) >= 3)
+        self.assertThat(waits[:3], Equals([0.0, WATCH_WAIT_S, WATCH_WAIT_S]))
+
     def test_one_of_several_becomes_the_owner_at_the_first_start(self):
         entries = [self._add_entry(f"vm-{number}", 1.0) for number in range(4)]
         wait_until(lambda: any(each.dispatcher for each in entries))
