Count a job as pending until a worker has started a task

What callers saw: a job left the number of pending jobs when the owner sent its first start, and stayed out if that start was refused or never answered, although none of its tasks had begun. With silent or refusing workers the number was too low by all such jobs until they began.

Cause: `Job.begin_run` noted the begin, which runs before the start is sent, and the release of a run does not take it back.

The begin is now noted once a worker has answered the start, lists the run, or lists its end. A run that is adopted counts with the worker's next report, up to a second later; until then the number is too high by one job, which misleads nobody. What is sent and stored is as before.

Evidence: `test_job_is_pending_until_a_worker_has_started_a_task` failed before ({} instead of one job, while the only start was unanswered), and passes now, in six runs.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -384,7 +384,7 @@
         return job.state
 
     def pending_by_queue(self) -> dict[str, int]:
-        """Return the number of jobs of each queue of which no task has started."""
+        """Return the number of jobs of each queue of which no task is known to have started."""
         pending: dict[str, int] = {}
         for job in self.jobs_by_id.values():
             if not job.has_begun and not job.is_final():
@@ -545,6 +545,8 @@
         self.context.log.note(
             "run_ended", task_name(end.task), run=end.run, how=end.outcome, worker=worker.worker_id
         )
+        if job is not None:
+            job.has_begun = True
         was_final = job is not None and job.is_final()
         if not task or not self._accepts_end(task, end):
             self.wake.set()
--- a/laburnumswitch/process/dispatch/jobs.py
+++ b/laburnumswitch/process/dispatch/jobs.py
@@ -123,7 +123,7 @@
 class Job:
     """State of one submitted job.
 
-    :ivar has_begun: whether any owner is known to have started a task.
+    :ivar has_begun: whether a worker is known to have started a task.
     :ivar work: estimated core-seconds of one execution of the steps.
     :ivar critical_paths_s: for each step, the estimated duration of the critical path from its
         start to the end of the job.
@@ -172,7 +172,6 @@
         task.last_run = max(run, task.last_run)
         task.worker_id = worker_id
         self.step_state(task.key).active_count += 1
-        self.has_begun = True
         if self.state is JobState.QUEUED:
             self.state = JobState.RUNNING
 
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -442,6 +442,7 @@
         return
     if not isinstance(outcome, Failure):
         run.confirmed_s = now_s
+        job.has_begun = True
         if job.is_final():
             dispatcher.stop_run(worker, run, "the job has ended")
         else:
--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -212,7 +212,7 @@
         run_report = report_by_run.pop((run.task, run.number), None)
         if run_report is not None:
             run.update(run_report, now_s)
-            _keep_checkpoint(dispatcher, run_report)
+            _note_running(dispatcher, run_report)
             if run.is_stopping and now_s - run.stop_sent_s > STOP_REPEAT_S:
                 dispatcher.stop_run(worker, run, "repeated: still running after the first stop")
         elif report.may_have_more_ends:
@@ -229,12 +229,13 @@
     )
 
 
-def _keep_checkpoint(dispatcher: Dispatcher, report: RunReport) -> None:
-    if not report.checkpoint:
-        return
+def _note_running(dispatcher: Dispatcher, report: RunReport) -> None:
     job = dispatcher.jobs_by_id.get(report.task.job_id)
-    task = job and job.task(report.task)
-    if task:
+    if job is None:
+        return
+    job.has_begun = True
+    task = job.task(report.task)
+    if task and report.checkpoint:
         task.checkpoint = report.checkpoint
 
 
--- a/tests/process/dispatch/test_dispatcher.py
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -15,6 +15,7 @@
 from testtools.matchers import LessThan
 from testtools.matchers import Not
 
+from laburnumswitch.exceptions import Throttled
 from laburnumswitch.process.dispatch.dispatcher import ORPHAN_WAIT_S
 from laburnumswitch.process.dispatch.fleet import MIN_CLOCK_RATE
 from laburnumswitch.process.dispatch.fleet import Worker
@@ -116,6 +117,24 @@
         self.assertThat(self.harness.checker.start_count, Equals(0))
         self.assertThat(self.owner.reported_state("j1"), Equals(JobState.CANCELLED))
 
+    def test_job_is_pending_until_a_worker_has_started_a_task(self):
+        """A start that no worker answers, or that is refused, was counted as the job's begin."""
+        wait_until(lambda: len(usable_workers(self.owner, "shop")) == 2)
+        for worker in self.harness.worker_by_id.values():
+            worker.drops_calls = True
+        self.harness.submit(make_submission("j1", LONG), self.owner)
+        wait_until(lambda: self.owner.counters.uncertain_starts > 0)
+        self.assertThat(self.owner.pending_by_queue(), Equals({"orders": 1}))
+        for worker in self.harness.worker_by_id.values():
+            worker.start = lambda order, timeout_s: Throttled(1.0)
+            worker.drops_calls = False
+        wait_until(lambda: self.owner.counters.refused_starts > 0)
+        self.assertThat(self.owner.pending_by_queue(), Equals({"orders": 1}))
+        for worker in self.harness.worker_by_id.values():
+            del worker.start
+        wait_until(lambda: self.owner.pending_by_queue() == {})
+        self.assertThat(self.harness.checker.start_count, Equals(1))
+
     def test_attempts_are_bounded(self):
         for worker in self.harness.worker_by_id.values():
             worker.fails_runs = True
