--- a/laburnumswitch/process/leadership/leadership.py
+++ b/laburnumswitch/process/leadership/leadership.py
@@ -45,6 +45,9 @@
 # An entry without a rank, as at the first start, waits this long divided by its number of cores, so
 # that larger entries go first: the delay of one core, in seconds.
 FIRST_START_DELAY_CORE_S = 0.15
+# A number of pending jobs that was reported longer ago than this, in seconds, is not given to
+# callers. An owner reports it about every ``WATCH_WAIT_S``.
+PENDING_MAX_AGE_S = 2.0
 # Pause in seconds before a failed call is repeated.
 RETRY_S = 0.2
 # An owner hands over to a watcher with more than this many times the owner's cores.
@@ -113,7 +116,7 @@
 
     :ivar dispatcher: set while this entry is the owner.
     :ivar current_term: the term as last read or acquired.
-    :ivar pending_by_queue: pending jobs by queue, as the owner last reported them.
+    :ivar pending_by_queue: pending jobs by queue, as an owner last reported them.
     """
 
     def __init__(self, context: LeadershipContext) -> None:
@@ -124,6 +127,7 @@
         self.takeovers = 0
         self._context = context
         self._candidates: tuple[str, ...] = ()
+        self._pending_reported_s = float("-inf")
 
     def run(self) -> None:
         """Follow the owner, or act as the owner, until the process stops."""
@@ -149,6 +153,8 @@
         dispatcher = self.dispatcher
         if dispatcher is None:
             return
+        if dispatcher.is_loaded.is_set() and not dispatcher.is_stopped():
+            self.note_pending(dispatcher.pending_by_queue())
         dispatcher.release()
         self.dispatcher = None
         self._context.log.note("ownership_released", str(dispatcher.epoch))
@@ -157,6 +163,18 @@
         """Record that an entry watches this owner."""
         self.watcher_by_vm[vm_id] = Watcher(cpu_cores, self._context.clock())
 
+    def note_pending(self, pending_by_queue: dict[str, int]) -> None:
+        """Record the numbers of pending jobs that an owner reported."""
+        self.pending_by_queue = pending_by_queue
+        self._pending_reported_s = self._context.boot_clock()
+
+    def knows_pending(self) -> bool:
+        """Return whether the last report of pending jobs is recent enough for callers.
+
+        Jobs that are accepted while no owner reports would be missing in an old one.
+        """
+        return self._context.boot_clock() - self._pending_reported_s <= PENDING_MAX_AGE_S
+
     def candidates(self) -> tuple[str, ...]:
         """Return the entries that watch this owner, largest first."""
         ranked = [(-cpu_cores, vm_id) for vm_id, cpu_cores in self._cpu_cores_by_watcher().items()]
@@ -202,14 +220,17 @@
         if self.current_term.owner in (NO_OWNER, self._context.identity.vm_id):
             self._context.sleep(RETRY_S)
             return
-        answer = self._watch(self.current_term)
+        answer = self._watch(self.current_term, WATCH_WAIT_S)
         if isinstance(answer, Failure) or not answer.is_owner:
             self._context.sleep(RETRY_S)
 
     def _follow(self, observed: VersionedTerm) -> None:
         """Watch the owner until it was replaced or has to be replaced."""
+        # The owner may be new: what an earlier one reported is not kept while a watch is held.
+        wait_s = 0.0
         while not self._context.is_stopped():
-            answer = self._watch(observed.term)
+            answer = self._watch(observed.term, wait_s)
+            wait_s = WATCH_WAIT_S
             if isinstance(answer, ConnectionRefused):
                 self._take_over_if_unchanged(
                     observed, "refused", TAKEOVER_WAIT_S, PredecessorState.REFUSING
@@ -243,14 +264,16 @@
                 current, "stepped down", TAKEOVER_WAIT_S, PredecessorState.ENDED
             )
 
-    def _watch(self, term: Term) -> WatchAnswer | Failure:
+    def _watch(self, term: Term, wait_s: float) -> WatchAnswer | Failure:
         context = self._context
+        # A new owner may be slow to answer, so the time limit is that of a held watch in any case.
         answer = context.owner_client.watch(
-            term.address, context.identity, WATCH_WAIT_S, WATCH_WAIT_S + WATCH_SLACK_S
+            term.address, context.identity, wait_s, WATCH_WAIT_S + WATCH_SLACK_S
         )
         if not isinstance(answer, Failure) and answer.is_owner:
             self._candidates = answer.candidates
-            self.pending_by_queue = answer.pending_by_queue
+            if answer.knows_jobs:
+                self.note_pending(answer.pending_by_queue)
         return answer
 
     def _take_over_if_unchanged(
--- a/laburnumswitch/process/leadership/owner_link.py
+++ b/laburnumswitch/process/leadership/owner_link.py
@@ -8,6 +8,7 @@
 from laburnumswitch.process.leadership.leadership import Leadership
 from laburnumswitch.process.leadership.messages import JobStateAnswer
 from laburnumswitch.process.leadership.peer_api import describe_job
+from laburnumswitch.process.leadership.peer_api import loaded_dispatcher
 from laburnumswitch.process.leadership.peer_api import PeerClient
 from laburnumswitch.process.leadership.term import NO_OWNER
 
@@ -73,11 +74,18 @@
             return Unavailable("no owner known")
         return self._peers.job_state(self._leadership.current_term.address, job_id)
 
-    def pending(self, queue: str) -> int:
-        """Return the number of a queue's jobs that had not started, as the owner last reported."""
-        dispatcher = self._leadership.dispatcher
+    def pending(self, queue: str) -> int | Failure:
+        """Return the number of a queue's jobs that had not started, as an owner last reported.
+
+        An owner that is still loading gives the number that its predecessor reported.
+
+        :return: a failure if no number is known, which is not to be taken for none.
+        """
+        dispatcher = loaded_dispatcher(self._leadership)
         if dispatcher is not None:
             return dispatcher.pending_by_queue().get(queue, 0)
+        if not self._leadership.knows_pending():
+            return Unavailable("no owner has reported its pending jobs recently")
         return self._leadership.pending_by_queue.get(queue, 0)
 
     def _has_other_owner(self) -> bool:
