Run the soak's workers as processes and check what they record

Each worker is now a process behind a proxy. It registers itself, counts on a clock of its own, takes up to 0.4 s to end a run, may carry out calls late, and appends each fact to a record file with one write. The check reads the records; run ends of a killed process are the time at which it was gone. The emulated worker keys its runs by task and number: a start of a higher number beside a lower one is carried out and reported, before it was acknowledged and ignored.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -16,6 +16,8 @@
 from soak.callers import Callers
 from soak.callers import submit_jobs
 from soak.cluster import Cluster
+from soak.faults import choose_faults
+from soak.faults import FAULTS
 from soak.faults import inject_faults
 from standin.fleet.invariant_checker import Violation
 
@@ -40,9 +42,15 @@
 
 
 def run_seed(
-    seed: int, seconds: float, entries: int, workers: int, first_port: int, folder: Path
+    seed: int,
+    seconds: float,
+    entries: int,
+    workers: int,
+    first_port: int,
+    folder: Path,
+    fault_names: tuple[str, ...] = (),
 ) -> SeedResult:
-    """Run one seed and return its result."""
+    """Run one seed and return its result; only the named faults are injected, if any."""
     random = Random(seed)
     cluster = Cluster(folder, entries, workers, first_port, random)
     faults: list[str] = []
@@ -61,17 +69,13 @@
         ]
         for number in range(CONCURRENT_FAULTS):
             fault_random = Random(seed * 1000 + number)
-            greenlets.append(spawn(inject_faults, cluster, fault_random, is_over, faults))
+            chosen = choose_faults(fault_names)
+            greenlets.append(spawn(inject_faults, cluster, fault_random, chosen, is_over, faults))
         joinall(greenlets)
         cluster.end_faults()
         _await_completion(cluster, callers)
-        return SeedResult(
-            seed,
-            len(callers.accepted),
-            cluster.checker.start_count,
-            faults,
-            cluster.checker.violations,
-        )
+        starts = cluster.check_runs()
+        return SeedResult(seed, len(callers.accepted), starts, faults, cluster.checker.violations)
     finally:
         cluster.stop()
 
@@ -85,7 +89,7 @@
         for job_id in sorted(pending_ids):
             state = state_by_id[job_id] = callers.read_state(job_id)
             if state == JobState.COMPLETED:
-                cluster.checker.check_completed(monotonic(), job_id)
+                cluster.record_completed(job_id)
                 pending_ids.discard(job_id)
             elif state == JobState.FAILED:
                 # Legitimate: a worker that fails all its runs may use up a job's attempts.
@@ -100,11 +104,25 @@
 @click.option("--count", default=1, show_default=True, help="Number of seeds.")
 @click.option("--seconds", default=20.0, show_default=True, help="Time of each seed with faults.")
 @click.option("--entries", default=4, show_default=True)
-@click.option("--workers", default=8, show_default=True)
+@click.option("--workers", default=24, show_default=True)
 @click.option("--first-port", default=21_000, show_default=True)
 @click.option("--folder", default="", help="Folder for the logs; a new temporary one by default.")
+@click.option(
+    "--fault",
+    "fault_names",
+    multiple=True,
+    type=click.Choice([fault.__name__ for fault in FAULTS]),
+    help="Inject only this fault; may be repeated. All faults by default.",
+)
 def main(
-    seed: int, count: int, seconds: float, entries: int, workers: int, first_port: int, folder: str
+    seed: int,
+    count: int,
+    seconds: float,
+    entries: int,
+    workers: int,
+    first_port: int,
+    folder: str,
+    fault_names: tuple[str, ...],
 ) -> None:
     """Run the soak and exit with 1 where a promise was broken."""
     root = Path(folder or mkdtemp(prefix="soak-"))
@@ -112,7 +130,7 @@
     for number in range(seed, seed + count):
         seed_folder = root / str(number)
         seed_folder.mkdir(parents=True, exist_ok=True)
-        result = run_seed(number, seconds, entries, workers, first_port, seed_folder)
+        result = run_seed(number, seconds, entries, workers, first_port, seed_folder, fault_names)
         outcome = "BROKEN" if result.violations else "kept"
         click.echo(
             f"seed {number}: {outcome}, {result.accepted} jobs accepted, {result.starts} starts, "
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -14,6 +14,7 @@
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.job_spec import Submission
 from standin.fleet.invariant_checker import InvariantChecker
+from standin.fleet.worker_process import encode_steps
 
 HOST = "jobs.example"
 PATH_PREFIX = "/jobs/"
@@ -81,7 +82,8 @@
                     checkpoints=random.random() < 0.5,
                 )
             )
-        return Submission(f"{random.getrandbits(64):016x}", "jobs", "spec", tuple(steps), time())
+        spec = encode_steps(tuple(steps))
+        return Submission(f"{random.getrandbits(64):016x}", "jobs", spec, tuple(steps), time())
 
     def _submit_with_retries(self, submission: Submission) -> int:
         steps = [
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -3,7 +3,6 @@
 from pathlib import Path
 from random import Random
 from time import monotonic
-from time import time
 
 from gevent import sleep
 from gevent import spawn
@@ -14,68 +13,45 @@
 from soak.callers import HOST
 from soak.callers import PATH_PREFIX
 from soak.entries import EntryProcess
+from soak.entries import PORTS_PER_ENTRY
 from soak.entries import write_settings
 from soak.proxy import Mode
 from soak.proxy import Proxy
-from standin.fleet.api import make_worker_handler
+from soak.workers import EmulatedWorker
+from soak.workers import WorkerConfig
 from standin.fleet.api import StoreApi
 from standin.fleet.api import VmListApi
 from standin.fleet.feed_table import FeedMemoryTable
 from standin.fleet.invariant_checker import InvariantChecker
-from standin.fleet.worker import FleetWorker
+from standin.fleet.registration import Registration
+from standin.fleet.run_records import find_violations
 from standin.server import bound_address
 from standin.server import start_server
 
 SERVICE = "shop"
-HEARTBEAT_INTERVAL_S = 1.0
+# Pause between two searches for workers that send no heartbeat.
+REMOVAL_INTERVAL_S = 0.2
 ZONES = ("a", "b", "c")
 WORKERS_PER_RACK = 4
 
 
-class EmulatedWorker:
-    """A ``FleetWorker`` behind an HTTP server and a proxy."""
-
-    def __init__(self, number: int, checker: InvariantChecker, random: Random) -> None:
-        listing = WorkerListing(
-            worker_id=f"w{number}",
-            service=SERVICE,
-            address="",
-            availability_zone=ZONES[number % len(ZONES)],
-            is_draining=False,
-            cpu_millis=6000,
-            memory_mb=8000,
-            accelerators=0,
-            # Two labels without values; the second one is the rack.
-            labels=("kind", f"r{number // WORKERS_PER_RACK}"),
-            rack=f"r{number // WORKERS_PER_RACK}",
-            incarnation=int(time() * 1000),
-            vm_id=f"vm-{number}",
-        )
-        self.fleet_worker = FleetWorker(listing, checker, monotonic, random)
-        self._server = start_server("127.0.0.1:0", make_worker_handler(self.fleet_worker))
-        self.proxy = Proxy(bound_address(self._server))
-        self.sends_heartbeats = True
-
-    def row(self, seq: int) -> Put:
-        """Return the row with which the worker registers in the store."""
-        listing = self.fleet_worker.listing
-        value = {
-            "service": listing.service,
-            "address": self.proxy.address,
-            "zone": listing.availability_zone,
-            "state": "ready",
-            "capacity": {"cpu": listing.cpu_millis, "memMb": listing.memory_mb, "gpu": 0},
-            "labels": listing.labels,
-            "born": listing.incarnation,
-            "machine": listing.vm_id,
-            "seq": seq,
-        }
-        return Put(f"servers/{listing.worker_id}", value)
-
-    def stop(self) -> None:
-        """Stop the proxy and the server."""
-        self.proxy.stop()
-        self._server.stop(0)
+def _make_listing(number: int) -> WorkerListing:
+    rack = f"r{number // WORKERS_PER_RACK}"
+    return WorkerListing(
+        worker_id=f"w{number}",
+        service=SERVICE,
+        address="",
+        availability_zone=ZONES[number % len(ZONES)],
+        is_draining=False,
+        cpu_millis=6000,
+        memory_mb=8000,
+        accelerators=0,
+        # Two labels without values; the second one is the rack.
+        labels=("kind", rack),
+        rack=rack,
+        incarnation=0,
+        vm_id=f"vm-{number}",
+    )
 
 
 class Cluster:
@@ -91,8 +67,19 @@
         self.table = FeedMemoryTable()
         self.store = StoreApi(self.table)
         self._store_server = start_server("127.0.0.1:0", self.store.handle)
-        self.workers = [EmulatedWorker(number, self.checker, random) for number in range(workers)]
-        self.vm_list = VmListApi([worker.fleet_worker for worker in self.workers])
+        self.registration = Registration(self.table)
+        self._registration_server = start_server("127.0.0.1:0", self.registration.handle)
+        self.workers: list[EmulatedWorker] = []
+        for number in range(workers):
+            port = first_port + entries * PORTS_PER_ENTRY + number
+            worker_config = WorkerConfig(
+                _make_listing(number),
+                f"127.0.0.1:{port}",
+                bound_address(self._registration_server),
+                folder,
+            )
+            self.workers.append(EmulatedWorker(worker_config, random))
+        self.vm_list = VmListApi(self.workers)
         self._vm_list_server = start_server("127.0.0.1:0", self.vm_list.handle)
         self.entries: list[EntryProcess] = []
         for number in range(entries):
@@ -101,12 +88,15 @@
             addresses = (proxy.address, bound_address(self._vm_list_server))
             config = write_settings(folder, number, first_port, zone, *addresses)
             self.entries.append(EntryProcess(config, proxy))
+        self._completed_s_by_id: dict[str, float] = {}
         self._is_stopped = False
 
     def start(self) -> None:
-        """Publish a configuration, start the worker heartbeats and start the entries."""
+        """Publish a configuration, and start the workers and the entries."""
         self.publish(1)
-        spawn(self._send_heartbeats)
+        for worker in self.workers:
+            worker.start()
+        spawn(self._remove_silent_workers)
         for entry in self.entries:
             entry.start()
 
@@ -140,17 +130,15 @@
             self.set_zone(zone, False)
         for worker in self.workers:
             worker.proxy.set_mode(Mode.PASS)
-            if worker.fleet_worker.is_crashed:
-                worker.fleet_worker.restart()
-            worker.fleet_worker.drops_answers = worker.fleet_worker.drops_calls = (
-                worker.fleet_worker.fails_runs
-            ) = False
+            worker.resume()
+            worker.start()
+            worker.set_switches(drops_answers=False, fails_runs=False, late_share=0.0)
         for entry in self.entries:
             entry.store_proxy.set_mode(Mode.PASS)
             entry.start()
 
     def stop(self) -> None:
-        """Kill the entries and close every proxy and server."""
+        """Kill the entries and the workers and close every proxy and server."""
         self._is_stopped = True
         for entry in self.entries:
             entry.kill()
@@ -158,17 +146,22 @@
         for worker in self.workers:
             worker.stop()
         self._store_server.stop(0)
+        self._registration_server.stop(0)
         self._vm_list_server.stop(0)
 
-    def _send_heartbeats(self) -> None:
-        seq = 0
+    def record_completed(self, job_id: str) -> None:
+        """Record that a job was shown as completed just now."""
+        self._completed_s_by_id.setdefault(job_id, monotonic())
+
+    def check_runs(self) -> int:
+        """Check what the workers have recorded, and return the number of starts."""
+        runs = [run for worker in self.workers for run in worker.recorded_runs()]
+        self.checker.violations += find_violations(
+            runs, self.checker.submission_by_id, self._completed_s_by_id
+        )
+        return len(runs)
+
+    def _remove_silent_workers(self) -> None:
         while not self._is_stopped:
-            seq += 1
-            rows = tuple(
-                worker.row(seq)
-                for worker in self.workers
-                if worker.sends_heartbeats and not worker.fleet_worker.is_crashed
-            )
-            if not self.table.down:
-                self.table.commit(Transaction((), rows))
-            sleep(HEARTBEAT_INTERVAL_S)
+            self.registration.remove_silent()
+            sleep(REMOVAL_INTERVAL_S)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,6 +13,14 @@
 MAX_DURATION_S = 5.0
 # Longest pause between two faults.
 MAX_PAUSE_S = 2.0
+# Pauses of a worker, some of which outlast its lease of 6 s.
+MIN_PAUSE_S = 0.2
+MAX_WORKER_PAUSE_S = 9.0
+# Time between the restarts of two workers, one after the other.
+MIN_RESTART_PAUSE_S = 0.2
+MAX_RESTART_PAUSE_S = 0.6
+# Part of the calls that a worker carries out late.
+LATE_SHARE = 0.1
 
 Fault = Callable[[Cluster, Random, float], None]
 
@@ -80,16 +88,63 @@
 
 
 def restart_worker(cluster: Cluster, random: Random, duration_s: float) -> None:
-    """Restart one worker under the same id; it loses its runs."""
-    random.choice(cluster.workers).fleet_worker.restart()
+    """Send SIGKILL to one worker and start it at once under the same id; it loses its runs."""
+    random.choice(cluster.workers).restart()
 
 
 def crash_worker(cluster: Cluster, random: Random, duration_s: float) -> None:
-    """Crash one worker, and restart it under the same id after the duration."""
-    worker = random.choice(cluster.workers).fleet_worker
-    worker.crash()
+    """Send SIGKILL to one worker and start it under the same id after the duration."""
+    worker = random.choice(cluster.workers)
+    worker.kill()
+    sleep(duration_s)
+    worker.start()
+
+
+def restart_workers_in_turn(cluster: Cluster, random: Random, duration_s: float) -> None:
+    """Restart many workers one after the other."""
+    for worker in random.sample(cluster.workers, len(cluster.workers) // 2):
+        worker.restart()
+        sleep(random.uniform(MIN_RESTART_PAUSE_S, MAX_RESTART_PAUSE_S))
+
+
+def restart_workers_together(cluster: Cluster, random: Random, duration_s: float) -> None:
+    """Send SIGKILL to several workers at once and start them again."""
+    killed = random.sample(cluster.workers, random.randint(2, len(cluster.workers) // 2))
+    for worker in killed:
+        worker.kill()
+    sleep(random.choice((0.0, duration_s)))
+    for worker in killed:
+        worker.start()
+
+
+def pause_worker(cluster: Cluster, random: Random, duration_s: float) -> None:
+    """Pause one worker with SIGSTOP, also for longer than a lease, and resume it."""
+    worker = random.choice(cluster.workers)
+    worker.pause()
+    sleep(random.uniform(MIN_PAUSE_S, MAX_WORKER_PAUSE_S))
+    worker.resume()
+
+
+def delay_orders(cluster: Cluster, random: Random, duration_s: float) -> None:
+    """Make several workers carry out a part of the calls seconds later, without an answer."""
+    delayed = random.sample(cluster.workers, max(1, len(cluster.workers) // 4))
+    for worker in delayed:
+        worker.set_switches(late_share=LATE_SHARE)
     sleep(duration_s)
-    worker.restart()
+    for worker in delayed:
+        worker.set_switches(late_share=0.0)
+
+
+def restart_unreachable_worker(cluster: Cluster, random: Random, duration_s: float) -> None:
+    """Restart one worker while its link drops the traffic of one way or of both ways."""
+    worker = random.choice(cluster.workers)
+    worker.proxy.set_mode(random.choice((Mode.SILENT, Mode.ONE_WAY)))
+    sleep(duration_s / 2)
+    worker.kill()
+    sleep(random.choice((0.0, duration_s / 2)))
+    worker.start()
+    sleep(random.choice((0.0, duration_s / 2)))
+    worker.proxy.set_mode(Mode.PASS)
 
 
 def stop_vm_list(cluster: Cluster, random: Random, duration_s: float) -> None:
@@ -102,17 +157,17 @@
 def fail_worker(cluster: Cluster, random: Random, duration_s: float) -> None:
     """Make one worker fail every run that it starts."""
     worker = random.choice(cluster.workers)
-    worker.fleet_worker.fails_runs = True
+    worker.set_switches(fails_runs=True)
     sleep(duration_s)
-    worker.fleet_worker.fails_runs = False
+    worker.set_switches(fails_runs=False)
 
 
 def silence_worker(cluster: Cluster, random: Random, duration_s: float) -> None:
     """Make one worker execute commands without answering them."""
     worker = random.choice(cluster.workers)
-    worker.fleet_worker.drops_answers = True
+    worker.set_switches(drops_answers=True)
     sleep(duration_s)
-    worker.fleet_worker.drops_answers = False
+    worker.set_switches(drops_answers=False)
 
 
 def stop_store(cluster: Cluster, random: Random, duration_s: float) -> None:
@@ -164,6 +219,11 @@
     disrupt_worker_link,
     restart_worker,
     crash_worker,
+    restart_workers_in_turn,
+    restart_workers_together,
+    pause_worker,
+    delay_orders,
+    restart_unreachable_worker,
     fail_worker,
     silence_worker,
     stop_store,
@@ -176,15 +236,24 @@
 )
 
 
+def choose_faults(names: tuple[str, ...]) -> tuple[Fault, ...]:
+    """Return the faults of the given names, or all of them if there are none."""
+    return tuple(fault for fault in FAULTS if not names or fault.__name__ in names)
+
+
 def inject_faults(
-    cluster: Cluster, random: Random, is_finished: Callable[[], bool], injected: list[str]
+    cluster: Cluster,
+    random: Random,
+    faults: tuple[Fault, ...],
+    is_finished: Callable[[], bool],
+    injected: list[str],
 ) -> None:
     """Inject random faults one after the other. Run it several times for overlapping faults."""
     while not is_finished():
         sleep(random.uniform(0.0, MAX_PAUSE_S))
         if is_finished():
             return
-        fault = random.choice(FAULTS)
+        fault = random.choice(faults)
         duration_s = random.uniform(MIN_DURATION_S, MAX_DURATION_S)
         injected.append(f"{fault.__name__} {duration_s:.2f}")
         fault(cluster, random, duration_s)
--- /dev/null
+++ b/soak/workers.py
@@ -0,0 +1,131 @@
+"""Worker processes on loopback. Signals are sent only to processes that were started here."""
+
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from random import Random
+from time import monotonic
+from typing import NamedTuple
+
+from gevent import sleep
+from msgspec.json import encode
+from msgspec.structs import replace
+
+from laburnumswitch.process.dispatch.worker_protocol import WorkerListing
+from soak.entries import REPOSITORY
+from soak.proxy import Proxy
+from standin.fleet.run_records import collect_runs
+from standin.fleet.run_records import read_facts
+from standin.fleet.run_records import RecordedRun
+from standin.fleet.worker_process import Switches
+from standin.fleet.worker_process import write_fact
+
+MIN_CLOCK_RATE = 0.98
+STOP_POLL_S = 0.001
+
+
+class WorkerConfig(NamedTuple):
+    """Identity, addresses and files of one worker; ``listing`` has no address."""
+
+    listing: WorkerListing
+    listen_address: str
+    store_address: str
+    folder: Path
+
+
+class EmulatedWorker:
+    """A worker process behind a proxy; each start of it draws a new clock rate."""
+
+    def __init__(self, config: WorkerConfig, random: Random) -> None:
+        self.proxy = Proxy(config.listen_address)
+        self.listing = config.listing._replace(address=self.proxy.address)
+        self.switches = Switches()
+        self.is_paused = False
+        self._config = config
+        self._random = random
+        self._process: subprocess.Popen | None = None
+        prefix = config.folder / self.listing.worker_id
+        self._record_path = prefix.with_suffix(".jsonl")
+        self._control_path = prefix.with_suffix(".control")
+        self._log_path = prefix.with_suffix(".log")
+        self.set_switches()
+
+    @property
+    def is_crashed(self) -> bool:
+        """Return whether the process is not running."""
+        return self._process is None or self._process.poll() is not None
+
+    def start(self) -> None:
+        """Start the process unless it is running."""
+        if not self.is_crashed:
+            return
+        command = [sys.executable, "-m", "standin.fleet.worker_process"]
+        options = {
+            "listing": encode(self.listing).decode(),
+            "listen": self._config.listen_address,
+            "store": self._config.store_address,
+            "record-file": self._record_path,
+            "control-file": self._control_path,
+            "clock-rate": self._random.uniform(MIN_CLOCK_RATE, 1.0),
+            "seed": self._random.getrandbits(32),
+        }
+        command += [f"--{name}={value}" for name, value in options.items()]
+        with self._log_path.open("ab") as log:
+            self._process = subprocess.Popen(command, cwd=REPOSITORY, stdout=log, stderr=log)
+        self.is_paused = False
+
+    def kill(self) -> None:
+        """Kill the process, wait until it has exited and record that."""
+        if self.is_crashed:
+            return
+        self._process.kill()
+        self._process.wait()
+        self._record("gone")
+
+    def restart(self) -> None:
+        """Kill the process and start it again at once under the same id."""
+        self.kill()
+        self.start()
+
+    def pause(self) -> None:
+        """Stop the process with SIGSTOP and record when it has stopped."""
+        if self.is_crashed or self.is_paused:
+            return
+        process = self._process
+        self.is_paused = True
+        process.send_signal(signal.SIGSTOP)
+        stat_path = Path(f"/proc/{process.pid}/stat")
+        while process.poll() is None:
+            if stat_path.read_text(encoding="ascii").rpartition(")")[2].split()[0] == "T":
+                self._record("paused")
+                return
+            sleep(STOP_POLL_S)
+
+    def resume(self) -> None:
+        """Continue the process after a pause."""
+        if self.is_crashed or not self.is_paused:
+            return
+        self.is_paused = False
+        self._record("resumed")
+        self._process.send_signal(signal.SIGCONT)
+
+    def set_switches(self, **changes: float) -> None:
+        """Change fault switches of the process, also for its next starts."""
+        self.switches = replace(self.switches, **changes)
+        # Replaced as a whole: the process must not read a half-written file.
+        new_path = self._control_path.with_suffix(".new")
+        new_path.write_bytes(encode(self.switches))
+        new_path.replace(self._control_path)
+
+    def recorded_runs(self) -> list[RecordedRun]:
+        """Return the runs that the process has recorded so far."""
+        return collect_runs(read_facts(self._record_path))
+
+    def stop(self) -> None:
+        """Stop the proxy and kill the process."""
+        self.proxy.stop()
+        self.kill()
+
+    def _record(self, fact: str) -> None:
+        write_fact(self._record_path, fact, monotonic(), {})
--- a/standin/fleet/api.py
+++ b/standin/fleet/api.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 from typing import Any
+from typing import Protocol
 
 from gevent import sleep
 from msgspec.json import decode
@@ -19,6 +20,7 @@
 from laburnumswitch.platform.workers import parse_task_id
 from laburnumswitch.process.dispatch.worker_protocol import Renewal
 from laburnumswitch.process.dispatch.worker_protocol import StartCommand
+from laburnumswitch.process.dispatch.worker_protocol import WorkerListing
 from laburnumswitch.process.dispatch.worker_protocol import WorkerReport
 from laburnumswitch.process.rows.table import Condition
 from laburnumswitch.process.rows.table import Put
@@ -131,13 +133,20 @@
         return {**encoded, "value": b64encode(encode(row.value)).decode()}
 
 
+class ListedWorker(Protocol):
+    """What the list of VMs shows of a worker, which may be an emulated one or a process."""
+
+    listing: WorkerListing
+    is_crashed: bool
+
+
 class VmListApi:
     """HTTP interface of the list of VMs, one for each worker.
 
     ``page_rows`` is the size of a page, ``is_down`` makes it refuse every call.
     """
 
-    def __init__(self, workers: Sequence[FleetWorker], page_rows: int = 200) -> None:
+    def __init__(self, workers: Sequence[ListedWorker], page_rows: int = 200) -> None:
         self.workers = workers
         self.page_rows = page_rows
         self.is_down = False
@@ -156,7 +165,7 @@
         next_token = str(end) if end < len(self.workers) else None
         return json_reply({"machines": rows, "nextToken": next_token})
 
-    def _encode_vm(self, worker: FleetWorker) -> dict[str, Any]:
+    def _encode_vm(self, worker: ListedWorker) -> dict[str, Any]:
         listing = worker.listing
         return {
             "machine": listing.vm_id,
@@ -186,7 +195,7 @@
             "/v1/pace": _pace,
         }[call.path](worker, body)
         if isinstance(answer, StartRefused):
-            return Reply(409, encode({"clockMs": 0, "reason": answer.reason}))
+            return Reply(409, encode({"clockMs": worker.clock_ms(), "reason": answer.reason}))
         if isinstance(answer, Failure):
             raise AnswerDroppedError
         if isinstance(answer, WorkerReport):
--- a/standin/fleet/feed_table.py
+++ b/standin/fleet/feed_table.py
@@ -40,6 +40,14 @@
             return OutcomeUnknown("answer lost, commit delayed")
         return super().commit(transaction)
 
+    def commit_unharmed(self, transaction: Transaction) -> Committed | CommitFailure:
+        """Commit at once and with an answer, which leaves the faults to the commits of others."""
+        faults = self.delayed_commits, self.lose_answers
+        self.delayed_commits = self.lose_answers = 0
+        outcome = super().commit(transaction)
+        self.delayed_commits, self.lose_answers = faults
+        return outcome
+
     def apply_delayed_commits(self) -> int:
         """Apply the delayed commits, and return how many took effect."""
         delayed, self._delayed_transactions = self._delayed_transactions, []
