Write a summary of each soak run with the times of its faults

The logs of the entries are in Unix time, the records of workers in CLOCK_MONOTONIC. The summary in the folder of a seed lists faults and violations in Unix time, with the difference of the two clocks.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -5,6 +5,7 @@
 from random import Random
 from tempfile import mkdtemp
 from time import monotonic
+from time import time
 from typing import NamedTuple
 
 import click
@@ -99,6 +100,19 @@
         cluster.checker.record_lost_job(monotonic(), job_id, state_by_id.get(job_id, "never asked"))
 
 
+def _write_summary(folder: Path, result: SeedResult) -> None:
+    """Write the faults and the violations, with the difference between the clocks of the logs."""
+    offset_s = time() - monotonic()
+    lines = [f"Unix time is CLOCK_MONOTONIC, as in the records of workers, plus {offset_s:.3f} s"]
+    lines += result.faults
+    lines += [
+        f"{violation.at_s + offset_s:.3f} {violation.guarantee} {violation.subject}: "
+        f"{violation.details}"
+        for violation in result.violations
+    ]
+    (folder / "summary.txt").write_text("\n".join(lines) + "\n", encoding="utf-8")
+
+
 @click.command()
 @click.option("--seed", default=1, show_default=True, help="First seed.")
 @click.option("--count", default=1, show_default=True, help="Number of seeds.")
@@ -138,6 +152,7 @@
         )
         for violation in result.violations[:8]:
             click.echo(f"  {violation.guarantee} {violation.subject}: {violation.details}")
+        _write_summary(seed_folder, result)
         failed_seeds += bool(result.violations)
     sys.exit(1 if failed_seeds else 0)
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -3,6 +3,7 @@
 import signal
 from collections.abc import Callable
 from random import Random
+from time import time
 
 from gevent import sleep
 
@@ -248,12 +249,15 @@
     is_finished: Callable[[], bool],
     injected: list[str],
 ) -> None:
-    """Inject random faults one after the other. Run it several times for overlapping faults."""
+    """Inject random faults one after the other. Run it several times for overlapping faults.
+
+    ``injected`` receives the Unix time, the name and the duration of each.
+    """
     while not is_finished():
         sleep(random.uniform(0.0, MAX_PAUSE_S))
         if is_finished():
             return
         fault = random.choice(faults)
         duration_s = random.uniform(MIN_DURATION_S, MAX_DURATION_S)
-        injected.append(f"{fault.__name__} {duration_s:.2f}")
+        injected.append(f"{time():.3f} {fault.__name__} {duration_s:.2f}")
         fault(cluster, random, duration_s)
