Refuse connections to a worker that is down, and keep a cut link silent

The proxy accepted connections for a killed worker and closed them, so the owner never saw a refused connection, which it takes as evidence; and the end of a killed process went through a cut link. Now the proxy does not listen while the process is down, and the end of a connection is held back while its link drops that direction.

--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -33,6 +33,7 @@
 REMOVAL_INTERVAL_S = 0.2
 ZONES = ("a", "b", "c")
 WORKERS_PER_RACK = 4
+PORTS_PER_WORKER = 2
 
 
 def _make_listing(number: int) -> WorkerListing:
@@ -71,10 +72,11 @@
         self._registration_server = start_server("127.0.0.1:0", self.registration.handle)
         self.workers: list[EmulatedWorker] = []
         for number in range(workers):
-            port = first_port + entries * PORTS_PER_ENTRY + number
+            port = first_port + entries * PORTS_PER_ENTRY + PORTS_PER_WORKER * number
             worker_config = WorkerConfig(
                 _make_listing(number),
-                f"127.0.0.1:{port}",
+                port,
+                f"127.0.0.1:{port + 1}",
                 bound_address(self._registration_server),
                 folder,
             )
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -9,6 +9,8 @@
 
 BLOCK_BYTES = 65_536
 DELAY_S = 0.15
+# Interval at which the end of a connection looks whether the link passes traffic again.
+CUT_POLL_S = 0.02
 
 
 class Mode(StrEnum):
@@ -26,15 +28,16 @@
 
 
 class Proxy:
-    """Forwards connections to the address ``target``."""
+    """Forwards connections from ``port``, 0 for any free one, to the address ``target``."""
 
-    def __init__(self, target: str) -> None:
+    def __init__(self, target: str, port: int = 0) -> None:
         self.mode = Mode.PASS
         self._target = target
         self._sockets: set[socket.socket] = set()
-        self._server = StreamServer(("127.0.0.1", 0), self._forward)
-        self._server.start()
-        self.address = f"127.0.0.1:{self._server.server_port}"
+        self._is_target_up = True
+        self._server: StreamServer | None = self._listen(port)
+        self._port = self._server.server_port
+        self.address = f"127.0.0.1:{self._port}"
 
     def set_mode(self, mode: Mode) -> None:
         """Set the mode of open and new connections; ``RESET`` closes the open ones."""
@@ -42,12 +45,39 @@
         if mode is Mode.RESET:
             for sock in list(self._sockets):
                 sock.close()
+        self._update_listener()
+
+    def set_target_up(self, is_up: bool) -> None:
+        """Refuse connections while the target is down, unless its link is cut."""
+        self._is_target_up = is_up
+        self._update_listener()
 
     def stop(self) -> None:
         """Stop listening and close every connection."""
-        self._server.stop(0)
+        self._is_target_up = False
         self.set_mode(Mode.RESET)
 
+    def _listen(self, port: int) -> StreamServer:
+        server = StreamServer(("127.0.0.1", port), self._forward)
+        server.start()
+        return server
+
+    def _update_listener(self) -> None:
+        """Listen or not: a caller behind a cut link must not learn that the target is down."""
+        is_listening = self._is_target_up or self._drops(is_answer=True)
+        if is_listening and self._server is None:
+            self._server = self._listen(self._port)
+        elif not is_listening and self._server is not None:
+            self._server.stop(0)
+            self._server = None
+
+    def _drops(self, is_answer: bool) -> bool:
+        return self.mode is Mode.SILENT or (self.mode is Mode.ONE_WAY and is_answer)
+
+    def _await_link(self, is_answer: bool) -> None:
+        while self._drops(is_answer):
+            sleep(CUT_POLL_S)
+
     def _forward(self, client_socket: socket.socket, address: tuple[str, int]) -> None:
         if self.mode is Mode.RESET:
             client_socket.close()
@@ -57,6 +87,7 @@
             target_socket = socket.create_connection((host, int(port)), timeout=2.0)
         except OSError:
             # The target may be down on purpose: the client sees its connection closed.
+            self._await_link(is_answer=True)
             client_socket.close()
             return
         target_socket.settimeout(None)
@@ -71,11 +102,12 @@
             while block := source.recv(BLOCK_BYTES):
                 if self.mode is Mode.DELAY:
                     sleep(DELAY_S)
-                if self.mode is Mode.SILENT or (self.mode is Mode.ONE_WAY and is_answer):
+                if self._drops(is_answer):
                     continue
                 sink.sendall(block)
         except OSError:
             # One side was closed or reset; the other is closed below.
             pass
+        self._await_link(is_answer)
         source.close()
         sink.close()
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -9,6 +9,8 @@
 from typing import NamedTuple
 
 from gevent import sleep
+from gevent import socket
+from gevent import spawn
 from msgspec.json import encode
 from msgspec.structs import replace
 
@@ -23,12 +25,19 @@
 
 MIN_CLOCK_RATE = 0.98
 STOP_POLL_S = 0.001
+LISTEN_POLL_S = 0.005
 
 
 class WorkerConfig(NamedTuple):
-    """Identity, addresses and files of one worker; ``listing`` has no address."""
+    """Identity, addresses and files of one worker.
+
+    :ivar listing: listing without an address.
+    :ivar port: port of the proxy, to which entries connect.
+    :ivar listen_address: address on which the process listens.
+    """
 
     listing: WorkerListing
+    port: int
     listen_address: str
     store_address: str
     folder: Path
@@ -38,7 +47,8 @@
     """A worker process behind a proxy; each start of it draws a new clock rate."""
 
     def __init__(self, config: WorkerConfig, random: Random) -> None:
-        self.proxy = Proxy(config.listen_address)
+        self.proxy = Proxy(config.listen_address, config.port)
+        self.proxy.set_target_up(False)
         self.listing = config.listing._replace(address=self.proxy.address)
         self.switches = Switches()
         self.is_paused = False
@@ -74,6 +84,7 @@
         with self._log_path.open("ab") as log:
             self._process = subprocess.Popen(command, cwd=REPOSITORY, stdout=log, stderr=log)
         self.is_paused = False
+        spawn(self._await_listening, self._process)
 
     def kill(self) -> None:
         """Kill the process, wait until it has exited and record that."""
@@ -82,6 +93,7 @@
         self._process.kill()
         self._process.wait()
         self._record("gone")
+        self.proxy.set_target_up(False)
 
     def restart(self) -> None:
         """Kill the process and start it again at once under the same id."""
@@ -123,9 +135,21 @@
         return collect_runs(read_facts(self._record_path))
 
     def stop(self) -> None:
-        """Stop the proxy and kill the process."""
-        self.proxy.stop()
+        """Kill the process and stop the proxy."""
         self.kill()
+        self.proxy.stop()
+
+    def _await_listening(self, process: subprocess.Popen) -> None:
+        host, _, port = self._config.listen_address.rpartition(":")
+        while self._process is process and process.poll() is None:
+            try:
+                socket.create_connection((host, int(port))).close()
+            except ConnectionRefusedError:
+                # The process is still starting.
+                sleep(LISTEN_POLL_S)
+                continue
+            self.proxy.set_target_up(True)
+            return
 
     def _record(self, fact: str) -> None:
         write_fact(self._record_path, fact, monotonic(), {})
--- a/tests/soak/test_proxy_and_checker.py
+++ b/tests/soak/test_proxy_and_checker.py
@@ -23,9 +23,9 @@
 class TestProxy(TestCase):
     def setUp(self):
         super().setUp()
-        server = start_server("127.0.0.1:0", lambda call: json_reply(1))
-        self.addCleanup(server.stop, 0)
-        self.proxy = Proxy(bound_address(server))
+        self.server = start_server("127.0.0.1:0", lambda call: json_reply(1))
+        self.addCleanup(self.server.stop, 0)
+        self.proxy = Proxy(bound_address(self.server))
         self.addCleanup(self.proxy.stop)
 
     def _request(self, timeout_s):
@@ -53,6 +53,30 @@
         }
         self.assertThat(answers, Equals(expected))
 
+    def test_target_that_is_down_is_refused_unless_the_link_is_cut(self):
+        self.proxy.set_target_up(False)
+        self.assertRaises(ConnectionRefusedError, self._request, 20.0)
+        self.proxy.set_mode(Mode.SILENT)
+        self.assertThat(self._request(0.2), Equals(None))
+        self.proxy.set_mode(Mode.PASS)
+        self.assertRaises(ConnectionRefusedError, self._request, 20.0)
+        self.proxy.set_target_up(True)
+        self.assertThat(self._request(20.0), Equals(b"HTTP"))
+
+    def test_end_of_a_connection_is_held_back_while_the_link_is_cut(self):
+        """A caller would otherwise learn at once that the process behind a cut link was killed."""
+        host, _, port = self.proxy.address.rpartition(":")
+        with socket.create_connection((host, int(port))) as sock:
+            sock.sendall(REQUEST)
+            sock.recv(4096)
+            self.proxy.set_mode(Mode.ONE_WAY)
+            self.server.stop(0)
+            sock.settimeout(0.2)
+            self.assertRaises(TimeoutError, sock.recv, 4096)
+            self.proxy.set_mode(Mode.PASS)
+            sock.settimeout(20.0)
+            self.assertThat(sock.recv(4096), Equals(b""))
+
 
 class TestInvariantChecker(TestCase):
     def setUp(self):
