Cut the links of several workers beyond their leases, and restart several behind a cut

The end of a connection behind a cut is now sent again at intervals that double from 0.2 s, as by TCP, so that an open renewal may outlive a short cut.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,6 +9,7 @@
 
 from soak.cluster import Cluster
 from soak.proxy import Mode
+from soak.workers import EmulatedWorker
 
 MIN_DURATION_S = 0.3
 MAX_DURATION_S = 5.0
@@ -17,6 +18,11 @@
 # Pauses of a worker, some of which outlast its lease of 6 s.
 MIN_PAUSE_S = 0.2
 MAX_WORKER_PAUSE_S = 9.0
+# Longest cut of the links of workers, beyond a lease and the time that ending its runs takes.
+MAX_CUT_S = 12.0
+CUTS = (Mode.SILENT, Mode.ONE_WAY)
+# A worker process answers about this time after its start.
+WORKER_START_S = 0.25
 # Time between the restarts of two workers, one after the other.
 MIN_RESTART_PAUSE_S = 0.2
 MAX_RESTART_PAUSE_S = 0.6
@@ -128,7 +134,7 @@
 
 def delay_orders(cluster: Cluster, random: Random, duration_s: float) -> None:
     """Make several workers carry out a part of the calls seconds later, without an answer."""
-    delayed = random.sample(cluster.workers, max(1, len(cluster.workers) // 4))
+    delayed = _sample_workers(cluster, random)
     for worker in delayed:
         worker.set_switches(late_share=LATE_SHARE)
     sleep(duration_s)
@@ -136,16 +142,34 @@
         worker.set_switches(late_share=0.0)
 
 
-def restart_unreachable_worker(cluster: Cluster, random: Random, duration_s: float) -> None:
-    """Restart one worker while its link drops the traffic of one way or of both ways."""
-    worker = random.choice(cluster.workers)
-    worker.proxy.set_mode(random.choice((Mode.SILENT, Mode.ONE_WAY)))
-    sleep(duration_s / 2)
-    worker.kill()
-    sleep(random.choice((0.0, duration_s / 2)))
-    worker.start()
-    sleep(random.choice((0.0, duration_s / 2)))
-    worker.proxy.set_mode(Mode.PASS)
+def cut_worker_links(cluster: Cluster, random: Random, duration_s: float) -> None:
+    """Drop the traffic of one way or of both ways of several workers, also beyond their leases."""
+    cut = _sample_workers(cluster, random)
+    for worker in cut:
+        worker.proxy.set_mode(random.choice(CUTS))
+    sleep(random.uniform(MIN_DURATION_S, MAX_CUT_S))
+    for worker in cut:
+        worker.proxy.set_mode(Mode.PASS)
+
+
+def restart_unreachable_workers(cluster: Cluster, random: Random, duration_s: float) -> None:
+    """Restart several workers while their links drop the traffic of one way or of both ways."""
+    cut = _sample_workers(cluster, random)
+    for worker in cut:
+        worker.proxy.set_mode(random.choice(CUTS))
+    sleep(random.choice((0.0, duration_s / 4)))
+    for worker in cut:
+        worker.kill()
+    sleep(random.choice((0.0, duration_s / 4)))
+    for worker in cut:
+        worker.start()
+    sleep(random.choice((0.0, WORKER_START_S, duration_s / 2)))
+    for worker in cut:
+        worker.proxy.set_mode(Mode.PASS)
+
+
+def _sample_workers(cluster: Cluster, random: Random) -> list[EmulatedWorker]:
+    return random.sample(cluster.workers, random.randint(1, max(1, len(cluster.workers) // 4)))
 
 
 def stop_vm_list(cluster: Cluster, random: Random, duration_s: float) -> None:
@@ -224,7 +248,8 @@
     restart_workers_together,
     pause_worker,
     delay_orders,
-    restart_unreachable_worker,
+    cut_worker_links,
+    restart_unreachable_workers,
     fail_worker,
     silence_worker,
     stop_store,
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -9,8 +9,9 @@
 
 BLOCK_BYTES = 65_536
 DELAY_S = 0.15
-# Interval at which the end of a connection looks whether the link passes traffic again.
-CUT_POLL_S = 0.02
+# First interval at which the end of a connection is sent again while the link is cut; it doubles
+# each time, as that of TCP does.
+RESEND_S = 0.2
 
 
 class Mode(StrEnum):
@@ -34,6 +35,8 @@
         self.mode = Mode.PASS
         self._target = target
         self._sockets: set[socket.socket] = set()
+        # Those that have ended, although the other side may not have learned of it.
+        self._ended_sockets: set[socket.socket] = set()
         self._is_target_up = True
         self._server: StreamServer | None = self._listen(port)
         self._port = self._server.server_port
@@ -75,8 +78,10 @@
         return self.mode is Mode.SILENT or (self.mode is Mode.ONE_WAY and is_answer)
 
     def _await_link(self, is_answer: bool) -> None:
+        interval_s = RESEND_S
         while self._drops(is_answer):
-            sleep(CUT_POLL_S)
+            sleep(interval_s)
+            interval_s *= 2
 
     def _forward(self, client_socket: socket.socket, address: tuple[str, int]) -> None:
         if self.mode is Mode.RESET:
@@ -96,6 +101,7 @@
         self._copy(client_socket, target_socket, False)
         answer_greenlet.join()
         self._sockets -= {client_socket, target_socket}
+        self._ended_sockets -= {client_socket, target_socket}
 
     def _copy(self, source: socket.socket, sink: socket.socket, is_answer: bool) -> None:
         try:
@@ -104,10 +110,14 @@
                     sleep(DELAY_S)
                 if self._drops(is_answer):
                     continue
+                if sink in self._ended_sockets:
+                    # A target that is gone resets the connection when something is sent to it.
+                    break
                 sink.sendall(block)
         except OSError:
             # One side was closed or reset; the other is closed below.
             pass
+        self._ended_sockets.add(source)
         self._await_link(is_answer)
         source.close()
         sink.close()
