Give some tasks of the soak more work than a lease lasts

Leases of cut workers expired in the soak, but their runs, at most 1.5 s long, were done long before, so that no run ended by a lapse. 30% of the jobs have a step of 2 to 9 s now; the pause between two jobs of a caller is doubled, since the workers were near their capacity.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -28,7 +28,7 @@
 # owner and its leases is 14 s; the rest is for the work itself.
 COMPLETION_TIMEOUT_S = 40.0
 CALLER_COUNT = 4
-CALL_PAUSE_S = 0.1
+CALL_PAUSE_S = 0.2
 CONCURRENT_FAULTS = 3
 
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -22,6 +22,11 @@
 CALL_TIMEOUT_S = 3.0
 RETRY_PAUSE_S = 0.3
 CANCEL_PROBABILITY = 0.08
+# Part of the jobs with a step whose tasks may outlast a lease of 6 s, so that leases expire under
+# them; the tasks of all other steps are short.
+LONG_STEP_SHARE = 0.3
+LONG_MS = (2000, 9000)
+SHORT_MS = (20, 1500)
 UNKNOWN = "unknown"
 
 
@@ -71,13 +76,15 @@
     def _random_submission(self) -> Submission:
         random = self._random
         steps = []
-        for index in range(random.choice((1, 1, 2, 3))):
+        step_count = random.choice((1, 1, 2, 3))
+        long_step = random.randrange(step_count) if random.random() < LONG_STEP_SHARE else None
+        for index in range(step_count):
             steps.append(
                 Step(
                     count=random.randint(1, 5),
                     cpu_millis=random.choice((500, 1000, 2000)),
                     memory_mb=100,
-                    estimate_ms=random.uniform(20, 1500),
+                    estimate_ms=random.uniform(*(LONG_MS if index == long_step else SHORT_MS)),
                     after=(index - 1,) if index else (),
                     checkpoints=random.random() < 0.5,
                 )
