--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -3,6 +3,8 @@
 import sys
 from pathlib import Path
 from random import Random
+from signal import signal
+from signal import SIGTERM
 from tempfile import mkdtemp
 from time import monotonic
 from time import time
@@ -100,6 +102,10 @@
         cluster.checker.record_lost_job(monotonic(), job_id, state_by_id.get(job_id, "never asked"))
 
 
+def _exit_on_signal(number: int, frame: object) -> None:
+    sys.exit(128 + number)
+
+
 def _write_summary(folder: Path, result: SeedResult) -> None:
     """Write the faults and the violations, with the difference between the clocks of the logs."""
     offset_s = time() - monotonic()
@@ -139,6 +145,8 @@
     fault_names: tuple[str, ...],
 ) -> None:
     """Run the soak and exit with 1 where a promise was broken."""
+    # Without a handler, SIGTERM would leave the processes of the run behind.
+    signal(SIGTERM, _exit_on_signal)
     root = Path(folder or mkdtemp(prefix="soak-"))
     failed_seeds = 0
     for number in range(seed, seed + count):
--- a/standin/fleet/worker_process.py
+++ b/standin/fleet/worker_process.py
@@ -3,8 +3,10 @@
 import os
 from base64 import b64encode
 from collections.abc import Callable
+from ctypes import CDLL
 from pathlib import Path
 from random import Random
+from signal import SIGKILL
 from time import monotonic
 from time import time
 from typing import Any
@@ -46,6 +48,8 @@
 MIN_LATE_S = 2.0
 MAX_LATE_S = 6.0
 LATE_CALL_OPEN_S = 5.0
+# Linux: the kernel sends this signal to the process when its parent exits.
+PR_SET_PDEATHSIG = 1
 START_PATH = "/v1/run-start"
 
 
@@ -178,6 +182,8 @@
 ) -> None:
     """Run one emulated worker until the process is killed or its parent has exited."""
     parent_id = os.getppid()
+    # Also ends a worker that is stopped by a signal, which cannot look for its parent.
+    CDLL(None).prctl(PR_SET_PDEATHSIG, SIGKILL)
     booted_s = monotonic()
     random = Random(seed)
     incarnation = int(time() * 1000)
