--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -23,6 +23,7 @@
 from standin.fleet.api import VmListApi
 from standin.fleet.feed_table import FeedMemoryTable
 from standin.fleet.invariant_checker import InvariantChecker
+from standin.fleet.invariant_checker import Violation
 from standin.fleet.registration import Registration
 from standin.fleet.run_records import find_violations
 from standin.server import bound_address
@@ -161,6 +162,11 @@
         self.checker.violations += find_violations(
             runs, self.checker.submission_by_id, self._completed_s_by_id
         )
+        self.checker.violations += [
+            Violation(monotonic(), "soak", worker.listing.worker_id, f"ended by itself: {code}")
+            for worker in self.workers
+            for code in worker.own_exit_codes
+        ]
         return len(runs)
 
     def _remove_silent_workers(self) -> None:
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -51,6 +51,8 @@
         self.proxy.set_target_up(False)
         self.listing = config.listing._replace(address=self.proxy.address)
         self.switches = Switches()
+        # Exit codes of processes that ended without being killed, which none should.
+        self.own_exit_codes: list[int] = []
         self.is_paused = False
         self._config = config
         self._random = random
@@ -70,6 +72,7 @@
         """Start the process unless it is running."""
         if not self.is_crashed:
             return
+        self.kill()
         command = [sys.executable, "-m", "standin.fleet.worker_process"]
         options = {
             "listing": encode(self.listing).decode(),
@@ -88,10 +91,14 @@
 
     def kill(self) -> None:
         """Kill the process, wait until it has exited and record that."""
-        if self.is_crashed:
+        process = self._process
+        if process is None:
             return
-        self._process.kill()
-        self._process.wait()
+        if process.poll() is not None:
+            self.own_exit_codes.append(process.returncode)
+        process.kill()
+        process.wait()
+        self._process = None
         self._record("gone")
         self.proxy.set_target_up(False)
 
--- a/tests/soak/test_workers.py
+++ b/tests/soak/test_workers.py
@@ -92,6 +92,7 @@
             answer = self.link.renew(Renewal(1, 0, None, 0.0), 5.0)
         self.worker.kill()
         self.assertThat(self._facts(), Equals(["boot", "gone"]))
+        self.assertThat(self.worker.own_exit_codes, Equals([]))
 
     def test_lease_that_expires_during_a_pause_ends_the_run_before_anything_works_on(self):
         self._start(0.5)
