--- a/standin/fleet/run_records.py
+++ b/standin/fleet/run_records.py
@@ -14,6 +14,7 @@
 from laburnumswitch.process.dispatch.job_spec import Submission
 from laburnumswitch.process.dispatch.job_spec import TaskKey
 from standin.fleet.invariant_checker import Violation
+from standin.fleet.worker import spec_checksum
 
 DONE = "done"
 # A start by an entry that could have known of the completion of the job is a violation after it.
@@ -34,6 +35,8 @@
     """One run of a task on a worker, in seconds of ``CLOCK_MONOTONIC``.
 
     :ivar incarnation: Unix millisecond of the start of the worker's process.
+    :ivar spec: checksum of the spec in the start.
+    :ivar checkpoint: the one from which the run was resumed, or empty.
     :ivar is_late: whether the worker carried out the start late.
     :ivar end_s: when the run worked for the last time; infinite if it has not ended.
     :ivar outcome: how it ended, ``gone`` if its process was killed, empty if it has not ended.
@@ -47,6 +50,8 @@
     worker_id: str
     incarnation: int
     fence: int
+    spec: int
+    checkpoint: str
     is_late: bool
     start_s: float
     end_s: float = NEVER
@@ -101,6 +106,7 @@
         if submission is None:
             violations += [_violation("unasked", run) for run in task_runs]
             continue
+        violations += _find_altered(task_runs, submission)
         violations += _find_twice(task_runs, completed_s_by_id.get(task.job_id, NEVER))
         violations += _find_early(task_runs, submission, done_s_by_task)
     for job_id, at_s in completed_s_by_id.items():
@@ -127,6 +133,8 @@
                     boot["worker"],
                     boot["born"],
                     fact["fence"],
+                    fact["spec"],
+                    fact["checkpoint"],
                     number in late_numbers,
                     fact["at"],
                 )
@@ -153,6 +161,18 @@
     return [run._replace(pauses=tuple(pauses)) for run in run_by_number.values()]
 
 
+def _find_altered(task_runs: list[RecordedRun], submission: Submission) -> list[Violation]:
+    """Return the starts with another spec, or with a checkpoint of another task."""
+    checksum = spec_checksum(submission.spec)
+    violations = [
+        _violation("unasked", run, "another spec") for run in task_runs if run.spec != checksum
+    ]
+    for run in task_runs:
+        if run.checkpoint and run.checkpoint.partition("-")[0] != str(run.task.index):
+            violations.append(_violation("unasked", run, f"checkpoint {run.checkpoint}"))
+    return violations
+
+
 def _find_twice(task_runs: list[RecordedRun], completed_s: float) -> list[Violation]:
     violations = []
     for first, second in combinations(task_runs, 2):
--- a/standin/fleet/worker.py
+++ b/standin/fleet/worker.py
@@ -4,6 +4,7 @@
 from random import Random
 from typing import Any
 from typing import NamedTuple
+from zlib import crc32
 
 from gevent.event import Event
 
@@ -45,6 +46,11 @@
 INSTANT_ENDS = WorkerTiming()
 
 
+def spec_checksum(spec: str) -> int:
+    """Return the checksum of a job's ``spec`` that stands for it in the records."""
+    return crc32(spec.encode())
+
+
 def ignore_fact(fact: str, at_s: float, fields: dict[str, Any]) -> None:
     """Record nothing."""
 
@@ -197,8 +203,17 @@
             run.is_failing = self.fails_runs
             self._run_by_number[order.task, order.run] = run
             self._last_run_by_task[order.task] = order.run
-            fields = {"task": order.task, "run": order.run, "fence": order.fence}
-            self._record("start", self._clock(), fields)
+            self._record(
+                "start",
+                self._clock(),
+                {
+                    "task": order.task,
+                    "run": order.run,
+                    "fence": order.fence,
+                    "spec": spec_checksum(order.spec),
+                    "checkpoint": order.checkpoint,
+                },
+            )
             self.checker.check_start(self._clock(), order.task, self.listing.worker_id)
             self._changed.set()
         return self._drop_answer(0.0) if self.drops_answers else Acknowledged(self._now_s())
--- a/tests/standin/fleet/test_run_records.py
+++ b/tests/standin/fleet/test_run_records.py
@@ -7,6 +7,7 @@
 from laburnumswitch.process.dispatch.job_spec import Submission
 from standin.fleet.run_records import collect_runs
 from standin.fleet.run_records import find_violations
+from standin.fleet.worker import spec_checksum
 
 FIRST = "j.0.0.0"
 SECOND = "j.0.1.0"
@@ -17,8 +18,9 @@
     return {"fact": "boot", "at": at, "worker": worker, "born": born, "rate": 1.0}
 
 
-def start(at, run=1, task=FIRST):
-    return {"fact": "start", "at": at, "task": task, "run": run, "fence": 1}
+def start(at, run=1, task=FIRST, spec="", checkpoint=""):
+    fields = {"fence": 1, "spec": spec_checksum(spec), "checkpoint": checkpoint}
+    return {"fact": "start", "at": at, "task": task, "run": run, **fields}
 
 
 def late(at, run=1, task=FIRST):
@@ -156,6 +158,11 @@
     def test_start_of_an_unknown_job_is_reported(self):
         self.assertThat(found([boot(), start(1.0)], submission_by_id={}), Equals(["unasked"]))
 
+    def test_start_with_another_spec_or_checkpoint_is_reported(self):
+        self.assertThat(found([boot(), start(1.0, spec="other")]), Equals(["unasked"]))
+        self.assertThat(found([boot(), start(1.0, checkpoint="1-1")]), Equals(["unasked"]))
+        self.assertThat(found([boot(), start(1.0, checkpoint="0-1")]), Equals([]))
+
     def test_completed_job_with_a_task_that_is_not_done_is_reported(self):
         facts = [boot(), start(1.0), end(2.0), start(2.0, task=SECOND), end(3.0, task=SECOND)]
         self.assertThat(found(facts, completed_s_by_id={"j": 3.0}), Equals([]))
