--- a/soak/faults.py
+++ b/soak/faults.py
@@ -143,10 +143,13 @@
 
 
 def cut_worker_links(cluster: Cluster, random: Random, duration_s: float) -> None:
-    """Drop the traffic of one way or of both ways of several workers, also beyond their leases."""
+    """Drop or reset the traffic of several workers, also beyond their leases.
+
+    Behind a reset link the owner notices the end of a lease soonest: its calls fail at once.
+    """
     cut = _sample_workers(cluster, random)
     for worker in cut:
-        worker.proxy.set_mode(random.choice(CUTS))
+        worker.proxy.set_mode(random.choice((*CUTS, Mode.RESET)))
     sleep(random.uniform(MIN_DURATION_S, MAX_CUT_S))
     for worker in cut:
         worker.proxy.set_mode(Mode.PASS)
