--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -3,8 +3,11 @@
 import sys
 from pathlib import Path
 from random import Random
+from signal import signal
+from signal import SIGTERM
 from tempfile import mkdtemp
 from time import monotonic
+from time import time
 from typing import NamedTuple
 
 import click
@@ -16,6 +19,8 @@
 from soak.callers import Callers
 from soak.callers import submit_jobs
 from soak.cluster import Cluster
+from soak.faults import choose_faults
+from soak.faults import FAULTS
 from soak.faults import inject_faults
 from standin.fleet.invariant_checker import Violation
 
@@ -25,7 +30,7 @@
 # owner and its leases is 14 s; the rest is for the work itself.
 COMPLETION_TIMEOUT_S = 40.0
 CALLER_COUNT = 4
-CALL_PAUSE_S = 0.1
+CALL_PAUSE_S = 0.2
 CONCURRENT_FAULTS = 3
 
 
@@ -40,9 +45,15 @@
 
 
 def run_seed(
-    seed: int, seconds: float, entries: int, workers: int, first_port: int, folder: Path
+    seed: int,
+    seconds: float,
+    entries: int,
+    workers: int,
+    first_port: int,
+    folder: Path,
+    fault_names: tuple[str, ...] = (),
 ) -> SeedResult:
-    """Run one seed and return its result."""
+    """Run one seed and return its result; only the named faults are injected, if any."""
     random = Random(seed)
     cluster = Cluster(folder, entries, workers, first_port, random)
     faults: list[str] = []
@@ -61,17 +72,13 @@
         ]
         for number in range(CONCURRENT_FAULTS):
             fault_random = Random(seed * 1000 + number)
-            greenlets.append(spawn(inject_faults, cluster, fault_random, is_over, faults))
+            chosen = choose_faults(fault_names)
+            greenlets.append(spawn(inject_faults, cluster, fault_random, chosen, is_over, faults))
         joinall(greenlets)
         cluster.end_faults()
         _await_completion(cluster, callers)
-        return SeedResult(
-            seed,
-            len(callers.accepted),
-            cluster.checker.start_count,
-            faults,
-            cluster.checker.violations,
-        )
+        starts = cluster.check_runs()
+        return SeedResult(seed, len(callers.accepted), starts, faults, cluster.checker.violations)
     finally:
         cluster.stop()
 
@@ -85,7 +92,7 @@
         for job_id in sorted(pending_ids):
             state = state_by_id[job_id] = callers.read_state(job_id)
             if state == JobState.COMPLETED:
-                cluster.checker.check_completed(monotonic(), job_id)
+                cluster.record_completed(job_id)
                 pending_ids.discard(job_id)
             elif state == JobState.FAILED:
                 # Legitimate: a worker that fails all its runs may use up a job's attempts.
@@ -95,24 +102,57 @@
         cluster.checker.record_lost_job(monotonic(), job_id, state_by_id.get(job_id, "never asked"))
 
 
+def _exit_on_signal(number: int, frame: object) -> None:
+    sys.exit(128 + number)
+
+
+def _write_summary(folder: Path, result: SeedResult) -> None:
+    """Write the faults and the violations, with the difference between the clocks of the logs."""
+    offset_s = time() - monotonic()
+    lines = [f"Unix time is CLOCK_MONOTONIC, as in the records of workers, plus {offset_s:.3f} s"]
+    lines += result.faults
+    lines += [
+        f"{violation.at_s + offset_s:.3f} {violation.guarantee} {violation.subject}: "
+        f"{violation.details}"
+        for violation in result.violations
+    ]
+    (folder / "summary.txt").write_text("\n".join(lines) + "\n", encoding="utf-8")
+
+
 @click.command()
 @click.option("--seed", default=1, show_default=True, help="First seed.")
 @click.option("--count", default=1, show_default=True, help="Number of seeds.")
 @click.option("--seconds", default=20.0, show_default=True, help="Time of each seed with faults.")
 @click.option("--entries", default=4, show_default=True)
-@click.option("--workers", default=8, show_default=True)
+@click.option("--workers", default=24, show_default=True)
 @click.option("--first-port", default=21_000, show_default=True)
 @click.option("--folder", default="", help="Folder for the logs; a new temporary one by default.")
+@click.option(
+    "--fault",
+    "fault_names",
+    multiple=True,
+    type=click.Choice([fault.__name__ for fault in FAULTS]),
+    help="Inject only this fault; may be repeated. All faults by default.",
+)
 def main(
-    seed: int, count: int, seconds: float, entries: int, workers: int, first_port: int, folder: str
+    seed: int,
+    count: int,
+    seconds: float,
+    entries: int,
+    workers: int,
+    first_port: int,
+    folder: str,
+    fault_names: tuple[str, ...],
 ) -> None:
     """Run the soak and exit with 1 where a promise was broken."""
+    # Without a handler, SIGTERM would leave the processes of the run behind.
+    signal(SIGTERM, _exit_on_signal)
     root = Path(folder or mkdtemp(prefix="soak-"))
     failed_seeds = 0
     for number in range(seed, seed + count):
         seed_folder = root / str(number)
         seed_folder.mkdir(parents=True, exist_ok=True)
-        result = run_seed(number, seconds, entries, workers, first_port, seed_folder)
+        result = run_seed(number, seconds, entries, workers, first_port, seed_folder, fault_names)
         outcome = "BROKEN" if result.violations else "kept"
         click.echo(
             f"seed {number}: {outcome}, {result.accepted} jobs accepted, {result.starts} starts, "
@@ -120,6 +160,7 @@
         )
         for violation in result.violations[:8]:
             click.echo(f"  {violation.guarantee} {violation.subject}: {violation.details}")
+        _write_summary(seed_folder, result)
         failed_seeds += bool(result.violations)
     sys.exit(1 if failed_seeds else 0)
 
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -9,6 +9,9 @@
 
 BLOCK_BYTES = 65_536
 DELAY_S = 0.15
+# First interval at which the end of a connection is sent again while the link is cut; it doubles
+# each time, as that of TCP does.
+RESEND_S = 0.2
 
 
 class Mode(StrEnum):
@@ -26,15 +29,18 @@
 
 
 class Proxy:
-    """Forwards connections to the address ``target``."""
+    """Forwards connections from ``port``, 0 for any free one, to the address ``target``."""
 
-    def __init__(self, target: str) -> None:
+    def __init__(self, target: str, port: int = 0) -> None:
         self.mode = Mode.PASS
         self._target = target
         self._sockets: set[socket.socket] = set()
-        self._server = StreamServer(("127.0.0.1", 0), self._forward)
-        self._server.start()
-        self.address = f"127.0.0.1:{self._server.server_port}"
+        # Those that have ended, although the other side may not have learned of it.
+        self._ended_sockets: set[socket.socket] = set()
+        self._is_target_up = True
+        self._server: StreamServer | None = self._listen(port)
+        self._port = self._server.server_port
+        self.address = f"127.0.0.1:{self._port}"
 
     def set_mode(self, mode: Mode) -> None:
         """Set the mode of open and new connections; ``RESET`` closes the open ones."""
@@ -42,12 +48,41 @@
         if mode is Mode.RESET:
             for sock in list(self._sockets):
                 sock.close()
+        self._update_listener()
+
+    def set_target_up(self, is_up: bool) -> None:
+        """Refuse connections while the target is down, unless its link is cut."""
+        self._is_target_up = is_up
+        self._update_listener()
 
     def stop(self) -> None:
         """Stop listening and close every connection."""
-        self._server.stop(0)
+        self._is_target_up = False
         self.set_mode(Mode.RESET)
 
+    def _listen(self, port: int) -> StreamServer:
+        server = StreamServer(("127.0.0.1", port), self._forward)
+        server.start()
+        return server
+
+    def _update_listener(self) -> None:
+        """Listen or not: a caller behind a cut link must not learn that the target is down."""
+        is_listening = self._is_target_up or self._drops(is_answer=True)
+        if is_listening and self._server is None:
+            self._server = self._listen(self._port)
+        elif not is_listening and self._server is not None:
+            self._server.stop(0)
+            self._server = None
+
+    def _drops(self, is_answer: bool) -> bool:
+        return self.mode is Mode.SILENT or (self.mode is Mode.ONE_WAY and is_answer)
+
+    def _await_link(self, is_answer: bool) -> None:
+        interval_s = RESEND_S
+        while self._drops(is_answer):
+            sleep(interval_s)
+            interval_s *= 2
+
     def _forward(self, client_socket: socket.socket, address: tuple[str, int]) -> None:
         if self.mode is Mode.RESET:
             client_socket.close()
@@ -57,6 +92,7 @@
             target_socket = socket.create_connection((host, int(port)), timeout=2.0)
         except OSError:
             # The target may be down on purpose: the client sees its connection closed.
+            self._await_link(is_answer=True)
             client_socket.close()
             return
         target_socket.settimeout(None)
@@ -65,17 +101,23 @@
         self._copy(client_socket, target_socket, False)
         answer_greenlet.join()
         self._sockets -= {client_socket, target_socket}
+        self._ended_sockets -= {client_socket, target_socket}
 
     def _copy(self, source: socket.socket, sink: socket.socket, is_answer: bool) -> None:
         try:
             while block := source.recv(BLOCK_BYTES):
                 if self.mode is Mode.DELAY:
                     sleep(DELAY_S)
-                if self.mode is Mode.SILENT or (self.mode is Mode.ONE_WAY and is_answer):
+                if self._drops(is_answer):
                     continue
+                if sink in self._ended_sockets:
+                    # A target that is gone resets the connection when something is sent to it.
+                    break
                 sink.sendall(block)
         except OSError:
             # One side was closed or reset; the other is closed below.
             pass
+        self._ended_sockets.add(source)
+        self._await_link(is_answer)
         source.close()
         sink.close()
