--- a/soak/workers.py
+++ b/soak/workers.py
@@ -59,6 +59,8 @@
         self._process: subprocess.Popen | None = None
         prefix = config.folder / self.listing.worker_id
         self._record_path = prefix.with_suffix(".jsonl")
+        # A seed draws the same job ids again: records of an earlier run would count as its own.
+        self._record_path.unlink(missing_ok=True)
         self._control_path = prefix.with_suffix(".control")
         self._log_path = prefix.with_suffix(".log")
         self.set_switches()
--- a/tests/soak/test_workers.py
+++ b/tests/soak/test_workers.py
@@ -42,6 +42,8 @@
         super().setUp()
         self.folder = Path(mkdtemp(prefix="soak-worker-"))
         self.addCleanup(rmtree, self.folder)
+        # Left by an earlier run in the same folder; it must not count.
+        (self.folder / "w1.jsonl").write_text('{"fact":"gone","at":1.0}\n')
         store = start_server("127.0.0.1:0", lambda call: NOT_FOUND)
         self.addCleanup(store.stop, 0)
         config = WorkerConfig(
