Release unanswered starts of a worker that the list of VMs proves to have ended

What may still reach a restarted worker is a start that was sent after the list was requested; only that is kept now.

--- a/laburnumswitch/process/dispatch/vm_watch.py
+++ b/laburnumswitch/process/dispatch/vm_watch.py
@@ -91,7 +91,7 @@
 def _may_have_unreachable_runs(worker: Worker, incarnation: _Incarnation, now_s: float) -> bool:
     if now_s - max(worker.last_answer_s, incarnation.known_since_s) < SILENCE_S:
         return False
-    if any(run.confirmed_s is not None for run in worker.runs_by_task.values()):
+    if worker.runs_by_task:
         return True
     # An earlier owner may have started runs.
     return worker.has_unknown_runs and not worker.has_certainly_lapsed(now_s)
@@ -140,16 +140,19 @@
             f"{evidence} (read {now_s - vm_list.sent_s:.2f} s ago,"
             f" last answer {now_s - heard_s:.2f} s ago)"
         )
-        _end_worker(dispatcher, worker, reason)
+        _end_worker(dispatcher, worker, vm_list.sent_s, reason)
 
 
-def _end_worker(dispatcher: Dispatcher, worker: Worker, reason: str) -> None:
-    """Drop a worker that has ended, unless it may restart and then receive a start."""
+def _end_worker(dispatcher: Dispatcher, worker: Worker, ended_s: float, reason: str) -> None:
+    """Drop a worker that had ended at ``ended_s``, but keep starts that were sent after that.
+
+    It may have restarted under its id since then.
+    """
     runs = list(worker.runs_by_task.values())
-    if all(run.confirmed_s is not None for run in runs):
+    if all(run.started_s < ended_s for run in runs):
         dispatcher.drop_worker(worker, reason)
         return
     worker.has_unknown_runs = False
     for run in runs:
-        if run.confirmed_s is not None:
+        if run.started_s < ended_s:
             dispatcher.release_run(worker, run, reason)
