Renew leases, and believe answers, of workers that may have restarted

A renewal carried no lease if the worker's last answer was older than 0.1 s. After each wait for a commit that was so: with a slow store nothing was acknowledged, and in an outage of the store the leases of healthy workers lapsed. Behind a lossy link they lapsed too, since only a success after a success extended them. Leases are now extended until a worker has not answered for 2.2 s, which the bound for runs that a later incarnation may have accepted allows for; acknowledgements follow with the next renewal, which is sent at once. 2. An incarnation that was once taken as ended was ignored for ever, and the worker called without a pause. A report is now outdated only if its renewal was sent before the present incarnation became known, or before a later answer; one to a later renewal counts, whatever its number. So a report of a start between two known ones ends no run, and the calls pause. 3. A listing that was ignored since its number is lower was lost if the row was not written again. It is applied again until the worker answers or its leases have lapsed.

Docstrings no longer say that a link reaches one incarnation.

Two earlier tests delivered a late report as the answer to a new renewal, which cannot happen; they deliver it as the answer to one that was sent before, with the same checks.

--- a/laburnumswitch/exceptions/__init__.py
+++ b/laburnumswitch/exceptions/__init__.py
@@ -18,6 +18,7 @@
 from laburnumswitch.exceptions.files import UnknownName
 from laburnumswitch.exceptions.platform import AnswerLost
 from laburnumswitch.exceptions.platform import AnswerMalformed
+from laburnumswitch.exceptions.platform import AnswerOutdated
 from laburnumswitch.exceptions.platform import Conflict
 from laburnumswitch.exceptions.platform import ConnectFailed
 from laburnumswitch.exceptions.platform import ConnectionRefused
@@ -61,6 +62,7 @@
 __all__ = [
     "AnswerLost",
     "AnswerMalformed",
+    "AnswerOutdated",
     "AnswerNotKept",
     "CallerRefused",
     "CannotListen",
--- a/laburnumswitch/exceptions/platform.py
+++ b/laburnumswitch/exceptions/platform.py
@@ -123,6 +123,13 @@
     reason: str
 
 
+@dataclass(frozen=True)
+class AnswerOutdated(Failure):
+    """A later answer or listing of the worker has already been applied."""
+
+    worker_id: str
+
+
 @dataclass(frozen=True)
 class WorkerRestarted(Failure):
     """The address belongs to another incarnation of the worker; the call had no effect."""
--- a/laburnumswitch/platform/workers.py
+++ b/laburnumswitch/platform/workers.py
@@ -74,7 +74,7 @@
 
 
 class HttpWorkerLink:
-    """Calls one incarnation of a worker, without retries.
+    """Calls a worker by its id, without retries; it may have restarted under its id.
 
     At most ``MAX_PARALLEL_COMMANDS`` commands are sent at the same time. Others wait, within their
     own time limits: a burst would otherwise open a connection for each command, and an owner of
--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -681,7 +681,7 @@
             reason=evidence,
             kept_runs=len(worker.runs_by_task),
         )
-        worker.begin_incarnation(incarnation)
+        worker.begin_incarnation(incarnation, self.context.clock())
         self.wake.set()
 
     def _forget_orphans(self, worker: Worker) -> None:
--- a/laburnumswitch/process/dispatch/feeds.py
+++ b/laburnumswitch/process/dispatch/feeds.py
@@ -30,12 +30,16 @@
 def follow_workers(dispatcher: Dispatcher) -> None:
     """Keep the list of workers up to date until the term ends."""
     context = dispatcher.context
+    # Rows that may be of an earlier incarnation, until that is known.
+    deferred_by_key: dict[str, Row] = {}
 
     def apply(changes: Changes, is_whole: bool) -> None:
         if is_whole:
             _mark_missing(dispatcher, {row.key.partition("/")[2] for row in changes.rows})
-        for row in changes.rows:
-            apply_worker_row(dispatcher, row)
+        deferred_by_key.update((row.key, row) for row in changes.rows)
+        for key, row in list(deferred_by_key.items()):
+            if apply_worker_row(dispatcher, row):
+                del deferred_by_key[key]
         if not dispatcher.knows_listings:
             dispatcher.knows_listings = True
             dispatcher.wake.set()
@@ -44,38 +48,42 @@
     follow_table(feed, None, apply, context.log, context.sleep, dispatcher.is_stopped)
 
 
-def apply_worker_row(dispatcher: Dispatcher, row: Row) -> None:
-    """Apply a row of the list of workers: a new, changed or removed worker."""
+def apply_worker_row(dispatcher: Dispatcher, row: Row) -> bool:
+    """Apply a row of the list of workers: a new, changed or removed worker.
+
+    :return: ``False`` if the row has to be applied again, as its incarnation may be the next one.
+    """
     worker_id = row.key.partition("/")[2]
     worker = dispatcher.workers_by_id.get(worker_id)
     if row.value is None:
         if worker is not None:
             _mark_unlisted(dispatcher, worker)
-        return
+        return True
     listing = dispatcher.context.decode_worker(row.key, row.value)
     if isinstance(listing, RowMalformed):
         # An unknown worker is ignored; a known one keeps its last valid listing.
         dispatcher.context.log.note("worker_malformed", worker_id, reason=listing.reason)
-        return
+        return True
     if worker is None:
         worker = dispatcher.add_worker(listing)
         dispatcher.spawn(run_worker, dispatcher, worker)
     else:
         if _is_outdated(dispatcher, worker, listing):
             worker.unlisted_since_s = None
-            return
+            return False
         if _is_restart(worker, listing):
             dispatcher.note_restart(worker, listing.incarnation, "listed as another incarnation")
-        if listing.address != worker.listing.address:
-            dispatcher.move_worker(worker, listing)
         if listing.is_draining and not worker.listing.is_draining:
             dispatcher.context.log.note(
                 "worker_draining", worker_id, remaining_s=listing.remaining_s
             )
+        if listing.address != worker.listing.address:
+            dispatcher.move_worker(worker, listing)
         drain_s = dispatcher.context.deployment.bounds.drain_s
         worker.note_listing(listing, dispatcher.context.clock(), drain_s)
     if worker.leaves_s is not None:
         start_evacuation(dispatcher)
+    return True
 
 
 def _is_restart(worker: Worker, listing: WorkerListing) -> bool:
--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -14,8 +14,11 @@
 # Longest lease that an owner grants, in seconds. Leases have to outlast the replacement of a silent
 # owner, which takes about five seconds; tasks of a lost worker wait until its lease has expired.
 MAX_LEASE_S = 6.0
-# A process that has ended is not answering again before this time, in seconds.
+# A worker that answered less than this ago, in seconds, is taken not to have restarted since.
 MIN_RESTART_S = 0.1
+# Leases of a worker are extended until it has not answered for this long, in seconds: it has missed
+# two renewals.
+MAX_EXTENSION_SILENCE_S = 2.2
 # A command is delivered within this time, in seconds, unless its answer is lost.
 DELIVERY_S = 0.5
 # Timers of workers fire late by less than this, in seconds.
@@ -162,7 +165,8 @@
 
     :ivar fence: fencing token of the commands to the worker.
     :ivar incarnation: as last reported by the worker or listed after a restart, 0 if unknown.
-    :ivar ended_incarnations: those before the known one, whose messages may still arrive.
+    :ivar incarnation_since_s: when this incarnation became known.
+    :ivar ended_incarnations: those before the known one, whose listings may still arrive.
     :ivar is_voiding_starts: whether the fencing token is being raised because starts were not
         answered.
     :ivar leaves_s: earliest time at which it may leave; ``None`` unless it drains.
@@ -201,6 +205,7 @@
         self.link = link
         self.fence = fence
         self.incarnation = 0
+        self.incarnation_since_s = 0.0
         self.ended_incarnations: set[int] = set()
         self.is_dropped = False
         self.is_voiding_starts = False
@@ -255,11 +260,14 @@
         """Return the incarnation that commands are meant for, 0 if unknown."""
         return self.incarnation or self.listing.incarnation
 
-    def begin_incarnation(self, incarnation: int) -> None:
+    def begin_incarnation(self, incarnation: int, now_s: float) -> None:
         """Forget what only the earlier incarnation counted: its clock, leases and ended runs."""
         self.ended_incarnations.add(self.known_incarnation())
+        self.ended_incarnations.discard(incarnation)
         self.incarnation = incarnation
+        self.incarnation_since_s = now_s
         self.is_reached = False
+        self.leaves_s = None
         self.last_end_number = self.acknowledged_end = 0
         self.pending_acknowledgements.clear()
         self.last_answer_s = self.clock_s = self.granted_until_s = 0.0
@@ -328,12 +336,27 @@
         )
         return self.listing.cpu_millis - used - self.best_effort_cpu_millis
 
-    def is_outdated(self, report: WorkerReport) -> bool:
-        """Return whether a report that the worker made later has already arrived."""
-        if report.incarnation in self.ended_incarnations:
-            return True
-        is_same = report.incarnation in (0, self.incarnation)
-        return is_same and report.clock_s < self.clock_s
+    def is_restart(self, report: WorkerReport) -> bool:
+        """Return whether a report is of another incarnation than the known one."""
+        if not report.incarnation:
+            return report.clock_s < self.clock_s
+        return self.known_incarnation() not in (0, report.incarnation)
+
+    def is_outdated(self, report: WorkerReport, sent_s: float) -> bool:
+        """Return whether a later report, or listing, of the worker has already been applied.
+
+        :param sent_s: when the renewal was sent that the report answers.
+        """
+        if self.is_restart(report):
+            return sent_s < max(self.incarnation_since_s, self.last_answer_s)
+        return report.clock_s < self.clock_s and sent_s < self.last_answer_s
+
+    def is_known_clock(self, clock_s: float) -> bool:
+        """Return whether the clock in an answer shows that the known incarnation gave it.
+
+        That of a later incarnation begins anew, so it is behind unless the known one is young.
+        """
+        return self.clock_s > MAX_EXTENSION_SILENCE_S and clock_s >= self.clock_s
 
     def note_answer(self, now_s: float, clock_s: float) -> None:
         """Record the latest answer."""
@@ -360,6 +383,10 @@
         """Record that a command with the end of a lease is sent."""
         self.restart_lapse_bound_s = now_s + DELIVERY_S + lapse_s(self.max_lease_s, self.ending_s)
 
+    def may_extend_lease(self, now_s: float) -> bool:
+        """Return whether the end of a lease may be sent although the worker may have restarted."""
+        return bool(self.last_answer_s) and now_s - self.last_answer_s < MAX_EXTENSION_SILENCE_S
+
     def may_have_restarted(self, now_s: float) -> bool:
         """Return whether another incarnation may have replaced the one that answered last."""
         return self.is_silent or now_s - self.last_answer_s > MIN_RESTART_S
--- a/laburnumswitch/process/dispatch/worker_protocol.py
+++ b/laburnumswitch/process/dispatch/worker_protocol.py
@@ -130,7 +130,7 @@
 
 
 class WorkerLink(Protocol):
-    """Client for one incarnation of a worker; every call is sent once."""
+    """Client for the worker of an id, which may have restarted; every call is sent once."""
 
     def renew(self, renewal: Renewal, timeout_s: float) -> WorkerReport | Failure:
         """Renew the lease and return the current and the ended runs."""
--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -4,6 +4,7 @@
 is acknowledged only after the resulting state has been committed.
 """
 
+from laburnumswitch.exceptions import AnswerOutdated
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.exceptions import StartRefused
 from laburnumswitch.exceptions import WorkerRestarted
@@ -58,9 +59,11 @@
     context = dispatcher.context
     while not dispatcher.is_stopped() and not worker.is_dropped:
         link = worker.link
+        may_have_restarted = worker.may_have_restarted(context.clock())
         answer = renew(dispatcher, worker, _renewal_wait_s(worker, context.clock()))
         if isinstance(answer, WorkerReport):
-            if answer.ended:
+            # After a renewal that could acknowledge nothing, the next one follows at once.
+            if answer.ended and not may_have_restarted:
                 _await_commit(dispatcher, worker)
             continue
         if worker.link is not link:
@@ -71,7 +74,8 @@
             return
         if dispatcher.is_stopped():
             return
-        _note_silence(dispatcher, worker, answer)
+        if not isinstance(answer, AnswerOutdated):
+            _note_silence(dispatcher, worker, answer)
         if dispatcher.has_lapsed(worker):
             _handle_lapse(dispatcher, worker, answer)
         context.sleep(RETRY_S)
@@ -97,21 +101,21 @@
 ) -> WorkerReport | Failure:
     """Renew the lease of a worker once and apply its report.
 
-    The lease is not extended while another entry may have become the owner. If the worker may have
-    restarted, it is not extended either and no ended run is acknowledged: the clock and the numbers
-    of ended runs begin anew.
+    The lease is not extended while another entry may have become the owner. Nothing is acknowledged
+    to a worker that may have restarted, since the numbers of ended runs begin anew, and its leases
+    are extended for a short time only, since it takes their end for an instant in the far future.
 
     :param margin_s: time beyond ``wait_s`` after which the call counts as lost.
     """
     context = dispatcher.context
     sent_s = context.clock()
     until_s = None
+    if worker.may_extend_lease(sent_s) and dispatcher.may_act():
+        until_s = worker.extend_grant(dispatcher.granted_lease_s())
+        worker.note_lease_sent(sent_s)
     acknowledged = 0
     if not worker.may_have_restarted(sent_s):
         acknowledged = worker.take_acknowledgeable(dispatcher.recorder.committed)
-        if dispatcher.may_act():
-            until_s = worker.extend_grant(dispatcher.granted_lease_s())
-            worker.note_lease_sent(sent_s)
     fence = worker.fence
     renewal = Renewal(fence, acknowledged, until_s, wait_s)
     dispatcher.counters.renewals += 1
@@ -119,6 +123,8 @@
     if dispatcher.is_stopped() or worker.is_dropped:
         return answer
     if isinstance(answer, WorkerReport):
+        if worker.is_outdated(answer, sent_s):
+            return AnswerOutdated(worker.worker_id)
         _apply_report(dispatcher, worker, answer, sent_s, fence)
     elif isinstance(answer, StartRefused) and fence == worker.fence:
         context.log.note("fenced", worker.worker_id, fence=fence, reason=answer.reason)
@@ -178,10 +184,7 @@
     dispatcher: Dispatcher, worker: Worker, report: WorkerReport, sent_s: float, fence: int
 ) -> None:
     context = dispatcher.context
-    if worker.is_outdated(report):
-        return
-    known = worker.known_incarnation()
-    if known and report.incarnation and report.incarnation != known:
+    if worker.is_restart(report):
         dispatcher.note_restart(worker, report.incarnation, "it answers as another incarnation")
     worker.incarnation = report.incarnation or worker.incarnation
     now_s = context.clock()
--- a/tests/process/dispatch/test_restarted_worker.py
+++ b/tests/process/dispatch/test_restarted_worker.py
@@ -4,10 +4,13 @@
 from time import monotonic
 
 from gevent import sleep
+from gevent import spawn
+from gevent.event import AsyncResult
 from gevent.event import Event
 from testtools import TestCase
 from testtools.matchers import Equals
 from testtools.matchers import Is
+from testtools.matchers import LessThan
 
 from laburnumswitch.exceptions import AnswerLost
 from laburnumswitch.exceptions import Refused
@@ -17,6 +20,7 @@
 from laburnumswitch.process.dispatch.jobs import JobState
 from laburnumswitch.process.dispatch.worker_protocol import Renewal
 from laburnumswitch.process.dispatch.worker_protocol import WorkerReport
+from laburnumswitch.process.dispatch.worker_session import renew
 from tests.process.dispatch.harness import BOUNDS
 from tests.process.dispatch.harness import DispatchHarness
 from tests.process.dispatch.harness import make_listing
@@ -44,12 +48,16 @@
         self.answers.set()
         # While this is set, renewals do not reach it.
         self.is_cut_off = False
-        renew = self.first.renew
+        self.renewals = 0
+        answer_renewal = self.first.renew
 
         def renew_late(renewal, timeout_s):
+            self.renewals += 1
+            # A call takes its time, so that one that is repeated at once is noticed.
+            sleep(0.001)
             if self.is_cut_off:
                 return AnswerLost("w1", "cut off")
-            answer = renew(renewal, timeout_s)
+            answer = answer_renewal(renewal, timeout_s)
             self.answers.wait()
             return AnswerLost("w1", "cut off") if self.is_cut_off else answer
 
@@ -186,27 +194,47 @@
 
 
 class TestLateMessages(RestartedWorkerCase):
+    def send_renewal(self):
+        """Send a renewal that is answered only when a report is delivered."""
+        answer = AsyncResult()
+        answering, self.first.renew = self.first.renew, lambda renewal, timeout_s: answer.get()
+        spawn(renew, self.owner, self.known(), 0.0)
+        sleep(0)
+        self.first.renew = answering
+        return answer
+
+    def deliver(self, answer, report):
+        answer.set(report)
+        sleep(0.01)
+
     def test_report_from_before_the_restart_that_arrives_late_ends_no_run(self):
+        late = self.send_renewal()
         self.first.restart()
         wait_until(lambda: self.known().incarnation == self.first.incarnation)
         self.run_long_job()
         self.wait_until_reported()
         self.fill_first_worker()
         self.add_second_worker()
-        renew = self.first.renew
-        late_reports = [WorkerReport(UPTIME_S, self.first.incarnation - 1, (), ())]
-
-        def renew_after_late_report(renewal, timeout_s):
-            if late_reports:
-                return late_reports.pop()
-            return renew(renewal, timeout_s)
-
-        self.first.renew = renew_after_late_report
-        wait_until(lambda: not late_reports)
+        self.deliver(late, WorkerReport(UPTIME_S, self.first.incarnation - 1, (), ()))
         sleep(REACTION_S)
         self.check_nothing_ran_twice()
         self.assertThat(self.harness.checker.start_count, Equals(1))
 
+    def test_report_of_a_start_between_two_known_ones_ends_no_run(self):
+        late = self.send_renewal()
+        self.first.restart()
+        self.first.restart()
+        self.harness.list_worker(self.first.listing)
+        wait_until(lambda: self.known().incarnation == self.first.incarnation)
+        self.run_long_job()
+        self.wait_until_reported()
+        self.fill_first_worker()
+        self.add_second_worker()
+        self.deliver(late, WorkerReport(0.05, self.first.incarnation - 1, (), ()))
+        sleep(REACTION_S)
+        self.check_nothing_ran_twice()
+        self.assertThat(self.known().incarnation, Equals(self.first.incarnation))
+
     def test_listing_from_before_the_restart_ends_no_run_of_a_silent_worker(self):
         before = self.first.listing
         self.first.restart()
@@ -224,26 +252,93 @@
     def test_report_that_a_later_one_overtook_brings_no_ended_run_back(self):
         self.run_long_job()
         self.wait_until_reported()
-        renew = self.first.renew
-        late_reports = [renew(Renewal(self.known().fence, 0, None, 0.0), 1.0)]
+        report = self.first.renew(Renewal(self.known().fence, 0, None, 0.0), 1.0)
+        late = self.send_renewal()
         (run,) = self.known().runs_by_task.values()
         self.fill_first_worker()
         self.add_second_worker()
         self.first.stop(run.task, run.number, self.known().fence, 1.0)
         wait_until(lambda: self.harness.checker.start_count == 2)
         self.harness.log.take()
-
-        def renew_after_late_report(renewal, timeout_s):
-            return late_reports.pop() if late_reports else renew(renewal, timeout_s)
-
-        self.first.renew = renew_after_late_report
-        wait_until(lambda: not late_reports)
+        self.deliver(late, report)
         sleep(0.05)
         self.assertThat(len(self.known().runs_by_task), Equals(0))
         names = [event["event"] for event in map(loads, self.harness.log.take().splitlines())]
         self.assertThat("run_unwanted" in names, Equals(False))
 
 
+class TestUncertainIncarnation(RestartedWorkerCase):
+    def setUp(self):
+        super().setUp()
+        self.relist(incarnation=9)
+        wait_until(lambda: self.known().incarnation == 9 and self.known().is_reached)
+
+    def relist(self, **changes):
+        self.first.listing = self.first.listing._replace(**changes)
+        self.first.incarnation = self.first.listing.incarnation
+        self.harness.list_worker(self.first.listing)
+
+    def restart(self, **changes):
+        self.first.restart()
+        self.relist(**changes)
+
+    def test_worker_is_used_again_after_a_stale_listing_during_its_silence(self):
+        self.is_cut_off = True
+        wait_until(lambda: not self.known().is_reached)
+        self.harness.list_worker(self.first.listing._replace(incarnation=8))
+        wait_until(lambda: self.known().incarnation == 8)
+        self.harness.list_worker(self.first.listing)
+        self.is_cut_off = False
+        wait_until(lambda: self.known().is_reached and self.known().incarnation == 9, 5.0)
+        self.check_few_renewals()
+
+    def test_restart_with_a_lower_number_is_used_at_its_new_address(self):
+        self.is_cut_off = True
+        self.restart(incarnation=5, address="10.0.0.1:81")
+        wait_until(lambda: self.known().listing.address == "10.0.0.1:81", 2 * BOUNDS.lease_s)
+
+    def test_listing_of_a_restart_with_a_lower_number_counts_once_the_worker_answers(self):
+        self.is_cut_off = True
+        self.restart(incarnation=5, cpu_millis=1000)
+        sleep(1.0)
+        self.is_cut_off = False
+        wait_until(lambda: self.known().listing.cpu_millis == 1000, 3.0)
+
+    def test_worker_that_does_not_say_when_it_started_is_not_called_all_the_time(self):
+        self.restart(incarnation=0)
+        sleep(1.1)
+        self.check_few_renewals()
+        self.run_long_job()
+
+    def check_few_renewals(self):
+        before = self.renewals
+        sleep(1.0)
+        self.assertThat(self.renewals - before, LessThan(20))
+
+
+class TestStartDeliveredLate(RestartedWorkerCase):
+    def test_start_voided_before_the_restart_does_not_run_after_it(self):
+        # A restarted worker has seen no fencing token.
+        start = self.first.start
+        commands = []
+
+        def lose(command, timeout_s):
+            if commands:
+                return StartRefused("w1", "room")
+            commands.append(command)
+            sleep(timeout_s)
+            return AnswerLost("w1", "late")
+
+        self.first.start = lose
+        self.harness.submit(make_submission("j1", LONG), self.owner)
+        wait_until(lambda: commands)
+        self.add_second_worker()
+        wait_until(lambda: self.harness.checker.start_count == 1)
+        self.first.restart()
+        start(commands[0], 1.0)
+        self.check_nothing_ran_twice()
+
+
 class TestRefusals(RestartedWorkerCase):
     def test_answer_of_an_intermediary_is_no_refusal(self):
         # The worker carries out the start, and its answer is replaced on the way back.
