Name the answer of another worker at an address for what it is

The platform answers with 421 for another worker id. WorkerRestarted suggested that a worker which restarts under its id is answered so; it is not. No change of behaviour but the name in logs.

--- a/laburnumswitch/exceptions/__init__.py
+++ b/laburnumswitch/exceptions/__init__.py
@@ -32,7 +32,7 @@
 from laburnumswitch.exceptions.platform import StartRefused
 from laburnumswitch.exceptions.platform import Throttled
 from laburnumswitch.exceptions.platform import Unavailable
-from laburnumswitch.exceptions.platform import WorkerRestarted
+from laburnumswitch.exceptions.platform import WorkerReplaced
 from laburnumswitch.exceptions.requests import AnswerNotKept
 from laburnumswitch.exceptions.requests import CallerRefused
 from laburnumswitch.exceptions.requests import CannotListen
@@ -111,7 +111,7 @@
     "UnknownField",
     "UnknownName",
     "UnknownZone",
-    "WorkerRestarted",
+    "WorkerReplaced",
     "ZoneChanged",
     "ZoneStillBusy",
 ]
--- a/laburnumswitch/exceptions/platform.py
+++ b/laburnumswitch/exceptions/platform.py
@@ -131,7 +131,7 @@
 
 
 @dataclass(frozen=True)
-class WorkerRestarted(Failure):
-    """The address belongs to another incarnation of the worker; the call had no effect."""
+class WorkerReplaced(Failure):
+    """Another worker answers at the address of the intended one; the call had no effect."""
 
     worker_id: str
--- a/laburnumswitch/platform/workers.py
+++ b/laburnumswitch/platform/workers.py
@@ -20,7 +20,7 @@
 from laburnumswitch.exceptions import StartRefused
 from laburnumswitch.exceptions import Throttled
 from laburnumswitch.exceptions import Unavailable
-from laburnumswitch.exceptions import WorkerRestarted
+from laburnumswitch.exceptions import WorkerReplaced
 from laburnumswitch.process.dispatch.job_spec import TaskKey
 from laburnumswitch.process.dispatch.worker_protocol import Acknowledged
 from laburnumswitch.process.dispatch.worker_protocol import EndReport
@@ -41,7 +41,7 @@
 MAX_LISTED_ENDS = 500
 STATUS_OK = 200
 STATUS_CONFLICT = 409
-STATUS_OTHER_INCARNATION = 421
+STATUS_OTHER_WORKER = 421
 STATUS_THROTTLED = 429
 STATUS_UNAVAILABLE = 503
 
@@ -174,8 +174,8 @@
         response = self._client.call("POST", path, encode(body), timeout_s)
         if isinstance(response, ConnectFailed | AnswerLost):
             return response
-        if response.status == STATUS_OTHER_INCARNATION:
-            return WorkerRestarted(self._worker_id)
+        if response.status == STATUS_OTHER_WORKER:
+            return WorkerReplaced(self._worker_id)
         if response.status == STATUS_THROTTLED:
             return Throttled(1.0)
         if response.status == STATUS_UNAVAILABLE:
--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -63,8 +63,8 @@
     """A run that may exist on a worker.
 
     :ivar number: run number, which increases with each run of the task.
-    :ivar incarnation: the worker's incarnation that has reported the run, 0 if none has. A worker
-        may restart before it receives a start, so the answer to the start does not tell.
+    :ivar incarnation: the worker's incarnation that has reported the run, or whose clock was in the
+        answer to its start; 0 if unknown, as a worker may restart before it receives the start.
     :ivar is_serving: whether it serves requests and its measurement is a tail latency.
     :ivar confirmed_s: when the worker first confirmed it; ``None`` while the start is in flight.
     :ivar is_uncertain: whether its start was not answered and is not yet voided by a fencing token.
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -6,7 +6,7 @@
 from laburnumswitch.exceptions import StartRefused
 from laburnumswitch.exceptions import Throttled
 from laburnumswitch.exceptions import Unavailable
-from laburnumswitch.exceptions import WorkerRestarted
+from laburnumswitch.exceptions import WorkerReplaced
 from laburnumswitch.process.dispatch.best_effort import FailedPlacements
 from laburnumswitch.process.dispatch.best_effort import forced_starts
 from laburnumswitch.process.dispatch.best_effort import waits_for_data_rack
@@ -479,7 +479,7 @@
     if isinstance(outcome, Refused):
         # Other statuses may come from an intermediary, after the worker has carried out the start.
         return outcome.status == STATUS_BAD_REQUEST
-    refusals = ConnectFailed | StartRefused | WorkerRestarted | Throttled | Unavailable
+    refusals = ConnectFailed | StartRefused | WorkerReplaced | Throttled | Unavailable
     return isinstance(outcome, refusals)
 
 
--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -7,7 +7,7 @@
 from laburnumswitch.exceptions import AnswerOutdated
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.exceptions import StartRefused
-from laburnumswitch.exceptions import WorkerRestarted
+from laburnumswitch.exceptions import WorkerReplaced
 from laburnumswitch.process.dispatch.dispatcher import COMMAND_TIMEOUT_S
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
 from laburnumswitch.process.dispatch.dispatcher import task_name
@@ -69,8 +69,8 @@
         if worker.link is not link:
             # It has restarted at another address.
             continue
-        if isinstance(answer, WorkerRestarted):
-            dispatcher.drop_worker(worker, "another incarnation answers at its address")
+        if isinstance(answer, WorkerReplaced):
+            dispatcher.drop_worker(worker, "another worker answers at its address")
             return
         if dispatcher.is_stopped():
             return
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -11,7 +11,7 @@
 from laburnumswitch.exceptions import AnswerMalformed
 from laburnumswitch.exceptions import ConnectFailed
 from laburnumswitch.exceptions import StartRefused
-from laburnumswitch.exceptions import WorkerRestarted
+from laburnumswitch.exceptions import WorkerReplaced
 from laburnumswitch.platform.workers import HttpWorkerLink
 from laburnumswitch.platform.workers import MAX_LISTED_ENDS
 from laburnumswitch.process.dispatch.job_spec import Step
@@ -81,7 +81,7 @@
 
     def test_call_for_another_incarnation_is_refused(self):
         link = self._make_link("w2")
-        self.assertThat(link.start(COMMAND, 1.0), IsInstance(WorkerRestarted))
+        self.assertThat(link.start(COMMAND, 1.0), IsInstance(WorkerReplaced))
 
     def test_unanswered_start_is_not_repeated(self):
         self.worker.drops_answers = True
--- a/tests/process/dispatch/test_vm_watch.py
+++ b/tests/process/dispatch/test_vm_watch.py
@@ -317,7 +317,7 @@
         wait_until(lambda: len(owner.workers_by_id) == 2)
         worker = owner.workers_by_id["w1"]
         owner.drop_worker(worker, "its VM is down")
-        owner.drop_worker(worker, "another incarnation answers at its address")
+        owner.drop_worker(worker, "another worker answers at its address")
         names = self._names_of_events(self.harness.worker_by_id["w1"])
         self.assertThat(names.count("worker_dropped"), Equals(1))
 
