Tell another incarnation, and a silent worker, in one place

The list of workers and the session each compared incarnations by a function of their own, and the planner and the leases each had a constant for the same silence of 2.2 s. drop_worker repeats known_incarnation no more, and the check of the soak's records uses the outcome's own name.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -733,7 +733,7 @@
         self.context.log.note(
             "worker_dropped",
             worker.worker_id,
-            incarnation=worker.incarnation or worker.listing.incarnation,
+            incarnation=worker.known_incarnation(),
             runs=run_count,
             reason=reason,
         )
--- a/laburnumswitch/process/dispatch/feeds.py
+++ b/laburnumswitch/process/dispatch/feeds.py
@@ -71,7 +71,7 @@
         if _is_outdated(dispatcher, worker, listing):
             worker.unlisted_since_s = None
             return False
-        if _is_restart(worker, listing):
+        if worker.is_other_incarnation(listing.incarnation):
             dispatcher.note_restart(worker, listing.incarnation, "listed as another incarnation")
         if listing.is_draining and not worker.listing.is_draining:
             dispatcher.context.log.note(
@@ -86,11 +86,6 @@
     return True
 
 
-def _is_restart(worker: Worker, listing: WorkerListing) -> bool:
-    known = worker.known_incarnation()
-    return bool(known and listing.incarnation) and listing.incarnation != known
-
-
 def _is_outdated(dispatcher: Dispatcher, worker: Worker, listing: WorkerListing) -> bool:
     """Return whether a listing is of an earlier incarnation, since listings lag behind answers.
 
--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -16,9 +16,9 @@
 MAX_LEASE_S = 6.0
 # A worker that answered less than this ago, in seconds, is taken not to have restarted since.
 MIN_RESTART_S = 0.1
-# Leases of a worker are extended until it has not answered for this long, in seconds: it has missed
-# two renewals.
-MAX_EXTENSION_SILENCE_S = 2.2
+# A worker that has not answered for this long, in seconds, gets no starts, and its leases are not
+# extended: it has missed two renewals.
+MAX_SILENCE_S = 2.2
 # A command is delivered within this time, in seconds, unless its answer is lost.
 DELIVERY_S = 0.5
 # Timers of workers fire late by less than this, in seconds.
@@ -336,11 +336,15 @@
         )
         return self.listing.cpu_millis - used - self.best_effort_cpu_millis
 
+    def is_other_incarnation(self, incarnation: int) -> bool:
+        """Return whether an incarnation is not the known one; an unknown one, 0, never is."""
+        return bool(incarnation) and self.known_incarnation() not in (0, incarnation)
+
     def is_restart(self, report: WorkerReport) -> bool:
         """Return whether a report is of another incarnation than the known one."""
         if not report.incarnation:
             return report.clock_s < self.clock_s
-        return self.known_incarnation() not in (0, report.incarnation)
+        return self.is_other_incarnation(report.incarnation)
 
     def is_outdated(self, report: WorkerReport, sent_s: float) -> bool:
         """Return whether a later report, or listing, of the worker has already been applied.
@@ -356,7 +360,7 @@
 
         That of a later incarnation begins anew, so it is behind unless the known one is young.
         """
-        return self.clock_s > MAX_EXTENSION_SILENCE_S and clock_s >= self.clock_s
+        return self.clock_s > MAX_SILENCE_S and clock_s >= self.clock_s
 
     def note_answer(self, now_s: float, clock_s: float) -> None:
         """Record the latest answer."""
@@ -385,7 +389,7 @@
 
     def may_extend_lease(self, now_s: float) -> bool:
         """Return whether the end of a lease may be sent although the worker may have restarted."""
-        return bool(self.last_answer_s) and now_s - self.last_answer_s < MAX_EXTENSION_SILENCE_S
+        return bool(self.last_answer_s) and now_s - self.last_answer_s < MAX_SILENCE_S
 
     def may_have_restarted(self, now_s: float) -> bool:
         """Return whether another incarnation may have replaced the one that answered last."""
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -14,6 +14,7 @@
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
 from laburnumswitch.process.dispatch.dispatcher import task_name
 from laburnumswitch.process.dispatch.fleet import ActiveRun
+from laburnumswitch.process.dispatch.fleet import MAX_SILENCE_S
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.headroom import choose_reserved
 from laburnumswitch.process.dispatch.headroom import LONG_RUNNING_WAIT_S
@@ -41,9 +42,6 @@
 PLAN_INTERVAL_S = 0.2
 # Events within this time, in seconds, are handled by one planning pass.
 COALESCE_S = 0.002
-# A worker that has not answered for this long, in seconds, gets no starts: it has missed two
-# renewals.
-MAX_SILENCE_S = 2.2
 # Pause in seconds before a worker that refused a start gets another one, and before the advice
 # service is called again after a failure.
 REFUSED_PAUSE_S = 0.3
--- a/standin/fleet/run_records.py
+++ b/standin/fleet/run_records.py
@@ -13,10 +13,10 @@
 from laburnumswitch.platform.workers import parse_task_id
 from laburnumswitch.process.dispatch.job_spec import Submission
 from laburnumswitch.process.dispatch.job_spec import TaskKey
+from laburnumswitch.process.dispatch.worker_protocol import RunOutcome
 from standin.fleet.invariant_checker import Violation
 from standin.fleet.worker import spec_checksum
 
-DONE = "done"
 # A start by an entry that could have known of the completion of the job is a violation after it.
 COMPLETION_SLACK_S = 1.0
 NEVER = float("inf")
@@ -96,9 +96,9 @@
     for run in sorted(runs, key=lambda run: run.start_s):
         runs_by_task[run.task].append(run)
     done_s_by_task = {
-        task: min(run.end_s for run in task_runs if run.outcome == DONE)
+        task: min(run.end_s for run in task_runs if run.outcome == RunOutcome.DONE)
         for task, task_runs in runs_by_task.items()
-        if any(run.outcome == DONE for run in task_runs)
+        if any(run.outcome == RunOutcome.DONE for run in task_runs)
     }
     violations = []
     for task, task_runs in runs_by_task.items():
@@ -179,7 +179,7 @@
         if _work_together(first, second):
             violations.append(_violation("twice", second, f"at the same time as {first}"))
         is_noted = first.noted_s is not None and not first.is_noted_after_lapse
-        if first.outcome == DONE and is_noted and second.start_s >= first.end_s:
+        if first.outcome == RunOutcome.DONE and is_noted and second.start_s >= first.end_s:
             violations.append(_violation("twice", second, f"after the end of {first}"))
     for run in task_runs:
         if not run.is_late and run.start_s > completed_s + COMPLETION_SLACK_S:
