Log what waiting tasks wait for, and where the time of a late job went

Cause: callers of urgent jobs waited for seconds, and no line said for what. A full fleet, free processors in pieces, memory held by best-effort work, workers without starts and a slow owner look alike in run_start's waited_s.

Now tasks_waiting counts once a second the waiting urgent tasks of a service by reason, beside the capacity that is free, and job_final has the job's age, its critical path and, for each step, when it became ready and when its last task was started. No decision changes.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -355,7 +355,17 @@
 
     def finish_job(self, job: Job, reason: str) -> None:
         """Queue the final state of a job for storage and stop its remaining runs."""
-        self.context.log.note("job_final", job.job_id, state=job.state, reason=reason)
+        age_s = self.context.wall_clock() - job.submission.submitted_s
+        self.context.log.note(
+            "job_final",
+            job.job_id,
+            state=job.state,
+            reason=reason,
+            queue=job.submission.queue,
+            age_s=round(age_s, 3),
+            critical_path_s=round(max(job.critical_paths_s), 3),
+            steps=describe_steps(job, self.context.clock() - age_s),
+        )
         self.recorder.queue_job(job)
         self.quarantine.forget_job(job.job_id)
         self.refresh_ready_steps(job)
@@ -411,6 +421,8 @@
                 if step_state in ready:
                     if key not in self.ready_step_by_key:
                         step_state.ready_since_s = self._ready_since_s(job, occurrence)
+                        if step_state.first_ready_s is None:
+                            step_state.first_ready_s = step_state.ready_since_s
                         self.ready_step_by_key[key] = ReadyStep(job, occurrence, step_state)
                 else:
                     self.ready_step_by_key.pop(key, None)
@@ -434,6 +446,7 @@
         number = self.next_run(task)
         step_state = job.step_state(task.key)
         job.begin_run(task, number, worker.worker_id)
+        step_state.last_start_s = self.context.clock()
         run = ActiveRun(task.key, number, step_state.step, worker.fence, self.context.clock())
         worker.add_run(run)
         if not step_state.has_waiting():
@@ -740,6 +753,22 @@
         self.wake.set()
 
 
+def describe_steps(job: Job, submitted_s: float) -> list[tuple[float | None, float | None]]:
+    """Return when each step of a job became ready and when its last task was started, for the log.
+
+    In seconds since the submission. Of a job with several occurrences it returns the last one.
+
+    :param submitted_s: when the job was submitted, on the owner's clock.
+    """
+    return [
+        tuple(
+            None if instant_s is None else round(instant_s - submitted_s, 3)
+            for instant_s in (step_state.first_ready_s, step_state.last_start_s)
+        )
+        for step_state in job.occurrences[-1].steps
+    ]
+
+
 def fleet_part(worker_id: str) -> int:
     """Return the number of the row of the worker list that stores a worker."""
     return xxh32_intdigest(worker_id.encode()) % FLEET_PARTS
--- a/laburnumswitch/process/dispatch/jobs.py
+++ b/laburnumswitch/process/dispatch/jobs.py
@@ -66,9 +66,20 @@
     :ivar done_count: number of tasks that are done.
     :ivar active_count: number of tasks with an active run.
     :ivar ready_since_s: since when the step has had tasks to start, on the owner's clock.
+    :ivar first_ready_s: when the step first had tasks to start, for the log; ``None`` before.
+    :ivar last_start_s: when the last task was started, for the log; ``None`` before.
     """
 
-    __slots__ = ("step", "tasks", "done_count", "active_count", "ready_since_s", "retry_after_s")
+    __slots__ = (
+        "step",
+        "tasks",
+        "done_count",
+        "active_count",
+        "ready_since_s",
+        "first_ready_s",
+        "last_start_s",
+        "retry_after_s",
+    )
 
     def __init__(self, step: Step, job_id: str, occurrence: int, index: int) -> None:
         self.step = step
@@ -76,6 +87,8 @@
         self.done_count = 0
         self.active_count = 0
         self.ready_since_s = 0.0
+        self.first_ready_s: float | None = None
+        self.last_start_s: float | None = None
         # Best-effort steps that found no suitable worker are not planned before this time.
         self.retry_after_s = 0.0
 
@@ -87,9 +100,13 @@
         """Return the tasks that are neither done nor running."""
         return (task for task in self.tasks if task.is_waiting())
 
+    def waiting_count(self) -> int:
+        """Return the number of tasks that are neither done nor running."""
+        return len(self.tasks) - self.done_count - self.active_count
+
     def has_waiting(self) -> bool:
         """Return whether any task is neither done nor running."""
-        return self.done_count + self.active_count < len(self.tasks)
+        return self.waiting_count() > 0
 
 
 class Occurrence:
--- a/laburnumswitch/process/dispatch/load_report.py
+++ b/laburnumswitch/process/dispatch/load_report.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
+from laburnumswitch.process.dispatch.waiting import measure_waits
 
 INTERVAL_S = 1.0
 
@@ -42,6 +43,8 @@
         elapsed_s = context.clock() - began_s
         load = measure_load(dispatcher, elapsed_s, processor_clock() - used_s)
         context.log.note("owner_load", str(dispatcher.epoch), **load._asdict())
+        for service, wait in measure_waits(dispatcher).items():
+            context.log.note("tasks_waiting", service, **wait._asdict())
 
 
 def measure_load(dispatcher: Dispatcher, elapsed_s: float, used_s: float) -> OwnerLoad:
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -111,7 +111,7 @@
         if step_key in dispatcher.skipped_steps:
             continue
         queue = dispatcher.queue_of(ready.job)
-        if queue is not None and _is_due(dispatcher, ready, now_s):
+        if queue is not None and is_due(dispatcher, ready, now_s):
             key = order_key(ready, queue, dispatcher.mean_work_by_queue[queue.name], now_s)
             keyed.append((key, queue, ready, step_key))
     keyed.sort(key=lambda each: each[0])
@@ -225,7 +225,11 @@
     return slots < MIN_SPARE_SLOTS
 
 
-def _is_due(dispatcher: Dispatcher, ready: ReadyStep, now_s: float) -> bool:
+def is_due(dispatcher: Dispatcher, ready: ReadyStep, now_s: float) -> bool:
+    """Return whether tasks of a ready step may start now.
+
+    :param now_s: Unix time in seconds.
+    """
     if ready.job.may_have_unknown_runs and not dispatcher.settled:
         return False
     if ready.job.submission.occurrences and now_s < ready.occurrence.due_s:
