Count room for two long-running tasks also on one worker

Callers saw one task of a job down for good.

Cause: the room for MIN_SPARE_SLOTS tasks was counted for at most as many as the step has, on each worker, so a single worker never had enough for a step of one task.

The test fails before (1 run instead of 2 after three seconds) and passes now.

--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -218,10 +218,12 @@
     """Return whether a long-running step over its budget waits for the sake of urgent tasks."""
     if dispatcher.context.clock() - ready.step_state.ready_since_s < LONG_RUNNING_WAIT_S:
         return True
+    step = ready.step_state.step
+    wide_step = step._replace(count=max(step.count, MIN_SPARE_SLOTS))
     slots = 0
     for worker in dispatcher.workers_by_id.values():
         if worker.listing.service == queue.service and not worker.listing.is_draining:
-            slots += _free_slots(ready.step_state.step, worker)
+            slots += _free_slots(wide_step, worker)
     return slots < MIN_SPARE_SLOTS
 
 
--- a/tests/process/dispatch/replay.py
+++ b/tests/process/dispatch/replay.py
@@ -13,6 +13,7 @@
 
 from laburnumswitch.process.dispatch.dispatcher import DispatchContext
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
+from laburnumswitch.process.dispatch.evacuator import AT_WORK_PERCENT
 from laburnumswitch.process.dispatch.job_spec import Queue
 from laburnumswitch.process.dispatch.job_spec import QueueConfiguration
 from laburnumswitch.process.dispatch.job_spec import Step
@@ -44,6 +45,8 @@
 REPORT_DELAY_S = 0.01
 # Time that a stop takes, in virtual seconds.
 STOP_S = 0.4
+# Time until a long-running task is at work, in virtual seconds.
+STARTUP_S = 0.5
 
 
 class Arrival(NamedTuple):
@@ -158,6 +161,9 @@
     def _pass(self) -> None:
         for worker in self.owner.workers_by_id.values():
             worker.note_answer(self.now_s, self.now_s)
+            for run in worker.runs_by_task.values():
+                if run.step.long_running and self.now_s - run.started_s > STARTUP_S:
+                    run.progress_percent = AT_WORK_PERCENT
         self.owner.recorder.commit()
         plan(self.owner)
         # Commands are sent by greenlets.
--- a/tests/process/dispatch/test_urgent_jobs.py
+++ b/tests/process/dispatch/test_urgent_jobs.py
@@ -3,6 +3,7 @@
 from random import Random
 
 from testtools import TestCase
+from testtools.matchers import Equals
 from testtools.matchers import GreaterThan
 
 from laburnumswitch.process.dispatch.job_spec import Queue
@@ -83,3 +84,44 @@
             fleet = make_fleet()
             finished = fleet.replay(full_day(Random(seed)), LENGTH_S)
             self.assertThat(earned_share(finished["check"]), GreaterThan(TARGET_SHARE), str(seed))
+
+
+class TestRoomGivenBack(TestCase):
+    """One urgent task after the other uses the only worker with room; a long-running one waits."""
+
+    LASTING_STEP = Step(1, 13_000, 26_000, long_running=True)
+    URGENT_STEP = Step(1, 40_000, 80_000, estimate_ms=600.0)
+    BUSY_S = 10.0
+
+    def setUp(self):
+        super().setUp()
+        listings = [
+            make_listing(number, cpu_millis=64_000, memory_mb=256_000) for number in range(1, 11)
+        ]
+        self.fleet = FleetReplay(listings, [URGENT, LASTING])
+        whole_worker = self.LASTING_STEP._replace(count=9, cpu_millis=64_000)
+        filling = [Arrival(0.0, "feed", (step,)) for step in (whole_worker, self.LASTING_STEP)]
+        self.fleet.replay(filling, 4.0)
+        # Headroom as after a wave of urgent work.
+        self.fleet.owner.headroom.update(640_000.0, self.fleet.now_s)
+        urgent = [
+            Arrival(0.7 * number, "check", (self.URGENT_STEP,), (0.6,))
+            for number in range(int(self.BUSY_S / 0.7))
+        ]
+        self.arrivals = [*urgent, self._waiting_job(2)]
+
+    def _waiting_job(self, count):
+        return Arrival(0.1, "feed", (self.LASTING_STEP._replace(count=count),))
+
+    def _long_running_runs(self):
+        runs = [
+            run
+            for worker in self.fleet.owner.workers_by_id.values()
+            for run in worker.runs_by_task.values()
+        ]
+        return sum(run.step.cpu_millis == self.LASTING_STEP.cpu_millis for run in runs)
+
+    def test_room_on_one_worker_for_several_tasks_goes_to_a_step_of_a_single_one(self):
+        # Room was counted for as many tasks as the step has, so one worker never had enough.
+        self.fleet.replay([self._waiting_job(1)], 3.1)
+        self.assertThat(self._long_running_runs(), Equals(2))
