Leave room that urgent tasks give back to the next ones

Cause: after a wait of 1.5 s a long-running task took any room for two of its size, also the room that an urgent task had given back a moment ago. Urgent tasks end every second, long-running ones do not, so the room for urgent work only shrank.

Now that room has to have been there for 1.5 s without a break. A task still starts within three seconds of room that stays free. Ruled out: the headroom itself; it was kept, and left again after 1.5 s by design. The test fails before (3 runs instead of 1).

--- a/laburnumswitch/process/dispatch/jobs.py
+++ b/laburnumswitch/process/dispatch/jobs.py
@@ -66,6 +66,8 @@
     :ivar done_count: number of tasks that are done.
     :ivar active_count: number of tasks with an active run.
     :ivar ready_since_s: since when the step has had tasks to start, on the owner's clock.
+    :ivar room_since_s: since when workers have had room for more than one task of the step, as the
+        planner last saw it; ``None`` if they have not. Only used for long-running steps.
     :ivar first_ready_s: when the step first had tasks to start, for the log; ``None`` before.
     :ivar last_start_s: when the last task was started, for the log; ``None`` before.
     """
@@ -76,6 +78,7 @@
         "done_count",
         "active_count",
         "ready_since_s",
+        "room_since_s",
         "first_ready_s",
         "last_start_s",
         "retry_after_s",
@@ -87,6 +90,7 @@
         self.done_count = 0
         self.active_count = 0
         self.ready_since_s = 0.0
+        self.room_since_s: float | None = None
         self.first_ready_s: float | None = None
         self.last_start_s: float | None = None
         # Best-effort steps that found no suitable worker are not planned before this time.
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -176,14 +176,12 @@
 ) -> None:
     step = ready.step_state.step
     is_reserving = step.long_running and not step.best_effort
-    is_over_budget = is_reserving and service_state.long_running_budget < step.cpu_millis
-    if is_over_budget and _may_wait(dispatcher, queue, ready):
-        return
-    usable = (
-        service_state.usable
-        if _has_waited_long(dispatcher, ready)
-        else service_state.unreserved_workers()
-    )
+    usable = service_state.unreserved_workers()
+    if is_reserving:
+        if _has_lasting_room(dispatcher, queue, ready):
+            usable = service_state.usable
+        elif service_state.long_running_budget < step.cpu_millis:
+            return
     active = ready.step_state.active_count
     _start_step(dispatcher, queue, ready, usable, service_state)
     if is_reserving:
@@ -208,23 +206,27 @@
     return dispatcher.headroom.long_running_budget(usable)
 
 
-def _has_waited_long(dispatcher: Dispatcher, ready: ReadyStep) -> bool:
-    """Return whether a long-running step may use workers that are kept for urgent tasks."""
-    waited_s = dispatcher.context.clock() - ready.step_state.ready_since_s
-    return ready.step_state.step.long_running and waited_s >= LONG_RUNNING_WAIT_S
-
+def _has_lasting_room(dispatcher: Dispatcher, queue: Queue, ready: ReadyStep) -> bool:
+    """Return whether a long-running step may use what is kept for urgent tasks.
 
-def _may_wait(dispatcher: Dispatcher, queue: Queue, ready: ReadyStep) -> bool:
-    """Return whether a long-running step over its budget waits for the sake of urgent tasks."""
-    if dispatcher.context.clock() - ready.step_state.ready_since_s < LONG_RUNNING_WAIT_S:
-        return True
+    It may once there has been room for ``MIN_SPARE_SLOTS`` of its tasks all the while. Room that an
+    urgent task has just given back does not count: the next one needs it, and a long-running task
+    would keep it.
+    """
+    now_s = dispatcher.context.clock()
     step = ready.step_state.step
     wide_step = step._replace(count=max(step.count, MIN_SPARE_SLOTS))
     slots = 0
     for worker in dispatcher.workers_by_id.values():
         if worker.listing.service == queue.service and not worker.listing.is_draining:
             slots += _free_slots(wide_step, worker)
-    return slots < MIN_SPARE_SLOTS
+    if slots < MIN_SPARE_SLOTS:
+        ready.step_state.room_since_s = None
+        return False
+    if ready.step_state.room_since_s is None:
+        ready.step_state.room_since_s = now_s
+    since_s = max(ready.step_state.ready_since_s, ready.step_state.room_since_s)
+    return now_s - since_s >= LONG_RUNNING_WAIT_S
 
 
 def is_due(dispatcher: Dispatcher, ready: ReadyStep, now_s: float) -> bool:
--- a/tests/process/dispatch/test_urgent_jobs.py
+++ b/tests/process/dispatch/test_urgent_jobs.py
@@ -121,6 +121,15 @@
         ]
         return sum(run.step.cpu_millis == self.LASTING_STEP.cpu_millis for run in runs)
 
+    def test_room_between_two_urgent_tasks_does_not_go_to_a_long_running_one(self):
+        self.fleet.replay(self.arrivals, self.BUSY_S)
+        self.assertThat(self._long_running_runs(), Equals(1))
+
+    def test_room_that_stays_free_goes_to_it_within_three_seconds(self):
+        self.fleet.replay(self.arrivals, self.BUSY_S)
+        self.fleet.replay([], 3.0)
+        self.assertThat(self._long_running_runs(), Equals(3))
+
     def test_room_on_one_worker_for_several_tasks_goes_to_a_step_of_a_single_one(self):
         # Room was counted for as many tasks as the step has, so one worker never had enough.
         self.fleet.replay([self._waiting_job(1)], 3.1)
