Stop long-running tasks that leave no room for urgent ones

What is free is in pieces on all workers, and nothing ever stopped a running task for a waiting one.

Now the owner stops long-running tasks where the fewest processors are lost, once room that is about to become free is used. Limits: queues that are not more urgent, the declared number of unavailable tasks of a step (one if none is declared), 15% of the processors for urgent tasks together, 16 runs in a pass. Weighed against packing long-running tasks more tightly from the start: these tasks have 13 cores and users expect each to run within three seconds of room for two, so pieces below that stay anyway.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -187,6 +187,8 @@
         self.price_by_worker_id: dict[str, float] = {}
         self.priced_s = float("-inf")
         self.headroom = Headroom()
+        # When the planner last looked for long-running tasks to stop, on the monotonic clock.
+        self.preempted_s = float("-inf")
         self.quarantine = Quarantine(INITIAL_QUARANTINE_S, MAX_QUARANTINE_S)
         self.counters = Counters()
         self.wake = Event()
--- a/laburnumswitch/process/dispatch/draining.py
+++ b/laburnumswitch/process/dispatch/draining.py
@@ -7,6 +7,7 @@
 clearly cannot end in time is stopped soon, since all of its work will be thrown away.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from math import ceil
 from math import inf
@@ -63,15 +64,26 @@
     """Capacity of the workers that remain, from which the tasks to move are subtracted.
 
     This shows whether there is room, not where the planner will place a task.
+
+    :ivar free: the capacity by worker, in the order of ``workers``.
     """
 
-    def __init__(self, workers: Iterable[Worker]) -> None:
-        self._free = [_FreeCapacity(worker) for worker in workers]
+    def __init__(
+        self, workers: Iterable[Worker], ends_soon: Callable[[ActiveRun], bool] | None = None
+    ) -> None:
+        """Create the room.
+
+        :param ends_soon: whether what a run uses counts as free; by default it never does.
+        """
+        self.free = [FreeCapacity(worker) for worker in workers]
+        if ends_soon is not None:
+            for free in self.free:
+                free.release(run for run in free.worker.runs_by_task.values() if ends_soon(run))
 
     def take(self, step: Step, task: TaskKey, count: int = 1) -> bool:
         """Subtract some tasks of a step, or nothing if they do not all fit."""
-        placed: list[_FreeCapacity] = []
-        for free in self._free:
+        placed: list[FreeCapacity] = []
+        for free in self.free:
             while len(placed) < count and free.fits(step, task):
                 free.add(step, task, 1)
                 placed.append(free)
@@ -81,12 +93,21 @@
             free.add(step, task, -1)
         return False
 
+    def take_some(self, step: Step, task: TaskKey, count: int) -> int:
+        """Subtract as many tasks of a step as fit, and return how many do."""
+        taken = 0
+        for free in self.free:
+            while taken < count and free.fits(step, task):
+                free.add(step, task, 1)
+                taken += 1
+        return taken
+
     def take_gang(self, step: Step, task: TaskKey) -> bool:
         """Subtract all members of a gang that moves, or nothing if they do not all fit.
 
         What its members use on the workers that remain becomes free.
         """
-        own = [(free, free.worker.count_runs(task)) for free in self._free]
+        own = [(free, free.worker.count_runs(task)) for free in self.free]
         for free, count in own:
             free.add(step, task, -count)
         if self.take(step, task, step.count):
@@ -96,7 +117,9 @@
         return False
 
 
-class _FreeCapacity:
+class FreeCapacity:
+    """Capacity of one worker that nothing uses."""
+
     def __init__(self, worker: Worker) -> None:
         listing = worker.listing
         self.worker = worker
@@ -106,6 +129,10 @@
         self._added_by_step: dict[tuple[str, int, int], int] = {}
 
     def fits(self, step: Step, task: TaskKey) -> bool:
+        """Return whether there is room for one more task of a step.
+
+        :param task: any task of the step.
+        """
         if step.required_label and step.required_label not in self.worker.listing.labels:
             return False
         if step.max_per_worker:
@@ -118,7 +145,13 @@
             and step.accelerators <= self._accelerators
         )
 
+    def release(self, runs: Iterable[ActiveRun]) -> None:
+        """Count what some runs use as free."""
+        for run in runs:
+            self.add(run.step, run.task, -1)
+
     def add(self, step: Step, task: TaskKey, count: int) -> None:
+        """Subtract what some tasks of a step use; a negative number of them gives it back."""
         if not step.best_effort:
             self._cpu_millis -= count * step.cpu_millis
         self._memory_mb -= count * step.memory_mb
--- a/laburnumswitch/process/dispatch/evacuator.py
+++ b/laburnumswitch/process/dispatch/evacuator.py
@@ -3,6 +3,7 @@
 ``draining`` decides which runs are stopped, and when.
 """
 
+from laburnumswitch.process.dispatch.availability import unavailable_count
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
 from laburnumswitch.process.dispatch.draining import Candidate
 from laburnumswitch.process.dispatch.draining import choose_stops
@@ -10,15 +11,11 @@
 from laburnumswitch.process.dispatch.fleet import ActiveRun
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.jobs import Job
-from laburnumswitch.process.dispatch.jobs import StepState
-from laburnumswitch.process.dispatch.jobs import Task
 from laburnumswitch.process.dispatch.planner import usable_workers
 
 # Interval, in seconds, at which the runs on draining workers are checked. Some workers leave two
 # seconds after their notice.
 EVACUATION_INTERVAL_S = 0.1
-# Progress of a long-running task that is at work, in percent.
-AT_WORK_PERCENT = 100.0
 
 
 def start_evacuation(dispatcher: Dispatcher) -> None:
@@ -75,21 +72,11 @@
     job = dispatcher.jobs_by_id.get(run.task.job_id)
     if run.is_stopping or run.confirmed_s is None or job is None or job.is_final():
         return None
-    unavailable_count = 0
+    away_count = 0
     if run.step.long_running:
-        unavailable_count = _unavailable_count(dispatcher, job.step_state(run.task))
+        away_count = unavailable_count(dispatcher, job.step_state(run.task))
     may_restart = dispatcher.settled or not job.may_have_unknown_runs
-    return Candidate(worker, run, unavailable_count, may_restart)
-
-
-def _unavailable_count(dispatcher: Dispatcher, step_state: StepState) -> int:
-    return sum(1 for task in step_state.tasks if not _is_at_work(dispatcher, task))
-
-
-def _is_at_work(dispatcher: Dispatcher, task: Task) -> bool:
-    worker = dispatcher.workers_by_id.get(task.worker_id)
-    run = worker.runs_by_task.get(task.key) if worker is not None else None
-    return run is not None and not run.is_stopping and run.progress_percent >= AT_WORK_PERCENT
+    return Candidate(worker, run, away_count, may_restart)
 
 
 def _subtract_waiting(
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -26,10 +26,14 @@
 from laburnumswitch.process.dispatch.jobs import Task
 from laburnumswitch.process.dispatch.opportunity import worker_prices
 from laburnumswitch.process.dispatch.ordering import order_key
+from laburnumswitch.process.dispatch.ordering import OrderKey
+from laburnumswitch.process.dispatch.ordering import Tier
 from laburnumswitch.process.dispatch.placing import INTERFERENCE_LIMIT
 from laburnumswitch.process.dispatch.placing import PlacementContext
 from laburnumswitch.process.dispatch.placing import Ranking
 from laburnumswitch.process.dispatch.placing import workers_to_rank
+from laburnumswitch.process.dispatch.preemption import make_room
+from laburnumswitch.process.dispatch.preemption import WaitingStep
 from laburnumswitch.process.dispatch.relocation import choose_moves
 from laburnumswitch.process.dispatch.tickets import Tickets
 from laburnumswitch.process.dispatch.worker_protocol import StartCommand
@@ -57,6 +61,9 @@
 RELOCATION_INTERVAL_S = 0.4
 # Interval, in seconds, at which the prices of workers are computed.
 PRICE_INTERVAL_S = 1.0
+# Shortest interval, in seconds, between two searches for long-running tasks to stop. A search takes
+# as long as a planning pass, and a stop takes several times the interval.
+PREEMPTION_INTERVAL_S = 0.1
 # Tickets are not used this shortly before they expire, in seconds, so that they are still valid
 # when the start arrives.
 TICKET_MARGIN_S = 0.3
@@ -135,6 +142,7 @@
             return
     dispatcher.skipped_steps.clear()
     dispatcher.reserved_by_service.clear()
+    _preempt(dispatcher, keyed, state_by_service)
 
 
 class ServicePlanningState:
@@ -171,6 +179,26 @@
     return state
 
 
+def _preempt(
+    dispatcher: Dispatcher,
+    keyed: list[tuple[OrderKey, Queue, ReadyStep, tuple[str, int, int]]],
+    state_by_service: dict[str, ServicePlanningState],
+) -> None:
+    """Make room for the urgent steps of a whole pass that still wait and can be on time or late."""
+    now_s = dispatcher.context.clock()
+    if now_s - dispatcher.preempted_s < PREEMPTION_INTERVAL_S:
+        return
+    dispatcher.preempted_s = now_s
+    waiting_by_service: dict[str, list[WaitingStep]] = {}
+    for key, queue, ready, _ in keyed:
+        is_useful = ready.step_state.step.is_urgent and key.tier is not Tier.EXPIRED
+        if is_useful and not ready.step_state.step.gang and ready.step_state.has_waiting():
+            waiting = WaitingStep(ready, queue)
+            waiting_by_service.setdefault(queue.service, []).append(waiting)
+    for service, waiting_steps in waiting_by_service.items():
+        make_room(dispatcher, waiting_steps, state_by_service[service].usable)
+
+
 def _plan_step(
     dispatcher: Dispatcher, queue: Queue, ready: ReadyStep, service_state: ServicePlanningState
 ) -> None:
--- a/tests/process/dispatch/replay.py
+++ b/tests/process/dispatch/replay.py
@@ -11,9 +11,9 @@
 
 from gevent import sleep
 
+from laburnumswitch.process.dispatch.availability import AT_WORK_PERCENT
 from laburnumswitch.process.dispatch.dispatcher import DispatchContext
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
-from laburnumswitch.process.dispatch.evacuator import AT_WORK_PERCENT
 from laburnumswitch.process.dispatch.job_spec import Queue
 from laburnumswitch.process.dispatch.job_spec import QueueConfiguration
 from laburnumswitch.process.dispatch.job_spec import Step
--- a/tests/process/dispatch/test_urgent_jobs.py
+++ b/tests/process/dispatch/test_urgent_jobs.py
@@ -5,7 +5,9 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 from testtools.matchers import GreaterThan
+from testtools.matchers import LessThan
 
+from laburnumswitch.process.dispatch.headroom import MAX_HEADROOM_SHARE
 from laburnumswitch.process.dispatch.job_spec import Queue
 from laburnumswitch.process.dispatch.job_spec import Step
 from tests.process.dispatch.harness import make_listing
@@ -134,3 +136,55 @@
         # Room was counted for as many tasks as the step has, so one worker never had enough.
         self.fleet.replay([self._waiting_job(1)], 3.1)
         self.assertThat(self._long_running_runs(), Equals(2))
+
+
+class TestPreemption(TestCase):
+    LASTING_STEP = Step(4, 15_000, 26_000, long_running=True)
+    URGENT_STEP = Step(1, 30_000, 60_000, estimate_ms=1000.0)
+
+    def _fill(self, *queues, workers=4, **changes):
+        listings = [
+            make_listing(number, cpu_millis=64_000, memory_mb=256_000)
+            for number in range(1, workers + 1)
+        ]
+        fleet = FleetReplay(listings, list(queues))
+        step = self.LASTING_STEP._replace(**changes)
+        fleet.replay([Arrival(0.0, "feed", (step,))] * workers, 4.0)
+        return fleet
+
+    def test_urgent_task_gets_the_room_of_the_fewest_processors(self):
+        fleet = self._fill(URGENT, LASTING, workers=40, max_unavailable=4)
+        finished = fleet.replay([Arrival(0.0, "check", (self.URGENT_STEP,), (1.0,))], 2.0)
+        self.assertThat(len(fleet.stopped_runs), Equals(2))
+        self.assertThat(finished["check"][0].took_s, LessThan(1.6))
+
+    def test_steps_keep_all_but_the_declared_number_of_their_tasks(self):
+        # Tasks of a step share workers, so only one of them may be stopped there.
+        fleet = self._fill(URGENT, LASTING, workers=40, max_unavailable=1)
+        arrivals = [Arrival(0.1 * n, "check", (self.URGENT_STEP,), (1.0,)) for n in range(10)]
+        fleet.replay(arrivals, 3.0)
+        stopped = [key[:3] for _, key in fleet.stopped_runs]
+        self.assertThat(len(set(stopped)), Equals(len(stopped)))
+
+    def test_tasks_of_a_more_urgent_queue_are_not_stopped(self):
+        fleet = self._fill(URGENT._replace(priority=1), LASTING, workers=40, max_unavailable=4)
+        fleet.replay([Arrival(0.0, "check", (self.URGENT_STEP,), (1.0,))], 2.0)
+        self.assertThat(fleet.stopped_runs, Equals([]))
+
+    def test_room_that_is_about_to_become_free_is_waited_for(self):
+        fleet = self._fill(URGENT, LASTING, workers=40, max_unavailable=4)
+        first = self.URGENT_STEP._replace(estimate_ms=600.0)
+        arrivals = [
+            Arrival(0.0, "check", (first,), (0.6,)),
+            Arrival(0.9, "check", (self.URGENT_STEP,), (1.0,)),
+        ]
+        fleet.replay(arrivals, 3.0)
+        self.assertThat(len(fleet.stopped_runs), Equals(2))
+
+    def test_urgent_tasks_get_a_limited_share_of_the_processors(self):
+        fleet = self._fill(URGENT, LASTING, workers=40, max_unavailable=4)
+        wide = self.URGENT_STEP._replace(count=80)
+        fleet.replay([Arrival(0.0, "check", (wide,), (5.0,))], 4.0)
+        used = sum(each.urgent_cpu_millis for each in fleet.owner.workers_by_id.values())
+        self.assertThat(used, LessThan(MAX_HEADROOM_SHARE * 40 * 64_000 + 1))
+        self.assertThat(used, GreaterThan(0))
