Give up tasks under which workers crash, and keep them apart until then

Cause: a run that ends with its worker was released without a trace at its task; only ends reported as failed count as attempts. Class of fault: an attempt whose end nobody reports is not counted.

Now the owner tells crashes from planned ends (announced by the listing, VM taken away) and from the loss of many workers of a zone at a time, and counts a crash for the runs that the worker had started up to two seconds before. Tasks with crashes start on different workers, where least can be lost, and are cleared once a worker has survived them for two seconds. A task is given up after two crashes if it was the last one started each time, otherwise after three; its job is failed at once. The counts are stored in their own rows by run number, so a new owner neither begins anew nor counts one crash twice. Ruled out: counting crashes alone, without keeping the tasks apart: in the tests the jobs of the tasks beside the deadly one then fail too. A lapse of leases without evidence of a crash is not counted.

VM_REMOVED and RUN_BY_NONE have become values with a reason; the test that compares the text follows.

--- a/laburnumswitch/command/explain.py
+++ b/laburnumswitch/command/explain.py
@@ -36,6 +36,7 @@
         "worker_lapsed",
         "worker_silent",
         "worker_restarted",
+        "worker_crashed",
         "worker_dropped",
         "worker_rests",
         "worker_draining",
--- /dev/null
+++ b/laburnumswitch/process/dispatch/crashes.py
@@ -0,0 +1,114 @@
+"""Which tasks are to blame if their workers crash, and what of it is stored.
+
+A task may crash each worker that starts it. A worker runs a dozen tasks when it crashes, so one
+crash does not tell which of them caused it. The crash counts for the runs that had started shortly
+before it, as a run that goes on for a while has shown that it does no harm. Their tasks are started
+on different workers then, so that the next crash tells them apart.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from msgspec import convert
+from msgspec import ValidationError
+from xxhash import xxh32_intdigest
+
+from laburnumswitch.exceptions import RowMalformed
+from laburnumswitch.process.dispatch.fleet import ActiveRun
+from laburnumswitch.process.dispatch.fleet import Crash
+from laburnumswitch.process.dispatch.job_spec import TaskKey
+from laburnumswitch.process.rows.table import Row
+
+# A run that its worker survives for this long, in seconds, is not to blame for a later crash. Tasks
+# that crash their workers do so right after their start.
+SURVIVAL_S = 2.0
+# Crashes after which a task is given up if it was each time the last one that had started.
+CRASHES_OF_LAST_STARTED = 2
+# Crashes after which a task is given up in any case.
+MAX_CRASHES = 3
+# Runs that started within this time of each other, in seconds, cannot be told apart by their order.
+SAME_START_S = 0.05
+# Workers of one availability zone that end within ``GROUP_WINDOW_S`` have a common cause, such as a
+# loss of power, if they are at least ``MIN_GROUP`` and this share of its workers.
+GROUP_WINDOW_S = 1.0
+MIN_GROUP = 3
+GROUP_SHARE = 0.05
+
+CRASHES_TABLE = "crashes"
+# Number of rows that store crashed runs: a row of the platform's store holds 64 KiB, and a task
+# takes about 60 bytes.
+CRASHES_PARTS = 8
+
+
+class CrashedTask(NamedTuple):
+    """A task of a job that has not ended, and the numbers of its runs that count as crashes."""
+
+    task: TaskKey
+    runs: tuple[int, ...]
+
+
+def find_suspects(runs: Iterable[ActiveRun], last_sign_s: float) -> list[tuple[ActiveRun, Crash]]:
+    """Return the runs for which the crash of their worker counts.
+
+    :param last_sign_s: when the worker last gave a sign of life.
+    """
+    runs = list(runs)
+    last_started_s = max((run.started_s for run in runs), default=0.0)
+    last_started = [run for run in runs if last_started_s - run.started_s < SAME_START_S]
+    suspects = []
+    for run in runs:
+        # A start that was not answered may have been carried out late.
+        confirmed_s = last_sign_s if run.confirmed_s is None else run.confirmed_s
+        survived_s = max(0.0, last_sign_s - confirmed_s)
+        if survived_s < SURVIVAL_S:
+            suspects.append((run, Crash(survived_s, last_started == [run])))
+    return suspects
+
+
+def is_to_blame(crash_count: int, was_always_last_started: bool) -> bool:
+    """Return whether a task is given up after some crashes of its workers."""
+    if crash_count >= MAX_CRASHES:
+        return True
+    return was_always_last_started and crash_count >= CRASHES_OF_LAST_STARTED
+
+
+class CrashWindow:
+    """Recent crashes by availability zone, to tell a single one from a loss of many workers."""
+
+    def __init__(self) -> None:
+        self._recent_by_zone: dict[str, deque[tuple[float, str]]] = {}
+
+    def add(self, zone: str, worker_id: str, now_s: float) -> None:
+        """Record the crash of a worker."""
+        recent = self._recent_by_zone.setdefault(zone, deque())
+        recent.append((now_s, worker_id))
+        while now_s - recent[0][0] > GROUP_WINDOW_S:
+            recent.popleft()
+
+    def is_group(self, zone: str, worker_count: int) -> bool:
+        """Return whether the last crash in a zone is one of many with a common cause.
+
+        :param worker_count: number of the workers of the zone.
+        """
+        crashed = {worker_id for _, worker_id in self._recent_by_zone.get(zone, ())}
+        return len(crashed) >= max(MIN_GROUP, GROUP_SHARE * worker_count)
+
+
+def crashes_key(job_id: str) -> str:
+    """Return the key of the row that stores the crashed runs of a job's tasks."""
+    return f"{CRASHES_TABLE}/{xxh32_intdigest(job_id.encode()) % CRASHES_PARTS}"
+
+
+def collect_crashes(
+    rows: Iterable[Row], report_malformed: Callable[[RowMalformed], None]
+) -> list[CrashedTask]:
+    """Return the stored tasks with crashed runs."""
+    crashed: list[CrashedTask] = []
+    for row in rows:
+        try:
+            crashed += convert(row.value, list[CrashedTask])
+        except ValidationError as error:
+            report_malformed(RowMalformed(row.key, str(error)))
+    return crashed
--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -8,6 +8,7 @@
 
 import sys
 from collections.abc import Callable
+from collections.abc import Iterable
 from typing import Any
 from typing import NamedTuple
 
@@ -18,6 +19,12 @@
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.exceptions import RowMalformed
 from laburnumswitch.process.daemon.deployment import Deployment
+from laburnumswitch.process.dispatch.crashes import CrashedTask
+from laburnumswitch.process.dispatch.crashes import crashes_key
+from laburnumswitch.process.dispatch.crashes import CrashWindow
+from laburnumswitch.process.dispatch.crashes import find_suspects
+from laburnumswitch.process.dispatch.crashes import is_to_blame
+from laburnumswitch.process.dispatch.crashes import SURVIVAL_S
 from laburnumswitch.process.dispatch.fleet import ActiveRun
 from laburnumswitch.process.dispatch.fleet import FENCES_PER_EPOCH
 from laburnumswitch.process.dispatch.fleet import lapse_s
@@ -189,6 +196,10 @@
         self.headroom = Headroom()
         # When the planner last looked for long-running tasks to stop, on the monotonic clock.
         self.preempted_s = float("-inf")
+        self.crash_window = CrashWindow()
+        # Tasks with crashed runs, and the last batch that stores any of them.
+        self.crashed_task_by_key: dict[TaskKey, Task] = {}
+        self.crashes_in_batch = 0
         self.quarantine = Quarantine(INITIAL_QUARANTINE_S, MAX_QUARANTINE_S)
         self.counters = Counters()
         self.wake = Event()
@@ -450,6 +461,7 @@
         job.begin_run(task, number, worker.worker_id)
         step_state.last_start_s = self.context.clock()
         run = ActiveRun(task.key, number, step_state.step, worker.fence, self.context.clock())
+        run.is_suspect = bool(task.crashed_runs)
         worker.add_run(run)
         if not step_state.has_waiting():
             self.ready_step_by_key.pop(task.key[:3], None)
@@ -474,6 +486,7 @@
             run.speed_percent = run.measured_speed_percent()
         else:
             run.is_speed_uncertain = True
+        run.is_suspect = bool(task.crashed_runs)
         # It may have been over its target for nearly as long as it may be.
         run.last_under_target_s = float("-inf")
         worker.add_run(run)
@@ -514,6 +527,8 @@
         task = job and job.task(run.task)
         if task and task.active_run == run.number:
             job.end_run(task)
+            if run.crash is not None and not job.is_final():
+                self._count_crash(worker, job, task, run)
             self.refresh_ready_steps(job)
             self.forget_if_finished(job)
         now_s = self.context.clock()
@@ -528,6 +543,104 @@
             reason=reason,
         )
 
+    def note_crashes(self, workers: Iterable[Worker]) -> None:
+        """Hold the crashes of workers against the runs that they had started shortly before.
+
+        The crash counts once such a run is released. Workers that were about to leave have ended
+        as planned, and many workers of one availability zone at a time for a common cause.
+        """
+        now_s = self.context.clock()
+        crashed = [worker for worker in workers if worker.leaves_s is None]
+        for worker in crashed:
+            self.crash_window.add(worker.listing.availability_zone, worker.worker_id, now_s)
+        for worker in crashed:
+            zone = worker.listing.availability_zone
+            in_zone = sum(
+                each.listing.availability_zone == zone for each in self.workers_by_id.values()
+            )
+            suspects = find_suspects(worker.runs_by_task.values(), worker.last_sign_s())
+            is_group = self.crash_window.is_group(zone, in_zone)
+            self.context.log.note(
+                "worker_crashed",
+                worker.worker_id,
+                zone=zone,
+                runs=len(worker.runs_by_task),
+                suspects=[task_name(run.task) for run, _ in suspects],
+                counts=not is_group,
+            )
+            if not is_group:
+                for run, crash in suspects:
+                    run.crash = crash
+
+    def _count_crash(self, worker: Worker, job: Job, task: Task, run: ActiveRun) -> None:
+        """Count a crash for a task, and fail its job if the task is to blame."""
+        task.crashed_runs.add(run.number)
+        task.was_always_last_started &= run.crash.was_last_started
+        crash_count = len(task.crashed_runs)
+        is_given_up = is_to_blame(crash_count, task.was_always_last_started)
+        self.context.log.note(
+            "task_suspected",
+            task_name(task.key),
+            run=run.number,
+            worker=worker.worker_id,
+            crashes=crash_count,
+            survived_s=round(run.crash.survived_s, 3),
+            was_last_started=run.crash.was_last_started,
+            given_up=is_given_up,
+        )
+        self.crashed_task_by_key[task.key] = task
+        self._queue_crashes(job.job_id)
+        if is_given_up:
+            job.state = JobState.FAILED
+            reason = f"{crash_count} workers crashed under task {task_name(task.key)}"
+            self.finish_job(job, reason)
+
+    def note_survival(self, job: Job, task: Task, run: ActiveRun) -> None:
+        """Clear a task of earlier crashes once a worker has survived a run of it for a while."""
+        if not run.is_suspect or self.context.clock() - run.first_reported_s < SURVIVAL_S:
+            return
+        run.is_suspect = False
+        task.crashed_runs.clear()
+        task.was_always_last_started = True
+        self.crashed_task_by_key.pop(task.key, None)
+        self._queue_crashes(job.job_id)
+
+    def _queue_crashes(self, job_id: str) -> None:
+        """Queue the row that stores the crashes of a job's tasks, without those of ended jobs."""
+        for key in [key for key in self.crashed_task_by_key if self._has_ended(key.job_id)]:
+            del self.crashed_task_by_key[key]
+        row_key = crashes_key(job_id)
+        crashed = [
+            CrashedTask(key, tuple(sorted(task.crashed_runs)))
+            for key, task in self.crashed_task_by_key.items()
+            if crashes_key(key.job_id) == row_key
+        ]
+        self.crashes_in_batch = self.recorder.queue_row(row_key, crashed)
+
+    def _has_ended(self, job_id: str) -> bool:
+        job = self.jobs_by_id.get(job_id)
+        return job is None or job.is_final()
+
+    def restore_crashes(self, crashed: CrashedTask) -> None:
+        """Apply stored crashes to a job that was just loaded.
+
+        Whether each was the last run that its worker had started is not stored.
+        """
+        job = self.jobs_by_id.get(crashed.task.job_id)
+        task = job and job.task(crashed.task)
+        if task:
+            task.crashed_runs = set(crashed.runs)
+            task.was_always_last_started = False
+            self.crashed_task_by_key[task.key] = task
+
+    def may_start(self, task: Task) -> bool:
+        """Return whether a task may start as far as crashes of its workers are concerned.
+
+        One under which several workers crashed waits until this is stored, so that a new owner does
+        not start it as often again.
+        """
+        return len(task.crashed_runs) < 2 or self.recorder.committed >= self.crashes_in_batch
+
     def report_end(self, worker: Worker, end: EndReport) -> None:
         """Apply the reported end of a run, as soon as its job is known.
 
@@ -682,6 +795,7 @@
         Runs that an earlier incarnation has reported ended with it. Any other start may have
         reached the new one: these runs are kept until it reports, or until their leases lapse.
         """
+        self.note_crashes([worker])
         for run in list(worker.runs_by_task.values()):
             if run.incarnation not in (0, incarnation):
                 self.release_run(worker, run, f"the worker restarted: {evidence}")
--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -59,6 +59,18 @@
     is_persistently_over: bool
 
 
+class Crash(NamedTuple):
+    """What is known of a run whose worker crashed.
+
+    :ivar survived_s: how long after its start was confirmed the worker gave its last sign of life,
+        in seconds.
+    :ivar was_last_started: whether all other runs of the worker had started before it.
+    """
+
+    survived_s: float
+    was_last_started: bool
+
+
 class ActiveRun:
     """A run that may exist on a worker.
 
@@ -82,6 +94,10 @@
         minus infinity if that was not seen since the run was adopted.
     :ivar was_under_target: whether the last sample was clearly below its target.
     :ivar throttled_since_s: since when it has been heavily throttled; ``None`` if it is not.
+    :ivar crash: set if its worker crashed shortly after its start, and it ended with it unless a
+        later report lists it.
+    :ivar is_suspect: whether workers crashed under its task before, and it has not shown yet that
+        it does no harm.
     """
 
     __slots__ = (
@@ -107,6 +123,8 @@
         "last_under_target_s",
         "was_under_target",
         "throttled_since_s",
+        "crash",
+        "is_suspect",
     )
 
     def __init__(self, task: TaskKey, number: int, step: Step, fence: int, now_s: float) -> None:
@@ -132,6 +150,8 @@
         self.last_under_target_s = now_s
         self.was_under_target = False
         self.throttled_since_s: float | None = None
+        self.crash: Crash | None = None
+        self.is_suspect = False
 
     def update(self, report: RunReport, now_s: float, incarnation: int = 0) -> None:
         """Update the run from a report by an incarnation of the worker, 0 if unknown."""
@@ -142,6 +162,7 @@
             self.first_reported_s = now_s
             self.first_progress_percent = report.progress_percent
         self.is_uncertain = False
+        self.crash = None
         self.reported_s = now_s
         self.progress_percent = report.progress_percent
         self.measurement = report.measurement
@@ -249,6 +270,15 @@
         """Return the id under which the platform lists the worker."""
         return self.listing.worker_id
 
+    def last_sign_s(self) -> float:
+        """Return when the worker last answered a renewal or a start, 0 if never."""
+        confirmed_s = [run.confirmed_s or 0.0 for run in self.runs_by_task.values()]
+        return max([self.last_answer_s, *confirmed_s])
+
+    def has_suspect(self) -> bool:
+        """Return whether a run is there whose task may crash the worker."""
+        return any(run.is_suspect for run in self.runs_by_task.values())
+
     def is_listed(self, now_s: float) -> bool:
         """Return whether the platform lists the worker or did so until recently.
 
--- a/laburnumswitch/process/dispatch/jobs.py
+++ b/laburnumswitch/process/dispatch/jobs.py
@@ -33,6 +33,8 @@
     :ivar active_run: number of the active run, 0 for none.
     :ivar last_run: highest number of a run; it never decreases.
     :ivar failed_runs: numbers of the runs that have failed.
+    :ivar crashed_runs: numbers of the runs that may have crashed their workers.
+    :ivar was_always_last_started: whether each of these was the last one that its worker started.
     :ivar checkpoint: last checkpoint, from which the next run resumes; empty for none.
     """
 
@@ -40,6 +42,8 @@
         "key",
         "is_done",
         "failed_runs",
+        "crashed_runs",
+        "was_always_last_started",
         "checkpoint",
         "active_run",
         "last_run",
@@ -50,6 +54,8 @@
         self.key = key
         self.is_done = False
         self.failed_runs: set[int] = set()
+        self.crashed_runs: set[int] = set()
+        self.was_always_last_started = True
         self.checkpoint = ""
         self.active_run = 0
         self.last_run = 0
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -356,9 +356,10 @@
     context = placement_context(dispatcher)
     if step.best_effort:
         candidates = workers_to_rank(step, candidates, dispatcher.counters.starts)
+    _start_suspects(dispatcher, ready, candidates, tickets, forced)
     eligible = (each for each in candidates if _allows_another_task(step, each, ready))
     ranking = Ranking(_step_to_rank(dispatcher, ready), eligible, context)
-    for task in list(ready.step_state.waiting()):
+    for task in [each for each in ready.step_state.waiting() if not each.crashed_runs]:
         choice = ranking.best()
         if choice is None:
             return True
@@ -371,6 +372,36 @@
     return True
 
 
+def _start_suspects(
+    dispatcher: Dispatcher,
+    ready: ReadyStep,
+    candidates: list[Worker],
+    tickets: dict[str, str],
+    forced: int,
+) -> None:
+    """Start the tasks under which workers crashed, each on another worker, where least can be lost.
+
+    Several on one worker could not be told apart after the next crash.
+    """
+    step = ready.step_state.step
+    for task in [each for each in ready.step_state.waiting() if each.crashed_runs]:
+        suitable = [
+            worker
+            for worker in candidates
+            if worker.fits(step)
+            and not worker.has_suspect()
+            and _allows_another_task(step, worker, ready)
+        ]
+        if step.best_effort:
+            choice = Ranking(step, suitable, placement_context(dispatcher)).best()
+            is_allowed = choice and (forced or choice.own_cost <= INTERFERENCE_LIMIT)
+            suitable = [choice.worker] if is_allowed else []
+        if not suitable or not dispatcher.may_start(task):
+            continue
+        worker = min(suitable, key=lambda each: each.used_cpu_millis + each.best_effort_cpu_millis)
+        _start_task(dispatcher, ready.job, task, worker, tickets)
+
+
 def _step_to_rank(dispatcher: Dispatcher, ready: ReadyStep) -> Step:
     step = ready.step_state.step
     if not (step.best_effort and step.data_rack):
@@ -397,6 +428,10 @@
     if ready.step_state.active_count:
         return
     step = ready.step_state.step
+    if any(task.crashed_runs for task in ready.step_state.tasks):
+        candidates = [worker for worker in candidates if not worker.has_suspect()]
+        if not all(dispatcher.may_start(task) for task in ready.step_state.tasks):
+            return
     groups = [candidates]
     if step.same_rack:
         racks = sorted({worker.listing.rack for worker in candidates})
--- a/laburnumswitch/process/dispatch/takeover.py
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -5,6 +5,8 @@
 
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.exceptions import RowMalformed
+from laburnumswitch.process.dispatch.crashes import collect_crashes
+from laburnumswitch.process.dispatch.crashes import CRASHES_TABLE
 from laburnumswitch.process.dispatch.dispatcher import DispatchContext
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
 from laburnumswitch.process.dispatch.dispatcher import FLEET_TABLE
@@ -86,6 +88,7 @@
 
 def _run(dispatcher: Dispatcher) -> None:
     version = _load_jobs(dispatcher)
+    _load_crashes(dispatcher)
     load_parameters(dispatcher)
     handover_by_worker = _load_handover(dispatcher)
     stored_queues = _load_queues(dispatcher)
@@ -144,6 +147,15 @@
     return submissions.version
 
 
+def _load_crashes(dispatcher: Dispatcher) -> None:
+    def report_malformed(malformed: RowMalformed) -> None:
+        dispatcher.context.log.note("crashes_malformed", malformed.key, reason=malformed.reason)
+
+    rows = _load(dispatcher, CRASHES_TABLE).rows
+    for crashed in collect_crashes(rows, report_malformed):
+        dispatcher.restore_crashes(crashed)
+
+
 def _load_handover(dispatcher: Dispatcher) -> dict[str, WorkerHandover]:
     def report_malformed(malformed: RowMalformed) -> None:
         dispatcher.context.log.note("handover_malformed", malformed.key, reason=malformed.reason)
--- a/laburnumswitch/process/dispatch/vm_list.py
+++ b/laburnumswitch/process/dispatch/vm_list.py
@@ -57,8 +57,18 @@
     last_answer_s: float
 
 
-VM_REMOVED = "its VM is no longer listed"
-RUN_BY_NONE = "no listed VM runs it"
+class Evidence(NamedTuple):
+    """Why a worker has certainly ended.
+
+    :ivar is_crash: whether it crashed; otherwise its VM was taken away, or nothing tells.
+    """
+
+    reason: str
+    is_crash: bool = False
+
+
+VM_REMOVED = Evidence("its VM is no longer listed")
+RUN_BY_NONE = Evidence("no listed VM runs it")
 _BY_ABSENCE = (VM_REMOVED, RUN_BY_NONE)
 
 # Reads the whole list; the argument is the time limit of each page in seconds.
@@ -67,7 +77,7 @@
 
 def find_ended_workers(
     workers: Iterable[SilentWorker], vm_list: VmList, earlier: VmList | None
-) -> dict[str, str]:
+) -> dict[str, Evidence]:
     """Return the evidence by worker id for each worker that has certainly ended.
 
     :param earlier: the reading before ``vm_list``. What a list lacks counts only if both lack it,
@@ -85,7 +95,7 @@
     return evidence_by_id
 
 
-def _find_evidence(worker: SilentWorker, vm_list: VmList) -> str | None:
+def _find_evidence(worker: SilentWorker, vm_list: VmList) -> Evidence | None:
     if not _covers(vm_list, worker):
         return None
     if not worker.vm_id:
@@ -100,8 +110,10 @@
         return VM_REMOVED
     if row.state is VmState.UP:
         runs_another = row.worker_id and row.worker_id != worker.worker_id
-        return f"its VM runs {row.worker_id}" if runs_another else None
-    return None if row.state is VmState.UNKNOWN else f"its VM is {row.state.value}"
+        return Evidence(f"its VM runs {row.worker_id}", is_crash=True) if runs_another else None
+    if row.state is VmState.UNKNOWN:
+        return None
+    return Evidence(f"its VM is {row.state.value}", is_crash=row.state is VmState.DOWN)
 
 
 def _covers(vm_list: VmList, worker: SilentWorker) -> bool:
--- a/laburnumswitch/process/dispatch/vm_watch.py
+++ b/laburnumswitch/process/dispatch/vm_watch.py
@@ -97,12 +97,6 @@
     return worker.has_unknown_runs and not worker.has_certainly_lapsed(now_s)
 
 
-def _last_answer_s(worker: Worker) -> float:
-    """Return when the worker last answered a renewal or a start, 0 if never."""
-    started_s = [run.confirmed_s or 0.0 for run in worker.runs_by_task.values()]
-    return max([worker.last_answer_s, *started_s])
-
-
 def _vm_id(worker: Worker) -> str:
     # The listing of another incarnation may name another VM.
     is_current = worker.listing.incarnation == worker.incarnation or not worker.incarnation
@@ -129,15 +123,21 @@
             worker_id,
             _vm_id(worker),
             incarnation_by_worker[worker].known_since_s,
-            _last_answer_s(worker),
+            worker.last_sign_s(),
         )
         for worker_id, worker in worker_by_id.items()
     ]
-    for worker_id, evidence in find_ended_workers(silent, vm_list, earlier).items():
+    evidence_by_id = find_ended_workers(silent, vm_list, earlier)
+    dispatcher.note_crashes(
+        worker_by_id[worker_id]
+        for worker_id, evidence in evidence_by_id.items()
+        if evidence.is_crash
+    )
+    for worker_id, evidence in evidence_by_id.items():
         worker = worker_by_id[worker_id]
-        heard_s = _last_answer_s(worker) or incarnation_by_worker[worker].known_since_s
+        heard_s = worker.last_sign_s() or incarnation_by_worker[worker].known_since_s
         reason = (
-            f"{evidence} (read {now_s - vm_list.sent_s:.2f} s ago,"
+            f"{evidence.reason} (read {now_s - vm_list.sent_s:.2f} s ago,"
             f" last answer {now_s - heard_s:.2f} s ago)"
         )
         _end_worker(dispatcher, worker, vm_list.sent_s, reason)
--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -70,6 +70,7 @@
             # It has restarted at another address.
             continue
         if isinstance(answer, WorkerReplaced):
+            dispatcher.note_crashes([worker])
             dispatcher.drop_worker(worker, "another worker answers at its address")
             return
         if dispatcher.is_stopped():
@@ -226,6 +227,7 @@
         if run_report is not None:
             run.update(run_report, now_s, worker.incarnation)
             _note_running(dispatcher, run_report)
+            _note_survival(dispatcher, run)
             if run.is_stopping and now_s - run.stop_sent_s > STOP_REPEAT_S:
                 dispatcher.stop_run(worker, run, "repeated: still running after the first stop")
         elif report.may_have_more_ends:
@@ -252,6 +254,13 @@
         task.checkpoint = report.checkpoint
 
 
+def _note_survival(dispatcher: Dispatcher, run: ActiveRun) -> None:
+    job = dispatcher.jobs_by_id.get(run.task.job_id)
+    task = job and job.task(run.task)
+    if task:
+        dispatcher.note_survival(job, task, run)
+
+
 def _handle_unknown_run(dispatcher: Dispatcher, worker: Worker, report: RunReport) -> None:
     """Adopt a run of an earlier owner if its task is still waiting, otherwise stop it."""
     job = dispatcher.jobs_by_id.get(report.task.job_id)
--- a/tests/process/dispatch/test_vm_watch.py
+++ b/tests/process/dispatch/test_vm_watch.py
@@ -302,7 +302,7 @@
         wait_until(lambda: successor.settled)
         self.assertThat(self._names_of_events(holder)[-1], Equals("worker_dropped"))
         reasons = [event.get("reason", "") for event in self.events]
-        self.assertThat(str(reasons), Contains(RUN_BY_NONE))
+        self.assertThat(str(reasons), Contains(RUN_BY_NONE.reason))
 
     def test_stored_list_of_workers_can_be_read_by_earlier_versions(self):
         # They refuse rows with a field that they do not know, and would not ask these workers.
