Compute shares of a worker whose capacity has shrunk to nothing

A worker's capacity may shrink while it runs tasks. Shares of its processors were computed by dividing by them, and the owner's term ended with dispatch_failed at a capacity of zero, again with each new owner, so nothing was started for any caller.

Class of fault: a quantity that used to be constant is taken as positive. Looked for elsewhere: room, slots and headroom only subtract and compare. The test fails before (the term ends) and passes now.

--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -359,6 +359,13 @@
             and self.used_accelerators + step.accelerators <= listing.accelerators
         )
 
+    def cpu_share(self, cpu_millis: float) -> float:
+        """Return processors, in thousandths of a core, as a share of the worker's.
+
+        The capacity of a worker may shrink to nothing while it runs tasks.
+        """
+        return cpu_millis / max(1, self.listing.cpu_millis)
+
     def idle_cpu_millis(self) -> float:
         """Return an estimate of the idle processors available to best-effort tasks."""
         used = self.used_cpu_millis - self.long_running_cpu_millis * (
--- a/laburnumswitch/process/dispatch/placing.py
+++ b/laburnumswitch/process/dispatch/placing.py
@@ -151,7 +151,7 @@
     Urgent tasks may be small or large. Best fit for the small ones keeps whole workers free for the
     large ones.
     """
-    return PACKING_WEIGHT * (1.0 - worker.used_cpu_millis / worker.listing.cpu_millis)
+    return PACKING_WEIGHT * (1.0 - worker.cpu_share(worker.used_cpu_millis))
 
 
 def serving_cost(step: Step, worker: Worker, context: PlacementContext) -> float:
@@ -182,7 +182,7 @@
     interference, but it would be throttled to a standstill or slow down the runs that are there.
     """
     model = context.model
-    share = step.cpu_millis / worker.listing.cpu_millis
+    share = worker.cpu_share(step.cpu_millis)
     interference = throttling = 0.0
     for prediction in predict_tails(worker, model):
         increase = model.coefficient(prediction.image, step.image) * share
@@ -256,7 +256,7 @@
         ),
         default=0.0,
     )
-    return largest / worker.listing.cpu_millis
+    return worker.cpu_share(largest)
 
 
 def best_effort_shares(worker: Worker, unthrottled: bool = False) -> dict[str, float]:
@@ -267,6 +267,6 @@
     share_by_image: dict[str, float] = {}
     for run in worker.best_effort_runs():
         speed = 1.0 if unthrottled else run.speed_percent / 100.0
-        share = run.step.cpu_millis * speed / worker.listing.cpu_millis
+        share = worker.cpu_share(run.step.cpu_millis * speed)
         share_by_image[run.step.image] = share_by_image.get(run.step.image, 0.0) + share
     return share_by_image
--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -293,7 +293,7 @@
     """Update the model from one worker's samples."""
     used_by_image: dict[str, float] = {}
     for run in worker.best_effort_runs():
-        share = run.measurement / worker.listing.cpu_millis
+        share = worker.cpu_share(run.measurement)
         used_by_image[run.step.image] = used_by_image.get(run.step.image, 0.0) + share
     worker.tail_predictions = None
     for run in worker.serving_runs():
@@ -317,7 +317,6 @@
     if not best_effort:
         return {}
     serving = [run for run in worker.serving_runs() if run.measurement > 0]
-    capacity = worker.listing.cpu_millis
     images = {run.step.image for run in best_effort}
     limit_s = interfering_limit_s(max_over_target_s)
     serving_inputs = []
@@ -331,7 +330,7 @@
         load = model.load(run.task)
         serving_inputs.append(ServingInput(load, coefficients, upper_bounds, over_target_s))
     best_effort_inputs = [
-        BestEffortInput(run.task, run.step.image, _unthrottled_share(run, capacity))
+        BestEffortInput(run.task, run.step.image, _unthrottled_share(worker, run))
         for run in best_effort
     ]
     return choose_throttles(serving_inputs, best_effort_inputs, max_over_target_s)
@@ -384,16 +383,16 @@
         _set_speed(dispatcher, worker, run, 0, now_s)
 
 
-def _unthrottled_share(run: ActiveRun, capacity: float) -> float:
+def _unthrottled_share(worker: Worker, run: ActiveRun) -> float:
     """Estimate the share of the worker's processors that a run would use at full speed.
 
     The measured use of a run below half of its speed says too little about that; then it is the
     reserved share.
     """
-    reserved = run.step.cpu_millis / capacity
+    reserved = worker.cpu_share(run.step.cpu_millis)
     if run.is_speed_uncertain or run.speed_percent < 50 or run.measurement <= 0:
         return reserved
-    return min(reserved, run.measurement / capacity * 100.0 / run.speed_percent)
+    return min(reserved, worker.cpu_share(run.measurement) * 100.0 / run.speed_percent)
 
 
 def _throttle(dispatcher: Dispatcher, worker: Worker, run: ActiveRun, percent: int) -> None:
