Read a worker's capacity that has shrunk to nothing

Fields of value 0 are left out on the wire, and a row without processors or memory counted as malformed: a known worker kept its last valid listing, so it went on getting starts for its old size, which breaks LIMIT on workers that do not guard theirs.

The test fails before (AttributeError on RowMalformed) and passes now. Other rows were read for the same cause: capacity was the only required quantity in the list of workers.

--- a/laburnumswitch/platform/discovery.py
+++ b/laburnumswitch/platform/discovery.py
@@ -15,8 +15,9 @@
 
 
 class _Capacity(Struct, rename={"cpu_millis": "cpu", "memory_mb": "memMb", "accelerators": "gpu"}):
-    cpu_millis: int
-    memory_mb: int
+    # Fields whose value is 0 are left out.
+    cpu_millis: int = 0
+    memory_mb: int = 0
     accelerators: int = 0
 
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -147,6 +147,13 @@
             self.assertThat(found, IsInstance(RowMalformed))
         self.assertThat(decode_worker("servers/i-1", {}), IsInstance(RowMalformed))
 
+    def test_capacity_that_has_shrunk_to_nothing(self):
+        # Fields of value 0 are left out. Taken for malformed, the row left the worker its old size.
+        worker = decode_worker("servers/i-1", {**WORKER, "capacity": {"memMb": 512}})
+        self.assertThat((worker.cpu_millis, worker.memory_mb), Equals((0, 512)))
+        worker = decode_worker("servers/i-1", {**WORKER, "capacity": {}})
+        self.assertThat((worker.cpu_millis, worker.memory_mb), Equals((0, 0)))
+
     def test_queues_are_decoded(self):
         value = {"version": 7, "routes": [ROUTE], "services": [{"name": "s"}]}
         configuration = decode_operation(Row("op/config", 1, value))
