Let long-running tasks use room that is there most of the time

Its callers miss it for as long as urgent tasks come now and then.

Cause, by reading: since room given back is left to urgent tasks, any moment without room for two began the wait of 1.5 s anew, so gaps of 0.2 s every second kept long-running tasks away for good. Now the room has to be there for 85% of the last time, or 60% once users soon look for the task; urgent tasks that follow each other leave a few per cent.

The test fails before (1 run instead of 3 after three seconds).

--- a/laburnumswitch/process/dispatch/jobs.py
+++ b/laburnumswitch/process/dispatch/jobs.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 from enum import StrEnum
+from math import exp
 from typing import NamedTuple
 
 from laburnumswitch.process.dispatch.job_spec import Step
@@ -12,6 +13,8 @@
 MILLIS_PER_CORE = 1000.0
 # Assumed duration of a task without an estimate, in seconds.
 DEFAULT_ESTIMATE_S = 1.0
+# Time constant of the moving average of whether there is room for a step, in seconds.
+ROOM_WINDOW_S = 1.0
 
 
 class JobState(StrEnum):
@@ -66,14 +69,36 @@
         return not self.is_done and not self.active_run
 
 
+class RoomShare:
+    """Moving average of whether there is room for a step.
+
+    :ivar share: share of the time for which there was room lately.
+    """
+
+    __slots__ = ("share", "_had_room", "_updated_s")
+
+    def __init__(self) -> None:
+        self.share = 0.0
+        self._had_room = False
+        self._updated_s: float | None = None
+
+    def update(self, has_room: bool, now_s: float) -> None:
+        """Record whether there is room now; it counts until the next update."""
+        if self._updated_s is not None:
+            weight = 1.0 - exp((self._updated_s - now_s) / ROOM_WINDOW_S)
+            self.share += weight * (self._had_room - self.share)
+        self._had_room = has_room
+        self._updated_s = now_s
+
+
 class StepState:
     """State of one step of one occurrence, with its tasks.
 
     :ivar done_count: number of tasks that are done.
     :ivar active_count: number of tasks with an active run.
     :ivar ready_since_s: since when the step has had tasks to start, on the owner's clock.
-    :ivar room_since_s: since when workers have had room for more than one task of the step, as the
-        planner last saw it; ``None`` if they have not. Only used for long-running steps.
+    :ivar room: for which share of the time workers had room for its tasks lately, as the planner
+        saw it. Only used for long-running steps.
     :ivar first_ready_s: when the step first had tasks to start, for the log; ``None`` before.
     :ivar last_start_s: when the last task was started, for the log; ``None`` before.
     """
@@ -84,7 +109,7 @@
         "done_count",
         "active_count",
         "ready_since_s",
-        "room_since_s",
+        "room",
         "first_ready_s",
         "last_start_s",
         "retry_after_s",
@@ -96,7 +121,7 @@
         self.done_count = 0
         self.active_count = 0
         self.ready_since_s = 0.0
-        self.room_since_s: float | None = None
+        self.room = RoomShare()
         self.first_ready_s: float | None = None
         self.last_start_s: float | None = None
         # Best-effort steps that found no suitable worker are not planned before this time.
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -17,8 +17,12 @@
 from laburnumswitch.process.dispatch.fleet import MAX_SILENCE_S
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.headroom import choose_reserved
+from laburnumswitch.process.dispatch.headroom import FIRST_RUN_LIMIT_S
+from laburnumswitch.process.dispatch.headroom import LASTING_ROOM_SHARE
 from laburnumswitch.process.dispatch.headroom import LONG_RUNNING_WAIT_S
 from laburnumswitch.process.dispatch.headroom import MIN_SPARE_SLOTS
+from laburnumswitch.process.dispatch.headroom import OVERDUE_ROOM_SHARE
+from laburnumswitch.process.dispatch.headroom import RESTART_LIMIT_S
 from laburnumswitch.process.dispatch.job_spec import Queue
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.jobs import Job
@@ -237,24 +241,26 @@
 def _has_lasting_room(dispatcher: Dispatcher, queue: Queue, ready: ReadyStep) -> bool:
     """Return whether a long-running step may use what is kept for urgent tasks.
 
-    It may once there has been room for ``MIN_SPARE_SLOTS`` of its tasks all the while. Room that an
-    urgent task has just given back does not count: the next one needs it, and a long-running task
-    would keep it.
+    It may once there has been room for ``MIN_SPARE_SLOTS`` of its tasks most of the time. Room that
+    an urgent task has just given back does not count: the next one needs it, and a long-running
+    task would keep it.
     """
-    now_s = dispatcher.context.clock()
-    step = ready.step_state.step
+    step_state = ready.step_state
+    step = step_state.step
     wide_step = step._replace(count=max(step.count, MIN_SPARE_SLOTS))
     slots = 0
     for worker in dispatcher.workers_by_id.values():
         if worker.listing.service == queue.service and not worker.listing.is_draining:
             slots += _free_slots(wide_step, worker)
-    if slots < MIN_SPARE_SLOTS:
-        ready.step_state.room_since_s = None
+    now_s = dispatcher.context.clock()
+    has_room = slots >= MIN_SPARE_SLOTS
+    step_state.room.update(has_room, now_s)
+    waited_s = now_s - step_state.ready_since_s
+    if not has_room or waited_s < LONG_RUNNING_WAIT_S:
         return False
-    if ready.step_state.room_since_s is None:
-        ready.step_state.room_since_s = now_s
-    since_s = max(ready.step_state.ready_since_s, ready.step_state.room_since_s)
-    return now_s - since_s >= LONG_RUNNING_WAIT_S
+    have_run = all(task.last_run for task in step_state.waiting())
+    is_overdue = waited_s >= (RESTART_LIMIT_S if have_run else FIRST_RUN_LIMIT_S)
+    return step_state.room.share >= (OVERDUE_ROOM_SHARE if is_overdue else LASTING_ROOM_SHARE)
 
 
 def is_due(dispatcher: Dispatcher, ready: ReadyStep, now_s: float) -> bool:
--- a/tests/process/dispatch/test_urgent_jobs.py
+++ b/tests/process/dispatch/test_urgent_jobs.py
@@ -132,6 +132,13 @@
         self.fleet.replay([], 3.0)
         self.assertThat(self._long_running_runs(), Equals(3))
 
+    def test_room_with_short_gaps_goes_to_it_within_three_seconds(self):
+        # A single urgent task now and then held up long-running tasks for as long as that went on.
+        short = self.URGENT_STEP._replace(estimate_ms=200.0)
+        urgent = [Arrival(0.9 * number, "check", (short,), (0.2,)) for number in range(4)]
+        self.fleet.replay([*urgent, self._waiting_job(2)], 3.1)
+        self.assertThat(self._long_running_runs(), Equals(3))
+
     def test_room_on_one_worker_for_several_tasks_goes_to_a_step_of_a_single_one(self):
         # Room was counted for as many tasks as the step has, so one worker never had enough.
         self.fleet.replay([self._waiting_job(1)], 3.1)
