Stop nothing for urgent tasks that wait for tickets

Found by reading the change: on queues with advice only some workers may run a step, and the owner learns which ones by a call. While it waits, long-running tasks were stopped on workers that the tickets may not name. Their callers lost a second or so for nothing.

--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -188,15 +188,20 @@
     keyed: list[tuple[OrderKey, Queue, ReadyStep, tuple[str, int, int]]],
     state_by_service: dict[str, ServicePlanningState],
 ) -> None:
-    """Make room for the urgent steps of a whole pass that still wait and can be on time or late."""
+    """Make room for the urgent steps of a whole pass that still wait and can be on time or late.
+
+    Steps that wait for tickets are left out: only some workers, not known yet, may run them.
+    """
     now_s = dispatcher.context.clock()
     if now_s - dispatcher.preempted_s < PREEMPTION_INTERVAL_S:
         return
     dispatcher.preempted_s = now_s
     waiting_by_service: dict[str, list[WaitingStep]] = {}
     for key, queue, ready, _ in keyed:
-        is_useful = ready.step_state.step.is_urgent and key.tier is not Tier.EXPIRED
-        if is_useful and not ready.step_state.step.gang and ready.step_state.has_waiting():
+        step_state = ready.step_state
+        if not step_state.step.is_urgent or step_state.step.gang or queue.needs_advice:
+            continue
+        if step_state.has_waiting() and key.tier is not Tier.EXPIRED:
             waiting = WaitingStep(ready, queue)
             waiting_by_service.setdefault(queue.service, []).append(waiting)
     for service, waiting_steps in waiting_by_service.items():
--- a/tests/process/dispatch/test_urgent_jobs.py
+++ b/tests/process/dispatch/test_urgent_jobs.py
@@ -10,6 +10,7 @@
 from laburnumswitch.process.dispatch.headroom import MAX_HEADROOM_SHARE
 from laburnumswitch.process.dispatch.job_spec import Queue
 from laburnumswitch.process.dispatch.job_spec import Step
+from laburnumswitch.process.dispatch.tickets import Tickets
 from tests.process.dispatch.harness import make_listing
 from tests.process.dispatch.replay import Arrival
 from tests.process.dispatch.replay import FleetReplay
@@ -178,6 +179,17 @@
         fleet.replay([Arrival(0.0, "check", (self.URGENT_STEP,), (1.0,))], 2.0)
         self.assertThat(fleet.stopped_runs, Equals([]))
 
+    def test_nothing_is_stopped_for_tasks_that_wait_for_tickets(self):
+        # Their tickets may be for other workers than those that were cleared.
+        fleet = self._fill(
+            URGENT._replace(needs_advice=True), LASTING, workers=40, max_unavailable=4
+        )
+        fleet.owner.context = fleet.owner.context._replace(
+            ask_advice=lambda *arguments: Tickets({}, 1.0)
+        )
+        fleet.replay([Arrival(0.0, "check", (self.URGENT_STEP,), (1.0,))], 2.0)
+        self.assertThat(fleet.stopped_runs, Equals([]))
+
     def test_room_that_is_about_to_become_free_is_waited_for(self):
         fleet = self._fill(URGENT, LASTING, workers=40, max_unavailable=4)
         first = self.URGENT_STEP._replace(estimate_ms=600.0)
