Start long-running tasks before urgent ones after four seconds

Long-running tasks that had been stopped for urgent ones were down for 14 and 18 s; their callers count what urgent tasks leave free between two of them as capacity, and it went to the next urgent task each time.

Cause: urgent tasks go first in each pass, so on a full fleet nothing bounded how long a stopped task waits. Now a long-running step that has waited for four seconds goes first and may use any room. Its users look for it after six. Another task is stopped instead, if urgent ones still lack room, so the lack is shared.

The test fails before (6.05 s, still waiting) and passes now.

--- a/laburnumswitch/process/dispatch/headroom.py
+++ b/laburnumswitch/process/dispatch/headroom.py
@@ -23,13 +23,14 @@
 # Share of the last time, see ``jobs.ROOM_WINDOW_S``, for which there has to be room before a
 # long-running task takes what is kept for urgent tasks. Room that stays reaches it in 1.9 s.
 LASTING_ROOM_SHARE = 0.85
-# The same for a task that users soon expect to run. Room that urgent tasks use one after the other
-# is free for a much smaller share.
-OVERDUE_ROOM_SHARE = 0.6
-# Waits, in seconds, from which this holds: users look for the first run of a task after three
-# seconds, and for a later one after six.
+# The same for a task that has not run yet, once it has waited for ``FIRST_RUN_LIMIT_S``, as users
+# look for its first run after three seconds. Room that urgent tasks use one after the other is free
+# for a much smaller share.
+DUE_ROOM_SHARE = 0.6
 FIRST_RUN_LIMIT_S = 2.0
-RESTART_LIMIT_S = 4.0
+# Longest wait of a long-running task, in seconds, while urgent tasks use all room: users look for
+# its next run after six seconds.
+LONGEST_WAIT_S = 4.0
 # Share of the processors kept free from long-running tasks before any urgent work was seen.
 MIN_HEADROOM_SHARE = 0.03
 # Largest share of the processors kept free from long-running tasks, however much urgent work there
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -17,12 +17,12 @@
 from laburnumswitch.process.dispatch.fleet import MAX_SILENCE_S
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.headroom import choose_reserved
+from laburnumswitch.process.dispatch.headroom import DUE_ROOM_SHARE
 from laburnumswitch.process.dispatch.headroom import FIRST_RUN_LIMIT_S
 from laburnumswitch.process.dispatch.headroom import LASTING_ROOM_SHARE
 from laburnumswitch.process.dispatch.headroom import LONG_RUNNING_WAIT_S
+from laburnumswitch.process.dispatch.headroom import LONGEST_WAIT_S
 from laburnumswitch.process.dispatch.headroom import MIN_SPARE_SLOTS
-from laburnumswitch.process.dispatch.headroom import OVERDUE_ROOM_SHARE
-from laburnumswitch.process.dispatch.headroom import RESTART_LIMIT_S
 from laburnumswitch.process.dispatch.job_spec import Queue
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.jobs import Job
@@ -125,7 +125,7 @@
         if queue is not None and is_due(dispatcher, ready, now_s):
             key = order_key(ready, queue, dispatcher.mean_work_by_queue[queue.name], now_s)
             keyed.append((key, queue, ready, step_key))
-    keyed.sort(key=lambda each: each[0])
+    keyed.sort(key=lambda each: (not _is_overdue(dispatcher, each[2]), each[0]))
     state_by_service: dict[str, ServicePlanningState] = {}
     unplaced: list[tuple[str, int, int]] = []
     stop_s = dispatcher.context.clock() + MAX_PASS_S
@@ -215,7 +215,7 @@
     is_reserving = step.long_running and not step.best_effort
     usable = service_state.unreserved_workers()
     if is_reserving:
-        if _has_lasting_room(dispatcher, queue, ready):
+        if _is_overdue(dispatcher, ready) or _has_lasting_room(dispatcher, queue, ready):
             usable = service_state.usable
         elif service_state.long_running_budget < step.cpu_millis:
             return
@@ -263,9 +263,17 @@
     waited_s = now_s - step_state.ready_since_s
     if not has_room or waited_s < LONG_RUNNING_WAIT_S:
         return False
-    have_run = all(task.last_run for task in step_state.waiting())
-    is_overdue = waited_s >= (RESTART_LIMIT_S if have_run else FIRST_RUN_LIMIT_S)
-    return step_state.room.share >= (OVERDUE_ROOM_SHARE if is_overdue else LASTING_ROOM_SHARE)
+    has_run = all(task.last_run for task in step_state.waiting())
+    is_due_soon = not has_run and waited_s >= FIRST_RUN_LIMIT_S
+    return step_state.room.share >= (DUE_ROOM_SHARE if is_due_soon else LASTING_ROOM_SHARE)
+
+
+def _is_overdue(dispatcher: Dispatcher, ready: ReadyStep) -> bool:
+    """Return whether a long-running step goes before the urgent ones."""
+    step_state = ready.step_state
+    if not step_state.step.long_running or step_state.step.best_effort:
+        return False
+    return dispatcher.context.clock() - step_state.ready_since_s >= LONGEST_WAIT_S
 
 
 def is_due(dispatcher: Dispatcher, ready: ReadyStep, now_s: float) -> bool:
--- a/tests/process/dispatch/test_urgent_jobs.py
+++ b/tests/process/dispatch/test_urgent_jobs.py
@@ -200,6 +200,24 @@
         fleet.replay(arrivals, 3.0)
         self.assertThat(len(fleet.stopped_runs), Equals(2))
 
+    def test_stopped_tasks_run_again_within_six_seconds_under_lasting_load(self):
+        # Room between two urgent tasks is room in the eyes of users, and was never left to others.
+        fleet = self._fill(URGENT, LASTING, workers=40, max_unavailable=4)
+        wide = self.URGENT_STEP._replace(count=30)
+        arrivals = [Arrival(0.5 * n, "check", (wide,), (1.0,)) for n in range(30)]
+        for arrival in arrivals:
+            fleet.replay([arrival._replace(at_s=0.0)], 0.5)
+            longest_s = max(
+                (
+                    fleet.now_s - ready.step_state.ready_since_s
+                    for ready in fleet.owner.ready_step_by_key.values()
+                    if ready.step_state.step.long_running
+                ),
+                default=0.0,
+            )
+            self.assertThat(longest_s, LessThan(6.0))
+        self.assertThat(len(fleet.stopped_runs), GreaterThan(0))
+
     def test_urgent_tasks_get_a_limited_share_of_the_processors(self):
         fleet = self._fill(URGENT, LASTING, workers=40, max_unavailable=4)
         wide = self.URGENT_STEP._replace(count=80)
