Count waiting tasks, and list the VMs of emulated workers, in one place

The planner counted the waiting tasks of a step by itself beside StepState.waiting_count, and two test files built the same list of VMs; both now use one function. No behaviour changes, all assertions are as they were.

--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -234,8 +234,7 @@
 def _long_running_budget(dispatcher: Dispatcher, usable: list[Worker]) -> float:
     used = sum(worker.urgent_cpu_millis for worker in usable)
     waiting = sum(
-        (len(each.step_state.tasks) - each.step_state.done_count - each.step_state.active_count)
-        * each.step_state.step.cpu_millis
+        each.step_state.waiting_count() * each.step_state.step.cpu_millis
         for each in dispatcher.ready_step_by_key.values()
         if each.step_state.step.is_urgent
     )
--- a/tests/process/dispatch/harness.py
+++ b/tests/process/dispatch/harness.py
@@ -16,6 +16,8 @@
 from laburnumswitch.process.dispatch.job_spec import Submission
 from laburnumswitch.process.dispatch.progress import submission_key
 from laburnumswitch.process.dispatch.takeover import begin_dispatch
+from laburnumswitch.process.dispatch.vm_list import VmRow
+from laburnumswitch.process.dispatch.vm_list import VmState
 from laburnumswitch.process.dispatch.worker_protocol import WorkerListing
 from laburnumswitch.process.leadership.term import PredecessorState
 from laburnumswitch.process.leadership.term import read_term
@@ -104,6 +106,17 @@
         rows = tuple(Put(f"servers/{listing.worker_id}", listing) for listing in listings)
         self.table.commit(Transaction((), rows))
 
+    def vm_rows(self):
+        """Return the platform's list of the workers' VMs."""
+        return tuple(
+            VmRow(
+                worker.listing.vm_id,
+                VmState.DOWN if worker.is_crashed else VmState.UP,
+                "" if worker.is_crashed else worker_id,
+            )
+            for worker_id, worker in self.worker_by_id.items()
+        )
+
     def submit(self, submission, owner=None):
         self.checker.record_submission(submission)
         put = Put(submission_key(submission.job_id), submission)
--- a/tests/process/dispatch/test_deadly_tasks.py
+++ b/tests/process/dispatch/test_deadly_tasks.py
@@ -12,8 +12,6 @@
 from laburnumswitch.process.dispatch.job_spec import TaskKey
 from laburnumswitch.process.dispatch.jobs import JobState
 from laburnumswitch.process.dispatch.vm_list import MAX_DELAY_S
-from laburnumswitch.process.dispatch.vm_list import VmRow
-from laburnumswitch.process.dispatch.vm_list import VmState
 from laburnumswitch.process.leadership.term import PredecessorState
 from tests.process.dispatch.harness import DispatchHarness
 from tests.process.dispatch.harness import make_submission
@@ -51,14 +49,7 @@
         worker.crash()
 
     def _list_vms(self, timeout_s):
-        return tuple(
-            VmRow(
-                worker.listing.vm_id,
-                VmState.DOWN if worker.is_crashed else VmState.UP,
-                "" if worker.is_crashed else worker_id,
-            )
-            for worker_id, worker in self.harness.worker_by_id.items()
-        )
+        return self.harness.vm_rows()
 
     def _start_owner(self, **arguments):
         owner = self.harness.start_owner(**arguments)
--- a/tests/process/dispatch/test_vm_watch.py
+++ b/tests/process/dispatch/test_vm_watch.py
@@ -48,14 +48,7 @@
         return self.failure or self._true_rows()
 
     def _true_rows(self):
-        return tuple(
-            VmRow(
-                worker.listing.vm_id,
-                VmState.DOWN if worker.is_crashed else VmState.UP,
-                "" if worker.is_crashed else worker_id,
-            )
-            for worker_id, worker in self.harness.worker_by_id.items()
-        )
+        return self.harness.vm_rows()
 
     def _start_owner(self, **arguments):
         owner = self.harness.start_owner(**arguments)
