Log what the accepted long-running jobs of a service reserve

The log said what runs and what waits, but not what has been promised. With the line commitment, once a second, a fleet that is promised to more than it holds differs from one whose free processors are in pieces.

--- a/laburnumswitch/process/dispatch/load_report.py
+++ b/laburnumswitch/process/dispatch/load_report.py
@@ -8,6 +8,7 @@
 from time import process_time
 from typing import NamedTuple
 
+from laburnumswitch.process.dispatch.commitment import measure_commitments
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
 from laburnumswitch.process.dispatch.waiting import measure_waits
 
@@ -45,6 +46,8 @@
         context.log.note("owner_load", str(dispatcher.epoch), **load._asdict())
         for service, wait in measure_waits(dispatcher).items():
             context.log.note("tasks_waiting", service, **wait._asdict())
+        for service, commitment in measure_commitments(dispatcher).items():
+            context.log.note("commitment", service, **commitment._asdict())
 
 
 def measure_load(dispatcher: Dispatcher, elapsed_s: float, used_s: float) -> OwnerLoad:
--- a/tests/process/dispatch/test_load_report.py
+++ b/tests/process/dispatch/test_load_report.py
@@ -3,9 +3,13 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
+from laburnumswitch.process.dispatch.commitment import Commitment
+from laburnumswitch.process.dispatch.commitment import measure_commitments
+from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.load_report import INTERVAL_S
 from laburnumswitch.process.dispatch.load_report import measure_load
 from tests.process.dispatch.harness import DispatchHarness
+from tests.process.dispatch.harness import make_submission
 from tests.process.dispatch.harness import wait_until
 
 
@@ -32,3 +36,10 @@
 
     def test_is_logged_while_the_term_lasts(self):
         wait_until(lambda: b'"event":"owner_load"' in self.harness.log.take())
+
+    def test_what_long_running_jobs_reserve_is_logged(self):
+        step = Step(3, cpu_millis=1500, memory_mb=10, long_running=True)
+        self.harness.submit(make_submission("j1", step), self.owner)
+        commitment = measure_commitments(self.owner)["shop"]
+        self.assertThat(commitment, Equals(Commitment(8000, 4500, 0)))
+        wait_until(lambda: b'"committed_cpu_millis":4500' in self.harness.log.take())
