Reject long-running jobs beyond what the fleet can hold

Cause: an accepted long-running job holds its processors until its caller cancels it, and every one was accepted. Preemption and the order of starts only divided what was missing.

Before a long-running job is stored, its entry asks the owner, which adds up what all accepted jobs of the service reserve, also those that it has just admitted, and keeps 1.3 times the recent peak of urgent work, at least a tenth of the processors until that has been seen for a minute. A job beyond that is answered 503 with the time after which there is probably room. Without an answer of the owner a job is accepted, and one that is found stored is never rejected.

--- a/laburnumswitch/dispatch_metrics.py
+++ b/laburnumswitch/dispatch_metrics.py
@@ -72,6 +72,10 @@
         "starts": ("Starts sent by this owner.", lambda d: d.counters.starts),
         "refused_starts": ("Starts refused.", lambda d: d.counters.refused_starts),
         "uncertain_starts": ("Starts unanswered.", lambda d: d.counters.uncertain_starts),
+        "rejected_jobs": (
+            "Long-running jobs rejected for want of room.",
+            lambda d: d.counters.rejected_jobs,
+        ),
         "renewals": ("Lease renewals sent.", lambda d: d.counters.renewals),
         "throttles": ("Throttles sent.", lambda d: d.counters.throttles),
         "vm_list_readings": ("Readings of the list of VMs.", lambda d: d.counters.vm_list_readings),
--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -19,6 +19,8 @@
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.exceptions import RowMalformed
 from laburnumswitch.process.daemon.deployment import Deployment
+from laburnumswitch.process.dispatch.commitment import Admissions
+from laburnumswitch.process.dispatch.commitment import committed_cpu_millis
 from laburnumswitch.process.dispatch.crashes import CrashedTask
 from laburnumswitch.process.dispatch.crashes import crashes_key
 from laburnumswitch.process.dispatch.crashes import CrashWindow
@@ -142,6 +144,8 @@
         self.renewals = 0
         self.throttles = 0
         self.vm_list_readings = 0
+        # Long-running jobs for which there was no room.
+        self.rejected_jobs = 0
         # Runs that a worker reported while their task also ran elsewhere.
         self.duplicate_runs = 0
         self.ended_count_by_outcome: dict[str, int] = {}
@@ -194,6 +198,9 @@
         self.price_by_worker_id: dict[str, float] = {}
         self.priced_s = float("-inf")
         self.headroom = Headroom()
+        self.admissions = Admissions()
+        # When a worker was last added, on the monotonic clock.
+        self.last_added_s = self.began_s
         # When the planner last looked for long-running tasks to stop, on the monotonic clock.
         self.preempted_s = float("-inf")
         self.crash_window = CrashWindow()
@@ -330,7 +337,7 @@
 
     def add_job(self, submission: Submission, may_have_unknown_runs: bool = False) -> Job | None:
         """Add a stored job and return it, or ``None`` if it is known already."""
-        if submission.job_id in self.jobs_by_id or submission.job_id in self.final_by_id:
+        if self.knows_job(submission.job_id):
             return None
         may_be_started_elsewhere = self.predecessor_may_start_jobs and not self.settled
         job = Job(submission, may_have_unknown_runs or may_be_started_elsewhere)
@@ -354,6 +361,10 @@
             self.refresh_ready_steps(job)
         return job
 
+    def knows_job(self, job_id: str) -> bool:
+        """Return whether a stored job is known, including one that has ended."""
+        return job_id in self.jobs_by_id or job_id in self.final_by_id
+
     def cancel_job(self, job_id: str) -> None:
         """Cancel a job at its caller's request."""
         job = self.jobs_by_id.get(job_id)
@@ -380,6 +391,7 @@
             steps=describe_steps(job, self.context.clock() - age_s),
         )
         self.recorder.queue_job(job)
+        self._note_freed(job)
         self.quarantine.forget_job(job.job_id)
         self.refresh_ready_steps(job)
         for task in list(job.active_tasks()):
@@ -389,6 +401,12 @@
                 self.stop_run(worker, run, reason)
         self.forget_if_finished(job)
 
+    def _note_freed(self, job: Job) -> None:
+        queue = self.queue_of(job)
+        cpu_millis = committed_cpu_millis(job.submission.steps)
+        if queue is not None and cpu_millis:
+            self.admissions.note_freed(queue.service, cpu_millis, self.context.clock())
+
     def forget_if_finished(self, job: Job) -> None:
         """Note a job as final once it has ended and has no active run."""
         if job.is_final() and not job.is_running():
@@ -648,7 +666,7 @@
         end is not acknowledged meanwhile, so that it is not lost if this owner's term ends.
         """
         job_id = end.task.job_id
-        if job_id in self.jobs_by_id or job_id in self.final_by_id:
+        if self.knows_job(job_id):
             self.apply_end(worker, end)
             return
         orphan = OrphanEnd(worker, end, self.context.clock())
@@ -769,6 +787,7 @@
         worker = Worker(listing, link, fence, bounds.lease_s, bounds.stop_s)
         worker.note_listing(listing, self.context.clock(), self.context.deployment.bounds.drain_s)
         self.workers_by_id[listing.worker_id] = worker
+        self.last_added_s = self.context.clock()
         worker.listed_in_batch = self.queue_fleet_row(listing.worker_id)
         self.context.log.note(
             "worker_listed",
--- a/laburnumswitch/process/dispatch/headroom.py
+++ b/laburnumswitch/process/dispatch/headroom.py
@@ -36,6 +36,10 @@
 # Largest share of the processors kept free from long-running tasks, however much urgent work there
 # was.
 MAX_HEADROOM_SHARE = 0.15
+# Share of the processors that accepted long-running jobs leave for urgent tasks until urgent work
+# has been observed for ``OBSERVATION_S`` seconds.
+UNSEEN_RESERVE_SHARE = 0.1
+OBSERVATION_S = 60.0
 # Largest share of the workers that may be reserved for large urgent tasks at a time.
 MAX_RESERVED_SHARE = 0.12
 # Urgent work comes in waves: capacity is kept for this multiple of its recent peak use.
@@ -74,10 +78,21 @@
             capacity += worker.listing.cpu_millis
             used += worker.used_cpu_millis
             urgent += worker.urgent_cpu_millis
-        target = max(MIN_HEADROOM_SHARE * capacity, PEAK_FACTOR * self.peak_cpu_millis)
-        headroom = min(target, MAX_HEADROOM_SHARE * capacity)
+        headroom = self._headroom(capacity, MIN_HEADROOM_SHARE)
         return capacity - used - max(0.0, headroom - urgent)
 
+    def reserve(self, capacity: float, observed_s: float) -> float:
+        """Return what accepted long-running jobs leave for urgent tasks, in the unit of capacity.
+
+        :param observed_s: for how long urgent work has been observed, in seconds.
+        """
+        is_observed = observed_s > OBSERVATION_S
+        return self._headroom(capacity, MIN_HEADROOM_SHARE if is_observed else UNSEEN_RESERVE_SHARE)
+
+    def _headroom(self, capacity: float, min_share: float) -> float:
+        target = max(min_share * capacity, PEAK_FACTOR * self.peak_cpu_millis)
+        return min(target, MAX_HEADROOM_SHARE * capacity)
+
 
 def choose_reserved(
     step: Step, step_state: StepState, workers: list[Worker], reserved_count: int
--- a/laburnumswitch/process/dispatch/load_report.py
+++ b/laburnumswitch/process/dispatch/load_report.py
@@ -8,7 +8,7 @@
 from time import process_time
 from typing import NamedTuple
 
-from laburnumswitch.process.dispatch.commitment import measure_commitments
+from laburnumswitch.process.dispatch.admission import measure_commitments
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
 from laburnumswitch.process.dispatch.waiting import measure_waits
 
--- a/laburnumswitch/process/leadership/messages.py
+++ b/laburnumswitch/process/leadership/messages.py
@@ -32,3 +32,23 @@
 
     state: str
     is_loaded: bool
+
+
+class AdmissionRequest(NamedTuple):
+    """A job that reserves processors for as long as it lasts.
+
+    :ivar cpu_millis: these processors, in thousandths of a core.
+    """
+
+    job_id: str
+    queue: str
+    cpu_millis: int
+
+
+class AdmissionAnswer(NamedTuple):
+    """Whether the owner admits a job.
+
+    :ivar retry_after_s: 0 if it does; else after how many whole seconds there is probably room.
+    """
+
+    retry_after_s: int
--- a/laburnumswitch/process/leadership/owner_link.py
+++ b/laburnumswitch/process/leadership/owner_link.py
@@ -4,8 +4,11 @@
 
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.exceptions import Unavailable
+from laburnumswitch.process.dispatch.admission import admit
 from laburnumswitch.process.dispatch.job_spec import Submission
 from laburnumswitch.process.leadership.leadership import Leadership
+from laburnumswitch.process.leadership.messages import AdmissionAnswer
+from laburnumswitch.process.leadership.messages import AdmissionRequest
 from laburnumswitch.process.leadership.messages import JobStateAnswer
 from laburnumswitch.process.leadership.peer_api import describe_job
 from laburnumswitch.process.leadership.peer_api import loaded_dispatcher
@@ -25,6 +28,16 @@
         self._peers = peers
         self._vm_id = vm_id
 
+    def admit(self, request: AdmissionRequest) -> AdmissionAnswer | Failure:
+        """Return whether the owner has room for a job that lasts."""
+        dispatcher = self._leadership.dispatcher
+        if dispatcher is not None:
+            loaded = loaded_dispatcher(self._leadership)
+            return admit(loaded, request) if loaded else Unavailable("the owner is still loading")
+        if not self._has_other_owner():
+            return Unavailable("no owner known")
+        return self._peers.admit(self._leadership.current_term.address, request)
+
     def notify_submitted(self, submission: Submission) -> None:
         """Notify the owner of a stored job, without waiting."""
         dispatcher = self._leadership.dispatcher
--- a/laburnumswitch/process/leadership/peer_api.py
+++ b/laburnumswitch/process/leadership/peer_api.py
@@ -8,11 +8,14 @@
 from laburnumswitch.connection.client import Client
 from laburnumswitch.connection.json_call import call_json
 from laburnumswitch.exceptions import Failure
+from laburnumswitch.process.dispatch.admission import admit
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
 from laburnumswitch.process.dispatch.job_spec import Submission
 from laburnumswitch.process.dispatch.progress import store_submission
 from laburnumswitch.process.leadership.leadership import EntryIdentity
 from laburnumswitch.process.leadership.leadership import Leadership
+from laburnumswitch.process.leadership.messages import AdmissionAnswer
+from laburnumswitch.process.leadership.messages import AdmissionRequest
 from laburnumswitch.process.leadership.messages import JobStateAnswer
 from laburnumswitch.process.leadership.messages import WatchAnswer
 from laburnumswitch.process.operating.admin import AdminReply
@@ -58,6 +61,11 @@
         target = f"/peer/cancelled/{job_id}"
         return call_json(self._client(address), "POST", target, None, bool, CALL_TIMEOUT_S)
 
+    def admit(self, address: str, request: AdmissionRequest) -> AdmissionAnswer | Failure:
+        """Ask the owner whether it has room for a job that lasts."""
+        client = self._client(address)
+        return call_json(client, "POST", "/peer/admit", request, AdmissionAnswer, CALL_TIMEOUT_S)
+
     def store_submission(self, address: str, submission: Submission) -> bool | Failure:
         """Have the owner store a job, and return whether it did."""
         client = self._client(address)
@@ -119,6 +127,9 @@
         dispatcher.cancel_job(request.path_parts[1])
         return reply_json(True)
 
+    def admit_job(dispatcher: Dispatcher, request: AdminRequest) -> AdminReply:
+        return reply_json(admit(dispatcher, request.decode(AdmissionRequest)))
+
     def store_job(dispatcher: Dispatcher, request: AdminRequest) -> AdminReply:
         submission = request.decode(Submission)
         outcome = store_submission(dispatcher.context.table, submission)
@@ -150,6 +161,7 @@
     handler_by_call = {
         "watch": watch,
         "supersede": supersede,
+        "admit": require_owner(admit_job),
         "submitted": require_owner(add_stored_job),
         "store": require_owner(store_job),
         "cancel": store_cancellation,
--- a/laburnumswitch/request/job_api.py
+++ b/laburnumswitch/request/job_api.py
@@ -10,6 +10,7 @@
 
 from laburnumswitch.exceptions import CallerRefused
 from laburnumswitch.exceptions import Failure
+from laburnumswitch.process.dispatch.commitment import committed_cpu_millis
 from laburnumswitch.process.dispatch.job_spec import Queue
 from laburnumswitch.process.dispatch.job_spec import Submission
 from laburnumswitch.process.dispatch.jobs import FINAL_STATES
@@ -20,6 +21,8 @@
 from laburnumswitch.process.dispatch.progress import progress_key
 from laburnumswitch.process.dispatch.progress import store_submission
 from laburnumswitch.process.dispatch.progress import submission_key
+from laburnumswitch.process.leadership.messages import AdmissionAnswer
+from laburnumswitch.process.leadership.messages import AdmissionRequest
 from laburnumswitch.process.leadership.messages import JobStateAnswer
 from laburnumswitch.process.observing.decisions import DecisionLog
 from laburnumswitch.process.operating.operations import Operations
@@ -48,6 +51,9 @@
 class OwnerLink(Protocol):
     """Interface of the request path to the owner, which may be this entry or another one."""
 
+    def admit(self, request: AdmissionRequest) -> AdmissionAnswer | Failure:
+        """Return whether the owner has room for a job that lasts."""
+
     def notify_submitted(self, submission: Submission) -> None:
         """Notify the owner of a stored job, without waiting."""
 
@@ -151,6 +157,9 @@
     submission = context.decode_submission(request.body, job_id, queue.name, now_s)
     if isinstance(submission, CallerRefused):
         return JobReply(submission.status)
+    retry_after_s = _rejected_for_s(context, submission)
+    if retry_after_s:
+        return JobReply(503, retry_after_s=retry_after_s)
 
     def attempt() -> JobReply | Failure:
         failure = store_submission(context.table, submission)
@@ -166,6 +175,30 @@
     return _retry(context, attempt, deadline_s, "submit_unknown", job_id, unknown_reply)
 
 
+def _rejected_for_s(context: JobApiContext, submission: Submission) -> int:
+    """Return after how many seconds a caller may return whose job has no room, 0 if it may run.
+
+    Without an answer of the owner the job is accepted. An earlier attempt may have stored it: then
+    it runs, and is not rejected.
+    """
+    cpu_millis = committed_cpu_millis(submission.steps)
+    if not cpu_millis:
+        return 0
+    request = AdmissionRequest(submission.job_id, submission.queue, cpu_millis)
+    answer = context.owner.admit(request)
+    if isinstance(answer, Failure):
+        context.log.note("admission_unknown", submission.job_id, reason=answer.describe())
+        return 0
+    if not answer.retry_after_s:
+        return 0
+    key = submission_key(submission.job_id)
+    rows = context.table.read((key,))
+    if isinstance(rows, Failure):
+        context.log.note("admission_unknown", submission.job_id, reason=rows.describe())
+        return 0
+    return 0 if _exists(rows[key]) else answer.retry_after_s
+
+
 def _get_state(
     context: JobApiContext, request: JobRequest, queue: Queue, job_id: str, deadline_s: float
 ) -> JobReply:
--- a/tests/process/leadership/test_peer_api.py
+++ b/tests/process/leadership/test_peer_api.py
@@ -5,14 +5,27 @@
 from gevent import spawn
 from gevent.event import Event
 from msgspec.json import decode
+from msgspec.json import encode
 from testtools import TestCase
 from testtools.matchers import Equals
+from testtools.matchers import IsInstance
 
 from laburnumswitch.connection.lenient import decode_known_fields
+from laburnumswitch.exceptions import Unavailable
+from laburnumswitch.process.dispatch.admission import FLEET_COMPLETE_S
+from laburnumswitch.process.dispatch.commitment import UNKNOWN_RETRY_AFTER_S
+from laburnumswitch.process.leadership.messages import AdmissionAnswer
+from laburnumswitch.process.leadership.messages import AdmissionRequest
 from laburnumswitch.process.leadership.messages import WatchAnswer
+from laburnumswitch.process.leadership.owner_link import OwnerAccess
 from laburnumswitch.process.leadership.peer_api import make_leadership_peer_handler
 from laburnumswitch.process.leadership.peer_api import MAX_WATCH_WAIT_S
+from laburnumswitch.process.leadership.term import NO_OWNER
+from laburnumswitch.process.leadership.term import Term
 from laburnumswitch.process.operating.admin import AdminRequest
+from tests.process.dispatch.harness import DispatchHarness
+from tests.process.dispatch.harness import QUEUE
+from tests.process.dispatch.harness import wait_until
 
 # Shorter than the owner holds a watch, by more than a busy machine delays a greenlet.
 ANSWER_LIMIT_S = MAX_WATCH_WAIT_S / 2
@@ -85,3 +98,43 @@
         fields = decode(self._watch(0.0))
         answer = WatchAnswer(*fields[:6])
         self.assertThat(answer.knows_jobs, Equals(True))
+
+
+class TestAdmission(TestCase):
+    """Entries ask the owner whether it has room for a job that lasts."""
+
+    REQUEST = AdmissionRequest("5c0e7a21d94b36f8", QUEUE.name, 9000)
+
+    def setUp(self):
+        super().setUp()
+        self.harness = DispatchHarness()
+        self.owner = self.harness.start_owner()
+        self.addCleanup(self.owner.stop)
+        wait_until(lambda: self.owner.knows_listings and len(self.owner.workers_by_id) == 2)
+        # The workers have been listed for a while.
+        self.owner.last_added_s -= FLEET_COMPLETE_S + 1.0
+        self.leadership = SimpleNamespace(dispatcher=self.owner)
+        self.handle = make_leadership_peer_handler(lambda: self.leadership, "i1")
+
+    def _ask(self):
+        return self.handle(AdminRequest("POST", ("admit",), {}, {}, encode(self.REQUEST)))
+
+    def test_owner_answers_when_there_is_probably_room(self):
+        answer = decode_known_fields(self._ask().body, AdmissionAnswer)
+        self.assertThat(answer, Equals(AdmissionAnswer(UNKNOWN_RETRY_AFTER_S)))
+        self.assertThat(self.owner.counters.rejected_jobs, Equals(1))
+        self.assertThat(b'"event":"job_rejected"' in self.harness.log.take(), Equals(True))
+
+    def test_entry_that_is_not_the_owner_does_not_answer(self):
+        self.leadership.dispatcher = None
+        self.assertThat(self._ask().status, Equals(503))
+
+    def test_owner_asks_itself(self):
+        access = OwnerAccess(self.leadership, None, "vm-1")
+        self.assertThat(access.admit(self.REQUEST), Equals(AdmissionAnswer(UNKNOWN_RETRY_AFTER_S)))
+
+    def test_no_answer_without_an_owner(self):
+        self.leadership.dispatcher = None
+        self.leadership.current_term = Term(1, NO_OWNER, "", "")
+        access = OwnerAccess(self.leadership, None, "vm-1")
+        self.assertThat(access.admit(self.REQUEST), IsInstance(Unavailable))
--- a/tests/request/test_job_api.py
+++ b/tests/request/test_job_api.py
@@ -16,6 +16,7 @@
 from laburnumswitch.process.dispatch.progress import Progress
 from laburnumswitch.process.dispatch.progress import progress_key
 from laburnumswitch.process.dispatch.progress import submission_key
+from laburnumswitch.process.leadership.messages import AdmissionAnswer
 from laburnumswitch.process.leadership.messages import JobStateAnswer
 from laburnumswitch.process.observing.decisions import DecisionLog
 from laburnumswitch.process.operating.operations import Operations
@@ -30,6 +31,7 @@
 
 JOB_ID = "5c0e7a21d94b36f8"
 BODY = b'{"spec":"x","steps":[{"count":1}]}'
+LASTING_BODY = b'{"spec":"x","steps":[{"count":3,"cpu":2000,"longRunning":true}]}'
 
 
 class FakeOwner:
@@ -40,6 +42,12 @@
         self.is_unavailable = False
         self.can_store = False
         self.stored = []
+        self.admission_requests = []
+        self.retry_after_s = 0
+
+    def admit(self, request):
+        self.admission_requests.append(request)
+        return Unavailable("away") if self.is_unavailable else AdmissionAnswer(self.retry_after_s)
 
     def notify_submitted(self, submission):
         self.notified.append(submission.job_id)
@@ -143,6 +151,35 @@
         self._submit()
         self.assertThat(self.owner.stored, Equals([]))
 
+    def _submit_lasting(self):
+        return self._ask("POST", body=LASTING_BODY)
+
+    def test_job_without_room_is_rejected_and_not_stored(self):
+        self.owner.retry_after_s = 7
+        reply = self._submit_lasting()
+        self.assertThat((reply.status, reply.retry_after_s), Equals((503, 7)))
+        self.assertThat(self._stored(submission_key(JOB_ID)), Equals(False))
+        self.assertThat(self.owner.admission_requests[0].cpu_millis, Equals(6000))
+
+    def test_repeated_job_that_is_stored_is_not_rejected(self):
+        self._submit_lasting()
+        self.owner.retry_after_s = 7
+        self.assertThat(self._submit_lasting().status, Equals(200))
+
+    def test_job_is_not_rejected_while_it_is_unknown_whether_it_is_stored(self):
+        self.owner.retry_after_s = 7
+        self.table.down = True
+        self.assertThat(self._submit_lasting().status, Equals(504))
+
+    def test_job_is_accepted_without_an_answer_of_the_owner(self):
+        self.owner.is_unavailable = True
+        self.assertThat(self._submit_lasting().status, Equals(200))
+
+    def test_owner_is_not_asked_about_jobs_that_end_by_themselves(self):
+        self.owner.retry_after_s = 7
+        self.assertThat(self._submit().status, Equals(200))
+        self.assertThat(self.owner.admission_requests, Equals([]))
+
     def test_routes(self):
         self.assertThat(self._ask("POST", "/x/1", BODY).status, Equals(404))
         self.assertThat(self._ask("POST", host="other", body=BODY).status, Equals(404))
