Log which start of a worker a released run belongs to

A run that is released because its worker restarted, or its VM is down, may have been started by the next process. The lines run_released and worker_restarted did not say which start of the worker had reported the run, how old the run was, and where the worker's clock stood.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -556,6 +556,8 @@
             run=run.number,
             worker=worker.worker_id,
             incarnation=worker.incarnation,
+            run_incarnation=run.incarnation,
+            started_s_ago=round(now_s - run.started_s, 3),
             confirmed_s_ago=None if run.confirmed_s is None else round(now_s - run.confirmed_s, 3),
             answered_s_ago=round(now_s - worker.last_answer_s, 3) if worker.last_answer_s else None,
             reason=reason,
@@ -826,6 +828,7 @@
             worker.worker_id,
             before=worker.known_incarnation(),
             incarnation=incarnation,
+            clock_s=round(worker.clock_s, 3),
             reason=evidence,
             kept_runs=len(worker.runs_by_task),
         )
