Reproduce a run that an old list of VMs ends on a restarted worker

A worker restarts under its id before a renewal has failed and accepts a start. The list of VMs, two seconds behind, still shows the outage: the owner drops the worker and starts the task elsewhere.

--- a/tests/process/dispatch/test_vm_watch.py
+++ b/tests/process/dispatch/test_vm_watch.py
@@ -148,6 +148,37 @@
         self.assertThat(self._release_reasons(holder)[1], Contains("lapsed"))
         self.assertThat(self.readings, GreaterThan(1))
 
+    def test_start_accepted_after_an_outage_that_the_list_still_shows_goes_on(self):
+        # The worker has restarted under its id before a renewal failed, and the list is behind.
+        self.harness = DispatchHarness(workers=1)
+        self.harness.list_vms = self._list_vms
+        holder = self.harness.worker_by_id["w1"]
+        answer_renewal, is_dark = holder.renew, False
+
+        def renew(renewal, timeout_s):
+            lost_s = monotonic() + timeout_s
+            answer = None if is_dark else answer_renewal(renewal, timeout_s)
+            if not is_dark:
+                return answer
+            sleep(max(0.0, lost_s - monotonic()))
+            return AnswerLost("w1", "no answer")
+
+        holder.renew = renew
+        owner = self._start_owner()
+        self._wait_until_known_long_enough(owner)
+        is_dark = True
+        holder.crash()
+        rows_before = self._true_rows()
+        true_rows, stale_until_s = self._true_rows, monotonic() + 0.95 * MAX_DELAY_S
+        self._true_rows = lambda: rows_before if monotonic() < stale_until_s else true_rows()
+        holder.restart()
+        self._start_run(owner)
+        self.harness.add_worker(make_listing(2))
+        sleep(stale_until_s - monotonic())
+        self.assertThat(self.readings, GreaterThan(0))
+        self.assertThat(self.harness.checker.violations, Equals([]))
+        self.assertThat(self.harness.checker.start_count, Equals(1))
+
     def test_worker_that_answers_while_the_list_is_read_is_kept(self):
         owner = self._start_owner()
         holder = self._start_run(owner)
