Reproduce a run that is lost to a clock that began ahead

The clock of a worker begins anywhere, not at zero. If it is ahead of the one before the restart, but not of the end of the last lease, a start that the new process accepts counts as one of the earlier process, and is released once the restart is listed.

--- a/standin/fleet/worker.py
+++ b/standin/fleet/worker.py
@@ -116,7 +116,7 @@
         self._random = random
         self._timing = timing
         self._record = record
-        self._booted_s = self._advanced_s = clock()
+        self._clock_began_s = self._advanced_s = clock()
         self._lease_until_s = 0.0
         self._holds_lease = False
         self._run_by_number: dict[tuple[TaskKey, int], _Run] = {}
@@ -128,9 +128,9 @@
         checker.refresh_callbacks.append(self.advance)
         checker.gang_callbacks.append(self._end_gang_members)
 
-    def set_uptime(self, uptime_s: float) -> None:
-        """Move the worker's clock to the given time since its start, in seconds."""
-        self._booted_s = self._clock() - uptime_s
+    def set_clock(self, clock_s: float) -> None:
+        """Set the worker's clock, which may begin anywhere at its start, in seconds."""
+        self._clock_began_s = self._clock() - clock_s
 
     def crash(self) -> None:
         """Lose every run and ignore all calls until the restart."""
@@ -138,15 +138,18 @@
         self._lose_runs()
         self._changed.set()
 
-    def restart(self) -> None:
-        """Restart under the same id and lose every run."""
+    def restart(self, clock_s: float = 0.0) -> None:
+        """Restart under the same id and lose every run.
+
+        :param clock_s: where the worker's clock begins.
+        """
         if self.is_crashed:
             self.is_crashed = self.drops_calls = False
         self._lose_runs()
         self.incarnation += 1
         self.listing = self.listing._replace(incarnation=self.incarnation)
         self.fence = 0
-        self._booted_s = self._clock()
+        self.set_clock(clock_s)
         self._lease_until_s = 0.0
         self._holds_lease = False
         self._last_run_by_task.clear()
@@ -297,7 +300,7 @@
         )
 
     def _now_s(self) -> float:
-        return self._clock() - self._booted_s
+        return self._clock() - self._clock_began_s
 
     def _extend_lease(self, until_s: float | None) -> None:
         if until_s is not None:
--- a/tests/process/dispatch/test_restarted_worker.py
+++ b/tests/process/dispatch/test_restarted_worker.py
@@ -28,9 +28,10 @@
 from tests.process.dispatch.harness import wait_until
 
 LONG = Step(1, cpu_millis=1000, memory_mb=100, estimate_ms=60_000)
-# Uptime of a worker before its restart, in seconds: its clock is that far ahead of the one that
-# begins anew.
-UPTIME_S = 1000.0
+# The worker's clock before its restart, in seconds, and one that is ahead of it, but not of the end
+# of a lease that was granted before.
+CLOCK_S = 1000.0
+CLOCK_AHEAD_S = CLOCK_S + 3.0
 # Within this time, in seconds, an owner reads the list of workers and plans.
 REACTION_S = 1.5
 
@@ -42,7 +43,7 @@
         super().setUp()
         self.harness = DispatchHarness(workers=1)
         self.first = self.harness.worker_by_id["w1"]
-        self.first.set_uptime(UPTIME_S)
+        self.first.set_clock(CLOCK_S)
         # The first worker's answers to renewals are delayed until this is set.
         self.answers = Event()
         self.answers.set()
@@ -94,10 +95,13 @@
 class TestStartAcceptedAfterTheRestart(RestartedWorkerCase):
     """The restarted worker accepts a start before the owner knows of the restart."""
 
+    # Where the clock of the restarted worker begins, in seconds.
+    clock_s = 0.0
+
     def setUp(self):
         super().setUp()
         self.answers.clear()
-        self.first.restart()
+        self.first.restart(self.clock_s)
         self.run_long_job()
 
     def test_run_goes_on_when_the_restart_is_listed(self):
@@ -126,6 +130,12 @@
         self.assertThat(self.known().listing.address, Equals("10.0.0.1:81"))
 
 
+class TestStartAcceptedByAWorkerWhoseClockIsAhead(TestStartAcceptedAfterTheRestart):
+    """The clock of the restarted worker is ahead of the one before, as it may begin anywhere."""
+
+    clock_s = CLOCK_AHEAD_S
+
+
 class TestRunOfTheEarlierIncarnation(RestartedWorkerCase):
     """The worker restarts after it has reported the run."""
 
@@ -215,7 +225,7 @@
         self.wait_until_reported()
         self.fill_first_worker()
         self.add_second_worker()
-        self.deliver(late, WorkerReport(UPTIME_S, self.first.incarnation - 1, (), ()))
+        self.deliver(late, WorkerReport(CLOCK_S, self.first.incarnation - 1, (), ()))
         sleep(REACTION_S)
         self.check_nothing_ran_twice()
         self.assertThat(self.harness.checker.start_count, Equals(1))
