Take an old list of VMs for no sign of the end of later starts

Cause: a silent worker whose VM is listed as down was dropped with all runs that had been started before the list was requested. But the list is up to two seconds behind, and a worker may start again under its id: the list showed the outage before, the runs were on the new process. The record fits: both runs ended at one moment, on workers that had been down for half a second, and were stopped as unwanted once the new processes reported them.

Only what the list describes counts as ended: runs that the known incarnation has reported, as it has been known for longer than the list is behind, and starts from before that time. Others are kept until the worker answers, a later list covers them, or their leases lapse. That delays the restart of tasks that began within a second before a crash by about a second.

--- a/laburnumswitch/process/dispatch/vm_list.py
+++ b/laburnumswitch/process/dispatch/vm_list.py
@@ -1,6 +1,7 @@
 """Decides with the platform's list of VMs which silent workers have certainly ended.
 
-The list says which worker a VM runs. A worker that its VM no longer runs never resumes.
+The list says which worker a VM runs. A worker that its VM no longer runs never resumes, but may
+start again under its id.
 """
 
 from collections.abc import Callable
@@ -42,6 +43,10 @@
     sent_s: float
     row_by_vm_id: dict[str, VmRow]
 
+    def as_of_s(self) -> float:
+        """Return the time from which on the VMs may have changed since the list was made."""
+        return self.sent_s - MAX_DELAY_S
+
 
 class SilentWorker(NamedTuple):
     """A worker that does not answer.
@@ -122,5 +127,5 @@
     return (
         bool(vm_list.row_by_vm_id)
         and vm_list.sent_s > worker.last_answer_s
-        and vm_list.sent_s - MAX_DELAY_S > worker.known_since_s
+        and vm_list.as_of_s() > worker.known_since_s
     )
--- a/laburnumswitch/process/dispatch/vm_watch.py
+++ b/laburnumswitch/process/dispatch/vm_watch.py
@@ -9,6 +9,7 @@
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.exceptions import Throttled
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
+from laburnumswitch.process.dispatch.fleet import ActiveRun
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.vm_list import find_ended_workers
 from laburnumswitch.process.dispatch.vm_list import ListVms
@@ -140,19 +141,24 @@
             f"{evidence.reason} (read {now_s - vm_list.sent_s:.2f} s ago,"
             f" last answer {now_s - heard_s:.2f} s ago)"
         )
-        _end_worker(dispatcher, worker, vm_list.sent_s, reason)
+        _end_worker(dispatcher, worker, vm_list, reason)
 
 
-def _end_worker(dispatcher: Dispatcher, worker: Worker, ended_s: float, reason: str) -> None:
-    """Drop a worker that had ended at ``ended_s``, but keep starts that were sent after that.
+def _end_worker(dispatcher: Dispatcher, worker: Worker, vm_list: VmList, reason: str) -> None:
+    """Release the runs of the incarnation that has ended, and drop the worker if none remain.
 
-    It may have restarted under its id since then.
+    It may have started again under its id since the list was made.
     """
     runs = list(worker.runs_by_task.values())
-    if all(run.started_s < ended_s for run in runs):
+    ended = [run for run in runs if _has_ended(worker, run, vm_list)]
+    if len(ended) == len(runs):
         dispatcher.drop_worker(worker, reason)
         return
     worker.has_unknown_runs = False
-    for run in runs:
-        if run.started_s < ended_s:
-            dispatcher.release_run(worker, run, reason)
+    for run in ended:
+        dispatcher.release_run(worker, run, reason)
+
+
+def _has_ended(worker: Worker, run: ActiveRun, vm_list: VmList) -> bool:
+    was_reported = run.incarnation != 0 and run.incarnation == worker.incarnation
+    return was_reported or run.started_s < vm_list.as_of_s()
