Tie runs to a start of their worker by its reports only

A run whose start a worker answered counted as one of the known incarnation if the clock in the answer was not behind. Found while looking for the same cause elsewhere.

A run belongs to an incarnation once that has reported it. A start that has not been reported when its worker restarts is kept until the new process answers, which takes some tenths of a second.

--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -75,8 +75,8 @@
     """A run that may exist on a worker.
 
     :ivar number: run number, which increases with each run of the task.
-    :ivar incarnation: the worker's incarnation that has reported the run, or whose clock was in the
-        answer to its start; 0 if unknown, as a worker may restart before it receives the start.
+    :ivar incarnation: the worker's incarnation that has reported the run; 0 if none has. The answer
+        to a start does not name one, and a worker may restart before it receives the start.
     :ivar is_serving: whether it serves requests and its measurement is a tail latency.
     :ivar confirmed_s: when the worker first confirmed it; ``None`` while the start is in flight.
     :ivar is_uncertain: whether its start was not answered and is not yet voided by a fencing token.
@@ -202,8 +202,8 @@
     :ivar lapse_bound_s: when all leases granted by the known incarnation have certainly expired,
         and their runs have ended.
     :ivar restart_lapse_bound_s: the same for a later incarnation that is not known yet. Its clock
-        begins anew, so it takes the end of a lease for an instant in the far future, and grants the
-        longest lease from the arrival of the command on.
+        begins anew, anywhere, so it may take the end of a lease for an instant in the far future,
+        and grant the longest lease from the arrival of the command on.
     :ivar has_unknown_runs: whether runs of earlier owners may exist that this owner does not know.
     :ivar has_unreserved_runs: whether it last reported runs that this owner has not adopted, whose
         capacity is not reserved.
@@ -392,13 +392,6 @@
             return sent_s < max(self.incarnation_since_s, self.last_answer_s)
         return report.clock_s < self.clock_s and sent_s < self.last_answer_s
 
-    def is_known_clock(self, clock_s: float) -> bool:
-        """Return whether the clock in an answer shows that the known incarnation gave it.
-
-        That of a later incarnation begins anew, so it is behind unless the known one is young.
-        """
-        return self.clock_s > MAX_SILENCE_S and clock_s >= self.clock_s
-
     def note_answer(self, now_s: float, clock_s: float) -> None:
         """Record the latest answer."""
         if clock_s <= self.clock_s and self.last_answer_s:
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -538,8 +538,6 @@
         return
     if not isinstance(outcome, Failure):
         run.confirmed_s = now_s
-        if worker.is_known_clock(outcome.clock_s):
-            run.incarnation = worker.incarnation
         job.has_begun = True
         if job.is_final():
             dispatcher.stop_run(worker, run, "the job has ended")
