--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -32,6 +32,9 @@
 SERVICE = "shop"
 # Pause between two searches for workers that send no heartbeat.
 REMOVAL_INTERVAL_S = 0.2
+# The list of VMs is behind them by up to this time, in seconds.
+MAX_VM_LIST_DELAY_S = 1.9
+VM_RECORD_INTERVAL_S = 0.05
 ZONES = ("a", "b", "c")
 WORKERS_PER_RACK = 4
 PORTS_PER_WORKER = 2
@@ -82,7 +85,9 @@
                 folder,
             )
             self.workers.append(EmulatedWorker(worker_config, random))
-        self.vm_list = VmListApi(self.workers)
+        # Not drawn from ``random``, so that a seed keeps its faults.
+        list_delay_s = Random(folder.name).uniform(0.0, MAX_VM_LIST_DELAY_S)
+        self.vm_list = VmListApi(self.workers, delay_s=list_delay_s)
         self._vm_list_server = start_server("127.0.0.1:0", self.vm_list.handle)
         self.entries: list[EntryProcess] = []
         for number in range(entries):
@@ -100,6 +105,7 @@
         for worker in self.workers:
             worker.start()
         spawn(self._remove_silent_workers)
+        spawn(self._record_vms)
         for entry in self.entries:
             entry.start()
 
@@ -169,6 +175,11 @@
         ]
         return len(runs)
 
+    def _record_vms(self) -> None:
+        while not self._is_stopped:
+            self.vm_list.record(monotonic())
+            sleep(VM_RECORD_INTERVAL_S)
+
     def _remove_silent_workers(self) -> None:
         while not self._is_stopped:
             self.registration.remove_silent()
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -24,6 +24,8 @@
 from standin.fleet.worker_process import write_fact
 
 MIN_CLOCK_RATE = 0.98
+# The clock of a worker begins anywhere up to this time, in seconds.
+MAX_CLOCK_START_S = 10_000.0
 STOP_POLL_S = 0.001
 LISTEN_POLL_S = 0.005
 
@@ -44,7 +46,7 @@
 
 
 class EmulatedWorker:
-    """A worker process behind a proxy; each start of it draws a new clock rate."""
+    """A worker process behind a proxy; each start of it draws the rate and start of its clock."""
 
     def __init__(self, config: WorkerConfig, random: Random) -> None:
         self.proxy = Proxy(config.listen_address, config.port)
@@ -56,6 +58,8 @@
         self.is_paused = False
         self._config = config
         self._random = random
+        # A generator of its own, so that a seed keeps its faults.
+        self._clock_random = Random(f"{config.folder.name} {self.listing.worker_id}")
         self._process: subprocess.Popen | None = None
         prefix = config.folder / self.listing.worker_id
         self._record_path = prefix.with_suffix(".jsonl")
@@ -83,6 +87,7 @@
             "record-file": self._record_path,
             "control-file": self._control_path,
             "clock-rate": self._random.uniform(MIN_CLOCK_RATE, 1.0),
+            "clock-start": self._clock_random.uniform(0.0, MAX_CLOCK_START_S),
             "seed": self._random.getrandbits(32),
         }
         command += [f"--{name}={value}" for name, value in options.items()]
--- a/standin/fleet/api.py
+++ b/standin/fleet/api.py
@@ -2,6 +2,7 @@
 
 from base64 import b64decode
 from base64 import b64encode
+from collections import deque
 from collections.abc import Callable
 from collections.abc import Sequence
 from typing import Any
@@ -143,14 +144,25 @@
 class VmListApi:
     """HTTP interface of the list of VMs, one for each worker.
 
-    ``page_rows`` is the size of a page, ``is_down`` makes it refuse every call.
+    ``page_rows`` is the size of a page, ``is_down`` makes it refuse every call. Once ``record`` is
+    called regularly, answers show the VMs as they were ``delay_s`` ago.
     """
 
-    def __init__(self, workers: Sequence[ListedWorker], page_rows: int = 200) -> None:
+    def __init__(
+        self, workers: Sequence[ListedWorker], page_rows: int = 200, delay_s: float = 0.0
+    ) -> None:
         self.workers = workers
         self.page_rows = page_rows
+        self.delay_s = delay_s
         self.is_down = False
         self.call_count = 0
+        self._recorded: deque[tuple[float, list[dict[str, Any]]]] = deque()
+
+    def record(self, now_s: float) -> None:
+        """Record the VMs as they are, for answers that are behind them."""
+        self._recorded.append((now_s, self._encode_vms()))
+        while len(self._recorded) > 1 and now_s - self._recorded[1][0] >= self.delay_s:
+            self._recorded.popleft()
 
     def handle(self, call: Call) -> Reply:
         """Answer one call."""
@@ -161,10 +173,14 @@
             return NOT_FOUND
         first = int(call.query.get("pageToken", 0))
         end = first + self.page_rows
-        rows = [self._encode_vm(worker) for worker in self.workers[first:end]]
+        vms = self._recorded[0][1] if self._recorded else self._encode_vms()
+        rows = vms[first:end]
         next_token = str(end) if end < len(self.workers) else None
         return json_reply({"machines": rows, "nextToken": next_token})
 
+    def _encode_vms(self) -> list[dict[str, Any]]:
+        return [self._encode_vm(worker) for worker in self.workers]
+
     def _encode_vm(self, worker: ListedWorker) -> dict[str, Any]:
         listing = worker.listing
         return {
--- a/standin/fleet/worker_process.py
+++ b/standin/fleet/worker_process.py
@@ -170,6 +170,9 @@
 @click.option("--record-file", required=True, type=Path)
 @click.option("--control-file", required=True, type=Path)
 @click.option("--clock-rate", default=1.0, show_default=True, help="Rate of its steady clock.")
+@click.option(
+    "--clock-start", default=0.0, show_default=True, help="Where the clock that it reports begins."
+)
 @click.option("--seed", default=1, show_default=True)
 def main(
     listing: str,
@@ -178,6 +181,7 @@
     record_file: Path,
     control_file: Path,
     clock_rate: float,
+    clock_start: float,
     seed: int,
 ) -> None:
     """Run one emulated worker until the process is killed or its parent has exited."""
@@ -203,6 +207,7 @@
     record = make_recorder(record_file, to_monotonic_s)
     timing = WorkerTiming(MAX_STOP_S, MAX_TICK_GAP_S)
     worker = FleetWorker(worker_listing, InvariantChecker(), clock, random, timing, record)
+    worker.set_clock(clock_start)
     handle = make_process_handler(worker, read_switches, record, clock, random)
     start_server(listen, handle)
     spawn(_send_heartbeats, worker_listing, store)
--- a/tests/platform/test_vms.py
+++ b/tests/platform/test_vms.py
@@ -45,6 +45,17 @@
         self.assertThat(rows, Equals((*expected, VmRow("vm-w5", VmState.DOWN, ""))))
         self.assertThat(api.call_count, Equals(3))
 
+    def test_list_may_be_behind_the_vms(self):
+        worker = FleetWorker(make_listing(1), InvariantChecker(), monotonic, Random(1))
+        api = VmListApi([worker], delay_s=1.0)
+        client = self._serve(api.handle)
+        states = []
+        for now_s in (10.0, 10.5, 11.0, 11.6):
+            api.record(now_s)
+            states.append(client.list_vms(1.0)[0].state)
+            worker.crash()
+        self.assertThat(states, Equals([VmState.UP] * 3 + [VmState.DOWN]))
+
     def test_states_are_decoded(self):
         for name, state in (
             ("moving", VmState.MOVING),
