Do not blame tasks for the loss of workers of all zones

Cause: crashes counted as a loss of many workers only within one availability zone, and only once three of them were known: those of a group over all zones, and the first two of any group, were held against the tasks that had just started there. Three such losses within the life of a task gave it up.

Crashes within a second are judged together, over all zones, and again when a task is about to be given up. They count only for jobs that are suspected for half of them, which those that crash their workers together are. At most two crashes of a task are excused, so that it starts at most twice after three workers have crashed under it.

--- a/laburnumswitch/process/dispatch/crashes.py
+++ b/laburnumswitch/process/dispatch/crashes.py
@@ -35,6 +35,14 @@
 GROUP_WINDOW_S = 1.0
 MIN_GROUP = 3
 GROUP_SHARE = 0.05
+# So have as many workers of all zones, unless tasks of one job are suspected for at least this
+# share of the crashes.
+MIN_BLAMED_SHARE = 0.5
+# Maximum number of crashes of a task that count as of a common cause of all zones. With
+# ``MAX_CRASHES`` more, a task starts at most twice after three workers have crashed under it.
+MAX_EXCUSED_RUNS = 2
+# How long crashes are kept, in seconds: for the crashes of one task until it is given up.
+HISTORY_S = 60.0
 
 CRASHES_TABLE = "crashes"
 # Number of rows that store crashed runs: a row of the platform's store holds 64 KiB, and a task
@@ -74,26 +82,70 @@
     return was_always_last_started and crash_count >= CRASHES_OF_LAST_STARTED
 
 
+class _WorkerCrash(NamedTuple):
+    at_s: float
+    zone: str
+    worker_id: str
+    suspects: frozenset[tuple[TaskKey, int]]
+
+
 class CrashWindow:
-    """Recent crashes by availability zone, to tell a single one from a loss of many workers."""
+    """Recent crashes, to tell those that tasks cause from a loss of many workers."""
 
     def __init__(self) -> None:
-        self._recent_by_zone: dict[str, deque[tuple[float, str]]] = {}
+        self._recent: deque[_WorkerCrash] = deque()
 
-    def add(self, zone: str, worker_id: str, now_s: float) -> None:
-        """Record the crash of a worker."""
-        recent = self._recent_by_zone.setdefault(zone, deque())
-        recent.append((now_s, worker_id))
-        while now_s - recent[0][0] > GROUP_WINDOW_S:
-            recent.popleft()
+    def add(
+        self, zone: str, worker_id: str, now_s: float, suspects: Iterable[tuple[TaskKey, int]] = ()
+    ) -> None:
+        """Record the crash of a worker.
+
+        :param suspects: tasks and numbers of the runs that the worker had started shortly before.
+        """
+        self._recent.append(_WorkerCrash(now_s, zone, worker_id, frozenset(suspects)))
+        while now_s - self._recent[0].at_s > HISTORY_S:
+            self._recent.popleft()
 
     def is_group(self, zone: str, worker_count: int) -> bool:
         """Return whether the last crash in a zone is one of many with a common cause.
 
         :param worker_count: number of the workers of the zone.
         """
-        crashed = {worker_id for _, worker_id in self._recent_by_zone.get(zone, ())}
-        return len(crashed) >= max(MIN_GROUP, GROUP_SHARE * worker_count)
+        in_zone = [crash for crash in self._recent if crash.zone == zone]
+        last_s = in_zone[-1].at_s if in_zone else 0.0
+        crashed = {crash.worker_id for crash in in_zone if last_s - crash.at_s <= GROUP_WINDOW_S}
+        return _is_many(len(crashed), worker_count)
+
+    def excused_runs(self, task: TaskKey, runs: Iterable[int], worker_count: int) -> list[int]:
+        """Return the crashed runs of a task that ended with many workers of all zones at a time.
+
+        A task that crashes workers is suspected for most of the crashes around its own, or other
+        tasks of its job are. Only ``MAX_EXCUSED_RUNS`` are excused, as several such jobs may crash
+        their workers at the same time.
+
+        :param worker_count: number of all workers.
+        """
+        crash_by_run = {run: crash for crash in self._recent for run in _runs_of(task, crash)}
+        excused = [
+            run
+            for run in runs
+            if run in crash_by_run
+            and self._has_other_cause(task.job_id, crash_by_run[run].at_s, worker_count)
+        ]
+        return sorted(excused)[:MAX_EXCUSED_RUNS]
+
+    def _has_other_cause(self, job_id: str, at_s: float, worker_count: int) -> bool:
+        around = [crash for crash in self._recent if abs(crash.at_s - at_s) <= GROUP_WINDOW_S]
+        of_job = sum(any(task.job_id == job_id for task, _ in crash.suspects) for crash in around)
+        return _is_many(len(around), worker_count) and of_job < MIN_BLAMED_SHARE * len(around)
+
+
+def _runs_of(task: TaskKey, crash: _WorkerCrash) -> list[int]:
+    return [run for suspect, run in crash.suspects if suspect == task]
+
+
+def _is_many(crash_count: int, worker_count: int) -> bool:
+    return crash_count >= max(MIN_GROUP, GROUP_SHARE * worker_count)
 
 
 def crashes_key(job_id: str) -> str:
--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -570,15 +570,23 @@
         as planned, and many workers of one availability zone at a time for a common cause.
         """
         now_s = self.context.clock()
-        crashed = [worker for worker in workers if worker.leaves_s is None]
-        for worker in crashed:
-            self.crash_window.add(worker.listing.availability_zone, worker.worker_id, now_s)
-        for worker in crashed:
+        crashed = [
+            (worker, find_suspects(worker.runs_by_task.values(), worker.last_sign_s()))
+            for worker in workers
+            if worker.leaves_s is None
+        ]
+        for worker, suspects in crashed:
+            self.crash_window.add(
+                worker.listing.availability_zone,
+                worker.worker_id,
+                now_s,
+                [(run.task, run.number) for run, _ in suspects],
+            )
+        for worker, suspects in crashed:
             zone = worker.listing.availability_zone
             in_zone = sum(
                 each.listing.availability_zone == zone for each in self.workers_by_id.values()
             )
-            suspects = find_suspects(worker.runs_by_task.values(), worker.last_sign_s())
             is_group = self.crash_window.is_group(zone, in_zone)
             self.context.log.note(
                 "worker_crashed",
@@ -596,7 +604,10 @@
         """Count a crash for a task, and fail its job if the task is to blame."""
         task.crashed_runs.add(run.number)
         task.was_always_last_started &= run.crash.was_last_started
-        crash_count = len(task.crashed_runs)
+        excused_runs = self.crash_window.excused_runs(
+            task.key, task.crashed_runs, len(self.workers_by_id)
+        )
+        crash_count = len(task.crashed_runs) - len(excused_runs)
         is_given_up = is_to_blame(crash_count, task.was_always_last_started)
         self.context.log.note(
             "task_suspected",
@@ -604,6 +615,7 @@
             run=run.number,
             worker=worker.worker_id,
             crashes=crash_count,
+            excused=len(excused_runs),
             survived_s=round(run.crash.survived_s, 3),
             was_last_started=run.crash.was_last_started,
             given_up=is_given_up,
--- a/tests/process/dispatch/replay.py
+++ b/tests/process/dispatch/replay.py
@@ -150,11 +150,15 @@
         self.owner.knows_listings = True
         self.owner.is_loaded.set()
         for listing in listings:
-            worker = self.owner.add_worker(listing)
-            worker.is_reached = True
-            worker.note_answer(self.now_s, self.now_s)
+            self.add_worker(listing)
         recorder.commit()
 
+    def add_worker(self, listing: WorkerListing) -> None:
+        """Add a worker that the owner has reached."""
+        worker = self.owner.add_worker(listing)
+        worker.is_reached = True
+        worker.note_answer(self.now_s, self.now_s)
+
     def _clock(self) -> float:
         return self.now_s
 
--- a/tests/process/dispatch/test_crashes.py
+++ b/tests/process/dispatch/test_crashes.py
@@ -138,6 +138,68 @@
         self.assertThat(task.crashed_runs, Equals({number}))
 
 
+class TestCrashesInAllZones(TestCase):
+    """Workers of all availability zones crash at the same time, some of each zone."""
+
+    ZONES = ("a", "b", "c", "d")
+    WORKERS = 32
+    # Each job has a task on a worker of its own.
+    SPREAD = STEP._replace(count=1, cpu_millis=3000)
+
+    def setUp(self):
+        super().setUp()
+        self.fleet = FleetReplay([], [URGENT, LASTING])
+        self.owner = self.fleet.owner
+        for number in range(1, self.WORKERS + 1):
+            self._add_worker(number)
+        self.number = self.WORKERS
+
+    def _add_worker(self, number):
+        zone = self.ZONES[number % len(self.ZONES)]
+        self.fleet.add_worker(make_listing(number, availability_zone=zone, vm_id=f"vm{number}"))
+
+    def _submit(self, *steps):
+        arrivals = [Arrival(0.0, "check", (step,), (ENDLESS_S,)) for step in steps]
+        self.fleet.replay(arrivals, 0.1)
+        return list(self.owner.jobs_by_id.values())[-len(steps) :]
+
+    def _crash_holders(self, jobs):
+        """Crash the workers of jobs; the first crash is noticed earlier than the others."""
+        holders = [
+            self.owner.workers_by_id[task.worker_id] for job in jobs for task in job.active_tasks()
+        ]
+        holders = list(dict.fromkeys(holders))
+        for crashed in (holders[:1], holders[1:]):
+            self.owner.note_crashes(crashed)
+            for worker in crashed:
+                self.owner.drop_worker(worker, "its VM is down")
+                self.number += 1
+                self._add_worker(self.number)
+            self.fleet.replay([], 0.7)
+
+    def test_loss_of_workers_of_all_zones_is_not_held_against_their_tasks(self):
+        jobs = self._submit(*[self.SPREAD] * 7)
+        for _ in range(3):
+            self._crash_holders(jobs)
+            self.fleet.replay([], 0.2)
+        self.assertThat({job.state for job in jobs}, Equals({JobState.RUNNING}))
+
+    def test_job_whose_tasks_crash_their_workers_together_is_given_up_after_three_crashes(self):
+        (job,) = self._submit(self.SPREAD._replace(count=7))
+        for _ in range(3):
+            self._crash_holders([job])
+            self.fleet.replay([], 0.2)
+        self.assertThat(job.state, Equals(JobState.FAILED))
+
+    def test_jobs_that_crash_their_workers_at_the_same_time_are_given_up_within_the_limit(self):
+        # Users allow two more starts after three workers have crashed under a task.
+        jobs = self._submit(*[self.SPREAD] * 4)
+        for _ in range(5):
+            self._crash_holders(job for job in jobs if not job.is_final())
+            self.fleet.replay([], 0.2)
+        self.assertThat({job.state for job in jobs}, Equals({JobState.FAILED}))
+
+
 class TestStoredCrashes(TestCase):
     def test_malformed_row_is_reported_and_left_out(self):
         malformed = []
