Note the crash of a worker once

Since an old list of VMs no longer ends all runs of a silent worker, some of them keep it known for a few readings of the list, and each reading recorded its crash again. As crashes of many workers within a second are judged together, one worker could look like three, and a deadly task's crash be excused.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -567,15 +567,17 @@
         """Hold the crashes of workers against the runs that they had started shortly before.
 
         The crash counts once such a run is released. Workers that were about to leave have ended
-        as planned, and many workers of one availability zone at a time for a common cause.
+        as planned, and many workers of one availability zone at a time for a common cause. What
+        tells of a crash may do so again until the worker answers.
         """
         now_s = self.context.clock()
         crashed = [
             (worker, find_suspects(worker.runs_by_task.values(), worker.last_sign_s()))
             for worker in workers
-            if worker.leaves_s is None
+            if worker.leaves_s is None and not worker.is_known_crashed
         ]
         for worker, suspects in crashed:
+            worker.is_known_crashed = True
             self.crash_window.add(
                 worker.listing.availability_zone,
                 worker.worker_id,
--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -253,6 +253,8 @@
         self.blocked_until_s = 0.0
         self.last_sample_s = 0.0
         self.had_best_effort = False
+        # Whether its crash has been noted since its last answer.
+        self.is_known_crashed = False
         self.used_cpu_millis = 0
         self.used_memory_mb = 0
         self.used_accelerators = 0
@@ -297,6 +299,7 @@
         self.incarnation = incarnation
         self.incarnation_since_s = now_s
         self.is_reached = False
+        self.is_known_crashed = False
         self.leaves_s = None
         self.last_end_number = self.acknowledged_end = 0
         self.pending_acknowledgements.clear()
@@ -398,6 +401,7 @@
             return
         self.last_answer_s = now_s
         self.clock_s = clock_s
+        self.is_known_crashed = False
 
     def extend_grant(self, lease_s: float) -> float:
         """Extend the granted lease and return its end on the worker's clock.
--- a/tests/process/dispatch/test_crashes.py
+++ b/tests/process/dispatch/test_crashes.py
@@ -128,6 +128,19 @@
             self.fleet.replay([], 0.2)
         self.assertThat(job.state, Equals(JobState.FAILED))
 
+    def test_crash_that_several_readings_show_is_one_crash(self):
+        # A run whose end is not certain yet keeps its worker known for some readings.
+        job = self._submit()
+        worker = self._holder(job)
+        self.owner.crash_window.add = lambda *arguments: added.append(arguments)
+        added = []
+        for _ in range(3):
+            self.owner.note_crashes([worker])
+        self.assertThat(added, HasLength(1))
+        worker.note_answer(self.fleet.now_s + 1.0, self.fleet.now_s + 1.0)
+        self.owner.note_crashes([worker])
+        self.assertThat(added, HasLength(2))
+
     def test_repeated_knowledge_of_a_crash_counts_once(self):
         # A new owner adopts the run from the handover, and learns of the crash again.
         job = self._submit(STEP._replace(count=1))
