Keep room for the urgent work of each service by itself

The peak of urgent work was one for all services, and what waited for one service counted for each: long-running jobs of a small service would be rejected, and started late, because of a wave on another.

--- a/laburnumswitch/process/dispatch/admission.py
+++ b/laburnumswitch/process/dispatch/admission.py
@@ -90,13 +90,14 @@
             del admitted_by_id[job_id]
         elif admission.service in committed_by_service:
             committed_by_service[admission.service] += admission.cpu_millis
-    headroom = dispatcher.headroom
-    return {
-        service: Commitment(
+    observed_s = now_s - dispatcher.began_s
+    commitment_by_service = {}
+    for service, capacity in capacity_by_service.items():
+        headroom = dispatcher.headroom_by_service[service]
+        commitment_by_service[service] = Commitment(
             capacity,
             committed_by_service[service],
             round(headroom.peak_cpu_millis),
-            round(headroom.reserve(capacity, now_s - dispatcher.began_s)),
+            round(headroom.reserve(capacity, observed_s)),
         )
-        for service, capacity in capacity_by_service.items()
-    }
+    return commitment_by_service
--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -7,6 +7,7 @@
 """
 
 import sys
+from collections import defaultdict
 from collections.abc import Callable
 from collections.abc import Iterable
 from typing import Any
@@ -197,7 +198,7 @@
         self.demand = Demand()
         self.price_by_worker_id: dict[str, float] = {}
         self.priced_s = float("-inf")
-        self.headroom = Headroom()
+        self.headroom_by_service: defaultdict[str, Headroom] = defaultdict(Headroom)
         self.admissions = Admissions()
         # When a worker was last added, on the monotonic clock.
         self.last_added_s = self.began_s
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -178,7 +178,7 @@
 
 def _service_planning_state(dispatcher: Dispatcher, service: str) -> ServicePlanningState:
     usable = usable_workers(dispatcher, service)
-    state = ServicePlanningState(usable, _long_running_budget(dispatcher, usable))
+    state = ServicePlanningState(usable, _long_running_budget(dispatcher, service, usable))
     state.reserved_workers |= dispatcher.reserved_by_service.get(service, set())
     return state
 
@@ -231,15 +231,21 @@
         )
 
 
-def _long_running_budget(dispatcher: Dispatcher, usable: list[Worker]) -> float:
+def _long_running_budget(dispatcher: Dispatcher, service: str, usable: list[Worker]) -> float:
     used = sum(worker.urgent_cpu_millis for worker in usable)
     waiting = sum(
-        each.step_state.waiting_count() * each.step_state.step.cpu_millis
-        for each in dispatcher.ready_step_by_key.values()
-        if each.step_state.step.is_urgent
+        ready.step_state.waiting_count() * ready.step_state.step.cpu_millis
+        for ready in dispatcher.ready_step_by_key.values()
+        if ready.step_state.step.is_urgent and _uses_service(dispatcher, ready, service)
     )
-    dispatcher.headroom.update(used + waiting, dispatcher.context.clock())
-    return dispatcher.headroom.long_running_budget(usable)
+    headroom = dispatcher.headroom_by_service[service]
+    headroom.update(used + waiting, dispatcher.context.clock())
+    return headroom.long_running_budget(usable)
+
+
+def _uses_service(dispatcher: Dispatcher, ready: ReadyStep, service: str) -> bool:
+    queue = dispatcher.queue_of(ready.job)
+    return queue is not None and queue.service == service
 
 
 def _has_lasting_room(dispatcher: Dispatcher, queue: Queue, ready: ReadyStep) -> bool:
--- a/tests/process/dispatch/test_admission.py
+++ b/tests/process/dispatch/test_admission.py
@@ -16,6 +16,7 @@
 from laburnumswitch.process.dispatch.headroom import OBSERVATION_S
 from laburnumswitch.process.dispatch.headroom import PEAK_FACTOR
 from laburnumswitch.process.dispatch.headroom import UNSEEN_RESERVE_SHARE
+from laburnumswitch.process.dispatch.job_spec import QueueConfiguration
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.leadership.messages import AdmissionRequest
 from tests.process.dispatch.harness import make_listing
@@ -124,10 +125,26 @@
         self.assertThat(commitment.capacity_cpu_millis, Equals(10 * STEP_CPU_MILLIS))
 
     def test_seen_urgent_work_is_kept_room_for(self):
-        self.owner.headroom.update(0.11 * CAPACITY, self.fleet.now_s)
+        self.owner.headroom_by_service["shop"].update(0.11 * CAPACITY, self.fleet.now_s)
         reserve = measure_commitments(self.owner)["shop"].urgent_reserve_cpu_millis
         self.assertThat(reserve, Equals(round(PEAK_FACTOR * 0.11 * CAPACITY)))
 
+    def test_urgent_work_of_another_service_does_not_count(self):
+        # All services shared one peak, and what waited for one counted for each.
+        other = make_listing(99, service="mill", cpu_millis=WORKER_CPU_MILLIS, memory_mb=256_000)
+        self.fleet.add_worker(other)
+        queue = URGENT._replace(name="grind", host="grind.example", service="mill")
+        queues = {each.name: each for each in (URGENT, LASTING, queue)}
+        self.owner.context.operations.apply(QueueConfiguration(2, queues, {"shop": True}))
+        urgent = Step(20, 30_000, 60_000, estimate_ms=1000.0)
+        self.fleet.replay([Arrival(0.0, "grind", (urgent,), (1.0,))], 0.5)
+        peak_by_service = {
+            service: commitment.urgent_peak_cpu_millis
+            for service, commitment in measure_commitments(self.owner).items()
+        }
+        self.assertThat(peak_by_service["shop"], Equals(0))
+        self.assertThat(peak_by_service["mill"], GreaterThan(0))
+
     def test_little_is_kept_after_long_observation_without_urgent_work(self):
         self.fleet.now_s += OBSERVATION_S
         reserve = measure_commitments(self.owner)["shop"].urgent_reserve_cpu_millis
--- a/tests/process/dispatch/test_dispatcher.py
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -976,7 +976,7 @@
         harness = DispatchHarness()
         owner = harness.start_owner()
         self.addCleanup(owner.stop)
-        owner.headroom.update(1e9, owner.context.clock())
+        owner.headroom_by_service["shop"].update(1e9, owner.context.clock())
         long_running = Step(1, cpu_millis=1000, memory_mb=100, long_running=True)
         harness.submit(make_submission("j1", long_running), owner)
         wait_until(lambda: harness.checker.start_count == 1, limit_s=6.0)
--- a/tests/process/dispatch/test_urgent_jobs.py
+++ b/tests/process/dispatch/test_urgent_jobs.py
@@ -106,7 +106,7 @@
         filling = [Arrival(0.0, "feed", (step,)) for step in (whole_worker, self.LASTING_STEP)]
         self.fleet.replay(filling, 4.0)
         # Headroom as after a wave of urgent work.
-        self.fleet.owner.headroom.update(640_000.0, self.fleet.now_s)
+        self.fleet.owner.headroom_by_service["shop"].update(640_000.0, self.fleet.now_s)
         urgent = [
             Arrival(0.7 * number, "check", (self.URGENT_STEP,), (0.6,))
             for number in range(int(self.BUSY_S / 0.7))
