Excuse no crash right after the start of a task

A crash of the first kind counts in any case now; one of a start that was not answered may be excused, since the worker may have crashed before it.

--- a/laburnumswitch/process/dispatch/crashes.py
+++ b/laburnumswitch/process/dispatch/crashes.py
@@ -38,6 +38,9 @@
 # So have as many workers of all zones, unless tasks of one job are suspected for at least this
 # share of the crashes.
 MIN_BLAMED_SHARE = 0.5
+# A crash counts in any case for a run whose worker gave no sign of life later than this after it
+# had answered the start, in seconds.
+MIN_EXCUSED_SURVIVAL_S = 0.1
 # Maximum number of crashes of a task that count as of a common cause of all zones. With
 # ``MAX_CRASHES`` more, a task starts at most twice after three workers have crashed under it.
 MAX_EXCUSED_RUNS = 2
@@ -75,6 +78,15 @@
     return suspects
 
 
+def is_excusable(run: ActiveRun, crash: Crash) -> bool:
+    """Return whether something other than a run may have crashed its worker.
+
+    A task that crashes its worker does so right after its start. A start that was not answered may
+    have been sent to a worker that had crashed before.
+    """
+    return run.confirmed_s is None or crash.survived_s >= MIN_EXCUSED_SURVIVAL_S
+
+
 def is_to_blame(crash_count: int, was_always_last_started: bool) -> bool:
     """Return whether a task is given up after some crashes of its workers."""
     if crash_count >= MAX_CRASHES:
@@ -86,7 +98,7 @@
     at_s: float
     zone: str
     worker_id: str
-    suspects: frozenset[tuple[TaskKey, int]]
+    is_excusable_by_run: dict[tuple[TaskKey, int], bool]
 
 
 class CrashWindow:
@@ -96,13 +108,18 @@
         self._recent: deque[_WorkerCrash] = deque()
 
     def add(
-        self, zone: str, worker_id: str, now_s: float, suspects: Iterable[tuple[TaskKey, int]] = ()
+        self,
+        zone: str,
+        worker_id: str,
+        now_s: float,
+        is_excusable_by_run: dict[tuple[TaskKey, int], bool] | None = None,
     ) -> None:
         """Record the crash of a worker.
 
-        :param suspects: tasks and numbers of the runs that the worker had started shortly before.
+        :param is_excusable_by_run: by task and number of a run, whether it may be excused, see
+            ``is_excusable``; for those that the worker had started shortly before.
         """
-        self._recent.append(_WorkerCrash(now_s, zone, worker_id, frozenset(suspects)))
+        self._recent.append(_WorkerCrash(now_s, zone, worker_id, is_excusable_by_run or {}))
         while now_s - self._recent[0].at_s > HISTORY_S:
             self._recent.popleft()
 
@@ -125,7 +142,12 @@
 
         :param worker_count: number of all workers.
         """
-        crash_by_run = {run: crash for crash in self._recent for run in _runs_of(task, crash)}
+        crash_by_run = {
+            run: crash
+            for crash in self._recent
+            for (suspect, run), may_be_excused in crash.is_excusable_by_run.items()
+            if suspect == task and may_be_excused
+        }
         excused = [
             run
             for run in runs
@@ -136,14 +158,12 @@
 
     def _has_other_cause(self, job_id: str, at_s: float, worker_count: int) -> bool:
         around = [crash for crash in self._recent if abs(crash.at_s - at_s) <= GROUP_WINDOW_S]
-        of_job = sum(any(task.job_id == job_id for task, _ in crash.suspects) for crash in around)
+        of_job = sum(
+            any(task.job_id == job_id for task, _ in crash.is_excusable_by_run) for crash in around
+        )
         return _is_many(len(around), worker_count) and of_job < MIN_BLAMED_SHARE * len(around)
 
 
-def _runs_of(task: TaskKey, crash: _WorkerCrash) -> list[int]:
-    return [run for suspect, run in crash.suspects if suspect == task]
-
-
 def _is_many(crash_count: int, worker_count: int) -> bool:
     return crash_count >= max(MIN_GROUP, GROUP_SHARE * worker_count)
 
--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -26,6 +26,7 @@
 from laburnumswitch.process.dispatch.crashes import crashes_key
 from laburnumswitch.process.dispatch.crashes import CrashWindow
 from laburnumswitch.process.dispatch.crashes import find_suspects
+from laburnumswitch.process.dispatch.crashes import is_excusable
 from laburnumswitch.process.dispatch.crashes import is_to_blame
 from laburnumswitch.process.dispatch.crashes import SURVIVAL_S
 from laburnumswitch.process.dispatch.fleet import ActiveRun
@@ -583,7 +584,7 @@
                 worker.listing.availability_zone,
                 worker.worker_id,
                 now_s,
-                [(run.task, run.number) for run, _ in suspects],
+                {(run.task, run.number): is_excusable(run, crash) for run, crash in suspects},
             )
         for worker, suspects in crashed:
             zone = worker.listing.availability_zone
--- a/tests/process/dispatch/test_crashes.py
+++ b/tests/process/dispatch/test_crashes.py
@@ -9,8 +9,11 @@
 from laburnumswitch.process.dispatch.crashes import crashes_key
 from laburnumswitch.process.dispatch.crashes import CrashWindow
 from laburnumswitch.process.dispatch.crashes import GROUP_WINDOW_S
+from laburnumswitch.process.dispatch.crashes import is_excusable
 from laburnumswitch.process.dispatch.crashes import is_to_blame
 from laburnumswitch.process.dispatch.crashes import SURVIVAL_S
+from laburnumswitch.process.dispatch.fleet import ActiveRun
+from laburnumswitch.process.dispatch.fleet import Crash
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.job_spec import TaskKey
 from laburnumswitch.process.dispatch.jobs import JobState
@@ -53,6 +56,36 @@
         self.assertThat(window.is_group("a", 10), Equals(False))
 
 
+class TestExcusedRuns(TestCase):
+    TASK = TaskKey("j1", 0, 0, 0)
+    WORKERS = 34
+
+    def _excused(self, may_be_excused, job_id_of_others):
+        window = CrashWindow()
+        window.add("a", "w0", 10.0, {(self.TASK, 1): may_be_excused})
+        for number in range(1, 5):
+            other = TaskKey(job_id_of_others, 0, 0, number)
+            window.add("bcd"[number % 3], f"w{number}", 10.5, {(other, 1): False})
+        return window.excused_runs(self.TASK, {1}, self.WORKERS)
+
+    def test_crash_among_many_of_all_zones_is_excused(self):
+        self.assertThat(self._excused(True, "j2"), Equals([1]))
+
+    def test_crash_right_after_the_start_is_not(self):
+        # Tasks that crash their workers did so beside crashes of other causes, and started on.
+        self.assertThat(self._excused(False, "j2"), Equals([]))
+
+    def test_crash_among_those_of_the_same_job_is_not(self):
+        self.assertThat(self._excused(True, "j1"), Equals([]))
+
+    def test_run_is_excusable_unless_its_worker_crashed_right_after_it_had_answered(self):
+        run = ActiveRun(self.TASK, 1, STEP, 1, 10.0)
+        self.assertThat(is_excusable(run, Crash(0.0, True)), Equals(True))
+        run.confirmed_s = 10.01
+        outcomes = [is_excusable(run, Crash(survived_s, True)) for survived_s in (0.0, 0.5)]
+        self.assertThat(outcomes, Equals([False, True]))
+
+
 class TestCountedCrashes(TestCase):
     def setUp(self):
         super().setUp()
