Judge the first long-running jobs on small fleets too

Cause: 1.031 of the processors were promised at the start. Nothing is rejected while the fleet is being listed, for which two seconds without a new worker were waited; there the first jobs arrive 1.5 s after the last worker. While these fleets start, workers are listed 0.7 s apart at most.

The test fails before.

--- a/laburnumswitch/process/dispatch/admission.py
+++ b/laburnumswitch/process/dispatch/admission.py
@@ -25,7 +25,7 @@
 INHERITED_ADMISSIONS_S = 3.0
 # Time in seconds without newly listed workers after which the list counts as complete, and time
 # from the start of a term after which it does so in any case.
-FLEET_COMPLETE_S = 2.0
+FLEET_COMPLETE_S = 1.0
 MAX_FLEET_START_S = 15.0
 ADMITTED = AdmissionAnswer(0)
 
--- a/tests/process/dispatch/test_admission.py
+++ b/tests/process/dispatch/test_admission.py
@@ -105,6 +105,12 @@
         self.owner.add_worker(make_listing(99, cpu_millis=WORKER_CPU_MILLIS))
         self.assertThat(self._admit("a", 2 * CAPACITY), Equals(0))
 
+    def test_jobs_that_arrive_soon_after_the_last_worker_are_judged(self):
+        # The first jobs of a day arrived 1.5 s after it, and all were accepted.
+        self.owner.add_worker(make_listing(99, cpu_millis=WORKER_CPU_MILLIS))
+        self.fleet.replay([], 1.5)
+        self.assertThat(self._admit("a", 2 * CAPACITY), GreaterThan(0))
+
     def test_successor_rejects_nothing_that_its_predecessor_may_have_admitted(self):
         self.owner.epoch = 2
         self.owner.began_s = self.fleet.now_s
