Decode organisations, their API keys and limits

The configuration may name organisations (tenants on the wire) with API keys, a weight and a limit of what they may have running, and routes that are public. None of it was decoded, so that calls with unknown or revoked keys ran and limits had no effect.

Rows of submissions without an organisation keep their form, as earlier versions refuse rows with more fields.

--- a/laburnumswitch/platform/operations.py
+++ b/laburnumswitch/platform/operations.py
@@ -1,5 +1,6 @@
 """Rows written by operators: configuration, evacuated zones and maintenance waves."""
 
+from hashlib import sha256
 from typing import Any
 
 from msgspec import convert
@@ -8,12 +9,14 @@
 
 from laburnumswitch.exceptions import RowMalformed
 from laburnumswitch.process.dispatch.job_spec import Limits
+from laburnumswitch.process.dispatch.job_spec import Organisation
 from laburnumswitch.process.dispatch.job_spec import Queue
 from laburnumswitch.process.dispatch.job_spec import QueueConfiguration
 from laburnumswitch.process.operating.operations import MaintenanceWave
 from laburnumswitch.process.operating.operations import Operation
 from laburnumswitch.process.operating.operations import ZoneOrder
 from laburnumswitch.process.rows.table import Row
+from laburnumswitch.size import Size
 from laburnumswitch.units import MS_PER_S
 
 OPERATIONS_TABLE = "op"
@@ -37,6 +40,7 @@
         "timeout_ms": "timeoutMs",
         "target_duration_ms": "targetDurationMs",
         "max_attempts": "maxAttempts",
+        "is_public": "public",
     },
 ):
     # A route defines a queue; ``targetDurationMs`` is the constant part of its target duration.
@@ -50,6 +54,8 @@
     max_attempts: int = 1
     stretch: float = 1.0
     advice: _AdviceSettings | None = None
+    # Whether callers need no API key.
+    is_public: bool | None = None
 
 
 class _Service(Struct, rename={"rejects_overload": "rejectsOverload"}):
@@ -65,11 +71,27 @@
     idle_ms: float = 15_000.0
 
 
+class _MaxCount(Struct, frozen=True, rename={"memory_mb": "memMb"}):
+    # What all running tasks of a tenant may use together; ``cpu`` is in thousandths of a core.
+    cpu: int = 0
+    memory_mb: int = 0
+    gpu: int = 0
+
+
+class _Tenant(Struct, rename={"api_keys": "apiKeys", "max_count": "maxCount"}):
+    name: str
+    api_keys: list[str] = []
+    # Jobs per second that the tenant is owed, and its share while work waits.
+    weight: float = 1.0
+    max_count: _MaxCount = _MaxCount()
+
+
 class _Configuration(Struct):
     version: int
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = _Limits()
+    tenants: list[_Tenant] | None = None
 
 
 class _Wave(Struct, rename={"number": "wave", "duration_s": "durationS", "max_count": "maxCount"}):
@@ -87,9 +109,10 @@
         return RowMalformed(CONFIGURATION_KEY, str(error))
     return QueueConfiguration(
         fields.version,
-        {route.name: _to_queue(route) for route in fields.routes},
+        {route.name: _to_queue(route, fields.tenants is not None) for route in fields.routes},
         {service.name: service.rejects_overload for service in fields.services},
         Limits(fields.limits.body_bytes, fields.limits.idle_ms / MS_PER_S),
+        {tenant.name: _to_organisation(tenant) for tenant in fields.tenants or ()},
     )
 
 
@@ -102,7 +125,23 @@
     return MaintenanceWave(wave.number, wave.machines, wave.duration_s, wave.max_count)
 
 
-def _to_queue(route: _Route) -> Queue:
+def key_digest(key: str) -> str:
+    """Return the digest under which an API key is known to the product."""
+    return sha256(key.encode()).hexdigest()
+
+
+def _to_organisation(tenant: _Tenant) -> Organisation:
+    limit = tenant.max_count
+    return Organisation(
+        tenant.name,
+        tenant.weight,
+        Size(limit.cpu, limit.memory_mb, limit.gpu),
+        tuple(key_digest(key) for key in tenant.api_keys),
+    )
+
+
+def _to_queue(route: _Route, has_tenants: bool) -> Queue:
+    is_public = not has_tenants if route.is_public is None else route.is_public
     advice = route.advice or _AdviceSettings()
     return Queue(
         name=route.name,
@@ -118,6 +157,7 @@
         advice_base_s=advice.decide_ms / MS_PER_S,
         advice_per_worker_s=advice.each_ms / MS_PER_S,
         advice_valid_s=advice.valid_ms / MS_PER_S,
+        requires_key=not is_public,
     )
 
 
--- a/laburnumswitch/process/dispatch/job_spec.py
+++ b/laburnumswitch/process/dispatch/job_spec.py
@@ -2,6 +2,9 @@
 
 from typing import NamedTuple
 
+from laburnumswitch.size import Size
+from laburnumswitch.size import ZERO
+
 
 class Step(NamedTuple):
     """A set of identical tasks of a job.
@@ -59,6 +62,8 @@
     :ivar occurrences: how often the steps are executed; 0 for once, immediately.
     :ivar first_due_s: Unix time of the first occurrence.
     :ivar interval_s: time between two occurrences.
+    :ivar organisation: name of the organisation that submitted the job, empty if its queue requires
+        no API key.
     """
 
     job_id: str
@@ -69,6 +74,7 @@
     occurrences: int = 0
     first_due_s: float = 0.0
     interval_s: float = 0.0
+    organisation: str = ""
 
 
 class TaskKey(NamedTuple):
@@ -92,6 +98,7 @@
     :ivar stretch: factor of a job's critical path in the target of its duration.
     :ivar objective_s: constant part of the target of a job's duration.
     :ivar advice_valid_s: how long tickets are valid if the service's answer does not say.
+    :ivar requires_key: whether callers need an API key of an organisation.
     """
 
     name: str
@@ -107,6 +114,7 @@
     advice_base_s: float = 0.0
     advice_per_worker_s: float = 0.0
     advice_valid_s: float = 0.0
+    requires_key: bool = False
 
 
 class Limits(NamedTuple):
@@ -116,14 +124,31 @@
     idle_s: float = 15.0
 
 
+class Organisation(NamedTuple):
+    """Settings of one organisation.
+
+    :ivar weight: its share while work waits, and the number of jobs per second that it is owed.
+    :ivar limit: resources that its running tasks may use; a component of 0 is unlimited.
+    :ivar key_digests: SHA-256 digests of its API keys, in hexadecimal. The keys themselves are not
+        kept.
+    """
+
+    name: str
+    weight: float = 1.0
+    limit: Size = ZERO
+    key_digests: tuple[str, ...] = ()
+
+
 class QueueConfiguration(NamedTuple):
     """One version of the operators' configuration.
 
     :ivar rejects_overload_by_service: whether the workers of a service refuse work beyond their
         capacity.
+    :ivar organisations_by_name: empty where callers need no API keys.
     """
 
     version: int
     queues_by_name: dict[str, Queue]
     rejects_overload_by_service: dict[str, bool]
     limits: Limits = Limits()
+    organisations_by_name: dict[str, Organisation] = {}
--- a/laburnumswitch/process/dispatch/progress.py
+++ b/laburnumswitch/process/dispatch/progress.py
@@ -129,7 +129,9 @@
     remains one job even if an earlier write takes effect late.
     """
     key = submission_key(submission.job_id)
-    outcome = table.commit(Transaction((Condition(key, ABSENT_VERSION),), (Put(key, submission),)))
+    # Earlier versions cannot read rows with the field that names the organisation.
+    value = submission if submission.organisation else submission[:-1]
+    outcome = table.commit(Transaction((Condition(key, ABSENT_VERSION),), (Put(key, value),)))
     if isinstance(outcome, Committed):
         return None
     if not isinstance(outcome, Conflict):
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -1,5 +1,6 @@
 """Tests of the decoding of the platform's settings, submissions and rows."""
 
+from hashlib import sha256
 from tempfile import TemporaryDirectory
 
 from msgspec.json import decode
@@ -22,6 +23,7 @@
 from laburnumswitch.process.dispatch.worker_protocol import WorkerListing
 from laburnumswitch.process.operating.operations import ZoneOrder
 from laburnumswitch.process.rows.table import Row
+from laburnumswitch.size import Size
 
 SETTINGS = """
 node = "front-1"
@@ -197,6 +199,33 @@
         self.assertThat((queue.objective_s, queue.max_attempts), Equals((0.25, 4)))
         self.assertThat(configuration.version, Equals(7))
 
+    def test_organisations_are_decoded_with_digests_of_their_keys(self):
+        # Keys in readable form would end up in logs and messages.
+        tenant = {
+            "name": "depot",
+            "apiKeys": ["k1"],
+            "weight": 10,
+            "maxCount": {"cpu": 4000, "memMb": 512, "gpu": 0},
+        }
+        value = {"version": 7, "routes": [ROUTE], "services": [], "tenants": [tenant]}
+        organisation = decode_operation(Row("op/config", 1, value)).organisations_by_name["depot"]
+        self.assertThat(organisation.limit, Equals(Size(4000, 512, 0)))
+        self.assertThat(organisation.weight, Equals(10))
+        self.assertThat(organisation.key_digests, Equals((sha256(b"k1").hexdigest(),)))
+
+    def test_route_requires_a_key_unless_it_is_public(self):
+        # A route without the field was open to every caller although tenants were configured.
+        def requires_key(route_fields, tenants):
+            value = {"version": 7, "routes": [{**ROUTE, **route_fields}], "services": [], **tenants}
+            return decode_operation(Row("op/config", 1, value)).queues_by_name["r"].requires_key
+
+        tenants = {"tenants": [{"name": "depot"}]}
+        self.assertThat(requires_key({"public": True}, tenants), Is(False))
+        self.assertThat(requires_key({"public": False}, tenants), Is(True))
+        self.assertThat(requires_key({"public": False}, {}), Is(True))
+        self.assertThat(requires_key({}, tenants), Is(True))
+        self.assertThat(requires_key({}, {}), Is(False))
+
     def test_zone_out_and_back(self):
         out = decode_operation(Row("op/evacuate/a", 1, {}))
         back = decode_operation(Row("op/evacuate/a", 2, None))
