Give up requests at once on entries that are cut off

An entry that reaches neither the store nor the owner held each request for two seconds, the time limit of a commit, and answered that the outcome is unknown. Callers then had no time for another entry.

Such an entry now gives up at once, closes callers' connections and is not ready, so that callers and the load balancer use others. It knows from the store's feed and the watch of the owner, which are always waiting. One that only the store refuses has the owner store the job without waiting for the store first. While the store is away for all, requests still wait for it.

--- a/laburnumswitch/dispatch_entry.py
+++ b/laburnumswitch/dispatch_entry.py
@@ -66,7 +66,11 @@
 from laburnumswitch.process.operating.operations import follow_operations
 from laburnumswitch.process.operating.operations import Operations
 from laburnumswitch.process.rows.change_feed import Feed
+from laburnumswitch.process.rows.observed_table import FailFastTable
+from laburnumswitch.process.rows.observed_table import ObservedTable
+from laburnumswitch.process.rows.reach import Reach
 from laburnumswitch.request.job_api import answer_request
+from laburnumswitch.request.job_api import is_isolated
 from laburnumswitch.request.job_api import JobApiContext
 from laburnumswitch.request.job_server import InFlightCounter
 from laburnumswitch.request.job_server import make_job_server
@@ -91,7 +95,8 @@
         self.stop_requested = Event()
         self.stopped = Event()
         self.log = DecisionLog(deployment.vm_id, time, CAPACITY_LINES)
-        self.table = StoreClient(Client(deployment.store_address))
+        self.store_reach = Reach(monotonic)
+        self.table = ObservedTable(StoreClient(Client(deployment.store_address)), self.store_reach)
         self.operations = Operations(self.log)
         self.peer_client = PeerClient()
         identity = EntryIdentity(
@@ -112,7 +117,7 @@
         )
         self.job_api_context = JobApiContext(
             operations=self.operations,
-            table=self.table,
+            table=FailFastTable(self.table, self.store_reach),
             owner=OwnerAccess(self.leadership, self.peer_client, deployment.vm_id),
             decode_submission=decode_submission,
             encode_state=encode_state,
@@ -121,13 +126,14 @@
             clock=monotonic,
             wall_clock=time,
             sleep=sleep,
+            store_reach=self.store_reach,
         )
         self.in_flight = InFlightCounter()
         self.caller_server = make_job_server(
             deployment.caller_address,
             lambda request: answer_request(self.job_api_context, request),
             self.in_flight,
-            self.stop_requested.is_set,
+            self._is_leaving_rotation,
             DEADLINE_HEADER,
             lambda: self._limits().body_bytes,
         )
@@ -230,8 +236,12 @@
         configuration = self.operations.configuration
         return configuration.limits if configuration else Limits()
 
+    def _is_leaving_rotation(self) -> bool:
+        """Return whether callers should use other entries from now on."""
+        return self.stop_requested.is_set() or is_isolated(self.job_api_context)
+
     def _check_health(self, request: AdminRequest) -> AdminReply:
-        is_ready = self.operations.configuration is not None and not self.stop_requested.is_set()
+        is_ready = self.operations.configuration is not None and not self._is_leaving_rotation()
         return AdminReply(200 if is_ready else 503, b"{}")
 
     def _render_metrics(self, request: AdminRequest) -> AdminReply:
--- a/laburnumswitch/process/dispatch/progress.py
+++ b/laburnumswitch/process/dispatch/progress.py
@@ -18,8 +18,8 @@
 from laburnumswitch.process.rows.table import ABSENT_VERSION
 from laburnumswitch.process.rows.table import Committed
 from laburnumswitch.process.rows.table import Condition
-from laburnumswitch.process.rows.table import FeedTable
 from laburnumswitch.process.rows.table import Put
+from laburnumswitch.process.rows.table import Table
 from laburnumswitch.process.rows.table import Transaction
 
 SUBMISSIONS_TABLE = "submissions"
@@ -122,7 +122,7 @@
         return RowMalformed(key, str(error))
 
 
-def store_submission(table: FeedTable, submission: Submission) -> None | Failure:
+def store_submission(table: Table, submission: Submission) -> None | Failure:
     """Store a submission unless it exists, and return ``None`` once it is certainly stored.
 
     May be repeated after an unknown outcome: the write is conditional on the row's absence, so it
--- a/laburnumswitch/process/leadership/leadership.py
+++ b/laburnumswitch/process/leadership/leadership.py
@@ -16,6 +16,7 @@
 from laburnumswitch.process.leadership.term import TERM_KEY
 from laburnumswitch.process.leadership.term import VersionedTerm
 from laburnumswitch.process.observing.decisions import DecisionLog
+from laburnumswitch.process.rows.reach import Reach
 from laburnumswitch.process.rows.table import Committed
 from laburnumswitch.process.rows.table import Condition
 from laburnumswitch.process.rows.table import FeedTable
@@ -117,6 +118,7 @@
     :ivar dispatcher: set while this entry is the owner.
     :ivar current_term: the term as last read or acquired.
     :ivar pending_by_queue: pending jobs by queue, as an owner last reported them.
+    :ivar owner_reach: whether the owner answers watches, if it is another entry.
     """
 
     def __init__(self, context: LeadershipContext) -> None:
@@ -125,6 +127,7 @@
         self.pending_by_queue: dict[str, int] = {}
         self.watcher_by_vm: dict[str, Watcher] = {}
         self.takeovers = 0
+        self.owner_reach = Reach(context.clock)
         self._context = context
         self._candidates: tuple[str, ...] = ()
         self._pending_reported_s = float("-inf")
@@ -270,6 +273,10 @@
         answer = context.owner_client.watch(
             term.address, context.identity, wait_s, WATCH_WAIT_S + WATCH_SLACK_S
         )
+        if isinstance(answer, Failure):
+            self.owner_reach.note_failure()
+        else:
+            self.owner_reach.note_answer()
         if not isinstance(answer, Failure) and answer.is_owner:
             self._candidates = answer.candidates
             if answer.knows_jobs:
--- a/laburnumswitch/process/leadership/owner_link.py
+++ b/laburnumswitch/process/leadership/owner_link.py
@@ -15,6 +15,8 @@
 from laburnumswitch.process.leadership.peer_api import PeerClient
 from laburnumswitch.process.leadership.term import NO_OWNER
 
+NO_OWNER_REACHED = Unavailable("no other owner is known, or it does not answer")
+
 
 class OwnerAccess:
     """Client of the owner for the request path.
@@ -34,8 +36,8 @@
         if dispatcher is not None:
             loaded = loaded_dispatcher(self._leadership)
             return admit(loaded, request) if loaded else Unavailable("the owner is still loading")
-        if not self._has_other_owner():
-            return Unavailable("no owner known")
+        if not self.reaches_other_owner():
+            return NO_OWNER_REACHED
         return self._peers.admit(self._leadership.current_term.address, request)
 
     def notify_submitted(self, submission: Submission) -> None:
@@ -44,7 +46,7 @@
         if dispatcher is not None:
             if dispatcher.is_loaded.is_set():
                 dispatcher.add_job(submission)
-        elif self._has_other_owner():
+        elif self.reaches_other_owner():
             spawn(self._peers.notify_submitted, self._leadership.current_term.address, submission)
 
     def notify_cancelled(self, job_id: str) -> None:
@@ -53,16 +55,16 @@
         if dispatcher is not None:
             if dispatcher.is_loaded.is_set():
                 dispatcher.cancel_job(job_id)
-        elif self._has_other_owner():
+        elif self.reaches_other_owner():
             self._peers.notify_cancelled(self._leadership.current_term.address, job_id)
 
     def store_submission(self, submission: Submission) -> bool | Failure:
         """Have the owner store a job, and return ``True`` once it is stored.
 
-        This is for an entry that cannot reach the store. It returns ``False`` if no owner is known
-        or this entry is the owner, where it would only repeat the failed write.
+        This is for an entry that cannot reach the store. It returns ``False`` if no other owner is
+        reached: an entry that is the owner would only repeat the failed write.
         """
-        if not self._has_other_owner() or self._leadership.dispatcher is not None:
+        if not self.reaches_other_owner():
             return False
         return self._peers.store_submission(self._leadership.current_term.address, submission)
 
@@ -71,10 +73,10 @@
 
         Like ``store_submission``, this is for an entry that cannot reach the store.
 
-        :return: ``False`` also if no owner is known or this entry is the owner; a failure if the
-            owner does not know the job.
+        :return: ``False`` also if no other owner is reached; a failure if the owner does not know
+            the job.
         """
-        if not self._has_other_owner() or self._leadership.dispatcher is not None:
+        if not self.reaches_other_owner():
             return False
         return self._peers.store_cancellation(self._leadership.current_term.address, job_id)
 
@@ -83,8 +85,8 @@
         dispatcher = self._leadership.dispatcher
         if dispatcher is not None:
             return describe_job(dispatcher, job_id)
-        if not self._has_other_owner():
-            return Unavailable("no owner known")
+        if not self.reaches_other_owner():
+            return NO_OWNER_REACHED
         return self._peers.job_state(self._leadership.current_term.address, job_id)
 
     def pending(self, queue: str) -> int | Failure:
@@ -101,5 +103,10 @@
             return Unavailable("no owner has reported its pending jobs recently")
         return self._leadership.pending_by_queue.get(queue, 0)
 
-    def _has_other_owner(self) -> bool:
-        return self._leadership.current_term.owner not in (NO_OWNER, self._vm_id)
+    def reaches_other_owner(self) -> bool:
+        """Return whether another entry is the owner and has answered lately."""
+        leadership = self._leadership
+        if leadership.dispatcher is not None:
+            return False
+        has_other_owner = leadership.current_term.owner not in (NO_OWNER, self._vm_id)
+        return has_other_owner and not leadership.owner_reach.is_away()
--- a/laburnumswitch/process/rows/change_feed.py
+++ b/laburnumswitch/process/rows/change_feed.py
@@ -52,7 +52,10 @@
         if version is None:
             changes = feed.store.load(feed.table_name)
         else:
-            changes = feed.store.follow(feed.table_name, version, feed.wait_s)
+            # A read that is not held ends sooner if it is lost as well, so that the return of the
+            # store is noticed sooner.
+            wait_s = 0.0 if is_unavailable else feed.wait_s
+            changes = feed.store.follow(feed.table_name, version, wait_s)
         if is_stopped():
             return
         if isinstance(changes, HistoryLost):
--- a/laburnumswitch/request/job_api.py
+++ b/laburnumswitch/request/job_api.py
@@ -26,12 +26,13 @@
 from laburnumswitch.process.leadership.messages import JobStateAnswer
 from laburnumswitch.process.observing.decisions import DecisionLog
 from laburnumswitch.process.operating.operations import Operations
+from laburnumswitch.process.rows.reach import Reach
 from laburnumswitch.process.rows.table import ABSENT_VERSION
 from laburnumswitch.process.rows.table import Committed
 from laburnumswitch.process.rows.table import Condition
-from laburnumswitch.process.rows.table import FeedTable
 from laburnumswitch.process.rows.table import Put
 from laburnumswitch.process.rows.table import Row
+from laburnumswitch.process.rows.table import Table
 from laburnumswitch.process.rows.table import Transaction
 
 # Reads and writes are retried for at most this time, in seconds: the caller may then retry through
@@ -72,12 +73,18 @@
     def pending(self, queue: str) -> int | Failure:
         """Return the number of jobs of a queue that had not started at the owner's last report."""
 
+    def reaches_other_owner(self) -> bool:
+        """Return whether another entry is the owner and has answered lately."""
+
 
 class JobApiContext(NamedTuple):
-    """Dependencies of the job API; the platform adapter supplies the body codecs."""
+    """Dependencies of the job API; the platform adapter supplies the body codecs.
+
+    :ivar table: fails at once while the store is away, as ``store_reach`` tells.
+    """
 
     operations: Operations
-    table: FeedTable
+    table: Table
     owner: OwnerLink
     decode_submission: Callable[[bytes, str, str, float], Submission | CallerRefused]
     encode_state: Callable[[str], bytes]
@@ -86,6 +93,7 @@
     clock: Callable[[], float]
     wall_clock: Callable[[], float]
     sleep: Callable[[float], None]
+    store_reach: Reach
 
 
 class JobRequest(NamedTuple):
@@ -106,6 +114,14 @@
     retry_after_s: int = 0
 
 
+def is_isolated(context: JobApiContext) -> bool:
+    """Return whether this entry can neither store a job nor have the owner store it.
+
+    Another entry probably can. While the store is away for all entries, they still reach the owner.
+    """
+    return context.store_reach.is_away() and not context.owner.reaches_other_owner()
+
+
 def answer_request(context: JobApiContext, request: JobRequest) -> JobReply:
     """Route a caller's request to its operation and return the reply."""
     configuration = context.operations.configuration
@@ -270,6 +286,8 @@
 ) -> JobReply:
     """Retry ``attempt`` until it returns a reply or the deadline passes.
 
+    An isolated entry gives up at once, so that the caller can try another one in time.
+
     :param event: name of the event logged if the outcome stays unknown.
     :param unknown_reply: reply in that case.
     """
@@ -278,8 +296,9 @@
         outcome = attempt()
         if isinstance(outcome, JobReply):
             return outcome
-        if context.clock() + pause_s >= deadline_s:
-            context.log.note(event, job_id, reason=outcome.describe())
+        gives_up = is_isolated(context)
+        if gives_up or context.clock() + pause_s >= deadline_s:
+            context.log.note(event, job_id, reason=outcome.describe(), isolated=gives_up)
             return unknown_reply
         context.sleep(pause_s)
         pause_s = min(MAX_RETRY_PAUSE_S, 2 * pause_s)
--- a/laburnumswitch/request/job_server.py
+++ b/laburnumswitch/request/job_server.py
@@ -27,12 +27,14 @@
     address: str,
     answer: Callable[[JobRequest], JobReply],
     in_flight: InFlightCounter,
-    is_stopping: Callable[[], bool],
+    is_leaving: Callable[[], bool],
     timeout_header: str,
     body_limit: Callable[[], int],
 ) -> NoDelayServer:
     """Return the server of the job API, not yet started.
 
+    :param is_leaving: whether connections are closed after their answers, so that callers use other
+        entries.
     :param timeout_header: WSGI name of the header that holds the caller's timeout in ms.
     """
 
@@ -52,7 +54,7 @@
         ]
         if reply.retry_after_s:
             headers.append(("Retry-After", str(reply.retry_after_s)))
-        if is_stopping():
+        if is_leaving():
             headers.append(("Connection", "close"))
         start_response(f"{reply.status} {REASONS[reply.status]}", headers)
         return [reply.body]
--- a/tests/request/test_job_api.py
+++ b/tests/request/test_job_api.py
@@ -20,6 +20,10 @@
 from laburnumswitch.process.leadership.messages import JobStateAnswer
 from laburnumswitch.process.observing.decisions import DecisionLog
 from laburnumswitch.process.operating.operations import Operations
+from laburnumswitch.process.rows.observed_table import FailFastTable
+from laburnumswitch.process.rows.observed_table import ObservedTable
+from laburnumswitch.process.rows.reach import AWAY_AFTER_S
+from laburnumswitch.process.rows.reach import Reach
 from laburnumswitch.process.rows.table import Put
 from laburnumswitch.process.rows.table import Transaction
 from laburnumswitch.request.job_api import answer_request
@@ -68,6 +72,9 @@
     def pending(self, queue):
         return Unavailable("still loading") if self.is_unavailable else 3
 
+    def reaches_other_owner(self):
+        return not self.is_unavailable
+
 
 class TestJobApi(TestCase):
     def setUp(self):
@@ -89,6 +96,7 @@
             self.clock,
             time,
             self.clock.sleep,
+            Reach(self.clock),
         )
 
     def _ask(self, method, path=f"/o/{JOB_ID}", body=b"", host=QUEUE.host):
@@ -227,3 +235,48 @@
     def test_lower_version_of_the_configuration_is_not_adopted(self):
         self.operations.apply(QueueConfiguration(0, {}, {}))
         self.assertThat(self._submit().status, Equals(200))
+
+
+class TestIsolatedEntry(TestJobApi):
+    """An entry that is cut off held each request for two seconds, too long for another try."""
+
+    def setUp(self):
+        super().setUp()
+        observed = ObservedTable(self.table, self.context.store_reach)
+        self.context = self.context._replace(
+            table=FailFastTable(observed, self.context.store_reach)
+        )
+
+    def lose_store(self):
+        self.context.store_reach.note_failure()
+        self.clock.sleep(AWAY_AFTER_S + 0.1)
+
+    def test_requests_are_given_up_at_once(self):
+        self.lose_store()
+        self.owner.is_unavailable = True
+        began_s = self.clock()
+        # An earlier attempt may have stored the job: it cannot be said that it does not run.
+        self.assertThat(self._submit().status, Equals(504))
+        self.assertThat(self._ask("DELETE").status, Equals(504))
+        self.assertThat(self._ask("GET").status, Equals(503))
+        self.assertThat(self.clock(), Equals(began_s))
+
+    def test_owner_stores_a_job_without_a_call_to_the_store(self):
+        self.lose_store()
+        self.owner.can_store = True
+        began_s, commits = self.clock(), self.table.commits
+        self.assertThat(self._submit().status, Equals(200))
+        self.assertThat((self.clock(), self.table.commits), Equals((began_s, commits)))
+
+    def test_requests_wait_for_a_store_that_is_away_for_all_entries(self):
+        # At once, callers would use up their retries before the store is back.
+        self.lose_store()
+        began_s = self.clock()
+        self.assertThat(self._submit().status, Equals(504))
+        self.assertThat(self.clock() - began_s > 0.5, Equals(True))
+
+    def test_entry_is_used_again_once_the_store_has_answered(self):
+        self.lose_store()
+        self.owner.is_unavailable = True
+        self.context.store_reach.note_answer()
+        self.assertThat(self._submit().status, Equals(200))
