Keep what an organisation has running within its limit

The configuration may limit what an organisation has running over all workers, but nothing enforced it: an organisation that sent several times its usual rate took the workers from the others.

The owner keeps sums by organisation where runs begin and end, and the planner asks before each kind of start how many tasks the limit leaves room for. Until the owner has settled, each waiting task that an earlier owner may have started counts as running. Steps that may not start reserve no workers, stop no long-running tasks, count in no headroom and request no advice. The comparison with a limit is one function, which quotas of teams use as well. Without limits decisions stay as they were.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -51,6 +51,8 @@
 from laburnumswitch.process.dispatch.jobs import step_work
 from laburnumswitch.process.dispatch.jobs import Task
 from laburnumswitch.process.dispatch.opportunity import Demand
+from laburnumswitch.process.dispatch.organisation_usage import OrganisationUsage
+from laburnumswitch.process.dispatch.quota_gate import QuotaGate
 from laburnumswitch.process.dispatch.recorder import Recorder
 from laburnumswitch.process.dispatch.tails import TailLatencyModel
 from laburnumswitch.process.dispatch.tickets import Tickets
@@ -206,6 +208,13 @@
         self.priced_s = float("-inf")
         self.headroom_by_service: defaultdict[str, Headroom] = defaultdict(Headroom)
         self.admissions = Admissions()
+        self.organisation_usage = OrganisationUsage()
+        self.quota_gate = QuotaGate(
+            self.organisation_usage,
+            lambda: context.operations.configuration,
+            context.deployment.bounds.quota_overage,
+            context.log,
+        )
         # When a worker was last added, on the monotonic clock.
         self.last_added_s = self.began_s
         # When the planner last looked for long-running tasks to stop, on the monotonic clock.
@@ -504,7 +513,7 @@
         step_state.last_start_s = self.context.clock()
         run = ActiveRun(task.key, number, step_state.step, worker.fence, self.context.clock())
         run.is_suspect = bool(task.crashed_runs)
-        worker.add_run(run)
+        self._reserve_run(worker, run, job)
         if not step_state.has_waiting():
             self.ready_step_by_key.pop(task.key[:3], None)
         return run
@@ -531,7 +540,7 @@
         run.is_suspect = bool(task.crashed_runs)
         # It may have been over its target for nearly as long as it may be.
         run.last_under_target_s = float("-inf")
-        worker.add_run(run)
+        self._reserve_run(worker, run, job)
         task.checkpoint = report.checkpoint or task.checkpoint
         self.refresh_ready_steps(job)
         self.context.log.note(
@@ -539,6 +548,16 @@
         )
         return True
 
+    def _reserve_run(self, worker: Worker, run: ActiveRun, job: Job) -> None:
+        worker.add_run(run)
+        organisation = job.submission.organisation
+        self.organisation_usage.add_run(worker.worker_id, run.task, organisation, run.step)
+
+    def _free_run(self, worker: Worker, task: TaskKey) -> None:
+        worker.remove_run(task)
+        self.organisation_usage.remove_run(worker.worker_id, task)
+        self.model.forget_task(task)
+
     def note_orphan(self, worker: Worker, report: RunReport) -> bool:
         """Note a run of an unknown job, and return whether to keep waiting for the job."""
         now_s = self.context.clock()
@@ -563,8 +582,7 @@
         """
         if worker.runs_by_task.get(run.task) is not run:
             return
-        worker.remove_run(run.task)
-        self.model.forget_task(run.task)
+        self._free_run(worker, run.task)
         job = self.jobs_by_id.get(run.task.job_id)
         task = job and job.task(run.task)
         if task and task.active_run == run.number:
@@ -738,8 +756,7 @@
         ended[end.outcome] = ended.get(end.outcome, 0) + 1
         run = worker.runs_by_task.get(end.task)
         if run is not None and run.number == end.run:
-            worker.remove_run(end.task)
-            self.model.forget_task(end.task)
+            self._free_run(worker, end.task)
         job = self.jobs_by_id.get(end.task.job_id)
         task = job and job.task(end.task)
         self.context.log.note(
@@ -864,6 +881,7 @@
             if run.incarnation not in (0, incarnation):
                 self.release_run(worker, run, f"the worker restarted: {evidence}")
         self._forget_orphans(worker)
+        self.organisation_usage.set_unwanted(worker.worker_id)
         if worker.runs_by_task:
             worker.note_lease_sent(self.context.clock())
         self.context.log.note(
@@ -920,6 +938,7 @@
         self.fence_by_dropped_id[worker.worker_id] = worker.fence
         for run in list(worker.runs_by_task.values()):
             self.release_run(worker, run, reason)
+        self.organisation_usage.set_unwanted(worker.worker_id)
         worker.link.close()
         if self.workers_by_id.get(worker.worker_id) is worker:
             del self.workers_by_id[worker.worker_id]
--- a/laburnumswitch/process/dispatch/evacuator.py
+++ b/laburnumswitch/process/dispatch/evacuator.py
@@ -76,6 +76,7 @@
     if run.step.long_running:
         away_count = unavailable_count(dispatcher, job.step_state(run.task))
     may_restart = dispatcher.settled or not job.may_have_unknown_runs
+    may_restart &= dispatcher.quota_gate.may_restart(job.submission.organisation)
     return Candidate(worker, run, away_count, may_restart)
 
 
--- a/laburnumswitch/process/dispatch/feeds.py
+++ b/laburnumswitch/process/dispatch/feeds.py
@@ -154,7 +154,9 @@
     if isinstance(submission, RowMalformed):
         dispatcher.context.log.note("submission_malformed", row.key, reason=submission.reason)
         return
-    dispatcher.add_job(submission, may_have_unknown_runs)
+    job = dispatcher.add_job(submission, may_have_unknown_runs)
+    if job is None and may_have_unknown_runs:
+        dispatcher.organisation_usage.note_ended(submission)
 
 
 def apply_cancellation_row(dispatcher: Dispatcher, row: Row) -> None:
--- a/laburnumswitch/process/dispatch/headroom.py
+++ b/laburnumswitch/process/dispatch/headroom.py
@@ -7,6 +7,7 @@
 as much per core.
 """
 
+import sys
 from collections.abc import Callable
 from collections.abc import Iterable
 from heapq import nlargest
@@ -110,6 +111,7 @@
     workers: list[Worker],
     reserved_count: int,
     may_use: Callable[[Worker], bool] = lambda worker: True,
+    max_tasks: int = sys.maxsize,
 ) -> set[str]:
     """Return the ids of workers to reserve for large tasks of an urgent step.
 
@@ -123,8 +125,9 @@
 
     :param reserved_count: number of workers that are reserved already.
     :param may_use: whether the step may use a worker of the right kind and size.
+    :param max_tasks: number of waiting tasks that may start within the organisation's quota.
     """
-    waiting_count = sum(1 for _ in step_state.waiting())
+    waiting_count = min(step_state.waiting_count(), max_tasks)
     limit = max(0, int(MAX_RESERVED_SHARE * len(workers)) - reserved_count)
     if not limit:
         return set()
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -35,6 +35,7 @@
 from laburnumswitch.process.dispatch.ordering import order_key
 from laburnumswitch.process.dispatch.ordering import OrderKey
 from laburnumswitch.process.dispatch.ordering import Tier
+from laburnumswitch.process.dispatch.organisation_usage import unknown_totals
 from laburnumswitch.process.dispatch.placing import INTERFERENCE_LIMIT
 from laburnumswitch.process.dispatch.placing import is_far_from_data
 from laburnumswitch.process.dispatch.placing import PlacementContext
@@ -42,6 +43,7 @@
 from laburnumswitch.process.dispatch.placing import workers_to_rank
 from laburnumswitch.process.dispatch.preemption import make_room
 from laburnumswitch.process.dispatch.preemption import WaitingStep
+from laburnumswitch.process.dispatch.quota_gate import QuotaBudget
 from laburnumswitch.process.dispatch.relocation import choose_moves
 from laburnumswitch.process.dispatch.worker_protocol import StartCommand
 from laburnumswitch.process.dispatch.worker_session import throttle_new_run
@@ -102,8 +104,12 @@
             usable = usable_workers(dispatcher, service)
             placement = placement_context(dispatcher)
             for move in choose_moves(usable, placement, context.clock()):
-                reason = f"throttled, moving to {move.target.worker_id}"
-                dispatcher.stop_run(move.worker, move.run, reason)
+                organisation = dispatcher.organisation_usage.organisation_of(
+                    move.worker.worker_id, move.run.task
+                )
+                if dispatcher.quota_gate.may_restart(organisation):
+                    reason = f"throttled, moving to {move.target.worker_id}"
+                    dispatcher.stop_run(move.worker, move.run, reason)
 
 
 def plan(dispatcher: Dispatcher) -> None:
@@ -114,13 +120,17 @@
     that found no room are skipped until a pass has come to the end, so that none starves.
     """
     now_s = dispatcher.context.wall_clock()
+    jobs = () if dispatcher.settled else dispatcher.jobs_by_id.values()
+    dispatcher.quota_gate.begin_pass(dispatcher.context.clock(), unknown_totals(jobs, now_s))
     dispatcher.advice.requests.clear()
     keyed = []
     for key_of_step, ready in dispatcher.ready_step_by_key.items():
         if key_of_step in dispatcher.skipped_steps:
             continue
         queue = dispatcher.queue_of(ready.job)
-        if queue is not None and is_due(dispatcher, ready, now_s):
+        if queue is None or not is_due(dispatcher, ready, now_s):
+            continue
+        if dispatcher.quota_gate.admits(ready):
             key = order_key(ready, queue, dispatcher.mean_work_by_queue[queue.name], now_s)
             keyed.append((key, queue, ready, key_of_step))
     keyed.sort(key=lambda each: (not _is_overdue(dispatcher, each[2]), each[0]))
@@ -197,12 +207,14 @@
         return
     dispatcher.preempted_s = now_s
     waiting_by_service: dict[str, list[WaitingStep]] = {}
+    budget = QuotaBudget(dispatcher.quota_gate)
     for key, queue, ready, _ in keyed:
         step_state = ready.step_state
         if not step_state.step.is_urgent or step_state.step.gang or queue.needs_advice:
             continue
-        if step_state.has_waiting() and key.tier is not Tier.EXPIRED:
-            waiting = WaitingStep(ready, queue)
+        count = 0 if key.tier is Tier.EXPIRED else budget.take(ready)
+        if count > 0:
+            waiting = WaitingStep(ready, queue, count)
             waiting_by_service.setdefault(queue.service, []).append(waiting)
     for service, waiting_steps in waiting_by_service.items():
         make_room(dispatcher, waiting_steps, state_by_service[service].usable)
@@ -211,6 +223,8 @@
 def _plan_step(
     dispatcher: Dispatcher, queue: Queue, ready: ReadyStep, service_state: ServicePlanningState
 ) -> None:
+    if not dispatcher.quota_gate.admits(ready):
+        return
     step = ready.step_state.step
     is_reserving = step.long_running and not step.best_effort
     usable = service_state.unreserved_workers()
@@ -251,13 +265,15 @@
             usable,
             len(service_state.reserved_workers),
             may_use,
+            dispatcher.quota_gate.startable(ready),
         )
 
 
 def _long_running_budget(dispatcher: Dispatcher, service: str, usable: list[Worker]) -> float:
     used = sum(worker.urgent_cpu_millis for worker in usable)
+    budget = QuotaBudget(dispatcher.quota_gate)
     waiting = sum(
-        ready.step_state.waiting_count() * ready.step_state.step.cpu_millis
+        budget.take(ready) * ready.step_state.step.cpu_millis
         for ready in dispatcher.ready_step_by_key.values()
         if ready.step_state.step.is_urgent and _uses_service(dispatcher, ready, service)
         # Room that is kept for a task that no worker can run is of use to nobody.
@@ -390,7 +406,7 @@
     tickets = dispatcher.advice.valid_tickets(step_key(ready), candidates, now_s)
     permitted = [each for each in candidates if each.worker_id in tickets]
     _start_on(dispatcher, ready, permitted, tickets, forced)
-    if ready.step_state.has_waiting():
+    if ready.step_state.has_waiting() and dispatcher.quota_gate.admits(ready):
         _request_advice(dispatcher, queue, ready, candidates)
 
 
@@ -437,7 +453,9 @@
     _start_suspects(dispatcher, ready, candidates, tickets, forced)
     eligible = (each for each in candidates if _allows_another_task(step, each, ready))
     ranking = Ranking(_step_to_rank(dispatcher, ready), eligible, context)
-    for task in [each for each in ready.step_state.waiting() if not each.crashed_runs]:
+    startable = dispatcher.quota_gate.startable(ready)
+    tasks = [each for each in ready.step_state.waiting() if not each.crashed_runs]
+    for task in tasks[:startable]:
         choice = ranking.best()
         if choice is None:
             return True
@@ -476,6 +494,8 @@
             suitable = [choice.worker] if is_allowed else []
         if not suitable or not dispatcher.may_start(task):
             continue
+        if not dispatcher.quota_gate.admits(ready):
+            return
         worker = min(suitable, key=lambda each: each.used_cpu_millis + each.best_effort_cpu_millis)
         _start_task(dispatcher, ready.job, task, worker, tickets)
 
@@ -503,7 +523,7 @@
     tickets: dict[str, str],
 ) -> None:
     """Start all members of a gang together, or none if they do not all fit."""
-    if ready.step_state.active_count:
+    if ready.step_state.active_count or not dispatcher.quota_gate.admits(ready):
         return
     step = ready.step_state.step
     if any(task.crashed_runs for task in ready.step_state.tasks):
--- a/laburnumswitch/process/dispatch/preemption.py
+++ b/laburnumswitch/process/dispatch/preemption.py
@@ -31,10 +31,11 @@
 
 
 class WaitingStep(NamedTuple):
-    """An urgent step with tasks that wait."""
+    """An urgent step with ``count`` tasks that wait for room."""
 
     ready: ReadyStep
     queue: Queue
+    count: int
 
 
 class _Clearance(NamedTuple):
@@ -64,7 +65,7 @@
     for waiting in waiting_steps:
         step_state = waiting.ready.step_state
         step, task = step_state.step, step_state.tasks[0].key
-        missing = step_state.waiting_count()
+        missing = waiting.count
         missing -= room.take_some(step, task, missing)
         if missing:
             limits.clear(waiting, room, missing)
@@ -159,6 +160,8 @@
         if job.may_have_unknown_runs and not self._dispatcher.settled:
             # Its task could not start again for some time.
             return False
+        if not self._dispatcher.quota_gate.may_restart(job.submission.organisation):
+            return False
         queue = self._dispatcher.queue_of(job)
         if queue is None or queue.priority < priority:
             return False
--- /dev/null
+++ b/laburnumswitch/process/dispatch/quota_gate.py
@@ -0,0 +1,140 @@
+"""Quotas of organisations as the planner asks for them, with the log of their effect."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+
+from laburnumswitch.process.dispatch.job_spec import QueueConfiguration
+from laburnumswitch.process.dispatch.jobs import ReadyStep
+from laburnumswitch.process.dispatch.organisation_usage import OrganisationUsage
+from laburnumswitch.process.dispatch.quota import effective_limit
+from laburnumswitch.process.dispatch.quota import NOTHING_RUNS
+from laburnumswitch.process.dispatch.quota import OrganisationTotal
+from laburnumswitch.process.dispatch.quota import startable_tasks
+from laburnumswitch.process.dispatch.quota import task_size
+from laburnumswitch.process.observing.decisions import DecisionLog
+from laburnumswitch.size import count_fitting
+from laburnumswitch.size import Size
+from laburnumswitch.size import ZERO
+
+# An organisation counts as within its limit again once no step has been held back for this long, in
+# seconds. Each end of a run makes room for the next one, which would give two log lines a task.
+QUOTA_FREE_S = 1.0
+
+
+class QuotaGate:
+    """Decides which steps may start, by the limits of the newest configuration.
+
+    An organisation that the newest configuration does not name has no limit: its jobs were accepted
+    and go on, and a later owner could not know an earlier limit.
+
+    :ivar unknown_by_organisation: what may run without being known yet, as of the planning pass.
+    """
+
+    def __init__(
+        self,
+        usage: OrganisationUsage,
+        configuration: Callable[[], QueueConfiguration | None],
+        overage: float,
+        log: DecisionLog,
+    ) -> None:
+        self.unknown_by_organisation: Mapping[str, OrganisationTotal] = {}
+        self._usage = usage
+        self._configuration = configuration
+        self._overage = overage
+        self._log = log
+        self._now_s = float("-inf")
+        self._held_s_by_organisation: dict[str, float] = {}
+        self._limit_by_organisation: dict[str, Size] = {}
+        self._limits_of: QueueConfiguration | None = None
+
+    def begin_pass(self, now_s: float, unknown: Mapping[str, OrganisationTotal]) -> None:
+        """Begin a planning pass.
+
+        :param unknown: what may run without being known yet, by organisation.
+        """
+        self.unknown_by_organisation = unknown
+        self._now_s = now_s
+        for organisation, held_s in list(self._held_s_by_organisation.items()):
+            if now_s - held_s >= QUOTA_FREE_S:
+                del self._held_s_by_organisation[organisation]
+                self._note("quota_free", organisation)
+
+    def admits(self, ready: ReadyStep) -> bool:
+        """Return whether any tasks of a step may start now, and note a step that is held back."""
+        if self.startable(ready) or not ready.step_state.has_waiting():
+            return True
+        organisation = ready.job.submission.organisation
+        if organisation not in self._held_s_by_organisation:
+            self._note("quota_reached", organisation)
+        self._held_s_by_organisation[organisation] = self._now_s
+        return False
+
+    def startable(self, ready: ReadyStep, taken: OrganisationTotal = NOTHING_RUNS) -> int:
+        """Return how many of a step's waiting tasks may start now.
+
+        :param taken: what counts in addition to what runs.
+        """
+        count = ready.step_state.waiting_count()
+        organisation = ready.job.submission.organisation
+        limit = self._limit(organisation)
+        if limit is None:
+            return count
+        total = self._total(organisation).plus(*taken)
+        return startable_tasks(ready.step_state.step, count, total, limit, self._overage)
+
+    def may_restart(self, organisation: str) -> bool:
+        """Return whether a task of an organisation could start again after a stop."""
+        limit = self._limit(organisation)
+        if limit is None:
+            return True
+        total = self._total(organisation)
+        return total.runs <= 1 or count_fitting(ZERO, total.size, limit, 1) == 1
+
+    def _total(self, organisation: str) -> OrganisationTotal:
+        total = self._usage.total_by_organisation.get(organisation, NOTHING_RUNS)
+        return total.plus(*self.unknown_by_organisation.get(organisation, NOTHING_RUNS))
+
+    def _limit(self, organisation: str) -> Size | None:
+        """Return an organisation's limit, or ``None`` if it has none."""
+        configuration = self._configuration()
+        if configuration is not self._limits_of:
+            self._limits_of = configuration
+            self._limit_by_organisation = {
+                each.name: effective_limit(each.limit)
+                for each in (configuration.organisations_by_name.values() if configuration else ())
+                if any(each.limit)
+            }
+        return self._limit_by_organisation.get(organisation)
+
+    def _note(self, event: str, organisation: str) -> None:
+        total = self._usage.total_by_organisation.get(organisation, NOTHING_RUNS)
+        unknown = self.unknown_by_organisation.get(organisation, NOTHING_RUNS)
+        configuration = self._configuration()
+        known = configuration and configuration.organisations_by_name.get(organisation)
+        self._log.note(
+            event,
+            organisation,
+            running=total.size._asdict(),
+            runs=total.runs,
+            unknown=unknown.size._asdict() if unknown.runs else None,
+            limit=known.limit._asdict() if known else None,
+            configuration=configuration.version if configuration else 0,
+        )
+
+
+class QuotaBudget:
+    """Divides what may still start over waiting steps, without starting them."""
+
+    def __init__(self, gate: QuotaGate) -> None:
+        self._gate = gate
+        self._taken_by_organisation: dict[str, OrganisationTotal] = {}
+
+    def take(self, ready: ReadyStep) -> int:
+        """Return how many of a step's waiting tasks may start beside those taken before."""
+        organisation = ready.job.submission.organisation
+        taken = self._taken_by_organisation.get(organisation, NOTHING_RUNS)
+        count = self._gate.startable(ready, taken)
+        if organisation and count:
+            size = task_size(ready.step_state.step).times(count)
+            self._taken_by_organisation[organisation] = taken.plus(size, count)
+        return count
--- a/laburnumswitch/process/dispatch/takeover.py
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -225,6 +225,7 @@
         if not unknown:
             dispatcher.settled = True
             dispatcher.recorder.unconfirmed = ()
+            dispatcher.organisation_usage.forget_ended()
             dispatcher.wake.set()
             context.log.note(
                 "settled", str(dispatcher.epoch), after_s=round(context.clock() - began_s, 3)
--- a/laburnumswitch/process/dispatch/waiting.py
+++ b/laburnumswitch/process/dispatch/waiting.py
@@ -21,13 +21,14 @@
 class WaitReason(StrEnum):
     """Why a task waits.
 
-    ``PLANNING``: a usable worker has room for it. ``UNUSABLE``: only workers that get no starts at
+    ``QUOTA``: its organisation is at its limit. ``PLANNING``: a usable worker has room for it. ``UNUSABLE``: only workers that get no starts at
     present have room. ``MEMORY``: workers have the processors, but not the memory. ``PIECES``: the
     free processors of all usable workers suffice, but no worker has enough. ``PROCESSORS``: the
     free processors of all usable workers do not suffice. ``SIZE``: no worker is large enough, or
     has the required label.
     """
 
+    QUOTA = "quota"
     PLANNING = "planning"
     UNUSABLE = "unusable"
     MEMORY = "memory"
@@ -108,7 +109,11 @@
         if step.long_running:
             long_running_tasks += waiting
             continue
-        tasks_by_reason[find_wait_reason(step, usable, unusable)] += waiting
+        startable = dispatcher.quota_gate.startable(ready)
+        if startable < waiting:
+            tasks_by_reason[WaitReason.QUOTA] += waiting - startable
+        if startable > 0:
+            tasks_by_reason[find_wait_reason(step, usable, unusable)] += startable
         waiting_cpu_millis += waiting * step.cpu_millis
     free = [worker.listing.cpu_millis - worker.used_cpu_millis for worker in usable]
     now_s = dispatcher.context.clock()
--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -203,6 +203,7 @@
                 worker, run, "its lease lapsed without an answer from the worker"
             )
     worker.has_unknown_runs = False
+    dispatcher.organisation_usage.set_unwanted(worker.worker_id)
     if not worker.runs_by_task and not worker.is_listed(dispatcher.context.clock()):
         dispatcher.drop_worker(worker, "not listed by the platform and not answering")
 
@@ -265,9 +266,9 @@
             dispatcher.release_run(worker, run, "start voided by a higher fencing token")
     for run_report in report_by_run.values():
         _handle_unknown_run(dispatcher, worker, run_report)
-    worker.has_unreserved_runs = any(
-        run_report.task not in worker.runs_by_task for run_report in report_by_run.values()
-    )
+    unreserved = [task for task, _ in report_by_run if task not in worker.runs_by_task]
+    worker.has_unreserved_runs = bool(unreserved)
+    dispatcher.organisation_usage.set_unwanted(worker.worker_id, unreserved, dispatcher.jobs_by_id)
 
 
 def _note_running(dispatcher: Dispatcher, report: RunReport) -> None:
--- a/laburnumswitch/process/placing/quota.py
+++ b/laburnumswitch/process/placing/quota.py
@@ -7,6 +7,7 @@
 from laburnumswitch.process.ledger.ledger import Ledger
 from laburnumswitch.process.peers.shard_hint import ShardHint
 from laburnumswitch.process.peers.shard_hint import TeamUsage
+from laburnumswitch.size import count_fitting
 from laburnumswitch.size import Size
 from laburnumswitch.size import ZERO
 
@@ -40,10 +41,11 @@
         if quota is None:
             return True
         planned = self._planned_by_team.get(team, ZERO)
-        left = quota.minus(self._used_by_team.get(team, ZERO))
-        if not planned.plus(size).fits(left):
+        used = self._used_by_team.get(team, ZERO)
+        if not count_fitting(size, used.plus(planned), quota, 1):
             return False
-        return planned == ZERO or planned.plus(size).fits(_divide(left, self._shard_count))
+        share = _divide(quota.minus(used), self._shard_count)
+        return planned == ZERO or count_fitting(size, planned, share, 1) == 1
 
     def add_planned(self, team: str, size: Size) -> None:
         """Add a planned start to the usage."""
@@ -69,10 +71,7 @@
         count = len(group.running)
         if group.task_spec.service or not count:
             continue
-        size = group.task_spec.size
-        group_usage = Size(
-            size.cpu_millis * count, size.memory_mb * count, size.accelerators * count
-        )
+        group_usage = group.task_spec.size.times(count)
         used[group.task_spec.team] = used.get(group.task_spec.team, ZERO).plus(group_usage)
     return used
 
--- a/laburnumswitch/size.py
+++ b/laburnumswitch/size.py
@@ -26,6 +26,10 @@
             self.accelerators - other.accelerators,
         )
 
+    def times(self, count: int) -> "Size":
+        """Return the size of ``count`` equal tasks."""
+        return Size(self.cpu_millis * count, self.memory_mb * count, self.accelerators * count)
+
     def fits(self, available: "Size") -> bool:
         """Return whether no component exceeds that of ``available``."""
         return (
@@ -37,3 +41,17 @@
 
 # No resources.
 ZERO = Size(0, 0, 0)
+
+
+def count_fitting(size: Size, used: Size, limit: Size, count: int) -> int:
+    """Return how many tasks of one size, up to ``count``, fit a limit beside what is used.
+
+    None fit while any component of what is used exceeds the limit.
+    """
+    for part, used_part, limit_part in zip(size, used, limit, strict=True):
+        left = limit_part - used_part
+        if left < 0:
+            return 0
+        if part:
+            count = min(count, left // part)
+    return count
