--- a/laburnumswitch/command/__init__.py
+++ b/laburnumswitch/command/__init__.py
@@ -13,6 +13,7 @@
 from laburnumswitch.command.jobs import jobs
 from laburnumswitch.command.status import status
 from laburnumswitch.command.status import workers
+from laburnumswitch.command.tenants import tenants
 from laburnumswitch.command.timeline import timeline
 from laburnumswitch.command.zones import zone
 from laburnumswitch.command.zones import zones
@@ -40,6 +41,7 @@
     jobs,
     publish_command,
     status,
+    tenants,
     timeline,
     workers,
     zone,
--- a/laburnumswitch/dispatch_metrics.py
+++ b/laburnumswitch/dispatch_metrics.py
@@ -1,10 +1,15 @@
 """Metrics of the daemon in ``dispatch_entry.py``."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 
 from laburnumswitch.connection.connection_limit import ConnectionLimit
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
+from laburnumswitch.process.dispatch.job_spec import Organisation
+from laburnumswitch.process.dispatch.quota import NOTHING_RUNS
+from laburnumswitch.process.dispatch.quota import OrganisationTotal
 from laburnumswitch.process.leadership.leadership import Leadership
+from laburnumswitch.process.observing.bounded_labels import BoundedLabels
 from laburnumswitch.process.observing.decisions import DecisionLog
 from laburnumswitch.process.observing.metrics import Metrics
 from laburnumswitch.process.observing.metrics import Sample
@@ -87,3 +92,66 @@
     }
     for name, (help_text, read) in gauges.items():
         metrics.add_gauge(f"laburnumswitch_owner_{name}", help_text, gauge_reader(read))
+    _register_organisation_metrics(metrics, lambda: leadership.dispatcher)
+
+
+ReadOrganisation = Callable[[OrganisationTotal, Organisation], float]
+
+
+def _register_organisation_metrics(
+    metrics: Metrics, owner: Callable[[], Dispatcher | None]
+) -> None:
+    labels = BoundedLabels()
+
+    def reader(read: ReadOrganisation) -> Callable[[], Iterable[Sample]]:
+        return lambda: organisation_samples(owner(), labels, read)
+
+    running: dict[str, tuple[str, ReadOrganisation]] = {
+        "runs": ("Runs of an organisation.", lambda total, _: total.runs),
+        "running_cpu_millis": (
+            "Processors of an organisation's runs, in thousandths of a core.",
+            lambda total, _: total.size.cpu_millis,
+        ),
+        "running_memory_mb": (
+            "Memory of an organisation's runs, in MB.",
+            lambda total, _: total.size.memory_mb,
+        ),
+        "running_accelerators": (
+            "Accelerators of an organisation's runs.",
+            lambda total, _: total.size.accelerators,
+        ),
+        "limit_cpu_millis": (
+            "Limit of an organisation's processors, in thousandths of a core, 0 for none.",
+            lambda _, known: known.limit.cpu_millis,
+        ),
+        "limit_memory_mb": (
+            "Limit of an organisation's memory, in MB, 0 for none.",
+            lambda _, known: known.limit.memory_mb,
+        ),
+        "limit_accelerators": (
+            "Limit of an organisation's accelerators, 0 for none.",
+            lambda _, known: known.limit.accelerators,
+        ),
+    }
+    for name, (help_text, read) in running.items():
+        metrics.add_gauges(f"laburnumswitch_organisation_{name}", help_text, reader(read))
+
+
+def organisation_samples(
+    dispatcher: Dispatcher | None, labels: BoundedLabels, read: ReadOrganisation
+) -> list[Sample]:
+    """Return a value for each organisation that is configured or has runs, 0 unless on the owner.
+
+    The organisations beyond the bound are added up.
+    """
+    value_by_label = dict.fromkeys(labels.values, 0.0)
+    if dispatcher is not None:
+        configuration = dispatcher.context.operations.configuration
+        known_by_name = configuration.organisations_by_name if configuration else {}
+        totals = dispatcher.organisation_usage.total_by_organisation
+        for name in dict.fromkeys((*known_by_name, *totals)):
+            known = known_by_name.get(name) or Organisation(name)
+            label = labels.label(name)
+            value = read(totals.get(name, NOTHING_RUNS), known)
+            value_by_label[label] = value_by_label.get(label, 0.0) + value
+    return [Sample({"organisation": label}, value) for label, value in value_by_label.items()]
--- a/laburnumswitch/process/dispatch/waiting.py
+++ b/laburnumswitch/process/dispatch/waiting.py
@@ -21,11 +21,11 @@
 class WaitReason(StrEnum):
     """Why a task waits.
 
-    ``QUOTA``: its organisation is at its limit. ``PLANNING``: a usable worker has room for it. ``UNUSABLE``: only workers that get no starts at
-    present have room. ``MEMORY``: workers have the processors, but not the memory. ``PIECES``: the
-    free processors of all usable workers suffice, but no worker has enough. ``PROCESSORS``: the
-    free processors of all usable workers do not suffice. ``SIZE``: no worker is large enough, or
-    has the required label.
+    ``QUOTA``: its organisation is at its limit. ``PLANNING``: a usable worker has room for it.
+    ``UNUSABLE``: only workers that get no starts at present have room. ``MEMORY``: workers have the
+    processors, but not the memory. ``PIECES``: the free processors of all usable workers suffice,
+    but no worker has enough. ``PROCESSORS``: the free processors of all usable workers do not
+    suffice. ``SIZE``: no worker is large enough, or has the required label.
     """
 
     QUOTA = "quota"
--- a/laburnumswitch/process/observing/metrics.py
+++ b/laburnumswitch/process/observing/metrics.py
@@ -106,11 +106,17 @@
         """Return the metrics page and its content type."""
         for metric in self._callback_metrics:
             for sample in metric.read():
-                metric.collector.set(dict(sample.labels), sample.value)
+                labels = {name: _escape(value) for name, value in sample.labels.items()}
+                metric.collector.set(labels, sample.value)
         content, headers = render(self._registry, [accept])
         return content, headers["Content-Type"]
 
 
+def _escape(value: str) -> str:
+    # The renderer writes label values as they are; some are names that operators chose.
+    return value.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
+
+
 def _samples(label: str, count_by_value: Mapping[str, int]) -> list[Sample]:
     return [Sample({label: value}, number) for value, number in count_by_value.items()]
 
