--- a/laburnumswitch/process/dispatch/organisation_usage.py
+++ b/laburnumswitch/process/dispatch/organisation_usage.py
@@ -14,9 +14,6 @@
 from laburnumswitch.process.dispatch.jobs import Job
 from laburnumswitch.process.dispatch.quota import NOTHING_RUNS
 from laburnumswitch.process.dispatch.quota import OrganisationTotal
-from laburnumswitch.process.dispatch.quota import task_size
-from laburnumswitch.size import Size
-from laburnumswitch.size import ZERO
 
 NO_JOBS: Mapping[str, Job] = {}
 
@@ -29,7 +26,7 @@
 
     def __init__(self) -> None:
         self.total_by_organisation: dict[str, OrganisationTotal] = {}
-        self._run_by_key: dict[tuple[str, TaskKey], tuple[str, Size]] = {}
+        self._run_by_key: dict[tuple[str, TaskKey], tuple[str, Step]] = {}
         # Runs that workers report, and that the owner stops without adopting them.
         self._unwanted_by_worker: dict[str, set[TaskKey]] = {}
         # Organisation and steps of jobs that had ended before this owner's term, and whose runs may
@@ -42,24 +39,24 @@
             return
         self.remove_run(worker_id, task)
         self._unwanted_by_worker.get(worker_id, set()).discard(task)
-        size = task_size(step)
-        self._run_by_key[worker_id, task] = (organisation, size)
+        self._run_by_key[worker_id, task] = (organisation, step)
         total = self.total_by_organisation.get(organisation, NOTHING_RUNS)
-        self.total_by_organisation[organisation] = total.plus(size, 1)
+        self.total_by_organisation[organisation] = total.plus_tasks(step, 1)
 
     def remove_run(self, worker_id: str, task: TaskKey) -> None:
         """Remove a run that certainly no longer exists, if it is counted."""
         entry = self._run_by_key.pop((worker_id, task), None)
         if entry is None:
             return
-        organisation, size = entry
-        total = self.total_by_organisation.pop(organisation).plus(ZERO.minus(size), -1)
+        organisation, step = entry
+        total = self.total_by_organisation.pop(organisation).plus_tasks(step, -1)
         if total.runs:
             self.total_by_organisation[organisation] = total
 
     def organisation_of(self, worker_id: str, task: TaskKey) -> str:
         """Return the organisation of a counted run, empty if it counts for none."""
-        return self._run_by_key.get((worker_id, task), ("", ZERO))[0]
+        entry = self._run_by_key.get((worker_id, task))
+        return entry[0] if entry else ""
 
     def set_unwanted(
         self, worker_id: str, tasks: Iterable[TaskKey] = (), jobs_by_id: Mapping[str, Job] = NO_JOBS
@@ -117,7 +114,7 @@
             if occurrence.due_s > wall_s and job.submission.occurrences:
                 break
             for step_state in occurrence.steps:
-                count = step_state.waiting_count()
                 total = totals.get(organisation, NOTHING_RUNS)
-                totals[organisation] = total.plus(task_size(step_state.step).times(count), count)
+                waiting = step_state.waiting_count()
+                totals[organisation] = total.plus_tasks(step_state.step, waiting)
     return totals
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -130,7 +130,7 @@
         queue = dispatcher.queue_of(ready.job)
         if queue is None or not is_due(dispatcher, ready, now_s):
             continue
-        if dispatcher.quota_gate.admits(ready):
+        if dispatcher.quota_gate.selects(ready, queue.priority):
             key = order_key(ready, queue, dispatcher.mean_work_by_queue[queue.name], now_s)
             keyed.append((key, queue, ready, key_of_step))
     keyed.sort(key=lambda each: (not _is_overdue(dispatcher, each[2]), each[0]))
@@ -144,7 +144,7 @@
                 dispatcher, queue.service
             )
         _plan_step(dispatcher, queue, ready, service_state)
-        if ready.step_state.has_waiting():
+        if ready.step_state.has_waiting() and dispatcher.quota_gate.startable(ready):
             unplaced.append(key_of_step)
         if dispatcher.context.clock() > stop_s:
             _call_advice(dispatcher)
@@ -223,7 +223,7 @@
 def _plan_step(
     dispatcher: Dispatcher, queue: Queue, ready: ReadyStep, service_state: ServicePlanningState
 ) -> None:
-    if not dispatcher.quota_gate.admits(ready):
+    if not dispatcher.quota_gate.admits_in_order(ready):
         return
     step = ready.step_state.step
     is_reserving = step.long_running and not step.best_effort
--- a/laburnumswitch/process/dispatch/quota.py
+++ b/laburnumswitch/process/dispatch/quota.py
@@ -14,20 +14,31 @@
 from laburnumswitch.size import ZERO
 
 UNLIMITED = sys.maxsize
+# How long a step that is held back keeps later steps of its organisation from starting, in seconds,
+# and for how long it does not after that. Jobs are expected to run something within three seconds,
+# and most tasks end within two.
+HOLD_S = 2.0
 
 
 class OrganisationTotal(NamedTuple):
     """What an organisation has running.
 
     :ivar runs: number of runs; a run may have no size.
+    :ivar lasting: part of ``size`` that long-running tasks use.
     """
 
     size: Size = ZERO
     runs: int = 0
+    lasting: Size = ZERO
 
-    def plus(self, size: Size, runs: int) -> "OrganisationTotal":
+    def plus(self, size: Size, runs: int, lasting: Size = ZERO) -> "OrganisationTotal":
         """Return the total with some more runs, of ``size`` together."""
-        return OrganisationTotal(self.size.plus(size), self.runs + runs)
+        return OrganisationTotal(self.size.plus(size), self.runs + runs, self.lasting.plus(lasting))
+
+    def plus_tasks(self, step: Step, count: int) -> "OrganisationTotal":
+        """Return the total with some more tasks of a step, fewer if ``count`` is negative."""
+        size = task_size(step).times(count)
+        return self.plus(size, count, size if step.long_running else ZERO)
 
 
 NOTHING_RUNS = OrganisationTotal()
@@ -66,6 +77,23 @@
     return fitting if fitting or total.runs else min(count, 1)
 
 
+def holds_back_others(
+    step: Step, total: OrganisationTotal, limit: Size, overage: float, waited_s: float
+) -> bool:
+    """Return whether later steps of an organisation wait while a step has no room in its limit.
+
+    This handles organisations with tasks of different sizes: small tasks would take each part of
+    the limit that becomes free, and a large task of higher priority would never start. Others do
+    not wait for a step that has no room beside the long-running tasks.
+
+    :param waited_s: how long the step has waited since it became ready or last started a task.
+    """
+    if waited_s % (2 * HOLD_S) >= HOLD_S:
+        return False
+    lasting = OrganisationTotal(total.lasting, int(any(total.lasting)))
+    return startable_tasks(step, step.count, lasting, limit, overage) > 0
+
+
 def never_fits(step: Step, limit: Size, overage: float) -> bool:
     """Return whether a step can never start, as a gang that exceeds the limit by too much.
 
--- a/laburnumswitch/process/dispatch/quota_gate.py
+++ b/laburnumswitch/process/dispatch/quota_gate.py
@@ -2,15 +2,17 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
+from typing import NamedTuple
 
 from laburnumswitch.process.dispatch.job_spec import QueueConfiguration
 from laburnumswitch.process.dispatch.jobs import ReadyStep
+from laburnumswitch.process.dispatch.jobs import StepState
 from laburnumswitch.process.dispatch.organisation_usage import OrganisationUsage
 from laburnumswitch.process.dispatch.quota import effective_limit
+from laburnumswitch.process.dispatch.quota import holds_back_others
 from laburnumswitch.process.dispatch.quota import NOTHING_RUNS
 from laburnumswitch.process.dispatch.quota import OrganisationTotal
 from laburnumswitch.process.dispatch.quota import startable_tasks
-from laburnumswitch.process.dispatch.quota import task_size
 from laburnumswitch.process.observing.decisions import DecisionLog
 from laburnumswitch.size import count_fitting
 from laburnumswitch.size import Size
@@ -21,6 +23,13 @@
 QUOTA_FREE_S = 1.0
 
 
+class _HeldStep(NamedTuple):
+    """A step that is held back; ``order`` is its queue's priority, and since when it is ready."""
+
+    order: tuple[int, float]
+    step_state: StepState
+
+
 class QuotaGate:
     """Decides which steps may start, by the limits of the newest configuration.
 
@@ -43,6 +52,11 @@
         self._overage = overage
         self._log = log
         self._now_s = float("-inf")
+        # By organisation, the step that was held back in this pass and waits for the longest time,
+        # of those with the first priority, and the same of the pass before.
+        self._held_by_organisation: dict[str, _HeldStep] = {}
+        self._head_by_organisation: dict[str, _HeldStep] = {}
+        self._waiting_for_head: set[str] = set()
         self._held_s_by_organisation: dict[str, float] = {}
         self._limit_by_organisation: dict[str, Size] = {}
         self._limits_of: QueueConfiguration | None = None
@@ -54,6 +68,9 @@
         """
         self.unknown_by_organisation = unknown
         self._now_s = now_s
+        self._head_by_organisation = self._held_by_organisation
+        self._held_by_organisation = {}
+        self._waiting_for_head.clear()
         for organisation, held_s in list(self._held_s_by_organisation.items()):
             if now_s - held_s >= QUOTA_FREE_S:
                 del self._held_s_by_organisation[organisation]
@@ -69,6 +86,41 @@
         self._held_s_by_organisation[organisation] = self._now_s
         return False
 
+    def selects(self, ready: ReadyStep, priority: int) -> bool:
+        """Return whether a pass considers a step: one that may start, or that others wait for.
+
+        Only one of the steps of an organisation that are held back is considered, since there may
+        be thousands.
+
+        :param priority: of its queue, a lower number goes first.
+        """
+        if self.admits(ready):
+            return True
+        organisation, step_state = ready.job.submission.organisation, ready.step_state
+        if not step_state.active_count:
+            first = self._held_by_organisation.get(organisation)
+            order = (priority, step_state.ready_since_s)
+            if first is None or order < first.order:
+                self._held_by_organisation[organisation] = _HeldStep(order, step_state)
+        head = self._head_by_organisation.get(organisation)
+        return head is not None and head.step_state is step_state
+
+    def admits_in_order(self, ready: ReadyStep) -> bool:
+        """Return whether any tasks of a step may start, after those that go before it.
+
+        If not, the steps that follow may have to wait for it, see ``holds_back_others``.
+        """
+        if self.admits(ready):
+            return True
+        organisation, step_state = ready.job.submission.organisation, ready.step_state
+        if not step_state.active_count:
+            since_s = max(step_state.ready_since_s, step_state.last_start_s or 0.0)
+            total, limit = self._total(organisation), self._limit(organisation)
+            waited_s = self._now_s - since_s
+            if holds_back_others(step_state.step, total, limit, self._overage, waited_s):
+                self._waiting_for_head.add(organisation)
+        return False
+
     def startable(self, ready: ReadyStep, taken: OrganisationTotal = NOTHING_RUNS) -> int:
         """Return how many of a step's waiting tasks may start now.
 
@@ -79,7 +131,11 @@
         limit = self._limit(organisation)
         if limit is None:
             return count
-        total = self._total(organisation).plus(*taken)
+        if organisation in self._waiting_for_head:
+            return 0
+        total = self._total(organisation)
+        if taken is not NOTHING_RUNS:
+            total = total.plus(*taken)
         return startable_tasks(ready.step_state.step, count, total, limit, self._overage)
 
     def may_restart(self, organisation: str) -> bool:
@@ -92,7 +148,8 @@
 
     def _total(self, organisation: str) -> OrganisationTotal:
         total = self._usage.total_by_organisation.get(organisation, NOTHING_RUNS)
-        return total.plus(*self.unknown_by_organisation.get(organisation, NOTHING_RUNS))
+        unknown = self.unknown_by_organisation.get(organisation)
+        return total if unknown is None else total.plus(*unknown)
 
     def _limit(self, organisation: str) -> Size | None:
         """Return an organisation's limit, or ``None`` if it has none."""
@@ -102,7 +159,7 @@
             self._limit_by_organisation = {
                 each.name: effective_limit(each.limit)
                 for each in (configuration.organisations_by_name.values() if configuration else ())
-                if any(each.limit)
+                if each.name and any(each.limit)
             }
         return self._limit_by_organisation.get(organisation)
 
@@ -135,6 +192,6 @@
         taken = self._taken_by_organisation.get(organisation, NOTHING_RUNS)
         count = self._gate.startable(ready, taken)
         if organisation and count:
-            size = task_size(ready.step_state.step).times(count)
-            self._taken_by_organisation[organisation] = taken.plus(size, count)
+            taken = taken.plus_tasks(ready.step_state.step, count)
+            self._taken_by_organisation[organisation] = taken
         return count
