--- a/laburnumswitch/dispatch_metrics.py
+++ b/laburnumswitch/dispatch_metrics.py
@@ -92,15 +92,17 @@
     }
     for name, (help_text, read) in gauges.items():
         metrics.add_gauge(f"laburnumswitch_owner_{name}", help_text, gauge_reader(read))
-    _register_organisation_metrics(metrics, lambda: leadership.dispatcher)
+    register_organisation_metrics(metrics, lambda: leadership.dispatcher)
 
 
 ReadOrganisation = Callable[[OrganisationTotal, Organisation], float]
 
 
-def _register_organisation_metrics(
-    metrics: Metrics, owner: Callable[[], Dispatcher | None]
-) -> None:
+def register_organisation_metrics(metrics: Metrics, owner: Callable[[], Dispatcher | None]) -> None:
+    """Register what organisations have running and their limits, for at most 50 of them.
+
+    :param owner: returns the dispatcher, ``None`` unless this entry is the owner.
+    """
     labels = BoundedLabels()
 
     def reader(read: ReadOrganisation) -> Callable[[], Iterable[Sample]]:
--- a/tests/command/test_help.py
+++ b/tests/command/test_help.py
@@ -40,6 +40,7 @@
     def setUp(self):
         super().setUp()
         entry = self.entry("10.0.0.7:8300", status=[], zones=[], jobs=[], workers=[], timeline=[])
+        entry.answers["/metrics"] = b"laburnumswitch_is_owner 1.0\n"
         entry.answers[f"/operator/jobs/{quote(JOB_ID)}"] = [{"job_id": JOB_ID}]
         self.table.commit(
             Transaction((), (Put(f"job/{JOB_ID}", job_row("truck-loading", "admitted")),))
--- a/tests/memory.py
+++ b/tests/memory.py
@@ -38,7 +38,7 @@
 
 
 class MemoryEntry:
-    """The operators' endpoints of an entry; ``answers`` maps paths to rows or failures."""
+    """The operators' endpoints of an entry; ``answers`` maps paths to rows, pages or failures."""
 
     def __init__(self, address):
         self.address = address
@@ -53,6 +53,8 @@
             return answer
         if answer is None:
             return Response(404, (), b"")
+        if isinstance(answer, bytes):
+            return Response(200, (), answer)
         return Response(200, (), encode({"rows": answer}))
 
     def close(self):
--- a/tests/process/dispatch/replay.py
+++ b/tests/process/dispatch/replay.py
@@ -62,6 +62,7 @@
     queue: str
     steps: tuple[Step, ...]
     duration_by_step: tuple[float, ...] = ()
+    organisation: str = ""
 
 
 class FinishedJob(NamedTuple):
@@ -73,6 +74,7 @@
 
     took_s: float
     objective_s: float
+    organisation: str = ""
 
 
 class _Link:
@@ -118,6 +120,8 @@
         self.stopped_runs: list[tuple[float, TaskKey]] = []
         self.rejected_jobs: list[tuple[float, Arrival, int]] = []
         self._number = count(1)
+        # Called after each planning pass.
+        self.check = lambda: None
         self._events: list[tuple[float, int, str, tuple]] = []
         self._duration_by_job: dict[str, tuple[float, ...]] = {}
         self._submitted_s_by_job: dict[str, float] = {}
@@ -184,6 +188,7 @@
                     run.progress_percent = AT_WORK_PERCENT
         self.owner.recorder.commit()
         plan(self.owner)
+        self.check()
         # Commands are sent by greenlets.
         sleep(0)
         sleep(0)
@@ -202,7 +207,8 @@
                 return
         self._duration_by_job[job_id] = arrival.duration_by_step
         self._submitted_s_by_job[job_id] = self.now_s
-        self.owner.add_job(Submission(job_id, arrival.queue, "", arrival.steps, self.now_s))
+        submission = Submission(job_id, arrival.queue, "", arrival.steps, self.now_s)
+        self.owner.add_job(submission._replace(organisation=arrival.organisation))
 
     def note_start(self, worker_id, command) -> None:
         durations = self._duration_by_job[command.task.job_id]
@@ -242,5 +248,8 @@
             took_s = (
                 self._ended_s_by_job.get(job_id, float("inf")) - self._submitted_s_by_job[job_id]
             )
-            finished.setdefault(queue.name, []).append(FinishedJob(took_s, objective_s))
+            organisation = job.submission.organisation
+            finished.setdefault(queue.name, []).append(
+                FinishedJob(took_s, objective_s, organisation)
+            )
         return finished
