--- a/laburnumswitch/process/dispatch/quota.py
+++ b/laburnumswitch/process/dispatch/quota.py
@@ -99,7 +99,7 @@
 
     A start may bring the sum to the limit, the overage and one task, but not above that.
 
-    :param limit: see ``effective_limit``.
+    :param limit: as configured, or see ``effective_limit``.
     """
     if not step.gang:
         return False
@@ -107,5 +107,5 @@
     return any(
         part > limit_part * (1.0 + overage)
         for part, limit_part in zip(others, limit, strict=True)
-        if limit_part != UNLIMITED
+        if 0 < limit_part < UNLIMITED
     )
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -88,6 +88,11 @@
         # ``holdMaxMs``, in seconds.
         self.assertThat(deployment.bounds.lease_s, Equals(6.0))
 
+    def test_overage_of_quotas_is_optional(self):
+        self.assertThat(read_deployment_text(SETTINGS).bounds.quota_overage, Equals(0.1))
+        text = SETTINGS.replace("harmMs = 4000", "harmMs = 4000\nquotaOverage = 0.25")
+        self.assertThat(read_deployment_text(text).bounds.quota_overage, Equals(0.25))
+
     def test_sockets_are_the_descriptors_without_those_for_files(self):
         text = SETTINGS.replace("memoryMb = 300", "memoryMb = 300\nmaxFds = 4100")
         self.assertThat(read_deployment_text(text).max_sockets, Equals(3900))
--- a/tests/process/dispatch/test_quota.py
+++ b/tests/process/dispatch/test_quota.py
@@ -65,8 +65,9 @@
         self.assertThat(never_fits(gang._replace(count=5), LIMIT, OVERAGE), Is(False))
         self.assertThat(never_fits(gang._replace(count=6), LIMIT, OVERAGE), Is(True))
         self.assertThat(never_fits(TASK._replace(count=100), LIMIT, OVERAGE), Is(False))
-        unlimited = effective_limit(Size(0, 0, 0))
-        self.assertThat(never_fits(gang._replace(count=10**6), unlimited, OVERAGE), Is(False))
+        gang = gang._replace(count=10**6)
+        for unlimited in (Size(0, 0, 0), effective_limit(Size(0, 0, 0))):
+            self.assertThat(never_fits(gang, unlimited, OVERAGE), Is(False))
 
     @given(integers(0, 5), integers(0, 30), integers(0, 30), integers(1, 9))
     def test_count_is_the_largest_that_fits(self, part, used, limit, count):
--- a/tests/process/dispatch/test_quota_gate.py
+++ b/tests/process/dispatch/test_quota_gate.py
@@ -7,6 +7,7 @@
 from testtools.matchers import GreaterThan
 from testtools.matchers import LessThan
 
+from laburnumswitch.process.dispatch.evacuator import evacuate
 from laburnumswitch.process.dispatch.job_spec import Organisation
 from laburnumswitch.process.dispatch.job_spec import QueueConfiguration
 from laburnumswitch.process.dispatch.job_spec import Step
@@ -169,6 +170,25 @@
         self.assertThat(self.replay.stopped_runs, Equals([]))
 
 
+class TestDrainingWorker(QuotaCase):
+    workers = 2
+
+    def test_task_that_could_not_start_again_stays_until_the_last_moment(self):
+        """Its organisation is above a lowered limit, so it would be down for as long."""
+        self.submit(TASK._replace(count=3, long_running=True, max_unavailable=3))
+        self.replay.replay([], 2.0)
+        draining = next(each for each in self.owner.workers_by_id.values() if each.runs_by_task)
+        listing = draining.listing._replace(is_draining=True, remaining_s=60.0)
+        draining.note_listing(listing, self.replay.now_s, 60.0)
+        self.limit(3, 1000)
+        evacuate(self.owner, "shop", [draining])
+        self.assertThat(self.replay.stopped_runs, Equals([]))
+        self.limit(4, 3000)
+        evacuate(self.owner, "shop", [draining])
+        self.replay.replay([], 0.1)
+        self.assertThat(len(self.replay.stopped_runs), GreaterThan(0))
+
+
 class TestTasksOfDifferentSize(QuotaCase):
     """An organisation's small tasks of a lower priority took all room that became free."""
 
