Look at every worker once for a size that has no room

On a full fleet each waiting step looked at every worker in each planning pass.

Within a pass workers only fill up, so a size that fits none rules out all that are at least as large. The search for spare room ends with the second slot.

--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -25,7 +25,6 @@
 from laburnumswitch.process.dispatch.headroom import LONG_RUNNING_WAIT_S
 from laburnumswitch.process.dispatch.headroom import LONGEST_WAIT_S
 from laburnumswitch.process.dispatch.headroom import may_reserve
-from laburnumswitch.process.dispatch.headroom import MIN_SPARE_SLOTS
 from laburnumswitch.process.dispatch.job_spec import Queue
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.jobs import Job
@@ -45,6 +44,8 @@
 from laburnumswitch.process.dispatch.preemption import WaitingStep
 from laburnumswitch.process.dispatch.quota_gate import QuotaBudget
 from laburnumswitch.process.dispatch.relocation import choose_moves
+from laburnumswitch.process.dispatch.room import has_spare_slots
+from laburnumswitch.process.dispatch.room import NoRoom
 from laburnumswitch.process.dispatch.worker_protocol import StartCommand
 from laburnumswitch.process.dispatch.worker_session import throttle_new_run
 from laburnumswitch.process.dispatch.worker_session import void_unanswered_starts
@@ -168,6 +169,8 @@
         of a core.
     :ivar reserved_workers: ids of the workers that are kept for large urgent tasks.
     :ivar failed_placements: best-effort steps that found no suitable worker.
+    :ivar no_lasting_room: sizes for which the workers of the service, draining ones excluded, have
+        room for fewer than ``MIN_SPARE_SLOTS`` tasks.
     """
 
     def __init__(self, usable: list[Worker], long_running_budget: float) -> None:
@@ -178,12 +181,21 @@
         self.long_running_budget = long_running_budget
         self.reserved_workers: set[str] = set()
         self.failed_placements = FailedPlacements()
+        self.no_lasting_room = NoRoom()
+        self._no_room = NoRoom()
+        self._no_unreserved_room = NoRoom()
+        self._unreserved = usable
 
     def unreserved_workers(self) -> list[Worker]:
         """Return the usable workers that are not kept for large urgent tasks."""
-        if not self.reserved_workers:
-            return self.usable
-        return [worker for worker in self.usable if worker.worker_id not in self.reserved_workers]
+        reserved = self.reserved_workers
+        if len(self._unreserved) != len(self.usable) - len(reserved):
+            self._unreserved = [each for each in self.usable if each.worker_id not in reserved]
+        return self._unreserved if reserved else self.usable
+
+    def no_room_on(self, workers: list[Worker]) -> NoRoom:
+        """Return the sizes that fit none of the usable or of the unreserved workers."""
+        return self._no_room if workers is self.usable else self._no_unreserved_room
 
 
 def _service_planning_state(dispatcher: Dispatcher, service: str) -> ServicePlanningState:
@@ -229,7 +241,9 @@
     is_reserving = step.long_running and not step.best_effort
     usable = service_state.unreserved_workers()
     if is_reserving:
-        if _is_overdue(dispatcher, ready) or _has_lasting_room(dispatcher, queue, ready):
+        if _is_overdue(dispatcher, ready) or _has_lasting_room(
+            dispatcher, queue, ready, service_state.no_lasting_room
+        ):
             usable = service_state.usable
         elif service_state.long_running_budget < step.cpu_millis:
             return
@@ -289,7 +303,9 @@
     return queue is not None and queue.service == service
 
 
-def _has_lasting_room(dispatcher: Dispatcher, queue: Queue, ready: ReadyStep) -> bool:
+def _has_lasting_room(
+    dispatcher: Dispatcher, queue: Queue, ready: ReadyStep, no_room: NoRoom
+) -> bool:
     """Return whether a long-running step may use what is kept for urgent tasks.
 
     It may once there has been room for ``MIN_SPARE_SLOTS`` of its tasks most of the time. Room that
@@ -298,15 +314,17 @@
     """
     step_state = ready.step_state
     step = step_state.step
-    wide_step = step._replace(count=max(step.count, MIN_SPARE_SLOTS))
-    slots = 0
-    for worker in dispatcher.workers_by_id.values():
-        if worker.listing.service != queue.service or worker.listing.is_draining:
-            continue
-        if worker.can_run(step):
-            slots += worker.free_slots(wide_step)
     now_s = dispatcher.context.clock()
-    has_room = slots >= MIN_SPARE_SLOTS
+    has_room = not no_room.rules_out(step) and has_spare_slots(
+        step,
+        (
+            worker
+            for worker in dispatcher.workers_by_id.values()
+            if worker.listing.service == queue.service and not worker.listing.is_draining
+        ),
+    )
+    if not has_room and not step.required_label:
+        no_room.note(step)
     step_state.room.update(has_room, now_s)
     waited_s = now_s - step_state.ready_since_s
     if not has_room or waited_s < LONG_RUNNING_WAIT_S:
@@ -390,6 +408,10 @@
     if forced == 0 and service_state.failed_placements.rules_out(step):
         ready.step_state.retry_after_s = dispatcher.context.clock() + PLACEMENT_RETRY_S
         return
+    is_plain = not (step.best_effort or step.gang or queue.needs_advice)
+    no_room = service_state.no_room_on(usable)
+    if is_plain and no_room.rules_out(step):
+        return
     candidates = usable
     if step.required_label:
         candidates = [
@@ -401,6 +423,9 @@
     if not queue.needs_advice:
         if not _start_on(dispatcher, ready, candidates, {}, forced):
             service_state.failed_placements.note(step)
+        is_waiting = is_plain and ready.step_state.has_waiting()
+        if is_waiting and not any(worker.fits(step) for worker in usable):
+            no_room.note(step)
         return
     now_s = dispatcher.context.clock()
     tickets = dispatcher.advice.valid_tickets(step_key(ready), candidates, now_s)
