Bound what the clients of an entry's servers may take

300 clients that stop a byte short of a legal body took 80 MB in an entry, jobs of 21,000 steps 694 MB, and pipelined or chunked requests left others one answer in 1.5 s. Bodies are counted before they are read, within a sixteenth of the memory; the client that is waited for longest is closed for others; heads, bodies, idle times and unread answers have limits; steps and tasks of a job are bounded.

--- a/laburnumswitch/connection/caller_server.py
+++ b/laburnumswitch/connection/caller_server.py
@@ -19,24 +19,24 @@
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler
 
+from laburnumswitch.connection.linger import drain_before_close
+from laburnumswitch.connection.linger import LINGER_TIMEOUT_S
+from laburnumswitch.connection.linger import MAX_LINGER_BYTES
 from laburnumswitch.connection.readable import is_readable
 from laburnumswitch.connection.request_head import RequestHead
 from laburnumswitch.connection.request_reader import CallerClosed
 from laburnumswitch.connection.request_reader import CallerLimits
 from laburnumswitch.connection.request_reader import CallerRequest
 from laburnumswitch.connection.request_reader import RequestReader
+from laburnumswitch.connection.request_reader import STATUS_UNAVAILABLE
 from laburnumswitch.connection.server import NoDelayServer
 from laburnumswitch.connection.tls import ServerTls
 from laburnumswitch.exceptions import CallerRefused
 
 OUTCOME_HEADER = "Laburnumswitch-Outcome"
 STATUS_INTERNAL_ERROR = 500
-STATUS_UNAVAILABLE = 503
 DRAIN_POLL_S = 0.02
 IDLE_SWEEP_INTERVAL_S = 1.0
-LINGER_TIMEOUT_S = 1.0
-MAX_LINGER_BYTES = 1_048_576
-READ_BLOCK_BYTES = 65_536
 BACKLOG_CONNECTIONS = 1_024
 BODILESS_STATUSES = frozenset((204, 304))
 
@@ -182,26 +182,10 @@
         try:
             self.socket.settimeout(LINGER_TIMEOUT_S)
             self.socket.sendall(_encode_head(response, False, False, 1) + body)
-            self.socket.shutdown(socket.SHUT_WR)
-            self._linger()
+            drain_before_close(self.socket, MAX_LINGER_BYTES)
         except OSError:
             return
 
-    def _linger(self) -> None:
-        # Closing a socket with unread bytes resets the connection, which could discard the refusal
-        # before the caller reads it.
-        deadline_s = monotonic() + LINGER_TIMEOUT_S
-        remaining_bytes = MAX_LINGER_BYTES
-        while remaining_bytes > 0:
-            remaining_s = deadline_s - monotonic()
-            if remaining_s <= 0:
-                return
-            self.socket.settimeout(remaining_s)
-            block = self.socket.recv(READ_BLOCK_BYTES)
-            if not block:
-                return
-            remaining_bytes -= len(block)
-
 
 class CallerServer(NoDelayServer):
     """HTTP server of the callers' port.
--- a/laburnumswitch/connection/request_head.py
+++ b/laburnumswitch/connection/request_head.py
@@ -9,6 +9,9 @@
 STATUS_NOT_IMPLEMENTED = 501
 STATUS_VERSION_NOT_SUPPORTED = 505
 STATUS_EXPECTATION_FAILED = 417
+STATUS_FIELDS_TOO_LARGE = 431
+# A header of a few bytes takes about fifty times as many once it is parsed.
+MAX_FIELDS = 128
 MAX_CONTENT_LENGTH_DIGITS = 15
 
 _REQUEST_LINE = compile_pattern(
@@ -44,11 +47,14 @@
         return self.values_by_name.get(lower_name, [])
 
 
-def parse_head(raw: bytes) -> RequestHead | CallerRefused:
+def parse_head(raw: bytes, needs_host: bool = True) -> RequestHead | CallerRefused:
     """Parse and validate a request head.
 
     :param raw: the bytes before the empty line that ends the head.
+    :param needs_host: whether a head without ``Host`` is refused. Health checks often have none.
     """
+    if raw.count(b"\r\n") > MAX_FIELDS:
+        return CallerRefused(STATUS_FIELDS_TOO_LARGE, "too many headers")
     request_line, *fields = raw.decode("latin-1").split("\r\n")
     line = _REQUEST_LINE.fullmatch(request_line)
     if line is None:
@@ -71,7 +77,7 @@
             return CallerRefused(STATUS_BAD_REQUEST, "misleading header name")
         lines.append((name, text))
         values_by_name.setdefault(name, []).append(value.strip(" \t"))
-    return _validate(method, target, int(minor_version), tuple(lines), values_by_name)
+    return _validate(method, target, int(minor_version), tuple(lines), values_by_name, needs_host)
 
 
 def _validate(
@@ -80,12 +86,13 @@
     minor_version: int,
     lines: tuple[tuple[str, str], ...],
     values_by_name: dict[str, list[str]],
+    needs_host: bool,
 ) -> RequestHead | CallerRefused:
-    hosts = values_by_name.get("host", [])
+    hosts = values_by_name.get("host", [] if needs_host else [""])
     if len(hosts) != 1:
         return CallerRefused(STATUS_BAD_REQUEST, "exactly one Host is needed")
     host = _HOST.fullmatch(hosts[0])
-    if host is None:
+    if host is None and (needs_host or hosts[0]):
         return CallerRefused(STATUS_BAD_REQUEST, "malformed Host")
     origin_target = _origin_form(method, target, hosts[0])
     if origin_target is None:
@@ -102,7 +109,7 @@
     return RequestHead(
         method,
         origin_target,
-        host[1].lower(),
+        host[1].lower() if host else "",
         lines,
         values_by_name,
         int(lengths[0]) if lengths else 0,
--- a/laburnumswitch/connection/server.py
+++ b/laburnumswitch/connection/server.py
@@ -1,4 +1,4 @@
-"""WSGI server that sends responses without Nagle's delay."""
+"""WSGI servers: without Nagle's delay, and with bounds on what their clients may take."""
 
 from collections.abc import Callable
 from typing import Any
@@ -7,8 +7,13 @@
 from gevent import socket
 from gevent.pywsgi import WSGIServer
 
+from laburnumswitch.connection.bounded_handler import BoundedHandler
+from laburnumswitch.connection.client_limits import PortClients
 from laburnumswitch.connection.tls import HandshakeFailedError
 
+# The kernel's own limit is several MB for each direction of a connection, which hundreds of clients
+# that do not read or that send without end would fill.
+SOCKET_BUFFER_BYTES = 65_536
 # Reason phrases of the statuses that the ports respond with.
 REASONS = {
     200: "OK",
@@ -16,6 +21,7 @@
     401: "Unauthorized",
     404: "Not Found",
     405: "Method Not Allowed",
+    408: "Request Timeout",
     409: "Conflict",
     410: "Gone",
     413: "Content Too Large",
@@ -48,11 +54,40 @@
             return None
 
 
-def make_server(address: str, application: Callable[..., Any], **arguments: Any) -> NoDelayServer:
+class BoundedServer(NoDelayServer):
+    """WSGI server whose clients stay within bounds of memory, connections and time."""
+
+    handler_class = BoundedHandler
+    # New connections per pass of the event loop, so that those of one port do not delay the others.
+    max_accept = 16
+
+    def __init__(
+        self,
+        listener: tuple[str, int],
+        application: Callable[..., Any],
+        clients: PortClients,
+        **arguments: Any,
+    ) -> None:
+        super().__init__(listener, application, log=None, error_log=None, **arguments)
+        self.clients = clients
+
+    @classmethod
+    def get_listener(cls, *arguments: Any, **named_arguments: Any) -> socket.socket:
+        """Return a listening socket, whose connections inherit the size of their buffers."""
+        listener = super().get_listener(*arguments, **named_arguments)
+        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+            listener.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES)
+        return listener
+
+
+def make_server(
+    address: str, application: Callable[..., Any], clients: PortClients, **arguments: Any
+) -> BoundedServer:
     """Return a server for an address, not yet started and without request logs.
 
     :param address: host and port.
+    :param clients: the clients of this port and their limits.
     :param arguments: further arguments of gevent's server.
     """
     host, _, port = address.rpartition(":")
-    return NoDelayServer((host, int(port)), application, log=None, **arguments)
+    return BoundedServer((host, int(port)), application, clients, **arguments)
--- a/laburnumswitch/dispatch_entry.py
+++ b/laburnumswitch/dispatch_entry.py
@@ -21,7 +21,10 @@
 from gevent.event import Event
 
 from laburnumswitch.connection.client import Client
+from laburnumswitch.connection.client_limits import PortClients
+from laburnumswitch.connection.client_limits import RefusalCounter
 from laburnumswitch.connection.connection_limit import ConnectionLimit
+from laburnumswitch.dispatch_metrics import register_client_metrics
 from laburnumswitch.dispatch_metrics import register_dispatch_metrics
 from laburnumswitch.exceptions import CannotListen
 from laburnumswitch.exceptions import Failure
@@ -65,9 +68,13 @@
 from laburnumswitch.process.operating.operations import FEED_WAIT_S
 from laburnumswitch.process.operating.operations import follow_operations
 from laburnumswitch.process.operating.operations import Operations
+from laburnumswitch.process.operating.port_limits import caller_limits
+from laburnumswitch.process.operating.port_limits import health_limits
+from laburnumswitch.process.operating.port_limits import peer_limits
 from laburnumswitch.process.rows.change_feed import Feed
 from laburnumswitch.request.job_api import answer_request
 from laburnumswitch.request.job_api import JobApiContext
+from laburnumswitch.request.job_api import refuse_before_body
 from laburnumswitch.request.job_server import InFlightCounter
 from laburnumswitch.request.job_server import make_job_server
 
@@ -122,6 +129,12 @@
             wall_clock=time,
             sleep=sleep,
         )
+        refusals = RefusalCounter(monotonic, self._note_refusals)
+        callers = PortClients(
+            "callers", lambda: caller_limits(self.deployment, self._limits()), refusals
+        )
+        peers = PortClients("internal", lambda: peer_limits(self.deployment), refusals)
+        probes = PortClients("ready", lambda: health_limits(self.deployment), refusals)
         self.in_flight = InFlightCounter()
         self.caller_server = make_job_server(
             deployment.caller_address,
@@ -129,7 +142,8 @@
             self.in_flight,
             self.stop_requested.is_set,
             DEADLINE_HEADER,
-            lambda: self._limits().body_bytes,
+            lambda request: refuse_before_body(self.job_api_context, request),
+            callers,
         )
         self.worker_connections = ConnectionLimit(
             _max_worker_connections(deployment), monotonic, self._note_connection_limit
@@ -138,6 +152,7 @@
         register_dispatch_metrics(
             self.metrics, self.leadership, self.in_flight, self.log, self.worker_connections
         )
+        register_client_metrics(self.metrics, refusals, (callers, peers, probes))
         handlers = {
             "peer": make_leadership_peer_handler(lambda: self.leadership, self.incarnation),
             "metrics": self._render_metrics,
@@ -145,10 +160,12 @@
         self.peer_server = make_admin_server(
             deployment.peer_address,
             AdminContext(handlers, _accept_any_authorization, TrafficCounter()),
+            clients=peers,
         )
         self.health_server = make_admin_server(
             deployment.health_address,
             AdminContext({"v1": self._check_health}, _accept_any_authorization, TrafficCounter()),
+            clients=probes,
         )
 
     def start(self) -> None:
@@ -226,6 +243,9 @@
             refused=limit.refused_count,
         )
 
+    def _note_refusals(self, counts: dict[str, int]) -> None:
+        self.log.note("clients_refused", self.incarnation, counts=counts)
+
     def _limits(self) -> Limits:
         configuration = self.operations.configuration
         return configuration.limits if configuration else Limits()
--- a/laburnumswitch/dispatch_metrics.py
+++ b/laburnumswitch/dispatch_metrics.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+from laburnumswitch.connection.client_limits import PortClients
+from laburnumswitch.connection.client_limits import RefusalCounter
 from laburnumswitch.connection.connection_limit import ConnectionLimit
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
 from laburnumswitch.process.leadership.leadership import Leadership
@@ -87,3 +89,27 @@
     }
     for name, (help_text, read) in gauges.items():
         metrics.add_gauge(f"laburnumswitch_owner_{name}", help_text, gauge_reader(read))
+
+
+def register_client_metrics(
+    metrics: Metrics, refusals: RefusalCounter, clients_of_ports: tuple[PortClients, ...]
+) -> None:
+    """Register the metrics of the clients of an entry's ports."""
+    metrics.add_counters(
+        "laburnumswitch_clients_refused_total",
+        "Requests refused and connections closed at the bounds of a port, by port and cause.",
+        lambda: [
+            Sample({"port": port, "cause": cause}, count)
+            for (port, cause), count in refusals.counts.items()
+        ],
+    )
+    metrics.add_gauges(
+        "laburnumswitch_client_connections",
+        "Open connections of clients, by port.",
+        lambda: [Sample({"port": each.port}, each.open_count) for each in clients_of_ports],
+    )
+    metrics.add_gauges(
+        "laburnumswitch_client_body_bytes",
+        "Bytes that request bodies take until they are answered, by port.",
+        lambda: [Sample({"port": each.port}, each.budget.used_bytes) for each in clients_of_ports],
+    )
--- a/laburnumswitch/platform/callers.py
+++ b/laburnumswitch/platform/callers.py
@@ -4,12 +4,15 @@
 
 from msgspec import convert
 from msgspec import DecodeError
+from msgspec import Raw
 from msgspec import Struct
 from msgspec import ValidationError
 from msgspec.json import decode
 from msgspec.json import encode
 
 from laburnumswitch.exceptions import CallerRefused
+from laburnumswitch.process.dispatch.job_size import find_excess
+from laburnumswitch.process.dispatch.job_size import MAX_STEPS
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.job_spec import Submission
 from laburnumswitch.units import MS_PER_S
@@ -45,7 +48,9 @@
 
 class _Job(Struct, rename={"first_run_ms": "firstRunMs", "interval_ms": "intervalMs"}):
     spec: str
-    steps: list[dict[str, Any]]
+    # Decoded one by one, and only if there are not too many: decoded steps take tens of times the
+    # bytes of the message.
+    steps: list[Raw]
     times: int = 0
     first_run_ms: float = 0.0
     interval_ms: float = 0.0
@@ -60,12 +65,17 @@
     """
     try:
         job = decode(body, type=_Job)
-        steps = tuple(_decode_step(fields) for fields in job.steps)
+        if len(job.steps) > MAX_STEPS:
+            return CallerRefused(400, f"more than {MAX_STEPS} steps")
+        steps = tuple(_decode_step(decode(step, type=dict[str, Any])) for step in job.steps)
     except (DecodeError, ValidationError, RecursionError) as error:
         return CallerRefused(400, str(error))
     for index, step in enumerate(steps):
         if step.count < 1 or any(not 0 <= earlier < index for earlier in step.after):
             return CallerRefused(400, f"step {index} is empty or comes after a later one")
+    excess = find_excess(steps)
+    if excess is not None:
+        return CallerRefused(400, excess)
     return Submission(
         job_id,
         queue,
--- a/laburnumswitch/platform/operations.py
+++ b/laburnumswitch/platform/operations.py
@@ -65,10 +65,19 @@
 
 
 class _Limits(
-    Struct, frozen=True, rename={"body_bytes": "maxBodyBytes", "idle_ms": "idleTimeoutMs"}
+    Struct,
+    frozen=True,
+    rename={
+        "body_bytes": "maxBodyBytes",
+        "idle_ms": "idleTimeoutMs",
+        "head_bytes": "maxHeaderBytes",
+        "head_ms": "headerTimeoutMs",
+    },
 ):
     body_bytes: int = 262_144
     idle_ms: float = 15_000.0
+    head_bytes: int = 16_384
+    head_ms: float = 3_000.0
 
 
 class _MaxCount(Struct, frozen=True, rename={"memory_mb": "memMb"}):
@@ -111,7 +120,12 @@
         fields.version,
         {route.name: _to_queue(route, fields.tenants is not None) for route in fields.routes},
         {service.name: service.rejects_overload for service in fields.services},
-        Limits(fields.limits.body_bytes, fields.limits.idle_ms / MS_PER_S),
+        Limits(
+            fields.limits.body_bytes,
+            fields.limits.idle_ms / MS_PER_S,
+            fields.limits.head_bytes,
+            fields.limits.head_ms / MS_PER_S,
+        ),
         {tenant.name: _to_organisation(tenant) for tenant in fields.tenants or ()},
     )
 
--- a/laburnumswitch/process/dispatch/job_spec.py
+++ b/laburnumswitch/process/dispatch/job_spec.py
@@ -118,10 +118,12 @@
 
 
 class Limits(NamedTuple):
-    """Limits of callers' connections: size of a request body, and idle time."""
+    """Limits of callers' connections: sizes of a body and a head, idle time, time for a head."""
 
     body_bytes: int = 262_144
     idle_s: float = 15.0
+    head_bytes: int = 16_384
+    head_s: float = 3.0
 
 
 class Organisation(NamedTuple):
--- a/laburnumswitch/process/leadership/peer_api.py
+++ b/laburnumswitch/process/leadership/peer_api.py
@@ -10,6 +10,7 @@
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.process.dispatch.admission import admit
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
+from laburnumswitch.process.dispatch.job_size import find_excess
 from laburnumswitch.process.dispatch.job_spec import Submission
 from laburnumswitch.process.dispatch.progress import store_submission
 from laburnumswitch.process.leadership.leadership import EntryIdentity
@@ -120,7 +121,11 @@
         return reply_json(True)
 
     def add_stored_job(dispatcher: Dispatcher, request: AdminRequest) -> AdminReply:
-        dispatcher.add_job(request.decode(Submission))
+        submission = request.decode(Submission)
+        excess = find_excess(submission.steps)
+        if excess is not None:
+            return reject(400, excess)
+        dispatcher.add_job(submission)
         return reply_json(True)
 
     def apply_stored_cancellation(dispatcher: Dispatcher, request: AdminRequest) -> AdminReply:
@@ -132,6 +137,9 @@
 
     def store_job(dispatcher: Dispatcher, request: AdminRequest) -> AdminReply:
         submission = request.decode(Submission)
+        excess = find_excess(submission.steps)
+        if excess is not None:
+            return reject(400, excess)
         outcome = store_submission(dispatcher.context.table, submission)
         if outcome is not None:
             return reject(503, outcome.tag)
--- a/laburnumswitch/process/operating/admin.py
+++ b/laburnumswitch/process/operating/admin.py
@@ -15,12 +15,19 @@
 from msgspec import ValidationError
 from msgspec.json import encode
 
+from laburnumswitch.connection.client_limits import make_constant_clients
+from laburnumswitch.connection.client_limits import PortClients
 from laburnumswitch.connection.lenient import decode_known_fields
+from laburnumswitch.connection.request_reader import CallerLimits
+from laburnumswitch.connection.server import BoundedServer
 from laburnumswitch.connection.server import make_server
-from laburnumswitch.connection.server import NoDelayServer
 from laburnumswitch.connection.server import REASONS
+from laburnumswitch.exceptions import CallerRefused
 
 BODY_LIMIT_BYTES = 4 * 1024 * 1024
+DEFAULT_LIMITS = CallerLimits(body_bytes=BODY_LIMIT_BYTES, connections=1024)
+# Each field of a query takes about a hundred times its shortest length once it is decoded.
+MAX_QUERY_FIELDS = 64
 JSON_TYPE = "application/json"
 TEXT_TYPE = "text/plain; charset=utf-8"
 UNAUTHENTICATED_PATHS = frozenset({"healthz", "readyz", "metrics"})
@@ -83,9 +90,15 @@
 
 
 def make_admin_server(
-    address: str, context: AdminContext, ssl_arguments: Mapping[str, Any] | None = None
-) -> NoDelayServer:
-    """Return the server of the admin port, without starting it."""
+    address: str,
+    context: AdminContext,
+    ssl_arguments: Mapping[str, Any] | None = None,
+    clients: PortClients | None = None,
+) -> BoundedServer:
+    """Return the server of the admin port, without starting it.
+
+    :param clients: bounds on the port's clients, if others than ``DEFAULT_LIMITS``.
+    """
 
     def application(
         environ: dict[str, Any], start_response: Callable[..., object]
@@ -99,7 +112,8 @@
         start_response(f"{reply.status} {REASONS[reply.status]}", headers)
         return [reply.body]
 
-    return make_server(address, application, **(ssl_arguments or {}))
+    clients = clients or make_constant_clients("admin", DEFAULT_LIMITS)
+    return make_server(address, application, clients, **(ssl_arguments or {}))
 
 
 def _handle(environ: dict[str, Any], context: AdminContext) -> AdminReply:
@@ -110,11 +124,14 @@
     authorization = environ.get("HTTP_AUTHORIZATION", "")
     if first not in UNAUTHENTICATED_PATHS and not context.is_authorized(authorization):
         return reject(401, "Unauthorized")
-    length = int(environ.get("CONTENT_LENGTH") or 0)
-    if length > BODY_LIMIT_BYTES:
-        return reject(413, "BodyTooLarge")
-    body = environ["wsgi.input"].read(length) if length else b""
-    query = {name: values[-1] for name, values in parse_qs(environ["QUERY_STRING"]).items()}
+    body = environ["wsgi.input"].read()
+    if isinstance(body, CallerRefused):
+        return reject(body.status, body.reason)
+    try:
+        fields = parse_qs(environ["QUERY_STRING"], max_num_fields=MAX_QUERY_FIELDS)
+    except ValueError:
+        return reject(400, "TooManyFields")
+    query = {name: values[-1] for name, values in fields.items()}
     headers = {
         name[5:].replace("_", "-").lower(): value
         for name, value in environ.items()
--- a/laburnumswitch/request/job_api.py
+++ b/laburnumswitch/request/job_api.py
@@ -106,25 +106,32 @@
     retry_after_s: int = 0
 
 
-def answer_request(context: JobApiContext, request: JobRequest) -> JobReply:
-    """Route a caller's request to its operation and return the reply."""
-    configuration = context.operations.configuration
-    if configuration is None:
+def refuse_before_body(context: JobApiContext, request: JobRequest) -> JobReply | None:
+    """Return the reply to a request that is refused whatever its body is."""
+    if context.operations.configuration is None:
         return JobReply(503, retry_after_s=CONFIGURATION_RETRY_AFTER_S)
     queue = context.operations.route(request.host, request.path)
     if queue is None:
         return JobReply(404)
     job_id = request.path.removeprefix(queue.path_prefix)
     if not job_id:
-        if request.method != "GET":
-            return JobReply(405)
-        return _get_pending(context, queue)
+        return None if request.method == "GET" else JobReply(405)
     if len(job_id) != ID_DIGITS or not HEXADECIMAL.issuperset(job_id):
         return JobReply(404)
-    answer_by_method = {"POST": _submit, "GET": _get_state, "DELETE": _cancel}
-    answer = answer_by_method.get(request.method)
-    if answer is None:
-        return JobReply(405)
+    return None if request.method in ("POST", "GET", "DELETE") else JobReply(405)
+
+
+def answer_request(context: JobApiContext, request: JobRequest) -> JobReply:
+    """Route a caller's request to its operation and return the reply."""
+    refusal = refuse_before_body(context, request)
+    if refusal is not None:
+        return refusal
+    configuration = context.operations.configuration
+    queue = context.operations.route(request.host, request.path)
+    job_id = request.path.removeprefix(queue.path_prefix)
+    if not job_id:
+        return _get_pending(context, queue)
+    answer = {"POST": _submit, "GET": _get_state, "DELETE": _cancel}[request.method]
     started_s = context.clock()
     timeout_s = min(request.timeout_s or queue.timeout_s, queue.timeout_s, MAX_RETRY_TIME_S)
     reply = answer(context, request, queue, job_id, started_s + timeout_s)
--- a/laburnumswitch/request/job_server.py
+++ b/laburnumswitch/request/job_server.py
@@ -4,15 +4,19 @@
 from collections.abc import Iterable
 from typing import Any
 
+from laburnumswitch.connection.client_limits import PortClients
+from laburnumswitch.connection.server import BoundedServer
 from laburnumswitch.connection.server import make_server
-from laburnumswitch.connection.server import NoDelayServer
 from laburnumswitch.connection.server import REASONS
+from laburnumswitch.exceptions import CallerRefused
 from laburnumswitch.request.job_api import JobReply
 from laburnumswitch.request.job_api import JobRequest
 from laburnumswitch.units import MS_PER_S
 
 # Absorbs bursts of new connections.
 LISTEN_BACKLOG = 512
+# Value of ``Retry-After``, in seconds, if there is no memory for a body.
+BODY_RETRY_AFTER_S = 1
 
 
 class InFlightCounter:
@@ -29,11 +33,15 @@
     in_flight: InFlightCounter,
     is_stopping: Callable[[], bool],
     timeout_header: str,
-    body_limit: Callable[[], int],
-) -> NoDelayServer:
+    refuse_before_body: Callable[[JobRequest], JobReply | None],
+    clients: PortClients,
+) -> BoundedServer:
     """Return the server of the job API, not yet started.
 
     :param timeout_header: WSGI name of the header that holds the caller's timeout in ms.
+    :param refuse_before_body: returns the reply to a request that is refused whatever its body is;
+        it gets the request without its body.
+    :param clients: the clients of this port and their limits.
     """
 
     def application(
@@ -58,19 +66,20 @@
         return [reply.body]
 
     def _answer(environ: dict[str, Any]) -> JobReply:
-        length = int(environ.get("CONTENT_LENGTH") or 0)
-        if length > body_limit():
-            return JobReply(413)
-        host = environ.get("HTTP_HOST", "").partition(":")[0]
         timeout_ms = environ.get(timeout_header, "")
-        return answer(
-            JobRequest(
-                environ["REQUEST_METHOD"],
-                host,
-                environ["PATH_INFO"],
-                environ["wsgi.input"].read(length) if length else b"",
-                float(timeout_ms) / MS_PER_S if timeout_ms.isdigit() else 0.0,
-            )
+        request = JobRequest(
+            environ["REQUEST_METHOD"],
+            environ.get("HTTP_HOST", "").partition(":")[0],
+            environ["PATH_INFO"],
+            b"",
+            float(timeout_ms) / MS_PER_S if timeout_ms.isdecimal() else 0.0,
         )
+        refusal = refuse_before_body(request)
+        if refusal is not None:
+            return refusal
+        body = environ["wsgi.input"].read()
+        if isinstance(body, CallerRefused):
+            return JobReply(body.status, retry_after_s=BODY_RETRY_AFTER_S * (body.status == 503))
+        return answer(request._replace(body=body))
 
-    return make_server(address, application, backlog=LISTEN_BACKLOG)
+    return make_server(address, application, clients, backlog=LISTEN_BACKLOG)
--- a/soak/entries.py
+++ b/soak/entries.py
@@ -23,7 +23,7 @@
 [limits]
 cpuShare = 0.5
 cores = {cores}
-memoryMb = 300
+memoryMb = 200
 [bounds]
 drainMs = 2000
 graceS = 4
@@ -38,12 +38,14 @@
 
 
 class EntryConfig(NamedTuple):
-    """Identity, address and files of one entry; ``front_address`` is that of the callers' port."""
+    """Identity, addresses and files of an entry; ``front_address`` is that of the callers' port."""
 
     vm_id: str
     front_address: str
     settings_path: Path
     log_path: Path
+    ready_address: str
+    peer_address: str
 
 
 class EntryProcess:
@@ -81,9 +83,15 @@
 
     def holds_signal(self, number: int) -> bool:
         """Return whether the process has blocked a signal, which then stays pending."""
+        return bool(int(self._status()["SigBlk"], 16) >> (number - 1) & 1)
+
+    def resident_mb(self) -> float:
+        """Return the resident memory of the process."""
+        return int(self._status()["VmRSS"].split()[0]) / 1024
+
+    def _status(self) -> dict[str, str]:
         status = Path(f"/proc/{self._process.pid}/status").read_text(encoding="ascii")
-        fields = dict(line.split(":", 1) for line in status.splitlines())
-        return bool(int(fields["SigBlk"], 16) >> (number - 1) & 1)
+        return dict(line.split(":", 1) for line in status.splitlines())
 
     def kill(self) -> None:
         """Kill the process and wait until it has exited."""
@@ -119,4 +127,11 @@
         ),
         encoding="utf-8",
     )
-    return EntryConfig(vm_id, f"127.0.0.1:{peer_port + 16}", settings_path, folder / f"{vm_id}.log")
+    return EntryConfig(
+        vm_id,
+        f"127.0.0.1:{peer_port + 16}",
+        settings_path,
+        folder / f"{vm_id}.log",
+        f"127.0.0.1:{peer_port + 17}",
+        f"127.0.0.1:{peer_port}",
+    )
