--- a/laburnumswitch/connection/bounded_handler.py
+++ b/laburnumswitch/connection/bounded_handler.py
@@ -64,8 +64,9 @@
     """
 
     def __init__(self, sock: socket.socket, address: tuple, server: Any) -> None:
-        super().__init__(sock, address, server, rfile=RequestReader(sock))
         self._clients: PortClients = server.clients
+        reader = RequestReader(sock, take_turn=self._clients.turns.take)
+        super().__init__(sock, address, server, rfile=reader)
         self._limits = self._clients.limits()
         # Whether part of a request was received that is not answered yet.
         self._is_receiving = False
@@ -158,7 +159,10 @@
         if self.close_connection:
             return None
         # A client whose next request is always there would not let others run.
-        sleep(0)
+        if self.rfile.buffered_bytes:
+            self._clients.turns.take()
+        else:
+            sleep(0)
         return True
 
     def _make_environ(self, head: RequestHead) -> dict[str, Any]:
--- a/laburnumswitch/connection/client_limits.py
+++ b/laburnumswitch/connection/client_limits.py
@@ -14,11 +14,14 @@
 from typing import NamedTuple
 from typing import Protocol
 
+from gevent import sleep
+
 from laburnumswitch.connection.request_reader import CallerLimits
 from laburnumswitch.connection.request_reader import STATUS_CONTENT_TOO_LARGE
 from laburnumswitch.connection.request_reader import STATUS_FIELDS_TOO_LARGE
 from laburnumswitch.connection.request_reader import STATUS_REQUEST_TIMEOUT
 from laburnumswitch.connection.request_reader import STATUS_UNAVAILABLE
+from laburnumswitch.connection.turns import Turns
 
 # Bodies up to this size may use the whole budget, larger ones only a part of it.
 SMALL_BODY_BYTES = 16_384
@@ -145,6 +148,7 @@
     """Clients that are connected to one port, within the limits of that port.
 
     :ivar limits: returns the limits in force.
+    :ivar turns: order of the clients that cause much work at once.
     """
 
     def __init__(
@@ -153,6 +157,7 @@
         self.port = port
         self.limits = limits
         self.budget = BodyBudget(limits().total_body_bytes)
+        self.turns = Turns(sleep)
         self._refusals = refusals
         self._open: set[Client] = set()
         # Clients that this process waits for, the one it has waited for longest first. The others
--- a/laburnumswitch/connection/request_reader.py
+++ b/laburnumswitch/connection/request_reader.py
@@ -5,7 +5,6 @@
 from time import monotonic
 from typing import NamedTuple
 
-from gevent import sleep
 from gevent import socket
 
 from laburnumswitch.connection.request_head import parse_head
@@ -20,6 +19,9 @@
 # Data that is read beyond a head or a chunk is kept while the request is answered, so that these
 # reads are short.
 READ_AHEAD_BYTES = 16_384
+# Parsing this many chunks takes about a millisecond. Bodies in chunks of at least 1 KB never wait
+# for a turn.
+CHUNKS_PER_TURN = 256
 MAX_CHUNK_LINE_BYTES = 1_024
 MAX_TRAILER_BYTES = 4_096
 
@@ -67,16 +69,29 @@
     """There is no memory for more of a body."""
 
 
+def take_no_turn() -> None:
+    """Go on at once."""
+
+
 def always_hold(size_bytes: int) -> bool:
     """Allow every body, for servers that reserve the memory beforehand."""
     return True
 
 
 class RequestReader:
-    """Buffered reader of one caller's connection."""
+    """Buffered reader of one caller's connection.
 
-    def __init__(self, sock: socket.socket, clock: Callable[[], float] = monotonic) -> None:
+    The constructor takes a function that waits until the reader may parse more chunks.
+    """
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        clock: Callable[[], float] = monotonic,
+        take_turn: Callable[[], None] = take_no_turn,
+    ) -> None:
         self.closed = False
+        self._take_turn = take_turn
         self._sock = sock
         self._clock = clock
         self._buffer = b""
@@ -222,13 +237,15 @@
             if _BARE_LINE_FEED.search(self._buffer):
                 return None
             self._receive(deadline_s)
-            # A socket that always has data would not let others run.
-            sleep(0)
 
     def _read_chunks(
         self, limit_bytes: int, deadline_s: float, hold: Callable[[int], bool]
     ) -> CallerRefused | None:
+        chunks = 0
         while True:
+            chunks += 1
+            if chunks % CHUNKS_PER_TURN == 0:
+                self._take_turn()
             line = self._read_line(MAX_CHUNK_LINE_BYTES, deadline_s)
             match = None if line is None else _CHUNK_LINE.fullmatch(line)
             if match is None:
--- a/laburnumswitch/process/operating/port_limits.py
+++ b/laburnumswitch/process/operating/port_limits.py
@@ -10,8 +10,9 @@
 # at most a quarter of it.
 BODY_MEMORY_SHARE = 1 / 16
 PEER_BODY_SHARE = 0.25
-# Largest body from another entry. A submission is at most a little larger than the caller's body.
-MAX_PEER_BODY_BYTES = 1_048_576
+# Largest body from another entry: twice a caller's body, as a submission grows when it is encoded
+# again.
+MAX_PEER_BODY_BYTES = 524_288
 # The readiness path needs no body.
 HEALTH_BODY_BYTES = 4_096
 # Shares of the descriptors for connections. Three quarters are for the owner's connections to
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -22,6 +22,7 @@
 from soak.faults import choose_faults
 from soak.faults import FAULTS
 from soak.faults import inject_faults
+from soak.faults import NAMED_FAULTS
 from standin.fleet.invariant_checker import Violation
 
 # Time for the entries to start and to reach the workers.
@@ -131,8 +132,8 @@
     "--fault",
     "fault_names",
     multiple=True,
-    type=click.Choice([fault.__name__ for fault in FAULTS]),
-    help="Inject only this fault; may be repeated. All faults by default.",
+    type=click.Choice([fault.__name__ for fault in (*FAULTS, *NAMED_FAULTS)]),
+    help="Inject only this fault; may be repeated. All but misbehaving clients by default.",
 )
 def main(
     seed: int,
--- a/soak/entries.py
+++ b/soak/entries.py
@@ -89,6 +89,10 @@
         """Return the resident memory of the process."""
         return int(self._status()["VmRSS"].split()[0]) / 1024
 
+    def open_descriptors(self) -> int:
+        """Return the number of descriptors that the process has open."""
+        return len(list(Path(f"/proc/{self._process.pid}/fd").iterdir()))
+
     def _status(self) -> dict[str, str]:
         status = Path(f"/proc/{self._process.pid}/status").read_text(encoding="ascii")
         return dict(line.split(":", 1) for line in status.splitlines())
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -3,11 +3,18 @@
 import signal
 from collections.abc import Callable
 from random import Random
+from time import monotonic
 from time import time
 
+from gevent import joinall
 from gevent import sleep
+from gevent import spawn
 
+from soak.callers import PATH_PREFIX
 from soak.cluster import Cluster
+from soak.misbehaving import PATTERNS
+from soak.misbehaving import run_clients
+from soak.misbehaving import Target
 from soak.proxy import Mode
 from soak.workers import EmulatedWorker
 
@@ -28,6 +35,7 @@
 MAX_RESTART_PAUSE_S = 0.6
 # Part of the calls that a worker carries out late.
 LATE_SHARE = 0.1
+CLIENTS_PER_PORT = 50
 
 Fault = Callable[[Cluster, Random, float], None]
 
@@ -237,6 +245,25 @@
     cluster.set_zone(zone, False)
 
 
+def misbehaving_clients(cluster: Cluster, random: Random, duration_s: float) -> None:
+    """Let clients that follow one pattern call all ports of one entry."""
+    config = random.choice(cluster.entries).config
+    pattern = random.choice(PATTERNS)
+    targets = (
+        Target(config.front_address, f"{PATH_PREFIX}{random.getrandbits(64):016x}"),
+        Target(config.front_address, "/elsewhere"),
+        Target(config.ready_address, "/v1/ready"),
+        Target(config.peer_address, "/peer/submitted"),
+    )
+    end_s = monotonic() + duration_s
+    joinall(
+        [
+            spawn(run_clients, pattern, target, CLIENTS_PER_PORT, lambda: monotonic() > end_s)
+            for target in targets
+        ]
+    )
+
+
 FAULTS: tuple[Fault, ...] = (
     kill_entry,
     kill_entries,
@@ -263,11 +290,15 @@
     forget_history,
     take_zone_out,
 )
+# Injected only where they are named, so that the faults of a seed stay the same.
+NAMED_FAULTS: tuple[Fault, ...] = (misbehaving_clients,)
 
 
 def choose_faults(names: tuple[str, ...]) -> tuple[Fault, ...]:
     """Return the faults of the given names, or all of them if there are none."""
-    return tuple(fault for fault in FAULTS if not names or fault.__name__ in names)
+    if not names:
+        return FAULTS
+    return tuple(fault for fault in (*FAULTS, *NAMED_FAULTS) if fault.__name__ in names)
 
 
 def inject_faults(
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -1,5 +1,6 @@
 """Tests of the decoding of the platform's settings, submissions and rows."""
 
+import tracemalloc
 from hashlib import sha256
 from tempfile import TemporaryDirectory
 
@@ -9,6 +10,7 @@
 from testtools.matchers import Equals
 from testtools.matchers import Is
 from testtools.matchers import IsInstance
+from testtools.matchers import LessThan
 
 from laburnumswitch.exceptions import CallerRefused
 from laburnumswitch.exceptions import ProblemsFound
@@ -19,6 +21,7 @@
 from laburnumswitch.platform.settings import read_deployment
 from laburnumswitch.platform.workers import format_task_id
 from laburnumswitch.platform.workers import parse_task_id
+from laburnumswitch.process.dispatch.job_spec import Limits
 from laburnumswitch.process.dispatch.job_spec import TaskKey
 from laburnumswitch.process.dispatch.worker_protocol import WorkerListing
 from laburnumswitch.process.operating.operations import ZoneOrder
@@ -47,6 +50,7 @@
 [platform]
 address = "127.0.0.1:8169"
 """
+MAX_DECODING_BYTES = 8_000_000
 WORKER = {
     "service": "s",
     "address": "127.0.0.1:80",
@@ -127,6 +131,31 @@
         body = b'{"spec":"x","steps":[{"count":' + b"[" * 4096
         self.assertThat(decode_submission(body, "id", "q", 1.0), IsInstance(CallerRefused))
 
+    def test_job_of_too_many_steps_or_tasks_is_refused(self):
+        # A few bytes made the owner create a million tasks, and a body of legal size 21,000 steps.
+        many_steps = b'{"count":1},' * 21_000
+        after = b'{"count":1},{"count":1,"after":[' + b"0," * 1_000 + b"0]},"
+        for steps in (b'{"count":1000000},', b'{"count":20000},' * 2, many_steps, after):
+            body = b'{"spec":"x","steps":[' + steps[:-1] + b"]}"
+            refusal = decode_submission(body, "id", "q", 1.0)
+            self.assertThat(refusal, IsInstance(CallerRefused))
+            self.assertThat(refusal.status, Equals(400))
+
+    def test_decoding_takes_a_bounded_multiple_of_the_body(self):
+        # Decoded all at once, 87,000 empty steps took 24 MB.
+        size = 262_144
+        bodies = (
+            b'{"spec":"x","steps":[' + b"{}," * (size // 3) + b"{}]}",
+            b'{"spec":"x","steps":[' + b'{"count":1},' * (size // 12) + b"{}]}",
+            b'{"spec":"x","steps":[{"x":[' + b"[]," * (size // 3) + b"[]]}]}",
+        )
+        for body in bodies:
+            tracemalloc.start()
+            decode_submission(body, "id", "q", 1.0)
+            _, peak_bytes = tracemalloc.get_traced_memory()
+            tracemalloc.stop()
+            self.assertThat(peak_bytes, LessThan(MAX_DECODING_BYTES))
+
     def test_step_after_itself_is_refused(self):
         body = b'{"spec":"x","steps":[{"count":1,"after":[0]}]}'
         self.assertThat(decode_submission(body, "id", "q", 1.0), IsInstance(CallerRefused))
@@ -235,3 +264,11 @@
         value = decode(b'{"wave":1,"machines":["m"],"durationS":20,"maxCount":2}')
         wave = decode_operation(Row("op/wave/1", 1, value))
         self.assertThat((wave.vm_ids, wave.max_count), Equals((("m",), 2)))
+
+
+class TestLimits(TestCase):
+    def test_limits_of_heads_are_decoded(self):
+        limits = {"maxHeaderBytes": 8_000, "headerTimeoutMs": 1_500, "maxBodyBytes": 9}
+        value = {"version": 1, "routes": [], "services": [], "limits": limits}
+        configuration = decode_operation(Row("op/config", 1, value))
+        self.assertThat(configuration.limits, Equals(Limits(9, 15.0, 8_000, 1.5)))
