--- a/laburnumswitch/dispatch_metrics.py
+++ b/laburnumswitch/dispatch_metrics.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 
+from laburnumswitch.connection.client_limits import PortClients
+from laburnumswitch.connection.client_limits import RefusalCounter
 from laburnumswitch.connection.connection_limit import ConnectionLimit
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
 from laburnumswitch.process.dispatch.job_spec import Organisation
@@ -157,3 +159,27 @@
             value = read(totals.get(name, NOTHING_RUNS), known)
             value_by_label[label] = value_by_label.get(label, 0.0) + value
     return [Sample({"organisation": label}, value) for label, value in value_by_label.items()]
+
+
+def register_client_metrics(
+    metrics: Metrics, refusals: RefusalCounter, clients_of_ports: tuple[PortClients, ...]
+) -> None:
+    """Register the metrics of the clients of an entry's ports."""
+    metrics.add_counters(
+        "laburnumswitch_clients_refused_total",
+        "Requests refused and connections closed at the bounds of a port, by port and cause.",
+        lambda: [
+            Sample({"port": port, "cause": cause}, count)
+            for (port, cause), count in refusals.counts.items()
+        ],
+    )
+    metrics.add_gauges(
+        "laburnumswitch_client_connections",
+        "Open connections of clients, by port.",
+        lambda: [Sample({"port": each.port}, each.open_count) for each in clients_of_ports],
+    )
+    metrics.add_gauges(
+        "laburnumswitch_client_body_bytes",
+        "Bytes that request bodies take until they are answered, by port.",
+        lambda: [Sample({"port": each.port}, each.budget.used_bytes) for each in clients_of_ports],
+    )
