--- a/laburnumswitch/platform/settings.py
+++ b/laburnumswitch/platform/settings.py
@@ -44,6 +44,7 @@
         "far_factor": "farFactor",
         "restore_ms": "restoreMs",
         "pace_ms": "paceMs",
+        "quota_overage": "quotaOverage",
     },
 ):
     # ``holdMaxMs`` is the longest lease of a worker's runs, ``harmMs`` the time for which a tail
@@ -57,6 +58,7 @@
     far_factor: float = 1.0
     restore_ms: float = 0.0
     pace_ms: float = 0.0
+    quota_overage: float = 0.1
 
 
 class _Store(Struct):
@@ -116,6 +118,7 @@
             far_factor=bounds.far_factor,
             restore_s=bounds.restore_ms / MS_PER_S,
             throttle_delay_s=bounds.pace_ms / MS_PER_S,
+            quota_overage=bounds.quota_overage,
         ),
         max_sockets=max(0, fields.limits.max_fds - FILE_DESCRIPTORS),
     )
--- a/laburnumswitch/process/daemon/deployment.py
+++ b/laburnumswitch/process/daemon/deployment.py
@@ -8,7 +8,8 @@
 
     ``lease_s`` is the longest lease that a worker grants, ``max_overrun_s`` how long a tail latency
     may exceed its target, ``far_factor`` the factor by which a task takes longer away from its
-    data, and ``throttle_delay_s`` the delay of a throttle.
+    data, ``throttle_delay_s`` the delay of a throttle, and ``quota_overage`` the share by which the
+    running tasks of an organisation may exceed its limit for a time.
     """
 
     drain_s: float
@@ -19,6 +20,7 @@
     far_factor: float
     restore_s: float
     throttle_delay_s: float
+    quota_overage: float = 0.1
 
 
 class Deployment(NamedTuple):
--- a/laburnumswitch/process/dispatch/admission.py
+++ b/laburnumswitch/process/dispatch/admission.py
@@ -1,11 +1,12 @@
-"""Admits long-running jobs, or rejects those for which the service has no room.
+"""Admits jobs, or rejects those for which there is no room.
 
 An accepted long-running job reserves its processors until its caller cancels it, and its tasks are
 restarted however they end. If the accepted jobs of a service reserve more than its workers have,
 or leave nothing for urgent tasks, some accepted work cannot be served whatever is started first.
 Such a job is rejected before it is stored, with the time after which there is probably room.
 
-This handles callers who ask for more long-running tasks over the day than end.
+This handles callers who ask for more long-running tasks over the day than end. What an organisation
+may have waiting is decided in ``organisation_admission``.
 """
 
 from laburnumswitch.process.dispatch.commitment import Admission
@@ -15,6 +16,11 @@
 from laburnumswitch.process.dispatch.commitment import retry_after
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
 from laburnumswitch.process.dispatch.fleet import Worker
+from laburnumswitch.process.dispatch.organisation_admission import AdmittedJob
+from laburnumswitch.process.dispatch.organisation_admission import judge
+from laburnumswitch.process.dispatch.organisation_admission import WaitingWork
+from laburnumswitch.process.dispatch.organisation_jobs import JobDemand
+from laburnumswitch.process.dispatch.organisation_update import backlog_of
 from laburnumswitch.process.leadership.messages import AdmissionAnswer
 from laburnumswitch.process.leadership.messages import AdmissionRequest
 
@@ -32,11 +38,80 @@
 
 
 def admit(dispatcher: Dispatcher, request: AdmissionRequest) -> AdmissionAnswer:
+    """Admit a job, or reject it for want of room.
+
+    A repeated request of a job that is stored or was admitted is not rejected.
+    """
+    job_id = request.job_id
+    was_admitted = (
+        job_id in dispatcher.admissions.admitted_by_id
+        or job_id in dispatcher.organisation_admissions.admitted_by_id
+    )
+    if dispatcher.knows_job(job_id) or was_admitted:
+        return ADMITTED
+    rejection = _reject_for_organisation(dispatcher, request)
+    if rejection is not None:
+        return rejection
+    answer = _admit_lasting(dispatcher, request) if request.cpu_millis else ADMITTED
+    if request.organisation and answer == ADMITTED:
+        _note_admitted(dispatcher, request)
+    return answer
+
+
+def _reject_for_organisation(
+    dispatcher: Dispatcher, request: AdmissionRequest
+) -> AdmissionAnswer | None:
+    """Reject a job that cannot run in time within the limit of its organisation."""
+    context, now_s = dispatcher.context, dispatcher.context.clock()
+    organisation = context.operations.organisations_by_name.get(request.organisation)
+    queue = context.operations.queue(request.queue)
+    if organisation is None or queue is None:
+        return None
+    if _may_have_inherited_admissions(dispatcher, now_s):
+        return None
+    backlog = backlog_of(dispatcher, organisation.name)
+    demand = JobDemand(request.work, request.critical_path_s, request.widest_gang)
+    overage = context.deployment.bounds.quota_overage
+    judgement = judge(demand, queue, backlog, organisation.limit, overage)
+    if judgement.cause is None:
+        return None
+    retry_after_s = dispatcher.organisation_admissions.note_rejected(
+        organisation.name, request.job_id, judgement, now_s
+    )
+    context.log.note(
+        "job_rejected",
+        request.job_id,
+        queue=queue.name,
+        organisation=organisation.name,
+        cause=judgement.cause,
+        ahead_s=round(judgement.ahead_s, 3),
+        own_s=round(judgement.own_s, 3),
+        allowed_s=round(judgement.allowed_s, 3),
+        ahead=[round(each) for each in backlog.ahead_of(queue.priority)],
+        work=[round(each) for each in request.work],
+        widest_gang=request.widest_gang,
+        limit=organisation.limit,
+        lasting=backlog.lasting,
+        configuration=context.operations.configuration.version,
+        retry_after_s=retry_after_s,
+    )
+    return AdmissionAnswer(retry_after_s, str(judgement.cause))
+
+
+def _note_admitted(dispatcher: Dispatcher, request: AdmissionRequest) -> None:
+    queue = dispatcher.context.operations.queue(request.queue)
+    if queue is not None:
+        dispatcher.organisation_admissions.admitted_by_id[request.job_id] = AdmittedJob(
+            request.organisation,
+            WaitingWork(queue.priority, request.work),
+            dispatcher.context.clock() + ADMISSION_S,
+        )
+
+
+def _admit_lasting(dispatcher: Dispatcher, request: AdmissionRequest) -> AdmissionAnswer:
     """Admit a job that lasts, or reject it for want of room."""
     job_id, now_s = request.job_id, dispatcher.context.clock()
     admissions = dispatcher.admissions
-    if dispatcher.knows_job(job_id) or job_id in admissions.admitted_by_id:
-        return ADMITTED
     queue = dispatcher.context.operations.queue(request.queue)
     commitment = measure_commitments(dispatcher).get(queue.service) if queue else None
     if commitment is None:
@@ -65,13 +140,15 @@
 def _may_reject(dispatcher: Dispatcher, now_s: float) -> bool:
     """Return whether the workers and the accepted jobs are known well enough to reject one."""
     age_s = now_s - dispatcher.began_s
-    if not dispatcher.knows_listings:
-        return False
-    if dispatcher.epoch > 1 and age_s < INHERITED_ADMISSIONS_S:
+    if not dispatcher.knows_listings or _may_have_inherited_admissions(dispatcher, now_s):
         return False
     return age_s > MAX_FLEET_START_S or now_s - dispatcher.last_added_s > FLEET_COMPLETE_S
 
 
+def _may_have_inherited_admissions(dispatcher: Dispatcher, now_s: float) -> bool:
+    return dispatcher.epoch > 1 and now_s - dispatcher.began_s < INHERITED_ADMISSIONS_S
+
+
 def measure_commitments(dispatcher: Dispatcher) -> dict[str, Commitment]:
     """Return the commitments by service."""
     now_s = dispatcher.context.clock()
--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -51,6 +51,9 @@
 from laburnumswitch.process.dispatch.jobs import step_work
 from laburnumswitch.process.dispatch.jobs import Task
 from laburnumswitch.process.dispatch.opportunity import Demand
+from laburnumswitch.process.dispatch.organisation_admission import OrganisationAdmissions
+from laburnumswitch.process.dispatch.organisation_jobs import OrganisationJobs
+from laburnumswitch.process.dispatch.organisation_share import OrganisationShares
 from laburnumswitch.process.dispatch.recorder import Recorder
 from laburnumswitch.process.dispatch.tails import TailLatencyModel
 from laburnumswitch.process.dispatch.tickets import Tickets
@@ -206,6 +209,11 @@
         self.priced_s = float("-inf")
         self.headroom_by_service: defaultdict[str, Headroom] = defaultdict(Headroom)
         self.admissions = Admissions()
+        self.organisation_jobs = OrganisationJobs()
+        self.organisation_admissions = OrganisationAdmissions()
+        self.shares = OrganisationShares()
+        # When the load of organisations was last measured, on the monotonic clock.
+        self.organisations_updated_s = float("-inf")
         # When a worker was last added, on the monotonic clock.
         self.last_added_s = self.began_s
         # When the planner last looked for long-running tasks to stop, on the monotonic clock.
@@ -365,6 +373,7 @@
         may_be_started_elsewhere = self.predecessor_may_start_jobs and not self.settled
         job = Job(submission, may_have_unknown_runs or may_be_started_elsewhere)
         self.jobs_by_id[job.job_id] = job
+        self._note_organisation(job)
         mean = self.mean_work_by_queue.get(submission.queue, job.work)
         self.mean_work_by_queue[submission.queue] = mean + MEAN_WORK_WEIGHT * (job.work - mean)
         for step in submission.steps:
@@ -384,6 +393,12 @@
             self.refresh_ready_steps(job)
         return job
 
+    def _note_organisation(self, job: Job) -> None:
+        self.organisation_jobs.add(job)
+        if self.is_loaded.is_set():
+            organisations = self.context.operations.organisations_by_name
+            self.shares.note_arrival(job, organisations, self.context.wall_clock())
+
     def knows_job(self, job_id: str) -> bool:
         """Return whether a stored job is known, including one that has ended."""
         return job_id in self.jobs_by_id or job_id in self.final_by_id
--- a/laburnumswitch/process/dispatch/jobs.py
+++ b/laburnumswitch/process/dispatch/jobs.py
@@ -182,6 +182,7 @@
     :ivar is_stored: whether the current state is committed.
     :ivar may_have_unknown_runs: whether an earlier owner may have started tasks that no worker has
         reported yet.
+    :ivar is_owed: whether its organisation is entitled to it; written by ``organisation_share``.
     """
 
     def __init__(self, submission: Submission, may_have_unknown_runs: bool = False) -> None:
@@ -190,6 +191,7 @@
         self.has_begun = False
         self.may_have_unknown_runs = may_have_unknown_runs
         self.is_stored = True
+        self.is_owed = True
         self.critical_paths_s = critical_paths_s(submission.steps)
         self.work = sum(step.count * step_work(step) for step in submission.steps)
         count = max(1, submission.occurrences)
--- a/laburnumswitch/process/dispatch/ordering.py
+++ b/laburnumswitch/process/dispatch/ordering.py
@@ -8,6 +8,7 @@
 from laburnumswitch.process.dispatch.jobs import ReadyStep
 from laburnumswitch.process.dispatch.jobs import step_work
 from laburnumswitch.process.dispatch.jobs import StepState
+from laburnumswitch.process.dispatch.organisation_share import ShareClass
 
 # A job that takes longer than this multiple of its target duration has no value any more.
 LATE_FACTOR = 3.0
@@ -30,18 +31,27 @@
 class OrderKey(NamedTuple):
     """Sort key of a ready step, lower first.
 
+    :ivar share_class: place of the job's organisation. A step without value any more is in the last
+        class, so that it goes after all that have some.
     :ivar cost_per_value: remaining work of the occurrence per value of its job.
     :ivar slack_s: time left for delays if the job is to reach its target duration.
     """
 
     priority: int
     is_long_running: bool
+    share_class: ShareClass
     tier: Tier
     cost_per_value: float
     slack_s: float
 
 
-def order_key(ready: ReadyStep, queue: Queue, mean_work: float, now_s: float) -> OrderKey:
+def order_key(
+    ready: ReadyStep,
+    queue: Queue,
+    mean_work: float,
+    now_s: float,
+    share_class: ShareClass = ShareClass.WITHIN_SHARE,
+) -> OrderKey:
     """Return the sort key of a ready step.
 
     The order matters when bursts of jobs temporarily exceed the capacity. Within one priority, jobs
@@ -62,10 +72,12 @@
     slack_s = occurrence.due_s + objective_s - remaining_s - now_s
     value = FIXED_VALUE * mean_work + job.work
     remaining_core_s = remaining_work(occurrence) if step_state.step.best_effort else 0.0
+    tier = _tier(step_state, slack_s, objective_s)
     return OrderKey(
         queue.priority,
         step_state.step.long_running,
-        _tier(step_state, slack_s, objective_s),
+        ShareClass.NOT_OWED if tier is Tier.EXPIRED else share_class,
+        tier,
         remaining_core_s / max(value, 1e-9),
         slack_s,
     )
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -35,6 +35,7 @@
 from laburnumswitch.process.dispatch.ordering import order_key
 from laburnumswitch.process.dispatch.ordering import OrderKey
 from laburnumswitch.process.dispatch.ordering import Tier
+from laburnumswitch.process.dispatch.organisation_update import update_organisations
 from laburnumswitch.process.dispatch.placing import INTERFERENCE_LIMIT
 from laburnumswitch.process.dispatch.placing import is_far_from_data
 from laburnumswitch.process.dispatch.placing import PlacementContext
@@ -114,6 +115,7 @@
     that found no room are skipped until a pass has come to the end, so that none starves.
     """
     now_s = dispatcher.context.wall_clock()
+    update_organisations(dispatcher)
     dispatcher.advice.requests.clear()
     keyed = []
     for key_of_step, ready in dispatcher.ready_step_by_key.items():
@@ -121,7 +123,9 @@
             continue
         queue = dispatcher.queue_of(ready.job)
         if queue is not None and is_due(dispatcher, ready, now_s):
-            key = order_key(ready, queue, dispatcher.mean_work_by_queue[queue.name], now_s)
+            mean_work = dispatcher.mean_work_by_queue[queue.name]
+            share_class = dispatcher.shares.share_class(ready)
+            key = order_key(ready, queue, mean_work, now_s, share_class)
             keyed.append((key, queue, ready, key_of_step))
     keyed.sort(key=lambda each: (not _is_overdue(dispatcher, each[2]), each[0]))
     state_by_service: dict[str, ServicePlanningState] = {}
@@ -190,7 +194,8 @@
 ) -> None:
     """Make room for the urgent steps of a whole pass that still wait and can be on time or late.
 
-    Steps that wait for tickets are left out: only some workers, not known yet, may run them.
+    Steps that wait for tickets are left out: only some workers, not known yet, may run them. So are
+    those that are not owed to their organisations, which wait for free capacity.
     """
     now_s = dispatcher.context.clock()
     if now_s - dispatcher.preempted_s < PREEMPTION_INTERVAL_S:
@@ -201,7 +206,7 @@
         step_state = ready.step_state
         if not step_state.step.is_urgent or step_state.step.gang or queue.needs_advice:
             continue
-        if step_state.has_waiting() and key.tier is not Tier.EXPIRED:
+        if ready.job.is_owed and step_state.has_waiting() and key.tier is not Tier.EXPIRED:
             waiting = WaitingStep(ready, queue)
             waiting_by_service.setdefault(queue.service, []).append(waiting)
     for service, waiting_steps in waiting_by_service.items():
@@ -225,7 +230,7 @@
         service_state.long_running_budget -= (
             ready.step_state.active_count - active
         ) * step.cpu_millis
-    elif step.is_urgent and ready.step_state.has_waiting():
+    elif step.is_urgent and ready.job.is_owed and ready.step_state.has_waiting():
         _reserve_workers(dispatcher, queue, ready, usable, service_state)
 
 
--- a/laburnumswitch/process/dispatch/takeover.py
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -23,6 +23,7 @@
 from laburnumswitch.process.dispatch.load_report import run_load_report
 from laburnumswitch.process.dispatch.model_store import load_parameters
 from laburnumswitch.process.dispatch.model_store import run_learning
+from laburnumswitch.process.dispatch.organisation_update import note_loaded_jobs
 from laburnumswitch.process.dispatch.planner import run_planner
 from laburnumswitch.process.dispatch.planner import run_relocation
 from laburnumswitch.process.dispatch.progress import CANCELLATIONS_TABLE
@@ -98,6 +99,7 @@
     _load_fleet(dispatcher, handover_by_worker)
     if dispatcher.is_stopped():
         return
+    note_loaded_jobs(dispatcher)
     dispatcher.is_loaded.set()
     dispatcher.spawn(follow_submissions, dispatcher, version)
     dispatcher.spawn(follow_cancellations, dispatcher, version)
--- a/laburnumswitch/process/leadership/leadership.py
+++ b/laburnumswitch/process/leadership/leadership.py
@@ -48,6 +48,9 @@
 # A number of pending jobs that was reported longer ago than this, in seconds, is not given to
 # callers. An owner reports it about every ``WATCH_WAIT_S``.
 PENDING_MAX_AGE_S = 2.0
+# The organisations that an owner reported as busy longer ago than this, in seconds, count as not
+# busy: then no owner is asked about their jobs.
+BUSY_MAX_AGE_S = 2.0
 # Pause in seconds before a failed call is repeated.
 RETRY_S = 0.2
 # An owner hands over to a watcher with more than this many times the owner's cores.
@@ -128,6 +131,8 @@
         self._context = context
         self._candidates: tuple[str, ...] = ()
         self._pending_reported_s = float("-inf")
+        self._busy_organisations: frozenset[str] = frozenset()
+        self._busy_reported_s = float("-inf")
 
     def run(self) -> None:
         """Follow the owner, or act as the owner, until the process stops."""
@@ -175,6 +180,16 @@
         """
         return self._context.boot_clock() - self._pending_reported_s <= PENDING_MAX_AGE_S
 
+    def note_busy(self, organisations: tuple[str, ...]) -> None:
+        """Record the organisations that an owner reported as busy."""
+        self._busy_organisations = frozenset(organisations)
+        self._busy_reported_s = self._context.boot_clock()
+
+    def is_busy(self, organisation: str) -> bool:
+        """Return whether an owner has recently reported an organisation as busy."""
+        age_s = self._context.boot_clock() - self._busy_reported_s
+        return age_s <= BUSY_MAX_AGE_S and organisation in self._busy_organisations
+
     def candidates(self) -> tuple[str, ...]:
         """Return the entries that watch this owner, largest first."""
         ranked = [(-cpu_cores, vm_id) for vm_id, cpu_cores in self._cpu_cores_by_watcher().items()]
@@ -272,6 +287,7 @@
         )
         if not isinstance(answer, Failure) and answer.is_owner:
             self._candidates = answer.candidates
+            self.note_busy(answer.busy_organisations)
             if answer.knows_jobs:
                 self.note_pending(answer.pending_by_queue)
         return answer
--- a/laburnumswitch/process/leadership/messages.py
+++ b/laburnumswitch/process/leadership/messages.py
@@ -2,6 +2,10 @@
 
 from typing import NamedTuple
 
+from laburnumswitch.process.dispatch.organisation_jobs import ResourceSeconds
+from laburnumswitch.size import Size
+from laburnumswitch.size import ZERO
+
 
 class WatchAnswer(NamedTuple):
     """Answer to an entry that watches the owner.
@@ -12,6 +16,8 @@
     :ivar store_silent_s: time since the owner's last successful commit.
     :ivar knows_jobs: whether the owner has read all stored jobs. Until then ``pending_by_queue`` is
         empty and says nothing. Earlier versions do not send it.
+    :ivar busy_organisations: organisations whose jobs may have to be rejected: entries ask the
+        owner before they store one.
     """
 
     epoch: int
@@ -21,6 +27,7 @@
     pending_by_queue: dict[str, int]
     store_silent_s: float
     knows_jobs: bool = True
+    busy_organisations: tuple[str, ...] = ()
 
 
 class JobStateAnswer(NamedTuple):
@@ -35,20 +42,32 @@
 
 
 class AdmissionRequest(NamedTuple):
-    """A job that reserves processors for as long as it lasts.
-
-    :ivar cpu_millis: these processors, in thousandths of a core.
+    """A job that the owner may have to reject.
+
+    :ivar cpu_millis: processors that it reserves for as long as it lasts, in thousandths of a core;
+        0 if it has no long-running steps.
+    :ivar organisation: empty if it has none, or if its organisation is not busy.
+    :ivar work: resources times estimated seconds of the steps that are not long-running.
+    :ivar critical_path_s: estimated duration of the longest chain of steps.
+    :ivar widest_gang: largest amount of each resource that a gang uses without one of its members.
     """
 
     job_id: str
     queue: str
     cpu_millis: int
+    organisation: str = ""
+    work: ResourceSeconds = ResourceSeconds()
+    critical_path_s: float = 0.0
+    widest_gang: Size = ZERO
 
 
 class AdmissionAnswer(NamedTuple):
     """Whether the owner admits a job.
 
     :ivar retry_after_s: 0 if it does; else after how many whole seconds there is probably room.
+    :ivar reason: why it does not admit a job of an organisation, one of ``Cause``; empty if it
+        does, or if there is no room for the long-running steps.
     """
 
     retry_after_s: int
+    reason: str = ""
--- a/laburnumswitch/process/leadership/owner_link.py
+++ b/laburnumswitch/process/leadership/owner_link.py
@@ -29,7 +29,7 @@
         self._vm_id = vm_id
 
     def admit(self, request: AdmissionRequest) -> AdmissionAnswer | Failure:
-        """Return whether the owner has room for a job that lasts."""
+        """Return whether the owner admits a job."""
         dispatcher = self._leadership.dispatcher
         if dispatcher is not None:
             loaded = loaded_dispatcher(self._leadership)
@@ -38,6 +38,13 @@
             return Unavailable("no owner known")
         return self._peers.admit(self._leadership.current_term.address, request)
 
+    def is_busy(self, organisation: str) -> bool:
+        """Return whether the owner has to be asked about the jobs of an organisation."""
+        dispatcher = self._leadership.dispatcher
+        if dispatcher is not None:
+            return organisation in dispatcher.organisation_admissions.busy
+        return self._leadership.is_busy(organisation)
+
     def notify_submitted(self, submission: Submission) -> None:
         """Notify the owner of a stored job, without waiting."""
         dispatcher = self._leadership.dispatcher
--- a/laburnumswitch/process/leadership/peer_api.py
+++ b/laburnumswitch/process/leadership/peer_api.py
@@ -62,7 +62,7 @@
         return call_json(self._client(address), "POST", target, None, bool, CALL_TIMEOUT_S)
 
     def admit(self, address: str, request: AdmissionRequest) -> AdmissionAnswer | Failure:
-        """Ask the owner whether it has room for a job that lasts."""
+        """Ask the owner whether it admits a job."""
         client = self._client(address)
         return call_json(client, "POST", "/peer/admit", request, AdmissionAnswer, CALL_TIMEOUT_S)
 
@@ -191,8 +191,8 @@
 
 
 def _hold_watch(dispatcher: Dispatcher, wait_s: float) -> None:
-    """Wait until the owner steps down or, if it is still loading, knows the stored jobs."""
-    changes = [dispatcher.stopped]
+    """Wait until the owner steps down, an organisation becomes busy, or stored jobs are loaded."""
+    changes = [dispatcher.stopped, dispatcher.organisation_admissions.busy_grew]
     if not dispatcher.is_loaded.is_set():
         changes.append(dispatcher.is_loaded)
     wait(changes, wait_s, count=1)
@@ -210,4 +210,5 @@
         dispatcher.pending_by_queue(),
         dispatcher.recorder.since_last_commit_s(),
         dispatcher.is_loaded.is_set(),
+        busy_organisations=dispatcher.organisation_admissions.busy,
     )
--- a/laburnumswitch/process/operating/operations.py
+++ b/laburnumswitch/process/operating/operations.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from laburnumswitch.exceptions import RowMalformed
+from laburnumswitch.process.dispatch.job_spec import Organisation
 from laburnumswitch.process.dispatch.job_spec import Queue
 from laburnumswitch.process.dispatch.job_spec import QueueConfiguration
 from laburnumswitch.process.observing.decisions import DecisionLog
@@ -63,6 +64,11 @@
         self.known_queue_by_name: dict[str, KnownQueue] = {}
         self.log = log
 
+    @property
+    def organisations_by_name(self) -> dict[str, Organisation]:
+        """Return the organisations of the current configuration."""
+        return self.configuration.organisations_by_name if self.configuration else {}
+
     def queue(self, name: str) -> Queue | None:
         """Return a queue that is or was configured."""
         known = self.known_queue_by_name.get(name)
--- a/laburnumswitch/request/job_api.py
+++ b/laburnumswitch/request/job_api.py
@@ -15,6 +15,8 @@
 from laburnumswitch.process.dispatch.job_spec import Submission
 from laburnumswitch.process.dispatch.jobs import FINAL_STATES
 from laburnumswitch.process.dispatch.jobs import JobState
+from laburnumswitch.process.dispatch.organisation_admission import needs_judgement
+from laburnumswitch.process.dispatch.organisation_jobs import demand_of
 from laburnumswitch.process.dispatch.progress import cancellation_key
 from laburnumswitch.process.dispatch.progress import decode_progress
 from laburnumswitch.process.dispatch.progress import Progress
@@ -52,7 +54,10 @@
     """Interface of the request path to the owner, which may be this entry or another one."""
 
     def admit(self, request: AdmissionRequest) -> AdmissionAnswer | Failure:
-        """Return whether the owner has room for a job that lasts."""
+        """Return whether the owner admits a job."""
+
+    def is_busy(self, organisation: str) -> bool:
+        """Return whether the owner has to be asked about the jobs of an organisation."""
 
     def notify_submitted(self, submission: Submission) -> None:
         """Notify the owner of a stored job, without waiting."""
@@ -157,9 +162,9 @@
     submission = context.decode_submission(request.body, job_id, queue.name, now_s)
     if isinstance(submission, CallerRefused):
         return JobReply(submission.status)
-    retry_after_s = _rejected_for_s(context, submission)
-    if retry_after_s:
-        return JobReply(503, retry_after_s=retry_after_s)
+    rejection = _reject(context, queue, submission)
+    if rejection is not None:
+        return rejection
 
     def attempt() -> JobReply | Failure:
         failure = store_submission(context.table, submission)
@@ -175,28 +180,52 @@
     return _retry(context, attempt, deadline_s, "submit_unknown", job_id, unknown_reply)
 
 
-def _rejected_for_s(context: JobApiContext, submission: Submission) -> int:
-    """Return after how many seconds a caller may return whose job has no room, 0 if it may run.
+def _reject(context: JobApiContext, queue: Queue, submission: Submission) -> JobReply | None:
+    """Return the answer to a job that has no room, ``None`` if it may run.
 
     Without an answer of the owner the job is accepted. An earlier attempt may have stored it: then
     it runs, and is not rejected.
     """
-    cpu_millis = committed_cpu_millis(submission.steps)
-    if not cpu_millis:
-        return 0
-    request = AdmissionRequest(submission.job_id, submission.queue, cpu_millis)
+    request = _admission_request(context, queue, submission)
+    if request is None:
+        return None
     answer = context.owner.admit(request)
     if isinstance(answer, Failure):
         context.log.note("admission_unknown", submission.job_id, reason=answer.describe())
-        return 0
-    if not answer.retry_after_s:
-        return 0
+        return None
+    # An owner of the previous version knows no quotas, and judges every job as one that lasts.
+    if not answer.retry_after_s or not (answer.reason or request.cpu_millis):
+        return None
     key = submission_key(submission.job_id)
     rows = context.table.read((key,))
     if isinstance(rows, Failure):
         context.log.note("admission_unknown", submission.job_id, reason=rows.describe())
-        return 0
-    return 0 if _exists(rows[key]) else answer.retry_after_s
+        return None
+    if _exists(rows[key]):
+        return None
+    return JobReply(429 if answer.reason else 503, retry_after_s=answer.retry_after_s)
+
+
+def _admission_request(
+    context: JobApiContext, queue: Queue, submission: Submission
+) -> AdmissionRequest | None:
+    """Return what to ask the owner about a job, ``None`` if it is certainly admitted.
+
+    Asked about are jobs that last, jobs of busy organisations, and those that alone may be too
+    large for the limit of their organisation.
+    """
+    cpu_millis = committed_cpu_millis(submission.steps)
+    lasting = AdmissionRequest(submission.job_id, submission.queue, cpu_millis)
+    organisation = context.operations.organisations_by_name.get(submission.organisation)
+    if organisation is None:
+        return lasting if cpu_millis else None
+    demand = demand_of(submission.steps)
+    is_judged = context.owner.is_busy(organisation.name) or needs_judgement(
+        demand, queue, organisation.limit
+    )
+    if not is_judged or not any(organisation.limit):
+        return lasting if cpu_millis else None
+    return lasting._replace(organisation=organisation.name, **demand._asdict())
 
 
 def _get_state(
--- a/tests/process/dispatch/replay.py
+++ b/tests/process/dispatch/replay.py
@@ -16,6 +16,7 @@
 from laburnumswitch.process.dispatch.commitment import committed_cpu_millis
 from laburnumswitch.process.dispatch.dispatcher import DispatchContext
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
+from laburnumswitch.process.dispatch.job_spec import Organisation
 from laburnumswitch.process.dispatch.job_spec import Queue
 from laburnumswitch.process.dispatch.job_spec import QueueConfiguration
 from laburnumswitch.process.dispatch.job_spec import Step
@@ -23,6 +24,7 @@
 from laburnumswitch.process.dispatch.job_spec import TaskKey
 from laburnumswitch.process.dispatch.jobs import critical_paths_s
 from laburnumswitch.process.dispatch.jobs import JobState
+from laburnumswitch.process.dispatch.organisation_jobs import demand_of
 from laburnumswitch.process.dispatch.planner import plan
 from laburnumswitch.process.dispatch.recorder import Recorder
 from laburnumswitch.process.dispatch.recorder import RecorderContext
@@ -56,12 +58,14 @@
     """A job that a caller submits at ``at_s``.
 
     :ivar duration_by_step: how long a task of each step runs, in seconds.
+    :ivar organisation: who submits it; empty for a public queue.
     """
 
     at_s: float
     queue: str
     steps: tuple[Step, ...]
     duration_by_step: tuple[float, ...] = ()
+    organisation: str = ""
 
 
 class FinishedJob(NamedTuple):
@@ -69,10 +73,12 @@
 
     :ivar took_s: from its submission to its end; infinite if it did not end.
     :ivar objective_s: target of that time.
+    :ivar organisation: who submitted it.
     """
 
     took_s: float
     objective_s: float
+    organisation: str = ""
 
 
 class _Link:
@@ -106,7 +112,11 @@
     """
 
     def __init__(
-        self, listings: list[WorkerListing], queues: list[Queue], rejects_jobs: bool = True
+        self,
+        listings: list[WorkerListing],
+        queues: list[Queue],
+        rejects_jobs: bool = True,
+        organisations: tuple[Organisation, ...] = (),
     ) -> None:
         """Create the fleet.
 
@@ -126,7 +136,9 @@
         log = DecisionLog("vm-1", self._clock, 0)
         operations = Operations(log)
         by_name = {queue.name: queue for queue in queues}
-        operations.apply(QueueConfiguration(1, by_name, {"shop": True}))
+        configuration = QueueConfiguration(1, by_name, {"shop": True})
+        organisation_by_name = {each.name: each for each in organisations}
+        operations.apply(configuration._replace(organisations_by_name=organisation_by_name))
         table = FeedMemoryTable(self._clock)
         term = Term(1, "vm-1", "vm-1-i", "10.0.0.9:1")
         outcome = table.commit(Transaction((Condition(TERM_KEY, 0),), (Put(TERM_KEY, term),)))
@@ -193,16 +205,24 @@
 
     def _arrive(self, arrival: Arrival) -> None:
         job_id = f"{next(self._number):016x}"
-        asked_cpu_millis = committed_cpu_millis(arrival.steps)
-        if asked_cpu_millis and self._rejects_jobs:
-            request = AdmissionRequest(job_id, arrival.queue, asked_cpu_millis)
+        request = self._admission_request(job_id, arrival)
+        if request is not None and self._rejects_jobs:
             retry_after_s = admit(self.owner, request).retry_after_s
             if retry_after_s:
                 self.rejected_jobs.append((self.now_s, arrival, retry_after_s))
                 return
         self._duration_by_job[job_id] = arrival.duration_by_step
         self._submitted_s_by_job[job_id] = self.now_s
-        self.owner.add_job(Submission(job_id, arrival.queue, "", arrival.steps, self.now_s))
+        submission = Submission(job_id, arrival.queue, "", arrival.steps, self.now_s)
+        self.owner.add_job(submission._replace(organisation=arrival.organisation))
+
+    def _admission_request(self, job_id: str, arrival: Arrival) -> AdmissionRequest | None:
+        """Return what an entry asks that knows at once which organisations are busy."""
+        request = AdmissionRequest(job_id, arrival.queue, committed_cpu_millis(arrival.steps))
+        if arrival.organisation in self.owner.organisation_admissions.busy:
+            demand = demand_of(arrival.steps)
+            return request._replace(organisation=arrival.organisation, **demand._asdict())
+        return request if request.cpu_millis else None
 
     def note_start(self, worker_id, command) -> None:
         durations = self._duration_by_job[command.task.job_id]
@@ -242,5 +262,6 @@
             took_s = (
                 self._ended_s_by_job.get(job_id, float("inf")) - self._submitted_s_by_job[job_id]
             )
-            finished.setdefault(queue.name, []).append(FinishedJob(took_s, objective_s))
+            ended = FinishedJob(took_s, objective_s, job.submission.organisation)
+            finished.setdefault(queue.name, []).append(ended)
         return finished
--- a/tests/process/leadership/test_peer_api.py
+++ b/tests/process/leadership/test_peer_api.py
@@ -14,6 +14,7 @@
 from laburnumswitch.exceptions import Unavailable
 from laburnumswitch.process.dispatch.admission import FLEET_COMPLETE_S
 from laburnumswitch.process.dispatch.commitment import UNKNOWN_RETRY_AFTER_S
+from laburnumswitch.process.dispatch.organisation_admission import OrganisationAdmissions
 from laburnumswitch.process.leadership.messages import AdmissionAnswer
 from laburnumswitch.process.leadership.messages import AdmissionRequest
 from laburnumswitch.process.leadership.messages import WatchAnswer
@@ -38,6 +39,7 @@
         self.is_loaded = Event()
         self.pending = {}
         self.recorder = SimpleNamespace(since_last_commit_s=lambda: 0.1)
+        self.organisation_admissions = OrganisationAdmissions()
 
     def is_stopped(self):
         return self.stopped.is_set()
