--- a/laburnumswitch/process/dispatch/organisation_share.py
+++ b/laburnumswitch/process/dispatch/organisation_share.py
@@ -1,10 +1,10 @@
 """Weighted fair sharing of the capacity between organisations.
 
-This handles an organisation that sends many times its usual rate for some seconds, while all
-others send theirs. Jobs beyond the rate that its weight stands for are not owed to it, and go after
-the owed jobs of all organisations. Among these, an organisation that has used much more than its
-weighted share of the processors lately goes after the others. The classes are coarse: within a
-class, the order of ``ordering`` decides, which maximises what is served.
+This handles an organisation that sends many times its usual rate for some seconds, while all others
+send theirs. Jobs beyond the rate that its weight stands for are not owed to it, and go after the
+owed jobs of all organisations. Among these, an organisation that has used more than its weighted
+share of the processors lately goes after the others. The classes are coarse: within a class, the
+order of ``ordering`` decides, which maximises what is served.
 """
 
 from collections.abc import Mapping
@@ -17,17 +17,22 @@
 from laburnumswitch.process.dispatch.jobs import Job
 from laburnumswitch.process.dispatch.jobs import ReadyStep
 
-# Jobs that arrive at random exceed their average over this time, in seconds, by two standard
-# deviations once in about forty such times. That many are owed at once besides the first.
-BURST_WINDOW_S = 10.0
+# Owed at once after a pause are one job and two standard deviations of the number of jobs that a
+# random sender submits in this time, in seconds. Of a random sender at 80% of its weight, some
+# percent of the jobs exceed that.
+BURST_WINDOW_S = 5.0
 BURST_DEVIATIONS = 2.0
-# Time constant of the moving average of used core-seconds, in seconds: that of the quotas.
+# Time constant of the decay of used core-seconds, in seconds: the window of the quotas.
 USAGE_WINDOW_S = 5.0
-# An organisation goes after others once it has used this multiple of its share. The smaller ones
-# have one or two jobs at a time, so their use varies by nearly this factor at a constant rate.
-OVER_SHARE_FACTOR = 2.0
+# An organisation goes after others once it has used its share and the work of this many jobs. Most
+# organisations have one or two jobs at a time, so one job alone exceeds their share.
+ALLOWED_EXCESS_JOBS = 2.0
+# Weight of a new job in the moving average of the work of all organisations' jobs.
+MEAN_WORK_WEIGHT = 0.05
 # Core-seconds below which usage counts as none.
 MIN_USAGE = 1e-3
+# Guards against a division by zero.
+MIN_WEIGHT = 1e-9
 
 
 class ShareClass(IntEnum):
@@ -64,8 +69,7 @@
 class OrganisationShares:
     """What each organisation has sent and used lately.
 
-    :ivar over_share: organisations that have used more than ``OVER_SHARE_FACTOR`` times their
-        share.
+    :ivar over_share: organisations that have used clearly more than their share.
     """
 
     def __init__(self) -> None:
@@ -74,6 +78,7 @@
         self._bucket_by_name: dict[str, ArrivalBucket] = {}
         self._used_by_name: dict[str, float] = {}
         self._measured_s: float | None = None
+        self._mean_work: float | None = None
 
     def note_arrival(
         self, job: Job, organisations: Mapping[str, Organisation], now_s: float
@@ -87,6 +92,8 @@
         if organisation is None or not _ends(job.submission):
             return
         self._is_active = True
+        mean_work = job.work if self._mean_work is None else self._mean_work
+        self._mean_work = mean_work + MEAN_WORK_WEIGHT * (job.work - mean_work)
         at_s = min(job.submission.submitted_s, now_s)
         bucket = self._bucket_by_name.get(organisation.name)
         if bucket is None:
@@ -117,7 +124,9 @@
             if name in organisations and (used > MIN_USAGE or name in cores_by_name)
         }
         self.over_share = find_over_share(
-            self._used_by_name, {name: each.weight for name, each in organisations.items()}
+            self._used_by_name,
+            {name: each.weight for name, each in organisations.items()},
+            ALLOWED_EXCESS_JOBS * (self._mean_work or 0.0),
         )
         for name in [name for name in self._bucket_by_name if name not in organisations]:
             del self._bucket_by_name[name]
@@ -140,18 +149,19 @@
 
 
 def find_over_share(
-    used_by_name: Mapping[str, float], weight_by_name: Mapping[str, float]
+    used_by_name: Mapping[str, float], weight_by_name: Mapping[str, float], allowed_excess: float
 ) -> frozenset[str]:
-    """Return the organisations that used a multiple of their share.
+    """Return the organisations that used more than their share and what is allowed beyond it.
 
     :param used_by_name: core-seconds of the organisations that use or wait for something.
+    :param allowed_excess: in core-seconds.
     """
     total_used = sum(used_by_name.values())
-    total_weight = sum(weight_by_name[name] for name in used_by_name)
+    total_weight = max(sum(weight_by_name[name] for name in used_by_name), MIN_WEIGHT)
     return frozenset(
         name
         for name, used in used_by_name.items()
-        if used * total_weight > OVER_SHARE_FACTOR * weight_by_name[name] * total_used
+        if used > weight_by_name[name] / total_weight * total_used + allowed_excess
     )
 
 
