Judge jobs by the backlog of their organisation; metrics by organisation

Jobs that last are not judged, but use up the limit. Retry-After grows by the time that the work of the rejected jobs takes within the limit, so callers return one after the other.

--- a/laburnumswitch/dispatch_metrics.py
+++ b/laburnumswitch/dispatch_metrics.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from laburnumswitch.connection.connection_limit import ConnectionLimit
+from laburnumswitch.organisation_metrics import register_organisation_metrics
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
 from laburnumswitch.process.leadership.leadership import Leadership
 from laburnumswitch.process.observing.decisions import DecisionLog
@@ -87,3 +88,4 @@
     }
     for name, (help_text, read) in gauges.items():
         metrics.add_gauge(f"laburnumswitch_owner_{name}", help_text, gauge_reader(read))
+    register_organisation_metrics(metrics, lambda: leadership.dispatcher)
--- a/laburnumswitch/process/dispatch/organisation_admission.py
+++ b/laburnumswitch/process/dispatch/organisation_admission.py
@@ -86,12 +86,14 @@
     :ivar cause: ``None`` if it can.
     :ivar ahead_s: until the work before it is done, if the organisation uses all of its limit.
     :ivar own_s: how long the job takes after that.
+    :ivar work_s: how long its work alone takes if it uses all of the limit.
     :ivar allowed_s: from the submission until the job is worth nothing.
     """
 
     cause: Cause | None
     ahead_s: float
     own_s: float
+    work_s: float
     allowed_s: float
 
 
@@ -160,7 +162,7 @@
         wait_s = max(MIN_RETRY_AFTER_S, ceil(room_s - now_s))
         if wait_s >= MAX_RETRY_AFTER_S:
             return _spread(job_id)
-        self._room_s_by_organisation[organisation] = room_s + judgement.own_s
+        self._room_s_by_organisation[organisation] = room_s + judgement.work_s
         return wait_s
 
 
@@ -173,21 +175,24 @@
 ) -> Judgement:
     """Decide whether a job can still run in time within the limit of its organisation.
 
+    Of a job with long-running steps only, no time is expected, but its gangs have to fit.
+
     :param overage: share of the limit by which it may be exceeded for a time.
     """
     objective_s = queue.stretch * demand.critical_path_s + queue.objective_s
     allowed_s = LATE_FACTOR * objective_s
     available = available_size(limit, backlog.lasting)
     ahead_s = drain_s(backlog.ahead_of(queue.priority), available)
-    own_s = max(demand.critical_path_s, drain_s(demand.work, available))
+    work_s = drain_s(demand.work, available)
+    own_s = max(demand.critical_path_s, work_s)
     cause = None
     if never_fits(demand.widest_gang, limit, overage):
         cause = Cause.GANG
-    elif own_s > allowed_s:
+    elif work_s > allowed_s:
         cause = Cause.SIZE
-    elif ahead_s + own_s > allowed_s:
+    elif work_s and ahead_s and ahead_s + own_s > allowed_s:
         cause = Cause.BACKLOG
-    return Judgement(cause, ahead_s, own_s, allowed_s)
+    return Judgement(cause, ahead_s, own_s, work_s, allowed_s)
 
 
 def needs_judgement(demand: JobDemand, queue: Queue, limit: Size) -> bool:
