--- a/tests/process/leadership/test_owner_link.py
+++ b/tests/process/leadership/test_owner_link.py
@@ -16,6 +16,7 @@
 from laburnumswitch.connection.lenient import decode_known_fields
 from laburnumswitch.exceptions import ConnectFailed
 from laburnumswitch.exceptions import Unavailable
+from laburnumswitch.process.leadership.leadership import BUSY_MAX_AGE_S
 from laburnumswitch.process.leadership.leadership import EntryIdentity
 from laburnumswitch.process.leadership.leadership import Leadership
 from laburnumswitch.process.leadership.leadership import LeadershipContext
@@ -160,3 +161,17 @@
         self.assertThat(self.owner_access.pending(QUEUE.name), Equals(JOB_COUNT))
         self.elapsed_s = PENDING_MAX_AGE_S + 2.0
         self.assertThat(self.owner_access.pending(QUEUE.name), IsInstance(Unavailable))
+
+    def test_busy_organisations_of_an_owner_that_is_gone_are_forgotten(self):
+        """Without an owner nobody can be asked, and each job would wait for an answer."""
+        self._start_owner()
+        wait_until(self.owner.dispatcher.is_loaded.is_set)
+        admissions = self.owner.dispatcher.organisation_admissions
+        admissions.busy = ("shop-a",)
+        self.assertThat(self.owner_access.is_busy("shop-a"), Equals(True))
+        spawn(self.follower.run)
+        wait_until(lambda: self.follower_access.is_busy("shop-a"))
+        self.assertThat(self.follower_access.is_busy("shop-b"), Equals(False))
+        self.peers.is_cut = True
+        self.elapsed_s = BUSY_MAX_AGE_S + 2.0
+        wait_until(lambda: not self.follower_access.is_busy("shop-a"))
--- a/tests/process/leadership/test_peer_api.py
+++ b/tests/process/leadership/test_peer_api.py
@@ -14,7 +14,9 @@
 from laburnumswitch.exceptions import Unavailable
 from laburnumswitch.process.dispatch.admission import FLEET_COMPLETE_S
 from laburnumswitch.process.dispatch.commitment import UNKNOWN_RETRY_AFTER_S
+from laburnumswitch.process.dispatch.job_spec import Organisation
 from laburnumswitch.process.dispatch.organisation_admission import OrganisationAdmissions
+from laburnumswitch.process.dispatch.organisation_jobs import ResourceSeconds
 from laburnumswitch.process.leadership.messages import AdmissionAnswer
 from laburnumswitch.process.leadership.messages import AdmissionRequest
 from laburnumswitch.process.leadership.messages import WatchAnswer
@@ -24,6 +26,7 @@
 from laburnumswitch.process.leadership.term import NO_OWNER
 from laburnumswitch.process.leadership.term import Term
 from laburnumswitch.process.operating.admin import AdminRequest
+from laburnumswitch.size import Size
 from tests.process.dispatch.harness import DispatchHarness
 from tests.process.dispatch.harness import QUEUE
 from tests.process.dispatch.harness import wait_until
@@ -95,6 +98,17 @@
             self.dispatcher.stopped.set()
             self.assertThat(self._answer(greenlet).is_owner, Equals(False))
 
+    def test_watch_is_answered_as_soon_as_an_organisation_becomes_busy(self):
+        # Until the next answer, entries would store more than can run in time.
+        self.dispatcher.is_loaded.set()
+        greenlet = self._watch_in_background()
+        self.dispatcher.organisation_admissions.update_busy(["shop-a"], 0.0)
+        self.assertThat(self._answer(greenlet).busy_organisations, Equals(("shop-a",)))
+
+    def test_answer_of_the_previous_version_names_no_busy_organisation(self):
+        fields = decode(self._watch(0.0))
+        self.assertThat(WatchAnswer(*fields[:7]).busy_organisations, Equals(()))
+
     def test_answer_of_the_previous_version_counts_as_known(self):
         self.dispatcher.is_loaded.set()
         fields = decode(self._watch(0.0))
@@ -118,8 +132,22 @@
         self.leadership = SimpleNamespace(dispatcher=self.owner)
         self.handle = make_leadership_peer_handler(lambda: self.leadership, "i1")
 
-    def _ask(self):
-        return self.handle(AdminRequest("POST", ("admit",), {}, {}, encode(self.REQUEST)))
+    def _ask(self, request=REQUEST):
+        return self.handle(AdminRequest("POST", ("admit",), {}, {}, encode(request)))
+
+    def test_request_of_the_previous_version_is_judged_as_before(self):
+        reply = self._ask(tuple(self.REQUEST)[:3])
+        self.assertThat(decode(reply.body), Equals([UNKNOWN_RETRY_AFTER_S, ""]))
+
+    def test_owner_judges_the_job_of_an_organisation(self):
+        operations = self.harness.operations
+        organisations = {"shop-a": Organisation("shop-a", 1.0, Size(1_000, 0))}
+        configuration = operations.configuration._replace(version=9)
+        operations.apply(configuration._replace(organisations_by_name=organisations))
+        request = self.REQUEST._replace(cpu_millis=0, organisation="shop-a")
+        work = ResourceSeconds(1e6, 1.0, 0.0)
+        answer = decode_known_fields(self._ask(request._replace(work=work)).body, AdmissionAnswer)
+        self.assertThat(answer.reason, Equals("size"))
 
     def test_owner_answers_when_there_is_probably_room(self):
         answer = decode_known_fields(self._ask().body, AdmissionAnswer)
--- a/tests/request/test_job_api.py
+++ b/tests/request/test_job_api.py
@@ -10,7 +10,10 @@
 from laburnumswitch.platform.callers import decode_submission
 from laburnumswitch.platform.callers import encode_pending
 from laburnumswitch.platform.callers import encode_state
+from laburnumswitch.process.dispatch.job_spec import Organisation
 from laburnumswitch.process.dispatch.job_spec import QueueConfiguration
+from laburnumswitch.process.dispatch.job_spec import Step
+from laburnumswitch.process.dispatch.job_spec import Submission
 from laburnumswitch.process.dispatch.jobs import JobState
 from laburnumswitch.process.dispatch.progress import cancellation_key
 from laburnumswitch.process.dispatch.progress import Progress
@@ -25,6 +28,7 @@
 from laburnumswitch.request.job_api import answer_request
 from laburnumswitch.request.job_api import JobApiContext
 from laburnumswitch.request.job_api import JobRequest
+from laburnumswitch.size import Size
 from standin.fleet.feed_table import FeedMemoryTable
 from tests.fakes import FakeClock
 from tests.process.dispatch.harness import QUEUE
@@ -44,10 +48,17 @@
         self.stored = []
         self.admission_requests = []
         self.retry_after_s = 0
+        self.reason = ""
+        self.busy = ()
 
     def admit(self, request):
         self.admission_requests.append(request)
-        return Unavailable("away") if self.is_unavailable else AdmissionAnswer(self.retry_after_s)
+        if self.is_unavailable:
+            return Unavailable("away")
+        return AdmissionAnswer(self.retry_after_s, self.reason)
+
+    def is_busy(self, organisation):
+        return organisation in self.busy
 
     def notify_submitted(self, submission):
         self.notified.append(submission.job_id)
@@ -69,7 +80,7 @@
         return Unavailable("still loading") if self.is_unavailable else 3
 
 
-class TestJobApi(TestCase):
+class JobApiCase(TestCase):
     def setUp(self):
         super().setUp()
         self.table = FeedMemoryTable()
@@ -100,6 +111,9 @@
     def _stored(self, key):
         return self.table.read((key,))[key].version > 0
 
+
+class TestJobApi(JobApiCase):
+
     def test_accepted_job_is_stored_and_the_owner_notified(self):
         self.assertThat(self._submit().status, Equals(200))
         self.assertThat(self._stored(submission_key(JOB_ID)), Equals(True))
@@ -227,3 +241,53 @@
     def test_lower_version_of_the_configuration_is_not_adopted(self):
         self.operations.apply(QueueConfiguration(0, {}, {}))
         self.assertThat(self._submit().status, Equals(200))
+
+
+class TestQuota(JobApiCase):
+    """Jobs of an organisation with a limit."""
+
+    GANG = Step(3, cpu_millis=1_000, gang=True)
+
+    def setUp(self):
+        super().setUp()
+        self.submission = Submission(JOB_ID, QUEUE.name, "x", (Step(1, 500),), time())
+        self.submission = self.submission._replace(organisation="shop-a")
+        self.context = self.context._replace(decode_submission=lambda *_: self.submission)
+        organisations = {"shop-a": Organisation("shop-a", 1.0, Size(1_000, 0))}
+        configuration = self.operations.configuration._replace(version=2)
+        self.operations.apply(configuration._replace(organisations_by_name=organisations))
+        self.owner.retry_after_s, self.owner.reason = 4, "backlog"
+
+    def test_job_of_a_busy_organisation_is_rejected_and_not_stored(self):
+        self.owner.busy = ("shop-a",)
+        reply = self._submit()
+        self.assertThat((reply.status, reply.retry_after_s), Equals((429, 4)))
+        self.assertThat(self._stored(submission_key(JOB_ID)), Equals(False))
+        request = self.owner.admission_requests[0]
+        self.assertThat((request.organisation, request.work.cpu_millis_s), Equals(("shop-a", 500)))
+
+    def test_owner_is_asked_only_about_busy_organisations_and_what_may_never_fit(self):
+        self.assertThat(self._submit().status, Equals(200))
+        self.assertThat(self.owner.admission_requests, Equals([]))
+        other_id = "1" * 16
+        self.submission = self.submission._replace(job_id=other_id, steps=(self.GANG,))
+        self.assertThat(self._ask("POST", f"/o/{other_id}", BODY).status, Equals(429))
+
+    def test_stored_job_is_not_rejected_when_repeated(self):
+        self._submit()
+        self.owner.busy = ("shop-a",)
+        self.assertThat(self._submit().status, Equals(200))
+
+    def test_job_is_accepted_without_an_answer_of_an_owner_that_knows_quotas(self):
+        # The previous version judges each job as one that lasts, and gives no reason.
+        self.owner.busy = ("shop-a",)
+        self.owner.reason = ""
+        self.assertThat(self._submit().status, Equals(200))
+        self.submission = self.submission._replace(job_id="2" * 16)
+        self.owner.is_unavailable = True
+        self.assertThat(self._ask("POST", f"/o/{'2' * 16}", BODY).status, Equals(200))
+
+    def test_job_is_not_rejected_while_it_is_unknown_whether_it_is_stored(self):
+        self.owner.busy = ("shop-a",)
+        self.table.down = True
+        self.assertThat(self._submit().status, Equals(504))
