--- a/laburnumswitch/organisation_metrics.py
+++ b/laburnumswitch/organisation_metrics.py
@@ -49,15 +49,30 @@
     metrics.add_gauges(
         "laburnumswitch_owner_organisation_waiting_tasks",
         "Tasks of an organisation that could start now.",
-        read_waiting,
+        _with_zeros(read_waiting),
     )
     metrics.add_gauges(
         "laburnumswitch_owner_organisation_rejected_jobs",
         "Jobs of an organisation rejected by this owner, by cause.",
-        read_rejected,
+        _with_zeros(read_rejected),
     )
 
 
+def _with_zeros(read: Callable[[], list[Sample]]) -> Callable[[], list[Sample]]:
+    """Return a reader that gives 0 for earlier values which are absent now.
+
+    The registry keeps the last value of each series, and an entry that was the owner would show it.
+    """
+    known: dict[frozenset[tuple[str, str]], Sample] = {}
+
+    def read_all() -> list[Sample]:
+        current = {frozenset(sample.labels.items()): sample for sample in read()}
+        known.update(current)
+        return [current.get(key, sample._replace(value=0)) for key, sample in known.items()]
+
+    return read_all
+
+
 def labelled_organisations(dispatcher: Dispatcher) -> tuple[str, ...]:
     """Return the organisations with values of their own, those of the largest weight."""
     organisations = dispatcher.context.operations.organisations_by_name.values()
--- a/laburnumswitch/process/dispatch/organisation_share.py
+++ b/laburnumswitch/process/dispatch/organisation_share.py
@@ -18,8 +18,8 @@
 from laburnumswitch.process.dispatch.jobs import ReadyStep
 
 # Owed at once after a pause are one job and two standard deviations of the number of jobs that a
-# random sender submits in this time, in seconds. Of a random sender at 80% of its weight, some
-# percent of the jobs exceed that.
+# random sender submits in this time, in seconds. Of a random sender at 80% of a weight of 1,
+# 2% of the jobs exceed that.
 BURST_WINDOW_S = 5.0
 BURST_DEVIATIONS = 2.0
 # Time constant of the decay of used core-seconds, in seconds: the window of the quotas.
--- a/tests/test_organisation_metrics.py
+++ b/tests/test_organisation_metrics.py
@@ -43,3 +43,9 @@
     def test_entry_that_is_not_the_owner_has_no_values(self):
         self.dispatcher = None
         self.assertThat(self._lines(), Equals([]))
+
+    def test_entry_that_was_the_owner_shows_no_earlier_values(self):
+        # The registry keeps the last value of each series.
+        self._lines()
+        self.dispatcher = None
+        self.assertThat({line.split()[-1] for line in self._lines()}, Equals({"0"}))
