--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -34,6 +34,7 @@
 from laburnumswitch.process.dispatch.ordering import order_key
 from laburnumswitch.process.dispatch.ordering import OrderKey
 from laburnumswitch.process.dispatch.ordering import Tier
+from laburnumswitch.process.dispatch.organisation_update import update_organisations
 from laburnumswitch.process.dispatch.organisation_usage import unknown_totals
 from laburnumswitch.process.dispatch.placing import INTERFERENCE_LIMIT
 from laburnumswitch.process.dispatch.placing import is_far_from_data
@@ -123,6 +124,7 @@
     now_s = dispatcher.context.wall_clock()
     jobs = () if dispatcher.settled else dispatcher.jobs_by_id.values()
     dispatcher.quota_gate.begin_pass(dispatcher.context.clock(), unknown_totals(jobs, now_s))
+    update_organisations(dispatcher)
     dispatcher.advice.requests.clear()
     keyed = []
     for key_of_step, ready in dispatcher.ready_step_by_key.items():
@@ -132,7 +134,9 @@
         if queue is None or not is_due(dispatcher, ready, now_s):
             continue
         if dispatcher.quota_gate.selects(ready, queue.priority):
-            key = order_key(ready, queue, dispatcher.mean_work_by_queue[queue.name], now_s)
+            mean_work = dispatcher.mean_work_by_queue[queue.name]
+            share_class = dispatcher.shares.share_class(ready)
+            key = order_key(ready, queue, mean_work, now_s, share_class)
             keyed.append((key, queue, ready, key_of_step))
     keyed.sort(key=lambda each: (not _is_overdue(dispatcher, each[2]), each[0]))
     state_by_service: dict[str, ServicePlanningState] = {}
@@ -212,7 +216,8 @@
 ) -> None:
     """Make room for the urgent steps of a whole pass that still wait and can be on time or late.
 
-    Steps that wait for tickets are left out: only some workers, not known yet, may run them.
+    Steps that wait for tickets are left out: only some workers, not known yet, may run them. So are
+    those that are not owed to their organisations, which wait for free capacity.
     """
     now_s = dispatcher.context.clock()
     if now_s - dispatcher.preempted_s < PREEMPTION_INTERVAL_S:
@@ -224,7 +229,8 @@
         step_state = ready.step_state
         if not step_state.step.is_urgent or step_state.step.gang or queue.needs_advice:
             continue
-        count = 0 if key.tier is Tier.EXPIRED else budget.take(ready)
+        is_counted = ready.job.is_owed and key.tier is not Tier.EXPIRED
+        count = budget.take(ready) if is_counted else 0
         if count > 0:
             waiting = WaitingStep(ready, queue, count)
             waiting_by_service.setdefault(queue.service, []).append(waiting)
@@ -253,7 +259,7 @@
         service_state.long_running_budget -= (
             ready.step_state.active_count - active
         ) * step.cpu_millis
-    elif step.is_urgent and ready.step_state.has_waiting():
+    elif step.is_urgent and ready.job.is_owed and ready.step_state.has_waiting():
         _reserve_workers(dispatcher, queue, ready, usable, service_state)
 
 
--- a/tests/command/test_tenants.py
+++ b/tests/command/test_tenants.py
@@ -5,8 +5,8 @@
 
 from laburnumswitch.command.output import EXIT_UNAVAILABLE
 from laburnumswitch.command.output import EXIT_USAGE
-from laburnumswitch.dispatch_metrics import organisation_samples
-from laburnumswitch.dispatch_metrics import register_organisation_metrics
+from laburnumswitch.organisation_metrics import organisation_samples
+from laburnumswitch.organisation_metrics import register_usage_metrics
 from laburnumswitch.process.dispatch.job_spec import Organisation
 from laburnumswitch.process.dispatch.job_spec import QueueConfiguration
 from laburnumswitch.process.dispatch.job_spec import Step
@@ -46,7 +46,7 @@
     def page(self, owner, metrics=None):
         metrics = metrics or Metrics()
         metrics.add_gauge("laburnumswitch_is_owner", "", lambda: float(owner is not None))
-        register_organisation_metrics(metrics, lambda: owner)
+        register_usage_metrics(metrics, lambda: owner)
         return metrics.render("*/*")[0]
 
     def test_rows_of_the_owner(self):
