Withdraw API keys in the soak, and find the owner without the store

An entry without the store knew only the owner of before. If that had died or been replaced, the entry learned of no withdrawn key. Answers to a watch now hold the latest known term and addresses of other watchers, and a superseded owner is told the later term. An entry that watches without the store asks once without waiting after each failed read, so that confirmations are as young as they can be.

The soak submits with keys for two organisations and on a public queue, withdraws keys, cuts entries off from the store meanwhile and restarts some, and checks that no call is answered 200 with a key that is unknown, of another organisation, or was withdrawn more than revokeMs ago.

--- a/laburnumswitch/process/leadership/leadership.py
+++ b/laburnumswitch/process/leadership/leadership.py
@@ -54,15 +54,21 @@
 HAND_OVER_CPU_RATIO = 1.5
 # It does so only once it has been the owner for this long, in seconds.
 HAND_OVER_AFTER_S = 3.0
+# Maximum number of watchers whose addresses an owner tells the others.
+MAX_PEER_ADDRESSES = 8
 # An entry that has not sent a watch request for this long, in seconds, is no candidate any more.
 WATCHER_EXPIRY_S = 4.0
 
 
 class Watcher(NamedTuple):
-    """An entry that watches this owner, and when it last did."""
+    """An entry that watches this owner, and when it last did.
+
+    :ivar address: where other entries reach it, empty if it is of an earlier version.
+    """
 
     cpu_cores: float
     seen_s: float
+    address: str = ""
 
 
 class EntryIdentity(NamedTuple):
@@ -127,6 +133,9 @@
         self.takeovers = 0
         self._context = context
         self._candidates: tuple[str, ...] = ()
+        # Where to ask other entries while neither the store nor the owner can be reached.
+        self._peer_addresses: tuple[str, ...] = ()
+        self._asked_peers = 0
         self._pending_reported_s = float("-inf")
 
     def run(self) -> None:
@@ -159,9 +168,14 @@
         self.dispatcher = None
         self._context.log.note("ownership_released", str(dispatcher.epoch))
 
-    def note_watcher(self, vm_id: str, cpu_cores: float) -> None:
+    def note_watcher(self, vm_id: str, cpu_cores: float, address: str = "") -> None:
         """Record that an entry watches this owner."""
-        self.watcher_by_vm[vm_id] = Watcher(cpu_cores, self._context.clock())
+        self.watcher_by_vm[vm_id] = Watcher(cpu_cores, self._context.clock(), address)
+
+    def peer_addresses(self) -> tuple[str, ...]:
+        """Return where this owner's watchers are reached, the latest first."""
+        watchers = sorted(self.watcher_by_vm.values(), key=lambda each: -each.seen_s)
+        return tuple(each.address for each in watchers if each.address)[:MAX_PEER_ADDRESSES]
 
     def note_term(self, term: Term) -> None:
         """Record a later term that another entry told; this entry may not reach the store."""
@@ -222,12 +236,31 @@
 
     def _watch_without_store(self) -> None:
         # The owner may be reachable although this entry cannot reach the store.
-        if self.current_term.owner in (NO_OWNER, self._context.identity.vm_id):
+        if not self._watch_owner():
+            self._ask_peer()
             self._context.sleep(RETRY_S)
+
+    def _watch_owner(self) -> bool:
+        """Watch the last known owner for a time, and return whether it is the owner."""
+        if self.current_term.owner in (NO_OWNER, self._context.identity.vm_id):
+            return False
+        # The first watch is not held: the owner's confirmation of the configuration has aged during
+        # the failed read of the store.
+        for wait_s in (0.0, WATCH_WAIT_S):
+            answer = self._watch(self.current_term, wait_s)
+            if isinstance(answer, Failure) or not answer.is_owner:
+                return False
+        return True
+
+    def _ask_peer(self) -> None:
+        """Ask another entry, which may know a later term."""
+        addresses = self._peer_addresses or self.peer_addresses()
+        if not addresses:
             return
-        answer = self._watch(self.current_term, WATCH_WAIT_S)
-        if isinstance(answer, Failure) or not answer.is_owner:
-            self._context.sleep(RETRY_S)
+        self._asked_peers += 1
+        address = addresses[self._asked_peers % len(addresses)]
+        if address != self._context.identity.address:
+            self._watch(self.current_term._replace(address=address), 0.0)
 
     def _follow(self, observed: VersionedTerm) -> None:
         """Watch the owner until it was replaced or has to be replaced."""
@@ -280,6 +313,7 @@
         self.note_term(answer.known_term)
         if answer.is_owner:
             self._candidates = answer.candidates
+            self._peer_addresses = answer.peer_addresses[:MAX_PEER_ADDRESSES]
             if answer.knows_jobs:
                 self.note_pending(answer.pending_by_queue)
         return answer
--- a/laburnumswitch/process/leadership/messages.py
+++ b/laburnumswitch/process/leadership/messages.py
@@ -22,6 +22,7 @@
     :ivar sent_s: when the answer was given, on the boot clock of the answering entry.
     :ivar known_term: the latest term that the answering entry knows, for an entry that the store
         does not serve.
+    :ivar peer_addresses: where such an entry can ask if the owner does not answer any more.
     """
 
     epoch: int
@@ -35,6 +36,7 @@
     confirmed_age_s: float | None = None
     sent_s: float = 0.0
     known_term: Term = Term()
+    peer_addresses: tuple[str, ...] = ()
 
 
 class ConfigurationState(NamedTuple):
--- a/laburnumswitch/process/leadership/peer_api.py
+++ b/laburnumswitch/process/leadership/peer_api.py
@@ -72,7 +72,7 @@
     ) -> WatchAnswer | Failure:
         """Return the owner's state once it changes, or after ``wait_s``."""
         fields = {"vm": identity.vm_id, "cores": identity.cpu_cores, "wait": wait_s}
-        fields |= encode_state(state)
+        fields |= {"address": identity.address, **encode_state(state)}
         target = f"/peer/watch?{urlencode(fields)}"
         return call_json(self._client(address), "GET", target, None, WatchAnswer, timeout_s)
 
@@ -157,7 +157,8 @@
         leadership = get_leadership()
         dispatcher = leadership.dispatcher
         if dispatcher is not None and not dispatcher.is_stopped():
-            leadership.note_watcher(request.query["vm"], float(request.query["cores"]))
+            query = request.query
+            leadership.note_watcher(query["vm"], float(query["cores"]), query.get("address", ""))
             state = decode_state(request.query)
             if state is not None:
                 note_watcher_state(operations, state, incarnation, boot_clock())
@@ -315,4 +316,5 @@
         dispatcher.pending_by_queue(),
         dispatcher.recorder.since_last_commit_s(),
         dispatcher.is_loaded.is_set(),
+        peer_addresses=leadership.peer_addresses(),
     )
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -61,7 +61,7 @@
         cluster.start()
         sleep(STARTUP_S)
         fronts = tuple(entry.config.front_address for entry in cluster.entries)
-        callers = Callers(random, fronts, cluster.checker)
+        callers = Callers(random, fronts, cluster.checker, cluster.keys)
         end_s = monotonic() + seconds
 
         def is_over() -> bool:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,14 +10,23 @@
 from msgspec.json import encode
 
 from laburnumswitch.connection.client import Client
+from laburnumswitch.connection.client import Response
+from laburnumswitch.exceptions import AnswerLost
+from laburnumswitch.exceptions import ConnectFailed
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.job_spec import Submission
+from soak.keys import ApiKeys
+from soak.keys import ORGANISATIONS
+from soak.keys import PresentedKey
 from standin.fleet.invariant_checker import InvariantChecker
 from standin.fleet.worker_process import encode_steps
 
 HOST = "jobs.example"
 PATH_PREFIX = "/jobs/"
+# Prefix of the queue whose callers need no key.
+PUBLIC_PREFIX = "/public/"
+PUBLIC_SHARE = 0.2
 MAX_ATTEMPTS = 6
 CALL_TIMEOUT_S = 3.0
 RETRY_PAUSE_S = 0.3
@@ -34,7 +43,11 @@
     """Submits random jobs and records the outcomes that the entries answered."""
 
     def __init__(
-        self, random: Random, front_addresses: tuple[str, ...], checker: InvariantChecker
+        self,
+        random: Random,
+        front_addresses: tuple[str, ...],
+        checker: InvariantChecker,
+        keys: ApiKeys,
     ) -> None:
         self.accepted: set[str] = set()
         self.rejected: set[str] = set()
@@ -43,6 +56,9 @@
         self._random = random
         self._front_addresses = front_addresses
         self._checker = checker
+        self._keys = keys
+        # A generator of its own, so that a seed keeps its jobs.
+        self._organisation_random = Random(random.getstate()[1][0])
 
     def submit_job(self) -> None:
         """Submit one random job and cancel some of the accepted ones."""
@@ -55,13 +71,14 @@
                 sleep(self._random.uniform(0.0, 1.0))
                 # Recorded before the call: the job may be cancelled even if no answer arrives.
                 self.cancelled.add(submission.job_id)
-                self._call("DELETE", submission.job_id, b"")
+                self._call("DELETE", submission.job_id, b"", self._keys.choose)
         elif status in (429, 503):
             self.rejected.add(submission.job_id)
 
     def read_state(self, job_id: str) -> str:
         """Return the state of a job as reported by a random entry."""
-        answer = self._call("GET", job_id, b"")
+        self._call("GET", job_id, b"", self._keys.choose)
+        answer = self._call("GET", job_id, b"", self._keys.choose_valid)
         if isinstance(answer, Failure):
             return UNKNOWN
         if answer.status == 410:
@@ -90,7 +107,16 @@
                 )
             )
         spec = encode_steps(tuple(steps))
-        return Submission(f"{random.getrandbits(64):016x}", "jobs", spec, tuple(steps), time())
+        is_public = self._organisation_random.random() < PUBLIC_SHARE
+        organisation = "" if is_public else self._organisation_random.choice(ORGANISATIONS)
+        return Submission(
+            f"{random.getrandbits(64):016x}",
+            "public" if is_public else "jobs",
+            spec,
+            tuple(steps),
+            time(),
+            organisation=organisation,
+        )
 
     def _submit_with_retries(self, submission: Submission) -> int:
         steps = [
@@ -106,19 +132,29 @@
         ]
         body = encode({"spec": submission.spec, "steps": steps})
         for _ in range(MAX_ATTEMPTS):
-            answer = self._call("POST", submission.job_id, body)
+            answer = self._call("POST", submission.job_id, body, self._keys.choose_own)
             if not isinstance(answer, Failure) and answer.status not in (502, 504):
                 return answer.status
             sleep(RETRY_PAUSE_S)
         return 0
 
-    def _call(self, method: str, job_id: str, body: bytes):
+    def _call(
+        self, method: str, job_id: str, body: bytes, choose: Callable[[str], PresentedKey]
+    ) -> Response | ConnectFailed | AnswerLost:
+        organisation = self._checker.submission_by_id[job_id].organisation
+        presented = choose(organisation)
+        headers = {"Host": HOST}
+        if presented.key:
+            headers["Authorization"] = f"Bearer {presented.key}"
         client = Client(
             self._random.choice(self._front_addresses), lambda: {"X-Deadline-Ms": "3000"}
         )
-        host_header = {"Host": HOST}
+        prefix = PATH_PREFIX if organisation else PUBLIC_PREFIX
         try:
-            return client.call(method, f"{PATH_PREFIX}{job_id}", body, CALL_TIMEOUT_S, host_header)
+            answer = client.call(method, f"{prefix}{job_id}", body, CALL_TIMEOUT_S, headers)
+            if not isinstance(answer, Failure):
+                self._keys.check(presented, job_id, method, answer.status)
+            return answer
         finally:
             client.close()
 
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -3,18 +3,22 @@
 from pathlib import Path
 from random import Random
 from time import monotonic
+from typing import Any
 
 from gevent import sleep
 from gevent import spawn
 
 from laburnumswitch.process.dispatch.worker_protocol import WorkerListing
+from laburnumswitch.process.rows.table import Committed
 from laburnumswitch.process.rows.table import Put
 from laburnumswitch.process.rows.table import Transaction
 from soak.callers import HOST
 from soak.callers import PATH_PREFIX
+from soak.callers import PUBLIC_PREFIX
 from soak.entries import EntryProcess
 from soak.entries import PORTS_PER_ENTRY
 from soak.entries import write_settings
+from soak.keys import ApiKeys
 from soak.proxy import Mode
 from soak.proxy import Proxy
 from soak.workers import EmulatedWorker
@@ -112,12 +116,14 @@
             addresses = (proxy.address, bound_address(self._vm_list_server))
             config = write_settings(folder, number, first_port, zone, *addresses)
             self.entries.append(EntryProcess(config, proxy))
+        self.keys = ApiKeys(Random(f"{folder.name} keys"), self._publish)
+        self._version = 0
         self._completed_s_by_id: dict[str, float] = {}
         self._is_stopped = False
 
     def start(self) -> None:
         """Publish a configuration, and start the workers and the entries."""
-        self.publish(1)
+        self.keys.publish()
         rows = (Put(f"servers/p{number}", each) for number, each in enumerate(FOREIGN_ENTRIES))
         self.table.commit(Transaction((), tuple(rows)))
         for worker in self.workers:
@@ -127,8 +133,8 @@
         for entry in self.entries:
             entry.start()
 
-    def publish(self, version: int) -> None:
-        """Publish the configuration under the given version."""
+    def _publish(self, tenants: list[dict[str, Any]]) -> bool:
+        """Publish the next version of the configuration, and return whether it is stored."""
         route = {
             "name": "jobs",
             "host": HOST,
@@ -137,8 +143,16 @@
             "maxAttempts": 4,
             "timeoutMs": 3000,
         }
-        value = {"version": version, "routes": [route], "services": [{"name": SERVICE}]}
-        self.table.commit(Transaction((), (Put("op/config", value),)))
+        public = {**route, "name": "public", "pathPrefix": PUBLIC_PREFIX, "public": True}
+        self._version += 1
+        value = {
+            "version": self._version,
+            "routes": [route, public],
+            "services": [{"name": SERVICE}],
+            "tenants": tenants,
+        }
+        put = Put("op/config", value)
+        return isinstance(self.table.commit_unharmed(Transaction((), (put,))), Committed)
 
     def set_zone(self, zone: str, is_out: bool) -> None:
         """Take an availability zone out of service, or put it back."""
@@ -186,6 +200,7 @@
         self.checker.violations += find_violations(
             runs, self.checker.submission_by_id, self._completed_s_by_id
         )
+        self.checker.violations += self.keys.violations
         self.checker.violations += [
             Violation(monotonic(), "soak", worker.listing.worker_id, f"ended by itself: {code}")
             for worker in self.workers
--- a/soak/entries.py
+++ b/soak/entries.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import NamedTuple
 
+from soak.keys import REVOKE_S
 from soak.proxy import Proxy
 
 REPOSITORY = Path(__file__).resolve().parent.parent
@@ -30,6 +31,9 @@
 holdMaxMs = 6000
 stopMs = 400
 harmMs = 4000
+configApplyMs = 3000
+strictRevoke = true
+revokeMs = {revoke_ms}
 [platform]
 address = "{store}"
 [cloud]
@@ -116,6 +120,7 @@
             cores=2 + number % 2,
             store=store_address,
             vm_list=vm_list_address,
+            revoke_ms=int(REVOKE_S * 1000),
         ),
         encoding="utf-8",
     )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -20,6 +20,9 @@
 MAX_WORKER_PAUSE_S = 9.0
 # Longest cut of the links of workers, beyond a lease and the time that ending its runs takes.
 MAX_CUT_S = 12.0
+# Longest cut of entries from the store while keys are withdrawn.
+MAX_ENTRY_CUT_S = 9.0
+RESTART_SHARE = 0.5
 CUTS = (Mode.SILENT, Mode.ONE_WAY)
 # A worker process answers about this time after its start.
 WORKER_START_S = 0.25
@@ -171,6 +174,28 @@
         worker.proxy.set_mode(Mode.PASS)
 
 
+def rotate_keys(cluster: Cluster, random: Random, duration_s: float) -> None:
+    """Withdraw keys of the organisations shortly after one another, and add as many."""
+    for _ in range(random.randint(1, 3)):
+        cluster.keys.rotate()
+        sleep(random.uniform(0.0, duration_s / 3))
+
+
+def restart_cut_entry(cluster: Cluster, random: Random, duration_s: float) -> None:
+    """Withdraw keys while entries are cut off from the store, and restart some of these then."""
+    cut = random.sample(cluster.entries, random.randint(1, max(1, len(cluster.entries) // 2)))
+    for entry in cut:
+        entry.store_proxy.set_mode(random.choice((Mode.SILENT, Mode.RESET, Mode.ONE_WAY)))
+    rotate_keys(cluster, random, duration_s)
+    if random.random() < RESTART_SHARE:
+        cut[0].kill()
+        cut[0].start()
+    # Longer than a withdrawn key may be accepted.
+    sleep(random.uniform(duration_s, MAX_ENTRY_CUT_S))
+    for entry in cut:
+        entry.store_proxy.set_mode(Mode.PASS)
+
+
 def _sample_workers(cluster: Cluster, random: Random) -> list[EmulatedWorker]:
     return random.sample(cluster.workers, random.randint(1, max(1, len(cluster.workers) // 4)))
 
@@ -243,6 +268,8 @@
     pause_entry,
     restart_entry,
     reload_entry,
+    rotate_keys,
+    restart_cut_entry,
     disrupt_store_link,
     disrupt_worker_link,
     restart_worker,
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -88,6 +88,15 @@
         # ``holdMaxMs``, in seconds.
         self.assertThat(deployment.bounds.lease_s, Equals(6.0))
 
+    def test_revocation_is_not_strict_unless_it_is_set(self):
+        bounds = read_deployment_text(SETTINGS).bounds
+        self.assertThat(bounds.is_revocation_strict, Equals(False))
+        self.assertThat((bounds.revocation_s, bounds.configuration_s), Equals((5.0, 3.0)))
+        strict = "harmMs = 4000\nstrictRevoke = true\nrevokeMs = 4500\nconfigApplyMs = 2500"
+        bounds = read_deployment_text(SETTINGS.replace("harmMs = 4000", strict)).bounds
+        self.assertThat(bounds.is_revocation_strict, Equals(True))
+        self.assertThat((bounds.revocation_s, bounds.configuration_s), Equals((4.5, 2.5)))
+
     def test_sockets_are_the_descriptors_without_those_for_files(self):
         text = SETTINGS.replace("memoryMb = 300", "memoryMb = 300\nmaxFds = 4100")
         self.assertThat(read_deployment_text(text).max_sockets, Equals(3900))
--- a/tests/process/dispatch/test_progress.py
+++ b/tests/process/dispatch/test_progress.py
@@ -3,6 +3,7 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
+from laburnumswitch.exceptions import OtherOrganisation
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.job_spec import Submission
 from laburnumswitch.process.dispatch.progress import decode_stored_submission
@@ -23,6 +24,19 @@
         row = self.stored(submission)
         self.assertThat(decode_stored_submission("submissions/x", row), Equals(submission))
 
+    def test_job_of_another_organisation_is_not_taken_for_a_repeat(self):
+        """It was answered as stored, although the job of the other one runs."""
+        table = FeedMemoryTable()
+        submission = SUBMISSION._replace(organisation="depot")
+        for organisation, outcome in (
+            ("depot", None),
+            ("depot", None),
+            ("yard", OtherOrganisation(SUBMISSION.job_id)),
+            ("", OtherOrganisation(SUBMISSION.job_id)),
+        ):
+            stored = store_submission(table, submission._replace(organisation=organisation))
+            self.assertThat(stored, Equals(outcome))
+
     def stored(self, submission):
         table = FeedMemoryTable()
         store_submission(table, submission)
--- a/tests/process/leadership/test_configuration_relay.py
+++ b/tests/process/leadership/test_configuration_relay.py
@@ -51,12 +51,15 @@
         self.dispatcher.is_loaded.set()
         self.current_term = Term(7, "vm-1", "i1", OWNER)
 
-    def note_watcher(self, vm_id, cpu_cores):
+    def note_watcher(self, vm_id, cpu_cores, address=""):
         pass
 
     def candidates(self):
         return ()
 
+    def peer_addresses(self):
+        return ()
+
     def note_term(self, term):
         self.current_term = term
 
--- a/tests/process/leadership/test_leadership.py
+++ b/tests/process/leadership/test_leadership.py
@@ -15,6 +15,7 @@
 from laburnumswitch.exceptions import AnswerLost
 from laburnumswitch.exceptions import ConnectFailed
 from laburnumswitch.exceptions import ConnectionRefused
+from laburnumswitch.exceptions import Unavailable
 from laburnumswitch.process.leadership.leadership import EntryIdentity
 from laburnumswitch.process.leadership.leadership import Leadership
 from laburnumswitch.process.leadership.leadership import LeadershipContext
@@ -99,17 +100,21 @@
         if address in self.silent:
             return AnswerLost(address, "timeout")
         owner = self.leadership_by_address[address]
-        owner.note_watcher(identity.vm_id, identity.cpu_cores)
+        owner.note_watcher(identity.vm_id, identity.cpu_cores, identity.address)
         dispatcher = owner.dispatcher
         is_owner = dispatcher is not None and not dispatcher.is_stopped()
         epoch = dispatcher.epoch if is_owner else 0
         candidates = owner.candidates()
         silent_s = self.store_silent_s
-        return WatchAnswer(epoch, f"{address}-i", is_owner, candidates, {"orders": 2}, silent_s)
+        answer = WatchAnswer(epoch, f"{address}-i", is_owner, candidates, {"orders": 2}, silent_s)
+        peers = owner.peer_addresses() if is_owner else ()
+        return answer._replace(known_term=owner.current_term, peer_addresses=peers)
 
-    def supersede(self, address, epoch):
+    def supersede(self, address, term):
         if address in self.refusing | self.silent | self.unreachable:
             return AnswerLost(address, "timeout")
+        if isinstance(self.leadership_by_address[address], Leadership):
+            self.leadership_by_address[address].note_term(term)
         self.leadership_by_address[address].dispatcher.stop()
         return True
 
@@ -259,6 +264,41 @@
         self.assertThat(follower.dispatcher.predecessor, Equals(PredecessorState.ENDED))
         self.assertThat(first.is_stopped(), Equals(True))
 
+    def test_owner_without_store_watches_its_successor(self):
+        """It would otherwise learn of no configuration until the store serves it again."""
+        owner, follower = self._owner_and_follower()
+        self._cut(owner)
+        self.owner_client.store_silent_s = 5.0
+        wait_until(lambda: follower.dispatcher is not None)
+        self.owner_client.store_silent_s = 0.0
+        wait_until(lambda: owner.current_term.owner == "vm-2")
+        wait_until(lambda: "vm-1" in follower.watcher_by_vm)
+
+    def _cut(self, entry):
+        table = SimpleNamespace(
+            read=lambda keys: Unavailable("refused"), commit=lambda change: Unavailable("refused")
+        )
+        entry._context = entry._context._replace(table=table)
+
+    def test_entry_without_store_finds_the_successor_of_a_dead_owner(self):
+        """Only the entries that watched the owner with it can tell who the new one is."""
+        owner, follower = self._owner_and_follower()
+        cut = self._add_entry("vm-3", 2.0)
+        wait_until(lambda: {"vm-2", "vm-3"} <= set(cut._peer_addresses))
+        self._cut(cut)
+        self.owner_client.refusing.add("vm-1")
+        wait_until(lambda: follower.dispatcher is not None)
+        wait_until(lambda: cut.current_term.owner == "vm-2")
+        wait_until(lambda: "vm-3" in follower.watcher_by_vm)
+
+    def test_term_that_another_entry_tells_is_only_taken_if_it_is_later(self):
+        follower = self._add_entry("vm-9", 2.0)
+        self.is_stopped = True
+        follower.current_term = Term(5, "vm-1", "i", "vm-1")
+        for epoch in (4, 5):
+            follower.note_term(Term(epoch, "vm-2", "i", "vm-2"))
+            self.assertThat(follower.current_term.owner, Equals("vm-1"))
+
     def test_own_term_of_an_earlier_process_is_taken_at_once(self):
         self.table.commit(Transaction((), (Put(TERM_KEY, Term(7, "vm-1", "old", "vm-1")),)))
         owner = self._add_entry("vm-1", 2.0)
--- a/tests/process/leadership/test_peer_api.py
+++ b/tests/process/leadership/test_peer_api.py
@@ -16,10 +16,12 @@
 from laburnumswitch.exceptions import Unavailable
 from laburnumswitch.process.dispatch.admission import FLEET_COMPLETE_S
 from laburnumswitch.process.dispatch.commitment import UNKNOWN_RETRY_AFTER_S
+from laburnumswitch.process.dispatch.jobs import JobState
 from laburnumswitch.process.leadership.messages import AdmissionAnswer
 from laburnumswitch.process.leadership.messages import AdmissionRequest
 from laburnumswitch.process.leadership.messages import WatchAnswer
 from laburnumswitch.process.leadership.owner_link import OwnerAccess
+from laburnumswitch.process.leadership.peer_api import describe_job
 from laburnumswitch.process.leadership.peer_api import make_leadership_peer_handler
 from laburnumswitch.process.leadership.peer_api import MAX_WATCH_WAIT_S
 from laburnumswitch.process.leadership.term import NO_OWNER
@@ -28,6 +30,7 @@
 from laburnumswitch.process.operating.admin import AdminRequest
 from laburnumswitch.process.operating.operations import Operations
 from tests.process.dispatch.harness import DispatchHarness
+from tests.process.dispatch.harness import make_submission
 from tests.process.dispatch.harness import QUEUE
 from tests.process.dispatch.harness import wait_until
 
@@ -59,8 +62,9 @@
         self.watchers = []
         self.leadership = SimpleNamespace(
             dispatcher=self.dispatcher,
-            note_watcher=lambda vm_id, cpu_cores: self.watchers.append(vm_id),
+            note_watcher=lambda vm_id, cpu_cores, address: self.watchers.append(vm_id),
             candidates=lambda: tuple(self.watchers),
+            peer_addresses=lambda: ("10.0.0.2:1",),
             current_term=Term(7, "vm-1", "i1", "10.0.0.1:1"),
             terms=[],
         )
@@ -111,6 +115,56 @@
         answer = WatchAnswer(*fields[:6])
         self.assertThat(answer.knows_jobs, Equals(True))
 
+    def test_superseded_entry_learns_the_later_term(self):
+        """Without the store, an earlier owner would not know from whom to learn of versions."""
+        term = Term(8, "vm-2", "i2", "10.0.0.2:1")
+        self.dispatcher.supersede = self.dispatcher.stopped.set
+        for body, learned in ((b"", []), (b"[", []), (b"8", []), (encode(term), [term])):
+            request = AdminRequest("POST", ("supersede", "8"), {}, {}, body)
+            self.assertThat(self.handle(request).body, Equals(b"true"))
+            self.assertThat(self.leadership.terms, Equals(learned))
+        self.assertThat(self.dispatcher.stopped.is_set(), Equals(True))
+
+
+class TestOwnership(TestCase):
+    """The owner stores for entries that the store does not serve, also for organisations."""
+
+    def setUp(self):
+        super().setUp()
+        self.harness = DispatchHarness()
+        self.owner = self.harness.start_owner()
+        self.addCleanup(self.owner.stop)
+        wait_until(self.owner.is_loaded.is_set)
+        self.leadership = SimpleNamespace(dispatcher=self.owner)
+        operations = Operations(self.harness.log)
+        self.handle = make_leadership_peer_handler(
+            lambda: self.leadership, "i1", operations, monotonic
+        )
+
+    def _store(self, organisation):
+        submission = make_submission("j1")._replace(organisation=organisation)
+        self.harness.checker.record_submission(submission)
+        request = AdminRequest("POST", ("store-owned",), {}, {}, encode(submission))
+        return self.handle(request).status
+
+    def _cancel(self, call, query):
+        return self.handle(AdminRequest("POST", (call, "j1"), query, {}, b"")).status
+
+    def test_owner_refuses_what_concerns_the_job_of_another_organisation(self):
+        self.assertThat(self._store("depot"), Equals(200))
+        for organisation in ("yard", ""):
+            self.assertThat(self._store(organisation), Equals(403))
+            query = {"organisation": organisation} if organisation else {}
+            self.assertThat(self._cancel("cancel-owned", query), Equals(403))
+        # Callers without a key, and entries of the earlier version, use the earlier call.
+        self.assertThat(self._cancel("cancel", {}), Equals(403))
+        self.assertThat(describe_job(self.owner, "j1").organisation, Equals("depot"))
+        self.assertThat(self._cancel("cancel-owned", {"organisation": "depot"}), Equals(200))
+
+    def test_organisation_of_a_job_that_the_owner_does_not_hold_is_unknown(self):
+        self.owner.note_final("j2", JobState.COMPLETED)
+        self.assertThat(describe_job(self.owner, "j2").organisation, Equals(None))
+
 
 class TestAdmission(TestCase):
     """Entries ask the owner whether it has room for a job that lasts."""
--- a/tests/process/operating/test_operations.py
+++ b/tests/process/operating/test_operations.py
@@ -9,6 +9,7 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
+from laburnumswitch.exceptions import Failure
 from laburnumswitch.platform.operations import decode_operation
 from laburnumswitch.process.observing.decisions import DecisionLog
 from laburnumswitch.process.operating.operations import follow_operations
@@ -17,9 +18,12 @@
 from laburnumswitch.process.rows.table import Put
 from laburnumswitch.process.rows.table import Transaction
 from standin.fleet.feed_table import FeedMemoryTable
+from tests.fakes import FakeClock
 from tests.platform.test_decoding import ROUTE
 from tests.process.dispatch.harness import wait_until
 
+CONFIGURATION = {"version": 1, "routes": [ROUTE], "services": []}
+
 
 class TestOperations(TestCase):
     def setUp(self):
@@ -84,6 +88,79 @@
         wait_until(lambda: self._version() == 6)
 
 
+class LateTable(FeedMemoryTable):
+    """A store whose answers are processed late, or come from a replica that lags."""
+
+    def __init__(self, clock):
+        super().__init__()
+        self.delay_s = 0.0
+        self.lag = 0
+        self._fake_clock = clock
+
+    def load(self, table):
+        return self._answer_late(super().load(table))
+
+    def follow(self, table, after, wait_s):
+        return self._answer_late(super().follow(table, after, 0.0))
+
+    def _answer_late(self, answer):
+        self._fake_clock.sleep(self.delay_s)
+        if isinstance(answer, Failure):
+            return answer
+        return answer._replace(version=answer.version - self.lag)
+
+
+class TestConfirmation(TestCase):
+    """How long ago the configuration was certainly the newest decides on keys."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = FakeClock()
+        self.table = LateTable(self.clock)
+        self.table.commit(Transaction((), (Put("op/config", CONFIGURATION),)))
+        self.operations = Operations(DecisionLog("vm-1", time, 1000))
+
+    def _read(self, reads):
+        """Follow the table for a number of reads after the first one, 60 s apart."""
+        left = [None] * 2 * (reads + 1)
+        follow_operations(
+            self.operations,
+            Feed(self.table, "op", wait_s=0.1),
+            decode_operation,
+            self.clock,
+            self.clock.sleep,
+            lambda: not left or left.pop(),
+        )
+
+    def test_read_confirms_from_when_it_was_sent(self):
+        """A process that was paused took an answer from before the pause for a recent one."""
+        sent_s = self.clock()
+        self.table.delay_s = 30.0
+        self._read(0)
+        self.assertThat(self.operations.version(), Equals(1))
+        self.assertThat(self.operations.confirmed_s, Equals(sent_s))
+
+    def test_failed_read_confirms_nothing(self):
+        self.table.down = True
+        self._read(2)
+        self.assertThat(self.operations.confirmed_s, Equals(float("-inf")))
+
+    def test_answer_of_a_store_that_lags_confirms_nothing(self):
+        lags = [0, 1, 1, 0]
+        confirmed = []
+
+        def answer(changes):
+            self.clock.sleep(10.0)
+            confirmed.append(self.operations.confirmed_s)
+            return changes._replace(version=changes.version - lags[len(confirmed) - 1])
+
+        self.table._answer_late = answer
+        first_s = self.clock()
+        self._read(3)
+        self.assertThat(confirmed[1:], Equals([first_s, first_s, first_s]))
+        self.assertThat(self.operations.confirmed_s, Equals(first_s + 30.0))
+
+
 class TestDecisionLog(TestCase):
     def test_dropped_lines_are_counted(self):
         log = DecisionLog("vm-1", lambda: 1.5, 2)
