--- a/laburnumswitch/process/dispatch/organisation_admission.py
+++ b/laburnumswitch/process/dispatch/organisation_admission.py
@@ -17,14 +17,15 @@
 from xxhash import xxh32_intdigest
 
 from laburnumswitch.process.dispatch.job_spec import Queue
+from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.jobs import Job
+from laburnumswitch.process.dispatch.jobs import step_estimate_s
 from laburnumswitch.process.dispatch.ordering import LATE_FACTOR
 from laburnumswitch.process.dispatch.organisation_jobs import ending_steps
 from laburnumswitch.process.dispatch.organisation_jobs import JobDemand
 from laburnumswitch.process.dispatch.organisation_jobs import lasting_size
 from laburnumswitch.process.dispatch.organisation_jobs import REMAINING_SHARE
 from laburnumswitch.process.dispatch.organisation_jobs import ResourceSeconds
-from laburnumswitch.process.dispatch.organisation_jobs import task_seconds
 from laburnumswitch.size import Size
 
 # An organisation is busy if its jobs wait for this part of the longest wait with which they could
@@ -53,7 +54,7 @@
 
 
 class WaitingWork(NamedTuple):
-    """Work of one job that waits, and how urgent its queue is."""
+    """Work that waits, and how urgent its queues are."""
 
     priority: int
     work: ResourceSeconds
@@ -157,7 +158,9 @@
         self.rejected_by_cause[organisation, judgement.cause] += 1
         if judgement.cause is not Cause.BACKLOG:
             return _spread(job_id)
+        # An estimate may be infinite.
         excess_s = judgement.ahead_s + judgement.own_s - judgement.allowed_s
+        excess_s = min(MAX_RETRY_AFTER_S, excess_s)
         room_s = max(now_s + excess_s, self._room_s_by_organisation.get(organisation, 0.0))
         wait_s = max(MIN_RETRY_AFTER_S, ceil(room_s - now_s))
         if wait_s >= MAX_RETRY_AFTER_S:
@@ -241,21 +244,36 @@
     :param admitted: work of admitted jobs that are not known to be stored.
     :param now_s: Unix time in seconds.
     """
-    running = ResourceSeconds()
-    waiting: list[WaitingWork] = list(admitted)
+    running = [0.0, 0.0, 0.0]
+    waiting_by_priority: dict[int, list[float]] = {}
+    for each in admitted:
+        total = waiting_by_priority.setdefault(each.priority, [0.0, 0.0, 0.0])
+        total[:] = each.work.plus(ResourceSeconds(*total))
     for job in jobs:
-        job_waiting = ResourceSeconds()
-        for step_state in ending_steps(job):
-            step = step_state.step
-            if step_state.active_count:
-                rest = REMAINING_SHARE * step_state.active_count
-                running = running.plus(task_seconds(step, rest))
-            if step_state.has_waiting():
-                job_waiting = job_waiting.plus(task_seconds(step, step_state.waiting_count()))
         queue = find_queue(job.submission.queue)
+        waiting = None
         if queue is not None and _can_be_in_time(job, queue, now_s):
-            waiting.append(WaitingWork(queue.priority, job_waiting))
-    return Backlog(running, tuple(waiting), lasting_size(jobs))
+            waiting = waiting_by_priority.setdefault(queue.priority, [0.0, 0.0, 0.0])
+        for step_state in ending_steps(job):
+            if step_state.active_count:
+                _add(running, step_state.step, REMAINING_SHARE * step_state.active_count)
+            if waiting is not None and step_state.has_waiting():
+                _add(waiting, step_state.step, step_state.waiting_count())
+    return Backlog(
+        ResourceSeconds(*running),
+        tuple(
+            WaitingWork(priority, ResourceSeconds(*total))
+            for priority, total in waiting_by_priority.items()
+        ),
+        lasting_size(jobs),
+    )
+
+
+def _add(total: list[float], step: Step, count: float) -> None:
+    seconds = count * step_estimate_s(step)
+    total[0] += seconds * step.cpu_millis
+    total[1] += seconds * step.memory_mb
+    total[2] += seconds * step.accelerators
 
 
 def _can_be_in_time(job: Job, queue: Queue, now_s: float) -> bool:
--- a/tests/process/dispatch/test_organisation_admission.py
+++ b/tests/process/dispatch/test_organisation_admission.py
@@ -145,6 +145,13 @@
         self.fleet.replay([], BUSY_HOLD_S + 0.5)
         self.assertThat(self.owner.organisation_admissions.busy, Equals(()))
 
+    def test_job_with_an_endless_estimate_holds_up_its_organisation_only(self):
+        # Its backlog is infinite, which no whole number of seconds expresses.
+        endless = STEP._replace(estimate_ms=float("inf"))
+        self.fleet.replay([Arrival(0.0, CHECK.name, (endless,), (), LIMITED.name)], 0.3)
+        self.assertThat(self._admit("a").retry_after_s >= MAX_RETRY_AFTER_S, Equals(True))
+        self.assertThat(self._admit("b", name=OTHER.name), Equals(AdmissionAnswer(0)))
+
     def test_rejected_jobs_are_counted_by_cause(self):
         self._admit("a", (STEP._replace(count=400),))
         rejected = self.owner.organisation_admissions.rejected_by_cause
