--- a/laburnumswitch/process/dispatch/organisation_admission.py
+++ b/laburnumswitch/process/dispatch/organisation_admission.py
@@ -17,10 +17,9 @@
 from xxhash import xxh32_intdigest
 
 from laburnumswitch.process.dispatch.job_spec import Queue
-from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.jobs import Job
-from laburnumswitch.process.dispatch.jobs import step_estimate_s
 from laburnumswitch.process.dispatch.ordering import LATE_FACTOR
+from laburnumswitch.process.dispatch.organisation_jobs import add_task_seconds
 from laburnumswitch.process.dispatch.organisation_jobs import ending_steps
 from laburnumswitch.process.dispatch.organisation_jobs import JobDemand
 from laburnumswitch.process.dispatch.organisation_jobs import lasting_size
@@ -256,9 +255,11 @@
             waiting = waiting_by_priority.setdefault(queue.priority, [0.0, 0.0, 0.0])
         for step_state in ending_steps(job):
             if step_state.active_count:
-                _add(running, step_state.step, REMAINING_SHARE * step_state.active_count)
+                add_task_seconds(
+                    running, step_state.step, REMAINING_SHARE * step_state.active_count
+                )
             if waiting is not None and step_state.has_waiting():
-                _add(waiting, step_state.step, step_state.waiting_count())
+                add_task_seconds(waiting, step_state.step, step_state.waiting_count())
     return Backlog(
         ResourceSeconds(*running),
         tuple(
@@ -269,13 +270,6 @@
     )
 
 
-def _add(total: list[float], step: Step, count: float) -> None:
-    seconds = count * step_estimate_s(step)
-    total[0] += seconds * step.cpu_millis
-    total[1] += seconds * step.memory_mb
-    total[2] += seconds * step.accelerators
-
-
 def _can_be_in_time(job: Job, queue: Queue, now_s: float) -> bool:
     if job.submission.occurrences:
         # Later occurrences wait for their time, not for room.
--- a/laburnumswitch/process/dispatch/organisation_jobs.py
+++ b/laburnumswitch/process/dispatch/organisation_jobs.py
@@ -88,13 +88,13 @@
 
 def demand_of(steps: tuple[Step, ...]) -> JobDemand:
     """Return what a job with the given steps needs."""
-    work = ResourceSeconds()
+    work = [0.0, 0.0, 0.0]
     for step in steps:
         if not step.long_running:
-            work = work.plus(task_seconds(step, step.count))
+            add_task_seconds(work, step, step.count)
     gangs = [task_size(step, step.count - 1) for step in steps if step.gang]
     widest_gang = Size(*(max(parts) for parts in zip(ZERO, *gangs, strict=True)))
-    return JobDemand(work, max(critical_paths_s(steps), default=0.0), widest_gang)
+    return JobDemand(ResourceSeconds(*work), max(critical_paths_s(steps), default=0.0), widest_gang)
 
 
 def lasting_size(jobs: Iterable[Job]) -> Size:
@@ -112,9 +112,12 @@
     return Size(count * step.cpu_millis, count * step.memory_mb, count * step.accelerators)
 
 
-def task_seconds(step: Step, count: float) -> ResourceSeconds:
-    """Return the resources of some tasks of a step times their estimated duration."""
+def add_task_seconds(total: list[float], step: Step, count: float) -> None:
+    """Add the resources of some tasks of a step times their estimated duration to a total.
+
+    :param total: in the order of ``ResourceSeconds``.
+    """
     seconds = count * step_estimate_s(step)
-    return ResourceSeconds(
-        seconds * step.cpu_millis, seconds * step.memory_mb, seconds * step.accelerators
-    )
+    total[0] += seconds * step.cpu_millis
+    total[1] += seconds * step.memory_mb
+    total[2] += seconds * step.accelerators
