--- a/laburnumswitch/process/dispatch/organisation_usage.py
+++ b/laburnumswitch/process/dispatch/organisation_usage.py
@@ -115,6 +115,7 @@
                 break
             for step_state in occurrence.steps:
                 total = totals.get(organisation, NOTHING_RUNS)
-                waiting = step_state.waiting_count()
+                # Members of a gang that is done may still run, and count twice in the steps.
+                waiting = max(0, step_state.waiting_count())
                 totals[organisation] = total.plus_tasks(step_state.step, waiting)
     return totals
--- a/laburnumswitch/process/dispatch/quota_gate.py
+++ b/laburnumswitch/process/dispatch/quota_gate.py
@@ -102,18 +102,18 @@
             order = (priority, step_state.ready_since_s)
             if first is None or order < first.order:
                 self._held_by_organisation[organisation] = _HeldStep(order, step_state)
-        head = self._head_by_organisation.get(organisation)
-        return head is not None and head.step_state is step_state
+        return self._is_head(organisation, step_state)
 
     def admits_in_order(self, ready: ReadyStep) -> bool:
         """Return whether any tasks of a step may start, after those that go before it.
 
-        If not, the steps that follow may have to wait for it, see ``holds_back_others``.
+        If not, and it is the one that waits for the longest time, the steps that follow may have to
+        wait for it, see ``holds_back_others``.
         """
         if self.admits(ready):
             return True
         organisation, step_state = ready.job.submission.organisation, ready.step_state
-        if not step_state.active_count:
+        if self._is_head(organisation, step_state):
             since_s = max(step_state.ready_since_s, step_state.last_start_s or 0.0)
             total, limit = self._total(organisation), self._limit(organisation)
             waited_s = self._now_s - since_s
@@ -146,6 +146,10 @@
         total = self._total(organisation)
         return total.runs <= 1 or count_fitting(ZERO, total.size, limit, 1) == 1
 
+    def _is_head(self, organisation: str, step_state: StepState) -> bool:
+        head = self._head_by_organisation.get(organisation)
+        return head is not None and head.step_state is step_state
+
     def _total(self, organisation: str) -> OrganisationTotal:
         total = self._usage.total_by_organisation.get(organisation, NOTHING_RUNS)
         unknown = self.unknown_by_organisation.get(organisation)
