--- a/tests/process/dispatch/harness.py
+++ b/tests/process/dispatch/harness.py
@@ -10,6 +10,7 @@
 from laburnumswitch.process.daemon.deployment import Bounds
 from laburnumswitch.process.daemon.deployment import Deployment
 from laburnumswitch.process.dispatch.dispatcher import DispatchContext
+from laburnumswitch.process.dispatch.job_spec import Organisation
 from laburnumswitch.process.dispatch.job_spec import Queue
 from laburnumswitch.process.dispatch.job_spec import QueueConfiguration
 from laburnumswitch.process.dispatch.job_spec import Step
@@ -71,6 +72,14 @@
     return Submission(job_id, "orders", "spec", tuple(steps), time(), **fields)
 
 
+def make_configuration(version, *queues, **limit_by_organisation):
+    organisations = {
+        name: Organisation(name, 1.0, limit) for name, limit in limit_by_organisation.items()
+    }
+    by_name = {queue.name: queue for queue in queues or (QUEUE,)}
+    return QueueConfiguration(version, by_name, {"shop": True}, organisations_by_name=organisations)
+
+
 def wait_until(condition, limit_s=WAIT_LIMIT_S):
     deadline_s = monotonic() + limit_s
     while not condition():
