Decide how long tasks wait for a place near their data

Cause: urgent tasks started anywhere at once, where they take far_factor times as long, although places in the rack of their data become free within tenths of a second; gangs took several racks as soon as no rack had room; best-effort steps waited for a fixed time whatever the rack looked like.

Change: the owner compares the expected time until places in the rack are free (runs there, steps ahead) with the time lost elsewhere, the job's slack and whether work waits for the capacity elsewhere. Waits are bounded.

--- a/laburnumswitch/dispatch_metrics.py
+++ b/laburnumswitch/dispatch_metrics.py
@@ -83,6 +83,18 @@
             "Runs that a worker reported while their task also ran elsewhere.",
             lambda d: d.counters.duplicate_runs,
         ),
+        "near_tasks": (
+            "Tasks started in the rack that they prefer.",
+            lambda d: d.place_waits.near_tasks,
+        ),
+        "elsewhere_tasks": (
+            "Tasks started outside the rack that they prefer.",
+            lambda d: d.place_waits.elsewhere_tasks,
+        ),
+        "place_wait_seconds": (
+            "Time that steps waited for a preferred rack although others had room.",
+            lambda d: d.place_waits.waited_s,
+        ),
         "batches": ("Batches committed.", lambda d: d.recorder.batches),
     }
     for name, (help_text, read) in gauges.items():
--- a/laburnumswitch/process/dispatch/best_effort.py
+++ b/laburnumswitch/process/dispatch/best_effort.py
@@ -1,7 +1,6 @@
 """How long best-effort work waits for a suitable worker, one with low interference."""
 
 from laburnumswitch.process.dispatch.job_spec import Step
-from laburnumswitch.process.dispatch.jobs import step_estimate_s
 
 # Longest wait of a best-effort task for a suitable worker, in seconds. By then a typical job has
 # exceeded its target duration several times.
@@ -31,17 +30,6 @@
     return 0
 
 
-def waits_for_data_rack(step: Step, waited_s: float, far_factor: float) -> bool:
-    """Return whether a best-effort step still waits for a worker in the rack of its data.
-
-    Many jobs may prefer the same rack. Outside it a task takes longer; once it has waited for as
-    long as that costs, any suitable worker will do.
-
-    :param far_factor: ratio of a task's duration outside the rack of its data to that inside.
-    """
-    return waited_s < (far_factor - 1.0) * step_estimate_s(step)
-
-
 class FailedPlacements:
     """Best-effort steps that found no suitable worker during one planning pass of a service.
 
--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -51,6 +51,7 @@
 from laburnumswitch.process.dispatch.jobs import step_work
 from laburnumswitch.process.dispatch.jobs import Task
 from laburnumswitch.process.dispatch.opportunity import Demand
+from laburnumswitch.process.dispatch.place_wait import PlaceWaits
 from laburnumswitch.process.dispatch.recorder import Recorder
 from laburnumswitch.process.dispatch.tails import TailLatencyModel
 from laburnumswitch.process.dispatch.tickets import Tickets
@@ -195,6 +196,7 @@
         self.skipped_steps: set[tuple[str, int, int]] = set()
         self.reserved_by_service: dict[str, set[str]] = {}
         self.advice = Advice()
+        self.place_waits = PlaceWaits(context.log, context.deployment.bounds)
         self.model = TailLatencyModel()
         # Times of cancellations whose submissions have not arrived yet.
         self.cancelled_s_by_id: dict[str, float] = {}
--- a/laburnumswitch/process/dispatch/draining.py
+++ b/laburnumswitch/process/dispatch/draining.py
@@ -188,9 +188,16 @@
 
 
 def expected_remaining_s(run: ActiveRun, now_s: float) -> float:
-    """Return the expected time until a run ends by itself, in seconds.
+    """Return the expected time until a run ends by itself, in seconds."""
+    return max(0.0, predicted_remaining_s(run, now_s))
+
+
+def predicted_remaining_s(run: ActiveRun, now_s: float, duration_factor: float = 1.0) -> float:
+    """Return the time until the predicted end of a run, negative once that has passed.
 
     It follows from the run's own speed once that is known, otherwise from the estimate.
+
+    :param duration_factor: ratio of the expected duration to the estimate.
     """
     if run.step.long_running:
         return inf
@@ -200,8 +207,9 @@
         observed_s = run.reported_s - run.first_reported_s
         left_s = observed_s * left_percent / observed_percent
     else:
-        left_s = step_estimate_s(run.step) * left_percent / max(1.0, run.speed_percent)
-    return max(0.0, left_s - (now_s - run.reported_s))
+        left_s = step_estimate_s(run.step) * duration_factor * left_percent
+        left_s /= max(1.0, run.speed_percent)
+    return left_s - (now_s - run.reported_s)
 
 
 def _group_order(group: list[Candidate]) -> tuple[float, bool]:
--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -386,14 +386,18 @@
     def free_slots(self, step: Step) -> int:
         """Return for how many tasks of a step there is room, ``step.count`` at most."""
         used = (self.used_cpu_millis, self.used_memory_mb, self.used_accelerators)
-        return self._slots(step, *used)
+        return self.slots_beside(step, *used)
 
     def slots_when_idle(self, step: Step) -> int:
         """Return for how many tasks of a step there is room when nothing else runs."""
-        slots = self._slots(step, 0, 0, 0)
+        slots = self.slots_beside(step, 0, 0, 0)
         return min(slots, step.max_per_worker) if step.max_per_worker else slots
 
-    def _slots(self, step: Step, cpu_millis: int, memory_mb: int, accelerators: int) -> int:
+    def slots_beside(self, step: Step, cpu_millis: int, memory_mb: int, accelerators: int) -> int:
+        """Return for how many tasks of a step there is room beside some use of the worker.
+
+        The result is ``step.count`` at most.
+        """
         limits = [step.count]
         if step.cpu_millis and not step.best_effort:
             limits.append((self.listing.cpu_millis - cpu_millis) // step.cpu_millis)
--- a/laburnumswitch/process/dispatch/ordering.py
+++ b/laburnumswitch/process/dispatch/ordering.py
@@ -56,10 +56,7 @@
     :param now_s: Unix time in seconds.
     """
     job, occurrence, step_state = ready
-    critical_paths = job.critical_paths_s
-    objective_s = queue.stretch * max(critical_paths) + queue.objective_s
-    remaining_s = critical_paths[occurrence.steps.index(step_state)]
-    slack_s = occurrence.due_s + objective_s - remaining_s - now_s
+    slack_s, objective_s = job_slack(ready, queue, now_s)
     value = FIXED_VALUE * mean_work + job.work
     remaining_core_s = remaining_work(occurrence) if step_state.step.best_effort else 0.0
     return OrderKey(
@@ -71,6 +68,18 @@
     )
 
 
+def job_slack(ready: ReadyStep, queue: Queue, now_s: float) -> tuple[float, float]:
+    """Return how much delay a job's target duration still allows, and that duration, in seconds.
+
+    :param now_s: Unix time in seconds.
+    """
+    job, occurrence, step_state = ready
+    critical_paths = job.critical_paths_s
+    objective_s = queue.stretch * max(critical_paths) + queue.objective_s
+    remaining_s = critical_paths[occurrence.steps.index(step_state)]
+    return occurrence.due_s + objective_s - remaining_s - now_s, objective_s
+
+
 def remaining_work(occurrence: Occurrence) -> float:
     """Return the estimated core-seconds of the tasks that are not done."""
     return sum(
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -11,13 +11,13 @@
 from laburnumswitch.process.dispatch.advice import StepKey
 from laburnumswitch.process.dispatch.best_effort import FailedPlacements
 from laburnumswitch.process.dispatch.best_effort import forced_starts
-from laburnumswitch.process.dispatch.best_effort import waits_for_data_rack
 from laburnumswitch.process.dispatch.dispatcher import COMMAND_TIMEOUT_S
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
 from laburnumswitch.process.dispatch.dispatcher import task_name
 from laburnumswitch.process.dispatch.fleet import ActiveRun
 from laburnumswitch.process.dispatch.fleet import MAX_SILENCE_S
 from laburnumswitch.process.dispatch.fleet import Worker
+from laburnumswitch.process.dispatch.gang_places import choose_gang_places
 from laburnumswitch.process.dispatch.headroom import choose_reserved
 from laburnumswitch.process.dispatch.headroom import DUE_ROOM_SHARE
 from laburnumswitch.process.dispatch.headroom import FIRST_RUN_LIMIT_S
@@ -124,6 +124,12 @@
             key = order_key(ready, queue, dispatcher.mean_work_by_queue[queue.name], now_s)
             keyed.append((key, queue, ready, key_of_step))
     keyed.sort(key=lambda each: (not _is_overdue(dispatcher, each[2]), each[0]))
+    dispatcher.place_waits.begin_pass(
+        lambda: ((queue, ready) for _, queue, ready, _ in keyed),
+        dispatcher.ready_step_by_key,
+        bool(dispatcher.skipped_steps),
+        dispatcher.context.clock(),
+    )
     state_by_service: dict[str, ServicePlanningState] = {}
     unplaced: list[tuple[str, int, int]] = []
     stop_s = dispatcher.context.clock() + MAX_PASS_S
@@ -201,6 +207,8 @@
         step_state = ready.step_state
         if not step_state.step.is_urgent or step_state.step.gang or queue.needs_advice:
             continue
+        if dispatcher.place_waits.is_held(step_key(ready)):
+            continue
         if step_state.has_waiting() and key.tier is not Tier.EXPIRED:
             waiting = WaitingStep(ready, queue)
             waiting_by_service.setdefault(queue.service, []).append(waiting)
@@ -225,7 +233,11 @@
         service_state.long_running_budget -= (
             ready.step_state.active_count - active
         ) * step.cpu_millis
-    elif step.is_urgent and ready.step_state.has_waiting():
+    elif (
+        step.is_urgent
+        and ready.step_state.has_waiting()
+        and not dispatcher.place_waits.is_held(step_key(ready))
+    ):
         _reserve_workers(dispatcher, queue, ready, usable, service_state)
 
 
@@ -383,29 +395,35 @@
             if step.required_label in each.listing.labels and each.is_listing_current()
         ]
     if not queue.needs_advice:
-        if not _start_on(dispatcher, ready, candidates, {}, forced):
+        if not _start_on(dispatcher, queue, ready, candidates, {}, forced):
             service_state.failed_placements.note(step)
         return
     now_s = dispatcher.context.clock()
     tickets = dispatcher.advice.valid_tickets(step_key(ready), candidates, now_s)
     permitted = [each for each in candidates if each.worker_id in tickets]
-    _start_on(dispatcher, ready, permitted, tickets, forced)
+    _start_on(dispatcher, queue, ready, permitted, tickets, forced)
     if ready.step_state.has_waiting():
         _request_advice(dispatcher, queue, ready, candidates)
 
 
 def _start_on(
     dispatcher: Dispatcher,
+    queue: Queue,
     ready: ReadyStep,
     candidates: list[Worker],
     tickets: dict[str, str],
     forced: int,
 ) -> bool:
     """Start the tasks of a step; see ``_start_each`` for the result."""
-    if ready.step_state.step.gang:
-        _start_gang(dispatcher, ready, candidates, tickets)
+    step = ready.step_state.step
+    if step.gang:
+        _start_gang(dispatcher, queue, ready, candidates, tickets)
         return True
-    if _start_each(dispatcher, ready, candidates, tickets, forced):
+    if step.data_rack:
+        is_done = _start_near_data(dispatcher, queue, ready, candidates, tickets, forced)
+    else:
+        is_done = _start_each(dispatcher, ready, candidates, tickets, forced)
+    if is_done:
         return True
     ready.step_state.retry_after_s = dispatcher.context.clock() + PLACEMENT_RETRY_S
     return False
@@ -419,15 +437,40 @@
     return forced_starts(step, waited_s, reserved_share, ready.job.is_running())
 
 
+def _start_near_data(
+    dispatcher: Dispatcher,
+    queue: Queue,
+    ready: ReadyStep,
+    candidates: list[Worker],
+    tickets: dict[str, str],
+    forced: int,
+) -> bool:
+    """Start the tasks of a step near its data, and elsewhere those for which no wait pays."""
+    step = ready.step_state.step
+    near = [each for each in candidates if each.listing.rack == step.data_rack]
+    forced_near = 0 if step.best_effort else forced
+    is_done = _start_each(dispatcher, ready, near, tickets, forced_near)
+    now_s, wall_s = dispatcher.context.clock(), dispatcher.context.wall_clock()
+    elsewhere = dispatcher.place_waits.choose_elsewhere(
+        ready, queue, near, candidates, now_s, wall_s
+    )
+    if elsewhere:
+        is_done = _start_each(dispatcher, ready, candidates, tickets, forced, elsewhere)
+    dispatcher.place_waits.note_queued(ready, queue)
+    return is_done
+
+
 def _start_each(
     dispatcher: Dispatcher,
     ready: ReadyStep,
     candidates: list[Worker],
     tickets: dict[str, str],
     forced: int,
+    limit: int | None = None,
 ) -> bool:
     """Start the tasks of a step, up to ``forced`` of them on workers that are not suitable.
 
+    :param limit: number of tasks to start at most, without those under which workers crashed.
     :return: ``False`` if tasks remain because none of the workers with capacity is suitable.
     """
     step = ready.step_state.step
@@ -436,8 +479,8 @@
         candidates = workers_to_rank(step, candidates, dispatcher.counters.starts)
     _start_suspects(dispatcher, ready, candidates, tickets, forced)
     eligible = (each for each in candidates if _allows_another_task(step, each, ready))
-    ranking = Ranking(_step_to_rank(dispatcher, ready), eligible, context)
-    for task in [each for each in ready.step_state.waiting() if not each.crashed_runs]:
+    ranking = Ranking(step._replace(data_rack=""), eligible, context)
+    for task in [each for each in ready.step_state.waiting() if not each.crashed_runs][:limit]:
         choice = ranking.best()
         if choice is None:
             return True
@@ -480,16 +523,6 @@
         _start_task(dispatcher, ready.job, task, worker, tickets)
 
 
-def _step_to_rank(dispatcher: Dispatcher, ready: ReadyStep) -> Step:
-    step = ready.step_state.step
-    if not (step.best_effort and step.data_rack):
-        return step
-    waited_s = dispatcher.context.clock() - ready.step_state.ready_since_s
-    if waits_for_data_rack(step, waited_s, dispatcher.context.deployment.bounds.far_factor):
-        return step
-    return step._replace(data_rack="")
-
-
 def _allows_another_task(step: Step, worker: Worker, ready: ReadyStep) -> bool:
     if not step.max_per_worker:
         return True
@@ -498,6 +531,7 @@
 
 def _start_gang(
     dispatcher: Dispatcher,
+    queue: Queue,
     ready: ReadyStep,
     candidates: list[Worker],
     tickets: dict[str, str],
@@ -505,21 +539,13 @@
     """Start all members of a gang together, or none if they do not all fit."""
     if ready.step_state.active_count:
         return
-    step = ready.step_state.step
     if any(task.crashed_runs for task in ready.step_state.tasks):
         candidates = [worker for worker in candidates if not worker.has_suspect()]
         if not all(dispatcher.may_start(task) for task in ready.step_state.tasks):
             return
-    groups = [candidates]
-    if step.same_rack:
-        racks = sorted({worker.listing.rack for worker in candidates})
-        groups = [[each for each in candidates if each.listing.rack == rack] for rack in racks]
-        groups.append(candidates)
-    for group in groups:
-        placed = _place_gang(dispatcher, ready, group)
-        if placed is not None:
-            break
-    else:
+    now_s, wall_s = dispatcher.context.clock(), dispatcher.context.wall_clock()
+    placed = choose_gang_places(dispatcher.place_waits, queue, ready, candidates, now_s, wall_s)
+    if placed is None:
         return
     number = max(dispatcher.next_run(task) for task in ready.step_state.tasks)
     checkpoint = max(task.checkpoint for task in ready.step_state.tasks)
@@ -529,24 +555,11 @@
         _start_task(dispatcher, ready.job, task, worker, tickets)
 
 
-def _place_gang(
-    dispatcher: Dispatcher, ready: ReadyStep, group: list[Worker]
-) -> list[tuple[Task, Worker]] | None:
-    step = ready.step_state.step
-    free_slots = {worker.worker_id: worker.free_slots(step) for worker in group}
-    placed: list[tuple[Task, Worker]] = []
-    for worker in sorted(group, key=lambda each: free_slots[each.worker_id], reverse=True):
-        slots = min(free_slots[worker.worker_id], step.max_per_worker or step.count)
-        while slots > 0 and len(placed) < step.count:
-            placed.append((ready.step_state.tasks[len(placed)], worker))
-            slots -= 1
-    return placed if len(placed) == step.count else None
-
-
 def _start_task(
     dispatcher: Dispatcher, job: Job, task: Task, worker: Worker, tickets: dict[str, str]
 ) -> None:
     run = dispatcher.begin_run(job, task, worker)
+    dispatcher.place_waits.note_start(run.step, worker)
     worker.note_lease_sent(dispatcher.context.clock())
     command = StartCommand(
         task.key,
--- a/tests/process/dispatch/replay.py
+++ b/tests/process/dispatch/replay.py
@@ -11,11 +11,13 @@
 
 from gevent import sleep
 
+from laburnumswitch.exceptions import ConnectFailed
 from laburnumswitch.process.dispatch.admission import admit
 from laburnumswitch.process.dispatch.availability import AT_WORK_PERCENT
 from laburnumswitch.process.dispatch.commitment import committed_cpu_millis
 from laburnumswitch.process.dispatch.dispatcher import DispatchContext
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
+from laburnumswitch.process.dispatch.fleet import MAX_LEASE_S
 from laburnumswitch.process.dispatch.job_spec import Queue
 from laburnumswitch.process.dispatch.job_spec import QueueConfiguration
 from laburnumswitch.process.dispatch.job_spec import Step
@@ -40,6 +42,7 @@
 from laburnumswitch.process.rows.table import Put
 from laburnumswitch.process.rows.table import Transaction
 from standin.fleet.feed_table import FeedMemoryTable
+from tests.process.dispatch.harness import BOUNDS
 from tests.process.dispatch.harness import DEPLOYMENT
 
 # Interval between planning passes in virtual seconds, besides those that an event causes.
@@ -48,6 +51,8 @@
 REPORT_DELAY_S = 0.01
 # Time that a stop takes, in virtual seconds.
 STOP_S = 0.4
+# Time until a renewal of a worker's leases fails, in virtual seconds.
+RENEWAL_S = 1.0
 # Time until a long-running task is at work, in virtual seconds.
 STARTUP_S = 0.5
 
@@ -83,6 +88,8 @@
         self._worker_id = worker_id
 
     def start(self, command, timeout_s):
+        if self._fleet.is_lost(self._worker_id):
+            return ConnectFailed(self._worker_id, "crashed")
         self._fleet.note_start(self._worker_id, command)
         return Acknowledged(self._fleet.now_s)
 
@@ -106,15 +113,23 @@
     """
 
     def __init__(
-        self, listings: list[WorkerListing], queues: list[Queue], rejects_jobs: bool = True
+        self,
+        listings: list[WorkerListing],
+        queues: list[Queue],
+        rejects_jobs: bool = True,
+        far_factor: float = BOUNDS.far_factor,
     ) -> None:
         """Create the fleet.
 
+        :param far_factor: ratio of a task's duration outside the rack of its data, or of a gang's
+            over several racks, to that inside.
         :param rejects_jobs: whether jobs without room are rejected. Without it, the fleet may hold
             more than would be admitted, as after a loss of workers.
         """
         self.now_s = 1000.0
         self._rejects_jobs = rejects_jobs
+        self._far_factor = far_factor
+        self._lost_ids: set[str] = set()
         self.stopped_runs: list[tuple[float, TaskKey]] = []
         self.rejected_jobs: list[tuple[float, Arrival, int]] = []
         self._number = count(1)
@@ -131,7 +146,7 @@
         term = Term(1, "vm-1", "vm-1-i", "10.0.0.9:1")
         outcome = table.commit(Transaction((Condition(TERM_KEY, 0),), (Put(TERM_KEY, term),)))
         context = DispatchContext(
-            deployment=DEPLOYMENT,
+            deployment=DEPLOYMENT._replace(bounds=BOUNDS._replace(far_factor=far_factor)),
             table=table,
             workers_table="servers",
             decode_worker=lambda key, value: value,
@@ -178,6 +193,8 @@
 
     def _pass(self) -> None:
         for worker in self.owner.workers_by_id.values():
+            if worker.worker_id in self._lost_ids:
+                continue
             worker.note_answer(self.now_s, self.now_s)
             for run in worker.runs_by_task.values():
                 if run.step.long_running and self.now_s - run.started_s > STARTUP_S:
@@ -209,14 +226,46 @@
         key = (worker_id, command.task, command.run)
         self._running[key] = True
         if durations:
-            self._add_event(self.now_s + durations[command.task.step], "end", key, RunOutcome.DONE)
+            took_s = durations[command.task.step] * self._distance_factor(worker_id, command.task)
+            self._add_event(self.now_s + took_s, "end", key, RunOutcome.DONE)
+
+    def _distance_factor(self, worker_id, task) -> float:
+        step_state = self.owner.jobs_by_id[task.job_id].step_state(task)
+        step = step_state.step
+        workers = self.owner.workers_by_id
+        racks = {workers[worker_id].listing.rack}
+        if step.gang and step.same_rack:
+            racks = {workers[each.worker_id].listing.rack for each in step_state.tasks}
+        is_far = len(racks) > 1 or (step.data_rack and racks != {step.data_rack})
+        return self._far_factor if is_far else 1.0
 
     def note_stop(self, worker_id, task, run) -> None:
         self.stopped_runs.append((self.now_s, task))
         self._add_event(self.now_s + STOP_S, "end", (worker_id, task, run), RunOutcome.STOPPED)
 
+    def lose_rack(self, at_s: float, rack: str) -> None:
+        """Crash the workers of a rack after ``at_s``, which the owner notices by their silence."""
+        self._add_event(self.now_s + at_s, "crash", rack)
+
+    def is_lost(self, worker_id: str) -> bool:
+        return worker_id in self._lost_ids
+
+    def _crash(self, rack) -> None:
+        for worker in self.owner.workers_by_id.values():
+            if worker.listing.rack == rack:
+                self._lost_ids.add(worker.worker_id)
+                self._add_event(self.now_s + RENEWAL_S, "silence", worker)
+                lapse_s = max(worker.last_lapse_bound_s(), self.now_s + MAX_LEASE_S)
+                self._add_event(lapse_s, "lapse", worker)
+
+    def _silence(self, worker) -> None:
+        worker.is_silent = True
+
+    def _lapse(self, worker) -> None:
+        self.owner.drop_worker(worker, "its leases have expired")
+
     def _end(self, key, outcome) -> None:
-        if self._running.pop(key, False):
+        if self._running.pop(key, False) and key[0] not in self._lost_ids:
             self._add_event(self.now_s + REPORT_DELAY_S, "report", key, outcome)
 
     def _report(self, key, outcome) -> None:
--- a/tests/process/dispatch/test_decisions.py
+++ b/tests/process/dispatch/test_decisions.py
@@ -12,7 +12,6 @@
 from laburnumswitch.process.dispatch.best_effort import FailedPlacements
 from laburnumswitch.process.dispatch.best_effort import forced_starts
 from laburnumswitch.process.dispatch.best_effort import MAX_PLACEMENT_WAIT_S
-from laburnumswitch.process.dispatch.best_effort import waits_for_data_rack
 from laburnumswitch.process.dispatch.fleet import ActiveRun
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.headroom import choose_reserved
@@ -232,11 +231,6 @@
         step = HARMFUL._replace(count=8)
         self.assertThat(forced_starts(step, MAX_PLACEMENT_WAIT_S, 0.9, True), Equals(8))
 
-    def test_leaves_the_rack_of_its_data_once_waiting_costs_more_than_the_distance(self):
-        step = HARMFUL._replace(estimate_ms=2_000)
-        self.assertThat(waits_for_data_rack(step, 3.9, far_factor=3.0), Is(True))
-        self.assertThat(waits_for_data_rack(step, 4.1, far_factor=3.0), Is(False))
-
 
 class TestFailedPlacements(TestCase):
     """A burst leaves a hundred steps waiting in a fleet of hundreds of workers."""
