--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -55,6 +55,7 @@
 from laburnumswitch.process.dispatch.organisation_jobs import OrganisationJobs
 from laburnumswitch.process.dispatch.organisation_share import OrganisationShares
 from laburnumswitch.process.dispatch.organisation_usage import OrganisationUsage
+from laburnumswitch.process.dispatch.place_wait import PlaceWaits
 from laburnumswitch.process.dispatch.quota_gate import QuotaGate
 from laburnumswitch.process.dispatch.recorder import Recorder
 from laburnumswitch.process.dispatch.tails import TailLatencyModel
@@ -200,6 +201,7 @@
         self.skipped_steps: set[tuple[str, int, int]] = set()
         self.reserved_by_service: dict[str, set[str]] = {}
         self.advice = Advice()
+        self.place_waits = PlaceWaits(context.log, context.deployment.bounds)
         self.model = TailLatencyModel()
         # Times of cancellations whose submissions have not arrived yet.
         self.cancelled_s_by_id: dict[str, float] = {}
