Spread Retry-After of refused clients, and give the internal port more connections

With 40 entries and maxFds 1,024, 39 held watches left 22 connections to the owner for calls; there are 43 now.

--- a/laburnumswitch/connection/bounded_handler.py
+++ b/laburnumswitch/connection/bounded_handler.py
@@ -20,11 +20,10 @@
 from laburnumswitch.connection.request_reader import CallerClosed
 from laburnumswitch.connection.request_reader import RequestReader
 from laburnumswitch.connection.request_reader import STATUS_BAD_REQUEST
-from laburnumswitch.connection.request_reader import STATUS_REQUEST_TIMEOUT
 from laburnumswitch.connection.request_reader import STATUS_UNAVAILABLE
 from laburnumswitch.exceptions import CallerRefused
 
-RETRY_AFTER_S = 1
+TOO_MANY = CallerRefused(STATUS_UNAVAILABLE, "too many clients at a time")
 
 
 class RequestBody:
@@ -74,7 +73,7 @@
     def handle(self) -> None:
         """Serve the connection unless there are too many."""
         if not self._clients.admit(self):
-            self._send_at_once(_encode_refusal(_too_many()))
+            self._send_at_once(self._encode_refusal(TOO_MANY))
             self.socket.close()
             return
         try:
@@ -86,7 +85,7 @@
         """Close the connection in favour of another client."""
         self.rfile.close()
         if self._is_receiving:
-            self._send_at_once(_encode_refusal(_too_many()))
+            self._send_at_once(self._encode_refusal(TOO_MANY))
         self.socket.close()
 
     def handle_one_request(self) -> bool | None:
@@ -203,7 +202,7 @@
         self._clients.refuse(cause_of(refusal.status))
         try:
             self.socket.settimeout(LINGER_TIMEOUT_S)
-            self.socket.sendall(_encode_refusal(refusal))
+            self.socket.sendall(self._encode_refusal(refusal))
         except OSError:
             return
         self._is_receiving = False
@@ -224,14 +223,9 @@
         except OSError:
             return
 
-
-def _too_many() -> CallerRefused:
-    return CallerRefused(STATUS_UNAVAILABLE, "too many clients at a time")
-
-
-def _encode_refusal(refusal: CallerRefused) -> bytes:
-    fields = [f"HTTP/1.1 {refusal.status} {responses[refusal.status]}", "Connection: close"]
-    if refusal.status in (STATUS_UNAVAILABLE, STATUS_REQUEST_TIMEOUT):
-        fields.append(f"Retry-After: {RETRY_AFTER_S}")
-    fields.append("Content-Length: 0\r\n\r\n")
-    return "\r\n".join(fields).encode()
+    def _encode_refusal(self, refusal: CallerRefused) -> bytes:
+        fields = [f"HTTP/1.1 {refusal.status} {responses[refusal.status]}", "Connection: close"]
+        if refusal.status == STATUS_UNAVAILABLE:
+            fields.append(f"Retry-After: {self._clients.next_retry_after_s()}")
+        fields.append("Content-Length: 0\r\n\r\n")
+        return "\r\n".join(fields).encode()
--- a/laburnumswitch/connection/client_limits.py
+++ b/laburnumswitch/connection/client_limits.py
@@ -10,6 +10,7 @@
 from collections import Counter
 from collections.abc import Callable
 from enum import StrEnum
+from itertools import cycle
 from time import monotonic
 from typing import NamedTuple
 from typing import Protocol
@@ -26,6 +27,9 @@
 # Bodies up to this size may use the whole budget, larger ones only a part of it.
 SMALL_BODY_BYTES = 16_384
 LARGE_BODY_SHARE = 0.75
+# Values of ``Retry-After``, in seconds, given in turn so that refused clients do not all return at
+# the same moment. Room is there within a second, when bodies are answered or make way.
+RETRY_AFTER_S = (1, 2, 3)
 REPORT_INTERVAL_S = 1.0
 
 
@@ -158,6 +162,7 @@
         self.limits = limits
         self.budget = BodyBudget(limits().total_body_bytes)
         self.turns = Turns(sleep)
+        self._retry_after_s = cycle(RETRY_AFTER_S)
         self._refusals = refusals
         self._open: set[Client] = set()
         # Clients that this process waits for, the one it has waited for longest first. The others
@@ -213,6 +218,10 @@
             other.abort()
         return hold.is_granted
 
+    def next_retry_after_s(self) -> int:
+        """Return when the next refused client may return, in seconds."""
+        return next(self._retry_after_s)
+
     def refuse(self, cause: Cause) -> bool:
         """Count a refusal, and return whether it was reported at once."""
         return self._refusals.note(self.port, cause)
--- a/laburnumswitch/process/operating/port_limits.py
+++ b/laburnumswitch/process/operating/port_limits.py
@@ -16,15 +16,16 @@
 # The readiness path needs no body.
 HEALTH_BODY_BYTES = 4_096
 # Shares of the descriptors for connections. Three quarters are for the owner's connections to
-# workers; the rest are for this process's connections to other entries and the store.
-CALLER_CONNECTIONS_SHARE = 0.125
-PEER_CONNECTIONS_SHARE = 0.075
-HEALTH_CONNECTIONS_SHARE = 0.025
+# workers; the rest are for this process's connections to other entries and the store. At the owner,
+# each other entry holds one connection for its watch and others for its calls.
+CALLER_CONNECTIONS_SHARE = 0.11
+PEER_CONNECTIONS_SHARE = 0.1
+HEALTH_CONNECTIONS_SHARE = 0.02
 # A connection takes up to 64 KB: its greenlet, its state and the data read ahead. Callers and
-# entries together may so take about a fifth of the memory.
+# entries together may so take a quarter of the memory.
 CALLER_CONNECTIONS_PER_MB = 2
-PEER_CONNECTIONS_PER_MB = 1
-MAX_HEALTH_CONNECTIONS = 64
+PEER_CONNECTIONS_PER_MB = 2
+MAX_HEALTH_CONNECTIONS = 32
 # The smallest numbers with which the ports are useful.
 MIN_CONNECTIONS = 8
 # Answers are short, so that sending one blocks only if the client does not read.
--- a/laburnumswitch/request/job_server.py
+++ b/laburnumswitch/request/job_server.py
@@ -15,8 +15,6 @@
 
 # Absorbs bursts of new connections.
 LISTEN_BACKLOG = 512
-# Value of ``Retry-After``, in seconds, if there is no memory for a body.
-BODY_RETRY_AFTER_S = 1
 
 
 class InFlightCounter:
@@ -79,7 +77,8 @@
             return refusal
         body = environ["wsgi.input"].read()
         if isinstance(body, CallerRefused):
-            return JobReply(body.status, retry_after_s=BODY_RETRY_AFTER_S * (body.status == 503))
+            retry_after_s = clients.next_retry_after_s() if body.status == 503 else 0
+            return JobReply(body.status, retry_after_s=retry_after_s)
         return answer(request._replace(body=body))
 
     return make_server(address, application, clients, backlog=LISTEN_BACKLOG)
--- a/tests/process/operating/test_port_limits.py
+++ b/tests/process/operating/test_port_limits.py
@@ -20,13 +20,17 @@
 
 class TestPortLimits(TestCase):
     def test_all_clients_together_fit_into_the_smallest_machine(self):
-        ports = (caller_limits(SMALL, Limits()), peer_limits(SMALL), health_limits(SMALL))
+        for max_sockets, share in ((824, 0.6), (8_000, 0.75)):
+            self.check_sum(SMALL._replace(max_sockets=max_sockets), share)
+
+    def check_sum(self, small, share):
+        ports = (caller_limits(small, Limits()), peer_limits(small), health_limits(small))
         bodies_mb = sum(port.total_body_bytes for port in ports) / 2**20
         connections = sum(port.connections for port in ports)
         used_mb = IDLE_MB + COPIES * bodies_mb + connections * CONNECTION_MB
-        self.assertThat(used_mb, LessThan(0.6 * SMALL.memory_mb))
+        self.assertThat(used_mb, LessThan(share * small.memory_mb))
         # Three quarters of the descriptors are for connections to workers.
-        self.assertThat(connections, LessThan(SMALL.max_sockets // 4))
+        self.assertThat(connections, LessThan(small.max_sockets // 4))
 
     def test_limits_of_the_configuration_apply_to_callers(self):
         limits = caller_limits(SMALL, Limits(9, 8.0, 7, 6.0))
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -52,7 +52,7 @@
 MAX_LOAD_S = 15.0
 # The smallest machine has 200 MB, and an entry without load uses 45 MB.
 MAX_RESIDENT_MB = 100
-# All clients have 184 of the 824 descriptors for connections, and each request one to the store.
+# All clients have 188 of the 824 descriptors for connections, and each request one to the store.
 MAX_DESCRIPTORS = 310
 JOB_ID = "5c0e7a21d94b36f8"
 STEP = Step(count=1, cpu_millis=500, memory_mb=10, estimate_ms=20.0)
