--- a/tests/process/leadership/test_peer_api.py
+++ b/tests/process/leadership/test_peer_api.py
@@ -14,6 +14,8 @@
 from laburnumswitch.exceptions import Unavailable
 from laburnumswitch.process.dispatch.admission import FLEET_COMPLETE_S
 from laburnumswitch.process.dispatch.commitment import UNKNOWN_RETRY_AFTER_S
+from laburnumswitch.process.dispatch.job_spec import Step
+from laburnumswitch.process.dispatch.job_spec import Submission
 from laburnumswitch.process.leadership.messages import AdmissionAnswer
 from laburnumswitch.process.leadership.messages import AdmissionRequest
 from laburnumswitch.process.leadership.messages import WatchAnswer
@@ -100,6 +102,19 @@
         self.assertThat(answer.knows_jobs, Equals(True))
 
 
+class TestOversizedJob(TestCase):
+    def test_job_of_a_million_tasks_is_refused(self):
+        """A message of a few bytes at the internal port made the owner create them all."""
+        dispatcher = DispatchHarness().start_owner()
+        self.addCleanup(dispatcher.stop)
+        wait_until(dispatcher.is_loaded.is_set)
+        handle = make_leadership_peer_handler(lambda: SimpleNamespace(dispatcher=dispatcher), "i1")
+        job = Submission("5c0e7a21d94b36f8", QUEUE.name, "x", (Step(count=1_000_000),), 1.0)
+        for call in ("submitted", "store"):
+            reply = handle(AdminRequest("POST", (call,), {}, {}, encode(job)))
+            self.assertThat((reply.status, dispatcher.jobs_by_id), Equals((400, {})))
+
+
 class TestAdmission(TestCase):
     """Entries ask the owner whether it has room for a job that lasts."""
 
