--- a/tests/process/leadership/test_peer_api.py
+++ b/tests/process/leadership/test_peer_api.py
@@ -17,6 +17,8 @@
 from laburnumswitch.process.dispatch.admission import FLEET_COMPLETE_S
 from laburnumswitch.process.dispatch.commitment import UNKNOWN_RETRY_AFTER_S
 from laburnumswitch.process.dispatch.job_spec import Organisation
+from laburnumswitch.process.dispatch.job_spec import Step
+from laburnumswitch.process.dispatch.job_spec import Submission
 from laburnumswitch.process.dispatch.jobs import JobState
 from laburnumswitch.process.dispatch.organisation_admission import OrganisationAdmissions
 from laburnumswitch.process.dispatch.organisation_jobs import ResourceSeconds
@@ -182,6 +184,23 @@
         self.assertThat(describe_job(self.owner, "j2").organisation, Equals(None))
 
 
+class TestOversizedJob(TestCase):
+    def test_job_of_a_million_tasks_is_refused(self):
+        """A message of a few bytes at the internal port made the owner create them all."""
+        harness = DispatchHarness()
+        dispatcher = harness.start_owner()
+        self.addCleanup(dispatcher.stop)
+        wait_until(dispatcher.is_loaded.is_set)
+        leadership = SimpleNamespace(dispatcher=dispatcher)
+        handle = make_leadership_peer_handler(
+            lambda: leadership, "i1", harness.operations, monotonic
+        )
+        job = Submission("5c0e7a21d94b36f8", QUEUE.name, "x", (Step(count=1_000_000),), 1.0)
+        for call in ("submitted", "store", "store-owned"):
+            reply = handle(AdminRequest("POST", (call,), {}, {}, encode(job)))
+            self.assertThat((reply.status, dispatcher.jobs_by_id), Equals((400, {})))
+
+
 class TestAdmission(TestCase):
     """Entries ask the owner whether it has room for a job that lasts."""
 
