Present API keys in the tests of misbehaving clients

The soak's configuration requires keys since its merge with the keys of organisations, so the well-behaved client of these tests was answered 401, and the others were refused before their bodies took any memory.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,11 +10,11 @@
 from gevent import sleep
 from gevent import spawn
 
-from soak.callers import PATH_PREFIX
 from soak.cluster import Cluster
+from soak.keys import ORGANISATIONS
 from soak.misbehaving import PATTERNS
 from soak.misbehaving import run_clients
-from soak.misbehaving import Target
+from soak.misbehaving import targets_of
 from soak.proxy import Mode
 from soak.workers import EmulatedWorker
 
@@ -274,12 +274,8 @@
     """Let clients that follow one pattern call all ports of one entry."""
     config = random.choice(cluster.entries).config
     pattern = random.choice(PATTERNS)
-    targets = (
-        Target(config.front_address, f"{PATH_PREFIX}{random.getrandbits(64):016x}"),
-        Target(config.front_address, "/elsewhere"),
-        Target(config.ready_address, "/v1/ready"),
-        Target(config.peer_address, "/peer/submitted"),
-    )
+    key = cluster.keys.choose_valid(random.choice(ORGANISATIONS)).key
+    targets = targets_of(config, f"{random.getrandbits(64):016x}", key)
     end_s = monotonic() + duration_s
     joinall(
         [
--- a/soak/misbehaving.py
+++ b/soak/misbehaving.py
@@ -13,6 +13,8 @@
 from gevent import spawn
 
 from soak.callers import HOST
+from soak.callers import PATH_PREFIX
+from soak.entries import EntryConfig
 
 BODY_BYTES = 262_144
 PIECE_BYTES = 4_096
@@ -25,28 +27,40 @@
 
 
 class Target(NamedTuple):
-    """Port and path that the clients call."""
+    """Port and path that the clients call, with an accepted API key."""
 
     address: str
     path: str
+    key: str
+
+
+def targets_of(config: EntryConfig, job_id: str, key: str) -> tuple[Target, ...]:
+    """Return a job, a path without a queue, and the readiness and internal ports of an entry."""
+    return (
+        Target(config.front_address, f"{PATH_PREFIX}{job_id}", key),
+        Target(config.front_address, "/elsewhere", key),
+        Target(config.ready_address, "/v1/ready", key),
+        Target(config.peer_address, "/peer/submitted", key),
+    )
 
 
 Pattern = Callable[[Target], Iterator[bytes | float]]
 
 
-def _head(method: str, path: str, *fields: str) -> bytes:
-    lines = (f"{method} {path} HTTP/1.1", f"Host: {HOST}", *fields, "", "")
+def _head(method: str, target: Target, *fields: str) -> bytes:
+    authorization = f"Authorization: Bearer {target.key}"
+    lines = (f"{method} {target.path} HTTP/1.1", f"Host: {HOST}", authorization, *fields, "", "")
     return "\r\n".join(lines).encode()
 
 
 def send_unfinished_body(target: Target) -> Iterator[bytes | float]:
     """Send a body of legal size in one piece, except for its last byte."""
-    yield _head("POST", target.path, f"Content-Length: {BODY_BYTES}") + FILLER[:-1]
+    yield _head("POST", target, f"Content-Length: {BODY_BYTES}") + FILLER[:-1]
 
 
 def send_unfinished_pieces(target: Target) -> Iterator[bytes | float]:
     """Send a body of legal size in small pieces, except for its last byte."""
-    yield _head("POST", target.path, f"Content-Length: {BODY_BYTES}")
+    yield _head("POST", target, f"Content-Length: {BODY_BYTES}")
     for _ in range(BODY_BYTES // PIECE_BYTES - 1):
         yield FILLER[:PIECE_BYTES]
         yield 0.001
@@ -55,20 +69,20 @@
 
 def send_unfinished_chunks(target: Target) -> Iterator[bytes | float]:
     """Send a body of legal size in chunks, without the last one."""
-    yield _head("POST", target.path, "Transfer-Encoding: chunked")
+    yield _head("POST", target, "Transfer-Encoding: chunked")
     yield b"10\r\n0123456789abcdef\r\n" * (BODY_BYTES // 16)
 
 
 def send_oversized_body(target: Target) -> Iterator[bytes | float]:
     """Send a body far over the limit."""
-    yield _head("POST", target.path, "Content-Length: 1000000000000")
+    yield _head("POST", target, "Content-Length: 1000000000000")
     for _ in range(8):
         yield FILLER
 
 
 def send_oversized_chunk(target: Target) -> Iterator[bytes | float]:
     """Send a chunk far over the limit."""
-    yield _head("POST", target.path, "Transfer-Encoding: chunked") + b"ffffffff\r\n"
+    yield _head("POST", target, "Transfer-Encoding: chunked") + b"ffffffff\r\n"
     for _ in range(8):
         yield FILLER
 
@@ -76,25 +90,25 @@
 def send_many_headers(target: Target) -> Iterator[bytes | float]:
     """Send a head of legal size with very many headers, several times."""
     fields = [f"a{number}:" for number in range(1_900)]
-    yield _head("GET", target.path, *fields) * 20
+    yield _head("GET", target, *fields) * 20
 
 
 def send_many_fields(target: Target) -> Iterator[bytes | float]:
     """Send a job of legal size with very many steps of few bytes each."""
     body = b'{"spec":"x","steps":[' + b'{"count":1},' * 21_000 + b'{"count":1}]}'
-    yield _head("POST", target.path, f"Content-Length: {len(body)}") + body
+    yield _head("POST", target, f"Content-Length: {len(body)}") + body
 
 
 def pipeline_requests(target: Target) -> Iterator[bytes | float]:
     """Send many requests without reading an answer."""
-    request = _head("GET", target.path)
+    request = _head("GET", target)
     for _ in range(PIPELINED_BLOCKS):
         yield request * (PIECE_BYTES // len(request))
 
 
 def send_slowly(target: Target) -> Iterator[bytes | float]:
     """Send a head byte by byte."""
-    for byte in _head("GET", target.path):
+    for byte in _head("GET", target):
         yield bytes((byte,))
         yield TRICKLE_PAUSE_S
 
@@ -113,7 +127,7 @@
         ("Content-Length: 3", "Transfer-Encoding: chunked"),
         ("Transfer-Encoding: gzip, chunked",),
     ):
-        yield _head("POST", target.path, *fields) + FILLER[:PIECE_BYTES]
+        yield _head("POST", target, *fields) + FILLER[:PIECE_BYTES]
 
 
 PATTERNS: tuple[Pattern, ...] = (
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -28,6 +28,7 @@
 from soak.callers import HOST
 from soak.callers import PATH_PREFIX
 from soak.cluster import Cluster
+from soak.keys import ORGANISATIONS
 from soak.misbehaving import pipeline_requests
 from soak.misbehaving import run_clients
 from soak.misbehaving import send_malformed_lengths
@@ -40,7 +41,7 @@
 from soak.misbehaving import send_unfinished_body
 from soak.misbehaving import send_unfinished_chunks
 from soak.misbehaving import send_unfinished_pieces
-from soak.misbehaving import Target
+from soak.misbehaving import targets_of
 from standin.fleet.worker_process import encode_steps
 from tests.process.dispatch.harness import wait_until
 
@@ -70,21 +71,18 @@
         self.addCleanup(self.cluster.stop)
         self.cluster.start()
         self.entry = self.cluster.entries[0]
-        config = self.entry.config
         wait_until(self.is_ready, WAIT_LIMIT_S)
-        self.targets = (
-            Target(config.front_address, f"{PATH_PREFIX}{JOB_ID}"),
-            Target(config.front_address, "/elsewhere"),
-            Target(config.ready_address, "/v1/ready"),
-            Target(config.peer_address, "/peer/submitted"),
-        )
+        # Without an accepted key, requests are refused before their bodies take any memory.
+        self.key = self.cluster.keys.choose_valid(ORGANISATIONS[0]).key
+        self.targets = targets_of(self.entry.config, JOB_ID, self.key)
         self.accepted = []
         self.peak_mb = self.peak_descriptors = self.unready = 0
 
     def call(self, method, job_id, body=b""):
         client = Client(self.entry.config.front_address)
         try:
-            return client.call(method, f"{PATH_PREFIX}{job_id}", body, 3.0, {"Host": HOST})
+            headers = {"Host": HOST, "Authorization": f"Bearer {self.key}"}
+            return client.call(method, f"{PATH_PREFIX}{job_id}", body, 3.0, headers)
         finally:
             client.close()
 
