--- a/laburnumswitch/process/dispatch/advice.py
+++ b/laburnumswitch/process/dispatch/advice.py
@@ -55,6 +55,11 @@
 StepKey = tuple[str, int, int]
 
 
+def step_key(ready: ReadyStep) -> StepKey:
+    """Return the job id, occurrence and index of a ready step."""
+    return ready.step_state.tasks[0].key[:3]
+
+
 class _Known(NamedTuple):
     """The last answer about one incarnation of a worker; ``ticket`` is empty if not permitted."""
 
--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -25,6 +25,7 @@
 from laburnumswitch.process.dispatch.advice import Advice
 from laburnumswitch.process.dispatch.commitment import Admissions
 from laburnumswitch.process.dispatch.commitment import committed_cpu_millis
+from laburnumswitch.process.dispatch.counters import Counters
 from laburnumswitch.process.dispatch.crashes import CrashedTask
 from laburnumswitch.process.dispatch.crashes import crashes_key
 from laburnumswitch.process.dispatch.crashes import CrashWindow
@@ -44,6 +45,7 @@
 from laburnumswitch.process.dispatch.job_spec import Queue
 from laburnumswitch.process.dispatch.job_spec import Submission
 from laburnumswitch.process.dispatch.job_spec import TaskKey
+from laburnumswitch.process.dispatch.jobs import describe_steps
 from laburnumswitch.process.dispatch.jobs import Job
 from laburnumswitch.process.dispatch.jobs import JobState
 from laburnumswitch.process.dispatch.jobs import Occurrence
@@ -55,6 +57,8 @@
 from laburnumswitch.process.dispatch.organisation_jobs import OrganisationJobs
 from laburnumswitch.process.dispatch.organisation_share import OrganisationShares
 from laburnumswitch.process.dispatch.organisation_usage import OrganisationUsage
+from laburnumswitch.process.dispatch.orphans import OrphanEnd
+from laburnumswitch.process.dispatch.orphans import OrphanRun
 from laburnumswitch.process.dispatch.place_wait import PlaceWaits
 from laburnumswitch.process.dispatch.quota_gate import QuotaGate
 from laburnumswitch.process.dispatch.recorder import Recorder
@@ -131,39 +135,6 @@
     list_vms: ListVms | None = None
 
 
-class OrphanRun(NamedTuple):
-    """A reported run whose job is not known yet, and when it was first seen."""
-
-    worker: Worker
-    report: RunReport
-    seen_s: float
-
-
-class OrphanEnd(NamedTuple):
-    """An ended run whose job is not known yet, and when it was first reported."""
-
-    worker: Worker
-    report: EndReport
-    seen_s: float
-
-
-class Counters:
-    """Counters for the metrics, from the start of the owner's term."""
-
-    def __init__(self) -> None:
-        self.starts = 0
-        self.refused_starts = 0
-        self.uncertain_starts = 0
-        self.renewals = 0
-        self.throttles = 0
-        self.vm_list_readings = 0
-        # Long-running jobs for which there was no room.
-        self.rejected_jobs = 0
-        # Runs that a worker reported while their task also ran elsewhere.
-        self.duplicate_runs = 0
-        self.ended_count_by_outcome: dict[str, int] = {}
-
-
 class Dispatcher:
     """State of the owner during one term.
 
@@ -970,22 +941,6 @@
         self.wake.set()
 
 
-def describe_steps(job: Job, submitted_s: float) -> list[tuple[float | None, float | None]]:
-    """Return when each step of a job became ready and when its last task was started, for the log.
-
-    In seconds since the submission. Of a job with several occurrences it returns the last one.
-
-    :param submitted_s: when the job was submitted, on the owner's clock.
-    """
-    return [
-        tuple(
-            None if instant_s is None else round(instant_s - submitted_s, 3)
-            for instant_s in (step_state.first_ready_s, step_state.last_start_s)
-        )
-        for step_state in job.occurrences[-1].steps
-    ]
-
-
 def fleet_part(worker_id: str) -> int:
     """Return the number of the row of the worker list that stores a worker."""
     return xxh32_intdigest(worker_id.encode()) % FLEET_PARTS
--- a/laburnumswitch/process/dispatch/jobs.py
+++ b/laburnumswitch/process/dispatch/jobs.py
@@ -304,3 +304,19 @@
         longest = max((remaining[n] for n in followers), default=0.0)
         remaining[index] = step_estimate_s(steps[index]) + longest
     return tuple(remaining)
+
+
+def describe_steps(job: Job, submitted_s: float) -> list[tuple[float | None, float | None]]:
+    """Return when each step of a job became ready and when its last task was started, for the log.
+
+    In seconds since the submission. Of a job with several occurrences it returns the last one.
+
+    :param submitted_s: when the job was submitted, on the owner's clock.
+    """
+    return [
+        tuple(
+            None if instant_s is None else round(instant_s - submitted_s, 3)
+            for instant_s in (step_state.first_ready_s, step_state.last_start_s)
+        )
+        for step_state in job.occurrences[-1].steps
+    ]
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -7,9 +7,9 @@
 from laburnumswitch.exceptions import Throttled
 from laburnumswitch.exceptions import Unavailable
 from laburnumswitch.exceptions import WorkerReplaced
-from laburnumswitch.process.dispatch.advice import AdviceCall
-from laburnumswitch.process.dispatch.advice import StepKey
-from laburnumswitch.process.dispatch.best_effort import FailedPlacements
+from laburnumswitch.process.dispatch.advice import step_key
+from laburnumswitch.process.dispatch.advice_calls import call_advice
+from laburnumswitch.process.dispatch.advice_calls import request_advice
 from laburnumswitch.process.dispatch.best_effort import forced_starts
 from laburnumswitch.process.dispatch.dispatcher import COMMAND_TIMEOUT_S
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
@@ -37,10 +37,10 @@
 from laburnumswitch.process.dispatch.organisation_update import update_organisations
 from laburnumswitch.process.dispatch.organisation_usage import unknown_totals
 from laburnumswitch.process.dispatch.placing import INTERFERENCE_LIMIT
-from laburnumswitch.process.dispatch.placing import is_far_from_data
 from laburnumswitch.process.dispatch.placing import PlacementContext
 from laburnumswitch.process.dispatch.placing import Ranking
 from laburnumswitch.process.dispatch.placing import workers_to_rank
+from laburnumswitch.process.dispatch.planning_state import ServicePlanningState
 from laburnumswitch.process.dispatch.preemption import make_room
 from laburnumswitch.process.dispatch.preemption import WaitingStep
 from laburnumswitch.process.dispatch.quota_gate import QuotaBudget
@@ -158,7 +158,7 @@
         if ready.step_state.has_waiting() and dispatcher.quota_gate.startable(ready):
             unplaced.append(key_of_step)
         if dispatcher.context.clock() > stop_s:
-            _call_advice(dispatcher)
+            call_advice(dispatcher)
             dispatcher.skipped_steps.update(unplaced)
             for service, state in state_by_service.items():
                 dispatcher.reserved_by_service[service] = state.reserved_workers
@@ -166,48 +166,10 @@
             return
     dispatcher.skipped_steps.clear()
     dispatcher.reserved_by_service.clear()
-    _call_advice(dispatcher)
+    call_advice(dispatcher)
     _preempt(dispatcher, keyed, state_by_service)
 
 
-class ServicePlanningState:
-    """State of a service during one planning pass.
-
-    :ivar usable: workers that may get starts.
-    :ivar reserved_share: share of their processors that tasks reserve at the start of the pass.
-    :ivar long_running_budget: processors that long-running tasks may still reserve, in thousandths
-        of a core.
-    :ivar reserved_workers: ids of the workers that are kept for large urgent tasks.
-    :ivar failed_placements: best-effort steps that found no suitable worker.
-    :ivar no_lasting_room: sizes for which the workers of the service, draining ones excluded, have
-        room for fewer than ``MIN_SPARE_SLOTS`` tasks.
-    """
-
-    def __init__(self, usable: list[Worker], long_running_budget: float) -> None:
-        capacity = sum(worker.listing.cpu_millis for worker in usable)
-        reserved = sum(worker.used_cpu_millis for worker in usable)
-        self.usable = usable
-        self.reserved_share = reserved / max(1, capacity)
-        self.long_running_budget = long_running_budget
-        self.reserved_workers: set[str] = set()
-        self.failed_placements = FailedPlacements()
-        self.no_lasting_room = NoRoom()
-        self._no_room = NoRoom()
-        self._no_unreserved_room = NoRoom()
-        self._unreserved = usable
-
-    def unreserved_workers(self) -> list[Worker]:
-        """Return the usable workers that are not kept for large urgent tasks."""
-        reserved = self.reserved_workers
-        if len(self._unreserved) != len(self.usable) - len(reserved):
-            self._unreserved = [each for each in self.usable if each.worker_id not in reserved]
-        return self._unreserved if reserved else self.usable
-
-    def no_room_on(self, workers: list[Worker]) -> NoRoom:
-        """Return the sizes that fit none of the usable or of the unreserved workers."""
-        return self._no_room if workers is self.usable else self._no_unreserved_room
-
-
 def _service_planning_state(dispatcher: Dispatcher, service: str) -> ServicePlanningState:
     usable = usable_workers(dispatcher, service)
     state = ServicePlanningState(usable, _long_running_budget(dispatcher, service, usable))
@@ -361,11 +323,6 @@
     return dispatcher.context.clock() - step_state.ready_since_s >= LONGEST_WAIT_S
 
 
-def step_key(ready: ReadyStep) -> StepKey:
-    """Return the job id, occurrence and index of a ready step."""
-    return ready.step_state.tasks[0].key[:3]
-
-
 def is_due(dispatcher: Dispatcher, ready: ReadyStep, now_s: float) -> bool:
     """Return whether tasks of a ready step may start now.
 
@@ -451,7 +408,7 @@
     permitted = [each for each in candidates if each.worker_id in tickets]
     _start_on(dispatcher, queue, ready, permitted, tickets, forced)
     if ready.step_state.has_waiting() and dispatcher.quota_gate.admits(ready):
-        _request_advice(dispatcher, queue, ready, candidates)
+        request_advice(dispatcher, queue, ready, candidates)
 
 
 def _start_on(
@@ -686,53 +643,3 @@
         return outcome.status == STATUS_BAD_REQUEST
     refusals = ConnectFailed | StartRefused | WorkerReplaced | Throttled | Unavailable
     return isinstance(outcome, refusals)
-
-
-def _request_advice(
-    dispatcher: Dispatcher, queue: Queue, ready: ReadyStep, workers: list[Worker]
-) -> None:
-    """Request advice about more workers for a step with waiting tasks.
-
-    The first workers are those near the step's data, and others for each step, so that steps are
-    spread over all workers.
-    """
-    step = ready.step_state.step
-    able = [worker for worker in workers if worker.can_run(step)]
-    start = dispatcher.counters.starts % len(able) if able else 0
-    by_distance = sorted(able[start:] + able[:start], key=lambda each: is_far_from_data(step, each))
-    now_s = dispatcher.context.clock()
-    dispatcher.advice.request(step_key(ready), queue, ready, by_distance, now_s)
-
-
-def _call_advice(dispatcher: Dispatcher) -> None:
-    """Make the next call to the advice service, unless one is in flight."""
-    call = dispatcher.advice.next_call(dispatcher.context.clock())
-    if call is not None:
-        dispatcher.advice.begin_call(call)
-        dispatcher.spawn(_ask_advice, dispatcher, call)
-
-
-def _ask_advice(dispatcher: Dispatcher, call: AdviceCall) -> None:
-    context = dispatcher.context
-    ready = call.request.ready
-    worker_ids = tuple(call.incarnation_by_worker)
-    arguments = (ready.step_state.tasks[0].key, worker_ids, call.timeout_s)
-    sent_s = context.clock()
-    answer = dispatcher.call_remote("advice", context.ask_advice, *arguments)
-    now_s = context.clock()
-    dispatcher.advice.end_call()
-    if isinstance(answer, Failure):
-        dispatcher.advice.note_failure(call, answer, now_s)
-    elif not ready.job.is_final():
-        dispatcher.advice.note_answer(call, answer, now_s)
-    context.log.note(
-        "advice",
-        ready.job.job_id,
-        step=call.request.step_key[2],
-        workers=len(worker_ids),
-        waiting_steps=len(dispatcher.advice.requests),
-        took_s=round(now_s - sent_s, 3),
-        permitted=0 if isinstance(answer, Failure) else len(answer.ticket_by_worker),
-        outcome=answer.describe() if isinstance(answer, Failure) else "answered",
-    )
-    dispatcher.wake.set()
