--- a/laburnumswitch/process/dispatch/organisation_admission.py
+++ b/laburnumswitch/process/dispatch/organisation_admission.py
@@ -25,6 +25,7 @@
 from laburnumswitch.process.dispatch.organisation_jobs import lasting_size
 from laburnumswitch.process.dispatch.organisation_jobs import REMAINING_SHARE
 from laburnumswitch.process.dispatch.organisation_jobs import ResourceSeconds
+from laburnumswitch.process.dispatch.quota import exceeds_for_good
 from laburnumswitch.size import Size
 
 # An organisation is busy if its jobs wait for this part of the longest wait with which they could
@@ -187,7 +188,7 @@
     own_s = max(demand.critical_path_s, work_s)
     allowed_s = LATE_FACTOR * (queue.stretch * own_s + queue.objective_s)
     cause = None
-    if never_fits(demand.widest_gang, limit, overage):
+    if exceeds_for_good(demand.widest_gang, limit, overage):
         cause = Cause.GANG
     elif work_s and ahead_s and ahead_s + own_s > allowed_s:
         cause = Cause.BACKLOG
@@ -203,17 +204,6 @@
     return judgement.cause is not None
 
 
-def never_fits(widest_gang: Size, limit: Size, overage: float) -> bool:
-    """Return whether a gang exceeds a limit by more than one task, even with the overage.
-
-    :param widest_gang: resources of the gang without one of its members.
-    """
-    return any(
-        whole and part > whole * (1.0 + overage)
-        for part, whole in zip(widest_gang, limit, strict=True)
-    )
-
-
 def available_size(limit: Size, lasting: Size) -> Size:
     """Return what long-running jobs leave of a limit; 0 stands for no limit."""
     parts = zip(limit, lasting, strict=True)
--- a/laburnumswitch/process/dispatch/organisation_jobs.py
+++ b/laburnumswitch/process/dispatch/organisation_jobs.py
@@ -9,6 +9,7 @@
 from laburnumswitch.process.dispatch.jobs import Job
 from laburnumswitch.process.dispatch.jobs import step_estimate_s
 from laburnumswitch.process.dispatch.jobs import StepState
+from laburnumswitch.process.dispatch.quota import task_size
 from laburnumswitch.size import Size
 from laburnumswitch.size import ZERO
 
@@ -92,7 +93,7 @@
     for step in steps:
         if not step.long_running:
             add_task_seconds(work, step, step.count)
-    gangs = [task_size(step, step.count - 1) for step in steps if step.gang]
+    gangs = [task_size(step).times(step.count - 1) for step in steps if step.gang]
     widest_gang = Size(*(max(parts) for parts in zip(ZERO, *gangs, strict=True)))
     return JobDemand(ResourceSeconds(*work), max(critical_paths_s(steps), default=0.0), widest_gang)
 
@@ -103,15 +104,10 @@
     for job in jobs:
         for step in job.submission.steps:
             if step.long_running:
-                size = size.plus(task_size(step, step.count))
+                size = size.plus(task_size(step).times(step.count))
     return size
 
 
-def task_size(step: Step, count: int) -> Size:
-    """Return the resources of some tasks of a step."""
-    return Size(count * step.cpu_millis, count * step.memory_mb, count * step.accelerators)
-
-
 def add_task_seconds(total: list[float], step: Step, count: float) -> None:
     """Add the resources of some tasks of a step times their estimated duration to a total.
 
--- a/laburnumswitch/process/dispatch/quota.py
+++ b/laburnumswitch/process/dispatch/quota.py
@@ -101,9 +101,14 @@
 
     :param limit: as configured, or see ``effective_limit``.
     """
-    if not step.gang:
-        return False
-    others = task_size(step).times(step.count - 1)
+    return step.gang and exceeds_for_good(task_size(step).times(step.count - 1), limit, overage)
+
+
+def exceeds_for_good(others: Size, limit: Size, overage: float) -> bool:
+    """Return whether a gang exceeds a limit by more than one task, even with the overage.
+
+    :param others: resources of the gang without one of its members.
+    """
     return any(
         part > limit_part * (1.0 + overage)
         for part, limit_part in zip(others, limit, strict=True)
