Log and count refused calls with the version that decided them, and its age

Cause: a 404 had no line at all, so the record could not say by which version an entry refused a call, nor whether the entry knew that it was behind. feed_lost was logged once and did not tell a store that is cut off from an answer that arrives too slowly.

Change: call_refused and key_refused name the version, and how long ago it was certainly the newest; the line of an answer other than 200 too. A lost answer says how many bytes had arrived, every tenth failed read of a feed is logged, and metrics tell the version, its age, refusals by reason, and bytes and failures of the store. No decision changes.

Tests: test_refused_route_is_logged_with_the_version_and_its_age.

--- a/laburnumswitch/connection/client.py
+++ b/laburnumswitch/connection/client.py
@@ -97,12 +97,13 @@
             return ConnectFailed(self.address, "the address is malformed")
         sock = None
         sent = False
+        parser = ResponseParser(method)
         try:
             with Timeout(timeout_s):
                 sock = self._take_idle() or self._connect(self._parsed_address, timeout_s)
                 sent = True
                 sock.sendall(self._encode_request(method, target, body, extra_headers))
-                response, reusable = self._receive(sock, method)
+                response, reusable = self._receive(sock, parser)
         except (Timeout, OSError, HTTPParseError) as error:
             self._close_socket(sock)
             if isinstance(error, Timeout):
@@ -112,7 +113,7 @@
                 return PeerNotTrusted(self.address, refusal)
             reason = type(error).__name__
             if sent:
-                return AnswerLost(self.address, reason)
+                return AnswerLost(self.address, _describe_loss(reason, parser.received_bytes))
             if isinstance(error, ConnectionRefusedError):
                 return ConnectionRefused(self.address, reason)
             return ConnectFailed(self.address, reason)
@@ -199,8 +200,7 @@
         self.bytes_sent += len(encoded)
         return encoded
 
-    def _receive(self, sock: socket.socket, method: str) -> tuple[Response, bool]:
-        parser = ResponseParser(method)
+    def _receive(self, sock: socket.socket, parser: ResponseParser) -> tuple[Response, bool]:
         while not parser.is_complete:
             block = sock.recv(READ_BLOCK_BYTES)
             if not block:
@@ -211,6 +211,11 @@
         return response, not (parser.has_surplus or parser.should_close())
 
 
+def _describe_loss(reason: str, received_bytes: int) -> str:
+    # A peer that is cut off sends nothing; over a slow link a part of the answer arrives.
+    return f"{reason} after {received_bytes} bytes" if received_bytes else reason
+
+
 def _is_readable(sock: socket.socket) -> bool:
     # An idle connection with data to read was closed by the other end or is out of sync. gevent's
     # ``poll`` would run the event loop once.
--- a/laburnumswitch/connection/response_parser.py
+++ b/laburnumswitch/connection/response_parser.py
@@ -7,12 +7,16 @@
 
 
 class ResponseParser(HTTPResponse):
-    """Parses one response; bytes beyond its end set ``has_surplus`` instead of starting another."""
+    """Parses one response; bytes beyond its end set ``has_surplus`` instead of starting another.
+
+    :ivar received_bytes: length of all blocks, heads and surplus included.
+    """
 
     def __init__(self, method: str) -> None:
         super().__init__(method)
         self.is_complete = False
         self.has_surplus = False
+        self.received_bytes = 0
         self.header_fields: list[tuple[str, str]] = []
         self._name = ""
         self._value = ""
@@ -33,6 +37,7 @@
 
     def feed(self, data: bytes) -> None:
         """Parse one block; an empty one marks the end of the stream."""
+        self.received_bytes += len(data)
         try:
             super().feed(data)
         except HTTPParseError:
--- a/laburnumswitch/dispatch_entry.py
+++ b/laburnumswitch/dispatch_entry.py
@@ -26,6 +26,7 @@
 from laburnumswitch.connection.client_limits import RefusalCounter
 from laburnumswitch.connection.connection_limit import ConnectionLimit
 from laburnumswitch.dispatch_metrics import register_client_metrics
+from laburnumswitch.dispatch_metrics import register_configuration_metrics
 from laburnumswitch.dispatch_metrics import register_dispatch_metrics
 from laburnumswitch.exceptions import CannotListen
 from laburnumswitch.exceptions import Failure
@@ -108,7 +109,8 @@
         self.stopped = Event()
         self.log = DecisionLog(deployment.vm_id, time, CAPACITY_LINES)
         self.store_reach = Reach(monotonic)
-        self.table = ObservedTable(StoreClient(Client(deployment.store_address)), self.store_reach)
+        store_client = Client(deployment.store_address)
+        self.table = ObservedTable(StoreClient(store_client), self.store_reach)
         self.operations = Operations(self.log)
         self.peer_client = PeerClient()
         self.configuration_relay = ConfigurationRelay(
@@ -175,6 +177,14 @@
             self.metrics, self.leadership, self.in_flight, self.log, self.worker_connections
         )
         register_client_metrics(self.metrics, refusals, (callers, peers, probes))
+        register_configuration_metrics(
+            self.metrics,
+            self.operations,
+            self.job_api_context.refusal_log,
+            store_client,
+            self.store_reach,
+            _boot_clock,
+        )
         handlers = {
             "peer": make_leadership_peer_handler(
                 lambda: self.leadership, self.incarnation, self.operations, _boot_clock
--- a/laburnumswitch/dispatch_metrics.py
+++ b/laburnumswitch/dispatch_metrics.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from laburnumswitch.connection.client import Client
 from laburnumswitch.connection.client_limits import PortClients
 from laburnumswitch.connection.client_limits import RefusalCounter
 from laburnumswitch.connection.connection_limit import ConnectionLimit
@@ -12,7 +13,10 @@
 from laburnumswitch.process.observing.decisions import DecisionLog
 from laburnumswitch.process.observing.metrics import Metrics
 from laburnumswitch.process.observing.metrics import Sample
+from laburnumswitch.process.operating.operations import Operations
+from laburnumswitch.process.rows.reach import Reach
 from laburnumswitch.request.job_server import InFlightCounter
+from laburnumswitch.request.refusal_log import RefusalLog
 
 
 def register_dispatch_metrics(
@@ -129,3 +133,53 @@
         "Bytes that request bodies take until they are answered, by port.",
         lambda: [Sample({"port": each.port}, each.budget.used_bytes) for each in clients_of_ports],
     )
+
+
+def register_configuration_metrics(
+    metrics: Metrics,
+    operations: Operations,
+    refusal_log: RefusalLog,
+    store_client: Client,
+    store_reach: Reach,
+    boot_clock: Callable[[], float],
+) -> None:
+    """Register which configuration an entry answers by, and how it is kept up to date.
+
+    :param boot_clock: includes the time for which the VM was suspended.
+    """
+    metrics.add_gauge(
+        "laburnumswitch_configuration_version",
+        "Version of the configuration in force, 0 without one.",
+        operations.version,
+    )
+    metrics.add_gauge(
+        "laburnumswitch_configuration_confirmed_age_seconds",
+        "Time since the configuration in force was certainly the newest version.",
+        lambda: boot_clock() - operations.confirmed_s,
+    )
+    metrics.add_counters(
+        "laburnumswitch_configuration_adoptions_total",
+        "Versions of the configuration put in force, by where they came from.",
+        lambda: [
+            Sample({"source": source}, count)
+            for source, count in operations.adoptions_by_source.items()
+        ],
+    )
+    metrics.add_counters(
+        "laburnumswitch_calls_refused_total",
+        "Calls refused by the configuration in force, by status and reason.",
+        lambda: [
+            Sample({"status": str(status), "reason": reason}, count)
+            for (status, reason), count in refusal_log.counts.items()
+        ],
+    )
+    metrics.add_counter(
+        "laburnumswitch_store_calls_failed_total",
+        "Calls to the store that were not answered or refused.",
+        lambda: store_reach.failures,
+    )
+    metrics.add_counter(
+        "laburnumswitch_store_received_bytes_total",
+        "Bytes received from the store.",
+        lambda: store_client.bytes_received,
+    )
--- a/laburnumswitch/process/operating/operations.py
+++ b/laburnumswitch/process/operating/operations.py
@@ -3,6 +3,7 @@
 Used by the dispatch daemon (``dispatch_entry.py``).
 """
 
+from collections import Counter
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -60,6 +61,7 @@
 
     :ivar confirmed_s: latest instant, on a clock that includes suspensions, at which the store
         certainly held no newer configuration.
+    :ivar adoptions_by_source: adopted versions by where they came from.
     :ivar adopted: set and replaced when a configuration is adopted.
     :ivar known_queue_by_name: includes removed queues, since their accepted jobs still run. Owners
         store it, see ``dispatch.queue_store``.
@@ -70,6 +72,7 @@
         self.evacuated_zones: frozenset[str] = frozenset()
         self.waves_by_number: dict[int, MaintenanceWave] = {}
         self.confirmed_s = float("-inf")
+        self.adoptions_by_source: Counter[str] = Counter()
         self.adopted = Event()
         self.known_queue_by_name: dict[str, KnownQueue] = {}
         self.log = log
@@ -156,6 +159,7 @@
         self.configuration = configuration
         for queue in configuration.queues_by_name.values():
             self.remember_queue(KnownQueue(queue, configuration.version))
+        self.adoptions_by_source[source] += 1
         self.log.note("configuration", str(configuration.version), before=before, source=source)
         adopted, self.adopted = self.adopted, Event()
         adopted.set()
--- a/laburnumswitch/process/rows/change_feed.py
+++ b/laburnumswitch/process/rows/change_feed.py
@@ -11,6 +11,8 @@
 
 # Pause after a failed read, in seconds; long against the response time of the store.
 RETRY_DELAY_S = 0.2
+# Every this many failed reads in a row are logged.
+LOGGED_FAILURES = 10
 
 
 class Feed(NamedTuple):
@@ -44,7 +46,8 @@
         which is also done when the store has discarded the history after this version.
     :param apply: called with the changes and with whether they are the whole table.
     """
-    is_unavailable = has_more = False
+    failures = 0
+    has_more = False
     while not is_stopped():
         if version is not None and feed.interval_s and not has_more:
             sleep(feed.interval_s)
@@ -54,7 +57,7 @@
         else:
             # A read that is not held ends sooner if it is lost as well, so that the return of the
             # store is noticed sooner.
-            wait_s = 0.0 if is_unavailable else feed.wait_s
+            wait_s = 0.0 if failures else feed.wait_s
             changes = feed.store.follow(feed.table_name, version, wait_s)
         if is_stopped():
             return
@@ -62,14 +65,22 @@
             log.note("feed_history_lost", feed.table_name, version=version)
             version = None
         elif isinstance(changes, Failure):
-            if not is_unavailable:
-                log.note("feed_lost", feed.table_name, version=version, reason=changes.describe())
-            is_unavailable = True
+            failures += 1
+            if failures == 1 or failures % LOGGED_FAILURES == 0:
+                log.note(
+                    "feed_lost",
+                    feed.table_name,
+                    version=version,
+                    failures=failures,
+                    reason=changes.describe(),
+                )
             sleep(RETRY_DELAY_S)
         else:
-            if is_unavailable:
-                log.note("feed_regained", feed.table_name, version=changes.version)
-            is_unavailable = False
+            if failures:
+                log.note(
+                    "feed_regained", feed.table_name, version=changes.version, failures=failures
+                )
+            failures = 0
             apply(changes, version is None)
             # After an outage a lagging store may answer with an earlier version.
             version = max(changes.version, version or 0)
--- a/laburnumswitch/process/rows/reach.py
+++ b/laburnumswitch/process/rows/reach.py
@@ -15,9 +15,12 @@
     """Answers and failures of one service, as its calls observe them.
 
     The constructor takes the monotonic clock.
+
+    :ivar failures: number of calls that failed.
     """
 
     def __init__(self, clock: Callable[[], float]) -> None:
+        self.failures = 0
         self._clock = clock
         self._answered_s = clock()
         self._has_failed = False
@@ -29,6 +32,7 @@
 
     def note_failure(self) -> None:
         """Record a call that was not answered, or whose answer was that the service is away."""
+        self.failures += 1
         self._has_failed = True
 
     def silent_s(self) -> float:
--- a/laburnumswitch/request/job_api.py
+++ b/laburnumswitch/request/job_api.py
@@ -45,6 +45,7 @@
 from laburnumswitch.process.rows.table import Transaction
 from laburnumswitch.request.authentication import authenticate
 from laburnumswitch.request.authentication import Revocation
+from laburnumswitch.request.refusal_log import DecidedBy
 from laburnumswitch.request.refusal_log import RefusalLog
 
 # Reads and writes are retried for at most this time, in seconds: the caller may then retry through
@@ -60,9 +61,12 @@
 # Longest value of ``Retry-After``, in seconds, if the configuration is not confirmed. The values
 # are spread from 1 up, so that the callers of an entry do not return at the same moment.
 MAX_KEY_RETRY_AFTER_S = 3
+STATUS_OK = 200
 FORBIDDEN = 403
 ID_DIGITS = 16
 HEXADECIMAL = frozenset("0123456789abcdefABCDEF")
+# How much of the host and the path of a refused call is logged, in characters.
+MAX_LOGGED_CHARACTERS = 80
 
 
 class OwnerLink(Protocol):
@@ -170,7 +174,7 @@
 def refuse_early(context: JobApiContext, request: JobRequest) -> JobReply | None:
     """Return the refusal of a request whose body need not be read, ``None`` if it may be served."""
     call = _authenticate_call(context, request)
-    return call if isinstance(call, JobReply) else _refuse_call(call)
+    return call if isinstance(call, JobReply) else _refuse_call(context, call)
 
 
 def answer_request(context: JobApiContext, request: JobRequest) -> JobReply:
@@ -181,12 +185,12 @@
     call = _authenticate_call(context, request)
     if isinstance(call, JobReply):
         return call
-    refusal = _refuse_call(call)
+    refusal = _refuse_call(context, call)
     if refusal is not None:
         return refusal
     queue, job_id = call.queue, call.job_id
     if not job_id:
-        return _get_pending(context, queue)
+        return _get_pending(context, call)
     answer = {"POST": _submit, "GET": _get_state, "DELETE": _cancel}[request.method]
     started_s = context.clock()
     timeout_s = min(request.timeout_s or queue.timeout_s, queue.timeout_s, MAX_RETRY_TIME_S)
@@ -200,50 +204,93 @@
             configuration=call.configuration,
             **({"organisation": call.organisation} if call.organisation else {}),
             status=reply.status,
+            **_age_of_refusal(context, reply.status),
             took_s=round(context.clock() - started_s, 4),
         )
     return reply
 
 
-def _refuse_call(call: _Call) -> JobReply | None:
+def _refuse_call(context: JobApiContext, call: _Call) -> JobReply | None:
     """Return the refusal of a call for which there is no operation."""
     method, job_id = call.request.method, call.job_id
     if not job_id:
-        return None if method == "GET" else JobReply(405)
+        return None if method == "GET" else _refuse(context, call.request, 405, "no such method")
     if len(job_id) != ID_DIGITS or not HEXADECIMAL.issuperset(job_id):
-        return JobReply(404)
-    return None if method in ("POST", "GET", "DELETE") else JobReply(405)
+        return _refuse(context, call.request, 404, "malformed job id")
+    if method in ("POST", "GET", "DELETE"):
+        return None
+    return _refuse(context, call.request, 405, "no such method")
 
 
 def _authenticate_call(context: JobApiContext, request: JobRequest) -> _Call | JobReply:
     operations = context.operations
     configuration = operations.configuration
     if configuration is None:
-        return JobReply(503, retry_after_s=CONFIGURATION_RETRY_AFTER_S)
+        retry_after_s = CONFIGURATION_RETRY_AFTER_S
+        return _refuse(context, request, 503, "no configuration", retry_after_s)
     queue = operations.route(request.host, request.path)
     if queue is None:
-        return JobReply(404)
+        return _refuse(context, request, 404, "no such route")
     job_id = request.path.removeprefix(queue.path_prefix)
-    age_s = context.boot_clock() - operations.confirmed_s
-    revocation = context.revocation()
-    outcome = authenticate(configuration, queue, request.authorization, age_s, revocation)
+    decided_by = _decided_by(context)
+    outcome = authenticate(
+        configuration,
+        queue,
+        request.authorization,
+        decided_by.confirmed_age_s,
+        context.revocation(),
+    )
     if not isinstance(outcome, KeyNotAccepted):
         needs_organisation = bool(configuration.organisations_by_name)
         return _Call(request, queue, job_id, outcome, needs_organisation, configuration.version)
-    logged_id = job_id[:ID_DIGITS]
-    context.refusal_log.note(outcome, logged_id, queue.name, configuration.version, age_s)
+    context.refusal_log.note(
+        "key_refused",
+        job_id[:ID_DIGITS],
+        outcome.status,
+        outcome.reason,
+        decided_by,
+        queue=queue.name,
+        digest=outcome.digest,
+    )
     if outcome.status == 503:
         spread = xxh32_intdigest(request.path.encode()) % MAX_KEY_RETRY_AFTER_S
         return JobReply(503, retry_after_s=1 + spread)
     return JobReply(outcome.status)
 
 
-def _get_pending(context: JobApiContext, queue: Queue) -> JobReply:
-    pending = context.owner.pending(queue.name)
+def _refuse(
+    context: JobApiContext, request: JobRequest, status: int, reason: str, retry_after_s: int = 0
+) -> JobReply:
+    """Return the reply to a call that is not run, and log it."""
+    context.refusal_log.note(
+        "call_refused",
+        request.path[:MAX_LOGGED_CHARACTERS],
+        status,
+        reason,
+        _decided_by(context),
+        method=request.method,
+        host=request.host[:MAX_LOGGED_CHARACTERS],
+    )
+    return JobReply(status, retry_after_s=retry_after_s)
+
+
+def _decided_by(context: JobApiContext) -> DecidedBy:
+    operations = context.operations
+    return DecidedBy(operations.version(), context.boot_clock() - operations.confirmed_s)
+
+
+def _age_of_refusal(context: JobApiContext, status: int) -> dict[str, float]:
+    if status == STATUS_OK:
+        return {}
+    return {"confirmed_s_ago": round(_decided_by(context).confirmed_age_s, 3)}
+
+
+def _get_pending(context: JobApiContext, call: _Call) -> JobReply:
+    pending = context.owner.pending(call.queue.name)
     if isinstance(pending, Failure):
         # A number that may be too low would tell callers that their jobs have begun. Another entry
         # may know it, so the caller does not wait here.
-        return JobReply(503, retry_after_s=OWNER_RETRY_AFTER_S)
+        return _refuse(context, call.request, 503, "pending jobs unknown", OWNER_RETRY_AFTER_S)
     return JobReply(200, context.encode_pending(pending))
 
 
--- a/laburnumswitch/request/refusal_log.py
+++ b/laburnumswitch/request/refusal_log.py
@@ -1,8 +1,9 @@
-"""Log of refused calls, bounded however many calls are refused."""
+"""Log and count of refused calls; the log is bounded however many calls are refused."""
 
+from collections import Counter
 from collections.abc import Callable
+from typing import NamedTuple
 
-from laburnumswitch.exceptions import KeyNotAccepted
 from laburnumswitch.process.observing.decisions import DecisionLog
 
 # Lines in each interval; further refusals are counted in the first line of a later one.
@@ -10,10 +11,26 @@
 INTERVAL_S = 1.0
 
 
+class DecidedBy(NamedTuple):
+    """The configuration that a call was decided by.
+
+    :ivar version: 0 if there was none.
+    :ivar confirmed_age_s: time since this was certainly the newest version, infinite if it never
+        was.
+    """
+
+    version: int
+    confirmed_age_s: float
+
+
 class RefusalLog:
-    """Writes at most ``MAX_LINES`` lines per ``INTERVAL_S`` about calls refused by their key."""
+    """Writes at most ``MAX_LINES`` lines per ``INTERVAL_S`` about calls that were not run.
+
+    :ivar counts: refused calls by status and reason.
+    """
 
     def __init__(self, log: DecisionLog, clock: Callable[[], float]) -> None:
+        self.counts: Counter[tuple[int, str]] = Counter()
         self._log = log
         self._clock = clock
         self._began_s = float("-inf")
@@ -21,13 +38,20 @@
         self._unlogged = 0
 
     def note(
-        self, refusal: KeyNotAccepted, job_id: str, queue: str, version: int, age_s: float
+        self,
+        event: str,
+        subject: str,
+        status: int,
+        reason: str,
+        decided_by: DecidedBy,
+        **details: str,
     ) -> None:
-        """Log a refused call, or count it.
+        """Count a refused call, and log it unless there were many.
 
-        :param version: version of the configuration by which it was refused.
-        :param age_s: time since this was last confirmed.
+        :param reason: one of a few, as it is a label of a metric.
+        :param details: what the call asked for.
         """
+        self.counts[status, reason] += 1
         now_s = self._clock()
         if now_s - self._began_s >= INTERVAL_S:
             self._began_s = now_s
@@ -37,14 +61,13 @@
             return
         self._lines += 1
         self._log.note(
-            "key_refused",
-            job_id,
-            queue=queue,
-            digest=refusal.digest,
-            status=refusal.status,
-            reason=refusal.reason,
-            configuration=version,
-            confirmed_s_ago=round(age_s, 3),
+            event,
+            subject,
+            **details,
+            status=status,
+            reason=reason,
+            configuration=decided_by.version,
+            confirmed_s_ago=round(decided_by.confirmed_age_s, 3),
             unlogged=self._unlogged,
         )
         self._unlogged = 0
--- a/tests/request/test_authentication.py
+++ b/tests/request/test_authentication.py
@@ -15,6 +15,7 @@
 from laburnumswitch.process.observing.decisions import DecisionLog
 from laburnumswitch.request.authentication import authenticate
 from laburnumswitch.request.authentication import Revocation
+from laburnumswitch.request.refusal_log import DecidedBy
 from laburnumswitch.request.refusal_log import INTERVAL_S
 from laburnumswitch.request.refusal_log import MAX_LINES
 from laburnumswitch.request.refusal_log import RefusalLog
@@ -86,15 +87,28 @@
         clock = FakeClock()
         log = DecisionLog("vm-1", time, 10_000)
         refusals = RefusalLog(log, clock)
+
+        def note(refusal, age_s):
+            refusals.note(
+                "key_refused",
+                "0" * 16,
+                refusal.status,
+                refusal.reason,
+                DecidedBy(1, age_s),
+                queue=KEYED.name,
+                digest=refusal.digest,
+            )
+
         for number in range(5000):
             refusal = authenticate(CONFIGURATION, KEYED, f"Bearer secret-{number}", 0.5, STRICT)
-            refusals.note(refusal, "0" * 16, KEYED.name, 1, float("inf"))
+            note(refusal, float("inf"))
         clock.sleep(INTERVAL_S)
-        refusals.note(refusal, "0" * 16, KEYED.name, 1, 0.5)
+        note(refusal, 0.5)
         content = log.take()
         self.assertThat(b"secret" in content, Equals(False))
         lines = [decode(line) for line in content.splitlines()]
         self.assertThat(lines, HasLength(MAX_LINES + 1))
         self.assertThat(lines[-1]["unlogged"], Equals(5000 - MAX_LINES))
+        self.assertThat(refusals.counts, Equals({(401, "unknown key"): 5001}))
         self.assertThat(key_digest(b"secret-4999").startswith(lines[-1]["digest"]), Equals(True))
         self.assertThat(len(lines[-1]["digest"]), LessThan(17))
--- a/tests/request/test_job_api.py
+++ b/tests/request/test_job_api.py
@@ -3,6 +3,7 @@
 from hashlib import sha256
 from time import time
 
+from msgspec.json import decode
 from testtools import TestCase
 from testtools.matchers import Equals
 from testtools.matchers import GreaterThan
@@ -357,3 +358,26 @@
         self.owner.busy = ("shop-a",)
         self.table.down = True
         self.assertThat(self._submit().status, Equals(504))
+
+
+class TestRefusals(JobApiCase):
+    def test_refused_route_is_logged_with_the_version_and_its_age(self):
+        """Calls for a route that a newer version had added were answered 404 without a line."""
+        self.operations.note_confirmed(self.clock())
+        self.clock.sleep(0.4)
+        self.assertThat(self._ask("GET", "/unknown/").status, Equals(404))
+        line = decode(self.log.take().splitlines()[-1])
+        self.assertThat(
+            {name: line[name] for name in ("event", "id", "reason", "configuration")},
+            Equals(
+                {
+                    "event": "call_refused",
+                    "id": "/unknown/",
+                    "reason": "no such route",
+                    "configuration": 1,
+                }
+            ),
+        )
+        self.assertThat(line["confirmed_s_ago"], Equals(0.4))
+        counts = self.context.refusal_log.counts
+        self.assertThat(counts, Equals({(404, "no such route"): 1}))
