Add failing tests for configurations that do not reach entries behind narrow links

The emulated store lists each change of a row, as the platform's does, and not only the last one; the soak's proxy can carry answers slowly.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,6 +1,7 @@
-"""TCP proxy on loopback that delays, resets or drops traffic."""
+"""TCP proxy on loopback that delays, resets or drops traffic, or carries it slowly."""
 
 from enum import StrEnum
+from time import monotonic
 
 from gevent import sleep
 from gevent import socket
@@ -12,6 +13,8 @@
 # First interval at which the end of a connection is sent again while the link is cut; it doubles
 # each time, as that of TCP does.
 RESEND_S = 0.2
+# Size of the blocks over a narrow link, which its connections share.
+NARROW_BLOCK_BYTES = 8_192
 
 
 class Mode(StrEnum):
@@ -29,10 +32,16 @@
 
 
 class Proxy:
-    """Forwards connections from ``port``, 0 for any free one, to the address ``target``."""
+    """Forwards connections from ``port``, 0 for any free one, to the address ``target``.
+
+    :ivar answer_bytes_per_s: how much all connections together carry from the target, 0 for no
+        limit.
+    """
 
     def __init__(self, target: str, port: int = 0) -> None:
         self.mode = Mode.PASS
+        self.answer_bytes_per_s = 0
+        self._link_free_s = 0.0
         self._target = target
         self._sockets: set[socket.socket] = set()
         # Those that have ended, although the other side may not have learned of it.
@@ -103,11 +112,23 @@
         self._sockets -= {client_socket, target_socket}
         self._ended_sockets -= {client_socket, target_socket}
 
+    def _block_bytes(self, is_answer: bool) -> int:
+        return NARROW_BLOCK_BYTES if is_answer and self.answer_bytes_per_s else BLOCK_BYTES
+
+    def _await_turn(self, block_bytes: int) -> None:
+        """Wait until the link has carried what came before, and this block."""
+        now_s = monotonic()
+        transfer_s = block_bytes / self.answer_bytes_per_s
+        self._link_free_s = max(self._link_free_s, now_s) + transfer_s
+        sleep(self._link_free_s - now_s)
+
     def _copy(self, source: socket.socket, sink: socket.socket, is_answer: bool) -> None:
         try:
-            while block := source.recv(BLOCK_BYTES):
+            while block := source.recv(self._block_bytes(is_answer)):
                 if self.mode is Mode.DELAY:
                     sleep(DELAY_S)
+                if is_answer and self.answer_bytes_per_s:
+                    self._await_turn(len(block))
                 if self._drops(is_answer):
                     continue
                 if sink in self._ended_sockets:
--- a/standin/fleet/feed_table.py
+++ b/standin/fleet/feed_table.py
@@ -72,7 +72,7 @@
                 return refusal
             if after < self._history_start:
                 return HistoryLost(table, after)
-            rows = self._newest_changes(f"{table}/", after)
+            rows = self._changes_after(f"{table}/", after)
             left_s = deadline_s - self._clock()
             if rows or left_s <= 0:
                 return Changes(rows, self._version, self._clock())
@@ -85,13 +85,11 @@
         self._changes.clear()
         self._changed.set()
 
-    def _newest_changes(self, prefix: str, after: int) -> tuple[Row, ...]:
-        newest: dict[str, Row] = {}
-        for row in self._changes:
-            if row.version > after and row.key.startswith(prefix):
-                newest.pop(row.key, None)
-                newest[row.key] = row
-        return tuple(newest.values())
+    def _changes_after(self, prefix: str, after: int) -> tuple[Row, ...]:
+        # Each change of a row, as the platform's store lists them, and not only its last one.
+        return tuple(
+            row for row in self._changes if row.version > after and row.key.startswith(prefix)
+        )
 
     def _apply(self, transaction: Transaction) -> None:
         removed = [key for key in transaction.deletes if key in self._stored_by_key]
--- a/tests/request/test_job_api.py
+++ b/tests/request/test_job_api.py
@@ -43,6 +43,8 @@
 from tests.process.dispatch.harness import QUEUE
 
 JOB_ID = "5c0e7a21d94b36f8"
+# Time within which a change of the configuration is in force, in seconds.
+APPLY_S = 3.0
 BODY = b'{"spec":"x","steps":[{"count":1}]}'
 LASTING_BODY = b'{"spec":"x","steps":[{"count":3,"cpu":2000,"longRunning":true}]}'
 
@@ -381,3 +383,36 @@
         self.assertThat(line["confirmed_s_ago"], Equals(0.4))
         counts = self.context.refusal_log.counts
         self.assertThat(counts, Equals({(404, "no such route"): 1}))
+
+
+class TestUnconfirmedConfiguration(JobApiCase):
+    """An entry that could not read the configuration answered as if its version were the newest."""
+
+    def setUp(self):
+        super().setUp()
+        self.operations.note_confirmed(self.clock())
+
+    def _statuses(self, *calls):
+        return [self._ask(*call).status for call in calls]
+
+    def test_unknown_route_is_refused_for_good_only_by_a_confirmed_version(self):
+        call = ("GET", "/unknown/")
+        self.assertThat(self._statuses(call), Equals([404]))
+        self.clock.sleep(APPLY_S + 0.1)
+        reply = self._ask(*call)
+        self.assertThat((reply.status, reply.retry_after_s), Equals((503, 1)))
+
+    def test_route_that_may_be_removed_takes_no_jobs_and_tells_no_numbers(self):
+        self.clock.sleep(APPLY_S + 0.1)
+        calls = (("POST", f"/o/{JOB_ID}", BODY), ("GET", "/o/"))
+        self.assertThat(self._statuses(*calls), Equals([503, 503]))
+        self.assertThat(self._stored(submission_key(JOB_ID)), Equals(False))
+
+    def test_stored_job_is_told_and_cancelled_during_an_outage_of_the_store(self):
+        self._submit()
+        self.owner.state = "running"
+        self.owner.can_store = True
+        self.clock.sleep(APPLY_S + 0.1)
+        self.context.store_reach.note_failure()
+        calls = (("GET", f"/o/{JOB_ID}"), ("DELETE", f"/o/{JOB_ID}"))
+        self.assertThat(self._statuses(*calls), Equals([200, 200]))
