Limit reads of the store by what still arrives, not by their whole time

Callers saw: 404 for routes that had been added more than three seconds before, and answers for routes that had been removed (CONFIG), at entries behind narrow links.

Cause: a read was given up 0.7 s after the end of its wait, however much of its answer had arrived, and began anew. An answer that takes longer over the link never arrived.

Change: the time limit of a read counts until its answer begins. After that it may take ten seconds, as long as bytes arrive at least every second. A store that is cut off or silent is noticed as soon as before.

--- a/laburnumswitch/connection/client.py
+++ b/laburnumswitch/connection/client.py
@@ -32,6 +32,9 @@
 READ_BLOCK_BYTES = 65_536
 IDLE_TIMEOUT_S = 20.0
 POOL_SIZE = 4
+# An answer that may take long counts as lost if nothing more of it arrives for this long, in
+# seconds.
+STALL_TIMEOUT_S = 1.0
 NO_HEADERS: Mapping[str, str] = MappingProxyType({})
 
 
@@ -82,12 +85,16 @@
         body: bytes = b"",
         timeout_s: float = 2.0,
         extra_headers: Mapping[str, str] = NO_HEADERS,
+        transfer_s: float = 0.0,
     ) -> Response | ConnectFailed | AnswerLost:
         """Send one request and return the complete response.
 
         A timeout also closes the idle connections, as the same cause may have broken all of them.
 
         :param timeout_s: limit in seconds for connecting, sending and receiving together.
+        :param transfer_s: how much longer an answer may take that has begun to arrive, as long as
+            it goes on arriving. This is for answers whose size is not bounded: one that is given up
+            halfway would begin anew, and never arrive over a slow link.
         :param extra_headers: headers of this request only.
         :return: ``ConnectFailed`` only if no byte was sent. Its subclass ``ConnectionRefused`` says
             that nothing listens at the address, and ``PeerNotTrusted`` that one end refused
@@ -103,7 +110,12 @@
                 sock = self._take_idle() or self._connect(self._parsed_address, timeout_s)
                 sent = True
                 sock.sendall(self._encode_request(method, target, body, extra_headers))
-                response, reusable = self._receive(sock, parser)
+                self._receive_block(sock, parser)
+                if not transfer_s:
+                    self._receive_rest(sock, parser)
+            if not parser.is_complete:
+                with Timeout(transfer_s):
+                    self._receive_rest(sock, parser, STALL_TIMEOUT_S)
         except (Timeout, OSError, HTTPParseError) as error:
             self._close_socket(sock)
             if isinstance(error, Timeout):
@@ -120,6 +132,8 @@
         except BaseException:
             self._close_socket(sock)
             raise
+        response = Response(parser.status_code, tuple(parser.header_fields), parser.take_body())
+        reusable = not (parser.has_surplus or parser.should_close())
         if self._tls is not None and response.status == STATUS_NOT_TRUSTED:
             self._close_socket(sock)
             return PeerNotTrusted(self.address, response.body.decode("utf-8", "replace"))
@@ -200,15 +214,19 @@
         self.bytes_sent += len(encoded)
         return encoded
 
-    def _receive(self, sock: socket.socket, parser: ResponseParser) -> tuple[Response, bool]:
+    def _receive_rest(
+        self, sock: socket.socket, parser: ResponseParser, stall_s: float | None = None
+    ) -> None:
         while not parser.is_complete:
-            block = sock.recv(READ_BLOCK_BYTES)
-            if not block:
-                raise ConnectionResetError("connection closed before the end of the response")
-            self.bytes_received += len(block)
-            parser.feed(block)
-        response = Response(parser.status_code, tuple(parser.header_fields), parser.take_body())
-        return response, not (parser.has_surplus or parser.should_close())
+            with Timeout(stall_s):
+                self._receive_block(sock, parser)
+
+    def _receive_block(self, sock: socket.socket, parser: ResponseParser) -> None:
+        block = sock.recv(READ_BLOCK_BYTES)
+        if not block:
+            raise ConnectionResetError("connection closed before the end of the response")
+        self.bytes_received += len(block)
+        parser.feed(block)
 
 
 def _describe_loss(reason: str, received_bytes: int) -> str:
--- a/laburnumswitch/connection/json_call.py
+++ b/laburnumswitch/connection/json_call.py
@@ -30,13 +30,15 @@
     body: object,
     response_type: type[T],
     timeout_s: float = 2.0,
+    transfer_s: float = 0.0,
 ) -> T | ConnectFailed | AnswerLost | AnswerMalformed | Refused | Throttled:
     """Send ``body`` as JSON and decode the response as ``response_type``.
 
     :param body: anything msgspec encodes, or ``None`` for a request without a body.
+    :param transfer_s: how much longer a large answer may take, see ``Client.call``.
     """
     payload = b"" if body is None else encode(body)
-    response = client.call(method, target, payload, timeout_s)
+    response = client.call(method, target, payload, timeout_s, transfer_s=transfer_s)
     if isinstance(response, ConnectFailed | AnswerLost):
         return response
     if response.status == STATUS_TOO_MANY_REQUESTS:
--- a/laburnumswitch/platform/store.py
+++ b/laburnumswitch/platform/store.py
@@ -48,12 +48,15 @@
 # A partition executes 200 transactions per second, and only 4 while the store is 50 times slower
 # than normal.
 HASH_PARTITION_COUNT = 16
-# Timeouts of a read and a commit in seconds. A healthy store answers within 9 ms, but a partition
-# queues up to one second of transactions.
+# Timeouts of a commit, and of a read until its answer begins, in seconds. A healthy store answers
+# within 9 ms, but a partition queues up to one second of transactions.
 READ_TIMEOUT_S = 1.0
 COMMIT_TIMEOUT_S = 2.0
 # Time in seconds beyond the requested wait after which a long poll counts as lost.
 POLL_SLACK_S = 0.7
+# Time in seconds that the rows of an answer may take beyond these limits while they arrive. They
+# grow with the installation, and links may be narrow.
+READ_TRANSFER_S = 10.0
 STATUS_HISTORY_GONE = 410
 STATUS_CONDITION_FAILED = 412
 
@@ -133,7 +136,7 @@
     def follow(self, table: str, after: int, wait_s: float) -> Changes | HistoryLost | ReadFailure:
         """Return a table's rows changed after a version, waiting up to ``wait_s`` for the first."""
         query = urlencode({"table": table, "after": after, "waitMs": int(wait_s * MS_PER_S)})
-        answer = self._call("GET", f"/v1/rows-feed?{query}", None, wait_s + POLL_SLACK_S)
+        answer = self._read(f"/v1/rows-feed?{query}", wait_s + POLL_SLACK_S)
         if isinstance(answer, _Rows):
             rows = _decode_rows(answer.rows)
             # The feed does not say whether a full answer holds all changes.
@@ -156,7 +159,8 @@
             ],
             "remove": [_row_address(key) for key in transaction.deletes],
         }
-        answer = self._call("POST", "/v1/rows-tx", body, COMMIT_TIMEOUT_S)
+        self.calls += 1
+        answer = call_json(self._client, "POST", "/v1/rows-tx", body, _Rows, COMMIT_TIMEOUT_S)
         if isinstance(answer, _Rows):
             return Committed(answer.ver)
         if isinstance(answer, Throttled):
@@ -174,13 +178,11 @@
         if end:
             # ``target`` is the exclusive end of the range.
             fields["target"] = end
-        return self._call("GET", f"/v1/rows-get?{urlencode(fields)}", None, READ_TIMEOUT_S)
+        return self._read(f"/v1/rows-get?{urlencode(fields)}", READ_TIMEOUT_S)
 
-    def _call(
-        self, method: str, target: str, body: object, timeout_s: float
-    ) -> _Rows | ConnectFailed | Failure:
+    def _read(self, target: str, timeout_s: float) -> _Rows | ConnectFailed | Failure:
         self.calls += 1
-        return call_json(self._client, method, target, body, _Rows, timeout_s)
+        return call_json(self._client, "GET", target, None, _Rows, timeout_s, READ_TRANSFER_S)
 
 
 def _conflict(transaction: Transaction, refusal: Refused) -> Conflict | OutcomeUnknown:
--- a/tests/command/test_operators.py
+++ b/tests/command/test_operators.py
@@ -61,7 +61,7 @@
         entry = self.entry(E2)
         numbers = iter((3, 0, 1, 0, 0, 0))
 
-        def call(*_):
+        def call(*_, **_options):
             entry.answers["/operator/workers"] = [self.worker(next(numbers))]
             return type(entry).call(entry, "GET", "/operator/workers")
 
--- a/tests/connection/test_client.py
+++ b/tests/connection/test_client.py
@@ -1,5 +1,6 @@
 """``Client`` never returns bytes of one call's response to another call."""
 
+from gevent import sleep
 from gevent import spawn
 from gevent.event import Event
 from gevent.server import StreamServer
@@ -8,6 +9,7 @@
 from testtools.matchers import IsInstance
 
 from laburnumswitch.connection.client import Client
+from laburnumswitch.connection.client import STALL_TIMEOUT_S
 from laburnumswitch.exceptions import AnswerLost
 from laburnumswitch.exceptions import ConnectFailed
 
@@ -103,3 +105,36 @@
         # An address without a port raised an error that ended the term of the calling owner.
         for address in ("", "127.0.0.1", "127.0.0.1:", "127.0.0.1:x", "127.0.0.1:99999", "a\nb:80"):
             self.assertThat(Client(address).call("GET", "/"), IsInstance(ConnectFailed))
+
+
+class TestTransfer(TestCase):
+    """An answer that takes longer than the time limit of a call was given up while it arrived."""
+
+    def _call(self, pauses_s, transfer_s):
+        def serve(sock, address):
+            sock.recv(65_536)
+            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(pauses_s))
+            for pause_s in pauses_s:
+                sleep(pause_s)
+                sock.sendall(b"x")
+
+        server = StreamServer(("127.0.0.1", 0), serve)
+        server.start()
+        self.addCleanup(server.stop)
+        client = Client(f"127.0.0.1:{server.server_port}")
+        self.addCleanup(client.close)
+        return client.call("GET", "/", timeout_s=0.3, transfer_s=transfer_s)
+
+    def test_answer_may_take_longer_while_it_goes_on_arriving(self):
+        self.assertThat(self._call([0.1] * 8, 20.0).body, Equals(b"x" * 8))
+
+    def test_time_of_the_whole_answer_is_limited_without_it(self):
+        self.assertThat(self._call([0.1] * 8, 0.0), IsInstance(AnswerLost))
+
+    def test_answer_that_arrives_without_end_is_given_up(self):
+        lost = self._call([0.1] * 100, 0.5)
+        self.assertThat(lost, IsInstance(AnswerLost))
+        self.assertIn("bytes", lost.reason)
+
+    def test_answer_that_stops_arriving_is_given_up(self):
+        self.assertThat(self._call([0.1, STALL_TIMEOUT_S * 3], 20.0), IsInstance(AnswerLost))
--- a/tests/memory.py
+++ b/tests/memory.py
@@ -45,7 +45,7 @@
         self.answers = {}
         self.calls = []
 
-    def call(self, method, target, body=b"", timeout_s=2.0):
+    def call(self, method, target, body=b"", timeout_s=2.0, transfer_s=0.0):
         path = urlsplit(target).path
         self.calls.append((method, target))
         answer = self.answers.get(path)
@@ -64,5 +64,5 @@
 def unreachable_entry(address):
     """Return an entry that refuses connections."""
     entry = MemoryEntry(address)
-    entry.call = lambda *_: ConnectFailed(address, "refused")
+    entry.call = lambda *_, **__: ConnectFailed(address, "refused")
     return entry
--- a/tests/process/observing/test_metrics.py
+++ b/tests/process/observing/test_metrics.py
@@ -101,7 +101,7 @@
         refused = [ConnectFailed("a", "refused"), Response(401, (), b"")]
         answers = [*refused, self.heartbeat("e2"), team_usage_not_found]
         peer = Client("127.0.0.1:9")
-        peer.call = lambda *_: answers.pop(0)
+        peer.call = lambda *_, **__: answers.pop(0)
         vm = Vm("e2", "entry", "127.0.0.1:9", "a", "live")
         context = PeerContext(
             "e1",
--- a/tests/process/rows/test_table.py
+++ b/tests/process/rows/test_table.py
@@ -14,7 +14,7 @@
     address = "127.0.0.1:1"
 
     def __init__(self, answer):
-        self.call = lambda *_: answer
+        self.call = lambda *_, **__: answer
 
 
 def commit_answered(answer):
