Send configurations to other entries compressed, and let them arrive

Callers saw: 404 for routes that had been added more than three seconds before (CONFIG); what should have helped, the owner's copy, did not reach the entries that needed it.

Cause: an entry gave up its fetch of the owner's configuration after 0.4 s, however much had arrived, and fetched again with the owner's next answer, every 0.2 s.

Change: the copy is compressed, once per version, for entries that accept it, and may take five seconds while it arrives. Entries of earlier versions get it as before.

--- a/laburnumswitch/connection/json_call.py
+++ b/laburnumswitch/connection/json_call.py
@@ -1,12 +1,17 @@
 """JSON calls to the platform, the workers and the peers, with typed responses."""
 
+from collections.abc import Mapping
+from gzip import decompress
 from typing import TypeVar
+from zlib import error as zlib_error
 
 from msgspec import DecodeError
 from msgspec import ValidationError
 from msgspec.json import encode
 
 from laburnumswitch.connection.client import Client
+from laburnumswitch.connection.client import NO_HEADERS
+from laburnumswitch.connection.client import Response
 from laburnumswitch.connection.lenient import decode_known_fields
 from laburnumswitch.exceptions import AnswerLost
 from laburnumswitch.exceptions import AnswerMalformed
@@ -18,6 +23,9 @@
 # the reason of the refusal, which must be long enough to hold them.
 MAX_REASON_BYTES = 65_536
 STATUS_OK = 200
+# Asks for a compressed answer, which servers that cannot compress ignore.
+GZIP = "gzip"
+ACCEPT_GZIP = {"Accept-Encoding": GZIP}
 STATUS_TOO_MANY_REQUESTS = 429
 
 T = TypeVar("T")
@@ -31,14 +39,18 @@
     response_type: type[T],
     timeout_s: float = 2.0,
     transfer_s: float = 0.0,
+    extra_headers: Mapping[str, str] = NO_HEADERS,
 ) -> T | ConnectFailed | AnswerLost | AnswerMalformed | Refused | Throttled:
     """Send ``body`` as JSON and decode the response as ``response_type``.
 
     :param body: anything msgspec encodes, or ``None`` for a request without a body.
     :param transfer_s: how much longer a large answer may take, see ``Client.call``.
+    :param extra_headers: such as ``ACCEPT_GZIP``.
     """
     payload = b"" if body is None else encode(body)
-    response = client.call(method, target, payload, timeout_s, transfer_s=transfer_s)
+    response = client.call(
+        method, target, payload, timeout_s, extra_headers=extra_headers, transfer_s=transfer_s
+    )
     if isinstance(response, ConnectFailed | AnswerLost):
         return response
     if response.status == STATUS_TOO_MANY_REQUESTS:
@@ -47,11 +59,16 @@
         reason = response.body[:MAX_REASON_BYTES].decode("utf-8", "replace")
         return Refused(client.address, response.status, reason)
     try:
-        return decode_known_fields(response.body, response_type)
-    except (DecodeError, ValidationError) as error:
+        return decode_known_fields(_decoded_body(response), response_type)
+    except (DecodeError, ValidationError, OSError, EOFError, zlib_error) as error:
         return AnswerMalformed(client.address, str(error))
 
 
+def _decoded_body(response: Response) -> bytes:
+    encodings = [value for name, value in response.headers if name.lower() == "content-encoding"]
+    return decompress(response.body) if GZIP in encodings else response.body
+
+
 def _retry_after_s(headers: tuple[tuple[str, str], ...]) -> float:
     for name, value in headers:
         if name.lower() == "retry-after" and value.replace(".", "", 1).isdigit():
--- a/laburnumswitch/process/leadership/peer_api.py
+++ b/laburnumswitch/process/leadership/peer_api.py
@@ -8,7 +8,9 @@
 from msgspec import ValidationError
 
 from laburnumswitch.connection.client import Client
+from laburnumswitch.connection.json_call import ACCEPT_GZIP
 from laburnumswitch.connection.json_call import call_json
+from laburnumswitch.connection.json_call import GZIP
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.exceptions import OtherOrganisation
 from laburnumswitch.exceptions import Refused
@@ -18,6 +20,7 @@
 from laburnumswitch.process.dispatch.job_spec import may_access_job
 from laburnumswitch.process.dispatch.job_spec import Submission
 from laburnumswitch.process.dispatch.progress import store_submission
+from laburnumswitch.process.leadership.compressed_configuration import CompressedConfigurations
 from laburnumswitch.process.leadership.configuration_relay import confirmed_age_s
 from laburnumswitch.process.leadership.configuration_relay import decode_state
 from laburnumswitch.process.leadership.configuration_relay import describe_configuration
@@ -43,6 +46,9 @@
 CALL_TIMEOUT_S = 0.4
 # Timeout, in seconds, of calls for which the owner calls the store.
 STORE_TIMEOUT_S = 0.7
+# Time in seconds that a configuration may take to arrive once it has begun to, and for sending one.
+CONFIGURATION_TRANSFER_S = 5.0
+CONFIGURATION_SEND_TIMEOUT_S = 2.0
 # How long the owner waits for its own commit before it answers such a call, in seconds.
 COMMIT_WAIT_S = 0.6
 # Upper bound of the wait that a watch request may ask for, in seconds.
@@ -114,13 +120,27 @@
 
     def fetch_configuration(self, address: str) -> RelayedConfiguration | Failure:
         """Return the configuration that another entry has in force."""
-        client, target = self._client(address), "/peer/configuration"
-        return call_json(client, "GET", target, None, RelayedConfiguration, CALL_TIMEOUT_S)
+        return call_json(
+            self._client(address),
+            "GET",
+            "/peer/configuration",
+            None,
+            RelayedConfiguration,
+            CALL_TIMEOUT_S,
+            CONFIGURATION_TRANSFER_S,
+            ACCEPT_GZIP,
+        )
 
     def send_configuration(self, address: str, relayed: RelayedConfiguration) -> bool | Failure:
         """Send a configuration to another entry, and return whether it is as new then."""
-        client = self._client(address)
-        return call_json(client, "POST", "/peer/configuration", relayed, bool, CALL_TIMEOUT_S)
+        return call_json(
+            self._client(address),
+            "POST",
+            "/peer/configuration",
+            relayed,
+            bool,
+            CONFIGURATION_SEND_TIMEOUT_S,
+        )
 
     def job_state(self, address: str, job_id: str) -> JobStateAnswer | Failure:
         """Ask the owner for the state of a job."""
@@ -153,6 +173,7 @@
     The calls ``submitted`` and ``cancelled`` notify the owner of a stored job or cancellation. With
     ``store`` and ``cancel``, an entry that cannot reach the store has the owner store it.
     """
+    compressed = CompressedConfigurations()
 
     def watch(request: AdminRequest) -> AdminReply:
         leadership = get_leadership()
@@ -181,7 +202,11 @@
                 receive_configuration(operations, request.decode(RelayedConfiguration))
             )
         relayed = describe_configuration(operations, boot_clock())
-        return reject(503, "NoConfiguration") if relayed is None else reply_json(relayed)
+        if relayed is None:
+            return reject(503, "NoConfiguration")
+        if GZIP in request.headers.get("accept-encoding", ""):
+            return AdminReply(200, compressed.encode(relayed), content_encoding=GZIP)
+        return reply_json(relayed)
 
     def supersede(request: AdminRequest) -> AdminReply:
         leadership = get_leadership()
--- a/laburnumswitch/process/operating/admin.py
+++ b/laburnumswitch/process/operating/admin.py
@@ -48,11 +48,12 @@
 
 
 class AdminReply(NamedTuple):
-    """Response of the admin port."""
+    """Response of the admin port; ``content_encoding`` is empty for a body as it is."""
 
     status: int
     body: bytes
     content_type: str = JSON_TYPE
+    content_encoding: str = ""
 
 
 class ErrorBody(NamedTuple):
@@ -109,6 +110,8 @@
             ("Content-Type", reply.content_type),
             ("Content-Length", str(len(reply.body))),
         ]
+        if reply.content_encoding:
+            headers.append(("Content-Encoding", reply.content_encoding))
         start_response(f"{reply.status} {REASONS[reply.status]}", headers)
         return [reply.body]
 
--- a/tests/memory.py
+++ b/tests/memory.py
@@ -45,7 +45,7 @@
         self.answers = {}
         self.calls = []
 
-    def call(self, method, target, body=b"", timeout_s=2.0, transfer_s=0.0):
+    def call(self, method, target, body=b"", timeout_s=2.0, **_options):
         path = urlsplit(target).path
         self.calls.append((method, target))
         answer = self.answers.get(path)
