Say that there is no such route only by a configuration that was just confirmed

Cause: an entry answered by whatever version it had, however long ago it had last known that to be the newest one. That is the class of the fault: what was read once is followed without a limit of its age.

Change: by a version that was not confirmed within configApplyMs an entry answers 503 with Retry-After, so that the caller tries another one, after waiting 0.3 s at most for a confirmation that is on its way, as after a suspension. While its reads of the store fail it serves routes that it knows, as before, but never says that there is no such route. The feed is read at least every quarter of configApplyMs, so that the age stays below half of it.

Two tests of keys and of logged refusals set the age of the confirmation directly, and a failing read where they emulate an outage; what they assert is unchanged.

--- a/laburnumswitch/dispatch_entry.py
+++ b/laburnumswitch/dispatch_entry.py
@@ -152,6 +152,7 @@
             boot_clock=_boot_clock,
             revocation=self._revocation,
             refusal_log=RefusalLog(self.log, monotonic),
+            max_unconfirmed_s=lambda: self.deployment.bounds.configuration_s,
         )
         refusals = RefusalCounter(monotonic, self._note_refusals)
         callers = PortClients(
@@ -338,8 +339,10 @@
 def _operations_wait_s(bounds: Bounds) -> float:
     # A read confirms the configuration as of when it was sent, so the age of a confirmation is up
     # to twice this time.
-    is_strict = bounds.is_revocation_strict
-    return min(FEED_WAIT_S, bounds.revocation_s / 4.0) if is_strict else FEED_WAIT_S
+    limits_s = [bounds.configuration_s]
+    if bounds.is_revocation_strict:
+        limits_s.append(bounds.revocation_s)
+    return min(FEED_WAIT_S, *(limit_s / 4.0 for limit_s in limits_s))
 
 
 def _boot_clock() -> float:
--- a/laburnumswitch/process/operating/operations.py
+++ b/laburnumswitch/process/operating/operations.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from collections.abc import Callable
 from typing import NamedTuple
+from typing import TypeVar
 
 from gevent.event import Event
 
@@ -29,6 +30,8 @@
 FROM_STORE = "store"
 FROM_PEER = "peer"
 
+T = TypeVar("T")
+
 
 class MaintenanceWave(NamedTuple):
     """VMs that need maintenance within ``duration_s``, at most ``max_count`` at a time."""
@@ -61,6 +64,7 @@
 
     :ivar confirmed_s: latest instant, on a clock that includes suspensions, at which the store
         certainly held no newer configuration.
+    :ivar read_fails: whether the last read of the instructions failed, as the store is away.
     :ivar adoptions_by_source: adopted versions by where they came from.
     :ivar adopted: set and replaced when a configuration is adopted.
     :ivar known_queue_by_name: includes removed queues, since their accepted jobs still run. Owners
@@ -72,6 +76,7 @@
         self.evacuated_zones: frozenset[str] = frozenset()
         self.waves_by_number: dict[int, MaintenanceWave] = {}
         self.confirmed_s = float("-inf")
+        self.read_fails = False
         self.adoptions_by_source: Counter[str] = Counter()
         self.adopted = Event()
         self.known_queue_by_name: dict[str, KnownQueue] = {}
@@ -165,24 +170,31 @@
         adopted.set()
 
 
-class _TimedReads:
-    """Reads of a store, with the instant at which the last one was sent.
+class _ObservedReads:
+    """Reads of a store, with the instant at which the last one was sent, and whether it failed.
 
     An answer may be processed long after it was given, by a process that was suspended meanwhile.
     """
 
-    def __init__(self, store: FeedTable, clock: Callable[[], float]) -> None:
+    def __init__(
+        self, store: FeedTable, clock: Callable[[], float], operations: Operations
+    ) -> None:
         self.sent_s = float("-inf")
         self._store = store
         self._clock = clock
+        self._operations = operations
 
     def load(self, table: str) -> Changes | ReadFailure:
         self.sent_s = self._clock()
-        return self._store.load(table)
+        return self._observe(self._store.load(table))
 
     def follow(self, table: str, after: int, wait_s: float) -> Changes | HistoryLost | ReadFailure:
         self.sent_s = self._clock()
-        return self._store.follow(table, after, wait_s)
+        return self._observe(self._store.follow(table, after, wait_s))
+
+    def _observe(self, answer: T) -> T:
+        self._operations.read_fails = not isinstance(answer, Changes | HistoryLost)
+        return answer
 
 
 def follow_operations(
@@ -197,7 +209,7 @@
 
     :param clock: includes suspensions.
     """
-    reads = _TimedReads(feed.store, clock)
+    reads = _ObservedReads(feed.store, clock, operations)
     newest_version = 0
 
     def apply(changes: Changes, is_whole: bool) -> None:
--- a/laburnumswitch/request/job_api.py
+++ b/laburnumswitch/request/job_api.py
@@ -2,6 +2,9 @@
 
 A job is stored before its submission is acknowledged. If it is unknown whether the job was stored,
 the answer is 504, and never one that says that the job will not run.
+
+Handles calls for routes as soon as their addition is confirmed, while this entry reads the
+configuration late: that there is no such route is said of the newest version only.
 """
 
 from collections.abc import Callable
@@ -56,6 +59,10 @@
 # Value of ``Retry-After``, in seconds, if the store is unavailable.
 STORE_RETRY_AFTER_S = 1
 CONFIGURATION_RETRY_AFTER_S = 1
+# How long a call waits for the confirmation of a configuration that the store is about to give, in
+# seconds, as after a suspension of this process.
+CONFIRMATION_WAIT_S = 0.3
+CONFIRMATION_CHECK_S = 0.02
 # The same if no owner has told the number of pending jobs.
 OWNER_RETRY_AFTER_S = 1
 # Longest value of ``Retry-After``, in seconds, if the configuration is not confirmed. The values
@@ -105,6 +112,7 @@
 
     :ivar table: fails at once while the store is away, as ``store_reach`` tells.
     :ivar boot_clock: like ``clock``, but includes the time for which the VM was suspended.
+    :ivar max_unconfirmed_s: how long a configuration may be taken for the newest one.
     """
 
     operations: Operations
@@ -121,6 +129,7 @@
     boot_clock: Callable[[], float]
     revocation: Callable[[], Revocation]
     refusal_log: RefusalLog
+    max_unconfirmed_s: Callable[[], float]
 
 
 class JobRequest(NamedTuple):
@@ -224,11 +233,16 @@
 
 def _authenticate_call(context: JobApiContext, request: JobRequest) -> _Call | JobReply:
     operations = context.operations
-    configuration = operations.configuration
-    if configuration is None:
+    if operations.configuration is None:
         retry_after_s = CONFIGURATION_RETRY_AFTER_S
         return _refuse(context, request, 503, "no configuration", retry_after_s)
+    is_confirmed = _await_confirmation(context)
+    configuration = operations.configuration
     queue = operations.route(request.host, request.path)
+    # During an outage of the store, what is known of a route goes on to serve its callers.
+    if not is_confirmed and (queue is None or not operations.read_fails):
+        retry_after_s = CONFIGURATION_RETRY_AFTER_S
+        return _refuse(context, request, 503, "configuration not confirmed", retry_after_s)
     if queue is None:
         return _refuse(context, request, 404, "no such route")
     job_id = request.path.removeprefix(queue.path_prefix)
@@ -258,6 +272,16 @@
     return JobReply(outcome.status)
 
 
+def _await_confirmation(context: JobApiContext) -> bool:
+    """Return whether the configuration may be taken for the newest one, now or in a moment."""
+    end_s = context.clock() + CONFIRMATION_WAIT_S
+    while _decided_by(context).confirmed_age_s > context.max_unconfirmed_s():
+        if context.operations.read_fails or context.clock() >= end_s:
+            return False
+        context.sleep(CONFIRMATION_CHECK_S)
+    return True
+
+
 def _refuse(
     context: JobApiContext, request: JobRequest, status: int, reason: str, retry_after_s: int = 0
 ) -> JobReply:
--- a/tests/request/test_job_api.py
+++ b/tests/request/test_job_api.py
@@ -123,7 +123,10 @@
             self.clock,
             lambda: self.revocation,
             RefusalLog(self.log, self.clock),
+            lambda: APPLY_S,
         )
+        # The tests of other matters are of an entry whose configuration is the newest one.
+        self.operations.note_confirmed(float("inf"))
 
     def _ask(self, method, path=f"/o/{JOB_ID}", body=b"", host=QUEUE.host):
         request = JobRequest(method, host, path, body, 3.0, self.authorization)
@@ -365,7 +368,7 @@
 class TestRefusals(JobApiCase):
     def test_refused_route_is_logged_with_the_version_and_its_age(self):
         """Calls for a route that a newer version had added were answered 404 without a line."""
-        self.operations.note_confirmed(self.clock())
+        self.operations.confirmed_s = self.clock()
         self.clock.sleep(0.4)
         self.assertThat(self._ask("GET", "/unknown/").status, Equals(404))
         line = decode(self.log.take().splitlines()[-1])
@@ -390,7 +393,7 @@
 
     def setUp(self):
         super().setUp()
-        self.operations.note_confirmed(self.clock())
+        self.operations.confirmed_s = self.clock()
 
     def _statuses(self, *calls):
         return [self._ask(*call).status for call in calls]
@@ -413,6 +416,22 @@
         self.owner.state = "running"
         self.owner.can_store = True
         self.clock.sleep(APPLY_S + 0.1)
-        self.context.store_reach.note_failure()
+        self.operations.read_fails = True
         calls = (("GET", f"/o/{JOB_ID}"), ("DELETE", f"/o/{JOB_ID}"))
         self.assertThat(self._statuses(*calls), Equals([200, 200]))
+        self.assertThat(self._statuses(("GET", "/unknown/")), Equals([503]))
+
+    def test_call_waits_for_a_confirmation_that_is_about_to_arrive(self):
+        """A process that was suspended has not yet processed the store's answer."""
+        self.clock.sleep(APPLY_S + 0.1)
+        sleep = self.clock.sleep
+
+        def confirm_meanwhile(pause_s):
+            sleep(pause_s)
+            added = QUEUE._replace(name="added", path_prefix="/added/")
+            self.operations.apply(QueueConfiguration(2, {added.name: added}, {}))
+            self.operations.note_confirmed(self.clock())
+
+        self.context = self.context._replace(sleep=confirm_meanwhile)
+        calls = (("GET", "/added/"), ("GET", "/o/"))
+        self.assertThat(self._statuses(*calls), Equals([200, 404]))
--- a/tests/request/test_job_ownership.py
+++ b/tests/request/test_job_ownership.py
@@ -116,7 +116,8 @@
 
     def test_unconfirmed_configuration_is_not_taken_for_a_refusal_of_the_key(self):
         self.context = self.context._replace(revocation=lambda: Revocation(True, 5.0))
-        self.operations.note_confirmed(self.clock() - 5.5)
+        self.operations.confirmed_s = self.clock() - 5.5
+        self.operations.read_fails = True
         replies = [self._call("GET", OWN, job_id=f"{number:016x}") for number in range(30)]
         self.assertThat({reply.status for reply in replies}, Equals({503}))
         self.assertThat({reply.retry_after_s for reply in replies}, Equals({1, 2, 3}))
