--- a/laburnumswitch/connection/address.py
+++ b/laburnumswitch/connection/address.py
@@ -1,5 +1,7 @@
 """Addresses of the form ``host:port``."""
 
+from ipaddress import AddressValueError
+from ipaddress import IPv4Address
 from typing import NamedTuple
 
 MAX_PORT = 65_535
@@ -22,6 +24,15 @@
     return Address(host, number) if 1 <= number <= MAX_PORT else None
 
 
+def is_numeric(host: str) -> bool:
+    """Return whether a host is an IPv4 address, which needs no name lookup."""
+    try:
+        IPv4Address(host)
+    except AddressValueError:
+        return False
+    return True
+
+
 def is_header_text(text: str) -> bool:
     """Return whether a text can stand in a header of a request, as a host or an id."""
     return bool(text) and text.isascii() and text.isprintable() and " " not in text
--- a/laburnumswitch/platform/discovery.py
+++ b/laburnumswitch/platform/discovery.py
@@ -9,6 +9,7 @@
 from msgspec import ValidationError
 
 from laburnumswitch.connection.address import is_header_text
+from laburnumswitch.connection.address import is_numeric
 from laburnumswitch.connection.address import parse_address
 from laburnumswitch.exceptions import RowMalformed
 from laburnumswitch.process.dispatch.worker_protocol import WorkerListing
@@ -54,7 +55,9 @@
     worker_id = key.partition("/")[2]
     if not is_header_text(worker_id):
         return RowMalformed(key, "the id cannot be sent in a header")
-    if parse_address(fields.address) is None:
+    address = parse_address(fields.address)
+    # Workers are listed by IP address. A name of another writer would be looked up for each call.
+    if address is None or not is_numeric(address.host):
         return RowMalformed(key, f"malformed address {fields.address!r}")
     if fields.state not in WORKER_STATES:
         return RowMalformed(key, f"unknown worker state {fields.state!r}")
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -1,5 +1,6 @@
 """Emulated platform and entry processes of one soak run."""
 
+from functools import reduce
 from pathlib import Path
 from random import Random
 from time import monotonic
@@ -43,7 +44,7 @@
 WORKERS_PER_RACK = 4
 PORTS_PER_WORKER = 2
 # Entries that other programs wrote to the list of workers: of a service that is not configured, of
-# other types, and without an address to call.
+# other types, without an address to call, nested deeply, and with numbers that are too large.
 FOREIGN_ENTRY = {
     "service": "printing",
     "address": "127.0.0.1:9",
@@ -56,6 +57,10 @@
     FOREIGN_ENTRY,
     {**FOREIGN_ENTRY, "labels": 7},
     {**FOREIGN_ENTRY, "service": SERVICE, "address": "127.0.0.1"},
+    {**FOREIGN_ENTRY, "service": SERVICE, "address": "127.0.0.1:70000"},
+    {**FOREIGN_ENTRY, "service": SERVICE, "address": "printer.invalid:80"},
+    {**FOREIGN_ENTRY, "service": SERVICE, "born": 2**64 - 1},
+    {**FOREIGN_ENTRY, "labels": reduce(lambda nested, _: [nested], range(500), [])},
     [],
 )
 
--- a/tests/connection/test_client.py
+++ b/tests/connection/test_client.py
@@ -1,5 +1,6 @@
 """``Client`` never returns bytes of one call's response to another call."""
 
+from gevent import get_hub
 from gevent import sleep
 from gevent import spawn
 from gevent.event import Event
@@ -138,3 +139,28 @@
 
     def test_answer_that_stops_arriving_is_given_up(self):
         self.assertThat(self._call([0.1, STALL_TIMEOUT_S * 3], 20.0), IsInstance(AnswerLost))
+
+
+class TestNames(TestCase):
+    """A listed worker's name that cannot be looked up held up connections to all others."""
+
+    def test_numeric_address_is_reached_while_lookups_are_not_answered(self):
+        server = StreamServer(("127.0.0.1", 0), lambda sock, _: sock.sendall(ANSWER % b"hi"))
+        server.start()
+        self.addCleanup(server.stop)
+        answered = Event()
+        self.addCleanup(answered.set)
+
+        def look_up(*_, **__):
+            answered.wait()
+
+        self.patch(get_hub().resolver, "getaddrinfo", look_up)
+        client = Client(f"127.0.0.1:{server.server_port}")
+        self.addCleanup(client.close)
+        self.assertThat(client.call("GET", "/", timeout_s=5.0).body, Equals(b"hi"))
+        slow = Client("worker.invalid:80").call("GET", "/", timeout_s=0.1)
+        self.assertThat(slow, IsInstance(ConnectFailed))
+
+    def test_host_that_is_no_name_is_a_failed_connection(self):
+        for host in ("a..b", f"{'x' * 70}.example"):
+            self.assertThat(Client(f"{host}:80").call("GET", "/"), IsInstance(ConnectFailed))
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -205,6 +205,13 @@
         for key in ("servers/", "servers/a b", "servers/a\r\nb", "servers/\u20ac"):
             self.assertThat(decode_worker(key, WORKER), IsInstance(RowMalformed))
 
+    def test_worker_listed_by_name_is_refused(self):
+        # Each call to it looked the name up, and lookups without an answer held up all connections.
+        hosts = ("worker.invalid", "a..b", f"{'x' * 70}.example", "[::1", "256.1.1.1", "0x7f.1")
+        for host in hosts:
+            found = decode_worker("servers/i-1", {**WORKER, "address": f"{host}:80"})
+            self.assertThat(found, IsInstance(RowMalformed))
+
     def test_entry_that_cannot_be_stored_is_refused(self):
         # Owners store the list of workers; a row that cannot be written would end every term.
         capacity = {"cpu": 10**30}
