Play changing routes and narrow links in the soak

Routes are added and removed up to ten times a second beside the jobs, every other entry has a link to the store that carries 300 KB/s, and routes are called at all entries. However slow, cut off, paused or restarted an entry is, it may not say that there is no such route more than three seconds after the route's addition was confirmed.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -23,6 +23,8 @@
 from soak.faults import FAULTS
 from soak.faults import inject_faults
 from soak.faults import NAMED_FAULTS
+from soak.routes import call_routes
+from soak.routes import change_routes
 from standin.fleet.invariant_checker import Violation
 
 # Time for the entries to start and to reach the workers.
@@ -71,6 +73,9 @@
         greenlets = [
             spawn(submit_jobs, callers, CALL_PAUSE_S, is_over) for _ in range(CALLER_COUNT)
         ]
+        route_random = Random(f"{seed} routes")
+        greenlets.append(spawn(change_routes, cluster.routes, route_random, is_over))
+        greenlets.append(spawn(call_routes, cluster.routes, fronts, route_random, is_over))
         for number in range(CONCURRENT_FAULTS):
             fault_random = Random(seed * 1000 + number)
             chosen = choose_faults(fault_names)
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -22,6 +22,7 @@
 from soak.keys import ApiKeys
 from soak.proxy import Mode
 from soak.proxy import Proxy
+from soak.routes import ChangingRoutes
 from soak.workers import EmulatedWorker
 from soak.workers import WorkerConfig
 from standin.fleet.api import StoreApi
@@ -40,6 +41,8 @@
 # The list of VMs is behind them by up to this time, in seconds.
 MAX_VM_LIST_DELAY_S = 1.9
 VM_RECORD_INTERVAL_S = 0.05
+# What every other entry's link to the store carries.
+NARROW_BYTES_PER_S = 300_000
 ZONES = ("a", "b", "c")
 WORKERS_PER_RACK = 4
 PORTS_PER_WORKER = 2
@@ -117,11 +120,14 @@
         self.entries: list[EntryProcess] = []
         for number in range(entries):
             proxy = Proxy(bound_address(self._store_server))
+            if number % 2:
+                proxy.answer_bytes_per_s = NARROW_BYTES_PER_S
             zone = ZONES[number % len(ZONES)]
             addresses = (proxy.address, bound_address(self._vm_list_server))
             config = write_settings(folder, number, first_port, zone, *addresses)
             self.entries.append(EntryProcess(config, proxy))
         self.keys = ApiKeys(Random(f"{folder.name} keys"), self._publish)
+        self.routes = ChangingRoutes(Random(f"{folder.name} routes"), SERVICE, self.keys.publish)
         self._version = 0
         self._completed_s_by_id: dict[str, float] = {}
         self._is_stopped = False
@@ -152,7 +158,7 @@
         self._version += 1
         value = {
             "version": self._version,
-            "routes": [route, public],
+            "routes": [route, public, *self.routes.encode()],
             "services": [{"name": SERVICE}],
             "tenants": tenants,
         }
@@ -205,7 +211,7 @@
         self.checker.violations += find_violations(
             runs, self.checker.submission_by_id, self._completed_s_by_id
         )
-        self.checker.violations += self.keys.violations
+        self.checker.violations += self.keys.violations + self.routes.violations
         self.checker.violations += [
             Violation(monotonic(), "soak", worker.listing.worker_id, f"ended by itself: {code}")
             for worker in self.workers
