Start nothing before the evacuated zones have been read

What operators would see: after a restart, an entry that becomes the owner starts tasks in an evacuated zone.

Cause: entries send each other the configuration, but not the evacuated zones. An entry whose configuration came from another one, before its own first read of the instructions, took zones that it did not know for none. A narrow link makes that time longer.

Change: no worker gets starts until the zones were read once. Leases are renewed meanwhile.

Test: test_nothing_starts_in_an_evacuated_zone_that_the_owner_has_not_read_yet failed before (2 starts).

--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -350,10 +350,11 @@
 
 def usable_workers(dispatcher: Dispatcher, service: str) -> list[Worker]:
     """Return the workers of a service that may get starts now."""
-    if not dispatcher.knows_listings:
+    operations = dispatcher.context.operations
+    if not dispatcher.knows_listings or not operations.knows_zones:
         return []
     now_s = dispatcher.context.clock()
-    evacuated_zones = dispatcher.context.operations.evacuated_zones
+    evacuated_zones = operations.evacuated_zones
     return [
         worker
         for worker in dispatcher.workers_by_id.values()
--- a/laburnumswitch/process/operating/operations.py
+++ b/laburnumswitch/process/operating/operations.py
@@ -64,6 +64,7 @@
 
     :ivar confirmed_s: latest instant, on a clock that includes suspensions, at which the store
         certainly held no newer configuration.
+    :ivar knows_zones: whether the evacuated zones were read, which other entries do not send.
     :ivar read_fails: whether the last read of the instructions failed, as the store is away.
     :ivar adoptions_by_source: adopted versions by where they came from.
     :ivar adopted: set and replaced when a configuration is adopted.
@@ -74,6 +75,7 @@
     def __init__(self, log: DecisionLog) -> None:
         self.configuration: QueueConfiguration | None = None
         self.evacuated_zones: frozenset[str] = frozenset()
+        self.knows_zones = False
         self.waves_by_number: dict[int, MaintenanceWave] = {}
         self.confirmed_s = float("-inf")
         self.read_fails = False
@@ -137,6 +139,7 @@
         """Apply one instruction; a configuration that is not newer is ignored."""
         if isinstance(operation, QueueConfiguration):
             self.adopt(operation, FROM_STORE)
+            self.knows_zones = True
         elif isinstance(operation, ZoneOrder):
             toggled = self.evacuated_zones ^ {operation.zone}
             if (operation.zone in self.evacuated_zones) != operation.is_evacuated:
@@ -152,6 +155,7 @@
         for zone in names ^ self.evacuated_zones:
             self.log.note("zone", zone, out=zone in names)
         self.evacuated_zones = names
+        self.knows_zones = True
 
     def adopt(self, configuration: QueueConfiguration, source: str) -> None:
         """Put a configuration in force unless the one in force is as new.
