Derive what a feed and a refusal need instead of keeping or computing it twice

Read again as a whole. The age of a confirmation was computed in three places; Operations tells it. Whether a read brought news follows from the version that the feed keeps anyway, and rows are compared only in feeds that need it, not in every read of the list of workers. One branch decides on methods. Constants and parameters stand where their comments and signatures put them. Decisions are as before; lint and the tests of request, connection, platform, rows, operating, leadership and dispatch pass.

--- a/laburnumswitch/connection/client.py
+++ b/laburnumswitch/connection/client.py
@@ -93,10 +93,10 @@
         A timeout also closes the idle connections, as the same cause may have broken all of them.
 
         :param timeout_s: limit in seconds for connecting, sending and receiving together.
+        :param extra_headers: headers of this request only.
         :param transfer_s: how much longer an answer may take that has begun to arrive, as long as
             it goes on arriving. This is for answers whose size is not bounded: one that is given up
             halfway would begin anew, and never arrive over a slow link.
-        :param extra_headers: headers of this request only.
         :return: ``ConnectFailed`` only if no byte was sent. Its subclass ``ConnectionRefused`` says
             that nothing listens at the address, and ``PeerNotTrusted`` that one end refused
             the other's certificate and the server processed no byte.
--- a/laburnumswitch/connection/json_call.py
+++ b/laburnumswitch/connection/json_call.py
@@ -23,10 +23,10 @@
 # the reason of the refusal, which must be long enough to hold them.
 MAX_REASON_BYTES = 65_536
 STATUS_OK = 200
+STATUS_TOO_MANY_REQUESTS = 429
 # Asks for a compressed answer, which servers that cannot compress ignore.
 GZIP = "gzip"
 ACCEPT_GZIP = {"Accept-Encoding": GZIP}
-STATUS_TOO_MANY_REQUESTS = 429
 
 T = TypeVar("T")
 
--- a/laburnumswitch/dispatch_metrics.py
+++ b/laburnumswitch/dispatch_metrics.py
@@ -155,7 +155,7 @@
     metrics.add_gauge(
         "laburnumswitch_configuration_confirmed_age_seconds",
         "Time since the configuration in force was certainly the newest version.",
-        lambda: boot_clock() - operations.confirmed_s,
+        lambda: operations.confirmed_age_s(boot_clock()),
     )
     metrics.add_counters(
         "laburnumswitch_configuration_adoptions_total",
--- a/laburnumswitch/process/leadership/configuration_relay.py
+++ b/laburnumswitch/process/leadership/configuration_relay.py
@@ -162,7 +162,7 @@
 
 def confirmed_age_s(operations: Operations, now_s: float) -> float | None:
     """Return how long ago the configuration was certainly the newest, ``None`` if it never was."""
-    age_s = now_s - operations.confirmed_s
+    age_s = operations.confirmed_age_s(now_s)
     return age_s if isfinite(age_s) else None
 
 
--- a/laburnumswitch/process/operating/operations.py
+++ b/laburnumswitch/process/operating/operations.py
@@ -131,6 +131,10 @@
         """Return the version of the configuration in force, 0 if there is none."""
         return self.configuration.version if self.configuration else 0
 
+    def confirmed_age_s(self, now_s: float) -> float:
+        """Return how long ago the configuration was certainly the newest, infinite if never."""
+        return now_s - self.confirmed_s
+
     def note_confirmed(self, at_s: float) -> None:
         """Record that the store held no newer configuration at an instant."""
         self.confirmed_s = max(self.confirmed_s, at_s)
--- a/laburnumswitch/process/rows/change_feed.py
+++ b/laburnumswitch/process/rows/change_feed.py
@@ -52,13 +52,12 @@
     :param apply: called with the changes and with whether they are the whole table.
     """
     failures = 0
-    newest_change = 0
     has_more = is_behind = False
     while not is_stopped():
         if version is not None and feed.interval_s and not has_more:
             sleep(feed.interval_s)
         has_more = False
-        is_whole = version is None or (is_behind and feed.only_newest)
+        is_whole = version is None or is_behind
         if is_whole:
             changes = feed.store.load(feed.table_name)
         else:
@@ -73,7 +72,7 @@
             version = None
         elif isinstance(changes, Failure):
             failures += 1
-            is_behind = True
+            is_behind = feed.only_newest
             if failures == 1 or failures % LOGGED_FAILURES == 0:
                 log.note(
                     "feed_lost",
@@ -90,10 +89,10 @@
                 )
             failures = 0
             apply(changes, is_whole)
-            # While reads bring changes later than others are made, only the newest rows are read.
-            latest = max((row.version for row in changes.rows), default=0)
-            is_behind = latest > newest_change if is_behind else _repeats_rows(changes)
-            newest_change = max(newest_change, latest)
+            if feed.only_newest:
+                # The newest rows are read again as long as they change during the reads.
+                has_news = any(row.version > (version or 0) for row in changes.rows)
+                is_behind = has_news if is_behind else _repeats_rows(changes)
             # After an outage a lagging store may answer with an earlier version.
             version = max(changes.version, version or 0)
             has_more = changes.has_more
--- a/laburnumswitch/request/job_api.py
+++ b/laburnumswitch/request/job_api.py
@@ -59,15 +59,17 @@
 # Value of ``Retry-After``, in seconds, if the store is unavailable.
 STORE_RETRY_AFTER_S = 1
 CONFIGURATION_RETRY_AFTER_S = 1
-# How long a call waits for the confirmation of a configuration that the store is about to give, in
-# seconds, as after a suspension of this process.
-CONFIRMATION_WAIT_S = 0.3
-CONFIRMATION_CHECK_S = 0.02
 # The same if no owner has told the number of pending jobs.
 OWNER_RETRY_AFTER_S = 1
 # Longest value of ``Retry-After``, in seconds, if the configuration is not confirmed. The values
 # are spread from 1 up, so that the callers of an entry do not return at the same moment.
 MAX_KEY_RETRY_AFTER_S = 3
+# How long a call waits for the confirmation of a configuration that the store is about to give, in
+# seconds, as after a suspension of this process.
+CONFIRMATION_WAIT_S = 0.3
+CONFIRMATION_CHECK_S = 0.02
+JOB_METHODS = ("POST", "GET", "DELETE")
+QUEUE_METHODS = ("GET",)
 STATUS_OK = 200
 FORBIDDEN = 403
 ID_DIGITS = 16
@@ -222,13 +224,11 @@
 def _refuse_call(context: JobApiContext, call: _Call) -> JobReply | None:
     """Return the refusal of a call for which there is no operation."""
     method, job_id = call.request.method, call.job_id
-    if not job_id:
-        return None if method == "GET" else _refuse(context, call.request, 405, "no such method")
-    if len(job_id) != ID_DIGITS or not HEXADECIMAL.issuperset(job_id):
+    if job_id and (len(job_id) != ID_DIGITS or not HEXADECIMAL.issuperset(job_id)):
         return _refuse(context, call.request, 404, "malformed job id")
-    if method in ("POST", "GET", "DELETE"):
-        return None
-    return _refuse(context, call.request, 405, "no such method")
+    if method not in (JOB_METHODS if job_id else QUEUE_METHODS):
+        return _refuse(context, call.request, 405, "no such method")
+    return None
 
 
 def _authenticate_call(context: JobApiContext, request: JobRequest) -> _Call | JobReply:
@@ -300,7 +300,7 @@
 
 def _decided_by(context: JobApiContext) -> DecidedBy:
     operations = context.operations
-    return DecidedBy(operations.version(), context.boot_clock() - operations.confirmed_s)
+    return DecidedBy(operations.version(), operations.confirmed_age_s(context.boot_clock()))
 
 
 def _age_of_refusal(context: JobApiContext, status: int) -> dict[str, float]:
