Open connections to upstreams as those to all others: numeric addresses without a lookup

The twin of: the pool of connections to upstreams opened its own, so that names without an answer held up numeric addresses there, and a host that is no name raised UnicodeError. Both use connection/tcp.py now, and a host that is no name is an OSError for every caller. The tests of Client for both cases cover the shared function; none was changed.

--- a/laburnumswitch/connection/client.py
+++ b/laburnumswitch/connection/client.py
@@ -18,10 +18,10 @@
 from geventhttpclient.response import HTTPParseError
 
 from laburnumswitch.connection.address import Address
-from laburnumswitch.connection.address import is_numeric
 from laburnumswitch.connection.address import parse_address
 from laburnumswitch.connection.connection_limit import ConnectionLimit
 from laburnumswitch.connection.response_parser import ResponseParser
+from laburnumswitch.connection.tcp import open_connection
 from laburnumswitch.connection.tls import ClientTls
 from laburnumswitch.connection.tls import refusal_reason
 from laburnumswitch.connection.tls import STATUS_NOT_TRUSTED
@@ -117,8 +117,7 @@
             if not parser.is_complete:
                 with Timeout(transfer_s):
                     self._receive_rest(sock, parser, STALL_TIMEOUT_S)
-        # ``UnicodeError``: the host cannot be looked up as a name.
-        except (Timeout, OSError, HTTPParseError, UnicodeError) as error:
+        except (Timeout, OSError, HTTPParseError) as error:
             self._close_socket(sock)
             if isinstance(error, Timeout):
                 self._close_idle()
@@ -158,7 +157,7 @@
         if self._limit is not None:
             self._limit.reserve()
         try:
-            sock = _open_connection(address, timeout_s)
+            sock = open_connection(address, timeout_s)
             self.connections_opened += 1
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             if self._tls is not None:
@@ -231,24 +230,6 @@
         parser.feed(block)
 
 
-def _open_connection(address: Address, timeout_s: float) -> socket.socket:
-    """Return a connected socket.
-
-    A numeric address is not looked up: lookups share a few threads, which names whose server does
-    not answer would occupy.
-    """
-    if not is_numeric(address.host):
-        return socket.create_connection(address, timeout=timeout_s)
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        sock.settimeout(timeout_s)
-        sock.connect(address)
-    except BaseException:
-        sock.close()
-        raise
-    return sock
-
-
 def _describe_loss(reason: str, received_bytes: int) -> str:
     # A peer that is cut off sends nothing; over a slow link a part of the answer arrives.
     return f"{reason} after {received_bytes} bytes" if received_bytes else reason
--- a/laburnumswitch/connection/upstream_pool.py
+++ b/laburnumswitch/connection/upstream_pool.py
@@ -12,6 +12,7 @@
 from laburnumswitch.connection.address import parse_address
 from laburnumswitch.connection.exchange import UpstreamConnection
 from laburnumswitch.connection.readable import is_readable
+from laburnumswitch.connection.tcp import open_connection
 from laburnumswitch.exceptions import ConnectFailed
 from laburnumswitch.exceptions import ConnectionLimit
 from laburnumswitch.upstream import Upstream
@@ -124,7 +125,7 @@
         parsed = parse_address(address)
         if parsed is None:
             raise OSError(EINVAL, "the address is malformed")
-        sock = socket.create_connection(parsed, timeout=connect_timeout_s)
+        sock = open_connection(parsed, connect_timeout_s)
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             if self._ssl_context is not None:
