Store with each term which earlier owner may have sent commands

A successor could not tell an owner that ended before it had sent anything from one that acted, nor one of an earlier version, which stores less. The row is written in the transaction that takes the term. Nothing reads it yet.

--- a/laburnumswitch/process/leadership/leadership.py
+++ b/laburnumswitch/process/leadership/leadership.py
@@ -7,8 +7,13 @@
 from laburnumswitch.exceptions import Conflict
 from laburnumswitch.exceptions import ConnectionRefused
 from laburnumswitch.exceptions import Failure
+from laburnumswitch.exceptions import RowMalformed
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
 from laburnumswitch.process.leadership.messages import WatchAnswer
+from laburnumswitch.process.leadership.succession import decode_succession
+from laburnumswitch.process.leadership.succession import succeed
+from laburnumswitch.process.leadership.succession import Succession
+from laburnumswitch.process.leadership.succession import SUCCESSION_KEY
 from laburnumswitch.process.leadership.term import NO_OWNER
 from laburnumswitch.process.leadership.term import PredecessorState
 from laburnumswitch.process.leadership.term import read_term
@@ -401,9 +406,16 @@
             identity.address,
             unconfirmed=unconfirmed,
         )
+        succession = self._read_succession(observed.term)
+        if isinstance(succession, Failure):
+            context.sleep(RETRY_S)
+            return
         sent_s = context.boot_clock()
         outcome = context.table.commit(
-            Transaction((Condition(TERM_KEY, observed.version),), (Put(TERM_KEY, term),))
+            Transaction(
+                (Condition(TERM_KEY, observed.version),),
+                (Put(TERM_KEY, term), Put(SUCCESSION_KEY, succession)),
+            )
         )
         taken = VersionedTerm(term, outcome.version) if isinstance(outcome, Committed) else None
         if taken is None and not isinstance(outcome, Conflict):
@@ -442,6 +454,17 @@
             # The process was told to stop before it had the term, and found nothing to release.
             self.release()
 
+    def _read_succession(self, predecessor: Term) -> Succession | Failure:
+        """Return the succession to store with the next term."""
+        rows = self._context.table.read((SUCCESSION_KEY,))
+        if isinstance(rows, Failure):
+            return rows
+        stored = decode_succession(rows[SUCCESSION_KEY])
+        if isinstance(stored, RowMalformed):
+            self._context.log.note("succession_malformed", stored.key, reason=stored.reason)
+            stored = None
+        return succeed(stored, predecessor)
+
     def _confirm_end(self, dispatcher: Dispatcher, address: str) -> None:
         """Repeat ``supersede`` until the earlier owner confirms it or its commands have lapsed.
 
