Log why long-running tasks do not run, and for how long they were down

Each long-running task now has a delay, from the last sign of its last run, or its reported end, to the answer of its next start, also across refused starts. Once a second the owner finds the first wait of the chain that holds: a run that may exist on a silent worker, a stop, an unanswered start, unknown runs of earlier owners, crashes not stored, the quota, and so on to the lack of room, and which workers with room get no starts. `tasks_waiting` counts them (`long_running_by_reason`), `task_down` names the five tasks that have been down for longest, and `run_start` says which wait took most of the time. No decision changes.

WaitReason moved to start_delays.py; in test_waiting.py and test_quota_gate.py only its import changed.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -62,6 +62,7 @@
 from laburnumswitch.process.dispatch.place_wait import PlaceWaits
 from laburnumswitch.process.dispatch.quota_gate import QuotaGate
 from laburnumswitch.process.dispatch.recorder import Recorder
+from laburnumswitch.process.dispatch.start_delays import StartDelays
 from laburnumswitch.process.dispatch.tails import TailLatencyModel
 from laburnumswitch.process.dispatch.tickets import Tickets
 from laburnumswitch.process.dispatch.vm_list import ListVms
@@ -173,6 +174,7 @@
         self.reserved_by_service: dict[str, set[str]] = {}
         self.advice = Advice()
         self.place_waits = PlaceWaits(context.log, context.deployment.bounds)
+        self.start_delays = StartDelays()
         self.model = TailLatencyModel()
         # Times of cancellations whose submissions have not arrived yet.
         self.cancelled_s_by_id: dict[str, float] = {}
@@ -575,6 +577,7 @@
         task = job and job.task(run.task)
         if task and task.active_run == run.number:
             job.end_run(task)
+            self.start_delays.note_end(run, job.step_state(task.key).ready_since_s, None)
             if run.crash is not None and not job.is_final():
                 self._count_crash(worker, job, task, run)
             self.refresh_ready_steps(job)
@@ -745,6 +748,7 @@
         run = worker.runs_by_task.get(end.task)
         if run is not None and run.number == end.run:
             self._free_run(worker, end.task)
+            self.start_delays.note_end(run, run.started_s, self.context.clock())
         job = self.jobs_by_id.get(end.task.job_id)
         task = job and job.task(end.task)
         self.context.log.note(
--- a/laburnumswitch/process/dispatch/load_report.py
+++ b/laburnumswitch/process/dispatch/load_report.py
@@ -5,14 +5,24 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
+from itertools import islice
 from time import process_time
+from typing import Any
 from typing import NamedTuple
 
 from laburnumswitch.process.dispatch.admission import measure_commitments
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
+from laburnumswitch.process.dispatch.dispatcher import task_name
+from laburnumswitch.process.dispatch.down_tasks import DownTask
+from laburnumswitch.process.dispatch.down_tasks import find_down_tasks
 from laburnumswitch.process.dispatch.waiting import measure_waits
 
 INTERVAL_S = 1.0
+# Long-running tasks that have been down for this long, in seconds, have a line each.
+LOGGED_DOWN_S = 3.0
+# Maximum number of these lines at a time.
+MAX_DOWN_LINES = 5
 
 
 class OwnerLoad(NamedTuple):
@@ -44,12 +54,35 @@
         elapsed_s = context.clock() - began_s
         load = measure_load(dispatcher, elapsed_s, processor_clock() - used_s)
         context.log.note("owner_load", str(dispatcher.epoch), **load._asdict())
-        for service, wait in measure_waits(dispatcher).items():
+        down = find_down_tasks(dispatcher)
+        for service, wait in measure_waits(dispatcher, down.count_by_reason()).items():
             context.log.note("tasks_waiting", service, **wait._asdict())
+        for task in choose_logged(down.tasks):
+            context.log.note("task_down", task_name(task.task), **describe_down(task))
         for service, commitment in measure_commitments(dispatcher).items():
             context.log.note("commitment", service, **commitment._asdict())
 
 
+def choose_logged(down_tasks: Iterable[DownTask]) -> list[DownTask]:
+    """Return the long-running tasks that have been down for the longest time, if for long."""
+    is_long = (each for each in down_tasks if each.down_s >= LOGGED_DOWN_S)
+    return list(islice(is_long, MAX_DOWN_LINES))
+
+
+def describe_down(down: DownTask) -> dict[str, Any]:
+    """Return the fields of the line for a long-running task that is down."""
+    until_s = None if down.until_s is None else round(down.until_s, 3)
+    return {
+        "down_s": round(down.down_s, 3),
+        "reason": down.reason,
+        "reason_for_s": round(down.reason_for_s, 3),
+        "run": down.last_run,
+        "worker": down.worker_id,
+        "until_s": until_s,
+        "unusable": down.unusable,
+    }
+
+
 def measure_load(dispatcher: Dispatcher, elapsed_s: float, used_s: float) -> OwnerLoad:
     """Return the load over the last interval.
 
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -596,6 +596,9 @@
         worker.worker_id, worker.link.start, command, COMMAND_TIMEOUT_S
     )
     now_s = context.clock()
+    ready_since_s = job.step_state(run.task).ready_since_s
+    is_current = worker.runs_by_task.get(run.task) is run
+    is_started = not isinstance(outcome, Failure)
     context.log.note(
         "run_start",
         task_name(run.task),
@@ -605,13 +608,16 @@
         fence=command.fence,
         took_s=round(now_s - sent_s, 3),
         worker_clock_s=getattr(outcome, "clock_s", None),
-        waited_s=round(run.started_s - job.step_state(run.task).ready_since_s, 3),
-        outcome=outcome.tag if isinstance(outcome, Failure) else "started",
+        waited_s=round(run.started_s - ready_since_s, 3),
+        outcome="started" if is_started else outcome.tag,
         reason=getattr(outcome, "reason", ""),
+        **dispatcher.start_delays.describe_start(
+            run, ready_since_s, now_s, is_started and is_current
+        ),
     )
-    if dispatcher.is_stopped() or worker.runs_by_task.get(run.task) is not run:
+    if dispatcher.is_stopped() or not is_current:
         return
-    if not isinstance(outcome, Failure):
+    if is_started:
         run.confirmed_s = now_s
         job.has_begun = True
         if job.is_final():
--- a/laburnumswitch/process/dispatch/waiting.py
+++ b/laburnumswitch/process/dispatch/waiting.py
@@ -7,7 +7,7 @@
 
 from collections import Counter
 from collections.abc import Iterable
-from enum import StrEnum
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
@@ -16,25 +16,9 @@
 from laburnumswitch.process.dispatch.jobs import ReadyStep
 from laburnumswitch.process.dispatch.planner import is_due
 from laburnumswitch.process.dispatch.planner import usable_workers
+from laburnumswitch.process.dispatch.start_delays import WaitReason
 
-
-class WaitReason(StrEnum):
-    """Why a task waits.
-
-    ``QUOTA``: its organisation is at its limit. ``PLANNING``: a usable worker has room for it.
-    ``UNUSABLE``: only workers that get no starts at present have room. ``MEMORY``: workers have the
-    processors, but not the memory. ``PIECES``: the free processors of all usable workers suffice,
-    but no worker has enough. ``PROCESSORS``: the free processors of all usable workers do not
-    suffice. ``SIZE``: no worker is large enough, or has the required label.
-    """
-
-    QUOTA = "quota"
-    PLANNING = "planning"
-    UNUSABLE = "unusable"
-    MEMORY = "memory"
-    PIECES = "pieces"
-    PROCESSORS = "processors"
-    SIZE = "size"
+NO_TASKS: Mapping[str, Mapping[WaitReason, int]] = {}
 
 
 class ServiceWait(NamedTuple):
@@ -42,6 +26,8 @@
 
     :ivar tasks_by_reason: number of waiting tasks that are neither long-running nor best-effort.
     :ivar long_running_tasks: number of waiting long-running tasks.
+    :ivar long_running_by_reason: number of long-running tasks that do not run as far as the owner
+        knows, also of those that are best-effort or may not start yet.
     :ivar oldest_s: longest time since a step with such tasks became ready, in seconds.
     :ivar waiting_cpu_millis: processors of the waiting tasks that are neither, in thousandths.
     :ivar free_cpu_millis: free processors of the usable workers together.
@@ -50,6 +36,7 @@
 
     tasks_by_reason: dict[WaitReason, int]
     long_running_tasks: int
+    long_running_by_reason: Mapping[WaitReason, int]
     oldest_s: float
     waiting_cpu_millis: int
     free_cpu_millis: int
@@ -78,22 +65,32 @@
     return WaitReason.PIECES if sum(free) >= step.cpu_millis else WaitReason.PROCESSORS
 
 
-def measure_waits(dispatcher: Dispatcher) -> dict[str, ServiceWait]:
-    """Return by service what its ready tasks wait for, for services with waiting tasks."""
-    ready_by_service: dict[str, list[ReadyStep]] = {}
+def measure_waits(
+    dispatcher: Dispatcher, down_by_service: Mapping[str, Mapping[WaitReason, int]] = NO_TASKS
+) -> dict[str, ServiceWait]:
+    """Return by service what its ready tasks wait for, for services with waiting tasks.
+
+    :param down_by_service: numbers of long-running tasks that do not run, see ``down_tasks``.
+    """
+    ready_by_service: dict[str, list[ReadyStep]] = {service: [] for service in down_by_service}
     wall_s = dispatcher.context.wall_clock()
     for ready in dispatcher.ready_step_by_key.values():
         queue = dispatcher.queue_of(ready.job)
         if queue and not ready.step_state.step.best_effort and is_due(dispatcher, ready, wall_s):
             ready_by_service.setdefault(queue.service, []).append(ready)
     return {
-        service: _measure_service(dispatcher, service, ready_steps)
+        service: _measure_service(
+            dispatcher, service, ready_steps, down_by_service.get(service, {})
+        )
         for service, ready_steps in ready_by_service.items()
     }
 
 
 def _measure_service(
-    dispatcher: Dispatcher, service: str, ready_steps: list[ReadyStep]
+    dispatcher: Dispatcher,
+    service: str,
+    ready_steps: list[ReadyStep],
+    down: Mapping[WaitReason, int],
 ) -> ServiceWait:
     workers = [
         each for each in dispatcher.workers_by_id.values() if each.listing.service == service
@@ -117,10 +114,11 @@
         waiting_cpu_millis += waiting * step.cpu_millis
     free = [worker.listing.cpu_millis - worker.used_cpu_millis for worker in usable]
     now_s = dispatcher.context.clock()
-    oldest_s = max(now_s - ready.step_state.ready_since_s for ready in ready_steps)
+    oldest_s = max((now_s - ready.step_state.ready_since_s for ready in ready_steps), default=0.0)
     return ServiceWait(
         dict(tasks_by_reason),
         long_running_tasks,
+        down,
         round(oldest_s, 3),
         waiting_cpu_millis,
         sum(free),
--- a/tests/process/dispatch/test_quota_gate.py
+++ b/tests/process/dispatch/test_quota_gate.py
@@ -17,8 +17,8 @@
 from laburnumswitch.process.dispatch.quota import NOTHING_RUNS
 from laburnumswitch.process.dispatch.quota_gate import QUOTA_FREE_S
 from laburnumswitch.process.dispatch.quota_gate import QuotaGate
+from laburnumswitch.process.dispatch.start_delays import WaitReason
 from laburnumswitch.process.dispatch.waiting import measure_waits
-from laburnumswitch.process.dispatch.waiting import WaitReason
 from laburnumswitch.process.observing.decisions import DecisionLog
 from laburnumswitch.size import Size
 from tests.process.dispatch.harness import make_configuration
--- a/tests/process/dispatch/test_waiting.py
+++ b/tests/process/dispatch/test_waiting.py
@@ -4,9 +4,9 @@
 from testtools.matchers import Equals
 
 from laburnumswitch.process.dispatch.job_spec import Step
+from laburnumswitch.process.dispatch.start_delays import WaitReason
 from laburnumswitch.process.dispatch.waiting import find_wait_reason
 from laburnumswitch.process.dispatch.waiting import measure_waits
-from laburnumswitch.process.dispatch.waiting import WaitReason
 from tests.process.dispatch.harness import DispatchHarness
 from tests.process.dispatch.harness import make_submission
 from tests.process.dispatch.harness import wait_until
