--- a/laburnumswitch/dispatch_metrics.py
+++ b/laburnumswitch/dispatch_metrics.py
@@ -1,6 +1,7 @@
 """Metrics of the daemon in ``dispatch_entry.py``."""
 
 from collections.abc import Callable
+from math import inf
 
 from laburnumswitch.connection.client import Client
 from laburnumswitch.connection.client_limits import PortClients
@@ -9,6 +10,9 @@
 from laburnumswitch.organisation_metrics import register_organisation_metrics
 from laburnumswitch.organisation_metrics import register_usage_metrics
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
+from laburnumswitch.process.dispatch.start_delays import DOWN_BOUNDS_S
+from laburnumswitch.process.dispatch.start_delays import DownCount
+from laburnumswitch.process.dispatch.start_delays import WaitReason
 from laburnumswitch.process.leadership.leadership import Leadership
 from laburnumswitch.process.observing.decisions import DecisionLog
 from laburnumswitch.process.observing.metrics import Metrics
@@ -107,10 +111,64 @@
     }
     for name, (help_text, read) in gauges.items():
         metrics.add_gauge(f"laburnumswitch_owner_{name}", help_text, gauge_reader(read))
+    register_start_delay_metrics(metrics, lambda: leadership.dispatcher)
     register_organisation_metrics(metrics, lambda: leadership.dispatcher)
     register_usage_metrics(metrics, lambda: leadership.dispatcher)
 
 
+def register_start_delay_metrics(
+    metrics: Metrics, find_dispatcher: Callable[[], Dispatcher | None]
+) -> None:
+    """Register how long long-running tasks are down, and why; 0 unless on the owner.
+
+    :param find_dispatcher: returns the dispatcher of this entry, ``None`` unless it is the owner.
+    """
+
+    def read_down(read: Callable[[DownCount], float]) -> Callable[[], list[Sample]]:
+        def read_all() -> list[Sample]:
+            dispatcher = find_dispatcher()
+            counts = dispatcher.start_delays.down_by_reason if dispatcher else {}
+            return [
+                Sample({"reason": str(reason)}, read(counts.get(reason, DownCount(0, 0.0))))
+                for reason in WaitReason
+            ]
+
+        return read_all
+
+    def read_starts() -> list[Sample]:
+        dispatcher = find_dispatcher()
+        starts = dispatcher.start_delays.starts_by_bound_s if dispatcher else {}
+        return [
+            Sample({"below_s": f"{bound_s:g}"}, starts.get(bound_s, 0))
+            for bound_s in (*DOWN_BOUNDS_S, inf)
+        ]
+
+    def read_longest() -> float:
+        dispatcher = find_dispatcher()
+        return dispatcher.start_delays.longest_down_s if dispatcher else 0.0
+
+    metrics.add_gauges(
+        "laburnumswitch_owner_long_running_down",
+        "Long-running tasks that do not run, by reason.",
+        read_down(lambda count: count.tasks),
+    )
+    metrics.add_gauges(
+        "laburnumswitch_owner_long_running_down_seconds",
+        "How long the first of the long-running tasks that do not run has been down, by reason.",
+        read_down(lambda count: count.longest_s),
+    )
+    metrics.add_gauges(
+        "laburnumswitch_owner_long_running_starts",
+        "Starts of long-running tasks by this owner, by how long they were down.",
+        read_starts,
+    )
+    metrics.add_gauge(
+        "laburnumswitch_owner_long_running_start_delay_max_seconds",
+        "Longest time that a long-running task was down before a start of this owner.",
+        read_longest,
+    )
+
+
 def register_client_metrics(
     metrics: Metrics, refusals: RefusalCounter, clients_of_ports: tuple[PortClients, ...]
 ) -> None:
--- a/laburnumswitch/process/dispatch/down_tasks.py
+++ b/laburnumswitch/process/dispatch/down_tasks.py
@@ -21,6 +21,7 @@
 from laburnumswitch.process.dispatch.jobs import ReadyStep
 from laburnumswitch.process.dispatch.jobs import Task
 from laburnumswitch.process.dispatch.planner import usable_workers
+from laburnumswitch.process.dispatch.start_delays import DownCount
 from laburnumswitch.process.dispatch.start_delays import last_sign_s
 from laburnumswitch.process.dispatch.start_delays import StartDelay
 from laburnumswitch.process.dispatch.start_delays import WaitReason
@@ -175,11 +176,20 @@
             counts.setdefault(down.service, Counter())[down.reason] += 1
         return {service: dict(count) for service, count in counts.items()}
 
+    def summarize(self) -> dict[WaitReason, DownCount]:
+        """Return the number of tasks of all services by reason, and how long they are down."""
+        others = sum(self.others_by_service.values())
+        counts = {WaitReason.OTHER: DownCount(others, 0.0)} if others else {}
+        for down in self.tasks:
+            known = counts.get(down.reason, DownCount(0, 0.0))
+            counts[down.reason] = DownCount(known.tasks + 1, max(known.longest_s, down.down_s))
+        return counts
+
 
 def find_down_tasks(dispatcher: Dispatcher) -> DownReport:
     """Return the long-running tasks that do not run, as far as the owner knows.
 
-    What they wait for is recorded in the dispatcher's ``start_delays``.
+    What they wait for is recorded in the dispatcher's ``start_delays``, also for the metrics.
     """
     now_s = dispatcher.context.clock()
     candidates = _find_waiting(dispatcher) + _find_possible_runs(dispatcher, now_s)
@@ -193,7 +203,9 @@
         explanation = _explain(dispatcher, candidate, view_by_service)
         candidate.delay.note_reason(explanation.reason, now_s)
         down_tasks.append(_describe(candidate, explanation, now_s))
-    return DownReport(down_tasks, dict(+others))
+    report = DownReport(down_tasks, dict(+others))
+    dispatcher.start_delays.down_by_reason = report.summarize()
+    return report
 
 
 def find_unusable_cause(dispatcher: Dispatcher, worker: Worker) -> UnusableCause | None:
--- a/laburnumswitch/process/dispatch/start_delays.py
+++ b/laburnumswitch/process/dispatch/start_delays.py
@@ -4,13 +4,19 @@
 and each is short enough by itself; the log has to name the one that took most of the time.
 """
 
+from collections import Counter
 from collections.abc import Container
 from enum import StrEnum
+from math import inf
 from typing import NamedTuple
 
 from laburnumswitch.process.dispatch.fleet import ActiveRun
 from laburnumswitch.process.dispatch.job_spec import TaskKey
 
+# Bounds, in seconds, by which starts are counted by how long their tasks were down. Users look for
+# the first run after three seconds, and for each later one after six, and nine at the latest.
+DOWN_BOUNDS_S = (1.0, 3.0, 6.0, 9.0)
+
 
 class WaitReason(StrEnum):
     """Why a task does not run, in the order of the waits between two of its runs.
@@ -116,13 +122,28 @@
         self._seen_s = now_s
 
 
+class DownCount(NamedTuple):
+    """Number of tasks that are down for one reason, and for how long the first of them, in seconds.
+
+    Tasks that were not looked at count with 0 seconds, as others have been down for longer.
+    """
+
+    tasks: int
+    longest_s: float
+
+
 class StartDelays:
     """Long-running tasks that do not run, as far as the owner knows.
 
+    :ivar down_by_reason: those of the last look, for the metrics.
+    :ivar starts_by_bound_s: number of starts of this owner by the first of ``DOWN_BOUNDS_S`` that
+        their tasks were not down for, infinity if none.
     :ivar longest_down_s: longest time that a task was down before a start of this owner.
     """
 
     def __init__(self) -> None:
+        self.down_by_reason: dict[WaitReason, DownCount] = {}
+        self.starts_by_bound_s: Counter[float] = Counter()
         self.longest_down_s = 0.0
         self._delay_by_task: dict[TaskKey, StartDelay] = {}
 
@@ -170,7 +191,7 @@
         reason, waited_s = delay.longest_wait(now_s)
         down_s = max(0.0, now_s - delay.down_since_s)
         if is_started:
-            self.longest_down_s = max(down_s, self.longest_down_s)
+            self._count_start(down_s)
             del self._delay_by_task[run.task]
         return {
             "down_s": round(down_s, 3),
@@ -178,6 +199,11 @@
             "longest_wait_s": round(waited_s, 3),
         }
 
+    def _count_start(self, down_s: float) -> None:
+        bound_s = next((bound for bound in DOWN_BOUNDS_S if down_s < bound), inf)
+        self.starts_by_bound_s[bound_s] += 1
+        self.longest_down_s = max(down_s, self.longest_down_s)
+
     def forget_others(self, down: Container[TaskKey]) -> None:
         """Forget all tasks but those that are down: the others run, or are not wanted any more."""
         for task in [task for task in self._delay_by_task if task not in down]:
--- a/tests/process/dispatch/test_down_tasks.py
+++ b/tests/process/dispatch/test_down_tasks.py
@@ -170,6 +170,9 @@
         counts = find_down_tasks(self.owner).count_by_reason()
         expected = {WaitReason.SIZE: MAX_EXPLAINED, WaitReason.OTHER: 3}
         self.assertThat(counts["shop"], Equals(expected))
+        down_by_reason = self.owner.start_delays.down_by_reason
+        tasks = {reason: count.tasks for reason, count in down_by_reason.items()}
+        self.assertThat(tasks, Equals(expected))
 
     def test_number_of_searches_for_room_is_bounded(self):
         steps = (LASTING._replace(cpu_millis=9000 + each) for each in range(MAX_SIZES + 2))
--- a/tests/process/dispatch/test_start_delays.py
+++ b/tests/process/dispatch/test_start_delays.py
@@ -1,5 +1,7 @@
 """Tests of how long long-running tasks are down between two runs, and why."""
 
+from math import inf
+
 from testtools import TestCase
 from testtools.matchers import Equals
 
@@ -71,6 +73,13 @@
         fields = self.delays.describe_start(make_run(2, 30.0), 29.0, 30.0, True)
         self.assertThat(fields["down_s"], Equals(1.0))
 
+    def test_starts_are_counted_by_how_long_their_tasks_were_down(self):
+        for number, (down_since_s, now_s) in enumerate(((0.0, 0.9), (5.0, 8.0), (20.0, 40.0))):
+            run = make_run(number + 1, now_s)
+            self.delays.describe_start(run, down_since_s, now_s, True)
+        self.assertThat(self.delays.starts_by_bound_s, Equals({1.0: 1, 6.0: 1, inf: 1}))
+        self.assertThat(self.delays.longest_down_s, Equals(20.0))
+
     def test_other_tasks_have_no_fields(self):
         urgent = make_run(1, 1.0, step=Step(1, cpu_millis=1000))
         self.delays.note_end(urgent, 0.0, 2.0)
