Add the command downtimes, and lead from a task's id to why it was down under several owners

`downtimes` prints what find_gaps finds in the logs of all entries.

Three tests more in tests/command/test_down_times.py.

--- a/laburnumswitch/command/__init__.py
+++ b/laburnumswitch/command/__init__.py
@@ -8,6 +8,7 @@
 from laburnumswitch.command.daemon import entry
 from laburnumswitch.command.declarations import check
 from laburnumswitch.command.declarations import publish_command
+from laburnumswitch.command.down_times import downtimes
 from laburnumswitch.command.explain import explain
 from laburnumswitch.command.jobs import job
 from laburnumswitch.command.jobs import jobs
@@ -35,6 +36,7 @@
 for command in (
     check,
     completion,
+    downtimes,
     entry,
     explain,
     job,
--- a/tests/command/test_down_times.py
+++ b/tests/command/test_down_times.py
@@ -1,8 +1,15 @@
 """How long tasks were down, from the logs of several owners."""
 
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from click.testing import CliRunner
+from msgspec.json import decode
+from msgspec.json import encode
 from testtools import TestCase
 from testtools.matchers import Equals
 
+from laburnumswitch.command import main
 from laburnumswitch.command.down_times import find_gaps
 from laburnumswitch.command.down_times import Gap
 from laburnumswitch.command.explain import DecisionLine
@@ -96,6 +103,24 @@
         lines = [FIRST_RUN, taken(9.0, "vm-2", 2), started(15.0, "vm-2", 10001, 5.5)]
         self.assertThat([gap.ended_s for gap in find_gaps(lines)], Equals([9.5]))
 
+    def test_end_that_nobody_logged_is_the_last_answer_of_its_worker(self):
+        # The second owner left before it had settled, so the third waits for a lease again.
+        lines = [
+            started(1.0, "vm-1", 1, worker="w1"),
+            make_line(2.0, "vm-1", "worker_silent", "w1", answered_s_ago=1.0),
+            make_line(2.5, "vm-1", "worker_reached", "w1"),
+            make_line(5.5, "vm-1", "worker_silent", "w1", answered_s_ago=1.5),
+            make_line(5.75, "vm-1", "ownership_released", "1"),
+            taken(6.0, "vm-2", 2),
+            make_line(6.5, "vm-2", "worker_silent", "w1", answered_s_ago=None),
+            make_line(6.75, "vm-2", "ownership_released", "2"),
+            taken(7.0, "vm-3", 3),
+            started(14.0, "vm-3", 20001, 8.5, longest_wait="unknown_runs", longest_wait_s=8.5),
+        ]
+        gap = find_gaps(lines)[0]
+        self.assertThat((gap.ended_s, gap.owners), Equals((4.0, ("vm-2", "vm-3"))))
+        self.assertThat(gap.duration_s(0.0), Equals(10.0))
+
     def test_end_reported_again_to_a_successor_counts_once(self):
         lines = [
             FIRST_RUN,
@@ -125,3 +150,43 @@
             make_line(9.0, "vm-1", "run_start", run=2, outcome="started"),
         ]
         self.assertThat(find_gaps(lines), Equals([]))
+
+
+class TestCommand(TestCase):
+    def _run(self, *options):
+        lines = [
+            FIRST_RUN,
+            make_line(5.0, "vm-1", "run_ended", run=1, how="stopped"),
+            started(7.0, "vm-1", 2, 2.0, longest_wait="kept", longest_wait_s=2.0),
+            make_line(10.0, "vm-1", "run_ended", run=2, how="stopped"),
+            taken(12.0, "vm-2", 2),
+        ]
+        with TemporaryDirectory() as folder:
+            path = Path(folder, "entry.log")
+            path.write_text("\n".join(encode_line(line) for line in lines), "utf-8")
+            result = CliRunner().invoke(main, ["downtimes", str(path), "--json", *options])
+        self.assertThat(result.exit_code, Equals(0))
+        return decode(result.output)["rows"]
+
+    def test_shows_long_times_only(self):
+        self.assertThat(self._run(), Equals([]))
+        self.assertThat(len(self._run("--over", "2")), Equals(2))
+
+    def test_shows_from_when_to_when_and_why(self):
+        expected = {
+            "task": TASK,
+            "ended": "1970-01-01T00:00:05.000Z",
+            "started": "1970-01-01T00:00:07.000Z",
+            "down_s": 2.0,
+            "unheard_s": 0.0,
+            "owners": "",
+            "waited_s": {"kept": 2.0},
+        }
+        first, second = self._run("--over", "2")
+        self.assertThat(first, Equals(expected))
+        self.assertThat((second["started"], second["owners"]), Equals(("", "vm-2")))
+
+
+def encode_line(line):
+    fields = {"t": line.at_s, "vm": line.vm, "event": line.event, "id": line.subject}
+    return encode({**fields, **line.details}).decode()
