Count starts of long-running tasks also where only a report of the worker confirms them

Starts whose answers are lost are the late ones, and they were missing from laburnumswitch_owner_long_running_starts and its maximum. The delay of a task that is not down any more now counts if a run that began after it was confirmed since.

--- a/laburnumswitch/process/dispatch/down_tasks.py
+++ b/laburnumswitch/process/dispatch/down_tasks.py
@@ -193,7 +193,9 @@
     """
     now_s = dispatcher.context.clock()
     candidates = _find_waiting(dispatcher) + _find_possible_runs(dispatcher, now_s)
-    dispatcher.start_delays.forget_others({each.task.key for each in candidates})
+    dispatcher.start_delays.forget_others(
+        {each.task.key for each in candidates}, lambda key: _find_run(dispatcher, key)
+    )
     longest = nsmallest(MAX_EXPLAINED, candidates, key=lambda each: each.delay.down_since_s)
     others = Counter(each.service for each in candidates)
     others.subtract(each.service for each in longest)
@@ -288,6 +290,13 @@
     return candidates
 
 
+def _find_run(dispatcher: Dispatcher, key: TaskKey) -> ActiveRun | None:
+    job = dispatcher.jobs_by_id.get(key.job_id)
+    task = job and job.task(key)
+    worker = dispatcher.workers_by_id.get(task.worker_id) if task else None
+    return worker and worker.runs_by_task.get(key)
+
+
 def _find_delay(dispatcher: Dispatcher, run: ActiveRun, ready_since_s: float) -> StartDelay:
     if run.confirmed_s is None:
         return dispatcher.start_delays.find_waiting(run.task, ready_since_s)
--- a/laburnumswitch/process/dispatch/start_delays.py
+++ b/laburnumswitch/process/dispatch/start_delays.py
@@ -5,6 +5,7 @@
 """
 
 from collections import Counter
+from collections.abc import Callable
 from collections.abc import Container
 from enum import StrEnum
 from math import inf
@@ -204,10 +205,23 @@
         self.starts_by_bound_s[bound_s] += 1
         self.longest_down_s = max(down_s, self.longest_down_s)
 
-    def forget_others(self, down: Container[TaskKey]) -> None:
-        """Forget all tasks but those that are down: the others run, or are not wanted any more."""
+    def forget_others(
+        self, down: Container[TaskKey], find_run: Callable[[TaskKey], ActiveRun | None]
+    ) -> None:
+        """Forget all tasks but those that are down: the others run, or are not wanted any more.
+
+        :param find_run: returns the run of a task that is not down, ``None`` if it has none.
+        """
         for task in [task for task in self._delay_by_task if task not in down]:
-            del self._delay_by_task[task]
+            down_since_s = self._delay_by_task.pop(task).down_since_s
+            run = find_run(task)
+            if run and _was_confirmed_late(run) and run.started_s >= down_since_s:
+                self._count_start(run.confirmed_s - down_since_s)
+
+
+def _was_confirmed_late(run: ActiveRun) -> bool:
+    """Return whether a report confirmed a start; an adopted run is confirmed from the beginning."""
+    return run.confirmed_s is not None and run.confirmed_s > run.started_s
 
 
 def last_sign_s(run: ActiveRun) -> float:
--- a/tests/process/dispatch/test_start_delays.py
+++ b/tests/process/dispatch/test_start_delays.py
@@ -69,7 +69,7 @@
 
     def test_tasks_that_run_or_are_not_wanted_are_forgotten(self):
         self.delays.note_end(make_run(1, 1.0, 1.1), 0.0, 5.0)
-        self.delays.forget_others(())
+        self.delays.forget_others((), lambda task: None)
         fields = self.delays.describe_start(make_run(2, 30.0), 29.0, 30.0, True)
         self.assertThat(fields["down_s"], Equals(1.0))
 
@@ -80,6 +80,25 @@
         self.assertThat(self.delays.starts_by_bound_s, Equals({1.0: 1, 6.0: 1, inf: 1}))
         self.assertThat(self.delays.longest_down_s, Equals(20.0))
 
+    def test_start_that_only_a_report_confirms_is_counted(self):
+        # The answers of workers get lost just when tasks are down for long.
+        self.delays.note_end(make_run(1, 1.0, 1.1), 0.0, 5.0)
+        unanswered = make_run(2, 11.0, 12.5, reported_s=12.5)
+        self.delays.forget_others((), lambda task: unanswered)
+        self.assertThat(self.delays.starts_by_bound_s, Equals({9.0: 1}))
+        self.assertThat(self.delays.longest_down_s, Equals(7.5))
+
+    def test_adopted_run_is_no_start(self):
+        self.delays.find_waiting(TASK, 3.0)
+        self.delays.forget_others((), lambda task: make_run(1, 8.0, 8.0))
+        self.assertThat(self.delays.starts_by_bound_s, Equals({}))
+
+    def test_run_whose_worker_answers_again_is_no_start(self):
+        run = make_run(1, 1.0, 1.1, reported_s=9.0)
+        self.delays.find(TASK, 3.0)
+        self.delays.forget_others((), lambda task: run)
+        self.assertThat(self.delays.starts_by_bound_s, Equals({}))
+
     def test_other_tasks_have_no_fields(self):
         urgent = make_run(1, 1.0, step=Step(1, cpu_millis=1000))
         self.delays.note_end(urgent, 0.0, 2.0)
