Add failing tests for terms that are taken again before their owner acts

An entry that takes the term of a lost owner asks that owner first whether it has ended, for half a second or more, and does not act meanwhile. Other entries that watch it take that as its end, and the term as theirs: a second takeover right after the first. Its successor also counts it as ended, which it is not. Four tests show it, each failing on this code: epoch 3 instead of 2, epoch 2 instead of 1, a predecessor that is 'ended' although it begins to act, and an entry that confirms its end and starts to dispatch afterwards.

--- a/tests/process/leadership/test_leadership.py
+++ b/tests/process/leadership/test_leadership.py
@@ -21,12 +21,15 @@
 from laburnumswitch.process.leadership.leadership import LeadershipContext
 from laburnumswitch.process.leadership.leadership import WATCH_WAIT_S
 from laburnumswitch.process.leadership.messages import WatchAnswer
+from laburnumswitch.process.leadership.peer_api import make_leadership_peer_handler
 from laburnumswitch.process.leadership.term import PredecessorState
 from laburnumswitch.process.leadership.term import read_term
 from laburnumswitch.process.leadership.term import Term
 from laburnumswitch.process.leadership.term import TERM_KEY
 from laburnumswitch.process.leadership.term import VersionedTerm
 from laburnumswitch.process.observing.decisions import DecisionLog
+from laburnumswitch.process.operating.admin import AdminRequest
+from laburnumswitch.process.operating.operations import Operations
 from laburnumswitch.process.rows.table import Put
 from laburnumswitch.process.rows.table import Transaction
 from standin.fleet.feed_table import FeedMemoryTable
@@ -88,6 +91,7 @@
         self.silent = set()
         self.unreachable = set()
         self.store_silent_s = 0.0
+        self.supersede_timeout_s = 0.0
         self.waits_by_watcher = defaultdict(list)
 
     def watch(self, address, identity, wait_s, timeout_s):
@@ -112,10 +116,13 @@
 
     def supersede(self, address, term):
         if address in self.refusing | self.silent | self.unreachable:
+            sleep(self.supersede_timeout_s)
             return AnswerLost(address, "timeout")
-        if isinstance(self.leadership_by_address[address], Leadership):
-            self.leadership_by_address[address].note_term(term)
-        self.leadership_by_address[address].dispatcher.stop()
+        entry = self.leadership_by_address[address]
+        if isinstance(entry, Leadership):
+            entry.note_term(term)
+        if entry.dispatcher is not None:
+            entry.dispatcher.stop()
         return True
 
 
@@ -221,6 +228,65 @@
         self.assertThat(second.dispatcher.predecessor, Equals(PredecessorState.ENDED))
         self.assertThat(first.dispatcher.recorder.awaits_commit, Equals(True))
 
+    def _delay_answer(self, is_delayed):
+        """Delay the answer to the first commit for as long as ``is_delayed``."""
+        commit = self.table.commit
+
+        def commit_and_answer_late(transaction):
+            self.table.commit = commit
+            outcome = commit(transaction)
+            wait_until(lambda: not is_delayed())
+            return outcome
+
+        self.table.commit = commit_and_answer_late
+
+    def test_owner_whose_predecessor_does_not_answer_keeps_the_term(self):
+        """Others watch it while it asks, and would otherwise see an entry that does not act."""
+        self.owner_client.supersede_timeout_s = 1.5
+        owner, follower = self._owner_and_follower()
+        smaller = self._add_entry("vm-3", 1.0)
+        wait_until(lambda: owner.candidates() == ("vm-2", "vm-3"))
+        self.owner_client.silent.add("vm-1")
+        wait_until(lambda: read_term(self.table).term.epoch == 2)
+        sleep(2.5)
+        self.assertThat(read_term(self.table).term.epoch, Equals(2))
+        self.assertThat(follower.dispatcher.epoch, Equals(2))
+        self.assertThat(smaller.dispatcher, Is(None))
+
+    def test_owner_that_is_slow_to_begin_keeps_the_term(self):
+        answered_s = monotonic() + 1.0
+        self._delay_answer(lambda: monotonic() < answered_s)
+        first = self._add_entry("vm-1", 2.0)
+        wait_until(lambda: read_term(self.table).term.epoch == 1)
+        self._add_entry("vm-2", 2.0)
+        sleep(2.5)
+        self.assertThat(read_term(self.table).term.epoch, Equals(1))
+        self.assertThat(first.dispatcher.epoch, Equals(1))
+
+    def test_owner_that_is_slow_to_begin_does_not_count_as_ended(self):
+        self._delay_answer(lambda: read_term(self.table).term.epoch < 2)
+        self._add_entry("vm-1", 2.0)
+        wait_until(lambda: read_term(self.table).term.epoch == 1)
+        second = self._add_entry("vm-2", 2.0)
+        wait_until(lambda: second.dispatcher is not None)
+        self.assertThat(second.dispatcher.predecessor, Equals(PredecessorState.SILENT))
+
+    def test_entry_that_was_superseded_before_it_began_does_not_act(self):
+        """Its answer to the successor says that it sends no more commands."""
+        is_delayed = [True]
+        self._delay_answer(lambda: is_delayed[0])
+        entry = self._add_entry("vm-1", 2.0)
+        wait_until(lambda: read_term(self.table).term.epoch == 1)
+        operations = Operations(DecisionLog("vm-1", time, 1000))
+        handle = make_leadership_peer_handler(lambda: entry, "vm-1-i", operations, monotonic)
+        self.owner_client.silent.add("vm-2")
+        self.table.commit(Transaction((), (Put(TERM_KEY, Term(2, "vm-2", "vm-2-i", "vm-2")),)))
+        request = AdminRequest("POST", ("supersede", "2"), {}, {}, b"")
+        self.assertThat(handle(request).body, Equals(b"true"))
+        is_delayed[0] = False
+        sleep(0.1)
+        self.assertThat(entry.dispatcher, Is(None))
+
     def test_dead_owner_is_replaced(self):
         owner, follower = self._owner_and_follower()
         self.owner_client.refusing.add("vm-1")
