Act as the owner as soon as the term is committed, and count only told ends as ends

Callers saw long-running tasks down for nine seconds after an owner was lost: a term that had just been taken was taken again, and what its owner had learned of silent workers was gone with it.

Cause: the new owner asked its lost predecessor whether it had ended, for half a second or more, before it began to dispatch. To entries that watched it meanwhile it was 'not the owner', under the incarnation of the term, which they took as 'stepped down'. They also counted it as ended, although it was about to send commands. An entry that was still waiting for the answer to its commit confirmed to a successor that it sends no more commands, and then started to dispatch as well.

Now the dispatcher starts right after the commit, and the predecessor is asked in the background, as other earlier owners are; until it confirms its end it counts as silent. Answers to watches say which epoch the process has ended: only this is 'stepped down'. A process that holds a term without acting is watched for as long as a silent one and then replaced as one that may still act; so is, after the former wait, one of an earlier version, which does not say. A term that was superseded before its commit was answered is not acted under.

--- a/laburnumswitch/process/leadership/leadership.py
+++ b/laburnumswitch/process/leadership/leadership.py
@@ -143,6 +143,9 @@
         self.takeovers = 0
         self.owner_reach = Reach(context.clock)
         self._context = context
+        # The last own epoch that has ended, and the last one that another entry told to be later.
+        self._ended_epoch = 0
+        self._superseding_epoch = 0
         self._candidates: tuple[str, ...] = ()
         # Where to ask other entries while neither the store nor the owner can be reached.
         self._peer_addresses: tuple[str, ...] = ()
@@ -178,9 +181,23 @@
         if dispatcher.is_loaded.is_set() and not dispatcher.is_stopped():
             self.note_pending(dispatcher.pending_by_queue())
         dispatcher.release()
-        self.dispatcher = None
+        self._forget_dispatcher(dispatcher)
         self._context.log.note("ownership_released", str(dispatcher.epoch))
 
+    def supersede(self, epoch: int) -> None:
+        """End any earlier term of this entry, also one whose commit has not been answered yet."""
+        self._superseding_epoch = max(self._superseding_epoch, epoch)
+        dispatcher = self.dispatcher
+        if dispatcher is not None and dispatcher.epoch < epoch:
+            dispatcher.supersede()
+
+    def ended_epoch(self) -> int:
+        """Return the last epoch under which this process sends no more commands, 0 if none."""
+        dispatcher = self.dispatcher
+        if dispatcher is not None and dispatcher.is_stopped():
+            return dispatcher.epoch
+        return self._ended_epoch
+
     def note_watcher(self, vm_id: str, cpu_cores: float, address: str = "") -> None:
         """Record that an entry watches this owner."""
         self.watcher_by_vm[vm_id] = Watcher(cpu_cores, self._context.clock(), address)
@@ -246,10 +263,14 @@
                 return
         if dispatcher.is_stopped() and self.dispatcher is dispatcher:
             dispatcher.stop()
-            self.dispatcher = None
+            self._forget_dispatcher(dispatcher)
             # Without this pause, a dispatcher that keeps failing would restart in a tight loop.
             self._context.sleep(RETRY_S)
 
+    def _forget_dispatcher(self, dispatcher: Dispatcher) -> None:
+        self.dispatcher = None
+        self._ended_epoch = dispatcher.epoch
+
     def _has_much_larger_watcher(self) -> bool:
         dispatcher = self.dispatcher
         if dispatcher is None:
@@ -320,10 +341,31 @@
         elif answer.incarnation != observed.term.incarnation:
             # The owner's process was restarted, so the process that held the term has ended.
             self._take_over_after_delay(current, "owner process restarted", PredecessorState.ENDED)
+        elif _is_idle(observed.term, answer):
+            self._await_start(current)
         else:
-            self._take_over_if_unchanged(
-                current, "stepped down", TAKEOVER_WAIT_S, PredecessorState.ENDED
-            )
+            # An owner of an earlier version may not have begun yet, and does not say so.
+            is_certain = answer.ended_epoch is not None
+            predecessor = PredecessorState.ENDED if is_certain else PredecessorState.SILENT
+            self._take_over_if_unchanged(current, "stepped down", TAKEOVER_WAIT_S, predecessor)
+
+    def _await_start(self, observed: VersionedTerm) -> None:
+        """Watch an owner that does not act yet, and take over if it does not begin in time.
+
+        It may still wait for the answer to the commit of its term.
+        """
+        context = self._context
+        deadline_s = context.clock() + SILENT_TAKEOVER_WAIT_S
+        while context.clock() < deadline_s:
+            context.sleep(RETRY_S)
+            if context.is_stopped():
+                return
+            answer = self._watch(observed.term, 0.0)
+            if isinstance(answer, Failure) or not _is_idle(observed.term, answer):
+                return
+        current = read_term(context.table)
+        if not isinstance(current, Failure) and current.version == observed.version:
+            self._take_over_after_delay(current, "does not begin", PredecessorState.SILENT)
 
     def _watch(self, term: Term, wait_s: float) -> WatchAnswer | Failure:
         context = self._context
@@ -410,6 +452,8 @@
         if isinstance(succession, Failure):
             context.sleep(RETRY_S)
             return
+        # An attempt whose outcome stayed unknown may have counted as ended.
+        self._ended_epoch = min(self._ended_epoch, epoch - 1)
         sent_s = context.boot_clock()
         outcome = context.table.commit(
             Transaction(
@@ -422,22 +466,20 @@
             stored = read_term(context.table)
             if not isinstance(stored, Failure) and stored.term == term:
                 taken = stored
+        is_superseded = self._superseding_epoch > epoch
+        taken_outcome = "superseded" if is_superseded else "taken"
         context.log.note(
             "takeover",
             str(epoch),
             reason=reason,
             predecessor=observed.term.owner,
             predecessor_is=predecessor,
-            outcome="taken" if taken else outcome.tag,
+            outcome=taken_outcome if taken else outcome.tag,
         )
-        if taken is None:
+        if taken is None or is_superseded:
+            self._ended_epoch = epoch
             context.sleep(RETRY_S)
             return
-        if predecessor is PredecessorState.SILENT and observed.term.address:
-            answer = context.owner_client.supersede(observed.term.address, term)
-            if answer is True:
-                predecessor = PredecessorState.ENDED
-                unconfirmed = _without(unconfirmed, observed.term.address)
         if predecessor is PredecessorState.ENDED and unconfirmed:
             predecessor = PredecessorState.UNSETTLED
         self.current_term = term
@@ -480,6 +522,16 @@
             self._context.sleep(RETRY_S)
 
 
+def _is_idle(term: Term, answer: WatchAnswer) -> bool:
+    """Return whether the process that holds a term has neither begun to act under it nor ended."""
+    return (
+        not answer.is_owner
+        and answer.incarnation == term.incarnation
+        and answer.ended_epoch is not None
+        and answer.ended_epoch < term.epoch
+    )
+
+
 def _without(addresses: tuple[str, ...], address: str) -> tuple[str, ...]:
     return tuple(each for each in addresses if each != address)
 
--- a/laburnumswitch/process/leadership/messages.py
+++ b/laburnumswitch/process/leadership/messages.py
@@ -28,6 +28,8 @@
     :ivar known_term: the latest term that the answering entry knows, for an entry that the store
         does not serve.
     :ivar peer_addresses: where such an entry can ask if the owner does not answer any more.
+    :ivar ended_epoch: the last epoch under which the answering process sends no more commands, 0
+        if there is none. ``None`` from earlier versions.
     """
 
     epoch: int
@@ -43,6 +45,7 @@
     sent_s: float = 0.0
     known_term: Term = Term()
     peer_addresses: tuple[str, ...] = ()
+    ended_epoch: int | None = None
 
 
 class ConfigurationState(NamedTuple):
--- a/laburnumswitch/process/leadership/peer_api.py
+++ b/laburnumswitch/process/leadership/peer_api.py
@@ -193,6 +193,7 @@
                 confirmed_age_s=confirmed_age_s(operations, now_s),
                 sent_s=now_s,
                 known_term=leadership.current_term,
+                ended_epoch=leadership.ended_epoch(),
             )
         )
 
@@ -210,9 +211,7 @@
 
     def supersede(request: AdminRequest) -> AdminReply:
         leadership = get_leadership()
-        dispatcher = leadership.dispatcher
-        if dispatcher is not None and dispatcher.epoch < int(request.path_parts[1]):
-            dispatcher.supersede()
+        leadership.supersede(int(request.path_parts[1]))
         term = _decode_term(request)
         if term is not None:
             # Without the store, this is how an earlier owner learns whom to watch.
--- a/tests/process/leadership/test_configuration_relay.py
+++ b/tests/process/leadership/test_configuration_relay.py
@@ -60,6 +60,9 @@
     def peer_addresses(self):
         return ()
 
+    def ended_epoch(self):
+        return 0
+
     def note_term(self, term):
         self.current_term = term
 
