Count leases of earlier owners from when their last commit was read, not from the takeover

Callers saw long-running tasks of lost workers down for longer than the leases of their runs: a successor waited eight seconds, for which a lost owner may still extend them, from its own takeover, and each further owner began to count anew.

An owner acts until eight seconds after it sent its last successful commit. A takeover is conditional on the version of the term, so that commit was sent before the first read of this version had returned. Owners before the predecessor have committed nothing after the first read of its epoch. The window now ends a lease after these reads, on the monotonic clock of the successor, which stands still while it is suspended and so only errs towards a longer wait. Once it has passed, earlier owners are not asked any more, and are not passed on to the next owner.

--- a/laburnumswitch/dispatch_entry.py
+++ b/laburnumswitch/dispatch_entry.py
@@ -57,7 +57,7 @@
 from laburnumswitch.process.leadership.owner_link import OwnerAccess
 from laburnumswitch.process.leadership.peer_api import make_leadership_peer_handler
 from laburnumswitch.process.leadership.peer_api import PeerClient
-from laburnumswitch.process.leadership.term import PredecessorState
+from laburnumswitch.process.leadership.predecessor import Predecessor
 from laburnumswitch.process.leadership.term import VersionedTerm
 from laburnumswitch.process.observing.decisions import CAPACITY_LINES
 from laburnumswitch.process.observing.decisions import DecisionLog
@@ -238,7 +238,7 @@
         write_final_lines(self.log.take())
 
     def _start_dispatcher(
-        self, held_term: VersionedTerm, term_committed_s: float, predecessor: PredecessorState
+        self, held_term: VersionedTerm, term_committed_s: float, predecessor: Predecessor
     ) -> Dispatcher:
         vm_list_address = self.deployment.vm_list_address
         context = DispatchContext(
--- a/laburnumswitch/process/dispatch/takeover.py
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -35,7 +35,6 @@
 from laburnumswitch.process.dispatch.queue_store import QUEUES_TABLE
 from laburnumswitch.process.dispatch.queue_store import run_queue_store
 from laburnumswitch.process.dispatch.queue_store import store_queues
-from laburnumswitch.process.dispatch.recorder import OWNER_LEASE_S
 from laburnumswitch.process.dispatch.recorder import Recorder
 from laburnumswitch.process.dispatch.recorder import RecorderContext
 from laburnumswitch.process.dispatch.retention import run_retention
@@ -43,6 +42,7 @@
 from laburnumswitch.process.dispatch.worker_protocol import RunReport
 from laburnumswitch.process.dispatch.worker_protocol import WorkerListing
 from laburnumswitch.process.dispatch.worker_session import run_worker
+from laburnumswitch.process.leadership.predecessor import Predecessor
 from laburnumswitch.process.leadership.term import PredecessorState
 from laburnumswitch.process.leadership.term import VersionedTerm
 from laburnumswitch.process.operating.operations import KnownQueue
@@ -63,7 +63,7 @@
     context: DispatchContext,
     held_term: VersionedTerm,
     term_committed_s: float,
-    predecessor: PredecessorState,
+    predecessor: Predecessor,
 ) -> Dispatcher:
     """Start dispatching under a newly acquired term.
 
@@ -75,10 +75,10 @@
     )
     recorder = Recorder(recorder_context, held_term, term_committed_s)
     dispatcher = Dispatcher(context, recorder)
-    command_window_s = 0.0 if predecessor is PredecessorState.ENDED else OWNER_LEASE_S
+    command_window_s = max(0.0, predecessor.commands_until_s - context.clock())
     dispatcher.limit_unknown_runs(dispatcher.longest_lapse_s() + command_window_s)
     dispatcher.settled = dispatcher.epoch == 1
-    dispatcher.predecessor_may_start_jobs = predecessor in (
+    dispatcher.predecessor_may_start_jobs = predecessor.state in (
         PredecessorState.SILENT,
         PredecessorState.UNSETTLED,
     )
--- a/laburnumswitch/process/leadership/leadership.py
+++ b/laburnumswitch/process/leadership/leadership.py
@@ -10,6 +10,11 @@
 from laburnumswitch.exceptions import RowMalformed
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
 from laburnumswitch.process.leadership.messages import WatchAnswer
+from laburnumswitch.process.leadership.predecessor import describe_predecessor
+from laburnumswitch.process.leadership.predecessor import earlier_commands_until_s
+from laburnumswitch.process.leadership.predecessor import note_read
+from laburnumswitch.process.leadership.predecessor import Predecessor
+from laburnumswitch.process.leadership.predecessor import TermSighting
 from laburnumswitch.process.leadership.succession import decode_succession
 from laburnumswitch.process.leadership.succession import succeed
 from laburnumswitch.process.leadership.succession import Succession
@@ -118,7 +123,7 @@
     identity: EntryIdentity
     table: FeedTable
     owner_client: OwnerClient
-    start_dispatcher: Callable[[VersionedTerm, float, PredecessorState], Dispatcher]
+    start_dispatcher: Callable[[VersionedTerm, float, Predecessor], Dispatcher]
     log: DecisionLog
     clock: Callable[[], float]
     boot_clock: Callable[[], float]
@@ -146,6 +151,7 @@
         # The last own epoch that has ended, and the last one that another entry told to be later.
         self._ended_epoch = 0
         self._superseding_epoch = 0
+        self._sighting: TermSighting | None = None
         self._candidates: tuple[str, ...] = ()
         # Where to ask other entries while neither the store nor the owner can be reached.
         self._peer_addresses: tuple[str, ...] = ()
@@ -161,7 +167,7 @@
             if self.dispatcher is not None:
                 self._run_as_owner()
                 continue
-            observed = read_term(context.table)
+            observed = self._read_term()
             if isinstance(observed, Failure):
                 self._watch_without_store()
                 continue
@@ -173,6 +179,12 @@
             else:
                 self._follow(observed)
 
+    def _read_term(self) -> VersionedTerm | Failure:
+        observed = read_term(self._context.table)
+        if not isinstance(observed, Failure):
+            self._sighting = note_read(self._sighting, observed, self._context.clock())
+        return observed
+
     def release(self) -> None:
         """Step down gracefully, so that another entry takes over at once."""
         dispatcher = self.dispatcher
@@ -333,7 +345,7 @@
                 return
 
     def _handle_lost_term(self, observed: VersionedTerm, answer: WatchAnswer) -> None:
-        current = read_term(self._context.table)
+        current = self._read_term()
         if isinstance(current, Failure) or current.term.epoch != observed.term.epoch:
             return
         if current.term.owner == NO_OWNER:
@@ -363,7 +375,7 @@
             answer = self._watch(observed.term, 0.0)
             if isinstance(answer, Failure) or not _is_idle(observed.term, answer):
                 return
-        current = read_term(context.table)
+        current = self._read_term()
         if not isinstance(current, Failure) and current.version == observed.version:
             self._take_over_after_delay(current, "does not begin", PredecessorState.SILENT)
 
@@ -396,7 +408,7 @@
         """Take over unless the term's row changes within ``unchanged_s``."""
         context = self._context
         began_s = context.clock()
-        before = read_term(context.table)
+        before = self._read_term()
         if context.clock() - began_s > SLOW_READ_S:
             # The store is probably slow for every entry, so a new owner would do no better.
             context.sleep(RETRY_S)
@@ -405,7 +417,7 @@
             context.sleep(RETRY_S)
             return
         context.sleep(unchanged_s)
-        after = read_term(context.table)
+        after = self._read_term()
         if isinstance(after, Failure):
             return
         if after.term.owner == NO_OWNER:
@@ -420,7 +432,7 @@
         delay_s = self._rank_delay_s(observed.term)
         if delay_s > 0.0:
             context.sleep(delay_s)
-            current = read_term(context.table)
+            current = self._read_term()
             if isinstance(current, Failure) or current.version != observed.version:
                 return
         self._take_over(observed, reason, predecessor)
@@ -440,7 +452,14 @@
             return
         identity = context.identity
         epoch = observed.term.epoch + 1
-        unconfirmed = _unconfirmed_addresses(observed.term, predecessor, identity.address)
+        # A read that was not of the version to replace tells nothing.
+        sighting = note_read(self._sighting, observed, context.clock())
+        unconfirmed = _unconfirmed_addresses(
+            observed.term,
+            predecessor,
+            identity.address,
+            earlier_may_act=context.clock() < earlier_commands_until_s(sighting),
+        )
         term = Term(
             epoch,
             identity.vm_id,
@@ -463,7 +482,7 @@
         )
         taken = VersionedTerm(term, outcome.version) if isinstance(outcome, Committed) else None
         if taken is None and not isinstance(outcome, Conflict):
-            stored = read_term(context.table)
+            stored = self._read_term()
             if not isinstance(stored, Failure) and stored.term == term:
                 taken = stored
         is_superseded = self._superseding_epoch > epoch
@@ -485,7 +504,9 @@
         self.current_term = term
         self.takeovers += 1
         self.watcher_by_vm.clear()
-        self.dispatcher = context.start_dispatcher(taken, sent_s, predecessor)
+        self.dispatcher = context.start_dispatcher(
+            taken, sent_s, describe_predecessor(predecessor, sighting)
+        )
         self.dispatcher.recorder.unconfirmed = unconfirmed
         if context.boot_clock() - sent_s >= TAKEOVER_WAIT_S:
             # Another entry may have replaced this one meanwhile, since it did not act as the owner.
@@ -537,14 +558,15 @@
 
 
 def _unconfirmed_addresses(
-    term: Term, predecessor: PredecessorState, own_address: str
+    term: Term, predecessor: PredecessorState, own_address: str, earlier_may_act: bool
 ) -> tuple[str, ...]:
     """Return where to ask the earlier owners that may still send commands whether they have ended.
 
     :param term: the predecessor's term.
     :param own_address: excluded, since this process is the only one there.
+    :param earlier_may_act: whether the leases of owners before the predecessor may still hold.
     """
-    addresses = set(term.unconfirmed)
+    addresses = set(term.unconfirmed if earlier_may_act else ())
     if predecessor in (PredecessorState.REFUSING, PredecessorState.SILENT):
         addresses.add(term.address)
     return tuple(sorted(addresses - {own_address, ""}))
