Add failing tests for waits of a takeover that begin anew or have no limit

An entry whose reads of the store are slow never takes over, not even from an owner that refuses connections.

--- a/tests/process/leadership/test_leadership.py
+++ b/tests/process/leadership/test_leadership.py
@@ -10,7 +10,9 @@
 from gevent.event import Event
 from testtools import TestCase
 from testtools.matchers import Equals
+from testtools.matchers import GreaterThan
 from testtools.matchers import Is
+from testtools.matchers import LessThan
 
 from laburnumswitch.exceptions import AnswerLost
 from laburnumswitch.exceptions import ConnectFailed
@@ -19,6 +21,8 @@
 from laburnumswitch.process.leadership.leadership import EntryIdentity
 from laburnumswitch.process.leadership.leadership import Leadership
 from laburnumswitch.process.leadership.leadership import LeadershipContext
+from laburnumswitch.process.leadership.leadership import SILENT_TAKEOVER_WAIT_S
+from laburnumswitch.process.leadership.leadership import SLOW_READ_S
 from laburnumswitch.process.leadership.leadership import WATCH_WAIT_S
 from laburnumswitch.process.leadership.messages import WatchAnswer
 from laburnumswitch.process.leadership.peer_api import make_leadership_peer_handler
@@ -98,6 +102,7 @@
         self.unreachable = set()
         self.earlier_versions = set()
         self.store_silent_s = 0.0
+        self.watch_timeout_s = 0.0
         self.supersede_timeout_s = 0.0
         self.waits_by_watcher = defaultdict(list)
 
@@ -109,6 +114,7 @@
         if address in self.unreachable:
             return ConnectFailed(address, "timeout")
         if address in self.silent:
+            sleep(self.watch_timeout_s)
             return AnswerLost(address, "timeout")
         owner = self.leadership_by_address[address]
         owner.note_watcher(identity.vm_id, identity.cpu_cores, identity.address)
@@ -324,6 +330,33 @@
         wait_until(lambda: follower.dispatcher is not None)
         self.assertThat(follower.dispatcher.predecessor, Equals(PredecessorState.REFUSING))
 
+    def test_wait_for_an_owner_that_is_lost_right_after_its_takeover_does_not_begin_anew(self):
+        """Its term has been unchanged for as long as its entry has not answered."""
+        self.owner_client.silent.add("vm-0")
+        self.owner_client.watch_timeout_s = 1.2
+        self.table.commit(Transaction((), (Put(TERM_KEY, Term(1, "vm-0", "vm-0-i", "vm-0")),)))
+        follower = self._add_entry("vm-1", 2.0)
+        began_s = monotonic()
+        wait_until(lambda: follower.dispatcher is not None)
+        waited_s = monotonic() - began_s
+        self.assertThat(waited_s, GreaterThan(SILENT_TAKEOVER_WAIT_S))
+        self.assertThat(waited_s, LessThan(SILENT_TAKEOVER_WAIT_S + 0.5))
+
+    def test_dead_owner_is_replaced_although_the_store_is_slow(self):
+        self.owner_client.refusing.add("vm-0")
+        self.table.commit(Transaction((), (Put(TERM_KEY, Term(1, "vm-0", "vm-0-i", "vm-0")),)))
+        read = self.table.read
+
+        def read_slowly(keys):
+            sleep(1.5 * SLOW_READ_S)
+            return read(keys)
+
+        self.table.read = read_slowly
+        follower = self._add_entry("vm-1", 2.0)
+        sleep(SILENT_TAKEOVER_WAIT_S)
+        self.assertThat(follower.dispatcher, Is(None))
+        wait_until(lambda: follower.dispatcher is not None, limit_s=4.0)
+
     def test_silent_owner_that_commits_keeps_the_term(self):
         owner, follower = self._owner_and_follower()
         self.owner_client.silent.add("vm-1")
--- a/tests/process/leadership/test_predecessor.py
+++ b/tests/process/leadership/test_predecessor.py
@@ -137,3 +137,16 @@
         self.assertThat(until_s, LessThan(stored_s + OWNER_LEASE_S + READ_LIMIT_S))
         self.assertThat(until_s, GreaterThan(stored_s + OWNER_LEASE_S))
         self.assertThat(self.unconfirmed, Equals(("vm-0",)))
+
+    def test_release_that_is_stored_after_the_owner_has_stepped_down_is_noticed_at_once(self):
+        """An owner that leaves stops before it commits what it has queued and its handover."""
+        term = Term(1, "vm-1", "vm-1-i", "vm-1")
+        self._store(term)
+        client = OneOwnerClient(term)
+        follower = self._follow(client)
+        wait_until(lambda: follower.current_term.epoch == 1)
+        client.has_ended = True
+        sleep(0.2)
+        released_s = self._store(term._replace(owner=NO_OWNER))
+        wait_until(lambda: follower.dispatcher is not None)
+        self.assertThat(monotonic() - released_s, LessThan(READ_LIMIT_S))
