--- a/laburnumswitch/process/leadership/leadership.py
+++ b/laburnumswitch/process/leadership/leadership.py
@@ -10,6 +10,11 @@
 from laburnumswitch.exceptions import RowMalformed
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
 from laburnumswitch.process.leadership.messages import WatchAnswer
+from laburnumswitch.process.leadership.predecessor import describe_predecessor
+from laburnumswitch.process.leadership.predecessor import earlier_commands_until_s
+from laburnumswitch.process.leadership.predecessor import note_read
+from laburnumswitch.process.leadership.predecessor import Predecessor
+from laburnumswitch.process.leadership.predecessor import TermSighting
 from laburnumswitch.process.leadership.succession import decode_succession
 from laburnumswitch.process.leadership.succession import succeed
 from laburnumswitch.process.leadership.succession import Succession
@@ -118,7 +123,7 @@
     identity: EntryIdentity
     table: FeedTable
     owner_client: OwnerClient
-    start_dispatcher: Callable[[VersionedTerm, float, PredecessorState], Dispatcher]
+    start_dispatcher: Callable[[VersionedTerm, float, Predecessor], Dispatcher]
     log: DecisionLog
     clock: Callable[[], float]
     boot_clock: Callable[[], float]
@@ -143,6 +148,10 @@
         self.takeovers = 0
         self.owner_reach = Reach(context.clock)
         self._context = context
+        # The last own epoch that has ended, and the last one that another entry told to be later.
+        self._ended_epoch = 0
+        self._superseding_epoch = 0
+        self._sighting: TermSighting | None = None
         self._candidates: tuple[str, ...] = ()
         # Where to ask other entries while neither the store nor the owner can be reached.
         self._peer_addresses: tuple[str, ...] = ()
@@ -158,7 +167,7 @@
             if self.dispatcher is not None:
                 self._run_as_owner()
                 continue
-            observed = read_term(context.table)
+            observed = self._read_term()
             if isinstance(observed, Failure):
                 self._watch_without_store()
                 continue
@@ -170,6 +179,12 @@
             else:
                 self._follow(observed)
 
+    def _read_term(self) -> VersionedTerm | Failure:
+        observed = read_term(self._context.table)
+        if not isinstance(observed, Failure):
+            self._sighting = note_read(self._sighting, observed, self._context.clock())
+        return observed
+
     def release(self) -> None:
         """Step down gracefully, so that another entry takes over at once."""
         dispatcher = self.dispatcher
@@ -178,9 +193,23 @@
         if dispatcher.is_loaded.is_set() and not dispatcher.is_stopped():
             self.note_pending(dispatcher.pending_by_queue())
         dispatcher.release()
-        self.dispatcher = None
+        self._forget_dispatcher(dispatcher)
         self._context.log.note("ownership_released", str(dispatcher.epoch))
 
+    def supersede(self, epoch: int) -> None:
+        """End any earlier term of this entry, also one whose commit has not been answered yet."""
+        self._superseding_epoch = max(self._superseding_epoch, epoch)
+        dispatcher = self.dispatcher
+        if dispatcher is not None and dispatcher.epoch < epoch:
+            dispatcher.supersede()
+
+    def ended_epoch(self) -> int:
+        """Return the last epoch under which this process sends no more commands, 0 if none."""
+        dispatcher = self.dispatcher
+        if dispatcher is not None and dispatcher.is_stopped():
+            return dispatcher.epoch
+        return self._ended_epoch
+
     def note_watcher(self, vm_id: str, cpu_cores: float, address: str = "") -> None:
         """Record that an entry watches this owner."""
         self.watcher_by_vm[vm_id] = Watcher(cpu_cores, self._context.clock(), address)
@@ -246,10 +275,14 @@
                 return
         if dispatcher.is_stopped() and self.dispatcher is dispatcher:
             dispatcher.stop()
-            self.dispatcher = None
+            self._forget_dispatcher(dispatcher)
             # Without this pause, a dispatcher that keeps failing would restart in a tight loop.
             self._context.sleep(RETRY_S)
 
+    def _forget_dispatcher(self, dispatcher: Dispatcher) -> None:
+        self.dispatcher = None
+        self._ended_epoch = dispatcher.epoch
+
     def _has_much_larger_watcher(self) -> bool:
         dispatcher = self.dispatcher
         if dispatcher is None:
@@ -312,7 +345,7 @@
                 return
 
     def _handle_lost_term(self, observed: VersionedTerm, answer: WatchAnswer) -> None:
-        current = read_term(self._context.table)
+        current = self._read_term()
         if isinstance(current, Failure) or current.term.epoch != observed.term.epoch:
             return
         if current.term.owner == NO_OWNER:
@@ -320,10 +353,31 @@
         elif answer.incarnation != observed.term.incarnation:
             # The owner's process was restarted, so the process that held the term has ended.
             self._take_over_after_delay(current, "owner process restarted", PredecessorState.ENDED)
+        elif _is_idle(observed.term, answer):
+            self._await_start(current)
         else:
-            self._take_over_if_unchanged(
-                current, "stepped down", TAKEOVER_WAIT_S, PredecessorState.ENDED
-            )
+            # An owner of an earlier version may not have begun yet, and does not say so.
+            is_certain = answer.ended_epoch is not None
+            predecessor = PredecessorState.ENDED if is_certain else PredecessorState.SILENT
+            self._take_over_if_unchanged(current, "stepped down", TAKEOVER_WAIT_S, predecessor)
+
+    def _await_start(self, observed: VersionedTerm) -> None:
+        """Watch an owner that does not act yet, and take over if it does not begin in time.
+
+        It may still wait for the answer to the commit of its term.
+        """
+        context = self._context
+        deadline_s = context.clock() + SILENT_TAKEOVER_WAIT_S
+        while context.clock() < deadline_s:
+            context.sleep(RETRY_S)
+            if context.is_stopped():
+                return
+            answer = self._watch(observed.term, 0.0)
+            if isinstance(answer, Failure) or not _is_idle(observed.term, answer):
+                return
+        current = self._read_term()
+        if not isinstance(current, Failure) and current.version == observed.version:
+            self._take_over_after_delay(current, "does not begin", PredecessorState.SILENT)
 
     def _watch(self, term: Term, wait_s: float) -> WatchAnswer | Failure:
         context = self._context
@@ -354,7 +408,7 @@
         """Take over unless the term's row changes within ``unchanged_s``."""
         context = self._context
         began_s = context.clock()
-        before = read_term(context.table)
+        before = self._read_term()
         if context.clock() - began_s > SLOW_READ_S:
             # The store is probably slow for every entry, so a new owner would do no better.
             context.sleep(RETRY_S)
@@ -363,7 +417,7 @@
             context.sleep(RETRY_S)
             return
         context.sleep(unchanged_s)
-        after = read_term(context.table)
+        after = self._read_term()
         if isinstance(after, Failure):
             return
         if after.term.owner == NO_OWNER:
@@ -378,7 +432,7 @@
         delay_s = self._rank_delay_s(observed.term)
         if delay_s > 0.0:
             context.sleep(delay_s)
-            current = read_term(context.table)
+            current = self._read_term()
             if isinstance(current, Failure) or current.version != observed.version:
                 return
         self._take_over(observed, reason, predecessor)
@@ -398,7 +452,14 @@
             return
         identity = context.identity
         epoch = observed.term.epoch + 1
-        unconfirmed = _unconfirmed_addresses(observed.term, predecessor, identity.address)
+        # A read that was not of the version to replace tells nothing.
+        sighting = note_read(self._sighting, observed, context.clock())
+        unconfirmed = _unconfirmed_addresses(
+            observed.term,
+            predecessor,
+            identity.address,
+            earlier_may_act=context.clock() < earlier_commands_until_s(sighting),
+        )
         term = Term(
             epoch,
             identity.vm_id,
@@ -410,6 +471,8 @@
         if isinstance(succession, Failure):
             context.sleep(RETRY_S)
             return
+        # An attempt whose outcome stayed unknown may have counted as ended.
+        self._ended_epoch = min(self._ended_epoch, epoch - 1)
         sent_s = context.boot_clock()
         outcome = context.table.commit(
             Transaction(
@@ -419,31 +482,31 @@
         )
         taken = VersionedTerm(term, outcome.version) if isinstance(outcome, Committed) else None
         if taken is None and not isinstance(outcome, Conflict):
-            stored = read_term(context.table)
+            stored = self._read_term()
             if not isinstance(stored, Failure) and stored.term == term:
                 taken = stored
+        is_superseded = self._superseding_epoch > epoch
+        taken_outcome = "superseded" if is_superseded else "taken"
         context.log.note(
             "takeover",
             str(epoch),
             reason=reason,
             predecessor=observed.term.owner,
             predecessor_is=predecessor,
-            outcome="taken" if taken else outcome.tag,
+            outcome=taken_outcome if taken else outcome.tag,
         )
-        if taken is None:
+        if taken is None or is_superseded:
+            self._ended_epoch = epoch
             context.sleep(RETRY_S)
             return
-        if predecessor is PredecessorState.SILENT and observed.term.address:
-            answer = context.owner_client.supersede(observed.term.address, term)
-            if answer is True:
-                predecessor = PredecessorState.ENDED
-                unconfirmed = _without(unconfirmed, observed.term.address)
         if predecessor is PredecessorState.ENDED and unconfirmed:
             predecessor = PredecessorState.UNSETTLED
         self.current_term = term
         self.takeovers += 1
         self.watcher_by_vm.clear()
-        self.dispatcher = context.start_dispatcher(taken, sent_s, predecessor)
+        self.dispatcher = context.start_dispatcher(
+            taken, sent_s, describe_predecessor(predecessor, sighting)
+        )
         self.dispatcher.recorder.unconfirmed = unconfirmed
         if context.boot_clock() - sent_s >= TAKEOVER_WAIT_S:
             # Another entry may have replaced this one meanwhile, since it did not act as the owner.
@@ -480,19 +543,30 @@
             self._context.sleep(RETRY_S)
 
 
+def _is_idle(term: Term, answer: WatchAnswer) -> bool:
+    """Return whether the process that holds a term has neither begun to act under it nor ended."""
+    return (
+        not answer.is_owner
+        and answer.incarnation == term.incarnation
+        and answer.ended_epoch is not None
+        and answer.ended_epoch < term.epoch
+    )
+
+
 def _without(addresses: tuple[str, ...], address: str) -> tuple[str, ...]:
     return tuple(each for each in addresses if each != address)
 
 
 def _unconfirmed_addresses(
-    term: Term, predecessor: PredecessorState, own_address: str
+    term: Term, predecessor: PredecessorState, own_address: str, earlier_may_act: bool
 ) -> tuple[str, ...]:
     """Return where to ask the earlier owners that may still send commands whether they have ended.
 
     :param term: the predecessor's term.
     :param own_address: excluded, since this process is the only one there.
+    :param earlier_may_act: whether the leases of owners before the predecessor may still hold.
     """
-    addresses = set(term.unconfirmed)
+    addresses = set(term.unconfirmed if earlier_may_act else ())
     if predecessor in (PredecessorState.REFUSING, PredecessorState.SILENT):
         addresses.add(term.address)
     return tuple(sorted(addresses - {own_address, ""}))
--- a/tests/process/leadership/test_leadership.py
+++ b/tests/process/leadership/test_leadership.py
@@ -10,7 +10,9 @@
 from gevent.event import Event
 from testtools import TestCase
 from testtools.matchers import Equals
+from testtools.matchers import GreaterThan
 from testtools.matchers import Is
+from testtools.matchers import LessThan
 
 from laburnumswitch.exceptions import AnswerLost
 from laburnumswitch.exceptions import ConnectFailed
@@ -19,14 +21,19 @@
 from laburnumswitch.process.leadership.leadership import EntryIdentity
 from laburnumswitch.process.leadership.leadership import Leadership
 from laburnumswitch.process.leadership.leadership import LeadershipContext
+from laburnumswitch.process.leadership.leadership import SILENT_TAKEOVER_WAIT_S
+from laburnumswitch.process.leadership.leadership import SLOW_READ_S
 from laburnumswitch.process.leadership.leadership import WATCH_WAIT_S
 from laburnumswitch.process.leadership.messages import WatchAnswer
+from laburnumswitch.process.leadership.peer_api import make_leadership_peer_handler
 from laburnumswitch.process.leadership.term import PredecessorState
 from laburnumswitch.process.leadership.term import read_term
 from laburnumswitch.process.leadership.term import Term
 from laburnumswitch.process.leadership.term import TERM_KEY
 from laburnumswitch.process.leadership.term import VersionedTerm
 from laburnumswitch.process.observing.decisions import DecisionLog
+from laburnumswitch.process.operating.admin import AdminRequest
+from laburnumswitch.process.operating.operations import Operations
 from laburnumswitch.process.rows.table import Put
 from laburnumswitch.process.rows.table import Transaction
 from standin.fleet.feed_table import FeedMemoryTable
@@ -68,6 +75,9 @@
     def stop(self):
         self.stopped.set()
 
+    def supersede(self):
+        self.stop()
+
     def release(self):
         self.stop()
         self.recorder.release()
@@ -80,14 +90,20 @@
 
 
 class FakeOwnerClient:
-    """Calls the entries in memory; those in ``refusing``, ``silent`` and ``unreachable`` fail."""
+    """Calls the entries in memory; those in ``refusing``, ``silent`` and ``unreachable`` fail.
+
+    Those in ``earlier_versions`` do not say which term they have ended.
+    """
 
     def __init__(self):
         self.leadership_by_address = {}
         self.refusing = set()
         self.silent = set()
         self.unreachable = set()
+        self.earlier_versions = set()
         self.store_silent_s = 0.0
+        self.watch_timeout_s = 0.0
+        self.supersede_timeout_s = 0.0
         self.waits_by_watcher = defaultdict(list)
 
     def watch(self, address, identity, wait_s, timeout_s):
@@ -98,6 +114,7 @@
         if address in self.unreachable:
             return ConnectFailed(address, "timeout")
         if address in self.silent:
+            sleep(self.watch_timeout_s)
             return AnswerLost(address, "timeout")
         owner = self.leadership_by_address[address]
         owner.note_watcher(identity.vm_id, identity.cpu_cores, identity.address)
@@ -108,14 +125,20 @@
         silent_s = self.store_silent_s
         answer = WatchAnswer(epoch, f"{address}-i", is_owner, candidates, {"orders": 2}, silent_s)
         peers = owner.peer_addresses() if is_owner else ()
-        return answer._replace(known_term=owner.current_term, peer_addresses=peers)
+        return answer._replace(
+            known_term=owner.current_term,
+            peer_addresses=peers,
+            ended_epoch=None if address in self.earlier_versions else owner.ended_epoch(),
+        )
 
     def supersede(self, address, term):
         if address in self.refusing | self.silent | self.unreachable:
+            sleep(self.supersede_timeout_s)
             return AnswerLost(address, "timeout")
-        if isinstance(self.leadership_by_address[address], Leadership):
-            self.leadership_by_address[address].note_term(term)
-        self.leadership_by_address[address].dispatcher.stop()
+        entry = self.leadership_by_address[address]
+        if isinstance(entry, Leadership):
+            entry.supersede(term.epoch)
+            entry.note_term(term)
         return True
 
 
@@ -129,7 +152,7 @@
 
     def _add_entry(self, vm_id, cpu_cores):
         def start_dispatcher(held, proved_s, predecessor):
-            return FakeDispatcher(self.table, held, predecessor)
+            return FakeDispatcher(self.table, held, predecessor.state)
 
         leadership = Leadership(
             LeadershipContext(
@@ -204,22 +227,102 @@
         self.assertThat(entry.dispatcher, Is(None))
 
     def test_owner_that_learns_late_of_its_term_acts_only_after_a_commit(self):
-        """Others see an entry that does not act as the owner, and may have replaced it as ended."""
+        """Others see an entry that does not act as the owner, and may have replaced it."""
+        self._delay_answer(lambda: read_term(self.table).term.epoch < 2)
+        first = self._add_entry("vm-1", 2.0)
+        wait_until(lambda: read_term(self.table).term.epoch == 1)
+        self.owner_client.unreachable.add("vm-1")
+        second = self._add_entry("vm-2", 2.0)
+        wait_until(lambda: first.dispatcher is not None)
+        wait_until(lambda: second.dispatcher is not None)
+        self.assertThat(second.dispatcher.predecessor, Equals(PredecessorState.SILENT))
+        self.assertThat(second.dispatcher.predecessor_ended, Equals(False))
+        self.assertThat(first.dispatcher.recorder.awaits_commit, Equals(True))
+
+    def test_owner_that_says_that_it_has_stepped_down_has_ended(self):
+        owner, follower = self._owner_and_follower()
+        # With the store, it would take its own term again.
+        self._cut(owner)
+        owner.dispatcher.stop()
+        wait_until(lambda: follower.dispatcher is not None)
+        self.assertThat(follower.dispatcher.predecessor, Equals(PredecessorState.ENDED))
+
+    def test_owner_of_an_earlier_version_that_does_not_act_may_begin_to(self):
+        self.owner_client.earlier_versions.add("vm-1")
+        self._delay_answer(lambda: read_term(self.table).term.epoch < 2)
+        self._add_entry("vm-1", 2.0)
+        wait_until(lambda: read_term(self.table).term.epoch == 1)
+        second = self._add_entry("vm-2", 2.0)
+        wait_until(lambda: second.dispatcher is not None)
+        self.assertThat(second.dispatcher.predecessor, Equals(PredecessorState.SILENT))
+
+    def test_only_a_later_term_ends_that_of_the_owner(self):
+        owner = self._add_entry("vm-1", 2.0)
+        wait_until(lambda: owner.dispatcher is not None)
+        dispatcher = owner.dispatcher
+        owner.supersede(dispatcher.epoch)
+        self.assertThat(dispatcher.is_stopped(), Equals(False))
+        owner.supersede(dispatcher.epoch + 1)
+        self.assertThat(dispatcher.is_stopped(), Equals(True))
+
+    def _delay_answer(self, is_delayed):
+        """Delay the answer to the first commit for as long as ``is_delayed``."""
         commit = self.table.commit
 
         def commit_and_answer_late(transaction):
-            outcome = commit(transaction)
             self.table.commit = commit
-            wait_until(lambda: read_term(self.table).term.epoch == 2)
+            outcome = commit(transaction)
+            wait_until(lambda: not is_delayed())
             return outcome
 
         self.table.commit = commit_and_answer_late
+
+    def test_owner_whose_predecessor_does_not_answer_keeps_the_term(self):
+        """Others watch it while it asks, and would otherwise see an entry that does not act."""
+        self.owner_client.supersede_timeout_s = 1.5
+        owner, follower = self._owner_and_follower()
+        smaller = self._add_entry("vm-3", 1.0)
+        wait_until(lambda: owner.candidates() == ("vm-2", "vm-3"))
+        self.owner_client.silent.add("vm-1")
+        wait_until(lambda: read_term(self.table).term.epoch == 2)
+        sleep(2.5)
+        self.assertThat(read_term(self.table).term.epoch, Equals(2))
+        self.assertThat(follower.dispatcher.epoch, Equals(2))
+        self.assertThat(smaller.dispatcher, Is(None))
+
+    def test_owner_that_is_slow_to_begin_keeps_the_term(self):
+        answered_s = monotonic() + 1.0
+        self._delay_answer(lambda: monotonic() < answered_s)
         first = self._add_entry("vm-1", 2.0)
         wait_until(lambda: read_term(self.table).term.epoch == 1)
+        self._add_entry("vm-2", 2.0)
+        sleep(2.5)
+        self.assertThat(read_term(self.table).term.epoch, Equals(1))
+        self.assertThat(first.dispatcher.epoch, Equals(1))
+
+    def test_owner_that_is_slow_to_begin_does_not_count_as_ended(self):
+        self._delay_answer(lambda: read_term(self.table).term.epoch < 2)
+        self._add_entry("vm-1", 2.0)
+        wait_until(lambda: read_term(self.table).term.epoch == 1)
         second = self._add_entry("vm-2", 2.0)
-        wait_until(lambda: first.dispatcher is not None)
-        self.assertThat(second.dispatcher.predecessor, Equals(PredecessorState.ENDED))
-        self.assertThat(first.dispatcher.recorder.awaits_commit, Equals(True))
+        wait_until(lambda: second.dispatcher is not None)
+        self.assertThat(second.dispatcher.predecessor, Equals(PredecessorState.SILENT))
+
+    def test_entry_that_was_superseded_before_it_began_does_not_act(self):
+        """Its answer to the successor says that it sends no more commands."""
+        is_delayed = [True]
+        self._delay_answer(lambda: is_delayed[0])
+        entry = self._add_entry("vm-1", 2.0)
+        wait_until(lambda: read_term(self.table).term.epoch == 1)
+        operations = Operations(DecisionLog("vm-1", time, 1000))
+        handle = make_leadership_peer_handler(lambda: entry, "vm-1-i", operations, monotonic)
+        self.owner_client.silent.add("vm-2")
+        self.table.commit(Transaction((), (Put(TERM_KEY, Term(2, "vm-2", "vm-2-i", "vm-2")),)))
+        request = AdminRequest("POST", ("supersede", "2"), {}, {}, b"")
+        self.assertThat(handle(request).body, Equals(b"true"))
+        is_delayed[0] = False
+        sleep(0.1)
+        self.assertThat(entry.dispatcher, Is(None))
 
     def test_dead_owner_is_replaced(self):
         owner, follower = self._owner_and_follower()
@@ -227,6 +330,33 @@
         wait_until(lambda: follower.dispatcher is not None)
         self.assertThat(follower.dispatcher.predecessor, Equals(PredecessorState.REFUSING))
 
+    def test_wait_for_an_owner_that_is_lost_right_after_its_takeover_does_not_begin_anew(self):
+        """Its term has been unchanged for as long as its entry has not answered."""
+        self.owner_client.silent.add("vm-0")
+        self.owner_client.watch_timeout_s = 1.2
+        self.table.commit(Transaction((), (Put(TERM_KEY, Term(1, "vm-0", "vm-0-i", "vm-0")),)))
+        follower = self._add_entry("vm-1", 2.0)
+        began_s = monotonic()
+        wait_until(lambda: follower.dispatcher is not None)
+        waited_s = monotonic() - began_s
+        self.assertThat(waited_s, GreaterThan(SILENT_TAKEOVER_WAIT_S))
+        self.assertThat(waited_s, LessThan(SILENT_TAKEOVER_WAIT_S + 0.5))
+
+    def test_dead_owner_is_replaced_although_the_store_is_slow(self):
+        self.owner_client.refusing.add("vm-0")
+        self.table.commit(Transaction((), (Put(TERM_KEY, Term(1, "vm-0", "vm-0-i", "vm-0")),)))
+        read = self.table.read
+
+        def read_slowly(keys):
+            sleep(1.5 * SLOW_READ_S)
+            return read(keys)
+
+        self.table.read = read_slowly
+        follower = self._add_entry("vm-1", 2.0)
+        sleep(SILENT_TAKEOVER_WAIT_S)
+        self.assertThat(follower.dispatcher, Is(None))
+        wait_until(lambda: follower.dispatcher is not None, limit_s=4.0)
+
     def test_silent_owner_that_commits_keeps_the_term(self):
         owner, follower = self._owner_and_follower()
         self.owner_client.silent.add("vm-1")
@@ -261,7 +391,8 @@
         first = owner.dispatcher
         self.owner_client.store_silent_s = 5.0
         wait_until(lambda: follower.dispatcher is not None)
-        self.assertThat(follower.dispatcher.predecessor, Equals(PredecessorState.ENDED))
+        self.assertThat(follower.dispatcher.predecessor, Equals(PredecessorState.SILENT))
+        wait_until(lambda: follower.dispatcher.predecessor_ended)
         self.assertThat(first.is_stopped(), Equals(True))
 
     def test_owner_without_store_watches_its_successor(self):
