Keep a handover in force until a later owner may have sent commands

Callers saw long-running tasks down for longer than nine seconds after several changes of the owner. A handover held for the very next owner only, with leases that counted from its takeover. When that owner ended before it had loaded, by a kill, a stop or the next takeover, what its predecessor had handed over was lost, and the one after it counted a whole lease for every worker that it could not reach.

Now each owner stores that it may send commands before it contacts the first worker, and a handover is in force until then: nothing was granted or started since it was written. An owner is loaded, and hands over what it knows, before it announces itself. A handover without the store's clock counts from the takeover of whoever reads it, as before. The describing of workers moves from the dispatcher to handover.py.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -38,9 +38,10 @@
 from laburnumswitch.process.dispatch.fleet import lapse_s
 from laburnumswitch.process.dispatch.fleet import MAX_LEASE_S
 from laburnumswitch.process.dispatch.fleet import Worker
-from laburnumswitch.process.dispatch.handover import describe_worker
-from laburnumswitch.process.dispatch.handover import HANDOVER_TABLE
-from laburnumswitch.process.dispatch.handover import split_handover
+from laburnumswitch.process.dispatch.handover import describe_workers
+from laburnumswitch.process.dispatch.handover import HANDOVER_CLOCK_KEY
+from laburnumswitch.process.dispatch.handover import WorkerHandover
+from laburnumswitch.process.dispatch.handover import write_handover
 from laburnumswitch.process.dispatch.headroom import Headroom
 from laburnumswitch.process.dispatch.job_spec import Queue
 from laburnumswitch.process.dispatch.job_spec import Submission
@@ -73,6 +74,7 @@
 from laburnumswitch.process.observing.decisions import DecisionLog
 from laburnumswitch.process.operating.operations import Operations
 from laburnumswitch.process.placing.quarantine import Quarantine
+from laburnumswitch.process.rows.store_clock import StoreTime
 from laburnumswitch.process.rows.table import FeedTable
 from laburnumswitch.process.rows.table import Put
 
@@ -158,6 +160,7 @@
         self.recorder = recorder
         self.epoch = recorder.held_term.term.epoch
         self.began_s = context.clock()
+        self.store_time = StoreTime(context.table, context.clock, context.boot_clock)
         self.jobs_by_id: dict[str, Job] = {}
         self.final_by_id: dict[str, JobState] = {}
         self.ended_s_by_id: dict[str, float] = {}
@@ -244,38 +247,23 @@
         self.recorder.release(self._describe_handover() if is_certain else ())
 
     def _describe_handover(self) -> tuple[Put, ...]:
-        now_s = self.context.clock()
-        orphans_by_worker: dict[str, list[RunReport]] = {}
-        for orphan in self.orphan_by_task.values():
-            orphans_by_worker.setdefault(orphan.worker.worker_id, []).append(orphan.report)
-        ids_with_unapplied_ends = {
-            end.worker.worker_id for ends in self.orphan_ends_by_job_id.values() for end in ends
-        }
-        workers = [
-            describe_worker(
-                worker,
-                self._checkpoint,
-                orphans_by_worker.get(worker_id, ()),
-                worker_id in ids_with_unapplied_ends,
-                now_s,
-            )
-            for worker_id, worker in self.workers_by_id.items()
-        ]
-        rows = split_handover(self.epoch, workers)
+        workers = self.describe_workers(self.workers_by_id.values())
+        written_s = self.store_time.to_store_s(self.context.clock())
+        puts = write_handover(self.epoch, workers, written_s)
         self.context.log.note(
             "handover",
             str(self.epoch),
             workers=len(workers),
             unknown=sum(worker.has_unknown_runs for worker in workers),
             runs=sum(len(worker.runs) for worker in workers),
-            rows=len(rows),
+            rows=sum(put.key != HANDOVER_CLOCK_KEY for put in puts),
         )
-        return tuple(Put(f"{HANDOVER_TABLE}/{number}", row) for number, row in enumerate(rows))
+        return puts
 
-    def _checkpoint(self, key: TaskKey) -> str:
-        job = self.jobs_by_id.get(key.job_id)
-        task = job and job.task(key)
-        return task.checkpoint if task else ""
+    def describe_workers(self, workers: Iterable[Worker]) -> list[WorkerHandover]:
+        """Return what this owner knows of some workers, for a successor."""
+        jobs, orphans, ends = self.jobs_by_id, self.orphan_by_task, self.orphan_ends_by_job_id
+        return describe_workers(workers, jobs, orphans, ends, self.context.clock())
 
     def granted_lease_s(self) -> float:
         """Return the length of the leases that this owner grants, in seconds."""
--- a/laburnumswitch/process/dispatch/takeover.py
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -17,6 +17,8 @@
 from laburnumswitch.process.dispatch.feeds import follow_workers
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.handover import collect_handover
+from laburnumswitch.process.dispatch.handover import Handover
+from laburnumswitch.process.dispatch.handover import HANDOVER_CLOCK_TABLE
 from laburnumswitch.process.dispatch.handover import HANDOVER_TABLE
 from laburnumswitch.process.dispatch.handover import WorkerHandover
 from laburnumswitch.process.dispatch.jobs import FINAL_STATES
@@ -43,6 +45,10 @@
 from laburnumswitch.process.dispatch.worker_protocol import RunReport
 from laburnumswitch.process.dispatch.worker_protocol import WorkerListing
 from laburnumswitch.process.dispatch.worker_session import run_worker
+from laburnumswitch.process.leadership.succession import decode_succession
+from laburnumswitch.process.leadership.succession import may_send_commands
+from laburnumswitch.process.leadership.succession import Succession
+from laburnumswitch.process.leadership.succession import SUCCESSION_KEY
 from laburnumswitch.process.leadership.term import PredecessorState
 from laburnumswitch.process.leadership.term import VersionedTerm
 from laburnumswitch.process.operating.operations import KnownQueue
@@ -52,6 +58,8 @@
 RETRY_S = 0.1
 # Interval in seconds at which to check whether the runs of earlier owners are known.
 SETTLE_INTERVAL_S = 0.05
+# Interval, in seconds, at which to check whether the term goes on while a row is being stored.
+ANNOUNCE_WAIT_S = 0.5
 # Workers that have not answered this long after the start of a term, in seconds, are logged; the
 # others answer within some milliseconds.
 SETTLE_LOG_DELAY_S = 0.5
@@ -91,16 +99,23 @@
     version = _load_jobs(dispatcher)
     _load_crashes(dispatcher)
     load_parameters(dispatcher)
-    handover_by_worker = _load_handover(dispatcher)
+    succession = _load_succession(dispatcher)
+    handover = _load_handover(dispatcher, succession.acted_epoch)
     stored_queues = _load_queues(dispatcher)
     _await_configuration(dispatcher)
     # Not left to the first interval of the queue store: this owner may end before.
     stored_queues = store_queues(dispatcher, stored_queues)
-    _load_fleet(dispatcher, handover_by_worker)
+    _load_fleet(dispatcher, handover)
     if dispatcher.is_stopped():
         return
     note_loaded_jobs(dispatcher)
+    # From here on this owner hands over what it knows, so what it was told is not lost with it.
     dispatcher.is_loaded.set()
+    _announce_commands(dispatcher, succession)
+    if dispatcher.is_stopped():
+        return
+    for worker in dispatcher.workers_by_id.values():
+        dispatcher.spawn(run_worker, dispatcher, worker)
     dispatcher.spawn(follow_submissions, dispatcher, version)
     dispatcher.spawn(follow_cancellations, dispatcher, version)
     dispatcher.spawn(follow_workers, dispatcher)
@@ -158,12 +173,37 @@
         dispatcher.restore_crashes(crashed)
 
 
-def _load_handover(dispatcher: Dispatcher) -> dict[str, WorkerHandover]:
+def _load_succession(dispatcher: Dispatcher) -> Succession:
+    """Load which earlier owner may have sent commands: the last one, unless it is known better."""
+    context = dispatcher.context
+    unknown = Succession(dispatcher.epoch, dispatcher.epoch - 1, knows_placements=False)
+    while not dispatcher.is_stopped():
+        rows = context.table.read((SUCCESSION_KEY,))
+        if not isinstance(rows, Failure):
+            stored = decode_succession(rows[SUCCESSION_KEY])
+            is_current = isinstance(stored, Succession) and stored.epoch == dispatcher.epoch
+            return stored if is_current else unknown
+        context.log.note("load_failed", SUCCESSION_KEY, reason=rows.describe())
+        context.sleep(RETRY_S)
+    return unknown
+
+
+def _announce_commands(dispatcher: Dispatcher, succession: Succession) -> None:
+    """Store that this owner may send commands, before it sends the first."""
+    batch = dispatcher.recorder.queue_row(SUCCESSION_KEY, may_send_commands(succession))
+    while not dispatcher.is_stopped() and not dispatcher.recorder.wait_for(batch, ANNOUNCE_WAIT_S):
+        continue
+
+
+def _load_handover(dispatcher: Dispatcher, acted_epoch: int) -> Handover:
+    """Load what the last owner that may have sent commands has handed over."""
+
     def report_malformed(malformed: RowMalformed) -> None:
         dispatcher.context.log.note("handover_malformed", malformed.key, reason=malformed.reason)
 
     rows = _load(dispatcher, HANDOVER_TABLE).rows
-    return collect_handover(rows, dispatcher.epoch - 1, report_malformed)
+    clock_rows = _load(dispatcher, HANDOVER_CLOCK_TABLE).rows
+    return collect_handover(rows, clock_rows, acted_epoch, report_malformed)
 
 
 def _load_queues(dispatcher: Dispatcher) -> dict[str, KnownQueue]:
@@ -178,10 +218,10 @@
     return stored
 
 
-def _load_fleet(dispatcher: Dispatcher, handover_by_worker: dict[str, WorkerHandover]) -> None:
-    """Load the workers on which earlier owners may have left runs, and contact each of them.
+def _load_fleet(dispatcher: Dispatcher, handover: Handover) -> None:
+    """Load the workers on which earlier owners may have left runs.
 
-    :param handover_by_worker: what the predecessor knew of them, if it left gracefully.
+    :param handover: what the last owner that may have sent commands knew of them.
     """
     for row in _load(dispatcher, FLEET_TABLE).rows:
         try:
@@ -193,22 +233,33 @@
             worker = dispatcher.add_worker(listing)
             worker.lapse_bound_s = dispatcher.unknown_runs_until_s
             worker.has_unknown_runs = True
-            handover = handover_by_worker.get(worker.worker_id)
-            if handover is not None:
-                _apply_handover(dispatcher, worker, handover)
-            dispatcher.spawn(run_worker, dispatcher, worker)
+            known = handover.by_worker_id.get(worker.worker_id)
+            if known is not None:
+                _apply_handover(dispatcher, worker, known, handover.written_s)
+
 
+def _apply_handover(
+    dispatcher: Dispatcher, worker: Worker, known: WorkerHandover, written_s: float | None
+) -> None:
+    """Adopt the runs of a worker, until it reports or its leases expire.
 
-def _apply_handover(dispatcher: Dispatcher, worker: Worker, handover: WorkerHandover) -> None:
-    """Adopt the runs that the predecessor knew, until the worker reports or its leases expire."""
-    # The predecessor's term ended before this one began, so the sum is no earlier than the lapse.
-    lapse_bound_s = dispatcher.began_s + handover.lapses_in_s
+    :param written_s: when this was written, on the store's clock; ``None`` if unknown.
+    """
+    # It was written before this term began, so the sum is no earlier than the lapse.
+    lapse_bound_s = dispatcher.began_s + known.lapses_in_s
+    if written_s is not None:
+        lapse_bound_s = min(lapse_bound_s, _from_store_s(dispatcher, written_s + known.lapses_in_s))
     worker.lapse_bound_s = min(worker.lapse_bound_s, lapse_bound_s)
-    worker.has_unknown_runs = handover.has_unknown_runs
-    for run in handover.runs:
+    worker.has_unknown_runs = known.has_unknown_runs
+    for run in known.runs:
         dispatcher.adopt_run(worker, RunReport(run.task, run.run, run.checkpoint, 0.0, 0.0))
 
 
+def _from_store_s(dispatcher: Dispatcher, store_s: float) -> float:
+    instant_s = dispatcher.store_time.from_store_s(store_s)
+    return float("inf") if instant_s is None else instant_s
+
+
 def _settle(dispatcher: Dispatcher) -> None:
     """Wait until the runs of earlier owners are known or have certainly lapsed."""
     context = dispatcher.context
@@ -253,7 +304,7 @@
 
 def _load(dispatcher: Dispatcher, table: str) -> Changes:
     while not dispatcher.is_stopped():
-        changes = dispatcher.context.table.load(table)
+        changes = dispatcher.store_time.load(table)
         if not isinstance(changes, Failure):
             return changes
         dispatcher.context.log.note("load_failed", table, reason=changes.describe())
--- a/laburnumswitch/process/rows/change_feed.py
+++ b/laburnumswitch/process/rows/change_feed.py
@@ -11,7 +11,7 @@
 from laburnumswitch.exceptions import HistoryLost
 from laburnumswitch.process.observing.decisions import DecisionLog
 from laburnumswitch.process.rows.table import Changes
-from laburnumswitch.process.rows.table import FeedTable
+from laburnumswitch.process.rows.table import ChangeSource
 
 # Pause after a failed read, in seconds; long against the response time of the store.
 RETRY_DELAY_S = 0.2
@@ -22,7 +22,7 @@
 class Feed(NamedTuple):
     """A table to follow, and how to poll it.
 
-    :ivar store: client of the platform's store, which holds several tables.
+    :ivar store: reads the platform's store, which holds several tables.
     :ivar table_name: name of the table, the first part of its rows' keys.
     :ivar wait_s: how long a read waits at the store for a change, in seconds.
     :ivar interval_s: pause before each read, in seconds. Without it, reads of a table that changes
@@ -30,7 +30,7 @@
         did not hold all changes.
     """
 
-    store: FeedTable
+    store: ChangeSource
     table_name: str
     wait_s: float
     interval_s: float = 0.0
--- a/laburnumswitch/process/rows/store_clock.py
+++ b/laburnumswitch/process/rows/store_clock.py
@@ -11,7 +11,7 @@
 
 from laburnumswitch.exceptions import HistoryLost
 from laburnumswitch.process.rows.table import Changes
-from laburnumswitch.process.rows.table import FeedTable
+from laburnumswitch.process.rows.table import ChangeSource
 from laburnumswitch.process.rows.table import ReadFailure
 
 # Largest difference between the rates of the two clocks.
@@ -80,7 +80,7 @@
     """
 
     def __init__(
-        self, table: FeedTable, clock: Callable[[], float], boot_clock: Callable[[], float]
+        self, table: ChangeSource, clock: Callable[[], float], boot_clock: Callable[[], float]
     ) -> None:
         self._table = table
         self._clock = clock
--- a/laburnumswitch/process/rows/table.py
+++ b/laburnumswitch/process/rows/table.py
@@ -106,7 +106,7 @@
         """Apply ``transaction`` if all its conditions hold."""
 
 
-class FeedTable(Table, Protocol):
+class ChangeSource(Protocol):
     """Interface of a store whose changes can be followed; ``table`` names a part of its rows."""
 
     def load(self, table: str) -> Changes | ReadFailure:
@@ -116,6 +116,10 @@
         """Return the changes after a version, waiting up to ``wait_s`` for the first."""
 
 
+class FeedTable(Table, ChangeSource, Protocol):
+    """Interface of a transactional table whose changes can be followed."""
+
+
 class TableClient:
     """``Table`` over HTTP with JSON."""
 
--- a/tests/process/dispatch/test_handover.py
+++ b/tests/process/dispatch/test_handover.py
@@ -9,6 +9,7 @@
 
 from laburnumswitch.process.dispatch.handover import collect_handover
 from laburnumswitch.process.dispatch.handover import HandedOverRun
+from laburnumswitch.process.dispatch.handover import HandoverClock
 from laburnumswitch.process.dispatch.handover import MAX_ROWS
 from laburnumswitch.process.dispatch.handover import RUNS_PER_ROW
 from laburnumswitch.process.dispatch.handover import split_handover
@@ -38,33 +39,55 @@
         super().setUp()
         self.malformed = []
 
+    def collect(self, rows, acted_epoch):
+        return collect_handover(rows, (), acted_epoch, self.malformed.append).by_worker_id
+
     def test_all_workers_arrive(self):
         workers = [make_worker(number, 90) for number in range(30)]
         rows = split_handover(7, workers)
         self.assertThat(len(rows) > 1, Equals(True))
         expected = {worker.worker_id: worker for worker in workers}
-        self.assertThat(collect_handover(store(rows), 7, self.malformed.append), Equals(expected))
+        self.assertThat(self.collect(store(rows), 7), Equals(expected))
 
     def test_handover_of_another_epoch_is_out_of_date(self):
         rows = split_handover(7, [make_worker(1, 3)])
-        self.assertThat(collect_handover(store(rows), 8, self.malformed.append), Equals({}))
+        self.assertThat(self.collect(store(rows), 8), Equals({}))
+
+    def test_handover_of_an_owner_that_sent_no_commands_is_in_force(self):
+        """The owner was told everything by its predecessor, which did send commands."""
+        workers = [make_worker(1, 3)]
+        rows = split_handover(7, workers)
+        self.assertThat(list(self.collect(store(rows), 5).values()), Equals(workers))
+
+    def test_incomplete_later_handover_is_not_replaced_by_an_earlier_one(self):
+        later = split_handover(8, [make_worker(number, 300) for number in range(9)])
+        rows = store(later)[1:] + store(split_handover(7, [make_worker(1, 3)]))
+        self.assertThat(self.collect(rows, 7), Equals({}))
+
+    def test_time_of_writing_counts_for_its_own_handover_only(self):
+        """An owner of an earlier version leaves the time that a later one has written."""
+        rows = store(split_handover(7, [make_worker(1, 3)]))
+        for epoch, expected in ((7, 123.5), (6, None)):
+            clock_rows = [Row("handover-clock/0", 2, HandoverClock(epoch, 123.5))]
+            found = collect_handover(rows, clock_rows, 7, self.malformed.append)
+            self.assertThat(found.written_s, Equals(expected))
 
     def test_rows_left_by_a_larger_handover_are_ignored(self):
         earlier = split_handover(7, [make_worker(number, 300) for number in range(9)])
         later = split_handover(8, [make_worker(1, 3)])
         rows = store(later) + store(earlier)[len(later) :]
         self.assertThat(
-            list(collect_handover(rows, 8, self.malformed.append)),
+            list(self.collect(rows, 8)),
             Equals([make_worker(1, 0).worker_id]),
         )
 
     def test_incomplete_handover_counts_as_none(self):
         rows = split_handover(7, [make_worker(number, 300) for number in range(9)])
-        self.assertThat(collect_handover(store(rows)[:-1], 7, self.malformed.append), Equals({}))
+        self.assertThat(self.collect(store(rows)[:-1], 7), Equals({}))
 
     def test_malformed_row_counts_as_none(self):
         self.assertThat(
-            collect_handover([Row("handover/0", 1, ["later", "format"])], 7, self.malformed.append),
+            self.collect([Row("handover/0", 1, ["later", "format"])], 7),
             Equals({}),
         )
         self.assertThat([each.key for each in self.malformed], Equals(["handover/0"]))
