Show that the wait for a silent worker begins anew with an owner that is lost

A worker falls silent, and its owner is killed, or its release is lost, some seconds later. The successor does not know what ran there, and counts a lease and the commands of its predecessor from its own takeover: 10.5 s later than the end that the predecessor knew.

--- /dev/null
+++ b/tests/process/dispatch/test_silences.py
@@ -0,0 +1,270 @@
+"""Tests of owners that are lost while workers do not answer."""
+
+from time import monotonic
+
+from gevent import sleep
+from testtools import TestCase
+from testtools.matchers import Equals
+from testtools.matchers import GreaterThan
+from testtools.matchers import LessThan
+
+from laburnumswitch.process.dispatch.job_spec import Step
+from laburnumswitch.process.dispatch.job_spec import TaskKey
+from laburnumswitch.process.dispatch.planner import usable_workers
+from laburnumswitch.process.leadership.term import PredecessorState
+from laburnumswitch.process.rows.table import Put
+from laburnumswitch.process.rows.table import Transaction
+from tests.process.dispatch.harness import DispatchHarness
+from tests.process.dispatch.harness import make_submission
+from tests.process.dispatch.harness import wait_until
+
+LONG = Step(1, cpu_millis=1000, memory_mb=100, estimate_ms=60_000)
+LONG_RUNNING = Step(1, cpu_millis=1000, memory_mb=100, long_running=True)
+TASK = TaskKey("j1", 0, 0, 0)
+# A successor knows the end of the leases of an earlier owner to within this time, in seconds.
+TOLERANCE_S = 0.5
+
+
+class SilenceCase(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.harness = DispatchHarness()
+        self.first = self.start_owner("vm-1")
+        wait_until(lambda: len(usable_workers(self.first, "shop")) == 2)
+        self.harness.submit(make_submission("j1", LONG_RUNNING), self.first)
+        wait_until(lambda: self.harness.checker.start_count == 1)
+        self.holder = next(w for w in self.harness.worker_by_id.values() if w.running())
+        self.holder_id = self.holder.listing.worker_id
+        self.worker = self.first.workers_by_id[self.holder_id]
+
+    def start_owner(self, vm_id, predecessor=PredecessorState.ENDED):
+        owner = self.harness.start_owner(vm_id, predecessor)
+        self.addCleanup(owner.stop)
+        return owner
+
+    def fall_silent(self, worker=None):
+        """Have a worker ignore all calls, and wait until its owner knows and has stored that."""
+        worker = worker or self.holder
+        worker.drops_calls = True
+        known = self.first.workers_by_id[worker.listing.worker_id]
+        wait_until(lambda: known.is_silent)
+        batch = self.first.recorder.committed
+        wait_until(lambda: self.first.recorder.committed > batch + 1)
+
+    def check_successor(self, owner, bound_s):
+        """Check that an owner knows what runs on the silent worker, and until when."""
+        wait_until(owner.is_loaded.is_set)
+        inherited = owner.workers_by_id[self.holder_id]
+        self.assertThat(inherited.has_unknown_runs, Equals(False))
+        self.assertThat(owner.jobs_by_id["j1"].is_running(), Equals(True))
+        self.assertThat(inherited.lapse_bound_s - bound_s, LessThan(TOLERANCE_S))
+        self.assertThat(inherited.lapse_bound_s - bound_s, GreaterThan(-0.001))
+        wait_until(lambda: owner.settled, limit_s=1.0)
+
+    def check_second_start(self, bound_s):
+        wait_until(lambda: self.harness.checker.start_count == 2)
+        self.assertThat(monotonic() - bound_s, LessThan(1.0))
+        self.assertThat(self.harness.checker.violations, Equals([]))
+
+
+class TestLostOwner(SilenceCase):
+    """A successor used to count a whole lease, and the commands of its predecessor, anew."""
+
+    def test_lease_of_a_silent_worker_does_not_begin_anew_after_a_kill(self):
+        self.fall_silent()
+        bound_s = self.worker.lapse_bound_s
+        sleep(2.0)
+        self.first.stop()
+        self.check_successor(self.start_owner("vm-2", PredecessorState.SILENT), bound_s)
+        self.check_second_start(bound_s)
+
+    def test_lease_of_a_silent_worker_does_not_begin_anew_with_each_kill(self):
+        self.fall_silent()
+        bound_s = self.worker.lapse_bound_s
+        owner = self.first
+        for number in range(2, 6):
+            owner.stop()
+            owner = self.start_owner(f"vm-{number}", PredecessorState.SILENT)
+            self.check_successor(owner, bound_s)
+            sleep(0.2)
+        self.check_second_start(bound_s)
+
+    def test_lease_of_a_silent_worker_does_not_begin_anew_after_a_lost_release(self):
+        self.fall_silent()
+        bound_s = self.worker.lapse_bound_s
+        self.harness.table.down = True
+        self.first.release()
+        self.harness.table.down = False
+        self.check_successor(self.start_owner("vm-2", PredecessorState.SILENT), bound_s)
+        self.check_second_start(bound_s)
+
+    def test_silent_worker_without_runs_holds_up_no_successor(self):
+        idle = next(w for w in self.harness.worker_by_id.values() if w is not self.holder)
+        self.fall_silent(idle)
+        self.first.stop()
+        second = self.start_owner("vm-2", PredecessorState.SILENT)
+        wait_until(second.is_loaded.is_set)
+        wait_until(lambda: second.settled, limit_s=1.0)
+        self.assertThat(self.harness.checker.violations, Equals([]))
+
+    def test_wait_for_a_worker_lost_with_the_owner_does_not_begin_anew(self):
+        """Nobody knows the runs of the worker, but the next owner knows when they have ended."""
+        self.holder.drops_calls = True
+        self.first.stop()
+        second = self.start_owner("vm-2")
+        wait_until(lambda: second.workers_by_id and second.workers_by_id[self.holder_id].is_silent)
+        bound_s = second.workers_by_id[self.holder_id].lapse_bound_s
+        sleep(2.0)
+        second.stop()
+        third = self.start_owner("vm-3", PredecessorState.SILENT)
+        wait_until(third.is_loaded.is_set)
+        inherited = third.workers_by_id[self.holder_id]
+        self.assertThat(inherited.lapse_bound_s - bound_s, LessThan(TOLERANCE_S))
+        self.assertThat(inherited.has_unknown_runs, Equals(True))
+        self.check_second_start(bound_s)
+
+    def test_row_of_a_dropped_worker_goes_away(self):
+        self.fall_silent()
+        self.first.drop_worker(self.worker, "its VM is down")
+        batch = self.first.recorder.committed
+        wait_until(lambda: self.first.recorder.committed > batch + 1)
+        rows = self.harness.table.load("silences").rows
+        self.assertThat([row.value[1] for row in rows if row.value[1]], Equals([]))
+
+
+class TestAnswerAfterSilence(SilenceCase):
+    """Nothing may be granted to a worker while a successor would read that it is silent."""
+
+    def _lease_end_s(self):
+        return self.holder._lease_until_s
+
+    def test_worker_that_answers_again_keeps_its_runs(self):
+        self.fall_silent()
+        sleep(1.0)
+        self.holder.drops_calls = False
+        wait_until(lambda: not self.worker.is_silent)
+        wait_until(lambda: len(usable_workers(self.first, "shop")) == 2, limit_s=0.5)
+        sleep(8.0)
+        self.assertThat(self.harness.checker.start_count, Equals(1))
+        self.assertThat(self.holder.running(), Equals((TASK,)))
+
+    def test_nothing_is_granted_before_the_removal_is_committed(self):
+        self.fall_silent()
+        bound_s = self.worker.lapse_bound_s
+        self.harness.table.down = True
+        sleep(0.1)
+        lease_end_s = self._lease_end_s()
+        self.holder.drops_calls = False
+        wait_until(lambda: not self.worker.is_silent)
+        sleep(1.0)
+        self.assertThat(self._lease_end_s(), Equals(lease_end_s))
+        usable = [worker.worker_id for worker in usable_workers(self.first, "shop")]
+        self.assertThat(usable, Equals([w for w in ("w1", "w2") if w != self.holder_id]))
+        # The owner is killed, and the worker is unreachable again.
+        self.first.stop()
+        self.holder.drops_calls = True
+        self.harness.table.down = False
+        self.check_successor(self.start_owner("vm-2", PredecessorState.SILENT), bound_s)
+        self.check_second_start(bound_s)
+
+    def test_silence_during_an_outage_of_the_store_costs_nothing(self):
+        """The store was never told of it, so there is nothing to remove."""
+        self.harness.table.down = True
+        # A commit without silences is under way.
+        sleep(0.6)
+        self.holder.drops_calls = True
+        wait_until(lambda: self.worker.is_silent)
+        lease_end_s = self._lease_end_s()
+        self.holder.drops_calls = False
+        wait_until(lambda: self._lease_end_s() > lease_end_s, limit_s=1.0)
+        self.harness.table.down = False
+
+    def test_silence_whose_commit_had_no_answer_is_removed(self):
+        self.harness.table.lose_answers = 3
+        self.fall_silent()
+        self.holder.drops_calls = False
+        wait_until(lambda: not self.worker.is_silent)
+        self.first.stop()
+        self.holder.drops_calls = True
+        second = self.start_owner("vm-2")
+        wait_until(second.is_loaded.is_set)
+        wait_until(lambda: second.settled)
+        wait_until(lambda: self.harness.checker.start_count == 2)
+        self.assertThat(self.harness.checker.violations, Equals([]))
+
+    def test_owner_killed_as_the_worker_answers_again(self):
+        for delay_s in (0.0, 0.01, 0.03, 0.1, 0.3):
+            harness = DispatchHarness()
+            first = harness.start_owner("vm-1")
+            self.addCleanup(first.stop)
+            harness.submit(make_submission("j1", LONG_RUNNING), first)
+            wait_until(lambda harness=harness: harness.checker.start_count == 1)
+            holder = next(w for w in harness.worker_by_id.values() if w.running())
+            worker = first.workers_by_id[holder.listing.worker_id]
+            holder.drops_calls = True
+            wait_until(lambda worker=worker: worker.is_silent)
+            sleep(0.1)
+            holder.drops_calls = False
+            wait_until(lambda worker=worker: not worker.is_silent)
+            sleep(delay_s)
+            first.stop()
+            holder.drops_calls = True
+            second = harness.start_owner("vm-2", PredecessorState.ENDED)
+            self.addCleanup(second.stop)
+            wait_until(lambda harness=harness: harness.checker.start_count == 2)
+            self.assertThat(harness.checker.violations, Equals([]))
+            second.stop()
+
+    def test_worker_restarted_under_its_id_while_silent(self):
+        self.fall_silent()
+        self.first.stop()
+        self.holder.restart()
+        second = self.start_owner("vm-2", PredecessorState.SILENT)
+        wait_until(second.is_loaded.is_set)
+        self.holder.drops_calls = False
+        wait_until(lambda: self.harness.checker.start_count == 2)
+        self.assertThat(self.harness.checker.violations, Equals([]))
+
+    def test_superseded_owner_grants_nothing_to_a_worker_that_answers_again(self):
+        self.fall_silent()
+        bound_s = self.worker.lapse_bound_s
+        second = self.start_owner("vm-2", PredecessorState.SILENT)
+        self.check_successor(second, bound_s)
+        lease_end_s = self._lease_end_s()
+        # Only the superseded owner reaches the worker.
+        reach = self.holder.renew
+        self.holder.renew = lambda renewal, timeout_s: (
+            reach(renewal, timeout_s)
+            if renewal.fence < second.epoch * 100_000
+            else self.holder._drop_answer(timeout_s)
+        )
+        self.holder.drops_calls = False
+        self.holder.fence = 0
+        sleep(1.0)
+        self.assertThat(self._lease_end_s(), Equals(lease_end_s))
+        self.check_second_start(bound_s)
+
+
+class TestLaterRun(SilenceCase):
+    def test_later_run_of_a_task_is_kept_and_not_the_stored_one(self):
+        """The owner knew that the worker had ended, and was lost before it had stored that."""
+        self.fall_silent()
+        self.holder.crash()
+        stored = [
+            Put(row.key, row.value)
+            for table in ("silences", "fleet")
+            for row in self.harness.table.load(table).rows
+        ]
+        self.first.drop_worker(self.worker, "its VM is down")
+        wait_until(lambda: self.harness.checker.start_count == 2)
+        self.first.stop()
+        self.harness.table.commit(Transaction((), tuple(stored)))
+        second = self.start_owner("vm-2", PredecessorState.SILENT)
+        wait_until(second.is_loaded.is_set)
+        wait_until(lambda: second.settled)
+        sleep(0.5)
+        task = second.jobs_by_id["j1"].task(TASK)
+        self.assertThat(task.worker_id == self.holder_id, Equals(False))
+        self.assertThat(task.active_run, Equals(2))
+        self.assertThat(self.harness.checker.start_count, Equals(2))
+        self.assertThat(self.harness.checker.violations, Equals([]))
