Show that a killed owner's successor holds long-running tasks up for unrelated workers

Callers saw: a long-running task that did not run for up to 15.7 s with capacity for it (LOST). Starts are not stored, so what runs after a killed owner is only known once every worker has answered or has lapsed. Each further owner begins that wait anew.

The harness writes the succession with each term as Leadership does.

--- a/tests/process/dispatch/harness.py
+++ b/tests/process/dispatch/harness.py
@@ -20,6 +20,9 @@
 from laburnumswitch.process.dispatch.vm_list import VmRow
 from laburnumswitch.process.dispatch.vm_list import VmState
 from laburnumswitch.process.dispatch.worker_protocol import WorkerListing
+from laburnumswitch.process.leadership.succession import decode_succession
+from laburnumswitch.process.leadership.succession import succeed
+from laburnumswitch.process.leadership.succession import SUCCESSION_KEY
 from laburnumswitch.process.leadership.term import PredecessorState
 from laburnumswitch.process.leadership.term import read_term
 from laburnumswitch.process.leadership.term import Term
@@ -153,8 +156,13 @@
     def start_owner(self, vm_id="vm-1", predecessor=PredecessorState.ENDED):
         predecessor_term = read_term(self.table)
         term = Term(predecessor_term.term.epoch + 1, vm_id, f"{vm_id}-i", "10.0.0.9:1")
+        stored = decode_succession(self.table.read((SUCCESSION_KEY,))[SUCCESSION_KEY])
+        succession = succeed(stored, predecessor_term.term)
         outcome = self.table.commit(
-            Transaction((Condition(TERM_KEY, predecessor_term.version),), (Put(TERM_KEY, term),))
+            Transaction(
+                (Condition(TERM_KEY, predecessor_term.version),),
+                (Put(TERM_KEY, term), Put(SUCCESSION_KEY, succession)),
+            )
         )
         context = self.context()
         held_term = VersionedTerm(term, outcome.version)
