Store where long-running tasks run before they start, so that successors need not ask for it

After an owner that was killed, or cut off, or replaced before it had settled, none of the older jobs started anything before every inherited worker had answered or had certainly lapsed, also those with nothing to do with the task; each further owner began that wait anew.

Cause: starts were not stored, so any silent worker might run any task. For long-running tasks the store is now the record: a start is sent only after the commit of its placement, and a placement is replaced only once its run has certainly ended (process/dispatch/placements.py has the invariant and why each path keeps it). A successor adopts the runs that may exist on their workers, and starts all other long-running tasks at once. leadership/succession says whether all owners have kept this; after one that has not, the successor waits as before and then stores all placements. Before it sends its first command an owner commits that it may do so (acted_epoch).

What starts a run moves from the planner to run_start, which workers may get starts to eligibility, and since when a step has waited to down_time.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -1,8 +1,9 @@
 """State of the owner in the dispatch daemon: jobs, workers, and the commands sent to workers.
 
-The workers' reports are the only record of what runs: starts are sent immediately under the owner's
-fencing token and are not stored. What is stored is the state of the jobs (with completed tasks,
-failures and checkpoints), the list of workers and the parameters of the latency model.
+The workers' reports are the record of what runs: starts are sent immediately under the owner's
+fencing token, and only those of long-running tasks are stored (``placements``). What else is stored
+is the state of the jobs (with completed tasks, failures and checkpoints), the list of workers and
+the parameters of the latency model.
 ``worker_session`` talks to each worker, ``planner`` decides what starts, and ``recorder`` commits.
 """
 
@@ -33,6 +34,7 @@
 from laburnumswitch.process.dispatch.crashes import is_excusable
 from laburnumswitch.process.dispatch.crashes import is_to_blame
 from laburnumswitch.process.dispatch.crashes import SURVIVAL_S
+from laburnumswitch.process.dispatch.down_time import ready_since_s
 from laburnumswitch.process.dispatch.fleet import ActiveRun
 from laburnumswitch.process.dispatch.fleet import FENCES_PER_EPOCH
 from laburnumswitch.process.dispatch.fleet import lapse_s
@@ -48,7 +50,6 @@
 from laburnumswitch.process.dispatch.jobs import describe_steps
 from laburnumswitch.process.dispatch.jobs import Job
 from laburnumswitch.process.dispatch.jobs import JobState
-from laburnumswitch.process.dispatch.jobs import Occurrence
 from laburnumswitch.process.dispatch.jobs import ReadyStep
 from laburnumswitch.process.dispatch.jobs import step_work
 from laburnumswitch.process.dispatch.jobs import Task
@@ -60,6 +61,7 @@
 from laburnumswitch.process.dispatch.orphans import OrphanEnd
 from laburnumswitch.process.dispatch.orphans import OrphanRun
 from laburnumswitch.process.dispatch.place_wait import PlaceWaits
+from laburnumswitch.process.dispatch.placements import Placements
 from laburnumswitch.process.dispatch.quota_gate import QuotaGate
 from laburnumswitch.process.dispatch.recorder import Recorder
 from laburnumswitch.process.dispatch.tails import TailLatencyModel
@@ -70,6 +72,7 @@
 from laburnumswitch.process.dispatch.worker_protocol import RunReport
 from laburnumswitch.process.dispatch.worker_protocol import WorkerLink
 from laburnumswitch.process.dispatch.worker_protocol import WorkerListing
+from laburnumswitch.process.leadership.succession import Succession
 from laburnumswitch.process.observing.decisions import DecisionLog
 from laburnumswitch.process.operating.operations import Operations
 from laburnumswitch.process.placing.quarantine import Quarantine
@@ -89,9 +92,6 @@
 # Submissions reach the owner through the feed within this time, in seconds. A run whose job is
 # still unknown after that is stopped.
 ORPHAN_WAIT_S = 3.0
-# Time for which a step of a stored job counts as having waited for an earlier owner, at most, in
-# seconds. When it became ready is not stored; it is enough for waits for the sake of other tasks.
-MAX_INHERITED_WAIT_S = 1.5
 # Weight of a new job in the moving average of its queue's work (core-seconds per job).
 MEAN_WORK_WEIGHT = 0.05
 # Stands for the batch of an ended run that waits for its job.
@@ -142,6 +142,7 @@
     :ivar final_by_id: states of jobs that have ended and have no active run.
     :ivar ended_s_by_id: when this was first noted of each of these jobs, on the monotonic clock.
     :ivar ready_step_by_key: ready steps by job id, occurrence and index of the step.
+    :ivar succession: as last queued for storage, ``None`` before it is loaded.
     :ivar wake: set when the planner has to run.
     :ivar is_evacuating: whether ``evacuator`` handles draining workers at present.
     :ivar is_loaded: set once all stored jobs are loaded.
@@ -173,6 +174,8 @@
         self.reserved_by_service: dict[str, set[str]] = {}
         self.advice = Advice()
         self.place_waits = PlaceWaits(context.log, context.deployment.bounds)
+        self.placements = Placements(recorder, self.spawn, self.is_stopped)
+        self.succession: Succession | None = None
         self.model = TailLatencyModel()
         # Times of cancellations whose submissions have not arrived yet.
         self.cancelled_s_by_id: dict[str, float] = {}
@@ -352,8 +355,8 @@
         """Add a stored job and return it, or ``None`` if it is known already."""
         if self.knows_job(submission.job_id):
             return None
-        may_be_started_elsewhere = self.predecessor_may_start_jobs and not self.settled
-        job = Job(submission, may_have_unknown_runs or may_be_started_elsewhere)
+        may_have_unknown_runs |= self.predecessor_may_start_jobs and not self.settled
+        job = Job(submission, may_have_unknown_runs, self.placements.note_change)
         self.jobs_by_id[job.job_id] = job
         self._note_organisation(job)
         mean = self.mean_work_by_queue.get(submission.queue, job.work)
@@ -432,6 +435,7 @@
         """Note a job as final once it has ended and has no active run."""
         if job.is_final() and not job.is_running():
             self.note_final(job.job_id, job.state)
+            self.placements.remove_job(job.job_id)
             self.model.forget_steps(
                 (job.job_id, occurrence.number, index)
                 for occurrence in job.occurrences
@@ -466,13 +470,16 @@
 
     def refresh_ready_steps(self, job: Job) -> None:
         """Update the ready steps of one job and wake the planner."""
+        now_s, wall_s = self.context.clock(), self.context.wall_clock()
         for occurrence in job.occurrences:
             ready = () if job.is_final() else tuple(occurrence.ready_steps())
             for index, step_state in enumerate(occurrence.steps):
                 key = (job.job_id, occurrence.number, index)
                 if step_state in ready:
                     if key not in self.ready_step_by_key:
-                        step_state.ready_since_s = self._ready_since_s(job, occurrence)
+                        step_state.ready_since_s = ready_since_s(
+                            job, occurrence, self.is_loaded.is_set(), now_s, wall_s
+                        )
                         if step_state.first_ready_s is None:
                             step_state.first_ready_s = step_state.ready_since_s
                         self.ready_step_by_key[key] = ReadyStep(job, occurrence, step_state)
@@ -480,13 +487,6 @@
                     self.ready_step_by_key.pop(key, None)
         self.wake.set()
 
-    def _ready_since_s(self, job: Job, occurrence: Occurrence) -> float:
-        now_s = self.context.clock()
-        if self.is_loaded.is_set() or not job.may_have_unknown_runs:
-            return now_s
-        waited_s = self.context.wall_clock() - occurrence.due_s
-        return now_s - min(max(0.0, waited_s), MAX_INHERITED_WAIT_S)
-
     # Runs
 
     def next_run(self, task: Task) -> int:
@@ -602,7 +602,7 @@
         """
         now_s = self.context.clock()
         crashed = [
-            (worker, find_suspects(worker.runs_by_task.values(), worker.last_sign_s()))
+            (worker, find_suspects(self.placements.sent(worker), worker.last_sign_s()))
             for worker in workers
             if worker.leaves_s is None and not worker.is_known_crashed
         ]
--- a/laburnumswitch/process/dispatch/evacuator.py
+++ b/laburnumswitch/process/dispatch/evacuator.py
@@ -8,10 +8,11 @@
 from laburnumswitch.process.dispatch.draining import Candidate
 from laburnumswitch.process.dispatch.draining import choose_stops
 from laburnumswitch.process.dispatch.draining import Room
+from laburnumswitch.process.dispatch.eligibility import usable_workers
 from laburnumswitch.process.dispatch.fleet import ActiveRun
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.jobs import Job
-from laburnumswitch.process.dispatch.planner import usable_workers
+from laburnumswitch.process.dispatch.placements import may_have_unknown_runs
 
 # Interval, in seconds, at which the runs on draining workers are checked. Some workers leave two
 # seconds after their notice.
@@ -75,7 +76,9 @@
     away_count = 0
     if run.step.long_running:
         away_count = unavailable_count(dispatcher, job.step_state(run.task))
-    may_restart = dispatcher.settled or not job.may_have_unknown_runs
+    may_restart = dispatcher.settled or not may_have_unknown_runs(
+        dispatcher.placements, job, run.step
+    )
     may_restart &= dispatcher.quota_gate.may_restart(job.submission.organisation)
     return Candidate(worker, run, away_count, may_restart)
 
--- a/laburnumswitch/process/dispatch/jobs.py
+++ b/laburnumswitch/process/dispatch/jobs.py
@@ -1,5 +1,6 @@
 """State of a submitted job, its steps and its tasks."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 from enum import StrEnum
 from math import exp
@@ -172,6 +173,10 @@
         return all(step_state.is_done() for step_state in self.steps)
 
 
+def ignore_run_change(job: "Job", task: Task) -> None:
+    """Do nothing when a run of a task begins or ends."""
+
+
 class Job:
     """State of one submitted job.
 
@@ -185,8 +190,14 @@
     :ivar is_owed: whether its organisation is entitled to it; written by ``organisation_share``.
     """
 
-    def __init__(self, submission: Submission, may_have_unknown_runs: bool = False) -> None:
+    def __init__(
+        self,
+        submission: Submission,
+        may_have_unknown_runs: bool = False,
+        note_run_change: Callable[["Job", Task], None] = ignore_run_change,
+    ) -> None:
         self.submission = submission
+        self._note_run_change = note_run_change
         self.state = JobState.QUEUED
         self.has_begun = False
         self.may_have_unknown_runs = may_have_unknown_runs
@@ -228,12 +239,14 @@
         self.step_state(task.key).active_count += 1
         if self.state is JobState.QUEUED:
             self.state = JobState.RUNNING
+        self._note_run_change(self, task)
 
     def end_run(self, task: Task) -> None:
         """Record that the active run of a task has certainly ended."""
         task.active_run = 0
         task.worker_id = ""
         self.step_state(task.key).active_count -= 1
+        self._note_run_change(self, task)
 
     def mark_done(self, task: Task) -> None:
         """Mark a task as done, or the whole gang that it belongs to."""
--- a/laburnumswitch/process/dispatch/organisation_usage.py
+++ b/laburnumswitch/process/dispatch/organisation_usage.py
@@ -5,6 +5,7 @@
 are known each waiting task that an earlier owner may have started counts as running.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
 
@@ -97,13 +98,18 @@
         return (organisation, steps[task.step]) if task.step < len(steps) else None
 
 
-def unknown_totals(jobs: Iterable[Job], wall_s: float) -> dict[str, OrganisationTotal]:
+def unknown_totals(
+    jobs: Iterable[Job],
+    wall_s: float,
+    knows_runs: Callable[[Job, Step], bool] = lambda job, step: False,
+) -> dict[str, OrganisationTotal]:
     """Return by organisation the waiting tasks that an earlier owner may have started.
 
     Steps whose predecessors are not done count as well: the earlier owner may have known of ends
     that it had not stored yet. Occurrences that are not due count for nothing.
 
     :param wall_s: Unix time in seconds.
+    :param knows_runs: whether all runs of a step that may exist are known.
     """
     totals: dict[str, OrganisationTotal] = {}
     for job in jobs:
@@ -114,6 +120,8 @@
             if occurrence.due_s > wall_s and job.submission.occurrences:
                 break
             for step_state in occurrence.steps:
+                if knows_runs(job, step_state.step):
+                    continue
                 total = totals.get(organisation, NOTHING_RUNS)
                 # Members of a gang that is done may still run, and count twice in the steps.
                 waiting = max(0, step_state.waiting_count())
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -1,21 +1,11 @@
 """Planner of the owner: places the tasks of ready steps on workers and starts them."""
 
-from laburnumswitch.exceptions import ConnectFailed
-from laburnumswitch.exceptions import Failure
-from laburnumswitch.exceptions import Refused
-from laburnumswitch.exceptions import StartRefused
-from laburnumswitch.exceptions import Throttled
-from laburnumswitch.exceptions import Unavailable
-from laburnumswitch.exceptions import WorkerReplaced
 from laburnumswitch.process.dispatch.advice import step_key
 from laburnumswitch.process.dispatch.advice_calls import call_advice
 from laburnumswitch.process.dispatch.advice_calls import request_advice
 from laburnumswitch.process.dispatch.best_effort import forced_starts
-from laburnumswitch.process.dispatch.dispatcher import COMMAND_TIMEOUT_S
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
-from laburnumswitch.process.dispatch.dispatcher import task_name
-from laburnumswitch.process.dispatch.fleet import ActiveRun
-from laburnumswitch.process.dispatch.fleet import MAX_SILENCE_S
+from laburnumswitch.process.dispatch.eligibility import usable_workers
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.gang_places import choose_gang_places
 from laburnumswitch.process.dispatch.headroom import choose_reserved
@@ -27,15 +17,14 @@
 from laburnumswitch.process.dispatch.headroom import may_reserve
 from laburnumswitch.process.dispatch.job_spec import Queue
 from laburnumswitch.process.dispatch.job_spec import Step
-from laburnumswitch.process.dispatch.jobs import Job
 from laburnumswitch.process.dispatch.jobs import ReadyStep
-from laburnumswitch.process.dispatch.jobs import Task
 from laburnumswitch.process.dispatch.opportunity import worker_prices
 from laburnumswitch.process.dispatch.ordering import order_key
 from laburnumswitch.process.dispatch.ordering import OrderKey
 from laburnumswitch.process.dispatch.ordering import Tier
 from laburnumswitch.process.dispatch.organisation_update import update_organisations
 from laburnumswitch.process.dispatch.organisation_usage import unknown_totals
+from laburnumswitch.process.dispatch.placements import may_have_unknown_runs
 from laburnumswitch.process.dispatch.placing import INTERFERENCE_LIMIT
 from laburnumswitch.process.dispatch.placing import PlacementContext
 from laburnumswitch.process.dispatch.placing import Ranking
@@ -47,20 +36,13 @@
 from laburnumswitch.process.dispatch.relocation import choose_moves
 from laburnumswitch.process.dispatch.room import has_spare_slots
 from laburnumswitch.process.dispatch.room import NoRoom
-from laburnumswitch.process.dispatch.worker_protocol import StartCommand
-from laburnumswitch.process.dispatch.worker_session import throttle_new_run
-from laburnumswitch.process.dispatch.worker_session import void_unanswered_starts
-from laburnumswitch.process.rows.table import STATUS_BAD_REQUEST
+from laburnumswitch.process.dispatch.run_start import start_tasks
 
 # Interval, in seconds, at which steps that wait for capacity, their due time or lower interference
 # are planned again.
 PLAN_INTERVAL_S = 0.2
 # Events within this time, in seconds, are handled by one planning pass.
 COALESCE_S = 0.002
-# Pause in seconds before a worker that refused a start, or did not answer it, gets another one.
-REFUSED_PAUSE_S = 0.3
-# The same pause if the worker was overloaded or unhealthy, in seconds.
-UNHEALTHY_PAUSE_S = 1.0
 # Longest planning pass, in seconds: watchers take an owner that does not answer for a second and a
 # half as lost.
 MAX_PASS_S = 0.03
@@ -123,7 +105,8 @@
     """
     now_s = dispatcher.context.wall_clock()
     jobs = () if dispatcher.settled else dispatcher.jobs_by_id.values()
-    dispatcher.quota_gate.begin_pass(dispatcher.context.clock(), unknown_totals(jobs, now_s))
+    unknown = unknown_totals(jobs, now_s, dispatcher.placements.knows_runs)
+    dispatcher.quota_gate.begin_pass(dispatcher.context.clock(), unknown)
     update_organisations(dispatcher)
     dispatcher.advice.requests.clear()
     keyed = []
@@ -328,7 +311,9 @@
 
     :param now_s: Unix time in seconds.
     """
-    if ready.job.may_have_unknown_runs and not dispatcher.settled:
+    if not dispatcher.settled and may_have_unknown_runs(
+        dispatcher.placements, ready.job, ready.step_state.step
+    ):
         return False
     if ready.job.submission.occurrences and now_s < ready.occurrence.due_s:
         return False
@@ -348,31 +333,6 @@
     )
 
 
-def usable_workers(dispatcher: Dispatcher, service: str) -> list[Worker]:
-    """Return the workers of a service that may get starts now."""
-    operations = dispatcher.context.operations
-    if not dispatcher.knows_listings or not operations.knows_zones:
-        return []
-    now_s = dispatcher.context.clock()
-    evacuated_zones = operations.evacuated_zones
-    return [
-        worker
-        for worker in dispatcher.workers_by_id.values()
-        if worker.listing.service == service
-        and worker.is_reached
-        and not worker.is_silent
-        and not worker.is_voiding_starts
-        and not worker.has_unreserved_runs
-        and worker.is_listed(now_s)
-        and dispatcher.recorder.committed >= worker.listed_in_batch
-        and not worker.listing.is_draining
-        and worker.listing.availability_zone not in evacuated_zones
-        and now_s >= worker.blocked_until_s
-        and now_s - worker.last_answer_s < MAX_SILENCE_S
-        and not dispatcher.quarantine.is_quarantined(worker.worker_id, now_s)
-    ]
-
-
 def _start_step(
     dispatcher: Dispatcher,
     queue: Queue,
@@ -498,7 +458,7 @@
             if forced == 0:
                 return False
             forced -= 1
-        _start_task(dispatcher, ready.job, task, choice.worker, tickets)
+        start_tasks(dispatcher, ready.job, [(task, choice.worker)], tickets)
         ranking.requeue_best(_allows_another_task(step, choice.worker, ready))
     return True
 
@@ -532,7 +492,7 @@
         if not dispatcher.quota_gate.admits(ready):
             return
         worker = min(suitable, key=lambda each: each.used_cpu_millis + each.best_effort_cpu_millis)
-        _start_task(dispatcher, ready.job, task, worker, tickets)
+        start_tasks(dispatcher, ready.job, [(task, worker)], tickets)
 
 
 def _allows_another_task(step: Step, worker: Worker, ready: ReadyStep) -> bool:
@@ -561,86 +521,7 @@
         return
     number = max(dispatcher.next_run(task) for task in ready.step_state.tasks)
     checkpoint = max(task.checkpoint for task in ready.step_state.tasks)
-    for task, worker in placed:
+    for task, _ in placed:
         task.last_run = number - 1
         task.checkpoint = checkpoint
-        _start_task(dispatcher, ready.job, task, worker, tickets)
-
-
-def _start_task(
-    dispatcher: Dispatcher, job: Job, task: Task, worker: Worker, tickets: dict[str, str]
-) -> None:
-    run = dispatcher.begin_run(job, task, worker)
-    dispatcher.place_waits.note_start(run.step, worker)
-    worker.note_lease_sent(dispatcher.context.clock())
-    command = StartCommand(
-        task.key,
-        run.number,
-        job.submission.spec,
-        worker.extend_grant(dispatcher.granted_lease_s()),
-        worker.fence,
-        task.checkpoint,
-        tickets.get(worker.worker_id, ""),
-    )
-    dispatcher.counters.starts += 1
-    dispatcher.spawn(_send_start, dispatcher, job, worker, run, command)
-
-
-def _send_start(
-    dispatcher: Dispatcher, job: Job, worker: Worker, run: ActiveRun, command: StartCommand
-) -> None:
-    context = dispatcher.context
-    sent_s = context.clock()
-    incarnation = worker.incarnation
-    outcome = dispatcher.call_remote(
-        worker.worker_id, worker.link.start, command, COMMAND_TIMEOUT_S
-    )
-    now_s = context.clock()
-    context.log.note(
-        "run_start",
-        task_name(run.task),
-        run=run.number,
-        worker=worker.worker_id,
-        incarnation=incarnation,
-        fence=command.fence,
-        took_s=round(now_s - sent_s, 3),
-        worker_clock_s=getattr(outcome, "clock_s", None),
-        waited_s=round(run.started_s - job.step_state(run.task).ready_since_s, 3),
-        outcome=outcome.tag if isinstance(outcome, Failure) else "started",
-        reason=getattr(outcome, "reason", ""),
-    )
-    if dispatcher.is_stopped() or worker.runs_by_task.get(run.task) is not run:
-        return
-    if not isinstance(outcome, Failure):
-        run.confirmed_s = now_s
-        job.has_begun = True
-        if job.is_final():
-            dispatcher.stop_run(worker, run, "the job has ended")
-        else:
-            throttle_new_run(dispatcher, worker, run)
-        return
-    if not _is_certainly_not_started(outcome):
-        dispatcher.counters.uncertain_starts += 1
-        run.is_uncertain = True
-        # The worker may answer renewals, but no starts: the task is tried on another one next.
-        pause_s = UNHEALTHY_PAUSE_S if isinstance(outcome, Refused) else REFUSED_PAUSE_S
-        worker.blocked_until_s = now_s + pause_s
-        void_unanswered_starts(dispatcher, worker)
-        return
-    dispatcher.counters.refused_starts += 1
-    worker.blocked_until_s = now_s + (
-        UNHEALTHY_PAUSE_S if isinstance(outcome, Throttled | Unavailable) else REFUSED_PAUSE_S
-    )
-    if isinstance(outcome, StartRefused) and outcome.reason == "old":
-        job.task(run.task).last_run += 1
-    if isinstance(outcome, StartRefused) and outcome.reason == "ticket":
-        dispatcher.advice.forget_ticket(run.task[:3], worker.worker_id)
-    dispatcher.release_run(worker, run, f"start refused: {outcome.tag}")
-
-
-def _is_certainly_not_started(outcome: Failure) -> bool:
-    if isinstance(outcome, Refused):
-        # Other statuses may come from an intermediary, after the worker has carried out the start.
-        return outcome.status == STATUS_BAD_REQUEST
-    refusals = ConnectFailed | StartRefused | WorkerReplaced | Throttled | Unavailable
-    return isinstance(outcome, refusals)
+    start_tasks(dispatcher, ready.job, placed, tickets)
--- a/laburnumswitch/process/dispatch/recorder.py
+++ b/laburnumswitch/process/dispatch/recorder.py
@@ -114,6 +114,8 @@
     def queue_row(self, key: str, value: Any) -> int:
         """Queue a row and return the number of the batch that will contain it."""
         self._value_by_key[key] = value
+        if key in self._removals:
+            self._removals.remove(key)
         self._has_work.set()
         return self._next_batch
 
@@ -123,6 +125,8 @@
 
     def queue_removals(self, keys: tuple[str, ...]) -> None:
         """Queue the removal of rows."""
+        for key in keys:
+            self._value_by_key.pop(key, None)
         self._removals.extend(keys)
         self._has_work.set()
 
--- /dev/null
+++ b/laburnumswitch/process/dispatch/run_start.py
@@ -0,0 +1,168 @@
+"""Starts of runs: reserves capacity, stores where long-running tasks run, and sends commands."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from laburnumswitch.exceptions import ConnectFailed
+from laburnumswitch.exceptions import Failure
+from laburnumswitch.exceptions import Refused
+from laburnumswitch.exceptions import StartRefused
+from laburnumswitch.exceptions import Throttled
+from laburnumswitch.exceptions import Unavailable
+from laburnumswitch.exceptions import WorkerReplaced
+from laburnumswitch.process.dispatch.dispatcher import COMMAND_TIMEOUT_S
+from laburnumswitch.process.dispatch.dispatcher import Dispatcher
+from laburnumswitch.process.dispatch.dispatcher import task_name
+from laburnumswitch.process.dispatch.eligibility import is_usable
+from laburnumswitch.process.dispatch.fleet import ActiveRun
+from laburnumswitch.process.dispatch.fleet import Worker
+from laburnumswitch.process.dispatch.jobs import Job
+from laburnumswitch.process.dispatch.jobs import Task
+from laburnumswitch.process.dispatch.worker_protocol import StartCommand
+from laburnumswitch.process.dispatch.worker_session import throttle_new_run
+from laburnumswitch.process.dispatch.worker_session import void_unanswered_starts
+from laburnumswitch.process.rows.table import STATUS_BAD_REQUEST
+
+# Pause in seconds before a worker that refused a start, or did not answer it, gets another one.
+REFUSED_PAUSE_S = 0.3
+# The same pause if the worker was overloaded or unhealthy, in seconds.
+UNHEALTHY_PAUSE_S = 1.0
+
+
+class _Start(NamedTuple):
+    """A run whose resources are reserved, and the ticket for its worker, empty for none."""
+
+    worker: Worker
+    run: ActiveRun
+    ticket: str
+
+
+def start_tasks(
+    dispatcher: Dispatcher,
+    job: Job,
+    placed: Iterable[tuple[Task, Worker]],
+    tickets: dict[str, str],
+) -> None:
+    """Start tasks of a step, each on its worker, in the background.
+
+    Starts of long-running tasks are sent once the placements of all of them are stored.
+
+    :param tickets: tickets of the step by worker id, empty if it needs none.
+    """
+    starts = []
+    for task, worker in placed:
+        run = dispatcher.begin_run(job, task, worker)
+        dispatcher.place_waits.note_start(run.step, worker)
+        starts.append(_Start(worker, run, tickets.get(worker.worker_id, "")))
+    if starts and starts[0].run.step.long_running:
+        dispatcher.placements.unsent_runs.update(start.run for start in starts)
+        dispatcher.spawn(_send_once_stored, dispatcher, job, starts)
+        return
+    for start in starts:
+        _send(dispatcher, job, start)
+
+
+def _send_once_stored(dispatcher: Dispatcher, job: Job, starts: list[_Start]) -> None:
+    """Send starts once their placements are committed, unless any of them is not wanted any more.
+
+    The workers may have become unusable meanwhile, as a commit takes as long as the store does. The
+    tasks of starts that are not sent wait again.
+    """
+
+    def are_wanted() -> bool:
+        return not job.is_final() and all(_is_wanted(start) for start in starts)
+
+    placements = dispatcher.placements
+    is_stored = placements.wait_until_stored([start.run.task for start in starts], are_wanted)
+    if dispatcher.is_stopped():
+        return
+    may_send = dispatcher.may_act() and all(is_usable(dispatcher, each.worker) for each in starts)
+    placements.unsent_runs.difference_update(start.run for start in starts)
+    for start in starts:
+        if is_stored and may_send:
+            start.run.started_s = dispatcher.context.clock()
+            start.run.fence = start.worker.fence
+            _send(dispatcher, job, start)
+        else:
+            reason = "its worker became unusable" if is_stored else "it was stopped"
+            dispatcher.release_run(start.worker, start.run, f"start not sent: {reason}")
+
+
+def _is_wanted(start: _Start) -> bool:
+    return start.worker.runs_by_task.get(start.run.task) is start.run and not start.run.is_stopping
+
+
+def _send(dispatcher: Dispatcher, job: Job, start: _Start) -> None:
+    worker, run, ticket = start
+    worker.note_lease_sent(dispatcher.context.clock())
+    command = StartCommand(
+        run.task,
+        run.number,
+        job.submission.spec,
+        worker.extend_grant(dispatcher.granted_lease_s()),
+        worker.fence,
+        job.task(run.task).checkpoint,
+        ticket,
+    )
+    dispatcher.counters.starts += 1
+    dispatcher.spawn(_send_start, dispatcher, job, worker, run, command)
+
+
+def _send_start(
+    dispatcher: Dispatcher, job: Job, worker: Worker, run: ActiveRun, command: StartCommand
+) -> None:
+    context = dispatcher.context
+    sent_s = context.clock()
+    incarnation = worker.incarnation
+    outcome = dispatcher.call_remote(
+        worker.worker_id, worker.link.start, command, COMMAND_TIMEOUT_S
+    )
+    now_s = context.clock()
+    context.log.note(
+        "run_start",
+        task_name(run.task),
+        run=run.number,
+        worker=worker.worker_id,
+        incarnation=incarnation,
+        fence=command.fence,
+        took_s=round(now_s - sent_s, 3),
+        worker_clock_s=getattr(outcome, "clock_s", None),
+        waited_s=round(run.started_s - job.step_state(run.task).ready_since_s, 3),
+        outcome=outcome.tag if isinstance(outcome, Failure) else "started",
+        reason=getattr(outcome, "reason", ""),
+    )
+    if dispatcher.is_stopped() or worker.runs_by_task.get(run.task) is not run:
+        return
+    if not isinstance(outcome, Failure):
+        run.confirmed_s = now_s
+        job.has_begun = True
+        if job.is_final():
+            dispatcher.stop_run(worker, run, "the job has ended")
+        else:
+            throttle_new_run(dispatcher, worker, run)
+        return
+    if not _is_certainly_not_started(outcome):
+        dispatcher.counters.uncertain_starts += 1
+        run.is_uncertain = True
+        # The worker may answer renewals, but no starts: the task is tried on another one next.
+        pause_s = UNHEALTHY_PAUSE_S if isinstance(outcome, Refused) else REFUSED_PAUSE_S
+        worker.blocked_until_s = now_s + pause_s
+        void_unanswered_starts(dispatcher, worker)
+        return
+    dispatcher.counters.refused_starts += 1
+    worker.blocked_until_s = now_s + (
+        UNHEALTHY_PAUSE_S if isinstance(outcome, Throttled | Unavailable) else REFUSED_PAUSE_S
+    )
+    if isinstance(outcome, StartRefused) and outcome.reason == "old":
+        job.task(run.task).last_run += 1
+    if isinstance(outcome, StartRefused) and outcome.reason == "ticket":
+        dispatcher.advice.forget_ticket(run.task[:3], worker.worker_id)
+    dispatcher.release_run(worker, run, f"start refused: {outcome.tag}")
+
+
+def _is_certainly_not_started(outcome: Failure) -> bool:
+    if isinstance(outcome, Refused):
+        # Other statuses may come from an intermediary, after the worker has carried out the start.
+        return outcome.status == STATUS_BAD_REQUEST
+    refusals = ConnectFailed | StartRefused | WorkerReplaced | Throttled | Unavailable
+    return isinstance(outcome, refusals)
--- a/laburnumswitch/process/dispatch/takeover.py
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -24,6 +24,11 @@
 from laburnumswitch.process.dispatch.model_store import load_parameters
 from laburnumswitch.process.dispatch.model_store import run_learning
 from laburnumswitch.process.dispatch.organisation_update import note_loaded_jobs
+from laburnumswitch.process.dispatch.placement_recovery import announce_commands
+from laburnumswitch.process.dispatch.placement_recovery import complete_placements
+from laburnumswitch.process.dispatch.placement_recovery import restore_placements
+from laburnumswitch.process.dispatch.placements import may_have_unknown_runs
+from laburnumswitch.process.dispatch.placements import PLACEMENTS_TABLE
 from laburnumswitch.process.dispatch.planner import run_planner
 from laburnumswitch.process.dispatch.planner import run_relocation
 from laburnumswitch.process.dispatch.progress import CANCELLATIONS_TABLE
@@ -43,6 +48,7 @@
 from laburnumswitch.process.dispatch.worker_protocol import RunReport
 from laburnumswitch.process.dispatch.worker_protocol import WorkerListing
 from laburnumswitch.process.dispatch.worker_session import run_worker
+from laburnumswitch.process.leadership.succession import SUCCESSION_KEY
 from laburnumswitch.process.leadership.term import PredecessorState
 from laburnumswitch.process.leadership.term import VersionedTerm
 from laburnumswitch.process.operating.operations import KnownQueue
@@ -96,9 +102,12 @@
     _await_configuration(dispatcher)
     # Not left to the first interval of the queue store: this owner may end before.
     stored_queues = store_queues(dispatcher, stored_queues)
-    _load_fleet(dispatcher, handover_by_worker)
+    placements = _load(dispatcher, PLACEMENTS_TABLE).rows
+    announce_commands(dispatcher, _load(dispatcher, SUCCESSION_KEY.partition("/")[0]).rows)
+    knows_fleet = _load_fleet(dispatcher, handover_by_worker)
     if dispatcher.is_stopped():
         return
+    restore_placements(dispatcher, placements, knows_fleet)
     note_loaded_jobs(dispatcher)
     dispatcher.is_loaded.set()
     dispatcher.spawn(follow_submissions, dispatcher, version)
@@ -114,6 +123,8 @@
         dispatcher.spawn(watch_vms, dispatcher, dispatcher.context.list_vms)
     if not dispatcher.settled:
         _settle(dispatcher)
+    if not dispatcher.is_stopped():
+        complete_placements(dispatcher)
 
 
 def _await_configuration(dispatcher: Dispatcher) -> None:
@@ -178,16 +189,19 @@
     return stored
 
 
-def _load_fleet(dispatcher: Dispatcher, handover_by_worker: dict[str, WorkerHandover]) -> None:
+def _load_fleet(dispatcher: Dispatcher, handover_by_worker: dict[str, WorkerHandover]) -> bool:
     """Load the workers on which earlier owners may have left runs, and contact each of them.
 
     :param handover_by_worker: what the predecessor knew of them, if it left gracefully.
+    :return: whether the whole list could be read.
     """
+    is_whole = True
     for row in _load(dispatcher, FLEET_TABLE).rows:
         try:
             listings = convert(row.value, list[WorkerListing])
         except ValidationError as error:
             dispatcher.context.log.note("fleet_malformed", row.key, reason=str(error))
+            is_whole = False
             continue
         for listing in listings:
             worker = dispatcher.add_worker(listing)
@@ -197,6 +211,7 @@
             if handover is not None:
                 _apply_handover(dispatcher, worker, handover)
             dispatcher.spawn(run_worker, dispatcher, worker)
+    return is_whole
 
 
 def _apply_handover(dispatcher: Dispatcher, worker: Worker, handover: WorkerHandover) -> None:
@@ -239,7 +254,8 @@
 def _note_wait(dispatcher: Dispatcher, unknown: list[str]) -> None:
     context = dispatcher.context
     waiting = sum(
-        ready.job.may_have_unknown_runs for ready in dispatcher.ready_step_by_key.values()
+        may_have_unknown_runs(dispatcher.placements, ready.job, ready.step_state.step)
+        for ready in dispatcher.ready_step_by_key.values()
     )
     context.log.note(
         "settle_waits",
--- a/tests/process/dispatch/test_place_wait.py
+++ b/tests/process/dispatch/test_place_wait.py
@@ -10,7 +10,7 @@
 from testtools.matchers import GreaterThan
 from testtools.matchers import LessThan
 
-from laburnumswitch.process.dispatch.dispatcher import MAX_INHERITED_WAIT_S
+from laburnumswitch.process.dispatch.down_time import MAX_INHERITED_WAIT_S
 from laburnumswitch.process.dispatch.fleet import ActiveRun
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.job_spec import Queue
--- a/tests/process/dispatch/test_vm_watch.py
+++ b/tests/process/dispatch/test_vm_watch.py
@@ -331,7 +331,9 @@
     def test_stored_list_of_workers_can_be_read_by_earlier_versions(self):
         # They refuse rows with a field that they do not know, and would not ask these workers.
         owner = self._start_owner()
-        wait_until(lambda: owner.workers_by_id and owner.recorder.committed)
+        wait_until(lambda: len(owner.workers_by_id) == 2)
+        listed_in = max(worker.listed_in_batch for worker in owner.workers_by_id.values())
+        wait_until(lambda: owner.recorder.committed >= listed_in)
         rows = [row for row in self.harness.table.load("fleet").rows if row.value]
         self.assertThat({len(listing) for row in rows for listing in row.value}, Equals({12}))
 
