--- a/tests/process/dispatch/test_placements.py
+++ b/tests/process/dispatch/test_placements.py
@@ -2,6 +2,7 @@
 
 from base64 import b64encode
 from time import monotonic
+from time import time
 
 from gevent import sleep
 from msgspec.json import encode
@@ -26,6 +27,7 @@
 from laburnumswitch.process.rows.table import Put
 from laburnumswitch.process.rows.table import Transaction
 from tests.process.dispatch.harness import DispatchHarness
+from tests.process.dispatch.harness import make_listing
 from tests.process.dispatch.harness import make_submission
 from tests.process.dispatch.harness import wait_until
 
@@ -192,6 +194,59 @@
         self.assertThat(self.checker.start_count, Equals(1))
 
 
+class TestDownTime(TestCase):
+    """For how long a long-running task has been down counts for each successor."""
+
+    def _start_owners(self, harness, first):
+        """Kill the owner and one successor, and return the state of the step under the next."""
+        first.stop()
+        second = harness.start_owner("vm-2")
+        wait_until(second.is_loaded.is_set)
+        sleep(0.7)
+        second.stop()
+        third = harness.start_owner("vm-3")
+        self.addCleanup(third.stop)
+        wait_until(third.is_loaded.is_set)
+        return third.jobs_by_id["j1"].occurrences[0].steps[0]
+
+    def test_time_since_the_last_run_counts_for_each_successor(self):
+        harness = DispatchHarness(1)
+        first = harness.start_owner()
+        self.addCleanup(first.stop)
+        harness.submit(make_submission("j1", LASTING), first)
+        wait_until(lambda: harness.checker.start_count == 1)
+        worker = first.workers_by_id["w1"]
+        harness.worker_by_id["w1"].crash()
+        down_s = monotonic()
+        first.drop_worker(worker, "its VM is down")
+        sleep(2.0)
+        step_state = self._start_owners(harness, first)
+        self.assertThat(down_s - 1.5 < step_state.ready_since_s < down_s + 0.5, Equals(True))
+
+    def test_task_that_has_never_run_is_down_since_its_job_was_accepted(self):
+        harness = DispatchHarness(1)
+        first = harness.start_owner()
+        self.addCleanup(first.stop)
+        submission = make_submission("j1", LASTING._replace(cpu_millis=100_000))
+        harness.submit(submission._replace(submitted_s=time() - 60.0), first)
+        accepted_s = monotonic() - 60.0
+        step_state = self._start_owners(harness, first)
+        self.assertThat(abs(step_state.ready_since_s - accepted_s) < 0.5, Equals(True))
+
+    def test_task_that_has_been_down_longest_starts_first(self):
+        harness = DispatchHarness(0)
+        owner = harness.start_owner()
+        self.addCleanup(owner.stop)
+        harness.submit(make_submission("j1", LASTING._replace(count=3)), owner)
+        wait_until(lambda: "j1" in owner.jobs_by_id)
+        tasks = owner.jobs_by_id["j1"].occurrences[0].steps[0].tasks
+        for task, down_for_s in zip(tasks, (1.0, 5.0, 3.0), strict=True):
+            task.down_since_s = monotonic() - down_for_s
+        harness.add_worker(make_listing(1))
+        wait_until(lambda: harness.checker.start_count == 1)
+        self.assertThat([bool(task.active_run) for task in tasks], Equals([False, True, False]))
+
+
 class TestIncompletePlacements(SuccessionCase):
     """Some owner has not stored the placements, or they cannot be read."""
 
