--- a/laburnumswitch/process/dispatch/down_tasks.py
+++ b/laburnumswitch/process/dispatch/down_tasks.py
@@ -11,6 +11,7 @@
 
 from laburnumswitch.process.dispatch.advice import step_key
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
+from laburnumswitch.process.dispatch.eligibility import usable_workers
 from laburnumswitch.process.dispatch.fleet import ActiveRun
 from laburnumswitch.process.dispatch.fleet import MAX_SILENCE_S
 from laburnumswitch.process.dispatch.fleet import Worker
@@ -20,7 +21,7 @@
 from laburnumswitch.process.dispatch.job_spec import TaskKey
 from laburnumswitch.process.dispatch.jobs import ReadyStep
 from laburnumswitch.process.dispatch.jobs import Task
-from laburnumswitch.process.dispatch.planner import usable_workers
+from laburnumswitch.process.dispatch.placements import may_have_unknown_runs
 from laburnumswitch.process.dispatch.start_delays import DownCount
 from laburnumswitch.process.dispatch.start_delays import last_sign_s
 from laburnumswitch.process.dispatch.start_delays import StartDelay
@@ -313,7 +314,8 @@
     reason = _owner_reason(dispatcher, ready)
     if reason is not None:
         return _Explanation(reason)
-    if ready.job.may_have_unknown_runs and not dispatcher.settled:
+    step = ready.step_state.step
+    if not dispatcher.settled and may_have_unknown_runs(dispatcher.placements, ready.job, step):
         return _explain_unknown_runs(dispatcher)
     reason = _job_reason(dispatcher, ready, candidate.task)
     if reason is not None:
--- a/laburnumswitch/process/dispatch/preemption.py
+++ b/laburnumswitch/process/dispatch/preemption.py
@@ -23,6 +23,7 @@
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.job_spec import TaskKey
 from laburnumswitch.process.dispatch.jobs import ReadyStep
+from laburnumswitch.process.dispatch.placements import may_have_unknown_runs
 
 # Maximum number of runs stopped in one pass: what they free is known only after they have ended.
 MAX_STOPS_PER_PASS = 16
@@ -157,7 +158,8 @@
         job = self._dispatcher.jobs_by_id.get(run.task.job_id)
         if job is None or job.is_final():
             return False
-        if job.may_have_unknown_runs and not self._dispatcher.settled:
+        dispatcher = self._dispatcher
+        if not dispatcher.settled and may_have_unknown_runs(dispatcher.placements, job, run.step):
             # Its task could not start again for some time.
             return False
         if not self._dispatcher.quota_gate.may_restart(job.submission.organisation):
--- a/laburnumswitch/process/dispatch/takeover.py
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -27,6 +27,11 @@
 from laburnumswitch.process.dispatch.model_store import load_parameters
 from laburnumswitch.process.dispatch.model_store import run_learning
 from laburnumswitch.process.dispatch.organisation_update import note_loaded_jobs
+from laburnumswitch.process.dispatch.placement_recovery import announce_commands
+from laburnumswitch.process.dispatch.placement_recovery import complete_placements
+from laburnumswitch.process.dispatch.placement_recovery import restore_placements
+from laburnumswitch.process.dispatch.placements import may_have_unknown_runs
+from laburnumswitch.process.dispatch.placements import PLACEMENTS_TABLE
 from laburnumswitch.process.dispatch.planner import run_planner
 from laburnumswitch.process.dispatch.planner import run_relocation
 from laburnumswitch.process.dispatch.progress import CANCELLATIONS_TABLE
@@ -50,7 +55,6 @@
 from laburnumswitch.process.dispatch.worker_session import run_worker
 from laburnumswitch.process.leadership.predecessor import Predecessor
 from laburnumswitch.process.leadership.succession import decode_succession
-from laburnumswitch.process.leadership.succession import may_send_commands
 from laburnumswitch.process.leadership.succession import Succession
 from laburnumswitch.process.leadership.succession import SUCCESSION_KEY
 from laburnumswitch.process.leadership.term import PredecessorState
@@ -63,8 +67,6 @@
 RETRY_S = 0.1
 # Interval in seconds at which to check whether the runs of earlier owners are known.
 SETTLE_INTERVAL_S = 0.05
-# Interval, in seconds, at which to check whether the term goes on while a row is being stored.
-ANNOUNCE_WAIT_S = 0.5
 # Workers that have not answered this long after the start of a term, in seconds, are logged; the
 # others answer within some milliseconds.
 SETTLE_LOG_DELAY_S = 0.5
@@ -112,14 +114,16 @@
     _await_configuration(dispatcher)
     # Not left to the first interval of the queue store: this owner may end before.
     stored_queues = store_queues(dispatcher, stored_queues)
-    _load_fleet(dispatcher, handover, silence_by_id)
+    placements = _load(dispatcher, PLACEMENTS_TABLE).rows
+    knows_fleet = _load_fleet(dispatcher, handover, silence_by_id)
     if dispatcher.is_stopped():
         return
+    restore_placements(dispatcher, succession, placements, knows_fleet)
     note_loaded_jobs(dispatcher)
     # From here on this owner hands over what it knows, so what it was told is not lost with it.
     dispatcher.is_loaded.set()
     dispatcher.silences.announce(row.key for row in silence_rows)
-    _announce_commands(dispatcher, succession)
+    announce_commands(dispatcher)
     if dispatcher.is_stopped():
         return
     for worker in dispatcher.workers_by_id.values():
@@ -137,6 +141,8 @@
         dispatcher.spawn(watch_vms, dispatcher, dispatcher.context.list_vms)
     if not dispatcher.settled:
         _settle(dispatcher)
+    if not dispatcher.is_stopped():
+        complete_placements(dispatcher)
 
 
 def _await_configuration(dispatcher: Dispatcher) -> None:
@@ -196,13 +202,6 @@
     return unknown
 
 
-def _announce_commands(dispatcher: Dispatcher, succession: Succession) -> None:
-    """Store that this owner may send commands, before it sends the first."""
-    batch = dispatcher.recorder.queue_row(SUCCESSION_KEY, may_send_commands(succession))
-    while not dispatcher.is_stopped() and not dispatcher.recorder.wait_for(batch, ANNOUNCE_WAIT_S):
-        continue
-
-
 def _load_handover(dispatcher: Dispatcher, acted_epoch: int) -> Handover:
     """Load what the last owner that may have sent commands has handed over."""
 
@@ -237,18 +236,21 @@
 
 def _load_fleet(
     dispatcher: Dispatcher, handover: Handover, silence_by_id: dict[str, Silence]
-) -> None:
+) -> bool:
     """Load the workers on which earlier owners may have left runs.
 
     :param handover: what the last owner that may have sent commands knew of them at its end.
     :param silence_by_id: what it knew of those that did not answer.
+    :return: whether the whole list could be read.
     """
+    is_whole = True
     runs_by_worker: dict[Worker, tuple[HandedOverRun, ...]] = {}
     for row in _load(dispatcher, FLEET_TABLE).rows:
         try:
             listings = convert(row.value, list[WorkerListing])
         except ValidationError as error:
             dispatcher.context.log.note("fleet_malformed", row.key, reason=str(error))
+            is_whole = False
             continue
         for listing in listings:
             worker = dispatcher.add_worker(listing)
@@ -262,6 +264,7 @@
                 written_s = handover.written_s
                 runs_by_worker[worker] = _apply_handover(dispatcher, worker, known, written_s)
     _adopt_runs(dispatcher, runs_by_worker)
+    return is_whole
 
 
 def _apply_handover(
@@ -340,7 +343,8 @@
 def _note_wait(dispatcher: Dispatcher, unknown: list[str]) -> None:
     context = dispatcher.context
     waiting = sum(
-        ready.job.may_have_unknown_runs for ready in dispatcher.ready_step_by_key.values()
+        may_have_unknown_runs(dispatcher.placements, ready.job, ready.step_state.step)
+        for ready in dispatcher.ready_step_by_key.values()
     )
     context.log.note(
         "settle_waits",
--- a/laburnumswitch/process/dispatch/waiting.py
+++ b/laburnumswitch/process/dispatch/waiting.py
@@ -11,11 +11,11 @@
 from typing import NamedTuple
 
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
+from laburnumswitch.process.dispatch.eligibility import usable_workers
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.jobs import ReadyStep
 from laburnumswitch.process.dispatch.planner import is_due
-from laburnumswitch.process.dispatch.planner import usable_workers
 from laburnumswitch.process.dispatch.start_delays import WaitReason
 
 NO_TASKS: Mapping[str, Mapping[WaitReason, int]] = {}
--- a/tests/process/dispatch/test_dispatcher.py
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -18,6 +18,7 @@
 from laburnumswitch.exceptions import Throttled
 from laburnumswitch.process.dispatch.admission import measure_commitments
 from laburnumswitch.process.dispatch.dispatcher import ORPHAN_WAIT_S
+from laburnumswitch.process.dispatch.eligibility import usable_workers
 from laburnumswitch.process.dispatch.fleet import MIN_CLOCK_RATE
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.headroom import LONG_RUNNING_WAIT_S
@@ -29,7 +30,6 @@
 from laburnumswitch.process.dispatch.model_store import LEARNED_KEY
 from laburnumswitch.process.dispatch.planner import MAX_PASS_S
 from laburnumswitch.process.dispatch.planner import plan
-from laburnumswitch.process.dispatch.planner import usable_workers
 from laburnumswitch.process.dispatch.worker_protocol import Acknowledged
 from laburnumswitch.process.dispatch.worker_protocol import EndReport
 from laburnumswitch.process.dispatch.worker_protocol import RunOutcome
--- a/tests/process/dispatch/test_down_tasks.py
+++ b/tests/process/dispatch/test_down_tasks.py
@@ -11,6 +11,7 @@
 from laburnumswitch.process.dispatch.down_tasks import MAX_EXPLAINED
 from laburnumswitch.process.dispatch.down_tasks import MAX_SIZES
 from laburnumswitch.process.dispatch.down_tasks import UnusableCause
+from laburnumswitch.process.dispatch.eligibility import usable_workers
 from laburnumswitch.process.dispatch.fleet import MAX_SILENCE_S
 from laburnumswitch.process.dispatch.headroom import Headroom
 from laburnumswitch.process.dispatch.headroom import LONGEST_WAIT_S
@@ -18,13 +19,15 @@
 from laburnumswitch.process.dispatch.load_report import choose_logged
 from laburnumswitch.process.dispatch.load_report import LOGGED_DOWN_S
 from laburnumswitch.process.dispatch.load_report import MAX_DOWN_LINES
-from laburnumswitch.process.dispatch.planner import usable_workers
 from laburnumswitch.process.dispatch.start_delays import WaitReason
+from laburnumswitch.process.leadership.succession import SUCCESSION_KEY
+from laburnumswitch.process.rows.table import Transaction
 from laburnumswitch.size import Size
 from tests.process.dispatch.harness import DispatchHarness
 from tests.process.dispatch.harness import make_configuration
 from tests.process.dispatch.harness import make_submission
 from tests.process.dispatch.harness import QUEUE
+from tests.process.dispatch.harness import WAIT_LIMIT_S
 from tests.process.dispatch.harness import wait_until
 
 LASTING = Step(1, cpu_millis=1000, memory_mb=100, long_running=True)
@@ -191,6 +194,23 @@
 
 
 class TestSuccessor(TestCase):
+    def test_task_whose_run_may_exist_on_a_silent_worker_waits_for_that_worker_only(self):
+        harness = DispatchHarness()
+        first = harness.start_owner()
+        self.addCleanup(first.stop)
+        harness.submit(make_submission("j1", LASTING), first)
+        wait_until(lambda: harness.checker.start_count == 1)
+        holder = next(each for each in harness.worker_by_id.values() if each.running())
+        first.stop()
+        holder.drops_calls = True
+        second = harness.start_owner("vm-2")
+        self.addCleanup(second.stop)
+        wait_until(second.is_loaded.is_set)
+        (down,) = find_down_tasks(second).tasks
+        self.assertThat(down.reason, Equals(WaitReason.SILENT))
+        self.assertThat(down.worker_id, Equals(holder.listing.worker_id))
+        self.assertThat(down.down_s, LessThan(WAIT_LIMIT_S))
+
     def test_log_leads_from_a_takeover_to_the_start_of_a_task(self):
         harness = DispatchHarness()
         first = harness.start_owner()
@@ -201,6 +221,8 @@
         first.stop()
         holder.drops_calls = True
         harness.log.take()
+        # As after an owner of an earlier version, which stores no placements.
+        harness.table.commit(Transaction((), (), (SUCCESSION_KEY,)))
         second = harness.start_owner("vm-2")
         self.addCleanup(second.stop)
         wait_until(second.is_loaded.is_set)
--- a/tests/process/dispatch/test_restarted_worker.py
+++ b/tests/process/dispatch/test_restarted_worker.py
@@ -15,11 +15,11 @@
 from laburnumswitch.exceptions import AnswerLost
 from laburnumswitch.exceptions import Refused
 from laburnumswitch.exceptions import StartRefused
+from laburnumswitch.process.dispatch.eligibility import usable_workers
 from laburnumswitch.process.dispatch.fleet import MIN_CLOCK_RATE
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.jobs import JobState
 from laburnumswitch.process.dispatch.planner import plan
-from laburnumswitch.process.dispatch.planner import usable_workers
 from laburnumswitch.process.dispatch.worker_protocol import Renewal
 from laburnumswitch.process.dispatch.worker_protocol import WorkerReport
 from laburnumswitch.process.dispatch.worker_session import renew
--- a/tests/process/dispatch/test_silences.py
+++ b/tests/process/dispatch/test_silences.py
@@ -9,10 +9,10 @@
 from testtools.matchers import GreaterThan
 from testtools.matchers import LessThan
 
+from laburnumswitch.process.dispatch.eligibility import usable_workers
 from laburnumswitch.process.dispatch.handover import HandedOverRun
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.job_spec import TaskKey
-from laburnumswitch.process.dispatch.planner import usable_workers
 from laburnumswitch.process.dispatch.silences import collect_silences
 from laburnumswitch.process.dispatch.silences import Silence
 from laburnumswitch.process.dispatch.silences import Silences
--- a/tests/process/dispatch/test_succession.py
+++ b/tests/process/dispatch/test_succession.py
@@ -9,8 +9,8 @@
 from testtools.matchers import LessThan
 
 from laburnumswitch.process.dispatch.dispatcher import MAX_LOAD_WAIT_S
+from laburnumswitch.process.dispatch.eligibility import usable_workers
 from laburnumswitch.process.dispatch.job_spec import Step
-from laburnumswitch.process.dispatch.planner import usable_workers
 from laburnumswitch.process.leadership.term import PredecessorState
 from tests.process.dispatch.harness import DispatchHarness
 from tests.process.dispatch.harness import make_submission
