Count an unchanged term from its first read, not from the watch that failed

Callers saw tasks down for longer where an owner was lost right after its takeover: its successor had read the term, waited for its watch to time out, and only then began to wait for the row to stay unchanged. A round that was cut short began to wait anew as well.

Every read of the term is noted already; the wait now counts from the first read of the version that the last read returned, in which time the owner has certainly committed nothing. After an owner that has stepped down it counts from then, since its handover may still be stored.

--- a/laburnumswitch/process/leadership/leadership.py
+++ b/laburnumswitch/process/leadership/leadership.py
@@ -185,6 +185,11 @@
             self._sighting = note_read(self._sighting, observed, self._context.clock())
         return observed
 
+    def _unchanged_for_s(self) -> float:
+        """Return the time since the first read of what the term's row held in the last one."""
+        sighting = self._sighting
+        return self._context.clock() - sighting.version_read_s if sighting else 0.0
+
     def release(self) -> None:
         """Step down gracefully, so that another entry takes over at once."""
         dispatcher = self.dispatcher
@@ -405,7 +410,10 @@
         unchanged_s: float,
         predecessor: PredecessorState,
     ) -> None:
-        """Take over unless the term's row changes within ``unchanged_s``."""
+        """Take over once the term's row has been unchanged for ``unchanged_s``.
+
+        An owner that has stepped down may still store its handover, so the time counts from now.
+        """
         context = self._context
         began_s = context.clock()
         before = self._read_term()
@@ -416,8 +424,12 @@
         if isinstance(before, Failure) or before.term.epoch != observed.term.epoch:
             context.sleep(RETRY_S)
             return
-        context.sleep(unchanged_s)
-        after = self._read_term()
+        is_ended = predecessor is PredecessorState.ENDED
+        left_s = unchanged_s - (0.0 if is_ended else self._unchanged_for_s())
+        after = before
+        if left_s > 0.0:
+            context.sleep(left_s)
+            after = self._read_term()
         if isinstance(after, Failure):
             return
         if after.term.owner == NO_OWNER:
