Replace an owner that is lost while the store is slow

An entry whose read of the term took longer than 0.1 s never took over, also from an owner that refuses connections, for as long as the store was slow; and each such read was followed by another watch of the lost owner until its time limit.

The rule is for an owner that the store only slows down. Once the term has been unchanged for three seconds, six times the interval at which an owner commits, it is replaced.

test_dead_owner_is_replaced_although_the_store_is_slow found no successor in 5.5 s before.

--- a/laburnumswitch/process/leadership/leadership.py
+++ b/laburnumswitch/process/leadership/leadership.py
@@ -46,9 +46,10 @@
 # An owner that has not committed for longer than this, in seconds, is replaced by an entry that
 # reaches the store.
 MAX_STORE_SILENCE_S = 1.5
-# An entry whose read of the term takes longer than this, in seconds, does not take over. A read
-# usually takes a tenth of it.
+# An entry whose read of the term takes longer than this, in seconds, takes over only once the term
+# has been unchanged for the longer time below. A read usually takes a tenth of it.
 SLOW_READ_S = 0.1
+SLOW_STORE_TAKEOVER_WAIT_S = 3.0
 # Delay between the attempts of successive candidates, in seconds, so that they do not compete.
 RANK_DELAY_S = 0.25
 # Candidates of a higher rank wait no longer than this one.
@@ -417,11 +418,12 @@
         context = self._context
         began_s = context.clock()
         before = self._read_term()
-        if context.clock() - began_s > SLOW_READ_S:
-            # The store is probably slow for every entry, so a new owner would do no better.
+        is_slow = context.clock() - began_s > SLOW_READ_S
+        if isinstance(before, Failure) or before.term.epoch != observed.term.epoch:
             context.sleep(RETRY_S)
             return
-        if isinstance(before, Failure) or before.term.epoch != observed.term.epoch:
+        if is_slow and self._unchanged_for_s() < SLOW_STORE_TAKEOVER_WAIT_S:
+            # The store is probably slow for every entry, so a new owner would do no better.
             context.sleep(RETRY_S)
             return
         is_ended = predecessor is PredecessorState.ENDED
