Notice a release that is stored after its owner has stepped down

Callers saw up to 0.65 s, or 1.5 s after a watch that timed out, without an owner although the owner had left gracefully: it stops before it commits what it has queued and its handover, and answers watches meanwhile. An entry that read the term before the release looked again only at the end of its wait; one that read it after the release waited too.

An entry whose owner says that it has stepped down now looks every 0.15 s, and a term that is found released is taken without a wait. The handover still has the same time to arrive.

--- a/laburnumswitch/process/leadership/leadership.py
+++ b/laburnumswitch/process/leadership/leadership.py
@@ -63,6 +63,8 @@
 # The organisations that an owner reported as busy longer ago than this, in seconds, count as not
 # busy: then no owner is asked about their jobs.
 BUSY_MAX_AGE_S = 2.0
+# Interval in seconds at which to look whether an owner that has stepped down has released its term.
+RELEASE_POLL_S = 0.15
 # Pause in seconds before a failed call is repeated.
 RETRY_S = 0.2
 # An owner hands over to a watcher with more than this many times the owner's cores.
@@ -413,7 +415,7 @@
     ) -> None:
         """Take over once the term's row has been unchanged for ``unchanged_s``.
 
-        An owner that has stepped down may still store its handover, so the time counts from now.
+        An owner that has stepped down may still store its handover, so that time counts from now.
         """
         context = self._context
         began_s = context.clock()
@@ -426,12 +428,10 @@
             # The store is probably slow for every entry, so a new owner would do no better.
             context.sleep(RETRY_S)
             return
-        is_ended = predecessor is PredecessorState.ENDED
-        left_s = unchanged_s - (0.0 if is_ended else self._unchanged_for_s())
-        after = before
-        if left_s > 0.0:
-            context.sleep(left_s)
-            after = self._read_term()
+        if predecessor is PredecessorState.ENDED:
+            after = self._await_release(before, unchanged_s)
+        else:
+            after = self._await_change(before, unchanged_s)
         if isinstance(after, Failure):
             return
         if after.term.owner == NO_OWNER:
@@ -439,6 +439,27 @@
         elif after.version == before.version:
             self._take_over_after_delay(after, reason, predecessor)
 
+    def _await_change(self, observed: VersionedTerm, unchanged_s: float) -> VersionedTerm | Failure:
+        left_s = unchanged_s - self._unchanged_for_s()
+        if observed.term.owner == NO_OWNER or left_s <= 0.0:
+            return observed
+        self._context.sleep(left_s)
+        return self._read_term()
+
+    def _await_release(self, observed: VersionedTerm, wait_s: float) -> VersionedTerm | Failure:
+        """Return the term as soon as it is released or replaced, at the latest after ``wait_s``."""
+        context = self._context
+        deadline_s = context.clock() + wait_s
+        current: VersionedTerm | Failure = observed
+        while not isinstance(current, Failure):
+            left_s = deadline_s - context.clock()
+            is_released = current.term.owner == NO_OWNER
+            if is_released or current.term.epoch != observed.term.epoch or left_s <= 0.0:
+                break
+            context.sleep(min(left_s, RELEASE_POLL_S))
+            current = self._read_term()
+        return current
+
     def _take_over_after_delay(
         self, observed: VersionedTerm, reason: str, predecessor: PredecessorState
     ) -> None:
