Count the lease of a lost owner from its replacement again, as it renews it by reads too

The predecessor's lease counts from the answer to the takeover again; that of owners before it still counts from the first read of its epoch, as they find another epoch from then on.

--- a/laburnumswitch/process/leadership/leadership.py
+++ b/laburnumswitch/process/leadership/leadership.py
@@ -540,7 +540,7 @@
         self.takeovers += 1
         self.watcher_by_vm.clear()
         self.dispatcher = context.start_dispatcher(
-            taken, sent_s, describe_predecessor(predecessor, sighting)
+            taken, sent_s, describe_predecessor(predecessor, sighting, context.clock())
         )
         self.dispatcher.recorder.unconfirmed = unconfirmed
         if context.boot_clock() - sent_s >= TAKEOVER_WAIT_S:
