Log for how long no owner acted, and whether its end is confirmed

The takeover line now has unowned_s, the time since this entry last saw an owner act, and the addresses of the earlier owners whose end is not confirmed. predecessor_unconfirmed follows if the first question to one of them fails, predecessor_confirmed once it has confirmed its end. Without these lines, waits of a successor could not be told from the time in which nobody owned the term.

--- a/laburnumswitch/process/leadership/leadership.py
+++ b/laburnumswitch/process/leadership/leadership.py
@@ -155,6 +155,8 @@
         self._ended_epoch = 0
         self._superseding_epoch = 0
         self._sighting: TermSighting | None = None
+        # When an owner was last known to act, on the monotonic clock.
+        self._owner_acted_s: float | None = None
         self._candidates: tuple[str, ...] = ()
         # Where to ask other entries while neither the store nor the owner can be reached.
         self._peer_addresses: tuple[str, ...] = ()
@@ -188,6 +190,12 @@
             self._sighting = note_read(self._sighting, observed, self._context.clock())
         return observed
 
+    def _unowned_s(self) -> float | None:
+        """Return the time since an owner was last known to act, ``None`` if none ever was."""
+        if self._owner_acted_s is None:
+            return None
+        return round(self._context.clock() - self._owner_acted_s, 3)
+
     def _unchanged_for_s(self) -> float:
         """Return the time since the first read of what the term's row held in the last one."""
         sighting = self._sighting
@@ -290,6 +298,7 @@
     def _forget_dispatcher(self, dispatcher: Dispatcher) -> None:
         self.dispatcher = None
         self._ended_epoch = dispatcher.epoch
+        self._owner_acted_s = self._context.clock()
 
     def _has_much_larger_watcher(self) -> bool:
         dispatcher = self.dispatcher
@@ -399,6 +408,7 @@
         self.owner_reach.note_answer()
         self.note_term(answer.known_term)
         if answer.is_owner:
+            self._owner_acted_s = context.clock()
             self._candidates = answer.candidates
             self.note_busy(answer.busy_organisations)
             self._peer_addresses = answer.peer_addresses[:MAX_PEER_ADDRESSES]
@@ -528,6 +538,8 @@
             reason=reason,
             predecessor=observed.term.owner,
             predecessor_is=predecessor,
+            unconfirmed=unconfirmed,
+            unowned_s=self._unowned_s(),
             outcome=taken_outcome if taken else outcome.tag,
         )
         if taken is None or is_superseded:
@@ -568,14 +580,30 @@
 
         A process that was restarted at the same address confirms it as well.
         """
+        context = self._context
         recorder = dispatcher.recorder
-        while not (dispatcher.is_stopped() or dispatcher.settled):
-            if self._context.owner_client.supersede(address, recorder.held_term.term) is True:
-                recorder.unconfirmed = _without(recorder.unconfirmed, address)
-                if not recorder.unconfirmed:
-                    dispatcher.note_predecessor_ended()
-                return
-            self._context.sleep(RETRY_S)
+        began_s = context.clock()
+        attempts = 0
+        is_confirmed = False
+        while not (is_confirmed or dispatcher.is_stopped() or dispatcher.settled):
+            answer = context.owner_client.supersede(address, recorder.held_term.term)
+            attempts += 1
+            is_confirmed = answer is True
+            if attempts == 1 or is_confirmed:
+                context.log.note(
+                    "predecessor_confirmed" if is_confirmed else "predecessor_unconfirmed",
+                    str(dispatcher.epoch),
+                    address=address,
+                    attempts=attempts,
+                    after_s=round(context.clock() - began_s, 3),
+                    reason=answer.describe() if isinstance(answer, Failure) else "",
+                )
+            if not is_confirmed:
+                context.sleep(RETRY_S)
+        if is_confirmed:
+            recorder.unconfirmed = _without(recorder.unconfirmed, address)
+            if not recorder.unconfirmed:
+                dispatcher.note_predecessor_ended()
 
 
 def _is_idle(term: Term, answer: WatchAnswer) -> bool:
--- a/tests/process/leadership/test_leadership.py
+++ b/tests/process/leadership/test_leadership.py
@@ -1,6 +1,7 @@
 """Tests of leader election: entries that watch an owner and take over, on one in-memory table."""
 
 from collections import defaultdict
+from json import loads
 from time import monotonic
 from time import time
 from types import SimpleNamespace
@@ -21,6 +22,7 @@
 from laburnumswitch.process.leadership.leadership import EntryIdentity
 from laburnumswitch.process.leadership.leadership import Leadership
 from laburnumswitch.process.leadership.leadership import LeadershipContext
+from laburnumswitch.process.leadership.leadership import RETRY_S
 from laburnumswitch.process.leadership.leadership import SILENT_TAKEOVER_WAIT_S
 from laburnumswitch.process.leadership.leadership import SLOW_READ_S
 from laburnumswitch.process.leadership.leadership import WATCH_WAIT_S
@@ -386,6 +388,24 @@
         self.owner_client.silent.clear()
         wait_until(lambda: follower.dispatcher.predecessor_ended)
 
+    def test_takeover_logs_how_long_no_owner_acted_and_whether_its_end_is_confirmed(self):
+        owner, follower = self._owner_and_follower()
+        self.owner_client.silent.add("vm-1")
+        lost_s = monotonic()
+        wait_until(lambda: follower.dispatcher is not None)
+        unowned_s = monotonic() - lost_s
+        sleep(RETRY_S)
+        self.owner_client.silent.clear()
+        wait_until(lambda: follower.dispatcher.predecessor_ended)
+        lines = [loads(line) for line in follower._context.log.take().splitlines()]
+        by_event = {line["event"]: line for line in lines}
+        takeover = by_event["takeover"]
+        self.assertThat(takeover["unconfirmed"], Equals(["vm-1"]))
+        self.assertThat(abs(takeover["unowned_s"] - unowned_s), LessThan(0.2))
+        self.assertThat(by_event["predecessor_unconfirmed"]["attempts"], Equals(1))
+        self.assertThat(by_event["predecessor_confirmed"]["address"], Equals("vm-1"))
+        self.assertThat(by_event["predecessor_confirmed"]["attempts"], GreaterThan(1))
+
     def test_owner_without_store_confirms_that_it_was_superseded(self):
         owner, follower = self._owner_and_follower()
         first = owner.dispatcher
