--- a/laburnumswitch/process/leadership/leadership.py
+++ b/laburnumswitch/process/leadership/leadership.py
@@ -46,9 +46,10 @@
 # An owner that has not committed for longer than this, in seconds, is replaced by an entry that
 # reaches the store.
 MAX_STORE_SILENCE_S = 1.5
-# An entry whose read of the term takes longer than this, in seconds, does not take over. A read
-# usually takes a tenth of it.
+# An entry whose read of the term takes longer than this, in seconds, takes over only once the term
+# has been unchanged for the longer time below. A read usually takes a tenth of it.
 SLOW_READ_S = 0.1
+SLOW_STORE_TAKEOVER_WAIT_S = 3.0
 # Delay between the attempts of successive candidates, in seconds, so that they do not compete.
 RANK_DELAY_S = 0.25
 # Candidates of a higher rank wait no longer than this one.
@@ -62,6 +63,8 @@
 # The organisations that an owner reported as busy longer ago than this, in seconds, count as not
 # busy: then no owner is asked about their jobs.
 BUSY_MAX_AGE_S = 2.0
+# Interval in seconds at which to look whether an owner that has stepped down has released its term.
+RELEASE_POLL_S = 0.15
 # Pause in seconds before a failed call is repeated.
 RETRY_S = 0.2
 # An owner hands over to a watcher with more than this many times the owner's cores.
@@ -152,6 +155,8 @@
         self._ended_epoch = 0
         self._superseding_epoch = 0
         self._sighting: TermSighting | None = None
+        # When an owner was last known to act, on the monotonic clock.
+        self._owner_acted_s: float | None = None
         self._candidates: tuple[str, ...] = ()
         # Where to ask other entries while neither the store nor the owner can be reached.
         self._peer_addresses: tuple[str, ...] = ()
@@ -185,6 +190,17 @@
             self._sighting = note_read(self._sighting, observed, self._context.clock())
         return observed
 
+    def _unowned_s(self) -> float | None:
+        """Return the time since an owner was last known to act, ``None`` if none ever was."""
+        if self._owner_acted_s is None:
+            return None
+        return round(self._context.clock() - self._owner_acted_s, 3)
+
+    def _unchanged_for_s(self) -> float:
+        """Return the time since the first read of what the term's row held in the last one."""
+        sighting = self._sighting
+        return self._context.clock() - sighting.version_read_s if sighting else 0.0
+
     def release(self) -> None:
         """Step down gracefully, so that another entry takes over at once."""
         dispatcher = self.dispatcher
@@ -282,6 +298,7 @@
     def _forget_dispatcher(self, dispatcher: Dispatcher) -> None:
         self.dispatcher = None
         self._ended_epoch = dispatcher.epoch
+        self._owner_acted_s = self._context.clock()
 
     def _has_much_larger_watcher(self) -> bool:
         dispatcher = self.dispatcher
@@ -391,6 +408,7 @@
         self.owner_reach.note_answer()
         self.note_term(answer.known_term)
         if answer.is_owner:
+            self._owner_acted_s = context.clock()
             self._candidates = answer.candidates
             self.note_busy(answer.busy_organisations)
             self._peer_addresses = answer.peer_addresses[:MAX_PEER_ADDRESSES]
@@ -405,19 +423,25 @@
         unchanged_s: float,
         predecessor: PredecessorState,
     ) -> None:
-        """Take over unless the term's row changes within ``unchanged_s``."""
+        """Take over once the term's row has been unchanged for ``unchanged_s``.
+
+        An owner that has stepped down may still store its handover, so that time counts from now.
+        """
         context = self._context
         began_s = context.clock()
         before = self._read_term()
-        if context.clock() - began_s > SLOW_READ_S:
-            # The store is probably slow for every entry, so a new owner would do no better.
+        is_slow = context.clock() - began_s > SLOW_READ_S
+        if isinstance(before, Failure) or before.term.epoch != observed.term.epoch:
             context.sleep(RETRY_S)
             return
-        if isinstance(before, Failure) or before.term.epoch != observed.term.epoch:
+        if is_slow and self._unchanged_for_s() < SLOW_STORE_TAKEOVER_WAIT_S:
+            # The store is probably slow for every entry, so a new owner would do no better.
             context.sleep(RETRY_S)
             return
-        context.sleep(unchanged_s)
-        after = self._read_term()
+        if predecessor is PredecessorState.ENDED:
+            after = self._await_release(before, unchanged_s)
+        else:
+            after = self._await_change(before, unchanged_s)
         if isinstance(after, Failure):
             return
         if after.term.owner == NO_OWNER:
@@ -425,6 +449,27 @@
         elif after.version == before.version:
             self._take_over_after_delay(after, reason, predecessor)
 
+    def _await_change(self, observed: VersionedTerm, unchanged_s: float) -> VersionedTerm | Failure:
+        left_s = unchanged_s - self._unchanged_for_s()
+        if observed.term.owner == NO_OWNER or left_s <= 0.0:
+            return observed
+        self._context.sleep(left_s)
+        return self._read_term()
+
+    def _await_release(self, observed: VersionedTerm, wait_s: float) -> VersionedTerm | Failure:
+        """Return the term as soon as it is released or replaced, at the latest after ``wait_s``."""
+        context = self._context
+        deadline_s = context.clock() + wait_s
+        current: VersionedTerm | Failure = observed
+        while not isinstance(current, Failure):
+            left_s = deadline_s - context.clock()
+            is_released = current.term.owner == NO_OWNER
+            if is_released or current.term.epoch != observed.term.epoch or left_s <= 0.0:
+                break
+            context.sleep(min(left_s, RELEASE_POLL_S))
+            current = self._read_term()
+        return current
+
     def _take_over_after_delay(
         self, observed: VersionedTerm, reason: str, predecessor: PredecessorState
     ) -> None:
@@ -493,6 +538,8 @@
             reason=reason,
             predecessor=observed.term.owner,
             predecessor_is=predecessor,
+            unconfirmed=unconfirmed,
+            unowned_s=self._unowned_s(),
             outcome=taken_outcome if taken else outcome.tag,
         )
         if taken is None or is_superseded:
@@ -505,7 +552,7 @@
         self.takeovers += 1
         self.watcher_by_vm.clear()
         self.dispatcher = context.start_dispatcher(
-            taken, sent_s, describe_predecessor(predecessor, sighting)
+            taken, sent_s, describe_predecessor(predecessor, sighting, context.clock())
         )
         self.dispatcher.recorder.unconfirmed = unconfirmed
         if context.boot_clock() - sent_s >= TAKEOVER_WAIT_S:
@@ -533,14 +580,30 @@
 
         A process that was restarted at the same address confirms it as well.
         """
+        context = self._context
         recorder = dispatcher.recorder
-        while not (dispatcher.is_stopped() or dispatcher.settled):
-            if self._context.owner_client.supersede(address, recorder.held_term.term) is True:
-                recorder.unconfirmed = _without(recorder.unconfirmed, address)
-                if not recorder.unconfirmed:
-                    dispatcher.note_predecessor_ended()
-                return
-            self._context.sleep(RETRY_S)
+        began_s = context.clock()
+        attempts = 0
+        is_confirmed = False
+        while not (is_confirmed or dispatcher.is_stopped() or dispatcher.settled):
+            answer = context.owner_client.supersede(address, recorder.held_term.term)
+            attempts += 1
+            is_confirmed = answer is True
+            if attempts == 1 or is_confirmed:
+                context.log.note(
+                    "predecessor_confirmed" if is_confirmed else "predecessor_unconfirmed",
+                    str(dispatcher.epoch),
+                    address=address,
+                    attempts=attempts,
+                    after_s=round(context.clock() - began_s, 3),
+                    reason=answer.describe() if isinstance(answer, Failure) else "",
+                )
+            if not is_confirmed:
+                context.sleep(RETRY_S)
+        if is_confirmed:
+            recorder.unconfirmed = _without(recorder.unconfirmed, address)
+            if not recorder.unconfirmed:
+                dispatcher.note_predecessor_ended()
 
 
 def _is_idle(term: Term, answer: WatchAnswer) -> bool:
