Store since when long-running tasks have been down, and start the one that is down longest first

Cause: how long a task has been down was known only to its owner. A successor counted 1.5 s at most, from the submission, and the wait ran for a step. So the four seconds after which long-running tasks go before urgent ones began anew with each owner.

Change: the end of a task's last run is kept for each task and stored with its placement, on the store's clock, which each successor converts to its own. A run that ended unnoticed ended when it was last reported; a start that was never confirmed is no run. A step counts from its task that is down longest, which also starts first. A task that has never run is down since its job was accepted, unless other steps go before it.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -34,7 +34,7 @@
 from laburnumswitch.process.dispatch.crashes import is_excusable
 from laburnumswitch.process.dispatch.crashes import is_to_blame
 from laburnumswitch.process.dispatch.crashes import SURVIVAL_S
-from laburnumswitch.process.dispatch.down_time import ready_since_s
+from laburnumswitch.process.dispatch.down_time import note_ready
 from laburnumswitch.process.dispatch.fleet import ActiveRun
 from laburnumswitch.process.dispatch.fleet import FENCES_PER_EPOCH
 from laburnumswitch.process.dispatch.fleet import lapse_s
@@ -76,6 +76,7 @@
 from laburnumswitch.process.observing.decisions import DecisionLog
 from laburnumswitch.process.operating.operations import Operations
 from laburnumswitch.process.placing.quarantine import Quarantine
+from laburnumswitch.process.rows.store_clock import StoreTime
 from laburnumswitch.process.rows.table import FeedTable
 from laburnumswitch.process.rows.table import Put
 
@@ -174,7 +175,8 @@
         self.reserved_by_service: dict[str, set[str]] = {}
         self.advice = Advice()
         self.place_waits = PlaceWaits(context.log, context.deployment.bounds)
-        self.placements = Placements(recorder, self.spawn, self.is_stopped)
+        self.store_time = StoreTime(context.table, context.clock, context.boot_clock)
+        self.placements = Placements(recorder, self.store_time, self.spawn, self.is_stopped)
         self.succession: Succession | None = None
         self.model = TailLatencyModel()
         # Times of cancellations whose submissions have not arrived yet.
@@ -472,17 +474,14 @@
         """Update the ready steps of one job and wake the planner."""
         now_s, wall_s = self.context.clock(), self.context.wall_clock()
         for occurrence in job.occurrences:
-            ready = () if job.is_final() else tuple(occurrence.ready_steps())
+            ready_steps = () if job.is_final() else tuple(occurrence.ready_steps())
             for index, step_state in enumerate(occurrence.steps):
                 key = (job.job_id, occurrence.number, index)
-                if step_state in ready:
+                if step_state in ready_steps:
                     if key not in self.ready_step_by_key:
-                        step_state.ready_since_s = ready_since_s(
-                            job, occurrence, self.is_loaded.is_set(), now_s, wall_s
-                        )
-                        if step_state.first_ready_s is None:
-                            step_state.first_ready_s = step_state.ready_since_s
-                        self.ready_step_by_key[key] = ReadyStep(job, occurrence, step_state)
+                        ready = ReadyStep(job, occurrence, step_state)
+                        note_ready(ready, self.is_loaded.is_set(), now_s, wall_s)
+                        self.ready_step_by_key[key] = ready
                 else:
                     self.ready_step_by_key.pop(key, None)
         self.wake.set()
@@ -574,7 +573,8 @@
         job = self.jobs_by_id.get(run.task.job_id)
         task = job and job.task(run.task)
         if task and task.active_run == run.number:
-            job.end_run(task)
+            # A start that was never confirmed may have been no run.
+            job.end_run(task, None if run.confirmed_s is None else run.reported_s)
             if run.crash is not None and not job.is_final():
                 self._count_crash(worker, job, task, run)
             self.refresh_ready_steps(job)
@@ -758,7 +758,7 @@
             batch = self.recorder.committed
             if task and task.active_run == end.run:
                 # Another member of the gang has already completed the whole gang.
-                job.end_run(task)
+                job.end_run(task, self.context.clock())
                 self.forget_if_finished(job)
             elif task and end.outcome is RunOutcome.FAILED and not job.is_final():
                 self._count_failure(worker, job, task, end)
@@ -768,7 +768,7 @@
                 self.finish_job(job, f"task {task_name(task.key)} {end.outcome}")
             return
         if task.active_run:
-            job.end_run(task)
+            job.end_run(task, self.context.clock())
         task.last_run = max(task.last_run, end.run)
         task.checkpoint = end.checkpoint or task.checkpoint
         self._count_end(worker, job, task, end)
--- a/laburnumswitch/process/dispatch/feeds.py
+++ b/laburnumswitch/process/dispatch/feeds.py
@@ -44,7 +44,7 @@
             dispatcher.knows_listings = True
             dispatcher.wake.set()
 
-    feed = Feed(context.table, context.workers_table, FEED_WAIT_S, WORKERS_INTERVAL_S)
+    feed = Feed(dispatcher.store_time, context.workers_table, FEED_WAIT_S, WORKERS_INTERVAL_S)
     follow_table(feed, None, apply, context.log, context.sleep, dispatcher.is_stopped)
 
 
--- a/laburnumswitch/process/dispatch/jobs.py
+++ b/laburnumswitch/process/dispatch/jobs.py
@@ -40,6 +40,8 @@
     :ivar crashed_runs: numbers of the runs that may have crashed their workers.
     :ivar was_always_last_started: whether each of these was the last one that its worker started.
     :ivar checkpoint: last checkpoint, from which the next run resumes; empty for none.
+    :ivar down_since_s: when its last run ended, on the owner's clock, ``None`` if it has never run.
+        Only used for long-running tasks that are not running.
     """
 
     __slots__ = (
@@ -52,6 +54,7 @@
         "active_run",
         "last_run",
         "worker_id",
+        "down_since_s",
     )
 
     def __init__(self, key: TaskKey) -> None:
@@ -64,6 +67,7 @@
         self.active_run = 0
         self.last_run = 0
         self.worker_id = ""
+        self.down_since_s: float | None = None
 
     def is_waiting(self) -> bool:
         """Return whether the task is neither done nor running."""
@@ -97,7 +101,8 @@
 
     :ivar done_count: number of tasks that are done.
     :ivar active_count: number of tasks with an active run.
-    :ivar ready_since_s: since when the step has had tasks to start, on the owner's clock.
+    :ivar ready_since_s: since when the step has had tasks to start, on the owner's clock; since
+        when the first of its waiting tasks has been down for long-running steps.
     :ivar room: for which share of the time workers had room for its tasks lately, as the planner
         saw it. Only used for long-running steps.
     :ivar first_ready_s: when the step first had tasks to start, for the log; ``None`` before.
@@ -241,9 +246,14 @@
             self.state = JobState.RUNNING
         self._note_run_change(self, task)
 
-    def end_run(self, task: Task) -> None:
-        """Record that the active run of a task has certainly ended."""
+    def end_run(self, task: Task, down_since_s: float | None) -> None:
+        """Record that the active run of a task has certainly ended.
+
+        :param down_since_s: when, on the owner's clock; ``None`` if it may have been no run at all.
+        """
         task.active_run = 0
+        if down_since_s is not None:
+            task.down_since_s = down_since_s
         task.worker_id = ""
         self.step_state(task.key).active_count -= 1
         self._note_run_change(self, task)
--- a/laburnumswitch/process/dispatch/placement_recovery.py
+++ b/laburnumswitch/process/dispatch/placement_recovery.py
@@ -5,6 +5,7 @@
 from laburnumswitch.exceptions import RowMalformed
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
 from laburnumswitch.process.dispatch.dispatcher import task_name
+from laburnumswitch.process.dispatch.down_time import update_ready_since
 from laburnumswitch.process.dispatch.job_spec import TaskKey
 from laburnumswitch.process.dispatch.jobs import Job
 from laburnumswitch.process.dispatch.placements import collect_placements
@@ -70,13 +71,15 @@
         job = dispatcher.jobs_by_id.get(key.job_id)
         if key.job_id in dispatcher.final_by_id:
             placements.remove_job(key.job_id)
-        elif job is not None and placements.is_complete:
+        elif job is not None:
             for placement in tasks:
                 task_key = TaskKey(key.job_id, key.occurrence, key.step, placement.index)
                 is_adopted = _restore(dispatcher, job, task_key, placement)
                 adopted += is_adopted
                 waiting += not is_adopted
             dispatcher.refresh_ready_steps(job)
+    for ready in dispatcher.ready_step_by_key.values():
+        update_ready_since(ready.step_state)
     dispatcher.context.log.note(
         "placements",
         str(dispatcher.epoch),
@@ -93,11 +96,17 @@
     if task is None:
         dispatcher.context.log.note("placement_unknown", task_name(key), run=placement.run)
         return False
+    if placement.down_since_s is not None:
+        task.down_since_s = dispatcher.store_time.from_store_s(placement.down_since_s)
+    if not dispatcher.placements.is_complete:
+        return False
     if placement.is_done and not task.is_done:
         job.mark_done(task)
     worker = dispatcher.workers_by_id.get(placement.worker_id)
     if worker is None or job.job_id in dispatcher.placements.unreadable_job_ids:
         task.last_run = max(task.last_run, placement.run)
+        if placement.worker_id:
+            task.down_since_s = dispatcher.began_s
         return False
     report = RunReport(key, placement.run, "", 0.0, 0.0)
     if not dispatcher.adopt_run(worker, report):
--- a/laburnumswitch/process/dispatch/placements.py
+++ b/laburnumswitch/process/dispatch/placements.py
@@ -43,6 +43,7 @@
 from laburnumswitch.process.dispatch.jobs import Job
 from laburnumswitch.process.dispatch.jobs import Task
 from laburnumswitch.process.dispatch.recorder import Recorder
+from laburnumswitch.process.rows.store_clock import StoreTime
 from laburnumswitch.process.rows.table import Row
 
 PLACEMENTS_TABLE = "placements"
@@ -64,12 +65,15 @@
     :ivar run: number of the run, or of the last one if none may exist; 0 before the first one.
     :ivar worker_id: the worker of the run, empty if none may exist.
     :ivar is_done: whether the task has ended as done, and must not start again.
+    :ivar down_since_s: when its last run ended, on the store's clock; ``None`` if unknown, or while
+        a run may exist.
     """
 
     index: NonNegative
     run: NonNegative
     worker_id: str = ""
     is_done: bool = False
+    down_since_s: float | None = None
 
 
 class RowKey(NamedTuple):
@@ -103,20 +107,29 @@
     return RowKey(task.job_id, task.occurrence, task.step, task.index // TASKS_PER_ROW)
 
 
-def describe_placements(job: Job, key: RowKey) -> tuple[Placement, ...]:
-    """Return the placements of one row; tasks that have never run are left out."""
+def describe_placements(
+    job: Job, key: RowKey, to_store_s: Callable[[float], float | None]
+) -> tuple[Placement, ...]:
+    """Return the placements of one row; tasks that have never run are left out.
+
+    :param to_store_s: converts an instant of the owner's clock to the store's.
+    """
     step_state = job.occurrences[key.occurrence].steps[key.step]
     first = key.part * TASKS_PER_ROW
     return tuple(
-        _describe(task)
+        _describe(task, to_store_s)
         for task in step_state.tasks[first : first + TASKS_PER_ROW]
         if task.last_run or task.is_done
     )
 
 
-def _describe(task: Task) -> Placement:
+def _describe(task: Task, to_store_s: Callable[[float], float | None]) -> Placement:
     run = task.active_run or task.last_run
-    return Placement(task.key.index, run, task.worker_id, task.is_done)
+    down_since_s = None
+    if task.down_since_s is not None and not task.active_run:
+        store_s = to_store_s(task.down_since_s)
+        down_since_s = None if store_s is None else round(store_s, 3)
+    return Placement(task.key.index, run, task.worker_id, task.is_done, down_since_s)
 
 
 def collect_placements(
@@ -153,6 +166,7 @@
     def __init__(
         self,
         recorder: Recorder,
+        store_time: StoreTime,
         spawn: Callable[..., None],
         is_stopped: Callable[[], bool],
     ) -> None:
@@ -161,6 +175,7 @@
         self.malformed_names: tuple[str, ...] = ()
         self.unsent_runs: set[ActiveRun] = set()
         self._recorder = recorder
+        self._store_time = store_time
         self._spawn = spawn
         self._is_stopped = is_stopped
         self._is_storing = False
@@ -218,7 +233,7 @@
     def _store(self, key: RowKey, job: Job) -> None:
         if job.is_final():
             return
-        placements = describe_placements(job, key)
+        placements = describe_placements(job, key, self._store_time.to_store_s)
         if placements != self._stored_by_key.get(key, ()):
             self.note_loaded(key, placements)
             self._batch_by_key[key] = self._recorder.queue_row(row_name(key), placements)
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -5,6 +5,8 @@
 from laburnumswitch.process.dispatch.advice_calls import request_advice
 from laburnumswitch.process.dispatch.best_effort import forced_starts
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
+from laburnumswitch.process.dispatch.down_time import by_down_time
+from laburnumswitch.process.dispatch.down_time import update_ready_since
 from laburnumswitch.process.dispatch.eligibility import usable_workers
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.gang_places import choose_gang_places
@@ -116,6 +118,7 @@
         queue = dispatcher.queue_of(ready.job)
         if queue is None or not is_due(dispatcher, ready, now_s):
             continue
+        update_ready_since(ready.step_state)
         if dispatcher.quota_gate.selects(ready, queue.priority):
             mean_work = dispatcher.mean_work_by_queue[queue.name]
             share_class = dispatcher.shares.share_class(ready)
@@ -449,7 +452,7 @@
     startable = dispatcher.quota_gate.startable(ready)
     if limit is not None:
         startable = min(limit, startable)
-    tasks = [each for each in ready.step_state.waiting() if not each.crashed_runs]
+    tasks = [each for each in by_down_time(ready.step_state) if not each.crashed_runs]
     for task in tasks[:startable]:
         choice = ranking.best()
         if choice is None:
--- a/laburnumswitch/process/dispatch/takeover.py
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -269,7 +269,7 @@
 
 def _load(dispatcher: Dispatcher, table: str) -> Changes:
     while not dispatcher.is_stopped():
-        changes = dispatcher.context.table.load(table)
+        changes = dispatcher.store_time.load(table)
         if not isinstance(changes, Failure):
             return changes
         dispatcher.context.log.note("load_failed", table, reason=changes.describe())
--- a/tests/process/dispatch/test_dispatcher.py
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -301,18 +301,21 @@
         self.assertThat(usable, Equals(["w2"]))
 
     def test_time_that_a_step_waited_counts_for_the_successor(self):
-        # Each owner used to let long-running tasks wait anew for the sake of urgent ones.
-        too_large = Step(1, cpu_millis=100_000, long_running=True)
-        submission = make_submission("j1", too_large)
+        # Each owner used to let tasks wait anew for the sake of others.
+        too_large = Step(1, cpu_millis=100_000)
+        lasting = too_large._replace(long_running=True)
+        submission = make_submission("j1", too_large, lasting)
         self.harness.submit(submission._replace(submitted_s=time() - 60.0), self.first)
         self.first.stop()
         begun_s = monotonic()
         second = self.harness.start_owner("vm-2")
         self.addCleanup(second.stop)
         wait_until(second.is_loaded.is_set)
-        step_state = second.jobs_by_id["j1"].occurrences[0].steps[0]
+        step_state, lasting_state = second.jobs_by_id["j1"].occurrences[0].steps
         self.assertThat(step_state.ready_since_s, LessThan(begun_s))
         self.assertThat(step_state.ready_since_s, GreaterThan(begun_s - 2 * LONG_RUNNING_WAIT_S))
+        # Users count from the submission for long-running tasks that have never run.
+        self.assertThat(abs(begun_s - 60.0 - lasting_state.ready_since_s), LessThan(0.5))
 
     def test_successor_waits_for_a_worker_that_it_cannot_reach(self):
         self._run_long_job()
