--- a/laburnumswitch/process/dispatch/placement_recovery.py
+++ b/laburnumswitch/process/dispatch/placement_recovery.py
@@ -65,7 +65,7 @@
     if placements.is_complete and not knows_fleet:
         placements.is_complete = False
         _queue_succession(dispatcher, dispatcher.succession._replace(knows_placements=False))
-    adopted = waiting = 0
+    active = waiting = 0
     for key, tasks in stored.placements_by_key.items():
         placements.note_loaded(key, tasks)
         job = dispatcher.jobs_by_id.get(key.job_id)
@@ -74,9 +74,9 @@
         elif job is not None:
             for placement in tasks:
                 task_key = TaskKey(key.job_id, key.occurrence, key.step, placement.index)
-                is_adopted = _restore(dispatcher, job, task_key, placement)
-                adopted += is_adopted
-                waiting += not is_adopted
+                may_run = _restore(dispatcher, job, task_key, placement)
+                active += may_run
+                waiting += not may_run
             dispatcher.refresh_ready_steps(job)
     for ready in dispatcher.ready_step_by_key.values():
         update_ready_since(ready.step_state)
@@ -85,7 +85,7 @@
         str(dispatcher.epoch),
         complete=placements.is_complete,
         unreadable=len(placements.unreadable_job_ids),
-        adopted=adopted,
+        active=active,
         waiting=waiting,
     )
 
@@ -109,11 +109,10 @@
             task.down_since_s = dispatcher.began_s
         return False
     report = RunReport(key, placement.run, "", 0.0, 0.0)
-    if not dispatcher.adopt_run(worker, report):
-        return False
-    # It started in an earlier term, and is not to blame if its worker has crashed since.
-    worker.runs_by_task[key].confirmed_s = float("-inf")
-    return True
+    if dispatcher.adopt_run(worker, report):
+        # It started in an earlier term, and is not to blame if its worker has crashed since.
+        worker.runs_by_task[key].confirmed_s = float("-inf")
+    return bool(task.active_run)
 
 
 def complete_placements(dispatcher: Dispatcher) -> None:
