--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -34,7 +34,7 @@
 from laburnumswitch.process.dispatch.crashes import is_excusable
 from laburnumswitch.process.dispatch.crashes import is_to_blame
 from laburnumswitch.process.dispatch.crashes import SURVIVAL_S
-from laburnumswitch.process.dispatch.down_time import ready_since_s
+from laburnumswitch.process.dispatch.down_time import note_ready
 from laburnumswitch.process.dispatch.fleet import ActiveRun
 from laburnumswitch.process.dispatch.fleet import FENCES_PER_EPOCH
 from laburnumswitch.process.dispatch.fleet import lapse_s
@@ -180,7 +180,7 @@
         self.advice = Advice()
         self.place_waits = PlaceWaits(context.log, context.deployment.bounds)
         self.start_delays = StartDelays()
-        self.placements = Placements(recorder, self.spawn, self.is_stopped)
+        self.placements = Placements(recorder, self.store_time, self.spawn, self.is_stopped)
         self.succession: Succession | None = None
         self.model = TailLatencyModel()
         # Times of cancellations whose submissions have not arrived yet.
@@ -464,17 +464,14 @@
         """Update the ready steps of one job and wake the planner."""
         now_s, wall_s = self.context.clock(), self.context.wall_clock()
         for occurrence in job.occurrences:
-            ready = () if job.is_final() else tuple(occurrence.ready_steps())
+            ready_steps = () if job.is_final() else tuple(occurrence.ready_steps())
             for index, step_state in enumerate(occurrence.steps):
                 key = (job.job_id, occurrence.number, index)
-                if step_state in ready:
+                if step_state in ready_steps:
                     if key not in self.ready_step_by_key:
-                        step_state.ready_since_s = ready_since_s(
-                            job, occurrence, self.is_loaded.is_set(), now_s, wall_s
-                        )
-                        if step_state.first_ready_s is None:
-                            step_state.first_ready_s = step_state.ready_since_s
-                        self.ready_step_by_key[key] = ReadyStep(job, occurrence, step_state)
+                        ready = ReadyStep(job, occurrence, step_state)
+                        note_ready(ready, self.is_loaded.is_set(), now_s, wall_s)
+                        self.ready_step_by_key[key] = ready
                 else:
                     self.ready_step_by_key.pop(key, None)
         self.wake.set()
@@ -566,7 +563,8 @@
         job = self.jobs_by_id.get(run.task.job_id)
         task = job and job.task(run.task)
         if task and task.active_run == run.number:
-            job.end_run(task)
+            # A start that was never confirmed may have been no run.
+            job.end_run(task, None if run.confirmed_s is None else run.reported_s)
             self.start_delays.note_end(run, job.step_state(task.key).ready_since_s, None)
             if run.crash is not None and not job.is_final():
                 self._count_crash(worker, job, task, run)
@@ -752,7 +750,7 @@
             batch = self.recorder.committed
             if task and task.active_run == end.run:
                 # Another member of the gang has already completed the whole gang.
-                job.end_run(task)
+                job.end_run(task, self.context.clock())
                 self.forget_if_finished(job)
             elif task and end.outcome is RunOutcome.FAILED and not job.is_final():
                 self._count_failure(worker, job, task, end)
@@ -762,7 +760,7 @@
                 self.finish_job(job, f"task {task_name(task.key)} {end.outcome}")
             return
         if task.active_run:
-            job.end_run(task)
+            job.end_run(task, self.context.clock())
         task.last_run = max(task.last_run, end.run)
         task.checkpoint = end.checkpoint or task.checkpoint
         self._count_end(worker, job, task, end)
