Let a new owner go on from what its predecessors knew of a silent worker's VM

Callers saw tasks of crashed workers wait for a lease although the list of VMs told of the crash. A list counts from two seconds after a worker became known, and a worker became known anew with each owner, without its VM: an owner that lasted less than some three seconds proved nothing, and its successor began again.

A stored silence now names the worker's VM and the instant from which on its incarnation has been known and was sent no start that may run. An owner that finds a worker silent without knowing its runs stores its own takeover as the instant, so the evidence adds up over owners. How long a worker had survived a run that only an earlier owner told of is not known, so its crash does not count against the run; before, it counted as one right after the start.

--- a/laburnumswitch/process/dispatch/crashes.py
+++ b/laburnumswitch/process/dispatch/crashes.py
@@ -63,6 +63,8 @@
 def find_suspects(runs: Iterable[ActiveRun], last_sign_s: float) -> list[tuple[ActiveRun, Crash]]:
     """Return the runs for which the crash of their worker counts.
 
+    How long it survived a run that only an earlier owner has told of is not known.
+
     :param last_sign_s: when the worker last gave a sign of life.
     """
     runs = list(runs)
@@ -73,7 +75,7 @@
         # A start that was not answered may have been carried out late.
         confirmed_s = last_sign_s if run.confirmed_s is None else run.confirmed_s
         survived_s = max(0.0, last_sign_s - confirmed_s)
-        if survived_s < SURVIVAL_S:
+        if survived_s < SURVIVAL_S and not run.is_inherited:
             suspects.append((run, Crash(survived_s, last_started == [run])))
     return suspects
 
--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -827,6 +827,7 @@
         worker = Worker(listing, link, fence, bounds.lease_s, bounds.stop_s)
         worker.note_listing(listing, self.context.clock(), self.context.deployment.bounds.drain_s)
         self.workers_by_id[listing.worker_id] = worker
+        worker.known_since_s = self.context.clock()
         self.last_added_s = self.context.clock()
         worker.await_batch(self.queue_fleet_row(listing.worker_id))
         self.context.log.note(
--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -189,6 +189,7 @@
 
     :ivar fence: fencing token of the commands to the worker.
     :ivar incarnation: as last reported by the worker or listed after a restart, 0 if unknown.
+    :ivar known_since_s: an instant from which on the worker has been known in this incarnation.
     :ivar incarnation_since_s: when this incarnation became known.
     :ivar ended_incarnations: those before the known one, whose listings may still arrive.
     :ivar is_voiding_starts: whether the fencing token is being raised because starts were not
@@ -231,6 +232,7 @@
         self.link = link
         self.fence = fence
         self.incarnation = 0
+        self.known_since_s = 0.0
         self.incarnation_since_s = 0.0
         self.ended_incarnations: set[int] = set()
         self.is_dropped = False
@@ -310,12 +312,29 @@
         """Return the incarnation that commands are meant for, 0 if unknown."""
         return self.incarnation or self.listing.incarnation
 
+    def vm_id(self) -> str:
+        """Return the VM that runs the worker, empty if unknown."""
+        # The listing of another incarnation may name another VM.
+        is_current = not self.incarnation or self.listing.incarnation == self.incarnation
+        return self.listing.vm_id if is_current else ""
+
+    def note_incarnation(self, incarnation: int, now_s: float) -> None:
+        """Record the incarnation that a report names, 0 if it names none."""
+        if incarnation and incarnation != self.incarnation:
+            self.incarnation = incarnation
+            self.known_since_s = now_s
+
+    def quiet_since_s(self) -> float:
+        """Return an instant after which the known incarnation was sent no start that may run."""
+        started_s = [run.started_s for run in self.runs_by_task.values()]
+        return max([self.known_since_s, *started_s])
+
     def begin_incarnation(self, incarnation: int, now_s: float) -> None:
         """Forget what only the earlier incarnation counted: its clock, leases and ended runs."""
         self.ended_incarnations.add(self.known_incarnation())
         self.ended_incarnations.discard(incarnation)
         self.incarnation = incarnation
-        self.incarnation_since_s = now_s
+        self.known_since_s = self.incarnation_since_s = now_s
         self.is_reached = False
         self.is_known_crashed = False
         self.leaves_s = None
--- a/laburnumswitch/process/dispatch/silences.py
+++ b/laburnumswitch/process/dispatch/silences.py
@@ -27,7 +27,7 @@
 # Many workers fall silent at a time when an availability zone is lost, and a transaction holds 100
 # entries, so the workers share a few rows.
 SILENCES_PARTS = 8
-# A row of the platform's store holds 64 KiB; a run takes up to 60 bytes and a worker up to 110.
+# A row of the platform's store holds 64 KiB; a run takes up to 60 bytes and a worker up to 150.
 # Workers beyond these numbers are left out: a successor waits for their leases.
 RUNS_PER_ROW = 600
 WORKERS_PER_ROW = 100
@@ -40,6 +40,9 @@
     """What an owner knows of a worker that does not answer.
 
     :ivar incarnation: the worker's incarnation as far as known, 0 if it is not.
+    :ivar vm_id: the VM that runs it, empty if unknown.
+    :ivar quiet_since_s: instant from which on this incarnation has been known and was sent no start
+        that may run, on the store's clock. What a later list of VMs says of it holds for its runs.
     :ivar lapses_s: when all its leases have certainly expired, and its runs have ended, on the
         store's clock.
     :ivar has_unknown_runs: see ``handover.WorkerHandover``.
@@ -47,6 +50,8 @@
 
     worker_id: str
     incarnation: int
+    vm_id: str
+    quiet_since_s: float
     lapses_s: float
     has_unknown_runs: bool
     runs: tuple[HandedOverRun, ...]
@@ -102,8 +107,7 @@
         known = self._described_by_id.get(silence.worker_id)
         if known is not None:
             later_s = lapse_bound_s - known.lapse_bound_s
-            is_same = known.silence._replace(lapses_s=0.0) == silence._replace(lapses_s=0.0)
-            if is_same and -LAPSE_TOLERANCE_S < later_s <= 0.0:
+            if _is_same(known.silence, silence) and -LAPSE_TOLERANCE_S < later_s <= 0.0:
                 return False
         batch = self._recorder.next_batch if known is None else known.first_batch
         self._described_by_id[silence.worker_id] = _Described(silence, lapse_bound_s, batch)
@@ -174,6 +178,11 @@
     return silence_by_id
 
 
+def _is_same(one: Silence, other: Silence) -> bool:
+    """Return whether two silences are equal but for instants, whose bounds vary a little."""
+    return one == other._replace(lapses_s=one.lapses_s, quiet_since_s=one.quiet_since_s)
+
+
 def silence_part(worker_id: str) -> int:
     """Return the number of the row that stores the silence of a worker."""
     return xxh32_intdigest(worker_id.encode()) % SILENCES_PARTS
--- a/laburnumswitch/process/dispatch/takeover.py
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -287,6 +287,10 @@
     lapse_bound_s = _from_store_s(dispatcher, silence.lapses_s)
     worker.lapse_bound_s = min(worker.lapse_bound_s, lapse_bound_s)
     worker.has_unknown_runs = silence.has_unknown_runs
+    quiet_since_s = _from_store_s(dispatcher, silence.quiet_since_s)
+    worker.known_since_s = min(worker.known_since_s, quiet_since_s)
+    if worker.listing.incarnation in (0, silence.incarnation):
+        worker.listing = worker.listing._replace(vm_id=silence.vm_id)
     dispatcher.silences.inherit(silence, worker.lapse_bound_s)
     return silence.runs
 
@@ -302,7 +306,10 @@
     for run, worker in sorted(pairs, key=lambda pair: pair[0].run, reverse=True):
         report = RunReport(run.task, run.run, run.checkpoint, 0.0, 0.0)
         if dispatcher.adopt_run(worker, report):
-            worker.runs_by_task[run.task].is_inherited = True
+            adopted = worker.runs_by_task[run.task]
+            adopted.is_inherited = True
+            # Nothing was started there after that.
+            adopted.started_s = min(adopted.started_s, worker.known_since_s)
 
 
 def _from_store_s(dispatcher: Dispatcher, store_s: float) -> float:
--- a/laburnumswitch/process/dispatch/vm_list.py
+++ b/laburnumswitch/process/dispatch/vm_list.py
@@ -51,7 +51,7 @@
 class SilentWorker(NamedTuple):
     """A worker that does not answer.
 
-    :ivar vm_id: empty if unknown: an earlier owner stores its workers without their VMs.
+    :ivar vm_id: empty if unknown: an earlier owner stores only silent workers with their VMs.
     :ivar known_since_s: since when this incarnation of the worker has been known.
     :ivar last_answer_s: when the worker last answered, 0 if never.
     """
--- a/laburnumswitch/process/dispatch/vm_watch.py
+++ b/laburnumswitch/process/dispatch/vm_watch.py
@@ -53,7 +53,7 @@
         context.sleep(CONFIRMATION_DELAY_S if silent - silent_before else CHECK_INTERVAL_S)
         now_s = context.clock()
         incarnation_by_worker = {
-            worker: _current_incarnation(worker, incarnation_by_worker.get(worker), now_s)
+            worker: _Incarnation(worker.incarnation, worker.known_since_s)
             for worker in dispatcher.workers_by_id.values()
         }
         silent_before = silent
@@ -83,27 +83,18 @@
         earlier = vm_list
 
 
-def _current_incarnation(worker: Worker, known: _Incarnation | None, now_s: float) -> _Incarnation:
-    if known is None or known.number != worker.incarnation:
-        return _Incarnation(worker.incarnation, now_s)
-    return known
-
-
 def _may_have_unreachable_runs(worker: Worker, incarnation: _Incarnation, now_s: float) -> bool:
     if now_s - max(worker.last_answer_s, incarnation.known_since_s) < SILENCE_S:
         return False
+    if not (worker.last_answer_s or worker.is_silent):
+        # This owner has not called it yet, or waits for its first answer.
+        return False
     if worker.runs_by_task:
         return True
     # An earlier owner may have started runs.
     return worker.has_unknown_runs and not worker.has_certainly_lapsed(now_s)
 
 
-def _vm_id(worker: Worker) -> str:
-    # The listing of another incarnation may name another VM.
-    is_current = worker.listing.incarnation == worker.incarnation or not worker.incarnation
-    return worker.listing.vm_id if is_current else ""
-
-
 def _drop_ended_workers(
     dispatcher: Dispatcher,
     incarnation_by_worker: dict[Worker, _Incarnation],
@@ -122,7 +113,7 @@
     silent = [
         SilentWorker(
             worker_id,
-            _vm_id(worker),
+            worker.vm_id(),
             incarnation_by_worker[worker].known_since_s,
             worker.last_sign_s(),
         )
--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -199,11 +199,18 @@
     """Store what is known of a silent worker, unless that has not changed."""
     lapse_bound_s = worker.last_lapse_bound_s()
     lapses_s = dispatcher.store_time.to_store_s(lapse_bound_s)
-    if lapses_s is None:
+    quiet_since_s = dispatcher.store_time.to_store_s(worker.quiet_since_s())
+    if lapses_s is None or quiet_since_s is None:
         return
     (known,) = dispatcher.describe_workers([worker])
     silence = Silence(
-        worker.worker_id, worker.known_incarnation(), lapses_s, known.has_unknown_runs, known.runs
+        worker.worker_id,
+        worker.known_incarnation(),
+        worker.vm_id(),
+        quiet_since_s,
+        lapses_s,
+        known.has_unknown_runs,
+        known.runs,
     )
     dispatcher.silences.record(silence, lapse_bound_s)
 
@@ -237,8 +244,8 @@
     context = dispatcher.context
     if worker.is_restart(report):
         dispatcher.note_restart(worker, report.incarnation, "it answers as another incarnation")
-    worker.incarnation = report.incarnation or worker.incarnation
     now_s = context.clock()
+    worker.note_incarnation(report.incarnation, now_s)
     worker.note_answer(now_s, report.clock_s)
     for end in report.ended:
         if end.number > worker.last_end_number:
--- a/tests/process/dispatch/test_silences.py
+++ b/tests/process/dispatch/test_silences.py
@@ -300,7 +300,15 @@
         HandedOverRun(TaskKey(f"{number:08x}{index:08x}", 999, 9, 999), 990_001, "0" * 16)
         for index in range(run_count)
     )
-    return Silence(f"i-{number:010x}", 1796525960216, lapses_s, False, tuple(runs))
+    return Silence(
+        f"i-{number:010x}",
+        1796525960216,
+        "vm-0123456789",
+        99.123456789,
+        lapses_s,
+        False,
+        tuple(runs),
+    )
 
 
 class TestSilences(TestCase):
@@ -376,8 +384,8 @@
         """Its owner may have granted leases to the worker and started tasks there since."""
         malformed = []
         rows = [
-            Row("silences/0", 1, [6, [["w1", 1, 50.0, False, []]]]),
-            Row("silences/1", 2, [7, [["w2", 1, 50.0, False, []]]]),
+            Row("silences/0", 1, [6, [["w1", 1, "vm-w1", 40.0, 50.0, False, []]]]),
+            Row("silences/1", 2, [7, [["w2", 1, "vm-w2", 40.0, 50.0, False, []]]]),
             Row("silences/2", 3, [7, "later format"]),
         ]
         found = collect_silences(rows, 7, malformed.append)
