--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -23,6 +23,9 @@
 from soak.faults import FAULTS
 from soak.faults import inject_faults
 from soak.faults import NAMED_FAULTS
+from soak.owners_in_series import draw_mix
+from soak.owners_in_series import play_series
+from soak.owners_in_series import Series
 from soak.routes import call_routes
 from soak.routes import change_routes
 from standin.fleet.invariant_checker import Violation
@@ -35,6 +38,13 @@
 CALLER_COUNT = 4
 CALL_PAUSE_S = 0.2
 CONCURRENT_FAULTS = 3
+# Of the seeds that end owners in series: the other jobs leave room for the long-running ones.
+LONG_RUNNING_JOBS = 12
+SERIES_CALL_PAUSE_S = 1.5
+# Time for the long-running tasks to start, and time after the series in which they have to run
+# again: from 6 s after its last run a task may be down for 3 s, and 7 s after any trouble.
+LONG_RUNNING_START_S = 3.0
+OBSERVATION_S = 12.0
 
 
 class SeedResult(NamedTuple):
@@ -45,6 +55,7 @@
     starts: int
     faults: list[str]
     violations: list[Violation]
+    longest_down_s: float = 0.0
 
 
 def run_seed(
@@ -55,8 +66,12 @@
     first_port: int,
     folder: Path,
     fault_names: tuple[str, ...] = (),
+    ends_owners: bool = False,
 ) -> SeedResult:
-    """Run one seed and return its result; only the named faults are injected, if any."""
+    """Run one seed and return its result; only the named faults are injected, if any.
+
+    :param ends_owners: whether owners end in series, while workers leave, in place of other faults.
+    """
     random = Random(seed)
     cluster = Cluster(folder, entries, workers, first_port, random)
     faults: list[str] = []
@@ -65,30 +80,56 @@
         sleep(STARTUP_S)
         fronts = tuple(entry.config.front_address for entry in cluster.entries)
         callers = Callers(random, fronts, cluster.checker, cluster.keys)
+        series = Series(cluster, Random(f"{seed} series"), faults)
+        if ends_owners:
+            _start_long_running(callers, series.random)
         end_s = monotonic() + seconds
 
         def is_over() -> bool:
             return monotonic() > end_s
 
-        greenlets = [
-            spawn(submit_jobs, callers, CALL_PAUSE_S, is_over) for _ in range(CALLER_COUNT)
-        ]
+        pause_s = SERIES_CALL_PAUSE_S if ends_owners else CALL_PAUSE_S
+        greenlets = [spawn(submit_jobs, callers, pause_s, is_over) for _ in range(CALLER_COUNT)]
         route_random = Random(f"{seed} routes")
         greenlets.append(spawn(change_routes, cluster.routes, route_random, is_over))
         greenlets.append(spawn(call_routes, cluster.routes, fronts, route_random, is_over))
-        for number in range(CONCURRENT_FAULTS):
-            fault_random = Random(seed * 1000 + number)
-            chosen = choose_faults(fault_names)
-            greenlets.append(spawn(inject_faults, cluster, fault_random, chosen, is_over, faults))
-        joinall(greenlets)
+        if ends_owners:
+            mix = draw_mix(series.random)
+            faults.append(mix.describe())
+            greenlets.append(spawn(play_series, series, mix, is_over))
+            greenlets += [spawn(callers.poll_long_running, front, is_over) for front in fronts]
+        else:
+            for number in range(CONCURRENT_FAULTS):
+                fault_random = Random(seed * 1000 + number)
+                chosen = choose_faults(fault_names)
+                arguments = (cluster, fault_random, chosen, is_over, faults)
+                greenlets.append(spawn(inject_faults, *arguments))
+        joinall(greenlets, raise_error=True)
         cluster.end_faults()
+        observed_s = monotonic() + (OBSERVATION_S if ends_owners else 0.0)
         _await_completion(cluster, callers)
+        sleep(max(0.0, observed_s - monotonic()))
+        cluster.check_down_times(callers.long_running, series.troubles)
         starts = cluster.check_runs()
-        return SeedResult(seed, len(callers.accepted), starts, faults, cluster.checker.violations)
+        return SeedResult(
+            seed,
+            len(callers.accepted),
+            starts,
+            faults,
+            cluster.checker.violations,
+            cluster.longest_down_s,
+        )
     finally:
         cluster.stop()
 
 
+def _start_long_running(callers: Callers, random: Random) -> None:
+    """Submit the long-running jobs, and leave their tasks time to start."""
+    for _ in range(LONG_RUNNING_JOBS):
+        callers.submit_long_running(random)
+    sleep(LONG_RUNNING_START_S)
+
+
 def _await_completion(cluster: Cluster, callers: Callers) -> None:
     """Wait for the accepted jobs and report those that do not complete as lost."""
     pending_ids = set(callers.accepted - callers.cancelled)
@@ -140,6 +181,12 @@
     type=click.Choice([fault.__name__ for fault in (*FAULTS, *NAMED_FAULTS)]),
     help="Inject only this fault; may be repeated. All but misbehaving clients by default.",
 )
+@click.option(
+    "--owners-in-series",
+    "ends_owners",
+    is_flag=True,
+    help="End one owner after the other while workers leave or end, in place of other faults.",
+)
 def main(
     seed: int,
     count: int,
@@ -149,6 +196,7 @@
     first_port: int,
     folder: str,
     fault_names: tuple[str, ...],
+    ends_owners: bool,
 ) -> None:
     """Run the soak and exit with 1 where a promise was broken."""
     # Without a handler, SIGTERM would leave the processes of the run behind.
@@ -158,11 +206,14 @@
     for number in range(seed, seed + count):
         seed_folder = root / str(number)
         seed_folder.mkdir(parents=True, exist_ok=True)
-        result = run_seed(number, seconds, entries, workers, first_port, seed_folder, fault_names)
+        result = run_seed(
+            number, seconds, entries, workers, first_port, seed_folder, fault_names, ends_owners
+        )
         outcome = "BROKEN" if result.violations else "kept"
+        down = f"down for {result.longest_down_s:.1f} s at most, " if ends_owners else ""
         click.echo(
             f"seed {number}: {outcome}, {result.accepted} jobs accepted, {result.starts} starts, "
-            f"{len(result.faults)} faults; logs in {seed_folder}"
+            f"{down}{len(result.faults)} faults; logs in {seed_folder}"
         )
         for violation in result.violations[:8]:
             click.echo(f"  {violation.guarantee} {violation.subject}: {violation.details}")
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -19,6 +19,7 @@
 from soak.keys import ApiKeys
 from soak.keys import ORGANISATIONS
 from soak.keys import PresentedKey
+from soak.keys import STATUS_OK
 from standin.fleet.invariant_checker import InvariantChecker
 from standin.fleet.worker_process import encode_steps
 
@@ -30,6 +31,7 @@
 MAX_ATTEMPTS = 6
 CALL_TIMEOUT_S = 3.0
 RETRY_PAUSE_S = 0.3
+POLL_PAUSE_S = 0.1
 CANCEL_PROBABILITY = 0.08
 # Part of the jobs with a step whose tasks may outlast a lease of 6 s, so that leases expire under
 # them; the tasks of all other steps are short.
@@ -52,6 +54,7 @@
         self.accepted: set[str] = set()
         self.rejected: set[str] = set()
         self.cancelled: set[str] = set()
+        self.long_running: set[str] = set()
         self.state_counts: dict[str, int] = {}
         self._random = random
         self._front_addresses = front_addresses
@@ -75,6 +78,34 @@
         elif status in (429, 503):
             self.rejected.add(submission.job_id)
 
+    def submit_long_running(self, random: Random) -> None:
+        """Submit a job whose tasks run until it is cancelled, which it is not."""
+        step = Step(
+            count=random.randint(1, 4),
+            cpu_millis=random.choice((500, 1000)),
+            memory_mb=100,
+            long_running=True,
+            max_unavailable=random.choice((0, 1)),
+        )
+        job_id = f"{random.getrandbits(64):016x}"
+        submission = Submission(job_id, "public", encode_steps((step,)), (step,), time())
+        self._checker.record_submission(submission)
+        if self._submit_with_retries(submission) == STATUS_OK:
+            self.long_running.add(job_id)
+
+    def poll_long_running(self, address: str, is_finished: Callable[[], bool]) -> None:
+        """Ask one entry for the long-running jobs, over a connection that stays open.
+
+        A new one is opened only once the entry has ended the old one.
+        """
+        client = Client(address, lambda: {"X-Deadline-Ms": "3000"})
+        while not is_finished():
+            for job_id in sorted(self.long_running):
+                path = f"{PUBLIC_PREFIX}{job_id}"
+                client.call("GET", path, b"", CALL_TIMEOUT_S, {"Host": HOST})
+                sleep(POLL_PAUSE_S)
+        client.close()
+
     def read_state(self, job_id: str) -> str:
         """Return the state of a job as reported by a random entry."""
         self._call("GET", job_id, b"", self._keys.choose)
@@ -127,6 +158,8 @@
                 "estimateMs": step.estimate_ms,
                 "after": step.after,
                 "checkpoints": step.checkpoints,
+                "longRunning": step.long_running,
+                "mayMiss": step.max_unavailable,
             }
             for step in submission.steps
         ]
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -9,7 +9,12 @@
 from gevent import sleep
 from gevent import spawn
 
+from laburnumswitch.exceptions import Failure
+from laburnumswitch.platform.discovery import WORKERS_TABLE
 from laburnumswitch.process.dispatch.worker_protocol import WorkerListing
+from laburnumswitch.process.leadership.term import decode_term
+from laburnumswitch.process.leadership.term import Term
+from laburnumswitch.process.leadership.term import TERM_KEY
 from laburnumswitch.process.rows.table import Committed
 from laburnumswitch.process.rows.table import Put
 from laburnumswitch.process.rows.table import Transaction
@@ -27,11 +32,14 @@
 from soak.workers import WorkerConfig
 from standin.fleet.api import StoreApi
 from standin.fleet.api import VmListApi
+from standin.fleet.down_times import find_down_times
+from standin.fleet.down_times import find_late
 from standin.fleet.feed_table import FeedMemoryTable
 from standin.fleet.invariant_checker import InvariantChecker
 from standin.fleet.invariant_checker import Violation
 from standin.fleet.registration import Registration
 from standin.fleet.run_records import find_violations
+from standin.fleet.run_records import Span
 from standin.server import bound_address
 from standin.server import start_server
 
@@ -103,16 +111,11 @@
         self.registration = Registration(self.table)
         self._registration_server = start_server("127.0.0.1:0", self.registration.handle)
         self.workers: list[EmulatedWorker] = []
-        for number in range(workers):
-            port = first_port + entries * PORTS_PER_ENTRY + PORTS_PER_WORKER * number
-            worker_config = WorkerConfig(
-                _make_listing(number),
-                port,
-                f"127.0.0.1:{port + 1}",
-                bound_address(self._registration_server),
-                folder,
-            )
-            self.workers.append(EmulatedWorker(worker_config, random))
+        self._folder = folder
+        self._first_worker_port = first_port + entries * PORTS_PER_ENTRY
+        self._worker_random = random
+        for _ in range(workers):
+            self._append_worker()
         # Not drawn from ``random``, so that a seed keeps its faults.
         list_delay_s = Random(folder.name).uniform(0.0, MAX_VM_LIST_DELAY_S)
         self.vm_list = VmListApi(self.workers, delay_s=list_delay_s)
@@ -130,8 +133,41 @@
         self.routes = ChangingRoutes(Random(f"{folder.name} routes"), SERVICE, self.keys.publish)
         self._version = 0
         self._completed_s_by_id: dict[str, float] = {}
+        self.longest_down_s = 0.0
         self._is_stopped = False
 
+    def _append_worker(self) -> EmulatedWorker:
+        number = len(self.workers)
+        port = self._first_worker_port + PORTS_PER_WORKER * number
+        worker_config = WorkerConfig(
+            _make_listing(number),
+            port,
+            f"127.0.0.1:{port + 1}",
+            bound_address(self._registration_server),
+            self._folder,
+        )
+        worker = EmulatedWorker(worker_config, self._worker_random)
+        self.workers.append(worker)
+        return worker
+
+    def add_worker(self) -> None:
+        """Start another worker, with an id and a VM of its own."""
+        self._append_worker().start()
+
+    def remove_worker(self, worker: EmulatedWorker) -> None:
+        """End a worker that has announced its departure."""
+        worker.crash()
+        self.registration.remove(f"{WORKERS_TABLE}/{worker.listing.worker_id}")
+
+    def read_term(self) -> Term:
+        """Return the stored term, also while the store does not answer."""
+        versioned = decode_term(self.table.peek(TERM_KEY))
+        return Term() if isinstance(versioned, Failure) else versioned.term
+
+    def find_owner(self, term: Term) -> EntryProcess | None:
+        """Return the entry that owns the term, or ``None`` if it has been given up."""
+        return next((entry for entry in self.entries if entry.config.vm_id == term.owner), None)
+
     def start(self) -> None:
         """Publish a configuration, and start the workers and the entries."""
         self.keys.publish()
@@ -181,6 +217,8 @@
         for zone in ZONES:
             self.set_zone(zone, False)
         for worker in self.workers:
+            if worker.is_leaving:
+                continue
             worker.proxy.set_mode(Mode.PASS)
             worker.resume()
             worker.start()
@@ -219,6 +257,17 @@
         ]
         return len(runs)
 
+    def check_down_times(self, job_ids: set[str], troubles: list[Span]) -> None:
+        """Check that the tasks of long-running jobs run again in time."""
+        runs = [run for worker in self.workers for run in worker.recorded_runs()]
+        lasting = [run for run in runs if run.task.job_id in job_ids]
+        down_times = find_down_times(lasting, monotonic())
+        self.longest_down_s = max((down.duration_s for down in down_times), default=0.0)
+        worker_spans = [span for worker in self.workers for span in worker.recorded_spans()]
+        self.checker.violations += find_late(
+            down_times, runs, self.checker.submission_by_id, worker_spans, troubles
+        )
+
     def _record_vms(self) -> None:
         while not self._is_stopped:
             self.vm_list.record(monotonic())
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -15,8 +15,12 @@
 from msgspec.structs import replace
 
 from laburnumswitch.process.dispatch.worker_protocol import WorkerListing
+from laburnumswitch.size import Size
 from soak.entries import REPOSITORY
+from soak.proxy import Mode
 from soak.proxy import Proxy
+from standin.fleet.down_times import find_worker_spans
+from standin.fleet.down_times import WorkerSpan
 from standin.fleet.run_records import collect_runs
 from standin.fleet.run_records import read_facts
 from standin.fleet.run_records import RecordedRun
@@ -56,6 +60,8 @@
         # Exit codes of processes that ended without being killed, which none should.
         self.own_exit_codes: list[int] = []
         self.is_paused = False
+        # Whether the worker leaves, or has been lost, for good.
+        self.is_leaving = False
         self._config = config
         self._random = random
         # A generator of its own, so that a seed keeps its faults.
@@ -64,7 +70,7 @@
         prefix = config.folder / self.listing.worker_id
         self._record_path = prefix.with_suffix(".jsonl")
         # A seed draws the same job ids again: records of an earlier run would count as its own.
-        self._record_path.unlink(missing_ok=True)
+        self._record_path.write_bytes(b"")
         self._control_path = prefix.with_suffix(".control")
         self._log_path = prefix.with_suffix(".log")
         self.set_switches()
@@ -144,10 +150,32 @@
         new_path.write_bytes(encode(self.switches))
         new_path.replace(self._control_path)
 
+    def announce_departure(self, leaves_s: float) -> None:
+        """Let the process announce that it leaves at a time in ``CLOCK_MONOTONIC``."""
+        self.is_leaving = True
+        self._record("leaving")
+        self.set_switches(leaves_s=leaves_s)
+
+    def cut_off(self) -> None:
+        """Drop all traffic from and to the process, for good."""
+        self.is_leaving = True
+        self._record("leaving")
+        self.proxy.set_mode(Mode.SILENT)
+
+    def crash(self) -> None:
+        """Kill the process for good."""
+        self.is_leaving = True
+        self.kill()
+
     def recorded_runs(self) -> list[RecordedRun]:
         """Return the runs that the process has recorded so far."""
         return collect_runs(read_facts(self._record_path))
 
+    def recorded_spans(self) -> list[WorkerSpan]:
+        """Return when the process could take tasks."""
+        capacity = Size(self.listing.cpu_millis, self.listing.memory_mb)
+        return find_worker_spans(read_facts(self._record_path), capacity)
+
     def stop(self) -> None:
         """Kill the process and stop the proxy."""
         self.kill()
--- a/standin/fleet/feed_table.py
+++ b/standin/fleet/feed_table.py
@@ -1,6 +1,7 @@
 """In-memory table with a change feed and the faults of the platform's store."""
 
 from collections.abc import Callable
+from enum import Enum
 from time import monotonic
 
 from gevent.event import Event
@@ -16,16 +17,31 @@
 from standin.table import MemoryTable
 
 
+class CommitLoss(Enum):
+    """What is lost of a commit: nothing, the answer of a commit that is applied, or the commit."""
+
+    NOTHING = "nothing"
+    ANSWER = "answer"
+    WRITE = "write"
+
+
+def lose_nothing(transaction: Transaction) -> CommitLoss:
+    """Lose no commit."""
+    return CommitLoss.NOTHING
+
+
 class FeedMemoryTable(MemoryTable):
     """A table that keeps the history of its changes.
 
     :ivar delayed_commits: number of coming commits that report ``OutcomeUnknown`` and are applied
         only by ``apply_delayed_commits``.
+    :ivar choose_loss: says what is lost of a commit.
     """
 
     def __init__(self, clock: Callable[[], float] = monotonic) -> None:
         super().__init__(clock=clock)
         self.delayed_commits = 0
+        self.choose_loss: Callable[[Transaction], CommitLoss] = lose_nothing
         self._clock = clock
         self._delayed_transactions: list[Transaction] = []
         self._changes: list[Row] = []
@@ -34,6 +50,12 @@
 
     def commit(self, transaction: Transaction) -> Committed | CommitFailure:
         """Apply ``transaction`` if all its conditions hold."""
+        loss = self.choose_loss(transaction)
+        if loss is CommitLoss.WRITE:
+            return OutcomeUnknown("commit lost")
+        if loss is CommitLoss.ANSWER:
+            outcome = super().commit(transaction)
+            return OutcomeUnknown("answer lost") if isinstance(outcome, Committed) else outcome
         if self.delayed_commits > 0:
             self.delayed_commits -= 1
             self._delayed_transactions.append(transaction)
@@ -79,6 +101,10 @@
             self._changed.clear()
             self._changed.wait(left_s)
 
+    def peek(self, key: str) -> Row:
+        """Return a row as it is stored, whatever faults there are."""
+        return self._row(key)
+
     def drop_history(self) -> None:
         """Drop the history; followers from an earlier version have to load the table again."""
         self._history_start = self._version
--- a/standin/fleet/registration.py
+++ b/standin/fleet/registration.py
@@ -43,6 +43,11 @@
         self._heartbeat_s_by_key.update({put.key: self._clock() for put in puts})
         return json_reply({"ver": outcome.version, "nowMs": 0})
 
+    def remove(self, key: str) -> None:
+        """Remove the row of a worker that has left, now or once the store answers."""
+        self._heartbeat_s_by_key[key] = float("-inf")
+        self.remove_silent()
+
     def remove_silent(self) -> None:
         """Remove the rows of workers that have sent no heartbeat for a while."""
         last_s = self._clock() - SILENCE_S
--- a/standin/fleet/worker_process.py
+++ b/standin/fleet/worker_process.py
@@ -41,6 +41,8 @@
 TICK_S = 0.01
 HEARTBEAT_INTERVAL_S = 1.0
 HEARTBEAT_TIMEOUT_S = 2.0
+# Interval at which the worker looks whether it is to leave.
+SWITCH_INTERVAL_S = 0.05
 # The process was stopped, or had no processor, if it did not tick for so long.
 MAX_TICK_GAP_S = 0.1
 MAX_STOP_S = 0.4
@@ -57,11 +59,13 @@
     """Fault switches of a worker process, which it reads from its control file.
 
     :ivar late_share: part of the calls that are carried out late and not answered.
+    :ivar leaves_s: when the worker leaves, in ``CLOCK_MONOTONIC``; 0 if it stays.
     """
 
     drops_answers: bool = False
     fails_runs: bool = False
     late_share: float = 0.0
+    leaves_s: float = 0.0
 
 
 def encode_steps(steps: tuple[Step, ...]) -> str:
@@ -141,7 +145,9 @@
     return True
 
 
-def _send_heartbeats(listing: WorkerListing, store: str) -> None:
+def _send_heartbeats(
+    listing: WorkerListing, store: str, read_switches: Callable[[], Switches]
+) -> None:
     client = Client(store)
     value = {
         "service": listing.service,
@@ -156,11 +162,21 @@
     seq = 0
     while True:
         seq += 1
-        encoded = b64encode(encode({**value, "seq": seq})).decode()
+        leaves_s = read_switches().leaves_s
+        departure = describe_departure(leaves_s - monotonic()) if leaves_s else {}
+        encoded = b64encode(encode({**value, **departure, "seq": seq})).decode()
         row = {"table": "servers", "part": "", "key": listing.worker_id, "value": encoded}
         # A lost or refused heartbeat is followed by the next one.
         client.call("POST", "/v1/rows-tx", encode({"puts": [row]}), HEARTBEAT_TIMEOUT_S)
-        sleep(HEARTBEAT_INTERVAL_S)
+        next_s = monotonic() + HEARTBEAT_INTERVAL_S
+        # A departure is announced at once.
+        while monotonic() < next_s and read_switches().leaves_s == leaves_s:
+            sleep(SWITCH_INTERVAL_S)
+
+
+def describe_departure(remaining_s: float) -> dict[str, Any]:
+    """Return the fields in which the entry of a worker that leaves differs."""
+    return {"state": "draining", "remainingMs": max(0, int(remaining_s * 1000))}
 
 
 @click.command()
@@ -210,7 +226,7 @@
     worker.set_clock(clock_start)
     handle = make_process_handler(worker, read_switches, record, clock, random)
     start_server(listen, handle)
-    spawn(_send_heartbeats, worker_listing, store)
+    spawn(_send_heartbeats, worker_listing, store, read_switches)
     while os.getppid() == parent_id:
         worker.advance()
         sleep(TICK_S)
