--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -17,6 +17,7 @@
 
 from laburnumswitch.process.dispatch.jobs import JobState
 from soak.callers import Callers
+from soak.callers import GONE
 from soak.callers import submit_jobs
 from soak.cluster import Cluster
 from soak.faults import choose_faults
@@ -41,10 +42,11 @@
 # Of the seeds that end owners in series: the other jobs leave room for the long-running ones.
 LONG_RUNNING_JOBS = 12
 SERIES_CALL_PAUSE_S = 1.5
-# Time for the long-running tasks to start, and time after the series in which they have to run
-# again: from 6 s after its last run a task may be down for 3 s, and 7 s after any trouble.
 LONG_RUNNING_START_S = 3.0
-OBSERVATION_S = 12.0
+# Observation of the long-running tasks after the series: a run whose lease nobody renews ends in
+# the first time, and all tasks have to run again within the second one.
+MIN_OBSERVATION_S = 6.0
+MAX_OBSERVATION_S = 12.0
 
 
 class SeedResult(NamedTuple):
@@ -73,29 +75,30 @@
     :param ends_owners: whether owners end in series, while workers leave, in place of other faults.
     """
     random = Random(seed)
-    cluster = Cluster(folder, entries, workers, first_port, random)
-    faults: list[str] = []
+    series_random = Random(f"{seed} series")
+    mix = draw_mix(series_random) if ends_owners else None
+    has_vm_list = mix is None or mix.has_vm_list
+    cluster = Cluster(folder, entries, workers, first_port, random, has_vm_list)
+    faults = [mix.describe()] if mix else []
     try:
         cluster.start()
         sleep(STARTUP_S)
         fronts = tuple(entry.config.front_address for entry in cluster.entries)
         callers = Callers(random, fronts, cluster.checker, cluster.keys)
-        series = Series(cluster, Random(f"{seed} series"), faults)
-        if ends_owners:
+        series = Series(cluster, series_random, faults)
+        if mix:
             _start_long_running(callers, series.random)
         end_s = monotonic() + seconds
 
         def is_over() -> bool:
             return monotonic() > end_s
 
-        pause_s = SERIES_CALL_PAUSE_S if ends_owners else CALL_PAUSE_S
+        pause_s = SERIES_CALL_PAUSE_S if mix else CALL_PAUSE_S
         greenlets = [spawn(submit_jobs, callers, pause_s, is_over) for _ in range(CALLER_COUNT)]
         route_random = Random(f"{seed} routes")
         greenlets.append(spawn(change_routes, cluster.routes, route_random, is_over))
         greenlets.append(spawn(call_routes, cluster.routes, fronts, route_random, is_over))
-        if ends_owners:
-            mix = draw_mix(series.random)
-            faults.append(mix.describe())
+        if mix:
             greenlets.append(spawn(play_series, series, mix, is_over))
             greenlets += [spawn(callers.poll_long_running, front, is_over) for front in fronts]
         else:
@@ -106,9 +109,10 @@
                 greenlets.append(spawn(inject_faults, *arguments))
         joinall(greenlets, raise_error=True)
         cluster.end_faults()
-        observed_s = monotonic() + (OBSERVATION_S if ends_owners else 0.0)
+        ended_s = monotonic()
         _await_completion(cluster, callers)
-        sleep(max(0.0, observed_s - monotonic()))
+        if mix:
+            _observe_long_running(cluster, callers, ended_s)
         cluster.check_down_times(callers.long_running, series.troubles)
         starts = cluster.check_runs()
         return SeedResult(
@@ -123,6 +127,19 @@
         cluster.stop()
 
 
+def _observe_long_running(cluster: Cluster, callers: Callers, ended_s: float) -> None:
+    """Wait until all long-running tasks run again, or should; their jobs must still be known."""
+    sleep(max(0.0, ended_s + MIN_OBSERVATION_S - monotonic()))
+    while monotonic() < ended_s + MAX_OBSERVATION_S:
+        if not cluster.count_down(callers.long_running):
+            break
+        sleep(0.2)
+    for job_id in sorted(callers.long_running):
+        state = callers.read_state(job_id)
+        if state in (GONE, JobState.FAILED, JobState.CANCELLED, JobState.COMPLETED):
+            cluster.checker.record_lost_job(monotonic(), job_id, state)
+
+
 def _start_long_running(callers: Callers, random: Random) -> None:
     """Submit the long-running jobs, and leave their tasks time to start."""
     for _ in range(LONG_RUNNING_JOBS):
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -39,6 +39,7 @@
 LONG_MS = (2000, 9000)
 SHORT_MS = (20, 1500)
 UNKNOWN = "unknown"
+GONE = "gone"
 
 
 class Callers:
@@ -113,7 +114,7 @@
         if isinstance(answer, Failure):
             return UNKNOWN
         if answer.status == 410:
-            return "gone"
+            return GONE
         try:
             state = decode(answer.body)["state"] if answer.status == 200 else UNKNOWN
         except (DecodeError, KeyError):
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -39,6 +39,7 @@
 from standin.fleet.invariant_checker import Violation
 from standin.fleet.registration import Registration
 from standin.fleet.run_records import find_violations
+from standin.fleet.run_records import RecordedRun
 from standin.fleet.run_records import Span
 from standin.server import bound_address
 from standin.server import start_server
@@ -98,11 +99,18 @@
 class Cluster:
     """Store, workers and entries of one soak run.
 
-    The constructor takes the numbers of entries and workers.
+    The constructor takes the numbers of entries and workers, and whether entries know the list of
+    VMs.
     """
 
     def __init__(
-        self, folder: Path, entries: int, workers: int, first_port: int, random: Random
+        self,
+        folder: Path,
+        entries: int,
+        workers: int,
+        first_port: int,
+        random: Random,
+        has_vm_list: bool = True,
     ) -> None:
         self.checker = InvariantChecker()
         self.table = FeedMemoryTable()
@@ -126,8 +134,10 @@
             if number % 2:
                 proxy.answer_bytes_per_s = NARROW_BYTES_PER_S
             zone = ZONES[number % len(ZONES)]
-            addresses = (proxy.address, bound_address(self._vm_list_server))
-            config = write_settings(folder, number, first_port, zone, *addresses)
+            vm_list_address = bound_address(self._vm_list_server) if has_vm_list else ""
+            config = write_settings(
+                folder, number, first_port, zone, proxy.address, vm_list_address
+            )
             self.entries.append(EntryProcess(config, proxy))
         self.keys = ApiKeys(Random(f"{folder.name} keys"), self._publish)
         self.routes = ChangingRoutes(Random(f"{folder.name} routes"), SERVICE, self.keys.publish)
@@ -245,7 +255,7 @@
 
     def check_runs(self) -> int:
         """Check what the workers have recorded, and return the number of starts."""
-        runs = [run for worker in self.workers for run in worker.recorded_runs()]
+        runs = self._recorded_runs()
         self.checker.violations += find_violations(
             runs, self.checker.submission_by_id, self._completed_s_by_id
         )
@@ -257,11 +267,21 @@
         ]
         return len(runs)
 
+    def count_down(self, job_ids: set[str]) -> int:
+        """Return how many tasks of long-running jobs have run and do not run now."""
+        now_s = monotonic()
+        down_times = find_down_times(self._recorded_runs(), now_s)
+        return sum(down.until_s == now_s and down.task.job_id in job_ids for down in down_times)
+
+    def _recorded_runs(self) -> list[RecordedRun]:
+        return [run for worker in self.workers for run in worker.recorded_runs()]
+
     def check_down_times(self, job_ids: set[str], troubles: list[Span]) -> None:
         """Check that the tasks of long-running jobs run again in time."""
-        runs = [run for worker in self.workers for run in worker.recorded_runs()]
-        lasting = [run for run in runs if run.task.job_id in job_ids]
-        down_times = find_down_times(lasting, monotonic())
+        runs = self._recorded_runs()
+        down_times = find_down_times(
+            (run for run in runs if run.task.job_id in job_ids), monotonic()
+        )
         self.longest_down_s = max((down.duration_s for down in down_times), default=0.0)
         worker_spans = [span for worker in self.workers for span in worker.recorded_spans()]
         self.checker.violations += find_late(
--- a/soak/entries.py
+++ b/soak/entries.py
@@ -36,6 +36,8 @@
 revokeMs = {revoke_ms}
 [platform]
 address = "{store}"
+"""
+VM_LIST_SETTINGS = """\
 [cloud]
 address = "{vm_list}"
 """
@@ -117,12 +119,16 @@
     store_address: str,
     vm_list_address: str,
 ) -> EntryConfig:
-    """Write the settings file of one entry and return its configuration."""
+    """Write the settings file of one entry and return its configuration.
+
+    :param vm_list_address: empty for a deployment without a list of VMs.
+    """
     peer_port = first_port + number * PORTS_PER_ENTRY
     vm_id = f"front-{zone}-{number}"
     settings_path = folder / f"{vm_id}.toml"
+    template = SETTINGS + (VM_LIST_SETTINGS if vm_list_address else "")
     settings_path.write_text(
-        SETTINGS.format(
+        template.format(
             vm_id=vm_id,
             zone=zone,
             peer_port=peer_port,
--- a/soak/owners_in_series.py
+++ b/soak/owners_in_series.py
@@ -42,7 +42,7 @@
 REPLACEMENT_S = 0.4
 MAX_RESTART_S = 1.0
 # Time from the moment from which a worker is silent until its process is gone.
-SILENCE_S = (1.0, 7.0)
+SILENCE_S = (0.5, 3.0)
 MAX_LOST_WORKERS = 3
 # Pauses and cuts, some of which outlast the lease of an owner.
 OUTAGE_S = (1.0, 9.0)
@@ -134,29 +134,33 @@
     :ivar delay_s: shortest and longest time from a takeover until its owner ends.
     :ivar releases_workers: whether workers announce their departure meanwhile.
     :ivar loses_workers: whether workers end with the owner.
+    :ivar has_vm_list: whether entries know the list of VMs.
     """
 
     faults: tuple[OwnerFault, ...]
     delay_s: tuple[float, float]
     releases_workers: bool
     loses_workers: bool
+    has_vm_list: bool = True
 
     def describe(self) -> str:
         """Return the mix as a line of the summary."""
         names = " ".join(fault.__name__ for fault in self.faults)
         return (
             f"mix: {names}, {self.delay_s[0]} to {self.delay_s[1]} s after each takeover, "
-            f"releases_workers={self.releases_workers} loses_workers={self.loses_workers}"
+            f"releases_workers={self.releases_workers} loses_workers={self.loses_workers} "
+            f"has_vm_list={self.has_vm_list}"
         )
 
 
 def draw_mix(random: Random) -> Mix:
     """Draw what a seed plays."""
     delay_s = random.choice((ACTING_S, LOADING_S, (LOADING_S[0], ACTING_S[1])))
+    has_vm_list = random.random() < 0.5
     if random.random() < PLANNED_SHARE:
-        return Mix((stop_owner,), delay_s, True, False)
+        return Mix((stop_owner,), delay_s, True, False, has_vm_list)
     faults = random.choice(((kill_owner,), (kill_owner, stop_owner), (*UNPLANNED, stop_owner)))
-    return Mix(faults, delay_s, random.random() < 0.5, random.random() < 0.7)
+    return Mix(faults, delay_s, random.random() < 0.5, random.random() < 0.7, has_vm_list)
 
 
 def play_series(series: Series, mix: Mix, is_over: Callable[[], bool]) -> None:
--- a/tests/soak/test_workers.py
+++ b/tests/soak/test_workers.py
@@ -4,6 +4,7 @@
 from random import Random
 from shutil import rmtree
 from tempfile import mkdtemp
+from time import monotonic
 
 from gevent import sleep
 from testtools import TestCase
@@ -18,6 +19,8 @@
 from laburnumswitch.process.dispatch.worker_protocol import WorkerListing
 from soak.workers import EmulatedWorker
 from soak.workers import WorkerConfig
+from standin.fleet.feed_table import FeedMemoryTable
+from standin.fleet.registration import Registration
 from standin.fleet.run_records import read_facts
 from standin.fleet.worker_process import encode_steps
 from standin.server import bound_address
@@ -108,3 +111,37 @@
         (pause,) = run.pauses
         self.assertThat(run.end_s <= pause.start_s, Equals(True))
         self.assertThat(self._facts()[2:4], Equals(["paused", "resumed"]))
+
+
+class TestDeparture(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.folder = Path(mkdtemp(prefix="soak-worker-"))
+        self.addCleanup(rmtree, self.folder)
+        self.table = FeedMemoryTable()
+        store = start_server("127.0.0.1:0", Registration(self.table).handle)
+        self.addCleanup(store.stop, 0)
+        config = WorkerConfig(
+            LISTING, 0, f"127.0.0.1:{free_port()}", bound_address(store), self.folder
+        )
+        self.worker = EmulatedWorker(config, Random(1))
+        self.addCleanup(self.worker.stop)
+        self.worker.start()
+
+    def _await_state(self, state):
+        for _ in range(ATTEMPTS):
+            row = self.table.peek("servers/w1").value or {}
+            if row.get("state") == state:
+                return row
+            sleep(0.01)
+        raise AssertionError(f"never {state}: {row}")
+
+    def test_departure_is_announced_with_the_remaining_time_and_ends_the_room(self):
+        self.assertThat("remainingMs" in self._await_state("ready"), Equals(False))
+        self.worker.announce_departure(monotonic() + 60.0)
+        remaining_ms = self._await_state("draining")["remainingMs"]
+        self.assertThat(0 < remaining_ms <= 60_000, Equals(True))
+        (worker_span,) = self.worker.recorded_spans()
+        self.assertThat(worker_span.span.end_s < monotonic(), Equals(True))
+        self.worker.crash()
+        self.assertThat(self.worker.recorded_spans(), Equals([worker_span]))
--- a/tests/standin/fleet/test_registration.py
+++ b/tests/standin/fleet/test_registration.py
@@ -60,3 +60,15 @@
         outcome = self.table.commit(Transaction((), (Put("rows/a", 1),)))
         self.assertThat(isinstance(outcome, OutcomeUnknown), Equals(True))
         self.assertThat(self.table.delayed_commits, Equals(0))
+
+    def test_row_of_a_worker_that_has_left_is_removed_at_once_or_once_the_store_answers(self):
+        self.registration.handle(heartbeat(1))
+        self.registration.remove("servers/w1")
+        self.assertThat(self._stored(), Equals(None))
+        self.registration.handle(heartbeat(2))
+        self.table.down = True
+        self.registration.remove("servers/w1")
+        self.table.down = False
+        self.assertThat(self._stored(), Equals({"seq": 2}))
+        self.registration.remove_silent()
+        self.assertThat(self._stored(), Equals(None))
