--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,7 +11,9 @@
 from typing import NamedTuple
 
 import click
+from gevent import Greenlet
 from gevent import joinall
+from gevent import killall
 from gevent import sleep
 from gevent import spawn
 
@@ -80,21 +82,22 @@
     has_vm_list = mix is None or mix.has_vm_list
     cluster = Cluster(folder, entries, workers, first_port, random, has_vm_list)
     faults = [mix.describe()] if mix else []
+    series = Series(cluster, series_random, faults)
+    greenlets: list[Greenlet] = []
     try:
         cluster.start()
         sleep(STARTUP_S)
         fronts = tuple(entry.config.front_address for entry in cluster.entries)
         callers = Callers(random, fronts, cluster.checker, cluster.keys)
-        series = Series(cluster, series_random, faults)
         if mix:
-            _start_long_running(callers, series.random)
+            _start_long_running(cluster, callers, series.random)
         end_s = monotonic() + seconds
 
         def is_over() -> bool:
             return monotonic() > end_s
 
         pause_s = SERIES_CALL_PAUSE_S if mix else CALL_PAUSE_S
-        greenlets = [spawn(submit_jobs, callers, pause_s, is_over) for _ in range(CALLER_COUNT)]
+        greenlets += [spawn(submit_jobs, callers, pause_s, is_over) for _ in range(CALLER_COUNT)]
         route_random = Random(f"{seed} routes")
         greenlets.append(spawn(change_routes, cluster.routes, route_random, is_over))
         greenlets.append(spawn(call_routes, cluster.routes, fronts, route_random, is_over))
@@ -124,6 +127,9 @@
             cluster.longest_down_s,
         )
     finally:
+        # A run that is interrupted: no fault may start an entry again.
+        killall(greenlets)
+        series.stop()
         cluster.stop()
 
 
@@ -140,11 +146,17 @@
             cluster.checker.record_lost_job(monotonic(), job_id, state)
 
 
-def _start_long_running(callers: Callers, random: Random) -> None:
-    """Submit the long-running jobs, and leave their tasks time to start."""
+def _start_long_running(cluster: Cluster, callers: Callers, random: Random) -> None:
+    """Submit the long-running jobs, and leave their tasks time to start.
+
+    That not all of them are accepted is a violation, as a run without them would show nothing.
+    """
     for _ in range(LONG_RUNNING_JOBS):
         callers.submit_long_running(random)
     sleep(LONG_RUNNING_START_S)
+    if len(callers.long_running) < LONG_RUNNING_JOBS:
+        details = f"{len(callers.long_running)} long-running jobs accepted before the series"
+        cluster.checker.violations.append(Violation(monotonic(), "soak", "long-running", details))
 
 
 def _await_completion(cluster: Cluster, callers: Callers) -> None:
--- a/soak/owners_in_series.py
+++ b/soak/owners_in_series.py
@@ -12,6 +12,7 @@
 
 from gevent import Greenlet
 from gevent import joinall
+from gevent import killall
 from gevent import sleep
 from gevent import spawn
 
@@ -79,6 +80,10 @@
         """Wait until every fault has ended."""
         joinall(self._recoveries, raise_error=True)
 
+    def stop(self) -> None:
+        """Start nothing again from now on."""
+        killall(self._recoveries)
+
 
 OwnerFault = Callable[[Series, EntryProcess], None]
 
