--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,18 +11,24 @@
 from typing import NamedTuple
 
 import click
+from gevent import Greenlet
 from gevent import joinall
+from gevent import killall
 from gevent import sleep
 from gevent import spawn
 
 from laburnumswitch.process.dispatch.jobs import JobState
 from soak.callers import Callers
+from soak.callers import GONE
 from soak.callers import submit_jobs
 from soak.cluster import Cluster
 from soak.faults import choose_faults
 from soak.faults import FAULTS
 from soak.faults import inject_faults
 from soak.faults import NAMED_FAULTS
+from soak.owners_in_series import draw_mix
+from soak.owners_in_series import play_series
+from soak.owners_in_series import Series
 from soak.routes import call_routes
 from soak.routes import change_routes
 from standin.fleet.invariant_checker import Violation
@@ -35,6 +41,14 @@
 CALLER_COUNT = 4
 CALL_PAUSE_S = 0.2
 CONCURRENT_FAULTS = 3
+# Of the seeds that end owners in series: the other jobs leave room for the long-running ones.
+LONG_RUNNING_JOBS = 12
+SERIES_CALL_PAUSE_S = 1.5
+LONG_RUNNING_START_S = 3.0
+# Observation of the long-running tasks after the series: a run whose lease nobody renews ends in
+# the first time, and all tasks have to run again within the second one.
+MIN_OBSERVATION_S = 6.0
+MAX_OBSERVATION_S = 12.0
 
 
 class SeedResult(NamedTuple):
@@ -45,6 +59,7 @@
     starts: int
     faults: list[str]
     violations: list[Violation]
+    longest_down_s: float = 0.0
 
 
 def run_seed(
@@ -55,40 +70,95 @@
     first_port: int,
     folder: Path,
     fault_names: tuple[str, ...] = (),
+    ends_owners: bool = False,
 ) -> SeedResult:
-    """Run one seed and return its result; only the named faults are injected, if any."""
+    """Run one seed and return its result; only the named faults are injected, if any.
+
+    :param ends_owners: whether owners end in series, while workers leave, in place of other faults.
+    """
     random = Random(seed)
-    cluster = Cluster(folder, entries, workers, first_port, random)
-    faults: list[str] = []
+    series_random = Random(f"{seed} series")
+    mix = draw_mix(series_random) if ends_owners else None
+    has_vm_list = mix is None or mix.has_vm_list
+    cluster = Cluster(folder, entries, workers, first_port, random, has_vm_list)
+    faults = [mix.describe()] if mix else []
+    series = Series(cluster, series_random, faults)
+    greenlets: list[Greenlet] = []
     try:
         cluster.start()
         sleep(STARTUP_S)
         fronts = tuple(entry.config.front_address for entry in cluster.entries)
         callers = Callers(random, fronts, cluster.checker, cluster.keys)
+        if mix:
+            _start_long_running(cluster, callers, series.random)
         end_s = monotonic() + seconds
 
         def is_over() -> bool:
             return monotonic() > end_s
 
-        greenlets = [
-            spawn(submit_jobs, callers, CALL_PAUSE_S, is_over) for _ in range(CALLER_COUNT)
-        ]
+        pause_s = SERIES_CALL_PAUSE_S if mix else CALL_PAUSE_S
+        greenlets += [spawn(submit_jobs, callers, pause_s, is_over) for _ in range(CALLER_COUNT)]
         route_random = Random(f"{seed} routes")
         greenlets.append(spawn(change_routes, cluster.routes, route_random, is_over))
         greenlets.append(spawn(call_routes, cluster.routes, fronts, route_random, is_over))
-        for number in range(CONCURRENT_FAULTS):
-            fault_random = Random(seed * 1000 + number)
-            chosen = choose_faults(fault_names)
-            greenlets.append(spawn(inject_faults, cluster, fault_random, chosen, is_over, faults))
-        joinall(greenlets)
+        if mix:
+            greenlets.append(spawn(play_series, series, mix, is_over))
+            greenlets += [spawn(callers.poll_long_running, front, is_over) for front in fronts]
+        else:
+            for number in range(CONCURRENT_FAULTS):
+                fault_random = Random(seed * 1000 + number)
+                chosen = choose_faults(fault_names)
+                arguments = (cluster, fault_random, chosen, is_over, faults)
+                greenlets.append(spawn(inject_faults, *arguments))
+        joinall(greenlets, raise_error=True)
         cluster.end_faults()
+        ended_s = monotonic()
         _await_completion(cluster, callers)
+        if mix:
+            _observe_long_running(cluster, callers, ended_s)
+        cluster.check_down_times(callers.long_running, series.troubles)
         starts = cluster.check_runs()
-        return SeedResult(seed, len(callers.accepted), starts, faults, cluster.checker.violations)
+        return SeedResult(
+            seed,
+            len(callers.accepted),
+            starts,
+            faults,
+            cluster.checker.violations,
+            cluster.longest_down_s,
+        )
     finally:
+        # A run that is interrupted: no fault may start an entry again.
+        killall(greenlets)
+        series.stop()
         cluster.stop()
 
 
+def _observe_long_running(cluster: Cluster, callers: Callers, ended_s: float) -> None:
+    """Wait until all long-running tasks run again, or should; their jobs must still be known."""
+    sleep(max(0.0, ended_s + MIN_OBSERVATION_S - monotonic()))
+    while monotonic() < ended_s + MAX_OBSERVATION_S:
+        if not cluster.count_down(callers.long_running):
+            break
+        sleep(0.2)
+    for job_id in sorted(callers.long_running):
+        state = callers.read_state(job_id)
+        if state in (GONE, JobState.FAILED, JobState.CANCELLED, JobState.COMPLETED):
+            cluster.checker.record_lost_job(monotonic(), job_id, state)
+
+
+def _start_long_running(cluster: Cluster, callers: Callers, random: Random) -> None:
+    """Submit the long-running jobs, and leave their tasks time to start.
+
+    That not all of them are accepted is a violation, as a run without them would show nothing.
+    """
+    for _ in range(LONG_RUNNING_JOBS):
+        callers.submit_long_running(random)
+    sleep(LONG_RUNNING_START_S)
+    if len(callers.long_running) < LONG_RUNNING_JOBS:
+        details = f"{len(callers.long_running)} long-running jobs accepted before the series"
+        cluster.checker.violations.append(Violation(monotonic(), "soak", "long-running", details))
+
+
 def _await_completion(cluster: Cluster, callers: Callers) -> None:
     """Wait for the accepted jobs and report those that do not complete as lost."""
     pending_ids = set(callers.accepted - callers.cancelled)
@@ -140,6 +210,12 @@
     type=click.Choice([fault.__name__ for fault in (*FAULTS, *NAMED_FAULTS)]),
     help="Inject only this fault; may be repeated. All but misbehaving clients by default.",
 )
+@click.option(
+    "--owners-in-series",
+    "ends_owners",
+    is_flag=True,
+    help="End one owner after the other while workers leave or end, in place of other faults.",
+)
 def main(
     seed: int,
     count: int,
@@ -149,6 +225,7 @@
     first_port: int,
     folder: str,
     fault_names: tuple[str, ...],
+    ends_owners: bool,
 ) -> None:
     """Run the soak and exit with 1 where a promise was broken."""
     # Without a handler, SIGTERM would leave the processes of the run behind.
@@ -158,11 +235,14 @@
     for number in range(seed, seed + count):
         seed_folder = root / str(number)
         seed_folder.mkdir(parents=True, exist_ok=True)
-        result = run_seed(number, seconds, entries, workers, first_port, seed_folder, fault_names)
+        result = run_seed(
+            number, seconds, entries, workers, first_port, seed_folder, fault_names, ends_owners
+        )
         outcome = "BROKEN" if result.violations else "kept"
+        down = f"down for {result.longest_down_s:.1f} s at most, " if ends_owners else ""
         click.echo(
             f"seed {number}: {outcome}, {result.accepted} jobs accepted, {result.starts} starts, "
-            f"{len(result.faults)} faults; logs in {seed_folder}"
+            f"{down}{len(result.faults)} faults; logs in {seed_folder}"
         )
         for violation in result.violations[:8]:
             click.echo(f"  {violation.guarantee} {violation.subject}: {violation.details}")
