Extend the leases of workers while a new owner loads

An owner renewed no lease before it had loaded all jobs, which takes an entry of half a core and 10 Mbit/s up to two seconds; with owners in series the parts of a lease that each let pass add up to a whole one, and every worker ends all of its runs.

It applies no reports and acknowledges no ends, so what earlier owners have handed over of the runs stays in force; what they have handed over of the ends of leases does not (kept_epoch of the succession), and workers that are stored as silent get no longer leases.

--- a/laburnumswitch/process/dispatch/handover.py
+++ b/laburnumswitch/process/dispatch/handover.py
@@ -92,11 +92,13 @@
 
     :ivar epoch: that owner's epoch, 0 if it has told nothing.
     :ivar written_s: see ``HandoverClock``; ``None`` if unknown.
+    :ivar has_lapses: whether no lease was extended since.
     """
 
     epoch: int = 0
     by_worker_id: dict[str, WorkerHandover] = {}
     written_s: float | None = None
+    has_lapses: bool = True
 
 
 def describe_workers(
--- a/laburnumswitch/process/dispatch/placement_recovery.py
+++ b/laburnumswitch/process/dispatch/placement_recovery.py
@@ -24,9 +24,15 @@
 
 def announce_commands(dispatcher: Dispatcher) -> None:
     """Store that this owner may send commands to workers; none is sent before this is committed."""
-    batch = _queue_succession(dispatcher, may_send_commands(dispatcher.succession))
+    store_succession(dispatcher, may_send_commands(dispatcher.succession))
+
+
+def store_succession(dispatcher: Dispatcher, succession: Succession) -> bool:
+    """Store the state of the succession, and return whether the term still goes on after that."""
+    batch = _queue_succession(dispatcher, succession)
     while not (dispatcher.is_stopped() or dispatcher.recorder.wait_for(batch, COMMIT_WAIT_S)):
         continue
+    return not dispatcher.is_stopped()
 
 
 def _queue_succession(dispatcher: Dispatcher, succession: Succession) -> int:
@@ -34,14 +40,11 @@
     return dispatcher.recorder.queue_row(SUCCESSION_KEY, succession)
 
 
-def restore_placements(
-    dispatcher: Dispatcher, succession: Succession, rows: Iterable[Row], knows_fleet: bool
-) -> None:
+def restore_placements(dispatcher: Dispatcher, rows: Iterable[Row], knows_fleet: bool) -> None:
     """Adopt the long-running runs that may exist, once the stored jobs and workers are loaded.
 
     The others have certainly ended, unless earlier owners have not stored all of them.
 
-    :param succession: as stored with this owner's term.
     :param knows_fleet: whether the stored list of workers could be read. A worker that is not in it
         has certainly ended.
     """
@@ -49,9 +52,8 @@
     def report_malformed(malformed: RowMalformed) -> None:
         dispatcher.context.log.note("placements_malformed", malformed.key, reason=malformed.reason)
 
-    dispatcher.succession = succession
     placements = dispatcher.placements
-    placements.is_complete = succession.knows_placements
+    placements.is_complete = dispatcher.succession.knows_placements
     stored = collect_placements(rows, report_malformed)
     placements.malformed_names = stored.malformed_names
     placements.unreadable_job_ids |= stored.unreadable_job_ids
--- a/laburnumswitch/process/dispatch/takeover.py
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -17,12 +17,12 @@
 from laburnumswitch.process.dispatch.feeds import follow_workers
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.handover import collect_handover
-from laburnumswitch.process.dispatch.handover import HandedOverRun
 from laburnumswitch.process.dispatch.handover import Handover
 from laburnumswitch.process.dispatch.handover import HANDOVER_CLOCK_TABLE
 from laburnumswitch.process.dispatch.handover import HANDOVER_TABLE
 from laburnumswitch.process.dispatch.handover import WorkerHandover
 from laburnumswitch.process.dispatch.jobs import FINAL_STATES
+from laburnumswitch.process.dispatch.lease_keeping import run_lease_keeping
 from laburnumswitch.process.dispatch.load_report import run_load_report
 from laburnumswitch.process.dispatch.model_store import load_parameters
 from laburnumswitch.process.dispatch.model_store import run_learning
@@ -103,22 +103,24 @@
 
 
 def _run(dispatcher: Dispatcher) -> None:
+    succession = dispatcher.succession = _load_succession(dispatcher)
+    handover = _load_handover(dispatcher, succession)
+    silence_rows = _load(dispatcher, SILENCES_TABLE).rows
+    silence_by_id = _collect_silences(dispatcher, silence_rows, succession.acted_epoch)
+    knows_fleet = _load_fleet(dispatcher, handover, silence_by_id)
+    dispatcher.spawn(run_lease_keeping, dispatcher)
     version = _load_jobs(dispatcher)
     _load_crashes(dispatcher)
     load_parameters(dispatcher)
-    succession = _load_succession(dispatcher)
-    handover = _load_handover(dispatcher, succession.acted_epoch)
-    silence_rows = _load(dispatcher, SILENCES_TABLE).rows
-    silence_by_id = _collect_silences(dispatcher, silence_rows, succession.acted_epoch)
     stored_queues = _load_queues(dispatcher)
     _await_configuration(dispatcher)
     # Not left to the first interval of the queue store: this owner may end before.
     stored_queues = store_queues(dispatcher, stored_queues)
     placements = _load(dispatcher, PLACEMENTS_TABLE).rows
-    knows_fleet = _load_fleet(dispatcher, handover, silence_by_id)
     if dispatcher.is_stopped():
         return
-    restore_placements(dispatcher, succession, placements, knows_fleet)
+    _adopt_runs(dispatcher, handover, silence_by_id)
+    restore_placements(dispatcher, placements, knows_fleet)
     note_loaded_jobs(dispatcher)
     # From here on this owner hands over what it knows, so what it was told is not lost with it.
     dispatcher.is_loaded.set()
@@ -202,15 +204,19 @@
     return unknown
 
 
-def _load_handover(dispatcher: Dispatcher, acted_epoch: int) -> Handover:
-    """Load what the last owner that may have sent commands has handed over."""
+def _load_handover(dispatcher: Dispatcher, succession: Succession) -> Handover:
+    """Load what the last owner that may have sent commands has handed over.
+
+    The ends of leases in it are out of date if a later owner may have extended them.
+    """
 
     def report_malformed(malformed: RowMalformed) -> None:
         dispatcher.context.log.note("handover_malformed", malformed.key, reason=malformed.reason)
 
     rows = _load(dispatcher, HANDOVER_TABLE).rows
     clock_rows = _load(dispatcher, HANDOVER_CLOCK_TABLE).rows
-    return collect_handover(rows, clock_rows, acted_epoch, report_malformed)
+    handover = collect_handover(rows, clock_rows, succession.acted_epoch, report_malformed)
+    return handover._replace(has_lapses=succession.kept_epoch <= handover.epoch)
 
 
 def _load_queues(dispatcher: Dispatcher) -> dict[str, KnownQueue]:
@@ -244,7 +250,6 @@
     :return: whether the whole list could be read.
     """
     is_whole = True
-    runs_by_worker: dict[Worker, tuple[HandedOverRun, ...]] = {}
     for row in _load(dispatcher, FLEET_TABLE).rows:
         try:
             listings = convert(row.value, list[WorkerListing])
@@ -258,35 +263,30 @@
             worker.has_unknown_runs = True
             silence = silence_by_id.get(worker.worker_id)
             if silence is not None:
-                runs_by_worker[worker] = _apply_silence(dispatcher, worker, silence)
+                _apply_silence(dispatcher, worker, silence)
             known = handover.by_worker_id.get(worker.worker_id)
             if known is not None:
-                written_s = handover.written_s
-                runs_by_worker[worker] = _apply_handover(dispatcher, worker, known, written_s)
-    _adopt_runs(dispatcher, runs_by_worker)
+                _apply_handover(dispatcher, worker, handover, known)
     return is_whole
 
 
 def _apply_handover(
-    dispatcher: Dispatcher, worker: Worker, known: WorkerHandover, written_s: float | None
-) -> tuple[HandedOverRun, ...]:
-    """Apply what was handed over of a worker, and return the runs that may exist on it.
-
-    :param written_s: when this was written, on the store's clock; ``None`` if unknown.
-    """
+    dispatcher: Dispatcher, worker: Worker, handover: Handover, known: WorkerHandover
+) -> None:
+    """Apply what was handed over of a worker, but for its runs."""
+    worker.has_unknown_runs = known.has_unknown_runs
+    if not handover.has_lapses:
+        return
     # It was written before this term began, so the sum is no earlier than the lapse.
     lapse_bound_s = dispatcher.began_s + known.lapses_in_s
-    if written_s is not None:
-        lapse_bound_s = min(lapse_bound_s, _from_store_s(dispatcher, written_s + known.lapses_in_s))
+    if handover.written_s is not None:
+        lapses_s = handover.written_s + known.lapses_in_s
+        lapse_bound_s = min(lapse_bound_s, _from_store_s(dispatcher, lapses_s))
     worker.lapse_bound_s = min(worker.lapse_bound_s, lapse_bound_s)
-    worker.has_unknown_runs = known.has_unknown_runs
-    return known.runs
 
 
-def _apply_silence(
-    dispatcher: Dispatcher, worker: Worker, silence: Silence
-) -> tuple[HandedOverRun, ...]:
-    """Apply what was stored of a silent worker, and return the runs that may exist on it."""
+def _apply_silence(dispatcher: Dispatcher, worker: Worker, silence: Silence) -> None:
+    """Apply what was stored of a silent worker, but for its runs."""
     lapse_bound_s = _from_store_s(dispatcher, silence.lapses_s)
     worker.lapse_bound_s = min(worker.lapse_bound_s, lapse_bound_s)
     worker.has_unknown_runs = silence.has_unknown_runs
@@ -295,17 +295,22 @@
     if worker.listing.incarnation in (0, silence.incarnation):
         worker.listing = worker.listing._replace(vm_id=silence.vm_id)
     dispatcher.silences.inherit(silence, worker.lapse_bound_s)
-    return silence.runs
 
 
 def _adopt_runs(
-    dispatcher: Dispatcher, runs_by_worker: dict[Worker, tuple[HandedOverRun, ...]]
+    dispatcher: Dispatcher, handover: Handover, silence_by_id: dict[str, Silence]
 ) -> None:
     """Adopt the runs of workers until these report or their leases expire.
 
     Of several runs of a task the last is adopted: its starter knew that the others had ended.
     """
-    pairs = [(run, worker) for worker, runs in runs_by_worker.items() for run in runs]
+    known_by_id = silence_by_id | handover.by_worker_id
+    pairs = [
+        (run, worker)
+        for worker in dispatcher.workers_by_id.values()
+        if worker.worker_id in known_by_id
+        for run in known_by_id[worker.worker_id].runs
+    ]
     for run, worker in sorted(pairs, key=lambda pair: pair[0].run, reverse=True):
         report = RunReport(run.task, run.run, run.checkpoint, 0.0, 0.0)
         if dispatcher.adopt_run(worker, report):
--- a/laburnumswitch/process/leadership/succession.py
+++ b/laburnumswitch/process/leadership/succession.py
@@ -24,11 +24,14 @@
     :ivar epoch: the term; an owner of an earlier version leaves the one of an earlier term.
     :ivar acted_epoch: the last term in which commands may have been sent to workers.
     :ivar knows_placements: whether the stored placements of long-running tasks are complete.
+    :ivar kept_epoch: the last term in which leases may have been extended; its owner may have sent
+        no other commands.
     """
 
     epoch: int
     acted_epoch: int
     knows_placements: bool
+    kept_epoch: int = 0
 
 
 def decode_succession(row: Row) -> Succession | RowMalformed | None:
@@ -54,6 +57,11 @@
     return stored._replace(epoch=epoch)
 
 
+def may_extend_leases(succession: Succession) -> Succession:
+    """Return the state to store before the owner of its term extends the first lease."""
+    return succession._replace(kept_epoch=succession.epoch)
+
+
 def may_send_commands(succession: Succession) -> Succession:
     """Return the state to store before the owner of its term sends the first command."""
     return succession._replace(acted_epoch=succession.epoch)
