Let an owner that is told to stop start once what waits, before it leaves

An owner that leaves now waits until its first planning pass over all workers has taken effect, for a second at most once it has loaded, and up to two for the load. An entry that stops leaves the rotation of the load balancer meanwhile.

tests/process/dispatch/test_succession.py, TestOwnersThatAreToldToStop: 0 starts before the change, one after it.

--- a/laburnumswitch/dispatch_entry.py
+++ b/laburnumswitch/dispatch_entry.py
@@ -228,11 +228,12 @@
         """Stop gracefully: release ownership, wait for the load balancer, drain requests."""
         started_s = monotonic()
         self.log.note("stop", self.incarnation, in_flight=self.in_flight.count)
-        self.leadership.release()
+        releasing = spawn(self.leadership.release)
         sleep(LOAD_BALANCER_REMOVAL_S)
         deadline_s = started_s + self.deployment.bounds.grace_s - KILL_MARGIN_S
         while self.in_flight.count and monotonic() < deadline_s:
             sleep(DRAIN_INTERVAL_S)
+        releasing.join(max(0.0, deadline_s - monotonic()))
         self.log.note("stopped", self.incarnation, in_flight=self.in_flight.count)
         self.stopped.set()
         write_final_lines(self.log.take())
--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -100,8 +100,10 @@
 MEAN_WORK_WEIGHT = 0.05
 # Stands for the batch of an ended run that waits for its job.
 NOT_COMMITTED = sys.maxsize
-# How long an owner that leaves waits, in seconds, until it has loaded the stored state.
-MAX_LOAD_WAIT_S = 1.0
+# How long an owner that leaves waits, in seconds, until it has loaded the stored state, and then
+# until it has planned once.
+MAX_LOAD_WAIT_S = 2.0
+MAX_PLAN_WAIT_S = 1.0
 FLEET_TABLE = "fleet"
 # Number of rows that store the list of workers: a row of the platform's store holds 64 KiB, and a
 # worker takes about 200 bytes.
@@ -150,6 +152,7 @@
     :ivar wake: set when the planner has to run.
     :ivar is_evacuating: whether ``evacuator`` handles draining workers at present.
     :ivar is_loaded: set once all stored jobs are loaded.
+    :ivar has_planned: set once a planning pass over all workers has taken effect.
     :ivar knows_listings: whether this owner has read what the platform lists of the workers. The
         stored listings, which it loads first, may be from before a worker began to drain.
     :ivar settled: whether all runs of earlier owners are known or have certainly lapsed.
@@ -220,6 +223,7 @@
         self.silences = Silences(self.epoch, recorder)
         self.is_evacuating = False
         self.is_loaded = Event()
+        self.has_planned = Event()
         self.knows_listings = False
         self.settled = True
         self.unknown_runs_until_s = 0.0
@@ -244,10 +248,11 @@
         """End the term gracefully, so that another entry takes over at once.
 
         The successor is told which runs may exist. An owner that is still loading does not know
-        them, but its own predecessor may have told it.
+        them, but its own predecessor may have told it. One that has just loaded starts what waits
+        first: the next owner may be told to stop as early.
         """
-        if not self.is_stopped():
-            self.is_loaded.wait(MAX_LOAD_WAIT_S)
+        if not self.is_stopped() and self.is_loaded.wait(MAX_LOAD_WAIT_S):
+            self.has_planned.wait(MAX_PLAN_WAIT_S)
         # After an unexpected error the state may be inconsistent.
         is_certain = self.is_loaded.is_set() and not self.is_stopped()
         self.stop()
--- a/laburnumswitch/process/dispatch/evacuator.py
+++ b/laburnumswitch/process/dispatch/evacuator.py
@@ -29,21 +29,26 @@
 def _run_evacuation(dispatcher: Dispatcher) -> None:
     context = dispatcher.context
     while not dispatcher.is_stopped():
-        draining = [
-            worker for worker in dispatcher.workers_by_id.values() if worker.leaves_s is not None
-        ]
-        if not draining:
+        began_s = context.clock()
+        if not evacuate_all(dispatcher):
             dispatcher.is_evacuating = False
             return
-        began_s = context.clock()
-        if dispatcher.may_act():
-            for service in {worker.listing.service for worker in draining}:
-                workers = [each for each in draining if each.listing.service == service]
-                evacuate(dispatcher, service, workers)
         # The decisions take at most half of the processor time, as in planning.
         context.sleep(max(EVACUATION_INTERVAL_S, context.clock() - began_s))
 
 
+def evacuate_all(dispatcher: Dispatcher) -> bool:
+    """Stop the runs that have to leave draining workers now, and return whether there are any."""
+    draining = [
+        worker for worker in dispatcher.workers_by_id.values() if worker.leaves_s is not None
+    ]
+    if dispatcher.may_act():
+        for service in {worker.listing.service for worker in draining}:
+            workers = [each for each in draining if each.listing.service == service]
+            evacuate(dispatcher, service, workers)
+    return bool(draining)
+
+
 def evacuate(dispatcher: Dispatcher, service: str, draining: list[Worker]) -> None:
     """Stop the runs that have to leave the draining workers of a service now."""
     candidates = [
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -8,6 +8,7 @@
 from laburnumswitch.process.dispatch.down_time import by_down_time
 from laburnumswitch.process.dispatch.down_time import update_ready_since
 from laburnumswitch.process.dispatch.eligibility import usable_workers
+from laburnumswitch.process.dispatch.evacuator import evacuate_all
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.gang_places import choose_gang_places
 from laburnumswitch.process.dispatch.headroom import choose_reserved
@@ -64,17 +65,31 @@
     """Plan whenever the state changes, until the term ends."""
     context = dispatcher.context
     pause_s = COALESCE_S
+    has_planned_all = False
     while not dispatcher.is_stopped():
         dispatcher.wake.wait(PLAN_INTERVAL_S)
         context.sleep(pause_s)
         dispatcher.wake.clear()
         began_s = context.clock()
         if dispatcher.may_act():
+            if has_planned_all and not dispatcher.placements.unsent_runs:
+                dispatcher.has_planned.set()
+            has_asked_all = _has_asked_all(dispatcher)
             plan(dispatcher)
+            if has_asked_all and not has_planned_all:
+                evacuate_all(dispatcher)
+                has_planned_all = True
         # Planning takes at most half of the processor time, so that leases are renewed meanwhile.
         pause_s = max(COALESCE_S, context.clock() - began_s)
 
 
+def _has_asked_all(dispatcher: Dispatcher) -> bool:
+    """Return whether each worker has answered this owner, or not answered in time."""
+    return dispatcher.knows_listings and all(
+        worker.is_reached or worker.is_silent for worker in dispatcher.workers_by_id.values()
+    )
+
+
 def run_relocation(dispatcher: Dispatcher) -> None:
     """Stop throttled best-effort runs that other workers can take, until the term ends.
 
--- a/tests/process/dispatch/test_succession.py
+++ b/tests/process/dispatch/test_succession.py
@@ -114,3 +114,14 @@
         self.assertThat(third.jobs_by_id["j1"].is_running(), Equals(True))
         self.assertThat(self.harness.checker.start_count, Equals(1))
         self.assertThat(self.harness.checker.violations, Equals([]))
+
+
+class TestOwnersThatAreToldToStop(TestCase):
+    def test_task_starts_although_every_owner_is_told_to_stop_as_soon_as_it_has_taken_over(self):
+        harness = DispatchHarness()
+        harness.start_owner().release()
+        harness.submit(make_submission("j1", LONG._replace(long_running=True)))
+        for number in range(2, 5):
+            harness.start_owner(f"vm-{number}").release()
+        self.assertThat(harness.checker.start_count, Equals(1))
+        self.assertThat(harness.checker.violations, Equals([]))
