Keep a handed-over run whose job the successor does not know yet

Callers could see a task run twice: a run on a worker that does not answer, of a job whose submission had not reached the owner, was handed over, but the successor dropped it as it did not know the job either, and started the task elsewhere once the submission arrived. The run is noted like one that a worker reports before its job is known, and adopted with the job. The test failed before (twice on w2 and w1) and passes.

--- a/laburnumswitch/process/dispatch/takeover.py
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -305,7 +305,10 @@
     pairs = [(run, worker) for worker, runs in runs_by_worker.items() for run in runs]
     for run, worker in sorted(pairs, key=lambda pair: pair[0].run, reverse=True):
         report = RunReport(run.task, run.run, run.checkpoint, 0.0, 0.0)
-        if dispatcher.adopt_run(worker, report):
+        if not dispatcher.knows_job(run.task.job_id):
+            # Adopted once the job's submission arrives.
+            dispatcher.note_orphan(worker, report)
+        elif dispatcher.adopt_run(worker, report):
             adopted = worker.runs_by_task[run.task]
             adopted.is_inherited = True
             # Nothing was started there after that.
