Count an owner's lease from the first attempt of a commit whose answer was lost

After a commit whose answer was lost the recorder reads the term. If a later attempt found that an earlier one had taken effect, the lease counted from the later attempt, although the row had not changed since: a successor that had read it in between could not know until when its predecessor acts.

The lease then counts from the first attempt, and the next commit follows at once. Attempts of a takeover carry different batch ids, so that one does not pass for another.

--- a/laburnumswitch/process/dispatch/recorder.py
+++ b/laburnumswitch/process/dispatch/recorder.py
@@ -251,6 +251,8 @@
         context = self._context
         pause_s = RETRY_FIRST_S
         failures = 0
+        first_sent_boot_s = context.boot_clock()
+        first_suspended_s = self._total_suspended_s()
         while True:
             sent_boot_s = context.boot_clock()
             sent_monotonic_s = context.clock()
@@ -261,12 +263,16 @@
                 if failures == 1:
                     context.log.note("commit_failed", term.batch, reason=outcome.describe())
                 outcome = self._look_up(term)
+                # Any attempt may have taken effect, and a successor have read it since.
+                sent_boot_s, total_suspended_s = first_sent_boot_s, first_suspended_s
             if isinstance(outcome, Committed):
                 self.last_commit_boot_s = sent_boot_s
                 self._suspended_at_last_commit_s = total_suspended_s
                 self._last_commit_monotonic_s = sent_monotonic_s
                 self._awaits_commit = False
                 if failures:
+                    # The lease may have little time left.
+                    self._has_work.set()
                     context.log.note("commit_settled", term.batch, attempts=failures + 1)
                 return outcome.version
             if outcome is None:
--- a/laburnumswitch/process/leadership/leadership.py
+++ b/laburnumswitch/process/leadership/leadership.py
@@ -149,6 +149,7 @@
         self.pending_by_queue: dict[str, int] = {}
         self.watcher_by_vm: dict[str, Watcher] = {}
         self.takeovers = 0
+        self._attempts = 0
         self.owner_reach = Reach(context.clock)
         self._context = context
         # The last own epoch that has ended, and the last one that another entry told to be later.
@@ -497,6 +498,7 @@
             return
         identity = context.identity
         epoch = observed.term.epoch + 1
+        self._attempts += 1
         # A read that was not of the version to replace tells nothing.
         sighting = note_read(self._sighting, observed, context.clock())
         unconfirmed = _unconfirmed_addresses(
@@ -510,6 +512,8 @@
             identity.vm_id,
             identity.incarnation,
             identity.address,
+            # Tells attempts apart: the lease counts from the one that took effect.
+            batch=f"{identity.incarnation}-0-{self._attempts}",
             unconfirmed=unconfirmed,
         )
         succession = self._read_succession(observed.term)
@@ -552,7 +556,7 @@
         self.takeovers += 1
         self.watcher_by_vm.clear()
         self.dispatcher = context.start_dispatcher(
-            taken, sent_s, describe_predecessor(predecessor, sighting, context.clock())
+            taken, sent_s, describe_predecessor(predecessor, sighting)
         )
         self.dispatcher.recorder.unconfirmed = unconfirmed
         if context.boot_clock() - sent_s >= TAKEOVER_WAIT_S:
--- a/laburnumswitch/process/leadership/predecessor.py
+++ b/laburnumswitch/process/leadership/predecessor.py
@@ -1,9 +1,9 @@
 """Until when earlier owners may send commands, as far as their successor can tell.
 
-An owner acts until its lease expires, which counts from when it sent a commit after which it found
-the term to be its own. It may find so as long as the term is not replaced, also without a change of
-the row: after a commit whose answer was lost it reads the term. Owners before it find another epoch
-from when its epoch was first read.
+An owner acts until its lease expires, which counts from when it first sent the last commit that
+took effect. Each commit changes the version of the term's row: an owner whose successor replaced a
+version has sent no such commit after that version was first read. Owners before it have sent none
+after its epoch was first read.
 """
 
 from typing import NamedTuple
@@ -55,15 +55,10 @@
     return sighting.epoch_read_s + OWNER_LEASE_S
 
 
-def describe_predecessor(
-    state: PredecessorState, sighting: TermSighting, replaced_s: float
-) -> Predecessor:
-    """Return what is known about the earlier owners when the term that was read is replaced.
-
-    :param replaced_s: when the commit that replaced it had been answered, on the monotonic clock.
-    """
+def describe_predecessor(state: PredecessorState, sighting: TermSighting) -> Predecessor:
+    """Return what is known about the earlier owners when the term that was read is replaced."""
     if state in (PredecessorState.REFUSING, PredecessorState.SILENT):
-        return Predecessor(state, replaced_s + OWNER_LEASE_S)
+        return Predecessor(state, sighting.version_read_s + OWNER_LEASE_S)
     if state is PredecessorState.UNSETTLED:
         return Predecessor(state, earlier_commands_until_s(sighting))
     return Predecessor(state)
--- a/tests/process/dispatch/test_recorder.py
+++ b/tests/process/dispatch/test_recorder.py
@@ -10,6 +10,8 @@
 from testtools.matchers import GreaterThan
 from testtools.matchers import LessThan
 
+from laburnumswitch.exceptions import AnswerLost
+from laburnumswitch.exceptions import Unavailable
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.jobs import Job
 from laburnumswitch.process.dispatch.jobs import JobState
@@ -56,6 +58,25 @@
         self.assertThat(self._stored().steps[0].done, Equals("1"))
         self.assertThat(self.table.commits, Equals(2))
 
+    def test_lease_counts_from_the_first_attempt_if_the_answer_to_it_was_lost(self):
+        """A successor that has read the result counts the lease of this owner from then."""
+        commit, read = self.table.commit, self.table.read
+
+        def lose_look_up(keys):
+            self.table.read = read
+            sleep(0.2)
+            return Unavailable("no answer")
+
+        def lose_answer(transaction):
+            commit(transaction)
+            self.table.commit, self.table.read = commit, lose_look_up
+            return AnswerLost("store", "timeout")
+
+        self.table.commit = lose_answer
+        began_s = monotonic()
+        self.assertThat(self.recorder.commit(), Equals(True))
+        self.assertThat(self.recorder.last_commit_boot_s - began_s, LessThan(0.1))
+
     def test_delayed_write_cannot_overwrite_a_later_one(self):
         self._finish_task(0)
         self.table.delayed_commits = 1
