Take the placed run for the one that may exist, not an earlier one that another row names

Found by reading, for rows of handovers and of silent workers that may be older than the placements: a successor adopted the run that such a row names first, and then no other of the task. It would have stopped the placed run where the worker reported it, or have started the task again beside it where the worker did not answer (TWICE).

A placement is stored only once earlier runs of its task have ended, so an adopted run with a lower number is released. Test: test_run_that_may_exist_is_the_placed_one_and_not_an_earlier_one failed before.

--- a/laburnumswitch/process/dispatch/placement_recovery.py
+++ b/laburnumswitch/process/dispatch/placement_recovery.py
@@ -108,6 +108,11 @@
         if placement.worker_id:
             task.down_since_s = dispatcher.began_s
         return False
+    earlier = dispatcher.workers_by_id.get(task.worker_id)
+    if earlier is not None and task.active_run < placement.run:
+        # Another row of an earlier owner names a run that had ended before this one was placed.
+        run = earlier.runs_by_task[key]
+        dispatcher.release_run(earlier, run, f"run {placement.run} was placed after it")
     report = RunReport(key, placement.run, "", 0.0, 0.0)
     if dispatcher.adopt_run(worker, report):
         # It started in an earlier term, and is not to blame if its worker has crashed since.
--- a/tests/process/dispatch/test_placements.py
+++ b/tests/process/dispatch/test_placements.py
@@ -12,6 +12,7 @@
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.job_spec import TaskKey
 from laburnumswitch.process.dispatch.jobs import JobState
+from laburnumswitch.process.dispatch.placement_recovery import restore_placements
 from laburnumswitch.process.dispatch.placements import Placement
 from laburnumswitch.process.dispatch.placements import row_name
 from laburnumswitch.process.dispatch.placements import RowKey
@@ -22,9 +23,11 @@
 from laburnumswitch.process.dispatch.progress import progress_key
 from laburnumswitch.process.dispatch.progress import submission_key
 from laburnumswitch.process.dispatch.worker_protocol import RunOutcome
+from laburnumswitch.process.dispatch.worker_protocol import RunReport
 from laburnumswitch.process.leadership.succession import SUCCESSION_KEY
 from laburnumswitch.process.leadership.term import PredecessorState
 from laburnumswitch.process.rows.table import Put
+from laburnumswitch.process.rows.table import Row
 from laburnumswitch.process.rows.table import Transaction
 from tests.process.dispatch.harness import DispatchHarness
 from tests.process.dispatch.harness import make_listing
@@ -194,6 +197,29 @@
         self.assertThat(self.checker.start_count, Equals(1))
 
 
+class TestOlderKnowledge(SuccessionCase):
+    """Other rows of earlier owners may still name the run before the one that is placed."""
+
+    def _restore(self, run, placement):
+        step = LASTING._replace(cpu_millis=100_000)
+        self.harness.submit(make_submission("j1", step), self.first)
+        key = TaskKey("j1", 0, 0, 0)
+        self.first.adopt_run(self.first.workers_by_id["w1"], RunReport(key, run, "", 0.0, 0.0))
+        row = Row(row_name(RowKey("j1", 0, 0, 0)), 1, [placement])
+        restore_placements(self.first, [row], True)
+        return self.first.jobs_by_id["j1"].task(key)
+
+    def test_run_that_may_exist_is_the_placed_one_and_not_an_earlier_one(self):
+        task = self._restore(1, Placement(0, 2, "w2"))
+        self.assertThat((task.active_run, task.worker_id), Equals((2, "w2")))
+        self.assertThat(len(self.first.workers_by_id["w1"].runs_by_task), Equals(0))
+        self.assertThat(len(self.first.workers_by_id["w2"].runs_by_task), Equals(1))
+
+    def test_later_run_that_was_handed_over_is_kept(self):
+        task = self._restore(2, Placement(0, 1, "w2"))
+        self.assertThat((task.active_run, task.worker_id), Equals((2, "w1")))
+
+
 class TestDownTime(TestCase):
     """For how long a long-running task has been down counts for each successor."""
 
