--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -42,7 +42,7 @@
 CALL_PAUSE_S = 0.2
 CONCURRENT_FAULTS = 3
 # Of the seeds that end owners in series: the other jobs leave room for the long-running ones.
-LONG_RUNNING_JOBS = 12
+WORKERS_PER_LONG_RUNNING_JOB = 2
 SERIES_CALL_PAUSE_S = 1.5
 LONG_RUNNING_START_S = 3.0
 # Observation of the long-running tasks after the series: a run whose lease nobody renews ends in
@@ -151,11 +151,12 @@
 
     That not all of them are accepted is a violation, as a run without them would show nothing.
     """
-    for _ in range(LONG_RUNNING_JOBS):
+    job_count = len(cluster.workers) // WORKERS_PER_LONG_RUNNING_JOB
+    for _ in range(job_count):
         callers.submit_long_running(random)
     sleep(LONG_RUNNING_START_S)
-    if len(callers.long_running) < LONG_RUNNING_JOBS:
-        details = f"{len(callers.long_running)} long-running jobs accepted before the series"
+    if len(callers.long_running) < job_count:
+        details = f"{len(callers.long_running)} of {job_count} accepted before the series"
         cluster.checker.violations.append(Violation(monotonic(), "soak", "long-running", details))
 
 
--- a/soak/owners_in_series.py
+++ b/soak/owners_in_series.py
@@ -43,7 +43,7 @@
 REPLACEMENT_S = 0.4
 MAX_RESTART_S = 1.0
 # Time from the moment from which a worker is silent until its process is gone.
-SILENCE_S = (0.5, 3.0)
+SILENCE_S = (0.2, 1.5)
 MAX_LOST_WORKERS = 3
 # Pauses and cuts, some of which outlast the lease of an owner.
 OUTAGE_S = (1.0, 9.0)
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -157,7 +157,7 @@
         self.set_switches(leaves_s=leaves_s)
 
     def cut_off(self) -> None:
-        """Drop all traffic from and to the process, for good."""
+        """Drop all traffic between entries and the process, for good."""
         self.is_leaving = True
         self._record("leaving")
         self.proxy.set_mode(Mode.SILENT)
