--- a/tests/process/dispatch/test_placements.py
+++ b/tests/process/dispatch/test_placements.py
@@ -297,7 +297,7 @@
         second = self.start_owner("vm-2")
         self._assert_waits(holder, second)
         wait_until(lambda: second.placements.is_complete, 2.0)
-        wait_until(lambda: self._succession() == (2, 2, True), 2.0)
+        wait_until(lambda: self._succession() == (2, 2, True, 0), 2.0)
         (placement,) = self.harness.table.read((name,))[name].value
         self.assertThat(placement[2], Equals(holder.listing.worker_id))
 
@@ -309,7 +309,7 @@
         self._forget(deletes=(SUCCESSION_KEY, row_name(RowKey("j1", 0, 0, 0))))
         holder.drops_calls = True
         second = self.start_owner("vm-2")
-        wait_until(lambda: self._succession() == (2, 2, False))
+        wait_until(lambda: self._succession() == (2, 2, False, 0))
         second.stop()
         self._assert_waits(holder, self.start_owner("vm-3"))
 
