Extend no lease of a silent worker that has unreported runs

Callers saw a long-running task down for 9.3 s, with one owner and no list of VMs, when its worker crashed before it had reported the run: nine are allowed. Such a run may be in a later incarnation, which may grant the longest lease with each command that names the end of one, and the calls to a silent worker did so for 2.2 s after its last answer. They name none now while a run is unreported. The test measured 9.27 s before and 7.75 s after (7.02 s for a reported run, both times). test_renewals, which loses every second renewal, passes; so do tests/process/dispatch, rows, platform and test_dispatch_entry.

--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -493,9 +493,15 @@
         self.restart_lapse_bound_s = now_s + DELIVERY_S + lapse_s(self.max_lease_s, self.ending_s)
 
     def may_extend_lease(self, now_s: float) -> bool:
-        """Return whether the end of a lease may be sent although the worker may have restarted."""
+        """Return whether the end of a lease may be sent although the worker may have restarted.
+
+        A silent worker with unreported runs gets none: each one sent would move the time at which
+        these have certainly ended, also in a later incarnation.
+        """
         if self.has_failed:
             return False
+        if self.is_silent and any(not run.incarnation for run in self.runs_by_task.values()):
+            return False
         return bool(self.last_answer_s) and now_s - self.last_answer_s < MAX_SILENCE_S
 
     def may_have_restarted(self, now_s: float) -> bool:
