Store a worker that never answered this owner as silent after the first failed call

A silence was stored after the second failed renewal, since the one after a lost renewal may have to extend a lease; a worker that has never answered has none to extend.

The batch of a commit holds fewer jobs, so that the rows of placements and silences fit beside them.

--- a/laburnumswitch/process/dispatch/queue_store.py
+++ b/laburnumswitch/process/dispatch/queue_store.py
@@ -27,7 +27,7 @@
 # that is too large.
 QUEUE_PARTS = 64
 # Maximum number of these rows that wait for a commit at a time. A transaction has room for them
-# beside 50 jobs and the owner's other rows, see ``recorder.JOBS_PER_BATCH``.
+# beside the jobs and the owner's other rows, see ``recorder.JOBS_PER_BATCH``.
 MAX_QUEUED_PARTS = 8
 # Interval in seconds at which changed settings are looked for. Until a new queue is stored, a
 # successor knows it from the configuration, as operators do not remove it within this time.
--- a/laburnumswitch/process/dispatch/recorder.py
+++ b/laburnumswitch/process/dispatch/recorder.py
@@ -52,7 +52,7 @@
 # Entries of every commit: the condition on the term, and the term.
 TERM_ENTRIES = 2
 # Maximum number of jobs in one commit; the rest is for other rows of the owner and for removals.
-JOBS_PER_BATCH = 50
+JOBS_PER_BATCH = 30
 
 
 class RecorderContext(NamedTuple):
--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -85,7 +85,8 @@
         if dispatcher.has_lapsed(worker):
             _handle_lapse(dispatcher, worker, answer)
         # A single lost renewal is not stored, as the one after it could not extend the lease.
-        if was_silent and worker.is_silent and not worker.is_dropped:
+        has_lease_to_extend = bool(worker.last_answer_s) and not was_silent
+        if worker.is_silent and not (has_lease_to_extend or worker.is_dropped):
             _store_silence(dispatcher, worker)
         context.sleep(RETRY_S)
 
--- a/tests/process/dispatch/test_silences.py
+++ b/tests/process/dispatch/test_silences.py
@@ -136,6 +136,22 @@
         self.assertThat(inherited.has_unknown_runs, Equals(True))
         self.check_second_start(bound_s)
 
+    def test_owners_that_never_reach_a_worker_do_not_each_wait_a_whole_lease_for_it(self):
+        """Each of them ends right after its first call to the worker has failed."""
+        self.first.stop()
+        self.holder.drops_calls = True
+        second = self.start_owner("vm-2")
+        worker = second.workers_by_id
+        wait_until(lambda: self.holder_id in worker and worker[self.holder_id].is_silent)
+        bound_s = worker[self.holder_id].lapse_bound_s
+        sleep(0.1)
+        second.stop()
+        third = self.start_owner("vm-3")
+        wait_until(third.is_loaded.is_set)
+        inherited = third.workers_by_id[self.holder_id]
+        self.assertThat(inherited.lapse_bound_s - bound_s, LessThan(TOLERANCE_S))
+        self.check_second_start(bound_s)
+
     def test_row_of_a_dropped_worker_goes_away(self):
         self.fall_silent()
         self.first.drop_worker(self.worker, "its VM is down")
--- a/tests/process/leadership/test_succession.py
+++ b/tests/process/leadership/test_succession.py
@@ -32,4 +32,6 @@
     def test_malformed_row_is_reported(self):
         self.assertThat(decode_succession(Row(SUCCESSION_KEY, 3, ["x"])), IsInstance(RowMalformed))
         self.assertThat(decode_succession(Row(SUCCESSION_KEY, 0, None)), Is(None))
-        self.assertThat(X)
+        self.assertThat(
+            decode_succession(Row(SUCCESSION_KEY, 3, [2, 1, True])), Equals((2, 1, True, 0))
+        )
