Show that an outdated silence goes before a later placement of its task

Callers would see a long-running task run twice. A run is released when its silent worker is listed as restarted; the silence that lists the run is stored again only after the worker's next failed renewal. If the owner is lost in between, its successor adopts the run of the silence first, so the later placement of the task is not adopted. Once the restarted worker has answered without the run, the task counts as waiting and is started a third time, while the second run goes on on a worker that does not answer yet.

--- /dev/null
+++ b/tests/process/dispatch/test_review_lost.py
@@ -0,0 +1,80 @@
+"""Long-running tasks under owners that follow one another: stale records, and leases not kept."""
+
+from gevent import sleep
+from testtools import TestCase
+from testtools.matchers import Contains
+from testtools.matchers import Equals
+
+from laburnumswitch.process.dispatch.job_spec import Step
+from laburnumswitch.process.dispatch.job_spec import TaskKey
+from laburnumswitch.process.leadership.term import PredecessorState
+from tests.process.dispatch.harness import DispatchHarness
+from tests.process.dispatch.harness import make_submission
+from tests.process.dispatch.harness import wait_until
+
+LASTING = Step(1, cpu_millis=1000, memory_mb=100, long_running=True)
+TASK = TaskKey("j1", 0, 0, 0)
+
+
+class OneLastingTaskCase(TestCase):
+    """A long-running task on one of three workers, started by the first owner."""
+
+    def setUp(self):
+        super().setUp()
+        self.harness = DispatchHarness(workers=3)
+        self.first = self.start_owner("vm-1")
+        wait_until(lambda: len(self.reached(self.first)) == 3)
+        self.harness.submit(make_submission("j1", LASTING), self.first)
+        wait_until(lambda: self.harness.checker.start_count == 1)
+        self.holder = self.running_worker()
+        self.holder_id = self.holder.listing.worker_id
+
+    def start_owner(self, vm_id, predecessor=PredecessorState.ENDED):
+        owner = self.harness.start_owner(vm_id, predecessor)
+        self.addCleanup(owner.stop)
+        return owner
+
+    def reached(self, owner):
+        return [worker for worker in owner.workers_by_id.values() if worker.is_reached]
+
+    def running_worker(self):
+        (holder,) = (each for each in self.harness.worker_by_id.values() if each.running())
+        return holder
+
+    def stored_silent_runs(self):
+        """Return the pairs of silent worker and task whose runs are stored."""
+        rows = self.harness.table.load("silences").rows
+        silences = [silence for row in rows for silence in row.value[1]]
+        return [(silence[0], TaskKey(*run[0])) for silence in silences for run in silence[-1]]
+
+
+class TestOutdatedSilence(OneLastingTaskCase):
+    def _fall_silent(self):
+        """Have the holder fall silent, and return once a renewal that will fail has begun."""
+        self.begun = 0
+        renew = self.holder.renew
+
+        def renew_and_count(renewal, timeout_s):
+            self.begun += 1
+            return renew(renewal, timeout_s)
+
+        self.holder.renew = renew_and_count
+        self.holder.drops_calls = True
+        wait_until(lambda: (self.holder_id, TASK) in self.stored_silent_runs())
+        begun = self.begun
+        wait_until(lambda: self.begun > begun)
+
+    def test_later_placement_goes_before_the_run_in_an_older_silence(self):
+        """The silence is stored again only after the next failed renewal of its worker."""
+        self._fall_silent()
+        self.holder.restart()
+        self.harness.list_worker(self.holder.listing)
+        wait_until(lambda: self.harness.checker.start_count == 2)
+        self.first.stop()
+        self.assertThat(self.stored_silent_runs(), Contains((self.holder_id, TASK)))
+        self.running_worker().drops_calls = True
+        self.holder.drops_calls = False
+        second = self.start_owner("vm-2")
+        wait_until(second.is_loaded.is_set)
+        sleep(2.0)
+        self.assertThat(self.harness.checker.violations, Equals([]))
