Show that leases of workers that once restarted are not kept while an owner loads

Callers would see long-running tasks down on healthy workers. The list of workers is stored when a worker is added or moves, not when it is listed as another incarnation at the same address. A later owner loads the old incarnation, takes the first answer for a restart, and stops to keep the lease. So it does at each takeover, as it stores the old listing again.

--- a/tests/process/dispatch/test_review_lost.py
+++ b/tests/process/dispatch/test_review_lost.py
@@ -1,13 +1,17 @@
 """Long-running tasks under owners that follow one another: stale records, and leases not kept."""
 
 from gevent import sleep
+from gevent.event import Event
 from testtools import TestCase
 from testtools.matchers import Contains
 from testtools.matchers import Equals
 
+from laburnumswitch.process.dispatch.eligibility import usable_workers
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.job_spec import TaskKey
+from laburnumswitch.process.dispatch.progress import SUBMISSIONS_TABLE
 from laburnumswitch.process.leadership.term import PredecessorState
+from tests.process.dispatch.harness import BOUNDS
 from tests.process.dispatch.harness import DispatchHarness
 from tests.process.dispatch.harness import make_submission
 from tests.process.dispatch.harness import wait_until
@@ -78,3 +82,49 @@
         wait_until(second.is_loaded.is_set)
         sleep(2.0)
         self.assertThat(self.harness.checker.violations, Equals([]))
+
+
+class TestLeasesWhileOwnersLoad(TestCase):
+    """Owners load slowly, or end before they have loaded, one after the other."""
+
+    def setUp(self):
+        super().setUp()
+        self.harness = DispatchHarness()
+        self.may_load = Event()
+        self.may_load.set()
+        self.addCleanup(self.may_load.set)
+        load = self.harness.table.load
+
+        def load_slowly(table):
+            if table == SUBMISSIONS_TABLE:
+                self.may_load.wait()
+            return load(table)
+
+        self.harness.table.load = load_slowly
+
+    def start_owner(self, vm_id):
+        owner = self.harness.start_owner(vm_id)
+        self.addCleanup(owner.stop)
+        return owner
+
+    def start_job(self, owner):
+        self.harness.submit(make_submission("j1", LASTING), owner)
+        wait_until(lambda: self.harness.checker.start_count == 1)
+        (holder,) = (each for each in self.harness.worker_by_id.values() if each.running())
+        wait_until(lambda: owner.workers_by_id[holder.listing.worker_id].granted_until_s)
+        return holder
+
+    def test_lease_is_kept_of_a_worker_that_has_restarted_since_it_was_stored(self):
+        first = self.start_owner("vm-1")
+        wait_until(lambda: len(usable_workers(first, "shop")) == 2)
+        for worker in self.harness.worker_by_id.values():
+            worker.restart()
+            self.harness.list_worker(worker.listing)
+        wait_until(lambda: all(each.incarnation == 2 for each in first.workers_by_id.values()))
+        wait_until(lambda: len(usable_workers(first, "shop")) == 2)
+        holder = self.start_job(first)
+        first.release()
+        self.may_load.clear()
+        self.start_owner("vm-2")
+        sleep(BOUNDS.lease_s + 1.5)
+        self.assertThat(holder.running(), Equals((TASK,)))
