Show that no lease is kept under owners that end soon after they took over

Callers would see long-running tasks down on healthy workers. An owner that loads keeps leases only after 0.75 s, counted from when it has loaded the list of workers. An owner that ends before that extends no lease, whatever time its predecessors have left of it.

--- a/tests/process/dispatch/test_review_lost.py
+++ b/tests/process/dispatch/test_review_lost.py
@@ -9,6 +9,7 @@
 from laburnumswitch.process.dispatch.eligibility import usable_workers
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.job_spec import TaskKey
+from laburnumswitch.process.dispatch.lease_keeping import KEEP_AFTER_S
 from laburnumswitch.process.dispatch.progress import SUBMISSIONS_TABLE
 from laburnumswitch.process.leadership.term import PredecessorState
 from tests.process.dispatch.harness import BOUNDS
@@ -18,6 +19,8 @@
 
 LASTING = Step(1, cpu_millis=1000, memory_mb=100, long_running=True)
 TASK = TaskKey("j1", 0, 0, 0)
+# How many owners of less than the pause before leases are kept outlast a lease.
+OWNERS = 11
 
 
 class OneLastingTaskCase(TestCase):
@@ -128,3 +131,15 @@
         self.start_owner("vm-2")
         sleep(BOUNDS.lease_s + 1.5)
         self.assertThat(holder.running(), Equals((TASK,)))
+
+    def test_lease_is_kept_under_owners_that_end_soon_after_they_took_over(self):
+        """Each of them ends before the time after which an owner keeps leases while it loads."""
+        first = self.start_owner("vm-1")
+        holder = self.start_job(first)
+        first.release()
+        self.may_load.clear()
+        for number in range(2, 2 + OWNERS):
+            owner = self.start_owner(f"vm-{number}")
+            sleep(KEEP_AFTER_S - 0.05)
+            owner.stop()
+        self.assertThat(holder.running(), Equals((TASK,)))
