Show that a commit with silences and placements may exceed a transaction

Callers would see an owner that stores nothing any more, until it is replaced. A commit holds up to 50 jobs and all rows that are queued: with 16 of workers, 8 of crashes, and now 8 of silences and 20 of placements these are 104 entries, and the store takes 100. The recorder repeats the refused commit without end, and so does its successor if as much is queued again. So many changes wait at a time when a zone is lost during a slow commit.

--- a/tests/process/dispatch/test_recorder.py
+++ b/tests/process/dispatch/test_recorder.py
@@ -10,16 +10,25 @@
 from testtools.matchers import GreaterThan
 from testtools.matchers import LessThan
 
+from laburnumswitch.process.dispatch.crashes import CRASHES_PARTS
+from laburnumswitch.process.dispatch.crashes import CRASHES_TABLE
+from laburnumswitch.process.dispatch.dispatcher import FLEET_PARTS
+from laburnumswitch.process.dispatch.dispatcher import FLEET_TABLE
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.jobs import Job
 from laburnumswitch.process.dispatch.jobs import JobState
+from laburnumswitch.process.dispatch.placements import PLACEMENTS_TABLE
+from laburnumswitch.process.dispatch.placements import ROWS_PER_BATCH
 from laburnumswitch.process.dispatch.progress import decode_progress
 from laburnumswitch.process.dispatch.progress import progress_key
 from laburnumswitch.process.dispatch.progress import restore_progress
+from laburnumswitch.process.dispatch.recorder import JOBS_PER_BATCH
 from laburnumswitch.process.dispatch.recorder import MAX_ENTRIES
 from laburnumswitch.process.dispatch.recorder import Recorder
 from laburnumswitch.process.dispatch.recorder import RecorderContext
 from laburnumswitch.process.dispatch.recorder import RELEASE_LIMIT_S
+from laburnumswitch.process.dispatch.silences import SILENCES_PARTS
+from laburnumswitch.process.dispatch.silences import SILENCES_TABLE
 from laburnumswitch.process.leadership.term import read_term
 from laburnumswitch.process.leadership.term import Term
 from laburnumswitch.process.leadership.term import TERM_KEY
@@ -99,6 +108,31 @@
         removed = {key for each in transactions for key in each.deletes}
         self.assertThat(len(removed), Equals(300))
 
+    def test_no_commit_of_all_kinds_of_rows_exceeds_the_entries_of_a_transaction(self):
+        """So many changes wait when workers of a zone are lost during a slow commit."""
+        transactions = []
+        commit = self.table.commit
+
+        def commit_and_note(transaction):
+            transactions.append(transaction)
+            return commit(transaction)
+
+        self.table.commit = commit_and_note
+        for number in range(JOBS_PER_BATCH):
+            self.recorder.queue_job(Job(make_submission(f"j{number}", Step(3))))
+        count_by_table = {
+            FLEET_TABLE: FLEET_PARTS,
+            CRASHES_TABLE: CRASHES_PARTS,
+            SILENCES_TABLE: SILENCES_PARTS,
+            PLACEMENTS_TABLE: ROWS_PER_BATCH,
+        }
+        for table, count in count_by_table.items():
+            for number in range(count):
+                self.recorder.queue_row(f"{table}/{number}", number)
+        self.recorder.release()
+        sizes = [len(each.conditions) + len(each.puts) + len(each.deletes) for each in transactions]
+        self.assertThat(max(sizes), LessThan(MAX_ENTRIES + 1))
+
     def test_progress_is_restored(self):
         self._finish_task(1)
         task = self.job.occurrences[0].steps[0].tasks[2]
