Show that owners that load let the wait for an unreachable worker begin anew

Callers would see a long-running task down for longer with each owner in a series. A worker does not answer, and its owner hands over the end of its lease. The next owner loads slowly and stores that it may have extended leases, for all workers at a time. So its successors count a whole lease for the unreachable worker from their own takeover, though nobody has extended it.

--- a/tests/process/dispatch/test_review_lost.py
+++ b/tests/process/dispatch/test_review_lost.py
@@ -5,6 +5,7 @@
 from testtools import TestCase
 from testtools.matchers import Contains
 from testtools.matchers import Equals
+from testtools.matchers import LessThan
 
 from laburnumswitch.process.dispatch.eligibility import usable_workers
 from laburnumswitch.process.dispatch.job_spec import Step
@@ -21,6 +22,8 @@
 TASK = TaskKey("j1", 0, 0, 0)
 # How many owners of less than the pause before leases are kept outlast a lease.
 OWNERS = 11
+# A successor knows the end of the leases of an earlier owner to within this time, in seconds.
+TOLERANCE_S = 0.5
 
 
 class OneLastingTaskCase(TestCase):
@@ -143,3 +146,22 @@
             sleep(KEEP_AFTER_S - 0.05)
             owner.stop()
         self.assertThat(holder.running(), Equals((TASK,)))
+
+    def test_handed_over_end_of_a_lease_holds_if_later_owners_extended_only_others(self):
+        first = self.start_owner("vm-1")
+        holder_id = self.start_job(first).listing.worker_id
+        self.harness.worker_by_id[holder_id].drops_calls = True
+        bound_s = first.workers_by_id[holder_id].last_lapse_bound_s()
+        first.release()
+        self.may_load.clear()
+        for number in range(2, 4):
+            owner = self.start_owner(f"vm-{number}")
+            sleep(2 * KEEP_AFTER_S)
+            owner.stop()
+        self.may_load.set()
+        last = self.start_owner("vm-9")
+        wait_until(last.is_loaded.is_set)
+        lapse_bound_s = last.workers_by_id[holder_id].lapse_bound_s
+        self.assertThat(lapse_bound_s - bound_s, LessThan(TOLERANCE_S))
+        wait_until(lambda: self.harness.checker.start_count == 2)
+        self.assertThat(self.harness.checker.violations, Equals([]))
