Keep leases also of workers that have restarted since they were stored

The stored list of workers kept the incarnation of a worker's first listing. The row is stored again with a new incarnation, and an owner that loads learns the incarnation from the worker's first answer.

--- a/laburnumswitch/process/dispatch/feeds.py
+++ b/laburnumswitch/process/dispatch/feeds.py
@@ -86,8 +86,11 @@
             )
         if listing.address != worker.listing.address:
             dispatcher.move_worker(worker, listing)
+        is_new_incarnation = listing.incarnation != worker.listing.incarnation
         drain_s = dispatcher.context.deployment.bounds.drain_s
         worker.note_listing(listing, dispatcher.context.clock(), drain_s)
+        if is_new_incarnation:
+            dispatcher.queue_fleet_row(worker_id)
     if worker.leaves_s is not None:
         start_evacuation(dispatcher)
     return True
--- a/laburnumswitch/process/dispatch/lease_keeping.py
+++ b/laburnumswitch/process/dispatch/lease_keeping.py
@@ -59,7 +59,12 @@
         worker.note_lease_sent(now_s)
     renewal = Renewal(worker.fence, 0, until_s, 0.0)
     answer = dispatcher.call_remote(worker.worker_id, worker.link.renew, renewal, COMMAND_TIMEOUT_S)
-    if not isinstance(answer, WorkerReport) or worker.is_restart(answer):
+    if not isinstance(answer, WorkerReport):
         return False
+    if worker.is_restart(answer):
+        if worker.last_answer_s:
+            return False
+        # The worker was stored as an earlier incarnation.
+        worker.incarnation = answer.incarnation
     worker.note_answer(context.clock(), answer.clock_s)
     return True
