Keep leases at once where the owner before has not extended them either

The pause counts from the takeover now, and is left out if the owner before has sent nothing.

test_lease_is_kept_under_owners_that_end_soon_after_they_took_over failed two times of two before.

--- a/laburnumswitch/process/dispatch/lease_keeping.py
+++ b/laburnumswitch/process/dispatch/lease_keeping.py
@@ -23,8 +23,15 @@
 
 
 def run_lease_keeping(dispatcher: Dispatcher) -> None:
-    """Keep the leases of all workers until this owner has loaded, if that takes long."""
-    if dispatcher.is_loaded.wait(KEEP_AFTER_S) or dispatcher.is_stopped():
+    """Keep the leases of all workers until this owner has loaded, if that takes long.
+
+    Leases whose last owner did not extend them either are kept at once.
+    """
+    succession = dispatcher.succession
+    left_s = dispatcher.began_s + KEEP_AFTER_S - dispatcher.context.clock()
+    if max(succession.acted_epoch, succession.kept_epoch) < succession.epoch - 1:
+        left_s = 0.0
+    if dispatcher.is_loaded.wait(max(0.0, left_s)) or dispatcher.is_stopped():
         return
     if not store_succession(dispatcher, may_extend_leases(dispatcher.succession)):
         return
