--- a/Makefile
+++ b/Makefile
@@ -10,6 +10,7 @@
 
 COUNT ?= 1
 SECONDS ?= 10
+OPTIONS ?=
 
 .PHONY: binary demo measure soak test lint format
 
@@ -38,7 +39,7 @@
 	$(BIN)/python -m bundle.build --output build/laburnumswitch
 
 soak: $(READY)
-	$(BIN)/python -m soak --seed $(SEED) --count $(COUNT) --seconds $(SECONDS)
+	$(BIN)/python -m soak --seed $(SEED) --count $(COUNT) --seconds $(SECONDS) $(OPTIONS)
 
 measure: $(READY)
 	$(BIN)/python -m scripts.measure_request
