--- a/laburnumswitch/process/dispatch/lease_keeping.py
+++ b/laburnumswitch/process/dispatch/lease_keeping.py
@@ -18,7 +18,7 @@
 
 # Leases are kept once loading has taken this long, in seconds; most owners load faster.
 KEEP_AFTER_S = 0.75
-# Interval, in seconds, at which a lease is extended. Two lost renewals in a row end no lease.
+# Interval, in seconds, at which a lease is extended.
 KEEP_INTERVAL_S = 1.5
 
 
--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -113,9 +113,9 @@
     """Renew the lease of a worker once and apply its report.
 
     The lease is not extended while another entry may have become the owner, or a successor may read
-    that the worker is silent. Nothing is acknowledged
-    to a worker that may have restarted, since the numbers of ended runs begin anew, and its leases
-    are extended for a short time only, since it takes their end for an instant in the far future.
+    that the worker is silent. Nothing is acknowledged to a worker that may have restarted, since
+    the numbers of ended runs begin anew, and its leases are extended for a short time only, since
+    it takes their end for an instant in the far future.
 
     :param margin_s: time beyond ``wait_s`` after which the call counts as lost.
     """
