Ask the planner whether a long-running step goes before urgent ones, instead of deciding it again

down_tasks._choice_reason repeated the rule of the planner, so that a change of one would have made the log say kept or planning wrongly.

--- a/laburnumswitch/process/dispatch/down_tasks.py
+++ b/laburnumswitch/process/dispatch/down_tasks.py
@@ -15,13 +15,13 @@
 from laburnumswitch.process.dispatch.fleet import ActiveRun
 from laburnumswitch.process.dispatch.fleet import MAX_SILENCE_S
 from laburnumswitch.process.dispatch.fleet import Worker
-from laburnumswitch.process.dispatch.headroom import LONGEST_WAIT_S
 from laburnumswitch.process.dispatch.job_spec import Queue
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.job_spec import TaskKey
 from laburnumswitch.process.dispatch.jobs import ReadyStep
 from laburnumswitch.process.dispatch.jobs import Task
 from laburnumswitch.process.dispatch.placements import may_have_unknown_runs
+from laburnumswitch.process.dispatch.planner import is_overdue
 from laburnumswitch.process.dispatch.start_delays import DownCount
 from laburnumswitch.process.dispatch.start_delays import last_sign_s
 from laburnumswitch.process.dispatch.start_delays import StartDelay
@@ -405,8 +405,7 @@
             return WaitReason.SPREAD
     if task.crashed_runs and all(worker.has_suspect() for worker in fitting):
         return WaitReason.SUSPECTS
-    waited_s = dispatcher.context.clock() - ready.step_state.ready_since_s
-    if step.best_effort or waited_s >= LONGEST_WAIT_S:
+    if step.best_effort or is_overdue(dispatcher, ready):
         return WaitReason.PLANNING
     reserved = dispatcher.reserved_by_service.get(queue.service, ())
     if view.budget < step.cpu_millis or all(each.worker_id in reserved for each in fitting):
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -139,7 +139,7 @@
             share_class = dispatcher.shares.share_class(ready)
             key = order_key(ready, queue, mean_work, now_s, share_class)
             keyed.append((key, queue, ready, key_of_step))
-    keyed.sort(key=lambda each: (not _is_overdue(dispatcher, each[2]), each[0]))
+    keyed.sort(key=lambda each: (not is_overdue(dispatcher, each[2]), each[0]))
     dispatcher.place_waits.begin_pass(
         lambda: ((queue, ready) for _, queue, ready, _ in keyed),
         dispatcher.ready_step_by_key,
@@ -218,7 +218,7 @@
     is_reserving = step.long_running and not step.best_effort
     usable = service_state.unreserved_workers()
     if is_reserving:
-        if _is_overdue(dispatcher, ready) or _has_lasting_room(
+        if is_overdue(dispatcher, ready) or _has_lasting_room(
             dispatcher, queue, ready, service_state.no_lasting_room
         ):
             usable = service_state.usable
@@ -316,7 +316,7 @@
     return step_state.room.share >= (DUE_ROOM_SHARE if is_due_soon else LASTING_ROOM_SHARE)
 
 
-def _is_overdue(dispatcher: Dispatcher, ready: ReadyStep) -> bool:
+def is_overdue(dispatcher: Dispatcher, ready: ReadyStep) -> bool:
     """Return whether a long-running step goes before the urgent ones."""
     step_state = ready.step_state
     if not step_state.step.long_running or step_state.step.best_effort:
