--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -50,6 +50,7 @@
 from laburnumswitch.process.dispatch.job_spec import TaskKey
 from laburnumswitch.process.dispatch.jobs import describe_steps
 from laburnumswitch.process.dispatch.jobs import Job
+from laburnumswitch.process.dispatch.jobs import JobSource
 from laburnumswitch.process.dispatch.jobs import JobState
 from laburnumswitch.process.dispatch.jobs import ReadyStep
 from laburnumswitch.process.dispatch.jobs import step_work
@@ -348,12 +349,19 @@
 
     # Jobs
 
-    def add_job(self, submission: Submission, may_have_unknown_runs: bool = False) -> Job | None:
+    def add_job(
+        self,
+        submission: Submission,
+        source: JobSource = JobSource.NOTIFIED,
+    ) -> Job | None:
         """Add a stored job and return it, or ``None`` if it is known already."""
         if self.knows_job(submission.job_id):
             return None
-        may_have_unknown_runs |= self.predecessor_may_start_jobs and not self.settled
+        may_have_unknown_runs = source is JobSource.LOADED or (
+            self.predecessor_may_start_jobs and not self.settled
+        )
         job = Job(submission, may_have_unknown_runs, self.placements.note_change)
+        job.source, job.taken_s = source, self.context.clock()
         self.jobs_by_id[job.job_id] = job
         self._note_organisation(job)
         mean = self.mean_work_by_queue.get(submission.queue, job.work)
@@ -367,6 +375,8 @@
             queue=submission.queue,
             tasks=sum(step.count for step in submission.steps),
             age_s=round(self.context.wall_clock() - submission.submitted_s, 3),
+            source=source,
+            held=may_have_unknown_runs and not self.settled,
         )
         self._adopt_orphans(job)
         if self.cancelled_s_by_id.pop(job.job_id, None) is not None:
--- a/laburnumswitch/process/dispatch/feeds.py
+++ b/laburnumswitch/process/dispatch/feeds.py
@@ -6,6 +6,7 @@
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
 from laburnumswitch.process.dispatch.evacuator import start_evacuation
 from laburnumswitch.process.dispatch.fleet import Worker
+from laburnumswitch.process.dispatch.jobs import JobSource
 from laburnumswitch.process.dispatch.progress import CANCELLATIONS_TABLE
 from laburnumswitch.process.dispatch.progress import decode_stored_submission
 from laburnumswitch.process.dispatch.progress import SUBMISSIONS_TABLE
@@ -145,20 +146,17 @@
 
 
 def apply_submission_row(
-    dispatcher: Dispatcher, row: Row, may_have_unknown_runs: bool = False
+    dispatcher: Dispatcher, row: Row, source: JobSource = JobSource.FEED
 ) -> None:
-    """Add the job in a row of the submissions.
-
-    :param may_have_unknown_runs: whether an earlier owner may have started tasks of the job.
-    """
+    """Add the job in a row of the submissions."""
     if row.value is None:
         return
     submission = decode_stored_submission(row.key, row.value)
     if isinstance(submission, RowMalformed):
         dispatcher.context.log.note("submission_malformed", row.key, reason=submission.reason)
         return
-    job = dispatcher.add_job(submission, may_have_unknown_runs)
-    if job is None and may_have_unknown_runs:
+    job = dispatcher.add_job(submission, source)
+    if job is None and source is JobSource.LOADED:
         dispatcher.organisation_usage.note_ended(submission)
 
 
--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -1,5 +1,6 @@
 """State of the workers: capacity, runs, leases and fencing tokens."""
 
+from enum import StrEnum
 from typing import NamedTuple
 
 from laburnumswitch.process.dispatch.job_spec import Step
@@ -38,6 +39,21 @@
 DEFAULT_SERVING_UTILISATION = 0.6
 
 
+class RunsKnownBy(StrEnum):
+    """What tells an owner which runs of earlier owners exist on a worker.
+
+    ``SILENCE`` and ``HANDOVER`` were stored by an earlier owner, ``REPORT`` is the worker's own
+    under this owner's fencing token, ``LAPSE`` the end of all leases, and ``VM_LIST`` the list of
+    VMs, by which the incarnation has ended.
+    """
+
+    SILENCE = "silence"
+    HANDOVER = "handover"
+    REPORT = "report"
+    LAPSE = "lapse"
+    VM_LIST = "vm_list"
+
+
 class TailPrediction(NamedTuple):
     """Predicted tail latency of a serving run.
 
@@ -209,6 +225,7 @@
         begins anew, anywhere, so it may take the end of a lease for an instant in the far future,
         and grant the longest lease from the arrival of the command on.
     :ivar has_unknown_runs: whether runs of earlier owners may exist that this owner does not know.
+    :ivar runs_known_by: what told that there are no such runs, for the log.
     :ivar has_unreserved_runs: whether it last reported runs that this owner has not adopted, whose
         capacity is not reserved.
     :ivar has_failed: whether its last report could not be applied. It gets no starts then, and its
@@ -256,6 +273,7 @@
         self.lapse_bound_s = 0.0
         self.restart_lapse_bound_s = 0.0
         self.has_unknown_runs = False
+        self.runs_known_by: RunsKnownBy | None = None
         self.has_unreserved_runs = False
         self.has_failed = False
         self.blocked_until_s = 0.0
@@ -280,6 +298,12 @@
         """Return the id under which the platform lists the worker."""
         return self.listing.worker_id
 
+    def note_runs_known(self, source: RunsKnownBy) -> None:
+        """Record that no runs of earlier owners exist that this owner does not know."""
+        if self.has_unknown_runs or self.runs_known_by is None:
+            self.runs_known_by = source
+        self.has_unknown_runs = False
+
     def await_batch(self, batch: int) -> None:
         """Have nothing started before a batch is committed that tells successors of the worker."""
         self.listed_in_batch = max(self.listed_in_batch, batch)
--- a/laburnumswitch/process/dispatch/jobs.py
+++ b/laburnumswitch/process/dispatch/jobs.py
@@ -28,6 +28,19 @@
     CANCELLED = "cancelled"
 
 
+class JobSource(StrEnum):
+    """How an owner learned of a job.
+
+    ``LOADED``: with all stored jobs at the start of its term. ``FEED``: from the store's feed.
+    ``NOTIFIED``: from the entry that stored it. ``STORED``: it stored the job itself.
+    """
+
+    LOADED = "loaded"
+    FEED = "feed"
+    NOTIFIED = "notified"
+    STORED = "stored"
+
+
 FINAL_STATES = frozenset({JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED})
 
 
@@ -193,6 +206,8 @@
     :ivar may_have_unknown_runs: whether an earlier owner may have started tasks that no worker has
         reported yet.
     :ivar is_owed: whether its organisation is entitled to it; written by ``organisation_share``.
+    :ivar source: how the owner learned of it, for the log.
+    :ivar taken_s: when it did, on its clock, for the log.
     """
 
     def __init__(
@@ -208,6 +223,8 @@
         self.may_have_unknown_runs = may_have_unknown_runs
         self.is_stored = True
         self.is_owed = True
+        self.source = JobSource.LOADED
+        self.taken_s = 0.0
         self.critical_paths_s = critical_paths_s(submission.steps)
         self.work = sum(step.count * step_work(step) for step in submission.steps)
         count = max(1, submission.occurrences)
@@ -329,6 +346,13 @@
     return tuple(remaining)
 
 
+def describe_source(job: Job | None, now_s: float) -> dict[str, str | float]:
+    """Return how the owner learned of a job, and how long ago, for the log; nothing without one."""
+    if job is None:
+        return {}
+    return {"job_source": job.source, "job_taken_s_ago": round(now_s - job.taken_s, 3)}
+
+
 def describe_steps(job: Job, submitted_s: float) -> list[tuple[float | None, float | None]]:
     """Return when each step of a job became ready and when its last task was started, for the log.
 
--- a/laburnumswitch/process/dispatch/takeover.py
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -1,5 +1,7 @@
 """Start of an owner's term: loads the stored jobs and finds the runs of earlier owners."""
 
+from collections import Counter
+
 from msgspec import convert
 from msgspec import ValidationError
 
@@ -15,6 +17,7 @@
 from laburnumswitch.process.dispatch.feeds import follow_cancellations
 from laburnumswitch.process.dispatch.feeds import follow_submissions
 from laburnumswitch.process.dispatch.feeds import follow_workers
+from laburnumswitch.process.dispatch.fleet import RunsKnownBy
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.handover import collect_handover
 from laburnumswitch.process.dispatch.handover import Handover
@@ -22,6 +25,7 @@
 from laburnumswitch.process.dispatch.handover import HANDOVER_TABLE
 from laburnumswitch.process.dispatch.handover import WorkerHandover
 from laburnumswitch.process.dispatch.jobs import FINAL_STATES
+from laburnumswitch.process.dispatch.jobs import JobSource
 from laburnumswitch.process.dispatch.lease_keeping import run_lease_keeping
 from laburnumswitch.process.dispatch.load_report import run_load_report
 from laburnumswitch.process.dispatch.model_store import load_parameters
@@ -170,7 +174,7 @@
         if decoded.state in FINAL_STATES:
             dispatcher.note_final(job_id, decoded.state)
     for row in submissions.rows:
-        apply_submission_row(dispatcher, row, may_have_unknown_runs=True)
+        apply_submission_row(dispatcher, row, JobSource.LOADED)
     for job_id, job in dispatcher.jobs_by_id.items():
         if job_id in progress_by_id:
             restore_progress(job, progress_by_id[job_id])
@@ -274,7 +278,7 @@
     dispatcher: Dispatcher, worker: Worker, handover: Handover, known: WorkerHandover
 ) -> None:
     """Apply what was handed over of a worker, but for its runs."""
-    worker.has_unknown_runs = known.has_unknown_runs
+    _apply_knowledge(worker, known.has_unknown_runs, RunsKnownBy.HANDOVER)
     if not handover.has_lapses:
         return
     # It was written before this term began, so the sum is no earlier than the lapse.
@@ -289,7 +293,7 @@
     """Apply what was stored of a silent worker, but for its runs."""
     lapse_bound_s = _from_store_s(dispatcher, silence.lapses_s)
     worker.lapse_bound_s = min(worker.lapse_bound_s, lapse_bound_s)
-    worker.has_unknown_runs = silence.has_unknown_runs
+    _apply_knowledge(worker, silence.has_unknown_runs, RunsKnownBy.SILENCE)
     quiet_since_s = _from_store_s(dispatcher, silence.quiet_since_s)
     worker.known_since_s = min(worker.known_since_s, quiet_since_s)
     if worker.listing.incarnation in (0, silence.incarnation):
@@ -297,6 +301,13 @@
     dispatcher.silences.inherit(silence, worker.lapse_bound_s)
 
 
+def _apply_knowledge(worker: Worker, has_unknown_runs: bool, source: RunsKnownBy) -> None:
+    if has_unknown_runs:
+        worker.has_unknown_runs = True
+    else:
+        worker.note_runs_known(source)
+
+
 def _adopt_runs(
     dispatcher: Dispatcher, handover: Handover, silence_by_id: dict[str, Silence]
 ) -> None:
@@ -349,12 +360,21 @@
             dispatcher.organisation_usage.forget_ended()
             dispatcher.wake.set()
             context.log.note(
-                "settled", str(dispatcher.epoch), after_s=round(context.clock() - began_s, 3)
+                "settled",
+                str(dispatcher.epoch),
+                after_s=round(context.clock() - began_s, 3),
+                known_by=_count_sources(inherited),
             )
             return
         context.sleep(SETTLE_INTERVAL_S)
 
 
+def _count_sources(workers: list[Worker]) -> dict[str, int]:
+    """Return by how many workers what told that their runs are known, for the log."""
+    counts = Counter("dropped" if each.is_dropped else each.runs_known_by for each in workers)
+    return {str(source or RunsKnownBy.LAPSE): count for source, count in counts.items()}
+
+
 def _note_wait(dispatcher: Dispatcher, unknown: list[str]) -> None:
     context = dispatcher.context
     waiting = sum(
--- a/laburnumswitch/process/dispatch/vm_watch.py
+++ b/laburnumswitch/process/dispatch/vm_watch.py
@@ -10,6 +10,7 @@
 from laburnumswitch.exceptions import Throttled
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
 from laburnumswitch.process.dispatch.fleet import ActiveRun
+from laburnumswitch.process.dispatch.fleet import RunsKnownBy
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.vm_list import find_ended_workers
 from laburnumswitch.process.dispatch.vm_list import ListVms
@@ -145,7 +146,7 @@
     if len(ended) == len(runs):
         dispatcher.drop_worker(worker, reason)
         return
-    worker.has_unknown_runs = False
+    worker.note_runs_known(RunsKnownBy.VM_LIST)
     for run in ended:
         dispatcher.release_run(worker, run, reason)
 
--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -14,8 +14,10 @@
 from laburnumswitch.process.dispatch.dispatcher import task_name
 from laburnumswitch.process.dispatch.fleet import ActiveRun
 from laburnumswitch.process.dispatch.fleet import HEAVY_THROTTLE_PERCENT
+from laburnumswitch.process.dispatch.fleet import RunsKnownBy
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.job_spec import TaskKey
+from laburnumswitch.process.dispatch.jobs import describe_source
 from laburnumswitch.process.dispatch.jobs import Task
 from laburnumswitch.process.dispatch.silences import Silence
 from laburnumswitch.process.dispatch.tails import TailLatencyModel
@@ -233,7 +235,7 @@
             dispatcher.release_run(
                 worker, run, "its lease lapsed without an answer from the worker"
             )
-    worker.has_unknown_runs = False
+    worker.note_runs_known(RunsKnownBy.LAPSE)
     dispatcher.organisation_usage.set_unwanted(worker.worker_id)
     if not worker.runs_by_task and not worker.is_listed(dispatcher.context.clock()):
         dispatcher.drop_worker(worker, "not listed by the platform and not answering")
@@ -254,7 +256,7 @@
             worker.last_end_number = end.number
     _reconcile(dispatcher, worker, report, sent_s, fence)
     if not report.may_have_more_ends:
-        worker.has_unknown_runs = False
+        worker.note_runs_known(RunsKnownBy.REPORT)
     worker.is_silent = False
     worker.await_batch(dispatcher.silences.remove(worker.worker_id))
     if not worker.is_reached:
@@ -322,6 +324,7 @@
 
 def _handle_unknown_run(dispatcher: Dispatcher, worker: Worker, report: RunReport) -> None:
     """Adopt a run of an earlier owner if its task is still waiting, otherwise stop it."""
+    context = dispatcher.context
     job = dispatcher.jobs_by_id.get(report.task.job_id)
     known = worker.runs_by_task.get(report.task)
     if known is not None and known.number > report.run:
@@ -338,7 +341,7 @@
     other = task.worker_id if task and task.active_run else ""
     if other:
         dispatcher.counters.duplicate_runs += 1
-    dispatcher.context.log.note(
+    context.log.note(
         "run_unwanted",
         task_name(report.task),
         run=report.run,
@@ -346,6 +349,8 @@
         incarnation=worker.incarnation,
         active_run=task.active_run if other else 0,
         active_on=other,
+        settled=dispatcher.settled,
+        **describe_source(job, context.clock()),
     )
     dispatcher.send_stop(worker, report.task, report.run)
 
--- a/laburnumswitch/process/leadership/owner_link.py
+++ b/laburnumswitch/process/leadership/owner_link.py
@@ -6,6 +6,7 @@
 from laburnumswitch.exceptions import Unavailable
 from laburnumswitch.process.dispatch.admission import admit
 from laburnumswitch.process.dispatch.job_spec import Submission
+from laburnumswitch.process.dispatch.jobs import JobSource
 from laburnumswitch.process.leadership.leadership import Leadership
 from laburnumswitch.process.leadership.messages import AdmissionAnswer
 from laburnumswitch.process.leadership.messages import AdmissionRequest
@@ -52,7 +53,7 @@
         dispatcher = self._leadership.dispatcher
         if dispatcher is not None:
             if dispatcher.is_loaded.is_set():
-                dispatcher.add_job(submission)
+                dispatcher.add_job(submission, JobSource.STORED)
         elif self.reaches_other_owner():
             spawn(self._peers.notify_submitted, self._leadership.current_term.address, submission)
 
--- a/laburnumswitch/process/leadership/peer_api.py
+++ b/laburnumswitch/process/leadership/peer_api.py
@@ -19,6 +19,7 @@
 from laburnumswitch.process.dispatch.job_size import find_excess
 from laburnumswitch.process.dispatch.job_spec import may_access_job
 from laburnumswitch.process.dispatch.job_spec import Submission
+from laburnumswitch.process.dispatch.jobs import JobSource
 from laburnumswitch.process.dispatch.progress import store_submission
 from laburnumswitch.process.leadership.compressed_configuration import CompressedConfigurations
 from laburnumswitch.process.leadership.configuration_relay import confirmed_age_s
@@ -242,7 +243,7 @@
         if outcome is not None:
             is_other = isinstance(outcome, OtherOrganisation)
             return reject(STATUS_FORBIDDEN if is_other else 503, outcome.tag)
-        dispatcher.add_job(submission)
+        dispatcher.add_job(submission, JobSource.STORED)
         return reply_json(True)
 
     def store_cancellation(request: AdminRequest) -> AdminReply:
--- a/tests/process/dispatch/test_dispatcher.py
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -26,6 +26,7 @@
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.job_spec import TaskKey
 from laburnumswitch.process.dispatch.jobs import Job
+from laburnumswitch.process.dispatch.jobs import JobSource
 from laburnumswitch.process.dispatch.jobs import JobState
 from laburnumswitch.process.dispatch.model_store import LEARNED_KEY
 from laburnumswitch.process.dispatch.planner import MAX_PASS_S
@@ -658,7 +659,7 @@
         wait_until(lambda: len(second.workers_by_id) == 2 and second.is_loaded.is_set())
         submission = make_submission("j1", SHORT)
         self.harness.checker.record_submission(submission)
-        second.add_job(submission, may_have_unknown_runs=True)
+        second.add_job(submission, JobSource.LOADED)
         failed, done = (TaskKey("j1", 0, 0, index) for index in range(2))
         reports = [(failed, 2, RunOutcome.FAILED), (failed, 1, RunOutcome.FAILED)]
         reports.append((done, 1, RunOutcome.DONE))
