--- a/tests/process/dispatch/harness.py
+++ b/tests/process/dispatch/harness.py
@@ -106,7 +106,7 @@
         self.deployment = DEPLOYMENT
         self.boot_offset_s = 0.0
         self.list_vms = None
-        self.deployment = DEPLOYMENT
+        self.make_link = lambda listing: self.worker_by_id[listing.worker_id]
         for number in range(1, workers + 1):
             self.add_worker(make_listing(number, **listing_changes))
 
@@ -144,7 +144,7 @@
             table=self.table,
             workers_table="servers",
             decode_worker=lambda key, value: WorkerListing(*value[:8], tuple(value[8]), *value[9:]),
-            make_link=lambda listing: self.worker_by_id[listing.worker_id],
+            make_link=self.make_link,
             ask_advice=lambda *arguments: Unavailable("no advice here"),
             operations=self.operations,
             log=self.log,
--- /dev/null
+++ b/tests/process/dispatch/test_late_jobs.py
@@ -0,0 +1,102 @@
+"""Jobs that become known after the load while an earlier owner may still start them.
+
+An owner that was cut off with its availability zone goes on starting what entries of its zone tell
+it, on workers that its successor has not reached.
+"""
+
+from gevent import sleep
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from laburnumswitch.exceptions import AnswerLost
+from laburnumswitch.process.dispatch.eligibility import usable_workers
+from laburnumswitch.process.dispatch.job_spec import Step
+from laburnumswitch.process.leadership.term import PredecessorState
+from tests.process.dispatch.harness import DispatchHarness
+from tests.process.dispatch.harness import make_submission
+from tests.process.dispatch.harness import wait_until
+
+# One task for each of the two workers.
+WIDE = Step(2, cpu_millis=3000, memory_mb=100, estimate_ms=4000)
+FEED_READ_S = 2.0
+
+
+class CutLink:
+    """Link to an emulated worker that answers nothing while ``is_cut``."""
+
+    def __init__(self, worker):
+        self.worker = worker
+        self.is_cut = True
+
+    def renew(self, renewal, timeout_s):
+        return self._call(self.worker.renew, renewal, timeout_s)
+
+    def start(self, command, timeout_s):
+        return self._call(self.worker.start, command, timeout_s)
+
+    def stop(self, task, run, fence, timeout_s):
+        return self._call(self.worker.stop, task, run, fence, timeout_s)
+
+    def throttle(self, task, run, percent, fence, timeout_s):
+        return self._call(self.worker.throttle, task, run, percent, fence, timeout_s)
+
+    def close(self):
+        """Do nothing, as there are no connections."""
+
+    def _call(self, call, *arguments):
+        if self.is_cut:
+            sleep(min(0.1, arguments[-1]))
+            return AnswerLost(self.worker.listing.worker_id, "cut off")
+        return call(*arguments)
+
+
+class LateJobCase(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.harness = DispatchHarness()
+        self.first = self.harness.start_owner("vm-1")
+        self.addCleanup(self.first.stop)
+        wait_until(lambda: len(usable_workers(self.first, "shop")) == 2)
+        self.cut_link = CutLink(self.harness.worker_by_id["w1"])
+
+    def start_successor(self, predecessor):
+        """Start an owner that does not reach the worker ``w1``, while the first one goes on."""
+        self.harness.make_link = lambda listing: (
+            self.cut_link
+            if listing.worker_id == "w1"
+            else self.harness.worker_by_id[listing.worker_id]
+        )
+        second = self.harness.start_owner("vm-2", predecessor)
+        self.addCleanup(second.stop)
+        wait_until(lambda: len(usable_workers(second, "shop")) == 1)
+        return second
+
+    def submit_to_first(self):
+        """Submit a job that only the first owner is told of; the worker ``w1`` starts a task."""
+        self.harness.submit(make_submission("j1", WIDE), self.first)
+        wait_until(lambda: self.harness.checker.start_count == 1)
+
+    def check_runs_once(self, second):
+        sleep(FEED_READ_S)
+        self.cut_link.is_cut = False
+        wait_until(lambda: second.settled)
+        wait_until(lambda: self.harness.checker.start_count >= 2)
+        sleep(0.2)
+        self.assertThat(self.harness.checker.violations, Equals([]))
+        self.assertThat(self.harness.checker.start_count, Equals(2))
+
+
+class TestJobStartedByAnOwnerTakenForLost(LateJobCase):
+    def test_job_read_after_the_predecessor_confirmed_its_end_is_not_started_twice(self):
+        """It was stored and started before the confirmation, and read from the feed after it."""
+        second = self.start_successor(PredecessorState.SILENT)
+        self.submit_to_first()
+        self.first.supersede()
+        second.note_predecessor_ended()
+        self.check_runs_once(second)
+
+    def test_job_of_a_predecessor_that_refused_connections_is_not_started_twice(self):
+        """A cut may refuse connections, and an owner reads new jobs from the feed as well."""
+        second = self.start_successor(PredecessorState.REFUSING)
+        self.submit_to_first()
+        self.check_runs_once(second)
