Hold jobs that an earlier owner may have started until all are known that it can have

Callers saw a task of their job run twice at the same time (TWICE): each of two successive owners started it.

Cause: a job that becomes known after the load counted as new once the earlier owner had confirmed its end, and at any time if that owner refused connections. But it may have been stored and started before the confirmation, and read after it: the feed is read every 0.6 s, and notifications go to the owner that an entry knows. An owner that was cut off with its availability zone is told of jobs by the entries of its zone, and starts them on workers that its successor has not reached.

Fix: such jobs count as possibly started until the owner has read all that were stored when the end was confirmed, by a version of the store that was read after it. They wait for the workers' reports, as older jobs do. Jobs that come after that read start at once, also beside workers that do not answer.

Two tests name the new attribute, with the same assertions.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -55,6 +55,7 @@
 from laburnumswitch.process.dispatch.jobs import ReadyStep
 from laburnumswitch.process.dispatch.jobs import step_work
 from laburnumswitch.process.dispatch.jobs import Task
+from laburnumswitch.process.dispatch.late_jobs import LateJobs
 from laburnumswitch.process.dispatch.opportunity import Demand
 from laburnumswitch.process.dispatch.organisation_admission import OrganisationAdmissions
 from laburnumswitch.process.dispatch.organisation_jobs import OrganisationJobs
@@ -158,8 +159,6 @@
         stored listings, which it loads first, may be from before a worker began to drain.
     :ivar settled: whether all runs of earlier owners are known or have certainly lapsed.
     :ivar unknown_runs_until_s: when the last lease ends that earlier owners may have granted.
-    :ivar predecessor_may_start_jobs: whether the earlier owner may still start jobs that are
-        submitted before this owner has settled.
     """
 
     def __init__(self, context: DispatchContext, recorder: Recorder) -> None:
@@ -228,7 +227,7 @@
         self.knows_listings = False
         self.settled = True
         self.unknown_runs_until_s = 0.0
-        self.predecessor_may_start_jobs = False
+        self.late_jobs = LateJobs()
 
     def is_stopped(self) -> bool:
         """Return whether this owner's term has ended."""
@@ -343,7 +342,7 @@
         longest_s = self.longest_lapse_s()
         remaining_s = self.unknown_runs_until_s - self.context.clock()
         self.context.log.note("predecessor_ended", str(self.epoch), left_s=round(remaining_s, 3))
-        self.predecessor_may_start_jobs = False
+        self.late_jobs.predecessor_ended.set()
         if longest_s < remaining_s:
             self.limit_unknown_runs(longest_s)
 
@@ -358,7 +357,7 @@
         if self.knows_job(submission.job_id):
             return None
         may_have_unknown_runs = source is JobSource.LOADED or (
-            self.predecessor_may_start_jobs and not self.settled
+            self.late_jobs.may_be_started and not self.settled
         )
         job = Job(submission, may_have_unknown_runs, self.placements.note_change)
         job.source, job.taken_s = source, self.context.clock()
--- a/laburnumswitch/process/dispatch/feeds.py
+++ b/laburnumswitch/process/dispatch/feeds.py
@@ -1,7 +1,10 @@
 """Follows the store's feeds of workers, submissions and cancellations."""
 
 from collections.abc import Callable
+from typing import Any
 
+from laburnumswitch.exceptions import Failure
+from laburnumswitch.exceptions import HistoryLost
 from laburnumswitch.exceptions import RowMalformed
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
 from laburnumswitch.process.dispatch.evacuator import start_evacuation
@@ -12,6 +15,7 @@
 from laburnumswitch.process.dispatch.progress import SUBMISSIONS_TABLE
 from laburnumswitch.process.dispatch.worker_protocol import WorkerListing
 from laburnumswitch.process.dispatch.worker_session import run_worker
+from laburnumswitch.process.leadership.term import TERM_TABLE
 from laburnumswitch.process.rows.change_feed import Feed
 from laburnumswitch.process.rows.change_feed import follow_table
 from laburnumswitch.process.rows.table import Changes
@@ -24,6 +28,10 @@
 # Pause between two reads of the submissions or cancellations, in seconds. They are also sent to the
 # owner directly, so the feed only has to find those whose message was lost.
 SUBMISSIONS_INTERVAL_S = 0.6
+# Pause in seconds before a failed read is repeated.
+RETRY_S = 0.1
+# Interval, in seconds, at which to check whether the end of the earlier owners still matters.
+ENDED_CHECK_INTERVAL_S = 0.5
 # How long the store holds a read of a feed open for changes, in seconds.
 FEED_WAIT_S = 1.0
 
@@ -145,6 +153,52 @@
     _follow_rows(dispatcher, CANCELLATIONS_TABLE, version, apply_cancellation_row)
 
 
+def read_late_jobs(dispatcher: Dispatcher, version: int) -> None:
+    """Read all jobs that were stored before the earlier owners ended, once they have.
+
+    Ends before that once all runs are known, as earlier owners cannot start any more then.
+
+    :param version: version of the store up to which all jobs are known.
+    """
+    late_jobs = dispatcher.late_jobs
+    while not late_jobs.predecessor_ended.wait(ENDED_CHECK_INTERVAL_S):
+        if dispatcher.is_stopped() or dispatcher.settled:
+            return
+    # The feed may lag behind the rows of the store.
+    table = dispatcher.context.table
+    current = read_until_success(dispatcher, TERM_TABLE, table.load, TERM_TABLE)
+    while not dispatcher.is_stopped() and version < current.version:
+        changes = read_until_success(
+            dispatcher, SUBMISSIONS_TABLE, _read_jobs_after, dispatcher, version
+        )
+        for row in changes.rows:
+            apply_submission_row(dispatcher, row)
+        if changes.version <= version:
+            dispatcher.context.sleep(RETRY_S)
+        version = max(version, changes.version)
+    late_jobs.may_be_started = False
+    dispatcher.context.log.note("late_jobs_read", str(dispatcher.epoch), version=version)
+
+
+def _read_jobs_after(dispatcher: Dispatcher, version: int) -> Changes | Failure:
+    table = dispatcher.context.table
+    changes = table.follow(SUBMISSIONS_TABLE, version, 0.0)
+    return table.load(SUBMISSIONS_TABLE) if isinstance(changes, HistoryLost) else changes
+
+
+def read_until_success(
+    dispatcher: Dispatcher, name: str, read: Callable[..., Changes | Failure], *arguments: Any
+) -> Changes:
+    """Repeat a read until it succeeds; returns no rows, of version 0, if the term ends before."""
+    while not dispatcher.is_stopped():
+        changes = read(*arguments)
+        if isinstance(changes, Changes):
+            return changes
+        dispatcher.context.log.note("load_failed", name, reason=changes.describe())
+        dispatcher.context.sleep(RETRY_S)
+    return Changes((), 0, 0.0)
+
+
 def apply_submission_row(
     dispatcher: Dispatcher, row: Row, source: JobSource = JobSource.FEED
 ) -> None:
--- a/laburnumswitch/process/dispatch/takeover.py
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -17,6 +17,8 @@
 from laburnumswitch.process.dispatch.feeds import follow_cancellations
 from laburnumswitch.process.dispatch.feeds import follow_submissions
 from laburnumswitch.process.dispatch.feeds import follow_workers
+from laburnumswitch.process.dispatch.feeds import read_late_jobs
+from laburnumswitch.process.dispatch.feeds import read_until_success
 from laburnumswitch.process.dispatch.fleet import RunsKnownBy
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.handover import collect_handover
@@ -97,10 +99,8 @@
     command_window_s = max(0.0, predecessor.commands_until_s - context.clock())
     dispatcher.limit_unknown_runs(dispatcher.longest_lapse_s() + command_window_s)
     dispatcher.settled = dispatcher.epoch == 1
-    dispatcher.predecessor_may_start_jobs = predecessor.state in (
-        PredecessorState.SILENT,
-        PredecessorState.UNSETTLED,
-    )
+    if predecessor.state is not PredecessorState.ENDED:
+        dispatcher.late_jobs.expect_starts()
     dispatcher.spawn(recorder.run, dispatcher.is_stopped)
     dispatcher.spawn(_run, dispatcher)
     return dispatcher
@@ -135,6 +135,8 @@
     for worker in dispatcher.workers_by_id.values():
         dispatcher.spawn(run_worker, dispatcher, worker)
     dispatcher.spawn(follow_submissions, dispatcher, version)
+    if dispatcher.late_jobs.may_be_started:
+        dispatcher.spawn(read_late_jobs, dispatcher, version)
     dispatcher.spawn(follow_cancellations, dispatcher, version)
     dispatcher.spawn(follow_workers, dispatcher)
     dispatcher.spawn(run_planner, dispatcher)
@@ -160,6 +162,7 @@
 
 def _load_jobs(dispatcher: Dispatcher) -> int:
     """Load all jobs and return the version of the store as of which they were read."""
+    dispatcher.late_jobs.note_read()
     submissions = _load(dispatcher, SUBMISSIONS_TABLE)
     progress = _load(dispatcher, PROGRESS_TABLE)
     cancellations = _load(dispatcher, CANCELLATIONS_TABLE)
@@ -392,10 +395,4 @@
 
 
 def _load(dispatcher: Dispatcher, table: str) -> Changes:
-    while not dispatcher.is_stopped():
-        changes = dispatcher.store_time.load(table)
-        if not isinstance(changes, Failure):
-            return changes
-        dispatcher.context.log.note("load_failed", table, reason=changes.describe())
-        dispatcher.context.sleep(RETRY_S)
-    return Changes((), 0, 0.0)
+    return read_until_success(dispatcher, table, dispatcher.store_time.load, table)
--- a/laburnumswitch/process/leadership/term.py
+++ b/laburnumswitch/process/leadership/term.py
@@ -16,7 +16,8 @@
 from laburnumswitch.process.rows.table import FeedTable
 from laburnumswitch.process.rows.table import Row
 
-TERM_KEY = "leadership/term"
+TERM_TABLE = "leadership"
+TERM_KEY = f"{TERM_TABLE}/term"
 NO_OWNER = ""
 
 
@@ -43,10 +44,10 @@
     """What is known about the earlier owner at a takeover.
 
     ``ENDED``: it sends no more commands to workers, because its process has ended or it has
-    confirmed that it was superseded. ``REFUSING``: it refuses connections, so it accepts no new
-    jobs, but may still send commands. ``SILENT``: it does not answer, and may still accept jobs and
-    send commands until its lease (``recorder.OWNER_LEASE_S``) expires. ``UNSETTLED``: it has ended
-    itself, but an owner before it may still send commands, see ``Term.unconfirmed``.
+    confirmed that it was superseded. ``REFUSING``: it refuses connections, but may still read new
+    jobs from the feed and send commands. ``SILENT``: it does not answer, and may still accept jobs
+    and send commands. Both end with its lease (``recorder.OWNER_LEASE_S``). ``UNSETTLED``: it has
+    ended itself, but an owner before it may still send commands, see ``Term.unconfirmed``.
     """
 
     ENDED = "ended"
--- a/tests/process/dispatch/test_dispatcher.py
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -626,7 +626,7 @@
         worker = third.workers_by_id[holder.listing.worker_id]
         lease_s = BOUNDS.lease_s / MIN_CLOCK_RATE
         self.assertThat(worker.lapse_bound_s - monotonic(), GreaterThan(lease_s + 5.0))
-        self.assertThat(third.predecessor_may_start_jobs, Equals(True))
+        self.assertThat(third.late_jobs.may_be_started, Equals(True))
 
     def test_successor_reads_end_reports_that_were_not_acknowledged(self):
         self.harness.submit(make_submission("j1"), self.first)
--- a/tests/process/leadership/test_predecessor.py
+++ b/tests/process/leadership/test_predecessor.py
@@ -122,7 +122,7 @@
         self._store(term._replace(owner=NO_OWNER))
         client.has_ended = True
         wait_until(lambda: follower.dispatcher is not None)
-        self.assertThat(follower.dispatcher.predecessor_may_start_jobs, Equals(False))
+        self.assertThat(follower.dispatcher.late_jobs.may_be_started, Equals(False))
         self.assertThat(self.unconfirmed, Equals(()))
 
     def test_leases_of_earlier_owners_do_not_begin_anew_with_each_owner(self):
