--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -66,6 +66,11 @@
 from laburnumswitch.process.dispatch.placements import Placements
 from laburnumswitch.process.dispatch.quota_gate import QuotaGate
 from laburnumswitch.process.dispatch.recorder import Recorder
+from laburnumswitch.process.dispatch.run_ends import accepts_end
+from laburnumswitch.process.dispatch.run_ends import EndKind
+from laburnumswitch.process.dispatch.run_ends import Evidence
+from laburnumswitch.process.dispatch.run_ends import has_ended
+from laburnumswitch.process.dispatch.run_ends import may_adopt
 from laburnumswitch.process.dispatch.silences import Silences
 from laburnumswitch.process.dispatch.start_delays import StartDelays
 from laburnumswitch.process.dispatch.tails import TailLatencyModel
@@ -517,7 +522,9 @@
         """
         job = self.jobs_by_id.get(report.task.job_id)
         task = job and job.task(report.task)
-        if not task or job.is_final() or not task.is_waiting() or report.run < task.last_run:
+        if not task or job.is_final() or not task.is_waiting():
+            return False
+        if not may_adopt(report.run, task.last_run):
             return False
         now_s = self.context.clock()
         job.begin_run(task, report.run, worker.worker_id)
@@ -567,8 +574,8 @@
         for orphan_end in self.orphan_ends_by_job_id.pop(job.job_id, ()):
             self._apply_orphan_end(orphan_end)
 
-    def release_run(self, worker: Worker, run: ActiveRun, reason: str) -> None:
-        """Remove a run that no longer exists although its end was not reported.
+    def release_run(self, worker: Worker, run: ActiveRun, kind: EndKind, reason: str) -> None:
+        """Remove a run that has certainly ended, see ``run_ends``, although that was not reported.
 
         Its task is waiting again.
         """
@@ -596,6 +603,7 @@
             started_s_ago=round(now_s - run.started_s, 3),
             confirmed_s_ago=None if run.confirmed_s is None else round(now_s - run.confirmed_s, 3),
             answered_s_ago=round(now_s - worker.last_answer_s, 3) if worker.last_answer_s else None,
+            evidence=kind,
             reason=reason,
         )
 
@@ -760,7 +768,7 @@
         if job is not None:
             job.has_begun = True
         was_final = job is not None and job.is_final()
-        if not task or not self._accepts_end(task, end):
+        if not task or not accepts_end(end, task.active_run, task.last_run, task.is_done):
             self.wake.set()
             batch = self.recorder.committed
             if task and task.active_run == end.run:
@@ -787,15 +795,6 @@
         else:
             self.refresh_ready_steps(job)
 
-    def _accepts_end(self, task: Task, end: EndReport) -> bool:
-        # A run before the active one does not count: its lease has lapsed. One after it shows that
-        # an earlier owner knew the active one, which this owner adopted, to have ended.
-        if task.is_done:
-            return False
-        if task.active_run:
-            return end.run >= task.active_run
-        return end.run > task.last_run or end.outcome is RunOutcome.DONE
-
     def _count_end(self, worker: Worker, job: Job, task: Task, end: EndReport) -> None:
         if end.outcome is RunOutcome.DONE:
             if not job.is_final():
@@ -866,7 +865,7 @@
         ]
         return self.recorder.queue_row(f"{FLEET_TABLE}/{part}", listings)
 
-    def note_restart(self, worker: Worker, incarnation: int, evidence: str) -> None:
+    def note_restart(self, worker: Worker, incarnation: int, reason: str) -> None:
         """Apply that a worker has started again under its id.
 
         Runs that an earlier incarnation has reported ended with it. Any other start may have
@@ -874,8 +873,8 @@
         """
         self.note_crashes([worker])
         for run in list(worker.runs_by_task.values()):
-            if run.incarnation not in (0, incarnation):
-                self.release_run(worker, run, f"the worker restarted: {evidence}")
+            if has_ended(run, Evidence(EndKind.RESTART, incarnation=incarnation)):
+                self.release_run(worker, run, EndKind.RESTART, f"the worker restarted: {reason}")
         self._forget_orphans(worker)
         self.organisation_usage.set_unwanted(worker.worker_id)
         if worker.runs_by_task:
@@ -886,7 +885,7 @@
             before=worker.known_incarnation(),
             incarnation=incarnation,
             clock_s=round(worker.clock_s, 3),
-            reason=evidence,
+            reason=reason,
             kept_runs=len(worker.runs_by_task),
         )
         worker.begin_incarnation(incarnation, self.context.clock())
@@ -914,18 +913,19 @@
 
         Runs that the worker has not reported may have longer ones, see ``has_run_lapsed``.
         """
-        return self._is_past(worker.lapse_bound_s)
+        return self._last_owned_s() > worker.lapse_bound_s
 
     def has_run_lapsed(self, worker: Worker, run: ActiveRun) -> bool:
         """Return whether the lease of a run has certainly expired."""
-        return self._is_past(worker.run_lapse_bound_s(run))
+        lapses_s = worker.run_lapse_bound_s(run)
+        evidence = Evidence(EndKind.LAPSE, instant_s=self._last_owned_s(), lapses_s=lapses_s)
+        return has_ended(run, evidence)
 
-    def _is_past(self, lapse_bound_s: float) -> bool:
-        # This owner must have committed since then: otherwise a successor may have renewed leases.
-        is_over = self.context.clock() > lapse_bound_s
-        return is_over and self.recorder.was_owner_at(lapse_bound_s)
+    def _last_owned_s(self) -> float:
+        # Since its last commit, a successor may have renewed leases.
+        return min(self.context.clock(), self.recorder.last_owned_s())
 
-    def drop_worker(self, worker: Worker, reason: str) -> None:
+    def drop_worker(self, worker: Worker, reason: str, kind: EndKind = EndKind.LAPSE) -> None:
         """Remove a worker whose runs have certainly ended, unless it was removed already."""
         if worker.is_dropped:
             return
@@ -933,7 +933,7 @@
         run_count = len(worker.runs_by_task)
         self.fence_by_dropped_id[worker.worker_id] = worker.fence
         for run in list(worker.runs_by_task.values()):
-            self.release_run(worker, run, reason)
+            self.release_run(worker, run, kind, reason)
         self.organisation_usage.set_unwanted(worker.worker_id)
         worker.link.close()
         if self.workers_by_id.get(worker.worker_id) is worker:
--- a/laburnumswitch/process/dispatch/placement_recovery.py
+++ b/laburnumswitch/process/dispatch/placement_recovery.py
@@ -10,6 +10,9 @@
 from laburnumswitch.process.dispatch.jobs import Job
 from laburnumswitch.process.dispatch.placements import collect_placements
 from laburnumswitch.process.dispatch.placements import Placement
+from laburnumswitch.process.dispatch.run_ends import EndKind
+from laburnumswitch.process.dispatch.run_ends import Evidence
+from laburnumswitch.process.dispatch.run_ends import has_ended
 from laburnumswitch.process.dispatch.worker_protocol import RunReport
 from laburnumswitch.process.leadership.succession import may_send_commands
 from laburnumswitch.process.leadership.succession import Succession
@@ -104,10 +107,11 @@
             task.down_since_s = dispatcher.began_s
         return False
     earlier = dispatcher.workers_by_id.get(task.worker_id)
-    if earlier is not None and task.active_run < placement.run:
-        # Another row of an earlier owner names a run that had ended before this one was placed.
-        run = earlier.runs_by_task[key]
-        dispatcher.release_run(earlier, run, f"run {placement.run} was placed after it")
+    run = earlier and earlier.runs_by_task[key]
+    if run and has_ended(run, Evidence(EndKind.LATER_PLACEMENT, run=placement.run)):
+        # Another row of an earlier owner names it.
+        reason = f"run {placement.run} was placed after it"
+        dispatcher.release_run(earlier, run, EndKind.LATER_PLACEMENT, reason)
     report = RunReport(key, placement.run, "", 0.0, 0.0)
     if dispatcher.adopt_run(worker, report):
         # It started in an earlier term, and is not to blame if its worker has crashed since.
--- a/laburnumswitch/process/dispatch/recorder.py
+++ b/laburnumswitch/process/dispatch/recorder.py
@@ -144,9 +144,9 @@
             and self.since_last_commit_s() < OWNER_LEASE_S
         )
 
-    def was_owner_at(self, instant_s: float) -> bool:
-        """Return whether the term was certainly still held at an instant of the monotonic clock."""
-        return self._last_commit_monotonic_s > instant_s
+    def last_owned_s(self) -> float:
+        """Return until when the term was certainly held, on the monotonic clock."""
+        return self._last_commit_monotonic_s
 
     def require_commit(self) -> None:
         """Treat the term as possibly lost until the next successful commit."""
--- a/laburnumswitch/process/dispatch/run_start.py
+++ b/laburnumswitch/process/dispatch/run_start.py
@@ -3,13 +3,11 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from laburnumswitch.exceptions import ConnectFailed
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.exceptions import Refused
 from laburnumswitch.exceptions import StartRefused
 from laburnumswitch.exceptions import Throttled
 from laburnumswitch.exceptions import Unavailable
-from laburnumswitch.exceptions import WorkerReplaced
 from laburnumswitch.process.dispatch.dispatcher import COMMAND_TIMEOUT_S
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
 from laburnumswitch.process.dispatch.dispatcher import task_name
@@ -18,10 +16,11 @@
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.jobs import Job
 from laburnumswitch.process.dispatch.jobs import Task
+from laburnumswitch.process.dispatch.run_ends import EndKind
+from laburnumswitch.process.dispatch.run_ends import refuses_start
 from laburnumswitch.process.dispatch.worker_protocol import StartCommand
 from laburnumswitch.process.dispatch.worker_session import throttle_new_run
 from laburnumswitch.process.dispatch.worker_session import void_unanswered_starts
-from laburnumswitch.process.rows.table import STATUS_BAD_REQUEST
 
 # Pause in seconds before a worker that refused a start, or did not answer it, gets another one.
 REFUSED_PAUSE_S = 0.3
@@ -85,7 +84,9 @@
             _send(dispatcher, job, start)
         else:
             reason = "its worker became unusable" if is_stored else "it was stopped"
-            dispatcher.release_run(start.worker, start.run, f"start not sent: {reason}")
+            dispatcher.release_run(
+                start.worker, start.run, EndKind.NOT_SENT, f"start not sent: {reason}"
+            )
 
 
 def _is_wanted(start: _Start) -> bool:
@@ -147,7 +148,7 @@
         else:
             throttle_new_run(dispatcher, worker, run)
         return
-    if not _is_certainly_not_started(outcome):
+    if not refuses_start(outcome):
         dispatcher.counters.uncertain_starts += 1
         run.is_uncertain = True
         # The worker may answer renewals, but no starts: the task is tried on another one next.
@@ -163,12 +164,4 @@
         job.task(run.task).last_run += 1
     if isinstance(outcome, StartRefused) and outcome.reason == "ticket":
         dispatcher.advice.forget_ticket(run.task[:3], worker.worker_id)
-    dispatcher.release_run(worker, run, f"start refused: {outcome.tag}")
-
-
-def _is_certainly_not_started(outcome: Failure) -> bool:
-    if isinstance(outcome, Refused):
-        # Other statuses may come from an intermediary, after the worker has carried out the start.
-        return outcome.status == STATUS_BAD_REQUEST
-    refusals = ConnectFailed | StartRefused | WorkerReplaced | Throttled | Unavailable
-    return isinstance(outcome, refusals)
+    dispatcher.release_run(worker, run, EndKind.REFUSED, f"start refused: {outcome.tag}")
--- a/laburnumswitch/process/dispatch/vm_watch.py
+++ b/laburnumswitch/process/dispatch/vm_watch.py
@@ -9,9 +9,11 @@
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.exceptions import Throttled
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
-from laburnumswitch.process.dispatch.fleet import ActiveRun
 from laburnumswitch.process.dispatch.fleet import RunsKnownBy
 from laburnumswitch.process.dispatch.fleet import Worker
+from laburnumswitch.process.dispatch.run_ends import EndKind
+from laburnumswitch.process.dispatch.run_ends import Evidence
+from laburnumswitch.process.dispatch.run_ends import has_ended
 from laburnumswitch.process.dispatch.vm_list import find_ended_workers
 from laburnumswitch.process.dispatch.vm_list import ListVms
 from laburnumswitch.process.dispatch.vm_list import SilentWorker
@@ -141,16 +143,14 @@
 
     It may have started again under its id since the list was made.
     """
+    evidence = Evidence(
+        EndKind.VM_LIST, incarnation=worker.incarnation, instant_s=vm_list.as_of_s()
+    )
     runs = list(worker.runs_by_task.values())
-    ended = [run for run in runs if _has_ended(worker, run, vm_list)]
+    ended = [run for run in runs if has_ended(run, evidence)]
     if len(ended) == len(runs):
-        dispatcher.drop_worker(worker, reason)
+        dispatcher.drop_worker(worker, reason, EndKind.VM_LIST)
         return
     worker.note_runs_known(RunsKnownBy.VM_LIST)
     for run in ended:
-        dispatcher.release_run(worker, run, reason)
-
-
-def _has_ended(worker: Worker, run: ActiveRun, vm_list: VmList) -> bool:
-    was_reported = run.incarnation != 0 and run.incarnation == worker.incarnation
-    return was_reported or run.started_s < vm_list.as_of_s()
+        dispatcher.release_run(worker, run, EndKind.VM_LIST, reason)
--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -19,6 +19,10 @@
 from laburnumswitch.process.dispatch.job_spec import TaskKey
 from laburnumswitch.process.dispatch.jobs import describe_source
 from laburnumswitch.process.dispatch.jobs import Task
+from laburnumswitch.process.dispatch.run_ends import EndKind
+from laburnumswitch.process.dispatch.run_ends import Evidence
+from laburnumswitch.process.dispatch.run_ends import find_end
+from laburnumswitch.process.dispatch.run_ends import has_ended
 from laburnumswitch.process.dispatch.silences import Silence
 from laburnumswitch.process.dispatch.tails import TailLatencyModel
 from laburnumswitch.process.dispatch.throttling import BestEffortInput
@@ -57,6 +61,10 @@
 WORKING_PERCENT = 50
 # A run that uses less than this share of its processors stands still.
 STANDING_USE = 0.02
+_REASON_BY_KIND = {
+    EndKind.UNREPORTED: "no longer reported by the worker",
+    EndKind.VOIDED: "start voided by a higher fencing token",
+}
 
 
 def run_worker(dispatcher: Dispatcher, worker: Worker) -> None:
@@ -77,7 +85,8 @@
             continue
         if isinstance(answer, WorkerReplaced):
             dispatcher.note_crashes([worker])
-            dispatcher.drop_worker(worker, "another worker answers at its address")
+            reason = "another worker answers at its address"
+            dispatcher.drop_worker(worker, reason, EndKind.REPLACED)
             return
         if dispatcher.is_stopped():
             return
@@ -232,9 +241,8 @@
         worker.fence += 1
     for run in list(worker.runs_by_task.values()):
         if dispatcher.has_run_lapsed(worker, run):
-            dispatcher.release_run(
-                worker, run, "its lease lapsed without an answer from the worker"
-            )
+            reason = "its lease lapsed without an answer from the worker"
+            dispatcher.release_run(worker, run, EndKind.LAPSE, reason)
     worker.note_runs_known(RunsKnownBy.LAPSE)
     dispatcher.organisation_usage.set_unwanted(worker.worker_id)
     if not worker.runs_by_task and not worker.is_listed(dispatcher.context.clock()):
@@ -294,10 +302,8 @@
         elif report.may_have_more_ends:
             # Its end may be among those that are listed later.
             continue
-        elif run.confirmed_s is not None and run.confirmed_s < sent_s:
-            dispatcher.release_run(worker, run, "no longer reported by the worker")
-        elif run.confirmed_s is None and run.fence < fence:
-            dispatcher.release_run(worker, run, "start voided by a higher fencing token")
+        elif (kind := find_end(run, sent_s, fence)) is not None:
+            dispatcher.release_run(worker, run, kind, _REASON_BY_KIND[kind])
     for run_report in report_by_run.values():
         _handle_unknown_run(dispatcher, worker, run_report)
     unreserved = [task for task, _ in report_by_run if task not in worker.runs_by_task]
@@ -356,14 +362,12 @@
 
 
 def _release_inherited_run(dispatcher: Dispatcher, task: Task, later_run: int) -> None:
-    """Release a run that no worker has reported to this owner if a later run of its task exists.
-
-    The earlier owner that started the later one knew that this run had ended.
-    """
+    """Release a run that no worker has reported to this owner if a later run of its task exists."""
     worker = dispatcher.workers_by_id.get(task.worker_id)
     run = worker and worker.runs_by_task.get(task.key)
-    if run and run.is_inherited and run.number < later_run:
-        dispatcher.release_run(worker, run, f"run {later_run} of its task was reported")
+    if run and has_ended(run, Evidence(EndKind.LATER_RUN, run=later_run)):
+        reason = f"run {later_run} of its task was reported"
+        dispatcher.release_run(worker, run, EndKind.LATER_RUN, reason)
 
 
 def learn_tails(model: TailLatencyModel, worker: Worker, now_s: float) -> None:
--- a/tests/process/dispatch/test_worker_session.py
+++ b/tests/process/dispatch/test_worker_session.py
@@ -18,6 +18,7 @@
 from laburnumswitch.process.dispatch.planner import plan
 from laburnumswitch.process.dispatch.recorder import Recorder
 from laburnumswitch.process.dispatch.recorder import RecorderContext
+from laburnumswitch.process.dispatch.run_ends import EndKind
 from laburnumswitch.process.dispatch.worker_protocol import Acknowledged
 from laburnumswitch.process.dispatch.worker_protocol import EndReport
 from laburnumswitch.process.dispatch.worker_protocol import RunOutcome
@@ -171,7 +172,7 @@
         sampled_s = self.worker.last_sample_s
         ended = self.worker.best_effort_runs()[0]
         del self.link.runs[ended.task]
-        self.dispatcher.release_run(self.worker, ended, "it ended")
+        self.dispatcher.release_run(self.worker, ended, EndKind.UNREPORTED, "it ended")
         self.run_session(0.0)
         self.assertThat(self.worker.last_sample_s, GreaterThan(sampled_s))
         self.assertThat(self.worker.last_sample_s, LessThan(sampled_s + LONGEST_SAMPLE_GAP_S))
