Keep the later of two reported runs of a task whose job is not known yet

Two workers report runs of one task, the first of which has ended since, before the owner knows their job. The last report was kept, also if it named the earlier run: that one was adopted once the job arrived, and the later one was known to nobody if its worker fell silent meanwhile. Each change of the kept report also began the wait for the job anew.

The tests failed before: run 3 on w1 was adopted in place of run 4 on w2, and the wait did not end.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -561,8 +561,10 @@
         """Note a run of an unknown job, and return whether to keep waiting for the job."""
         now_s = self.context.clock()
         known = self.orphan_by_task.get(report.task)
-        if known is None or known.worker is not worker or known.report.run != report.run:
-            known = self.orphan_by_task[report.task] = OrphanRun(worker, report, now_s)
+        if known is None or known.worker.is_dropped or report.run > known.report.run:
+            # The wait goes on: the job of an earlier run of the task is not known either.
+            seen_s = now_s if known is None else known.seen_s
+            known = self.orphan_by_task[report.task] = OrphanRun(worker, report, seen_s)
         return now_s - known.seen_s < ORPHAN_WAIT_S
 
     def _adopt_orphans(self, job: Job) -> None:
--- /dev/null
+++ b/tests/process/dispatch/test_orphans.py
@@ -0,0 +1,54 @@
+"""Tests of runs that workers report before the owner knows their jobs."""
+
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from laburnumswitch.process.dispatch.dispatcher import ORPHAN_WAIT_S
+from laburnumswitch.process.dispatch.job_spec import Step
+from laburnumswitch.process.dispatch.job_spec import TaskKey
+from laburnumswitch.process.dispatch.worker_protocol import RunReport
+from tests.process.dispatch.harness import DispatchHarness
+from tests.process.dispatch.harness import make_submission
+from tests.process.dispatch.harness import wait_until
+
+LONG = Step(1, cpu_millis=1000, memory_mb=100, estimate_ms=60_000)
+TASK = TaskKey("j1", 0, 0, 0)
+
+
+class OrphanCase(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.harness = DispatchHarness()
+        self.owner = self.harness.start_owner()
+        self.addCleanup(self.owner.stop)
+        wait_until(lambda: len(self.owner.workers_by_id) == 2 and self.owner.is_loaded.is_set())
+
+
+class TestRunsOfOneTask(OrphanCase):
+    """Two workers report runs of one task, the first of which has ended since."""
+
+    def note(self, worker_id, run):
+        worker = self.owner.workers_by_id[worker_id]
+        return self.owner.note_orphan(worker, RunReport(TASK, run, "", 10.0, 0.0))
+
+    def check_later_is_adopted(self):
+        job = self.owner.add_job(make_submission("j1", LONG))
+        task = job.task(TASK)
+        self.assertThat((task.active_run, task.worker_id), Equals((4, "w2")))
+
+    def test_later_run_is_adopted_if_the_earlier_one_is_reported_first(self):
+        self.note("w1", 3)
+        self.note("w2", 4)
+        self.check_later_is_adopted()
+
+    def test_later_run_is_adopted_if_the_report_of_the_earlier_one_comes_late(self):
+        self.note("w2", 4)
+        self.note("w1", 3)
+        self.check_later_is_adopted()
+
+    def test_wait_for_the_job_ends_although_both_are_reported_again(self):
+        self.note("w2", 4)
+        orphan = self.owner.orphan_by_task[TASK]
+        long_ago_s = orphan.seen_s - 2 * ORPHAN_WAIT_S
+        self.owner.orphan_by_task[TASK] = orphan._replace(seen_s=long_ago_s)
+        self.assertThat((self.note("w1", 3), self.note("w2", 4)), Equals((False, False)))
