Acknowledge the end of a run of an unknown job only once the submissions were read since

A run that an owner taken for lost has started is reported as done, and its job was stored after the successor's load. While the successor cannot read the feed, it does not learn of the job, and acknowledged the end after three seconds. The task then started again after its end as done was taken note of (TWICE). The three seconds now have to pass until a read of the submissions.

The test failed before: the end, number 100, was acknowledged (with the feed last read six seconds ago).

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -194,6 +194,8 @@
         self.model = TailLatencyModel()
         # Times of cancellations whose submissions have not arrived yet.
         self.cancelled_s_by_id: dict[str, float] = {}
+        # When the submissions were last read to their end, on the monotonic clock.
+        self.submissions_read_s = self.began_s
         self.orphan_by_task: dict[TaskKey, OrphanRun] = {}
         self.orphan_ends_by_job_id: dict[str, list[OrphanEnd]] = {}
         self.mean_work_by_queue: dict[str, float] = {}
@@ -756,8 +758,8 @@
         worker.pending_acknowledgements.append((NOT_COMMITTED, end.number))
 
     def forget_orphan_ends(self) -> None:
-        """Acknowledge ended runs whose jobs have not become known in time."""
-        limit_s = self.context.clock() - ORPHAN_WAIT_S
+        """Acknowledge ended runs whose jobs have not become known although the feed was read."""
+        limit_s = self.submissions_read_s - ORPHAN_WAIT_S
         for job_id, orphans in list(self.orphan_ends_by_job_id.items()):
             if all(orphan.seen_s < limit_s for orphan in orphans):
                 del self.orphan_ends_by_job_id[job_id]
--- a/laburnumswitch/process/dispatch/feeds.py
+++ b/laburnumswitch/process/dispatch/feeds.py
@@ -178,6 +178,8 @@
     def apply(changes: Changes, is_whole: bool) -> None:
         for row in changes.rows:
             apply_row(dispatcher, row)
+        if table == SUBMISSIONS_TABLE and not changes.has_more:
+            dispatcher.submissions_read_s = context.clock()
 
     feed = Feed(context.table, table, FEED_WAIT_S, SUBMISSIONS_INTERVAL_S)
     follow_table(feed, version, apply, context.log, context.sleep, dispatcher.is_stopped)
--- a/tests/process/dispatch/test_orphans.py
+++ b/tests/process/dispatch/test_orphans.py
@@ -1,11 +1,16 @@
 """Tests of runs that workers report before the owner knows their jobs."""
 
+from gevent import sleep
 from testtools import TestCase
 from testtools.matchers import Equals
+from testtools.matchers import GreaterThan
 
 from laburnumswitch.process.dispatch.dispatcher import ORPHAN_WAIT_S
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.job_spec import TaskKey
+from laburnumswitch.process.dispatch.jobs import JobState
+from laburnumswitch.process.dispatch.worker_protocol import EndReport
+from laburnumswitch.process.dispatch.worker_protocol import RunOutcome
 from laburnumswitch.process.dispatch.worker_protocol import RunReport
 from tests.process.dispatch.harness import DispatchHarness
 from tests.process.dispatch.harness import make_submission
@@ -52,3 +57,31 @@
         long_ago_s = orphan.seen_s - 2 * ORPHAN_WAIT_S
         self.owner.orphan_by_task[TASK] = orphan._replace(seen_s=long_ago_s)
         self.assertThat((self.note("w1", 3), self.note("w2", 4)), Equals((False, False)))
+
+
+class TestEndWhileTheFeedIsUnavailable(OrphanCase):
+    """The job was stored, and started by an earlier owner, after this owner's load."""
+
+    def report_end(self, age_s):
+        self.worker = self.owner.workers_by_id["w1"]
+        end = EndReport(100, TASK, 7, RunOutcome.DONE, "")
+        self.owner.report_end(self.worker, end)
+        orphan = self.owner.orphan_ends_by_job_id["j1"][0]
+        self.owner.orphan_ends_by_job_id["j1"] = [orphan._replace(seen_s=orphan.seen_s - age_s)]
+        self.owner.submissions_read_s -= age_s
+
+    def test_end_is_not_acknowledged_before_its_job_can_be_known(self):
+        """The task would start again after its end was acknowledged as done."""
+        self.report_end(2 * ORPHAN_WAIT_S)
+        self.owner.forget_orphan_ends()
+        acknowledged = self.worker.take_acknowledgeable(self.owner.recorder.committed)
+        self.assertThat(acknowledged, Equals(0))
+        self.harness.submit(make_submission("j1", LONG), self.owner)
+        wait_until(lambda: self.owner.reported_state("j1") is JobState.COMPLETED)
+        self.assertThat(self.harness.checker.start_count, Equals(0))
+
+    def test_reading_an_empty_feed_counts(self):
+        before_s = self.owner.submissions_read_s
+        wait_until(lambda: self.owner.submissions_read_s > before_s, 3.0)
+        sleep(0)
+        self.assertThat(self.owner.submissions_read_s, GreaterThan(before_s))
