Adopt a run that its worker reports although a later start of its task was refused

A run that goes on, and whose task waits because of a false or outdated conclusion, was stopped as unwanted if a start had been refused meanwhile: the number of the refused start passed for that of a later run, whose starter would have known the end of this one. The task started again while the stop was carried out. What a worker reports as running now goes before conclusions from numbers. Gangs keep the rule, since their members need one number.

The test failed before: twice, on w3 and w1.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -517,22 +517,24 @@
             self.ready_step_by_key.pop(task.key[:3], None)
         return run
 
-    def adopt_run(self, worker: Worker, report: RunReport, incarnation: int = 0) -> bool:
+    def adopt_run(
+        self, worker: Worker, report: RunReport, incarnation: int = 0, is_reported: bool = False
+    ) -> bool:
         """Take over a run that an earlier owner started, if its task is still waiting.
 
-        :param incarnation: the worker's incarnation that has just reported it, 0 if none has.
+        :param incarnation: the worker's incarnation that has just reported it, 0 if unknown.
+        :param is_reported: see ``run_ends.may_adopt``.
         """
         job = self.jobs_by_id.get(report.task.job_id)
         task = job and job.task(report.task)
         if not task or job.is_final() or not task.is_waiting():
             return False
-        if not may_adopt(report.run, task.last_run):
+        step = job.step_state(report.task).step
+        if not may_adopt(report.run, task.last_run, is_reported, step.gang):
             return False
         now_s = self.context.clock()
         job.begin_run(task, report.run, worker.worker_id)
-        run = ActiveRun(
-            report.task, report.run, job.step_state(report.task).step, worker.fence, now_s
-        )
+        run = ActiveRun(report.task, report.run, step, worker.fence, now_s)
         run.update(report, now_s, incarnation)
         if report.measurement > 0:
             run.speed_percent = run.measured_speed_percent()
--- a/laburnumswitch/process/dispatch/run_ends.py
+++ b/laburnumswitch/process/dispatch/run_ends.py
@@ -107,12 +107,16 @@
     return isinstance(outcome, refusals)
 
 
-def may_adopt(run: int, last_run: int) -> bool:
+def may_adopt(run: int, last_run: int, is_reported: bool, is_gang: bool) -> bool:
     """Return whether a run of a waiting task may be one that goes on.
 
+    One that its worker reports does so whatever was concluded or refused since. A gang, whose
+    members have one number, waits for its last start only.
+
     :param last_run: highest number of the task's runs.
+    :param is_reported: whether its worker has just reported it, not an earlier owner.
     """
-    return run >= last_run
+    return run >= last_run or (is_reported and not is_gang)
 
 
 def accepts_end(
--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -340,7 +340,9 @@
     if task and (known is None or known.is_inherited):
         reason = f"run {report.run} of its task was reported"
         dispatcher.end_earlier_run(job, task, report.run, reason)
-    if job is not None and dispatcher.adopt_run(worker, report, worker.incarnation):
+    if job is not None and dispatcher.adopt_run(
+        worker, report, worker.incarnation, is_reported=True
+    ):
         return
     other = task.worker_id if task and task.active_run else ""
     if other:
--- a/tests/process/dispatch/test_contradicting_reports.py
+++ b/tests/process/dispatch/test_contradicting_reports.py
@@ -15,6 +15,7 @@
 from laburnumswitch.exceptions import StartRefused
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.job_spec import TaskKey
+from laburnumswitch.process.dispatch.run_ends import EndKind
 from laburnumswitch.process.dispatch.worker_protocol import EndReport
 from laburnumswitch.process.dispatch.worker_protocol import RunOutcome
 from laburnumswitch.process.dispatch.worker_protocol import StartCommand
@@ -85,6 +86,7 @@
             # Ending a run takes this time at most.
             worker._timing = WorkerTiming(max_stop_s=BOUNDS.stop_s)
         link_by_id = {worker.listing.worker_id: GatedLink(worker) for worker in workers}
+        self.links = list(link_by_id.values())
         self.holder_link = link_by_id[self.holder.listing.worker_id]
         self.other_link = link_by_id[self.other.listing.worker_id]
         self.other_link.is_cut = True
@@ -160,3 +162,35 @@
         wait_until(lambda: not self.holder.running(), REACTION_S)
         wait_until(lambda: not self.known(self.holder).runs_by_task, REACTION_S)
         self.assertThat(self.checker.start_count, Equals(1))
+
+
+class TestReportedRunOfAWaitingTask(SuccessorCase):
+    def test_run_that_goes_on_is_kept_although_a_start_after_it_was_refused(self):
+        """The task would start again while a stop of the run is carried out."""
+        self.other_link.is_cut = False
+        wait_until(lambda: self.owner.settled)
+        starts = [(link, link.start) for link in self.links if link is not self.holder_link]
+        for link, _ in starts:
+            link.start = lambda command, timeout_s: StartRefused("w", "room")
+        self.holder_link.is_cut = True
+        holder = self.known(self.holder)
+        holder.blocked_until_s = float("inf")
+        run = holder.runs_by_task[TASK]
+        self.owner.release_run(holder, run, EndKind.LAPSE, "a conclusion that is not true")
+        wait_until(lambda: self.task.last_run > self.first_run and not self.task.active_run)
+        # No other start is on its way when the report arrives.
+        others = [worker for worker in self.owner.workers_by_id.values() if worker is not holder]
+        for worker in others:
+            worker.blocked_until_s = float("inf")
+        self.holder_link.is_cut = False
+        wait_until(lambda: holder.last_answer_s > run.reported_s and holder.is_reached)
+        for link, start in starts:
+            link.start = start
+        for worker in others:
+            worker.blocked_until_s = 0.0
+        self.owner.wake.set()
+        sleep(REACTION_S)
+        self.assertThat(self.checker.violations, Equals([]))
+        self.assertThat(self.checker.start_count, Equals(1))
+        self.assertThat(self.holder.running(), Equals((TASK,)))
+        self.assertThat(self.task.active_run, Equals(self.first_run))
