--- a/tests/process/dispatch/test_restarted_worker.py
+++ b/tests/process/dispatch/test_restarted_worker.py
@@ -15,6 +15,7 @@
 from laburnumswitch.exceptions import AnswerLost
 from laburnumswitch.exceptions import Refused
 from laburnumswitch.exceptions import StartRefused
+from laburnumswitch.exceptions import WorkerReplaced
 from laburnumswitch.process.dispatch.eligibility import usable_workers
 from laburnumswitch.process.dispatch.fleet import MIN_CLOCK_RATE
 from laburnumswitch.process.dispatch.job_spec import Step
@@ -397,3 +398,37 @@
         worker = self.known()
         lapses_s = worker.last_answer_s + self.owner.granted_lease_s() / MIN_CLOCK_RATE
         self.assertThat(worker.has_certainly_lapsed(lapses_s + 0.99 * BOUNDS.stop_s), Equals(False))
+
+
+class LateLink:
+    """Link to an address that the worker has left, where another one answers late."""
+
+    def __init__(self):
+        self.is_called = Event()
+        self.answers = Event()
+
+    def renew(self, renewal, timeout_s):
+        self.is_called.set()
+        self.answers.wait()
+        return WorkerReplaced("w1")
+
+    def close(self):
+        """Do nothing, as there are no connections."""
+
+
+class TestMovedWorker(RestartedWorkerCase):
+    def test_late_answer_from_the_earlier_address_ends_no_run(self):
+        self.run_long_job()
+        self.wait_until_reported()
+        self.add_second_worker()
+        known = self.known()
+        late = known.link = LateLink()
+        late.is_called.wait()
+        self.first.listing = self.first.listing._replace(address="10.0.0.1:81")
+        self.harness.list_worker(self.first.listing)
+        wait_until(lambda: known.link is not late)
+        late.answers.set()
+        sleep(REACTION_S)
+        self.check_nothing_ran_twice()
+        self.assertThat(self.harness.checker.start_count, Equals(1))
+        self.assertThat(known.is_dropped, Equals(False))
