Move what needs no state of the owner from the dispatcher to orphans and fleet

The choice between reported runs of unknown jobs, the removal of what an ended incarnation has reported, and the fields of run_released. A lapse is compared with the last commit alone, which cannot be later than now.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -36,7 +36,9 @@
 from laburnumswitch.process.dispatch.crashes import SURVIVAL_S
 from laburnumswitch.process.dispatch.down_time import note_ready
 from laburnumswitch.process.dispatch.fleet import ActiveRun
+from laburnumswitch.process.dispatch.fleet import describe_run
 from laburnumswitch.process.dispatch.fleet import FENCES_PER_EPOCH
+from laburnumswitch.process.dispatch.fleet import find_run
 from laburnumswitch.process.dispatch.fleet import lapse_s
 from laburnumswitch.process.dispatch.fleet import MAX_LEASE_S
 from laburnumswitch.process.dispatch.fleet import Worker
@@ -60,8 +62,11 @@
 from laburnumswitch.process.dispatch.organisation_jobs import OrganisationJobs
 from laburnumswitch.process.dispatch.organisation_share import OrganisationShares
 from laburnumswitch.process.dispatch.organisation_usage import OrganisationUsage
+from laburnumswitch.process.dispatch.orphans import choose_orphan
+from laburnumswitch.process.dispatch.orphans import forget_worker
 from laburnumswitch.process.dispatch.orphans import OrphanEnd
 from laburnumswitch.process.dispatch.orphans import OrphanRun
+from laburnumswitch.process.dispatch.orphans import take_expired_ends
 from laburnumswitch.process.dispatch.place_wait import PlaceWaits
 from laburnumswitch.process.dispatch.placements import Placements
 from laburnumswitch.process.dispatch.quota_gate import QuotaGate
@@ -433,8 +438,7 @@
         self.quarantine.forget_job(job.job_id)
         self.refresh_ready_steps(job)
         for task in list(job.active_tasks()):
-            worker = self.workers_by_id.get(task.worker_id)
-            run = worker and worker.runs_by_task.get(task.key)
+            worker, run = find_run(self.workers_by_id, task.worker_id, task.key)
             if run:
                 self.stop_run(worker, run, reason)
         self.forget_if_finished(job)
@@ -563,13 +567,10 @@
 
     def note_orphan(self, worker: Worker, report: RunReport) -> bool:
         """Note a run of an unknown job, and return whether to keep waiting for the job."""
-        now_s = self.context.clock()
-        known = self.orphan_by_task.get(report.task)
-        if known is None or known.worker.is_dropped or report.run > known.report.run:
-            # The wait goes on: the job of an earlier run of the task is not known either.
-            seen_s = now_s if known is None else known.seen_s
-            known = self.orphan_by_task[report.task] = OrphanRun(worker, report, seen_s)
-        return now_s - known.seen_s < ORPHAN_WAIT_S
+        orphan = OrphanRun(worker, report, self.context.clock())
+        known = choose_orphan(self.orphan_by_task.get(report.task), orphan)
+        self.orphan_by_task[report.task] = known
+        return orphan.seen_s - known.seen_s < ORPHAN_WAIT_S
 
     def _adopt_orphans(self, job: Job) -> None:
         orphans = [key for key in self.orphan_by_task if key.job_id == job.job_id]
@@ -598,32 +599,21 @@
                 self._count_crash(worker, job, task, run)
             self.refresh_ready_steps(job)
             self.forget_if_finished(job)
-        now_s = self.context.clock()
         self.context.log.note(
             "run_released",
             task_name(run.task),
-            run=run.number,
-            worker=worker.worker_id,
-            incarnation=worker.incarnation,
-            run_incarnation=run.incarnation,
-            started_s_ago=round(now_s - run.started_s, 3),
-            confirmed_s_ago=None if run.confirmed_s is None else round(now_s - run.confirmed_s, 3),
-            answered_s_ago=round(now_s - worker.last_answer_s, 3) if worker.last_answer_s else None,
+            **describe_run(worker, run, self.context.clock()),
             evidence=kind,
             reason=reason,
         )
 
-    def _find_active(self, task: Task) -> tuple[Worker | None, ActiveRun | None]:
-        holder = self.workers_by_id.get(task.worker_id)
-        return holder, holder and holder.runs_by_task.get(task.key)
-
     def end_earlier_run(self, job: Job, task: Task, later_run: int, reason: str) -> None:
         """End the active run of a task in favour of a later one, whose starter knew its end.
 
         It is stopped if a worker has reported it. The later one is not, as the task may be waiting
         again before a stop takes effect.
         """
-        holder, run = self._find_active(task)
+        holder, run = find_run(self.workers_by_id, task.worker_id, task.key)
         if not run or run.number >= later_run:
             return
         if has_ended(run, Evidence(EndKind.LATER_RUN, run=later_run)):
@@ -762,12 +752,10 @@
     def forget_orphan_ends(self) -> None:
         """Acknowledge ended runs whose jobs have not become known although the feed was read."""
         limit_s = self.submissions_read_s - ORPHAN_WAIT_S
-        for job_id, orphans in list(self.orphan_ends_by_job_id.items()):
-            if all(orphan.seen_s < limit_s for orphan in orphans):
-                del self.orphan_ends_by_job_id[job_id]
-                self.context.log.note("run_end_unknown", job_id, ends=len(orphans))
-                for orphan in orphans:
-                    self._apply_orphan_end(orphan)
+        for job_id, orphans in take_expired_ends(self.orphan_ends_by_job_id, limit_s):
+            self.context.log.note("run_end_unknown", job_id, ends=len(orphans))
+            for orphan in orphans:
+                self._apply_orphan_end(orphan)
 
     def _apply_orphan_end(self, orphan: OrphanEnd) -> None:
         worker, end, _ = orphan
@@ -794,7 +782,7 @@
         if job is not None:
             job.has_begun = True
         was_final = job is not None and job.is_final()
-        _, active = self._find_active(task) if task else (None, None)
+        _, active = find_run(self.workers_by_id, task.worker_id if task else "", end.task)
         if not task or not accepts_end(end, active, task.active_run, task.last_run, task.is_done):
             self.wake.set()
             batch = self.recorder.committed
@@ -903,7 +891,7 @@
         for run in list(worker.runs_by_task.values()):
             if has_ended(run, Evidence(EndKind.RESTART, incarnation=incarnation)):
                 self.release_run(worker, run, EndKind.RESTART, f"the worker restarted: {reason}")
-        self._forget_orphans(worker)
+        forget_worker(worker, self.orphan_by_task, self.orphan_ends_by_job_id)
         self.organisation_usage.set_unwanted(worker.worker_id)
         if worker.runs_by_task:
             worker.note_lease_sent(self.context.clock())
@@ -919,15 +907,6 @@
         worker.begin_incarnation(incarnation, self.context.clock())
         self.wake.set()
 
-    def _forget_orphans(self, worker: Worker) -> None:
-        for key, orphan in list(self.orphan_by_task.items()):
-            if orphan.worker is worker:
-                del self.orphan_by_task[key]
-        for job_id, ends in list(self.orphan_ends_by_job_id.items()):
-            self.orphan_ends_by_job_id[job_id] = [end for end in ends if end.worker is not worker]
-            if not self.orphan_ends_by_job_id[job_id]:
-                del self.orphan_ends_by_job_id[job_id]
-
     def move_worker(self, worker: Worker, listing: WorkerListing) -> None:
         """Send commands to a worker at its new address, and queue it for storage."""
         worker.listing = listing
@@ -941,18 +920,16 @@
 
         Runs that the worker has not reported may have longer ones, see ``has_run_lapsed``.
         """
-        return self._last_owned_s() > worker.lapse_bound_s
+        return self.recorder.last_owned_s() > worker.lapse_bound_s
 
     def has_run_lapsed(self, worker: Worker, run: ActiveRun) -> bool:
         """Return whether the lease of a run has certainly expired."""
         lapses_s = worker.run_lapse_bound_s(run)
-        evidence = Evidence(EndKind.LAPSE, instant_s=self._last_owned_s(), lapses_s=lapses_s)
+        evidence = Evidence(
+            EndKind.LAPSE, instant_s=self.recorder.last_owned_s(), lapses_s=lapses_s
+        )
         return has_ended(run, evidence)
 
-    def _last_owned_s(self) -> float:
-        # Since its last commit, a successor may have renewed leases.
-        return min(self.context.clock(), self.recorder.last_owned_s())
-
     def drop_worker(self, worker: Worker, reason: str, kind: EndKind = EndKind.LAPSE) -> None:
         """Remove a worker whose runs have certainly ended, unless it was removed already."""
         if worker.is_dropped:
--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -1,6 +1,7 @@
 """State of the workers: capacity, runs, leases and fencing tokens."""
 
 from enum import StrEnum
+from typing import Any
 from typing import NamedTuple
 
 from laburnumswitch.process.dispatch.job_spec import Step
@@ -574,6 +575,27 @@
         return self._best_effort_runs
 
 
+def find_run(
+    workers_by_id: dict[str, Worker], worker_id: str, task: TaskKey
+) -> tuple[Worker | None, ActiveRun | None]:
+    """Return a worker and the run of a task on it, ``None`` for what does not exist."""
+    worker = workers_by_id.get(worker_id)
+    return worker, worker and worker.runs_by_task.get(task)
+
+
+def describe_run(worker: Worker, run: ActiveRun, now_s: float) -> dict[str, Any]:
+    """Return what is known of a run on a worker, for the log."""
+    return {
+        "run": run.number,
+        "worker": worker.worker_id,
+        "incarnation": worker.incarnation,
+        "run_incarnation": run.incarnation,
+        "started_s_ago": round(now_s - run.started_s, 3),
+        "confirmed_s_ago": None if run.confirmed_s is None else round(now_s - run.confirmed_s, 3),
+        "answered_s_ago": round(now_s - worker.last_answer_s, 3) if worker.last_answer_s else None,
+    }
+
+
 def lapse_s(lease_s: float, ending_s: float) -> float:
     """Return how long runs may go on, at most, after a lease was granted.
 
--- a/laburnumswitch/process/dispatch/recorder.py
+++ b/laburnumswitch/process/dispatch/recorder.py
@@ -145,7 +145,10 @@
         )
 
     def last_owned_s(self) -> float:
-        """Return until when the term was certainly held, on the monotonic clock."""
+        """Return until when the term was certainly held, on the monotonic clock.
+
+        A successor may have acted since the last commit was sent.
+        """
         return self._last_commit_monotonic_s
 
     def require_commit(self) -> None:
