Show that an owner taken for lost and its successor start one task around a restart of a worker

The start was meant for the earlier incarnation, and its sender does not know of the restart. The successor, which had settled, holds no job for it.

--- a/tests/process/dispatch/test_restart_under_two_owners.py
+++ b/tests/process/dispatch/test_restart_under_two_owners.py
@@ -16,6 +16,7 @@
 # One task fills a worker.
 LONG = Step(1, cpu_millis=3000, memory_mb=100, estimate_ms=60_000)
 TASK = TaskKey("j1", 0, 0, 0)
+SHORT = LONG._replace(cpu_millis=1000)
 # Within this time, in seconds, an owner renews leases and plans.
 REACTION_S = 1.5
 
@@ -24,10 +25,12 @@
     """Links of one owner to emulated workers, and its access to the store.
 
     :ivar cut_ids: ids of the workers that it does not reach.
+    :ivar holds_renewals: whether its renewals get no answers, while its other commands do.
     """
 
     def __init__(self, harness):
         self.cut_ids = set()
+        self.holds_renewals = False
         self.is_cut_from_store = False
         self.table = harness.table
         self._harness = harness
@@ -65,6 +68,9 @@
 
     def renew(self, renewal, timeout_s):
         """Renew a lease without a long poll, so that a cut takes effect at once."""
+        if self.partition.holds_renewals:
+            sleep(timeout_s)
+            return AnswerLost(self.worker.listing.worker_id, "cut off")
         return self.__getattr__("renew")(renewal._replace(wait_s=0.0), timeout_s)
 
     def close(self):
@@ -112,3 +118,21 @@
         sleep(REACTION_S)
         self.assertThat(self.harness.checker.violations, Equals([]))
         self.assertThat(self.harness.checker.start_count, Equals(2))
+
+    def test_start_meant_for_the_earlier_incarnation_does_not_run_beside_the_successors(self):
+        """The earlier owner does not know yet that its worker has restarted."""
+        self.first_partition.is_cut_from_store = True
+        self.first_partition.holds_renewals = True
+        second = self.start_owner("vm-2", self.second_partition, PredecessorState.SILENT)
+        wait_until(lambda: second.settled)
+        self.second_partition.cut_ids = {self.holder_id}
+        self.holder.restart()
+        submission = make_submission("j2", SHORT)
+        self.harness.submit(submission)
+        others = [each for each in self.first.workers_by_id if each != self.holder_id]
+        self.first.workers_by_id[others[0]].blocked_until_s = float("inf")
+        self.first.add_job(submission)
+        wait_until(lambda: self.holder.running(), 1.0)
+        self.harness.list_worker(self.holder.listing)
+        sleep(REACTION_S)
+        self.assertThat(self.harness.checker.violations, Equals([]))
