--- a/tests/process/dispatch/test_organisation_usage.py
+++ b/tests/process/dispatch/test_organisation_usage.py
@@ -310,7 +310,7 @@
     def test_sums_equal_a_recount_after_each_event(self):
         """An end that is missed shuts an organisation out; a begin lets it exceed its limit."""
         starts = 0
-        for seed in range(12):
+        for seed in range(14):
             day = _RandomDay(seed)
             for number in range(150):
                 try:
