--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -36,7 +36,9 @@
 from laburnumswitch.process.dispatch.crashes import SURVIVAL_S
 from laburnumswitch.process.dispatch.down_time import note_ready
 from laburnumswitch.process.dispatch.fleet import ActiveRun
+from laburnumswitch.process.dispatch.fleet import describe_run
 from laburnumswitch.process.dispatch.fleet import FENCES_PER_EPOCH
+from laburnumswitch.process.dispatch.fleet import find_run
 from laburnumswitch.process.dispatch.fleet import lapse_s
 from laburnumswitch.process.dispatch.fleet import MAX_LEASE_S
 from laburnumswitch.process.dispatch.fleet import Worker
@@ -61,12 +63,20 @@
 from laburnumswitch.process.dispatch.organisation_jobs import OrganisationJobs
 from laburnumswitch.process.dispatch.organisation_share import OrganisationShares
 from laburnumswitch.process.dispatch.organisation_usage import OrganisationUsage
+from laburnumswitch.process.dispatch.orphans import choose_orphan
+from laburnumswitch.process.dispatch.orphans import forget_worker
 from laburnumswitch.process.dispatch.orphans import OrphanEnd
 from laburnumswitch.process.dispatch.orphans import OrphanRun
+from laburnumswitch.process.dispatch.orphans import take_expired_ends
 from laburnumswitch.process.dispatch.place_wait import PlaceWaits
 from laburnumswitch.process.dispatch.placements import Placements
 from laburnumswitch.process.dispatch.quota_gate import QuotaGate
 from laburnumswitch.process.dispatch.recorder import Recorder
+from laburnumswitch.process.dispatch.run_ends import accepts_end
+from laburnumswitch.process.dispatch.run_ends import EndKind
+from laburnumswitch.process.dispatch.run_ends import Evidence
+from laburnumswitch.process.dispatch.run_ends import has_ended
+from laburnumswitch.process.dispatch.run_ends import may_adopt
 from laburnumswitch.process.dispatch.silences import Silences
 from laburnumswitch.process.dispatch.start_delays import StartDelays
 from laburnumswitch.process.dispatch.tails import TailLatencyModel
@@ -188,6 +198,8 @@
         self.model = TailLatencyModel()
         # Times of cancellations whose submissions have not arrived yet.
         self.cancelled_s_by_id: dict[str, float] = {}
+        # When the submissions were last read to their end, on the monotonic clock.
+        self.submissions_read_s = self.began_s
         self.orphan_by_task: dict[TaskKey, OrphanRun] = {}
         self.orphan_ends_by_job_id: dict[str, list[OrphanEnd]] = {}
         self.mean_work_by_queue: dict[str, float] = {}
@@ -425,8 +437,7 @@
         self.quarantine.forget_job(job.job_id)
         self.refresh_ready_steps(job)
         for task in list(job.active_tasks()):
-            worker = self.workers_by_id.get(task.worker_id)
-            run = worker and worker.runs_by_task.get(task.key)
+            worker, run = find_run(self.workers_by_id, task.worker_id, task.key)
             if run:
                 self.stop_run(worker, run, reason)
         self.forget_if_finished(job)
@@ -509,20 +520,24 @@
             self.ready_step_by_key.pop(task.key[:3], None)
         return run
 
-    def adopt_run(self, worker: Worker, report: RunReport, incarnation: int = 0) -> bool:
+    def adopt_run(
+        self, worker: Worker, report: RunReport, incarnation: int = 0, is_reported: bool = False
+    ) -> bool:
         """Take over a run that an earlier owner started, if its task is still waiting.
 
-        :param incarnation: the worker's incarnation that has just reported it, 0 if none has.
+        :param incarnation: the worker's incarnation that has just reported it, 0 if unknown.
+        :param is_reported: see ``run_ends.may_adopt``.
         """
         job = self.jobs_by_id.get(report.task.job_id)
         task = job and job.task(report.task)
-        if not task or job.is_final() or not task.is_waiting() or report.run < task.last_run:
+        if not task or job.is_final() or not task.is_waiting():
+            return False
+        step = job.step_state(report.task).step
+        if not may_adopt(report.run, task.last_run, is_reported, step.gang):
             return False
         now_s = self.context.clock()
         job.begin_run(task, report.run, worker.worker_id)
-        run = ActiveRun(
-            report.task, report.run, job.step_state(report.task).step, worker.fence, now_s
-        )
+        run = ActiveRun(report.task, report.run, step, worker.fence, now_s)
         run.update(report, now_s, incarnation)
         if report.measurement > 0:
             run.speed_percent = run.measured_speed_percent()
@@ -551,11 +566,10 @@
 
     def note_orphan(self, worker: Worker, report: RunReport) -> bool:
         """Note a run of an unknown job, and return whether to keep waiting for the job."""
-        now_s = self.context.clock()
-        known = self.orphan_by_task.get(report.task)
-        if known is None or known.worker is not worker or known.report.run != report.run:
-            known = self.orphan_by_task[report.task] = OrphanRun(worker, report, now_s)
-        return now_s - known.seen_s < ORPHAN_WAIT_S
+        orphan = OrphanRun(worker, report, self.context.clock())
+        known = choose_orphan(self.orphan_by_task.get(report.task), orphan)
+        self.orphan_by_task[report.task] = known
+        return orphan.seen_s - known.seen_s < ORPHAN_WAIT_S
 
     def _adopt_orphans(self, job: Job) -> None:
         orphans = [key for key in self.orphan_by_task if key.job_id == job.job_id]
@@ -566,8 +580,8 @@
         for orphan_end in self.orphan_ends_by_job_id.pop(job.job_id, ()):
             self._apply_orphan_end(orphan_end)
 
-    def release_run(self, worker: Worker, run: ActiveRun, reason: str) -> None:
-        """Remove a run that no longer exists although its end was not reported.
+    def release_run(self, worker: Worker, run: ActiveRun, kind: EndKind, reason: str) -> None:
+        """Remove a run that has certainly ended, see ``run_ends``, although that was not reported.
 
         Its task is waiting again.
         """
@@ -584,20 +598,30 @@
                 self._count_crash(worker, job, task, run)
             self.refresh_ready_steps(job)
             self.forget_if_finished(job)
-        now_s = self.context.clock()
         self.context.log.note(
             "run_released",
             task_name(run.task),
-            run=run.number,
-            worker=worker.worker_id,
-            incarnation=worker.incarnation,
-            run_incarnation=run.incarnation,
-            started_s_ago=round(now_s - run.started_s, 3),
-            confirmed_s_ago=None if run.confirmed_s is None else round(now_s - run.confirmed_s, 3),
-            answered_s_ago=round(now_s - worker.last_answer_s, 3) if worker.last_answer_s else None,
+            **describe_run(worker, run, self.context.clock()),
+            evidence=kind,
             reason=reason,
         )
 
+    def end_earlier_run(self, job: Job, task: Task, later_run: int, reason: str) -> None:
+        """End the active run of a task in favour of a later one, whose starter knew its end.
+
+        It is stopped if a worker has reported it. The later one is not, as the task may be waiting
+        again before a stop takes effect.
+        """
+        holder, run = find_run(self.workers_by_id, task.worker_id, task.key)
+        if not run or run.number >= later_run:
+            return
+        if has_ended(run, Evidence(EndKind.LATER_RUN, run=later_run)):
+            self.release_run(holder, run, EndKind.LATER_RUN, reason)
+        elif not job.is_final():
+            self.counters.duplicate_runs += 1
+            job.end_run(task, run.reported_s)
+            self.stop_run(holder, run, reason)
+
     def note_crashes(self, workers: Iterable[Worker]) -> None:
         """Hold the crashes of workers against the runs that they had started shortly before.
 
@@ -725,14 +749,12 @@
         worker.pending_acknowledgements.append((NOT_COMMITTED, end.number))
 
     def forget_orphan_ends(self) -> None:
-        """Acknowledge ended runs whose jobs have not become known in time."""
-        limit_s = self.context.clock() - ORPHAN_WAIT_S
-        for job_id, orphans in list(self.orphan_ends_by_job_id.items()):
-            if all(orphan.seen_s < limit_s for orphan in orphans):
-                del self.orphan_ends_by_job_id[job_id]
-                self.context.log.note("run_end_unknown", job_id, ends=len(orphans))
-                for orphan in orphans:
-                    self._apply_orphan_end(orphan)
+        """Acknowledge ended runs whose jobs have not become known although the feed was read."""
+        limit_s = self.submissions_read_s - ORPHAN_WAIT_S
+        for job_id, orphans in take_expired_ends(self.orphan_ends_by_job_id, limit_s):
+            self.context.log.note("run_end_unknown", job_id, ends=len(orphans))
+            for orphan in orphans:
+                self._apply_orphan_end(orphan)
 
     def _apply_orphan_end(self, orphan: OrphanEnd) -> None:
         worker, end, _ = orphan
@@ -759,7 +781,8 @@
         if job is not None:
             job.has_begun = True
         was_final = job is not None and job.is_final()
-        if not task or not self._accepts_end(task, end):
+        _, active = find_run(self.workers_by_id, task.worker_id if task else "", end.task)
+        if not task or not accepts_end(end, active, task.active_run, task.last_run, task.is_done):
             self.wake.set()
             batch = self.recorder.committed
             if task and task.active_run == end.run:
@@ -773,6 +796,7 @@
             if job and job.is_final() and not was_final:
                 self.finish_job(job, f"task {task_name(task.key)} {end.outcome}")
             return
+        self.end_earlier_run(job, task, end.run, f"run {end.run} of its task has ended")
         if task.active_run:
             job.end_run(task, self.context.clock())
         task.last_run = max(task.last_run, end.run)
@@ -786,15 +810,6 @@
         else:
             self.refresh_ready_steps(job)
 
-    def _accepts_end(self, task: Task, end: EndReport) -> bool:
-        # A run before the active one does not count: its lease has lapsed. One after it shows that
-        # an earlier owner knew the active one, which this owner adopted, to have ended.
-        if task.is_done:
-            return False
-        if task.active_run:
-            return end.run >= task.active_run
-        return end.run > task.last_run or end.outcome is RunOutcome.DONE
-
     def _count_end(self, worker: Worker, job: Job, task: Task, end: EndReport) -> None:
         if end.outcome is RunOutcome.DONE:
             if not job.is_final():
@@ -865,7 +880,7 @@
         ]
         return self.recorder.queue_row(f"{FLEET_TABLE}/{part}", listings)
 
-    def note_restart(self, worker: Worker, incarnation: int, evidence: str) -> None:
+    def note_restart(self, worker: Worker, incarnation: int, reason: str) -> None:
         """Apply that a worker has started again under its id.
 
         Runs that an earlier incarnation has reported ended with it. Any other start may have
@@ -873,9 +888,9 @@
         """
         self.note_crashes([worker])
         for run in list(worker.runs_by_task.values()):
-            if run.incarnation not in (0, incarnation):
-                self.release_run(worker, run, f"the worker restarted: {evidence}")
-        self._forget_orphans(worker)
+            if has_ended(run, Evidence(EndKind.RESTART, incarnation=incarnation)):
+                self.release_run(worker, run, EndKind.RESTART, f"the worker restarted: {reason}")
+        forget_worker(worker, self.orphan_by_task, self.orphan_ends_by_job_id)
         self.organisation_usage.set_unwanted(worker.worker_id)
         if worker.runs_by_task:
             worker.note_lease_sent(self.context.clock())
@@ -885,21 +900,14 @@
             before=worker.known_incarnation(),
             incarnation=incarnation,
             clock_s=round(worker.clock_s, 3),
-            reason=evidence,
+            reason=reason,
             kept_runs=len(worker.runs_by_task),
         )
         worker.begin_incarnation(incarnation, self.context.clock())
+        # A successor may have voided starts of this owner in the earlier incarnation only.
+        worker.await_batch(self.queue_fleet_row(worker.worker_id))
         self.wake.set()
 
-    def _forget_orphans(self, worker: Worker) -> None:
-        for key, orphan in list(self.orphan_by_task.items()):
-            if orphan.worker is worker:
-                del self.orphan_by_task[key]
-        for job_id, ends in list(self.orphan_ends_by_job_id.items()):
-            self.orphan_ends_by_job_id[job_id] = [end for end in ends if end.worker is not worker]
-            if not self.orphan_ends_by_job_id[job_id]:
-                del self.orphan_ends_by_job_id[job_id]
-
     def move_worker(self, worker: Worker, listing: WorkerListing) -> None:
         """Send commands to a worker at its new address, and queue it for storage."""
         worker.listing = listing
@@ -913,18 +921,17 @@
 
         Runs that the worker has not reported may have longer ones, see ``has_run_lapsed``.
         """
-        return self._is_past(worker.lapse_bound_s)
+        return self.recorder.last_owned_s() > worker.lapse_bound_s
 
     def has_run_lapsed(self, worker: Worker, run: ActiveRun) -> bool:
         """Return whether the lease of a run has certainly expired."""
-        return self._is_past(worker.run_lapse_bound_s(run))
-
-    def _is_past(self, lapse_bound_s: float) -> bool:
-        # This owner must have committed since then: otherwise a successor may have renewed leases.
-        is_over = self.context.clock() > lapse_bound_s
-        return is_over and self.recorder.was_owner_at(lapse_bound_s)
+        lapses_s = worker.run_lapse_bound_s(run)
+        evidence = Evidence(
+            EndKind.LAPSE, instant_s=self.recorder.last_owned_s(), lapses_s=lapses_s
+        )
+        return has_ended(run, evidence)
 
-    def drop_worker(self, worker: Worker, reason: str) -> None:
+    def drop_worker(self, worker: Worker, reason: str, kind: EndKind = EndKind.LAPSE) -> None:
         """Remove a worker whose runs have certainly ended, unless it was removed already."""
         if worker.is_dropped:
             return
@@ -932,7 +939,7 @@
         run_count = len(worker.runs_by_task)
         self.fence_by_dropped_id[worker.worker_id] = worker.fence
         for run in list(worker.runs_by_task.values()):
-            self.release_run(worker, run, reason)
+            self.release_run(worker, run, kind, reason)
         self.organisation_usage.set_unwanted(worker.worker_id)
         worker.link.close()
         if self.workers_by_id.get(worker.worker_id) is worker:
