Wait for every lease if the stored list of workers cannot be read as a whole

What callers could see: a task runs twice after a change of owner. A row of the stored list of workers that cannot be read, as another version wrote it, was skipped. Its workers became known from the platform's list only, after the new owner had noted whom to wait for, and counted as workers without runs of earlier owners: the owner settled without them and started the tasks that they ran.

A new owner that could not read all rows settles only once every lease of earlier owners has lapsed. It may replace such a row when it adds a worker to it, so it stores with the list that rows were not read; its successors wait as well, until one of them has settled and stored the rows again. Owners of any version read that entry as a row that is malformed.

Evidence: tests/process/dispatch/test_takeover.py.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -864,7 +864,7 @@
             for worker in self.workers_by_id.values()
             if fleet_part(worker.worker_id) == part
         ]
-        return self.recorder.queue_row(f"{FLEET_TABLE}/{part}", listings)
+        return self.recorder.queue_row(fleet_key(worker_id), listings)
 
     def note_restart(self, worker: Worker, incarnation: int, evidence: str) -> None:
         """Apply that a worker has started again under its id.
@@ -955,6 +955,11 @@
     return xxh32_intdigest(worker_id.encode()) % FLEET_PARTS
 
 
+def fleet_key(worker_id: str) -> str:
+    """Return the key of the row of the worker list that stores a worker."""
+    return f"{FLEET_TABLE}/{fleet_part(worker_id)}"
+
+
 def task_name(task: TaskKey) -> str:
     """Return the name of a task as used in logs."""
     return f"{task.job_id}.{task.occurrence}.{task.step}.{task.index}"
--- a/laburnumswitch/process/dispatch/takeover.py
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -53,6 +53,9 @@
 from laburnumswitch.process.dispatch.silences import collect_silences
 from laburnumswitch.process.dispatch.silences import Silence
 from laburnumswitch.process.dispatch.silences import SILENCES_TABLE
+from laburnumswitch.process.dispatch.unread_workers import may_run_unread
+from laburnumswitch.process.dispatch.unread_workers import replace_unread
+from laburnumswitch.process.dispatch.unread_workers import store_unread
 from laburnumswitch.process.dispatch.vm_watch import watch_vms
 from laburnumswitch.process.dispatch.worker_protocol import RunReport
 from laburnumswitch.process.dispatch.worker_protocol import WorkerListing
@@ -111,7 +114,7 @@
     handover = _load_handover(dispatcher, succession)
     silence_rows = _load(dispatcher, SILENCES_TABLE).rows
     silence_by_id = _collect_silences(dispatcher, silence_rows, succession.acted_epoch)
-    knows_fleet = _load_fleet(dispatcher, handover, silence_by_id)
+    unread_keys = _load_fleet(dispatcher, handover, silence_by_id)
     dispatcher.spawn(run_lease_keeping, dispatcher)
     version = _load_jobs(dispatcher)
     _load_crashes(dispatcher)
@@ -124,7 +127,7 @@
     if dispatcher.is_stopped():
         return
     _adopt_runs(dispatcher, handover, silence_by_id)
-    restore_placements(dispatcher, placements, knows_fleet)
+    restore_placements(dispatcher, placements, knows_fleet=not unread_keys)
     note_loaded_jobs(dispatcher)
     # From here on this owner hands over what it knows, so what it was told is not lost with it.
     dispatcher.is_loaded.set()
@@ -146,7 +149,7 @@
     if dispatcher.context.list_vms is not None:
         dispatcher.spawn(watch_vms, dispatcher, dispatcher.context.list_vms)
     if not dispatcher.settled:
-        _settle(dispatcher)
+        _settle(dispatcher, unread_keys)
     if not dispatcher.is_stopped():
         complete_placements(dispatcher)
 
@@ -246,20 +249,20 @@
 
 def _load_fleet(
     dispatcher: Dispatcher, handover: Handover, silence_by_id: dict[str, Silence]
-) -> bool:
+) -> tuple[str, ...]:
     """Load the workers on which earlier owners may have left runs.
 
     :param handover: what the last owner that may have sent commands knew of them at its end.
     :param silence_by_id: what it knew of those that did not answer.
-    :return: whether the whole list could be read.
+    :return: keys of the rows that could not be read.
     """
-    is_whole = True
+    unread_keys = []
     for row in _load(dispatcher, FLEET_TABLE).rows:
         try:
             listings = convert(row.value, list[WorkerListing])
         except ValidationError as error:
             dispatcher.context.log.note("fleet_malformed", row.key, reason=str(error))
-            is_whole = False
+            unread_keys.append(row.key)
             continue
         for listing in listings:
             worker = dispatcher.add_worker(listing)
@@ -271,7 +274,8 @@
             known = handover.by_worker_id.get(worker.worker_id)
             if known is not None:
                 _apply_handover(dispatcher, worker, handover, known)
-    return is_whole
+    store_unread(dispatcher, tuple(unread_keys))
+    return tuple(unread_keys)
 
 
 def _apply_handover(
@@ -339,23 +343,29 @@
     return float("inf") if instant_s is None else instant_s
 
 
-def _settle(dispatcher: Dispatcher) -> None:
-    """Wait until the runs of earlier owners are known or have certainly lapsed."""
+def _settle(dispatcher: Dispatcher, unread_keys: tuple[str, ...]) -> None:
+    """Wait until the runs of earlier owners are known or have certainly lapsed.
+
+    :param unread_keys: rows of the list of workers that could not be read.
+    """
     context = dispatcher.context
     began_s = context.clock()
     inherited = list(dispatcher.workers_by_id.values())
-    noted: list[str] = []
+    noted: list[str] | None = None
     while not dispatcher.is_stopped():
         unknown = [
             worker.worker_id
             for worker in inherited
             if worker.has_unknown_runs and not (worker.is_dropped or dispatcher.has_lapsed(worker))
         ]
-        if unknown and context.clock() - began_s >= SETTLE_LOG_DELAY_S and unknown != noted:
+        is_waiting = bool(unknown) or may_run_unread(dispatcher, unread_keys)
+        is_late = context.clock() - began_s >= SETTLE_LOG_DELAY_S
+        if is_waiting and is_late and unknown != noted:
             noted = unknown
-            _note_wait(dispatcher, unknown)
-        if not unknown:
+            _note_wait(dispatcher, unknown, unread_keys)
+        if not is_waiting:
             dispatcher.settled = True
+            replace_unread(dispatcher, unread_keys)
             dispatcher.recorder.unconfirmed = ()
             dispatcher.organisation_usage.forget_ended()
             dispatcher.wake.set()
@@ -375,7 +385,7 @@
     return {str(source or RunsKnownBy.LAPSE): count for source, count in counts.items()}
 
 
-def _note_wait(dispatcher: Dispatcher, unknown: list[str]) -> None:
+def _note_wait(dispatcher: Dispatcher, unknown: list[str], unread_keys: tuple[str, ...]) -> None:
     context = dispatcher.context
     waiting = sum(
         may_have_unknown_runs(dispatcher.placements, ready.job, ready.step_state.step)
@@ -386,6 +396,7 @@
         str(dispatcher.epoch),
         workers=unknown[:MAX_LOGGED_WORKERS],
         count=len(unknown),
+        unread_rows=len(unread_keys),
         steps=waiting,
         until_s=round(dispatcher.unknown_runs_until_s - context.clock(), 3),
     )
--- /dev/null
+++ b/tests/process/dispatch/test_takeover.py
@@ -0,0 +1,117 @@
+"""What a new owner may start while the stored list of workers lacks some that may run tasks."""
+
+from gevent import sleep
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from laburnumswitch.process.dispatch.dispatcher import fleet_key
+from laburnumswitch.process.dispatch.eligibility import usable_workers
+from laburnumswitch.process.dispatch.job_spec import Step
+from laburnumswitch.process.dispatch.job_spec import TaskKey
+from laburnumswitch.process.rows.table import Put
+from laburnumswitch.process.rows.table import Transaction
+from tests.process.dispatch.harness import BOUNDS
+from tests.process.dispatch.harness import DispatchHarness
+from tests.process.dispatch.harness import make_listing
+from tests.process.dispatch.harness import make_submission
+from tests.process.dispatch.harness import wait_until
+
+LONG = Step(1, cpu_millis=1000, memory_mb=100, estimate_ms=60_000)
+TASK = TaskKey("j1", 0, 0, 0)
+LEASE_S = 1.5
+# What another version may have stored in place of a list.
+UNREADABLE = {"workers": []}
+# Longer than a new owner takes to start what may start, in seconds.
+START_S = 0.6
+
+
+class MissingWorkerCase(TestCase):
+    """A finite task on one of two workers, which does not answer the successors."""
+
+    def setUp(self):
+        super().setUp()
+        self.harness = DispatchHarness()
+        bounds = BOUNDS._replace(lease_s=LEASE_S)
+        self.harness.deployment = self.harness.deployment._replace(bounds=bounds)
+        self.first = self.start_owner("vm-1")
+        wait_until(lambda: len(usable_workers(self.first, "shop")) == 2)
+        self.harness.submit(make_submission("j1", LONG), self.first)
+        wait_until(lambda: self.harness.checker.start_count == 1)
+        self.holder = next(w for w in self.harness.worker_by_id.values() if w.running())
+        self.holder_id = self.holder.listing.worker_id
+        self.other_id = next(w for w in ("w1", "w2") if w != self.holder_id)
+
+    def start_owner(self, vm_id):
+        owner = self.harness.start_owner(vm_id)
+        self.addCleanup(owner.stop)
+        return owner
+
+    def start_successor(self, vm_id="vm-2"):
+        owner = self.start_owner(vm_id)
+        wait_until(lambda: usable_workers(owner, "shop"))
+        return owner
+
+    def unlist_holder(self):
+        self.harness.table.commit(Transaction((), (), (f"servers/{self.holder_id}",)))
+
+    def store(self, key, value):
+        self.harness.table.commit(Transaction((), (Put(key, value),)))
+
+    def check_adopted(self, owner):
+        """Check that the run goes on under an owner once its worker answers."""
+        self.holder.drops_calls = False
+        wait_until(lambda: owner.jobs_by_id["j1"].is_running())
+        sleep(START_S)
+        self.assertThat(self.harness.checker.violations, Equals([]))
+        self.assertThat(self.harness.checker.start_count, Equals(1))
+        self.assertThat(self.holder.running(), Equals((TASK,)))
+
+    def check_started_after_lapse(self):
+        wait_until(lambda: self.harness.checker.start_count == 2, limit_s=4 * LEASE_S)
+        self.assertThat(self.harness.checker.violations, Equals([]))
+
+
+class TestUnreadableListOfWorkers(MissingWorkerCase):
+    """Runs of workers that the successor learns of from the platform's list only."""
+
+    def setUp(self):
+        super().setUp()
+        self.holder.drops_calls = True
+        self.first.stop()
+        self.store(fleet_key(self.holder_id), UNREADABLE)
+
+    def test_task_does_not_start_before_a_worker_that_was_not_read_has_answered(self):
+        second = self.start_successor()
+        sleep(START_S)
+        self.check_adopted(second)
+
+    def test_task_starts_once_all_leases_have_lapsed(self):
+        second = self.start_successor()
+        self.check_started_after_lapse()
+        wait_until(lambda: second.settled)
+
+    def test_task_does_not_start_under_an_owner_after_the_one_that_replaced_the_row(self):
+        """The worker is not listed any more, and the successor adds another one to its row."""
+        self.unlist_holder()
+        second = self.start_successor()
+        names = (f"x{number}" for number in range(10_000))
+        name = next(each for each in names if fleet_key(each) == fleet_key(self.holder_id))
+        self.harness.add_worker(make_listing(3, worker_id=name))
+        key = fleet_key(self.holder_id)
+        wait_until(lambda: self.harness.table.peek(key).value != UNREADABLE)
+        second.stop()
+        third = self.start_successor("vm-3")
+        sleep(START_S)
+        self.harness.list_worker(self.holder.listing)
+        self.check_adopted(third)
+
+    def test_list_is_whole_again_once_all_runs_are_known(self):
+        """Each later owner would wait for a whole lease otherwise."""
+        second = self.start_successor()
+        wait_until(lambda: second.settled)
+        self.holder.drops_calls = False
+        wait_until(lambda: len(usable_workers(second, "shop")) == 2)
+        second.release()
+        third = self.start_successor("vm-3")
+        wait_until(lambda: third.settled, limit_s=0.5)
+        self.assertThat(sorted(third.workers_by_id), Equals(["w1", "w2"]))
