Keep what earlier owners told of workers that the stored list lacks

What callers could see: a task runs twice after a change of owner. Handed-over runs, and those of stored silences, were adopted only on workers of the stored list. If a worker was missing there, its runs were dropped without a line in the log, and the new owner started their tasks at once. A silence of such a worker was not stored again with the new owner's announcement either, so later owners did not know the runs at all.

A worker of which an earlier owner has told runs, or that runs may be unknown, is now added without an address. Its runs count until the platform lists it and it answers, or until its leases have lapsed; `worker_missing` logs it.

No way was found on which an owner of this version leaves such a list: workers are stored before their first start, dropped in the same commit as their silence, and the handover follows all other changes.

Evidence: tests/process/dispatch/test_takeover.py. Four tests failed before: "twice ... on w2 and w1" (two), the job was not running, and the silence was gone.

--- a/laburnumswitch/process/dispatch/takeover.py
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -54,6 +54,7 @@
 from laburnumswitch.process.dispatch.silences import Silence
 from laburnumswitch.process.dispatch.silences import SILENCES_TABLE
 from laburnumswitch.process.dispatch.unread_workers import may_run_unread
+from laburnumswitch.process.dispatch.unread_workers import missing_listings
 from laburnumswitch.process.dispatch.unread_workers import replace_unread
 from laburnumswitch.process.dispatch.unread_workers import store_unread
 from laburnumswitch.process.dispatch.vm_watch import watch_vms
@@ -265,19 +266,30 @@
             unread_keys.append(row.key)
             continue
         for listing in listings:
-            worker = dispatcher.add_worker(listing)
-            worker.lapse_bound_s = dispatcher.unknown_runs_until_s
-            worker.has_unknown_runs = True
-            silence = silence_by_id.get(worker.worker_id)
-            if silence is not None:
-                _apply_silence(dispatcher, worker, silence)
-            known = handover.by_worker_id.get(worker.worker_id)
-            if known is not None:
-                _apply_handover(dispatcher, worker, handover, known)
+            _load_worker(dispatcher, listing, handover, silence_by_id)
+    for listing in missing_listings(dispatcher, silence_by_id, handover.by_worker_id):
+        _load_worker(dispatcher, listing, handover, silence_by_id)
     store_unread(dispatcher, tuple(unread_keys))
     return tuple(unread_keys)
 
 
+def _load_worker(
+    dispatcher: Dispatcher,
+    listing: WorkerListing,
+    handover: Handover,
+    silence_by_id: dict[str, Silence],
+) -> None:
+    worker = dispatcher.add_worker(listing)
+    worker.lapse_bound_s = dispatcher.unknown_runs_until_s
+    worker.has_unknown_runs = True
+    silence = silence_by_id.get(worker.worker_id)
+    if silence is not None:
+        _apply_silence(dispatcher, worker, silence)
+    known = handover.by_worker_id.get(worker.worker_id)
+    if known is not None:
+        _apply_handover(dispatcher, worker, handover, known)
+
+
 def _apply_handover(
     dispatcher: Dispatcher, worker: Worker, handover: Handover, known: WorkerHandover
 ) -> None:
--- a/tests/process/dispatch/test_takeover.py
+++ b/tests/process/dispatch/test_takeover.py
@@ -2,6 +2,7 @@
 
 from gevent import sleep
 from testtools import TestCase
+from testtools.matchers import Contains
 from testtools.matchers import Equals
 
 from laburnumswitch.process.dispatch.dispatcher import fleet_key
@@ -18,7 +19,6 @@
 
 LONG = Step(1, cpu_millis=1000, memory_mb=100, estimate_ms=60_000)
 TASK = TaskKey("j1", 0, 0, 0)
-LEASE_S = 1.5
 # What another version may have stored in place of a list.
 UNREADABLE = {"workers": []}
 # Longer than a new owner takes to start what may start, in seconds.
@@ -28,10 +28,12 @@
 class MissingWorkerCase(TestCase):
     """A finite task on one of two workers, which does not answer the successors."""
 
+    lease_s = 1.5
+
     def setUp(self):
         super().setUp()
         self.harness = DispatchHarness()
-        bounds = BOUNDS._replace(lease_s=LEASE_S)
+        bounds = BOUNDS._replace(lease_s=self.lease_s)
         self.harness.deployment = self.harness.deployment._replace(bounds=bounds)
         self.first = self.start_owner("vm-1")
         wait_until(lambda: len(usable_workers(self.first, "shop")) == 2)
@@ -54,6 +56,12 @@
     def unlist_holder(self):
         self.harness.table.commit(Transaction((), (), (f"servers/{self.holder_id}",)))
 
+    def remove_from_list(self):
+        self.store(fleet_key(self.holder_id), [])
+        if fleet_key(self.holder_id) == fleet_key(self.other_id):
+            listing = self.harness.worker_by_id[self.other_id].listing
+            self.store(fleet_key(self.other_id), [listing])
+
     def store(self, key, value):
         self.harness.table.commit(Transaction((), (Put(key, value),)))
 
@@ -67,7 +75,7 @@
         self.assertThat(self.holder.running(), Equals((TASK,)))
 
     def check_started_after_lapse(self):
-        wait_until(lambda: self.harness.checker.start_count == 2, limit_s=4 * LEASE_S)
+        wait_until(lambda: self.harness.checker.start_count == 2, limit_s=4 * self.lease_s)
         self.assertThat(self.harness.checker.violations, Equals([]))
 
 
@@ -115,3 +123,50 @@
         third = self.start_successor("vm-3")
         wait_until(lambda: third.settled, limit_s=0.5)
         self.assertThat(sorted(third.workers_by_id), Equals(["w1", "w2"]))
+
+
+class TestWorkerMissingInTheListOfWorkers(MissingWorkerCase):
+    def test_handed_over_run_on_a_worker_that_is_not_in_the_list_is_kept(self):
+        self.holder.drops_calls = True
+        self.first.release()
+        self.remove_from_list()
+        second = self.start_successor()
+        self.assertThat(second.jobs_by_id["j1"].is_running(), Equals(True))
+        sleep(START_S)
+        self.check_adopted(second)
+
+    def test_handed_over_run_on_a_worker_that_is_not_in_the_list_ends_with_its_lease(self):
+        self.holder.drops_calls = True
+        self.first.release()
+        self.remove_from_list()
+        self.start_successor()
+        self.check_started_after_lapse()
+
+    def test_handed_over_run_on_a_worker_that_nobody_lists_ends_with_its_lease(self):
+        self.holder.drops_calls = True
+        self.first.release()
+        self.remove_from_list()
+        self.unlist_holder()
+        second = self.start_successor()
+        self.check_started_after_lapse()
+        wait_until(lambda: self.holder_id not in second.workers_by_id)
+
+
+class TestSilentWorkerMissingInTheListOfWorkers(MissingWorkerCase):
+    # It takes two renewals without an answer until a silence is stored.
+    lease_s = 4.0
+
+    def test_run_of_a_stored_silence_on_a_worker_that_is_not_in_the_list_is_kept(self):
+        self.holder.drops_calls = True
+        wait_until(lambda: self.holder_id in self._stored_silent_ids())
+        self.first.stop()
+        self.remove_from_list()
+        second = self.start_successor()
+        wait_until(second.is_loaded.is_set)
+        self.assertThat(self._stored_silent_ids(), Contains(self.holder_id))
+        self.assertThat(second.jobs_by_id["j1"].is_running(), Equals(True))
+        self.check_started_after_lapse()
+
+    def _stored_silent_ids(self):
+        rows = self.harness.table.load("silences").rows
+        return [silence[0] for row in rows for silence in row.value[1]]
