Count a worker that answers while an owner loads as known since that answer

What callers could see: a task runs twice after a change of owner. A new owner that loads slowly keeps the leases of the workers, and so learns that one has started again since it was stored. It took over the number of the incarnation, but not since when it knows it: this stayed the instant at which it had loaded the list of workers. If the worker then fell silent, a list of VMs that was made between the two, before the restart, counted as evidence that the new incarnation had ended. The worker was dropped and counted as one without unknown runs, and the tasks that it ran were started elsewhere.

--- a/laburnumswitch/process/dispatch/lease_keeping.py
+++ b/laburnumswitch/process/dispatch/lease_keeping.py
@@ -71,7 +71,8 @@
     if worker.is_restart(answer):
         if worker.last_answer_s:
             return False
-        # The worker was stored as an earlier incarnation.
-        worker.incarnation = answer.incarnation
+        # The worker was stored as an earlier incarnation. A list of VMs that is as old as that one
+        # says nothing of this one.
+        worker.note_incarnation(answer.incarnation, context.clock())
     worker.note_answer(context.clock(), answer.clock_s)
     return True
