Test that the announcement of an owner is stored with the silences, within one transaction

The test of the largest commit lacked the rows of the queues, of the learned parameters, of the succession and of the list that was not read: 95 entries in all, of 100. Both tests passed at once: rows are never cut from a commit, only jobs and removals are.

--- a/tests/process/dispatch/test_recorder.py
+++ b/tests/process/dispatch/test_recorder.py
@@ -19,18 +19,24 @@
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.jobs import Job
 from laburnumswitch.process.dispatch.jobs import JobState
+from laburnumswitch.process.dispatch.model_store import LEARNED_KEY
 from laburnumswitch.process.dispatch.placements import PLACEMENTS_TABLE
 from laburnumswitch.process.dispatch.placements import ROWS_PER_BATCH
 from laburnumswitch.process.dispatch.progress import decode_progress
 from laburnumswitch.process.dispatch.progress import progress_key
 from laburnumswitch.process.dispatch.progress import restore_progress
+from laburnumswitch.process.dispatch.queue_store import MAX_QUEUED_PARTS
+from laburnumswitch.process.dispatch.queue_store import QUEUES_TABLE
 from laburnumswitch.process.dispatch.recorder import JOBS_PER_BATCH
 from laburnumswitch.process.dispatch.recorder import MAX_ENTRIES
 from laburnumswitch.process.dispatch.recorder import Recorder
 from laburnumswitch.process.dispatch.recorder import RecorderContext
 from laburnumswitch.process.dispatch.recorder import RELEASE_LIMIT_S
+from laburnumswitch.process.dispatch.silences import Silences
 from laburnumswitch.process.dispatch.silences import SILENCES_PARTS
 from laburnumswitch.process.dispatch.silences import SILENCES_TABLE
+from laburnumswitch.process.dispatch.unread_workers import UNREAD_KEY
+from laburnumswitch.process.leadership.succession import SUCCESSION_KEY
 from laburnumswitch.process.leadership.term import read_term
 from laburnumswitch.process.leadership.term import Term
 from laburnumswitch.process.leadership.term import TERM_KEY
@@ -146,7 +152,10 @@
             CRASHES_TABLE: CRASHES_PARTS,
             SILENCES_TABLE: SILENCES_PARTS,
             PLACEMENTS_TABLE: ROWS_PER_BATCH,
+            QUEUES_TABLE: MAX_QUEUED_PARTS,
         }
+        for key in (SUCCESSION_KEY, LEARNED_KEY, UNREAD_KEY):
+            self.recorder.queue_row(key, 1)
         for table, count in count_by_table.items():
             for number in range(count):
                 self.recorder.queue_row(f"{table}/{number}", number)
@@ -154,6 +163,29 @@
         sizes = [len(each.conditions) + len(each.puts) + len(each.deletes) for each in transactions]
         self.assertThat(max(sizes), LessThan(MAX_ENTRIES + 1))
 
+    def test_announcement_is_stored_with_the_silences_however_much_waits(self):
+        """Silences count under the owner that acted last: neither may be stored alone."""
+        transactions = []
+        commit = self.table.commit
+
+        def commit_and_note(transaction):
+            transactions.append(transaction)
+            return commit(transaction)
+
+        self.table.commit = commit_and_note
+        for number in range(3 * JOBS_PER_BATCH):
+            self.recorder.queue_job(Job(make_submission(f"j{number}", Step(3))))
+        self.recorder.queue_removals(tuple(f"progress/x{number}" for number in range(300)))
+        silences = Silences(1, self.recorder)
+        silences.announce(f"{SILENCES_TABLE}/{number}" for number in range(SILENCES_PARTS))
+        batch = self.recorder.queue_row(SUCCESSION_KEY, 1)
+        self.recorder.commit()
+        self.assertThat(self.recorder.committed, Equals(batch))
+        keys = {put.key for put in transactions[0].puts}
+        tables = [key.partition("/")[0] for key in keys]
+        self.assertThat(SUCCESSION_KEY in keys, Equals(True))
+        self.assertThat(tables.count(SILENCES_TABLE), Equals(SILENCES_PARTS))
+
     def test_progress_is_restored(self):
         self._finish_task(1)
         task = self.job.occurrences[0].steps[0].tasks[2]
