Show that a worker ended by the list of VMs may run tasks of an owner taken for lost

What callers see: a task runs twice. An owner that is cut off from the store goes on for up to eight seconds. A worker that starts again under its id has forgotten the fencing token of the successor, or the successor had not reached it yet, so it obeys the earlier owner. The successor drops the worker once a list of VMs shows its VM as down, up to two seconds late, and settles: it starts the tasks that the earlier owner starts there.

Not mended: evidence that reaches to the end of the earlier owner's commands would add its lease to the wait for workers that were lost with their owner.

--- a/tests/process/dispatch/test_last_starts.py
+++ b/tests/process/dispatch/test_last_starts.py
@@ -588,3 +588,67 @@
         self.may_load.set()
         sleep(MAX_DELAY_S + START_S)
         self.check_one_run(self.second, self.second_path)
+
+
+class TestRestartUnderAnOwnerTakenForLost(LastStartCase):
+    """A worker that starts again has forgotten the fencing tokens, and obeys the earlier owner.
+
+    The list of VMs tells its successor which runs have ended, not what that owner starts later.
+    """
+
+    lease_s = MAX_LEASE_S
+
+    def setUp(self):
+        super().setUp()
+        self.store_path.is_cut = True
+        self.earlier_rows = [(monotonic(), self.harness.vm_rows())]
+        self.list_delay_s = 0.0
+        self.harness.list_vms = self._list_vms
+        self.worker = self.first.workers_by_id["w1"]
+        self.worker.blocked_until_s = float("inf")
+        self.harness.submit(make_submission("j1", LONG), self.first)
+        self.second, self.second_path = self.start_successor(predecessor=PredecessorState.SILENT)
+
+    def _list_vms(self, timeout_s):
+        """List the VMs as they were ``list_delay_s`` ago, and other than the worker's as now."""
+        latest_s = monotonic() - self.list_delay_s
+        rows = max(each for each in self.earlier_rows if each[0] <= latest_s)[1]
+        return (rows[0], *self.harness.vm_rows()[1:])
+
+    def _crash(self):
+        self.holder.crash()
+        self.earlier_rows.append((monotonic(), self.harness.vm_rows()))
+
+    def _restart(self):
+        self.holder.restart()
+        self.earlier_rows.append((monotonic(), self.harness.vm_rows()))
+
+    def _start_under_the_first_owner(self):
+        self.worker.blocked_until_s = 0.0
+        wait_until(lambda: self.holder.running() == (TASK,), limit_s=3.0)
+        self.assertThat(self.first.is_stopped(), Equals(False))
+
+    def _check(self):
+        self.harness.list_worker(self.holder.listing)
+        sleep(START_S)
+        self.second_path.is_cut = False
+        sleep(START_S)
+        self.assertThat(self.harness.checker.violations, Equals([]))
+
+    def test_task_that_the_earlier_owner_starts_after_the_restart_is_not_started_before(self):
+        self._crash()
+        wait_until(lambda: "w1" not in self.second.workers_by_id)
+        self._restart()
+        self._start_under_the_first_owner()
+        self._check()
+
+    def test_task_that_the_earlier_owner_has_started_after_the_restart_is_not_started_again(self):
+        """The list of VMs is older than the restart, by less than it may be; the listing too."""
+        self.list_delay_s = 0.75 * MAX_DELAY_S
+        sleep(0.3)
+        self._crash()
+        sleep(0.9)
+        self._restart()
+        self._start_under_the_first_owner()
+        wait_until(lambda: monotonic() - self.second.began_s > 1.5 * MAX_DELAY_S)
+        self._check()
