Start tasks on a worker that has started again only after a commit

What callers could see: a task runs twice under successive owners, in the order of the incident's record. An owner that is cut off from the store goes on for up to eight seconds. A worker that starts again under its id has forgotten the fencing token of the successor, or the successor had not reached it, so it obeyed the earlier owner, while the successor counted it as ended by the list of VMs and had settled.

A worker that is new, or has moved, got starts only once its row was committed, which a superseded owner cannot do. The same holds now for a new incarnation under the old id: its row is stored again, and starts wait for this commit. With a store that answers this takes some milliseconds; without it, restarted workers get no starts, as new ones do not. No owner waits longer for the workers of another one.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -890,6 +890,9 @@
             kept_runs=len(worker.runs_by_task),
         )
         worker.begin_incarnation(incarnation, self.context.clock())
+        # It has forgotten the fencing token of a successor: only an owner that can commit starts
+        # tasks there.
+        worker.await_batch(self.queue_fleet_row(worker.worker_id))
         self.wake.set()
 
     def _forget_orphans(self, worker: Worker) -> None:
