--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -878,7 +878,7 @@
             for worker in self.workers_by_id.values()
             if fleet_part(worker.worker_id) == part
         ]
-        return self.recorder.queue_row(f"{FLEET_TABLE}/{part}", listings)
+        return self.recorder.queue_row(fleet_key(worker_id), listings)
 
     def note_restart(self, worker: Worker, incarnation: int, reason: str) -> None:
         """Apply that a worker has started again under its id.
@@ -904,7 +904,8 @@
             kept_runs=len(worker.runs_by_task),
         )
         worker.begin_incarnation(incarnation, self.context.clock())
-        # A successor may have voided starts of this owner in the earlier incarnation only.
+        # It has forgotten the fencing token of a successor: only an owner that can commit starts
+        # tasks there.
         worker.await_batch(self.queue_fleet_row(worker.worker_id))
         self.wake.set()
 
@@ -961,6 +962,11 @@
     return xxh32_intdigest(worker_id.encode()) % FLEET_PARTS
 
 
+def fleet_key(worker_id: str) -> str:
+    """Return the key of the row of the worker list that stores a worker."""
+    return f"{FLEET_TABLE}/{fleet_part(worker_id)}"
+
+
 def task_name(task: TaskKey) -> str:
     """Return the name of a task as used in logs."""
     return f"{task.job_id}.{task.occurrence}.{task.step}.{task.index}"
