Start nothing on a worker that has restarted before the next commit

What callers see: a task runs on two workers at the same time (TWICE), started by successive owners. Cause: a worker that starts again under its id has forgotten the fencing token of the new owner. An earlier owner that was taken for lost and still has its lease learns of the restart, counts the worker as reached, and starts tasks there on its lease alone. A worker that is newly listed gets no start before a commit, which a superseded owner cannot make; one that restarts under its id did.

Evidence: three tests, each of which failed with "twice: on w2 and w1" in two of two runs on: * a job that both owners learn of after the new one has settled; both started it within 3 ms; * the task that ran on the worker when it restarted, which both owners start again; * a waiting task, as the new owner reads a list of VMs that shows the outage (`its VM is down`), drops the worker that it never reached, and settles.

Fix: the restart queues the row of the worker, and nothing is started there before that is committed. An owner that cannot reach the store starts nothing on restarted workers, as on new ones. A start that is accepted before its owner knows of the restart is not covered.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -871,6 +871,7 @@
 
         Runs that an earlier incarnation has reported ended with it. Any other start may have
         reached the new one: these runs are kept until it reports, or until their leases lapse.
+        Nothing is started there before the next commit.
         """
         self.note_crashes([worker])
         for run in list(worker.runs_by_task.values()):
@@ -890,6 +891,8 @@
             kept_runs=len(worker.runs_by_task),
         )
         worker.begin_incarnation(incarnation, self.context.clock())
+        # It has seen no fencing token of a successor, so only a commit tells whether there is one.
+        worker.await_batch(self.queue_fleet_row(worker.worker_id))
         self.wake.set()
 
     def _forget_orphans(self, worker: Worker) -> None:
--- /dev/null
+++ b/tests/process/dispatch/test_restarts_over_owners.py
@@ -0,0 +1,210 @@
+"""Workers that start again under their ids while one owner follows another."""
+
+from time import monotonic
+
+from gevent import sleep
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from laburnumswitch.exceptions import AnswerLost
+from laburnumswitch.exceptions import OutcomeUnknown
+from laburnumswitch.exceptions import StartRefused
+from laburnumswitch.exceptions import Unavailable
+from laburnumswitch.process.dispatch.eligibility import usable_workers
+from laburnumswitch.process.dispatch.job_spec import Step
+from laburnumswitch.process.dispatch.vm_list import MAX_DELAY_S
+from laburnumswitch.process.dispatch.vm_list import VmRow
+from laburnumswitch.process.dispatch.vm_list import VmState
+from laburnumswitch.process.leadership.term import PredecessorState
+from tests.process.dispatch.harness import DispatchHarness
+from tests.process.dispatch.harness import make_submission
+from tests.process.dispatch.harness import wait_until
+from tests.process.dispatch.test_late_jobs import CutLink
+
+LONG = Step(1, cpu_millis=1000, memory_mb=100, estimate_ms=60_000)
+# The list of VMs shows an outage for this time, in seconds, after it has begun.
+SHOWN_S = 0.95 * MAX_DELAY_S
+# The worker's clock before its restart, in seconds, and one that is ahead of it, but not of the end
+# of a lease that was granted before.
+CLOCK_S = 1000.0
+CLOCK_AHEAD_S = CLOCK_S + 3.0
+
+
+class CutTable:
+    """Table of one owner, which reaches the store unless ``is_cut``."""
+
+    def __init__(self, table):
+        self._table = table
+        self.is_cut = False
+
+    def read(self, keys):
+        return self._call(self._table.read, keys)
+
+    def load(self, table):
+        return self._call(self._table.load, table)
+
+    def follow(self, table, after, wait_s):
+        return self._call(self._table.follow, table, after, wait_s)
+
+    def commit(self, transaction):
+        if self.is_cut:
+            return OutcomeUnknown("cut off")
+        return self._table.commit(transaction)
+
+    def _call(self, call, *arguments):
+        answer = Unavailable("cut off") if self.is_cut else call(*arguments)
+        return Unavailable("cut off") if self.is_cut else answer
+
+
+class ResetLink(CutLink):
+    """Link whose calls are lost with the process that they were sent to; it may also be full."""
+
+    def __init__(self, worker, is_cut):
+        super().__init__(worker)
+        self.is_cut = is_cut
+        self.is_full = False
+
+    def start(self, command, timeout_s):
+        if self.is_full:
+            return StartRefused(self.worker.listing.worker_id, "room")
+        return super().start(command, timeout_s)
+
+    def _call(self, call, *arguments):
+        incarnation = self.worker.incarnation
+        answer = super()._call(call, *arguments)
+        if self.is_cut or self.worker.incarnation != incarnation:
+            return AnswerLost(self.worker.listing.worker_id, "connection reset")
+        return answer
+
+
+class RestartCase(TestCase):
+    """Two workers, and owners that each reach the store and the workers unless they are cut off."""
+
+    def setUp(self):
+        super().setUp()
+        self.harness = DispatchHarness()
+        self.w1 = self.harness.worker_by_id["w1"]
+        self.w1.set_clock(CLOCK_S)
+        self.crashed_s = float("inf")
+        self.link_by_pair = {}
+
+    def start_owner(self, vm_id, predecessor=PredecessorState.ENDED, cut_off=(), table=None):
+        """Start an owner that reaches neither the workers ``cut_off`` nor, if cut, ``table``."""
+
+        def make_link(listing):
+            worker = self.harness.worker_by_id[listing.worker_id]
+            link = ResetLink(worker, listing.worker_id in cut_off)
+            self.link_by_pair[vm_id, listing.worker_id] = link
+            return link
+
+        self.harness.make_link = make_link
+        shared, self.harness.table = self.harness.table, table or self.harness.table
+        owner = self.harness.start_owner(vm_id, predecessor)
+        self.harness.table = shared
+        self.addCleanup(owner.stop)
+        return owner
+
+    def reached(self, owner):
+        return {each.worker_id for each in usable_workers(owner, "shop")}
+
+    def restart_worker(self):
+        """Have the first worker lose its VM and start again on it, before two renewals fail."""
+        self.crashed_s = monotonic()
+        self.w1.crash()
+        sleep(0.05)
+        self.w1.restart(CLOCK_AHEAD_S)
+
+    def list_vms_late(self, timeout_s):
+        """Return the list of VMs, which shows the outage of the first worker late."""
+        others = [row for row in self.harness.vm_rows() if row.worker_id != "w1"]
+        is_shown = 0.0 <= monotonic() - self.crashed_s < SHOWN_S
+        state = VmState.DOWN if is_shown else VmState.UP
+        return (*others, VmRow("vm-w1", state, "" if is_shown else "w1"))
+
+    def check_runs_once(self, start_count=1):
+        self.assertThat(self.harness.checker.violations, Equals([]))
+        self.assertThat(self.harness.checker.start_count, Equals(start_count))
+
+
+class OwnerTakenForLostCase(RestartCase):
+    """The first owner reaches neither the store nor the second worker, and still has its lease."""
+
+    def setUp(self):
+        super().setUp()
+        self.table = CutTable(self.harness.table)
+        self.first = self.start_owner("vm-1", table=self.table)
+        wait_until(lambda: self.reached(self.first) == {"w1", "w2"})
+        self.link_by_pair["vm-1", "w2"].is_cut = True
+        wait_until(lambda: self.reached(self.first) == {"w1"})
+
+    def take_over(self, cut_off=()):
+        self.table.is_cut = True
+        second = self.start_owner("vm-2", PredecessorState.SILENT, cut_off)
+        wait_until(second.is_loaded.is_set)
+        return second
+
+    def cut_second_owner_off(self):
+        """Have the second owner start tasks on the second worker only."""
+        link = self.link_by_pair["vm-2", "w1"]
+        link.is_cut = link.is_full = True
+
+    def wait_until_first_owner_knows_of_the_restart(self):
+        known = self.first.workers_by_id["w1"]
+        wait_until(lambda: known.incarnation == self.w1.incarnation and known.is_reached)
+
+    def heal(self, second):
+        """Have the second owner reach the first worker, and apply its report."""
+        self.link_by_pair["vm-2", "w1"].is_cut = False
+        wait_until(lambda: second.settled)
+        sleep(0.5)
+
+
+class TestRestartThatTheFirstOwnerKnows(OwnerTakenForLostCase):
+    """A worker that has restarted has forgotten the fencing token of the second owner."""
+
+    def test_job_is_not_started_by_both_once_the_second_owner_has_settled(self):
+        second = self.take_over()
+        wait_until(lambda: second.settled)
+        self.assertThat(self.first.may_act(), Equals(True))
+        self.cut_second_owner_off()
+        self.restart_worker()
+        self.wait_until_first_owner_knows_of_the_restart()
+        self.assertThat(self.first.may_act(), Equals(True))
+        self.harness.submit(make_submission("j1", LONG), self.first)
+        wait_until(lambda: self.harness.checker.start_count >= 1)
+        sleep(1.0)
+        self.heal(second)
+        self.check_runs_once()
+
+    def test_task_of_the_restarted_worker_is_not_started_by_both(self):
+        """Both know that its run has ended, the second owner from the list of workers."""
+        self.harness.submit(make_submission("j1", LONG), self.first)
+        wait_until(lambda: self.harness.checker.start_count == 1)
+        second = self.take_over()
+        wait_until(lambda: second.settled)
+        known = second.workers_by_id["w1"]
+        wait_until(lambda: any(run.incarnation for run in known.runs_by_task.values()))
+        self.cut_second_owner_off()
+        self.restart_worker()
+        self.wait_until_first_owner_knows_of_the_restart()
+        self.assertThat(self.first.may_act(), Equals(True))
+        sleep(0.5)
+        self.harness.list_worker(self.w1.listing)
+        sleep(1.0)
+        self.heal(second)
+        self.check_runs_once(start_count=2)
+
+    def test_list_of_vms_ends_no_run_that_is_started_after_the_restart(self):
+        """The worker is cut off from the store as well, so that its restart is not listed."""
+        self.link_by_pair["vm-1", "w1"].is_full = True
+        self.harness.submit(make_submission("j1", LONG))
+        wait_until(lambda: "j1" in self.first.jobs_by_id)
+        self.harness.list_vms = self.list_vms_late
+        second = self.take_over(cut_off=("w1",))
+        sleep(0.4 * MAX_DELAY_S)
+        self.restart_worker()
+        self.wait_until_first_owner_knows_of_the_restart()
+        self.link_by_pair["vm-1", "w1"].is_full = False
+        sleep(SHOWN_S)
+        self.heal(second)
+        self.check_runs_once()
