Count a worker's incarnation as known from its answer on, also while the owner loads

What callers see: a task runs on two workers at the same time (TWICE), started by successive owners. Cause: an owner that loads slowly extends the leases of workers meanwhile, and notes the incarnation that answers, but not since when it is known. That stayed the instant at which the stored list of workers was read. A list of VMs that is later than this, but shows the outage before the restart, then ended the new incarnation and its runs.

Fix: the answer counts like one after the load (`Worker.note_incarnation`).

--- a/laburnumswitch/process/dispatch/lease_keeping.py
+++ b/laburnumswitch/process/dispatch/lease_keeping.py
@@ -72,6 +72,6 @@
         if worker.last_answer_s:
             return False
         # The worker was stored as an earlier incarnation.
-        worker.incarnation = answer.incarnation
+        worker.note_incarnation(answer.incarnation, context.clock())
     worker.note_answer(context.clock(), answer.clock_s)
     return True
--- a/tests/process/dispatch/test_restarts_over_owners.py
+++ b/tests/process/dispatch/test_restarts_over_owners.py
@@ -3,6 +3,7 @@
 from time import monotonic
 
 from gevent import sleep
+from gevent.event import Event
 from testtools import TestCase
 from testtools.matchers import Equals
 
@@ -12,6 +13,7 @@
 from laburnumswitch.exceptions import Unavailable
 from laburnumswitch.process.dispatch.eligibility import usable_workers
 from laburnumswitch.process.dispatch.job_spec import Step
+from laburnumswitch.process.dispatch.progress import SUBMISSIONS_TABLE
 from laburnumswitch.process.dispatch.vm_list import MAX_DELAY_S
 from laburnumswitch.process.dispatch.vm_list import VmRow
 from laburnumswitch.process.dispatch.vm_list import VmState
@@ -208,3 +210,48 @@
         sleep(SHOWN_S)
         self.heal(second)
         self.check_runs_once()
+
+
+class TestIncarnationReachedWhileTheOwnerLoads(RestartCase):
+    def test_list_of_vms_from_before_the_incarnation_ends_no_run_of_it(self):
+        """A start was not answered, and is delivered after the restart."""
+        start = self.w1.start
+        commands = []
+
+        def lose(command, timeout_s):
+            commands.append(command)
+            sleep(timeout_s)
+            return AnswerLost("w1", "late")
+
+        self.w1.start = lose
+        first = self.start_owner("vm-1", cut_off=("w2",))
+        wait_until(lambda: self.reached(first) == {"w1"})
+        self.harness.submit(make_submission("j1", LONG), first)
+        wait_until(lambda: commands)
+        first.stop()
+        self.w1.start = start
+        may_load = Event()
+        load = self.harness.table.load
+
+        def load_slowly(table):
+            if table == SUBMISSIONS_TABLE:
+                may_load.wait()
+            return load(table)
+
+        self.harness.table.load = load_slowly
+        self.harness.list_vms = self.list_vms_late
+        second = self.start_owner("vm-2")
+        self.addCleanup(may_load.set)
+        wait_until(lambda: "w1" in second.workers_by_id)
+        sleep(0.5)
+        self.restart_worker()
+        self.harness.list_worker(self.w1.listing)
+        start(commands[0], 1.0)
+        wait_until(lambda: second.workers_by_id["w1"].granted_until_s)
+        self.link_by_pair["vm-2", "w1"].is_cut = True
+        may_load.set()
+        sleep(SHOWN_S + 0.5)
+        self.link_by_pair["vm-2", "w1"].is_cut = False
+        wait_until(lambda: second.settled)
+        sleep(0.2)
+        self.check_runs_once()
