Show that an earlier owner that does not know of a worker's restart yet starts a task there

An owner that was taken for lost, and has its lease, sends a start to a worker that has restarted under its id, before its own renewal to it has failed (1.25 s at the most if the crash gives no sign, at once if the connection is reset). The new owner * had reached the worker before the restart and settled, and starts a job that it learns of then; or * never reached it, and takes its unknown runs as ended by a list of VMs that shows the outage.

The first cannot be closed by the new owner without starting nothing until the earlier owner's lease is over. The second can: if unknown runs count as ended by a list only if it is later than the last command of an earlier owner.

--- a/tests/process/dispatch/test_restarts_over_owners.py
+++ b/tests/process/dispatch/test_restarts_over_owners.py
@@ -212,6 +212,47 @@
         self.check_runs_once()
 
 
+class TestRestartThatTheFirstOwnerDoesNotKnow(OwnerTakenForLostCase):
+    """The worker accepts a start before a renewal of the first owner has failed."""
+
+    def wait_until_first_owner_has_an_answer(self):
+        known = self.first.workers_by_id["w1"]
+        answered_s = known.last_answer_s
+        wait_until(lambda: known.last_answer_s > answered_s)
+
+    def test_list_of_vms_ends_no_run_that_is_started_after_the_restart(self):
+        """The worker is cut off from the store as well, so that its restart is not listed."""
+        self.link_by_pair["vm-1", "w1"].is_full = True
+        self.harness.submit(make_submission("j1", LONG))
+        wait_until(lambda: "j1" in self.first.jobs_by_id)
+        self.harness.list_vms = self.list_vms_late
+        second = self.take_over(cut_off=("w1",))
+        sleep(0.4 * MAX_DELAY_S)
+        self.wait_until_first_owner_has_an_answer()
+        self.restart_worker()
+        self.link_by_pair["vm-1", "w1"].is_full = False
+        wait_until(lambda: self.harness.checker.start_count == 1, limit_s=1.0)
+        self.assertThat(self.first.workers_by_id["w1"].incarnation, Equals(1))
+        sleep(SHOWN_S)
+        self.heal(second)
+        self.check_runs_once()
+
+    def test_job_is_not_started_by_both_once_the_second_owner_has_settled(self):
+        """The restarted worker has forgotten the fencing token of the second owner."""
+        self.wait_until_first_owner_has_an_answer()
+        second = self.take_over()
+        wait_until(lambda: second.settled)
+        self.assertThat(self.first.may_act(), Equals(True))
+        self.cut_second_owner_off()
+        self.restart_worker()
+        self.harness.submit(make_submission("j1", LONG), self.first)
+        wait_until(lambda: self.harness.checker.start_count >= 1)
+        self.assertThat(self.first.workers_by_id["w1"].incarnation, Equals(1))
+        sleep(1.0)
+        self.heal(second)
+        self.check_runs_once()
+
+
 class TestIncarnationReachedWhileTheOwnerLoads(RestartCase):
     def test_list_of_vms_from_before_the_incarnation_ends_no_run_of_it(self):
         """A start was not answered, and is delivered after the restart."""
