Count the lapse of unknown runs from the last lease sent to a worker that may have restarted

What callers see: a task runs on two workers at the same time (TWICE), started by successive owners. Cause: an owner that loads slowly extends leases before it knows what runs. If the worker has restarted since its last answer, the new process takes the end of the lease, an instant on the clock of the earlier one, as far in the future, and grants the longest lease from then on. `restart_lapse_bound_s` covers that for runs that the owner knows, but the runs that only an earlier owner knows counted as ended by `lapse_bound_s`, also in what is handed over and stored of silent workers.

Fix: while a worker may have unknown runs, its leases lapse with the later of both bounds. Nothing changes for a worker that the owner has not sent a lease since its takeover.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -915,8 +915,11 @@
     def has_lapsed(self, worker: Worker) -> bool:
         """Return whether the leases of a worker that does not answer have certainly expired.
 
-        Runs that the worker has not reported may have longer ones, see ``has_run_lapsed``.
+        Runs that this owner knows and the worker has not reported may have longer ones, see
+        ``has_run_lapsed``.
         """
+        if worker.has_unknown_runs:
+            return self._is_past(worker.unreported_lapse_bound_s())
         return self._is_past(worker.lapse_bound_s)
 
     def has_run_lapsed(self, worker: Worker, run: ActiveRun) -> bool:
--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -538,12 +538,16 @@
 
     def run_lapse_bound_s(self, run: ActiveRun) -> float:
         """Return when a run has certainly ended by the lapse of its lease."""
-        if run.incarnation:
-            return self.lapse_bound_s
+        return self.lapse_bound_s if run.incarnation else self.unreported_lapse_bound_s()
+
+    def unreported_lapse_bound_s(self) -> float:
+        """Return when runs that no incarnation has reported have certainly ended by a lapse."""
         return max(self.lapse_bound_s, self.restart_lapse_bound_s)
 
     def last_lapse_bound_s(self) -> float:
         """Return when all runs have certainly ended by the lapse of their leases."""
+        if self.has_unknown_runs:
+            return self.unreported_lapse_bound_s()
         bounds_s = [self.run_lapse_bound_s(run) for run in self.runs_by_task.values()]
         return max(bounds_s, default=self.lapse_bound_s)
 
--- a/tests/process/dispatch/test_restarts_over_owners.py
+++ b/tests/process/dispatch/test_restarts_over_owners.py
@@ -13,6 +13,7 @@
 from laburnumswitch.exceptions import Unavailable
 from laburnumswitch.process.dispatch.eligibility import usable_workers
 from laburnumswitch.process.dispatch.job_spec import Step
+from laburnumswitch.process.dispatch.lease_keeping import KEEP_INTERVAL_S
 from laburnumswitch.process.dispatch.progress import SUBMISSIONS_TABLE
 from laburnumswitch.process.dispatch.vm_list import MAX_DELAY_S
 from laburnumswitch.process.dispatch.vm_list import VmRow
@@ -253,14 +254,16 @@
         self.check_runs_once()
 
 
-class TestIncarnationReachedWhileTheOwnerLoads(RestartCase):
-    def test_list_of_vms_from_before_the_incarnation_ends_no_run_of_it(self):
-        """A start was not answered, and is delivered after the restart."""
+class TestRestartWhileTheOwnerLoads(RestartCase):
+    """A start of an owner that was killed was not answered, and is delivered after the restart."""
+
+    def setUp(self):
+        super().setUp()
+        self.commands = []
         start = self.w1.start
-        commands = []
 
         def lose(command, timeout_s):
-            commands.append(command)
+            self.commands.append(command)
             sleep(timeout_s)
             return AnswerLost("w1", "late")
 
@@ -268,31 +271,53 @@
         first = self.start_owner("vm-1", cut_off=("w2",))
         wait_until(lambda: self.reached(first) == {"w1"})
         self.harness.submit(make_submission("j1", LONG), first)
-        wait_until(lambda: commands)
+        wait_until(lambda: self.commands)
         first.stop()
         self.w1.start = start
-        may_load = Event()
+        self.may_load = Event()
         load = self.harness.table.load
 
         def load_slowly(table):
             if table == SUBMISSIONS_TABLE:
-                may_load.wait()
+                self.may_load.wait()
             return load(table)
 
         self.harness.table.load = load_slowly
         self.harness.list_vms = self.list_vms_late
-        second = self.start_owner("vm-2")
-        self.addCleanup(may_load.set)
-        wait_until(lambda: "w1" in second.workers_by_id)
+        self.second = self.start_owner("vm-2")
+        self.addCleanup(self.may_load.set)
+        wait_until(lambda: "w1" in self.second.workers_by_id)
+        self.known = self.second.workers_by_id["w1"]
+        self.link = self.link_by_pair["vm-2", "w1"]
+
+    def deliver_start(self):
+        self.w1.start(self.commands[0], 1.0)
+        self.assertThat(self.harness.checker.start_count, Equals(1))
+
+    def test_list_of_vms_from_before_the_incarnation_ends_no_run_of_it(self):
         sleep(0.5)
         self.restart_worker()
         self.harness.list_worker(self.w1.listing)
-        start(commands[0], 1.0)
-        wait_until(lambda: second.workers_by_id["w1"].granted_until_s)
-        self.link_by_pair["vm-2", "w1"].is_cut = True
-        may_load.set()
+        self.deliver_start()
+        wait_until(lambda: self.known.granted_until_s)
+        self.link.is_cut = True
+        self.may_load.set()
         sleep(SHOWN_S + 0.5)
-        self.link_by_pair["vm-2", "w1"].is_cut = False
-        wait_until(lambda: second.settled)
+        self.link.is_cut = False
+        wait_until(lambda: self.second.settled)
         sleep(0.2)
         self.check_runs_once()
+
+    def test_lease_that_is_extended_after_the_restart_has_lapsed_before_the_task_starts_again(self):
+        """The answer is lost, and the clock began anew: the lease is as long as one may be."""
+        wait_until(lambda: self.known.granted_until_s)
+        self.w1.restart()
+        self.deliver_start()
+        self.w1.drops_answers = True
+        lease_until_s = self.w1._lease_until_s
+        sleep(KEEP_INTERVAL_S)
+        wait_until(lambda: self.w1._lease_until_s > lease_until_s)
+        self.link.is_cut = True
+        self.may_load.set()
+        wait_until(lambda: self.harness.checker.start_count == 2)
+        self.check_runs_once(start_count=2)
