--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -885,6 +885,7 @@
 
         Runs that an earlier incarnation has reported ended with it. Any other start may have
         reached the new one: these runs are kept until it reports, or until their leases lapse.
+        Nothing is started there before the next commit.
         """
         self.note_crashes([worker])
         for run in list(worker.runs_by_task.values()):
@@ -920,8 +921,11 @@
     def has_lapsed(self, worker: Worker) -> bool:
         """Return whether the leases of a worker that does not answer have certainly expired.
 
-        Runs that the worker has not reported may have longer ones, see ``has_run_lapsed``.
+        Runs that this owner knows and the worker has not reported may have longer ones, see
+        ``has_run_lapsed``.
         """
+        if worker.has_unknown_runs:
+            return self.recorder.last_owned_s() > worker.unreported_lapse_bound_s()
         return self.recorder.last_owned_s() > worker.lapse_bound_s
 
     def has_run_lapsed(self, worker: Worker, run: ActiveRun) -> bool:
