Show which ends of terms let a job be started by two owners, with real elections

It takes a store that the owner loses right after its first commit and a read of its watcher that is slow for longer than the owner takes to load: nothing is started before a commit of the term.

--- /dev/null
+++ b/tests/process/leadership/test_ends_of_terms.py
@@ -0,0 +1,111 @@
+"""Ends of terms beside jobs that one owner starts and the next one reads after its load."""
+
+from gevent import sleep
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from laburnumswitch.process.dispatch.eligibility import usable_workers
+from laburnumswitch.process.dispatch.job_spec import Step
+from laburnumswitch.process.leadership.term import read_term
+from tests.process.dispatch.harness import make_submission
+from tests.process.dispatch.harness import wait_until
+from tests.process.leadership.entries import Entries
+
+LONG = Step(1, cpu_millis=3000, memory_mb=100, estimate_ms=4000)
+# Longer than the interval at which an owner reads new jobs from the feed.
+FEED_READ_S = 2.0
+
+
+class EndOfTermCase(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.entries = Entries()
+        self.addCleanup(self.entries.end)
+        self.harness = self.entries.harness
+
+    def add_owner(self, vm_id):
+        entry = self.entries.add(vm_id)
+        self.await_usable(entry, 2)
+        return entry
+
+    def await_usable(self, entry, count):
+        wait_until(
+            lambda: entry.dispatcher is not None
+            and len(usable_workers(entry.dispatcher, "shop")) == count
+        )
+
+    def add_watcher(self, vm_id, owner):
+        entry = self.entries.add(vm_id)
+        wait_until(lambda: vm_id in owner.leadership.watcher_by_vm)
+        return entry
+
+    def check_runs_once(self):
+        sleep(FEED_READ_S)
+        self.assertThat(self.harness.checker.violations, Equals([]))
+        self.assertThat(self.harness.checker.start_count, Equals(1))
+
+
+class TestOwnerThatConfirmsItsEnd(EndOfTermCase):
+    """A job that it starts until then may be read by its successor after that."""
+
+    def setUp(self):
+        super().setUp()
+        self.first = self.add_owner("vm-1")
+        self.second = self.add_watcher("vm-2", self.first)
+        self.first.unreached_workers.add("w2")
+        self.second.unreached_workers.add("w1")
+        wait_until(lambda: len(usable_workers(self.first.dispatcher, "shop")) == 1)
+
+    def submit_before_the_confirmation(self):
+        self.second.table.may_follow.clear()
+        self.harness.submit(make_submission("j1", LONG), self.first.dispatcher)
+        wait_until(lambda: self.harness.checker.start_count == 1 or self.first.dispatcher is None)
+        self.second.unreached_addresses.clear()
+        wait_until(lambda: not self.second.dispatcher.recorder.unconfirmed)
+        self.second.table.may_follow.set()
+
+    def test_job_that_it_starts_before_it_answers_the_first_question_is_not_started_twice(self):
+        self.entries.supersede_s = 0.4
+        self.first.table.is_cut = True
+        self.await_usable(self.second, 1)
+        self.submit_before_the_confirmation()
+        self.check_runs_once()
+
+    def test_job_that_it_starts_before_its_cut_heals_is_not_started_twice(self):
+        self.first.table.is_cut = True
+        self.second.unreached_addresses.add("vm-1")
+        self.await_usable(self.second, 1)
+        self.submit_before_the_confirmation()
+        self.check_runs_once()
+
+
+class TestOwnerThatAsksItsPredecessor(EndOfTermCase):
+    def test_job_that_a_healthy_owner_has_started_is_not_started_by_one_that_took_it_for_ended(
+        self,
+    ):
+        """To its watchers it was not the owner while it asked, and so had stepped down."""
+        first = self.add_owner("vm-1")
+        second = self.add_watcher("vm-2", first)
+        second.unreached_workers.add("w2")
+        second.unreached_addresses.add("vm-1")
+        first.table.is_cut = True
+        self.entries.supersede_s = 0.4
+        wait_until(lambda: read_term(self.harness.table).term.epoch == 2)
+        third = self.entries.add("vm-3")
+        third.unreached_workers.add("w1")
+        self.entries.note_answer = lambda entry, address, answer: (
+            third.table.may_read.clear() if entry is third and not answer.is_owner else None
+        )
+        second.unreached_addresses.clear()
+        self.await_usable(second, 1)
+        self.entries.supersede_s = 0.0
+        wait_until(lambda: not read_term(self.harness.table).term.unconfirmed)
+        # From here on the second owner acts under the lease of its last commit.
+        second.table.is_cut = True
+        third.table.may_read.set()
+        wait_until(lambda: third.dispatcher is not None and third.dispatcher.is_loaded.is_set())
+        self.await_usable(third, 1)
+        self.harness.submit(make_submission("j1", LONG))
+        if second.dispatcher is not None and not second.dispatcher.is_stopped():
+            second.dispatcher.add_job(make_submission("j1", LONG))
+        self.check_runs_once()
