Show that confirmations of restarted processes and to later owners come late, and rule out starts in flight

A start that arrives at its worker only once the next owner has loaded is repeated by none whose predecessor counts as ended, as it was told (released), as it says so (stepped down), or as its process was restarted (as its address or its own VM tells): the job was stored before, is loaded, and is held until its worker has answered.

--- a/tests/process/leadership/entries.py
+++ b/tests/process/leadership/entries.py
@@ -73,6 +73,7 @@
         return self._call(self._worker.renew, renewal, timeout_s)
 
     def start(self, command, timeout_s):
+        sleep(self._entry.start_s)
         return self._call(self._worker.start, command, timeout_s)
 
     def stop(self, task, run, fence, timeout_s):
@@ -97,6 +98,7 @@
 
     :ivar unreached_workers: ids of workers that get none of its calls.
     :ivar unreached_addresses: of entries that get none of its calls.
+    :ivar start_s: how long a start takes to arrive at its worker.
     :ivar is_stopped: whether its process has ended.
     """
 
@@ -107,6 +109,7 @@
         self.table = EntryTable(entries.harness.table)
         self.unreached_workers = set()
         self.unreached_addresses = set()
+        self.start_s = 0.0
         self.is_stopped = False
         self._entries = entries
         context = entries.harness.context()
--- a/tests/process/leadership/test_ends_of_terms.py
+++ b/tests/process/leadership/test_ends_of_terms.py
@@ -45,8 +45,8 @@
         self.assertThat(self.harness.checker.start_count, Equals(1))
 
 
-class TestOwnerThatConfirmsItsEnd(EndOfTermCase):
-    """A job that it starts until then may be read by its successor after that."""
+class TwoOwnersCase(EndOfTermCase):
+    """The first owner reaches only the worker ``w1``, and the second only ``w2``."""
 
     def setUp(self):
         super().setUp()
@@ -56,6 +56,50 @@
         self.second.unreached_workers.add("w1")
         wait_until(lambda: len(usable_workers(self.first.dispatcher, "shop")) == 1)
 
+
+class TestStartInFlight(TwoOwnersCase):
+    """A start that arrives at its worker once the next owner has loaded the jobs."""
+
+    def submit_before_the_end(self):
+        self.first.start_s = 1.5
+        self.harness.submit(make_submission("j1", LONG), self.first.dispatcher)
+        wait_until(lambda: self.first.dispatcher.jobs_by_id["j1"].is_running())
+
+    def check_runs_once(self):
+        self.await_usable(self.second, 1)
+        self.assertThat(self.harness.checker.start_count, Equals(0))
+        super().check_runs_once()
+
+    def test_start_of_an_owner_that_has_released_its_term_is_not_repeated(self):
+        self.submit_before_the_end()
+        self.first.is_stopped = True
+        self.first.leadership.release()
+        self.check_runs_once()
+
+    def test_start_of_an_owner_that_has_stepped_down_is_not_repeated(self):
+        self.submit_before_the_end()
+        self.first.table.is_cut = True
+        self.first.dispatcher.stop()
+        self.check_runs_once()
+
+    def test_start_of_an_owner_whose_process_was_restarted_is_not_repeated(self):
+        self.submit_before_the_end()
+        self.first.end()
+        self.entries.add("vm-1", incarnation="vm-1-again").table.is_cut = True
+        self.check_runs_once()
+
+    def test_start_before_the_restart_of_its_own_process_is_not_repeated(self):
+        self.submit_before_the_end()
+        self.first.end()
+        again = self.entries.add("vm-1", incarnation="vm-1-again")
+        again.unreached_workers.add("w1")
+        self.second = again
+        self.check_runs_once()
+
+
+class TestOwnerThatConfirmsItsEnd(TwoOwnersCase):
+    """A job that it starts until then may be read by its successor after that."""
+
     def submit_before_the_confirmation(self):
         self.second.table.may_follow.clear()
         self.harness.submit(make_submission("j1", LONG), self.first.dispatcher)
@@ -78,6 +122,34 @@
         self.submit_before_the_confirmation()
         self.check_runs_once()
 
+    def test_job_that_it_starts_before_its_restart_is_not_started_twice(self):
+        """The restarted process confirms the end of the one before."""
+        self.first.table.is_cut = True
+        self.second.unreached_addresses.add("vm-1")
+        self.await_usable(self.second, 1)
+        self.second.table.may_follow.clear()
+        self.harness.submit(make_submission("j1", LONG), self.first.dispatcher)
+        wait_until(lambda: self.harness.checker.start_count == 1)
+        self.first.end()
+        self.entries.add("vm-1", incarnation="vm-1-again")
+        self.second.unreached_addresses.clear()
+        wait_until(lambda: not self.second.dispatcher.recorder.unconfirmed)
+        self.second.table.may_follow.set()
+        self.check_runs_once()
+
+    def test_job_that_it_starts_before_it_confirms_to_a_later_owner_is_not_started_twice(self):
+        self.first.table.is_cut = True
+        self.second.unreached_addresses.add("vm-1")
+        self.await_usable(self.second, 1)
+        self.second.is_stopped = True
+        self.second.leadership.release()
+        self.second = self.entries.add("vm-3")
+        self.second.unreached_workers.add("w1")
+        self.second.unreached_addresses.add("vm-1")
+        self.await_usable(self.second, 1)
+        self.submit_before_the_confirmation()
+        self.check_runs_once()
+
 
 class TestOwnerThatAsksItsPredecessor(EndOfTermCase):
     def test_job_that_a_healthy_owner_has_started_is_not_started_by_one_that_took_it_for_ended(
