Take an owner for ended only if it says that it has ended the term in question

An owner that answered as the owner of an earlier term than the stored one counted as stepped down and ended, as any answer that names an ended term did, also an earlier one or none. A successor would then take jobs for new that this owner still starts.

No way there is known: a process commits a term only once its earlier one has ended. The new test builds the stored term by hand; it failed before: ended, expected silent. The tests of tests/process/leadership pass.

--- a/laburnumswitch/process/leadership/leadership.py
+++ b/laburnumswitch/process/leadership/leadership.py
@@ -375,8 +375,8 @@
             self._await_start(current)
         else:
             # An owner of an earlier version may not have begun yet, and does not say so.
-            is_certain = answer.ended_epoch is not None
-            predecessor = PredecessorState.ENDED if is_certain else PredecessorState.SILENT
+            has_ended = (answer.ended_epoch or 0) >= observed.term.epoch
+            predecessor = PredecessorState.ENDED if has_ended else PredecessorState.SILENT
             self._take_over_if_unchanged(current, "stepped down", TAKEOVER_WAIT_S, predecessor)
 
     def _await_start(self, observed: VersionedTerm) -> None:
--- a/tests/process/leadership/test_leadership.py
+++ b/tests/process/leadership/test_leadership.py
@@ -249,6 +249,17 @@
         wait_until(lambda: follower.dispatcher is not None)
         self.assertThat(follower.dispatcher.predecessor, Equals(PredecessorState.ENDED))
 
+    def test_owner_that_acts_under_an_earlier_term_has_not_ended(self):
+        """Only the answer that a term has ended tells that its owner sends no more commands."""
+        owner = self._add_entry("vm-1", 2.0)
+        wait_until(lambda: owner.dispatcher is not None)
+        term = read_term(self.table).term._replace(epoch=2)
+        self.table.commit(Transaction((), (Put(TERM_KEY, term),)))
+        follower = self._add_entry("vm-2", 2.0)
+        wait_until(lambda: follower.dispatcher is not None)
+        self.assertThat(owner.dispatcher.is_stopped(), Equals(False))
+        self.assertThat(follower.dispatcher.predecessor, Equals(PredecessorState.SILENT))
+
     def test_owner_of_an_earlier_version_that_does_not_act_may_begin_to(self):
         self.owner_client.earlier_versions.add("vm-1")
         self._delay_answer(lambda: read_term(self.table).term.epoch < 2)
