Show that a worker's restart undoes what a settled owner relies on

An owner counts as settled once each worker has answered it, as the fencing token that the worker has seen refuses the starts of earlier owners. A worker that restarts under its id forgets the token. An owner that was taken for lost, has not confirmed its end and had not reached the worker meanwhile starts a job on it; the successor, which reaches it no more, takes the job for new.

The emulated links drop answers that a cut overtakes.

--- a/tests/process/leadership/entries.py
+++ b/tests/process/leadership/entries.py
@@ -87,10 +87,12 @@
 
     def _call(self, call, *arguments):
         worker_id = self._worker.listing.worker_id
-        if worker_id in self._entry.unreached_workers:
+        unreached = self._entry.unreached_workers
+        answer = None if worker_id in unreached else call(*arguments)
+        if worker_id in unreached:
             sleep(min(0.1, arguments[-1]))
             return AnswerLost(worker_id, "cut off")
-        return call(*arguments)
+        return answer
 
 
 class Entry:
--- a/tests/process/leadership/test_ends_of_terms.py
+++ b/tests/process/leadership/test_ends_of_terms.py
@@ -56,6 +56,11 @@
         self.second.unreached_workers.add("w1")
         wait_until(lambda: len(usable_workers(self.first.dispatcher, "shop")) == 1)
 
+    def submit_to_first(self):
+        """Submit a job that only the first owner is told of, and which it starts if it still acts."""
+        self.harness.submit(make_submission("j1", LONG), self.first.dispatcher)
+        wait_until(lambda: self.harness.checker.start_count or self.first.dispatcher is None)
+
 
 class TestStartInFlight(TwoOwnersCase):
     """A start that arrives at its worker once the next owner has loaded the jobs."""
@@ -102,8 +107,7 @@
 
     def submit_before_the_confirmation(self):
         self.second.table.may_follow.clear()
-        self.harness.submit(make_submission("j1", LONG), self.first.dispatcher)
-        wait_until(lambda: self.harness.checker.start_count == 1 or self.first.dispatcher is None)
+        self.submit_to_first()
         self.second.unreached_addresses.clear()
         wait_until(lambda: not self.second.dispatcher.recorder.unconfirmed)
         self.second.table.may_follow.set()
@@ -151,6 +155,26 @@
         self.check_runs_once()
 
 
+class TestWorkerThatForgetsTheSuccessor(TwoOwnersCase):
+    def test_job_that_is_started_on_a_worker_that_has_restarted_is_not_started_twice(self):
+        """The successor had reached the worker before that, and reaches it no more."""
+        self.first.table.is_cut = True
+        self.first.unreached_workers.add("w1")
+        self.second.unreached_addresses.add("vm-1")
+        self.second.unreached_workers.clear()
+        self.await_usable(self.second, 2)
+        wait_until(lambda: self.second.dispatcher.settled)
+        self.second.unreached_workers.add("w1")
+        self.harness.worker_by_id["w1"].restart()
+        wait_until(lambda: self.second.dispatcher.workers_by_id["w1"].is_silent)
+        self.first.unreached_workers.discard("w1")
+        self.await_usable(self.first, 1)
+        self.second.table.may_follow.clear()
+        self.submit_to_first()
+        self.second.table.may_follow.set()
+        self.check_runs_once()
+
+
 class TestOwnerThatAsksItsPredecessor(EndOfTermCase):
     def test_job_that_a_healthy_owner_has_started_is_not_started_by_one_that_took_it_for_ended(
         self,
