Let the soak cut off an availability zone

All entries of a soak run reached all workers through one proxy each, and each other directly, so that only single links to the store or to a worker could be cut. With `ZoneLinks`, each zone sees every process at an address of its own, by a view of the store and of messages between entries, and each way between two zones is a proxy that can be cut, silently or with refused connections. What is sent over an open connection during a silent cut arrives after it, as over TCP. Runs without `ZoneLinks` are as before.

--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -30,6 +30,10 @@
 from soak.routes import ChangingRoutes
 from soak.workers import EmulatedWorker
 from soak.workers import WorkerConfig
+from soak.zones import ip_of
+from soak.zones import STORED_IP
+from soak.zones import ZoneLinks
+from soak.zones import ZONES
 from standin.fleet.api import StoreApi
 from standin.fleet.api import VmListApi
 from standin.fleet.down_times import find_down_times
@@ -52,7 +56,6 @@
 VM_RECORD_INTERVAL_S = 0.05
 # What every other entry's link to the store carries.
 NARROW_BYTES_PER_S = 300_000
-ZONES = ("a", "b", "c")
 WORKERS_PER_RACK = 4
 PORTS_PER_WORKER = 2
 # Entries that other programs wrote to the list of workers: of a service that is not configured, of
@@ -99,8 +102,8 @@
 class Cluster:
     """Store, workers and entries of one soak run.
 
-    The constructor takes the numbers of entries and workers, and whether entries know the list of
-    VMs.
+    The constructor takes the numbers of entries and workers, whether entries know the list of VMs,
+    and the links between the zones if these are to be cut.
     """
 
     def __init__(
@@ -111,7 +114,9 @@
         first_port: int,
         random: Random,
         has_vm_list: bool = True,
+        links: ZoneLinks | None = None,
     ) -> None:
+        self.links = links
         self.checker = InvariantChecker()
         self.table = FeedMemoryTable()
         self.store = StoreApi(self.table)
@@ -130,15 +135,27 @@
         self._vm_list_server = start_server("127.0.0.1:0", self.vm_list.handle)
         self.entries: list[EntryProcess] = []
         for number in range(entries):
-            proxy = Proxy(bound_address(self._store_server))
+            zone = ZONES[number % len(ZONES)]
+            store_address = bound_address(self._store_server)
+            if links:
+                store_address = links.start_store(zone, self.store.handle)
+            proxy = Proxy(store_address)
             if number % 2:
                 proxy.answer_bytes_per_s = NARROW_BYTES_PER_S
-            zone = ZONES[number % len(ZONES)]
             vm_list_address = bound_address(self._vm_list_server) if has_vm_list else ""
             config = write_settings(
-                folder, number, first_port, zone, proxy.address, vm_list_address
+                folder,
+                number,
+                first_port,
+                zone,
+                proxy.address,
+                vm_list_address,
+                ip_of(zone) if links else STORED_IP,
             )
-            self.entries.append(EntryProcess(config, proxy))
+            entry = EntryProcess(config, proxy)
+            self.entries.append(entry)
+            if links:
+                links.add_entry(zone, entry)
         self.keys = ApiKeys(Random(f"{folder.name} keys"), self._publish)
         self.routes = ChangingRoutes(Random(f"{folder.name} routes"), SERVICE, self.keys.publish)
         self._version = 0
@@ -158,6 +175,8 @@
         )
         worker = EmulatedWorker(worker_config, self._worker_random)
         self.workers.append(worker)
+        if self.links:
+            self.links.add_worker(worker)
         return worker
 
     def add_worker(self) -> None:
@@ -187,6 +206,8 @@
             worker.start()
         spawn(self._remove_silent_workers)
         spawn(self._record_vms)
+        if self.links:
+            self.links.start()
         for entry in self.entries:
             entry.start()
 
@@ -226,6 +247,9 @@
         self.vm_list.is_down = False
         for zone in ZONES:
             self.set_zone(zone, False)
+        self.registration.cut_zones.clear()
+        if self.links:
+            self.links.heal_all()
         for worker in self.workers:
             if worker.is_leaving:
                 continue
@@ -245,6 +269,8 @@
             entry.store_proxy.stop()
         for worker in self.workers:
             worker.stop()
+        if self.links:
+            self.links.stop()
         self._store_server.stop(0)
         self._registration_server.stop(0)
         self._vm_list_server.stop(0)
--- a/soak/entries.py
+++ b/soak/entries.py
@@ -15,7 +15,7 @@
 KILL_TIMEOUT_S = 8.0
 SETTINGS = """\
 node = "{vm_id}"
-ip = "127.0.0.1"
+ip = "{ip}"
 zone = "{zone}"
 internalPorts = [{peer_port}, {last_port}]
 [listen]
@@ -52,6 +52,7 @@
     log_path: Path
     ready_address: str
     peer_address: str
+    zone: str = ""
 
 
 class EntryProcess:
@@ -118,10 +119,12 @@
     zone: str,
     store_address: str,
     vm_list_address: str,
+    ip: str = "127.0.0.1",
 ) -> EntryConfig:
     """Write the settings file of one entry and return its configuration.
 
     :param vm_list_address: empty for a deployment without a list of VMs.
+    :param ip: where the other entries reach it.
     """
     peer_port = first_port + number * PORTS_PER_ENTRY
     vm_id = f"front-{zone}-{number}"
@@ -130,6 +133,7 @@
     settings_path.write_text(
         template.format(
             vm_id=vm_id,
+            ip=ip,
             zone=zone,
             peer_port=peer_port,
             last_port=peer_port + 15,
@@ -148,5 +152,6 @@
         settings_path,
         folder / f"{vm_id}.log",
         f"127.0.0.1:{peer_port + 17}",
-        f"127.0.0.1:{peer_port}",
+        f"{ip}:{peer_port}",
+        zone,
     )
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,6 +1,9 @@
 """TCP proxy on loopback that delays, resets or drops traffic, or carries it slowly."""
 
+from collections.abc import Callable
 from enum import StrEnum
+from select import poll
+from select import POLLRDHUP
 from time import monotonic
 
 from gevent import sleep
@@ -17,6 +20,11 @@
 NARROW_BLOCK_BYTES = 8_192
 
 
+def pass_unchanged(block: bytes, is_answer: bool) -> bytes:
+    """Return a block as it was sent."""
+    return block
+
+
 class Mode(StrEnum):
     """How the proxy treats the traffic of its connections.
 
@@ -36,11 +44,17 @@
 
     :ivar answer_bytes_per_s: how much all connections together carry from the target, 0 for no
         limit.
+    :ivar keeps_bytes: whether what is sent over a connection while its link is cut arrives once it
+        is whole again, as over TCP.
+    :ivar translate: applied to each block, with whether it is of an answer.
     """
 
-    def __init__(self, target: str, port: int = 0) -> None:
+    def __init__(self, target: str, port: int = 0, host: str = "127.0.0.1") -> None:
         self.mode = Mode.PASS
         self.answer_bytes_per_s = 0
+        self.keeps_bytes = False
+        self.translate: Callable[[bytes, bool], bytes] = pass_unchanged
+        self._host = host
         self._link_free_s = 0.0
         self._target = target
         self._sockets: set[socket.socket] = set()
@@ -49,7 +63,7 @@
         self._is_target_up = True
         self._server: StreamServer | None = self._listen(port)
         self._port = self._server.server_port
-        self.address = f"127.0.0.1:{self._port}"
+        self.address = f"{host}:{self._port}"
 
     def set_mode(self, mode: Mode) -> None:
         """Set the mode of open and new connections; ``RESET`` closes the open ones."""
@@ -70,7 +84,7 @@
         self.set_mode(Mode.RESET)
 
     def _listen(self, port: int) -> StreamServer:
-        server = StreamServer(("127.0.0.1", port), self._forward)
+        server = StreamServer((self._host, port), self._forward)
         server.start()
         return server
 
@@ -96,6 +110,12 @@
         if self.mode is Mode.RESET:
             client_socket.close()
             return
+        if self.keeps_bytes:
+            # The connection is made only now, unless its client has given up.
+            self._await_link(is_answer=True)
+            if _has_hung_up(client_socket):
+                client_socket.close()
+                return
         host, _, port = self._target.rpartition(":")
         try:
             target_socket = socket.create_connection((host, int(port)), timeout=2.0)
@@ -130,11 +150,13 @@
                 if is_answer and self.answer_bytes_per_s:
                     self._await_turn(len(block))
                 if self._drops(is_answer):
-                    continue
+                    if not self.keeps_bytes:
+                        continue
+                    self._await_link(is_answer)
                 if sink in self._ended_sockets:
                     # A target that is gone resets the connection when something is sent to it.
                     break
-                sink.sendall(block)
+                sink.sendall(self.translate(block, is_answer))
         except OSError:
             # One side was closed or reset; the other is closed below.
             pass
@@ -142,3 +164,9 @@
         self._await_link(is_answer)
         source.close()
         sink.close()
+
+
+def _has_hung_up(sock: socket.socket) -> bool:
+    poller = poll()
+    poller.register(sock, POLLRDHUP)
+    return bool(poller.poll(0))
--- a/standin/fleet/registration.py
+++ b/standin/fleet/registration.py
@@ -30,6 +30,8 @@
         self._table = table
         self._clock = clock
         self._heartbeat_s_by_key: dict[str, float] = {}
+        # The heartbeats of workers there do not arrive.
+        self.cut_zones: set[str] = set()
 
     def handle(self, call: Call) -> Reply:
         """Store the rows of one call."""
@@ -37,6 +39,8 @@
             Put(f"{row['table']}/{row['key']}", decode(b64decode(row["value"])))
             for row in decode(call.body)["puts"]
         )
+        if any(put.value.get("zone") in self.cut_zones for put in puts):
+            return UNAVAILABLE
         outcome = self._table.commit_unharmed(Transaction((), puts))
         if isinstance(outcome, Failure):
             return UNAVAILABLE
--- a/tests/standin/fleet/test_registration.py
+++ b/tests/standin/fleet/test_registration.py
@@ -15,8 +15,8 @@
 from standin.server import Call
 
 
-def heartbeat(seq):
-    value = b64encode(encode({"seq": seq})).decode()
+def heartbeat(seq, **fields):
+    value = b64encode(encode({"seq": seq, **fields})).decode()
     row = {"table": "servers", "part": "", "key": "w1", "value": value}
     return Call("POST", "/v1/rows-tx", {}, {}, encode({"puts": [row]}))
 
@@ -72,3 +72,10 @@
         self.assertThat(self._stored(), Equals({"seq": 2}))
         self.registration.remove_silent()
         self.assertThat(self._stored(), Equals(None))
+
+    def test_heartbeats_of_a_zone_that_is_cut_off_do_not_arrive(self):
+        self.registration.handle(heartbeat(1, zone="a"))
+        self.registration.cut_zones.add("a")
+        self.assertThat(self.registration.handle(heartbeat(2, zone="a")).status, Equals(503))
+        self.assertThat(self._stored(), Equals({"seq": 1, "zone": "a"}))
+        self.assertThat(self.registration.handle(heartbeat(3, zone="b")).status, Equals(200))
