Add a soak series in which owners are cut off together with their zone

Neither the soak nor its series of owners cut off an owner together with workers that its successor then reaches late, while entries of the zone go on telling it of jobs. The new series does so again and again, with most jobs around the end of a cut.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -26,11 +26,13 @@
 from soak.faults import FAULTS
 from soak.faults import inject_faults
 from soak.faults import NAMED_FAULTS
+from soak.owners_cut_off import play_cuts
 from soak.owners_in_series import draw_mix
 from soak.owners_in_series import play_series
 from soak.owners_in_series import Series
 from soak.routes import call_routes
 from soak.routes import change_routes
+from soak.zones import ZoneLinks
 from standin.fleet.invariant_checker import Violation
 
 # Time for the entries to start and to reach the workers.
@@ -71,16 +73,20 @@
     folder: Path,
     fault_names: tuple[str, ...] = (),
     ends_owners: bool = False,
+    cuts_off_owners: bool = False,
 ) -> SeedResult:
     """Run one seed and return its result; only the named faults are injected, if any.
 
     :param ends_owners: whether owners end in series, while workers leave, in place of other faults.
+    :param cuts_off_owners: whether owners are cut off with their zone, in place of other faults.
     """
     random = Random(seed)
     series_random = Random(f"{seed} series")
     mix = draw_mix(series_random) if ends_owners else None
-    has_vm_list = mix is None or mix.has_vm_list
-    cluster = Cluster(folder, entries, workers, first_port, random, has_vm_list)
+    # The links to the list of VMs are not cut with a zone.
+    has_vm_list = mix.has_vm_list if mix else not cuts_off_owners
+    links = ZoneLinks() if cuts_off_owners else None
+    cluster = Cluster(folder, entries, workers, first_port, random, has_vm_list, links)
     faults = [mix.describe()] if mix else []
     series = Series(cluster, series_random, faults)
     greenlets: list[Greenlet] = []
@@ -104,6 +110,8 @@
         if mix:
             greenlets.append(spawn(play_series, series, mix, is_over))
             greenlets += [spawn(callers.poll_long_running, front, is_over) for front in fronts]
+        elif cuts_off_owners:
+            greenlets.append(spawn(play_cuts, series, callers, is_over))
         else:
             for number in range(CONCURRENT_FAULTS):
                 fault_random = Random(seed * 1000 + number)
@@ -211,6 +219,12 @@
     type=click.Choice([fault.__name__ for fault in (*FAULTS, *NAMED_FAULTS)]),
     help="Inject only this fault; may be repeated. All but misbehaving clients by default.",
 )
+@click.option(
+    "--owners-cut-off",
+    "cuts_off_owners",
+    is_flag=True,
+    help="Cut off one owner after the other with its availability zone, in place of other faults.",
+)
 @click.option(
     "--owners-in-series",
     "ends_owners",
@@ -227,6 +241,7 @@
     folder: str,
     fault_names: tuple[str, ...],
     ends_owners: bool,
+    cuts_off_owners: bool,
 ) -> None:
     """Run the soak and exit with 1 where a promise was broken."""
     # Without a handler, SIGTERM would leave the processes of the run behind.
@@ -237,7 +252,15 @@
         seed_folder = root / str(number)
         seed_folder.mkdir(parents=True, exist_ok=True)
         result = run_seed(
-            number, seconds, entries, workers, first_port, seed_folder, fault_names, ends_owners
+            number,
+            seconds,
+            entries,
+            workers,
+            first_port,
+            seed_folder,
+            fault_names,
+            ends_owners,
+            cuts_off_owners,
         )
         outcome = "BROKEN" if result.violations else "kept"
         down = f"down for {result.longest_down_s:.1f} s at most, " if ends_owners else ""
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -38,6 +38,8 @@
 LONG_STEP_SHARE = 0.3
 LONG_MS = (2000, 9000)
 SHORT_MS = (20, 1500)
+# Of the jobs that come together: a second run of one of their tasks would overlap with the first.
+BURST_MS = (800, 2500)
 UNKNOWN = "unknown"
 GONE = "gone"
 
@@ -94,6 +96,26 @@
         if self._submit_with_retries(submission) == STATUS_OK:
             self.long_running.add(job_id)
 
+    def submit_short(self, client: Client, random: Random) -> None:
+        """Submit a job once, over the connections of a client, and without a key."""
+        step = Step(
+            count=random.randint(1, 3),
+            cpu_millis=500,
+            memory_mb=100,
+            estimate_ms=random.uniform(*BURST_MS),
+        )
+        job_id = f"{random.getrandbits(64):016x}"
+        submission = Submission(job_id, "public", encode_steps((step,)), (step,), time())
+        self._checker.record_submission(submission)
+        path = f"{PUBLIC_PREFIX}{job_id}"
+        answer = client.call("POST", path, _encode_body(submission), CALL_TIMEOUT_S, {"Host": HOST})
+        if isinstance(answer, Failure):
+            return
+        if answer.status == STATUS_OK:
+            self.accepted.add(job_id)
+        elif answer.status in (429, 503):
+            self.rejected.add(job_id)
+
     def poll_long_running(self, address: str, is_finished: Callable[[], bool]) -> None:
         """Ask one entry for the long-running jobs, over a connection that stays open.
 
@@ -151,20 +173,7 @@
         )
 
     def _submit_with_retries(self, submission: Submission) -> int:
-        steps = [
-            {
-                "count": step.count,
-                "cpu": step.cpu_millis,
-                "memMb": step.memory_mb,
-                "estimateMs": step.estimate_ms,
-                "after": step.after,
-                "checkpoints": step.checkpoints,
-                "longRunning": step.long_running,
-                "mayMiss": step.max_unavailable,
-            }
-            for step in submission.steps
-        ]
-        body = encode({"spec": submission.spec, "steps": steps})
+        body = _encode_body(submission)
         for _ in range(MAX_ATTEMPTS):
             answer = self._call("POST", submission.job_id, body, self._keys.choose_own)
             if not isinstance(answer, Failure) and answer.status not in (502, 504):
@@ -193,6 +202,23 @@
             client.close()
 
 
+def _encode_body(submission: Submission) -> bytes:
+    steps = [
+        {
+            "count": step.count,
+            "cpu": step.cpu_millis,
+            "memMb": step.memory_mb,
+            "estimateMs": step.estimate_ms,
+            "after": step.after,
+            "checkpoints": step.checkpoints,
+            "longRunning": step.long_running,
+            "mayMiss": step.max_unavailable,
+        }
+        for step in submission.steps
+    ]
+    return encode({"spec": submission.spec, "steps": steps})
+
+
 def submit_jobs(callers: Callers, pause_s: float, is_finished: Callable[[], bool]) -> None:
     """Submit jobs one after the other until ``is_finished`` returns true."""
     while not is_finished():
