Let the links of a zone recover one by one after a cut, and the first owner load before it

The first owner was cut off before it had loaded, and an owner that reached the store again at once was told by its own commit that it was superseded, before entries of its zone had stored a job.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from enum import StrEnum
+from math import inf
 from select import poll
 from select import POLLRDHUP
 from time import monotonic
@@ -53,6 +54,7 @@
         self.mode = Mode.PASS
         self.answer_bytes_per_s = 0
         self.keeps_bytes = False
+        self._longest_resend_s = inf
         self.translate: Callable[[bytes, bool], bytes] = pass_unchanged
         self._host = host
         self._link_free_s = 0.0
@@ -73,6 +75,11 @@
                 sock.close()
         self._update_listener()
 
+    def keep_bytes(self) -> None:
+        """Let what is sent while the link is cut arrive soon after it is whole again."""
+        self.keeps_bytes = True
+        self._longest_resend_s = RESEND_S
+
     def set_target_up(self, is_up: bool) -> None:
         """Refuse connections while the target is down, unless its link is cut."""
         self._is_target_up = is_up
@@ -104,7 +111,7 @@
         interval_s = RESEND_S
         while self._drops(is_answer):
             sleep(interval_s)
-            interval_s *= 2
+            interval_s = min(2 * interval_s, self._longest_resend_s)
 
     def _forward(self, client_socket: socket.socket, address: tuple[str, int]) -> None:
         if self.mode is Mode.RESET:
--- a/soak/zones.py
+++ b/soak/zones.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from functools import partial
 from random import Random
 
 from gevent import sleep
@@ -43,7 +44,7 @@
         self.proxy = proxy
         self.refuses = False
         self._is_target_up = is_target_up
-        proxy.keeps_bytes = True
+        proxy.keep_bytes()
         self.update()
 
     def update(self) -> None:
@@ -90,7 +91,7 @@
 
     def add_entry(self, zone: str, entry: EntryProcess) -> None:
         """Make an entry known to those of the other zones."""
-        entry.store_proxy.keeps_bytes = True
+        entry.store_proxy.keep_bytes()
         self._entries.append((zone, entry))
         address = entry.config.peer_address
         for caller_zone in ZONES:
@@ -119,22 +120,26 @@
         for entry in self.entries_of(zone):
             entry.store_proxy.set_mode(mode)
 
-    def heal(self, zone: str, random: Random, late_share: float) -> list[Link]:
-        """Connect a zone again, but for some of its links to other zones, which are returned."""
+    def heal(
+        self, zone: str, random: Random, late_share: float, owner: EntryProcess
+    ) -> list[Callable[[], None]]:
+        """Connect a zone again, but for some of its links, and return what makes these whole.
+
+        The other entries of the owner's zone reach the store at once, and may tell it of jobs.
+        """
         self._cut_zones.discard(zone)
+        heals = [partial(self._heal_link, link) for link in self._links_across(zone)]
         for entry in self.entries_of(zone):
-            entry.store_proxy.set_mode(Mode.PASS)
-        late_links = []
-        for link in self._links_across(zone):
-            if random.random() < late_share:
-                late_links.append(link)
+            heal = partial(self._heal_store, zone, entry)
+            if entry is owner:
+                heals.append(heal)
             else:
-                link.heal()
-        return late_links
-
-    def is_cut(self, link: Link) -> bool:
-        """Return whether a zone at one end of a link is cut off now."""
-        return not self._cut_zones.isdisjoint((link.caller_zone, link.target_zone))
+                heal()
+        late_heals = [heal for heal in heals if random.random() < late_share]
+        for heal in heals:
+            if heal not in late_heals:
+                heal()
+        return late_heals
 
     def heal_all(self) -> None:
         """Connect all zones again."""
@@ -154,6 +159,15 @@
         links = self.worker_links + self.peer_links
         return [link for link in links if (link.caller_zone == zone) != (link.target_zone == zone)]
 
+    def _heal_link(self, link: Link) -> None:
+        # A late link may belong to a zone that has been cut off again.
+        if self._cut_zones.isdisjoint((link.caller_zone, link.target_zone)):
+            link.heal()
+
+    def _heal_store(self, zone: str, entry: EntryProcess) -> None:
+        if zone not in self._cut_zones:
+            entry.store_proxy.set_mode(Mode.PASS)
+
     def _update(self) -> None:
         while not self._is_stopped:
             for link in self.worker_links + self.peer_links:
--- a/tests/soak/test_owners_cut_off.py
+++ b/tests/soak/test_owners_cut_off.py
@@ -52,7 +52,7 @@
     def cut(self, zone, mode):
         self.done.append(("cut", zone, set(self.registration.cut_zones)))
 
-    def heal(self, zone, random, late_share):
+    def heal(self, zone, random, late_share, owner):
         self.done.append(("heal", zone, set(self.registration.cut_zones)))
         return []
 
@@ -76,6 +76,7 @@
             "CUT_S": (0.1, 0.1),
             "BURST_S": (-0.05, 0.05),
             "PAUSE_S": (0.0, 0.0),
+            "FIRST_PAUSE_S": 0.0,
             "ZONE_PAUSE_S": 0.01,
             "OTHER_PAUSE_S": 0.01,
         }
