--- a/soak/owners_cut_off.py
+++ b/soak/owners_cut_off.py
@@ -26,24 +26,24 @@
 # reach the store accepts keys.
 CUT_S = (2.8, 4.8)
 PAUSE_S = (0.3, 1.5)
-# Time that the first owner has to load and to reach the workers.
-FIRST_PAUSE_S = 1.5
+FIRST_RUN_POLL_S = 0.1
 # Part of the cuts that refuse connections.
 REFUSED_SHARE = 0.2
 # Part of the outages in which the owner is paused, and its zone stays connected.
-PAUSED_SHARE = 0.2
+PAUSED_SHARE = 0.15
 # Part of the cuts of a zone that is drawn, and need not be that of the owner.
-OTHER_ZONE_SHARE = 0.15
+OTHER_ZONE_SHARE = 0.1
 # Part of the links that are whole only later than the rest, and by how much: TCP sends again at
 # intervals of its own over each connection.
-LATE_SHARE = 0.8
-LATE_S = (0.1, 1.0)
+LATE_SHARE = 0.7
+LATE_S = (0.3, 1.0)
 # When callers submit most jobs, in seconds after the end of a cut, and the pauses of those whose
 # entry is in the zone and of the others.
 BURST_S = (-0.8, 0.9)
 ZONE_PAUSE_S = 0.1
 OTHER_PAUSE_S = 0.3
-MAX_DISTURBANCES = 2
+# How many restarts and signals overlap with a cut.
+DISTURBANCES_PER_CUT = (0, 0, 1, 2)
 STOP_TIMEOUT_S = 6.0
 
 
@@ -53,7 +53,9 @@
         (entry.config.zone, Client(entry.config.front_address, lambda: {"X-Deadline-Ms": "3000"}))
         for entry in series.cluster.entries
     ]
-    sleep(FIRST_PAUSE_S)
+    while not is_over() and not any(each.recorded_runs() for each in series.cluster.workers):
+        # An owner that has not loaded yet starts nothing behind a cut.
+        sleep(FIRST_RUN_POLL_S)
     while not is_over():
         entry = series.cluster.find_owner(series.cluster.read_term())
         if entry is None:
@@ -84,8 +86,8 @@
         series.note("cut_zone", f"{zone} {mode} {duration_s:.1f} s, {owner.config.vm_id}")
         cluster.registration.cut_zones.add(zone)
         cluster.links.cut(zone, mode)
-        heal = _make_heal(series, zone, owner)
-    for _ in range(random.randint(0, MAX_DISTURBANCES)):
+        heal = _make_heal(series, zone)
+    for _ in range(random.choice(DISTURBANCES_PER_CUT)):
         fault = random.choice(DISTURBANCES)
         series.recover(fault, random.uniform(0.0, duration_s))
     sleep(duration_s + BURST_S[0])
@@ -112,9 +114,9 @@
     return lambda: owner.signal(signal.SIGCONT)
 
 
-def _make_heal(series: Series, zone: str, owner: EntryProcess) -> Callable[[], None]:
+def _make_heal(series: Series, zone: str) -> Callable[[], None]:
     def heal() -> None:
-        late_heals = series.cluster.links.heal(zone, series.random, LATE_SHARE, owner)
+        late_heals = series.cluster.links.heal(zone, series.random, LATE_SHARE)
         series.cluster.registration.cut_zones.discard(zone)
         for heal_late in late_heals:
             series.recover(_heal_late, heal_late, series.random.uniform(*LATE_S))
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -17,6 +17,8 @@
 # First interval at which the end of a connection is sent again while the link is cut; it doubles
 # each time, as that of TCP does.
 RESEND_S = 0.2
+# Interval at which links that keep what is sent look whether they are whole again.
+KEPT_RESEND_S = 0.05
 # Size of the blocks over a narrow link, which its connections share.
 NARROW_BLOCK_BYTES = 8_192
 
@@ -78,7 +80,7 @@
     def keep_bytes(self) -> None:
         """Let what is sent while the link is cut arrive soon after it is whole again."""
         self.keeps_bytes = True
-        self._longest_resend_s = RESEND_S
+        self._longest_resend_s = KEPT_RESEND_S
 
     def set_target_up(self, is_up: bool) -> None:
         """Refuse connections while the target is down, unless its link is cut."""
@@ -108,7 +110,7 @@
         return self.mode is Mode.SILENT or (self.mode is Mode.ONE_WAY and is_answer)
 
     def _await_link(self, is_answer: bool) -> None:
-        interval_s = RESEND_S
+        interval_s = min(RESEND_S, self._longest_resend_s)
         while self._drops(is_answer):
             sleep(interval_s)
             interval_s = min(2 * interval_s, self._longest_resend_s)
--- a/soak/zones.py
+++ b/soak/zones.py
@@ -120,21 +120,11 @@
         for entry in self.entries_of(zone):
             entry.store_proxy.set_mode(mode)
 
-    def heal(
-        self, zone: str, random: Random, late_share: float, owner: EntryProcess
-    ) -> list[Callable[[], None]]:
-        """Connect a zone again, but for some of its links, and return what makes these whole.
-
-        The other entries of the owner's zone reach the store at once, and may tell it of jobs.
-        """
+    def heal(self, zone: str, random: Random, late_share: float) -> list[Callable[[], None]]:
+        """Connect a zone again, but for some of its links, and return what makes these whole."""
         self._cut_zones.discard(zone)
-        heals = [partial(self._heal_link, link) for link in self._links_across(zone)]
-        for entry in self.entries_of(zone):
-            heal = partial(self._heal_store, zone, entry)
-            if entry is owner:
-                heals.append(heal)
-            else:
-                heal()
+        heals = [partial(self._heal_store, zone, entry) for entry in self.entries_of(zone)]
+        heals += [partial(self._heal_link, link) for link in self._links_across(zone)]
         late_heals = [heal for heal in heals if random.random() < late_share]
         for heal in heals:
             if heal not in late_heals:
