Begin the cuts once all entries are ready, and leave the zones room

An entry without a configuration knows no owner to notify, and an owner whose zone is full starts nothing behind a cut.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -43,7 +43,7 @@
 CALLER_COUNT = 4
 CALL_PAUSE_S = 0.2
 CONCURRENT_FAULTS = 3
-# Of the seeds that end owners in series: the other jobs leave room for the long-running ones.
+# Of the seeds with a series: the other jobs leave room for those of the series.
 WORKERS_PER_LONG_RUNNING_JOB = 2
 SERIES_CALL_PAUSE_S = 1.5
 LONG_RUNNING_START_S = 3.0
@@ -102,7 +102,7 @@
         def is_over() -> bool:
             return monotonic() > end_s
 
-        pause_s = SERIES_CALL_PAUSE_S if mix else CALL_PAUSE_S
+        pause_s = SERIES_CALL_PAUSE_S if mix or cuts_off_owners else CALL_PAUSE_S
         greenlets += [spawn(submit_jobs, callers, pause_s, is_over) for _ in range(CALLER_COUNT)]
         route_random = Random(f"{seed} routes")
         greenlets.append(spawn(change_routes, cluster.routes, route_random, is_over))
--- a/soak/owners_cut_off.py
+++ b/soak/owners_cut_off.py
@@ -15,8 +15,10 @@
 from gevent import spawn
 
 from laburnumswitch.connection.client import Client
+from laburnumswitch.exceptions import Failure
 from soak.callers import Callers
 from soak.entries import EntryProcess
+from soak.keys import STATUS_OK
 from soak.owners_in_series import Series
 from soak.proxy import Mode
 from soak.zones import ZONES
@@ -26,7 +28,8 @@
 # reach the store accepts keys.
 CUT_S = (2.8, 4.8)
 PAUSE_S = (0.3, 1.5)
-FIRST_RUN_POLL_S = 0.1
+READY_POLL_S = 0.1
+READY_PATH = "/v1/ready"
 # Part of the cuts that refuse connections.
 REFUSED_SHARE = 0.2
 # Part of the outages in which the owner is paused, and its zone stays connected.
@@ -53,9 +56,7 @@
         (entry.config.zone, Client(entry.config.front_address, lambda: {"X-Deadline-Ms": "3000"}))
         for entry in series.cluster.entries
     ]
-    while not is_over() and not any(each.recorded_runs() for each in series.cluster.workers):
-        # An owner that has not loaded yet starts nothing behind a cut.
-        sleep(FIRST_RUN_POLL_S)
+    _await_ready(series, is_over)
     while not is_over():
         entry = series.cluster.find_owner(series.cluster.read_term())
         if entry is None:
@@ -68,6 +69,26 @@
         client.close()
 
 
+def _await_ready(series: Series, is_over: Callable[[], bool]) -> None:
+    """Wait until all entries are ready and a task has run.
+
+    Before that, an owner starts nothing behind a cut, and other entries know no owner.
+    """
+    clients = [Client(entry.config.ready_address) for entry in series.cluster.entries]
+    while not is_over():
+        has_run = any(worker.recorded_runs() for worker in series.cluster.workers)
+        if has_run and all(_is_ready(client) for client in clients):
+            break
+        sleep(READY_POLL_S)
+    for client in clients:
+        client.close()
+
+
+def _is_ready(client: Client) -> bool:
+    answer = client.call("GET", READY_PATH)
+    return not isinstance(answer, Failure) and answer.status == STATUS_OK
+
+
 def _play_cut(
     series: Series, owner: EntryProcess, callers: Callers, clients: list[tuple[str, Client]]
 ) -> None:
--- a/tests/soak/test_owners_cut_off.py
+++ b/tests/soak/test_owners_cut_off.py
@@ -12,14 +12,19 @@
 from soak.entries import EntryConfig
 from soak.owners_cut_off import play_cuts
 from soak.owners_in_series import Series
+from standin.server import bound_address
+from standin.server import json_reply
+from standin.server import start_server
 
 ALWAYS = 1.0
 NEVER = 0.0
 
 
 class FakeEntry:
-    def __init__(self, zone, done):
-        self.config = EntryConfig(f"front-{zone}", "127.0.0.1:9", None, None, "", "", zone)
+    def __init__(self, zone, done, ready_address):
+        self.config = EntryConfig(
+            f"front-{zone}", "127.0.0.1:9", None, None, ready_address, "", zone
+        )
         self.done = done
 
     def signal(self, number):
@@ -42,9 +47,9 @@
     :ivar done: what was done to the entries and to the links.
     """
 
-    def __init__(self):
+    def __init__(self, ready_address):
         self.done = []
-        self.entries = [FakeEntry(zone, self.done) for zone in ("a", "b")]
+        self.entries = [FakeEntry(zone, self.done, ready_address) for zone in ("a", "b")]
         self.workers = [FakeWorker()]
         self.links = self
         self.registration = FakeRegistration()
@@ -73,7 +78,9 @@
 
 class TestCuts(TestCase):
     def _play(self, paused_share):
-        cluster, callers = FakeCluster(), FakeCallers()
+        server = start_server("127.0.0.1:0", lambda call: json_reply(call.path == "/v1/ready"))
+        self.addCleanup(server.stop, 0)
+        cluster, callers = FakeCluster(bound_address(server)), FakeCallers()
         self.series = Series(cluster, Random(1), [])
         values = {
             "PAUSED_SHARE": paused_share,
