Let entries of a zone reach the store before other zones after a cut

An owner that hears of its successor before entries of its zone can store a job starts nothing that its successor does not know.

--- a/soak/owners_cut_off.py
+++ b/soak/owners_cut_off.py
@@ -37,9 +37,12 @@
 # Part of the cuts of a zone that is drawn, and need not be that of the owner.
 OTHER_ZONE_SHARE = 0.1
 # Part of the links that are whole only later than the rest, and by how much: TCP sends again at
-# intervals of its own over each connection.
-LATE_SHARE = 0.7
-LATE_S = (0.3, 1.0)
+# intervals of its own over each connection. Those to the store are first, so that entries of the
+# zone store jobs before other zones tell them anything.
+STORE_LATE_SHARE = 0.5
+STORE_LATE_S = (0.1, 0.6)
+LATE_SHARE = 0.9
+LATE_S = (0.3, 1.2)
 # When callers submit most jobs, in seconds after the end of a cut, and the pauses of those whose
 # entry is in the zone and of the others.
 BURST_S = (-0.8, 0.9)
@@ -137,14 +140,27 @@
 
 def _make_heal(series: Series, zone: str) -> Callable[[], None]:
     def heal() -> None:
-        late_heals = series.cluster.links.heal(zone, series.random, LATE_SHARE)
+        store_heals, other_heals = series.cluster.links.heal(zone)
         series.cluster.registration.cut_zones.discard(zone)
-        for heal_late in late_heals:
-            series.recover(_heal_late, heal_late, series.random.uniform(*LATE_S))
+        _heal_in_turn(series, store_heals, STORE_LATE_SHARE, STORE_LATE_S)
+        _heal_in_turn(series, other_heals, LATE_SHARE, LATE_S)
 
     return heal
 
 
+def _heal_in_turn(
+    series: Series,
+    heals: list[Callable[[], None]],
+    late_share: float,
+    late_s: tuple[float, float],
+) -> None:
+    for heal in heals:
+        if series.random.random() < late_share:
+            series.recover(_heal_late, heal, series.random.uniform(*late_s))
+        else:
+            heal()
+
+
 def _heal_late(series: Series, heal: Callable[[], None], delay_s: float) -> None:
     sleep(delay_s)
     heal()
--- a/soak/zones.py
+++ b/soak/zones.py
@@ -6,7 +6,6 @@
 
 from collections.abc import Callable
 from functools import partial
-from random import Random
 
 from gevent import sleep
 from gevent import spawn
@@ -120,16 +119,14 @@
         for entry in self.entries_of(zone):
             entry.store_proxy.set_mode(mode)
 
-    def heal(self, zone: str, random: Random, late_share: float) -> list[Callable[[], None]]:
-        """Connect a zone again, but for some of its links, and return what makes these whole."""
+    def heal(self, zone: str) -> tuple[list[Callable[[], None]], list[Callable[[], None]]]:
+        """Connect a zone again, by calls that each make one link whole.
+
+        :return: those of its links to the store, and those of its links to other zones.
+        """
         self._cut_zones.discard(zone)
-        heals = [partial(self._heal_store, zone, entry) for entry in self.entries_of(zone)]
-        heals += [partial(self._heal_link, link) for link in self._links_across(zone)]
-        late_heals = [heal for heal in heals if random.random() < late_share]
-        for heal in heals:
-            if heal not in late_heals:
-                heal()
-        return late_heals
+        store_heals = [partial(self._heal_store, zone, entry) for entry in self.entries_of(zone)]
+        return store_heals, [partial(self._heal_link, link) for link in self._links_across(zone)]
 
     def heal_all(self) -> None:
         """Connect all zones again."""
