--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,6 +1,10 @@
 """TCP proxy on loopback that delays, resets or drops traffic, or carries it slowly."""
 
+from collections.abc import Callable
 from enum import StrEnum
+from math import inf
+from select import poll
+from select import POLLRDHUP
 from time import monotonic
 
 from gevent import sleep
@@ -13,10 +17,17 @@
 # First interval at which the end of a connection is sent again while the link is cut; it doubles
 # each time, as that of TCP does.
 RESEND_S = 0.2
+# Interval at which links that keep what is sent look whether they are whole again.
+KEPT_RESEND_S = 0.05
 # Size of the blocks over a narrow link, which its connections share.
 NARROW_BLOCK_BYTES = 8_192
 
 
+def pass_unchanged(block: bytes, is_answer: bool) -> bytes:
+    """Return a block as it was sent."""
+    return block
+
+
 class Mode(StrEnum):
     """How the proxy treats the traffic of its connections.
 
@@ -36,11 +47,18 @@
 
     :ivar answer_bytes_per_s: how much all connections together carry from the target, 0 for no
         limit.
+    :ivar keeps_bytes: whether what is sent over a connection while its link is cut arrives once it
+        is whole again, as over TCP.
+    :ivar translate: applied to each block, with whether it is of an answer.
     """
 
-    def __init__(self, target: str, port: int = 0) -> None:
+    def __init__(self, target: str, port: int = 0, host: str = "127.0.0.1") -> None:
         self.mode = Mode.PASS
         self.answer_bytes_per_s = 0
+        self.keeps_bytes = False
+        self._longest_resend_s = inf
+        self.translate: Callable[[bytes, bool], bytes] = pass_unchanged
+        self._host = host
         self._link_free_s = 0.0
         self._target = target
         self._sockets: set[socket.socket] = set()
@@ -49,7 +67,7 @@
         self._is_target_up = True
         self._server: StreamServer | None = self._listen(port)
         self._port = self._server.server_port
-        self.address = f"127.0.0.1:{self._port}"
+        self.address = f"{host}:{self._port}"
 
     def set_mode(self, mode: Mode) -> None:
         """Set the mode of open and new connections; ``RESET`` closes the open ones."""
@@ -59,6 +77,11 @@
                 sock.close()
         self._update_listener()
 
+    def keep_bytes(self) -> None:
+        """Let what is sent while the link is cut arrive soon after it is whole again."""
+        self.keeps_bytes = True
+        self._longest_resend_s = KEPT_RESEND_S
+
     def set_target_up(self, is_up: bool) -> None:
         """Refuse connections while the target is down, unless its link is cut."""
         self._is_target_up = is_up
@@ -70,7 +93,7 @@
         self.set_mode(Mode.RESET)
 
     def _listen(self, port: int) -> StreamServer:
-        server = StreamServer(("127.0.0.1", port), self._forward)
+        server = StreamServer((self._host, port), self._forward)
         server.start()
         return server
 
@@ -87,15 +110,21 @@
         return self.mode is Mode.SILENT or (self.mode is Mode.ONE_WAY and is_answer)
 
     def _await_link(self, is_answer: bool) -> None:
-        interval_s = RESEND_S
+        interval_s = min(RESEND_S, self._longest_resend_s)
         while self._drops(is_answer):
             sleep(interval_s)
-            interval_s *= 2
+            interval_s = min(2 * interval_s, self._longest_resend_s)
 
     def _forward(self, client_socket: socket.socket, address: tuple[str, int]) -> None:
         if self.mode is Mode.RESET:
             client_socket.close()
             return
+        if self.keeps_bytes:
+            # The connection is made only now, unless its client has given up.
+            self._await_link(is_answer=True)
+            if _has_hung_up(client_socket):
+                client_socket.close()
+                return
         host, _, port = self._target.rpartition(":")
         try:
             target_socket = socket.create_connection((host, int(port)), timeout=2.0)
@@ -130,11 +159,13 @@
                 if is_answer and self.answer_bytes_per_s:
                     self._await_turn(len(block))
                 if self._drops(is_answer):
-                    continue
+                    if not self.keeps_bytes:
+                        continue
+                    self._await_link(is_answer)
                 if sink in self._ended_sockets:
                     # A target that is gone resets the connection when something is sent to it.
                     break
-                sink.sendall(block)
+                sink.sendall(self.translate(block, is_answer))
         except OSError:
             # One side was closed or reset; the other is closed below.
             pass
@@ -142,3 +173,9 @@
         self._await_link(is_answer)
         source.close()
         sink.close()
+
+
+def _has_hung_up(sock: socket.socket) -> bool:
+    poller = poll()
+    poller.register(sock, POLLRDHUP)
+    return bool(poller.poll(0))
