--- a/laburnumswitch/process/dispatch/unread_workers.py
+++ b/laburnumswitch/process/dispatch/unread_workers.py
@@ -31,10 +31,7 @@
 
 def may_run_unread(dispatcher: Dispatcher, keys: tuple[str, ...]) -> bool:
     """Return whether workers in rows that were not read may still run tasks of earlier owners."""
-    until_s = dispatcher.unknown_runs_until_s
-    # A successor may have extended leases unless this owner has committed since.
-    has_lapsed = dispatcher.context.clock() > until_s and dispatcher.recorder.was_owner_at(until_s)
-    return bool(keys) and not has_lapsed
+    return bool(keys) and dispatcher.recorder.last_owned_s() <= dispatcher.unknown_runs_until_s
 
 
 def replace_unread(dispatcher: Dispatcher, keys: tuple[str, ...]) -> None:
