Add no missing workers if an owner stops before it has read the list of workers

Since workers that the stored list lacks are added, an owner whose reads of the list failed until it was told to stop took all handed-over workers for missing ones. It queued rows of the list that held only these, and a release that was waiting for a commit under way would have stored them in place of the list.

The list of an owner that has stopped is not applied.

Evidence: test_owner_that_stops_before_it_has_read_the_list_replaces_nothing_of_it failed before ("1 != 0", rows queued).

--- a/laburnumswitch/process/dispatch/takeover.py
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -258,7 +258,11 @@
     :return: keys of the rows that could not be read.
     """
     unread_keys = []
-    for row in _load(dispatcher, FLEET_TABLE).rows:
+    rows = _load(dispatcher, FLEET_TABLE).rows
+    if dispatcher.is_stopped():
+        # It may have stopped before it had read the list, which lacks all workers then.
+        return ()
+    for row in rows:
         try:
             listings = convert(row.value, list[WorkerListing])
         except ValidationError as error:
--- a/tests/process/dispatch/test_takeover.py
+++ b/tests/process/dispatch/test_takeover.py
@@ -1,14 +1,18 @@
 """What a new owner may start while the stored list of workers lacks some that may run tasks."""
 
 from gevent import sleep
+from gevent.event import Event
 from testtools import TestCase
 from testtools.matchers import Contains
 from testtools.matchers import Equals
 
+from laburnumswitch.exceptions import Unavailable
 from laburnumswitch.process.dispatch.dispatcher import fleet_key
+from laburnumswitch.process.dispatch.dispatcher import FLEET_TABLE
 from laburnumswitch.process.dispatch.eligibility import usable_workers
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.job_spec import TaskKey
+from laburnumswitch.process.dispatch.takeover import RETRY_S
 from laburnumswitch.process.rows.table import Put
 from laburnumswitch.process.rows.table import Transaction
 from tests.process.dispatch.harness import BOUNDS
@@ -142,6 +146,27 @@
         self.start_successor()
         self.check_started_after_lapse()
 
+    def test_owner_that_stops_before_it_has_read_the_list_replaces_nothing_of_it(self):
+        """All workers would count as missing in a list that was not read."""
+        self.first.release()
+        load = self.harness.table.load
+        has_begun, may_fail = Event(), Event()
+
+        def fail_late(table):
+            if table != FLEET_TABLE:
+                return load(table)
+            has_begun.set()
+            may_fail.wait()
+            return Unavailable("too late")
+
+        self.harness.table.load = fail_late
+        second = self.start_owner("vm-2")
+        has_begun.wait()
+        second.stop()
+        may_fail.set()
+        sleep(3 * RETRY_S)
+        self.assertThat(second.recorder.count_queued_rows(f"{FLEET_TABLE}/"), Equals(0))
+
     def test_handed_over_run_on_a_worker_that_nobody_lists_ends_with_its_lease(self):
         self.holder.drops_calls = True
         self.first.release()
