Test which signs of a worker's restart hold over a change of owner

Rules out, with exact interleaving: a run that a restarted worker accepted before the earlier owner ended, by a release or a kill, whether the restart is listed or not, and while the list of VMs shows the outage late; a silence that was stored for the incarnation before; a worker that was dropped by an answer of another worker and is listed again at another address; a voided start that is delivered once the new owner has reached the new process.

--- a/tests/process/dispatch/test_restarts_over_owners.py
+++ b/tests/process/dispatch/test_restarts_over_owners.py
@@ -11,6 +11,7 @@
 from laburnumswitch.exceptions import OutcomeUnknown
 from laburnumswitch.exceptions import StartRefused
 from laburnumswitch.exceptions import Unavailable
+from laburnumswitch.exceptions import WorkerReplaced
 from laburnumswitch.process.dispatch.eligibility import usable_workers
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.lease_keeping import KEEP_INTERVAL_S
@@ -34,13 +35,16 @@
 
 
 class CutTable:
-    """Table of one owner, which reaches the store unless ``is_cut``."""
+    """Table of one owner: all calls fail if ``is_cut``, and if ``has_feeds_only`` all others."""
 
     def __init__(self, table):
         self._table = table
         self.is_cut = False
+        self.has_feeds_only = False
 
     def read(self, keys):
+        if self.has_feeds_only:
+            return Unavailable("cut off")
         return self._call(self._table.read, keys)
 
     def load(self, table):
@@ -50,7 +54,7 @@
         return self._call(self._table.follow, table, after, wait_s)
 
     def commit(self, transaction):
-        if self.is_cut:
+        if self.is_cut or self.has_feeds_only:
             return OutcomeUnknown("cut off")
         return self._table.commit(transaction)
 
@@ -213,6 +217,31 @@
         self.check_runs_once()
 
 
+class TestRestartAtAnotherAddress(OwnerTakenForLostCase):
+    def test_owner_that_cannot_commit_starts_nothing_there(self):
+        """The second owner has dropped the worker, as another one answers at its old address."""
+        self.table.has_feeds_only = True
+        cut_off = set()
+        second = self.start_owner("vm-2", PredecessorState.SILENT, cut_off)
+        wait_until(lambda: second.settled)
+        self.cut_second_owner_off()
+        cut_off.add("w1")
+        replaced = self.link_by_pair["vm-2", "w1"]
+        replaced.renew = lambda renewal, timeout_s: WorkerReplaced("10.0.0.1:80")
+        listing = self.w1.listing
+        self.w1.restart(CLOCK_AHEAD_S)
+        wait_until(lambda: "w1" not in second.workers_by_id)
+        self.w1.listing = self.w1.listing._replace(address="10.0.0.1:81")
+        self.harness.list_worker(self.w1.listing)
+        known = self.first.workers_by_id["w1"]
+        wait_until(lambda: known.listing.address != listing.address and known.is_reached)
+        self.assertThat(self.first.may_act(), Equals(True))
+        self.harness.submit(make_submission("j1", LONG), self.first)
+        wait_until(lambda: self.harness.checker.start_count >= 1)
+        sleep(1.0)
+        self.check_runs_once()
+
+
 class TestRestartThatTheFirstOwnerDoesNotKnow(OwnerTakenForLostCase):
     """The worker accepts a start before a renewal of the first owner has failed."""
 
@@ -254,6 +283,114 @@
         self.check_runs_once()
 
 
+class TestStartAcceptedAfterTheRestart(RestartCase):
+    """The first owner ends before it learns that a worker has restarted and runs a task."""
+
+    def setUp(self):
+        super().setUp()
+        self.harness.list_vms = self.list_vms_late
+        self.first = self.start_owner("vm-1", cut_off=("w2",))
+        wait_until(lambda: self.reached(self.first) == {"w1"})
+
+    def start_run_after_restart(self):
+        known = self.first.workers_by_id["w1"]
+        answered_s = known.last_answer_s
+        wait_until(lambda: known.last_answer_s > answered_s)
+        self.restart_worker()
+        self.harness.submit(make_submission("j1", LONG), self.first)
+        wait_until(lambda: self.harness.checker.start_count == 1)
+        self.assertThat(known.incarnation, Equals(1))
+
+    def check_successor(self, is_listed):
+        second = self.start_owner("vm-2", cut_off=("w1",))
+        wait_until(second.is_loaded.is_set)
+        if is_listed:
+            self.harness.list_worker(self.w1.listing)
+        sleep(SHOWN_S + 0.7)
+        self.link_by_pair["vm-2", "w1"].is_cut = False
+        wait_until(lambda: second.settled)
+        sleep(0.5)
+        self.check_runs_once()
+
+    def test_handed_over_run_goes_on(self):
+        self.start_run_after_restart()
+        self.first.release()
+        self.check_successor(is_listed=False)
+
+    def test_handed_over_run_goes_on_when_the_restart_is_listed(self):
+        self.start_run_after_restart()
+        self.first.release()
+        self.check_successor(is_listed=True)
+
+    def test_run_of_a_killed_owner_goes_on(self):
+        self.start_run_after_restart()
+        self.first.stop()
+        self.check_successor(is_listed=False)
+
+    def test_run_of_a_killed_owner_goes_on_when_the_restart_is_listed(self):
+        self.start_run_after_restart()
+        self.first.stop()
+        self.check_successor(is_listed=True)
+
+    def test_silence_of_the_incarnation_before_leads_to_no_second_run(self):
+        """The run in it ended with that incarnation, and nothing was started on the next one."""
+        self.harness.submit(make_submission("j1", LONG), self.first)
+        wait_until(lambda: self.harness.checker.start_count == 1)
+        known = self.first.workers_by_id["w1"]
+        wait_until(lambda: any(run.incarnation for run in known.runs_by_task.values()))
+        self.link_by_pair["vm-1", "w1"].is_cut = True
+        wait_until(lambda: not self.first.silences.may_grant("w1"))
+        batch = self.first.recorder.queue_row("x/1", 1)
+        wait_until(lambda: self.first.recorder.committed >= batch)
+        self.restart_worker()
+        self.harness.list_worker(self.w1.listing)
+        wait_until(lambda: known.incarnation == 2)
+        self.first.stop()
+        second = self.start_owner("vm-2")
+        wait_until(lambda: self.harness.checker.start_count == 2)
+        wait_until(lambda: second.settled)
+        sleep(0.5)
+        self.check_runs_once(start_count=2)
+
+
+class TestStartDeliveredLate(RestartCase):
+    """A handed-over start that was not answered is voided by the second owner, and delivered."""
+
+    def setUp(self):
+        super().setUp()
+        self.commands = []
+        start = self.w1.start
+
+        def lose(command, timeout_s):
+            self.commands.append(command)
+            sleep(timeout_s)
+            return AnswerLost("w1", "late")
+
+        self.w1.start = lose
+        first = self.start_owner("vm-1", cut_off=("w2",))
+        wait_until(lambda: self.reached(first) == {"w1"})
+        self.harness.submit(make_submission("j1", LONG), first)
+        wait_until(lambda: self.commands)
+        first.release()
+        self.w1.start = start
+        self.second = self.start_owner("vm-2")
+        wait_until(lambda: ("vm-2", "w1") in self.link_by_pair)
+        self.link_by_pair["vm-2", "w1"].is_full = True
+        wait_until(lambda: self.harness.checker.start_count == 1)
+
+    def test_is_refused_once_the_second_owner_has_reached_the_restarted_worker(self):
+        self.restart_worker()
+        wait_until(lambda: self.second.workers_by_id["w1"].incarnation == 2)
+        refusal = self.w1.start(self.commands[0], 1.0)
+        self.assertThat(refusal, Equals(StartRefused("w1", "fence")))
+        self.check_runs_once()
+
+    def test_does_not_run_right_after_the_restart(self):
+        self.restart_worker()
+        self.w1.start(self.commands[0], 1.0)
+        self.check_runs_once()
+
+
 class TestRestartWhileTheOwnerLoads(RestartCase):
     """A start of an owner that was killed was not answered, and is delivered after the restart."""
 
