Show that unknown runs count as ended before the last command of an earlier owner has been delivered

A start that an owner sends right before its end is delivered up to `DELIVERY_S` later. A worker that has restarted takes the end of its lease for an instant in the far future, and grants the longest lease from then on, while the new owner counts from the end of the earlier one (`longest_lapse_s`). It needs a worker that restarts in that half second and then answers no command for the whole lease.

--- a/tests/process/dispatch/test_restarts_over_owners.py
+++ b/tests/process/dispatch/test_restarts_over_owners.py
@@ -6,6 +6,8 @@
 from gevent.event import Event
 from testtools import TestCase
 from testtools.matchers import Equals
+from testtools.matchers import LessThan
+from testtools.matchers import Not
 
 from laburnumswitch.exceptions import AnswerLost
 from laburnumswitch.exceptions import OutcomeUnknown
@@ -13,6 +15,8 @@
 from laburnumswitch.exceptions import Unavailable
 from laburnumswitch.exceptions import WorkerReplaced
 from laburnumswitch.process.dispatch.eligibility import usable_workers
+from laburnumswitch.process.dispatch.fleet import DELIVERY_S
+from laburnumswitch.process.dispatch.fleet import lapse_s
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.lease_keeping import KEEP_INTERVAL_S
 from laburnumswitch.process.dispatch.progress import SUBMISSIONS_TABLE
@@ -20,6 +24,7 @@
 from laburnumswitch.process.dispatch.vm_list import VmRow
 from laburnumswitch.process.dispatch.vm_list import VmState
 from laburnumswitch.process.leadership.term import PredecessorState
+from tests.process.dispatch.harness import BOUNDS
 from tests.process.dispatch.harness import DispatchHarness
 from tests.process.dispatch.harness import make_submission
 from tests.process.dispatch.harness import wait_until
@@ -353,6 +358,35 @@
         self.check_runs_once(start_count=2)
 
 
+class TestLastCommandBeforeTheTakeover(RestartCase):
+    """A start in flight reaches a worker that has just restarted, whose clock began anew."""
+
+    def setUp(self):
+        super().setUp()
+        self.first = self.start_owner("vm-1")
+        wait_until(lambda: self.reached(self.first) == {"w1", "w2"})
+
+    def check_bound(self, owner, ended_s):
+        run_until_s = ended_s + DELIVERY_S + lapse_s(BOUNDS.lease_s, BOUNDS.stop_s)
+        bound_s = owner.workers_by_id["w1"].lapse_bound_s
+        self.assertThat(bound_s, Not(LessThan(run_until_s)))
+
+    def test_run_of_an_owner_that_has_ended_has_lapsed_before_it_counts_as_ended(self):
+        self.first.stop()
+        ended_s = monotonic()
+        second = self.start_owner("vm-2", cut_off=("w1",))
+        wait_until(second.is_loaded.is_set)
+        self.check_bound(second, ended_s)
+
+    def test_run_of_an_owner_that_confirms_its_end_has_lapsed_before_it_counts_as_ended(self):
+        second = self.start_owner("vm-2", PredecessorState.SILENT, cut_off=("w1",))
+        wait_until(second.is_loaded.is_set)
+        self.first.supersede()
+        ended_s = monotonic()
+        second.note_predecessor_ended()
+        self.check_bound(second, ended_s)
+
+
 class TestStartDeliveredLate(RestartCase):
     """A handed-over start that was not answered is voided by the second owner, and delivered."""
 
