Notice the lapse of a silent worker's leases when they lapse, not at the next look

Cause: the owner looks between two calls to the worker, of 0.5 s with a pause of 0.25 s, and counts the lease as over only with a commit that was sent later, which comes every 0.5 s: up to 1.25 s.

A call to a silent worker, and the pause after it, now end with the leases, and the owner commits at once. What counts as a lapse is unchanged. The test of the commit is new.

--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -546,6 +546,11 @@
         """Return when runs that no incarnation has reported have certainly ended by a lapse."""
         return max(self.lapse_bound_s, self.restart_lapse_bound_s)
 
+    def next_lapse_s(self, now_s: float) -> float:
+        """Return when the next of the leases certainly expires, infinity if all have."""
+        bounds_s = (self.lapse_bound_s, self.unreported_lapse_bound_s())
+        return min((bound_s for bound_s in bounds_s if bound_s >= now_s), default=float("inf"))
+
     def last_lapse_bound_s(self) -> float:
         """Return when all runs have certainly ended by the lapse of their leases."""
         if self.has_unknown_runs:
--- a/laburnumswitch/process/dispatch/recorder.py
+++ b/laburnumswitch/process/dispatch/recorder.py
@@ -151,6 +151,16 @@
         """
         return self._last_commit_monotonic_s
 
+    def commit_after(self, instant_s: float, timeout_s: float) -> None:
+        """Commit at once unless a commit was sent after an instant of the monotonic clock.
+
+        :param timeout_s: longest wait for it.
+        """
+        if self._last_commit_monotonic_s <= instant_s:
+            batch = self.next_batch
+            self._has_work.set()
+            self.wait_for(batch, timeout_s)
+
     def require_commit(self) -> None:
         """Treat the term as possibly lost until the next successful commit."""
         self._awaits_commit = True
--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -35,6 +35,10 @@
 RENEWAL_WAIT_S = 1.0
 # Time beyond the renewal's wait, in seconds, after which the call counts as lost.
 ANSWER_MARGIN_S = 0.5
+# The same of a call to a silent worker whose leases are about to expire, in seconds, at least.
+MIN_ANSWER_MARGIN_S = 0.05
+# Longest wait, in seconds, for the commit that shows that no successor has extended an expired lease.
+LAPSE_COMMIT_WAIT_S = 0.1
 # Pause in seconds before a failed renewal is repeated.
 RETRY_S = 0.25
 # Pause before the next renewal, in seconds, if reported ends of runs are still not committed after
@@ -69,8 +73,11 @@
     context = dispatcher.context
     while not dispatcher.is_stopped() and not worker.is_dropped:
         link = worker.link
-        may_have_restarted = worker.may_have_restarted(context.clock())
-        answer = renew(dispatcher, worker, _renewal_wait_s(dispatcher, worker, context.clock()))
+        began_s = context.clock()
+        may_have_restarted = worker.may_have_restarted(began_s)
+        lapses_s = worker.next_lapse_s(began_s)
+        margin_s = _answer_margin_s(worker, lapses_s - began_s)
+        answer = renew(dispatcher, worker, _renewal_wait_s(dispatcher, worker, began_s), margin_s)
         if isinstance(answer, WorkerReport):
             # After a renewal that could acknowledge nothing, the next one follows at once.
             if answer.ended and not may_have_restarted:
@@ -90,13 +97,26 @@
         was_silent = worker.is_silent
         if not isinstance(answer, AnswerOutdated):
             _note_silence(dispatcher, worker, answer)
+        if context.clock() > lapses_s:
+            dispatcher.recorder.commit_after(lapses_s, LAPSE_COMMIT_WAIT_S)
         if dispatcher.has_lapsed(worker):
             _handle_lapse(dispatcher, worker, answer)
         # A single lost renewal is not stored, as the one after it could not extend the lease.
         has_lease_to_extend = bool(worker.last_answer_s) and not was_silent
         if worker.is_silent and not (has_lease_to_extend or worker.is_dropped):
             _store_silence(dispatcher, worker)
-        context.sleep(RETRY_S)
+        until_lapse_s = lapses_s - context.clock()
+        context.sleep(min(RETRY_S, until_lapse_s) if until_lapse_s > 0.0 else RETRY_S)
+
+
+def _answer_margin_s(worker: Worker, until_lapse_s: float) -> float:
+    """Return how long the next renewal may take beyond its wait.
+
+    A call to a silent worker ends with its leases, so that their lapse is noticed at once.
+    """
+    if not worker.is_silent:
+        return ANSWER_MARGIN_S
+    return min(ANSWER_MARGIN_S, max(MIN_ANSWER_MARGIN_S, until_lapse_s))
 
 
 def _renewal_wait_s(dispatcher: Dispatcher, worker: Worker, now_s: float) -> float:
--- a/tests/process/dispatch/test_recorder.py
+++ b/tests/process/dispatch/test_recorder.py
@@ -212,6 +212,18 @@
         self.assertThat(release.ready(), Equals(True))
         self.assertThat(self.recorder.is_lost, Equals(True))
 
+    def test_commit_that_shows_a_lapse_does_not_wait_for_the_interval(self):
+        """A lease of a silent worker was noticed as expired up to 1.25 s late."""
+        spawn(self.recorder.run, lambda: False)
+        self.assertThat(self.recorder.commit(), Equals(True))
+        lapsed_s = monotonic()
+        self.recorder.commit_after(lapsed_s, 1.0)
+        self.assertThat(self.recorder.last_owned_s(), GreaterThan(lapsed_s))
+        self.assertThat(monotonic() - lapsed_s, LessThan(0.2))
+        batches = self.recorder.batches
+        self.recorder.commit_after(lapsed_s, 1.0)
+        self.assertThat(self.recorder.batches, Equals(batches))
+
     def test_released_term_has_no_owner(self):
         self._finish_task(0)
         self.recorder.release()
