--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -37,7 +37,7 @@
 ANSWER_MARGIN_S = 0.5
 # The same of a call to a silent worker whose leases are about to expire, in seconds, at least.
 MIN_ANSWER_MARGIN_S = 0.05
-# Longest wait, in seconds, for the commit that shows that no successor has extended an expired lease.
+# Longest wait, in seconds, for the commit that shows that no successor has extended the leases.
 LAPSE_COMMIT_WAIT_S = 0.1
 # Pause in seconds before a failed renewal is repeated.
 RETRY_S = 0.25
