Show that an answer of the feed counts as read up to its arrival

A successor acknowledges the end of a run of an unknown job once the submissions were read three seconds after it. submissions_read_s is when an answer of the feed was applied, not when the read was sent; the body may take up to ten seconds to arrive (store.READ_TRANSFER_S).

--- a/tests/process/dispatch/test_orphans.py
+++ b/tests/process/dispatch/test_orphans.py
@@ -1,14 +1,17 @@
 """Tests of runs that workers report before the owner knows their jobs."""
 
 from gevent import sleep
+from gevent.event import Event
 from testtools import TestCase
 from testtools.matchers import Equals
 from testtools.matchers import GreaterThan
 
+from laburnumswitch.process.dispatch import dispatcher as dispatcher_module
 from laburnumswitch.process.dispatch.dispatcher import ORPHAN_WAIT_S
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.job_spec import TaskKey
 from laburnumswitch.process.dispatch.jobs import JobState
+from laburnumswitch.process.dispatch.progress import SUBMISSIONS_TABLE
 from laburnumswitch.process.dispatch.worker_protocol import EndReport
 from laburnumswitch.process.dispatch.worker_protocol import RunOutcome
 from laburnumswitch.process.dispatch.worker_protocol import RunReport
@@ -85,3 +88,39 @@
         wait_until(lambda: self.owner.submissions_read_s > before_s, 3.0)
         sleep(0)
         self.assertThat(self.owner.submissions_read_s, GreaterThan(before_s))
+
+
+class TestEndWhileAnAnswerOfTheFeedIsOnItsWay(OrphanCase):
+    """The store made the answer before the job was stored, and its body took long to arrive."""
+
+    def setUp(self):
+        super().setUp()
+        self.patch(dispatcher_module, "ORPHAN_WAIT_S", 0.2)
+        self.is_made, self.may_arrive = Event(), Event()
+        self.addCleanup(self.may_arrive.set)
+        self.follow = self.harness.table.follow
+        self.harness.table.follow = self.follow_slowly
+        self.is_made.wait()
+
+    def follow_slowly(self, table, after, wait_s):
+        if table != SUBMISSIONS_TABLE:
+            return self.follow(table, after, wait_s)
+        changes = self.follow(table, after, 0.0)
+        self.is_made.set()
+        self.may_arrive.wait()
+        return changes
+
+    def test_end_is_not_acknowledged_before_the_job_is_read(self):
+        """The task would start again after its end was acknowledged as done."""
+        self.harness.submit(make_submission("j1", LONG))
+        worker = self.owner.workers_by_id["w1"]
+        self.owner.report_end(worker, EndReport(100, TASK, 7, RunOutcome.DONE, ""))
+        sleep(0.3)
+        read_s = self.owner.submissions_read_s
+        self.may_arrive.set()
+        wait_until(lambda: self.owner.submissions_read_s > read_s or self.owner.knows_job("j1"))
+        self.owner.forget_orphan_ends()
+        acknowledged = worker.take_acknowledgeable(self.owner.recorder.committed)
+        self.assertThat(acknowledged, Equals(0))
+        wait_until(lambda: self.owner.reported_state("j1") is JobState.COMPLETED)
+        self.assertThat(self.harness.checker.start_count, Equals(0))
