Show that a job runs again if it was read before its rows were removed

After a loss of the history the follower of the submissions reads all of them. If the rows of an ended job are removed while that answer is on its way, the owner has forgotten the job when the answer arrives, and takes it for new. A late load stands for the present.

--- a/tests/process/dispatch/test_retention.py
+++ b/tests/process/dispatch/test_retention.py
@@ -1,5 +1,7 @@
 """Tests of the removal of finished jobs' rows."""
 
+from gevent import sleep
+from gevent.event import Event
 from testtools import TestCase
 from testtools.matchers import Equals
 from testtools.matchers import GreaterThan
@@ -8,6 +10,7 @@
 from laburnumswitch.process.dispatch.jobs import JobState
 from laburnumswitch.process.dispatch.progress import progress_key
 from laburnumswitch.process.dispatch.progress import submission_key
+from laburnumswitch.process.dispatch.progress import SUBMISSIONS_TABLE
 from laburnumswitch.process.dispatch.retention import forget_unknown_jobs
 from laburnumswitch.process.dispatch.retention import JOBS_PER_PASS
 from laburnumswitch.process.dispatch.retention import REMOVAL_INTERVAL_S
@@ -65,3 +68,28 @@
         self.harness.table.down = True
         self.assertThat(remove_old_jobs(self.owner), Equals(0))
         self.assertThat(self.owner.reported_state("j1"), Equals(JobState.COMPLETED))
+
+    def test_job_that_was_read_before_its_rows_were_removed_does_not_run_again(self):
+        """The store has discarded its history, so all jobs are read again."""
+        load = self.harness.table.load
+        is_read, may_arrive = Event(), Event()
+        self.addCleanup(may_arrive.set)
+
+        def load_slowly(table):
+            changes = load(table)
+            if table == SUBMISSIONS_TABLE:
+                is_read.set()
+                may_arrive.wait()
+            return changes
+
+        self.harness.table.load = load_slowly
+        starts = self.harness.checker.start_count
+        self.harness.table.drop_history()
+        is_read.wait()
+        self.owner.ended_s_by_id["j1"] -= RETENTION_S + 1
+        self.assertThat(remove_old_jobs(self.owner), Equals(1))
+        may_arrive.set()
+        sleep(0.5)
+        self.assertThat(self.harness.checker.violations, Equals([]))
+        self.assertThat(self.harness.checker.start_count, Equals(starts))
+        self.assertThat(self.owner.reported_state("j1"), Equals(None))
