Show that a silent worker with unknown runs gets a lease that prolongs the wait for them

Since unknown runs of earlier owners count until the last lease that was sent could lapse in a later incarnation. may_extend_lease sends none to a silent worker with unreported runs, as each would move that time, but does not ask for unknown runs.

--- a/tests/process/dispatch/test_lease_keeping.py
+++ b/tests/process/dispatch/test_lease_keeping.py
@@ -5,6 +5,7 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
+from laburnumswitch.process.dispatch.eligibility import usable_workers
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.job_spec import TaskKey
 from laburnumswitch.process.dispatch.progress import SUBMISSIONS_TABLE
@@ -96,3 +97,40 @@
         sleep(LOAD_S - 0.2)
         self.assertThat(third.is_loaded.is_set(), Equals(False))
         self.assertThat(self.holder._lease_until_s, Equals(lease_end_s))
+
+
+class TestSilenceAfterTheLoad(TestCase):
+    """A worker whose leases were kept falls silent before the owner has read what it runs."""
+
+    def setUp(self):
+        super().setUp()
+        self.harness = DispatchHarness(workers=1)
+        self.worker = self.harness.worker_by_id["w1"]
+        first = self.harness.start_owner()
+        wait_until(lambda: usable_workers(first, "shop"))
+        first.stop()
+        load = self.harness.table.load
+        self.may_load = Event()
+        self.addCleanup(self.may_load.set)
+
+        def load_slowly(table):
+            if table == SUBMISSIONS_TABLE:
+                self.may_load.wait()
+            return load(table)
+
+        self.harness.table.load = load_slowly
+        self.owner = self.harness.start_owner("vm-2")
+        self.addCleanup(self.owner.stop)
+
+    def test_no_lease_is_sent_to_a_silent_worker_that_may_have_unknown_runs(self):
+        """Each one would move the time from which on these have certainly ended."""
+        wait_until(lambda: "w1" in self.owner.workers_by_id)
+        known = self.owner.workers_by_id["w1"]
+        wait_until(lambda: known.granted_until_s)
+        self.worker.drops_calls = True
+        self.may_load.set()
+        wait_until(lambda: known.is_silent)
+        lapse_bound_s = known.unreported_lapse_bound_s()
+        wait_until(lambda: not self.owner.silences.may_grant("w1"))
+        self.assertThat(known.has_unknown_runs, Equals(True))
+        self.assertThat(known.unreported_lapse_bound_s(), Equals(lapse_bound_s))
