Show that an answer which arrives after a restart passes for a sign of life after it

may_have_restarted compares the present with the arrival of the last answer (MIN_RESTART_S, 0.1 s). An answer is taken for up to 1.5 s after its renewal was sent. If the worker restarts in between and a start of the owner reaches the new process, the next renewal acknowledges its ends by the numbers of the earlier one before they were reported. The run is then released as no longer reported, and the task starts again after its end as done was noted: TWICE under one owner. The instant that counts is that of the renewal's sending.

test_end_numbers_from_before_the_restart_acknowledge_no_end covers lost answers only.

--- a/tests/process/dispatch/test_restarted_worker.py
+++ b/tests/process/dispatch/test_restarted_worker.py
@@ -206,6 +206,35 @@
         self.assertThat(self.harness.checker.start_count, Equals(4))
 
 
+class TestAnswerThatArrivesAfterTheRestart(RestartedWorkerCase):
+    """The worker has made it before; it tells nothing of the time between."""
+
+    def test_ends_after_the_restart_are_not_acknowledged_by_their_numbers_before_it(self):
+        short = LONG._replace(estimate_ms=10)
+        self.harness.submit(make_submission("j1", *[short] * 3), self.owner)
+        wait_until(lambda: self.known().acknowledged_end == 3)
+        renew_late = self.first.renew
+        made = Event()
+
+        def renew_at_once(renewal, timeout_s):
+            self.answers.clear()
+            made.set()
+            return renew_late(renewal._replace(wait_s=0.0), timeout_s)
+
+        self.first.renew = renew_at_once
+        made.wait()
+        self.first.renew = renew_late
+        sleep(0.01)
+        self.first.restart()
+        self.harness.submit(make_submission("j2", short), self.owner)
+        wait_until(lambda: self.harness.checker.start_count == 4)
+        sleep(0.1)
+        self.answers.set()
+        wait_until(lambda: self.owner.reported_state("j2") is JobState.COMPLETED)
+        self.check_nothing_ran_twice()
+        self.assertThat(self.harness.checker.start_count, Equals(4))
+
+
 class TestLateMessages(RestartedWorkerCase):
     def send_renewal(self):
         """Send a renewal that is answered only when a report is delivered."""
