Show that the wait for workers that were not read begins anew with each owner

Since an owner that cannot read a row of the list of workers counts a whole lease from its own takeover before it settles. The row that tells its successors of it (fleet/unread) names the rows, not the instant at which these leases have lapsed, so that the wait adds up over owners that follow one another; on nothing waited there. The owner between has granted nothing to workers that it did not know: the bound of the first of them holds for all, on the store's clock.

--- a/tests/process/dispatch/test_takeover.py
+++ b/tests/process/dispatch/test_takeover.py
@@ -1,9 +1,12 @@
 """What a new owner may start while the stored list of workers lacks some that may run tasks."""
 
+from time import monotonic
+
 from gevent import sleep
 from testtools import TestCase
 from testtools.matchers import Contains
 from testtools.matchers import Equals
+from testtools.matchers import LessThan
 
 from laburnumswitch.process.dispatch.dispatcher import fleet_key
 from laburnumswitch.process.dispatch.eligibility import usable_workers
@@ -124,6 +127,18 @@
         wait_until(lambda: third.settled, limit_s=0.5)
         self.assertThat(sorted(third.workers_by_id), Equals(["w1", "w2"]))
 
+    def test_wait_for_workers_that_were_not_read_does_not_begin_anew_with_each_owner(self):
+        """The earlier owner cannot have extended the leases of workers that it did not know."""
+        self.unlist_holder()
+        second = self.start_successor()
+        sleep(0.75 * self.lease_s)
+        self.assertThat(second.settled, Equals(False))
+        second.release()
+        third = self.start_successor("vm-3")
+        wait_until(lambda: third.settled)
+        late_s = monotonic() - second.unknown_runs_until_s
+        self.assertThat(late_s, LessThan(START_S))
+
 
 class TestWorkerMissingInTheListOfWorkers(MissingWorkerCase):
     def test_handed_over_run_on_a_worker_that_is_not_in_the_list_is_kept(self):
