Acknowledge the end of an unknown job's run by reads of the submissions that were sent since

What callers could see: a task starts again after its end was noted as done. Cause: an answer of the feed counted as a read at its arrival, which may be ten seconds after the store has made it; a job that was stored in between was not in it. Now the instant counts at which the read was sent.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -198,7 +198,7 @@
         self.model = TailLatencyModel()
         # Times of cancellations whose submissions have not arrived yet.
         self.cancelled_s_by_id: dict[str, float] = {}
-        # When the submissions were last read to their end, on the monotonic clock.
+        # When the last read of the submissions to their end was sent, on the monotonic clock.
         self.submissions_read_s = self.began_s
         self.orphan_by_task: dict[TaskKey, OrphanRun] = {}
         self.orphan_ends_by_job_id: dict[str, list[OrphanEnd]] = {}
--- a/laburnumswitch/process/dispatch/feeds.py
+++ b/laburnumswitch/process/dispatch/feeds.py
@@ -18,6 +18,7 @@
 from laburnumswitch.process.leadership.term import TERM_TABLE
 from laburnumswitch.process.rows.change_feed import Feed
 from laburnumswitch.process.rows.change_feed import follow_table
+from laburnumswitch.process.rows.change_feed import TimedSource
 from laburnumswitch.process.rows.table import Changes
 from laburnumswitch.process.rows.table import Row
 
@@ -233,7 +234,8 @@
         for row in changes.rows:
             apply_row(dispatcher, row)
         if table == SUBMISSIONS_TABLE and not changes.has_more:
-            dispatcher.submissions_read_s = context.clock()
+            dispatcher.submissions_read_s = source.sent_s
 
-    feed = Feed(context.table, table, FEED_WAIT_S, SUBMISSIONS_INTERVAL_S)
+    source = TimedSource(context.table, context.clock)
+    feed = Feed(source, table, FEED_WAIT_S, SUBMISSIONS_INTERVAL_S)
     follow_table(feed, version, apply, context.log, context.sleep, dispatcher.is_stopped)
--- a/laburnumswitch/process/rows/change_feed.py
+++ b/laburnumswitch/process/rows/change_feed.py
@@ -12,6 +12,7 @@
 from laburnumswitch.process.observing.decisions import DecisionLog
 from laburnumswitch.process.rows.table import Changes
 from laburnumswitch.process.rows.table import ChangeSource
+from laburnumswitch.process.rows.table import ReadFailure
 
 # Pause after a failed read, in seconds; long against the response time of the store.
 RETRY_DELAY_S = 0.2
@@ -37,6 +38,28 @@
     only_newest: bool = False
 
 
+class TimedSource:
+    """Forwards reads of a store.
+
+    :ivar sent_s: when the last one was sent, on the given clock; negative infinity if none was.
+    """
+
+    def __init__(self, store: ChangeSource, clock: Callable[[], float]) -> None:
+        self.sent_s = float("-inf")
+        self._store = store
+        self._clock = clock
+
+    def load(self, table: str) -> Changes | ReadFailure:
+        """Return every row whose key starts with ``table`` and a slash."""
+        self.sent_s = self._clock()
+        return self._store.load(table)
+
+    def follow(self, table: str, after: int, wait_s: float) -> Changes | HistoryLost | ReadFailure:
+        """Return the changes after a version, waiting up to ``wait_s`` for the first."""
+        self.sent_s = self._clock()
+        return self._store.follow(table, after, wait_s)
+
+
 def follow_table(
     feed: Feed,
     version: int | None,
