Send no lease to a silent worker that may have unknown runs

Since each lease that is sent moves the time from which on unknown runs of earlier owners have certainly ended, as it does for unreported ones. A worker that fell silent right after the load got one more, so its tasks waited 0.75 s longer.

--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -521,12 +521,13 @@
     def may_extend_lease(self, now_s: float) -> bool:
         """Return whether the end of a lease may be sent although the worker may have restarted.
 
-        A silent worker with unreported runs gets none: each one sent would move the time at which
-        these have certainly ended, also in a later incarnation.
+        A silent worker with unreported or unknown runs gets none: each one sent would move the time
+        at which these have certainly ended, also in a later incarnation.
         """
         if self.has_failed:
             return False
-        if self.is_silent and any(not run.incarnation for run in self.runs_by_task.values()):
+        has_unreported = any(not run.incarnation for run in self.runs_by_task.values())
+        if self.is_silent and (self.has_unknown_runs or has_unreported):
             return False
         return bool(self.last_answer_s) and now_s - self.last_answer_s < MAX_SILENCE_S
 
