--- a/tests/process/dispatch/test_succession.py
+++ b/tests/process/dispatch/test_succession.py
@@ -10,10 +10,12 @@
 
 from laburnumswitch.process.dispatch.dispatcher import MAX_LOAD_WAIT_S
 from laburnumswitch.process.dispatch.eligibility import usable_workers
+from laburnumswitch.process.dispatch.fleet import has_stopping_run
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.job_spec import TaskKey
 from laburnumswitch.process.dispatch.worker_protocol import StartCommand
 from laburnumswitch.process.leadership.term import PredecessorState
+from standin.fleet.worker import WorkerTiming
 from tests.process.dispatch.harness import DispatchHarness
 from tests.process.dispatch.harness import make_submission
 from tests.process.dispatch.harness import wait_until
@@ -130,6 +132,21 @@
         self.assertThat(harness.checker.violations, Equals([]))
 
 
+class TestRunsStoppedByALeavingOwner(SuccessionCase):
+    def test_task_that_it_stopped_on_a_leaving_worker_runs_again_before_it_leaves(self):
+        """The worker may be gone before the next owner asks it, which then waits for a lease."""
+        self.harness.submit(make_submission("j1", LONG._replace(long_running=True)), self.first)
+        wait_until(lambda: self.harness.checker.start_count == 1)
+        holder = next(each for each in self.harness.worker_by_id.values() if each.running())
+        holder._timing = WorkerTiming(max_stop_s=0.4)
+        listing = holder.listing._replace(is_draining=True, remaining_s=2.0)
+        self.harness.list_worker(listing)
+        wait_until(lambda: has_stopping_run(self.first.workers_by_id[listing.worker_id]))
+        self.first.release()
+        self.assertThat(self.harness.checker.start_count, Equals(2))
+        self.assertThat(self.harness.checker.violations, Equals([]))
+
+
 class TestRunOfUnknownJob(SuccessionCase):
     def test_run_whose_job_becomes_known_to_the_successor_is_not_started_again(self):
         """The run was handed over, and dropped as its submission had not arrived yet."""
