--- a/tests/process/dispatch/test_contradicting_reports.py
+++ b/tests/process/dispatch/test_contradicting_reports.py
@@ -11,7 +11,6 @@
 from testtools.matchers import Equals
 from testtools.matchers import Is
 
-from laburnumswitch.exceptions import AnswerLost
 from laburnumswitch.exceptions import StartRefused
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.job_spec import TaskKey
@@ -25,6 +24,7 @@
 from tests.process.dispatch.harness import DispatchHarness
 from tests.process.dispatch.harness import make_submission
 from tests.process.dispatch.harness import wait_until
+from tests.process.dispatch.links import CutLink
 
 # One task fills a worker.
 LONG = Step(1, cpu_millis=3000, memory_mb=100, estimate_ms=60_000)
@@ -33,33 +33,15 @@
 REACTION_S = 1.5
 
 
-class GatedLink:
-    """Link to an emulated worker over which nothing passes while ``is_cut``."""
+class GatedLink(CutLink):
+    """Link over which reports come at once, and nothing passes while ``is_cut``."""
 
     def __init__(self, worker):
-        self.worker = worker
-        self.is_cut = False
+        super().__init__(worker, is_cut=False)
 
     def renew(self, renewal, timeout_s):
-        return self._call(self.worker.renew, renewal._replace(wait_s=0.0), timeout_s)
-
-    def start(self, command, timeout_s):
-        return self._call(self.worker.start, command, timeout_s)
-
-    def stop(self, task, run, fence, timeout_s):
-        return self._call(self.worker.stop, task, run, fence, timeout_s)
-
-    def throttle(self, task, run, percent, fence, timeout_s):
-        return self._call(self.worker.throttle, task, run, percent, fence, timeout_s)
-
-    def close(self):
-        """Do nothing, as there are no connections."""
-
-    def _call(self, call, *arguments):
         sleep(0.01)
-        if self.is_cut:
-            return AnswerLost(self.worker.listing.worker_id, "cut off")
-        return call(*arguments)
+        return super().renew(renewal._replace(wait_s=0.0), timeout_s)
 
 
 class SuccessorCase(TestCase):
--- a/tests/process/dispatch/test_last_starts.py
+++ b/tests/process/dispatch/test_last_starts.py
@@ -39,6 +39,7 @@
 from tests.process.dispatch.harness import make_listing
 from tests.process.dispatch.harness import make_submission
 from tests.process.dispatch.harness import wait_until
+from tests.process.dispatch.links import CutLink
 
 LONG = Step(1, cpu_millis=1000, memory_mb=100, estimate_ms=60_000)
 LONG_RUNNING = LONG._replace(long_running=True)
@@ -54,7 +55,7 @@
     )
 
 
-class WorkerPath:
+class WorkerPath(CutLink):
     """One owner's link to a worker.
 
     While ``holds_starts``, starts are not answered and arrive with ``deliver``. While ``is_cut``,
@@ -62,41 +63,22 @@
     """
 
     def __init__(self, worker):
-        self.worker = worker
+        super().__init__(worker, is_cut=False)
         self.holds_starts = False
-        self.is_cut = False
         self.held = []
 
-    def renew(self, renewal, timeout_s):
-        return self._call(self.worker.renew, renewal, timeout_s)
-
     def start(self, command, timeout_s):
         if self.holds_starts:
             self.held.append(command)
             sleep(timeout_s)
             return AnswerLost(self.worker.listing.worker_id, "held")
-        return self._call(self.worker.start, command, timeout_s)
-
-    def stop(self, task, run, fence, timeout_s):
-        return self._call(self.worker.stop, task, run, fence, timeout_s)
-
-    def throttle(self, task, run, percent, fence, timeout_s):
-        return self._call(self.worker.throttle, task, run, percent, fence, timeout_s)
-
-    def close(self):
-        """Do nothing, as there are no connections."""
+        return super().start(command, timeout_s)
 
     def deliver(self):
         """Have the worker receive the held starts, and return its answers."""
         held, self.held = self.held, []
         return [self.worker.start(command, 1.0) for command in held]
 
-    def _call(self, call, *arguments):
-        if self.is_cut:
-            sleep(min(0.1, arguments[-1]))
-            return AnswerLost(self.worker.listing.worker_id, "cut off")
-        return call(*arguments)
-
 
 class StorePath:
     """One owner's access to the store, which fails while ``is_cut``."""
--- a/tests/process/dispatch/test_late_jobs.py
+++ b/tests/process/dispatch/test_late_jobs.py
@@ -9,7 +9,6 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
-from laburnumswitch.exceptions import AnswerLost
 from laburnumswitch.process.dispatch.eligibility import usable_workers
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.progress import SUBMISSIONS_TABLE
@@ -18,41 +17,13 @@
 from tests.process.dispatch.harness import DispatchHarness
 from tests.process.dispatch.harness import make_submission
 from tests.process.dispatch.harness import wait_until
+from tests.process.dispatch.links import CutLink
 
 # One task for each of the two workers.
 WIDE = Step(2, cpu_millis=3000, memory_mb=100, estimate_ms=4000)
 FEED_READ_S = 2.0
 
 
-class CutLink:
-    """Link to an emulated worker that answers nothing while ``is_cut``."""
-
-    def __init__(self, worker):
-        self.worker = worker
-        self.is_cut = True
-
-    def renew(self, renewal, timeout_s):
-        return self._call(self.worker.renew, renewal, timeout_s)
-
-    def start(self, command, timeout_s):
-        return self._call(self.worker.start, command, timeout_s)
-
-    def stop(self, task, run, fence, timeout_s):
-        return self._call(self.worker.stop, task, run, fence, timeout_s)
-
-    def throttle(self, task, run, percent, fence, timeout_s):
-        return self._call(self.worker.throttle, task, run, percent, fence, timeout_s)
-
-    def close(self):
-        """Do nothing, as there are no connections."""
-
-    def _call(self, call, *arguments):
-        if self.is_cut:
-            sleep(min(0.1, arguments[-1]))
-            return AnswerLost(self.worker.listing.worker_id, "cut off")
-        return call(*arguments)
-
-
 class LateJobCase(TestCase):
     def setUp(self):
         super().setUp()
--- a/tests/process/dispatch/test_restarts_over_owners.py
+++ b/tests/process/dispatch/test_restarts_over_owners.py
@@ -28,7 +28,7 @@
 from tests.process.dispatch.harness import DispatchHarness
 from tests.process.dispatch.harness import make_submission
 from tests.process.dispatch.harness import wait_until
-from tests.process.dispatch.test_late_jobs import CutLink
+from tests.process.dispatch.links import CutLink
 
 LONG = Step(1, cpu_millis=1000, memory_mb=100, estimate_ms=60_000)
 # The list of VMs shows an outage for this time, in seconds, after it has begun.
