--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -39,7 +39,6 @@
 from laburnumswitch.process.dispatch.fleet import describe_run
 from laburnumswitch.process.dispatch.fleet import FENCES_PER_EPOCH
 from laburnumswitch.process.dispatch.fleet import find_run
-from laburnumswitch.process.dispatch.fleet import has_stopping_run
 from laburnumswitch.process.dispatch.fleet import lapse_s
 from laburnumswitch.process.dispatch.fleet import MAX_LEASE_S
 from laburnumswitch.process.dispatch.fleet import Worker
@@ -59,6 +58,7 @@
 from laburnumswitch.process.dispatch.jobs import step_work
 from laburnumswitch.process.dispatch.jobs import Task
 from laburnumswitch.process.dispatch.late_jobs import LateJobs
+from laburnumswitch.process.dispatch.leaving import await_stopped_runs
 from laburnumswitch.process.dispatch.opportunity import Demand
 from laburnumswitch.process.dispatch.organisation_admission import OrganisationAdmissions
 from laburnumswitch.process.dispatch.organisation_jobs import OrganisationJobs
@@ -117,10 +117,6 @@
 # until it has planned once.
 MAX_LOAD_WAIT_S = 2.0
 MAX_PLAN_WAIT_S = 1.0
-# Time, in seconds, in which a worker reports the end of a run and its task starts elsewhere.
-END_DELAY_S = 0.2
-# Interval, in seconds, at which an owner that leaves checks for the ends of runs that it stopped.
-STOPPED_RUNS_INTERVAL_S = 0.02
 FLEET_TABLE = "fleet"
 # Number of rows that store the list of workers: a row of the platform's store holds 64 KiB, and a
 # worker takes about 200 bytes.
@@ -270,27 +266,18 @@
         """
         if not self.is_stopped() and self.is_loaded.wait(MAX_LOAD_WAIT_S):
             self.has_planned.wait(MAX_PLAN_WAIT_S)
-            self._await_stopped_runs()
+            await_stopped_runs(
+                self.workers_by_id,
+                lambda: not (self.wake.is_set() or self.placements.unsent_runs),
+                self.is_stopped,
+                self.context.deployment.bounds.stop_s,
+                self.context.sleep,
+            )
         # After an unexpected error the state may be inconsistent.
         is_certain = self.is_loaded.is_set() and not self.is_stopped()
         self.stop()
         self.recorder.release(self._describe_handover() if is_certain else ())
 
-    def _await_stopped_runs(self) -> None:
-        """Wait until runs that were stopped have ended, and their tasks have started elsewhere.
-
-        Their workers may be gone before the next owner asks them.
-        """
-        deadline_s = self.context.clock() + self.context.deployment.bounds.stop_s + END_DELAY_S
-        is_waiting = self._has_stopping_runs()
-        while is_waiting and self.context.clock() < deadline_s and not self.is_stopped():
-            self.context.sleep(STOPPED_RUNS_INTERVAL_S)
-            has_planned = not (self.wake.is_set() or self.placements.unsent_runs)
-            is_waiting = self._has_stopping_runs() or not has_planned
-
-    def _has_stopping_runs(self) -> bool:
-        return any(has_stopping_run(worker) for worker in self.workers_by_id.values())
-
     def _describe_handover(self) -> tuple[Put, ...]:
         workers = self.describe_workers(self.workers_by_id.values())
         written_s = self.store_time.to_store_s(self.context.clock())
--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -593,12 +593,6 @@
     return worker, worker and worker.runs_by_task.get(task)
 
 
-def has_stopping_run(worker: Worker) -> bool:
-    """Return whether a worker that answers has been told to stop a run, and has not ended it."""
-    is_answering = worker.is_reached and not worker.is_silent
-    return is_answering and any(run.is_stopping for run in worker.runs_by_task.values())
-
-
 def describe_run(worker: Worker, run: ActiveRun, now_s: float) -> dict[str, Any]:
     """Return what is known of a run on a worker, for the log."""
     return {
--- a/tests/process/dispatch/test_succession.py
+++ b/tests/process/dispatch/test_succession.py
@@ -10,9 +10,9 @@
 
 from laburnumswitch.process.dispatch.dispatcher import MAX_LOAD_WAIT_S
 from laburnumswitch.process.dispatch.eligibility import usable_workers
-from laburnumswitch.process.dispatch.fleet import has_stopping_run
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.job_spec import TaskKey
+from laburnumswitch.process.dispatch.leaving import has_stopping_run
 from laburnumswitch.process.dispatch.worker_protocol import StartCommand
 from laburnumswitch.process.leadership.term import PredecessorState
 from standin.fleet.worker import WorkerTiming
