--- a/tests/process/dispatch/harness.py
+++ b/tests/process/dispatch/harness.py
@@ -5,6 +5,7 @@
 from time import time
 
 from gevent import sleep
+from gevent.event import Event
 
 from laburnumswitch.exceptions import Unavailable
 from laburnumswitch.process.daemon.deployment import Bounds
@@ -16,6 +17,7 @@
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.job_spec import Submission
 from laburnumswitch.process.dispatch.progress import submission_key
+from laburnumswitch.process.dispatch.progress import SUBMISSIONS_TABLE
 from laburnumswitch.process.dispatch.recorder import OWNER_LEASE_S
 from laburnumswitch.process.dispatch.takeover import begin_dispatch
 from laburnumswitch.process.dispatch.vm_list import VmRow
@@ -138,6 +140,22 @@
         if owner is not None:
             owner.add_job(submission)
 
+    def hold_loads(self, table=SUBMISSIONS_TABLE, limit_s=None):
+        """Hold the loads of a table from now on, and return the event that lets them go on.
+
+        :param limit_s: time after which each goes on anyway, in seconds; ``None`` for never.
+        """
+        may_load = Event()
+        load = self.table.load
+
+        def load_slowly(name):
+            if name == table:
+                may_load.wait(limit_s)
+            return load(name)
+
+        self.table.load = load_slowly
+        return may_load
+
     def context(self):
         return DispatchContext(
             deployment=self.deployment,
--- a/tests/process/dispatch/test_dispatcher.py
+++ b/tests/process/dispatch/test_dispatcher.py
@@ -280,23 +280,15 @@
         # The stored list of workers, which it loads first, may be from before they began to drain.
         wait_until(lambda: usable_workers(self.first, "shop"))
         self.first.stop()
-        load = self.harness.table.load
-        is_slow = Event()
-
-        def load_slowly(table):
-            if table == "servers":
-                is_slow.wait()
-            return load(table)
-
-        self.harness.table.load = load_slowly
+        may_load = self.harness.hold_loads("servers")
         self.harness.list_worker(make_listing(1, is_draining=True))
         second = self.harness.start_owner("vm-2")
         self.addCleanup(second.stop)
-        self.addCleanup(is_slow.set)
+        self.addCleanup(may_load.set)
         wait_until(lambda: second.settled and second.workers_by_id["w1"].is_reached)
         wait_until(lambda: second.workers_by_id["w2"].is_reached)
         self.assertThat(usable_workers(second, "shop"), Equals([]))
-        is_slow.set()
+        may_load.set()
         wait_until(lambda: usable_workers(second, "shop"))
         usable = [worker.worker_id for worker in usable_workers(second, "shop")]
         self.assertThat(usable, Equals(["w2"]))
@@ -486,15 +478,7 @@
         self.first.release()
         for worker in self.harness.worker_by_id.values():
             self.harness.list_worker(worker.listing._replace(is_draining=True))
-        load = self.harness.table.load
-
-        def load_slowly(table):
-            while table == "servers" and not is_readable.is_set():
-                is_readable.wait()
-            return load(table)
-
-        is_readable = Event()
-        self.harness.table.load = load_slowly
+        is_readable = self.harness.hold_loads("servers")
         second = self.harness.start_owner("vm-2")
         self.addCleanup(second.stop)
         wait_until(lambda: second.settled and second.recorder.committed > 1)
--- a/tests/process/dispatch/test_last_starts.py
+++ b/tests/process/dispatch/test_last_starts.py
@@ -21,7 +21,6 @@
 from laburnumswitch.process.dispatch.job_spec import TaskKey
 from laburnumswitch.process.dispatch.lease_keeping import KEEP_AFTER_S
 from laburnumswitch.process.dispatch.planner import plan
-from laburnumswitch.process.dispatch.progress import SUBMISSIONS_TABLE
 from laburnumswitch.process.dispatch.vm_list import MAX_DELAY_S
 from laburnumswitch.process.dispatch.vm_list import VmState
 from laburnumswitch.process.dispatch.worker_protocol import Renewal
@@ -519,16 +518,8 @@
         self.first.stop()
         self.harness.list_vms = self._list_vms
         self.restarted_s = float("inf")
-        self.may_load = Event()
+        self.may_load = self.harness.hold_loads()
         self.addCleanup(self.may_load.set)
-        load = self.harness.table.load
-
-        def load_slowly(table):
-            if table == SUBMISSIONS_TABLE:
-                self.may_load.wait()
-            return load(table)
-
-        self.harness.table.load = load_slowly
         self.harness.add_worker(make_listing(2))
         self.second, self.second_path = self.start_owner("vm-2")
         wait_until(lambda: "w1" in self.second.workers_by_id)
--- a/tests/process/dispatch/test_late_jobs.py
+++ b/tests/process/dispatch/test_late_jobs.py
@@ -5,13 +5,11 @@
 """
 
 from gevent import sleep
-from gevent.event import Event
 from testtools import TestCase
 from testtools.matchers import Equals
 
 from laburnumswitch.process.dispatch.eligibility import usable_workers
 from laburnumswitch.process.dispatch.job_spec import Step
-from laburnumswitch.process.dispatch.progress import SUBMISSIONS_TABLE
 from laburnumswitch.process.leadership.term import PredecessorState
 from laburnumswitch.process.rows.table import Changes
 from tests.process.dispatch.harness import DispatchHarness
@@ -111,17 +109,9 @@
         self.check_starts_at_once(second)
 
     def test_starts_at_once_if_the_predecessor_confirmed_before_the_load(self):
-        load = self.harness.table.load
-        confirmed = Event()
-
-        def load_once_confirmed(table):
-            if table == SUBMISSIONS_TABLE:
-                confirmed.wait()
-            return load(table)
-
         self.first.supersede()
         self.harness.make_link = self.link_to
-        self.harness.table.load = load_once_confirmed
+        confirmed = self.harness.hold_loads()
         second = self.harness.start_owner("vm-2", PredecessorState.REFUSING)
         self.addCleanup(second.stop)
         second.note_predecessor_ended()
--- a/tests/process/dispatch/test_lease_keeping.py
+++ b/tests/process/dispatch/test_lease_keeping.py
@@ -1,14 +1,12 @@
 """Leases of workers while new owners load, one after the other."""
 
 from gevent import sleep
-from gevent.event import Event
 from testtools import TestCase
 from testtools.matchers import Equals
 
 from laburnumswitch.process.dispatch.eligibility import usable_workers
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.job_spec import TaskKey
-from laburnumswitch.process.dispatch.progress import SUBMISSIONS_TABLE
 from tests.process.dispatch.harness import BOUNDS
 from tests.process.dispatch.harness import DispatchHarness
 from tests.process.dispatch.harness import make_submission
@@ -33,20 +31,9 @@
         (self.holder,) = (each for each in self.harness.worker_by_id.values() if each.running())
         wait_until(lambda: first.workers_by_id[self.holder.listing.worker_id].granted_until_s)
         first.release()
-        self._load_slowly()
-
-    def _load_slowly(self):
-        load = self.harness.table.load
-        self.may_load = Event()
+        self.may_load = self.harness.hold_loads(limit_s=LOAD_S)
         self.addCleanup(self.may_load.set)
 
-        def load_slowly(table):
-            if table == SUBMISSIONS_TABLE:
-                self.may_load.wait(LOAD_S)
-            return load(table)
-
-        self.harness.table.load = load_slowly
-
     def _start_owner(self, vm_id):
         owner = self.harness.start_owner(vm_id)
         self.addCleanup(owner.stop)
@@ -109,16 +96,8 @@
         first = self.harness.start_owner()
         wait_until(lambda: usable_workers(first, "shop"))
         first.stop()
-        load = self.harness.table.load
-        self.may_load = Event()
+        self.may_load = self.harness.hold_loads()
         self.addCleanup(self.may_load.set)
-
-        def load_slowly(table):
-            if table == SUBMISSIONS_TABLE:
-                self.may_load.wait()
-            return load(table)
-
-        self.harness.table.load = load_slowly
         self.owner = self.harness.start_owner("vm-2")
         self.addCleanup(self.owner.stop)
 
--- a/tests/process/dispatch/test_owners_in_series.py
+++ b/tests/process/dispatch/test_owners_in_series.py
@@ -1,7 +1,6 @@
 """Long-running tasks under owners that follow one another: stale records, and leases not kept."""
 
 from gevent import sleep
-from gevent.event import Event
 from testtools import TestCase
 from testtools.matchers import Contains
 from testtools.matchers import Equals
@@ -11,7 +10,6 @@
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.job_spec import TaskKey
 from laburnumswitch.process.dispatch.lease_keeping import KEEP_AFTER_S
-from laburnumswitch.process.dispatch.progress import SUBMISSIONS_TABLE
 from laburnumswitch.process.leadership.term import PredecessorState
 from tests.process.dispatch.harness import BOUNDS
 from tests.process.dispatch.harness import DispatchHarness
@@ -96,17 +94,9 @@
     def setUp(self):
         super().setUp()
         self.harness = DispatchHarness()
-        self.may_load = Event()
+        self.may_load = self.harness.hold_loads()
         self.may_load.set()
         self.addCleanup(self.may_load.set)
-        load = self.harness.table.load
-
-        def load_slowly(table):
-            if table == SUBMISSIONS_TABLE:
-                self.may_load.wait()
-            return load(table)
-
-        self.harness.table.load = load_slowly
 
     def start_owner(self, vm_id):
         owner = self.harness.start_owner(vm_id)
--- a/tests/process/dispatch/test_recorder.py
+++ b/tests/process/dispatch/test_recorder.py
@@ -66,6 +66,18 @@
         self.job.mark_done(self.job.occurrences[0].steps[0].tasks[index])
         return self.recorder.queue_job(self.job)
 
+    def _note_commits(self):
+        """Return a list to which each transaction is added from now on."""
+        transactions = []
+        commit = self.table.commit
+
+        def commit_and_note(transaction):
+            transactions.append(transaction)
+            return commit(transaction)
+
+        self.table.commit = commit_and_note
+        return transactions
+
     def test_commit_with_a_lost_answer_is_confirmed_and_not_repeated(self):
         self._finish_task(0)
         self.table.lose_answers = 1
@@ -119,14 +131,7 @@
 
     def test_no_commit_exceeds_the_entries_of_a_transaction(self):
         """The store would refuse every attempt, and the owner could never commit again."""
-        transactions = []
-        commit = self.table.commit
-
-        def commit_and_note(transaction):
-            transactions.append(transaction)
-            return commit(transaction)
-
-        self.table.commit = commit_and_note
+        transactions = self._note_commits()
         self.recorder.queue_removals(tuple(f"progress/{number}" for number in range(300)))
         self.recorder.queue_job(self.job)
         self.recorder.release()
@@ -137,14 +142,7 @@
 
     def test_no_commit_of_all_kinds_of_rows_exceeds_the_entries_of_a_transaction(self):
         """So many changes wait when workers of a zone are lost during a slow commit."""
-        transactions = []
-        commit = self.table.commit
-
-        def commit_and_note(transaction):
-            transactions.append(transaction)
-            return commit(transaction)
-
-        self.table.commit = commit_and_note
+        transactions = self._note_commits()
         for number in range(JOBS_PER_BATCH):
             self.recorder.queue_job(Job(make_submission(f"j{number}", Step(3))))
         count_by_table = {
@@ -165,14 +163,7 @@
 
     def test_announcement_is_stored_with_the_silences_however_much_waits(self):
         """Silences count under the owner that acted last: neither may be stored alone."""
-        transactions = []
-        commit = self.table.commit
-
-        def commit_and_note(transaction):
-            transactions.append(transaction)
-            return commit(transaction)
-
-        self.table.commit = commit_and_note
+        transactions = self._note_commits()
         for number in range(3 * JOBS_PER_BATCH):
             self.recorder.queue_job(Job(make_submission(f"j{number}", Step(3))))
         self.recorder.queue_removals(tuple(f"progress/x{number}" for number in range(300)))
--- a/tests/process/dispatch/test_restarts_over_owners.py
+++ b/tests/process/dispatch/test_restarts_over_owners.py
@@ -3,7 +3,6 @@
 from time import monotonic
 
 from gevent import sleep
-from gevent.event import Event
 from testtools import TestCase
 from testtools.matchers import Equals
 from testtools.matchers import LessThan
@@ -14,12 +13,12 @@
 from laburnumswitch.exceptions import StartRefused
 from laburnumswitch.exceptions import Unavailable
 from laburnumswitch.exceptions import WorkerReplaced
+from laburnumswitch.process.dispatch.dispatcher import Dispatcher
 from laburnumswitch.process.dispatch.eligibility import usable_workers
 from laburnumswitch.process.dispatch.fleet import DELIVERY_S
 from laburnumswitch.process.dispatch.fleet import lapse_s
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.lease_keeping import KEEP_INTERVAL_S
-from laburnumswitch.process.dispatch.progress import SUBMISSIONS_TABLE
 from laburnumswitch.process.dispatch.vm_list import MAX_DELAY_S
 from laburnumswitch.process.dispatch.vm_list import VmRow
 from laburnumswitch.process.dispatch.vm_list import VmState
@@ -72,8 +71,7 @@
     """Link whose calls are lost with the process that they were sent to; it may also be full."""
 
     def __init__(self, worker, is_cut):
-        super().__init__(worker)
-        self.is_cut = is_cut
+        super().__init__(worker, is_cut)
         self.is_full = False
 
     def start(self, command, timeout_s):
@@ -133,6 +131,24 @@
         state = VmState.DOWN if is_shown else VmState.UP
         return (*others, VmRow("vm-w1", state, "" if is_shown else "w1"))
 
+    def lose_start_until(self, end):
+        """Have an owner start a task on the first worker, keep the command, and end the owner."""
+        self.commands = []
+        start = self.w1.start
+
+        def lose(command, timeout_s):
+            self.commands.append(command)
+            sleep(timeout_s)
+            return AnswerLost("w1", "late")
+
+        self.w1.start = lose
+        first = self.start_owner("vm-1", cut_off=("w2",))
+        wait_until(lambda: self.reached(first) == {"w1"})
+        self.harness.submit(make_submission("j1", LONG), first)
+        wait_until(lambda: self.commands)
+        end(first)
+        self.w1.start = start
+
     def check_runs_once(self, start_count=1):
         self.assertThat(self.harness.checker.violations, Equals([]))
         self.assertThat(self.harness.checker.start_count, Equals(start_count))
@@ -392,21 +408,7 @@
 
     def setUp(self):
         super().setUp()
-        self.commands = []
-        start = self.w1.start
-
-        def lose(command, timeout_s):
-            self.commands.append(command)
-            sleep(timeout_s)
-            return AnswerLost("w1", "late")
-
-        self.w1.start = lose
-        first = self.start_owner("vm-1", cut_off=("w2",))
-        wait_until(lambda: self.reached(first) == {"w1"})
-        self.harness.submit(make_submission("j1", LONG), first)
-        wait_until(lambda: self.commands)
-        first.release()
-        self.w1.start = start
+        self.lose_start_until(Dispatcher.release)
         self.second = self.start_owner("vm-2")
         wait_until(lambda: ("vm-2", "w1") in self.link_by_pair)
         self.link_by_pair["vm-2", "w1"].is_full = True
@@ -430,30 +432,8 @@
 
     def setUp(self):
         super().setUp()
-        self.commands = []
-        start = self.w1.start
-
-        def lose(command, timeout_s):
-            self.commands.append(command)
-            sleep(timeout_s)
-            return AnswerLost("w1", "late")
-
-        self.w1.start = lose
-        first = self.start_owner("vm-1", cut_off=("w2",))
-        wait_until(lambda: self.reached(first) == {"w1"})
-        self.harness.submit(make_submission("j1", LONG), first)
-        wait_until(lambda: self.commands)
-        first.stop()
-        self.w1.start = start
-        self.may_load = Event()
-        load = self.harness.table.load
-
-        def load_slowly(table):
-            if table == SUBMISSIONS_TABLE:
-                self.may_load.wait()
-            return load(table)
-
-        self.harness.table.load = load_slowly
+        self.lose_start_until(Dispatcher.stop)
+        self.may_load = self.harness.hold_loads()
         self.harness.list_vms = self.list_vms_late
         self.second = self.start_owner("vm-2")
         self.addCleanup(self.may_load.set)
