Look at a worker's runs for a lease only if it is silent; one wait for the exit of an entry

Since each renewal looked through all runs of its worker, also where the worker answers; it stops at the first condition again. LateJobs.expect_starts only set what its readers set themselves. soak.owners_in_series.await_exit was written again in owners_cut_off. No decision changes.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -368,11 +368,7 @@
 
     # Jobs
 
-    def add_job(
-        self,
-        submission: Submission,
-        source: JobSource = JobSource.NOTIFIED,
-    ) -> Job | None:
+    def add_job(self, submission: Submission, source: JobSource = JobSource.NOTIFIED) -> Job | None:
         """Add a stored job and return it, or ``None`` if it is known already."""
         if self.knows_job(submission.job_id):
             return None
--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -526,8 +526,9 @@
         """
         if self.has_failed:
             return False
-        has_unreported = any(not run.incarnation for run in self.runs_by_task.values())
-        if self.is_silent and (self.has_unknown_runs or has_unreported):
+        if self.is_silent and (
+            self.has_unknown_runs or any(not run.incarnation for run in self.runs_by_task.values())
+        ):
             return False
         return bool(self.last_answer_s) and now_s - self.last_answer_s < MAX_SILENCE_S
 
--- a/laburnumswitch/process/dispatch/late_jobs.py
+++ b/laburnumswitch/process/dispatch/late_jobs.py
@@ -20,10 +20,6 @@
         self.may_be_started = False
         self.predecessor_ended = Event()
 
-    def expect_starts(self) -> None:
-        """Record that an earlier owner may go on."""
-        self.may_be_started = True
-
     def note_read(self) -> None:
         """Record that a read is about to be sent that returns all jobs stored so far."""
         if self.predecessor_ended.is_set():
--- a/laburnumswitch/process/dispatch/takeover.py
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -103,8 +103,7 @@
     command_window_s = max(0.0, predecessor.commands_until_s - context.clock())
     dispatcher.limit_unknown_runs(dispatcher.longest_lapse_s() + command_window_s)
     dispatcher.settled = dispatcher.epoch == 1
-    if predecessor.state is not PredecessorState.ENDED:
-        dispatcher.late_jobs.expect_starts()
+    dispatcher.late_jobs.may_be_started = predecessor.state is not PredecessorState.ENDED
     dispatcher.spawn(recorder.run, dispatcher.is_stopped)
     dispatcher.spawn(_run, dispatcher)
     return dispatcher
--- a/soak/owners_cut_off.py
+++ b/soak/owners_cut_off.py
@@ -19,6 +19,7 @@
 from soak.callers import Callers
 from soak.entries import EntryProcess
 from soak.keys import STATUS_OK
+from soak.owners_in_series import await_exit
 from soak.owners_in_series import Series
 from soak.proxy import Mode
 from soak.zones import ZONES
@@ -50,7 +51,6 @@
 OTHER_PAUSE_S = 0.3
 # How many restarts and signals overlap with a cut.
 DISTURBANCES_PER_CUT = (0, 0, 1, 2)
-STOP_TIMEOUT_S = 6.0
 
 
 def play_cuts(series: Series, callers: Callers, is_over: Callable[[], bool]) -> None:
@@ -199,7 +199,7 @@
         return
     series.note("restart_entry", entry.config.vm_id)
     entry.signal(signal.SIGTERM)
-    _await_exit(entry)
+    await_exit(series, entry)
 
 
 def kill_entry(series: Series, delay_s: float) -> None:
@@ -211,12 +211,4 @@
     entry.start()
 
 
-def _await_exit(entry: EntryProcess) -> None:
-    end_s = monotonic() + STOP_TIMEOUT_S
-    while entry.is_running() and monotonic() < end_s:
-        sleep(TERM_POLL_S)
-    entry.kill()
-    entry.start()
-
-
 DISTURBANCES = (restart_worker, reload_entry, restart_entry, kill_entry)
--- a/soak/owners_in_series.py
+++ b/soak/owners_in_series.py
@@ -98,7 +98,7 @@
 def stop_owner(series: Series, entry: EntryProcess) -> None:
     """Send SIGTERM to the owner, and start it again once it has exited."""
     entry.signal(signal.SIGTERM)
-    series.recover(_await_exit, entry)
+    series.recover(await_exit, entry)
 
 
 def stop_owner_without_answer(series: Series, entry: EntryProcess) -> None:
@@ -197,7 +197,8 @@
     series.note_trouble(began_s)
 
 
-def _await_exit(series: Series, entry: EntryProcess) -> None:
+def await_exit(series: Series, entry: EntryProcess) -> None:
+    """Start an entry again once it has exited, as it was told to; kill it if it does not."""
     end_s = monotonic() + STOP_TIMEOUT_S
     while entry.is_running() and monotonic() < end_s:
         sleep(TERM_POLL_S)
@@ -229,7 +230,7 @@
     began_s: float,
     choose_loss: Callable[[Transaction], CommitLoss],
 ) -> None:
-    _await_exit(series, entry)
+    await_exit(series, entry)
     if series.cluster.table.choose_loss is choose_loss:
         series.cluster.table.choose_loss = lose_nothing
     series.note_trouble(began_s)
