An owner that may have a successor asks a worker before it starts tasks on it

Cause: an owner that was taken for lost acts until its lease ends, up to 8 s after its last commit, and relies on the workers to refuse its starts by the successor's fencing token. A worker that has restarted under its id has forgotten the token; until a renewal of the earlier owner fails, or is answered by the new process, that owner starts tasks there which the successor starts elsewhere (TWICE).

Change: no other entry takes over before the term's row was unchanged for TAKEOVER_WAIT_S. An owner whose last commit was sent that long ago renews the worker's lease before its starts: a worker that knows a later owner refuses, one that has restarted answers as another incarnation and gets no starts before the next commit, and one that does not answer gets none for now. Starts for one worker that come together share one renewal. An owner whose commits succeed sends starts at once, as before.

One test of throttles works on an owner that never commits: it now counts as one that has just committed, since its worker would be asked first.

--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -1,5 +1,6 @@
 """State of the workers: capacity, runs, leases and fencing tokens."""
 
+from collections.abc import Callable
 from enum import StrEnum
 from typing import Any
 from typing import NamedTuple
@@ -229,6 +230,7 @@
     :ivar runs_known_by: what told that there are no such runs, for the log.
     :ivar has_unreserved_runs: whether it last reported runs that this owner has not adopted, whose
         capacity is not reserved.
+    :ivar held_starts: closures that send or release its starts, given whether it answers.
     :ivar has_failed: whether its last report could not be applied. It gets no starts then, and its
         leases are not extended, so that its tasks can run elsewhere.
     :ivar blocked_until_s: the worker gets no starts before this time.
@@ -264,6 +266,7 @@
         # Whether a renewal has failed since the worker's last answer.
         self.is_silent = False
         self.runs_by_task: dict[TaskKey, ActiveRun] = {}
+        self.held_starts: list[Callable[[bool], None]] = []
         self.acknowledged_end = 0
         self.last_end_number = 0
         # Pairs of a batch and the number of the end report to acknowledge after its commit.
--- a/laburnumswitch/process/dispatch/recorder.py
+++ b/laburnumswitch/process/dispatch/recorder.py
@@ -13,11 +13,13 @@
 
 from laburnumswitch.exceptions import Conflict
 from laburnumswitch.exceptions import Failure
+from laburnumswitch.process.dispatch.fleet import MIN_CLOCK_RATE
 from laburnumswitch.process.dispatch.jobs import Job
 from laburnumswitch.process.dispatch.progress import describe_progress
 from laburnumswitch.process.dispatch.progress import progress_key
 from laburnumswitch.process.leadership.term import NO_OWNER
 from laburnumswitch.process.leadership.term import read_term
+from laburnumswitch.process.leadership.term import TAKEOVER_WAIT_S
 from laburnumswitch.process.leadership.term import Term
 from laburnumswitch.process.leadership.term import TERM_KEY
 from laburnumswitch.process.leadership.term import VersionedTerm
@@ -144,6 +146,10 @@
             and self.since_last_commit_s() < OWNER_LEASE_S
         )
 
+    def may_have_successor(self) -> bool:
+        """Return whether another entry may have taken over since the last commit was sent."""
+        return self.since_last_commit_s() >= TAKEOVER_WAIT_S * MIN_CLOCK_RATE
+
     def last_owned_s(self) -> float:
         """Return until when the term was certainly held, on the monotonic clock.
 
--- a/laburnumswitch/process/dispatch/run_start.py
+++ b/laburnumswitch/process/dispatch/run_start.py
@@ -1,6 +1,13 @@
-"""Starts of runs: reserves capacity, stores where long-running tasks run, and sends commands."""
+"""Starts of runs: reserves capacity, stores where long-running tasks run, and sends commands.
+
+An owner that another entry may have replaced, as its last commit is too long ago, asks a worker
+before it sends a start. One that has heard of the successor refuses; one that has restarted since
+has forgotten the successor's fencing token, but answers as another incarnation, and gets no start
+before the next commit (``Worker.listed_in_batch``).
+"""
 
 from collections.abc import Iterable
+from functools import partial
 from typing import NamedTuple
 
 from laburnumswitch.exceptions import Failure
@@ -19,6 +26,8 @@
 from laburnumswitch.process.dispatch.run_ends import EndKind
 from laburnumswitch.process.dispatch.run_ends import refuses_start
 from laburnumswitch.process.dispatch.worker_protocol import StartCommand
+from laburnumswitch.process.dispatch.worker_protocol import WorkerReport
+from laburnumswitch.process.dispatch.worker_session import renew
 from laburnumswitch.process.dispatch.worker_session import throttle_new_run
 from laburnumswitch.process.dispatch.worker_session import void_unanswered_starts
 
@@ -61,6 +70,42 @@
         _send(dispatcher, job, start)
 
 
+def _send(dispatcher: Dispatcher, job: Job, start: _Start) -> None:
+    """Send a start, once its worker has answered if another entry may have taken over."""
+    if not dispatcher.recorder.may_have_successor():
+        _send_command(dispatcher, job, start)
+        return
+    dispatcher.placements.unsent_runs.add(start.run)
+    held_starts = start.worker.held_starts
+    held_starts.append(partial(_send_or_release, dispatcher, job, start))
+    if len(held_starts) == 1:
+        dispatcher.spawn(_ask_worker, dispatcher, start.worker)
+
+
+def _ask_worker(dispatcher: Dispatcher, worker: Worker) -> None:
+    """Send the held starts of a worker if it has neither restarted nor heard of a successor."""
+    answer = renew(dispatcher, worker, 0.0, COMMAND_TIMEOUT_S)
+    if dispatcher.is_stopped():
+        return
+    has_answered = isinstance(answer, WorkerReport)
+    if not has_answered:
+        worker.blocked_until_s = dispatcher.context.clock() + REFUSED_PAUSE_S
+    held_starts, worker.held_starts = worker.held_starts, []
+    for send_or_release in held_starts:
+        send_or_release(has_answered)
+
+
+def _send_or_release(dispatcher: Dispatcher, job: Job, start: _Start, has_answered: bool) -> None:
+    dispatcher.placements.unsent_runs.discard(start.run)
+    is_wanted = _is_wanted(start) and not job.is_final()
+    if has_answered and is_wanted and _may_send(dispatcher, [start]):
+        _begin_now(dispatcher, start)
+        _send_command(dispatcher, job, start)
+        return
+    reason = "start not sent: its worker gave no usable answer, or it was stopped"
+    dispatcher.release_run(start.worker, start.run, EndKind.NOT_SENT, reason)
+
+
 def _send_once_stored(dispatcher: Dispatcher, job: Job, starts: list[_Start]) -> None:
     """Send starts once their placements are committed, unless any of them is not wanted any more.
 
@@ -75,25 +120,34 @@
     is_stored = placements.wait_until_stored([start.run.task for start in starts], are_wanted)
     if dispatcher.is_stopped():
         return
-    may_send = dispatcher.may_act() and all(is_usable(dispatcher, each.worker) for each in starts)
     placements.unsent_runs.difference_update(start.run for start in starts)
-    for start in starts:
-        if is_stored and may_send:
-            start.run.started_s = dispatcher.context.clock()
-            start.run.fence = start.worker.fence
+    if is_stored and _may_send(dispatcher, starts):
+        for start in starts:
+            _begin_now(dispatcher, start)
             _send(dispatcher, job, start)
-        else:
-            reason = "its worker became unusable" if is_stored else "it was stopped"
-            dispatcher.release_run(
-                start.worker, start.run, EndKind.NOT_SENT, f"start not sent: {reason}"
-            )
+        return
+    reason = "its worker became unusable" if is_stored else "it was stopped"
+    for start in starts:
+        dispatcher.release_run(
+            start.worker, start.run, EndKind.NOT_SENT, f"start not sent: {reason}"
+        )
+
+
+def _may_send(dispatcher: Dispatcher, starts: list[_Start]) -> bool:
+    return dispatcher.may_act() and all(is_usable(dispatcher, each.worker) for each in starts)
+
+
+def _begin_now(dispatcher: Dispatcher, start: _Start) -> None:
+    """Have a run whose resources were reserved a while ago begin now."""
+    start.run.started_s = dispatcher.context.clock()
+    start.run.fence = start.worker.fence
 
 
 def _is_wanted(start: _Start) -> bool:
     return start.worker.runs_by_task.get(start.run.task) is start.run and not start.run.is_stopping
 
 
-def _send(dispatcher: Dispatcher, job: Job, start: _Start) -> None:
+def _send_command(dispatcher: Dispatcher, job: Job, start: _Start) -> None:
     worker, run, ticket = start
     worker.note_lease_sent(dispatcher.context.clock())
     command = StartCommand(
--- a/laburnumswitch/process/leadership/leadership.py
+++ b/laburnumswitch/process/leadership/leadership.py
@@ -22,6 +22,7 @@
 from laburnumswitch.process.leadership.term import NO_OWNER
 from laburnumswitch.process.leadership.term import PredecessorState
 from laburnumswitch.process.leadership.term import read_term
+from laburnumswitch.process.leadership.term import TAKEOVER_WAIT_S
 from laburnumswitch.process.leadership.term import Term
 from laburnumswitch.process.leadership.term import TERM_KEY
 from laburnumswitch.process.leadership.term import VersionedTerm
@@ -38,10 +39,8 @@
 WATCH_WAIT_S = 1.0
 # Time beyond that wait, in seconds, after which a watch request counts as unanswered.
 WATCH_SLACK_S = 0.5
-# How long the term's row must stay unchanged, in seconds, before another entry takes over. If the
-# owner refuses connections, this is a little more than the interval at which an owner rewrites the
-# row; if it does not answer, three times that interval.
-TAKEOVER_WAIT_S = 0.65
+# How long the term's row must stay unchanged, in seconds, before another entry takes over from an
+# owner that does not answer: three times the interval at which an owner rewrites the row.
 SILENT_TAKEOVER_WAIT_S = 1.5
 # An owner that has not committed for longer than this, in seconds, is replaced by an entry that
 # reaches the store.
--- a/laburnumswitch/process/leadership/term.py
+++ b/laburnumswitch/process/leadership/term.py
@@ -19,6 +19,9 @@
 TERM_TABLE = "leadership"
 TERM_KEY = f"{TERM_TABLE}/term"
 NO_OWNER = ""
+# How long the term's row must stay unchanged, in seconds, before another entry takes over from an
+# owner that may go on. A little more than the interval at which an owner rewrites the row.
+TAKEOVER_WAIT_S = 0.65
 
 
 class Term(NamedTuple):
--- a/tests/process/dispatch/test_worker_session.py
+++ b/tests/process/dispatch/test_worker_session.py
@@ -198,6 +198,8 @@
         step.ready_since_s = self.link.now_s - MAX_PLACEMENT_WAIT_S
         self.worker.listed_in_batch = 0
         self.dispatcher.knows_listings = True
+        # Without a recent commit the worker is asked before it gets the starts.
+        self.dispatcher.recorder.last_commit_boot_s = self.link.now_s
         plan(self.dispatcher)
         sleep(0)
         sleep(0)
