Ask other entries for the owner beside the calls that wait

Cause: an entry without the store whose owner was gone read the store, watched the earlier owner and asked one other entry, one after the other, each until its time limit: one entry was asked about every three seconds, and the first one only some four seconds after the owner had fallen silent.

Change: from the first unanswered watch on, and until the owner or the store answers, it asks the other entries in turn every 0.15 s without waiting for those that do not answer, and watches the new owner as soon as one names it. Answers of other entries no longer count as reach of the owner.

--- a/laburnumswitch/process/leadership/leadership.py
+++ b/laburnumswitch/process/leadership/leadership.py
@@ -4,6 +4,8 @@
 from typing import NamedTuple
 from typing import Protocol
 
+from gevent import spawn
+
 from laburnumswitch.exceptions import Conflict
 from laburnumswitch.exceptions import ConnectionRefused
 from laburnumswitch.exceptions import Failure
@@ -66,6 +68,8 @@
 RELEASE_POLL_S = 0.15
 # Pause in seconds before a failed call is repeated.
 RETRY_S = 0.2
+# Interval, in seconds, at which an entry that reaches neither the store nor the owner asks others.
+ASK_INTERVAL_S = 0.15
 # An owner hands over to a watcher with more than this many times the owner's cores.
 HAND_OVER_CPU_RATIO = 1.5
 # It does so only once it has been the owner for this long, in seconds.
@@ -161,6 +165,7 @@
         # Where to ask other entries while neither the store nor the owner can be reached.
         self._peer_addresses: tuple[str, ...] = ()
         self._asked_peers = 0
+        self._is_seeking_owner = False
         self._pending_reported_s = float("-inf")
         self._busy_organisations: frozenset[str] = frozenset()
         self._busy_reported_s = float("-inf")
@@ -187,6 +192,7 @@
     def _read_term(self) -> VersionedTerm | Failure:
         observed = read_term(self._context.table)
         if not isinstance(observed, Failure):
+            self._is_seeking_owner = False
             self._sighting = note_read(self._sighting, observed, self._context.clock())
         return observed
 
@@ -309,8 +315,8 @@
 
     def _watch_without_store(self) -> None:
         # The owner may be reachable although this entry cannot reach the store.
+        self._begin_to_seek_owner()
         if not self._watch_owner():
-            self._ask_peer()
             self._context.sleep(RETRY_S)
 
     def _watch_owner(self) -> bool:
@@ -325,15 +331,45 @@
                 return False
         return True
 
-    def _ask_peer(self) -> None:
+    def _begin_to_seek_owner(self) -> None:
+        if not self._is_seeking_owner:
+            self._is_seeking_owner = True
+            spawn(self._seek_owner, self.current_term.epoch)
+
+    def _seek_owner(self, epoch: int) -> None:
+        """Ask other entries in turn for a later term, until the owner or the store answers.
+
+        Calls to the store, to an owner that is gone and to entries that are cut off as well last
+        until their time limits, so none of them is waited for.
+
+        :param epoch: that of the term which this entry knows.
+        """
+        context = self._context
+        while self._is_seeking_owner and self.current_term.epoch == epoch:
+            context.sleep(ASK_INTERVAL_S)
+            if context.is_stopped():
+                return
+            if self._is_seeking_owner and self.current_term.epoch == epoch:
+                spawn(self._ask_next_peer)
+        if self.current_term.epoch > epoch and self._is_seeking_owner:
+            self._is_seeking_owner = False
+            self._watch(self.current_term, 0.0)
+
+    def _ask_next_peer(self) -> None:
         """Ask another entry, which may know a later term."""
-        addresses = self._peer_addresses or self.peer_addresses()
+        context = self._context
+        own_address = context.identity.address
+        known = self._peer_addresses or self.peer_addresses()
+        addresses = [address for address in known if address != own_address]
         if not addresses:
             return
         self._asked_peers += 1
         address = addresses[self._asked_peers % len(addresses)]
-        if address != self._context.identity.address:
-            self._watch(self.current_term._replace(address=address), 0.0)
+        answer = context.owner_client.watch(
+            address, context.identity, 0.0, WATCH_WAIT_S + WATCH_SLACK_S
+        )
+        if not isinstance(answer, Failure):
+            self.note_term(answer.known_term)
 
     def _follow(self, observed: VersionedTerm) -> None:
         """Watch the owner until it was replaced or has to be replaced."""
@@ -403,11 +439,13 @@
             term.address, context.identity, wait_s, WATCH_WAIT_S + WATCH_SLACK_S
         )
         if isinstance(answer, Failure):
-            self.owner_reach.note_failure()
+            if term.epoch == self.current_term.epoch:
+                self.owner_reach.note_failure()
             return answer
         self.owner_reach.note_answer()
         self.note_term(answer.known_term)
         if answer.is_owner:
+            self._is_seeking_owner = False
             self._owner_acted_s = context.clock()
             self._candidates = answer.candidates
             self.note_busy(answer.busy_organisations)
@@ -428,6 +466,7 @@
         An owner that has stepped down may still store its handover, so that time counts from now.
         """
         context = self._context
+        self._begin_to_seek_owner()
         began_s = context.clock()
         before = self._read_term()
         is_slow = context.clock() - began_s > SLOW_READ_S
--- a/tests/process/leadership/test_leadership.py
+++ b/tests/process/leadership/test_leadership.py
@@ -41,6 +41,9 @@
 from standin.fleet.feed_table import FeedMemoryTable
 from tests.process.dispatch.harness import wait_until
 
+# Within this time, in seconds, an entry without the store knows and reaches a new owner.
+FIND_LIMIT_S = 1.0
+
 
 class FakeRecorder:
     def __init__(self, table, held_term):
@@ -437,10 +440,12 @@
         wait_until(lambda: owner.current_term.owner == "vm-2")
         wait_until(lambda: "vm-1" in follower.watcher_by_vm)
 
-    def _cut(self, entry):
-        table = SimpleNamespace(
-            read=lambda keys: Unavailable("refused"), commit=lambda change: Unavailable("refused")
-        )
+    def _cut(self, entry, wait_s=0.0):
+        def refuse(*arguments):
+            sleep(wait_s)
+            return Unavailable("refused")
+
+        table = SimpleNamespace(read=refuse, commit=refuse)
         entry._context = entry._context._replace(table=table)
 
     def test_entry_without_store_finds_the_successor_of_a_dead_owner(self):
@@ -454,6 +459,21 @@
         wait_until(lambda: cut.current_term.owner == "vm-2")
         wait_until(lambda: "vm-3" in follower.watcher_by_vm)
 
+    def test_entries_without_store_find_a_new_owner_while_other_calls_wait(self):
+        """They answered 503 for seconds: calls in turn each took until their time limits."""
+        owner, follower = self._owner_and_follower()
+        cut = [self._add_entry(f"vm-{number}", 2.0) for number in range(3, 7)]
+        wait_until(lambda: all(len(each._peer_addresses) == 5 for each in cut))
+        for each in cut:
+            self._cut(each, wait_s=1.0)
+        self.owner_client.watch_timeout_s = 1.5
+        self.owner_client.silent |= {"vm-1", "vm-3"}
+        wait_until(lambda: follower.dispatcher is not None)
+        taken_s = monotonic()
+        wait_until(lambda: all(each.current_term.owner == "vm-2" for each in cut))
+        wait_until(lambda: not any(each.owner_reach.is_away() for each in cut))
+        self.assertThat(monotonic() - taken_s, LessThan(FIND_LIMIT_S))
+
     def test_term_that_another_entry_tells_is_only_taken_if_it_is_later(self):
         follower = self._add_entry("vm-9", 2.0)
         self.is_stopped = True
