Check again as a start is sent whether another entry may have taken over, and ask for gangs as a whole

A gang was started in part if one of its workers gave no answer.

Change: a start carries the question whether it may be sent (StartCommand.may_be_sent); the link asks it once the start has its slot. The starts of a gang wait for the answers of all of their workers. Asking is a module of its own, asked_workers.

--- a/laburnumswitch/platform/workers.py
+++ b/laburnumswitch/platform/workers.py
@@ -1,5 +1,6 @@
 """HTTP calls to workers: lease renewals, starts, stops and throttles."""
 
+from collections.abc import Callable
 from time import monotonic
 from typing import Any
 
@@ -24,6 +25,7 @@
 from laburnumswitch.process.dispatch.job_spec import TaskKey
 from laburnumswitch.process.dispatch.worker_protocol import Acknowledged
 from laburnumswitch.process.dispatch.worker_protocol import EndReport
+from laburnumswitch.process.dispatch.worker_protocol import HELD_UP_REASON
 from laburnumswitch.process.dispatch.worker_protocol import Renewal
 from laburnumswitch.process.dispatch.worker_protocol import RunOutcome
 from laburnumswitch.process.dispatch.worker_protocol import RunReport
@@ -125,7 +127,7 @@
             body["lastCheckpoint"] = command.checkpoint
         if command.ticket:
             body["ticket"] = command.ticket
-        return self._acknowledge("/v1/run-start", body, timeout_s)
+        return self._acknowledge("/v1/run-start", body, timeout_s, command.may_be_sent)
 
     def stop(self, task: TaskKey, run: int, fence: int, timeout_s: float) -> Acknowledged | Failure:
         """Stop a run."""
@@ -159,13 +161,21 @@
             for row in rows
         )
 
-    def _acknowledge(self, path: str, body: dict, timeout_s: float) -> Acknowledged | Failure:
+    def _acknowledge(
+        self,
+        path: str,
+        body: dict,
+        timeout_s: float,
+        may_be_sent: Callable[[], bool] = lambda: True,
+    ) -> Acknowledged | Failure:
         began_s = monotonic()
         if not self._command_slots.acquire(timeout=timeout_s):
             return ConnectFailed(self._client.address, "other commands are not answered")
         try:
             if self._is_closed:
                 return ConnectFailed(self._client.address, "the link is closed")
+            if not may_be_sent():
+                return ConnectFailed(self._client.address, HELD_UP_REASON)
             remaining_s = max(0.0, timeout_s - (monotonic() - began_s))
             answer = self._call(path, body, remaining_s)
         finally:
--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -230,7 +230,7 @@
     :ivar runs_known_by: what told that there are no such runs, for the log.
     :ivar has_unreserved_runs: whether it last reported runs that this owner has not adopted, whose
         capacity is not reserved.
-    :ivar held_starts: closures that send or release its starts, given whether it answers.
+    :ivar held_starts: closures that wait for its answer to send starts, see ``asked_workers``.
     :ivar has_failed: whether its last report could not be applied. It gets no starts then, and its
         leases are not extended, so that its tasks can run elsewhere.
     :ivar blocked_until_s: the worker gets no starts before this time.
--- a/laburnumswitch/process/dispatch/run_start.py
+++ b/laburnumswitch/process/dispatch/run_start.py
@@ -1,20 +1,20 @@
 """Starts of runs: reserves capacity, stores where long-running tasks run, and sends commands.
 
-An owner that another entry may have replaced, as its last commit is too long ago, asks a worker
-before it sends a start. One that has heard of the successor refuses; one that has restarted since
-has forgotten the successor's fencing token, but answers as another incarnation, and gets no start
-before the next commit (``Worker.listed_in_batch``).
+An owner that another entry may have replaced asks the workers first, see ``asked_workers``.
 """
 
 from collections.abc import Iterable
 from functools import partial
 from typing import NamedTuple
 
+from laburnumswitch.exceptions import ConnectFailed
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.exceptions import Refused
 from laburnumswitch.exceptions import StartRefused
 from laburnumswitch.exceptions import Throttled
 from laburnumswitch.exceptions import Unavailable
+from laburnumswitch.process.dispatch.asked_workers import ask_workers
+from laburnumswitch.process.dispatch.asked_workers import may_send_start
 from laburnumswitch.process.dispatch.dispatcher import COMMAND_TIMEOUT_S
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
 from laburnumswitch.process.dispatch.dispatcher import task_name
@@ -25,9 +25,8 @@
 from laburnumswitch.process.dispatch.jobs import Task
 from laburnumswitch.process.dispatch.run_ends import EndKind
 from laburnumswitch.process.dispatch.run_ends import refuses_start
+from laburnumswitch.process.dispatch.worker_protocol import HELD_UP_REASON
 from laburnumswitch.process.dispatch.worker_protocol import StartCommand
-from laburnumswitch.process.dispatch.worker_protocol import WorkerReport
-from laburnumswitch.process.dispatch.worker_session import renew
 from laburnumswitch.process.dispatch.worker_session import throttle_new_run
 from laburnumswitch.process.dispatch.worker_session import void_unanswered_starts
 
@@ -66,44 +65,39 @@
         dispatcher.placements.unsent_runs.update(start.run for start in starts)
         dispatcher.spawn(_send_once_stored, dispatcher, job, starts)
         return
-    for start in starts:
-        _send(dispatcher, job, start)
-
+    _send(dispatcher, job, starts)
 
-def _send(dispatcher: Dispatcher, job: Job, start: _Start) -> None:
-    """Send a start, once its worker has answered if another entry may have taken over."""
-    if not dispatcher.recorder.may_have_successor():
-        _send_command(dispatcher, job, start)
-        return
-    dispatcher.placements.unsent_runs.add(start.run)
-    held_starts = start.worker.held_starts
-    held_starts.append(partial(_send_or_release, dispatcher, job, start))
-    if len(held_starts) == 1:
-        dispatcher.spawn(_ask_worker, dispatcher, start.worker)
 
+def _send(dispatcher: Dispatcher, job: Job, starts: list[_Start]) -> None:
+    """Send starts of a step, once their workers have answered if these have to be asked.
 
-def _ask_worker(dispatcher: Dispatcher, worker: Worker) -> None:
-    """Send the held starts of a worker if it has neither restarted nor heard of a successor."""
-    answer = renew(dispatcher, worker, 0.0, COMMAND_TIMEOUT_S)
-    if dispatcher.is_stopped():
-        return
-    has_answered = isinstance(answer, WorkerReport)
-    if not has_answered:
-        worker.blocked_until_s = dispatcher.context.clock() + REFUSED_PAUSE_S
-    held_starts, worker.held_starts = worker.held_starts, []
-    for send_or_release in held_starts:
-        send_or_release(has_answered)
-
-
-def _send_or_release(dispatcher: Dispatcher, job: Job, start: _Start, has_answered: bool) -> None:
-    dispatcher.placements.unsent_runs.discard(start.run)
-    is_wanted = _is_wanted(start) and not job.is_final()
-    if has_answered and is_wanted and _may_send(dispatcher, [start]):
-        _begin_now(dispatcher, start)
-        _send_command(dispatcher, job, start)
+    Those of a gang are sent together, or none of them.
+    """
+    is_gang = bool(starts) and starts[0].run.step.gang
+    for group in [starts] if is_gang else [[start] for start in starts]:
+        if all(may_send_start(dispatcher, start.worker) for start in group):
+            for start in group:
+                _send_command(dispatcher, job, start)
+            continue
+        dispatcher.placements.unsent_runs.update(start.run for start in group)
+        worker_by_id = {start.worker.worker_id: start.worker for start in group}
+        conclude = partial(_send_or_release, dispatcher, job, group)
+        ask_workers(dispatcher, worker_by_id.values(), conclude)
+
+
+def _send_or_release(
+    dispatcher: Dispatcher, job: Job, starts: list[_Start], have_answered: bool
+) -> None:
+    dispatcher.placements.unsent_runs.difference_update(start.run for start in starts)
+    are_wanted = not job.is_final() and all(_is_wanted(start) for start in starts)
+    if have_answered and are_wanted and _may_send(dispatcher, starts):
+        for start in starts:
+            _begin_now(dispatcher, start)
+            _send_command(dispatcher, job, start)
         return
-    reason = "start not sent: its worker gave no usable answer, or it was stopped"
-    dispatcher.release_run(start.worker, start.run, EndKind.NOT_SENT, reason)
+    reason = "start not sent: a worker gave no usable answer, or it was stopped"
+    for start in starts:
+        dispatcher.release_run(start.worker, start.run, EndKind.NOT_SENT, reason)
 
 
 def _send_once_stored(dispatcher: Dispatcher, job: Job, starts: list[_Start]) -> None:
@@ -124,7 +118,7 @@
     if is_stored and _may_send(dispatcher, starts):
         for start in starts:
             _begin_now(dispatcher, start)
-            _send(dispatcher, job, start)
+        _send(dispatcher, job, starts)
         return
     reason = "its worker became unusable" if is_stored else "it was stopped"
     for start in starts:
@@ -158,6 +152,7 @@
         worker.fence,
         job.task(run.task).checkpoint,
         ticket,
+        partial(may_send_start, dispatcher, worker),
     )
     dispatcher.counters.starts += 1
     dispatcher.spawn(_send_start, dispatcher, job, worker, run, command)
@@ -169,9 +164,12 @@
     context = dispatcher.context
     sent_s = context.clock()
     incarnation = worker.incarnation
-    outcome = dispatcher.call_remote(
-        worker.worker_id, worker.link.start, command, COMMAND_TIMEOUT_S
-    )
+    if command.may_be_sent():
+        outcome = dispatcher.call_remote(
+            worker.worker_id, worker.link.start, command, COMMAND_TIMEOUT_S
+        )
+    else:
+        outcome = ConnectFailed(worker.worker_id, HELD_UP_REASON)
     now_s = context.clock()
     ready_since_s = job.step_state(run.task).ready_since_s
     is_current = worker.runs_by_task.get(run.task) is run
--- a/laburnumswitch/process/dispatch/worker_protocol.py
+++ b/laburnumswitch/process/dispatch/worker_protocol.py
@@ -4,6 +4,7 @@
 incarnation of the worker are numbered.
 """
 
+from collections.abc import Callable
 from enum import StrEnum
 from typing import NamedTuple
 from typing import Protocol
@@ -111,8 +112,16 @@
     wait_s: float
 
 
+# Why a start was not sent that had waited for too long.
+HELD_UP_REASON = "held up until another entry may have taken over"
+
+
 class StartCommand(NamedTuple):
-    """Command to start one run, under a lease until ``until_s`` on the worker's clock."""
+    """Command to start one run, under a lease until ``until_s`` on the worker's clock.
+
+    :ivar may_be_sent: asked right before it is sent, as it may wait for other commands or for the
+        process; if not, it is refused with ``ConnectFailed``.
+    """
 
     task: TaskKey
     run: int
@@ -121,6 +130,7 @@
     fence: int
     checkpoint: str
     ticket: str = ""
+    may_be_sent: Callable[[], bool] = lambda: True
 
 
 class Acknowledged(NamedTuple):
--- a/tests/process/dispatch/test_run_start.py
+++ b/tests/process/dispatch/test_run_start.py
@@ -1,5 +1,7 @@
 """Starts of an owner that cannot commit, so that another entry may have taken over."""
 
+from time import monotonic
+
 from gevent import sleep
 from testtools import TestCase
 from testtools.matchers import Equals
@@ -19,7 +21,7 @@
 
 
 class _Link(CutLink):
-    """Link that counts the renewals that are not held open, and may answer none of them."""
+    """Link that counts the renewals that are not held open, and may lose all answers."""
 
     def __init__(self, worker):
         super().__init__(worker, is_cut=False)
@@ -28,9 +30,10 @@
 
     def renew(self, renewal, timeout_s):
         self.asked += renewal.wait_s == 0.0
-        if self.answers_none and renewal.wait_s == 0.0:
+        answer = super().renew(renewal, timeout_s)
+        if self.answers_none:
             return AnswerLost(self.worker.listing.worker_id, "lost")
-        return super().renew(renewal, timeout_s)
+        return answer
 
 
 class TestStartsWithoutCommits(TestCase):
@@ -51,6 +54,9 @@
     def lose_store(self):
         self.harness.table.commit = lambda transaction: Unavailable("cut off")
         sleep(TAKEOVER_WAIT_S)
+        # A worker that has just answered need not be asked.
+        known = self.owner.workers_by_id.values()
+        wait_until(lambda: all(worker.may_have_restarted(monotonic()) for worker in known))
         for link in self.link_by_id.values():
             link.asked = 0
 
