Ignore submissions that were read before the rows of their job were removed

Callers would have seen tasks of a completed job run again (TWICE). Rows of a finished job are removed ten minutes after its end, and the owner forgets it then. A read of the submissions that was sent before and is answered after that returns the row: reads of the whole table, which begin when the store has discarded its history, and long reads behind narrow links. The job counted as new.

The owner remembers removed ids with the version of the store that removed the rows. A row of a lower version is from before the removal and is ignored, also a notification, which names no version. A row of a higher version is a new job, so that one that was accepted under the same id is not lost; if its notification was ignored, the feed brings it. An id is forgotten once a read of the submissions to their end has been applied that was sent a minute after the removal. A fixed time alone would not do: by its limits, a read of all partitions may take 16 times 11 s, and the feed may fail for longer than that while removals succeed.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -73,6 +73,7 @@
 from laburnumswitch.process.dispatch.placements import Placements
 from laburnumswitch.process.dispatch.quota_gate import QuotaGate
 from laburnumswitch.process.dispatch.recorder import Recorder
+from laburnumswitch.process.dispatch.removed_jobs import RemovedJobs
 from laburnumswitch.process.dispatch.run_ends import accepts_end
 from laburnumswitch.process.dispatch.run_ends import EndKind
 from laburnumswitch.process.dispatch.run_ends import Evidence
@@ -181,6 +182,7 @@
         self.jobs_by_id: dict[str, Job] = {}
         self.final_by_id: dict[str, JobState] = {}
         self.ended_s_by_id: dict[str, float] = {}
+        self.removed_jobs = RemovedJobs()
         self.workers_by_id: dict[str, Worker] = {}
         # Why entries in the list of workers name no worker to use, by the worker's id.
         self.ignored_entry_by_id: dict[str, str] = {}
@@ -369,9 +371,12 @@
     # Jobs
 
     def add_job(self, submission: Submission, source: JobSource = JobSource.NOTIFIED) -> Job | None:
-        """Add a stored job and return it, or ``None`` if it is known already."""
+        """Add a stored job and return it, or ``None`` if it is known or was removed."""
         if self.knows_job(submission.job_id):
             return None
+        if self.removed_jobs.holds(submission.job_id):
+            self.context.log.note("removed_job_ignored", submission.job_id, source=source)
+            return None
         may_have_unknown_runs = source is JobSource.LOADED or (
             self.late_jobs.may_be_started and not self.settled
         )
--- a/laburnumswitch/process/dispatch/feeds.py
+++ b/laburnumswitch/process/dispatch/feeds.py
@@ -210,6 +210,7 @@
     if isinstance(submission, RowMalformed):
         dispatcher.context.log.note("submission_malformed", row.key, reason=submission.reason)
         return
+    dispatcher.removed_jobs.note_submission(submission.job_id, row.version)
     job = dispatcher.add_job(submission, source)
     if job is None and source is JobSource.LOADED:
         dispatcher.organisation_usage.note_ended(submission)
--- a/laburnumswitch/process/dispatch/retention.py
+++ b/laburnumswitch/process/dispatch/retention.py
@@ -27,6 +27,7 @@
         dispatcher.context.sleep(REMOVAL_INTERVAL_S)
         if dispatcher.may_act():
             remove_old_jobs(dispatcher)
+            dispatcher.removed_jobs.forget(dispatcher.submissions_read_s)
             forget_unknown_jobs(dispatcher)
             forget_unused_queues(dispatcher, unused_since_s)
 
@@ -45,6 +46,7 @@
             dispatcher.context.log.note("removal_failed", job_id, reason=outcome.describe())
             continue
         dispatcher.recorder.queue_removals((progress_key(job_id),))
+        dispatcher.removed_jobs.add(job_id, outcome.version, dispatcher.context.clock())
         dispatcher.jobs_by_id.pop(job_id, None)
         dispatcher.final_by_id.pop(job_id, None)
         dispatcher.ended_s_by_id.pop(job_id, None)
--- a/tests/process/dispatch/test_retention.py
+++ b/tests/process/dispatch/test_retention.py
@@ -69,6 +69,12 @@
         self.assertThat(remove_old_jobs(self.owner), Equals(0))
         self.assertThat(self.owner.reported_state("j1"), Equals(JobState.COMPLETED))
 
+    def test_job_that_is_submitted_again_after_the_removal_is_a_new_one(self):
+        self.owner.ended_s_by_id["j1"] -= RETENTION_S + 1
+        remove_old_jobs(self.owner)
+        self.harness.submit(make_submission("j1"), self.owner)
+        wait_until(lambda: self.owner.knows_job("j1"))
+
     def test_job_that_was_read_before_its_rows_were_removed_does_not_run_again(self):
         """The store has discarded its history, so all jobs are read again."""
         load = self.harness.table.load
