Count from when a worker's last answer was made whether it may have restarted

Callers would have seen a task run again after it had ended (TWICE). An owner acknowledges ends of runs by their numbers only to a worker that has answered within the last 0.1 s, as a restarted one numbers its ends anew. It counted from the arrival of the answer. If that arrived late, the worker had restarted meanwhile, and the next renewal acknowledged ends of the new process by the old numbers, unread.

The time at which the renewal was sent does not tell, as the worker holds it open for up to a second. Its clock in the answer does: the least difference between arrival and clock is that of an answer without a delay, and what another answer exceeds it by is its delay (answer_times.AnswerTimes). The difference may grow by 2% of the passed time, as clocks may be slow by that. It is never less than the time of sending tells, so that a clock that has stood still with its VM is understood with the next call. An answer that was late counts from when it was made; the next renewal is then a short one, as after a slow commit.

--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -5,6 +5,7 @@
 from typing import Any
 from typing import NamedTuple
 
+from laburnumswitch.process.dispatch.answer_times import AnswerTimes
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.job_spec import TaskKey
 from laburnumswitch.process.dispatch.worker_protocol import RunReport
@@ -17,7 +18,8 @@
 # Longest lease that an owner grants, in seconds. Leases have to outlast the replacement of a silent
 # owner, which takes about five seconds; tasks of a lost worker wait until its lease has expired.
 MAX_LEASE_S = 6.0
-# A worker that answered less than this ago, in seconds, is taken not to have restarted since.
+# A worker whose last answer was made less than this ago, in seconds, is taken not to have restarted
+# since.
 MIN_RESTART_S = 0.1
 # A worker that has not answered for this long, in seconds, gets no starts, and its leases are not
 # extended: it has missed two renewals.
@@ -216,7 +218,8 @@
     :ivar unlisted_since_s: since when the platform has not listed the worker.
     :ivar acknowledged_end: number up to which ended runs may be acknowledged to the worker.
     :ivar last_end_number: highest number of an ended run that was applied.
-    :ivar last_answer_s: when the worker last answered.
+    :ivar last_answer_s: when the worker's last answer arrived.
+    :ivar answer_made_s: when that answer was made, at the earliest.
     :ivar clock_s: the worker's clock in its last answer.
     :ivar granted_until_s: end of the lease on the worker's clock.
     :ivar max_lease_s: longest lease that it grants, in seconds.
@@ -272,6 +275,8 @@
         # Pairs of a batch and the number of the end report to acknowledge after its commit.
         self.pending_acknowledgements: list[tuple[int, int]] = []
         self.last_answer_s = 0.0
+        self.answer_made_s = 0.0
+        self._answer_times = AnswerTimes(1.0 - MIN_CLOCK_RATE)
         self.clock_s = 0.0
         self.granted_until_s = 0.0
         self.lapse_bound_s = 0.0
@@ -369,6 +374,8 @@
         self.last_end_number = self.acknowledged_end = 0
         self.pending_acknowledgements.clear()
         self.last_answer_s = self.clock_s = self.granted_until_s = 0.0
+        self.answer_made_s = 0.0
+        self._answer_times = AnswerTimes(1.0 - MIN_CLOCK_RATE)
         self.lapse_bound_s = max(self.lapse_bound_s, self.restart_lapse_bound_s)
         # The first renewal voids starts that were sent before.
         self.fence += 1
@@ -495,10 +502,15 @@
             return sent_s < max(self.incarnation_since_s, self.last_answer_s)
         return report.clock_s < self.clock_s and sent_s < self.last_answer_s
 
-    def note_answer(self, now_s: float, clock_s: float) -> None:
-        """Record the latest answer."""
+    def note_answer(self, now_s: float, clock_s: float, sent_s: float = float("-inf")) -> None:
+        """Record the latest answer.
+
+        :param sent_s: when the call was sent that it answers, if known.
+        """
         if clock_s <= self.clock_s and self.last_answer_s:
             return
+        made_s = self._answer_times.note(sent_s, now_s, clock_s)
+        self.answer_made_s = max(self.answer_made_s, made_s)
         self.last_answer_s = now_s
         self.clock_s = clock_s
         self.is_known_crashed = False
@@ -537,7 +549,7 @@
 
     def may_have_restarted(self, now_s: float) -> bool:
         """Return whether another incarnation may have replaced the one that answered last."""
-        return self.is_silent or now_s - self.last_answer_s > MIN_RESTART_S
+        return self.is_silent or now_s - self.answer_made_s > MIN_RESTART_S
 
     def has_certainly_lapsed(self, now_s: float) -> bool:
         """Return whether the runs of the known incarnation have certainly ended by a lapse."""
--- a/laburnumswitch/process/dispatch/lease_keeping.py
+++ b/laburnumswitch/process/dispatch/lease_keeping.py
@@ -74,5 +74,5 @@
         # The worker was stored as an earlier incarnation. A list of VMs that is as old as that one
         # says nothing of this one.
         worker.note_incarnation(answer.incarnation, context.clock())
-    worker.note_answer(context.clock(), answer.clock_s)
+    worker.note_answer(context.clock(), answer.clock_s, now_s)
     return True
--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -274,7 +274,7 @@
         dispatcher.note_restart(worker, report.incarnation, "it answers as another incarnation")
     now_s = context.clock()
     worker.note_incarnation(report.incarnation, now_s)
-    worker.note_answer(now_s, report.clock_s)
+    worker.note_answer(now_s, report.clock_s, sent_s)
     for end in report.ended:
         if end.number > worker.last_end_number:
             dispatcher.report_end(worker, end)
