Store until when workers in unread rows may run tasks, so that the wait goes on under the next owner

Callers would have seen jobs wait for longer than a lease after changes of the owner (late starts). While a row of the list of workers cannot be read, an owner does not know all workers and waits for every lease. It stored only that the row was not read, so each successor counted a whole lease from its own takeover, also after a graceful end.

The stored row now also names the owner's epoch and, on the store's clock, the end of the leases that earlier owners may have granted to workers in such rows. A successor does not wait beyond it if the owner that stored it has sent no commands, or has handed over all workers that it may have sent any to, and no later owner has sent any. After an owner that was lost while it could send commands the wait begins anew: it may have extended the lease of a worker that it had not stored yet. It also does if another row cannot be read, and after an earlier version, which stores only the keys. Once the earlier owners have confirmed their end, the owner stores the earlier time.

The new tests fail if the row is taken to be in force always, only after a handover, or for all rows, or is stored only once.

--- a/laburnumswitch/process/dispatch/takeover.py
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -55,10 +55,9 @@
 from laburnumswitch.process.dispatch.silences import collect_silences
 from laburnumswitch.process.dispatch.silences import Silence
 from laburnumswitch.process.dispatch.silences import SILENCES_TABLE
-from laburnumswitch.process.dispatch.unread_workers import may_run_unread
+from laburnumswitch.process.dispatch.unread_workers import describe_unread
 from laburnumswitch.process.dispatch.unread_workers import missing_listings
-from laburnumswitch.process.dispatch.unread_workers import replace_unread
-from laburnumswitch.process.dispatch.unread_workers import store_unread
+from laburnumswitch.process.dispatch.unread_workers import UnreadRows
 from laburnumswitch.process.dispatch.vm_watch import watch_vms
 from laburnumswitch.process.dispatch.worker_protocol import RunReport
 from laburnumswitch.process.dispatch.worker_protocol import WorkerListing
@@ -114,7 +113,7 @@
     handover = _load_handover(dispatcher, succession)
     silence_rows = _load(dispatcher, SILENCES_TABLE).rows
     silence_by_id = _collect_silences(dispatcher, silence_rows, succession.acted_epoch)
-    unread_keys = _load_fleet(dispatcher, handover, silence_by_id)
+    unread = _load_fleet(dispatcher, handover, silence_by_id)
     dispatcher.spawn(run_lease_keeping, dispatcher)
     version = _load_jobs(dispatcher)
     _load_crashes(dispatcher)
@@ -127,7 +126,7 @@
     if dispatcher.is_stopped():
         return
     _adopt_runs(dispatcher, handover, silence_by_id)
-    restore_placements(dispatcher, placements, knows_fleet=not unread_keys)
+    restore_placements(dispatcher, placements, knows_fleet=not unread.keys)
     note_loaded_jobs(dispatcher)
     # From here on this owner hands over what it knows, so what it was told is not lost with it.
     dispatcher.is_loaded.set()
@@ -151,7 +150,7 @@
     if dispatcher.context.list_vms is not None:
         dispatcher.spawn(watch_vms, dispatcher, dispatcher.context.list_vms)
     if not dispatcher.settled:
-        _settle(dispatcher, unread_keys)
+        _settle(dispatcher, unread)
     if not dispatcher.is_stopped():
         complete_placements(dispatcher)
 
@@ -252,18 +251,18 @@
 
 def _load_fleet(
     dispatcher: Dispatcher, handover: Handover, silence_by_id: dict[str, Silence]
-) -> tuple[str, ...]:
+) -> UnreadRows:
     """Load the workers on which earlier owners may have left runs.
 
     :param handover: what the last owner that may have sent commands knew of them at its end.
     :param silence_by_id: what it knew of those that did not answer.
-    :return: keys of the rows that could not be read.
+    :return: the rows that could not be read.
     """
     unread_keys = []
     rows = _load(dispatcher, FLEET_TABLE).rows
     if dispatcher.is_stopped():
         # It may have stopped before it had read the list, which lacks all workers then.
-        return ()
+        return UnreadRows(dispatcher, ())
     for row in rows:
         try:
             listings = convert(row.value, list[WorkerListing])
@@ -275,8 +274,9 @@
             _load_worker(dispatcher, listing, handover, silence_by_id)
     for listing in missing_listings(dispatcher, silence_by_id, handover.by_worker_id):
         _load_worker(dispatcher, listing, handover, silence_by_id)
-    store_unread(dispatcher, tuple(unread_keys))
-    return tuple(unread_keys)
+    unread = describe_unread(dispatcher, rows, tuple(unread_keys), handover.epoch)
+    unread.store()
+    return unread
 
 
 def _load_worker(
@@ -361,10 +361,10 @@
     return float("inf") if instant_s is None else instant_s
 
 
-def _settle(dispatcher: Dispatcher, unread_keys: tuple[str, ...]) -> None:
+def _settle(dispatcher: Dispatcher, unread: UnreadRows) -> None:
     """Wait until the runs of earlier owners are known or have certainly lapsed.
 
-    :param unread_keys: rows of the list of workers that could not be read.
+    :param unread: rows of the list of workers that could not be read.
     """
     context = dispatcher.context
     began_s = context.clock()
@@ -376,14 +376,14 @@
             for worker in inherited
             if worker.has_unknown_runs and not (worker.is_dropped or dispatcher.has_lapsed(worker))
         ]
-        is_waiting = bool(unknown) or may_run_unread(dispatcher, unread_keys)
+        is_waiting = bool(unknown) or unread.may_run()
         is_late = context.clock() - began_s >= SETTLE_LOG_DELAY_S
         if is_waiting and is_late and unknown != noted:
             noted = unknown
-            _note_wait(dispatcher, unknown, unread_keys)
+            _note_wait(dispatcher, unknown, unread)
         if not is_waiting:
             dispatcher.settled = True
-            replace_unread(dispatcher, unread_keys)
+            unread.replace()
             dispatcher.recorder.unconfirmed = ()
             dispatcher.organisation_usage.forget_ended()
             dispatcher.wake.set()
@@ -394,6 +394,7 @@
                 known_by=_count_sources(inherited),
             )
             return
+        unread.store()
         context.sleep(SETTLE_INTERVAL_S)
 
 
@@ -403,8 +404,9 @@
     return {str(source or RunsKnownBy.LAPSE): count for source, count in counts.items()}
 
 
-def _note_wait(dispatcher: Dispatcher, unknown: list[str], unread_keys: tuple[str, ...]) -> None:
+def _note_wait(dispatcher: Dispatcher, unknown: list[str], unread: UnreadRows) -> None:
     context = dispatcher.context
+    until_s = dispatcher.unknown_runs_until_s if unknown else unread.until_s()
     waiting = sum(
         may_have_unknown_runs(dispatcher.placements, ready.job, ready.step_state.step)
         for ready in dispatcher.ready_step_by_key.values()
@@ -414,9 +416,9 @@
         str(dispatcher.epoch),
         workers=unknown[:MAX_LOGGED_WORKERS],
         count=len(unknown),
-        unread_rows=len(unread_keys),
+        unread_rows=len(unread.keys),
         steps=waiting,
-        until_s=round(dispatcher.unknown_runs_until_s - context.clock(), 3),
+        until_s=round(until_s - context.clock(), 3),
     )
 
 
--- a/tests/process/dispatch/test_takeover.py
+++ b/tests/process/dispatch/test_takeover.py
@@ -7,15 +7,19 @@
 from testtools import TestCase
 from testtools.matchers import Contains
 from testtools.matchers import Equals
+from testtools.matchers import GreaterThan
 from testtools.matchers import LessThan
 
 from laburnumswitch.exceptions import Unavailable
 from laburnumswitch.process.dispatch.dispatcher import fleet_key
+from laburnumswitch.process.dispatch.dispatcher import FLEET_PARTS
 from laburnumswitch.process.dispatch.dispatcher import FLEET_TABLE
 from laburnumswitch.process.dispatch.eligibility import usable_workers
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.job_spec import TaskKey
 from laburnumswitch.process.dispatch.takeover import RETRY_S
+from laburnumswitch.process.dispatch.unread_workers import UNREAD_KEY
+from laburnumswitch.process.leadership.term import PredecessorState
 from laburnumswitch.process.rows.table import Put
 from laburnumswitch.process.rows.table import Transaction
 from tests.process.dispatch.harness import BOUNDS
@@ -143,6 +147,66 @@
         late_s = monotonic() - second.unknown_runs_until_s
         self.assertThat(late_s, LessThan(START_S))
 
+    def test_wait_goes_on_after_an_owner_that_has_sent_no_commands(self):
+        self.unlist_holder()
+        may_load = self.harness.hold_loads()
+        self.addCleanup(may_load.set)
+        second = self.start_owner("vm-2")
+        wait_until(lambda: self.stored_unread().get("epoch") == second.epoch)
+        sleep(0.75 * self.lease_s)
+        second.stop()
+        may_load.set()
+        third = self.start_successor("vm-3")
+        wait_until(lambda: third.settled)
+        late_s = monotonic() - second.unknown_runs_until_s
+        self.assertThat(late_s, LessThan(START_S))
+        self.assertThat(late_s, GreaterThan(0.0))
+
+    def test_wait_begins_anew_after_an_owner_that_was_lost(self):
+        """It may have extended the lease of a worker that it had not stored yet."""
+        self.unlist_holder()
+        second = self.start_successor()
+        sleep(0.75 * self.lease_s)
+        second.stop()
+        self.check_waits_for_its_own_lease(second)
+
+    def test_wait_begins_anew_for_another_row(self):
+        self.unlist_holder()
+        second = self.start_successor()
+        sleep(0.75 * self.lease_s)
+        second.release()
+        keys = (f"{FLEET_TABLE}/{part}" for part in range(FLEET_PARTS))
+        read = {fleet_key(worker_id) for worker_id in (self.holder_id, self.other_id)}
+        self.store(next(key for key in keys if key not in read), UNREADABLE)
+        self.check_waits_for_its_own_lease(second)
+
+    def test_wait_begins_anew_after_an_earlier_version(self):
+        self.unlist_holder()
+        second = self.start_successor()
+        sleep(0.75 * self.lease_s)
+        second.release()
+        self.store(UNREAD_KEY, {"keys": self.stored_unread()["keys"]})
+        self.check_waits_for_its_own_lease(second)
+
+    def test_end_of_the_wait_is_stored_again_once_the_earlier_owner_has_ended(self):
+        self.unlist_holder()
+        second = self.harness.start_owner("vm-2", PredecessorState.SILENT)
+        self.addCleanup(second.stop)
+        wait_until(lambda: self.stored_unread().get("epoch") == second.epoch)
+        before_s = self.stored_unread()["until_s"]
+        second.note_predecessor_ended()
+        wait_until(lambda: self.stored_unread()["until_s"] < before_s - 1.0, limit_s=START_S)
+
+    def stored_unread(self):
+        return self.harness.table.peek(UNREAD_KEY).value or {}
+
+    def check_waits_for_its_own_lease(self, second):
+        third = self.start_owner("vm-3")
+        sleep(second.unknown_runs_until_s + 0.5 * START_S - monotonic())
+        self.assertThat(third.settled, Equals(False))
+        wait_until(lambda: third.settled)
+        self.assertThat(monotonic(), GreaterThan(third.unknown_runs_until_s))
+
 
 class TestWorkerMissingInTheListOfWorkers(MissingWorkerCase):
     def test_handed_over_run_on_a_worker_that_is_not_in_the_list_is_kept(self):
