Count leases from the end of the last owner that granted them, over owners that are killed before they act

An owner now stores, while it loads, when the leases of all owners before it have certainly expired, on the store's clock, and again once these have confirmed their end. It keeps the first such instants that its successors can ask for: as of the last owner that acted, or handed over, and of each owner that extended leases while it loaded. For the latter the stored workers are named with the last term in which their leases may have been extended, in place of being in one set. What is stored is an upper bound of what the owner itself waits for, so the rule when leases lapse is the same as before. The price is one commit while an owner loads, beside the reads.

The three new tests failed before, two at 1 s and more too late.

--- a/laburnumswitch/process/dispatch/takeover.py
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -12,6 +12,12 @@
 from laburnumswitch.process.dispatch.dispatcher import DispatchContext
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
 from laburnumswitch.process.dispatch.dispatcher import FLEET_TABLE
+from laburnumswitch.process.dispatch.earlier_lapses import decode_earlier_lapses
+from laburnumswitch.process.dispatch.earlier_lapses import earlier_lapse_s
+from laburnumswitch.process.dispatch.earlier_lapses import EARLIER_LAPSES_KEY
+from laburnumswitch.process.dispatch.earlier_lapses import EarlierLapse
+from laburnumswitch.process.dispatch.earlier_lapses import limit_by_earlier_lapses
+from laburnumswitch.process.dispatch.earlier_lapses import store_earlier_lapses
 from laburnumswitch.process.dispatch.feeds import apply_cancellation_row
 from laburnumswitch.process.dispatch.feeds import apply_submission_row
 from laburnumswitch.process.dispatch.feeds import follow_cancellations
@@ -112,12 +118,17 @@
 
 
 def _run(dispatcher: Dispatcher) -> None:
-    succession = dispatcher.succession = _load_succession(dispatcher)
+    succession, lapses = _load_succession(dispatcher)
+    dispatcher.succession = succession
     handover = _load_handover(dispatcher, succession)
     kept = _load_kept_leases(dispatcher, succession, handover)
+    limit_by_earlier_lapses(dispatcher, lapses, max(kept.last_epochs()))
+    if not dispatcher.settled:
+        dispatcher.spawn(store_earlier_lapses, dispatcher, lapses, kept.last_epochs())
     silence_rows = _load(dispatcher, SILENCES_TABLE).rows
     silence_by_id = _collect_silences(dispatcher, silence_rows, succession.acted_epoch)
     unread = _load_fleet(dispatcher, handover, kept, silence_by_id)
+    _limit_leases(dispatcher, kept, lapses)
     dispatcher.spawn(run_lease_keeping, dispatcher, kept)
     version = _load_jobs(dispatcher)
     _load_crashes(dispatcher)
@@ -202,19 +213,26 @@
         dispatcher.restore_crashes(crashed)
 
 
-def _load_succession(dispatcher: Dispatcher) -> Succession:
-    """Load which earlier owner may have sent commands: the last one, unless it is known better."""
+def _load_succession(dispatcher: Dispatcher) -> tuple[Succession, tuple[EarlierLapse, ...]]:
+    """Load which earlier owner may have sent commands: the last one, unless it is known better.
+
+    :return: also when leases of earlier owners expire, as far as these have stored it.
+    """
     context = dispatcher.context
     unknown = Succession(dispatcher.epoch, dispatcher.epoch - 1, knows_placements=False)
     while not dispatcher.is_stopped():
-        rows = context.table.read((SUCCESSION_KEY,))
+        rows = context.table.read((SUCCESSION_KEY, EARLIER_LAPSES_KEY))
         if not isinstance(rows, Failure):
+            lapses = decode_earlier_lapses(rows[EARLIER_LAPSES_KEY])
+            if isinstance(lapses, RowMalformed):
+                context.log.note("earlier_lapses_malformed", lapses.key, reason=lapses.reason)
+                lapses = ()
             stored = decode_succession(rows[SUCCESSION_KEY])
             is_current = isinstance(stored, Succession) and stored.epoch == dispatcher.epoch
-            return stored if is_current else unknown
+            return (stored if is_current else unknown), lapses
         context.log.note("load_failed", SUCCESSION_KEY, reason=rows.describe())
         context.sleep(RETRY_S)
-    return unknown
+    return unknown, ()
 
 
 def _load_handover(dispatcher: Dispatcher, succession: Succession) -> Handover:
@@ -237,11 +255,12 @@
         dispatcher.context.log.note("kept_leases_malformed", malformed.key, reason=malformed.reason)
 
     since_epoch = max(succession.acted_epoch, handover.epoch)
-    worker_ids: frozenset[str] | None = frozenset()
+    epoch_by_id: dict[str, int] | None = {}
     if succession.kept_epoch > since_epoch:
         rows = _load(dispatcher, KEPT_LEASES_TABLE).rows
-        worker_ids = collect_kept_leases(rows, succession.kept_epoch, since_epoch, report_malformed)
-    return KeptLeases(dispatcher.epoch, since_epoch, worker_ids)
+        kept_epoch = succession.kept_epoch
+        epoch_by_id = collect_kept_leases(rows, kept_epoch, since_epoch, report_malformed)
+    return KeptLeases(dispatcher.epoch, since_epoch, succession.kept_epoch, epoch_by_id)
 
 
 def _load_queues(dispatcher: Dispatcher) -> dict[str, KnownQueue]:
@@ -299,6 +318,15 @@
     return unread
 
 
+def _limit_leases(
+    dispatcher: Dispatcher, kept: KeptLeases, lapses: tuple[EarlierLapse, ...]
+) -> None:
+    """Limit the lease of each worker by the end of the last owner that may have extended it."""
+    for worker in dispatcher.workers_by_id.values():
+        lapses_s = earlier_lapse_s(dispatcher, lapses, kept.last_epoch(worker.worker_id))
+        worker.lapse_bound_s = min(worker.lapse_bound_s, lapses_s)
+
+
 def _load_worker(
     dispatcher: Dispatcher,
     listing: WorkerListing,
@@ -326,7 +354,7 @@
 ) -> None:
     """Apply what was handed over of a worker, but for its runs."""
     _apply_knowledge(worker, known.has_unknown_runs, RunsKnownBy.HANDOVER)
-    if kept.may_be_kept(worker.worker_id):
+    if kept.last_epoch(worker.worker_id) > kept.since_epoch:
         return
     # It was written before this term began, so the sum is no earlier than the lapse.
     lapse_bound_s = dispatcher.began_s + known.lapses_in_s
--- a/tests/process/dispatch/test_kept_leases.py
+++ b/tests/process/dispatch/test_kept_leases.py
@@ -1,6 +1,7 @@
 """Tests of the rows that name the workers whose leases owners have extended while they loaded."""
 
 from base64 import b64encode
+from types import MappingProxyType
 
 from gevent import sleep
 from msgspec.json import encode
@@ -47,8 +48,9 @@
         self.malformed = []
         self.stored = RowsOfOneOwner()
 
-    def store(self, epoch, since_epoch, *worker_ids, known=frozenset()):
-        kept = KeptLeases(epoch, since_epoch, known)
+    def store(self, epoch, since_epoch, *worker_ids, known=MappingProxyType({})):
+        before = None if known is None else dict(known)
+        kept = KeptLeases(epoch, since_epoch, epoch - 1, before)
         kept.queue_rows(worker_ids, self.stored)
         return kept
 
@@ -60,12 +62,19 @@
         ids = [f"w{number}" for number in range(100)]
         kept = self.store(3, 1, *ids[:50])
         kept.queue_rows(ids[50:], self.stored)
-        self.assertThat(self.collect(3, 1), Equals(frozenset(ids)))
+        self.assertThat(self.collect(3, 1), Equals(dict.fromkeys(ids, 3)))
 
     def test_workers_of_the_owners_before_are_named_again(self):
         self.store(3, 1, "w1")
         self.store(4, 1, "w2", known=self.collect(3, 1))
-        self.assertThat(self.collect(4, 1), Equals(frozenset({"w1", "w2"})))
+        self.assertThat(self.collect(4, 1), Equals({"w1": 3, "w2": 4}))
+
+    def test_worker_is_named_with_the_last_owner_that_extended_its_lease(self):
+        self.store(3, 1, "w1", "w2")
+        kept = self.store(4, 1, "w2", known=self.collect(3, 1))
+        self.assertThat([kept.last_epoch(each) for each in ("w1", "w2", "w3")], Equals([3, 4, 1]))
+        unknown = KeptLeases(5, 1, 4, None)
+        self.assertThat(unknown.last_epoch("w3"), Equals(4))
 
     def test_owner_of_an_earlier_version_may_have_extended_any_lease(self):
         """It stores its epoch and names no workers, nor does an owner that follows it."""
@@ -78,7 +87,7 @@
         """The rows name only the workers whose leases were extended after that."""
         self.store(4, 3, "w1")
         self.assertThat(self.collect(4, 1), Is(None))
-        self.assertThat(self.collect(4, 3), Equals(frozenset({"w1"})))
+        self.assertThat(self.collect(4, 3), Equals({"w1": 4}))
 
     def test_missing_or_malformed_row_may_have_named_any_worker(self):
         self.store(3, 1, "w1")
@@ -89,7 +98,7 @@
         self.assertThat(self.collect(3, 1), Is(None))
         self.assertThat([each.key for each in self.malformed], Equals([key]))
         self.stored.value_by_key[key] = value
-        self.assertThat(self.collect(3, 1), Equals(frozenset({"w1"})))
+        self.assertThat(self.collect(3, 1), Equals({"w1": 3}))
 
     def test_row_without_room_for_all_of_its_workers_may_have_named_any(self):
         self.store(3, 1, *map(str, range(2 * WORKERS_PER_ROW * KEPT_LEASES_PARTS)))
@@ -98,7 +107,7 @@
     def test_rows_and_transaction_stay_within_the_limits_of_the_store(self):
         ids = [LONG_ID.format(number) for number in range(WORKERS)]
         self.store(10**6, 10**6, *ids)
-        self.assertThat(self.collect(10**6, 10**6), Equals(frozenset(ids)))
+        self.assertThat(self.collect(10**6, 10**6), Equals(dict.fromkeys(ids, 10**6)))
         sizes = [len(b64encode(encode(value))) for value in self.stored.value_by_key.values()]
         self.assertThat(max(sizes), LessThan(ROW_LIMIT_BYTES))
         self.assertThat(sum(sizes), LessThan(TRANSACTION_LIMIT_BYTES))
--- a/tests/process/dispatch/test_owners_in_series.py
+++ b/tests/process/dispatch/test_owners_in_series.py
@@ -22,6 +22,8 @@
 OWNERS = 11
 # A successor knows the end of the leases of an earlier owner to within this time, in seconds.
 TOLERANCE_S = 0.5
+# How long owners are there that are killed before they act, in seconds.
+KILL_S = 0.2
 
 
 class OneLastingTaskCase(TestCase):
@@ -155,3 +157,76 @@
         self.assertThat(lapse_bound_s - bound_s, LessThan(TOLERANCE_S))
         wait_until(lambda: self.harness.checker.start_count == 2)
         self.assertThat(self.harness.checker.violations, Equals([]))
+
+
+class TestOwnersKilledBeforeTheyAct(TestCase):
+    """A worker is lost with the only owner that acted, and no list of VMs proves its end."""
+
+    def setUp(self):
+        super().setUp()
+        self.harness = DispatchHarness()
+        first = self.start_owner("vm-1")
+        self.harness.submit(make_submission("j1", LASTING), first)
+        wait_until(lambda: self.harness.checker.start_count == 1)
+        (self.holder,) = (each for each in self.harness.worker_by_id.values() if each.running())
+        self.holder_id = self.holder.listing.worker_id
+        wait_until(lambda: first.workers_by_id[self.holder_id].granted_until_s)
+        self.may_load = self.harness.hold_loads()
+        self.addCleanup(self.may_load.set)
+        self.may_load.clear()
+        self.holder.drops_calls = True
+        first.stop()
+
+    def start_owner(self, vm_id, predecessor=PredecessorState.ENDED):
+        owner = self.harness.start_owner(vm_id, predecessor)
+        self.addCleanup(owner.stop)
+        return owner
+
+    def kill_in_turn(self, count, alive_s, predecessor=PredecessorState.ENDED):
+        for number in range(count):
+            owner = self.start_owner(f"vm-x{number}", predecessor)
+            sleep(alive_s)
+            owner.stop()
+
+    def check_bound(self, bound_s):
+        """Check that the leases of the lost worker count from the first takeover."""
+        self.may_load.set()
+        last = self.start_owner("vm-9")
+        wait_until(last.is_loaded.is_set)
+        lapse_bound_s = last.workers_by_id[self.holder_id].lapse_bound_s
+        self.assertThat(lapse_bound_s - bound_s, LessThan(TOLERANCE_S))
+        wait_until(lambda: self.harness.checker.start_count == 2)
+        self.assertThat(self.harness.checker.violations, Equals([]))
+
+    def test_lease_of_a_lost_worker_does_not_count_from_each_takeover(self):
+        second = self.start_owner("vm-2")
+        bound_s = second.unknown_runs_until_s
+        sleep(KILL_S)
+        second.stop()
+        self.kill_in_turn(4, alive_s=2 * KILL_S)
+        self.check_bound(bound_s)
+
+    def test_lease_counts_from_the_confirmed_end_of_the_last_owner_that_acted(self):
+        second = self.start_owner("vm-2", PredecessorState.SILENT)
+        sleep(KILL_S)
+        second.note_predecessor_ended()
+        bound_s = second.unknown_runs_until_s
+        sleep(KILL_S)
+        second.stop()
+        self.kill_in_turn(2, 4 * KILL_S, PredecessorState.SILENT)
+        self.check_bound(bound_s)
+
+    def test_lease_that_an_owner_kept_counts_from_the_end_of_that_owner(self):
+        second = self.start_owner("vm-2")
+        self.holder.drops_calls = False
+        sleep(2 * KEEP_AFTER_S)
+        self.holder.drops_calls = True
+        second.stop()
+        third = self.start_owner("vm-3")
+        bound_s = third.unknown_runs_until_s
+        wait_until(lambda: self.holder_id in third.workers_by_id)
+        self.assertThat(third.workers_by_id[self.holder_id].lapse_bound_s, Equals(bound_s))
+        sleep(KILL_S)
+        third.stop()
+        self.kill_in_turn(1, 2 * KEEP_AFTER_S)
+        self.check_bound(bound_s)
