Count an owner that had not begun to act as ended when its term is replaced

A successor waited for the end of a predecessor that was silent or refused connections although that one had not loaded yet, and had sent no command: up to eight seconds, or until its process answered, beside a lease. With owners killed one after the other the one that had acted was confirmed long before, but the bound moved with each killed one after it.

Before an owner sends its first command, or extends its first lease, it stores that it may (acted_epoch, kept_epoch), under the condition of its term. The successor reads this row between its read of the term and the commit that replaces just that version, so what it reads is final: an owner that has not stored it by then cannot store it any more. Such a predecessor is now neither asked nor waited for, and jobs that become known later are not held for its sake; owners before it are as before. One of which nothing is stored, as of an earlier version, counts as one that may act.

--- a/laburnumswitch/process/leadership/leadership.py
+++ b/laburnumswitch/process/leadership/leadership.py
@@ -18,6 +18,7 @@
 from laburnumswitch.process.leadership.predecessor import Predecessor
 from laburnumswitch.process.leadership.predecessor import TermSighting
 from laburnumswitch.process.leadership.succession import decode_succession
+from laburnumswitch.process.leadership.succession import may_have_granted
 from laburnumswitch.process.leadership.succession import succeed
 from laburnumswitch.process.leadership.succession import Succession
 from laburnumswitch.process.leadership.succession import SUCCESSION_KEY
@@ -537,6 +538,13 @@
         identity = context.identity
         epoch = observed.term.epoch + 1
         self._attempts += 1
+        succession = self._read_succession(observed.term)
+        if isinstance(succession, Failure):
+            context.sleep(RETRY_S)
+            return
+        seen_as = predecessor
+        if not may_have_granted(succession, observed.term.epoch):
+            predecessor = PredecessorState.ENDED
         # A read that was not of the version to replace tells nothing.
         sighting = note_read(self._sighting, observed, context.clock())
         unconfirmed = _unconfirmed_addresses(
@@ -554,10 +562,6 @@
             batch=f"{identity.incarnation}-0-{self._attempts}",
             unconfirmed=unconfirmed,
         )
-        succession = self._read_succession(observed.term)
-        if isinstance(succession, Failure):
-            context.sleep(RETRY_S)
-            return
         # An attempt whose outcome stayed unknown may have counted as ended.
         self._ended_epoch = min(self._ended_epoch, epoch - 1)
         sent_s = context.boot_clock()
@@ -579,7 +583,7 @@
             str(epoch),
             reason=reason,
             predecessor=observed.term.owner,
-            predecessor_is=predecessor,
+            predecessor_is=seen_as,
             unconfirmed=unconfirmed,
             unowned_s=self._unowned_s(),
             outcome=taken_outcome if taken else outcome.tag,
--- a/laburnumswitch/process/leadership/succession.py
+++ b/laburnumswitch/process/leadership/succession.py
@@ -57,6 +57,14 @@
     return stored._replace(epoch=epoch)
 
 
+def may_have_granted(succession: Succession, epoch: int) -> bool:
+    """Return whether the owner of an earlier term may have started runs or extended leases.
+
+    One that had not stored that it may do so when its term was replaced never will.
+    """
+    return max(succession.acted_epoch, succession.kept_epoch) >= epoch
+
+
 def may_extend_leases(succession: Succession) -> Succession:
     """Return the state to store before the owner of its term extends the first lease."""
     return succession._replace(kept_epoch=succession.epoch)
--- a/tests/process/leadership/test_ends_of_terms.py
+++ b/tests/process/leadership/test_ends_of_terms.py
@@ -210,3 +210,29 @@
         if second.dispatcher is not None and not second.dispatcher.is_stopped():
             second.dispatcher.add_job(make_submission("j1", LONG))
         self.check_runs_once()
+
+
+class TestOwnerThatHasNotBegunToAct(EndOfTermCase):
+    """It is taken for lost while it loads, and goes on with that once its successor acts."""
+
+    def test_job_that_it_is_told_of_is_started_by_its_successor_only(self):
+        may_load = self.harness.hold_loads()
+        self.addCleanup(may_load.set)
+        first = self.entries.add("vm-1")
+        wait_until(lambda: first.dispatcher is not None)
+        second = self.add_watcher("vm-2", first)
+        first.unreached_addresses.add("vm-2")
+        second.unreached_addresses.add("vm-1")
+        dispatcher = first.dispatcher
+        first.table.is_cut = True
+        wait_until(lambda: second.dispatcher is not None)
+        may_load.set()
+        first.table.is_cut = False
+        self.await_usable(second, 2)
+        self.harness.submit(make_submission("j1", LONG), dispatcher)
+        second.dispatcher.add_job(make_submission("j1", LONG))
+        sleep(START_S)
+        self.check_runs_once()
+        self.assertThat(second.dispatcher.settled, Equals(True))
+        self.assertThat(dispatcher.is_stopped(), Equals(True))
+        self.assertThat(dispatcher.counters.renewals, Equals(0))
--- a/tests/process/leadership/test_predecessor.py
+++ b/tests/process/leadership/test_predecessor.py
@@ -18,6 +18,8 @@
 from laburnumswitch.process.leadership.leadership import LeadershipContext
 from laburnumswitch.process.leadership.leadership import SILENT_TAKEOVER_WAIT_S
 from laburnumswitch.process.leadership.messages import WatchAnswer
+from laburnumswitch.process.leadership.succession import Succession
+from laburnumswitch.process.leadership.succession import SUCCESSION_KEY
 from laburnumswitch.process.leadership.term import NO_OWNER
 from laburnumswitch.process.leadership.term import Term
 from laburnumswitch.process.leadership.term import TERM_KEY
@@ -138,6 +140,53 @@
         self.assertThat(until_s, GreaterThan(stored_s + OWNER_LEASE_S))
         self.assertThat(self.unconfirmed, Equals(("vm-0",)))
 
+    def _store_succession(self, *fields):
+        put = Put(SUCCESSION_KEY, Succession(*fields))
+        self.harness.table.commit(Transaction((), (put,)))
+
+    def _replace_silent_owner(self, term):
+        """Let an owner be taken for lost, and return its successor."""
+        client = OneOwnerClient(term)
+        client.is_up = False
+        self._store(term)
+        follower = self._follow(client)
+        wait_until(lambda: follower.dispatcher is not None)
+        return follower
+
+    def test_lost_owner_that_had_not_begun_to_act_is_not_waited_for(self):
+        """It cannot store any more that it may send commands."""
+        self._store_succession(2, 1, True)
+        follower = self._replace_silent_owner(Term(2, "vm-1", "vm-1-i", "vm-1"))
+        self.assertThat(self._commands_until_s(follower), LessThan(monotonic()))
+        self.assertThat(self.unconfirmed, Equals(()))
+        self.assertThat(follower.dispatcher.late_jobs.may_be_started, Equals(False))
+
+    def test_lost_owner_that_had_not_begun_to_act_leaves_those_before_it_to_be_asked(self):
+        self._store_succession(2, 1, True)
+        term = Term(2, "vm-1", "vm-1-i", "vm-1", unconfirmed=("vm-0",))
+        follower = self._replace_silent_owner(term)
+        self.assertThat(self._commands_until_s(follower), GreaterThan(monotonic()))
+        self.assertThat(self.unconfirmed, Equals(("vm-0",)))
+        self.assertThat(follower.dispatcher.late_jobs.may_be_started, Equals(True))
+
+    def _check_waited_for(self):
+        follower = self._replace_silent_owner(Term(2, "vm-1", "vm-1-i", "vm-1"))
+        self.assertThat(self._commands_until_s(follower), GreaterThan(monotonic()))
+        self.assertThat(self.unconfirmed, Equals(("vm-1",)))
+        self.assertThat(follower.dispatcher.late_jobs.may_be_started, Equals(True))
+
+    def test_lost_owner_that_may_have_sent_commands_is_waited_for(self):
+        self._store_succession(2, 2, True)
+        self._check_waited_for()
+
+    def test_lost_owner_that_may_have_extended_leases_is_waited_for(self):
+        self._store_succession(2, 1, True, 2)
+        self._check_waited_for()
+
+    def test_lost_owner_that_has_not_stored_whether_it_acts_is_waited_for(self):
+        self._store_succession(1, 1, True)
+        self._check_waited_for()
+
     def test_release_that_is_stored_after_the_owner_has_stepped_down_is_noticed_at_once(self):
         """An owner that leaves stops before it commits what it has queued and its handover."""
         term = Term(1, "vm-1", "vm-1-i", "vm-1")
