Keep naming an unconfirmed earlier owner in the term until its lease has ended, also after all runs are known

An owner that had settled stopped to ask earlier owners that had not confirmed their end, and dropped their addresses from its term. The next owner then took them for ended, held no jobs that it read late, and counted leases from its own takeover, while an owner that was cut off from the store still acted under its lease: it may start runs on workers that start again and forget the fencing token.

After a settled owner the price is that a later one, within these seconds, waits for the earlier owner where it does not know the runs of a worker.

Both new tests failed before. That a task runs twice by this was not shown: a test with a restarted worker passed before as well, as the earlier owner learns of its successor from the first worker that both reach.

--- a/laburnumswitch/process/dispatch/takeover.py
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -437,7 +437,6 @@
         if not is_waiting:
             dispatcher.settled = True
             unread.replace()
-            dispatcher.recorder.unconfirmed = ()
             dispatcher.organisation_usage.forget_ended()
             dispatcher.wake.set()
             context.log.note(
--- a/laburnumswitch/process/leadership/leadership.py
+++ b/laburnumswitch/process/leadership/leadership.py
@@ -597,15 +597,16 @@
         self.current_term = term
         self.takeovers += 1
         self.watcher_by_vm.clear()
-        self.dispatcher = context.start_dispatcher(
-            taken, sent_s, describe_predecessor(predecessor, sighting)
-        )
+        described = describe_predecessor(predecessor, sighting)
+        self.dispatcher = context.start_dispatcher(taken, sent_s, described)
         self.dispatcher.recorder.unconfirmed = unconfirmed
         if context.boot_clock() - sent_s >= TAKEOVER_WAIT_S:
             # Another entry may have replaced this one meanwhile, since it did not act as the owner.
             self.dispatcher.recorder.require_commit()
         for address in unconfirmed:
-            self.dispatcher.spawn(self._confirm_end, self.dispatcher, address)
+            self.dispatcher.spawn(
+                self._confirm_end, self.dispatcher, address, described.commands_until_s
+            )
         if context.is_stopped():
             # The process was told to stop before it had the term, and found nothing to release.
             self.release()
@@ -621,17 +622,19 @@
             stored = None
         return succeed(stored, predecessor)
 
-    def _confirm_end(self, dispatcher: Dispatcher, address: str) -> None:
-        """Repeat ``supersede`` until the earlier owner confirms it or its commands have lapsed.
+    def _confirm_end(self, dispatcher: Dispatcher, address: str, commands_until_s: float) -> None:
+        """Repeat ``supersede`` until the earlier owner confirms it or its lease has ended.
 
-        A process that was restarted at the same address confirms it as well.
+        A process that was restarted at the same address confirms it as well. Until then the owner
+        names the address in its term, also once it knows all runs: on a worker that starts again
+        the earlier owner may start others, of which a later owner does not know.
         """
         context = self._context
         recorder = dispatcher.recorder
         began_s = context.clock()
         attempts = 0
         is_confirmed = False
-        while not (is_confirmed or dispatcher.is_stopped() or dispatcher.settled):
+        while not (is_confirmed or dispatcher.is_stopped() or context.clock() > commands_until_s):
             answer = context.owner_client.supersede(address, recorder.held_term.term)
             attempts += 1
             is_confirmed = answer is True
@@ -646,7 +649,7 @@
                 )
             if not is_confirmed:
                 context.sleep(RETRY_S)
-        if is_confirmed:
+        if not dispatcher.is_stopped():
             recorder.unconfirmed = _without(recorder.unconfirmed, address)
             if not recorder.unconfirmed:
                 dispatcher.note_predecessor_ended()
--- a/tests/process/leadership/test_ends_of_terms.py
+++ b/tests/process/leadership/test_ends_of_terms.py
@@ -6,6 +6,7 @@
 
 from laburnumswitch.process.dispatch.eligibility import usable_workers
 from laburnumswitch.process.dispatch.job_spec import Step
+from laburnumswitch.process.dispatch.recorder import OWNER_LEASE_S
 from laburnumswitch.process.leadership.term import read_term
 from tests.process.dispatch.harness import make_submission
 from tests.process.dispatch.harness import wait_until
@@ -236,3 +237,40 @@
         self.assertThat(second.dispatcher.settled, Equals(True))
         self.assertThat(dispatcher.is_stopped(), Equals(True))
         self.assertThat(dispatcher.counters.renewals, Equals(0))
+
+
+class TestOwnerAfterTheOneThatSettled(EndOfTermCase):
+    """The first owner is taken for lost, goes on, and confirms its end to nobody."""
+
+    def setUp(self):
+        super().setUp()
+        self.first = self.add_owner("vm-1")
+        second = self.add_watcher("vm-2", self.first)
+        second.unreached_addresses.add("vm-1")
+        self.first.table.is_cut = True
+        # A worker that the second owner has reached would tell it of the later term.
+        self.first.unreached_workers = {"w1", "w2"}
+        self.await_usable(second, 2)
+        wait_until(lambda: second.dispatcher.settled)
+        self.second = second
+
+    def add_third(self):
+        self.second.is_stopped = True
+        self.second.leadership.release()
+        third = self.entries.add("vm-3")
+        third.unreached_addresses.add("vm-1")
+        wait_until(lambda: third.dispatcher is not None and third.dispatcher.is_loaded.is_set())
+        return third
+
+    def test_first_owner_that_may_still_act_does_not_count_as_ended(self):
+        third = self.add_third()
+        self.assertThat(self.first.dispatcher.may_act(), Equals(True))
+        self.assertThat(third.dispatcher.recorder.unconfirmed, Equals(("vm-1",)))
+        self.assertThat(third.dispatcher.late_jobs.may_be_started, Equals(True))
+
+    def test_first_owner_counts_as_ended_once_its_lease_is_over(self):
+        known = self.second.dispatcher.recorder
+        wait_until(lambda: not known.unconfirmed, limit_s=OWNER_LEASE_S + START_S)
+        self.assertThat(self.first.dispatcher.may_act(), Equals(False))
+        third = self.add_third()
+        self.assertThat(third.dispatcher.late_jobs.may_be_started, Equals(False))
