Let a small entry that has just started wait for larger candidates

Cause: an entry without a rank waited 0.15 s per core, 0.3 s with half a core. Candidates with a rank wait 0.25 s for each entry before them, also for those that have left within the last four seconds. Change: the wait is 0.25 s of one core divided by the square of the cores, 1.25 s at most: 0.05 s (before 0.07 s) with 2.15 cores, 0.22 s (0.14 s) with 1.07, 0.94 s (0.29 s) with 0.516, and no longer than 1.25 s (1.5 s) with a tenth of a core. Result: both new tests failed before, as the small entry took the term, and as the smallest took it after 1.5 s.

--- a/laburnumswitch/process/leadership/leadership.py
+++ b/laburnumswitch/process/leadership/leadership.py
@@ -56,9 +56,12 @@
 RANK_DELAY_S = 0.25
 # Candidates of a higher rank wait no longer than this one.
 MAX_RANK = 8
-# An entry without a rank, as at the first start, waits this long divided by its number of cores, so
-# that larger entries go first: the delay of one core, in seconds.
-FIRST_START_DELAY_CORE_S = 0.15
+# An entry without a rank, as at the first start, waits this long divided by the square of its
+# number of cores: the delay of one core, in seconds. Larger entries go first, also those with ranks
+# behind entries that have left, as a small one is slow to load the jobs and hands over afterwards.
+FIRST_START_DELAY_CORE_S = 0.25
+# It waits no longer than this, in seconds: all entries may be small.
+MAX_FIRST_START_DELAY_S = 1.25
 # A number of pending jobs that was reported longer ago than this, in seconds, is not given to
 # callers. An owner reports it about every ``WATCH_WAIT_S``.
 PENDING_MAX_AGE_S = 2.0
@@ -527,7 +530,8 @@
         if identity.vm_id in self._candidates:
             others = [vm_id for vm_id in self._candidates if vm_id != term.owner]
             return min(MAX_RANK, others.index(identity.vm_id)) * RANK_DELAY_S
-        return FIRST_START_DELAY_CORE_S / max(identity.cpu_cores, 0.1)
+        delay_s = FIRST_START_DELAY_CORE_S / max(identity.cpu_cores, 0.1) ** 2
+        return min(MAX_FIRST_START_DELAY_S, delay_s)
 
     def _take_over(
         self, observed: VersionedTerm, reason: str, predecessor: PredecessorState
--- a/tests/process/leadership/test_leadership.py
+++ b/tests/process/leadership/test_leadership.py
@@ -552,3 +552,29 @@
         owner.note_watcher("small", 0.5)
         owner.note_watcher("large", 2.0)
         self.assertThat(owner.candidates(), Equals(("large", "small")))
+
+    def _free_term_of_an_owner_whose_candidates_have_left(self):
+        """Follow an owner as its last candidate, behind three that have left; the term is free."""
+        owner = self._add_entry("vm-1", 2.0)
+        wait_until(lambda: owner.dispatcher is not None)
+        for number in range(3):
+            owner.note_watcher(f"left-{number}", 3.0)
+        larger = self._add_entry("vm-2", 2.0)
+        wait_until(lambda: larger.pending_by_queue == {"orders": 2})
+        self._cut(owner)
+        owner.release()
+        return larger
+
+    def test_small_entry_that_has_just_started_leaves_the_free_term_to_a_larger_one(self):
+        """It would load the jobs several times as long, and hand over to the larger one after."""
+        larger = self._free_term_of_an_owner_whose_candidates_have_left()
+        small = self._add_entry("vm-3", 0.5)
+        wait_until(lambda: larger.dispatcher is not None or small.dispatcher is not None)
+        self.assertThat(small.dispatcher, Is(None))
+        self.assertThat(larger.dispatcher.predecessor, Equals(PredecessorState.ENDED))
+
+    def test_small_entries_take_a_free_term_that_no_larger_one_takes(self):
+        began_s = monotonic()
+        smallest = self._add_entry("vm-1", 0.05)
+        wait_until(lambda: smallest.dispatcher is not None)
+        self.assertThat(monotonic() - began_s, LessThan(1.5))
