Read the partitions of a table at once when it is loaded

Cause: submissions and cancellations lie in 16 partitions each, which a load read one after the other. Change: up to eight partitions are read at a time. The version to follow from is the earliest of theirs, as before. Once a partition could not be read, no further ones are asked for.

--- a/laburnumswitch/platform/store.py
+++ b/laburnumswitch/platform/store.py
@@ -11,6 +11,7 @@
 from typing import Any
 from urllib.parse import urlencode
 
+from gevent.pool import Pool
 from msgspec import DecodeError
 from msgspec import Struct
 from msgspec.json import decode
@@ -48,6 +49,9 @@
 # A partition executes 200 transactions per second, and only 4 while the store is 50 times slower
 # than normal.
 HASH_PARTITION_COUNT = 16
+# Number of partitions of a table that are read at a time, so that a new owner does not wait for
+# each answer before it asks for the next.
+LOAD_CONCURRENCY = 8
 # Timeouts of a commit, and of a read until its answer begins, in seconds. A healthy store answers
 # within 9 ms, but a partition queues up to one second of transactions.
 READ_TIMEOUT_S = 1.0
@@ -115,23 +119,37 @@
 
     def load(self, table: str) -> Changes | ReadFailure:
         """Return all rows of a table, and the version from which to follow its changes."""
+        failures: list[ReadFailure] = []
+
+        def load(partition: str) -> Changes | ReadFailure:
+            # A store that does not answer is noticed after one call, not after all of them.
+            outcome = failures[0] if failures else self._load_partition(table, partition)
+            if not isinstance(outcome, Changes):
+                failures.append(outcome)
+            return outcome
+
+        loaded = Pool(LOAD_CONCURRENCY).map(load, _partitions_of(table))
+        if failures:
+            return failures[0]
+        rows = tuple(row for changes in loaded for row in changes.rows)
+        # The feed repeats what has changed since the earliest of them was read.
+        version = min(changes.version for changes in loaded)
+        return Changes(rows, version, max(changes.now_s for changes in loaded))
+
+    def _load_partition(self, table: str, partition: str) -> Changes | ReadFailure:
         rows: list[Row] = []
         version = 0
-        now_ms = 0.0
-        for partition in _partitions_of(table):
-            first = ""
-            while True:
-                page = self._get(table, partition, first, "", SCAN_LIMIT_ROWS)
-                if not isinstance(page, _Rows):
-                    return to_read_failure(page)
-                # The feed starts at the first page's version, so it repeats later changes.
-                version = version or page.ver
-                now_ms = page.now_ms
-                rows.extend(_decode_rows(page.rows))
-                if not page.has_more or not page.rows:
-                    break
-                first = page.rows[-1].key + "\0"
-        return Changes(tuple(rows), version, now_ms / MS_PER_S)
+        first = ""
+        while True:
+            page = self._get(table, partition, first, "", SCAN_LIMIT_ROWS)
+            if not isinstance(page, _Rows):
+                return to_read_failure(page)
+            # The feed starts at the first page's version, so it repeats later changes.
+            version = version or page.ver
+            rows.extend(_decode_rows(page.rows))
+            if not page.has_more or not page.rows:
+                return Changes(tuple(rows), version, page.now_ms / MS_PER_S)
+            first = page.rows[-1].key + "\0"
 
     def follow(self, table: str, after: int, wait_s: float) -> Changes | HistoryLost | ReadFailure:
         """Return a table's rows changed after a version, waiting up to ``wait_s`` for the first."""
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,16 +1,19 @@
 """Tests of the store client, with an emulated store over HTTP."""
 
 from base64 import b64encode
+from time import monotonic
 
 from testtools import TestCase
 from testtools.matchers import Equals
 from testtools.matchers import IsInstance
+from testtools.matchers import LessThan
 
 from laburnumswitch.connection.client import Client
 from laburnumswitch.exceptions import Conflict
 from laburnumswitch.exceptions import HistoryLost
 from laburnumswitch.exceptions import OutcomeUnknown
 from laburnumswitch.exceptions import Unavailable
+from laburnumswitch.platform.store import HASH_PARTITION_COUNT
 from laburnumswitch.platform.store import StoreClient
 from laburnumswitch.process.rows.table import Committed
 from laburnumswitch.process.rows.table import Condition
@@ -21,6 +24,7 @@
 from standin.server import bound_address
 from standin.server import json_reply
 from standin.server import start_server
+from standin.server import UNAVAILABLE
 
 
 def answer_rows(values):
@@ -36,7 +40,8 @@
     def setUp(self):
         super().setUp()
         self.table = FeedMemoryTable()
-        self.server = start_server("127.0.0.1:0", StoreApi(self.table).handle)
+        self.api = StoreApi(self.table)
+        self.server = start_server("127.0.0.1:0", self.api.handle)
         self.addCleanup(self.server.stop, 0)
         self.store = StoreClient(Client(bound_address(self.server)))
 
@@ -84,6 +89,35 @@
         self.assertThat(sorted(row.value for row in changes.rows), Equals(list(range(40))))
         self.assertThat(self.store.read(("submissions/07",))["submissions/07"].value, Equals(7))
 
+    def test_load_of_many_partitions_does_not_wait_for_each_answer_in_turn(self):
+        """A new owner starts no task before it has read all jobs."""
+        for number in range(40):
+            self._put(f"submissions/{number:02}", number)
+        self.api.delay_s = 0.05
+        began_s = monotonic()
+        changes = self.store.load("submissions")
+        self.assertThat(monotonic() - began_s, LessThan(HASH_PARTITION_COUNT * 0.05 / 2))
+        self.assertThat(sorted(row.value for row in changes.rows), Equals(list(range(40))))
+
+    def _store_that_answers(self, handle):
+        server = start_server("127.0.0.1:0", handle)
+        self.addCleanup(server.stop, 0)
+        return StoreClient(Client(bound_address(server)))
+
+    def test_feed_after_a_load_of_many_partitions_begins_at_the_earliest_version(self):
+        """A change between the reads of two partitions would otherwise be left out."""
+        versions = iter((7, 3, *range(8, 8 + HASH_PARTITION_COUNT)))
+        store = self._store_that_answers(
+            lambda call: json_reply({"rows": [], "ver": next(versions), "nowMs": 1.0})
+        )
+        self.assertThat(store.load("submissions").version, Equals(3))
+
+    def test_load_of_many_partitions_fails_without_a_call_for_each(self):
+        """Each call to a store that does not answer takes its whole time limit."""
+        store = self._store_that_answers(lambda call: UNAVAILABLE)
+        self.assertThat(store.load("submissions"), IsInstance(Unavailable))
+        self.assertThat(store.calls, LessThan(HASH_PARTITION_COUNT))
+
     def test_feed_returns_changes_and_removals(self):
         start = self.store.load("progress").version
         self._put("progress/a", 1)
