Read no more partitions at a time than connections are kept

The client keeps four connections, so each of the two tables opened four or more. Change: four partitions are read at a time.

--- a/laburnumswitch/platform/store.py
+++ b/laburnumswitch/platform/store.py
@@ -19,6 +19,7 @@
 from xxhash import xxh32_intdigest
 
 from laburnumswitch.connection.client import Client
+from laburnumswitch.connection.client import POOL_SIZE
 from laburnumswitch.connection.json_call import call_json
 from laburnumswitch.exceptions import AnswerMalformed
 from laburnumswitch.exceptions import Conflict
@@ -50,8 +51,8 @@
 # than normal.
 HASH_PARTITION_COUNT = 16
 # Number of partitions of a table that are read at a time, so that a new owner does not wait for
-# each answer before it asks for the next.
-LOAD_CONCURRENCY = 8
+# each answer before it asks for the next. The client keeps as many connections.
+LOAD_CONCURRENCY = POOL_SIZE
 # Timeouts of a commit, and of a read until its answer begins, in seconds. A healthy store answers
 # within 9 ms, but a partition queues up to one second of transactions.
 READ_TIMEOUT_S = 1.0
