Accept a connection once something has arrived on it

With 48 jobs accepted one after the other within the 1.5 s of load, the poll can't have waited long, and the store was not away.

Cause: the readiness port keeps 16 connections on the smallest machine, and for one more the one that has been waited for longest is closed. A connection counted as soon as the kernel had it, so that 16 others between a client's connection and the arrival of its request displaced a client that sends at once. Its end was a reset.

Change: the ports set TCP_DEFER_ACCEPT to a second. A request that is sent at once is then there when its connection is accepted, and is read before the next connection counts. Silent connections take no descriptor meanwhile and count after that second.

The new test of a request after 60 connections failed before (b'' != b'HTTP/1.1 200') and passes.

--- a/laburnumswitch/connection/server.py
+++ b/laburnumswitch/connection/server.py
@@ -14,6 +14,9 @@
 # The kernel's own limit is several MB for each direction of a connection, which hundreds of clients
 # that do not read or that send without end would fill.
 SOCKET_BUFFER_BYTES = 65_536
+# For this long, in seconds, the kernel keeps connections on which nothing has arrived. A client
+# that sends its request at once is then not displaced by others before the request is read.
+DEFER_ACCEPT_S = 1
 # Reason phrases of the statuses that the ports respond with.
 REASONS = {
     200: "OK",
@@ -74,10 +77,14 @@
 
     @classmethod
     def get_listener(cls, *arguments: Any, **named_arguments: Any) -> socket.socket:
-        """Return a listening socket, whose connections inherit the size of their buffers."""
+        """Return a listening socket.
+
+        Its connections inherit the size of their buffers and are accepted once they are readable.
+        """
         listener = super().get_listener(*arguments, **named_arguments)
         for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
             listener.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES)
+        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, DEFER_ACCEPT_S)
         return listener
 
 
--- a/tests/connection/test_bounded_server.py
+++ b/tests/connection/test_bounded_server.py
@@ -16,6 +16,7 @@
 from laburnumswitch.connection.server import make_server
 from laburnumswitch.exceptions import CallerRefused
 from tests.fakes import FakeClock
+from tests.process.dispatch.harness import wait_until
 
 LIMITS = CallerLimits(
     head_bytes=2_000,
@@ -151,6 +152,22 @@
                 pass
             self.assertThat(self.refusals.counts["callers", Cause.ANSWER_UNREAD], Equals(1))
 
+    def test_request_sent_after_a_burst_of_connections_is_served(self):
+        """Health checks were closed for connections that came between their own and its request."""
+        for first_byte in (b"", b"G"):
+            with self.connect() as sock:
+                for _ in range(60):
+                    other = self.connect().thing
+                    self.addCleanup(other.close)
+                    other.sendall(first_byte)
+                sleep(0.05)
+                sock.sendall(b"GET /v1/ready HTTP/1.0\r\n\r\n")
+                self.assertThat(read_all(sock)[:12], Equals(b"HTTP/1.1 200"))
+
+    def test_connections_that_send_nothing_count_as_clients(self):
+        with self.connect():
+            wait_until(lambda: self.clients.open_count == 1, 5.0)
+
     def test_unfinished_bodies_make_way_for_others(self):
         crowd = [self.connect().thing for _ in range(60)]
         for sock in crowd:
