Let no stored end of a wait hold over a later owner that has extended leases

One that read the rows may have extended leases of workers in them while it loaded (Succession.kept_epoch), and then ended. The new test failed before.

--- a/laburnumswitch/process/dispatch/unread_workers.py
+++ b/laburnumswitch/process/dispatch/unread_workers.py
@@ -111,8 +111,11 @@
     except ValidationError:
         # There is none, or an earlier version has stored only its keys.
         return UnreadRows(dispatcher, keys)
-    epoch, acted_epoch = stored["epoch"], dispatcher.succession.acted_epoch
-    is_in_force = epoch > acted_epoch or epoch == acted_epoch == handover_epoch
+    epoch, succession = stored["epoch"], dispatcher.succession
+    has_handed_over = epoch == succession.acted_epoch == handover_epoch
+    is_in_force = has_handed_over or epoch > succession.acted_epoch
+    # A later owner may have read the rows, and have extended leases of workers in them.
+    is_in_force = is_in_force and epoch >= succession.kept_epoch
     is_about_all = {*keys} <= {*stored["keys"], UNREAD_KEY}
     if stored["until_s"] is None or not (is_in_force and is_about_all):
         return UnreadRows(dispatcher, keys)
--- a/tests/process/dispatch/test_takeover.py
+++ b/tests/process/dispatch/test_takeover.py
@@ -19,6 +19,8 @@
 from laburnumswitch.process.dispatch.job_spec import TaskKey
 from laburnumswitch.process.dispatch.takeover import RETRY_S
 from laburnumswitch.process.dispatch.unread_workers import UNREAD_KEY
+from laburnumswitch.process.leadership.succession import decode_succession
+from laburnumswitch.process.leadership.succession import SUCCESSION_KEY
 from laburnumswitch.process.leadership.term import PredecessorState
 from laburnumswitch.process.rows.table import Put
 from laburnumswitch.process.rows.table import Transaction
@@ -170,6 +172,16 @@
         second.stop()
         self.check_waits_for_its_own_lease(second)
 
+    def test_wait_begins_anew_after_a_later_owner_that_has_extended_leases(self):
+        """It may have read the rows, and known the workers in them."""
+        self.unlist_holder()
+        second = self.start_successor()
+        sleep(0.75 * self.lease_s)
+        second.release()
+        stored = decode_succession(self.harness.table.read((SUCCESSION_KEY,))[SUCCESSION_KEY])
+        self.store(SUCCESSION_KEY, stored._replace(kept_epoch=stored.epoch + 1))
+        self.check_waits_for_its_own_lease(second)
+
     def test_wait_begins_anew_for_another_row(self):
         self.unlist_holder()
         second = self.start_successor()
