--- a/laburnumswitch/process/dispatch/asked_workers.py
+++ b/laburnumswitch/process/dispatch/asked_workers.py
@@ -59,7 +59,8 @@
         return
     has_answered = isinstance(answer, WorkerReport)
     if not has_answered:
-        worker.blocked_until_s = dispatcher.context.clock() + UNANSWERED_PAUSE_S
+        blocked_until_s = dispatcher.context.clock() + UNANSWERED_PAUSE_S
+        worker.blocked_until_s = max(worker.blocked_until_s, blocked_until_s)
     held_starts, worker.held_starts = worker.held_starts, []
     for note_answer in held_starts:
         note_answer(has_answered)
--- a/laburnumswitch/process/dispatch/run_start.py
+++ b/laburnumswitch/process/dispatch/run_start.py
@@ -95,9 +95,11 @@
             _begin_now(dispatcher, start)
             _send_command(dispatcher, job, start)
         return
-    reason = "start not sent: a worker gave no usable answer, or it was stopped"
-    for start in starts:
-        dispatcher.release_run(start.worker, start.run, EndKind.NOT_SENT, reason)
+    if not have_answered:
+        why = "a worker was asked and gave no answer"
+    else:
+        why = "a worker became unusable" if are_wanted else "it was stopped"
+    _release_unsent(dispatcher, starts, why)
 
 
 def _send_once_stored(dispatcher: Dispatcher, job: Job, starts: list[_Start]) -> None:
@@ -120,11 +122,13 @@
             _begin_now(dispatcher, start)
         _send(dispatcher, job, starts)
         return
-    reason = "its worker became unusable" if is_stored else "it was stopped"
+    why = "a worker became unusable" if is_stored else "it was stopped"
+    _release_unsent(dispatcher, starts, why)
+
+
+def _release_unsent(dispatcher: Dispatcher, starts: list[_Start], why: str) -> None:
     for start in starts:
-        dispatcher.release_run(
-            start.worker, start.run, EndKind.NOT_SENT, f"start not sent: {reason}"
-        )
+        dispatcher.release_run(start.worker, start.run, EndKind.NOT_SENT, f"start not sent: {why}")
 
 
 def _may_send(dispatcher: Dispatcher, starts: list[_Start]) -> bool:
--- a/tests/process/dispatch/test_restart_under_two_owners.py
+++ b/tests/process/dispatch/test_restart_under_two_owners.py
@@ -134,8 +134,10 @@
         self.harness.submit(submission)
         others = [each for each in self.first.workers_by_id if each != self.holder_id]
         self.first.workers_by_id[others[0]].blocked_until_s = float("inf")
+        self.assertThat(self.first.may_act(), Equals(True))
         self.first.add_job(submission)
         sleep(1.0)
         self.harness.list_worker(self.holder.listing)
         sleep(REACTION_S)
         self.assertThat(self.harness.checker.violations, Equals([]))
+        self.assertThat(self.harness.checker.start_count, Equals(3))
--- a/tests/process/dispatch/test_run_start.py
+++ b/tests/process/dispatch/test_run_start.py
@@ -71,6 +71,7 @@
     def test_workers_are_not_asked_while_commits_succeed(self):
         for link in self.link_by_id.values():
             link.asked = 0
+        self.owner.recorder.commit()
         self.add_job()
         wait_until(lambda: self.harness.checker.start_count == 8)
         self.assertThat([link.asked for link in self.link_by_id.values()], Equals([0, 0]))
