Soak: submit long-running jobs once the entries are ready

The soak waits 3 s, and until all entries answer that they are ready, 15 s at most. That not all jobs are accepted stays a violation.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -35,8 +35,11 @@
 from soak.zones import ZoneLinks
 from standin.fleet.invariant_checker import Violation
 
-# Time for the entries to start and to reach the workers.
+# Time for the entries to start and to reach the workers, and how long they may take on a busy
+# machine until they are ready.
 STARTUP_S = 3.0
+MAX_STARTUP_S = 15.0
+READY_POLL_S = 0.1
 # Accepted jobs must end within this time after the last fault. The longest wait for a previous
 # owner and its leases is 14 s; the rest is for the work itself.
 COMPLETION_TIMEOUT_S = 40.0
@@ -92,7 +95,7 @@
     greenlets: list[Greenlet] = []
     try:
         cluster.start()
-        sleep(STARTUP_S)
+        _await_startup(cluster)
         fronts = tuple(entry.config.front_address for entry in cluster.entries)
         callers = Callers(random, fronts, cluster.checker, cluster.keys)
         if mix:
@@ -141,6 +144,13 @@
         cluster.stop()
 
 
+def _await_startup(cluster: Cluster) -> None:
+    began_s = monotonic()
+    sleep(STARTUP_S)
+    while not cluster.is_ready() and monotonic() - began_s < MAX_STARTUP_S:
+        sleep(READY_POLL_S)
+
+
 def _observe_long_running(cluster: Cluster, callers: Callers, ended_s: float) -> None:
     """Wait until all long-running tasks run again, or should; their jobs must still be known."""
     sleep(max(0.0, ended_s + MIN_OBSERVATION_S - monotonic()))
--- a/soak/entries.py
+++ b/soak/entries.py
@@ -7,12 +7,16 @@
 from pathlib import Path
 from typing import NamedTuple
 
+from laburnumswitch.connection.client import Client
+from laburnumswitch.exceptions import Failure
 from soak.keys import REVOKE_S
+from soak.keys import STATUS_OK
 from soak.proxy import Proxy
 
 REPOSITORY = Path(__file__).resolve().parent.parent
 PORTS_PER_ENTRY = 20
 KILL_TIMEOUT_S = 8.0
+READY_PATH = "/v1/ready"
 SETTINGS = """\
 node = "{vm_id}"
 ip = "{ip}"
@@ -82,6 +86,13 @@
         """Return whether the process is running."""
         return self._process is not None and self._process.poll() is None
 
+    def is_ready(self) -> bool:
+        """Return whether the readiness port answers that callers may be sent here."""
+        client = Client(self.config.ready_address)
+        answer = client.call("GET", READY_PATH)
+        client.close()
+        return not isinstance(answer, Failure) and answer.status == STATUS_OK
+
     def signal(self, number: int) -> None:
         """Send a signal to the process if it is running."""
         if self.is_running():
--- a/soak/owners_cut_off.py
+++ b/soak/owners_cut_off.py
@@ -15,10 +15,8 @@
 from gevent import spawn
 
 from laburnumswitch.connection.client import Client
-from laburnumswitch.exceptions import Failure
 from soak.callers import Callers
 from soak.entries import EntryProcess
-from soak.keys import STATUS_OK
 from soak.owners_in_series import await_exit
 from soak.owners_in_series import Series
 from soak.proxy import Mode
@@ -30,7 +28,6 @@
 CUT_S = (2.8, 4.8)
 PAUSE_S = (0.3, 1.5)
 READY_POLL_S = 0.1
-READY_PATH = "/v1/ready"
 # Part of the cuts that refuse connections.
 REFUSED_SHARE = 0.2
 # Part of the outages in which the owner is paused, and its zone stays connected.
@@ -77,19 +74,11 @@
 
     Before that, an owner starts nothing behind a cut, and other entries know no owner.
     """
-    clients = [Client(entry.config.ready_address) for entry in series.cluster.entries]
     while not is_over():
         has_run = any(worker.recorded_runs() for worker in series.cluster.workers)
-        if has_run and all(_is_ready(client) for client in clients):
+        if has_run and series.cluster.is_ready():
             break
         sleep(READY_POLL_S)
-    for client in clients:
-        client.close()
-
-
-def _is_ready(client: Client) -> bool:
-    answer = client.call("GET", READY_PATH)
-    return not isinstance(answer, Failure) and answer.status == STATUS_OK
 
 
 def _play_cut(
