Count leases that an earlier owner may extend on a worker that was dropped and is listed anew

A successor that had dropped the worker and adds it again began to count at zero: where leases may be longer than the 6 s that owners grant, it took runs for lapsed up to 3.4 s too early.

Change: while an earlier owner may act, the bound of such a worker begins with that of unknown runs. Only deployments with longer leases and workers that were dropped in this term are concerned; no other wait changes.

--- a/laburnumswitch/process/dispatch/feeds.py
+++ b/laburnumswitch/process/dispatch/feeds.py
@@ -8,6 +8,7 @@
 from laburnumswitch.exceptions import RowMalformed
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
 from laburnumswitch.process.dispatch.evacuator import start_evacuation
+from laburnumswitch.process.dispatch.fleet import MAX_LEASE_S
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.jobs import JobSource
 from laburnumswitch.process.dispatch.progress import CANCELLATIONS_TABLE
@@ -83,6 +84,7 @@
     dispatcher.ignored_entry_by_id.pop(worker_id, None)
     if worker is None:
         worker = dispatcher.add_worker(listing)
+        _count_earlier_leases(dispatcher, worker)
         dispatcher.spawn(run_worker, dispatcher, worker)
     else:
         if _is_outdated(dispatcher, worker, listing):
@@ -117,6 +119,17 @@
     dispatcher.context.log.note("worker_malformed", worker_id, reason=reason)
 
 
+def _count_earlier_leases(dispatcher: Dispatcher, worker: Worker) -> None:
+    """Count the leases that an earlier owner may still extend on a worker that was dropped.
+
+    It does so by the clock before the restart: the worker takes their end for an instant in the far
+    future, and grants its longest lease.
+    """
+    was_dropped = worker.worker_id in dispatcher.fence_by_dropped_id
+    if was_dropped and dispatcher.late_jobs.may_be_started and worker.max_lease_s > MAX_LEASE_S:
+        worker.lapse_bound_s = dispatcher.unknown_runs_until_s
+
+
 def _is_outdated(dispatcher: Dispatcher, worker: Worker, listing: WorkerListing) -> bool:
     """Return whether a listing is of an earlier incarnation, since listings lag behind answers.
 
