--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -22,6 +22,7 @@
 from soak.callers import GONE
 from soak.callers import submit_jobs
 from soak.cluster import Cluster
+from soak.entries import are_ready
 from soak.faults import choose_faults
 from soak.faults import FAULTS
 from soak.faults import inject_faults
@@ -147,7 +148,7 @@
 def _await_startup(cluster: Cluster) -> None:
     began_s = monotonic()
     sleep(STARTUP_S)
-    while not cluster.is_ready() and monotonic() - began_s < MAX_STARTUP_S:
+    while not are_ready(cluster.entries) and monotonic() - began_s < MAX_STARTUP_S:
         sleep(READY_POLL_S)
 
 
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -211,10 +211,6 @@
         for entry in self.entries:
             entry.start()
 
-    def is_ready(self) -> bool:
-        """Return whether all entries are ready."""
-        return all(entry.is_ready() for entry in self.entries)
-
     def _publish(self, tenants: list[dict[str, Any]]) -> bool:
         """Publish the next version of the configuration, and return whether it is stored."""
         route = {
--- a/soak/entries.py
+++ b/soak/entries.py
@@ -4,6 +4,7 @@
 import signal
 import subprocess
 import sys
+from collections.abc import Iterable
 from pathlib import Path
 from typing import NamedTuple
 
@@ -86,13 +87,6 @@
         """Return whether the process is running."""
         return self._process is not None and self._process.poll() is None
 
-    def is_ready(self) -> bool:
-        """Return whether the readiness port answers that callers may be sent here."""
-        client = Client(self.config.ready_address)
-        answer = client.call("GET", READY_PATH)
-        client.close()
-        return not isinstance(answer, Failure) and answer.status == STATUS_OK
-
     def signal(self, number: int) -> None:
         """Send a signal to the process if it is running."""
         if self.is_running():
@@ -123,6 +117,18 @@
             self._process.wait(KILL_TIMEOUT_S)
 
 
+def are_ready(entries: Iterable[EntryProcess]) -> bool:
+    """Return whether all entries answer that callers may be sent to them."""
+    return all(_is_ready(entry.config) for entry in entries)
+
+
+def _is_ready(config: EntryConfig) -> bool:
+    client = Client(config.ready_address)
+    answer = client.call("GET", READY_PATH)
+    client.close()
+    return not isinstance(answer, Failure) and answer.status == STATUS_OK
+
+
 def write_settings(
     folder: Path,
     number: int,
--- a/soak/owners_cut_off.py
+++ b/soak/owners_cut_off.py
@@ -16,6 +16,7 @@
 
 from laburnumswitch.connection.client import Client
 from soak.callers import Callers
+from soak.entries import are_ready
 from soak.entries import EntryProcess
 from soak.owners_in_series import await_exit
 from soak.owners_in_series import Series
@@ -76,7 +77,7 @@
     """
     while not is_over():
         has_run = any(worker.recorded_runs() for worker in series.cluster.workers)
-        if has_run and series.cluster.is_ready():
+        if has_run and are_ready(series.cluster.entries):
             break
         sleep(READY_POLL_S)
 
