Work out the ends of earlier leases once a term; share what tests of takeovers repeat

A takeover converted the same stored lapse for each worker, up to 3,000 times for a few terms, and collected the terms twice. Asking other entries checked its condition twice in each round. No decision and no assertion changes.

--- a/laburnumswitch/process/dispatch/takeover.py
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -122,9 +122,10 @@
     dispatcher.succession = succession
     handover = _load_handover(dispatcher, succession)
     kept = _load_kept_leases(dispatcher, succession, handover)
-    limit_by_earlier_lapses(dispatcher, lapses, max(kept.last_epochs()))
+    epochs = kept.last_epochs()
+    limit_by_earlier_lapses(dispatcher, lapses, max(epochs))
     if not dispatcher.settled:
-        dispatcher.spawn(store_earlier_lapses, dispatcher, lapses, kept.last_epochs())
+        dispatcher.spawn(store_earlier_lapses, dispatcher, lapses, epochs)
     silence_rows = _load(dispatcher, SILENCES_TABLE).rows
     silence_by_id = _collect_silences(dispatcher, silence_rows, succession.acted_epoch)
     unread = _load_fleet(dispatcher, handover, kept, silence_by_id)
@@ -322,8 +323,11 @@
     dispatcher: Dispatcher, kept: KeptLeases, lapses: tuple[EarlierLapse, ...]
 ) -> None:
     """Limit the lease of each worker by the end of the last owner that may have extended it."""
+    lapses_s_by_epoch = {
+        epoch: earlier_lapse_s(dispatcher, lapses, epoch) for epoch in kept.last_epochs()
+    }
     for worker in dispatcher.workers_by_id.values():
-        lapses_s = earlier_lapse_s(dispatcher, lapses, kept.last_epoch(worker.worker_id))
+        lapses_s = lapses_s_by_epoch[kept.last_epoch(worker.worker_id)]
         worker.lapse_bound_s = min(worker.lapse_bound_s, lapses_s)
 
 
--- a/laburnumswitch/process/leadership/leadership.py
+++ b/laburnumswitch/process/leadership/leadership.py
@@ -349,13 +349,13 @@
         :param epoch: that of the term which this entry knows.
         """
         context = self._context
+        context.sleep(ASK_INTERVAL_S)
         while self._is_seeking_owner and self.current_term.epoch == epoch:
-            context.sleep(ASK_INTERVAL_S)
             if context.is_stopped():
                 return
-            if self._is_seeking_owner and self.current_term.epoch == epoch:
-                spawn(self._ask_next_peer)
-        if self.current_term.epoch > epoch and self._is_seeking_owner:
+            spawn(self._ask_next_peer)
+            context.sleep(ASK_INTERVAL_S)
+        if self._is_seeking_owner:
             self._is_seeking_owner = False
             self._watch(self.current_term, 0.0)
 
--- a/tests/process/dispatch/test_restarts_over_owners.py
+++ b/tests/process/dispatch/test_restarts_over_owners.py
@@ -125,6 +125,11 @@
         sleep(0.05)
         self.w1.restart(CLOCK_AHEAD_S)
 
+    def wait_until_first_owner_has_an_answer(self):
+        known = self.first.workers_by_id["w1"]
+        answered_s = known.last_answer_s
+        wait_until(lambda: known.last_answer_s > answered_s)
+
     def list_vms_late(self, timeout_s):
         """Return the list of VMs, which shows the outage of the first worker late."""
         others = [row for row in self.harness.vm_rows() if row.worker_id != "w1"]
@@ -174,6 +179,16 @@
         wait_until(second.is_loaded.is_set)
         return second
 
+    def take_over_before_the_worker_has_room(self):
+        """Take over while the first owner waits with a job for room on the first worker."""
+        self.link_by_pair["vm-1", "w1"].is_full = True
+        self.harness.submit(make_submission("j1", LONG))
+        wait_until(lambda: "j1" in self.first.jobs_by_id)
+        self.harness.list_vms = self.list_vms_late
+        second = self.take_over(cut_off=("w1",))
+        sleep(0.4 * MAX_DELAY_S)
+        return second
+
     def cut_second_owner_off(self):
         """Have the second owner start tasks on the second worker only."""
         link = self.link_by_pair["vm-2", "w1"]
@@ -227,12 +242,7 @@
 
     def test_list_of_vms_ends_no_run_that_is_started_after_the_restart(self):
         """The worker is cut off from the store as well, so that its restart is not listed."""
-        self.link_by_pair["vm-1", "w1"].is_full = True
-        self.harness.submit(make_submission("j1", LONG))
-        wait_until(lambda: "j1" in self.first.jobs_by_id)
-        self.harness.list_vms = self.list_vms_late
-        second = self.take_over(cut_off=("w1",))
-        sleep(0.4 * MAX_DELAY_S)
+        second = self.take_over_before_the_worker_has_room()
         self.restart_worker()
         self.wait_until_first_owner_knows_of_the_restart()
         self.link_by_pair["vm-1", "w1"].is_full = False
@@ -269,26 +279,15 @@
 class TestRestartThatTheFirstOwnerDoesNotKnow(OwnerTakenForLostCase):
     """The worker would accept a start before a renewal of the first owner has failed."""
 
-    def wait_until_first_owner_has_an_answer(self):
-        known = self.first.workers_by_id["w1"]
-        answered_s = known.last_answer_s
-        wait_until(lambda: known.last_answer_s > answered_s)
-
     def test_list_of_vms_ends_no_run_that_is_started_after_the_restart(self):
         """The worker is cut off from the store as well, so that its restart is not listed."""
-        self.link_by_pair["vm-1", "w1"].is_full = True
-        self.harness.submit(make_submission("j1", LONG))
-        wait_until(lambda: "j1" in self.first.jobs_by_id)
-        self.harness.list_vms = self.list_vms_late
-        second = self.take_over(cut_off=("w1",))
-        sleep(0.4 * MAX_DELAY_S)
+        second = self.take_over_before_the_worker_has_room()
         self.wait_until_first_owner_has_an_answer()
         self.restart_worker()
         self.assertThat(self.first.workers_by_id["w1"].incarnation, Equals(1))
         self.assertThat(self.first.may_act(), Equals(True))
         self.link_by_pair["vm-1", "w1"].is_full = False
-        sleep(1.0)
-        sleep(SHOWN_S)
+        sleep(1.0 + SHOWN_S)
         self.heal(second)
         self.check_runs_once()
 
@@ -319,13 +318,11 @@
         wait_until(lambda: self.reached(self.first) == {"w1"})
 
     def start_run_after_restart(self):
-        known = self.first.workers_by_id["w1"]
-        answered_s = known.last_answer_s
-        wait_until(lambda: known.last_answer_s > answered_s)
+        self.wait_until_first_owner_has_an_answer()
         self.restart_worker()
         self.harness.submit(make_submission("j1", LONG), self.first)
         wait_until(lambda: self.harness.checker.start_count == 1)
-        self.assertThat(known.incarnation, Equals(1))
+        self.assertThat(self.first.workers_by_id["w1"].incarnation, Equals(1))
 
     def check_successor(self, is_listed):
         second = self.start_owner("vm-2", cut_off=("w1",))
--- a/tests/process/dispatch/test_takeover.py
+++ b/tests/process/dispatch/test_takeover.py
@@ -11,6 +11,7 @@
 from testtools.matchers import LessThan
 
 from laburnumswitch.exceptions import Unavailable
+from laburnumswitch.process.dispatch.dispatcher import Dispatcher
 from laburnumswitch.process.dispatch.dispatcher import fleet_key
 from laburnumswitch.process.dispatch.dispatcher import FLEET_PARTS
 from laburnumswitch.process.dispatch.dispatcher import FLEET_TABLE
@@ -101,6 +102,14 @@
         self.first.stop()
         self.store(fleet_key(self.holder_id), UNREADABLE)
 
+    def end_second_owner(self, end):
+        """Have an owner wait for most of a lease, and end it; the worker is not listed any more."""
+        self.unlist_holder()
+        second = self.start_successor()
+        sleep(0.75 * self.lease_s)
+        end(second)
+        return second
+
     def test_task_does_not_start_before_a_worker_that_was_not_read_has_answered(self):
         second = self.start_successor()
         sleep(START_S)
@@ -166,37 +175,25 @@
 
     def test_wait_begins_anew_after_an_owner_that_was_lost(self):
         """It may have extended the lease of a worker that it had not stored yet."""
-        self.unlist_holder()
-        second = self.start_successor()
-        sleep(0.75 * self.lease_s)
-        second.stop()
+        second = self.end_second_owner(Dispatcher.stop)
         self.check_waits_for_its_own_lease(second)
 
     def test_wait_begins_anew_after_a_later_owner_that_has_extended_leases(self):
         """It may have read the rows, and known the workers in them."""
-        self.unlist_holder()
-        second = self.start_successor()
-        sleep(0.75 * self.lease_s)
-        second.release()
+        second = self.end_second_owner(Dispatcher.release)
         stored = decode_succession(self.harness.table.read((SUCCESSION_KEY,))[SUCCESSION_KEY])
         self.store(SUCCESSION_KEY, stored._replace(kept_epoch=stored.epoch + 1))
         self.check_waits_for_its_own_lease(second)
 
     def test_wait_begins_anew_for_another_row(self):
-        self.unlist_holder()
-        second = self.start_successor()
-        sleep(0.75 * self.lease_s)
-        second.release()
+        second = self.end_second_owner(Dispatcher.release)
         keys = (f"{FLEET_TABLE}/{part}" for part in range(FLEET_PARTS))
         read = {fleet_key(worker_id) for worker_id in (self.holder_id, self.other_id)}
         self.store(next(key for key in keys if key not in read), UNREADABLE)
         self.check_waits_for_its_own_lease(second)
 
     def test_wait_begins_anew_after_an_earlier_version(self):
-        self.unlist_holder()
-        second = self.start_successor()
-        sleep(0.75 * self.lease_s)
-        second.release()
+        second = self.end_second_owner(Dispatcher.release)
         self.store(UNREAD_KEY, {"keys": self.stored_unread()["keys"]})
         self.check_waits_for_its_own_lease(second)
 
