--- a/review/lab2.py
+++ b/review/lab2.py
@@ -349,9 +349,7 @@
             size += len(value)
             if len(rows) >= limit or size > CALL_BYTES:
                 break
-            rows.append(
-                {"table": table, "part": part, "key": key, "value": value, "ver": version}
-            )
+            rows.append({"table": table, "part": part, "key": key, "value": value, "ver": version})
         return self._answer(rows=rows, hasMore=last - first > len(rows))
 
     async def _feed(self, query, body):
@@ -783,7 +781,7 @@
         self.gangs = {}
         self.runs = []
         self.listed_s = {}
-        self.taken = set()
+        self.taken_s = {}
         self.unasked = []
         self.alone_ends = []
         self.tasks = []
@@ -918,7 +916,9 @@
             self.listed_s.setdefault((worker.worker_id, end[0]), now_s)
 
     def note_taken(self, worker, ends):
-        self.taken.update((worker.worker_id, end[0]) for end in ends)
+        now_s = time.monotonic()
+        for end in ends:
+            self.taken_s.setdefault((worker.worker_id, end[0]), now_s)
 
     def note_unasked(self, worker, task):
         self.unasked.append(task)
@@ -1036,12 +1036,13 @@
             task.split(".")[0] == job.job_id for worker in self.workers for task in worker.running
         )
 
-    def untaken_ends(self, listed_before_s):
-        """Return the ends that were listed before an instant and are not taken note of."""
+    def late_ends(self, limit_s):
+        """Return the ends that were not taken note of within a time after they were listed."""
+        now_s = time.monotonic()
         return [
             key
             for key, listed_s in self.listed_s.items()
-            if listed_s < listed_before_s and key not in self.taken
+            if self.taken_s.get(key, now_s) - listed_s > limit_s
         ]
 
     def stop(self):
