--- a/laburnumswitch/dispatch_metrics.py
+++ b/laburnumswitch/dispatch_metrics.py
@@ -80,6 +80,14 @@
     gauges: dict[str, tuple[str, Callable[[Dispatcher], float]]] = {
         "waiting_steps": ("Steps with tasks to start.", lambda d: len(d.ready_step_by_key)),
         "jobs": ("Jobs known.", lambda d: len(d.jobs_by_id)),
+        "parked_jobs": (
+            "Stored jobs that are not loaded for want of memory.",
+            lambda d: len(d.parked_jobs.by_id),
+        ),
+        "job_bytes": (
+            "Estimated memory of the jobs known, in bytes.",
+            lambda d: d.job_memory.used_bytes,
+        ),
         "workers": ("Workers known.", lambda d: len(d.workers_by_id)),
         "starts": ("Starts sent by this owner.", lambda d: d.counters.starts),
         "refused_starts": ("Starts refused.", lambda d: d.counters.refused_starts),
--- a/laburnumswitch/process/dispatch/admission.py
+++ b/laburnumswitch/process/dispatch/admission.py
@@ -5,7 +5,8 @@
 or leave nothing for urgent tasks, some accepted work cannot be served whatever is started first.
 Such a job is rejected before it is stored, with the time after which there is probably room.
 
-This handles callers who ask for more long-running tasks over the day than end. What an organisation
+This handles callers who ask for more long-running tasks over the day than end, and jobs that
+together take more memory than the owner has, see ``job_memory``. What an organisation
 may have waiting is decided in ``organisation_admission``.
 """
 
@@ -16,6 +17,7 @@
 from laburnumswitch.process.dispatch.commitment import retry_after
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
 from laburnumswitch.process.dispatch.fleet import Worker
+from laburnumswitch.process.dispatch.job_memory import NO_MEMORY
 from laburnumswitch.process.dispatch.organisation_admission import AdmittedJob
 from laburnumswitch.process.dispatch.organisation_admission import judge
 from laburnumswitch.process.dispatch.organisation_admission import WaitingWork
@@ -47,9 +49,11 @@
         job_id in dispatcher.admissions.admitted_by_id
         or job_id in dispatcher.organisation_admissions.admitted_by_id
     )
-    if dispatcher.knows_job(job_id) or was_admitted:
+    if dispatcher.knows_job(job_id) or dispatcher.parked_jobs.holds(job_id) or was_admitted:
         return ADMITTED
-    rejection = _reject_for_organisation(dispatcher, request)
+    rejection = _reject_for_organisation(dispatcher, request) or _reject_for_memory(
+        dispatcher, request
+    )
     if rejection is not None:
         return rejection
     answer = _admit_lasting(dispatcher, request) if request.cpu_millis else ADMITTED
@@ -98,6 +102,31 @@
     return AdmissionAnswer(retry_after_s, str(judgement.cause))
 
 
+def _reject_for_memory(dispatcher: Dispatcher, request: AdmissionRequest) -> AdmissionAnswer | None:
+    """Reject a job that would take more memory than the owner has for jobs."""
+    if not request.job_bytes:
+        return None
+    memory, now_s = dispatcher.job_memory, dispatcher.context.clock()
+    excess = memory.reserve(request.job_id, request.job_bytes, now_s, now_s + ADMISSION_S)
+    if not excess:
+        return None
+    freed_per_s = memory.freed_per_s(now_s)
+    answer = AdmissionAnswer(retry_after(excess, freed_per_s), NO_MEMORY)
+    dispatcher.counters.rejected_jobs += 1
+    dispatcher.context.log.note(
+        "job_rejected",
+        request.job_id,
+        queue=request.queue,
+        cause=NO_MEMORY,
+        job_bytes=request.job_bytes,
+        used_bytes=memory.used_bytes,
+        limit_bytes=memory.limit_bytes,
+        freed_bytes_per_s=round(freed_per_s),
+        retry_after_s=answer.retry_after_s,
+    )
+    return answer
+
+
 def _note_admitted(dispatcher: Dispatcher, request: AdmissionRequest) -> None:
     queue = dispatcher.context.operations.queue(request.queue)
     if queue is not None:
--- a/laburnumswitch/process/dispatch/advice.py
+++ b/laburnumswitch/process/dispatch/advice.py
@@ -20,6 +20,7 @@
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.job_spec import Queue
 from laburnumswitch.process.dispatch.jobs import ReadyStep
+from laburnumswitch.process.dispatch.step_state import StepKey
 from laburnumswitch.process.dispatch.tickets import Tickets
 
 # Maximum number of workers in one call, which takes some milliseconds for each of them.
@@ -52,12 +53,11 @@
 MIN_PERMITTED_SHARE = 0.1
 
 # Job id, occurrence, and index of the step.
-StepKey = tuple[str, int, int]
 
 
 def step_key(ready: ReadyStep) -> StepKey:
     """Return the job id, occurrence and index of a ready step."""
-    return ready.step_state.tasks[0].key[:3]
+    return ready.step_state.key
 
 
 class _Known(NamedTuple):
@@ -211,6 +211,11 @@
             for step_key in [each for each in by_step if each[0] == job_id]:
                 del by_step[step_key]
 
+    def forget_step(self, step_key: StepKey) -> None:
+        """Forget what is known for a step of an occurrence that has ended."""
+        self._known_by_step.pop(step_key, None)
+        self._calls_by_step.pop(step_key, None)
+
     def _askable(self, step_key: StepKey, workers: list[Worker], now_s: float) -> list[Worker]:
         """Return the workers about which to ask, in order.
 
--- a/laburnumswitch/process/dispatch/advice_calls.py
+++ b/laburnumswitch/process/dispatch/advice_calls.py
@@ -38,7 +38,7 @@
     context = dispatcher.context
     ready = call.request.ready
     worker_ids = tuple(call.incarnation_by_worker)
-    arguments = (ready.step_state.tasks[0].key, worker_ids, call.timeout_s)
+    arguments = (ready.step_state.task_key(0), worker_ids, call.timeout_s)
     sent_s = context.clock()
     answer = dispatcher.call_remote("advice", context.ask_advice, *arguments)
     now_s = context.clock()
--- a/laburnumswitch/process/dispatch/availability.py
+++ b/laburnumswitch/process/dispatch/availability.py
@@ -1,8 +1,8 @@
 """How many tasks of a long-running step are at work, which limits what the owner may stop."""
 
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
-from laburnumswitch.process.dispatch.jobs import StepState
-from laburnumswitch.process.dispatch.jobs import Task
+from laburnumswitch.process.dispatch.step_state import StepState
+from laburnumswitch.process.dispatch.step_state import Task
 
 # Progress of a long-running task that is at work, in percent.
 AT_WORK_PERCENT = 100.0
@@ -10,7 +10,8 @@
 
 def unavailable_count(dispatcher: Dispatcher, step_state: StepState) -> int:
     """Return the number of tasks of a long-running step that are not at work."""
-    return sum(1 for task in step_state.tasks if not is_at_work(dispatcher, task))
+    at_work = sum(is_at_work(dispatcher, task) for task in step_state.known_tasks())
+    return step_state.step.count - at_work
 
 
 def is_at_work(dispatcher: Dispatcher, task: Task) -> bool:
--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -34,7 +34,6 @@
 from laburnumswitch.process.dispatch.crashes import is_excusable
 from laburnumswitch.process.dispatch.crashes import is_to_blame
 from laburnumswitch.process.dispatch.crashes import SURVIVAL_S
-from laburnumswitch.process.dispatch.down_time import note_ready
 from laburnumswitch.process.dispatch.fleet import ActiveRun
 from laburnumswitch.process.dispatch.fleet import describe_run
 from laburnumswitch.process.dispatch.fleet import FENCES_PER_EPOCH
@@ -47,6 +46,8 @@
 from laburnumswitch.process.dispatch.handover import WorkerHandover
 from laburnumswitch.process.dispatch.handover import write_handover
 from laburnumswitch.process.dispatch.headroom import Headroom
+from laburnumswitch.process.dispatch.job_memory import JobMemory
+from laburnumswitch.process.dispatch.job_memory import submission_bytes
 from laburnumswitch.process.dispatch.job_spec import Queue
 from laburnumswitch.process.dispatch.job_spec import Submission
 from laburnumswitch.process.dispatch.job_spec import TaskKey
@@ -54,11 +55,10 @@
 from laburnumswitch.process.dispatch.jobs import Job
 from laburnumswitch.process.dispatch.jobs import JobSource
 from laburnumswitch.process.dispatch.jobs import JobState
-from laburnumswitch.process.dispatch.jobs import ReadyStep
 from laburnumswitch.process.dispatch.jobs import step_work
-from laburnumswitch.process.dispatch.jobs import Task
 from laburnumswitch.process.dispatch.late_jobs import LateJobs
 from laburnumswitch.process.dispatch.leaving import await_stopped_runs
+from laburnumswitch.process.dispatch.occurrences import Occurrence
 from laburnumswitch.process.dispatch.opportunity import Demand
 from laburnumswitch.process.dispatch.organisation_admission import OrganisationAdmissions
 from laburnumswitch.process.dispatch.organisation_jobs import OrganisationJobs
@@ -69,9 +69,13 @@
 from laburnumswitch.process.dispatch.orphans import OrphanEnd
 from laburnumswitch.process.dispatch.orphans import OrphanRun
 from laburnumswitch.process.dispatch.orphans import take_expired_ends
+from laburnumswitch.process.dispatch.parked_jobs import ParkedJobs
 from laburnumswitch.process.dispatch.place_wait import PlaceWaits
 from laburnumswitch.process.dispatch.placements import Placements
+from laburnumswitch.process.dispatch.progress import Progress
+from laburnumswitch.process.dispatch.progress import restore_progress
 from laburnumswitch.process.dispatch.quota_gate import QuotaGate
+from laburnumswitch.process.dispatch.ready_steps import ReadySteps
 from laburnumswitch.process.dispatch.recorder import Recorder
 from laburnumswitch.process.dispatch.removed_jobs import RemovedJobs
 from laburnumswitch.process.dispatch.run_ends import accepts_end
@@ -81,6 +85,8 @@
 from laburnumswitch.process.dispatch.run_ends import may_adopt
 from laburnumswitch.process.dispatch.silences import Silences
 from laburnumswitch.process.dispatch.start_delays import StartDelays
+from laburnumswitch.process.dispatch.step_state import NO_RUNS
+from laburnumswitch.process.dispatch.step_state import Task
 from laburnumswitch.process.dispatch.tails import TailLatencyModel
 from laburnumswitch.process.dispatch.tickets import Tickets
 from laburnumswitch.process.dispatch.vm_list import ListVms
@@ -180,6 +186,8 @@
         self.began_s = context.clock()
         self.store_time = StoreTime(context.table, context.clock, context.boot_clock)
         self.jobs_by_id: dict[str, Job] = {}
+        self.job_memory = JobMemory(context.deployment.memory_mb)
+        self.parked_jobs = ParkedJobs(self.job_memory, recorder, context.log)
         self.final_by_id: dict[str, JobState] = {}
         self.ended_s_by_id: dict[str, float] = {}
         self.removed_jobs = RemovedJobs()
@@ -188,7 +196,8 @@
         self.ignored_entry_by_id: dict[str, str] = {}
         # Highest fencing token sent to each dropped worker, which may start again under its id.
         self.fence_by_dropped_id: dict[str, int] = {}
-        self.ready_step_by_key: dict[tuple[str, int, int], ReadyStep] = {}
+        self.ready_steps = ReadySteps()
+        self.ready_step_by_key = self.ready_steps.by_key
         # Keys of ready steps that found no room in planning passes that were cut short, and ids of
         # the workers that these passes kept for large urgent tasks.
         self.skipped_steps: set[tuple[str, int, int]] = set()
@@ -370,19 +379,34 @@
 
     # Jobs
 
-    def add_job(self, submission: Submission, source: JobSource = JobSource.NOTIFIED) -> Job | None:
-        """Add a stored job and return it, or ``None`` if it is known or was removed."""
-        if self.knows_job(submission.job_id):
+    def add_job(
+        self,
+        submission: Submission,
+        source: JobSource = JobSource.NOTIFIED,
+        progress: Progress | None = None,
+    ) -> Job | None:
+        """Add a stored job and return it, or ``None`` if it is known, was removed or is parked.
+
+        :param progress: what is stored of its progress, if anything.
+        """
+        if self.knows_job(submission.job_id) or self.parked_jobs.holds(submission.job_id):
             return None
         if self.removed_jobs.holds(submission.job_id):
             self.context.log.note("removed_job_ignored", submission.job_id, source=source)
             return None
-        may_have_unknown_runs = source is JobSource.LOADED or (
+        if self.parked_jobs.park(submission, source):
+            if self.cancelled_s_by_id.pop(submission.job_id, None) is not None:
+                self.cancel_job(submission.job_id)
+            return None
+        may_have_unknown_runs = source in (JobSource.LOADED, JobSource.PARKED) or (
             self.late_jobs.may_be_started and not self.settled
         )
         job = Job(submission, may_have_unknown_runs, self.placements.note_change)
         job.source, job.taken_s = source, self.context.clock()
+        if progress is not None:
+            restore_progress(job, progress)
         self.jobs_by_id[job.job_id] = job
+        self.job_memory.note(job.job_id, submission_bytes(submission))
         self._note_organisation(job)
         mean = self.mean_work_by_queue.get(submission.queue, job.work)
         self.mean_work_by_queue[submission.queue] = mean + MEAN_WORK_WEIGHT * (job.work - mean)
@@ -419,6 +443,9 @@
         """Cancel a job at its caller's request."""
         job = self.jobs_by_id.get(job_id)
         if job is None:
+            if self.parked_jobs.cancel(job_id):
+                self.note_final(job_id, JobState.CANCELLED)
+                return
             # The submission may arrive after its cancellation.
             self.cancelled_s_by_id[job_id] = self.context.clock()
             return
@@ -437,7 +464,7 @@
             reason=reason,
             queue=job.submission.queue,
             age_s=round(age_s, 3),
-            critical_path_s=round(max(job.critical_paths_s), 3),
+            critical_path_s=round(job.critical_path_s, 3),
             steps=describe_steps(job, self.context.clock() - age_s),
         )
         self.recorder.queue_job(job)
@@ -462,11 +489,15 @@
         if job.is_final() and not job.is_running():
             self.note_final(job.job_id, job.state)
             self.placements.remove_job(job.job_id)
-            self.model.forget_steps(
-                (job.job_id, occurrence.number, index)
-                for occurrence in job.occurrences
-                for index in range(len(occurrence.steps))
-            )
+            self._forget_steps(job.occurrences)
+
+    def _forget_steps(self, occurrences: Iterable[Occurrence]) -> None:
+        """Forget what is known by step of occurrences that have ended."""
+        for occurrence in occurrences:
+            keys = [step_state.key for step_state in occurrence.steps]
+            self.model.forget_steps(keys)
+            for key in keys:
+                self.advice.forget_step(key)
 
     def note_final(self, job_id: str, state: JobState) -> None:
         """Keep the final state of a job until its rows are removed."""
@@ -477,14 +508,15 @@
         """Return the state to report to callers: a final state only once it is stored."""
         job = self.jobs_by_id.get(job_id)
         if job is None:
-            return self.final_by_id.get(job_id)
+            is_parked = self.parked_jobs.holds(job_id)
+            return JobState.QUEUED if is_parked else self.final_by_id.get(job_id)
         if job.is_final() and not job.is_stored and job.state is not JobState.CANCELLED:
             return JobState.RUNNING
         return job.state
 
     def pending_by_queue(self) -> dict[str, int]:
         """Return the number of jobs of each queue of which no task is known to have started."""
-        pending: dict[str, int] = {}
+        pending = self.parked_jobs.count_by_queue()
         for job in self.jobs_by_id.values():
             if not job.has_begun and not job.is_final():
                 pending[job.submission.queue] = pending.get(job.submission.queue, 0) + 1
@@ -497,19 +529,21 @@
     def refresh_ready_steps(self, job: Job) -> None:
         """Update the ready steps of one job and wake the planner."""
         now_s, wall_s = self.context.clock(), self.context.wall_clock()
-        for occurrence in job.occurrences:
-            ready_steps = () if job.is_final() else tuple(occurrence.ready_steps())
-            for index, step_state in enumerate(occurrence.steps):
-                key = (job.job_id, occurrence.number, index)
-                if step_state in ready_steps:
-                    if key not in self.ready_step_by_key:
-                        ready = ReadyStep(job, occurrence, step_state)
-                        note_ready(ready, self.is_loaded.is_set(), now_s, wall_s)
-                        self.ready_step_by_key[key] = ready
-                else:
-                    self.ready_step_by_key.pop(key, None)
+        has_room = self.job_memory.admits_occurrences(len(self.ready_step_by_key))
+        dropped = self.ready_steps.refresh(job, self.is_loaded.is_set(), has_room, now_s, wall_s)
+        self._forget_steps(dropped)
+        if job.submission.occurrences and not job.is_final():
+            job_bytes = submission_bytes(job.submission, len(job.occurrences))
+            self.job_memory.note(job.job_id, job_bytes)
         self.wake.set()
 
+    def make_due_occurrences(self) -> None:
+        """Make the occurrences that have come due, of all jobs."""
+        for job_id in self.ready_steps.due_jobs.take_due(self.context.wall_clock()):
+            job = self.jobs_by_id.get(job_id)
+            if job is not None and not job.is_final():
+                self.refresh_ready_steps(job)
+
     # Runs
 
     def next_run(self, task: Task) -> int:
@@ -575,10 +609,12 @@
 
     def note_orphan(self, worker: Worker, report: RunReport) -> bool:
         """Note a run of an unknown job, and return whether to keep waiting for the job."""
+        self.parked_jobs.note_reported(report.task.job_id)
         orphan = OrphanRun(worker, report, self.context.clock())
         known = choose_orphan(self.orphan_by_task.get(report.task), orphan)
         self.orphan_by_task[report.task] = known
-        return orphan.seen_s - known.seen_s < ORPHAN_WAIT_S
+        is_parked = self.parked_jobs.holds(report.task.job_id)
+        return is_parked or orphan.seen_s - known.seen_s < ORPHAN_WAIT_S
 
     def _adopt_orphans(self, job: Job) -> None:
         orphans = [key for key in self.orphan_by_task if key.job_id == job.job_id]
@@ -672,7 +708,7 @@
 
     def _count_crash(self, worker: Worker, job: Job, task: Task, run: ActiveRun) -> None:
         """Count a crash for a task, and fail its job if the task is to blame."""
-        task.crashed_runs.add(run.number)
+        task.crashed_runs |= {run.number}
         task.was_always_last_started &= run.crash.was_last_started
         excused_runs = self.crash_window.excused_runs(
             task.key, task.crashed_runs, len(self.workers_by_id)
@@ -702,7 +738,7 @@
         if not run.is_suspect or self.context.clock() - run.first_reported_s < SURVIVAL_S:
             return
         run.is_suspect = False
-        task.crashed_runs.clear()
+        task.crashed_runs = NO_RUNS
         task.was_always_last_started = True
         self.crashed_task_by_key.pop(task.key, None)
         self._queue_crashes(job.job_id)
@@ -731,7 +767,7 @@
         job = self.jobs_by_id.get(crashed.task.job_id)
         task = job and job.task(crashed.task)
         if task:
-            task.crashed_runs = set(crashed.runs)
+            task.crashed_runs = frozenset(crashed.runs)
             task.was_always_last_started = False
             self.crashed_task_by_key[task.key] = task
 
@@ -753,6 +789,7 @@
         if self.knows_job(job_id):
             self.apply_end(worker, end)
             return
+        self.parked_jobs.note_reported(job_id)
         orphan = OrphanEnd(worker, end, self.context.clock())
         self.orphan_ends_by_job_id.setdefault(job_id, []).append(orphan)
         worker.pending_acknowledgements.append((NOT_COMMITTED, end.number))
@@ -760,7 +797,8 @@
     def forget_orphan_ends(self) -> None:
         """Acknowledge ended runs whose jobs have not become known although the feed was read."""
         limit_s = self.submissions_read_s - ORPHAN_WAIT_S
-        for job_id, orphans in take_expired_ends(self.orphan_ends_by_job_id, limit_s):
+        is_awaited = self.parked_jobs.holds
+        for job_id, orphans in take_expired_ends(self.orphan_ends_by_job_id, limit_s, is_awaited):
             self.context.log.note("run_end_unknown", job_id, ends=len(orphans))
             for orphan in orphans:
                 self._apply_orphan_end(orphan)
--- a/laburnumswitch/process/dispatch/down_tasks.py
+++ b/laburnumswitch/process/dispatch/down_tasks.py
@@ -19,13 +19,13 @@
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.job_spec import TaskKey
 from laburnumswitch.process.dispatch.jobs import ReadyStep
-from laburnumswitch.process.dispatch.jobs import Task
 from laburnumswitch.process.dispatch.placements import may_have_unknown_runs
 from laburnumswitch.process.dispatch.planner import is_overdue
 from laburnumswitch.process.dispatch.start_delays import DownCount
 from laburnumswitch.process.dispatch.start_delays import last_sign_s
 from laburnumswitch.process.dispatch.start_delays import StartDelay
 from laburnumswitch.process.dispatch.start_delays import WaitReason
+from laburnumswitch.process.dispatch.step_state import Task
 from laburnumswitch.process.dispatch.waiting import find_wait_reason
 
 # Maximum number of tasks that are explained at a time, those first that have been down for the
@@ -193,12 +193,13 @@
     What they wait for is recorded in the dispatcher's ``start_delays``, also for the metrics.
     """
     now_s = dispatcher.context.clock()
-    candidates = _find_waiting(dispatcher) + _find_possible_runs(dispatcher, now_s)
+    waiting, others = _find_waiting(dispatcher)
+    candidates = waiting + _find_possible_runs(dispatcher, now_s)
     dispatcher.start_delays.forget_others(
         {each.task.key for each in candidates}, lambda key: _find_run(dispatcher, key)
     )
     longest = nsmallest(MAX_EXPLAINED, candidates, key=lambda each: each.delay.down_since_s)
-    others = Counter(each.service for each in candidates)
+    others.update(each.service for each in candidates)
     others.subtract(each.service for each in longest)
     view_by_service: dict[str, _ServiceView] = {}
     down_tasks = []
@@ -252,10 +253,17 @@
     )
 
 
-def _find_waiting(dispatcher: Dispatcher) -> list[_Candidate]:
-    """Return the tasks of ready steps that have no run."""
+def _find_waiting(dispatcher: Dispatcher) -> tuple[list[_Candidate], Counter[str]]:
+    """Return the tasks of ready steps that have no run.
+
+    Of a step whose tasks have never run, all have been down for the same time, so that only as many
+    are returned as are explained.
+
+    :return: also the number of the others by service.
+    """
     wall_s = dispatcher.context.wall_clock()
     candidates = []
+    others: Counter[str] = Counter()
     for ready in dispatcher.ready_step_by_key.values():
         step_state = ready.step_state
         if not step_state.step.long_running:
@@ -264,10 +272,12 @@
             continue
         queue = dispatcher.queue_of(ready.job)
         service = queue.service if queue else ""
-        for task in step_state.waiting():
+        tasks = step_state.longest_waiting(MAX_EXPLAINED)
+        others[service] += step_state.waiting_count() - len(tasks)
+        for task in tasks:
             delay = dispatcher.start_delays.find_waiting(task.key, step_state.ready_since_s)
             candidates.append(_Candidate(delay, service, task, ready, None, None))
-    return candidates
+    return candidates, others
 
 
 def _find_possible_runs(dispatcher: Dispatcher, now_s: float) -> list[_Candidate]:
@@ -398,7 +408,7 @@
         return WaitReason.PLACE
     if step.gang:
         return WaitReason.GANG
-    first_key = ready.step_state.tasks[0].key
+    first_key = ready.step_state.task_key(0)
     if step.max_per_worker:
         fitting = [each for each in fitting if each.count_runs(first_key) < step.max_per_worker]
         if not fitting:
--- a/laburnumswitch/process/dispatch/feeds.py
+++ b/laburnumswitch/process/dispatch/feeds.py
@@ -13,6 +13,7 @@
 from laburnumswitch.process.dispatch.jobs import JobSource
 from laburnumswitch.process.dispatch.progress import CANCELLATIONS_TABLE
 from laburnumswitch.process.dispatch.progress import decode_stored_submission
+from laburnumswitch.process.dispatch.progress import Progress
 from laburnumswitch.process.dispatch.progress import SUBMISSIONS_TABLE
 from laburnumswitch.process.dispatch.worker_protocol import WorkerListing
 from laburnumswitch.process.dispatch.worker_session import run_worker
@@ -214,9 +215,15 @@
 
 
 def apply_submission_row(
-    dispatcher: Dispatcher, row: Row, source: JobSource = JobSource.FEED
+    dispatcher: Dispatcher,
+    row: Row,
+    source: JobSource = JobSource.FEED,
+    progress: Progress | None = None,
 ) -> None:
-    """Add the job in a row of the submissions."""
+    """Add the job in a row of the submissions.
+
+    :param progress: what is stored of its progress, if anything.
+    """
     if row.value is None:
         return
     submission = decode_stored_submission(row.key, row.value)
@@ -224,7 +231,7 @@
         dispatcher.context.log.note("submission_malformed", row.key, reason=submission.reason)
         return
     dispatcher.removed_jobs.note_submission(submission.job_id, row.version)
-    job = dispatcher.add_job(submission, source)
+    job = dispatcher.add_job(submission, source, progress)
     if job is None and source is JobSource.LOADED:
         dispatcher.organisation_usage.note_ended(submission)
 
--- a/laburnumswitch/process/dispatch/gang_places.py
+++ b/laburnumswitch/process/dispatch/gang_places.py
@@ -10,9 +10,9 @@
 from laburnumswitch.process.dispatch.job_spec import Queue
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.jobs import ReadyStep
-from laburnumswitch.process.dispatch.jobs import StepState
-from laburnumswitch.process.dispatch.jobs import Task
 from laburnumswitch.process.dispatch.place_wait import PlaceWaits
+from laburnumswitch.process.dispatch.step_state import StepState
+from laburnumswitch.process.dispatch.step_state import Task
 
 GangPlaces = list[tuple[Task, Worker]]
 
@@ -64,10 +64,12 @@
 def _find_places(step_state: StepState, workers: list[Worker]) -> GangPlaces | None:
     step = step_state.step
     free_slots = {worker.worker_id: worker.free_slots(step) for worker in workers}
-    placed: GangPlaces = []
+    placed: list[Worker] = []
     for worker in sorted(workers, key=lambda each: free_slots[each.worker_id], reverse=True):
         slots = min(free_slots[worker.worker_id], step.max_per_worker or step.count)
         while slots > 0 and len(placed) < step.count:
-            placed.append((step_state.tasks[len(placed)], worker))
+            placed.append(worker)
             slots -= 1
-    return placed if len(placed) == step.count else None
+    if len(placed) < step.count:
+        return None
+    return list(zip(step_state.tasks, placed, strict=True))
--- a/laburnumswitch/process/dispatch/headroom.py
+++ b/laburnumswitch/process/dispatch/headroom.py
@@ -14,7 +14,7 @@
 
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.job_spec import Step
-from laburnumswitch.process.dispatch.jobs import StepState
+from laburnumswitch.process.dispatch.step_state import StepState
 
 # How long a long-running task waits, in seconds, so that urgent tasks can use the capacity. Users
 # expect it to run within three seconds.
--- a/laburnumswitch/process/dispatch/ordering.py
+++ b/laburnumswitch/process/dispatch/ordering.py
@@ -4,11 +4,11 @@
 from typing import NamedTuple
 
 from laburnumswitch.process.dispatch.job_spec import Queue
-from laburnumswitch.process.dispatch.jobs import Occurrence
 from laburnumswitch.process.dispatch.jobs import ReadyStep
 from laburnumswitch.process.dispatch.jobs import step_work
-from laburnumswitch.process.dispatch.jobs import StepState
+from laburnumswitch.process.dispatch.occurrences import Occurrence
 from laburnumswitch.process.dispatch.organisation_share import ShareClass
+from laburnumswitch.process.dispatch.step_state import StepState
 
 # A job that takes longer than this multiple of its target duration has no value any more.
 LATE_FACTOR = 3.0
@@ -86,16 +86,15 @@
     :param now_s: Unix time in seconds.
     """
     job, occurrence, step_state = ready
-    critical_paths = job.critical_paths_s
-    objective_s = queue.stretch * max(critical_paths) + queue.objective_s
-    remaining_s = critical_paths[occurrence.steps.index(step_state)]
+    objective_s = queue.stretch * job.critical_path_s + queue.objective_s
+    remaining_s = job.critical_paths_s[step_state.key[2]]
     return occurrence.due_s + objective_s - remaining_s - now_s, objective_s
 
 
 def remaining_work(occurrence: Occurrence) -> float:
     """Return the estimated core-seconds of the tasks that are not done."""
     return sum(
-        (len(step_state.tasks) - step_state.done_count) * step_work(step_state.step)
+        (step_state.step.count - step_state.done_count) * step_work(step_state.step)
         for step_state in occurrence.steps
     )
 
--- a/laburnumswitch/process/dispatch/organisation_admission.py
+++ b/laburnumswitch/process/dispatch/organisation_admission.py
@@ -261,7 +261,7 @@
     if job.submission.occurrences:
         # Later occurrences wait for their time, not for room.
         return False
-    objective_s = queue.stretch * max(job.critical_paths_s) + queue.objective_s
+    objective_s = queue.stretch * job.critical_path_s + queue.objective_s
     return now_s - job.submission.submitted_s <= LATE_FACTOR * objective_s
 
 
@@ -279,7 +279,7 @@
         if ahead_s is None:
             ahead_s = drain_s(backlog.ahead_of(queue.priority), available)
             wait_s_by_priority[queue.priority] = ahead_s
-        critical_path_s = max(job.critical_paths_s)
+        critical_path_s = job.critical_path_s
         objective_s = queue.stretch * critical_path_s + queue.objective_s
         if ahead_s > BUSY_SHARE * (LATE_FACTOR * objective_s - critical_path_s):
             return True
--- a/laburnumswitch/process/dispatch/organisation_jobs.py
+++ b/laburnumswitch/process/dispatch/organisation_jobs.py
@@ -8,8 +8,8 @@
 from laburnumswitch.process.dispatch.jobs import critical_paths_s
 from laburnumswitch.process.dispatch.jobs import Job
 from laburnumswitch.process.dispatch.jobs import step_estimate_s
-from laburnumswitch.process.dispatch.jobs import StepState
 from laburnumswitch.process.dispatch.quota import task_size
+from laburnumswitch.process.dispatch.step_state import StepState
 from laburnumswitch.size import Size
 from laburnumswitch.size import ZERO
 
--- a/laburnumswitch/process/dispatch/orphans.py
+++ b/laburnumswitch/process/dispatch/orphans.py
@@ -1,5 +1,6 @@
 """Reports of runs whose jobs the owner does not know yet."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from laburnumswitch.process.dispatch.fleet import Worker
@@ -52,13 +53,18 @@
 
 
 def take_expired_ends(
-    ends_by_job_id: dict[str, list[OrphanEnd]], limit_s: float
+    ends_by_job_id: dict[str, list[OrphanEnd]],
+    limit_s: float,
+    is_awaited: Callable[[str], bool] = lambda job_id: False,
 ) -> list[tuple[str, list[OrphanEnd]]]:
-    """Remove and return the ends, by job, that were all first reported before an instant."""
+    """Remove and return the ends, by job, that were all first reported before an instant.
+
+    :param is_awaited: whether a job is known to be stored, so that its ends are kept.
+    """
     expired = [
         (job_id, ends)
         for job_id, ends in ends_by_job_id.items()
-        if all(end.seen_s < limit_s for end in ends)
+        if all(end.seen_s < limit_s for end in ends) and not is_awaited(job_id)
     ]
     for job_id, _ in expired:
         del ends_by_job_id[job_id]
--- a/laburnumswitch/process/dispatch/place_wait.py
+++ b/laburnumswitch/process/dispatch/place_wait.py
@@ -23,7 +23,6 @@
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.jobs import ReadyStep
 from laburnumswitch.process.dispatch.jobs import step_estimate_s
-from laburnumswitch.process.dispatch.jobs import StepState
 from laburnumswitch.process.dispatch.ordering import job_slack
 from laburnumswitch.process.dispatch.ordering import LATE_FACTOR
 from laburnumswitch.process.dispatch.ordering import Tier
@@ -32,6 +31,8 @@
 from laburnumswitch.process.dispatch.place_supply import rounded_size
 from laburnumswitch.process.dispatch.place_supply import RunTiming
 from laburnumswitch.process.dispatch.placing import is_far_from_data
+from laburnumswitch.process.dispatch.step_state import StepKey
+from laburnumswitch.process.dispatch.step_state import StepState
 from laburnumswitch.process.observing.decisions import DecisionLog
 
 # Longest wait since a step became ready, as a multiple of the time lost elsewhere. Estimates may be
@@ -49,7 +50,6 @@
 MAX_LOGGED_PER_S = 20
 
 # Job id, occurrence, and index of the step.
-StepKey = tuple[str, int, int]
 # Service, rack, and whether the tasks are best-effort ones.
 RackKey = tuple[str, str, bool]
 
@@ -377,7 +377,7 @@
         has_room: bool,
         now_s: float,
     ) -> None:
-        key = ready.step_state.tasks[0].key[:3]
+        key = ready.step_state.key
         wait = self._wait_by_key.get(key)
         if wait is not None:
             wait.is_held = has_room
@@ -406,7 +406,7 @@
 
     def _end(self, ready: ReadyStep, outcome: str, now_s: float) -> None:
         step_state = ready.step_state
-        key = step_state.tasks[0].key[:3]
+        key = step_state.key
         if key in self._wait_by_key:
             self._end_wait(key, outcome, step_state.waiting_count(), now_s)
 
--- a/laburnumswitch/process/dispatch/placements.py
+++ b/laburnumswitch/process/dispatch/placements.py
@@ -41,8 +41,8 @@
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.job_spec import TaskKey
 from laburnumswitch.process.dispatch.jobs import Job
-from laburnumswitch.process.dispatch.jobs import Task
 from laburnumswitch.process.dispatch.recorder import Recorder
+from laburnumswitch.process.dispatch.step_state import Task
 from laburnumswitch.process.rows.store_clock import StoreTime
 from laburnumswitch.process.rows.table import Row
 
@@ -114,12 +114,17 @@
 
     :param to_store_s: converts an instant of the owner's clock to the store's.
     """
-    step_state = job.occurrences[key.occurrence].steps[key.step]
     first = key.part * TASKS_PER_ROW
+    step_state = job.step_state(TaskKey(key.job_id, key.occurrence, key.step, first))
+    if step_state is None:
+        return ()
+    tasks = [
+        task
+        for task in step_state.known_tasks()
+        if row_of(task.key) == key and (task.last_run or task.is_done)
+    ]
     return tuple(
-        _describe(task, to_store_s)
-        for task in step_state.tasks[first : first + TASKS_PER_ROW]
-        if task.last_run or task.is_done
+        _describe(task, to_store_s) for task in sorted(tasks, key=lambda each: each.key.index)
     )
 
 
@@ -213,8 +218,8 @@
         for occurrence in job.occurrences:
             for step_state in occurrence.steps:
                 if step_state.step.long_running:
-                    for task in step_state.tasks[::TASKS_PER_ROW]:
-                        self.note_change(job, task)
+                    for index in range(0, step_state.step.count, TASKS_PER_ROW):
+                        self.note_change(job, step_state.task(index))
 
     def _store_soon(self) -> None:
         if not self._is_storing:
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -1,5 +1,7 @@
 """Planner of the owner: places the tasks of ready steps on workers and starts them."""
 
+from itertools import islice
+
 from laburnumswitch.process.dispatch.advice import step_key
 from laburnumswitch.process.dispatch.advice_calls import call_advice
 from laburnumswitch.process.dispatch.advice_calls import request_advice
@@ -120,6 +122,7 @@
     ``MAX_PASS_S`` the rest is left to the next pass, so that workers are served in between. Steps
     that found no room are skipped until a pass has come to the end, so that none starves.
     """
+    dispatcher.make_due_occurrences()
     now_s = dispatcher.context.wall_clock()
     jobs = () if dispatcher.settled else dispatcher.jobs_by_id.values()
     unknown = unknown_totals(jobs, now_s, dispatcher.placements.knows_runs)
@@ -467,8 +470,8 @@
     startable = dispatcher.quota_gate.startable(ready)
     if limit is not None:
         startable = min(limit, startable)
-    tasks = [each for each in by_down_time(ready.step_state) if not each.crashed_runs]
-    for task in tasks[:startable]:
+    tasks = (each for each in by_down_time(ready.step_state) if not each.crashed_runs)
+    for task in islice(tasks, max(0, startable)):
         choice = ranking.best()
         if choice is None:
             return True
@@ -493,7 +496,7 @@
     Several on one worker could not be told apart after the next crash.
     """
     step = ready.step_state.step
-    for task in [each for each in ready.step_state.waiting() if each.crashed_runs]:
+    for task in [each for each in ready.step_state.known_waiting() if each.crashed_runs]:
         suitable = [
             worker
             for worker in candidates
@@ -516,7 +519,7 @@
 def _allows_another_task(step: Step, worker: Worker, ready: ReadyStep) -> bool:
     if not step.max_per_worker:
         return True
-    return worker.count_runs(ready.step_state.tasks[0].key) < step.max_per_worker
+    return worker.count_runs(ready.step_state.task_key(0)) < step.max_per_worker
 
 
 def _start_gang(
@@ -529,16 +532,17 @@
     """Start all members of a gang together, or none if they do not all fit."""
     if ready.step_state.active_count or not dispatcher.quota_gate.admits(ready):
         return
-    if any(task.crashed_runs for task in ready.step_state.tasks):
+    suspects = [task for task in ready.step_state.known_tasks() if task.crashed_runs]
+    if suspects:
         candidates = [worker for worker in candidates if not worker.has_suspect()]
-        if not all(dispatcher.may_start(task) for task in ready.step_state.tasks):
+        if not all(dispatcher.may_start(task) for task in suspects):
             return
     now_s, wall_s = dispatcher.context.clock(), dispatcher.context.wall_clock()
     placed = choose_gang_places(dispatcher.place_waits, queue, ready, candidates, now_s, wall_s)
     if placed is None:
         return
-    number = max(dispatcher.next_run(task) for task in ready.step_state.tasks)
-    checkpoint = max(task.checkpoint for task in ready.step_state.tasks)
+    number = max(dispatcher.next_run(task) for task, _ in placed)
+    checkpoint = max(task.checkpoint for task, _ in placed)
     for task, _ in placed:
         task.last_run = number - 1
         task.checkpoint = checkpoint
--- a/laburnumswitch/process/dispatch/preemption.py
+++ b/laburnumswitch/process/dispatch/preemption.py
@@ -65,7 +65,7 @@
     limits = _Limits(dispatcher, workers)
     for waiting in waiting_steps:
         step_state = waiting.ready.step_state
-        step, task = step_state.step, step_state.tasks[0].key
+        step, task = step_state.step, step_state.task_key(0)
         missing = waiting.count
         missing -= room.take_some(step, task, missing)
         if missing:
@@ -104,7 +104,7 @@
     def clear(self, waiting: WaitingStep, room: Room, count: int) -> None:
         """Stop runs on the workers where this costs least, for some tasks of a step."""
         step_state = waiting.ready.step_state
-        step, task = step_state.step, step_state.tasks[0].key
+        step, task = step_state.step, step_state.task_key(0)
         clearances = (
             clearance
             for free in room.free
--- a/laburnumswitch/process/dispatch/progress.py
+++ b/laburnumswitch/process/dispatch/progress.py
@@ -15,8 +15,12 @@
 from laburnumswitch.exceptions import RowMalformed
 from laburnumswitch.process.dispatch.job_spec import may_access_job
 from laburnumswitch.process.dispatch.job_spec import Submission
+from laburnumswitch.process.dispatch.job_spec import TaskKey
 from laburnumswitch.process.dispatch.jobs import Job
 from laburnumswitch.process.dispatch.jobs import JobState
+from laburnumswitch.process.dispatch.occurrences import MadeOccurrences
+from laburnumswitch.process.dispatch.step_state import StepState
+from laburnumswitch.process.dispatch.step_state import Task
 from laburnumswitch.process.rows.table import ABSENT_VERSION
 from laburnumswitch.process.rows.table import Committed
 from laburnumswitch.process.rows.table import Condition
@@ -28,6 +32,12 @@
 SUBMISSIONS_TABLE = "submissions"
 PROGRESS_TABLE = "progress"
 CANCELLATIONS_TABLE = "cancellations"
+# Done steps of a schedule are listed up to this estimated number of bytes, a quarter of what a row
+# of the platform's store holds.
+MAX_LISTED_BYTES = 16_384
+# Length of an encoded step, and tasks that take one more byte.
+STEP_PROGRESS_BYTES = 32
+TASKS_PER_BYTE = 4
 
 
 class StepProgress(NamedTuple):
@@ -47,11 +57,15 @@
     """Progress of one job as it is stored.
 
     ``queue`` is stored so that the state of a finished job can be reported without its submission.
+
+    :ivar made: which occurrences of a long schedule are done, ``None`` for other jobs, whose done
+        occurrences are listed in ``steps``.
     """
 
     queue: str
     state: JobState
     steps: list[StepProgress]
+    made: MadeOccurrences | None = None
 
 
 def submission_key(job_id: str) -> str:
@@ -71,40 +85,82 @@
 
 def describe_progress(job: Job) -> Progress:
     """Return the progress of a job for storage."""
-    steps = []
-    if not job.is_final():
-        for occurrence in job.occurrences:
-            for index, step_state in enumerate(occurrence.steps):
-                done = sum(1 << task.key.index for task in step_state.tasks if task.is_done)
-                failed_runs = {
-                    task.key.index: tuple(sorted(task.failed_runs))
-                    for task in step_state.tasks
-                    if task.failed_runs
-                }
-                checkpoints = {
-                    task.key.index: task.checkpoint
-                    for task in step_state.tasks
-                    if task.checkpoint and not task.is_done
-                }
-                if done or failed_runs or checkpoints:
-                    steps.append(
-                        StepProgress(
-                            occurrence.number, index, f"{done:x}", failed_runs, checkpoints
-                        )
-                    )
-    return Progress(job.submission.queue, job.state, steps)
+    if job.is_final():
+        return final_progress(job.submission.queue, job.state)
+    steps = [
+        _describe_step(step_state)
+        for occurrence in job.occurrences
+        for step_state in occurrence.steps
+        if step_state.done_count or any(map(_has_progress, step_state.known_tasks()))
+    ]
+    if not job.submission.occurrences:
+        return Progress(job.submission.queue, job.state, steps)
+    if _is_long_schedule(job.submission):
+        return Progress(job.submission.queue, job.state, steps, job.occurrences.describe_made())
+    done = [
+        StepProgress(number, index, f"{(1 << step.count) - 1:x}", {}, {})
+        for number in job.occurrences.done_numbers()
+        for index, step in enumerate(job.submission.steps)
+    ]
+    return Progress(job.submission.queue, job.state, done + steps)
+
+
+def final_progress(queue: str, state: JobState) -> Progress:
+    """Return the progress of a job that has ended."""
+    return Progress(queue, state, [])
+
+
+def encode_progress(progress: Progress) -> Progress | tuple[Any, ...]:
+    """Return the value of a row with the progress of a job.
+
+    Earlier versions cannot read rows with the field about the occurrences. They list those that are
+    done one by one, which takes more than a row for a long schedule.
+    """
+    return progress[:-1] if progress.made is None else progress
+
+
+def _describe_step(step_state: StepState) -> StepProgress:
+    _, occurrence, index = step_state.key
+    tasks = list(step_state.known_tasks())
+    return StepProgress(
+        occurrence,
+        index,
+        f"{step_state.done_bits():x}",
+        {task.key.index: tuple(sorted(task.failed_runs)) for task in tasks if task.failed_runs},
+        {task.key.index: task.checkpoint for task in tasks if task.checkpoint and not task.is_done},
+    )
+
+
+def _has_progress(task: Task) -> bool:
+    return bool(task.failed_runs or (task.checkpoint and not task.is_done))
+
+
+def _is_long_schedule(submission: Submission) -> bool:
+    """Return whether the list of all done steps could take too much of a row."""
+    listed = sum(STEP_PROGRESS_BYTES + step.count // TASKS_PER_BYTE for step in submission.steps)
+    return submission.occurrences * listed > MAX_LISTED_BYTES
 
 
 def restore_progress(job: Job, progress: Progress) -> None:
-    """Apply stored progress to a job that was just loaded."""
+    """Apply stored progress to a job that was just loaded.
+
+    :raises ValueError: if the job has no such occurrences, steps or tasks.
+    """
+    if progress.made is not None:
+        job.occurrences.restore_made(progress.made)
     for stored in progress.steps:
-        step_state = job.occurrences[stored.occurrence].steps[stored.step]
-        done = int(stored.done, 16)
-        for task in step_state.tasks:
-            task.is_done = bool(done >> task.key.index & 1)
-            task.failed_runs = set(stored.failed_runs_by_index.get(task.key.index, ()))
-            task.checkpoint = stored.checkpoint_by_index.get(task.key.index, "")
-        step_state.done_count = done.bit_count()
+        step_state = job.step_state(TaskKey(job.job_id, stored.occurrence, stored.step, 0))
+        if step_state is None:
+            raise ValueError(f"there is no step {stored.step} of occurrence {stored.occurrence}")
+        step_state.restore_done(int(stored.done, 16))
+        for index in stored.failed_runs_by_index.keys() | stored.checkpoint_by_index.keys():
+            if not 0 <= index < step_state.step.count:
+                raise ValueError(f"there is no task {index} of step {stored.step}")
+            task = step_state.task(index)
+            task.failed_runs = frozenset(stored.failed_runs_by_index.get(index, ()))
+            task.checkpoint = stored.checkpoint_by_index.get(index, "")
+        job.has_begun = True
+    if progress.made is not None and progress.made.below > len(progress.made.undone):
         job.has_begun = True
     job.state = progress.state
 
--- a/laburnumswitch/process/dispatch/quota_gate.py
+++ b/laburnumswitch/process/dispatch/quota_gate.py
@@ -6,13 +6,13 @@
 
 from laburnumswitch.process.dispatch.job_spec import QueueConfiguration
 from laburnumswitch.process.dispatch.jobs import ReadyStep
-from laburnumswitch.process.dispatch.jobs import StepState
 from laburnumswitch.process.dispatch.organisation_usage import OrganisationUsage
 from laburnumswitch.process.dispatch.quota import effective_limit
 from laburnumswitch.process.dispatch.quota import holds_back_others
 from laburnumswitch.process.dispatch.quota import NOTHING_RUNS
 from laburnumswitch.process.dispatch.quota import OrganisationTotal
 from laburnumswitch.process.dispatch.quota import startable_tasks
+from laburnumswitch.process.dispatch.step_state import StepState
 from laburnumswitch.process.observing.decisions import DecisionLog
 from laburnumswitch.size import count_fitting
 from laburnumswitch.size import Size
--- a/laburnumswitch/process/dispatch/recorder.py
+++ b/laburnumswitch/process/dispatch/recorder.py
@@ -16,6 +16,7 @@
 from laburnumswitch.process.dispatch.fleet import MIN_CLOCK_RATE
 from laburnumswitch.process.dispatch.jobs import Job
 from laburnumswitch.process.dispatch.progress import describe_progress
+from laburnumswitch.process.dispatch.progress import encode_progress
 from laburnumswitch.process.dispatch.progress import progress_key
 from laburnumswitch.process.leadership.term import NO_OWNER
 from laburnumswitch.process.leadership.term import read_term
@@ -266,7 +267,7 @@
     ) -> Transaction:
         puts = [Put(TERM_KEY, term)]
         for job in jobs:
-            puts.append(Put(progress_key(job.job_id), describe_progress(job)))
+            puts.append(Put(progress_key(job.job_id), encode_progress(describe_progress(job))))
         puts.extend(Put(key, value) for key, value in values.items())
         condition = Condition(TERM_KEY, self.held_term.version)
         return Transaction((condition,), tuple(puts), removals)
--- a/laburnumswitch/process/dispatch/retention.py
+++ b/laburnumswitch/process/dispatch/retention.py
@@ -5,6 +5,7 @@
 
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
+from laburnumswitch.process.dispatch.job_memory import submission_bytes
 from laburnumswitch.process.dispatch.progress import cancellation_key
 from laburnumswitch.process.dispatch.progress import progress_key
 from laburnumswitch.process.dispatch.progress import submission_key
@@ -13,6 +14,8 @@
 # How long rows are kept after the end of a job, in seconds: five times the two minutes for which
 # callers may query it.
 RETENTION_S = 600.0
+# How long the steps of an ended job are kept, in seconds. Late reports of its runs name them.
+KEPT_STEPS_S = 60.0
 # Interval between two passes, in seconds.
 REMOVAL_INTERVAL_S = 10.0
 # Maximum number of jobs removed in one pass. The largest deployment finishes about 17 jobs per
@@ -26,12 +29,29 @@
     while not dispatcher.is_stopped():
         dispatcher.context.sleep(REMOVAL_INTERVAL_S)
         if dispatcher.may_act():
+            compact_ended_jobs(dispatcher)
             remove_old_jobs(dispatcher)
             dispatcher.removed_jobs.forget(dispatcher.submissions_read_s)
             forget_unknown_jobs(dispatcher)
             forget_unused_queues(dispatcher, unused_since_s)
 
 
+def compact_ended_jobs(dispatcher: Dispatcher) -> None:
+    """Free the memory of the steps of jobs that have ended, whose states are kept."""
+    now_s = dispatcher.context.clock()
+    freed = dispatcher.job_memory.used_bytes
+    for job_id, ended_s in dispatcher.ended_s_by_id.items():
+        job = dispatcher.jobs_by_id.get(job_id)
+        if job is None or not job.submission.steps or ended_s > now_s - KEPT_STEPS_S:
+            continue
+        if job.is_final() and job.is_stored and not job.is_running():
+            job.drop_steps()
+            dispatcher.job_memory.note(job_id, submission_bytes(job.submission))
+    freed -= dispatcher.job_memory.used_bytes
+    if freed > 0:
+        dispatcher.job_memory.note_freed(freed, now_s)
+
+
 def remove_old_jobs(dispatcher: Dispatcher) -> int:
     """Remove the rows of jobs past their retention period, and return the number of jobs."""
     limit_s = dispatcher.context.clock() - RETENTION_S
@@ -46,6 +66,7 @@
             dispatcher.context.log.note("removal_failed", job_id, reason=outcome.describe())
             continue
         dispatcher.recorder.queue_removals((progress_key(job_id),))
+        dispatcher.job_memory.forget(job_id)
         dispatcher.removed_jobs.add(job_id, outcome.version, dispatcher.context.clock())
         dispatcher.jobs_by_id.pop(job_id, None)
         dispatcher.final_by_id.pop(job_id, None)
--- a/laburnumswitch/process/dispatch/run_start.py
+++ b/laburnumswitch/process/dispatch/run_start.py
@@ -22,9 +22,9 @@
 from laburnumswitch.process.dispatch.fleet import ActiveRun
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.jobs import Job
-from laburnumswitch.process.dispatch.jobs import Task
 from laburnumswitch.process.dispatch.run_ends import EndKind
 from laburnumswitch.process.dispatch.run_ends import refuses_start
+from laburnumswitch.process.dispatch.step_state import Task
 from laburnumswitch.process.dispatch.worker_protocol import HELD_UP_REASON
 from laburnumswitch.process.dispatch.worker_protocol import StartCommand
 from laburnumswitch.process.dispatch.worker_session import throttle_new_run
--- a/laburnumswitch/process/dispatch/tails.py
+++ b/laburnumswitch/process/dispatch/tails.py
@@ -21,6 +21,7 @@
 from msgspec import Struct
 
 from laburnumswitch.process.dispatch.job_spec import TaskKey
+from laburnumswitch.process.dispatch.step_state import StepKey
 
 # Tail latency of an idle serving task, as a share of its target.
 IDLE_RATIO = 0.2
@@ -58,8 +59,6 @@
 # An error of more than this many standard deviations is neglected.
 CERTAINTY_STD_DEVS = 4.0
 
-StepKey = tuple[str, int, int]
-
 
 class _Estimate(Struct):
     mean: float
--- a/laburnumswitch/process/dispatch/takeover.py
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -42,6 +42,7 @@
 from laburnumswitch.process.dispatch.model_store import load_parameters
 from laburnumswitch.process.dispatch.model_store import run_learning
 from laburnumswitch.process.dispatch.organisation_update import note_loaded_jobs
+from laburnumswitch.process.dispatch.parked_loading import load_parked_jobs
 from laburnumswitch.process.dispatch.placement_recovery import announce_commands
 from laburnumswitch.process.dispatch.placement_recovery import complete_placements
 from laburnumswitch.process.dispatch.placement_recovery import restore_placements
@@ -52,7 +53,6 @@
 from laburnumswitch.process.dispatch.progress import CANCELLATIONS_TABLE
 from laburnumswitch.process.dispatch.progress import decode_progress
 from laburnumswitch.process.dispatch.progress import PROGRESS_TABLE
-from laburnumswitch.process.dispatch.progress import restore_progress
 from laburnumswitch.process.dispatch.progress import SUBMISSIONS_TABLE
 from laburnumswitch.process.dispatch.queue_store import collect_queues
 from laburnumswitch.process.dispatch.queue_store import QUEUES_TABLE
@@ -160,6 +160,7 @@
     dispatcher.spawn(run_planner, dispatcher)
     dispatcher.spawn(run_relocation, dispatcher)
     dispatcher.spawn(run_retention, dispatcher)
+    dispatcher.spawn(load_parked_jobs, dispatcher)
     dispatcher.spawn(run_queue_store, dispatcher, stored_queues)
     dispatcher.spawn(run_learning, dispatcher)
     dispatcher.spawn(run_load_report, dispatcher)
@@ -195,11 +196,8 @@
         if decoded.state in FINAL_STATES:
             dispatcher.note_final(job_id, decoded.state)
     for row in submissions.rows:
-        apply_submission_row(dispatcher, row, JobSource.LOADED)
-    for job_id, job in dispatcher.jobs_by_id.items():
-        if job_id in progress_by_id:
-            restore_progress(job, progress_by_id[job_id])
-            dispatcher.refresh_ready_steps(job)
+        progress = progress_by_id.get(row.key.partition("/")[2])
+        apply_submission_row(dispatcher, row, JobSource.LOADED, progress)
     for row in cancellations.rows:
         apply_cancellation_row(dispatcher, row)
     return submissions.version
--- a/laburnumswitch/process/leadership/leadership.py
+++ b/laburnumswitch/process/leadership/leadership.py
@@ -172,6 +172,7 @@
         self._is_seeking_owner = False
         self._pending_reported_s = float("-inf")
         self._busy_organisations: frozenset[str] = frozenset()
+        self._is_memory_full = False
         self._busy_reported_s = float("-inf")
 
     def run(self) -> None:
@@ -262,9 +263,10 @@
         """
         return self._context.boot_clock() - self._pending_reported_s <= PENDING_MAX_AGE_S
 
-    def note_busy(self, organisations: tuple[str, ...]) -> None:
-        """Record the organisations that an owner reported as busy."""
+    def note_busy(self, organisations: tuple[str, ...], is_memory_full: bool = False) -> None:
+        """Record the organisations that an owner reported as busy, and whether its memory is."""
         self._busy_organisations = frozenset(organisations)
+        self._is_memory_full = is_memory_full
         self._busy_reported_s = self._context.boot_clock()
 
     def is_busy(self, organisation: str) -> bool:
@@ -272,6 +274,11 @@
         age_s = self._context.boot_clock() - self._busy_reported_s
         return age_s <= BUSY_MAX_AGE_S and organisation in self._busy_organisations
 
+    def is_memory_full(self) -> bool:
+        """Return whether an owner has recently reported that it has little memory for jobs."""
+        age_s = self._context.boot_clock() - self._busy_reported_s
+        return age_s <= BUSY_MAX_AGE_S and self._is_memory_full
+
     def candidates(self) -> tuple[str, ...]:
         """Return the entries that watch this owner, largest first."""
         ranked = [(-cpu_cores, vm_id) for vm_id, cpu_cores in self._cpu_cores_by_watcher().items()]
@@ -452,7 +459,7 @@
             self._is_seeking_owner = False
             self._owner_acted_s = context.clock()
             self._candidates = answer.candidates
-            self.note_busy(answer.busy_organisations)
+            self.note_busy(answer.busy_organisations, answer.is_memory_full)
             self._peer_addresses = answer.peer_addresses[:MAX_PEER_ADDRESSES]
             if answer.knows_jobs:
                 self.note_pending(answer.pending_by_queue)
--- a/laburnumswitch/process/leadership/messages.py
+++ b/laburnumswitch/process/leadership/messages.py
@@ -30,6 +30,8 @@
     :ivar peer_addresses: where such an entry can ask if the owner does not answer any more.
     :ivar ended_epoch: the last epoch under which the answering process sends no more commands, 0
         if there is none. ``None`` from earlier versions.
+    :ivar is_memory_full: whether the owner has little memory left for jobs: entries ask it before
+        they store one. Earlier versions do not send it.
     """
 
     epoch: int
@@ -46,6 +48,7 @@
     known_term: Term = Term()
     peer_addresses: tuple[str, ...] = ()
     ended_epoch: int | None = None
+    is_memory_full: bool = False
 
 
 class ConfigurationState(NamedTuple):
@@ -96,6 +99,8 @@
     :ivar work: resources times estimated seconds of the steps that are not long-running.
     :ivar critical_path_s: estimated duration of the longest chain of steps.
     :ivar widest_gang: largest amount of each resource that a gang uses without one of its members.
+    :ivar job_bytes: memory that the job takes on the owner, 0 if there is certainly enough. Owners
+        of earlier versions do not look at it.
     """
 
     job_id: str
@@ -105,14 +110,16 @@
     work: ResourceSeconds = ResourceSeconds()
     critical_path_s: float = 0.0
     widest_gang: Size = ZERO
+    job_bytes: int = 0
 
 
 class AdmissionAnswer(NamedTuple):
     """Whether the owner admits a job.
 
     :ivar retry_after_s: 0 if it does; else after how many whole seconds there is probably room.
-    :ivar reason: why it does not admit a job of an organisation, one of ``Cause``; empty if it
-        does, or if there is no room for the long-running steps.
+    :ivar reason: why it does not admit a job of an organisation, one of ``Cause``, or
+        ``job_memory.NO_MEMORY``; empty if it does, or if there is no room for the long-running
+        steps.
     """
 
     retry_after_s: int
--- a/laburnumswitch/process/leadership/owner_link.py
+++ b/laburnumswitch/process/leadership/owner_link.py
@@ -48,6 +48,13 @@
             return organisation in dispatcher.organisation_admissions.busy
         return self._leadership.is_busy(organisation)
 
+    def is_memory_full(self) -> bool:
+        """Return whether the owner has little memory left for jobs."""
+        dispatcher = self._leadership.dispatcher
+        if dispatcher is not None:
+            return dispatcher.job_memory.is_full()
+        return self._leadership.is_memory_full()
+
     def notify_submitted(self, submission: Submission) -> None:
         """Notify the owner of a stored job, without waiting."""
         dispatcher = self._leadership.dispatcher
--- a/laburnumswitch/process/leadership/peer_api.py
+++ b/laburnumswitch/process/leadership/peer_api.py
@@ -16,6 +16,8 @@
 from laburnumswitch.exceptions import Refused
 from laburnumswitch.process.dispatch.admission import admit
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
+from laburnumswitch.process.dispatch.job_memory import NO_MEMORY
+from laburnumswitch.process.dispatch.job_memory import submission_bytes
 from laburnumswitch.process.dispatch.job_size import find_excess
 from laburnumswitch.process.dispatch.job_spec import may_access_job
 from laburnumswitch.process.dispatch.job_spec import Submission
@@ -239,6 +241,9 @@
         excess = find_excess(submission.steps)
         if excess is not None:
             return reject(400, excess)
+        is_known = dispatcher.knows_job(submission.job_id)
+        if not is_known and not dispatcher.job_memory.admits(submission_bytes(submission)):
+            return reject(503, NO_MEMORY)
         outcome = store_submission(dispatcher.context.table, submission)
         if outcome is not None:
             is_other = isinstance(outcome, OtherOrganisation)
@@ -354,4 +359,5 @@
         dispatcher.is_loaded.is_set(),
         busy_organisations=dispatcher.organisation_admissions.busy,
         peer_addresses=leadership.peer_addresses(),
+        is_memory_full=dispatcher.job_memory.is_full(),
     )
--- a/laburnumswitch/request/job_api.py
+++ b/laburnumswitch/request/job_api.py
@@ -19,6 +19,9 @@
 from laburnumswitch.exceptions import OtherOrganisation
 from laburnumswitch.exceptions import RowMalformed
 from laburnumswitch.process.dispatch.commitment import committed_cpu_millis
+from laburnumswitch.process.dispatch.job_memory import is_large
+from laburnumswitch.process.dispatch.job_memory import NO_MEMORY
+from laburnumswitch.process.dispatch.job_memory import submission_bytes
 from laburnumswitch.process.dispatch.job_spec import may_access_job
 from laburnumswitch.process.dispatch.job_spec import Queue
 from laburnumswitch.process.dispatch.job_spec import Submission
@@ -87,6 +90,9 @@
     def is_busy(self, organisation: str) -> bool:
         """Return whether the owner has to be asked about the jobs of an organisation."""
 
+    def is_memory_full(self) -> bool:
+        """Return whether the owner has little memory left for jobs."""
+
     def notify_submitted(self, submission: Submission) -> None:
         """Notify the owner of a stored job, without waiting."""
 
@@ -346,8 +352,8 @@
 def _reject(context: JobApiContext, queue: Queue, submission: Submission) -> JobReply | None:
     """Return the answer to a job that has no room, ``None`` if it may run.
 
-    Without an answer of the owner the job is accepted. An earlier attempt may have stored it: then
-    it runs, and is not rejected.
+    Without an answer of the owner the job is accepted, unless it may take more memory than the
+    owner has. An earlier attempt may have stored it: then it runs, and is not rejected.
     """
     request = _admission_request(context, queue, submission)
     if request is None:
@@ -355,7 +361,9 @@
     answer = context.owner.admit(request)
     if isinstance(answer, Failure):
         context.log.note("admission_unknown", submission.job_id, reason=answer.describe())
-        return None
+        if not request.job_bytes:
+            return None
+        answer = AdmissionAnswer(OWNER_RETRY_AFTER_S, NO_MEMORY)
     # An owner of the previous version knows no quotas, and judges every job as one that lasts.
     if not answer.retry_after_s or not (answer.reason or request.cpu_millis):
         return None
@@ -366,7 +374,8 @@
         return None
     if _exists(rows[key]):
         return None
-    return JobReply(429 if answer.reason else 503, retry_after_s=answer.retry_after_s)
+    is_over_quota = answer.reason not in ("", NO_MEMORY)
+    return JobReply(429 if is_over_quota else 503, retry_after_s=answer.retry_after_s)
 
 
 def _admission_request(
@@ -374,20 +383,23 @@
 ) -> AdmissionRequest | None:
     """Return what to ask the owner about a job, ``None`` if it is certainly admitted.
 
-    Asked about are jobs that last, jobs of busy organisations, and those that alone may be too
-    large for the limit of their organisation.
+    Asked about are jobs that last, jobs of busy organisations, those that alone may be too large
+    for the limit of their organisation, and those for which the owner may have no memory.
     """
     cpu_millis = committed_cpu_millis(submission.steps)
-    lasting = AdmissionRequest(submission.job_id, submission.queue, cpu_millis)
+    job_bytes = submission_bytes(submission)
+    if not (is_large(job_bytes) or context.owner.is_memory_full()):
+        job_bytes = 0
+    lasting = AdmissionRequest(submission.job_id, submission.queue, cpu_millis, job_bytes=job_bytes)
     organisation = context.operations.organisations_by_name.get(submission.organisation)
     if organisation is None:
-        return lasting if cpu_millis else None
+        return lasting if cpu_millis or job_bytes else None
     demand = demand_of(submission.steps)
     is_judged = context.owner.is_busy(organisation.name) or needs_judgement(
         demand, queue, organisation.limit
     )
     if not is_judged or not any(organisation.limit):
-        return lasting if cpu_millis else None
+        return lasting if cpu_millis or job_bytes else None
     return lasting._replace(organisation=organisation.name, **demand._asdict())
 
 
--- a/tests/process/dispatch/test_decisions.py
+++ b/tests/process/dispatch/test_decisions.py
@@ -25,7 +25,6 @@
 from laburnumswitch.process.dispatch.job_spec import TaskKey
 from laburnumswitch.process.dispatch.jobs import Job
 from laburnumswitch.process.dispatch.jobs import ReadyStep
-from laburnumswitch.process.dispatch.jobs import StepState
 from laburnumswitch.process.dispatch.ordering import order_key
 from laburnumswitch.process.dispatch.ordering import Tier
 from laburnumswitch.process.dispatch.placing import INTERFERENCE_LIMIT
@@ -34,6 +33,7 @@
 from laburnumswitch.process.dispatch.placing import Ranking
 from laburnumswitch.process.dispatch.placing import workers_to_rank
 from laburnumswitch.process.dispatch.relocation import choose_moves
+from laburnumswitch.process.dispatch.step_state import StepState
 from laburnumswitch.process.dispatch.tails import exceedance_probability
 from laburnumswitch.process.dispatch.tails import IDLE_RATIO
 from laburnumswitch.process.dispatch.tails import PRIOR_LOAD
--- a/tests/process/dispatch/test_organisation_usage.py
+++ b/tests/process/dispatch/test_organisation_usage.py
@@ -152,7 +152,9 @@
 
     def test_occurrences_that_are_not_due_do_not_count(self):
         submission = Submission("j1", "orders", "s", (LONG,), 0.0, 1000, 0.0, 60.0, "a")
-        totals = unknown_totals([Job(submission, True)], 70.0)
+        job = Job(submission, True)
+        job.occurrences.make_due(70.0, has_room=True)
+        totals = unknown_totals([job], 70.0)
         self.assertThat(totals, Equals({"a": NOTHING_RUNS.plus_tasks(LONG, 2)}))
 
 
--- a/tests/process/dispatch/test_quota_gate.py
+++ b/tests/process/dispatch/test_quota_gate.py
@@ -69,7 +69,7 @@
         job = self.owner.add_job(Submission("j", "orders", "", (TASK,), 0.0, organisation="a"))
         self.replay._duration_by_job["j"] = ()
         for task in job.occurrences[0].steps[0].tasks:
-            task.crashed_runs.add(1)
+            task.crashed_runs |= {1}
         self.replay.replay([], 0.1)
         self.assertThat(self.total().runs, Equals(3))
 
--- a/tests/process/leadership/test_peer_api.py
+++ b/tests/process/leadership/test_peer_api.py
@@ -17,6 +17,7 @@
 from laburnumswitch.exceptions import Unavailable
 from laburnumswitch.process.dispatch.admission import FLEET_COMPLETE_S
 from laburnumswitch.process.dispatch.commitment import UNKNOWN_RETRY_AFTER_S
+from laburnumswitch.process.dispatch.job_memory import JobMemory
 from laburnumswitch.process.dispatch.job_spec import Organisation
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.job_spec import Submission
@@ -36,6 +37,7 @@
 from laburnumswitch.process.operating.admin import AdminRequest
 from laburnumswitch.process.operating.operations import Operations
 from laburnumswitch.size import Size
+from tests.process.dispatch.harness import DEPLOYMENT
 from tests.process.dispatch.harness import DispatchHarness
 from tests.process.dispatch.harness import make_submission
 from tests.process.dispatch.harness import QUEUE
@@ -55,6 +57,7 @@
         self.pending = {}
         self.recorder = SimpleNamespace(since_last_commit_s=lambda: 0.1)
         self.organisation_admissions = OrganisationAdmissions()
+        self.job_memory = JobMemory(DEPLOYMENT.memory_mb)
 
     def is_stopped(self):
         return self.stopped.is_set()
@@ -131,6 +134,14 @@
         fields = decode(self._watch(0.0))
         self.assertThat(WatchAnswer(*fields[:7]).busy_organisations, Equals(()))
 
+    def test_answer_says_whether_the_memory_for_jobs_is_nearly_full(self):
+        for share, is_full in ((0.5, False), (0.95, True)):
+            memory = self.dispatcher.job_memory
+            memory.note("j1", int(share * memory.limit_bytes))
+            answer = WatchAnswer(*decode(self._watch(0.0)))
+            self.assertThat(answer.is_memory_full, Equals(is_full))
+        self.assertThat(WatchAnswer(*decode(self._watch(0.0))[:7]).is_memory_full, Equals(False))
+
     def test_answer_of_the_previous_version_counts_as_known(self):
         self.dispatcher.is_loaded.set()
         fields = decode(self._watch(0.0))
@@ -149,7 +160,8 @@
     def test_answer_of_the_previous_version_does_not_say_which_term_has_ended(self):
         fields = decode(self._watch(0.0))
         self.assertThat(WatchAnswer(*fields).ended_epoch, Equals(6))
-        self.assertThat(WatchAnswer(*fields[:-1]).ended_epoch, Is(None))
+        earlier = fields[: WatchAnswer._fields.index("ended_epoch")]
+        self.assertThat(WatchAnswer(*earlier).ended_epoch, Is(None))
 
 
 class TestOwnership(TestCase):
--- a/tests/request/test_job_api.py
+++ b/tests/request/test_job_api.py
@@ -12,6 +12,8 @@
 from laburnumswitch.platform.callers import decode_submission
 from laburnumswitch.platform.callers import encode_pending
 from laburnumswitch.platform.callers import encode_state
+from laburnumswitch.process.dispatch.job_memory import LARGE_JOB_BYTES
+from laburnumswitch.process.dispatch.job_memory import NO_MEMORY
 from laburnumswitch.process.dispatch.job_spec import Limits
 from laburnumswitch.process.dispatch.job_spec import Organisation
 from laburnumswitch.process.dispatch.job_spec import QueueConfiguration
@@ -48,6 +50,8 @@
 BODY = b'{"spec":"x","steps":[{"count":1}]}'
 LASTING_BODY = b'{"spec":"x","steps":[{"count":3,"cpu":2000,"longRunning":true}]}'
 
+LARGE_BODY = b'{"spec":"x","steps":[' + b'{"count":1},' * 99 + b'{"count":1}]}'
+
 
 class FakeOwner:
     def __init__(self):
@@ -61,6 +65,7 @@
         self.retry_after_s = 0
         self.reason = ""
         self.busy = ()
+        self.is_full = False
 
     def admit(self, request):
         self.admission_requests.append(request)
@@ -71,6 +76,9 @@
     def is_busy(self, organisation):
         return organisation in self.busy
 
+    def is_memory_full(self):
+        return self.is_full
+
     def notify_submitted(self, submission):
         self.notified.append(submission.job_id)
 
@@ -215,6 +223,29 @@
         self.owner.is_unavailable = True
         self.assertThat(self._submit_lasting().status, Equals(200))
 
+    def test_large_job_is_rejected_if_the_owner_has_no_memory_for_it(self):
+        self.owner.retry_after_s, self.owner.reason = 7, NO_MEMORY
+        reply = self._ask("POST", body=LARGE_BODY)
+        self.assertThat((reply.status, reply.retry_after_s), Equals((503, 7)))
+        self.assertThat(self._stored(submission_key(JOB_ID)), Equals(False))
+        asked = self.owner.admission_requests[0].job_bytes
+        self.assertThat(asked, GreaterThan(LARGE_JOB_BYTES))
+
+    def test_large_job_is_rejected_without_an_answer_of_the_owner(self):
+        # What entries accept meanwhile would have no bound.
+        self.owner.is_unavailable = True
+        reply = self._ask("POST", body=LARGE_BODY)
+        self.assertThat((reply.status, reply.retry_after_s), Equals((503, 1)))
+        self.assertThat(self._stored(submission_key(JOB_ID)), Equals(False))
+
+    def test_owner_is_asked_about_each_job_once_its_memory_is_nearly_full(self):
+        self.owner.is_full = True
+        self.assertThat(self._submit().status, Equals(200))
+        self.owner.retry_after_s, self.owner.reason = 7, NO_MEMORY
+        path = f"{QUEUE.path_prefix}{JOB_ID[::-1]}"
+        reply = self._ask("POST", path, BODY)
+        self.assertThat((reply.status, reply.retry_after_s), Equals((503, 7)))
+
     def test_owner_is_not_asked_about_jobs_that_end_by_themselves(self):
         self.owner.retry_after_s = 7
         self.assertThat(self._submit().status, Equals(200))
