Set a job aside whose data cannot be handled, instead of ending the term

Cause: finishing the job took the longest of no chains of steps. Each owner applies the stored cancellation while it loads, fails, and ends its term as after any unexpected error. Every error while one row is applied did the same.

Evidence: dispatch_failed with 'max() arg is an empty sequence' several times a second on all three entries.

Change: errors while a job is added, cancelled, ordered, placed or started, and while its runs and ends are reported, set that job aside for the term, with a line and a counter; other jobs go on. An end that could not be applied is not acknowledged. A job whose stored progress cannot be read is set aside too, as it would run again from its start. Removal of rows, learning, reports and the stored queues begin anew. Jobs without steps, or with negative or huge amounts, are refused with 400; a stored job without steps is completed at once.

--- a/laburnumswitch/dispatch_metrics.py
+++ b/laburnumswitch/dispatch_metrics.py
@@ -80,6 +80,14 @@
     gauges: dict[str, tuple[str, Callable[[Dispatcher], float]]] = {
         "waiting_steps": ("Steps with tasks to start.", lambda d: len(d.ready_step_by_key)),
         "jobs": ("Jobs known.", lambda d: len(d.jobs_by_id)),
+        "job_faults": (
+            "Unexpected errors for which jobs were set aside.",
+            lambda d: d.job_faults.count,
+        ),
+        "failed_tasks": (
+            "Tasks of the owner that began anew after an unexpected error.",
+            lambda d: d.counters.failed_tasks,
+        ),
         "parked_jobs": (
             "Stored jobs that are not loaded for want of memory.",
             lambda d: len(d.parked_jobs.by_id),
--- a/laburnumswitch/platform/callers.py
+++ b/laburnumswitch/platform/callers.py
@@ -11,6 +11,8 @@
 from msgspec.json import encode
 
 from laburnumswitch.exceptions import CallerRefused
+from laburnumswitch.process.dispatch.job_checks import find_defect
+from laburnumswitch.process.dispatch.job_checks import find_odd_value
 from laburnumswitch.process.dispatch.job_size import find_excess
 from laburnumswitch.process.dispatch.job_size import MAX_STEPS
 from laburnumswitch.process.dispatch.job_spec import Step
@@ -70,13 +72,7 @@
         steps = tuple(_decode_step(decode(step, type=dict[str, Any])) for step in job.steps)
     except (DecodeError, ValidationError, RecursionError) as error:
         return CallerRefused(400, str(error))
-    for index, step in enumerate(steps):
-        if step.count < 1 or any(not 0 <= earlier < index for earlier in step.after):
-            return CallerRefused(400, f"step {index} is empty or comes after a later one")
-    excess = find_excess(steps)
-    if excess is not None:
-        return CallerRefused(400, excess)
-    return Submission(
+    submission = Submission(
         job_id,
         queue,
         job.spec,
@@ -86,6 +82,8 @@
         job.first_run_ms / MS_PER_S,
         job.interval_ms / MS_PER_S,
     )
+    defect = find_defect(submission) or find_odd_value(submission) or find_excess(steps)
+    return submission if defect is None else CallerRefused(400, defect)
 
 
 def _decode_step(fields: dict[str, Any]) -> Step:
--- a/laburnumswitch/process/dispatch/counters.py
+++ b/laburnumswitch/process/dispatch/counters.py
@@ -15,4 +15,6 @@
         self.rejected_jobs = 0
         # Runs that a worker reported while their task also ran elsewhere.
         self.duplicate_runs = 0
+        # Greenlets that began anew after an unexpected error.
+        self.failed_tasks = 0
         self.ended_count_by_outcome: dict[str, int] = {}
--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -7,10 +7,10 @@
 ``worker_session`` talks to each worker, ``planner`` decides what starts, and ``recorder`` commits.
 """
 
-import sys
 from collections import defaultdict
 from collections.abc import Callable
 from collections.abc import Iterable
+from functools import wraps
 from typing import Any
 from typing import NamedTuple
 from typing import TypeVar
@@ -23,6 +23,7 @@
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.exceptions import RowMalformed
 from laburnumswitch.process.daemon.deployment import Deployment
+from laburnumswitch.process.daemon.supervision import keep_running
 from laburnumswitch.process.dispatch.advice import Advice
 from laburnumswitch.process.dispatch.commitment import Admissions
 from laburnumswitch.process.dispatch.commitment import committed_cpu_millis
@@ -46,6 +47,7 @@
 from laburnumswitch.process.dispatch.handover import WorkerHandover
 from laburnumswitch.process.dispatch.handover import write_handover
 from laburnumswitch.process.dispatch.headroom import Headroom
+from laburnumswitch.process.dispatch.job_faults import JobFaults
 from laburnumswitch.process.dispatch.job_memory import JobMemory
 from laburnumswitch.process.dispatch.job_memory import submission_bytes
 from laburnumswitch.process.dispatch.job_spec import Queue
@@ -78,6 +80,8 @@
 from laburnumswitch.process.dispatch.ready_steps import ReadySteps
 from laburnumswitch.process.dispatch.recorder import Recorder
 from laburnumswitch.process.dispatch.removed_jobs import RemovedJobs
+from laburnumswitch.process.dispatch.run_acknowledgements import keep_unacknowledged
+from laburnumswitch.process.dispatch.run_acknowledgements import NOT_COMMITTED
 from laburnumswitch.process.dispatch.run_ends import accepts_end
 from laburnumswitch.process.dispatch.run_ends import EndKind
 from laburnumswitch.process.dispatch.run_ends import Evidence
@@ -118,8 +122,6 @@
 ORPHAN_WAIT_S = 3.0
 # Weight of a new job in the moving average of its queue's work (core-seconds per job).
 MEAN_WORK_WEIGHT = 0.05
-# Stands for the batch of an ended run that waits for its job.
-NOT_COMMITTED = sys.maxsize
 # How long an owner that leaves waits, in seconds, until it has loaded the stored state, and then
 # until it has planned once.
 MAX_LOAD_WAIT_S = 2.0
@@ -242,6 +244,7 @@
         self.crashes_in_batch = 0
         self.quarantine = Quarantine(INITIAL_QUARANTINE_S, MAX_QUARANTINE_S)
         self.counters = Counters()
+        self.job_faults = JobFaults(context.log, self.epoch, self._set_aside)
         self.wake = Event()
         self.stopped = Event()
         self.silences = Silences(self.epoch, recorder)
@@ -325,6 +328,22 @@
         """
         spawn(self._run_greenlet, function, arguments)
 
+    def spawn_restarted(self, function: Callable[..., Any], *arguments: Any) -> None:
+        """Run a function in a greenlet that begins anew after an unexpected error.
+
+        For what observes or tidies up, and applies nothing of which a part would do harm.
+        """
+
+        @wraps(function)
+        def run() -> None:
+            try:
+                function(*arguments)
+            except Exception:
+                self.counters.failed_tasks += 1
+                raise
+
+        spawn(keep_running, run, self.context.log, self.context.sleep, self.is_stopped)
+
     def _run_greenlet(self, function: Callable[..., Any], arguments: tuple[Any, ...]) -> None:
         try:
             function(*arguments)
@@ -391,6 +410,16 @@
         """
         if self.knows_job(submission.job_id) or self.parked_jobs.holds(submission.job_id):
             return None
+        job_id = submission.job_id
+        try:
+            return self._add_job(submission, source, progress)
+        except Exception:
+            self.job_faults.note(job_id, "adding the job")
+            return self.jobs_by_id.get(job_id)
+
+    def _add_job(
+        self, submission: Submission, source: JobSource, progress: Progress | None
+    ) -> Job | None:
         if self.removed_jobs.holds(submission.job_id):
             self.context.log.note("removed_job_ignored", submission.job_id, source=source)
             return None
@@ -427,8 +456,19 @@
             self.cancel_job(job.job_id)
         else:
             self.refresh_ready_steps(job)
+        if not submission.steps and not job.is_final():
+            job.state = JobState.COMPLETED
+            self.finish_job(job, "it has no steps")
         return job
 
+    def _set_aside(self, job_id: str) -> None:
+        """Start no tasks of a job any more."""
+        job = self.jobs_by_id.get(job_id)
+        if job is not None:
+            job.is_set_aside = True
+        for key in [key for key in self.ready_step_by_key if key[0] == job_id]:
+            del self.ready_step_by_key[key]
+
     def _note_organisation(self, job: Job) -> None:
         self.organisation_jobs.add(job)
         if self.is_loaded.is_set():
@@ -441,6 +481,9 @@
 
     def cancel_job(self, job_id: str) -> None:
         """Cancel a job at its caller's request."""
+        self.job_faults.contain(job_id, "cancelling the job", self._cancel_job, job_id)
+
+    def _cancel_job(self, job_id: str) -> None:
         job = self.jobs_by_id.get(job_id)
         if job is None:
             if self.parked_jobs.cancel(job_id):
@@ -456,6 +499,7 @@
 
     def finish_job(self, job: Job, reason: str) -> None:
         """Queue the final state of a job for storage and stop its remaining runs."""
+        self.recorder.queue_job(job)
         age_s = self.context.wall_clock() - job.submission.submitted_s
         self.context.log.note(
             "job_final",
@@ -467,7 +511,6 @@
             critical_path_s=round(job.critical_path_s, 3),
             steps=describe_steps(job, self.context.clock() - age_s),
         )
-        self.recorder.queue_job(job)
         self._note_freed(job)
         self.advice.forget_job(job.job_id)
         self.quarantine.forget_job(job.job_id)
@@ -542,7 +585,8 @@
         for job_id in self.ready_steps.due_jobs.take_due(self.context.wall_clock()):
             job = self.jobs_by_id.get(job_id)
             if job is not None and not job.is_final():
-                self.refresh_ready_steps(job)
+                operation = "making its occurrences"
+                self.job_faults.contain(job_id, operation, self.refresh_ready_steps, job)
 
     # Runs
 
@@ -613,8 +657,14 @@
         orphan = OrphanRun(worker, report, self.context.clock())
         known = choose_orphan(self.orphan_by_task.get(report.task), orphan)
         self.orphan_by_task[report.task] = known
-        is_parked = self.parked_jobs.holds(report.task.job_id)
-        return is_parked or orphan.seen_s - known.seen_s < ORPHAN_WAIT_S
+        is_awaited = self._is_awaited(report.task.job_id)
+        return is_awaited or orphan.seen_s - known.seen_s < ORPHAN_WAIT_S
+
+    def _is_awaited(self, job_id: str) -> bool:
+        """Return whether a job is stored that is not known, so that its runs and ends are kept."""
+        if job_id in self.cancelled_s_by_id:
+            return False
+        return self.parked_jobs.holds(job_id) or self.job_faults.holds(job_id)
 
     def _adopt_orphans(self, job: Job) -> None:
         orphans = [key for key in self.orphan_by_task if key.job_id == job.job_id]
@@ -787,7 +837,7 @@
         """
         job_id = end.task.job_id
         if self.knows_job(job_id):
-            self.apply_end(worker, end)
+            self._try_to_apply_end(worker, end)
             return
         self.parked_jobs.note_reported(job_id)
         orphan = OrphanEnd(worker, end, self.context.clock())
@@ -797,8 +847,8 @@
     def forget_orphan_ends(self) -> None:
         """Acknowledge ended runs whose jobs have not become known although the feed was read."""
         limit_s = self.submissions_read_s - ORPHAN_WAIT_S
-        is_awaited = self.parked_jobs.holds
-        for job_id, orphans in take_expired_ends(self.orphan_ends_by_job_id, limit_s, is_awaited):
+        expired = take_expired_ends(self.orphan_ends_by_job_id, limit_s, self._is_awaited)
+        for job_id, orphans in expired:
             self.context.log.note("run_end_unknown", job_id, ends=len(orphans))
             for orphan in orphans:
                 self._apply_orphan_end(orphan)
@@ -809,8 +859,21 @@
         if worker.is_dropped or entry not in worker.pending_acknowledgements:
             return
         position = worker.pending_acknowledgements.index(entry)
-        self.apply_end(worker, end)
-        worker.pending_acknowledgements[position] = worker.pending_acknowledgements.pop()
+        if self._try_to_apply_end(worker, end):
+            worker.pending_acknowledgements[position] = worker.pending_acknowledgements.pop()
+
+    def _try_to_apply_end(self, worker: Worker, end: EndReport) -> bool:
+        """Apply the reported end of a run, and return whether that succeeded.
+
+        If not, it is not acknowledged, so that the next owner is told of it again.
+        """
+        try:
+            self.apply_end(worker, end)
+        except Exception:
+            self.job_faults.note(end.task.job_id, "applying the end of a run")
+            keep_unacknowledged(worker, end.number)
+            return False
+        return True
 
     def apply_end(self, worker: Worker, end: EndReport) -> None:
         """Apply the reported end of a run and queue the job's new state for storage."""
--- a/laburnumswitch/process/dispatch/down_tasks.py
+++ b/laburnumswitch/process/dispatch/down_tasks.py
@@ -20,7 +20,7 @@
 from laburnumswitch.process.dispatch.job_spec import TaskKey
 from laburnumswitch.process.dispatch.jobs import ReadyStep
 from laburnumswitch.process.dispatch.placements import may_have_unknown_runs
-from laburnumswitch.process.dispatch.planner import is_overdue
+from laburnumswitch.process.dispatch.planning_order import is_overdue
 from laburnumswitch.process.dispatch.start_delays import DownCount
 from laburnumswitch.process.dispatch.start_delays import last_sign_s
 from laburnumswitch.process.dispatch.start_delays import StartDelay
--- a/laburnumswitch/process/dispatch/jobs.py
+++ b/laburnumswitch/process/dispatch/jobs.py
@@ -63,6 +63,7 @@
     :ivar is_stored: whether the current state is committed.
     :ivar may_have_unknown_runs: whether an earlier owner may have started tasks that no worker has
         reported yet.
+    :ivar is_set_aside: whether its tasks are not started because of an error, see ``job_faults``.
     :ivar is_owed: whether its organisation is entitled to it; written by ``organisation_share``.
     :ivar source: how the owner learned of it, for the log.
     :ivar taken_s: when it did, on its clock, for the log.
@@ -80,6 +81,7 @@
         self.has_begun = False
         self.may_have_unknown_runs = may_have_unknown_runs
         self.is_stored = True
+        self.is_set_aside = False
         self.is_owed = True
         self.source = JobSource.LOADED
         self.taken_s = 0.0
--- a/laburnumswitch/process/dispatch/organisation_update.py
+++ b/laburnumswitch/process/dispatch/organisation_update.py
@@ -20,7 +20,8 @@
     organisations = dispatcher.context.operations.organisations_by_name
     now_s = dispatcher.context.wall_clock()
     for job in sorted(jobs, key=lambda each: each.submission.submitted_s):
-        dispatcher.shares.note_arrival(job, organisations, now_s)
+        arguments = (dispatcher.shares.note_arrival, job, organisations, now_s)
+        dispatcher.job_faults.contain(job.job_id, "noting its arrival", *arguments)
 
 
 def update_organisations(dispatcher: Dispatcher) -> None:
--- a/laburnumswitch/process/dispatch/parked_loading.py
+++ b/laburnumswitch/process/dispatch/parked_loading.py
@@ -49,6 +49,7 @@
         progress = decode_progress(keys[1], rows[keys[1]].value)
         if isinstance(progress, RowMalformed):
             dispatcher.context.log.note("progress_malformed", job_id, reason=progress.reason)
-            progress = None
+            dispatcher.job_faults.set_aside(job_id, "reading its progress")
+            return True
     dispatcher.add_job(submission, JobSource.PARKED, progress)
     return True
--- a/laburnumswitch/process/dispatch/placement_recovery.py
+++ b/laburnumswitch/process/dispatch/placement_recovery.py
@@ -1,5 +1,6 @@
 """What a new owner does with the stored placements of long-running tasks."""
 
+from collections import Counter
 from collections.abc import Iterable
 
 from laburnumswitch.exceptions import RowMalformed
@@ -10,6 +11,7 @@
 from laburnumswitch.process.dispatch.jobs import Job
 from laburnumswitch.process.dispatch.placements import collect_placements
 from laburnumswitch.process.dispatch.placements import Placement
+from laburnumswitch.process.dispatch.placements import RowKey
 from laburnumswitch.process.dispatch.run_ends import EndKind
 from laburnumswitch.process.dispatch.run_ends import Evidence
 from laburnumswitch.process.dispatch.run_ends import has_ended
@@ -63,19 +65,17 @@
     if placements.is_complete and not knows_fleet:
         placements.is_complete = False
         _queue_succession(dispatcher, dispatcher.succession._replace(knows_placements=False))
-    active = waiting = 0
+    # How many tasks may run, and how many do not.
+    counts: Counter[bool] = Counter()
     for key, tasks in stored.placements_by_key.items():
         placements.note_loaded(key, tasks)
         job = dispatcher.jobs_by_id.get(key.job_id)
         if key.job_id in dispatcher.final_by_id:
             placements.remove_job(key.job_id)
         elif job is not None:
-            for placement in tasks:
-                task_key = TaskKey(key.job_id, key.occurrence, key.step, placement.index)
-                may_run = _restore(dispatcher, job, task_key, placement)
-                active += may_run
-                waiting += not may_run
-            dispatcher.refresh_ready_steps(job)
+            contain = dispatcher.job_faults.contain
+            arguments = (_restore_row, dispatcher, job, key, tasks, counts)
+            contain(key.job_id, "loading its placements", *arguments)
     for ready in dispatcher.ready_step_by_key.values():
         update_ready_since(ready.step_state)
     dispatcher.context.log.note(
@@ -83,11 +83,24 @@
         str(dispatcher.epoch),
         complete=placements.is_complete,
         unreadable=len(placements.unreadable_job_ids),
-        active=active,
-        waiting=waiting,
+        active=counts[True],
+        waiting=counts[False],
     )
 
 
+def _restore_row(
+    dispatcher: Dispatcher,
+    job: Job,
+    key: RowKey,
+    placements: tuple[Placement, ...],
+    counts: Counter[bool],
+) -> None:
+    for placement in placements:
+        task_key = TaskKey(key.job_id, key.occurrence, key.step, placement.index)
+        counts[_restore(dispatcher, job, task_key, placement)] += 1
+    dispatcher.refresh_ready_steps(job)
+
+
 def _restore(dispatcher: Dispatcher, job: Job, key: TaskKey, placement: Placement) -> bool:
     """Apply the placement of a task, and return whether a run of it may exist."""
     task = job.task(key)
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -8,7 +8,6 @@
 from laburnumswitch.process.dispatch.best_effort import forced_starts
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
 from laburnumswitch.process.dispatch.down_time import by_down_time
-from laburnumswitch.process.dispatch.down_time import update_ready_since
 from laburnumswitch.process.dispatch.eligibility import usable_workers
 from laburnumswitch.process.dispatch.evacuator import evacuate_all
 from laburnumswitch.process.dispatch.fleet import Worker
@@ -18,22 +17,21 @@
 from laburnumswitch.process.dispatch.headroom import FIRST_RUN_LIMIT_S
 from laburnumswitch.process.dispatch.headroom import LASTING_ROOM_SHARE
 from laburnumswitch.process.dispatch.headroom import LONG_RUNNING_WAIT_S
-from laburnumswitch.process.dispatch.headroom import LONGEST_WAIT_S
 from laburnumswitch.process.dispatch.headroom import may_reserve
 from laburnumswitch.process.dispatch.job_spec import Queue
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.jobs import ReadyStep
 from laburnumswitch.process.dispatch.opportunity import worker_prices
-from laburnumswitch.process.dispatch.ordering import order_key
-from laburnumswitch.process.dispatch.ordering import OrderKey
 from laburnumswitch.process.dispatch.ordering import Tier
 from laburnumswitch.process.dispatch.organisation_update import update_organisations
 from laburnumswitch.process.dispatch.organisation_usage import unknown_totals
-from laburnumswitch.process.dispatch.placements import may_have_unknown_runs
 from laburnumswitch.process.dispatch.placing import INTERFERENCE_LIMIT
 from laburnumswitch.process.dispatch.placing import PlacementContext
 from laburnumswitch.process.dispatch.placing import Ranking
 from laburnumswitch.process.dispatch.placing import workers_to_rank
+from laburnumswitch.process.dispatch.planning_order import is_overdue
+from laburnumswitch.process.dispatch.planning_order import order_ready_steps
+from laburnumswitch.process.dispatch.planning_order import OrderedStep
 from laburnumswitch.process.dispatch.planning_state import ServicePlanningState
 from laburnumswitch.process.dispatch.preemption import make_room
 from laburnumswitch.process.dispatch.preemption import WaitingStep
@@ -42,6 +40,7 @@
 from laburnumswitch.process.dispatch.room import has_spare_slots
 from laburnumswitch.process.dispatch.room import NoRoom
 from laburnumswitch.process.dispatch.run_start import start_tasks
+from laburnumswitch.process.dispatch.step_state import StepKey
 
 # Interval, in seconds, at which steps that wait for capacity, their due time or lower interference
 # are planned again.
@@ -129,20 +128,7 @@
     dispatcher.quota_gate.begin_pass(dispatcher.context.clock(), unknown)
     update_organisations(dispatcher)
     dispatcher.advice.requests.clear()
-    keyed = []
-    for key_of_step, ready in dispatcher.ready_step_by_key.items():
-        if key_of_step in dispatcher.skipped_steps:
-            continue
-        queue = dispatcher.queue_of(ready.job)
-        if queue is None or not is_due(dispatcher, ready, now_s):
-            continue
-        update_ready_since(ready.step_state)
-        if dispatcher.quota_gate.selects(ready, queue.priority):
-            mean_work = dispatcher.mean_work_by_queue[queue.name]
-            share_class = dispatcher.shares.share_class(ready)
-            key = order_key(ready, queue, mean_work, now_s, share_class)
-            keyed.append((key, queue, ready, key_of_step))
-    keyed.sort(key=lambda each: (not is_overdue(dispatcher, each[2]), each[0]))
+    keyed = order_ready_steps(dispatcher, now_s)
     dispatcher.place_waits.begin_pass(
         lambda: ((queue, ready) for _, queue, ready, _ in keyed),
         dispatcher.ready_step_by_key,
@@ -150,7 +136,8 @@
         dispatcher.context.clock(),
     )
     state_by_service: dict[str, ServicePlanningState] = {}
-    unplaced: list[tuple[str, int, int]] = []
+    contain = dispatcher.job_faults.contain
+    unplaced: list[StepKey] = []
     stop_s = dispatcher.context.clock() + MAX_PASS_S
     for _, queue, ready, key_of_step in keyed:
         service_state = state_by_service.get(queue.service)
@@ -158,7 +145,8 @@
             service_state = state_by_service[queue.service] = _service_planning_state(
                 dispatcher, queue.service
             )
-        _plan_step(dispatcher, queue, ready, service_state)
+        job_id = ready.job.job_id
+        contain(job_id, "planning", _plan_step, dispatcher, queue, ready, service_state)
         if ready.step_state.has_waiting() and dispatcher.quota_gate.startable(ready):
             unplaced.append(key_of_step)
         if dispatcher.context.clock() > stop_s:
@@ -183,7 +171,7 @@
 
 def _preempt(
     dispatcher: Dispatcher,
-    keyed: list[tuple[OrderKey, Queue, ReadyStep, tuple[str, int, int]]],
+    keyed: list[OrderedStep],
     state_by_service: dict[str, ServicePlanningState],
 ) -> None:
     """Make room for the urgent steps of a whole pass that still wait and can be on time or late.
@@ -319,28 +307,6 @@
     return step_state.room.share >= (DUE_ROOM_SHARE if is_due_soon else LASTING_ROOM_SHARE)
 
 
-def is_overdue(dispatcher: Dispatcher, ready: ReadyStep) -> bool:
-    """Return whether a long-running step goes before the urgent ones."""
-    step_state = ready.step_state
-    if not step_state.step.long_running or step_state.step.best_effort:
-        return False
-    return dispatcher.context.clock() - step_state.ready_since_s >= LONGEST_WAIT_S
-
-
-def is_due(dispatcher: Dispatcher, ready: ReadyStep, now_s: float) -> bool:
-    """Return whether tasks of a ready step may start now.
-
-    :param now_s: Unix time in seconds.
-    """
-    if not dispatcher.settled and may_have_unknown_runs(
-        dispatcher.placements, ready.job, ready.step_state.step
-    ):
-        return False
-    if ready.job.submission.occurrences and now_s < ready.occurrence.due_s:
-        return False
-    return dispatcher.context.clock() >= ready.step_state.retry_after_s
-
-
 def placement_context(dispatcher: Dispatcher) -> PlacementContext:
     """Return the inputs of the cost functions; prices may be up to ``PRICE_INTERVAL_S`` old."""
     now_s = dispatcher.context.clock()
--- a/laburnumswitch/process/dispatch/progress.py
+++ b/laburnumswitch/process/dispatch/progress.py
@@ -13,6 +13,7 @@
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.exceptions import OtherOrganisation
 from laburnumswitch.exceptions import RowMalformed
+from laburnumswitch.process.dispatch.job_checks import find_broken_step
 from laburnumswitch.process.dispatch.job_spec import may_access_job
 from laburnumswitch.process.dispatch.job_spec import Submission
 from laburnumswitch.process.dispatch.job_spec import TaskKey
@@ -174,11 +175,16 @@
 
 
 def decode_stored_submission(key: str, value: Any) -> Submission | RowMalformed:
-    """Decode the submission in a row."""
+    """Decode the submission in a row.
+
+    Earlier versions accepted jobs without steps.
+    """
     try:
-        return convert(value, Submission)
+        submission = convert(value, Submission)
     except ValidationError as error:
         return RowMalformed(key, str(error))
+    defect = find_broken_step(submission)
+    return submission if defect is None else RowMalformed(key, defect)
 
 
 def store_submission(table: Table, submission: Submission) -> None | Failure:
--- a/laburnumswitch/process/dispatch/ready_steps.py
+++ b/laburnumswitch/process/dispatch/ready_steps.py
@@ -42,7 +42,7 @@
         self, job: Job, occurrence: Occurrence, is_loaded: bool, now_s: float, wall_s: float
     ) -> None:
         ready_keys = set()
-        if not job.is_final():
+        if not (job.is_final() or job.is_set_aside):
             ready_keys = {step_state.key for step_state in occurrence.ready_steps()}
         for step_state in occurrence.steps:
             key = step_state.key
--- a/laburnumswitch/process/dispatch/retention.py
+++ b/laburnumswitch/process/dispatch/retention.py
@@ -67,6 +67,7 @@
             continue
         dispatcher.recorder.queue_removals((progress_key(job_id),))
         dispatcher.job_memory.forget(job_id)
+        dispatcher.job_faults.forget(job_id)
         dispatcher.removed_jobs.add(job_id, outcome.version, dispatcher.context.clock())
         dispatcher.jobs_by_id.pop(job_id, None)
         dispatcher.final_by_id.pop(job_id, None)
--- a/laburnumswitch/process/dispatch/run_start.py
+++ b/laburnumswitch/process/dispatch/run_start.py
@@ -103,6 +103,11 @@
 
 
 def _send_once_stored(dispatcher: Dispatcher, job: Job, starts: list[_Start]) -> None:
+    arguments = ("starting its tasks", _await_placements, dispatcher, job, starts)
+    dispatcher.job_faults.contain(job.job_id, *arguments)
+
+
+def _await_placements(dispatcher: Dispatcher, job: Job, starts: list[_Start]) -> None:
     """Send starts once their placements are committed, unless any of them is not wanted any more.
 
     The workers may have become unusable meanwhile, as a commit takes as long as the store does. The
@@ -165,9 +170,19 @@
 def _send_start(
     dispatcher: Dispatcher, job: Job, worker: Worker, run: ActiveRun, command: StartCommand
 ) -> None:
+    arguments = (dispatcher, job, worker, run, command)
+    dispatcher.job_faults.contain(job.job_id, "starting a task", _call_worker, *arguments)
+
+
+def _call_worker(
+    dispatcher: Dispatcher, job: Job, worker: Worker, run: ActiveRun, command: StartCommand
+) -> None:
+    """Send a start to a worker, and apply its answer."""
     context = dispatcher.context
     sent_s = context.clock()
     incarnation = worker.incarnation
+    # Its occurrence may be over, and removed, before the answer arrives.
+    step_state = job.step_state(run.task)
     if command.may_be_sent():
         outcome = dispatcher.call_remote(
             worker.worker_id, worker.link.start, command, COMMAND_TIMEOUT_S
@@ -175,7 +190,7 @@
     else:
         outcome = ConnectFailed(worker.worker_id, HELD_UP_REASON)
     now_s = context.clock()
-    ready_since_s = job.step_state(run.task).ready_since_s
+    ready_since_s = step_state.ready_since_s
     is_current = worker.runs_by_task.get(run.task) is run
     is_started = not isinstance(outcome, Failure)
     context.log.note(
--- a/laburnumswitch/process/dispatch/takeover.py
+++ b/laburnumswitch/process/dispatch/takeover.py
@@ -28,6 +28,7 @@
 from laburnumswitch.process.dispatch.fleet import RunsKnownBy
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.handover import collect_handover
+from laburnumswitch.process.dispatch.handover import HandedOverRun
 from laburnumswitch.process.dispatch.handover import Handover
 from laburnumswitch.process.dispatch.handover import HANDOVER_CLOCK_TABLE
 from laburnumswitch.process.dispatch.handover import HANDOVER_TABLE
@@ -159,11 +160,11 @@
     dispatcher.spawn(follow_workers, dispatcher)
     dispatcher.spawn(run_planner, dispatcher)
     dispatcher.spawn(run_relocation, dispatcher)
-    dispatcher.spawn(run_retention, dispatcher)
+    dispatcher.spawn_restarted(run_retention, dispatcher)
     dispatcher.spawn(load_parked_jobs, dispatcher)
-    dispatcher.spawn(run_queue_store, dispatcher, stored_queues)
-    dispatcher.spawn(run_learning, dispatcher)
-    dispatcher.spawn(run_load_report, dispatcher)
+    dispatcher.spawn_restarted(run_queue_store, dispatcher, stored_queues)
+    dispatcher.spawn_restarted(run_learning, dispatcher)
+    dispatcher.spawn_restarted(run_load_report, dispatcher)
     if dispatcher.context.list_vms is not None:
         dispatcher.spawn(watch_vms, dispatcher, dispatcher.context.list_vms)
     if not dispatcher.settled:
@@ -186,17 +187,24 @@
     progress = _load(dispatcher, PROGRESS_TABLE)
     cancellations = _load(dispatcher, CANCELLATIONS_TABLE)
     progress_by_id = {}
+    unreadable_ids = set()
     for row in progress.rows:
         job_id = row.key.partition("/")[2]
         decoded = decode_progress(row.key, row.value)
         if isinstance(decoded, RowMalformed):
             dispatcher.context.log.note("progress_malformed", job_id, reason=decoded.reason)
+            unreadable_ids.add(job_id)
             continue
         progress_by_id[job_id] = decoded
         if decoded.state in FINAL_STATES:
             dispatcher.note_final(job_id, decoded.state)
     for row in submissions.rows:
-        progress = progress_by_id.get(row.key.partition("/")[2])
+        job_id = row.key.partition("/")[2]
+        if job_id in unreadable_ids:
+            # Which of its tasks are done is not known, so none may start.
+            dispatcher.job_faults.set_aside(job_id, "reading its progress")
+            continue
+        progress = progress_by_id.get(job_id)
         apply_submission_row(dispatcher, row, JobSource.LOADED, progress)
     for row in cancellations.rows:
         apply_cancellation_row(dispatcher, row)
@@ -208,8 +216,10 @@
         dispatcher.context.log.note("crashes_malformed", malformed.key, reason=malformed.reason)
 
     rows = _load(dispatcher, CRASHES_TABLE).rows
+    contain = dispatcher.job_faults.contain
     for crashed in collect_crashes(rows, report_malformed):
-        dispatcher.restore_crashes(crashed)
+        job_id = crashed.task.job_id
+        contain(job_id, "loading its crashes", dispatcher.restore_crashes, crashed)
 
 
 def _load_succession(dispatcher: Dispatcher) -> tuple[Succession, tuple[EarlierLapse, ...]]:
@@ -399,16 +409,22 @@
         if worker.worker_id in known_by_id
         for run in known_by_id[worker.worker_id].runs
     ]
+    contain = dispatcher.job_faults.contain
     for run, worker in sorted(pairs, key=lambda pair: pair[0].run, reverse=True):
-        report = RunReport(run.task, run.run, run.checkpoint, 0.0, 0.0)
-        if not dispatcher.knows_job(run.task.job_id):
-            # Adopted once the job's submission arrives.
-            dispatcher.note_orphan(worker, report)
-        elif dispatcher.adopt_run(worker, report):
-            adopted = worker.runs_by_task[run.task]
-            adopted.is_inherited = True
-            # Nothing was started there after that.
-            adopted.started_s = min(adopted.started_s, worker.known_since_s)
+        arguments = (dispatcher, worker, run)
+        contain(run.task.job_id, "adopting a run", _adopt_known_run, *arguments)
+
+
+def _adopt_known_run(dispatcher: Dispatcher, worker: Worker, run: HandedOverRun) -> None:
+    report = RunReport(run.task, run.run, run.checkpoint, 0.0, 0.0)
+    if not dispatcher.knows_job(run.task.job_id):
+        # Adopted once the job's submission arrives.
+        dispatcher.note_orphan(worker, report)
+    elif dispatcher.adopt_run(worker, report):
+        adopted = worker.runs_by_task[run.task]
+        adopted.is_inherited = True
+        # Nothing was started there after that.
+        adopted.started_s = min(adopted.started_s, worker.known_since_s)
 
 
 def _from_store_s(dispatcher: Dispatcher, store_s: float) -> float:
--- a/laburnumswitch/process/dispatch/waiting.py
+++ b/laburnumswitch/process/dispatch/waiting.py
@@ -15,7 +15,7 @@
 from laburnumswitch.process.dispatch.fleet import Worker
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.jobs import ReadyStep
-from laburnumswitch.process.dispatch.planner import is_due
+from laburnumswitch.process.dispatch.planning_order import is_due
 from laburnumswitch.process.dispatch.start_delays import WaitReason
 
 NO_TASKS: Mapping[str, Mapping[WaitReason, int]] = {}
--- a/laburnumswitch/process/dispatch/worker_session.py
+++ b/laburnumswitch/process/dispatch/worker_session.py
@@ -305,24 +305,26 @@
 def _reconcile(
     dispatcher: Dispatcher, worker: Worker, report: WorkerReport, sent_s: float, fence: int
 ) -> None:
-    context = dispatcher.context
-    now_s = context.clock()
+    contain = dispatcher.job_faults.contain
+    now_s = dispatcher.context.clock()
     report_by_run = {(run_report.task, run_report.run): run_report for run_report in report.running}
     for run in list(worker.runs_by_task.values()):
         run_report = report_by_run.pop((run.task, run.number), None)
         if run_report is not None:
             run.update(run_report, now_s, worker.incarnation)
-            _note_running(dispatcher, run_report)
-            _note_survival(dispatcher, run)
+            contain(run.task.job_id, "a report of its run", _note_running, dispatcher, run_report)
+            contain(run.task.job_id, "a report of its run", _note_survival, dispatcher, run)
             if run.is_stopping and now_s - run.stop_sent_s > STOP_REPEAT_S:
                 dispatcher.stop_run(worker, run, "repeated: still running after the first stop")
         elif report.may_have_more_ends:
             # Its end may be among those that are listed later.
             continue
         elif (kind := find_end(run, sent_s, fence)) is not None:
-            dispatcher.release_run(worker, run, kind, _REASON_BY_KIND[kind])
+            arguments = (worker, run, kind, _REASON_BY_KIND[kind])
+            contain(run.task.job_id, "the release of its run", dispatcher.release_run, *arguments)
     for run_report in report_by_run.values():
-        _handle_unknown_run(dispatcher, worker, run_report)
+        arguments = (dispatcher, worker, run_report)
+        contain(run_report.task.job_id, "a report of its run", _handle_unknown_run, *arguments)
     unreserved = [task for task, _ in report_by_run if task not in worker.runs_by_task]
     worker.has_unreserved_runs = bool(unreserved)
     dispatcher.organisation_usage.set_unwanted(worker.worker_id, unreserved, dispatcher.jobs_by_id)
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -141,6 +141,23 @@
         for body in (b"", b"{}", b'{"spec":"x","steps":[{"count":0}]}', b'{"spec":1,"steps":[]}'):
             self.assertThat(decode_submission(body, "id", "q", 1.0), IsInstance(CallerRefused))
 
+    def test_job_without_steps_is_refused(self):
+        # It has nothing to run; one that was accepted ended the term of each owner.
+        for fields in (b"", b',"times":3,"intervalMs":1000'):
+            body = b'{"spec":"x","steps":[]' + fields + b"}"
+            self.assertThat(decode_submission(body, "id", "q", 1.0).status, Equals(400))
+
+    def test_values_out_of_all_bounds_are_refused(self):
+        steps = b'{"spec":"x","steps":[{"count":1,%s}]}'
+        names = (b"cpu", b"memMb", b"gpu", b"estimateMs", b"antiAffinity", b"targetMs", b"mayMiss")
+        for name in names:
+            for value in (b"-1", b"1000000000000000001"):
+                body = steps % (b'"' + name + b'":' + value)
+                self.assertThat(decode_submission(body, "id", "q", 1.0).status, Equals(400))
+        for field in (b'"times":-1', b'"times":2,"intervalMs":-1', b'"intervalMs":1e300'):
+            body = b'{"spec":"x","steps":[{"count":1}],' + field + b"}"
+            self.assertThat(decode_submission(body, "id", "q", 1.0).status, Equals(400))
+
     def test_deeply_nested_submission_is_refused(self):
         body = b'{"spec":"x","steps":[{"count":' + b"[" * 4096
         self.assertThat(decode_submission(body, "id", "q", 1.0), IsInstance(CallerRefused))
