--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -89,6 +89,7 @@
 from laburnumswitch.process.dispatch.run_ends import may_adopt
 from laburnumswitch.process.dispatch.silences import Silences
 from laburnumswitch.process.dispatch.start_delays import StartDelays
+from laburnumswitch.process.dispatch.start_limits import StartLimits
 from laburnumswitch.process.dispatch.step_state import NO_RUNS
 from laburnumswitch.process.dispatch.step_state import Task
 from laburnumswitch.process.dispatch.tails import TailLatencyModel
@@ -189,6 +190,7 @@
         self.store_time = StoreTime(context.table, context.clock, context.boot_clock)
         self.jobs_by_id: dict[str, Job] = {}
         self.job_memory = JobMemory(context.deployment.memory_mb)
+        self.start_limits = StartLimits(context.deployment.memory_mb)
         self.parked_jobs = ParkedJobs(self.job_memory, recorder, context.log)
         self.final_by_id: dict[str, JobState] = {}
         self.ended_s_by_id: dict[str, float] = {}
@@ -642,12 +644,15 @@
         return True
 
     def _reserve_run(self, worker: Worker, run: ActiveRun, job: Job) -> None:
+        runs_before = len(worker.runs_by_task)
         worker.add_run(run)
+        self.start_limits.run_count += len(worker.runs_by_task) - runs_before
         organisation = job.submission.organisation
         self.organisation_usage.add_run(worker.worker_id, run.task, organisation, run.step)
 
     def _free_run(self, worker: Worker, task: TaskKey) -> None:
-        worker.remove_run(task)
+        if worker.remove_run(task) is not None:
+            self.start_limits.run_count -= 1
         self.organisation_usage.remove_run(worker.worker_id, task)
         self.model.forget_task(task)
 
--- a/laburnumswitch/process/dispatch/fleet.py
+++ b/laburnumswitch/process/dispatch/fleet.py
@@ -274,6 +274,7 @@
         self.last_end_number = 0
         # Pairs of a batch and the number of the end report to acknowledge after its commit.
         self.pending_acknowledgements: list[tuple[int, int]] = []
+        self.pending_starts: set[ActiveRun] = set()
         self.last_answer_s = 0.0
         self.answer_made_s = 0.0
         self._answer_times = AnswerTimes(1.0 - MIN_CLOCK_RATE)
@@ -406,6 +407,7 @@
         """Remove a run that has certainly ended and free its resources."""
         run = self.runs_by_task.pop(task, None)
         if run is not None:
+            self.pending_starts.discard(run)
             self._reserve(run.step, -1)
         return run
 
--- a/laburnumswitch/process/dispatch/gang_places.py
+++ b/laburnumswitch/process/dispatch/gang_places.py
@@ -4,6 +4,7 @@
 together.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 
 from laburnumswitch.process.dispatch.fleet import Worker
@@ -22,20 +23,22 @@
     queue: Queue,
     ready: ReadyStep,
     workers: list[Worker],
+    free_starts: Callable[[Worker], int],
     now_s: float,
     wall_s: float,
 ) -> GangPlaces | None:
     """Return where the members of a gang start, or ``None`` if it waits.
 
+    :param free_starts: how many more runs a worker may have, whatever room there is.
     :param wall_s: Unix time in seconds.
     """
     groups = near_groups(ready.step_state.step, workers)
     for group in groups:
-        places = _find_places(ready.step_state, group)
+        places = _find_places(ready.step_state, group, free_starts)
         if places is not None:
             place_waits.note_gang_start(ready, True, now_s)
             return places
-    places = _find_places(ready.step_state, workers)
+    places = _find_places(ready.step_state, workers, free_starts)
     if places is None or not groups:
         return places
     if place_waits.gang_waits(ready, queue, groups, workers, now_s, wall_s):
@@ -61,9 +64,13 @@
     return [group_by_rack[rack] for rack in racks]
 
 
-def _find_places(step_state: StepState, workers: list[Worker]) -> GangPlaces | None:
+def _find_places(
+    step_state: StepState, workers: list[Worker], free_starts: Callable[[Worker], int]
+) -> GangPlaces | None:
     step = step_state.step
-    free_slots = {worker.worker_id: worker.free_slots(step) for worker in workers}
+    free_slots = {
+        worker.worker_id: min(worker.free_slots(step), free_starts(worker)) for worker in workers
+    }
     placed: list[Worker] = []
     for worker in sorted(workers, key=lambda each: free_slots[each.worker_id], reverse=True):
         slots = min(free_slots[worker.worker_id], step.max_per_worker or step.count)
--- a/laburnumswitch/process/dispatch/planner.py
+++ b/laburnumswitch/process/dispatch/planner.py
@@ -431,7 +431,7 @@
     if step.best_effort:
         candidates = workers_to_rank(step, candidates, dispatcher.counters.starts)
     _start_suspects(dispatcher, ready, candidates, tickets, forced)
-    eligible = (each for each in candidates if _allows_another_task(step, each, ready))
+    eligible = (each for each in candidates if _may_start_another(dispatcher, each, ready))
     ranking = Ranking(step._replace(data_rack=""), eligible, context)
     startable = dispatcher.quota_gate.startable(ready)
     if limit is not None:
@@ -446,7 +446,7 @@
                 return False
             forced -= 1
         start_tasks(dispatcher, ready.job, [(task, choice.worker)], tickets)
-        ranking.requeue_best(_allows_another_task(step, choice.worker, ready))
+        ranking.requeue_best(_may_start_another(dispatcher, choice.worker, ready))
     return True
 
 
@@ -468,7 +468,7 @@
             for worker in candidates
             if worker.fits(step)
             and not worker.has_suspect()
-            and _allows_another_task(step, worker, ready)
+            and _may_start_another(dispatcher, worker, ready)
         ]
         if step.best_effort:
             choice = Ranking(step, suitable, placement_context(dispatcher)).best()
@@ -482,6 +482,11 @@
         start_tasks(dispatcher, ready.job, [(task, worker)], tickets)
 
 
+def _may_start_another(dispatcher: Dispatcher, worker: Worker, ready: ReadyStep) -> bool:
+    step = ready.step_state.step
+    return dispatcher.start_limits.allow_start(worker) and _allows_another_task(step, worker, ready)
+
+
 def _allows_another_task(step: Step, worker: Worker, ready: ReadyStep) -> bool:
     if not step.max_per_worker:
         return True
@@ -504,7 +509,15 @@
         if not all(dispatcher.may_start(task) for task in suspects):
             return
     now_s, wall_s = dispatcher.context.clock(), dispatcher.context.wall_clock()
-    placed = choose_gang_places(dispatcher.place_waits, queue, ready, candidates, now_s, wall_s)
+    placed = choose_gang_places(
+        dispatcher.place_waits,
+        queue,
+        ready,
+        candidates,
+        dispatcher.start_limits.free_starts,
+        now_s,
+        wall_s,
+    )
     if placed is None:
         return
     number = max(dispatcher.next_run(task) for task, _ in placed)
--- a/laburnumswitch/process/dispatch/run_start.py
+++ b/laburnumswitch/process/dispatch/run_start.py
@@ -59,6 +59,7 @@
     starts = []
     for task, worker in placed:
         run = dispatcher.begin_run(job, task, worker)
+        worker.pending_starts.add(run)
         dispatcher.place_waits.note_start(run.step, worker)
         starts.append(_Start(worker, run, tickets.get(worker.worker_id, "")))
     if starts and starts[0].run.step.long_running:
@@ -189,6 +190,10 @@
         )
     else:
         outcome = ConnectFailed(worker.worker_id, HELD_UP_REASON)
+    if not dispatcher.start_limits.allow_start(worker):
+        # Further tasks may have waited for the answer.
+        dispatcher.wake.set()
+    worker.pending_starts.discard(run)
     now_s = context.clock()
     ready_since_s = step_state.ready_since_s
     is_current = worker.runs_by_task.get(run.task) is run
