Make the absence of a cancelled job final before it is answered

Cause: a DELETE that found no submission answered 410 and wrote nothing, while the submission's write was on its way: in the store, in the entry that the caller had left, or at the owner.

Change: the DELETE stores the cancellation on the condition that there is no submission, and a submission is stored only if there is no cancellation. A later POST with the id gets 410. The owner removes such rows after two minutes. An entry does not store a submission that it received more than 30 s ago. A GET does not show a job that has a cancellation only.

--- a/laburnumswitch/exceptions/__init__.py
+++ b/laburnumswitch/exceptions/__init__.py
@@ -40,6 +40,7 @@
 from laburnumswitch.exceptions.requests import ClaimInProgress
 from laburnumswitch.exceptions.requests import ConnectionLimit
 from laburnumswitch.exceptions.requests import FirstByteLate
+from laburnumswitch.exceptions.requests import JobWithdrawn
 from laburnumswitch.exceptions.requests import KeyNotAccepted
 from laburnumswitch.exceptions.requests import KeyReused
 from laburnumswitch.exceptions.requests import NotRun
@@ -90,6 +91,7 @@
     "InvalidValue",
     "JobTooLarge",
     "JournalBroken",
+    "JobWithdrawn",
     "KeyNotAccepted",
     "KeyReused",
     "LedgerConflict",
--- a/laburnumswitch/exceptions/requests.py
+++ b/laburnumswitch/exceptions/requests.py
@@ -33,6 +33,13 @@
     job_id: str
 
 
+@dataclass(frozen=True)
+class JobWithdrawn(Failure):
+    """A caller has cancelled a job before it was stored, so it never will be."""
+
+    job_id: str
+
+
 @dataclass(frozen=True)
 class CannotListen(Failure):
     """The process cannot listen on an address of the settings."""
--- a/laburnumswitch/process/dispatch/progress.py
+++ b/laburnumswitch/process/dispatch/progress.py
@@ -11,6 +11,7 @@
 
 from laburnumswitch.exceptions import Conflict
 from laburnumswitch.exceptions import Failure
+from laburnumswitch.exceptions import JobWithdrawn
 from laburnumswitch.exceptions import OtherOrganisation
 from laburnumswitch.exceptions import RowMalformed
 from laburnumswitch.process.dispatch.job_checks import find_broken_step
@@ -191,24 +192,28 @@
     """Store a submission unless it exists, and return ``None`` once it is certainly stored.
 
     May be repeated after an unknown outcome: the write is conditional on the row's absence, so it
-    remains one job even if an earlier write takes effect late.
+    remains one job even if an earlier write takes effect late. It is conditional on the absence of
+    a cancellation too, see ``withdraw_submission``.
 
-    :return: ``OtherOrganisation`` if the job exists and is that of another organisation.
+    :return: ``OtherOrganisation`` if the job exists and is that of another organisation,
+        ``JobWithdrawn`` if it does not exist and its caller has cancelled it.
     """
-    key = submission_key(submission.job_id)
+    key, withdrawal_key = submission_key(submission.job_id), cancellation_key(submission.job_id)
     # Earlier versions cannot read rows with the field that names the organisation.
     value = submission if submission.organisation else submission[:-1]
-    outcome = table.commit(Transaction((Condition(key, ABSENT_VERSION),), (Put(key, value),)))
+    conditions = (Condition(key, ABSENT_VERSION), Condition(withdrawal_key, ABSENT_VERSION))
+    outcome = table.commit(Transaction(conditions, (Put(key, value),)))
     if isinstance(outcome, Committed):
         return None
     if not isinstance(outcome, Conflict):
         return outcome
-    found = table.read((key,))
+    found = table.read((key, withdrawal_key))
     if isinstance(found, Failure):
         return found
     row = found[key]
     if row.version == ABSENT_VERSION:
-        return outcome
+        is_withdrawn = found[withdrawal_key].version != ABSENT_VERSION
+        return JobWithdrawn(submission.job_id) if is_withdrawn else outcome
     organisation = stored_organisation(row)
     if isinstance(organisation, RowMalformed):
         # Without an organisation, the job is accepted as it was before there were any.
@@ -218,6 +223,27 @@
     return OtherOrganisation(submission.job_id)
 
 
+def withdraw_submission(table: Table, job_id: str, now_s: float) -> None | Failure:
+    """Store the cancellation of a job that is not stored, so that it never will be.
+
+    A write of its submission may be on its way: of an entry whose caller has left, of one that
+    repeats it, or in the store itself. It fails from now on.
+
+    :param now_s: Unix time in seconds.
+    :return: ``None`` once that is certain, ``Conflict`` if the job is stored meanwhile.
+    """
+    key = cancellation_key(job_id)
+    conditions = (
+        Condition(submission_key(job_id), ABSENT_VERSION),
+        Condition(key, ABSENT_VERSION),
+    )
+    outcome = table.commit(Transaction(conditions, (Put(key, now_s),)))
+    if isinstance(outcome, Committed):
+        return None
+    was_withdrawn = isinstance(outcome, Conflict) and outcome.key == key
+    return None if was_withdrawn else outcome
+
+
 def stored_organisation(row: Row) -> str | RowMalformed:
     """Return the organisation of the submission in a row, which must exist."""
     submission = decode_stored_submission(row.key, row.value)
--- a/laburnumswitch/process/dispatch/retention.py
+++ b/laburnumswitch/process/dispatch/retention.py
@@ -3,17 +3,25 @@
 Until then a repeated submission finds the row of its job and does not create a second one.
 """
 
+from laburnumswitch.exceptions import Conflict
 from laburnumswitch.exceptions import Failure
 from laburnumswitch.process.dispatch.dispatcher import Dispatcher
 from laburnumswitch.process.dispatch.job_memory import submission_bytes
 from laburnumswitch.process.dispatch.progress import cancellation_key
 from laburnumswitch.process.dispatch.progress import progress_key
 from laburnumswitch.process.dispatch.progress import submission_key
+from laburnumswitch.process.rows.table import ABSENT_VERSION
+from laburnumswitch.process.rows.table import Committed
+from laburnumswitch.process.rows.table import Condition
 from laburnumswitch.process.rows.table import Transaction
 
 # How long rows are kept after the end of a job, in seconds: five times the two minutes for which
 # callers may query it.
 RETENTION_S = 600.0
+# How long the cancellation of a job that was never stored is kept, in seconds, by the clock of an
+# owner that has read it: four times as long as an entry tries to store a submission, see
+# ``job_api.MAX_SUBMISSION_AGE_S``. The store may carry out what it was sent seconds later.
+WITHDRAWAL_S = 120.0
 # How long the steps of an ended job are kept, in seconds. Late reports of its runs name them.
 KEPT_STEPS_S = 60.0
 # Interval between two passes, in seconds.
@@ -78,15 +86,27 @@
 
 def forget_unknown_jobs(dispatcher: Dispatcher) -> None:
     """Forget cancellations and runs of jobs whose submissions never arrived."""
+    remove_withdrawals(dispatcher)
     limit_s = dispatcher.context.clock() - RETENTION_S
-    cancelled = dispatcher.cancelled_s_by_id
-    for job_id in [job_id for job_id, at_s in cancelled.items() if at_s < limit_s]:
-        del cancelled[job_id]
     orphans = dispatcher.orphan_by_task
     for task in [task for task, orphan in orphans.items() if orphan.seen_s < limit_s]:
         del orphans[task]
 
 
+def remove_withdrawals(dispatcher: Dispatcher) -> None:
+    """Remove the cancellations of jobs that were never stored, see ``withdraw_submission``."""
+    context, cancelled = dispatcher.context, dispatcher.cancelled_s_by_id
+    limit_s = context.clock() - WITHDRAWAL_S
+    for job_id in [job_id for job_id, at_s in cancelled.items() if at_s < limit_s][:JOBS_PER_PASS]:
+        # An entry of an earlier version may have stored it all the same.
+        condition = Condition(submission_key(job_id), ABSENT_VERSION)
+        outcome = context.table.commit(Transaction((condition,), (), (cancellation_key(job_id),)))
+        if isinstance(outcome, Committed | Conflict):
+            cancelled.pop(job_id, None)
+        else:
+            context.log.note("removal_failed", job_id, reason=outcome.describe())
+
+
 def forget_unused_queues(dispatcher: Dispatcher, unused_since_s: dict[str, float]) -> None:
     """Forget removed queues that have had no jobs for the retention period.
 
--- a/laburnumswitch/process/leadership/peer_api.py
+++ b/laburnumswitch/process/leadership/peer_api.py
@@ -12,6 +12,7 @@
 from laburnumswitch.connection.json_call import call_json
 from laburnumswitch.connection.json_call import GZIP
 from laburnumswitch.exceptions import Failure
+from laburnumswitch.exceptions import JobWithdrawn
 from laburnumswitch.exceptions import OtherOrganisation
 from laburnumswitch.exceptions import Refused
 from laburnumswitch.process.dispatch.admission import admit
@@ -61,6 +62,11 @@
 # The entry fetches the newer one meanwhile.
 OUTDATED_WATCH_WAIT_S = 0.2
 STATUS_FORBIDDEN = 403
+# Statuses of the refusals of the owner that are final.
+STATUS_BY_REFUSAL: dict[type[OtherOrganisation | JobWithdrawn], int] = {
+    OtherOrganisation: STATUS_FORBIDDEN,
+    JobWithdrawn: 410,
+}
 
 
 Handler = Callable[[AdminRequest], AdminReply]
@@ -108,7 +114,7 @@
         # know this call.
         target = "/peer/store-owned" if submission.organisation else "/peer/store"
         answer = call_json(client, "POST", target, submission, bool, STORE_TIMEOUT_S)
-        return _to_ownership_failure(answer, submission.job_id)
+        return _to_refusal(answer, submission.job_id)
 
     def store_cancellation(
         self, address: str, job_id: str, organisation: str = ""
@@ -119,7 +125,7 @@
             # An owner of an earlier version would not compare it with that of the job.
             target = f"/peer/cancel-owned/{job_id}?{urlencode({'organisation': organisation})}"
         answer = call_json(self._client(address), "POST", target, None, bool, STORE_TIMEOUT_S)
-        return _to_ownership_failure(answer, job_id)
+        return _to_refusal(answer, job_id)
 
     def fetch_configuration(self, address: str) -> RelayedConfiguration | Failure:
         """Return the configuration that another entry has in force."""
@@ -246,8 +252,7 @@
             return reject(503, NO_MEMORY)
         outcome = store_submission(dispatcher.context.table, submission)
         if outcome is not None:
-            is_other = isinstance(outcome, OtherOrganisation)
-            return reject(STATUS_FORBIDDEN if is_other else 503, outcome.tag)
+            return reject(STATUS_BY_REFUSAL.get(type(outcome), 503), outcome.tag)
         dispatcher.add_job(submission, JobSource.STORED)
         return reply_json(True)
 
@@ -311,9 +316,12 @@
     return dispatcher
 
 
-def _to_ownership_failure(answer: bool | Failure, job_id: str) -> bool | Failure:
-    if isinstance(answer, Refused) and answer.status == STATUS_FORBIDDEN:
-        return OtherOrganisation(job_id)
+def _to_refusal(answer: bool | Failure, job_id: str) -> bool | Failure:
+    """Return why the owner refused a call for a job for good, any other answer as it is."""
+    if isinstance(answer, Refused):
+        for refusal, status in STATUS_BY_REFUSAL.items():
+            if answer.status == status:
+                return refusal(job_id)
     return answer
 
 
--- a/laburnumswitch/request/job_api.py
+++ b/laburnumswitch/request/job_api.py
@@ -15,6 +15,7 @@
 
 from laburnumswitch.exceptions import CallerRefused
 from laburnumswitch.exceptions import Failure
+from laburnumswitch.exceptions import JobWithdrawn
 from laburnumswitch.exceptions import KeyNotAccepted
 from laburnumswitch.exceptions import OtherOrganisation
 from laburnumswitch.exceptions import RowMalformed
@@ -36,6 +37,7 @@
 from laburnumswitch.process.dispatch.progress import store_submission
 from laburnumswitch.process.dispatch.progress import stored_organisation
 from laburnumswitch.process.dispatch.progress import submission_key
+from laburnumswitch.process.dispatch.progress import withdraw_submission
 from laburnumswitch.process.leadership.messages import AdmissionAnswer
 from laburnumswitch.process.leadership.messages import AdmissionRequest
 from laburnumswitch.process.leadership.messages import JobStateAnswer
@@ -57,6 +59,9 @@
 # Reads and writes are retried for at most this time, in seconds: the caller may then retry through
 # another entry, which may reach the store.
 MAX_RETRY_TIME_S = 1.0
+# A submission that was received longer ago than this, in seconds, is not stored any more, as after
+# a suspension of this VM: its caller may have cancelled it.
+MAX_SUBMISSION_AGE_S = 30.0
 FIRST_RETRY_PAUSE_S = 0.04
 MAX_RETRY_PAUSE_S = 0.3
 # Value of ``Retry-After``, in seconds, if the store is unavailable.
@@ -75,6 +80,7 @@
 QUEUE_METHODS = ("GET",)
 STATUS_OK = 200
 FORBIDDEN = 403
+GONE = 410
 ID_DIGITS = 16
 HEXADECIMAL = frozenset("0123456789abcdefABCDEF")
 # How much of the host and the path of a refused call is logged, in characters.
@@ -335,17 +341,24 @@
     if rejection is not None:
         return rejection
 
+    unknown_reply = JobReply(504, retry_after_s=STORE_RETRY_AFTER_S)
+    began_s = context.boot_clock()
+
     def attempt() -> JobReply | Failure:
+        if context.boot_clock() - began_s > MAX_SUBMISSION_AGE_S:
+            context.log.note("submission_outdated", job_id)
+            return unknown_reply
         failure = store_submission(context.table, submission)
         if failure is None:
             context.owner.notify_submitted(submission)
             return JobReply(200)
-        if isinstance(failure, OtherOrganisation):
-            return JobReply(FORBIDDEN)
         # The store may refuse this entry and still serve the owner, which then queues the job.
-        return _reply_of_owner(context.owner.store_submission(submission)) or failure
+        return (
+            _final_reply(failure)
+            or _reply_of_owner(context.owner.store_submission(submission))
+            or failure
+        )
 
-    unknown_reply = JobReply(504, retry_after_s=STORE_RETRY_AFTER_S)
     return _retry(context, attempt, deadline_s, "submit_unknown", job_id, unknown_reply)
 
 
@@ -405,9 +418,14 @@
 
 def _reply_of_owner(outcome: bool | Failure) -> JobReply | None:
     """Return the reply if the owner stored what was asked, or refused it for good."""
-    if outcome is True:
-        return JobReply(200)
-    return JobReply(FORBIDDEN) if isinstance(outcome, OtherOrganisation) else None
+    return JobReply(200) if outcome is True else _final_reply(outcome)
+
+
+def _final_reply(outcome: bool | Failure) -> JobReply | None:
+    """Return the reply to a call that was refused for good, ``None`` if it was not."""
+    if isinstance(outcome, OtherOrganisation):
+        return JobReply(FORBIDDEN)
+    return JobReply(GONE) if isinstance(outcome, JobWithdrawn) else None
 
 
 def _get_state(context: JobApiContext, call: _Call, deadline_s: float) -> JobReply:
@@ -434,7 +452,7 @@
     if isinstance(organisation, Failure):
         return organisation
     if organisation is None:
-        return JobReply(410)
+        return JobReply(GONE)
     if not may_access_job(call.organisation, organisation):
         return JobReply(FORBIDDEN)
     return JobReply(200, context.encode_state(state))
@@ -464,7 +482,7 @@
         return rows
     state = _stored_state(rows, *keys)
     if state is None:
-        return JobReply(410)
+        return JobReply(GONE)
     return _reply_with_state(context, call, _organisation_in(rows[keys[1]], call), state)
 
 
@@ -475,11 +493,13 @@
     progress = decode_progress(stored.key, stored.value) if _exists(stored) else None
     if isinstance(progress, Progress) and progress.state in FINAL_STATES:
         return progress.state
-    if _exists(rows[cancellation_key]):
+    is_stored = _exists(rows[submission_key])
+    # Without a submission, the cancellation is that of a job that never was stored.
+    if is_stored and _exists(rows[cancellation_key]):
         return JobState.CANCELLED
     if isinstance(progress, Progress):
         return progress.state
-    return JobState.QUEUED if _exists(rows[submission_key]) else None
+    return JobState.QUEUED if is_stored else None
 
 
 def _cancel(context: JobApiContext, call: _Call, deadline_s: float) -> JobReply:
@@ -501,7 +521,9 @@
     if isinstance(rows, Failure):
         return rows
     if not _exists(rows[key]):
-        return JobReply(410)
+        # That there is no such job has to stay true, whatever write of it is on its way.
+        failure = withdraw_submission(context.table, job_id, context.wall_clock())
+        return JobReply(GONE) if failure is None else failure
     organisation = _organisation_in(rows[key], call)
     if isinstance(organisation, Failure):
         return organisation
--- a/tests/process/dispatch/test_retention.py
+++ b/tests/process/dispatch/test_retention.py
@@ -8,14 +8,18 @@
 
 from laburnumswitch.process.dispatch.job_spec import TaskKey
 from laburnumswitch.process.dispatch.jobs import JobState
+from laburnumswitch.process.dispatch.progress import cancellation_key
 from laburnumswitch.process.dispatch.progress import progress_key
 from laburnumswitch.process.dispatch.progress import submission_key
 from laburnumswitch.process.dispatch.progress import SUBMISSIONS_TABLE
+from laburnumswitch.process.dispatch.progress import withdraw_submission
 from laburnumswitch.process.dispatch.retention import forget_unknown_jobs
 from laburnumswitch.process.dispatch.retention import JOBS_PER_PASS
 from laburnumswitch.process.dispatch.retention import REMOVAL_INTERVAL_S
 from laburnumswitch.process.dispatch.retention import remove_old_jobs
+from laburnumswitch.process.dispatch.retention import remove_withdrawals
 from laburnumswitch.process.dispatch.retention import RETENTION_S
+from laburnumswitch.process.dispatch.retention import WITHDRAWAL_S
 from laburnumswitch.process.dispatch.worker_protocol import RunReport
 from tests.process.dispatch.harness import DispatchHarness
 from tests.process.dispatch.harness import make_submission
@@ -63,6 +67,41 @@
         self.assertThat(list(self.owner.cancelled_s_by_id), Equals(["new"]))
         self.assertThat(self.owner.orphan_by_task, Equals({}))
 
+    def withdraw(self, job_id):
+        withdraw_submission(self.harness.table, job_id, 0.0)
+        wait_until(lambda: job_id in self.owner.cancelled_s_by_id)
+
+    def test_cancellation_of_a_job_that_was_never_stored_is_removed(self):
+        self.withdraw("old")
+        self.withdraw("new")
+        self.owner.cancelled_s_by_id["old"] -= WITHDRAWAL_S + 1
+        remove_withdrawals(self.owner)
+        self.assertThat(self._version(cancellation_key("old")), Equals(0))
+        self.assertThat(self._version(cancellation_key("new")) > 0, Equals(True))
+        self.assertThat(list(self.owner.cancelled_s_by_id), Equals(["new"]))
+
+    def test_cancellation_is_kept_if_an_earlier_version_has_stored_the_job(self):
+        # It does not look at cancellations, and its owner cancels what it reads.
+        self.withdraw("j2")
+        cancelled_s = self.owner.cancelled_s_by_id["j2"]
+        starts = self.harness.checker.start_count
+        self.harness.submit(make_submission("j2"))
+        self.owner.cancelled_s_by_id["j2"] = cancelled_s - WITHDRAWAL_S - 1
+        remove_withdrawals(self.owner)
+        self.assertThat(self._version(cancellation_key("j2")) > 0, Equals(True))
+        self.owner.stop()
+        successor = self.harness.start_owner("vm-2")
+        self.addCleanup(successor.stop)
+        wait_until(lambda: successor.reported_state("j2") is JobState.CANCELLED)
+        self.assertThat(self.harness.checker.start_count, Equals(starts))
+
+    def test_cancellations_are_kept_while_the_store_is_unavailable(self):
+        self.withdraw("old")
+        self.owner.cancelled_s_by_id["old"] -= WITHDRAWAL_S + 1
+        self.harness.table.down = True
+        remove_withdrawals(self.owner)
+        self.assertThat(list(self.owner.cancelled_s_by_id), Equals(["old"]))
+
     def test_jobs_are_kept_while_the_store_is_unavailable(self):
         self.owner.ended_s_by_id["j1"] -= RETENTION_S + 1
         self.harness.table.down = True
--- a/tests/process/leadership/test_peer_api.py
+++ b/tests/process/leadership/test_peer_api.py
@@ -24,6 +24,7 @@
 from laburnumswitch.process.dispatch.jobs import JobState
 from laburnumswitch.process.dispatch.organisation_admission import OrganisationAdmissions
 from laburnumswitch.process.dispatch.organisation_jobs import ResourceSeconds
+from laburnumswitch.process.dispatch.progress import withdraw_submission
 from laburnumswitch.process.leadership.messages import AdmissionAnswer
 from laburnumswitch.process.leadership.messages import AdmissionRequest
 from laburnumswitch.process.leadership.messages import WatchAnswer
@@ -199,6 +200,12 @@
         self.assertThat(describe_job(self.owner, "j1").organisation, Equals("depot"))
         self.assertThat(self._cancel("cancel-owned", {"organisation": "depot"}), Equals(200))
 
+    def test_owner_refuses_to_store_a_job_that_its_caller_has_cancelled(self):
+        """The entry of the caller could not reach the store, another one has answered 410."""
+        withdraw_submission(self.harness.table, "j1", 0.0)
+        self.assertThat(self._store("depot"), Equals(410))
+        self.assertThat(self.owner.knows_job("j1"), Equals(False))
+
     def test_organisation_of_a_job_that_the_owner_does_not_hold_is_unknown(self):
         self.owner.note_final("j2", JobState.COMPLETED)
         self.assertThat(describe_job(self.owner, "j2").organisation, Equals(None))
--- a/tests/request/test_job_api.py
+++ b/tests/request/test_job_api.py
@@ -287,7 +287,8 @@
         self.assertThat(reply.retry_after_s, GreaterThan(0))
 
     def test_cancel(self):
-        self.assertThat(self._ask("DELETE").status, Equals(410))
+        unknown = f"{QUEUE.path_prefix}{JOB_ID[::-1]}"
+        self.assertThat(self._ask("DELETE", unknown).status, Equals(410))
         self._submit()
         self.assertThat(self._ask("DELETE").status, Equals(200))
         self.assertThat(self._stored(cancellation_key(JOB_ID)), Equals(True))
