Soak: callers that leave and cancel, and jobs that no worker can run

Callers leave within 50 ms and cancel through another entry; no such job may run 12 s after the faults. Others hand in jobs without steps, wide ones and schedules of a year.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -27,6 +27,7 @@
 from soak.faults import FAULTS
 from soak.faults import inject_faults
 from soak.faults import NAMED_FAULTS
+from soak.odd_callers import OddCallers
 from soak.owners_cut_off import play_cuts
 from soak.owners_in_series import draw_mix
 from soak.owners_in_series import play_series
@@ -101,6 +102,7 @@
         callers = Callers(random, fronts, cluster.checker, cluster.keys)
         if mix:
             _start_long_running(cluster, callers, series.random)
+        odd_callers = OddCallers(Random(f"{seed} odd"), fronts, cluster)
         end_s = monotonic() + seconds
 
         def is_over() -> bool:
@@ -117,6 +119,7 @@
         elif cuts_off_owners:
             greenlets.append(spawn(play_cuts, series, callers, is_over))
         else:
+            greenlets.append(spawn(odd_callers.run, is_over))
             for number in range(CONCURRENT_FAULTS):
                 fault_random = Random(seed * 1000 + number)
                 chosen = choose_faults(fault_names)
@@ -128,6 +131,7 @@
         _await_completion(cluster, callers)
         if mix:
             _observe_long_running(cluster, callers, ended_s)
+        odd_callers.check()
         cluster.check_down_times(callers.long_running, series.troubles)
         starts = cluster.check_runs()
         return SeedResult(
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -299,6 +299,10 @@
         down_times = find_down_times(self._recorded_runs(), now_s)
         return sum(down.until_s == now_s and down.task.job_id in job_ids for down in down_times)
 
+    def running_job_ids(self) -> set[str]:
+        """Return the jobs of which any task runs now."""
+        return {run.task.job_id for run in self._recorded_runs() if not run.outcome}
+
     def _recorded_runs(self) -> list[RecordedRun]:
         return [run for worker in self.workers for run in worker.recorded_runs()]
 
