Refuse a job at once that no row of the store can hold

Change: the size of the encoded submission is checked before anything is stored; 400 if it exceeds a row. Result: the new test failed before (the job was decoded as acceptable).

--- a/laburnumswitch/platform/callers.py
+++ b/laburnumswitch/platform/callers.py
@@ -14,6 +14,7 @@
 from laburnumswitch.process.dispatch.job_checks import find_defect
 from laburnumswitch.process.dispatch.job_checks import find_odd_value
 from laburnumswitch.process.dispatch.job_size import find_excess
+from laburnumswitch.process.dispatch.job_size import find_row_excess
 from laburnumswitch.process.dispatch.job_size import MAX_STEPS
 from laburnumswitch.process.dispatch.job_spec import Step
 from laburnumswitch.process.dispatch.job_spec import Submission
@@ -82,7 +83,12 @@
         job.first_run_ms / MS_PER_S,
         job.interval_ms / MS_PER_S,
     )
-    defect = find_defect(submission) or find_odd_value(submission) or find_excess(steps)
+    defect = (
+        find_defect(submission)
+        or find_odd_value(submission)
+        or find_excess(steps)
+        or find_row_excess(submission)
+    )
     return submission if defect is None else CallerRefused(400, defect)
 
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -172,6 +172,14 @@
             self.assertThat(refusal, IsInstance(CallerRefused))
             self.assertThat(refusal.status, Equals(400))
 
+    def test_job_that_no_row_of_the_store_holds_is_refused(self):
+        # The store refused each attempt, and the caller was answered 504 again and again.
+        step = b'{"count":1,"image":"%s"}' % (b"x" * 40)
+        for count, is_refused in ((400, False), (1_000, True)):
+            body = b'{"spec":"x","steps":[' + b",".join([step] * count) + b"]}"
+            decoded = decode_submission(body, "id", "q", 1.0)
+            self.assertThat(isinstance(decoded, CallerRefused), Equals(is_refused))
+
     def test_decoding_takes_a_bounded_multiple_of_the_body(self):
         # Decoded all at once, 87,000 empty steps took 24 MB.
         size = 262_144
