Do not add a job anew that was set aside

Found by reading: a repeated submission of a job whose stored progress cannot be read, or a second read of all submissions, added it without its progress, and its tasks would have run again. The extended test ran them before. A cancellation that this owner holds for a job which is stored, but not read yet, is kept for as long as before.

--- a/laburnumswitch/process/dispatch/dispatcher.py
+++ b/laburnumswitch/process/dispatch/dispatcher.py
@@ -406,13 +406,16 @@
         source: JobSource = JobSource.NOTIFIED,
         progress: Progress | None = None,
     ) -> Job | None:
-        """Add a stored job and return it, or ``None`` if it is known, was removed or is parked.
+        """Add a stored job and return it, or ``None`` if it is known, removed, parked or set aside.
 
         :param progress: what is stored of its progress, if anything.
         """
-        if self.knows_job(submission.job_id) or self.parked_jobs.holds(submission.job_id):
-            return None
         job_id = submission.job_id
+        if self.knows_job(job_id) or self.parked_jobs.holds(job_id):
+            return None
+        if self.job_faults.holds(job_id):
+            # A repeated submission does not tell which of its tasks are done.
+            return None
         try:
             return self._add_job(submission, source, progress)
         except Exception:
--- a/laburnumswitch/process/dispatch/retention.py
+++ b/laburnumswitch/process/dispatch/retention.py
@@ -96,14 +96,17 @@
 def remove_withdrawals(dispatcher: Dispatcher) -> None:
     """Remove the cancellations of jobs that were never stored, see ``withdraw_submission``."""
     context, cancelled = dispatcher.context, dispatcher.cancelled_s_by_id
-    limit_s = context.clock() - WITHDRAWAL_S
-    for job_id in [job_id for job_id, at_s in cancelled.items() if at_s < limit_s][:JOBS_PER_PASS]:
-        # An entry of an earlier version may have stored it all the same.
+    now_s = context.clock()
+    expired = [(job_id, at_s) for job_id, at_s in cancelled.items() if at_s < now_s - WITHDRAWAL_S]
+    for job_id, at_s in expired[:JOBS_PER_PASS]:
         condition = Condition(submission_key(job_id), ABSENT_VERSION)
         outcome = context.table.commit(Transaction((condition,), (), (cancellation_key(job_id),)))
-        if isinstance(outcome, Committed | Conflict):
+        # An entry of an earlier version may have stored the job all the same, and this owner may
+        # not have read it yet.
+        is_stored = isinstance(outcome, Conflict)
+        if isinstance(outcome, Committed) or (is_stored and at_s < now_s - RETENTION_S):
             cancelled.pop(job_id, None)
-        else:
+        elif not is_stored:
             context.log.note("removal_failed", job_id, reason=outcome.describe())
 
 
--- a/tests/process/dispatch/test_job_faults.py
+++ b/tests/process/dispatch/test_job_faults.py
@@ -163,7 +163,11 @@
         set_aside = {line["id"] for line in self.faults() if line["event"] == "job_set_aside"}
         self.assertThat(set_aside, Equals({f"odd-{number}" for number in range(len(odd_rows))}))
         self.assertThat(successor.job_faults.count, Equals(len(odd_rows)))
-        self.assertThat(self.harness.checker.start_count, Equals(2))
+        # Their callers repeat the submissions.
+        for number in range(len(odd_rows)):
+            successor.add_job(make_submission(f"odd-{number}"))
+        self.assert_goes_on(successor, "j2")
+        self.assertThat(self.harness.checker.start_count, Equals(4))
 
     def test_job_that_can_be_neither_ordered_nor_placed_is_set_aside(self):
         order = planning_order.order_key
