--- a/laburnumswitch/process/dispatch/start_limits.py
+++ b/laburnumswitch/process/dispatch/start_limits.py
@@ -13,7 +13,7 @@
 # Maximum number of starts to one worker that are not answered yet. Those of a gang are sent
 # together, and not held back.
 MAX_PENDING_STARTS = 64
-# Maximum number of runs of an owner for each MB of its VM's memory; a run takes about 1.5 KB.
+# Maximum number of runs of an owner for each MB of its VM's memory.
 RUNS_PER_MB = 100
 
 
